--- /dev/null
+++ b/src/core/declarations.cpp
@@ -0,0 +1,123 @@
+#include "core/declarations.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+auto toString(Priority priority) -> const char *
+{
+    switch (priority) {
+    case Priority::Interactive:
+        return "interactive";
+    case Priority::Standard:
+        return "standard";
+    case Priority::Batch:
+        return "batch";
+    }
+    return "standard";
+}
+
+auto priorityFromString(const std::string &text) -> std::optional<Priority>
+{
+    for (const auto priority : {Priority::Interactive, Priority::Standard, Priority::Batch}) {
+        if (text == toString(priority)) {
+            return priority;
+        }
+    }
+    return std::nullopt;
+}
+
+namespace
+{
+
+auto checkService(const Service &service, Findings &findings) -> void
+{
+    if (service.kind == ServiceKind::Models && !service.nonIdempotentCalls.empty()) {
+        findings.push_back({service.place, "service " + service.name.text() + ": non-idempotent calls belong to plain services"});
+    }
+    if (service.share <= 0) {
+        findings.push_back({service.place, "service " + service.name.text() + ": share must be above 0"});
+    }
+}
+
+auto checkArtifact(const Declarations &declarations, const Artifact &artifact, Findings &findings) -> void
+{
+    const std::string what = "artifact " + artifact.name.text() + ": ";
+    if (artifact.size <= Bytes(0)) {
+        findings.push_back({artifact.place, what + "size must be above 0"});
+    }
+    if (!declarations.services.contains(artifact.service)) {
+        findings.push_back({artifact.place, what + "unknown service '" + artifact.service.text() + "'"});
+    }
+    if (artifact.kind != ArtifactKind::Adapter) {
+        return;
+    }
+    const auto base = declarations.artifacts.find(artifact.base);
+    if (base == declarations.artifacts.end()) {
+        findings.push_back({artifact.place, what + "unknown base model '" + artifact.base.text() + "'"});
+    } else if (base->second.kind == ArtifactKind::Adapter) {
+        findings.push_back({artifact.place, what + "base '" + artifact.base.text() + "' is itself an adapter"});
+    }
+}
+
+auto checkModel(const Declarations &declarations, const Model &model, Findings &findings) -> void
+{
+    if (std::find(model.versions.begin(), model.versions.end(), model.current) == model.versions.end()) {
+        findings.push_back({model.place, "model " + model.name + ": current version '" + model.current.text() + "' is not declared"});
+    }
+    for (const auto &version : model.versions) {
+        if (!declarations.artifacts.contains(version)) {
+            findings.push_back({model.place, "model " + model.name + ": unknown version '" + version.text() + "'"});
+        }
+    }
+    if (declarations.artifacts.contains(ArtifactName(model.name))) {
+        findings.push_back({model.place, "model " + model.name + ": an adapter or version has the same name"});
+    }
+}
+
+} // namespace
+
+auto checkDeclarations(const Declarations &declarations) -> Findings
+{
+    Findings findings;
+    for (const auto &[name, service] : declarations.services) {
+        checkService(service, findings);
+    }
+    for (const auto &[name, artifact] : declarations.artifacts) {
+        checkArtifact(declarations, artifact, findings);
+    }
+    for (const auto &[name, model] : declarations.models) {
+        checkModel(declarations, model, findings);
+    }
+    for (const auto &[id, target] : declarations.targets) {
+        if (!declarations.services.contains(target.service)) {
+            findings.push_back({target.place, "target " + id.text() + ": unknown service '" + target.service.text() + "'"});
+        }
+    }
+    return findings;
+}
+
+auto resolveModel(const Declarations &declarations, const std::string &name) -> std::optional<ResolvedModel>
+{
+    if (const auto model = declarations.models.find(name); model != declarations.models.end()) {
+        return ResolvedModel {model->second.service, {model->second.current}};
+    }
+    const auto artifact = declarations.artifacts.find(ArtifactName(name));
+    if (artifact == declarations.artifacts.end()) {
+        return std::nullopt;
+    }
+    if (artifact->second.kind == ArtifactKind::Adapter) {
+        return ResolvedModel {artifact->second.service, {artifact->second.base, artifact->second.name}};
+    }
+    return ResolvedModel {artifact->second.service, {artifact->second.name}};
+}
+
+auto isNonIdempotent(const Service &service, const std::string &method, const std::string &path) -> bool
+{
+    return std::any_of(service.nonIdempotentCalls.begin(), service.nonIdempotentCalls.end(), [&](const NonIdempotentCall &call) {
+        return (call.method == "*" || call.method == method) && path.starts_with(call.pathPrefix);
+    });
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/eventloop.cpp
@@ -0,0 +1,235 @@
+#include "net/eventloop.h"
+
+#include <atomic>
+#include <csignal>
+#include <ctime>
+#include <deque>
+#include <glog/logging.h>
+#include <libwebsockets.h>
+#include <mutex>
+#include <thread>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// libwebsockets sizes tables by this; the platform's limit on open files may be a million, which would cost memory.
+constexpr unsigned MaxDescriptors = 8192;
+constexpr unsigned ServiceBufferBytes = 16384;
+/// All headers of one request or answer together; callers with more are refused.
+constexpr unsigned short MaxHeaderBytes = 16384;
+
+auto forwardLwsLog(int level, const char *line) -> void
+{
+    if ((level & LLL_ERR) != 0) {
+        VLOG(1) << "net: libwebsockets: " << line;
+    }
+}
+
+} // namespace
+
+// [SECTION] Timer
+
+struct Timer::Private {
+    lws_sorted_usec_list_t entry {}; // first member: libwebsockets hands it back
+    lws_context *context = nullptr;
+    EventLoop::Task task;
+    Duration period; // 0: once
+    bool active = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    static auto fire(lws_sorted_usec_list_t *entry) -> void;
+    auto schedule(Duration delay) -> void
+    {
+        active = true;
+        lws_sul_schedule(context, 0, &entry, &Private::fire, delay.inMicros());
+    }
+};
+
+auto Timer::Private::fire(lws_sorted_usec_list_t *entry) -> void
+{
+    auto *self = reinterpret_cast<Private *>(entry);
+    self->active = false;
+    if (self->period > Duration()) {
+        self->schedule(self->period);
+    }
+    // The task may destroy this timer, and with it the stored function: run a copy.
+    const auto task = self->task;
+    task();
+}
+
+Timer::Timer() = default;
+Timer::Timer(Timer &&) noexcept = default;
+
+Timer::~Timer()
+{
+    cancel();
+}
+
+auto Timer::operator=(Timer &&other) noexcept -> Timer &
+{
+    if (this != &other) {
+        cancel();
+        d = std::move(other.d);
+    }
+    return *this;
+}
+
+auto Timer::isActive() const -> bool
+{
+    return d && d->active;
+}
+
+auto Timer::cancel() -> void
+{
+    if (d && d->active && *d->alive) {
+        lws_sul_cancel(&d->entry);
+        d->active = false;
+    }
+}
+
+// [SECTION] EventLoop
+
+struct EventLoop::Private {
+    lws_context *context = nullptr;
+    std::atomic<bool> stopping = false;
+    std::mutex mutex; // guards tasks: the only state that other threads touch
+    std::deque<Task> tasks;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // timers may outlive the loop
+
+    auto runTasks() -> void
+    {
+        std::deque<Task> ready;
+        {
+            const std::lock_guard lock(mutex);
+            ready.swap(tasks);
+        }
+        for (auto &task : ready) {
+            task();
+        }
+    }
+    auto hasTasks() -> bool
+    {
+        const std::lock_guard lock(mutex);
+        return !tasks.empty();
+    }
+    auto step() -> void
+    {
+        runTasks();
+        if (!stopping) {
+            lws_service(context, hasTasks() ? -1 : 0);
+        }
+    }
+};
+
+EventLoop::EventLoop()
+    : d(std::make_unique<Private>())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    lws_set_log_level(LLL_ERR, &forwardLwsLog);
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT | LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.fd_limit_per_thread = MaxDescriptors;
+    info.pt_serv_buf_size = ServiceBufferBytes;
+    info.max_http_header_data = MaxHeaderBytes;
+    d->context = lws_create_context(&info);
+    CHECK(d->context != nullptr) << "net: libwebsockets could not start; is the limit on open files too low?";
+}
+
+EventLoop::~EventLoop()
+{
+    *d->alive = false;
+    lws_context_destroy(d->context);
+}
+
+auto EventLoop::run() -> void
+{
+    while (!d->stopping) {
+        d->step();
+    }
+}
+
+auto EventLoop::runUntil(const std::function<bool()> &done, Duration limit) -> bool
+{
+    bool late = false;
+    const auto timer = after(limit, [&] { late = true; });
+    while (!d->stopping && !late) {
+        if (done()) {
+            return true;
+        }
+        d->step();
+    }
+    return done();
+}
+
+auto EventLoop::stop() -> void
+{
+    d->stopping = true;
+    lws_cancel_service(d->context);
+}
+
+auto EventLoop::post(Task task) -> void
+{
+    bool first = false;
+    {
+        const std::lock_guard lock(d->mutex);
+        first = d->tasks.empty();
+        d->tasks.push_back(std::move(task));
+    }
+    if (first) {
+        lws_cancel_service(d->context);
+    }
+}
+
+auto EventLoop::after(Duration delay, Task task) -> Timer
+{
+    Timer timer;
+    timer.d = std::make_unique<Timer::Private>();
+    timer.d->context = d->context;
+    timer.d->alive = d->alive;
+    timer.d->task = std::move(task);
+    timer.d->schedule(delay > Duration() ? delay : Duration::micros(1));
+    return timer;
+}
+
+auto EventLoop::every(Duration period, Task task) -> Timer
+{
+    auto timer = after(period, std::move(task));
+    timer.d->period = period;
+    return timer;
+}
+
+auto EventLoop::now() const -> TimePoint
+{
+    timespec time {};
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    constexpr std::int64_t MicrosPerSecond = 1000000;
+    constexpr std::int64_t NanosPerMicro = 1000;
+    return TimePoint::fromMicros(time.tv_sec * MicrosPerSecond + time.tv_nsec / NanosPerMicro);
+}
+
+auto EventLoop::context() const -> lws_context *
+{
+    return d->context;
+}
+
+auto onTerminationSignal(EventLoop &loop, std::function<void()> onSignal) -> void
+{
+    // A thread that waits for the signals may take locks, which a signal handler may not.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([&loop, signals, onSignal = std::move(onSignal)] {
+        int signal = 0;
+        while (sigwait(&signals, &signal) == 0) {
+            loop.post(onSignal);
+        }
+    }).detach();
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,83 @@
+#include "net/http.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace KingCup
+{
+
+auto headerValue(const HttpHeaders &headers, std::string_view name) -> std::string
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const HttpHeader &header) { return header.name == name; });
+    return found == headers.end() ? std::string() : found->value;
+}
+
+auto endpointFromString(const std::string &text) -> Endpoint
+{
+    Endpoint endpoint;
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return endpoint;
+    }
+    endpoint.address = text.substr(0, colon);
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, endpoint.port);
+    constexpr int MaxPort = 65535;
+    if (parsed.ec != std::errc() || parsed.ptr != end || endpoint.port < 0 || endpoint.port > MaxPort) {
+        endpoint.port = 0;
+    }
+    return endpoint;
+}
+
+auto toString(const Endpoint &endpoint) -> std::string
+{
+    return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+auto toString(CallEnd end) -> const char *
+{
+    switch (end) {
+    case CallEnd::Complete:
+        return "complete";
+    case CallEnd::NotSent:
+        return "not-sent";
+    case CallEnd::Broken:
+        return "broken";
+    case CallEnd::Timeout:
+        return "timeout";
+    case CallEnd::Cancelled:
+        return "cancelled";
+    }
+    return "broken";
+}
+
+auto startShortCall(HttpClient &client, HttpCall call, std::function<void(const HttpAnswer &)> done, std::size_t maxBody) -> std::shared_ptr<HttpCallHandle>
+{
+    auto answer = std::make_shared<HttpAnswer>();
+    auto handle = std::make_shared<std::weak_ptr<HttpCallHandle>>();
+    call.onHead = [answer](int status, const HttpHeaders &headers) {
+        answer->status = status;
+        answer->headers = headers;
+    };
+    call.onData = [answer, handle, maxBody](std::string_view data) {
+        if (answer->body.size() + data.size() > maxBody) {
+            if (const auto self = handle->lock()) {
+                self->cancel();
+            }
+            return;
+        }
+        answer->body.append(data);
+    };
+    call.onEnd = [answer, done = std::move(done)](CallEnd end) {
+        answer->end = end == CallEnd::Cancelled ? CallEnd::Broken : end;
+        if (end != CallEnd::Complete) {
+            answer->status = 0;
+        }
+        done(*answer);
+    };
+    auto started = client.start(std::move(call));
+    *handle = started;
+    return started;
+}
+
+} // namespace KingCup
