--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,7 +1,6 @@
 #include "net/http.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace KingCup
 {
@@ -12,28 +11,6 @@
     return found == headers.end() ? std::string() : found->value;
 }
 
-auto endpointFromString(const std::string &text) -> Endpoint
-{
-    Endpoint endpoint;
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return endpoint;
-    }
-    endpoint.address = text.substr(0, colon);
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, endpoint.port);
-    constexpr int MaxPort = 65535;
-    if (parsed.ec != std::errc() || parsed.ptr != end || endpoint.port < 0 || endpoint.port > MaxPort) {
-        endpoint.port = 0;
-    }
-    return endpoint;
-}
-
-auto toString(const Endpoint &endpoint) -> std::string
-{
-    return endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
 auto toString(CallEnd end) -> const char *
 {
     switch (end) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -2,11 +2,12 @@
 // answers may stream, with back-pressure both ways.
 //
 // Index of sections (search for [SECTION]):
-//   Basics     headers, addresses, TLS files
+//   Basics     headers
 //   Server     HttpServer hands each request to a hook as an HttpExchange
 //   Client     HttpClient::start() makes a call and returns its handle
 #pragma once
 
+#include "core/endpoint.h"
 #include "core/units.h"
 #include "net/eventloop.h"
 
@@ -32,29 +33,6 @@
 /// The value of the first header of that name; empty if there is none.
 auto headerValue(const HttpHeaders &headers, std::string_view name) -> std::string;
 
-/// An IP number and a TCP port.
-struct Endpoint {
-    std::string address = "127.0.0.1";
-    int port = 0;
-
-    auto operator<=>(const Endpoint &) const = default;
-};
-/// "127.0.0.1:8080" to an endpoint; port 0 if the text isn't one.
-auto endpointFromString(const std::string &text) -> Endpoint;
-auto toString(const Endpoint &endpoint) -> std::string;
-
-/// Files of a TLS identity; all empty means plain TCP.
-struct TlsFiles {
-    std::string certificate; ///< PEM chain
-    std::string key; ///< PEM
-    std::string authority; ///< PEM; the peers' certificates must be signed by it
-
-    auto isEnabled() const -> bool
-    {
-        return !certificate.empty() || !authority.empty();
-    }
-};
-
 // [SECTION] Server
 
 struct HttpRequest {
