Settings of kingcupd, from one table of keys

Cause: the daemon needs its addresses, zone and limits from an INI file, and operators need every mistake of one at once.

--- a/src/core/finding.h
+++ b/src/core/finding.h
@@ -24,6 +24,18 @@
 
 using Findings = std::vector<Finding>;
 
+/// What could be read of an input, and everything that is wrong with it. The value is only to be used if there are no findings.
+template<typename T>
+struct Checked {
+    T value;
+    Findings findings;
+
+    auto isValid() const -> bool
+    {
+        return findings.empty();
+    }
+};
+
 /// "file:line: message", as compilers print it.
 auto toString(const Finding &finding) -> std::string;
 
--- /dev/null
+++ b/src/settings/daemonsettings.cpp
@@ -0,0 +1,472 @@
+#include "settings/daemonsettings.h"
+
+#include "settings/inifile.h"
+#include "settings/valueparsers.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// One key: its description and how its text is stored. `store` answers with an error message, or nothing.
+struct SettingSpec {
+    SettingDescription description;
+    std::function<std::string(DaemonSettings &, const std::string &)> store;
+};
+
+/// Collects the table's rows, section by section.
+class SpecBuilder
+{
+public:
+    auto section(std::string name) -> SpecBuilder &
+    {
+        m_section = std::move(name);
+        return *this;
+    }
+
+    using IntegerSetter = std::function<void(DaemonSettings &, std::int64_t)>;
+    struct IntegerRange {
+        std::int64_t least;
+        std::int64_t most;
+    };
+    auto
+    integer(const std::string &key, const std::string &unit, IntegerRange range, std::int64_t fallback, const std::string &meaning, const IntegerSetter &set)
+        -> SpecBuilder &
+    {
+        const auto rangeText = std::to_string(range.least) + " to " + std::to_string(range.most);
+        return add({m_section, key, "integer", unit, rangeText, std::to_string(fallback), meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseInteger(text, range.least, range.most);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+
+    using DecimalSetter = std::function<void(DaemonSettings &, double)>;
+    struct DecimalRange {
+        double least;
+        double most;
+    };
+    auto decimal(const std::string &key, const std::string &unit, DecimalRange range, double fallback, const std::string &meaning, const DecimalSetter &set)
+        -> SpecBuilder &
+    {
+        const auto rangeText = numberText(range.least) + " to " + numberText(range.most);
+        return add({m_section, key, "number", unit, rangeText, numberText(fallback), meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseDecimal(text, range.least, range.most);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+
+    using EndpointSetter = std::function<void(DaemonSettings &, const Endpoint &)>;
+    auto endpoint(const std::string &key, const std::string &meaning, const EndpointSetter &set) -> SpecBuilder &
+    {
+        return add({m_section, key, "endpoint", "", "IP:PORT", "", meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseEndpoint(text);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+
+    using BoolSetter = std::function<void(DaemonSettings &, bool)>;
+    auto boolean(const std::string &key, bool fallback, const std::string &meaning, const BoolSetter &set) -> SpecBuilder &
+    {
+        return add({m_section, key, "boolean", "", "true, false", fallback ? "true" : "false", meaning},
+                   [=](DaemonSettings &settings, const std::string &text) {
+                       const auto parsed = parseBool(text);
+                       set(settings, parsed.value);
+                       return parsed.error;
+                   });
+    }
+
+    using WordSetter = std::function<void(DaemonSettings &, std::size_t)>;
+    /// The words stand in the order of the enumeration's values; `fallback` is empty if the key must be given.
+    auto word(const std::string &key, const std::vector<std::string> &words, const std::string &fallback, const std::string &meaning, const WordSetter &set)
+        -> SpecBuilder &
+    {
+        return add({m_section, key, "word", "", wordList(words), fallback, meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseWord(text, words);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+
+    using TextSetter = std::function<void(DaemonSettings &, const std::string &)>;
+    auto name(const std::string &key, const std::string &meaning, const TextSetter &set) -> SpecBuilder &
+    {
+        return add({m_section, key, "name", "", "letters, digits, - _ . @", "", meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseName(text);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+    auto path(const std::string &key, const std::string &meaning, const TextSetter &set) -> SpecBuilder &
+    {
+        return add({m_section, key, "path", "", "", "", meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            set(settings, text);
+            return std::string();
+        });
+    }
+
+    auto build() -> std::vector<SettingSpec>
+    {
+        return std::move(m_specs);
+    }
+
+private:
+    auto add(SettingDescription description, std::function<std::string(DaemonSettings &, const std::string &)> store) -> SpecBuilder &
+    {
+        m_specs.push_back({std::move(description), std::move(store)});
+        return *this;
+    }
+
+    std::string m_section;
+    std::vector<SettingSpec> m_specs;
+};
+
+constexpr std::int64_t BytesPerKilobyte = 1024;
+constexpr std::int64_t HourInMillis = 3600000;
+
+using Settings = DaemonSettings;
+
+auto addProcess(SpecBuilder &table) -> void
+{
+    table.section("process")
+        .word("role",
+              {"entry", "agent"},
+              "",
+              "what this process is: entry on an entry host, agent in a target's slot",
+              [](Settings &s, std::size_t index) { s.process.role = static_cast<ProcessRole>(index); })
+        .name("id", "of the entry, or of the target that the agent stands beside", [](Settings &s, const std::string &text) { s.process.id = text; })
+        .name("zone", "availability zone of this host", [](Settings &s, const std::string &text) { s.process.zone = ZoneName(text); })
+        .path("operator-module",
+              "file of the operators' gRPC module; default: kingcup-operator.so beside the executable",
+              [](Settings &s, const std::string &text) { s.process.operatorModule = text; });
+}
+
+auto addListen(SpecBuilder &table) -> void
+{
+    table.section("listen")
+        .endpoint("callers", "entries: HTTP for callers, with /metrics, /healthz and /readyz", [](Settings &s, const Endpoint &e) { s.listen.callers = e; })
+        .endpoint("peers",
+                  "both roles: for the system's other processes; an agent's is also the lock of its slot",
+                  [](Settings &s, const Endpoint &e) { s.listen.peers = e; })
+        .endpoint("operators", "entries: gRPC for operators; absent: none", [](Settings &s, const Endpoint &e) { s.listen.operators = e; })
+        .endpoint("metrics", "agents: HTTP for /metrics, /healthz and /readyz; absent: none", [](Settings &s, const Endpoint &e) { s.listen.metrics = e; });
+}
+
+auto addPlatform(SpecBuilder &table) -> void
+{
+    table.section("platform")
+        .endpoint("table", "transactional table service", [](Settings &s, const Endpoint &e) { s.platform.table = e; })
+        .endpoint("objects", "object store", [](Settings &s, const Endpoint &e) { s.platform.objects = e; })
+        .endpoint("hosts", "list of live and leaving hosts", [](Settings &s, const Endpoint &e) { s.platform.hosts = e; });
+}
+
+auto addTarget(SpecBuilder &table) -> void
+{
+    constexpr double MostGigabytes = 4096;
+    table.section("target")
+        .endpoint("engine", "agents: the engine of the runner, or the plain service's instance", [](Settings &s, const Endpoint &e) { s.target.engine = e; })
+        .word("kind",
+              {"runner", "plain"},
+              "runner",
+              "agents: an engine with an accelerator, or an instance of a plain service",
+              [](Settings &s, std::size_t index) { s.target.kind = static_cast<TargetKind>(index); })
+        .name("service",
+              "agents: the service that the target is for; default: as its declaration says",
+              [](Settings &s, const std::string &text) { s.target.service = ServiceName(text); })
+        .decimal("memory-gb", "GB", {0, MostGigabytes}, 0, "agents: accelerator memory; 0 asks the engine", [](Settings &s, double number) {
+            s.target.memory = Bytes::gigabytes(number);
+        });
+}
+
+auto addTls(SpecBuilder &table) -> void
+{
+    table.section("tls")
+        .path("certificate", "PEM file of this process's certificate chain", [](Settings &s, const std::string &text) { s.tls.files.certificate = text; })
+        .path("key", "PEM file of its private key", [](Settings &s, const std::string &text) { s.tls.files.key = text; })
+        .path("authority",
+              "PEM file of the authority that signs the certificates of the system's processes and operators",
+              [](Settings &s, const std::string &text) { s.tls.files.authority = text; })
+        .boolean("callers", false, "entries: TLS for callers", [](Settings &s, bool on) { s.tls.callers = on; })
+        .boolean("peers", false, "TLS between the system's processes, both sides verified", [](Settings &s, bool on) { s.tls.peers = on; })
+        .boolean("operators", false, "entries: TLS for operators, both sides verified", [](Settings &s, bool on) { s.tls.operators = on; });
+}
+
+auto addLimits(SpecBuilder &table) -> void
+{
+    constexpr std::int64_t MostKilobytes = 1 << 20;
+    constexpr std::int64_t MostConnections = 1000000;
+    constexpr std::int64_t LeastMillis = 1;
+    table.section("limits")
+        .integer("max-body-kb",
+                 "KiB",
+                 {1, MostKilobytes},
+                 8192,
+                 "a caller's request body; larger ones are refused",
+                 [](Settings &s, std::int64_t n) { s.limits.maxBody = static_cast<std::size_t>(n * BytesPerKilobyte); })
+        .integer("max-connections",
+                 "",
+                 {1, MostConnections},
+                 4096,
+                 "callers' connections at once; further ones are turned away",
+                 [](Settings &s, std::int64_t n) { s.limits.maxConnections = static_cast<int>(n); })
+        .integer("max-queue",
+                 "",
+                 {1, MostConnections},
+                 4096,
+                 "requests waiting in one entry; further ones are refused as not run",
+                 [](Settings &s, std::int64_t n) { s.limits.maxQueue = static_cast<int>(n); })
+        .integer("stream-buffer-kb",
+                 "KiB",
+                 {1, MostKilobytes},
+                 256,
+                 "kept for one stream before its source is held back",
+                 [](Settings &s, std::int64_t n) { s.limits.streamBuffer = static_cast<std::size_t>(n * BytesPerKilobyte); })
+        .integer("request-budget-ms",
+                 "ms",
+                 {LeastMillis, HourInMillis},
+                 30000,
+                 "time for a request where neither caller nor service names one",
+                 [](Settings &s, std::int64_t n) { s.limits.requestBudget = Duration::millis(n); })
+        .integer("header-timeout-ms",
+                 "ms",
+                 {LeastMillis, HourInMillis},
+                 10000,
+                 "a caller that sends its request slower is cut off",
+                 [](Settings &s, std::int64_t n) { s.limits.headerTimeout = Duration::millis(n); })
+        .integer("max-decisions", "", {0, MostConnections}, 2000, "recent decisions kept for kingcupctl explain", [](Settings &s, std::int64_t n) {
+            s.limits.maxDecisions = static_cast<int>(n);
+        });
+}
+
+auto addPolicy(SpecBuilder &table) -> void
+{
+    table.section("policy")
+        .word("placement",
+              {"objective", "static", "on-demand"},
+              "objective",
+              "how copies are planned; static and on-demand are baselines for measurements",
+              [](Settings &s, std::size_t index) { s.policy.placement = static_cast<PlacementPolicy>(index); })
+        .word("routing",
+              {"objective", "round-robin", "least-loaded"},
+              "objective",
+              "how a target is chosen; round-robin and least-loaded are baselines for measurements",
+              [](Settings &s, std::size_t index) { s.policy.routing = static_cast<RoutingPolicy>(index); });
+}
+
+auto addLog(SpecBuilder &table) -> void
+{
+    constexpr std::int64_t MostVerbosity = 9;
+    table.section("log")
+        .path("directory", "folder of the log files; absent: standard error", [](Settings &s, const std::string &text) { s.log.directory = text; })
+        .integer("verbosity", "", {0, MostVerbosity}, 0, "higher shows more of what the parts do", [](Settings &s, std::int64_t n) {
+            s.log.verbosity = static_cast<int>(n);
+        });
+}
+
+auto addTiming(SpecBuilder &table) -> void
+{
+    constexpr std::int64_t LeastPeriod = 10;
+    constexpr std::int64_t DayInSeconds = 86400;
+    table.section("timing")
+        .integer("heartbeat-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 500,
+                 "between pings on a control stream",
+                 [](Settings &s, std::int64_t n) { s.timing.heartbeat = Duration::millis(n); })
+        .integer("suspect-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 2000,
+                 "silence on a control stream after which the other side gets no new work",
+                 [](Settings &s, std::int64_t n) { s.timing.suspectAfter = Duration::millis(n); })
+        .integer("report-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 500,
+                 "agents: between load reports",
+                 [](Settings &s, std::int64_t n) { s.timing.report = Duration::millis(n); })
+        .integer("hosts-poll-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 1000,
+                 "between reads of the host list",
+                 [](Settings &s, std::int64_t n) { s.timing.hostsPoll = Duration::millis(n); })
+        .integer("config-poll-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 1000,
+                 "entries: between reads of the change log's tail",
+                 [](Settings &s, std::int64_t n) { s.timing.configPoll = Duration::millis(n); })
+        .integer("plan-period-ms",
+                 "ms",
+                 {LeastPeriod, HourInMillis},
+                 1000,
+                 "entries: between placement decisions",
+                 [](Settings &s, std::int64_t n) { s.timing.planPeriod = Duration::millis(n); })
+        .integer("drain-limit-s",
+                 "s",
+                 {1, DayInSeconds},
+                 600,
+                 "a planned stop that takes longer gives up and logs what it cut off",
+                 [](Settings &s, std::int64_t n) { s.timing.drainLimit = Duration::seconds(static_cast<double>(n)); });
+}
+
+auto specs() -> const std::vector<SettingSpec> &
+{
+    static const std::vector<SettingSpec> Table = [] {
+        SpecBuilder builder;
+        addProcess(builder);
+        addListen(builder);
+        addPlatform(builder);
+        addTarget(builder);
+        addTls(builder);
+        addLimits(builder);
+        addPolicy(builder);
+        addLog(builder);
+        addTiming(builder);
+        return builder.build();
+    }();
+    return Table;
+}
+
+auto findSpec(const std::string &section, const std::string &key) -> const SettingSpec *
+{
+    const auto &table = specs();
+    const auto found
+        = std::find_if(table.begin(), table.end(), [&](const SettingSpec &spec) { return spec.description.section == section && spec.description.key == key; });
+    return found == table.end() ? nullptr : &*found;
+}
+
+auto isKnownSection(const std::string &name) -> bool
+{
+    return std::any_of(specs().begin(), specs().end(), [&](const SettingSpec &spec) { return spec.description.section == name; });
+}
+
+auto storeDefaults(DaemonSettings &settings) -> void
+{
+    for (const auto &spec : specs()) {
+        if (!spec.description.fallback.empty()) {
+            spec.store(settings, spec.description.fallback);
+        }
+    }
+}
+
+auto storeSection(const IniFile &file, const IniSection &section, Checked<DaemonSettings> &result) -> void
+{
+    if (!isKnownSection(section.name)) {
+        result.findings.push_back({{file.path, section.line}, "unknown section [" + section.name + "]"});
+        return;
+    }
+    for (const auto &value : section.values) {
+        const Place place {file.path, value.line};
+        const auto *spec = findSpec(section.name, value.key);
+        if (spec == nullptr) {
+            result.findings.push_back({place, "unknown key '" + value.key + "' in [" + section.name + "]"});
+            continue;
+        }
+        const auto error = spec->store(result.value, value.value);
+        if (!error.empty()) {
+            result.findings.push_back({place, value.key + ": " + error});
+        }
+    }
+}
+
+/// Keys that a role can't do without.
+auto requiredKeys(ProcessRole role) -> std::vector<SettingDescription>
+{
+    std::vector<SettingDescription> keys {
+        {.section = "process", .key = "id"},
+        {.section = "process", .key = "zone"},
+        {.section = "listen", .key = "peers"},
+        {.section = "platform", .key = "table"},
+        {.section = "platform", .key = "objects"},
+        {.section = "platform", .key = "hosts"},
+    };
+    if (role == ProcessRole::Entry) {
+        keys.push_back({.section = "listen", .key = "callers"});
+    } else {
+        keys.push_back({.section = "target", .key = "engine"});
+    }
+    return keys;
+}
+
+auto isGiven(const IniFile &file, const std::string &sectionName, const std::string &key) -> bool
+{
+    return std::any_of(file.sections.begin(), file.sections.end(), [&](const IniSection &section) {
+        const auto isKey = [&](const IniValue &value) {
+            return value.key == key;
+        };
+        return section.name == sectionName && std::any_of(section.values.begin(), section.values.end(), isKey);
+    });
+}
+
+auto checkRequired(const IniFile &file, Checked<DaemonSettings> &result) -> void
+{
+    if (!isGiven(file, "process", "role")) {
+        result.findings.push_back({{file.path, 0}, "key 'role' in [process] is missing"});
+        return;
+    }
+    for (const auto &required : requiredKeys(result.value.process.role)) {
+        if (!isGiven(file, required.section, required.key)) {
+            result.findings.push_back({{file.path, 0}, "key '" + required.key + "' in [" + required.section + "] is missing"});
+        }
+    }
+}
+
+auto checkTls(const IniFile &file, Checked<DaemonSettings> &result) -> void
+{
+    const auto &tls = result.value.tls;
+    if (!tls.callers && !tls.peers && !tls.operators) {
+        return;
+    }
+    if (tls.files.certificate.empty() || tls.files.key.empty()) {
+        result.findings.push_back({{file.path, 0}, "TLS needs the keys 'certificate' and 'key' in [tls]"});
+    }
+    if ((tls.peers || tls.operators) && tls.files.authority.empty()) {
+        result.findings.push_back({{file.path, 0}, "TLS for peers or operators needs the key 'authority' in [tls]"});
+    }
+}
+
+} // namespace
+
+auto parseDaemonSettings(const std::string &path, const std::string &text) -> Checked<DaemonSettings>
+{
+    auto parsed = parseIni(path, text);
+    Checked<DaemonSettings> result;
+    result.findings = std::move(parsed.findings);
+    storeDefaults(result.value);
+    for (const auto &section : parsed.value.sections) {
+        storeSection(parsed.value, section, result);
+    }
+    checkRequired(parsed.value, result);
+    checkTls(parsed.value, result);
+    std::stable_sort(result.findings.begin(), result.findings.end(), [](const Finding &a, const Finding &b) { return a.place.line < b.place.line; });
+    return result;
+}
+
+auto loadDaemonSettings(const std::string &path) -> Checked<DaemonSettings>
+{
+    const auto text = readTextFile(path);
+    if (!text) {
+        return {{}, {{{path, 0}, "file can't be read"}}};
+    }
+    return parseDaemonSettings(path, *text);
+}
+
+auto settingDescriptions() -> std::vector<SettingDescription>
+{
+    std::vector<SettingDescription> descriptions;
+    for (const auto &spec : specs()) {
+        descriptions.push_back(spec.description);
+    }
+    return descriptions;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/settings/daemonsettings.h
@@ -0,0 +1,140 @@
+// Settings of kingcupd: one INI file per process, read once at the start.
+//
+// Every key's type, unit, range and default stands once, in the table of daemonsettings.cpp. `--print-settings`, the page
+// docs/SETTINGS.md and the checks are made from that table.
+//
+// Index of sections (search for [SECTION]):
+//   Values    what the file says, by section
+//   Reading   from a file or text, with all findings
+//   Table     the keys, for whoever describes them
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/finding.h"
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Values
+
+enum class ProcessRole { Entry, Agent };
+/// A runner drives an accelerator; a plain target is an instance of a plain service.
+enum class TargetKind { Runner, Plain };
+/// How floor and surge copies are planned; the last two are baselines for measurements.
+enum class PlacementPolicy { Objective, Static, OnDemand };
+/// How an entry chooses a target; the last two are baselines for measurements.
+enum class RoutingPolicy { Objective, RoundRobin, LeastLoaded };
+
+struct ProcessSettings {
+    ProcessRole role {};
+    std::string id; ///< of the entry or the target
+    ZoneName zone;
+    std::string operatorModule; ///< path of the operators' module; empty: beside the executable
+};
+
+struct ListenSettings {
+    Endpoint callers; ///< entries
+    Endpoint peers; ///< both roles; an agent's is also the lock of its slot
+    std::optional<Endpoint> operators; ///< entries; gRPC
+    std::optional<Endpoint> metrics; ///< agents; entries serve metrics on the callers' port
+};
+
+struct PlatformSettings {
+    Endpoint table;
+    Endpoint objects;
+    Endpoint hosts;
+};
+
+struct TargetSettings {
+    Endpoint engine; ///< of the runner's engine or the plain service
+    TargetKind kind {};
+    ServiceName service; ///< that a plain target serves; empty: as declared
+    Bytes memory; ///< of the accelerator; 0: ask the engine
+};
+
+struct TlsSettings {
+    TlsFiles files;
+    bool callers = false;
+    bool peers = false;
+    bool operators = false;
+};
+
+struct LimitSettings {
+    std::size_t maxBody = 0; ///< bytes of a caller's request
+    int maxConnections = 0; ///< of callers
+    int maxQueue = 0; ///< requests waiting in one entry
+    std::size_t streamBuffer = 0; ///< bytes kept for one stream before its source is held back
+    Duration requestBudget; ///< where neither caller nor service names one
+    Duration headerTimeout; ///< a caller that sends its request slower is cut off
+    int maxDecisions = 0; ///< recent decisions kept for `kingcupctl explain`
+};
+
+struct PolicySettings {
+    PlacementPolicy placement {};
+    RoutingPolicy routing {};
+};
+
+struct LogSettings {
+    std::string directory; ///< empty: standard error
+    int verbosity = 0;
+};
+
+struct TimingSettings {
+    Duration heartbeat; ///< between pings on a control stream
+    Duration suspectAfter; ///< of silence on a control stream
+    Duration report; ///< between load reports of an agent
+    Duration hostsPoll;
+    Duration configPoll;
+    Duration planPeriod;
+    Duration drainLimit; ///< after which a planned stop gives up and says what it cut off
+};
+
+struct DaemonSettings {
+    ProcessSettings process;
+    ListenSettings listen;
+    PlatformSettings platform;
+    TargetSettings target;
+    TlsSettings tls;
+    LimitSettings limits;
+    PolicySettings policy;
+    LogSettings log;
+    TimingSettings timing;
+};
+
+// [SECTION] Reading
+
+/// Reads a settings file. Keys that are missing have their defaults; unknown ones are findings.
+auto loadDaemonSettings(const std::string &path) -> Checked<DaemonSettings>;
+
+/// As loadDaemonSettings(), from text; `path` is only used in findings.
+auto parseDaemonSettings(const std::string &path, const std::string &text) -> Checked<DaemonSettings>;
+
+// [SECTION] Table
+
+/// One key as an operator sees it.
+struct SettingDescription {
+    std::string section;
+    std::string key;
+    std::string type; ///< "integer", "endpoint", "name", ...
+    std::string unit; ///< empty if it has none
+    std::string range; ///< as text, e.g. "1 to 65536" or "entry, agent"
+    std::string fallback; ///< the default; empty if there is none
+    std::string meaning; ///< one sentence
+};
+
+/// All keys, in the order in which they are shown.
+auto settingDescriptions() -> std::vector<SettingDescription>;
+
+/// A commented settings file with every key at its default.
+auto commentedSettings() -> std::string;
+
+/// docs/SETTINGS.md.
+auto settingsPage() -> std::string;
+
+} // namespace KingCup
