--- a/src/core/declarations.cpp
+++ b/src/core/declarations.cpp
@@ -41,28 +41,45 @@
     }
 }
 
+auto checkAdapter(const Declarations &declarations, const Artifact &artifact, Findings &findings) -> void
+{
+    const std::string what = "artifact " + artifact.name.text() + ": ";
+    const auto base = declarations.artifacts.find(artifact.base);
+    if (base == declarations.artifacts.end()) {
+        findings.push_back({artifact.place, what + "unknown base model '" + artifact.base.text() + "'"});
+    } else if (base->second.kind == ArtifactKind::Adapter) {
+        findings.push_back({artifact.place, what + "base '" + artifact.base.text() + "' is itself an adapter"});
+    } else if (artifact.service != base->second.service) {
+        findings.push_back({artifact.place, what + "is not of its base's service '" + base->second.service.text() + "'"});
+    }
+}
+
 auto checkArtifact(const Declarations &declarations, const Artifact &artifact, Findings &findings) -> void
 {
     const std::string what = "artifact " + artifact.name.text() + ": ";
     if (artifact.size <= Bytes(0)) {
         findings.push_back({artifact.place, what + "size must be above 0"});
     }
-    if (!declarations.services.contains(artifact.service)) {
-        findings.push_back({artifact.place, what + "unknown service '" + artifact.service.text() + "'"});
-    }
-    if (artifact.kind != ArtifactKind::Adapter) {
+    if (artifact.kind == ArtifactKind::Adapter) {
+        checkAdapter(declarations, artifact, findings);
         return;
     }
-    const auto base = declarations.artifacts.find(artifact.base);
-    if (base == declarations.artifacts.end()) {
-        findings.push_back({artifact.place, what + "unknown base model '" + artifact.base.text() + "'"});
-    } else if (base->second.kind == ArtifactKind::Adapter) {
-        findings.push_back({artifact.place, what + "base '" + artifact.base.text() + "' is itself an adapter"});
+    const auto model = declarations.models.find(modelOfVersion(artifact.name));
+    if (model == declarations.models.end()) {
+        findings.push_back({artifact.place, what + "no model '" + modelOfVersion(artifact.name) + "' is declared for this version"});
+    } else if (artifact.service != model->second.service) {
+        findings.push_back({artifact.place, what + "is not of its model's service '" + model->second.service.text() + "'"});
     }
 }
 
 auto checkModel(const Declarations &declarations, const Model &model, Findings &findings) -> void
 {
+    const auto service = declarations.services.find(model.service);
+    if (service == declarations.services.end()) {
+        findings.push_back({model.place, "model " + model.name + ": unknown service '" + model.service.text() + "'"});
+    } else if (service->second.kind != ServiceKind::Models) {
+        findings.push_back({model.place, "model " + model.name + ": service '" + model.service.text() + "' is a plain service"});
+    }
     if (std::find(model.versions.begin(), model.versions.end(), model.current) == model.versions.end()) {
         findings.push_back({model.place, "model " + model.name + ": current version '" + model.current.text() + "' is not declared"});
     }
@@ -78,6 +95,27 @@
 
 } // namespace
 
+auto modelOfVersion(const ArtifactName &version) -> std::string
+{
+    const auto at = version.text().find('@');
+    return at == std::string::npos ? std::string() : version.text().substr(0, at);
+}
+
+auto linkVersions(Declarations &declarations) -> void
+{
+    for (auto &[name, model] : declarations.models) {
+        model.versions.clear();
+    }
+    for (const auto &[name, artifact] : declarations.artifacts) {
+        const auto model = declarations.models.find(modelOfVersion(name));
+        if (artifact.kind == ArtifactKind::ModelVersion && model != declarations.models.end()) {
+            const bool isCurrent = model->second.current == name;
+            auto &versions = model->second.versions;
+            versions.insert(isCurrent ? versions.begin() : versions.end(), name);
+        }
+    }
+}
+
 auto checkDeclarations(const Declarations &declarations) -> Findings
 {
     Findings findings;
--- a/src/core/declarations.h
+++ b/src/core/declarations.h
@@ -112,6 +112,12 @@
     Policy policy;
 };
 
+/// The model that a version belongs to by its name: "sun" for "sun@1"; empty for other names.
+auto modelOfVersion(const ArtifactName &version) -> std::string;
+
+/// Fills each model's versions from the versions' names, current first.
+auto linkVersions(Declarations &declarations) -> void;
+
 /// Everything that is wrong with the set as a whole: dangling references, bad sizes, duplicate names. Empty means valid.
 auto checkDeclarations(const Declarations &declarations) -> Findings;
 
--- /dev/null
+++ b/src/settings/declarationfile.cpp
@@ -0,0 +1,375 @@
+#include "settings/declarationfile.h"
+
+#include "settings/inifile.h"
+#include "settings/valueparsers.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <functional>
+#include <tuple>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr std::int64_t MostMillis = 86400000;
+constexpr std::int64_t MostSeconds = 366 * 86400L;
+constexpr double MostShare = 1e6;
+constexpr double MostGigabytes = 4096;
+
+/// Reads the keys of one section into a value; what is wrong goes to the findings with its line.
+class SectionReader
+{
+public:
+    SectionReader(const IniFile &file, const IniSection &section, Findings &findings)
+        : m_file(file)
+        , m_section(section)
+        , m_findings(findings)
+    {
+    }
+
+    auto place() const -> Place
+    {
+        return {m_file.path, m_section.line};
+    }
+
+    /// Calls `store` with the text of `key`, if it is given; `store` answers with an error message, or nothing.
+    auto text(const std::string &key, const std::function<std::string(const std::string &)> &store) -> SectionReader &
+    {
+        m_known.push_back(key);
+        for (const auto &value : m_section.values) {
+            if (value.key != key) {
+                continue;
+            }
+            auto error = store(value.value);
+            if (!error.empty()) {
+                complain(value.line, error.insert(0, key + ": "));
+            }
+        }
+        return *this;
+    }
+
+    /// The name of something else in the set; the check of the whole set finds those that aren't there.
+    auto reference(const std::string &key, const std::function<void(const std::string &)> &set) -> SectionReader &
+    {
+        return text(key, [&](const std::string &given) {
+            set(given);
+            return std::string();
+        });
+    }
+
+    auto integer(const std::string &key, std::int64_t least, std::int64_t most, const std::function<void(std::int64_t)> &set) -> SectionReader &
+    {
+        return text(key, [&](const std::string &given) {
+            const auto parsed = parseInteger(given, least, most);
+            set(parsed.value);
+            return parsed.error;
+        });
+    }
+
+    auto decimal(const std::string &key, double least, double most, const std::function<void(double)> &set) -> SectionReader &
+    {
+        return text(key, [&](const std::string &given) {
+            const auto parsed = parseDecimal(given, least, most);
+            set(parsed.value);
+            return parsed.error;
+        });
+    }
+
+    auto word(const std::string &key, const std::vector<std::string> &words, const std::function<void(std::size_t)> &set) -> SectionReader &
+    {
+        return text(key, [&](const std::string &given) {
+            const auto parsed = parseWord(given, words);
+            set(parsed.value);
+            return parsed.error;
+        });
+    }
+
+    /// A finding unless `key` is given.
+    auto require(const std::string &key) -> SectionReader &
+    {
+        const auto isKey = [&](const IniValue &value) {
+            return value.key == key;
+        };
+        if (std::none_of(m_section.values.begin(), m_section.values.end(), isKey)) {
+            m_findings.push_back({place(), "[" + m_section.name + "] lacks the key '" + key + "'"});
+        }
+        return *this;
+    }
+
+    /// Keys that none of the calls above asked for are findings.
+    auto refuseOthers() -> void
+    {
+        for (const auto &value : m_section.values) {
+            if (std::find(m_known.begin(), m_known.end(), value.key) == m_known.end()) {
+                complain(value.line, "unknown key '" + value.key + "' in [" + m_section.name + "]");
+            }
+        }
+    }
+
+private:
+    auto complain(int line, std::string message) -> void
+    {
+        m_findings.push_back({{m_file.path, line}, std::move(message)});
+    }
+
+    const IniFile &m_file;
+    const IniSection &m_section;
+    Findings &m_findings;
+    std::vector<std::string> m_known;
+};
+
+/// "POST /debits, PUT /extensions"; answers with an error message, or nothing.
+auto parseCalls(const std::string &text, std::vector<NonIdempotentCall> &calls) -> std::string
+{
+    for (const auto &part : splitList(text)) {
+        const auto blank = part.find(' ');
+        const auto path = blank == std::string::npos ? std::string::npos : part.find_first_not_of(' ', blank);
+        if (path == std::string::npos || part[path] != '/') {
+            return "'" + part + "' is not METHOD /PATH";
+        }
+        calls.push_back({part.substr(0, blank), part.substr(path)});
+    }
+    return {};
+}
+
+/// Reads the sections of all files into one set.
+class DeclarationReader
+{
+public:
+    explicit DeclarationReader(Checked<Declarations> &result)
+        : m_result(result)
+    {
+    }
+
+    auto read(const IniFile &file) -> void
+    {
+        for (const auto &section : file.sections) {
+            readSection(file, section);
+        }
+    }
+
+    /// What one section means depends on others: versions join their models, services are inherited.
+    auto link() -> void
+    {
+        auto &set = m_result.value;
+        linkVersions(set);
+        for (auto &[name, artifact] : set.artifacts) {
+            if (artifact.kind == ArtifactKind::ModelVersion) {
+                artifact.service = serviceOfVersion(name);
+            }
+        }
+        for (auto &[name, artifact] : set.artifacts) {
+            const auto base = set.artifacts.find(artifact.base);
+            if (artifact.kind == ArtifactKind::Adapter && base != set.artifacts.end()) {
+                artifact.service = base->second.service;
+            }
+        }
+    }
+
+private:
+    auto readSection(const IniFile &file, const IniSection &section) -> void
+    {
+        SectionReader reader(file, section, m_result.findings);
+        if (section.name == "policy") {
+            readPolicy(reader);
+            return;
+        }
+        const auto blank = section.name.find(' ');
+        const auto kind = section.name.substr(0, blank);
+        const auto name = blank == std::string::npos ? std::string() : section.name.substr(blank + 1);
+        const auto parsed = parseName(name);
+        if (kind != "service" && kind != "model" && kind != "version" && kind != "adapter" && kind != "target") {
+            complain(reader.place(), "unknown section [" + section.name + "]");
+        } else if (!parsed.error.empty()) {
+            complain(reader.place(), "[" + section.name + "]: " + parsed.error);
+        } else if (kind == "service") {
+            readService(reader, name);
+        } else if (kind == "model") {
+            readModel(reader, name);
+        } else if (kind == "version") {
+            readVersion(reader, name);
+        } else if (kind == "adapter") {
+            readAdapter(reader, name);
+        } else {
+            readTarget(reader, name);
+        }
+    }
+
+    auto readService(SectionReader &reader, const std::string &name) -> void
+    {
+        Service service {.name = ServiceName(name), .place = reader.place()};
+        reader.word("kind", {"models", "plain"}, [&](std::size_t index) { service.kind = static_cast<ServiceKind>(index); })
+            .word("priority", {"interactive", "standard", "batch"}, [&](std::size_t index) { service.priority = static_cast<Priority>(index); })
+            .integer("time-budget-ms", 1, MostMillis, [&](std::int64_t n) { service.timeBudget = Duration::millis(n); })
+            .decimal("share", 0, MostShare, [&](double number) { service.share = number; })
+            .integer("claim-retention-s", 1, MostSeconds, [&](std::int64_t n) { service.claimRetention = Duration::seconds(static_cast<double>(n)); })
+            .text("non-idempotent", [&](const std::string &text) { return parseCalls(text, service.nonIdempotentCalls); })
+            .refuseOthers();
+        insert(m_result.value.services, service.name, service, reader.place(), "service " + name);
+    }
+
+    auto readModel(SectionReader &reader, const std::string &name) -> void
+    {
+        Model model {.name = name, .place = reader.place()};
+        const auto setCurrent = [&](const std::string &text) {
+            model.current = ArtifactName(text.find('@') == std::string::npos ? name + "@" + text : text);
+        };
+        reader.reference("service", [&](const std::string &text) { model.service = ServiceName(text); }).reference("current", setCurrent).refuseOthers();
+        insert(m_result.value.models, name, model, reader.place(), "model " + name);
+    }
+
+    auto readVersion(SectionReader &reader, const std::string &name) -> void
+    {
+        Artifact artifact {.name = ArtifactName(name), .place = reader.place()};
+        readSize(reader, artifact);
+        reader.refuseOthers();
+        insert(m_result.value.artifacts, artifact.name, artifact, reader.place(), "artifact " + name);
+    }
+
+    auto readAdapter(SectionReader &reader, const std::string &name) -> void
+    {
+        Artifact artifact {.name = ArtifactName(name), .kind = ArtifactKind::Adapter, .place = reader.place()};
+        reader.reference("base", [&](const std::string &text) { artifact.base = ArtifactName(text); });
+        readSize(reader, artifact);
+        reader.refuseOthers();
+        insert(m_result.value.artifacts, artifact.name, artifact, reader.place(), "artifact " + name);
+    }
+
+    static auto readSize(SectionReader &reader, Artifact &artifact) -> void
+    {
+        // A faulty size is reported once, here, and not again as a size of 0 by the check of the whole set.
+        artifact.size = Bytes(1);
+        constexpr double LeastGigabytes = 1e-6;
+        reader.require("size-gb").decimal(
+            "size-gb", LeastGigabytes, MostGigabytes, [&](double number) { artifact.size = std::max(Bytes(1), Bytes::gigabytes(number)); });
+    }
+
+    auto readTarget(SectionReader &reader, const std::string &name) -> void
+    {
+        Target target {.id = TargetId(name), .place = reader.place()};
+        reader.reference("service", [&](const std::string &text) { target.service = ServiceName(text); })
+            .word("fencing", {"checked", "ignored"}, [&](std::size_t index) { target.fencing = static_cast<FencingSupport>(index); })
+            .integer("longest-order-delay-ms", 0, MostMillis, [&](std::int64_t n) { target.longestOrderDelay = Duration::millis(n); })
+            .refuseOthers();
+        insert(m_result.value.targets, target.id, target, reader.place(), "target " + name);
+    }
+
+    auto readPolicy(SectionReader &reader) -> void
+    {
+        constexpr double MostRate = 1e6;
+        constexpr std::int64_t MostLoads = 1000;
+        constexpr double MostReserve = 0.95;
+        constexpr std::int64_t MostZones = 100;
+        auto &policy = m_result.value.policy;
+        if (policy.place.line != 0) {
+            complain(reader.place(), "[policy] stands twice, first in " + policy.place.file + ":" + std::to_string(policy.place.line));
+            return;
+        }
+        policy.place = reader.place();
+        reader.decimal("move-cost", 0, MostRate, [&](double number) { policy.moveCost = number; })
+            .integer("horizon-s", 1, MostSeconds, [&](std::int64_t n) { policy.horizon = Duration::seconds(static_cast<double>(n)); })
+            .decimal("loads-per-second", 0.001, MostRate, [&](double number) { policy.loadsPerSecond = number; })
+            .integer("parallel-loads", 1, MostLoads, [&](std::int64_t n) { policy.parallelLoads = static_cast<int>(n); })
+            .decimal("kv-reserve", 0, MostReserve, [&](double number) { policy.kvReserve = number; })
+            .integer("floor-zones", 1, MostZones, [&](std::int64_t n) { policy.floorZones = static_cast<int>(n); })
+            .refuseOthers();
+    }
+
+    template<typename Map, typename Key, typename Value>
+    auto insert(Map &map, const Key &key, const Value &value, const Place &place, const std::string &what) -> void
+    {
+        const auto [known, isNew] = map.emplace(key, value);
+        // Twice in one file is a finding of the INI reader already. A version and an adapter of one name are not.
+        const bool isReported = known->second.place.file == place.file && isSameKind(known->second, value);
+        if (!isNew && !isReported) {
+            complain(place, what + " is declared twice, first in " + known->second.place.file + ":" + std::to_string(known->second.place.line));
+        }
+    }
+
+    template<typename Value>
+    static auto isSameKind(const Value &, const Value &) -> bool
+    {
+        return true;
+    }
+    static auto isSameKind(const Artifact &a, const Artifact &b) -> bool
+    {
+        return a.kind == b.kind;
+    }
+
+    auto complain(const Place &place, std::string message) -> void
+    {
+        m_result.findings.push_back({place, std::move(message)});
+    }
+
+    auto serviceOfVersion(const ArtifactName &version) const -> ServiceName
+    {
+        const auto model = m_result.value.models.find(modelOfVersion(version));
+        return model == m_result.value.models.end() ? ServiceName() : model->second.service;
+    }
+
+    Checked<Declarations> &m_result;
+};
+
+auto sortByPlace(Findings &findings) -> void
+{
+    std::stable_sort(findings.begin(), findings.end(), [](const Finding &a, const Finding &b) {
+        return std::tie(a.place.file, a.place.line) < std::tie(b.place.file, b.place.line);
+    });
+}
+
+auto readAll(const std::vector<Checked<IniFile>> &files) -> Checked<Declarations>
+{
+    Checked<Declarations> result;
+    DeclarationReader reader(result);
+    for (const auto &file : files) {
+        result.findings.insert(result.findings.end(), file.findings.begin(), file.findings.end());
+        reader.read(file.value);
+    }
+    reader.link();
+    const auto whole = checkDeclarations(result.value);
+    result.findings.insert(result.findings.end(), whole.begin(), whole.end());
+    sortByPlace(result.findings);
+    return result;
+}
+
+auto iniFilesOf(const std::string &path) -> std::vector<std::string>
+{
+    std::error_code error;
+    if (!std::filesystem::is_directory(path, error)) {
+        return {path};
+    }
+    std::vector<std::string> files;
+    for (const auto &entry : std::filesystem::directory_iterator(path, error)) {
+        if (entry.path().extension() == ".ini") {
+            files.push_back(entry.path().string());
+        }
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+} // namespace
+
+auto parseDeclarations(const std::string &path, const std::string &text) -> Checked<Declarations>
+{
+    return readAll({parseIni(path, text)});
+}
+
+auto loadDeclarations(const std::string &path) -> Checked<Declarations>
+{
+    const auto paths = iniFilesOf(path);
+    if (paths.empty()) {
+        return {{}, {{{path, 0}, "folder holds no *.ini file"}}};
+    }
+    std::vector<Checked<IniFile>> files;
+    files.reserve(paths.size());
+    for (const auto &name : paths) {
+        files.push_back(readIniFile(name));
+    }
+    return readAll(files);
+}
+
+} // namespace KingCup
