The decisions: routing, admission, retry, suspects, demand, placement, membership

Cause: the thin path needs something that chooses targets and floor copies, and the policy is where the product is decided. Change: src/core gets Router, AdmissionQueue, ConcurrencyLimit, RetryBudget and decideRetry, Suspects, DemandForecast, planFloor, stepFloor, SurgePlanner, Membership, VersionSwitch and the Plan value with its JSON form; baselines are selectable.

--- /dev/null
+++ b/src/core/admission.h
@@ -0,0 +1,127 @@
+// Admission: requests that wait for room at a target, in the order that brings most of them home in time.
+//
+// Priority classes go strictly one after the other, services share by weight within a class, and within a service the earliest
+// deadline goes first. A request that can't be in time behind those ahead of it is refused at once, while its caller can still try
+// elsewhere. The queue is bounded in total and per service.
+//
+// A lane is what competes for the same targets: requests with the same artifacts (or the same plain service).
+//
+// Index of sections (search for [SECTION]):
+//   Values           what waits, and the answer to an offer
+//   AdmissionQueue   the queue
+#pragma once
+
+#include "core/declarations.h"
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Values
+
+using LaneName = StrongName<struct LaneNameTag>;
+/// The lane of a request: its artifacts' names, or the plain service's.
+auto laneOf(const ServiceName &service, const std::vector<ArtifactName> &artifacts) -> LaneName;
+
+struct WaitingRequest {
+    RequestId id;
+    ServiceName service;
+    LaneName lane;
+    Priority priority = Priority::Standard;
+    TimePoint deadline;
+    Duration serviceTime; ///< expected at the target; 0: unknown
+};
+
+enum class AdmissionRefusal {
+    None,
+    TooLate, ///< would miss its deadline behind those ahead of it
+    QueueFull,
+};
+auto toString(AdmissionRefusal refusal) -> const char *;
+
+struct AdmissionAnswer {
+    AdmissionRefusal refusal = AdmissionRefusal::None;
+    Duration retryAfter; ///< if refused
+    std::string reason;
+
+    auto isRefused() const -> bool
+    {
+        return refusal != AdmissionRefusal::None;
+    }
+};
+
+struct AdmissionOptions {
+    std::size_t most = 4096; ///< requests waiting in all
+    double mostOfOneService = 0.5; ///< of `most`
+    Duration rateWindow = Duration::seconds(2); ///< over which the pace of a lane is measured
+};
+
+// [SECTION] AdmissionQueue
+
+class AdmissionQueue
+{
+public:
+    /// Whether a request of that lane and priority could start now.
+    using HasRoom = std::function<bool(const LaneName &lane, Priority priority)>;
+
+    explicit AdmissionQueue(AdmissionOptions options = {});
+
+    // Queries
+    auto size() const -> std::size_t;
+    auto waiting(const LaneName &lane) const -> std::size_t;
+    auto isWaiting(const RequestId &request) const -> bool;
+    auto expectedWait(const LaneName &lane, Priority priority, TimePoint now) const -> Duration; ///< for one more request of that class
+
+    // Commands
+    /// Queues the request, or says why not.
+    auto offer(const WaitingRequest &request, TimePoint now) -> AdmissionAnswer;
+    /// Takes out the request that should start next, of those whose lane has room.
+    auto next(TimePoint now, const HasRoom &hasRoom) -> std::optional<RequestId>;
+    /// Takes out those that can't be in time any more; they were certainly not run.
+    auto expire(TimePoint now) -> std::vector<RequestId>;
+    auto remove(const RequestId &request) -> void; ///< the caller left
+    /// The weight of a service in the fairness between services; 1 if never set.
+    auto setShare(const ServiceName &service, double share) -> void;
+
+private:
+    struct Key {
+        TimePoint latestStart;
+        TimePoint deadline;
+        RequestId id;
+        auto operator<=>(const Key &) const = default;
+    };
+    using Ordered = std::set<Key>;
+    using Lanes = std::map<LaneName, Ordered>;
+    struct ServiceQueue {
+        double virtualTime = 0; ///< service received, divided by its share
+        Lanes lanes;
+        std::size_t size = 0;
+    };
+    struct ClassQueue {
+        std::map<ServiceName, ServiceQueue> services;
+        double virtualTime = 0; ///< of the service that was served last
+    };
+    auto takeOut(const WaitingRequest &request) -> void;
+    auto share(const ServiceName &service) const -> double;
+    auto ahead(const LaneName &lane, Priority priority) const -> std::size_t;
+    auto pace(const LaneName &lane, TimePoint now) const -> double;
+
+    AdmissionOptions m_options;
+    std::map<Priority, ClassQueue> m_classes;
+    std::unordered_map<RequestId, WaitingRequest> m_requests;
+    std::map<ServiceName, double> m_shares;
+    std::map<ServiceName, std::size_t> m_ofService;
+    std::map<LaneName, std::deque<TimePoint>> m_starts; ///< recent ones while the lane had a queue
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/demand.cpp
@@ -0,0 +1,160 @@
+#include "core/demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr double ServiceShare = 0.1; ///< weight of one request in the mean service time
+constexpr int MostBucketsAtOnce = 60; ///< after a long pause older buckets no longer matter
+constexpr double LeastNoise = 1.0; ///< a variance below one request tells nothing
+constexpr double MostTrendShare = 1.0; ///< the trend adds at most the level once more
+
+} // namespace
+
+DemandForecast::DemandForecast(DemandOptions options)
+    : m_options(options)
+{
+}
+
+auto DemandForecast::digest(const EntryId &self, std::uint64_t sequence) const -> DemandDigest
+{
+    DemandDigest result {.entry = self, .sequence = sequence};
+    const double perSecond = 1.0 / m_options.bucket.inSeconds();
+    for (const auto &[artifact, series] : m_series) {
+        ArtifactDemand demand {.artifact = artifact};
+        demand.perSecond = projected(series, 1) * perSecond;
+        demand.serviceTime = Duration::micros(static_cast<std::int64_t>(series.serviceMicros));
+        demand.missedPerSecond = series.missedLevel * perSecond;
+        result.rates.push_back(demand);
+    }
+    return result;
+}
+
+auto DemandForecast::forecast(TimePoint now, Duration ahead) const -> std::vector<ArtifactDemand>
+{
+    const double perSecond = 1.0 / m_options.bucket.inSeconds();
+    const double buckets = ahead.inSeconds() * perSecond;
+    std::map<ArtifactName, ArtifactDemand> sums;
+    const auto add = [&sums](const ArtifactDemand &demand) {
+        auto &sum = sums.try_emplace(demand.artifact, ArtifactDemand {.artifact = demand.artifact}).first->second;
+        const double both = sum.perSecond + demand.perSecond;
+        const bool bothKnown = sum.serviceTime.inMicros() > 0 && demand.serviceTime.inMicros() > 0 && both > 0;
+        if (bothKnown) {
+            sum.serviceTime = sum.serviceTime * (sum.perSecond / both) + demand.serviceTime * (demand.perSecond / both);
+        } else {
+            sum.serviceTime = std::max(sum.serviceTime, demand.serviceTime);
+        }
+        sum.perSecond = both;
+        sum.missedPerSecond += demand.missedPerSecond;
+    };
+    for (const auto &[artifact, series] : m_series) {
+        ArtifactDemand own {.artifact = artifact};
+        own.perSecond = projected(series, buckets) * perSecond;
+        own.serviceTime = Duration::micros(static_cast<std::int64_t>(series.serviceMicros));
+        own.missedPerSecond = series.missedLevel * perSecond;
+        add(own);
+    }
+    for (const auto &[entry, heard] : m_heard) {
+        if (now - heard.at > m_options.digestLifetime) {
+            continue;
+        }
+        for (const auto &demand : heard.digest.rates) {
+            add(demand);
+        }
+    }
+    std::vector<ArtifactDemand> result;
+    result.reserve(sums.size());
+    for (const auto &[artifact, demand] : sums) {
+        result.push_back(demand);
+    }
+    return result;
+}
+
+auto DemandForecast::arrived(const ArtifactName &artifact, TimePoint now) -> void
+{
+    advance(now);
+    m_series[artifact].count += 1;
+}
+
+auto DemandForecast::missed(const ArtifactName &artifact, TimePoint now) -> void
+{
+    advance(now);
+    m_series[artifact].missedCount += 1;
+}
+
+auto DemandForecast::served(const ArtifactName &artifact, Duration serviceTime) -> void
+{
+    auto &mean = m_series[artifact].serviceMicros;
+    const auto micros = static_cast<double>(serviceTime.inMicros());
+    mean = mean == 0 ? micros : mean + ServiceShare * (micros - mean);
+}
+
+auto DemandForecast::merge(const DemandDigest &digest, TimePoint now) -> void
+{
+    auto &heard = m_heard[digest.entry];
+    const bool isOld = digest.sequence < heard.digest.sequence && now - heard.at <= m_options.digestLifetime;
+    if (!isOld) {
+        heard = Heard {digest, now};
+    }
+}
+
+auto DemandForecast::advance(TimePoint now) -> void
+{
+    if (!m_isStarted) {
+        m_isStarted = true;
+        m_bucketStart = now;
+    }
+    int closed = 0;
+    while (now - m_bucketStart >= m_options.bucket) {
+        m_bucketStart = m_bucketStart + m_options.bucket;
+        if (++closed > MostBucketsAtOnce) {
+            m_bucketStart = now;
+            return;
+        }
+        closeBucket();
+    }
+}
+
+auto DemandForecast::closeBucket() -> void
+{
+    const double forgetBelow = m_options.forgetBelow * m_options.bucket.inSeconds();
+    for (auto place = m_series.begin(); place != m_series.end();) {
+        close(place->second);
+        const bool isOver = place->second.level < forgetBelow && place->second.missedLevel < forgetBelow;
+        place = isOver ? m_series.erase(place) : std::next(place);
+    }
+}
+
+auto DemandForecast::close(Series &series) const -> void
+{
+    const double deviation = std::sqrt(std::max(series.level, LeastNoise));
+    const double before = series.level;
+    const double recent = (series.count + series.previous) / 2;
+    // A tenfold step must not wait for the slow mean: callers are late meanwhile. Two buckets that chance can't explain are the new level.
+    const bool isStep = recent > series.level + m_options.surprise * deviation / std::sqrt(2.0) && series.previous > series.level;
+    if (isStep) {
+        series.level = recent;
+        series.trend = 0;
+    } else {
+        const double weight = series.count > series.level ? m_options.rise : m_options.fall;
+        series.level += weight * (series.count - series.level);
+        series.trend += m_options.trendShare * ((series.level - before) - series.trend);
+    }
+    series.missedLevel += m_options.rise * (series.missedCount - series.missedLevel);
+    series.previous = series.count;
+    series.count = 0;
+    series.missedCount = 0;
+}
+
+auto DemandForecast::projected(const Series &series, double buckets) const -> double
+{
+    const double added = std::clamp(series.trend * buckets, -series.level, series.level * MostTrendShare);
+    return std::max(0.0, series.level + added);
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/floorplanning.cpp
@@ -0,0 +1,344 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// A model version with its adapters, which are kept beside it.
+struct Bundle {
+    ArtifactName base;
+    std::vector<ArtifactName> adapters;
+    ServiceName service;
+    Bytes size; ///< of everything
+    double demand = 0; ///< requests a second, of everything
+};
+
+/// A runner while the plan is made.
+struct Slot {
+    const RunnerState *runner = nullptr;
+    Bytes usable; ///< without the KV cache's share
+    Bytes used;
+    int bundles = 0;
+
+    auto free() const -> Bytes
+    {
+        return usable - used;
+    }
+};
+
+class FloorPlanning
+{
+public:
+    FloorPlanning(const PlacementInput &input, const PlacementOptions &options)
+        : m_input(input)
+        , m_options(options)
+    {
+        collectBundles();
+        collectSlots();
+    }
+
+    auto run() -> FloorResult
+    {
+        keepWhatIsPlaced();
+        for (const auto &bundle : m_bundles) {
+            if (copies(bundle.base).empty() && !placeCopy(bundle, 1.0, "first-copy")) {
+                m_result.unplaced.push_back(bundle.base);
+            }
+        }
+        completeAdapters();
+        for (int wanted = 2; wanted <= m_input.declarations->policy.floorZones; ++wanted) {
+            placeFurtherCopies(wanted);
+        }
+        describeDrops();
+        return std::move(m_result);
+    }
+
+private:
+    auto collectBundles() -> void
+    {
+        std::map<ArtifactName, Bundle> bundles;
+        for (const auto &[name, artifact] : m_input.declarations->artifacts) {
+            const bool isBase = artifact.kind == ArtifactKind::ModelVersion;
+            auto &bundle = bundles[isBase ? name : artifact.base];
+            if (isBase) {
+                bundle.base = name;
+                bundle.service = artifact.service;
+            } else {
+                bundle.adapters.push_back(name);
+            }
+            bundle.size += artifact.size;
+            m_baseOf[name] = isBase ? name : artifact.base;
+        }
+        // What was removed from the declarations but is still needed stays where it is; it gets no new copies.
+        for (const auto &artifact : m_input.retained) {
+            m_baseOf.try_emplace(artifact, artifact);
+        }
+        for (const auto &demand : m_input.demand) {
+            if (const auto base = m_baseOf.find(demand.artifact); base != m_baseOf.end()) {
+                bundles[base->second].demand += demand.perSecond;
+            }
+        }
+        for (auto &[name, bundle] : bundles) {
+            m_bundles.push_back(std::move(bundle));
+        }
+        // Large ones first: they are the hard ones to fit.
+        std::stable_sort(m_bundles.begin(), m_bundles.end(), [](const auto &left, const auto &right) { return left.size > right.size; });
+    }
+
+    auto collectSlots() -> void
+    {
+        const double share = 1.0 - m_input.declarations->policy.kvReserve;
+        for (const auto &runner : m_input.runners) {
+            const bool isThere = runner.isUsable || runner.downFor <= m_options.floorPatience;
+            if (!isThere || runner.isLeaving) {
+                continue;
+            }
+            const auto usable = Bytes(static_cast<std::int64_t>(static_cast<double>(runner.memoryTotal.count()) * share));
+            m_slots[runner.id] = Slot {.runner = &runner, .usable = usable};
+        }
+    }
+
+    auto sizeOf(const ArtifactName &artifact) const -> Bytes
+    {
+        const auto found = m_input.declarations->artifacts.find(artifact);
+        return found == m_input.declarations->artifacts.end() ? residentSize(artifact) : found->second.size;
+    }
+
+    auto residentSize(const ArtifactName &artifact) const -> Bytes
+    {
+        for (const auto &runner : m_input.runners) {
+            for (const auto &resident : runner.residents) {
+                if (resident.artifact == artifact) {
+                    return resident.size;
+                }
+            }
+        }
+        return {};
+    }
+
+    auto copies(const ArtifactName &base) const -> const std::set<TargetId> &
+    {
+        static const std::set<TargetId> None;
+        const auto found = m_copies.find(base);
+        return found == m_copies.end() ? None : found->second;
+    }
+
+    auto put(Slot &slot, const ArtifactName &artifact) -> void
+    {
+        const auto &id = slot.runner->id;
+        if (m_result.plan.contains(id, artifact)) {
+            return;
+        }
+        m_result.plan.add(id, artifact);
+        slot.used += sizeOf(artifact);
+        if (m_baseOf.at(artifact) == artifact) {
+            m_copies[artifact].insert(id);
+            ++slot.bundles;
+        }
+    }
+
+    auto keepWhatIsPlaced() -> void
+    {
+        for (const auto &target : m_input.floor.targets()) {
+            const auto slot = m_slots.find(target);
+            if (slot == m_slots.end()) {
+                continue;
+            }
+            keepOn(slot->second, m_input.floor.artifactsOn(target));
+        }
+    }
+
+    auto keepOn(Slot &slot, const std::vector<ArtifactName> &artifacts) -> void
+    {
+        // Bases before adapters: an adapter without its base is of no use.
+        for (const bool bases : {true, false}) {
+            for (const auto &artifact : artifacts) {
+                const auto base = m_baseOf.find(artifact);
+                const bool isDeclared = base != m_baseOf.end();
+                if (!isDeclared || (base->second == artifact) != bases || sizeOf(artifact) > slot.free()) {
+                    continue;
+                }
+                if (bases || m_result.plan.contains(slot.runner->id, base->second)) {
+                    put(slot, artifact);
+                }
+            }
+        }
+    }
+
+    auto zonesOf(const ArtifactName &base) const -> std::set<ZoneName>
+    {
+        std::set<ZoneName> zones;
+        for (const auto &id : copies(base)) {
+            zones.insert(m_slots.at(id).runner->zone);
+        }
+        return zones;
+    }
+
+    auto isResident(const Slot &slot, const ArtifactName &artifact) const -> bool
+    {
+        const auto &list = slot.runner->residents;
+        return std::any_of(list.begin(), list.end(), [&](const auto &resident) { return resident.artifact == artifact; });
+    }
+
+    /// Puts a copy of the bundle where most memory is left, preferring a runner that holds it already (a surge copy becomes a floor copy
+    /// without a move), in a zone that has none yet.
+    auto placeCopy(const Bundle &bundle, double share, const std::string &why) -> bool
+    {
+        const auto zones = zonesOf(bundle.base);
+        Slot *best = nullptr;
+        bool bestHolds = false;
+        for (auto &[id, slot] : m_slots) {
+            const auto limit = Bytes(static_cast<std::int64_t>(static_cast<double>(slot.usable.count()) * share));
+            const bool fits = slot.used + bundle.size <= limit;
+            const bool isOurs = slot.runner->service == bundle.service && slot.runner->isUsable;
+            if (!fits || !isOurs || zones.contains(slot.runner->zone)) {
+                continue;
+            }
+            const bool holds = isResident(slot, bundle.base);
+            const bool isBetter = best == nullptr || holds > bestHolds || (holds == bestHolds && slot.free() > best->free());
+            if (isBetter) {
+                best = &slot;
+                bestHolds = holds;
+            }
+        }
+        if (best == nullptr) {
+            return false;
+        }
+        put(*best, bundle.base);
+        for (const auto &adapter : bundle.adapters) {
+            put(*best, adapter);
+        }
+        note(bundle.base, best->runner->id, why + " zone=" + best->runner->zone.text() + (bestHolds ? " already-resident" : ""));
+        return true;
+    }
+
+    auto note(const ArtifactName &artifact, const TargetId &target, const std::string &why) -> void
+    {
+        m_result.decisions.push_back({PlacementKind::Floor, artifact, target, why});
+    }
+
+    /// An adapter that was declared after its base was placed: beside each copy of the base where it fits, at least beside one.
+    auto completeAdapters() -> void
+    {
+        for (const auto &bundle : m_bundles) {
+            for (const auto &adapter : bundle.adapters) {
+                completeAdapter(bundle, adapter);
+            }
+        }
+    }
+
+    auto completeAdapter(const Bundle &bundle, const ArtifactName &adapter) -> void
+    {
+        bool isSomewhere = false;
+        for (const auto &id : copies(bundle.base)) {
+            auto &slot = m_slots.at(id);
+            if (m_result.plan.contains(id, adapter)) {
+                isSomewhere = true;
+            } else if (sizeOf(adapter) <= slot.free()) {
+                put(slot, adapter);
+                note(adapter, id, "adapter-beside-base");
+                isSomewhere = true;
+            }
+        }
+        if (isSomewhere) {
+            return;
+        }
+        // No copy of the base has room for it: a further copy of the base with this adapter alone.
+        const Bundle alone {bundle.base, {adapter}, bundle.service, sizeOf(bundle.base) + sizeOf(adapter), 0};
+        if (!placeCopy(alone, 1.0, "adapter-with-own-base")) {
+            m_result.unplaced.push_back(adapter);
+        }
+    }
+
+    auto placeFurtherCopies(int wanted) -> void
+    {
+        // Where not all can have another copy, the most asked for come first, then small ones: more of them fit.
+        std::vector<const Bundle *> order;
+        for (const auto &bundle : m_bundles) {
+            order.push_back(&bundle);
+        }
+        std::stable_sort(order.begin(), order.end(), [](const auto *left, const auto *right) {
+            return left->demand != right->demand ? left->demand > right->demand : left->size < right->size;
+        });
+        for (const auto *bundle : order) {
+            const auto held = copies(bundle->base).size();
+            if (held > 0 && held < static_cast<std::size_t>(wanted)) {
+                placeCopy(*bundle, m_options.secondCopyShare, "further-zone");
+            }
+        }
+    }
+
+    auto describeDrops() -> void
+    {
+        for (const auto &target : m_input.floor.targets()) {
+            for (const auto &artifact : m_input.floor.artifactsOn(target)) {
+                if (!m_result.plan.contains(target, artifact)) {
+                    const bool isGone = !m_slots.contains(target);
+                    m_result.decisions.push_back({PlacementKind::Drop, artifact, target, isGone ? "runner-gone" : "not-declared-or-no-room"});
+                }
+            }
+        }
+    }
+
+    const PlacementInput &m_input;
+    const PlacementOptions &m_options;
+    std::vector<Bundle> m_bundles;
+    std::map<ArtifactName, ArtifactName> m_baseOf; ///< a base is its own
+    std::map<TargetId, Slot> m_slots;
+    std::map<ArtifactName, std::set<TargetId>> m_copies; ///< of bases
+    FloorResult m_result;
+};
+
+auto isResidentOn(const std::vector<RunnerState> &runners, const TargetId &target, const ArtifactName &artifact) -> bool
+{
+    return std::any_of(runners.begin(), runners.end(), [&](const RunnerState &runner) {
+        const auto holds = [&](const ResidentArtifact &resident) {
+            return resident.artifact == artifact && !resident.isLoading;
+        };
+        return runner.id == target && runner.isUsable && std::any_of(runner.residents.begin(), runner.residents.end(), holds);
+    });
+}
+
+} // namespace
+
+auto planFloor(const PlacementInput &input, const PlacementOptions &options) -> FloorResult
+{
+    if (options.strategy == PlacementStrategy::LoadOnDemand) {
+        return {};
+    }
+    return FloorPlanning(input, options).run();
+}
+
+auto stepFloor(const Plan &inForce, const Plan &wanted, const std::vector<RunnerState> &runners) -> Plan
+{
+    Plan next = inForce;
+    for (const auto &target : wanted.targets()) {
+        for (const auto &artifact : wanted.artifactsOn(target)) {
+            if (isResidentOn(runners, target, artifact) || inForce.holders(artifact).empty()) {
+                next.add(target, artifact);
+            }
+        }
+    }
+    for (const auto &target : inForce.targets()) {
+        for (const auto &artifact : inForce.artifactsOn(target)) {
+            if (wanted.contains(target, artifact)) {
+                continue;
+            }
+            const auto holders = wanted.holders(artifact);
+            const bool areResident
+                = std::all_of(holders.begin(), holders.end(), [&](const TargetId &holder) { return isResidentOn(runners, holder, artifact); });
+            if (areResident) {
+                next.remove(target, artifact);
+            }
+        }
+    }
+    return next;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/hashing.cpp
@@ -0,0 +1,22 @@
+#include "core/hashing.h"
+
+// The static analyser sees the declarations only: it doubts the library's code, not ours.
+#ifndef __clang_analyzer__
+#define XXH_INLINE_ALL
+#endif
+#include <xxhash.h>
+
+namespace KingCup
+{
+
+auto stableHash(std::string_view text) -> std::uint64_t
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+auto rendezvousScore(std::string_view subject, std::string_view member) -> std::uint64_t
+{
+    return XXH64(member.data(), member.size(), stableHash(subject));
+}
+
+} // namespace KingCup
