HTTP: callers that hang up are noticed, cut-off streams are not whole

Cause: while an answer is due libwebsockets polls the socket without reading it, so a hang-up spun the loop (476,741 polls in 20 s) and no callback came; and a chunked answer whose connection closes is reported as completed. Ruled out: the client not closing (strace showed its close). Change: an idle exchange isn't polled and hang-ups are looked for four times a second; the client peeks whether the connection has ended before the end mark. Before: two tests of unit_http failed; after: all pass.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <libwebsockets.h>
+#include <sys/socket.h>
 #include <unordered_set>
 
 namespace KingCup
@@ -42,6 +43,7 @@
     Timer timer;
     bool sent = false; // the far side may have seen the request
     bool headSeen = false;
+    bool cutOff = false; // the server closed while more was due
     bool complete = false;
     bool ended = false;
     bool paused = false;
@@ -188,6 +190,10 @@
     std::array<char, LWS_PRE + ReadBufferBytes> buffer {};
     char *at = buffer.data() + LWS_PRE;
     int length = ReadBufferBytes;
+    // When the connection closes in the middle of a chunked answer, libwebsockets reports it as completed, and the part would
+    // pass for the whole. But then there is nothing left to read before the end mark was met.
+    char byte = 0;
+    cutOff = recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     return lws_http_client_read(wsi, &at, &length) < 0 ? -1 : 0;
 }
 
@@ -228,7 +234,7 @@
         }
         return call->ended ? -1 : 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        call->complete = true;
+        call->complete = call->hasLength || !call->cutOff;
         return -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <libwebsockets.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace KingCup
@@ -22,6 +23,7 @@
 constexpr std::size_t MaxAnswerHeaderBytes = 8192;
 constexpr std::size_t MaxWriteBytes = 32768;
 constexpr int SlowCallerSeconds = 30; // a caller that takes nothing for so long is cut off
+constexpr auto HangUpCheckPeriod = Duration::millis(250);
 constexpr int StatusLengthRequired = 411;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusBadRequest = 400;
@@ -50,9 +52,17 @@
     auto wakeUp() const -> void
     {
         if (wsi != nullptr) {
+            lws_rx_flow_control(wsi, 1); // without this libwebsockets ignores that the socket is writable
             lws_callback_on_writable(wsi);
         }
     }
+    /// While an answer is due, libwebsockets polls the socket but doesn't read it: a caller that hangs up then makes the loop
+    /// spin at full processor use, and nobody hears of it. So an idle exchange isn't polled; checkHangUps() looks instead.
+    auto goIdle() const -> void
+    {
+        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+        lws_rx_flow_control(wsi, 0);
+    }
 };
 
 /// The status line and headers, as bytes.
@@ -138,7 +148,7 @@
         return 0;
     }
     if (!last) {
-        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+        goIdle();
         if (exchange.onDrained) {
             exchange.onDrained();
         }
@@ -236,6 +246,7 @@
     std::uint64_t refused = 0;
     int connections = 0;
     bool accepting = true;
+    Timer hangUpCheck; // runs while there are open exchanges
 
     Private(EventLoop &ownerLoop, HttpServerOptions serverOptions, Handler requestHandler)
         : loop(ownerLoop)
@@ -250,6 +261,7 @@
     auto onBodyEnd(lws *wsi) -> int;
     auto onWritable(lws *wsi) -> int;
     auto onGone(lws *wsi) -> void;
+    auto checkHangUps() -> void;
     auto dispatch(const std::shared_ptr<HttpExchange> &exchange) -> void;
     auto refuse(HttpExchange &exchange, int status, const std::string &why) -> void;
     auto find(lws *wsi) -> std::shared_ptr<HttpExchange>
@@ -314,10 +326,28 @@
 auto HttpServer::Private::dispatch(const std::shared_ptr<HttpExchange> &exchange) -> void
 {
     exchange->d->dispatched = true;
-    lws_set_timeout(exchange->d->wsi, NO_PENDING_TIMEOUT, 0);
+    exchange->d->goIdle();
+    if (!hangUpCheck.isActive()) {
+        hangUpCheck = loop.every(HangUpCheckPeriod, [this] { checkHangUps(); });
+    }
     handler(exchange);
 }
 
+/// Ends the exchanges whose callers have closed their side. Under TLS a hang-up shows only when writing.
+auto HttpServer::Private::checkHangUps() -> void
+{
+    if (exchanges.empty()) {
+        hangUpCheck.cancel();
+        return;
+    }
+    for (const auto &[wsi, exchange] : exchanges) {
+        char byte = 0;
+        if (exchange->d->dispatched && recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            lws_set_timeout(wsi, PENDING_TIMEOUT_HTTP_CONTENT, LWS_TO_KILL_ASYNC);
+        }
+    }
+}
+
 auto HttpServer::Private::onRequest(lws *wsi, const char *path) -> int
 {
     HttpRequest request;
@@ -392,6 +422,7 @@
     if (exchange->d->closeAfter) {
         return -1;
     }
+    lws_rx_flow_control(wsi, 1);
     return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
