--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr double ServiceShare = 0.1; ///< weight of one request in the mean service time
-constexpr int MostBucketsAtOnce = 60; ///< after a long pause older buckets no longer matter
+constexpr int MostBucketsAtOnce = 600; ///< after a longer pause nothing is left of any level
 constexpr double LeastNoise = 1.0; ///< a variance below one request tells nothing
 constexpr double MostTrendShare = 1.0; ///< the trend adds at most the level once more
 
--- /dev/null
+++ b/tests/unit_routing.cpp
@@ -0,0 +1,271 @@
+#include "core/concurrencylimit.h"
+#include "core/routing.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace KingCup;
+
+namespace
+{
+
+const ArtifactName Sun("sun@1");
+const ZoneName Here("here");
+const ZoneName There("there");
+
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(seconds);
+}
+
+auto id(int number) -> RequestId
+{
+    return RequestId("q" + std::to_string(number));
+}
+
+auto target(int number) -> TargetId
+{
+    return TargetId("t" + std::to_string(number));
+}
+
+struct Scene {
+    Router router;
+    TimePoint now = at(0);
+    int sent = 0;
+    std::uint64_t sequence = 0;
+
+    explicit Scene(RoutingOptions options = {}, int targets = 4)
+        : router([&] {
+            options.zone = Here;
+            return options;
+        }())
+    {
+        for (int i = 0; i < targets; ++i) {
+            router.targetUp(target(i), i % 2 == 0 ? Here : There, ServiceName("advisory"), now);
+            report(i, {});
+        }
+    }
+
+    auto report(int number, TargetLoad load) -> void
+    {
+        load.sequence = ++sequence;
+        load.concurrencyLimit = load.concurrencyLimit == 0 ? 32 : load.concurrencyLimit;
+        load.serviceTime = load.serviceTime == Duration() ? Duration::millis(500) : load.serviceTime;
+        load.residents = {Sun};
+        router.reportReceived(target(number), load, now);
+    }
+
+    auto request() -> RoutingRequest
+    {
+        return RoutingRequest {.id = id(sent++), .artifacts = {Sun}, .deadline = now + Duration::seconds(10)};
+    }
+
+    /// Chooses and sends; empty if refused.
+    auto send(const RoutingRequest &request) -> TargetId
+    {
+        const auto choice = router.choose(request, now);
+        if (!choice.isRefused()) {
+            router.requestStarted(request.id, choice.target, request.priority, now);
+        }
+        return choice.target;
+    }
+
+    auto countSends(int sends) -> std::map<TargetId, int>
+    {
+        std::map<TargetId, int> counts;
+        for (int i = 0; i < sends; ++i) {
+            const auto one = request();
+            const auto chosen = send(one);
+            ++counts[chosen];
+            router.requestEnded(one.id, chosen, AttemptResult::Delivered, now + Duration::millis(1));
+        }
+        return counts;
+    }
+};
+
+} // namespace
+
+TEST_CASE("only a live target with the artifact resident is chosen, and a refusal says why")
+{
+    Scene scene({}, 2);
+    auto request = scene.request();
+    request.artifacts = {Sun, ArtifactName("austin")};
+    REQUIRE(scene.router.choose(request, scene.now).refusal == RoutingRefusal::NoCopy);
+    request.artifacts = {Sun};
+    request.excluded = {target(0), target(1)};
+    REQUIRE(scene.router.choose(request, scene.now).refusal == RoutingRefusal::AllExcluded);
+    request.excluded = {target(0)};
+    REQUIRE(scene.router.choose(request, scene.now).target == target(1));
+    scene.router.targetDown(target(1), scene.now);
+    REQUIRE(scene.router.choose(request, scene.now).isRefused());
+}
+
+TEST_CASE("a target that is leaving gets no new work")
+{
+    Scene scene({}, 2);
+    scene.report(0, {.leaving = true});
+    REQUIRE(scene.countSends(50)[target(0)] == 0);
+}
+
+TEST_CASE("requests sent since the last report count as load")
+{
+    // Reports lag. Were they all that counts, every request between two reports would go to the one target that looked idle last.
+    Scene scene({.twoChoices = true}, 4);
+    scene.report(0, {.running = 8});
+    scene.report(1, {.running = 8});
+    scene.report(2, {.running = 8});
+    scene.now = at(0.01);
+    std::map<TargetId, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        ++counts[scene.send(scene.request())];
+    }
+    REQUIRE(counts[target(3)] < 25);
+    REQUIRE(counts[target(3)] > 10);
+}
+
+TEST_CASE("what can't be in time anywhere is refused before it is sent")
+{
+    Scene scene({}, 2);
+    auto request = scene.request();
+    request.deadline = scene.now + Duration::millis(100);
+    const auto choice = scene.router.choose(request, scene.now);
+    REQUIRE(choice.refusal == RoutingRefusal::TooLate);
+    REQUIRE_FALSE(choice.reason.empty());
+}
+
+TEST_CASE("batch requests leave room for the others")
+{
+    Scene scene({}, 1);
+    scene.report(0, {.running = 24});
+    auto request = scene.request();
+    request.priority = Priority::Batch;
+    REQUIRE(scene.router.choose(request, scene.now).refusal == RoutingRefusal::Overloaded);
+    request.priority = Priority::Standard;
+    REQUIRE_FALSE(scene.router.choose(request, scene.now).isRefused());
+    scene.report(0, {.running = 32});
+    REQUIRE(scene.router.choose(request, scene.now).refusal == RoutingRefusal::Overloaded);
+    request.priority = Priority::Interactive;
+    REQUIRE_FALSE(scene.router.choose(request, scene.now).isRefused());
+}
+
+TEST_CASE("requests with a common prefix meet at one target until it is busier than the rest")
+{
+    Scene scene({}, 4);
+    auto first = scene.request();
+    first.prefixHash = "prefix";
+    const auto home = scene.router.choose(first, scene.now).target;
+    for (int i = 0; i < 20; ++i) {
+        auto request = scene.request();
+        request.prefixHash = "prefix";
+        REQUIRE(scene.router.choose(request, scene.now).target == home);
+    }
+    for (int i = 0; i < 4; ++i) {
+        scene.report(i, {.running = target(i) == home ? 20 : 2});
+    }
+    auto request = scene.request();
+    request.prefixHash = "prefix";
+    REQUIRE(scene.router.choose(request, scene.now).target != home);
+}
+
+TEST_CASE("the same run-once key goes to the same target")
+{
+    Scene scene({}, 4);
+    auto request = scene.request();
+    request.stickyKey = "debit-17";
+    const auto home = scene.router.choose(request, scene.now).target;
+    for (int i = 0; i < 20; ++i) {
+        scene.send(scene.request());
+        REQUIRE(scene.router.choose(request, scene.now).target == home);
+    }
+}
+
+TEST_CASE("on equal terms the nearest zone is taken")
+{
+    Scene scene({}, 2);
+    REQUIRE(scene.countSends(20)[target(0)] == 20);
+}
+
+TEST_CASE("a target that fails is shed, then comes back gradually")
+{
+    // One target answers with errors, and quickly: to a router that looks at load alone it seems the least busy of all, and draws
+    // every request to itself.
+    Scene scene({}, 4);
+    for (int i = 0; i < 3; ++i) {
+        const auto one = scene.request();
+        scene.router.requestStarted(one.id, target(2), Priority::Standard, scene.now);
+        scene.router.requestEnded(one.id, target(2), AttemptResult::Failed, scene.now);
+    }
+    REQUIRE(scene.router.weight(target(2), scene.now) == 0);
+    REQUIRE(scene.countSends(100)[target(2)] == 0);
+    scene.now = at(3);
+    for (int i = 0; i < 4; ++i) {
+        scene.report(i, {});
+    }
+    const auto early = scene.router.weight(target(2), scene.now);
+    REQUIRE(early > 0);
+    REQUIRE(early < 0.5);
+    scene.now = at(13);
+    REQUIRE(scene.router.weight(target(2), scene.now) > early);
+    for (int i = 0; i < 4; ++i) {
+        scene.report(i, {});
+    }
+    REQUIRE(scene.countSends(200)[target(2)] > 20);
+}
+
+TEST_CASE("a target whose reports stop is used less, then not at all")
+{
+    Scene scene({}, 2);
+    scene.now = at(3);
+    scene.report(1, {});
+    REQUIRE(scene.router.weight(target(0), scene.now) < scene.router.weight(target(1), scene.now));
+    scene.now = at(7);
+    scene.report(1, {});
+    REQUIRE(scene.countSends(50)[target(0)] == 0);
+}
+
+TEST_CASE("an engine that restarted is started slowly")
+{
+    Scene scene({}, 2);
+    scene.report(0, {.engineGeneration = 1});
+    REQUIRE(scene.router.weight(target(0), scene.now) < 0.5);
+    REQUIRE(scene.router.weight(target(1), scene.now) == 1);
+}
+
+TEST_CASE("the baselines route as they say")
+{
+    Scene scene({.strategy = RoutingStrategy::RoundRobin}, 4);
+    for (const auto &[chosen, count] : scene.countSends(40)) {
+        REQUIRE(count == 10);
+    }
+    Scene least({.strategy = RoutingStrategy::LeastLoaded}, 2);
+    least.report(0, {.running = 3});
+    REQUIRE(least.send(least.request()) == target(1));
+}
+
+TEST_CASE("a concurrency limit shrinks when the engine slows down and grows back")
+{
+    ConcurrencyLimit limit({.least = 4, .most = 64, .first = 48, .stepGoal = Duration::millis(30)});
+    for (int i = 0; i < 100; ++i) {
+        limit.observeStep(Duration::millis(40), limit.limit());
+    }
+    const int slow = limit.limit();
+    REQUIRE(slow < 24);
+    for (int i = 0; i < 1000; ++i) {
+        limit.observeStep(Duration::millis(15), limit.limit());
+    }
+    REQUIRE(limit.limit() > slow);
+    for (int i = 0; i < 1000; ++i) {
+        limit.observeOverload();
+    }
+    REQUIRE(limit.limit() == 4);
+}
+
+TEST_CASE("a limit that isn't used doesn't grow")
+{
+    ConcurrencyLimit limit({.first = 16});
+    for (int i = 0; i < 1000; ++i) {
+        limit.observeService(Duration::millis(100), 2);
+    }
+    REQUIRE(limit.limit() == 16);
+}
