Stand-ins: table, objects, weights, hosts, engines, services and a proxy

Cause: nothing could be tried or tested without a platform and targets. Change: kingcup-fakes hosts them all in one process, with ground truth and fault commands on an admin port; HttpServer now ends its connections and closes its port when it is destroyed (a crashed engine kept callers waiting, and a caller that came in while the port closed met freed memory).

--- /dev/null
+++ b/fakes/enginebatch.h
@@ -0,0 +1,93 @@
+// Continuous batching in an engine stand-in: one step serves every running stream, and prefill displaces decode.
+//
+// A step lasts 12 ms + 0.25 ms per decoding stream, plus the prefill it carries at 9,000 tokens a second; each decoding stream gains one token.
+// Streams wait in order of priority, then arrival, for one of 64 places and for room in the KV cache.
+#pragma once
+
+#include "prefixcache.h"
+#include "simclock.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace KingCup
+{
+
+struct BatchSettings {
+    Duration stepBase = Duration::millis(12);
+    Duration stepPerStream = Duration::micros(250);
+    int maxStreams = 64;
+    double prefillTokensPerSecond = 9000;
+    int prefillChunk = 128; ///< tokens of prefill that one step carries beside decoding
+    std::int64_t kvBytesPerToken = 100000;
+};
+
+/// One completion being made. The hooks are called from a step.
+struct Stream {
+    std::string requestId;
+    std::string artifact;
+    std::string prompt;
+    int priority = 1;
+    int outputTokens = 16; ///< in all
+    int produced = 0; ///< starts at the offset of a resumed stream
+    std::int64_t prefillLeft = 0; ///< tokens
+    std::int64_t kvTokens = 0; ///< room taken for prompt and output
+    bool mayCrash = false; ///< the prompt carries the marker that crashes its engine
+
+    std::function<void(int index)> onToken;
+    std::function<void()> onDone;
+    std::function<void()> onCancelled; ///< by its id
+    std::function<void()> onCrash; ///< the marker's effect
+    std::function<bool()> isHeldBack; ///< the reader is slow: no token for now
+};
+using StreamPtr = std::shared_ptr<Stream>;
+
+class EngineBatch
+{
+public:
+    EngineBatch(SimClock &clock, BatchSettings settings, CacheEventSettings events);
+
+    auto add(const StreamPtr &stream) -> void;
+    auto remove(const std::string &requestId) -> bool;
+    auto remove(const StreamPtr &stream) -> void;
+    auto clear() -> void; ///< forgets all streams and the cache
+    auto setKvRoom(std::int64_t bytes) -> void;
+    auto setSlowdown(double factor) -> void;
+
+    auto running() const -> std::size_t;
+    auto waiting() const -> std::size_t;
+    auto isRunning(const std::string &artifact) const -> bool;
+    auto stepDuration() const -> Duration; ///< of the last step
+    auto prefillQueue() const -> std::int64_t; ///< tokens still to prefill
+    auto kvUsed() const -> std::int64_t; ///< bytes: streams and cache
+    auto tokens() const -> std::uint64_t; ///< produced ever
+    auto prefilled() const -> std::uint64_t; ///< tokens ever, without cached ones
+    auto cachedTokens() const -> std::uint64_t; ///< prompt tokens that the cache saved
+    auto cache() -> PrefixCache &;
+
+private:
+    auto admit() -> void;
+    auto planStep() -> void;
+    auto finishStep() -> void;
+    auto prefill(std::int64_t budget) -> std::int64_t;
+    auto kvOfStreams() const -> std::int64_t;
+
+    SimClock &m_clock;
+    BatchSettings m_settings;
+    PrefixCache m_cache;
+    std::list<StreamPtr> m_waiting; // by priority, then arrival
+    std::list<StreamPtr> m_running;
+    std::int64_t m_kvRoom = 0;
+    double m_slowdown = 1.0;
+    Duration m_step;
+    Timer m_stepTimer;
+    bool m_stepping = false;
+    std::uint64_t m_tokens = 0;
+    std::uint64_t m_prefilled = 0;
+    std::uint64_t m_cachedTokens = 0;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/fakes/enginememory.h
@@ -0,0 +1,53 @@
+// Accelerator memory of an engine stand-in: what is resident and loading, charged in bytes.
+//
+// A load is charged from the moment the engine accepts it. Two loads of one artifact at once are two charges; a load of what is resident
+// already is a second charge until it is done. Charged weights may fill the memory up to the least KV-cache room; beyond it is overcommitted.
+#pragma once
+
+#include "answers.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+class EngineMemory
+{
+public:
+    /// `total` bytes, of which `kvLeast` belong to the KV cache whatever is loaded.
+    EngineMemory(std::int64_t total, std::int64_t kvLeast);
+
+    auto beginLoad(const std::string &order, const std::string &artifact, const std::string &base, std::int64_t bytes) -> void;
+    auto finishLoad(const std::string &order) -> void;
+    auto unload(const std::string &artifact) -> void;
+    auto clear() -> void;
+
+    auto isResident(const std::string &artifact) const -> bool;
+    /// The adapters on this base: they go when it goes.
+    auto residentOn(const std::string &base) const -> std::vector<std::string>;
+    auto total() const -> std::int64_t;
+    auto used() const -> std::int64_t; ///< weights resident and loading
+    auto kvRoom() const -> std::int64_t; ///< what weights leave
+    auto isOvercommitted() const -> bool;
+    auto highWater() const -> std::int64_t; ///< the most that used() ever was
+    auto residentJson() const -> Json;
+    auto loadingJson() const -> Json;
+
+private:
+    struct Charge {
+        std::string artifact;
+        std::string base; ///< empty unless it is an adapter
+        std::int64_t bytes = 0;
+    };
+
+    std::int64_t m_total;
+    std::int64_t m_kvLeast;
+    std::int64_t m_highWater = 0;
+    std::map<std::string, Charge> m_resident; // by artifact
+    std::map<std::string, Charge> m_loading; // by order
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/fakes/fakessettings.cpp
@@ -0,0 +1,177 @@
+#include "fakessettings.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace KingCup
+{
+
+namespace
+{
+
+namespace Options = boost::program_options;
+
+constexpr double BytesPerGigabyte = 1e9;
+
+/// What the options hold before they become typed settings.
+struct RawSettings {
+    FakesSettings settings;
+    double memoryGigabytes = 80;
+    double loadGigabytesPerSecond = 3;
+    double stepMillis = 12;
+    double stepPerStreamMillis = 0.25;
+    int restartMillis = 15000;
+    int orderLeastMillis = 5;
+    int orderMostMillis = 50;
+    int orderLateMostMillis = 10000;
+    int reportMillis = 500;
+    int reportLagMillis = 300;
+    int eventLeastMillis = 500;
+    int eventMostMillis = 2000;
+    double readMillis = 15;
+    double writeMillis = 30;
+    double tableMillis = 4;
+    double objectMillis = 5;
+    int hostLagMillis = 2000;
+    std::string services;
+    std::vector<std::string> hosts;
+};
+
+template<typename T>
+auto with(T &target) -> Options::typed_value<T> *
+{
+    return Options::value<T>(&target)->default_value(target);
+}
+
+auto describe(RawSettings &raw) -> Options::options_description
+{
+    auto &s = raw.settings;
+    Options::options_description all("Stand-ins for the platform and the targets. All durations are simulated time");
+    auto add = all.add_options();
+    add("base-port", with(s.basePort), "admin port; the others follow (see fakes/README.md); 0: the system chooses all");
+    add("time-scale", with(s.timeScale), "how many times faster than real time");
+    add("seed", with(s.seed), "of all random choices");
+    add("engine.count", with(s.engineCount), "");
+    add("engine.prefix", with(s.enginePrefix), "ids are PREFIX1, PREFIX2, ...");
+    add("engine.fencing", with(s.fencing), "checked, ignored or alternate");
+    add("engine.memory-gb", with(raw.memoryGigabytes), "");
+    add("engine.kv-least", with(s.engine.kvLeast), "share of memory that weights may never take");
+    add("engine.restart-ms", with(raw.restartMillis), "from a crash until it answers again");
+    add("engine.order-least-ms", with(raw.orderLeastMillis), "");
+    add("engine.order-most-ms", with(raw.orderMostMillis), "");
+    add("engine.order-lose-rate", with(s.engine.orderLoseRate), "");
+    add("engine.order-drop-answer-rate", with(s.engine.orderDropAnswerRate), "");
+    add("engine.order-late-rate", with(s.engine.orderLateRate), "");
+    add("engine.order-late-most-ms", with(raw.orderLateMostMillis), "");
+    add("engine.report-ms", with(raw.reportMillis), "");
+    add("engine.report-lag-ms", with(raw.reportLagMillis), "");
+    add("engine.event-least-ms", with(raw.eventLeastMillis), "");
+    add("engine.event-most-ms", with(raw.eventMostMillis), "");
+    add("engine.event-drop-rate", with(s.engine.events.dropRate), "");
+    add("engine.step-ms", with(raw.stepMillis), "");
+    add("engine.step-per-stream-ms", with(raw.stepPerStreamMillis), "");
+    add("engine.max-streams", with(s.engine.batch.maxStreams), "");
+    add("engine.prefill-tokens-per-second", with(s.engine.batch.prefillTokensPerSecond), "");
+    add("engine.prefill-chunk", with(s.engine.batch.prefillChunk), "tokens of prefill beside one decode step");
+    add("engine.kv-bytes-per-token", with(s.engine.batch.kvBytesPerToken), "");
+    add("weights.loads-per-second", with(s.weights.loadsPerSecond), "");
+    add("weights.parallel", with(s.weights.parallelLoads), "loads at once at full speed");
+    add("weights.gb-per-second", with(raw.loadGigabytesPerSecond), "of one load alone");
+    add("table.writes-per-second", with(s.table.writesPerSecond), "");
+    add("table.reads-per-second", with(s.table.readsPerSecond), "");
+    add("table.latency-ms", with(raw.tableMillis), "");
+    add("objects.latency-ms", with(raw.objectMillis), "");
+    add("hosts.lag-ms", with(raw.hostLagMillis), "");
+    add("hosts.host", Options::value(&raw.hosts)->composing(), "ID,ROLE,ZONE,ADDRESS; may be repeated");
+    add("service.groups", with(raw.services), "NAME:COUNT,...");
+    add("service.read-ms", with(raw.readMillis), "");
+    add("service.write-ms", with(raw.writeMillis), "");
+    add("service.concurrency", with(s.service.concurrency), "calls one instance works on at once");
+    add("proxy.link", Options::value(&s.links)->composing(), "NAME,LISTEN-PORT,TARGET; may be repeated");
+    return all;
+}
+
+auto split(const std::string &text, char separator) -> std::vector<std::string>
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, separator);) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+auto millis(double n) -> Duration
+{
+    constexpr double MicrosPerMilli = 1000;
+    return Duration::micros(static_cast<std::int64_t>(n * MicrosPerMilli));
+}
+
+auto typed(const RawSettings &raw) -> FakesSettings
+{
+    auto settings = raw.settings;
+    auto &engine = settings.engine;
+    engine.memory = static_cast<std::int64_t>(raw.memoryGigabytes * BytesPerGigabyte);
+    engine.restart = millis(raw.restartMillis);
+    engine.orderLeast = millis(raw.orderLeastMillis);
+    engine.orderMost = millis(raw.orderMostMillis);
+    engine.orderLateMost = millis(raw.orderLateMostMillis);
+    engine.reportEvery = millis(raw.reportMillis);
+    engine.reportLag = millis(raw.reportLagMillis);
+    engine.events.leastDelay = millis(raw.eventLeastMillis);
+    engine.events.mostDelay = millis(raw.eventMostMillis);
+    engine.batch.stepBase = millis(raw.stepMillis);
+    engine.batch.stepPerStream = millis(raw.stepPerStreamMillis);
+    settings.weights.bytesPerSecond = raw.loadGigabytesPerSecond * BytesPerGigabyte;
+    settings.service.readTime = millis(raw.readMillis);
+    settings.service.writeTime = millis(raw.writeMillis);
+    settings.table.latency = millis(raw.tableMillis);
+    settings.objectLatency = millis(raw.objectMillis);
+    settings.hostLag = millis(raw.hostLagMillis);
+    for (const auto &group : split(raw.services, ',')) {
+        const auto parts = split(group, ':');
+        settings.services.push_back(ServiceGroup {parts.at(0), parts.size() > 1 ? std::stoi(parts[1]) : 1});
+    }
+    for (const auto &line : raw.hosts) {
+        const auto parts = split(line, ',');
+        settings.hosts.push_back(Host {.id = parts.at(0), .role = parts.at(1), .zone = parts.at(2), .address = parts.at(3)});
+    }
+    return settings;
+}
+
+} // namespace
+
+auto fakesSettingsFrom(int argc, const char *const *argv) -> std::optional<FakesSettings>
+{
+    RawSettings raw;
+    auto description = describe(raw);
+    std::string file;
+    Options::options_description commandLine;
+    commandLine.add(description);
+    commandLine.add_options()("help", "shows this text")("config", Options::value(&file), "INI file");
+    try {
+        Options::variables_map values;
+        Options::store(Options::parse_command_line(argc, argv, commandLine), values);
+        if (values.count("help") != 0) {
+            std::cout << commandLine;
+            return std::nullopt;
+        }
+        if (values.count("config") != 0) {
+            std::ifstream in(values["config"].as<std::string>());
+            if (!in) {
+                std::cerr << "kingcup-fakes: cannot read " << values["config"].as<std::string>() << "\n";
+                return std::nullopt;
+            }
+            Options::store(Options::parse_config_file(in, description), values);
+        }
+        Options::notify(values);
+        return typed(raw);
+    } catch (const std::exception &error) {
+        std::cerr << "kingcup-fakes: " << error.what() << "\n";
+        return std::nullopt;
+    }
+}
+
+} // namespace KingCup
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -12,6 +12,7 @@
 #include <libwebsockets.h>
 #include <stdexcept>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace KingCup
 {
@@ -234,8 +235,10 @@
     std::array<lws_protocols, 2> protocols {};
     std::unordered_map<lws *, std::shared_ptr<HttpExchange>> exchanges;
     std::uint64_t refused = 0;
-    int connections = 0;
+    std::unordered_set<lws *> sockets; // every open connection, also idle ones
+    lws *listener = nullptr; // known from the first connection on
     bool accepting = true;
+    bool destroyed = false; // the HttpServer has gone; libwebsockets still holds the virtual host
 
     Private(EventLoop &ownerLoop, HttpServerOptions serverOptions, Handler requestHandler)
         : loop(ownerLoop)
@@ -245,6 +248,7 @@
     }
 
     static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
+    static auto forget(lws_vhost *vhost, void *self) -> void;
     auto onRequest(lws *wsi, const char *path) -> int;
     auto onBody(lws *wsi, std::string_view data) -> int;
     auto onBodyEnd(lws *wsi) -> int;
@@ -415,14 +419,18 @@
     if (self == nullptr) {
         return 0;
     }
+    if (self->destroyed) {
+        return reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION ? -1 : 0;
+    }
     switch (reason) {
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
-        return self->accepting && self->connections < self->options.maxConnections ? 0 : -1;
-    case LWS_CALLBACK_WSI_CREATE:
-        ++self->connections;
+        self->listener = wsi;
+        return self->accepting && static_cast<int>(self->sockets.size()) < self->options.maxConnections ? 0 : -1;
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        self->sockets.insert(wsi);
         return 0;
     case LWS_CALLBACK_WSI_DESTROY:
-        --self->connections;
+        self->sockets.erase(wsi);
         self->onGone(wsi);
         return 0;
     case LWS_CALLBACK_HTTP:
@@ -441,6 +449,12 @@
     }
 }
 
+/// libwebsockets has let go of the virtual host.
+auto HttpServer::Private::forget(lws_vhost * /*vhost*/, void *self) -> void
+{
+    delete static_cast<Private *>(self);
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, Handler handler)
     : d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
 {
@@ -450,6 +464,8 @@
     info.iface = d->options.listen.address.c_str();
     info.protocols = d->protocols.data();
     info.user = d.get();
+    info.finalize = &Private::forget;
+    info.finalize_arg = d.get();
     info.timeout_secs = static_cast<unsigned>(d->options.headerTimeout.inSeconds());
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
     if (d->options.tls.isEnabled()) {
@@ -475,7 +491,19 @@
         exchange->onDrained = nullptr;
     }
     d->exchanges.clear();
-    lws_vhost_destroy(d->vhost);
+    // Destroying the virtual host closes its port, not its connections: whoever waits for an answer would wait for ever.
+    const auto open = d->sockets;
+    for (lws *socket : open) {
+        lws_set_timeout(socket, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
+    }
+    // The port closes only when the loop comes round: a caller may still get in, and the callback must find its state until forget().
+    if (d->listener != nullptr) {
+        lws_set_timeout(d->listener, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
+    }
+    d->destroyed = true;
+    d->handler = nullptr;
+    lws_vhost *vhost = d.release()->vhost;
+    lws_vhost_destroy(vhost);
 }
 
 auto HttpServer::port() const -> int
