Wire: nghttp2 streams of messages between our processes

Cause: entry and agent had only the header of src/wire. A stream that a reader has paused holds back its writer through the stream's own window; the connection's window is given back on receipt, so that one slow stream doesn't stall the others or the control stream. A client is connected once the far side has answered as a peer: a frozen process accepts too. A stream counts as sent before its head is serialised, so that it never ends as Refused when the far side may have seen it.

Also in net: a timer's effect is looked at by runUntil() at once. libwebsockets runs ripe timers and then waits for the next event in the same call: a 150 ms wait took 30 s (strace: poll with 29846 ms after the timer).

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -8,6 +8,7 @@
 #include <libwebsockets.h>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace KingCup
 {
@@ -30,6 +31,17 @@
 
 } // namespace
 
+namespace
+{
+
+/// What a loop shares with its timers, which may outlive it.
+struct LoopLife {
+    bool alive = true;
+    bool watched = false; // runUntil() wants to look after each event
+};
+
+} // namespace
+
 // [SECTION] Timer
 
 struct Timer::Private {
@@ -38,7 +50,7 @@
     EventLoop::Task task;
     Duration period; // 0: once
     bool active = false;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::shared_ptr<LoopLife> life;
 
     static auto fire(lws_sorted_usec_list_t *entry) -> void;
     auto schedule(Duration delay) -> void
@@ -57,7 +69,14 @@
     }
     // The task may destroy this timer, and with it the stored function: run a copy.
     const auto task = self->task;
+    const auto life = self->life;
+    auto *context = self->context;
     task();
+    if (life->watched) {
+        // libwebsockets goes on to wait for the next event in the same call: without this, what the task changed would be looked
+        // at only after that, up to 30 s later.
+        lws_cancel_service(context);
+    }
 }
 
 Timer::Timer() = default;
@@ -84,7 +103,7 @@
 
 auto Timer::cancel() -> void
 {
-    if (d && d->active && *d->alive) {
+    if (d && d->active && d->life->alive) {
         lws_sul_cancel(&d->entry);
         d->active = false;
     }
@@ -97,7 +116,7 @@
     std::atomic<bool> stopping = false;
     std::mutex mutex; // guards tasks: the only state that other threads touch
     std::deque<Task> tasks;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // timers may outlive the loop
+    std::shared_ptr<LoopLife> life = std::make_shared<LoopLife>();
 
     auto runTasks() -> void
     {
@@ -141,7 +160,7 @@
 
 EventLoop::~EventLoop()
 {
-    *d->alive = false;
+    d->life->alive = false;
     lws_context_destroy(d->context);
 }
 
@@ -155,14 +174,15 @@
 auto EventLoop::runUntil(const std::function<bool()> &done, Duration limit) -> bool
 {
     bool late = false;
+    const bool outer = std::exchange(d->life->watched, true);
     const auto timer = after(limit, [&] { late = true; });
-    while (!d->stopping && !late) {
-        if (done()) {
-            return true;
-        }
+    bool held = done();
+    while (!held && !d->stopping && !late) {
         d->step();
+        held = done();
     }
-    return done();
+    d->life->watched = outer;
+    return held;
 }
 
 auto EventLoop::stop() -> void
@@ -189,7 +209,7 @@
     Timer timer;
     timer.d = std::make_unique<Timer::Private>();
     timer.d->context = d->context;
-    timer.d->alive = d->alive;
+    timer.d->life = d->life;
     timer.d->task = std::move(task);
     timer.d->schedule(delay > Duration() ? delay : Duration::micros(1));
     return timer;
--- /dev/null
+++ b/src/wire/framing.cpp
@@ -0,0 +1,79 @@
+#include "wire/framing.h"
+
+#include <cstdint>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/message_lite.h>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr std::size_t MaxVarintBytes = 10;
+/// A reader that once held a large message gives the memory back.
+constexpr std::size_t KeptCapacity = 64U << 10U;
+
+} // namespace
+
+auto appendMessage(std::string &out, const google::protobuf::MessageLite &message) -> void
+{
+    using google::protobuf::io::CodedOutputStream;
+    const std::size_t size = message.ByteSizeLong();
+    const std::size_t prefix = CodedOutputStream::VarintSize32(static_cast<std::uint32_t>(size));
+    const std::size_t start = out.size();
+    out.resize(start + prefix + size);
+    auto *at = reinterpret_cast<std::uint8_t *>(out.data()) + start;
+    at = CodedOutputStream::WriteVarint32ToArray(static_cast<std::uint32_t>(size), at);
+    message.SerializeWithCachedSizesToArray(at);
+}
+
+MessageReader::MessageReader(std::size_t maxMessage)
+    : m_maxMessage(maxMessage)
+{
+}
+
+auto MessageReader::bufferedBytes() const -> std::size_t
+{
+    return m_buffer.size() - m_at;
+}
+
+auto MessageReader::append(std::string_view bytes) -> void
+{
+    if (m_at > 0) {
+        release();
+    }
+    m_buffer.append(bytes);
+}
+
+auto MessageReader::release() -> void
+{
+    m_buffer.erase(0, m_at);
+    m_at = 0;
+    if (m_buffer.empty() && m_buffer.capacity() > KeptCapacity) {
+        m_buffer = std::string();
+    }
+}
+
+auto MessageReader::take() -> FramedMessage
+{
+    const std::size_t available = bufferedBytes();
+    const auto *start = reinterpret_cast<const std::uint8_t *>(m_buffer.data()) + m_at;
+    google::protobuf::io::CodedInputStream input(start, static_cast<int>(available));
+    std::uint64_t size = 0;
+    if (!input.ReadVarint64(&size)) {
+        return {available < MaxVarintBytes ? FramingState::Incomplete : FramingState::Malformed, {}};
+    }
+    if (size > m_maxMessage) {
+        return {FramingState::Malformed, {}};
+    }
+    const auto prefix = static_cast<std::size_t>(input.CurrentPosition());
+    if (available - prefix < size) {
+        return {FramingState::Incomplete, {}};
+    }
+    const std::string_view message(m_buffer.data() + m_at + prefix, size);
+    m_at += prefix + size;
+    return {FramingState::Message, message};
+}
+
+} // namespace KingCup
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -2,7 +2,11 @@
 //
 // The entry side connects (PeerClient), the agent side listens (PeerServer). Each stream carries length-delimited protobuf
 // messages both ways, has a path that tells its kind ("/control", "/request"), and its own flow control: a reader that
-// doesn't consume holds back the writer at the far end, and nothing piles up between.
+// doesn't consume holds back the writer at the far end, and nothing piles up between. A paused stream doesn't hold back
+// the others of its connection, so what a connection buffers is bounded by its streams times streamWindow.
+//
+// A stream is done when both sides have called finish(); a side that never does so keeps it open. Hooks are called on the
+// loop and never from within a call of the same stream, client or server.
 //
 // Index of sections (search for [SECTION]):
 //   PeerStream   one stream, either side
@@ -13,16 +17,13 @@
 #include "net/eventloop.h"
 #include "net/http.h"
 
+#include <cstdint>
 #include <functional>
+#include <google/protobuf/message_lite.h>
 #include <memory>
 #include <string>
 #include <string_view>
 
-namespace google::protobuf
-{
-class MessageLite;
-}
-
 namespace KingCup
 {
 
@@ -63,6 +64,7 @@
 struct PeerOptions {
     std::size_t maxMessage = 16U << 20U; ///< bytes; a larger one breaks the connection
     std::size_t streamWindow = 256U << 10U; ///< bytes a far side may send before we consume
+    std::uint32_t maxStreams = 4096; ///< open at once on a connection; further ones wait at the far side, unsent
     Duration connectTimeout = Duration::seconds(2);
     Duration backoffFirst = Duration::millis(100);
     Duration backoffMost = Duration::seconds(3);
@@ -71,14 +73,15 @@
 
 // [SECTION] PeerClient
 
-/// Keeps one connection to an endpoint, connecting again with back-off and jitter until it is destroyed.
+/// Keeps one connection to an endpoint, connecting again with back-off and jitter until it is destroyed. Streams that are
+/// open then end as Broken, by a task posted to the loop; the same holds for PeerServer.
 class PeerClient
 {
 public:
     PeerClient(EventLoop &loop, Endpoint server, PeerOptions options = {});
     ~PeerClient();
 
-    auto isConnected() const -> bool;
+    auto isConnected() const -> bool; ///< the far side has answered as a peer, not only accepted the connection
     auto server() const -> const Endpoint &;
     /// A new stream; null while not connected. Set its hooks before returning to the loop.
     auto open(const std::string &path) -> PeerStreamPtr;
@@ -100,7 +103,7 @@
 {
 public:
     /// Listens at once; throws std::runtime_error if the port is taken. `onStream` sees each new stream, before its first message.
-    PeerServer(EventLoop &loop, Endpoint listen, std::function<void(const PeerStreamPtr &)> onStream, PeerOptions options = {});
+    PeerServer(EventLoop &loop, const Endpoint &listen, std::function<void(const PeerStreamPtr &)> onStream, PeerOptions options = {});
     ~PeerServer();
 
     auto port() const -> int;
--- /dev/null
+++ b/src/wire/peerclient.cpp
@@ -0,0 +1,215 @@
+// The connecting half of wire/peer.h.
+#include "wire/connection.h"
+
+#include <algorithm>
+#include <array>
+#include <glog/logging.h>
+#include <map>
+#include <random>
+#include <tuple>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// The vhost that all clients of one loop with the same identity share: hundreds of connections need only one.
+class ClientVhost
+{
+public:
+    ClientVhost(lws_context *context, TlsFiles tls)
+        : m_tls(std::move(tls))
+    {
+        static const std::array<lws_protocols, 2> Protocols {{{"kingcup-peer", &PeerConnection::callback, 0, 0, 0, nullptr, PeerWriteBytes}, {}}};
+        lws_context_creation_info info {};
+        info.port = CONTEXT_PORT_NO_LISTEN;
+        info.protocols = Protocols.data();
+        info.vhost_name = "peer-clients";
+        applyTls(info, m_tls);
+        m_vhost = lws_create_vhost(context, &info);
+    }
+    ~ClientVhost()
+    {
+        if (m_vhost != nullptr) {
+            lws_vhost_destroy(m_vhost);
+        }
+    }
+    ClientVhost(const ClientVhost &) = delete;
+    auto operator=(const ClientVhost &) -> ClientVhost & = delete;
+
+    auto vhost() const -> lws_vhost *
+    {
+        return m_vhost;
+    }
+
+    static auto shared(lws_context *context, const TlsFiles &tls) -> std::shared_ptr<ClientVhost>
+    {
+        using Key = std::tuple<lws_context *, std::string, std::string, std::string>;
+        thread_local std::map<Key, std::weak_ptr<ClientVhost>> known;
+        auto &slot = known[Key(context, tls.certificate, tls.key, tls.authority)];
+        auto found = slot.lock();
+        if (!found) {
+            found = std::make_shared<ClientVhost>(context, tls);
+            slot = found;
+        }
+        return found;
+    }
+
+private:
+    TlsFiles m_tls;
+    lws_vhost *m_vhost = nullptr;
+};
+
+} // namespace
+
+struct PeerClient::Private : std::enable_shared_from_this<Private> {
+    PeerClient *owner; // null once destroyed
+    EventLoop &loop;
+    Endpoint server;
+    PeerOptions options;
+    std::shared_ptr<ClientVhost> vhost;
+    std::shared_ptr<PeerConnection> connection;
+    Timer retry;
+    Duration backoff;
+    bool up = false; // onUp was called, onDown not yet
+    std::minstd_rand random {std::random_device {}()};
+
+    Private(PeerClient &client, EventLoop &ownerLoop, Endpoint endpoint, PeerOptions peerOptions)
+        : owner(&client)
+        , loop(ownerLoop)
+        , server(std::move(endpoint))
+        , options(std::move(peerOptions))
+        , vhost(ClientVhost::shared(ownerLoop.context(), options.tls))
+        , backoff(options.backoffFirst)
+    {
+    }
+    auto connect() -> void;
+    auto openSocket() -> void;
+    auto scheduleRetry() -> void;
+    auto onReady() -> void;
+    auto onClosed() -> void;
+};
+
+auto PeerClient::Private::connect() -> void
+{
+    PeerConnection::Hooks hooks;
+    hooks.onReady = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onReady();
+        }
+    };
+    hooks.onClosed = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onClosed();
+        }
+    };
+    connection = std::make_shared<PeerConnection>(loop, SessionRole::Client, options, toString(server), std::move(hooks));
+    openSocket();
+}
+
+auto PeerClient::Private::openSocket() -> void
+{
+    lws_client_connect_info info {};
+    info.context = loop.context();
+    info.vhost = vhost->vhost();
+    info.address = server.address.c_str();
+    info.port = server.port;
+    info.host = server.address.c_str();
+    info.origin = server.address.c_str();
+    info.path = "";
+    info.method = "RAW";
+    info.local_protocol_name = "kingcup-peer";
+    info.opaque_user_data = connection.get();
+    if (options.tls.isEnabled()) {
+        // Peers are known by IP number, which certificates need not name: what counts is the authority's signature.
+        info.ssl_connection = LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
+    }
+    const auto keep = connection;
+    lws *wsi = lws_client_connect_via_info(&info);
+    if (wsi == nullptr) {
+        keep->drop("");
+    } else if (!keep->isClosed()) {
+        keep->attach(wsi);
+    }
+}
+
+/// Half to the whole of the back-off, so that clients whose server came back don't all return in the same instant.
+auto PeerClient::Private::scheduleRetry() -> void
+{
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    const Duration delay = backoff * jitter(random);
+    backoff = std::min(backoff * 2.0, options.backoffMost);
+    retry = loop.after(delay, [this] { connect(); });
+}
+
+auto PeerClient::Private::onReady() -> void
+{
+    backoff = options.backoffFirst;
+    up = true;
+    VLOG(1) << "wire: connected peer=" << toString(server);
+    if (owner != nullptr && owner->onUp) {
+        owner->onUp();
+    }
+}
+
+auto PeerClient::Private::onClosed() -> void
+{
+    if (owner == nullptr) {
+        return;
+    }
+    connection.reset();
+    scheduleRetry();
+    if (!up) {
+        return;
+    }
+    up = false;
+    if (owner->onDown) {
+        owner->onDown();
+    }
+}
+
+PeerClient::PeerClient(EventLoop &loop, Endpoint server, PeerOptions options)
+    : d(std::make_shared<Private>(*this, loop, std::move(server), std::move(options)))
+{
+    // By a task: the owner sets its hooks first.
+    loop.post([weak = std::weak_ptr(d)] {
+        const auto self = weak.lock();
+        if (self && self->owner != nullptr) {
+            self->connect();
+        }
+    });
+}
+
+PeerClient::~PeerClient()
+{
+    d->owner = nullptr;
+    d->retry.cancel();
+    if (d->connection) {
+        d->connection->drop("");
+    }
+}
+
+auto PeerClient::isConnected() const -> bool
+{
+    return d->connection && d->connection->isReady();
+}
+
+auto PeerClient::server() const -> const Endpoint &
+{
+    return d->server;
+}
+
+auto PeerClient::open(const std::string &path) -> PeerStreamPtr
+{
+    return d->connection ? d->connection->open(path) : nullptr;
+}
+
+auto PeerClient::reconnect() -> void
+{
+    if (d->connection) {
+        d->connection->drop("dropped by this side");
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/wire/session.h
@@ -0,0 +1,150 @@
+// One nghttp2 session without its socket: bytes in, bytes out, streams in between. Internal to src/wire.
+//
+// A hook of a stream may call anything of its stream or session; nghttp2 allows submissions from its callbacks, and the
+// session is kept alive until its callback has returned.
+//
+// Index of sections (search for [SECTION]):
+//   SessionStream   the one implementation of PeerStream
+//   PeerSession     the session
+#pragma once
+
+#include "wire/framing.h"
+#include "wire/peer.h"
+
+#include <cstdint>
+#include <nghttp2/nghttp2.h>
+#include <unordered_map>
+#include <vector>
+
+namespace KingCup
+{
+
+enum class SessionRole { Client, Server };
+
+class PeerSession;
+
+// [SECTION] SessionStream
+
+class SessionStream : public PeerStream, public std::enable_shared_from_this<SessionStream>
+{
+public:
+    SessionStream(PeerSession &session, std::string path);
+
+    auto path() const -> const std::string & override;
+    auto isOpen() const -> bool override;
+    auto pendingBytes() const -> std::size_t override;
+    auto send(const google::protobuf::MessageLite &message) -> void override;
+    auto finish() -> void override;
+    auto reset() -> void override;
+    auto refuse() -> void override;
+    auto pause() -> void override;
+    auto resume() -> void override;
+
+    // For the session alone:
+
+    /// Copies the next bytes of the body for nghttp2, or defers.
+    auto readBody(std::uint8_t *to, std::size_t room, std::uint32_t *flags) -> ssize_t;
+    auto onData(std::string_view bytes) -> void;
+    auto onFarEnd() -> void;
+    auto onClosed(std::uint32_t errorCode) -> void;
+    /// The connection went.
+    auto onLost() -> void;
+    auto tellDrained() -> void;
+
+private:
+    friend class PeerSession;
+    friend struct SessionCallbacks;
+
+    auto deliver() -> void;
+    auto takeMessages() -> void;
+    auto consume() -> void;
+    auto startAnswer() -> void;
+    auto wakeWriter() -> void;
+    auto giveUp(std::uint32_t errorCode) -> void;
+    auto endWith(StreamEnd end) -> void;
+    auto tellEnd() -> void;
+
+    EventLoop &m_loop;
+    PeerSession *m_session; // null once the stream is closed on the wire
+    std::int32_t m_id = 0;
+    std::string m_path;
+    MessageReader m_reader;
+    std::size_t m_unconsumed = 0; // received, window not yet given back
+    std::string m_out;
+    std::size_t m_outAt = 0; // bytes of m_out already taken
+    bool m_answered = false; // server: the answer's head was submitted
+    bool m_deferred = false; // nghttp2 waits for us to have something to send
+    bool m_finished = false; // finish() was called
+    bool m_finishSent = false;
+    bool m_onWire = false; // the far side may have seen the stream
+    bool m_heard = false; // the far side answered something
+    bool m_farFinished = false;
+    bool m_farFinishedTold = false;
+    bool m_paused = false;
+    bool m_delivering = false; // a hook is running under deliver()
+    bool m_closed = false; // m_end holds
+    bool m_endTold = false;
+    StreamEnd m_end = StreamEnd::Broken;
+};
+
+// [SECTION] PeerSession
+
+struct SessionHooks {
+    std::function<void()> wantWrite; ///< there is something to send
+    std::function<void()> onReady; ///< the far side has shown itself to be a peer
+    std::function<void(const PeerStreamPtr &)> onStream; ///< server: a new stream
+};
+
+class PeerSession : public std::enable_shared_from_this<PeerSession>
+{
+public:
+    PeerSession(EventLoop &loop, SessionRole role, const PeerOptions &options, SessionHooks hooks);
+    ~PeerSession();
+    PeerSession(const PeerSession &) = delete;
+    auto operator=(const PeerSession &) -> PeerSession & = delete;
+
+    auto isReady() const -> bool;
+    auto isOver() const -> bool; ///< neither side has more to say: close the connection
+    auto wantsWrite() const -> bool;
+    auto fault() const -> const std::string &; ///< why receive() failed
+    auto streams() const -> std::size_t; ///< open on the wire
+
+    /// Takes what the socket received. False if the connection can't be read on; see fault().
+    auto receive(std::string_view bytes) -> bool;
+    /// Copies what is to be sent, as much as there is room for; the number of bytes.
+    auto fill(unsigned char *to, std::size_t room) -> std::size_t;
+    /// Calls onDrained of the streams that fill() emptied.
+    auto tellDrained() -> void;
+    /// A new stream; null if the session takes no more.
+    auto open(const std::string &path) -> PeerStreamPtr;
+    /// The connection is gone: every open stream hears its end.
+    auto breakStreams() -> void;
+
+private:
+    friend class SessionStream;
+
+    auto submitSettings(const PeerOptions &options) -> void;
+    auto wantWrite() -> void;
+    auto fail(const std::string &why) -> void;
+    auto addStream(std::int32_t id, const std::shared_ptr<SessionStream> &stream) -> void;
+    auto findStream(std::int32_t id) -> std::shared_ptr<SessionStream>;
+    friend struct SessionCallbacks;
+    auto onBeginHeaders(const nghttp2_frame &frame) -> void;
+    auto onFrame(const nghttp2_frame &frame) -> void;
+    auto onStreamClosed(std::int32_t id, std::uint32_t errorCode) -> void;
+    static auto bodyProvider(SessionStream &stream) -> nghttp2_data_provider;
+
+    EventLoop &m_loop;
+    SessionRole m_role;
+    std::size_t m_maxMessage;
+    SessionHooks m_hooks;
+    nghttp2_session *m_session = nullptr;
+    std::unordered_map<std::int32_t, std::shared_ptr<SessionStream>> m_streams;
+    std::vector<std::shared_ptr<SessionStream>> m_drained;
+    std::string_view m_leftover; // given by nghttp2, not yet copied out; valid until it is asked again
+    std::string m_fault;
+    std::string m_detail; // nghttp2's last error in words
+    bool m_ready = false;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/wire/stream.cpp
@@ -0,0 +1,287 @@
+// The stream half of wire/session.h.
+#include "wire/session.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Sent bytes are dropped from the front of the buffer once they are more than this and more than half of it.
+constexpr std::size_t CompactBytes = 64U << 10U;
+
+} // namespace
+
+auto toString(StreamEnd end) -> const char *
+{
+    switch (end) {
+    case StreamEnd::Complete:
+        return "complete";
+    case StreamEnd::Refused:
+        return "refused";
+    case StreamEnd::Broken:
+        return "broken";
+    }
+    return "broken";
+}
+
+SessionStream::SessionStream(PeerSession &session, std::string path)
+    : m_loop(session.m_loop)
+    , m_session(&session)
+    , m_path(std::move(path))
+    , m_reader(session.m_maxMessage)
+{
+}
+
+auto SessionStream::path() const -> const std::string &
+{
+    return m_path;
+}
+
+auto SessionStream::isOpen() const -> bool
+{
+    return m_session != nullptr;
+}
+
+auto SessionStream::pendingBytes() const -> std::size_t
+{
+    return m_out.size() - m_outAt;
+}
+
+auto SessionStream::send(const google::protobuf::MessageLite &message) -> void
+{
+    if (!isOpen() || m_finished) {
+        return;
+    }
+    appendMessage(m_out, message);
+    wakeWriter();
+}
+
+auto SessionStream::finish() -> void
+{
+    if (!isOpen() || m_finished) {
+        return;
+    }
+    m_finished = true;
+    wakeWriter();
+}
+
+auto SessionStream::reset() -> void
+{
+    giveUp(NGHTTP2_CANCEL);
+}
+
+auto SessionStream::refuse() -> void
+{
+    // After an answer has begun, "refused" would tell the far side that nothing was done, and it would send the request again.
+    giveUp(m_answered ? NGHTTP2_CANCEL : NGHTTP2_REFUSED_STREAM);
+}
+
+auto SessionStream::giveUp(std::uint32_t errorCode) -> void
+{
+    if (!isOpen()) {
+        return;
+    }
+    m_finished = true;
+    m_out.clear();
+    m_outAt = 0;
+    nghttp2_submit_rst_stream(m_session->m_session, NGHTTP2_FLAG_NONE, m_id, errorCode);
+    m_session->wantWrite();
+}
+
+auto SessionStream::pause() -> void
+{
+    m_paused = true;
+}
+
+auto SessionStream::resume() -> void
+{
+    if (!m_paused) {
+        return;
+    }
+    m_paused = false;
+    if (!m_delivering && !m_endTold) {
+        // Not from within the caller's call: it may be in the middle of its own bookkeeping.
+        m_loop.post([self = shared_from_this()] { self->deliver(); });
+    }
+}
+
+/// Server: the head of the answer goes out with its first message, so that refuse() stays possible until then.
+auto SessionStream::startAnswer() -> void
+{
+    m_answered = true;
+    constexpr char Name[] = ":status";
+    constexpr char Value[] = "200";
+    const nghttp2_nv status {reinterpret_cast<std::uint8_t *>(const_cast<char *>(Name)),
+                             reinterpret_cast<std::uint8_t *>(const_cast<char *>(Value)),
+                             sizeof(Name) - 1,
+                             sizeof(Value) - 1,
+                             NGHTTP2_NV_FLAG_NONE};
+    const auto provider = PeerSession::bodyProvider(*this);
+    nghttp2_submit_response(m_session->m_session, m_id, &status, 1, &provider);
+}
+
+auto SessionStream::wakeWriter() -> void
+{
+    if (m_session->m_role == SessionRole::Server && !m_answered) {
+        startAnswer();
+    } else if (m_deferred) {
+        m_deferred = false;
+        nghttp2_session_resume_data(m_session->m_session, m_id);
+    }
+    m_session->wantWrite();
+}
+
+auto SessionStream::readBody(std::uint8_t *to, std::size_t room, std::uint32_t *flags) -> ssize_t
+{
+    const std::size_t size = std::min(room, pendingBytes());
+    if (size == 0 && !m_finished) {
+        m_deferred = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    std::memcpy(to, m_out.data() + m_outAt, size);
+    m_outAt += size;
+    if (m_outAt == m_out.size()) {
+        m_out.clear();
+        m_outAt = 0;
+        if (m_out.capacity() > CompactBytes) {
+            m_out = std::string();
+        }
+        if (m_finished) {
+            m_finishSent = true;
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        } else {
+            m_session->m_drained.push_back(shared_from_this());
+        }
+    } else if (m_outAt > CompactBytes && m_outAt * 2 > m_out.size()) {
+        m_out.erase(0, m_outAt);
+        m_outAt = 0;
+    }
+    return static_cast<ssize_t>(size);
+}
+
+auto SessionStream::tellDrained() -> void
+{
+    if (isOpen() && pendingBytes() == 0 && onDrained) {
+        onDrained();
+    }
+}
+
+auto SessionStream::onData(std::string_view bytes) -> void
+{
+    m_heard = true;
+    m_reader.append(bytes);
+    m_unconsumed += bytes.size();
+    deliver();
+}
+
+auto SessionStream::onFarEnd() -> void
+{
+    m_farFinished = true;
+    deliver();
+}
+
+/// Hands on what has arrived, in order: messages, the far side's finish, the end.
+auto SessionStream::deliver() -> void
+{
+    if (m_delivering || m_endTold) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    m_delivering = true;
+    takeMessages();
+    consume();
+    if (!m_paused && m_farFinished && !m_farFinishedTold) {
+        m_farFinishedTold = true;
+        if (onFarFinished) {
+            onFarFinished();
+        }
+    }
+    m_delivering = false;
+    if (m_closed && (!m_paused || m_end != StreamEnd::Complete)) {
+        tellEnd();
+    }
+}
+
+auto SessionStream::takeMessages() -> void
+{
+    while (!m_paused && !(m_closed && m_end != StreamEnd::Complete)) {
+        const auto message = m_reader.take();
+        if (message.state == FramingState::Malformed && m_session != nullptr) {
+            m_session->fail("a message is malformed or longer than " + std::to_string(m_session->m_maxMessage) + " bytes");
+        }
+        if (message.state != FramingState::Message) {
+            return;
+        }
+        if (onMessage) {
+            onMessage(message.bytes);
+        }
+    }
+}
+
+/// Gives the far side its window back for what was taken; a paused stream keeps what it has yet to take.
+auto SessionStream::consume() -> void
+{
+    const std::size_t held = m_paused ? std::min(m_unconsumed, m_reader.bufferedBytes()) : 0;
+    const std::size_t taken = m_unconsumed - held;
+    m_unconsumed = held;
+    if (taken > 0 && m_session != nullptr) {
+        nghttp2_session_consume_stream(m_session->m_session, m_id, taken);
+        m_session->wantWrite();
+    }
+}
+
+auto SessionStream::onClosed(std::uint32_t errorCode) -> void
+{
+    const bool isClient = m_session->m_role == SessionRole::Client;
+    const bool whole = errorCode == NGHTTP2_NO_ERROR && m_farFinished && m_finishSent;
+    if (whole) {
+        endWith(StreamEnd::Complete);
+    } else if (isClient && (!m_onWire || (errorCode == NGHTTP2_REFUSED_STREAM && !m_heard))) {
+        endWith(StreamEnd::Refused);
+    } else {
+        endWith(StreamEnd::Broken);
+    }
+}
+
+auto SessionStream::onLost() -> void
+{
+    const bool neverSent = m_session != nullptr && m_session->m_role == SessionRole::Client && !m_onWire;
+    endWith(neverSent ? StreamEnd::Refused : StreamEnd::Broken);
+}
+
+auto SessionStream::endWith(StreamEnd end) -> void
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_end = end;
+    m_session = nullptr;
+    m_out = std::string();
+    m_outAt = 0;
+    deliver();
+}
+
+auto SessionStream::tellEnd() -> void
+{
+    m_endTold = true;
+    if (m_reader.bufferedBytes() > 0) {
+        // The far side finished in the middle of a message. Taken for complete, the part would pass for a whole answer.
+        m_end = m_end == StreamEnd::Complete ? StreamEnd::Broken : m_end;
+    }
+    const auto hook = std::move(onEnd);
+    // The hooks often hold the stream itself; letting go of them here breaks that cycle.
+    onEnd = nullptr;
+    onMessage = nullptr;
+    onDrained = nullptr;
+    onFarFinished = nullptr;
+    if (hook) {
+        hook(m_end);
+    }
+}
+
+} // namespace KingCup
