Surge planning by number in place of by name; stand-ins for lost floor copies

Cause: a round took 146 ms at 1,600 models and 700 runners, on the entry's only loop; and an artifact whose floor copies were all down got no copy unless demand paid for it. Change: PlacementModel holds one round's state in dense lists; a round stands in for any artifact without a live copy.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -118,8 +118,9 @@
     /// are wished for as well.
     auto plan(const PlacementInput &input, const Plan &wantedFloor, TimePoint now) -> SurgeResult;
 
-private:
     struct Private;
+
+private:
     std::unique_ptr<Private> d;
 };
 
--- a/src/core/surgeplanning.cpp
+++ b/src/core/surgeplanning.cpp
@@ -1,11 +1,12 @@
 #include "core/placement.h"
 
+#include "core/placementmodel.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
 #include <set>
 #include <sstream>
-#include <unordered_map>
 
 namespace KingCup
 {
@@ -13,18 +14,27 @@
 namespace
 {
 
-constexpr int SpreadRounds = 3; ///< of moving load from full holders to others; more change little
-constexpr auto ServiceTimeIfUnknown = Duration::seconds(1);
 constexpr auto LoadLifetime = Duration::seconds(60); ///< a wish not resident after this no longer counts as a load under way
 constexpr double OnDemandFull = 1.0; ///< the baseline loads another copy where holders are this full
+constexpr double Tenths = 10;
+
+auto rounded(double number) -> double
+{
+    return std::round(number * Tenths) / Tenths;
+}
 
 /// What the objective says about one more copy.
 struct Offer {
-    const RunnerState *runner = nullptr;
+    RunnerIndex runner = NoIndex;
     double value = 0; ///< on-time deliveries over the horizon, less the moves
     double gain = 0; ///< the same without the moves
-    int moves = 0;
-    Bytes needed;
+};
+
+/// One surge copy, by name: what lasts from round to round.
+struct CopyName {
+    TargetId target;
+    ArtifactName artifact;
+    auto operator<=>(const CopyName &) const = default;
 };
 
 } // namespace
@@ -68,508 +78,401 @@
 }
 
 struct SurgePlanner::Private {
-    // What lasts between rounds.
     PlacementOptions options;
     Plan wishes;
     std::map<ArtifactName, int> roundsWanted; ///< for how many rounds running a further copy has paid
     std::map<ArtifactName, TimePoint> lastAsked; ///< when each artifact was last asked for
-    std::map<std::pair<TargetId, ArtifactName>, TimePoint> wishedAt;
+    std::map<CopyName, TimePoint> wishedAt;
     double tokens = 0; ///< loads that the weight store would take now
     TimePoint lastRound;
     bool isStarted = false;
-
-    // What one round works on.
-    const PlacementInput *input = nullptr;
-    TimePoint now;
-    SurgeResult output;
-    std::map<TargetId, const RunnerState *> runners;
-    std::map<TargetId, double> busy; ///< requests running, by the forecast
-    std::map<TargetId, Bytes> used; ///< floor, wishes and the KV cache's share left out
-    std::map<ArtifactName, std::map<TargetId, double>> spread; ///< of each artifact's load over its holders
-    std::map<ArtifactName, const ArtifactDemand *> demand;
-    int underWay = 0;
-
-    auto begin(const PlacementInput &newInput, const Plan &wantedFloor, TimePoint time) -> void;
-    auto refillTokens() -> void;
-    auto pruneWishes() -> void;
-    auto wishForFloor(const Plan &wantedFloor) -> void;
-    auto collectUse() -> void;
-    auto holdersOf(const ArtifactName &artifact) const -> std::vector<TargetId>;
-    auto spreadLoads() -> void;
-    auto spreadOne(const ArtifactDemand &one) -> void;
-
-    auto declared(const ArtifactName &artifact) const -> const Artifact *;
-    auto isOn(const TargetId &target, const ArtifactName &artifact) const -> bool;
-    auto isResident(const TargetId &target, const ArtifactName &artifact) const -> bool;
-    auto capacity(const RunnerState &runner) const -> double;
-    auto usable(const RunnerState &runner) const -> Bytes;
-    auto streams(const ArtifactDemand &one) const -> double;
-    auto lostPerSecond(const ArtifactDemand &one) const -> double;
-    auto offer(const ArtifactDemand &one, const RunnerState &runner, double lost) const -> Offer;
-    auto bestOffer(const ArtifactDemand &one, double lost) const -> Offer;
-    auto evictable(const RunnerState &runner) const -> std::vector<ArtifactName>;
-    auto mayLoad() const -> bool;
-    auto wish(const ArtifactName &artifact, const TargetId &target, const std::string &reason) -> void;
-    auto drop(const ArtifactName &artifact, const TargetId &target, const std::string &reason) -> void;
-    auto makeRoom(const RunnerState &runner, Bytes needed) -> void;
-    auto takeOffer(const ArtifactDemand &one, const Offer &taken, double lost) -> void;
-    auto improve() -> void;
-    auto loadOnDemand() -> void;
-    auto loadOnDemand(const ArtifactDemand &one) -> void;
-    auto reason(const ArtifactDemand &one, const Offer &taken, double lost) const -> std::string;
 };
 
-auto SurgePlanner::Private::declared(const ArtifactName &artifact) const -> const Artifact *
+namespace
 {
-    const auto found = input->declarations->artifacts.find(artifact);
-    return found == input->declarations->artifacts.end() ? nullptr : &found->second;
-}
 
-auto SurgePlanner::Private::isOn(const TargetId &target, const ArtifactName &artifact) const -> bool
+/// A wish that became part of the floor, or lost its declaration or its runner, is no wish any more. A runner that is down for a moment loses
+/// its surge copies with its memory, so they are wished for anew by their worth.
+auto prune(SurgePlanner::Private &lasting, const PlacementInput &input) -> void
 {
-    return input->floor.contains(target, artifact) || wishes.contains(target, artifact);
+    std::set<TargetId> usable;
+    for (const auto &runner : input.runners) {
+        if (runner.isUsable && !runner.isLeaving) {
+            usable.insert(runner.id);
+        }
+    }
+    const auto before = lasting.wishes;
+    for (const auto &target : before.targets()) {
+        for (const auto &artifact : before.artifactsOn(target)) {
+            const bool isOver = !usable.contains(target) || !input.declarations->artifacts.contains(artifact) || input.floor.contains(target, artifact);
+            if (isOver) {
+                lasting.wishes.remove(target, artifact);
+                lasting.wishedAt.erase({target, artifact});
+            }
+        }
+    }
 }
 
-auto SurgePlanner::Private::isResident(const TargetId &target, const ArtifactName &artifact) const -> bool
+/// One round over the planner's lasting state.
+class Round
 {
-    const auto runner = runners.find(target);
-    if (runner == runners.end()) {
-        return false;
+public:
+    Round(SurgePlanner::Private &lasting, const PlacementInput &input, const Plan &wantedFloor, TimePoint now)
+        : m_lasting(lasting)
+        , m_input(input)
+        , m_policy(input.declarations->policy)
+        , m_now(now)
+        , m_model(input, lasting.wishes, lasting.options)
+    {
+        refillTokens();
+        countLoadsUnderWay();
+        noteAsked();
+        if (lasting.options.strategy == PlacementStrategy::LoadOnDemand) {
+            loadOnDemand();
+            return;
+        }
+        wishForFloor(wantedFloor);
+        if (lasting.options.strategy == PlacementStrategy::Objective) {
+            standIn();
+            improve();
+        }
     }
-    const auto &list = runner->second->residents;
-    return std::any_of(list.begin(), list.end(), [&](const auto &resident) { return resident.artifact == artifact && !resident.isLoading; });
-}
 
-auto SurgePlanner::Private::capacity(const RunnerState &runner) const -> double
-{
-    return runner.concurrency > 0 ? runner.concurrency : options.concurrencyIfUnknown;
-}
+    auto result() -> SurgeResult
+    {
+        m_result.wishes = m_lasting.wishes;
+        return std::move(m_result);
+    }
 
-auto SurgePlanner::Private::usable(const RunnerState &runner) const -> Bytes
-{
-    const double share = 1.0 - input->declarations->policy.kvReserve;
-    return Bytes(static_cast<std::int64_t>(static_cast<double>(runner.memoryTotal.count()) * share));
-}
+private:
+    auto targetOf(RunnerIndex runner) const -> const TargetId &
+    {
+        return m_model.runners()[runner].state->id;
+    }
 
-auto SurgePlanner::Private::streams(const ArtifactDemand &one) const -> double
-{
-    const auto service = one.serviceTime.inMicros() > 0 ? one.serviceTime : ServiceTimeIfUnknown;
-    return one.perSecond * service.inSeconds();
-}
+    auto nameOf(ArtifactIndex artifact) const -> const ArtifactName &
+    {
+        return m_model.artifacts()[artifact].declared->name;
+    }
 
-auto SurgePlanner::Private::begin(const PlacementInput &newInput, const Plan &wantedFloor, TimePoint time) -> void
-{
-    input = &newInput;
-    now = time;
-    output = {};
-    runners.clear();
-    for (const auto &runner : input->runners) {
-        if (runner.isUsable && !runner.isLeaving) {
-            runners[runner.id] = &runner;
-        }
+    auto refillTokens() -> void
+    {
+        const auto most = std::max(1.0, m_policy.loadsPerSecond);
+        const double passed = m_lasting.isStarted ? (m_now - m_lasting.lastRound).inSeconds() : 1.0;
+        m_lasting.tokens = std::min(most, m_lasting.tokens + passed * m_policy.loadsPerSecond);
+        m_lasting.lastRound = m_now;
+        m_lasting.isStarted = true;
     }
-    demand.clear();
-    for (const auto &one : input->demand) {
-        if (declared(one.artifact) != nullptr) {
-            demand[one.artifact] = &one;
-        }
-        if (const auto *known = declared(one.artifact); known != nullptr && one.perSecond > 0) {
-            lastAsked[one.artifact] = now;
-            lastAsked[known->base] = now;
+
+    auto countLoadsUnderWay() -> void
+    {
+        for (const auto &[copy, at] : m_lasting.wishedAt) {
+            const auto runner = m_model.find(copy.target);
+            const auto artifact = m_model.find(copy.artifact);
+            const bool isResident = runner != NoIndex && artifact != NoIndex && m_model.isResident(runner, artifact);
+            m_underWay += !isResident && m_now - at < LoadLifetime ? 1 : 0;
         }
     }
-    refillTokens();
-    pruneWishes();
-    if (options.strategy != PlacementStrategy::LoadOnDemand) {
-        wishForFloor(wantedFloor);
-    }
-    collectUse();
-    spreadLoads();
-}
 
-auto SurgePlanner::Private::refillTokens() -> void
-{
-    const auto &policy = input->declarations->policy;
-    const auto most = std::max(1.0, policy.loadsPerSecond);
-    const double passed = isStarted ? (now - lastRound).inSeconds() : 1.0;
-    tokens = std::min(most, tokens + passed * policy.loadsPerSecond);
-    lastRound = now;
-    isStarted = true;
-}
-
-auto SurgePlanner::Private::pruneWishes() -> void
-{
-    // A wish that became part of the floor, lost its declaration or its runner is no wish any more. A runner that is down for a moment
-    // loses its surge copies with its memory, so they are wished for anew by their worth.
-    const auto copy = wishes;
-    for (const auto &target : copy.targets()) {
-        for (const auto &artifact : copy.artifactsOn(target)) {
-            const bool isOver = !runners.contains(target) || declared(artifact) == nullptr || input->floor.contains(target, artifact);
-            if (isOver) {
-                wishes.remove(target, artifact);
-                wishedAt.erase({target, artifact});
+    auto noteAsked() -> void
+    {
+        for (const auto &artifact : m_model.artifacts()) {
+            if (artifact.demand != nullptr && artifact.demand->perSecond > 0) {
+                m_lasting.lastAsked[artifact.declared->name] = m_now;
+                m_lasting.lastAsked[artifact.declared->base] = m_now;
             }
         }
     }
-    underWay = 0;
-    for (const auto &[key, at] : wishedAt) {
-        const bool isLoading = !isResident(key.first, key.second) && now - at < LoadLifetime;
-        underWay += isLoading ? 1 : 0;
+
+    auto mayLoad() const -> bool
+    {
+        return m_lasting.tokens >= 1 && m_underWay < m_policy.parallelLoads;
     }
-}
 
-auto SurgePlanner::Private::wishForFloor(const Plan &wantedFloor) -> void
-{
-    // A floor copy that the row in force doesn't name yet is loaded first as a wish; the row is written once it is resident.
-    for (const auto &target : wantedFloor.targets()) {
-        if (!runners.contains(target)) {
-            continue;
+    auto wish(RunnerIndex runner, ArtifactIndex artifact, const std::string &why) -> void
+    {
+        if (m_model.isOn(runner, artifact)) {
+            return;
         }
-        for (const auto &artifact : wantedFloor.artifactsOn(target)) {
-            if (!isOn(target, artifact) && !input->floor.isEmpty()) {
-                wish(artifact, target, "floor-copy before its row");
-            }
+        const auto base = m_model.artifacts()[artifact].base;
+        if (base != NoIndex) {
+            wish(runner, base, "base of " + nameOf(artifact).text());
         }
-    }
-}
-
-auto SurgePlanner::Private::collectUse() -> void
-{
-    used.clear();
-    for (const auto &[id, runner] : runners) {
-        Bytes sum;
-        std::set<ArtifactName> counted;
-        for (const auto *plan : {&input->floor, static_cast<const Plan *>(&wishes)}) {
-            for (const auto &artifact : plan->artifactsOn(id)) {
-                const auto *known = declared(artifact);
-                if (known != nullptr && counted.insert(artifact).second) {
-                    sum += known->size;
-                }
-            }
+        if (!m_model.isResident(runner, artifact)) {
+            m_lasting.tokens -= 1;
+            ++m_underWay;
         }
-        // Memory of what no plan names (being unloaded, or retained) isn't ours to give away.
-        for (const auto &resident : runner->residents) {
-            if (declared(resident.artifact) == nullptr) {
-                sum += resident.size;
+        m_model.add(runner, artifact);
+        m_lasting.wishes.add(targetOf(runner), nameOf(artifact));
+        m_lasting.wishedAt[{targetOf(runner), nameOf(artifact)}] = m_now;
+        m_result.decisions.push_back({PlacementKind::Surge, nameOf(artifact), targetOf(runner), why});
+    }
+
+    auto drop(RunnerIndex runner, ArtifactIndex artifact, const std::string &why) -> void
+    {
+        const auto wished = m_model.runners()[runner].wished;
+        for (const auto other : wished) {
+            if (m_model.artifacts()[other].base == artifact) {
+                drop(runner, other, "its base is dropped");
             }
         }
-        used[id] = sum;
+        m_model.drop(runner, artifact);
+        m_lasting.wishes.remove(targetOf(runner), nameOf(artifact));
+        m_lasting.wishedAt.erase({targetOf(runner), nameOf(artifact)});
+        m_result.decisions.push_back({PlacementKind::Drop, nameOf(artifact), targetOf(runner), why});
     }
-}
 
-auto SurgePlanner::Private::holdersOf(const ArtifactName &artifact) const -> std::vector<TargetId>
-{
-    std::vector<TargetId> result;
-    for (const auto &[id, runner] : runners) {
-        if (isOn(id, artifact)) {
-            result.push_back(id);
+    // A floor copy that the row in force doesn't name yet is loaded first as a wish; the row is written once it is resident.
+    auto wishForFloor(const Plan &wantedFloor) -> void
+    {
+        if (m_input.floor.isEmpty()) {
+            return;
         }
-    }
-    return result;
-}
-
-auto SurgePlanner::Private::spreadLoads() -> void
-{
-    busy.clear();
-    spread.clear();
-    // One pass over the holdings in place of one per artifact: at 1,600 models and 700 runners the difference is seconds.
-    for (const auto &[id, runner] : runners) {
-        busy[id] = 0;
-        for (const auto *plan : {&input->floor, static_cast<const Plan *>(&wishes)}) {
-            for (const auto &artifact : plan->artifactsOn(id)) {
-                if (demand.contains(artifact)) {
-                    spread[artifact][id] = 0;
+        for (const auto &target : wantedFloor.targets()) {
+            const auto runner = m_model.find(target);
+            for (const auto &name : wantedFloor.artifactsOn(target)) {
+                const auto artifact = m_model.find(name);
+                const bool isMissing = runner != NoIndex && artifact != NoIndex && !m_model.isOn(runner, artifact);
+                if (isMissing && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
+                    wish(runner, artifact, "floor-copy before its row");
                 }
             }
         }
     }
-    for (auto &[artifact, holders] : spread) {
-        const double each = streams(*demand.at(artifact)) / static_cast<double>(holders.size());
-        for (auto &[id, load] : holders) {
-            load = each;
-            busy[id] += each;
+
+    /// An artifact whose floor copies are all gone for now is not reachable: another copy stands in, whatever its demand.
+    auto standIn() -> void
+    {
+        if (m_input.floor.isEmpty()) {
+            return;
         }
-    }
-    for (int round = 0; round < SpreadRounds; ++round) {
-        for (const auto &[artifact, one] : demand) {
-            spreadOne(*one);
+        for (ArtifactIndex artifact = 0; artifact < m_model.artifacts().size(); ++artifact) {
+            if (m_model.artifacts()[artifact].isLive || !mayLoad()) {
+                continue;
+            }
+            const auto runner = roomiest(artifact);
+            if (runner != NoIndex && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
+                wish(runner, artifact, "stand-in: no live copy");
+            }
         }
     }
-}
-
-auto SurgePlanner::Private::spreadOne(const ArtifactDemand &one) -> void
-{
-    const auto found = spread.find(one.artifact);
-    if (found == spread.end() || found->second.size() < 2) {
-        return;
-    }
-    // Entries send to the holder that is expected to finish first, which levels its holders: give each what it has free.
-    auto &holders = found->second;
-    const double total = streams(one);
-    double room = 0;
-    for (auto &[id, load] : holders) {
-        busy[id] -= load;
-        room += std::max(0.0, capacity(*runners.at(id)) - busy[id]);
-    }
-    for (auto &[id, load] : holders) {
-        const double free = std::max(0.0, capacity(*runners.at(id)) - busy[id]);
-        load = room > 0 ? total * free / room : total / static_cast<double>(holders.size());
-        busy[id] += load;
-    }
-}
-
-auto SurgePlanner::Private::lostPerSecond(const ArtifactDemand &one) const -> double
-{
-    const auto found = spread.find(one.artifact);
-    if (found == spread.end()) {
-        return one.perSecond;
-    }
-    const double total = streams(one);
-    if (total <= 0) {
-        return 0;
-    }
-    double lost = 0;
-    for (const auto &[id, load] : found->second) {
-        const double limit = capacity(*runners.at(id)) * options.fullShare;
-        const double lateShare = std::max(0.0, 1.0 - limit / std::max(busy.at(id), 1e-9));
-        lost += one.perSecond * (load / total) * lateShare;
-    }
-    return std::min(std::max(lost, one.missedPerSecond), one.perSecond);
-}
 
-auto SurgePlanner::Private::evictable(const RunnerState &runner) const -> std::vector<ArtifactName>
-{
-    // Surge copies that the others of their artifact can stand in for, the least needed first.
-    std::vector<std::pair<double, ArtifactName>> order;
-    for (const auto &artifact : wishes.artifactsOn(runner.id)) {
-        const auto at = wishedAt.find({runner.id, artifact});
-        const bool isFresh = at != wishedAt.end() && now - at->second < input->declarations->policy.horizon;
-        const bool isNeeded = std::any_of(wishes.artifactsOn(runner.id).begin(), wishes.artifactsOn(runner.id).end(), [&](const ArtifactName &other) {
-            const auto *known = declared(other);
-            return known != nullptr && known->base == artifact;
-        });
-        const auto load = spread.find(artifact);
-        const double carried = load == spread.end() || !load->second.contains(runner.id) ? 0.0 : load->second.at(runner.id);
-        const auto asked = demand.find(artifact);
-        const bool isLosing = asked != demand.end() && lostPerSecond(*asked->second) > 0;
-        if (!isFresh && !isNeeded && !isLosing) {
-            order.emplace_back(carried, artifact);
+    auto roomiest(ArtifactIndex artifact) const -> RunnerIndex
+    {
+        RunnerIndex best = NoIndex;
+        Bytes most;
+        for (RunnerIndex runner = 0; runner < m_model.runners().size(); ++runner) {
+            const auto &one = m_model.runners()[runner];
+            const auto left = one.free() - m_model.sizeOn(runner, artifact) + evictableBytes(runner);
+            const bool isOurs = one.state->service == m_model.artifacts()[artifact].declared->service && !m_model.isOn(runner, artifact);
+            if (isOurs && left >= Bytes(0) && (best == NoIndex || left > most)) {
+                best = runner;
+                most = left;
+            }
         }
-    }
-    std::sort(order.begin(), order.end());
-    std::vector<ArtifactName> result;
-    result.reserve(order.size());
-    for (const auto &[carried, artifact] : order) {
-        result.push_back(artifact);
-    }
-    return result;
-}
-
-auto SurgePlanner::Private::offer(const ArtifactDemand &one, const RunnerState &runner, double lost) const -> Offer
-{
-    const auto *artifact = declared(one.artifact);
-    Offer result {.runner = &runner, .moves = 1, .needed = artifact->size};
-    if (artifact->kind == ArtifactKind::Adapter && !isOn(runner.id, artifact->base)) {
-        result.needed += declared(artifact->base)->size;
-        ++result.moves;
-    }
-    Bytes free = usable(runner) - used.at(runner.id);
-    if (free < result.needed) {
-        for (const auto &other : evictable(runner)) {
-            free += declared(other)->size;
+        return best;
+    }
+
+    /// Surge copies that the others of their artifact can stand in for, the least needed first.
+    auto evictable(RunnerIndex runner) const -> std::vector<ArtifactIndex>
+    {
+        std::vector<std::pair<double, ArtifactIndex>> order;
+        const auto &wished = m_model.runners()[runner].wished;
+        for (const auto artifact : wished) {
+            const auto &one = m_model.artifacts()[artifact];
+            const auto at = m_lasting.wishedAt.find({targetOf(runner), nameOf(artifact)});
+            const bool isFresh = at != m_lasting.wishedAt.end() && m_now - at->second < m_policy.horizon;
+            const bool isNeeded = std::any_of(wished.begin(), wished.end(), [&](ArtifactIndex other) { return m_model.artifacts()[other].base == artifact; });
+            const bool isOnlyOne = one.copies.size() < 2;
+            if (!isFresh && !isNeeded && !isOnlyOne && m_model.lostPerSecond(artifact) <= 0) {
+                order.emplace_back(one.streams / static_cast<double>(one.copies.size()), artifact);
+            }
+        }
+        std::sort(order.begin(), order.end());
+        std::vector<ArtifactIndex> result;
+        result.reserve(order.size());
+        for (const auto &[streams, artifact] : order) {
+            result.push_back(artifact);
         }
-    }
-    const double spare = capacity(runner) * options.fullShare - busy.at(runner.id);
-    if (free < result.needed || spare <= 0) {
         return result;
     }
-    const auto &policy = input->declarations->policy;
-    const double service = std::max(streams(one) / std::max(one.perSecond, 1e-9), 1e-6);
-    const double loadSeconds = static_cast<double>(result.needed.count()) / options.bytesPerSecond;
-    const double seconds = std::max(0.0, policy.horizon.inSeconds() - loadSeconds);
-    result.gain = std::min(lost, spare / service) * seconds;
-    result.value = result.gain - policy.moveCost * result.moves;
-    return result;
-}
 
-auto SurgePlanner::Private::bestOffer(const ArtifactDemand &one, double lost) const -> Offer
-{
-    const auto *artifact = declared(one.artifact);
-    Offer best;
-    for (const auto &[id, runner] : runners) {
-        if (runner->service != artifact->service || isOn(id, one.artifact)) {
-            continue;
-        }
-        const auto candidate = offer(one, *runner, lost);
-        const bool isBetter = candidate.value > best.value
-            || (best.runner != nullptr && candidate.value == best.value && candidate.value > 0 && busy.at(id) < busy.at(best.runner->id));
-        if (isBetter) {
-            best = candidate;
+    auto evictableBytes(RunnerIndex runner) const -> Bytes
+    {
+        Bytes sum;
+        if (!m_model.runners()[runner].wished.empty()) {
+            for (const auto artifact : evictable(runner)) {
+                sum += m_model.artifacts()[artifact].declared->size;
+            }
         }
+        return sum;
     }
-    return best;
-}
-
-auto SurgePlanner::Private::mayLoad() const -> bool
-{
-    return tokens >= 1 && underWay < input->declarations->policy.parallelLoads;
-}
-
-auto SurgePlanner::Private::wish(const ArtifactName &artifact, const TargetId &target, const std::string &why) -> void
-{
-    wishes.add(target, artifact);
-    wishedAt[{target, artifact}] = now;
-    if (!isResident(target, artifact)) {
-        tokens -= 1;
-        ++underWay;
-    }
-    output.decisions.push_back({PlacementKind::Surge, artifact, target, why});
-}
 
-auto SurgePlanner::Private::drop(const ArtifactName &artifact, const TargetId &target, const std::string &why) -> void
-{
-    wishes.remove(target, artifact);
-    wishedAt.erase({target, artifact});
-    used[target] -= declared(artifact)->size;
-    if (const auto load = spread.find(artifact); load != spread.end()) {
-        if (const auto carried = load->second.find(target); carried != load->second.end()) {
-            busy[target] -= carried->second;
-            load->second.erase(carried);
-        }
-        if (load->second.empty()) {
-            spread.erase(load);
-        } else {
-            spreadOne(*demand.at(artifact));
+    auto makeRoom(RunnerIndex runner, Bytes needed) -> bool
+    {
+        if (m_model.runners()[runner].free() + evictableBytes(runner) < needed) {
+            return false;
         }
-    }
-    output.decisions.push_back({PlacementKind::Drop, artifact, target, why});
-}
-
-auto SurgePlanner::Private::makeRoom(const RunnerState &runner, Bytes needed) -> void
-{
-    for (const auto &other : evictable(runner)) {
-        if (usable(runner) - used.at(runner.id) >= needed) {
-            return;
+        for (const auto other : evictable(runner)) {
+            if (m_model.runners()[runner].free() >= needed) {
+                break;
+            }
+            drop(runner, other, "room for a copy worth more");
         }
-        drop(other, runner.id, "room for a copy worth more");
+        return true;
     }
-}
-
-auto SurgePlanner::Private::reason(const ArtifactDemand &one, const Offer &taken, double lost) const -> std::string
-{
-    std::ostringstream text;
-    text << "value=" << std::round(taken.value * 10) / 10 << " gain=" << std::round(taken.gain * 10) / 10 << " moves=" << taken.moves
-         << " demand=" << std::round(one.perSecond * 100) / 100 << "/s losing=" << std::round(lost * 100) / 100
-         << "/s busy=" << std::round(busy.at(taken.runner->id) * 10) / 10 << "/" << capacity(*taken.runner);
-    return text.str();
-}
 
-auto SurgePlanner::Private::takeOffer(const ArtifactDemand &one, const Offer &taken, double lost) -> void
-{
-    const auto target = taken.runner->id;
-    const auto why = reason(one, taken, lost);
-    makeRoom(*taken.runner, taken.needed);
-    const auto *artifact = declared(one.artifact);
-    if (artifact->kind == ArtifactKind::Adapter && !isOn(target, artifact->base)) {
-        wish(artifact->base, target, "base of " + one.artifact.text());
-    }
-    wish(one.artifact, target, why);
-    used[target] += taken.needed;
-    spread[one.artifact][target] = 0;
-    if (spread.at(one.artifact).size() == 1) {
-        spread[one.artifact][target] = streams(one);
-        busy[target] += streams(one);
-    } else {
-        spreadOne(one);
+    auto offer(ArtifactIndex artifact, RunnerIndex runner, double lost) const -> Offer
+    {
+        const auto &one = m_model.artifacts()[artifact];
+        const auto &there = m_model.runners()[runner];
+        const double spare = there.capacity * m_lasting.options.fullShare - there.busy;
+        const auto needed = m_model.sizeOn(runner, artifact);
+        if (spare <= 0 || (there.free() < needed && there.free() + evictableBytes(runner) < needed)) {
+            return {};
+        }
+        const double service = std::max(one.streams / std::max(one.demand->perSecond, 1e-9), 1e-6);
+        const double loadSeconds = static_cast<double>(needed.count()) / m_lasting.options.bytesPerSecond;
+        const double seconds = std::max(0.0, m_policy.horizon.inSeconds() - loadSeconds);
+        const double gain = std::min(lost, spare / service) * seconds;
+        return {runner, gain - m_policy.moveCost * m_model.movesOn(runner, artifact), gain};
+    }
+
+    auto bestOffer(ArtifactIndex artifact, double lost) const -> Offer
+    {
+        Offer best;
+        const auto &service = m_model.artifacts()[artifact].declared->service;
+        for (RunnerIndex runner = 0; runner < m_model.runners().size(); ++runner) {
+            if (m_model.isOn(runner, artifact) || m_model.runners()[runner].state->service != service) {
+                continue;
+            }
+            const auto candidate = offer(artifact, runner, lost);
+            const bool isTie = candidate.value == best.value && best.runner != NoIndex && candidate.runner != NoIndex;
+            const bool isCalmer = isTie && m_model.runners()[runner].busy < m_model.runners()[best.runner].busy;
+            if (candidate.value > best.value || isCalmer) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    auto reason(ArtifactIndex artifact, const Offer &taken, double lost) const -> std::string
+    {
+        const auto &there = m_model.runners()[taken.runner];
+        std::ostringstream text;
+        text << "value=" << rounded(taken.value) << " gain=" << rounded(taken.gain) << " moves=" << m_model.movesOn(taken.runner, artifact)
+             << " demand=" << rounded(m_model.artifacts()[artifact].demand->perSecond) << "/s losing=" << rounded(lost) << "/s busy=" << rounded(there.busy)
+             << "/" << there.capacity;
+        return text.str();
+    }
+
+    auto improve() -> void
+    {
+        // Most urgent first: what loses most deliveries.
+        std::vector<std::pair<double, ArtifactIndex>> losing;
+        for (ArtifactIndex artifact = 0; artifact < m_model.artifacts().size(); ++artifact) {
+            const double lost = m_model.lostPerSecond(artifact);
+            if (lost * m_policy.horizon.inSeconds() > m_policy.moveCost) {
+                losing.emplace_back(lost, artifact);
+            }
+        }
+        std::stable_sort(losing.begin(), losing.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+        std::set<ArtifactName> stillWanted;
+        for (const auto &[before, artifact] : losing) {
+            if (tryToImprove(artifact)) {
+                stillWanted.insert(nameOf(artifact));
+            }
+        }
+        std::erase_if(m_lasting.roundsWanted, [&](const auto &entry) { return !stillWanted.contains(entry.first); });
     }
-}
 
-auto SurgePlanner::Private::improve() -> void
-{
-    // Most urgent first: what loses most deliveries.
-    std::vector<std::pair<double, const ArtifactDemand *>> losing;
-    for (const auto &[artifact, one] : demand) {
-        const double lost = lostPerSecond(*one);
-        if (lost > 0) {
-            losing.emplace_back(lost, one);
+    /// Whether another copy would pay.
+    auto tryToImprove(ArtifactIndex artifact) -> bool
+    {
+        const double lost = m_model.lostPerSecond(artifact);
+        const auto taken = bestOffer(artifact, lost);
+        if (taken.runner == NoIndex || taken.value <= 0) {
+            return false;
         }
-    }
-    std::stable_sort(losing.begin(), losing.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
-    std::set<ArtifactName> stillWanted;
-    for (const auto &[before, one] : losing) {
-        const double lost = lostPerSecond(*one);
-        if (lost * input->declarations->policy.horizon.inSeconds() <= input->declarations->policy.moveCost) {
-            continue;
-        }
-        const auto taken = bestOffer(*one, lost);
-        if (taken.runner == nullptr || taken.value <= 0) {
-            continue;
-        }
-        stillWanted.insert(one->artifact);
-        const int rounds = ++roundsWanted[one->artifact];
-        const bool isUrgent = taken.value >= options.urgentFactor * std::max(input->declarations->policy.moveCost, 1.0);
-        if (rounds < options.roundsToConfirm && !isUrgent) {
-            continue;
+        const int rounds = ++m_lasting.roundsWanted[nameOf(artifact)];
+        const bool isUrgent = taken.value >= m_lasting.options.urgentFactor * std::max(m_policy.moveCost, 1.0);
+        if (rounds < m_lasting.options.roundsToConfirm && !isUrgent) {
+            return true;
         }
+        const auto why = reason(artifact, taken, lost);
         if (!mayLoad()) {
-            output.decisions.push_back({PlacementKind::Wait, one->artifact, taken.runner->id, "weight store at its limit; " + reason(*one, taken, lost)});
-            continue;
+            m_result.decisions.push_back({PlacementKind::Wait, nameOf(artifact), targetOf(taken.runner), "weight store at its limit; " + why});
+        } else if (makeRoom(taken.runner, m_model.sizeOn(taken.runner, artifact))) {
+            wish(taken.runner, artifact, why);
         }
-        takeOffer(*one, taken, lost);
+        return true;
     }
-    std::erase_if(roundsWanted, [&](const auto &entry) { return !stillWanted.contains(entry.first); });
-}
 
-auto SurgePlanner::Private::loadOnDemand() -> void
-{
-    for (const auto &[artifact, one] : demand) {
-        if (one->perSecond > 0) {
-            loadOnDemand(*one);
+    // [SECTION] Baseline: load on demand
+
+    auto loadOnDemand() -> void
+    {
+        for (ArtifactIndex artifact = 0; artifact < m_model.artifacts().size(); ++artifact) {
+            const auto &one = m_model.artifacts()[artifact];
+            const bool allFull = std::all_of(one.copies.begin(), one.copies.end(), [&](const CopyLoad &copy) {
+                const auto &runner = m_model.runners()[copy.runner];
+                return runner.busy >= runner.capacity * OnDemandFull;
+            });
+            if (one.demand != nullptr && one.demand->perSecond > 0 && allFull) {
+                loadOnDemand(artifact);
+            }
         }
     }
-}
 
-auto SurgePlanner::Private::loadOnDemand(const ArtifactDemand &one) -> void
-{
-    const auto holders = holdersOf(one.artifact);
-    const bool allFull
-        = std::all_of(holders.begin(), holders.end(), [&](const TargetId &id) { return busy.at(id) >= capacity(*runners.at(id)) * OnDemandFull; });
-    const auto *artifact = declared(one.artifact);
-    if (!allFull) {
-        return;
-    }
-    const RunnerState *least = nullptr;
-    for (const auto &[id, runner] : runners) {
-        const bool isCandidate = runner->service == artifact->service && !isOn(id, one.artifact);
-        if (isCandidate && (least == nullptr || busy.at(id) < busy.at(least->id))) {
-            least = runner;
+    auto loadOnDemand(ArtifactIndex artifact) -> void
+    {
+        RunnerIndex least = NoIndex;
+        for (RunnerIndex runner = 0; runner < m_model.runners().size(); ++runner) {
+            const auto &one = m_model.runners()[runner];
+            const bool isCandidate = one.state->service == m_model.artifacts()[artifact].declared->service && !m_model.isOn(runner, artifact);
+            if (isCandidate && (least == NoIndex || one.busy < m_model.runners()[least].busy)) {
+                least = runner;
+            }
         }
-    }
-    if (least == nullptr) {
-        return;
-    }
-    Offer taken {.runner = least, .needed = artifact->size};
-    if (artifact->kind == ArtifactKind::Adapter && !isOn(least->id, artifact->base)) {
-        taken.needed += declared(artifact->base)->size;
-    }
-    std::vector<std::pair<TimePoint, ArtifactName>> order;
-    for (const auto &other : wishes.artifactsOn(least->id)) {
-        const bool isOwnBase = other == artifact->base;
-        if (!isOwnBase) {
-            order.emplace_back(lastAsked[other], other);
+        if (least == NoIndex) {
+            return;
         }
-    }
-    std::sort(order.begin(), order.end());
-    for (const auto &[asked, other] : order) {
-        if (usable(*least) - used.at(least->id) >= taken.needed) {
-            break;
+        const auto needed = m_model.sizeOn(least, artifact);
+        while (m_model.runners()[least].free() < needed) {
+            const auto oldest = leastRecentlyAsked(least, m_model.artifacts()[artifact].base);
+            if (oldest == NoIndex) {
+                return;
+            }
+            drop(least, oldest, "least recently used");
         }
-        drop(other, least->id, "least recently used");
-    }
-    if (usable(*least) - used.at(least->id) >= taken.needed) {
-        takeOffer(one, taken, one.perSecond);
+        wish(least, artifact, "asked for, and no copy has room");
+    }
+
+    auto leastRecentlyAsked(RunnerIndex runner, ArtifactIndex except) const -> ArtifactIndex
+    {
+        ArtifactIndex oldest = NoIndex;
+        TimePoint since;
+        for (const auto artifact : m_model.runners()[runner].wished) {
+            const auto asked = m_lasting.lastAsked.find(nameOf(artifact));
+            const auto at = asked == m_lasting.lastAsked.end() ? TimePoint() : asked->second;
+            if (artifact != except && (oldest == NoIndex || at < since)) {
+                oldest = artifact;
+                since = at;
+            }
+        }
+        return oldest;
     }
-}
+
+    SurgePlanner::Private &m_lasting;
+    const PlacementInput &m_input;
+    const Policy &m_policy;
+    TimePoint m_now;
+    PlacementModel m_model;
+    SurgeResult m_result;
+    int m_underWay = 0;
+};
+
+} // namespace
 
 SurgePlanner::SurgePlanner(PlacementOptions options)
     : d(std::make_unique<Private>())
@@ -586,14 +489,8 @@
 
 auto SurgePlanner::plan(const PlacementInput &input, const Plan &wantedFloor, TimePoint now) -> SurgeResult
 {
-    d->begin(input, wantedFloor, now);
-    if (d->options.strategy == PlacementStrategy::Objective) {
-        d->improve();
-    } else if (d->options.strategy == PlacementStrategy::LoadOnDemand) {
-        d->loadOnDemand();
-    }
-    d->output.wishes = d->wishes;
-    return d->output;
+    prune(*d, input);
+    return Round(*d, input, wantedFloor, now).result();
 }
 
 } // namespace KingCup
--- a/tests/unit_placement.cpp
+++ b/tests/unit_placement.cpp
@@ -222,6 +222,23 @@
     REQUIRE(lastChange < Rounds / 2);
 }
 
+TEST_CASE("an artifact whose floor copies are gone for now gets a stand-in, however little it is asked for")
+{
+    // The only runner that holds a model crashes and comes back empty. Its model is rarely asked for, so that no demand speaks for a copy;
+    // still its next caller must find one.
+    Declarations set;
+    const auto sun = addModel(set, "sun", 14);
+    set.policy.floorZones = 1;
+    PlacementInput input {.declarations = &set, .runners = {runner("r1", North), runner("r2", South)}};
+    input.floor.add(TargetId("r1"), sun);
+    settle(input);
+    SurgePlanner planner({});
+    REQUIRE(planner.plan(input, input.floor, at(0)).wishes.isEmpty());
+    input.runners[0].isUsable = false;
+    input.runners[0].downFor = Duration::seconds(1);
+    REQUIRE(planner.plan(input, input.floor, at(1)).wishes.contains(TargetId("r2"), sun));
+}
+
 TEST_CASE("loads are metered to what the weight store takes")
 {
     RandomDeployment random(3);
