TLS between peers and for callers, renewed without a restart

Cause: PeerOptions.tls and HttpServerOptions.tls were untested; with them a PeerClient never connected. libwebsockets 4.1 starts the handshake of an outgoing raw connection before it has a socket (its log: lws_tls_client_connect, errno 9). Change: src/wire/tlschannel puts the library's memory buffers between a plain raw socket and the session, for both sides, which both must show a certificate of the authority. src/net/tls holds contexts and their renewal: changed files are tried on a context of their own first, since certificate and key are replaced one after the other.

Measured: unit_tls passes (6 cases: strangers, anonymous and plain peers get nowhere; a renewed certificate is presented to new callers; files that don't fit together are not taken).

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -80,6 +80,7 @@
     std::vector<std::string> keptHeaders; ///< lower-case names, beyond content-type, content-length and accept
     std::size_t maxBody = 8U << 20U; ///< bytes; larger requests get 413
     int maxConnections = 4096; ///< further callers are turned away
+    Duration tlsCheck = Duration::seconds(10); ///< between two looks whether the TLS files were renewed
     Duration headerTimeout = Duration::seconds(10); ///< a caller that sends slower is cut off
 };
 
@@ -143,8 +144,9 @@
 class HttpClient
 {
 public:
-    /// With `tls`, every call is encrypted and the server's certificate checked against the authority.
-    explicit HttpClient(EventLoop &loop, TlsFiles tls = {});
+    /// With `tls`, every call is encrypted and the server's certificate checked against the authority. Throws std::runtime_error if
+    /// the files can't be used.
+    explicit HttpClient(EventLoop &loop, const TlsFiles &tls = {});
     ~HttpClient();
 
     /// Never calls a hook before it has returned.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 // The client half of net/http.h. Each call has a connection of its own.
 #include "net/http.h"
 #include "net/lwsheaders.h"
+#include "net/tls.h"
 
 #include <algorithm>
 #include <array>
@@ -22,16 +23,20 @@
 
 struct HttpClient::Private {
     EventLoop &loop;
-    TlsFiles tls;
+    std::unique_ptr<TlsContext> tlsContext; // null without TLS
+    std::unique_ptr<TlsRenewal> tlsRenewal;
     lws_vhost *vhost = nullptr;
     std::array<lws_protocols, 2> protocols {};
     struct Call;
     std::unordered_set<std::shared_ptr<Call>> calls;
 
-    explicit Private(EventLoop &ownerLoop, TlsFiles tlsFiles)
+    explicit Private(EventLoop &ownerLoop, const TlsFiles &tls)
         : loop(ownerLoop)
-        , tls(std::move(tlsFiles))
     {
+        if (tls.isEnabled()) {
+            tlsContext = std::make_unique<TlsContext>(TlsContext::Side::Client, tls);
+            tlsRenewal = std::make_unique<TlsRenewal>(loop, tls, tlsContext->native());
+        }
     }
     static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
 };
@@ -248,19 +253,17 @@
     }
 }
 
-HttpClient::HttpClient(EventLoop &loop, TlsFiles tls)
-    : d(std::make_unique<Private>(loop, std::move(tls)))
+HttpClient::HttpClient(EventLoop &loop, const TlsFiles &tls)
+    : d(std::make_unique<Private>(loop, tls))
 {
     d->protocols[0] = lws_protocols {"http", &Private::callback, 0, ReadBufferBytes, 0, nullptr, 0};
     lws_context_creation_info info {};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = d->protocols.data();
     info.vhost_name = "client";
-    if (d->tls.isEnabled()) {
+    if (d->tlsContext) {
         info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-        info.client_ssl_ca_filepath = d->tls.authority.c_str();
-        info.client_ssl_cert_filepath = d->tls.certificate.empty() ? nullptr : d->tls.certificate.c_str();
-        info.client_ssl_private_key_filepath = d->tls.key.empty() ? nullptr : d->tls.key.c_str();
+        info.provided_client_ssl_ctx = d->tlsContext->native();
     }
     d->vhost = lws_create_vhost(loop.context(), &info);
 }
@@ -302,7 +305,7 @@
     info.alpn = "http/1.1";
     info.opaque_user_data = started.get();
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (d->tls.isEnabled()) {
+    if (d->tlsContext) {
         info.ssl_connection |= LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
     }
     lws *wsi = lws_client_connect_via_info(&info);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -5,6 +5,7 @@
 //   Server     callbacks of libwebsockets, and the table of open exchanges
 #include "net/http.h"
 #include "net/lwsheaders.h"
+#include "net/tls.h"
 #include "net/urlencoding.h"
 
 #include <array>
@@ -250,6 +251,8 @@
     lws *listener = nullptr; // known from the first connection on
     bool accepting = true;
     bool destroyed = false; // the HttpServer has gone; libwebsockets still holds the virtual host
+    SSL_CTX *tlsContext = nullptr; // the virtual host's; null without TLS
+    std::unique_ptr<TlsRenewal> tlsRenewal;
     Timer hangUpCheck; // runs while there are open exchanges
 
     Private(EventLoop &ownerLoop, HttpServerOptions serverOptions, Handler requestHandler)
@@ -450,7 +453,7 @@
     }
 }
 
-auto HttpServer::Private::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, size_t length) -> int
+auto HttpServer::Private::callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int
 {
     lws_vhost *vhost = wsi == nullptr ? nullptr : lws_get_vhost(wsi);
     auto *self = vhost == nullptr ? nullptr : static_cast<Private *>(lws_vhost_user(vhost));
@@ -461,6 +464,9 @@
         return reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION ? -1 : 0;
     }
     switch (reason) {
+    case LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS:
+        self->tlsContext = static_cast<SSL_CTX *>(user);
+        return 0;
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
         self->listener = wsi;
         return self->accepting && static_cast<int>(self->sockets.size()) < self->options.maxConnections ? 0 : -1;
@@ -518,6 +524,9 @@
     if (d->vhost == nullptr) {
         throw std::runtime_error("cannot listen on " + toString(d->options.listen));
     }
+    if (d->tlsContext != nullptr) {
+        d->tlsRenewal = std::make_unique<TlsRenewal>(loop, d->options.tls, d->tlsContext, d->options.tlsCheck);
+    }
 }
 
 HttpServer::~HttpServer()
@@ -540,6 +549,7 @@
     }
     d->destroyed = true;
     d->hangUpCheck.cancel();
+    d->tlsRenewal.reset();
     d->handler = nullptr;
     lws_vhost *vhost = d.release()->vhost;
     lws_vhost_destroy(vhost);
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -6,25 +6,15 @@
 namespace KingCup
 {
 
-auto applyTls(lws_context_creation_info &info, const TlsFiles &files) -> void
+namespace
 {
-    if (!files.isEnabled()) {
-        return;
-    }
-    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-    if (info.port == CONTEXT_PORT_NO_LISTEN) {
-        info.client_ssl_ca_filepath = files.authority.c_str();
-        info.client_ssl_cert_filepath = files.certificate.c_str();
-        info.client_ssl_private_key_filepath = files.key.c_str();
-    } else {
-        info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT;
-        info.ssl_ca_filepath = files.authority.c_str();
-        info.ssl_cert_filepath = files.certificate.c_str();
-        info.ssl_private_key_filepath = files.key.c_str();
-    }
-}
 
-PeerConnection::PeerConnection(EventLoop &loop, SessionRole role, const PeerOptions &options, std::string name, Hooks hooks)
+/// What encryption adds to a full buffer: at most 256 bytes for each record of 16 KB.
+constexpr std::size_t TlsOverheadBytes = 2048;
+
+} // namespace
+
+PeerConnection::PeerConnection(EventLoop &loop, SessionRole role, const PeerOptions &options, ssl_ctx_st *tls, std::string name, Hooks hooks)
     : m_loop(loop)
     , m_name(std::move(name))
     , m_hooks(std::move(hooks))
@@ -41,6 +31,9 @@
         }
     };
     m_session = std::make_shared<PeerSession>(loop, role, options, std::move(sessionHooks));
+    if (tls != nullptr) {
+        m_tls = std::make_unique<TlsChannel>(tls, role == SessionRole::Client ? TlsChannel::Side::Client : TlsChannel::Side::Server);
+    }
     // A process that is frozen, or that speaks something else and waits, accepts connections as well. Without a limit on how
     // long it takes to show itself, a client would wait for it for ever and a server keep the connection for ever.
     m_deadline = loop.after(options.connectTimeout, [this] { drop("the far side did not answer in time"); });
@@ -77,6 +70,9 @@
 auto PeerConnection::start() -> void
 {
     m_started = true;
+    if (m_tls) {
+        m_tls->start();
+    }
     askForWritable();
 }
 
@@ -125,15 +121,49 @@
     }
 }
 
-auto PeerConnection::onReceived(std::string_view bytes) -> int
+auto PeerConnection::receivePlain(std::string_view bytes) -> bool
 {
     if (!m_session->receive(bytes)) {
         drop(m_session->fault());
-        return -1;
+    }
+    return !m_closed;
+}
+
+auto PeerConnection::onReceived(std::string_view bytes) -> int
+{
+    if (!m_tls) {
+        return receivePlain(bytes) ? 0 : -1;
+    }
+    const bool fine = m_tls->receive(bytes, [this](std::string_view plain) { return receivePlain(plain); });
+    if (!fine) {
+        drop(m_tls->fault());
+    } else {
+        askForWritable();
     }
     return m_closed ? -1 : 0;
 }
 
+/// The next bytes for the socket.
+auto PeerConnection::gather(unsigned char *to) -> std::size_t
+{
+    if (!m_tls) {
+        return m_session->fill(to, PeerWriteBytes);
+    }
+    if (m_tls->isEstablished() && m_tls->pendingBytes() == 0) {
+        const std::size_t size = m_session->fill(to, PeerWriteBytes - TlsOverheadBytes);
+        m_tls->send({reinterpret_cast<const char *>(to), size});
+    }
+    return m_tls->take(to, PeerWriteBytes);
+}
+
+auto PeerConnection::wantsWrite() const -> bool
+{
+    if (!m_tls) {
+        return m_session->wantsWrite();
+    }
+    return m_tls->pendingBytes() > 0 || (m_tls->isEstablished() && m_session->wantsWrite());
+}
+
 auto PeerConnection::onWritable() -> int
 {
     m_writeAsked = false;
@@ -143,15 +173,15 @@
     }
     std::array<unsigned char, LWS_PRE + PeerWriteBytes> buffer; // not cleared: written before it is read
     unsigned char *start = buffer.data() + LWS_PRE;
-    const std::size_t size = m_session->fill(start, PeerWriteBytes);
+    const std::size_t size = gather(start);
     if (size > 0 && lws_write(m_wsi, start, size, LWS_WRITE_RAW) < 0) {
         return -1;
     }
-    if (m_session->isOver()) {
+    if (m_session->isOver() && !wantsWrite()) {
         drop("the session is over");
         return -1;
     }
-    if (m_session->wantsWrite()) {
+    if (wantsWrite()) {
         askForWritable();
     }
     m_session->tellDrained();
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wire/session.h"
+#include "wire/tlschannel.h"
 
 #include <libwebsockets.h>
 
@@ -12,9 +13,6 @@
 /// What is gathered before one write to a socket.
 constexpr std::size_t PeerWriteBytes = 64U << 10U;
 
-/// The TLS half of a vhost's options. `files` must outlive the call.
-auto applyTls(lws_context_creation_info &info, const TlsFiles &files) -> void;
-
 class PeerConnection : public std::enable_shared_from_this<PeerConnection>
 {
 public:
@@ -24,7 +22,8 @@
         std::function<void()> onClosed; ///< exactly once, after every stream has seen its end
     };
 
-    PeerConnection(EventLoop &loop, SessionRole role, const PeerOptions &options, std::string name, Hooks hooks);
+    /// `tls`: null for a plain connection. `name` stands in log lines.
+    PeerConnection(EventLoop &loop, SessionRole role, const PeerOptions &options, ssl_ctx_st *tls, std::string name, Hooks hooks);
 
     auto isReady() const -> bool;
     auto isClosed() const -> bool;
@@ -42,14 +41,18 @@
     auto start() -> void;
     auto onReceived(std::string_view bytes) -> int;
     auto onWritable() -> int;
+    auto receivePlain(std::string_view bytes) -> bool;
+    auto gather(unsigned char *to) -> std::size_t;
+    auto wantsWrite() const -> bool;
     auto askForWritable() -> void;
     auto detach() -> void;
     auto close(const std::string &why) -> void;
 
     EventLoop &m_loop;
-    std::string m_name; // for log lines
+    std::string m_name;
     Hooks m_hooks;
     std::shared_ptr<PeerSession> m_session;
+    std::unique_ptr<TlsChannel> m_tls; // null for a plain connection
     lws *m_wsi = nullptr;
     Timer m_deadline; // until the far side has shown itself
     bool m_started = false; // the socket stands: bytes may flow
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -68,6 +68,7 @@
     std::uint32_t maxStreams = 4096; ///< open at once on a connection; further ones wait at the far side, unsent
     Duration connectTimeout = Duration::seconds(2);
     BackoffOptions backoff; ///< between two tries to connect
+    Duration tlsCheck = Duration::seconds(10); ///< between two looks whether the TLS files were renewed
     TlsFiles tls; ///< both sides present a certificate and verify the other's
 };
 
--- a/src/wire/peerclient.cpp
+++ b/src/wire/peerclient.cpp
@@ -1,4 +1,5 @@
 // The connecting half of wire/peer.h.
+#include "net/tls.h"
 #include "wire/connection.h"
 
 #include <array>
@@ -17,16 +18,18 @@
 class ClientVhost
 {
 public:
-    ClientVhost(lws_context *context, TlsFiles tls)
-        : m_tls(std::move(tls))
+    ClientVhost(EventLoop &loop, const PeerOptions &options)
     {
         static const std::array<lws_protocols, 2> Protocols {{{"kingcup-peer", &PeerConnection::callback, 0, 0, 0, nullptr, PeerWriteBytes}, {}}};
         lws_context_creation_info info {};
         info.port = CONTEXT_PORT_NO_LISTEN;
         info.protocols = Protocols.data();
         info.vhost_name = "peer-clients";
-        applyTls(info, m_tls);
-        m_vhost = lws_create_vhost(context, &info);
+        m_vhost = lws_create_vhost(loop.context(), &info);
+        if (options.tls.isEnabled()) {
+            m_tls = std::make_unique<TlsContext>(TlsContext::Side::Client, options.tls);
+            m_tlsRenewal = std::make_unique<TlsRenewal>(loop, options.tls, m_tls->native(), options.tlsCheck);
+        }
     }
     ~ClientVhost()
     {
@@ -42,21 +45,28 @@
         return m_vhost;
     }
 
-    static auto shared(lws_context *context, const TlsFiles &tls) -> std::shared_ptr<ClientVhost>
+    auto tls() const -> ssl_ctx_st *
+    {
+        return m_tls ? m_tls->native() : nullptr;
+    }
+
+    static auto shared(EventLoop &loop, const PeerOptions &options) -> std::shared_ptr<ClientVhost>
     {
         using Key = std::tuple<lws_context *, std::string, std::string, std::string>;
         thread_local std::map<Key, std::weak_ptr<ClientVhost>> known;
-        auto &slot = known[Key(context, tls.certificate, tls.key, tls.authority)];
+        const auto &tls = options.tls;
+        auto &slot = known[Key(loop.context(), tls.certificate, tls.key, tls.authority)];
         auto found = slot.lock();
         if (!found) {
-            found = std::make_shared<ClientVhost>(context, tls);
+            found = std::make_shared<ClientVhost>(loop, options);
             slot = found;
         }
         return found;
     }
 
 private:
-    TlsFiles m_tls;
+    std::unique_ptr<TlsContext> m_tls; // null without TLS
+    std::unique_ptr<TlsRenewal> m_tlsRenewal;
     lws_vhost *m_vhost = nullptr;
 };
 
@@ -79,7 +89,7 @@
         , loop(ownerLoop)
         , server(std::move(endpoint))
         , options(std::move(peerOptions))
-        , vhost(ClientVhost::shared(ownerLoop.context(), options.tls))
+        , vhost(ClientVhost::shared(ownerLoop, options))
         , backoff(options.backoff)
     {
     }
@@ -103,7 +113,7 @@
             self->onClosed();
         }
     };
-    connection = std::make_shared<PeerConnection>(loop, SessionRole::Client, options, toString(server), std::move(hooks));
+    connection = std::make_shared<PeerConnection>(loop, SessionRole::Client, options, vhost->tls(), toString(server), std::move(hooks));
     openSocket();
 }
 
@@ -120,10 +130,6 @@
     info.method = "RAW";
     info.local_protocol_name = "kingcup-peer";
     info.opaque_user_data = connection.get();
-    if (options.tls.isEnabled()) {
-        // Peers are known by IP number, which certificates need not name: what counts is the authority's signature.
-        info.ssl_connection = LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
-    }
     const auto keep = connection;
     lws *wsi = lws_client_connect_via_info(&info);
     if (wsi == nullptr) {
--- a/src/wire/peerserver.cpp
+++ b/src/wire/peerserver.cpp
@@ -1,4 +1,5 @@
 // The listening half of wire/peer.h.
+#include "net/tls.h"
 #include "wire/connection.h"
 
 #include <array>
@@ -27,6 +28,8 @@
     std::function<void(const PeerStreamPtr &)> onStream;
     lws_vhost *vhost = nullptr;
     std::unordered_set<std::shared_ptr<PeerConnection>> connections;
+    std::unique_ptr<TlsContext> tls; // null without TLS
+    std::unique_ptr<TlsRenewal> tlsRenewal;
     bool accepting = true;
 
     Private(EventLoop &ownerLoop, std::function<void(const PeerStreamPtr &)> streamHook, PeerOptions peerOptions)
@@ -83,7 +86,8 @@
             self->connections.erase(slot->lock());
         }
     };
-    auto connection = std::make_shared<PeerConnection>(loop, SessionRole::Server, options, peerOf(wsi), std::move(hooks));
+    auto *context = tls ? tls->native() : nullptr;
+    auto connection = std::make_shared<PeerConnection>(loop, SessionRole::Server, options, context, peerOf(wsi), std::move(hooks));
     *slot = connection;
     connections.insert(connection);
     lws_set_opaque_user_data(wsi, connection.get());
@@ -91,6 +95,10 @@
 
 auto PeerServer::Private::listen(const Endpoint &endpoint) -> void
 {
+    if (options.tls.isEnabled()) {
+        tls = std::make_unique<TlsContext>(TlsContext::Side::Server, options.tls);
+        tlsRenewal = std::make_unique<TlsRenewal>(loop, options.tls, tls->native(), options.tlsCheck);
+    }
     static const std::array<lws_protocols, 2> Protocols {{{"kingcup-peer", &Private::callback, 0, 0, 0, nullptr, PeerWriteBytes}, {}}};
     const std::string name = "peers-" + toString(endpoint);
     auto *owner = new VhostOwner {weak_from_this()}; // the vhost's, see forgetOwner()
@@ -105,7 +113,6 @@
     info.listen_accept_role = "raw-skt";
     info.listen_accept_protocol = "kingcup-peer";
     info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG | LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
-    applyTls(info, options.tls);
     vhost = lws_create_vhost(loop.context(), &info);
     if (vhost == nullptr) {
         throw std::runtime_error("cannot listen on " + toString(endpoint));
--- /dev/null
+++ b/tests/unit_tls.cpp
@@ -0,0 +1,162 @@
+#include "kingcup/wire.pb.h"
+#include "net/http.h"
+#include "net/tls.h"
+#include "tests/certificates.h"
+#include "wire/peer.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <openssl/ssl.h>
+#include <openssl/x509.h>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr auto Limit = Duration::seconds(20);
+
+/// Ends as the call ended, with the server's name in its certificate unchecked.
+auto callOver(EventLoop &loop, int port, const TlsFiles &tls) -> CallEnd
+{
+    HttpClient client(loop, tls);
+    HttpAnswer answer;
+    bool done = false;
+    startShortCall(client, HttpCall {.server = {"127.0.0.1", port}, .timeout = Duration::seconds(3)}, [&](const HttpAnswer &got) {
+        answer = got;
+        done = true;
+    });
+    REQUIRE(loop.runUntil([&] { return done; }, Limit));
+    return answer.end;
+}
+
+auto answerOk(const std::shared_ptr<HttpExchange> &exchange) -> void
+{
+    exchange->respond(200, {}, "ok");
+}
+
+/// Whether a client with `clientFiles` gets through to a server with `serverFiles`.
+auto doPeersMeet(const TlsFiles &serverFiles, const TlsFiles &clientFiles) -> bool
+{
+    EventLoop loop;
+    bool echoed = false;
+    const PeerServer server(
+        loop,
+        Endpoint {},
+        [](const PeerStreamPtr &stream) {
+            stream->onMessage = [weak = std::weak_ptr(stream)](std::string_view) {
+                weak.lock()->send(kingcup::wire::Data());
+            };
+        },
+        PeerOptions {.tls = serverFiles});
+    PeerClient client(loop, Endpoint {"127.0.0.1", server.port()}, PeerOptions {.tls = clientFiles});
+    PeerStreamPtr stream;
+    client.onUp = [&] {
+        stream = client.open("/request");
+        stream->onMessage = [&](std::string_view) {
+            echoed = true;
+        };
+        stream->send(kingcup::wire::Data());
+    };
+    return loop.runUntil([&] { return echoed; }, Duration::seconds(1.5));
+}
+
+/// The serial number of the certificate that a context would present.
+auto serialOf(SSL_CTX *context) -> std::string
+{
+    const auto *serial = X509_get0_serialNumber(SSL_CTX_get0_certificate(context));
+    return {reinterpret_cast<const char *>(ASN1_STRING_get0_data(serial)), static_cast<std::size_t>(ASN1_STRING_length(serial))};
+}
+
+} // namespace
+
+TEST_CASE("callers are served over TLS, and only trust the authority they know")
+{
+    TestAuthority authority;
+    TestAuthority stranger;
+    EventLoop loop;
+    const HttpServer server(loop, HttpServerOptions {.tls = authority.issue("entry")}, answerOk);
+    const TlsFiles trusting {.authority = authority.issue("x").authority};
+    const TlsFiles wary {.authority = stranger.issue("x").authority};
+    REQUIRE(callOver(loop, server.port(), trusting) == CallEnd::Complete);
+    REQUIRE(callOver(loop, server.port(), wary) == CallEnd::NotSent);
+}
+
+TEST_CASE("a plain caller of a TLS port is closed and harms nobody")
+{
+    TestAuthority authority;
+    EventLoop loop;
+    const HttpServer server(loop, HttpServerOptions {.tls = authority.issue("entry")}, answerOk);
+    REQUIRE(callOver(loop, server.port(), {}) != CallEnd::Complete);
+    REQUIRE(callOver(loop, server.port(), {.authority = authority.issue("x").authority}) == CallEnd::Complete);
+}
+
+TEST_CASE("peers meet only if both sides' certificates are signed by the authority")
+{
+    // Whoever can reach an agent's port could otherwise order work on its target, or pose as the agent and take callers' requests.
+    TestAuthority authority;
+    TestAuthority stranger;
+    const auto agent = authority.issue("agent");
+    const auto entry = authority.issue("entry");
+    auto impostor = stranger.issue("impostor");
+    impostor.authority = entry.authority;
+    const TlsFiles anonymous {.authority = entry.authority};
+    REQUIRE(doPeersMeet(agent, entry));
+    REQUIRE_FALSE(doPeersMeet(agent, impostor));
+    REQUIRE_FALSE(doPeersMeet(impostor, entry));
+    REQUIRE_FALSE(doPeersMeet(agent, anonymous));
+    REQUIRE_FALSE(doPeersMeet(agent, {}));
+    REQUIRE_FALSE(doPeersMeet({}, entry));
+}
+
+TEST_CASE("renewed certificates are taken without a restart")
+{
+    TestAuthority authority;
+    const auto files = authority.issue("agent");
+    EventLoop loop;
+    const TlsContext context(TlsContext::Side::Client, files);
+    const auto before = serialOf(context.native());
+    const TlsRenewal renewal(loop, files, context.native(), Duration::millis(5));
+    authority.issue("agent");
+    REQUIRE(loop.runUntil([&] { return renewal.renewals() > 0; }, Limit));
+    REQUIRE(serialOf(context.native()) != before);
+    REQUIRE(SSL_CTX_check_private_key(context.native()) == 1);
+}
+
+TEST_CASE("a server presents its renewed certificate to new callers")
+{
+    TestAuthority old;
+    TestAuthority renewed;
+    const auto files = old.issue("entry");
+    EventLoop loop;
+    const HttpServer server(loop, HttpServerOptions {.tls = files, .tlsCheck = Duration::millis(5)}, answerOk);
+    const TlsFiles newTrust {.authority = renewed.issue("entry").authority};
+    REQUIRE(callOver(loop, server.port(), newTrust) == CallEnd::NotSent);
+    const auto fresh = renewed.issue("entry");
+    std::filesystem::copy_file(fresh.certificate, files.certificate, std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy_file(fresh.key, files.key, std::filesystem::copy_options::overwrite_existing);
+    loop.runUntil([] { return false; }, Duration::millis(100));
+    REQUIRE(callOver(loop, server.port(), newTrust) == CallEnd::Complete);
+}
+
+TEST_CASE("files that don't fit together are not taken")
+{
+    // Certificate and key are replaced one after the other. Loaded in between, every new connection would fail.
+    TestAuthority authority;
+    const auto files = authority.issue("agent");
+    const auto other = authority.issue("other");
+    EventLoop loop;
+    const TlsContext context(TlsContext::Side::Client, files);
+    const auto before = serialOf(context.native());
+    const TlsRenewal renewal(loop, files, context.native(), Duration::millis(5));
+    std::filesystem::copy_file(other.certificate, files.certificate, std::filesystem::copy_options::overwrite_existing);
+    loop.runUntil([] { return false; }, Duration::millis(50));
+    REQUIRE(renewal.renewals() == 0);
+    REQUIRE(serialOf(context.native()) == before);
+    std::filesystem::copy_file(other.key, files.key, std::filesystem::copy_options::overwrite_existing);
+    REQUIRE(loop.runUntil([&] { return renewal.renewals() == 1; }, Limit));
+
+    std::ofstream(files.certificate) << "not a certificate";
+    REQUIRE_FALSE(checkTlsFiles(files).empty());
+    REQUIRE_THROWS(TlsContext(TlsContext::Side::Client, files));
+}
