--- /dev/null
+++ b/src/agent/agent.cpp
@@ -0,0 +1,420 @@
+// Index of sections (search for [SECTION]):
+//   Parts      the tasks and what they tell each other
+//   Control    what entries ask for
+//   Report     what entries are told
+//   Leaving    planned stops
+//   Pages      metrics and health
+#include "agent/agent.h"
+
+#include "agent/controlsessions.h"
+#include "agent/requesttasks.h"
+#include "agent/residencytask.h"
+#include "core/declarationcodec.h"
+#include "core/plan.h"
+#include "core/suspects.h"
+#include "net/metrics.h"
+
+#include <ctime>
+#include <glog/logging.h>
+#include <optional>
+#include <unistd.h>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto FlushTime = Duration::millis(200); // for last answers to leave the process
+constexpr auto LeaveCheckPeriod = Duration::millis(50);
+constexpr auto SuspectCheckPeriod = Duration::seconds(5);
+constexpr int ExitCutOff = 1;
+
+auto wallMillis() -> std::uint64_t
+{
+    timespec time{};
+    clock_gettime(CLOCK_REALTIME, &time);
+    constexpr std::uint64_t MillisPerSecond = 1000;
+    constexpr std::uint64_t NanosPerMilli = 1000000;
+    return static_cast<std::uint64_t>(time.tv_sec) * MillisPerSecond + static_cast<std::uint64_t>(time.tv_nsec) / NanosPerMilli;
+}
+
+auto floorRowOf(const Plan &plan) -> FloorRow
+{
+    FloorRow row;
+    for (const auto &target : plan.targets()) {
+        const auto &artifacts = plan.artifactsOn(target);
+        row.holders[target] = ArtifactSet(artifacts.begin(), artifacts.end());
+    }
+    return row;
+}
+
+} // namespace
+
+// [SECTION] Parts
+
+struct Agent::Private {
+    EventLoop &loop;
+    DaemonSettings settings;
+    std::uint64_t incarnation = wallMillis();
+    HttpClient client;
+    Metrics metrics;
+    Suspects suspects;
+    Declarations declarations;
+    Revision revision;
+    std::optional<EngineLoad> engineLoad;
+    std::unique_ptr<ResidencyTask> residency; // runners only
+    std::unique_ptr<RequestTasks> requests;
+    std::unique_ptr<ControlSessions> sessions;
+    std::unique_ptr<PeerServer> peers;
+    std::unique_ptr<HttpServer> pages;
+    Timer loadPoll;
+    Timer suspectCheck;
+    Timer leaveCheck;
+    TimePoint leavingSince;
+    std::uint32_t crashes = 0;
+    bool isStopping = false;
+    int cutOff = 0;
+
+    Private(EventLoop &ownerLoop, DaemonSettings daemonSettings)
+        : loop(ownerLoop)
+        , settings(std::move(daemonSettings))
+        , client(loop)
+    {
+    }
+
+    auto isRunner() const -> bool
+    {
+        return settings.target.kind == TargetKind::Runner;
+    }
+    auto build() -> void;
+    auto requestHooks() -> RequestHooks;
+    auto controlHooks() -> ControlHooks;
+    auto onConfig(const wire::ConfigSnapshot &config) -> void;
+    auto onPlan(const wire::FloorPlan &plan) -> void;
+    auto onSurge(const wire::SurgeWish &wish) -> void;
+    auto onSuspects(const wire::Suspects &told) -> void;
+    auto onDrain(const std::string &reason) -> void;
+    auto onCrash(std::uint64_t generation) -> void;
+    auto hello() const -> wire::Hello;
+    auto report() const -> wire::LoadReport;
+    auto reportMemory(wire::LoadReport &report) const -> void;
+    auto suspectsMessage() const -> wire::Suspects;
+    auto pollLoad() -> void;
+    auto checkLeft() -> void;
+    auto page(const std::shared_ptr<HttpExchange> &exchange) -> void;
+};
+
+auto Agent::Private::build() -> void
+{
+    if (isRunner()) {
+        ResidencySettings residencySettings;
+        residencySettings.target = TargetId(settings.process.id);
+        residencySettings.firstFence = Fence(incarnation);
+        residencySettings.orderPrefix = settings.process.id + "-" + std::to_string(incarnation) + "-";
+        ResidencyHooks hooks;
+        hooks.isInUse = [this](const ArtifactName &artifact) { return requests && requests->isInUse(artifact); };
+        hooks.onChanged = [this] {
+            if (sessions) {
+                sessions->reportSoon();
+            }
+        };
+        hooks.onCrash = [this](std::uint64_t generation) { onCrash(generation); };
+        residency = std::make_unique<ResidencyTask>(loop, httpEngineAdapter(client, settings.target.engine), residencySettings, std::move(hooks));
+        loadPoll = loop.every(settings.timing.report, [this] { pollLoad(); });
+    }
+    RequestSettings requestSettings;
+    requestSettings.target = settings.target.engine;
+    requestSettings.isRunner = isRunner();
+    requestSettings.streamBuffer = settings.limits.streamBuffer;
+    requests = std::make_unique<RequestTasks>(loop, client, requestSettings, requestHooks());
+    sessions = std::make_unique<ControlSessions>(loop, settings.timing.report, controlHooks());
+    suspectCheck = loop.every(SuspectCheckPeriod, [this] { suspects.expire(loop.now()); });
+    PeerOptions peerOptions;
+    if (settings.tls.peers) {
+        peerOptions.tls = settings.tls.files;
+    }
+    peers = std::make_unique<PeerServer>(
+        loop,
+        settings.listen.peers,
+        [this](const PeerStreamPtr &stream) {
+            if (stream->path() == ControlPath) {
+                sessions->accept(stream);
+            } else if (stream->path() == RequestPath) {
+                requests->accept(stream);
+            } else {
+                stream->refuse();
+            }
+        },
+        peerOptions);
+    if (settings.listen.metrics) {
+        HttpServerOptions options;
+        options.listen = *settings.listen.metrics;
+        pages = std::make_unique<HttpServer>(loop, options, [this](const auto &exchange) { page(exchange); });
+    }
+}
+
+auto Agent::Private::requestHooks() -> RequestHooks
+{
+    RequestHooks hooks;
+    hooks.isTargetReady = [this] { return !residency || residency->isEngineReady(); };
+    hooks.isUsable = [this](const ArtifactName &artifact) { return residency && residency->isUsable(artifact); };
+    hooks.isQuarantined = [this](const std::string &fingerprint) { return suspects.verdict(fingerprint, loop.now()) == Verdict::Quarantined; };
+    hooks.completedAlone = [this](const std::string &fingerprint) { suspects.completedAlone(fingerprint, loop.now()); };
+    hooks.onChanged = [this] {
+        if (sessions) {
+            sessions->reportSoon();
+        }
+    };
+    if (residency) {
+        hooks.suspectCrash = [this](std::function<void(bool)> done) { residency->suspectCrash(std::move(done)); };
+        hooks.cancelAtTarget = [this](const RequestId &request) { httpEngineAdapter(client, settings.target.engine).cancel(request); };
+    }
+    return hooks;
+}
+
+/// Whatever ran when the engine went is suspected of it.
+auto Agent::Private::onCrash(std::uint64_t generation) -> void
+{
+    ++crashes;
+    const auto inFlight = requests->fingerprintsInFlight();
+    LOG(WARNING) << "suspects: engine crashed generation=" << generation << " in-flight=" << inFlight.size();
+    suspects.targetCrashed(TargetId(settings.process.id), generation, inFlight, loop.now());
+    sessions->tellSuspects();
+    sessions->reportSoon();
+}
+
+// [SECTION] Control
+
+auto Agent::Private::controlHooks() -> ControlHooks
+{
+    ControlHooks hooks;
+    hooks.hello = [this] { return hello(); };
+    hooks.report = [this] { return report(); };
+    hooks.suspects = [this] { return suspectsMessage(); };
+    hooks.onConfig = [this](const wire::ConfigSnapshot &config) { onConfig(config); };
+    hooks.onPlan = [this](const wire::FloorPlan &plan) { onPlan(plan); };
+    hooks.onSurge = [this](const wire::SurgeWish &wish) { onSurge(wish); };
+    hooks.onSuspects = [this](const wire::Suspects &told) { onSuspects(told); };
+    hooks.onDrain = [this](const std::string &reason) { onDrain(reason); };
+    return hooks;
+}
+
+/// Only higher revisions are adopted, so that a lagging entry can't take an accepted change back.
+auto Agent::Private::onConfig(const wire::ConfigSnapshot &config) -> void
+{
+    if (Revision(config.revision()) <= revision) {
+        return;
+    }
+    auto decoded = declarationsFromJson(config.declarations());
+    if (!decoded) {
+        LOG(ERROR) << "config: unreadable snapshot revision=" << config.revision() << " error=\"" << decoded.error().message << "\"";
+        return;
+    }
+    declarations = std::move(decoded.value());
+    revision = Revision(config.revision());
+    LOG(INFO) << "config: adopted revision=" << revision << " artifacts=" << declarations.artifacts.size();
+    if (residency) {
+        residency->adopt(declarations);
+    }
+    sessions->reportSoon();
+}
+
+auto Agent::Private::onPlan(const wire::FloorPlan &plan) -> void
+{
+    if (!residency) {
+        return;
+    }
+    const auto decoded = planFromJson(plan.plan());
+    if (!decoded) {
+        LOG(ERROR) << "placement: unreadable floor plan version=" << plan.row_version() << " error=\"" << decoded.error().message << "\"";
+        return;
+    }
+    residency->floorRowRead(RowSource::Peer, RowVersion(plan.row_version()), floorRowOf(decoded.value()));
+}
+
+auto Agent::Private::onSurge(const wire::SurgeWish &wish) -> void
+{
+    if (!residency) {
+        return;
+    }
+    std::vector<ArtifactName> artifacts;
+    for (const auto &name : wish.artifacts()) {
+        artifacts.emplace_back(name);
+    }
+    residency->surgeWished(wish.planner(), wish.sequence(), std::move(artifacts));
+}
+
+auto Agent::Private::onSuspects(const wire::Suspects &told) -> void
+{
+    SuspectDigest digest;
+    digest.suspected.assign(told.suspected().begin(), told.suspected().end());
+    digest.quarantined.assign(told.quarantined().begin(), told.quarantined().end());
+    suspects.merge(digest, loop.now());
+}
+
+auto Agent::Private::onDrain(const std::string &reason) -> void
+{
+    if (isStopping || requests->isLeaving() == !reason.empty()) {
+        return;
+    }
+    LOG(INFO) << "leaving: " << (reason.empty() ? "drain undone" : "draining") << " reason=" << reason;
+    requests->setLeaving(!reason.empty());
+    sessions->reportSoon();
+}
+
+// [SECTION] Report
+
+auto Agent::Private::hello() const -> wire::Hello
+{
+    auto hello = helloFrame(settings.process.id, settings.process.zone.text(), incarnation).hello();
+    hello.set_runner(isRunner());
+    const auto target = declarations.targets.find(TargetId(settings.process.id));
+    if (!settings.target.service.isEmpty()) {
+        hello.set_service(settings.target.service.text());
+    } else if (target != declarations.targets.end()) {
+        hello.set_service(target->second.service.text());
+    }
+    return hello;
+}
+
+auto Agent::Private::reportMemory(wire::LoadReport &report) const -> void
+{
+    const auto *ledger = residency->ledger();
+    if (ledger == nullptr) {
+        return;
+    }
+    report.set_memory_total(ledger->memoryTotal().count());
+    report.set_memory_charged(ledger->charged().count());
+    report.set_kv_reserved(ledger->kvReserved().count());
+    for (const auto &resident : ledger->residents()) {
+        auto *added = report.add_residents();
+        added->set_artifact(resident.artifact.text());
+        added->set_bytes(resident.bytes.count());
+        added->set_pinned(residency->isPinned(resident.artifact));
+        added->set_loading(!residency->isUsable(resident.artifact));
+    }
+}
+
+auto Agent::Private::report() const -> wire::LoadReport
+{
+    wire::LoadReport report;
+    report.set_running(static_cast<std::uint32_t>(requests->running()));
+    report.set_queued(static_cast<std::uint32_t>(requests->queued()));
+    report.set_concurrency_limit(static_cast<std::uint32_t>(requests->concurrencyLimit()));
+    report.set_service_us(static_cast<double>(requests->meanServiceTime().inMicros()));
+    report.set_revision(revision.value());
+    report.set_leaving(requests->isLeaving());
+    report.set_crashes(crashes);
+    report.set_engine_ready(true);
+    if (engineLoad) {
+        report.set_age_us(engineLoad->age.inMicros());
+        report.set_decode_step_us(static_cast<double>(engineLoad->decodeStep.inMicros()));
+    }
+    if (residency) {
+        report.set_engine_ready(residency->isEngineReady());
+        report.set_engine_generation(residency->engineGeneration());
+        report.set_plan_version(residency->planVersion().value());
+        reportMemory(report);
+    }
+    return report;
+}
+
+auto Agent::Private::suspectsMessage() const -> wire::Suspects
+{
+    const auto digest = suspects.digest(loop.now());
+    wire::Suspects message;
+    message.mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
+    message.mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
+    return message;
+}
+
+auto Agent::Private::pollLoad() -> void
+{
+    if (requests->running() == 0) {
+        engineLoad.reset(); // an idle engine's figures tell nothing
+        return;
+    }
+    httpEngineAdapter(client, settings.target.engine).askLoad([this](const std::optional<EngineLoad> &load) {
+        engineLoad = load;
+        if (load) {
+            requests->observeStep(load->decodeStep);
+        }
+    });
+}
+
+// [SECTION] Leaving
+
+auto Agent::Private::checkLeft() -> void
+{
+    const int open = requests->running() + requests->queued();
+    const bool isLate = loop.now() - leavingSince > settings.timing.drainLimit;
+    if (open > 0 && !isLate) {
+        return;
+    }
+    cutOff = open > 0 ? requests->abandonAll() : 0;
+    leaveCheck = loop.after(FlushTime, [this] {
+        LOG(INFO) << "leaving: stopped cut-off=" << cutOff;
+        loop.stop();
+    });
+}
+
+// [SECTION] Pages
+
+auto Agent::Private::page(const std::shared_ptr<HttpExchange> &exchange) -> void
+{
+    constexpr int Ok = 200;
+    constexpr int NotFound = 404;
+    constexpr int NotReady = 503;
+    const auto &path = exchange->request().path;
+    if (path == "/metrics") {
+        metrics.set("requests_running", requests->running());
+        metrics.set("requests_queued", requests->queued());
+        metrics.set("concurrency_limit", requests->concurrencyLimit());
+        metrics.set("revision", static_cast<double>(revision.value()));
+        metrics.set("engine_crashes_total", crashes);
+        metrics.set("control_streams", static_cast<double>(sessions->count()));
+        if (residency && residency->ledger() != nullptr) {
+            metrics.set("memory_charged_bytes", static_cast<double>(residency->ledger()->charged().count()));
+            metrics.set("memory_total_bytes", static_cast<double>(residency->ledger()->memoryTotal().count()));
+        }
+        exchange->respond(Ok, {{"content-type", "text/plain; version=0.0.4"}}, metrics.text());
+    } else if (path == "/healthz") {
+        exchange->respond(Ok, {{"content-type", "text/plain"}}, "ok\n");
+    } else if (path == "/readyz") {
+        const bool isReady = !requests->isLeaving() && revision > Revision() && (!residency || residency->isEngineReady());
+        exchange->respond(isReady ? Ok : NotReady, {{"content-type", "text/plain"}}, isReady ? "ready\n" : "not ready\n");
+    } else {
+        exchange->respond(NotFound, {{"content-type", "text/plain"}}, "no such page\n");
+    }
+}
+
+Agent::Agent(EventLoop &loop, DaemonSettings settings)
+    : d(std::make_unique<Private>(loop, std::move(settings)))
+{
+    d->build();
+    LOG(INFO) << "agent: started id=" << d->settings.process.id << " zone=" << d->settings.process.zone
+              << " peers=" << toString(d->settings.listen.peers) << " target=" << toString(d->settings.target.engine);
+}
+
+Agent::~Agent() = default;
+
+auto Agent::leave() -> void
+{
+    if (d->isStopping) {
+        return;
+    }
+    d->isStopping = true;
+    d->leavingSince = d->loop.now();
+    LOG(INFO) << "leaving: started running=" << d->requests->running() << " queued=" << d->requests->queued();
+    d->requests->setLeaving(true);
+    d->sessions->reportSoon();
+    d->leaveCheck = d->loop.every(LeaveCheckPeriod, [this] { d->checkLeft(); });
+}
+
+auto Agent::exitCode() const -> int
+{
+    return d->cutOff == 0 ? 0 : ExitCutOff;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/agent/controlsessions.h
@@ -0,0 +1,53 @@
+// The agent's end of the control streams: one for each entry that is connected.
+//
+// Index of sections (search for [SECTION]):
+//   Hooks      what entries ask for
+//   Sessions   ControlSessions
+#pragma once
+
+#include "kingcup/wire.pb.h"
+#include "net/eventloop.h"
+#include "wire/control.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace KingCup
+{
+
+// [SECTION] Hooks
+
+struct ControlHooks {
+    std::function<wire::Hello()> hello; ///< of this agent
+    std::function<wire::LoadReport()> report; ///< as it is now
+    std::function<wire::Suspects()> suspects; ///< known here
+    std::function<void(const wire::ConfigSnapshot &config)> onConfig;
+    std::function<void(const wire::FloorPlan &plan)> onPlan;
+    std::function<void(const wire::SurgeWish &wish)> onSurge;
+    std::function<void(const wire::Suspects &suspects)> onSuspects;
+    std::function<void(const std::string &reason)> onDrain; ///< an empty reason undoes it
+};
+
+// [SECTION] Sessions
+
+class ControlSessions
+{
+public:
+    /// `period` is the time between two reports when nothing changes.
+    ControlSessions(EventLoop &loop, Duration period, ControlHooks hooks);
+    ~ControlSessions();
+
+    auto count() const -> std::size_t;
+
+    auto accept(const PeerStreamPtr &stream) -> void;
+    auto reportSoon() -> void; ///< something changed; changes close together go in one report
+    auto tellSuspects() -> void;
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/agent/requesttasks.cpp
@@ -0,0 +1,645 @@
+// Index of sections (search for [SECTION]):
+//   Task        one request
+//   Arrival     checks, claims, the queue
+//   Forwarding  the call to the target
+//   Ending      outcomes
+#include "agent/requesttasks.h"
+
+#include "core/concurrencylimit.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <map>
+#include <unordered_set>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr std::size_t TailBytes = 64; // of a stream, in which its end mark is looked for
+constexpr auto EndMark = "data: [DONE]";
+constexpr int StatusNotFound = 404;
+constexpr int StatusTooMany = 429;
+constexpr int StatusUnavailable = 503;
+constexpr double MeanWeight = 0.1;
+
+} // namespace
+
+// [SECTION] Task
+
+namespace
+{
+
+/// Where a request stands.
+enum class TaskState { Opening, Claiming, Queued, Running, Asking, Ended };
+
+struct RequestTask {
+    PeerStreamPtr stream; // null once the entry has gone, or the task has ended
+    wire::Open open;
+    TaskState state = TaskState::Opening;
+    TimePoint arrivedAt;
+    TimePoint startedAt;
+    TimePoint deadline;
+    Timer expiry; // while queued
+    std::shared_ptr<HttpCallHandle> call;
+    SendId send; // of its claim
+    bool hasClaim = false;
+    bool isPaused = false;
+    int runningAtStart = 0;
+    int status = 0;
+    HttpHeaders headers;
+    std::string tail; // the answer's last bytes
+    std::string held; // an answer that is kept until it is known what to make of it, or recorded
+    std::size_t bytes = 0;
+    bool keepsBody = false; // run once: for the record
+    bool holdsHead = false; // an error of the engine that may mean "not run"
+    bool isStream = false; // server-sent events
+
+    auto name() const -> std::string
+    {
+        return open.request_id() + "/" + std::to_string(open.attempt());
+    }
+};
+using TaskPtr = std::shared_ptr<RequestTask>;
+
+struct QueueKey {
+    std::uint32_t priority = 0;
+    TimePoint deadline;
+    auto operator<=>(const QueueKey &) const = default;
+};
+
+auto refusalOf(const std::string &code, const std::string &detail, Duration retryAfter = {}) -> wire::End
+{
+    wire::End end;
+    end.set_outcome(wire::OUTCOME_NOT_RUN);
+    end.set_code(code);
+    end.set_detail(detail);
+    end.set_retry_after_us(retryAfter.inMicros());
+    return end;
+}
+
+auto unknownOf(const std::string &code, const std::string &detail) -> wire::End
+{
+    wire::End end;
+    end.set_outcome(wire::OUTCOME_UNKNOWN);
+    end.set_code(code);
+    end.set_detail(detail);
+    return end;
+}
+
+auto deliveredEnd() -> wire::End
+{
+    wire::End end;
+    end.set_outcome(wire::OUTCOME_DELIVERED);
+    return end;
+}
+
+} // namespace
+
+struct RequestTasks::Private {
+    EventLoop &loop;
+    HttpClient &client;
+    RequestSettings settings;
+    RequestHooks hooks;
+    ConcurrencyLimit limit;
+    std::unordered_set<TaskPtr> tasks;
+    std::multimap<QueueKey, TaskPtr> queue;
+    std::map<ArtifactName, int> inUse;
+    int running = 0;
+    bool isolated = false; // a suspect runs alone
+    bool leaving = false;
+    double meanMicros = 0;
+
+    Private(EventLoop &ownerLoop, HttpClient &httpClient, RequestSettings taskSettings, RequestHooks taskHooks)
+        : loop(ownerLoop)
+        , client(httpClient)
+        , settings(std::move(taskSettings))
+        , hooks(std::move(taskHooks))
+    {
+    }
+
+    auto onMessage(const TaskPtr &task, std::string_view message) -> void;
+    auto onOpen(const TaskPtr &task) -> void;
+    auto onStreamEnd(const TaskPtr &task) -> void;
+    auto reasonToRefuse(const RequestTask &task) const -> wire::End;
+    auto claim(const TaskPtr &task) -> void;
+    auto onVerdict(const TaskPtr &task, const ClaimVerdict &verdict) -> void;
+    auto answerFromRecord(const TaskPtr &task, const RunRecord &record) -> void;
+    auto enqueue(const TaskPtr &task) -> void;
+    auto pump() -> void;
+    auto mayStart(const RequestTask &task) const -> bool;
+    auto start(const TaskPtr &task) -> void;
+    auto callOf(const RequestTask &task) const -> HttpCall;
+    auto onHead(const TaskPtr &task, int status, const HttpHeaders &headers) -> void;
+    auto onData(const TaskPtr &task, std::string_view data) -> void;
+    auto onCallEnd(const TaskPtr &task, CallEnd end) -> void;
+    auto onBroken(const TaskPtr &task) -> void;
+    auto sendHead(const TaskPtr &task) -> void;
+    auto sendData(const TaskPtr &task, std::string_view data) -> void;
+    auto finishRun(const TaskPtr &task) -> void;
+    auto reportRunEnd(const TaskPtr &task, RunEnd end) -> void;
+    auto end(const TaskPtr &task, const wire::End &end) -> void;
+    auto useArtifacts(const RequestTask &task, int change) -> void;
+    auto leaveQueue(const TaskPtr &task) -> void;
+    auto cancel(const TaskPtr &task) -> void;
+};
+
+// [SECTION] Arrival
+
+auto RequestTasks::Private::onMessage(const TaskPtr &task, std::string_view message) -> void
+{
+    wire::EntryFrame frame;
+    if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+        LOG(WARNING) << "request: unreadable message bytes=" << message.size();
+        task->stream->reset();
+        return;
+    }
+    if (frame.has_open() && task->state == TaskState::Opening) {
+        task->open = std::move(*frame.mutable_open());
+        onOpen(task);
+    } else if (frame.has_cancel()) {
+        cancel(task);
+    }
+}
+
+/// Why the request can't run here; an end without a code if it can.
+auto RequestTasks::Private::reasonToRefuse(const RequestTask &task) const -> wire::End
+{
+    if (task.open.version() != wire::PROTOCOL_VERSION_CURRENT) {
+        return refusalOf("version", "the agent speaks another protocol version");
+    }
+    if (leaving) {
+        return refusalOf("leaving", "the target takes no new work");
+    }
+    if (!hooks.isTargetReady()) {
+        return refusalOf("target-down", "the target doesn't answer");
+    }
+    if (hooks.isQuarantined(task.open.fingerprint())) {
+        return refusalOf("quarantined", "this request has crashed targets before");
+    }
+    for (const auto &artifact : task.open.artifacts()) {
+        if (!hooks.isUsable(ArtifactName(artifact))) {
+            return refusalOf("not-resident", artifact + " isn't resident");
+        }
+    }
+    if (task.open.budget_us() <= 0) {
+        return refusalOf("too-late", "no time is left");
+    }
+    if (queue.size() >= settings.maxQueue) {
+        return refusalOf("overloaded", "too many requests wait at the target", Duration::micros(static_cast<std::int64_t>(meanMicros)));
+    }
+    return {};
+}
+
+auto RequestTasks::Private::onOpen(const TaskPtr &task) -> void
+{
+    task->arrivedAt = loop.now();
+    task->deadline = task->arrivedAt + Duration::micros(task->open.budget_us());
+    const auto refusal = reasonToRefuse(*task);
+    if (!refusal.code().empty()) {
+        end(task, refusal);
+        return;
+    }
+    useArtifacts(*task, 1);
+    if (task->open.run_once()) {
+        claim(task);
+    } else {
+        enqueue(task);
+    }
+}
+
+auto RequestTasks::Private::claim(const TaskPtr &task) -> void
+{
+    task->state = TaskState::Claiming;
+    if (!hooks.claims.begin) {
+        end(task, refusalOf("store-unavailable", "requests that must run once can't be claimed here"));
+        return;
+    }
+    task->keepsBody = true;
+    task->hasClaim = true;
+    const ClaimKey key{ServiceName(task->open.service()), RequestKey(task->open.key())};
+    task->send = hooks.claims.begin(key, task->deadline, [this, task](const ClaimVerdict &verdict) { onVerdict(task, verdict); });
+}
+
+auto RequestTasks::Private::onVerdict(const TaskPtr &task, const ClaimVerdict &verdict) -> void
+{
+    if (task->state == TaskState::Ended) {
+        return;
+    }
+    if (std::holds_alternative<ForwardSend>(verdict)) {
+        enqueue(task);
+        return;
+    }
+    task->hasClaim = false; // nothing of it is left to be reported
+    if (const auto *fromRecord = std::get_if<AnswerFromRecord>(&verdict)) {
+        answerFromRecord(task, fromRecord->record);
+    } else if (const auto *notRun = std::get_if<AnswerNotRun>(&verdict)) {
+        end(task, refusalOf(notRun->code, "the request was not run"));
+    } else if (const auto *unknown = std::get_if<AnswerUnknown>(&verdict)) {
+        end(task, unknownOf(unknown->code, "the request may have run"));
+    }
+}
+
+auto RequestTasks::Private::answerFromRecord(const TaskPtr &task, const RunRecord &record) -> void
+{
+    task->status = record.status;
+    for (const auto &[name, value] : record.headers) {
+        task->headers.push_back({name, value});
+    }
+    sendHead(task);
+    sendData(task, record.body);
+    auto last = deliveredEnd();
+    last.set_from_record(true);
+    end(task, last);
+}
+
+auto RequestTasks::Private::enqueue(const TaskPtr &task) -> void
+{
+    task->state = TaskState::Queued;
+    queue.emplace(QueueKey{task->open.priority(), task->deadline}, task);
+    pump();
+    if (task->state == TaskState::Queued) {
+        task->expiry = loop.after(task->deadline - loop.now(), [this, task] {
+            leaveQueue(task);
+            reportRunEnd(task, RunEnd::NotRun);
+            end(task, refusalOf("too-late", "its time ran out while it waited"));
+        });
+        hooks.onChanged();
+    }
+}
+
+auto RequestTasks::Private::leaveQueue(const TaskPtr &task) -> void
+{
+    const auto found = std::find_if(queue.begin(), queue.end(), [&](const auto &item) { return item.second == task; });
+    if (found != queue.end()) {
+        queue.erase(found);
+    }
+}
+
+/// A suspect runs with nothing beside it: if the target crashes, only one request can have been the cause.
+auto RequestTasks::Private::mayStart(const RequestTask &task) const -> bool
+{
+    if (isolated) {
+        return false;
+    }
+    return task.open.alone() ? running == 0 : running < limit.limit();
+}
+
+auto RequestTasks::Private::pump() -> void
+{
+    while (!queue.empty() && mayStart(*queue.begin()->second)) {
+        const auto task = queue.begin()->second;
+        queue.erase(queue.begin());
+        start(task);
+    }
+}
+
+// [SECTION] Forwarding
+
+auto RequestTasks::Private::callOf(const RequestTask &task) const -> HttpCall
+{
+    HttpCall call;
+    call.server = settings.target;
+    call.method = task.open.method();
+    call.path = task.open.path();
+    call.body = task.open.body();
+    for (const auto &header : task.open.headers()) {
+        call.headers.push_back({header.name(), header.value()});
+    }
+    call.headers.push_back({"x-request-id", task.open.request_id()});
+    call.headers.push_back({"x-attempt-id", task.open.attempt_id()});
+    call.headers.push_back({"x-priority", std::to_string(task.open.priority())});
+    if (task.open.resume_offset() > 0) {
+        call.headers.push_back({"x-resume-offset", std::to_string(task.open.resume_offset())});
+    }
+    call.keptHeaders = {"cache-control", "etag", "location", "retry-after"};
+    const auto left = task.deadline - loop.now();
+    call.timeout = task.open.run_once() ? std::max(left, settings.runOnceTimeout) : left;
+    return call;
+}
+
+auto RequestTasks::Private::start(const TaskPtr &task) -> void
+{
+    task->expiry.cancel();
+    task->state = TaskState::Running;
+    task->startedAt = loop.now();
+    task->runningAtStart = running;
+    ++running;
+    isolated = task->open.alone();
+    auto call = callOf(*task);
+    call.onHead = [this, task](int status, const HttpHeaders &headers) { onHead(task, status, headers); };
+    call.onData = [this, task](std::string_view data) { onData(task, data); };
+    call.onEnd = [this, task](CallEnd how) { onCallEnd(task, how); };
+    task->call = client.start(std::move(call));
+    hooks.onChanged();
+}
+
+auto RequestTasks::Private::onHead(const TaskPtr &task, int status, const HttpHeaders &headers) -> void
+{
+    task->status = status;
+    task->headers = headers;
+    task->isStream = headerValue(headers, "content-type").starts_with("text/event-stream");
+    task->holdsHead = settings.isRunner && (status == StatusNotFound || status == StatusTooMany || status == StatusUnavailable);
+    if (!task->holdsHead) {
+        sendHead(task);
+    }
+}
+
+auto RequestTasks::Private::sendHead(const TaskPtr &task) -> void
+{
+    if (!task->stream) {
+        return;
+    }
+    wire::AgentFrame frame;
+    frame.mutable_head()->set_status(static_cast<std::uint32_t>(task->status));
+    for (const auto &header : task->headers) {
+        auto *added = frame.mutable_head()->add_headers();
+        added->set_name(header.name);
+        added->set_value(header.value);
+    }
+    task->stream->send(frame);
+}
+
+auto RequestTasks::Private::sendData(const TaskPtr &task, std::string_view data) -> void
+{
+    if (!task->stream || data.empty()) {
+        return;
+    }
+    wire::AgentFrame frame;
+    frame.mutable_data()->set_body(data.data(), data.size());
+    task->stream->send(frame);
+}
+
+auto RequestTasks::Private::onData(const TaskPtr &task, std::string_view data) -> void
+{
+    task->bytes += data.size();
+    task->tail.append(data.size() > TailBytes ? data.substr(data.size() - TailBytes) : data);
+    if (task->tail.size() > TailBytes) {
+        task->tail.erase(0, task->tail.size() - TailBytes);
+    }
+    if (task->keepsBody || task->holdsHead) {
+        task->held.append(data);
+    }
+    if (task->holdsHead) {
+        return;
+    }
+    sendData(task, data);
+    // A caller that reads slowly holds back the engine's stream; nothing piles up here.
+    if (task->stream && !task->keepsBody && !task->isPaused && task->stream->pendingBytes() > settings.streamBuffer) {
+        task->isPaused = true;
+        task->call->pause();
+    }
+}
+
+auto RequestTasks::Private::onCallEnd(const TaskPtr &task, CallEnd how) -> void
+{
+    --running;
+    if (task->open.alone()) {
+        isolated = false;
+    }
+    task->call = nullptr;
+    const auto took = loop.now() - task->startedAt;
+    const bool isWhole = task->isStream ? task->tail.find(EndMark) != std::string::npos : how == CallEnd::Complete;
+    if (isWhole) {
+        limit.observeService(took, task->runningAtStart);
+        meanMicros += MeanWeight * (static_cast<double>(took.inMicros()) - meanMicros);
+        finishRun(task);
+    } else if (task->state == TaskState::Ended || how == CallEnd::Cancelled) {
+        reportRunEnd(task, RunEnd::Unknown);
+        end(task, unknownOf("cancelled", "the caller left"));
+    } else if (how == CallEnd::NotSent) {
+        reportRunEnd(task, RunEnd::NotRun);
+        end(task, refusalOf("target-down", "the target doesn't accept connections"));
+        if (hooks.suspectCrash) {
+            hooks.suspectCrash([](bool /*hasCrashed*/) {});
+        }
+    } else if (how == CallEnd::Timeout) {
+        limit.observeOverload();
+        reportRunEnd(task, RunEnd::Unknown);
+        end(task, unknownOf("timeout", "the target didn't answer in time"));
+    } else {
+        onBroken(task);
+    }
+    pump();
+    hooks.onChanged();
+}
+
+/// The whole answer is here. An engine that says that it has no such model, or no room, has not run the request.
+auto RequestTasks::Private::finishRun(const TaskPtr &task) -> void
+{
+    if (task->holdsHead) {
+        const bool isMissing = task->status == StatusNotFound && task->held.find("not-resident") != std::string::npos;
+        if (isMissing || task->status != StatusNotFound) {
+            end(task, refusalOf(isMissing ? "not-resident" : "overloaded", "the engine refused it"));
+            return;
+        }
+        sendHead(task);
+        sendData(task, task->held);
+    }
+    if (task->open.alone()) {
+        hooks.completedAlone(task->open.fingerprint());
+    }
+    reportRunEnd(task, RunEnd::Answered);
+    end(task, deliveredEnd());
+}
+
+/// The entry has to know whether the engine is gone before it sends the request elsewhere, or the next engine follows.
+auto RequestTasks::Private::onBroken(const TaskPtr &task) -> void
+{
+    reportRunEnd(task, RunEnd::Unknown);
+    if (!hooks.suspectCrash) {
+        end(task, unknownOf("target-broken", "the target's answer broke off"));
+        return;
+    }
+    task->state = TaskState::Asking;
+    hooks.suspectCrash([this, task](bool hasCrashed) {
+        end(task,
+            hasCrashed ? unknownOf("target-crashed", "the engine crashed while it ran this request")
+                       : unknownOf("target-broken", "the engine's answer broke off"));
+    });
+}
+
+// [SECTION] Ending
+
+auto RequestTasks::Private::reportRunEnd(const TaskPtr &task, RunEnd how) -> void
+{
+    if (!task->hasClaim) {
+        return;
+    }
+    task->hasClaim = false;
+    RunRecord record;
+    if (how == RunEnd::Answered) {
+        record.status = task->status;
+        for (const auto &header : task->headers) {
+            record.headers.emplace_back(header.name, header.value);
+        }
+        record.body = task->held;
+    }
+    hooks.claims.runEnded(task->send, how, record);
+}
+
+auto RequestTasks::Private::end(const TaskPtr &task, const wire::End &last) -> void
+{
+    if (tasks.erase(task) == 0) {
+        return;
+    }
+    if (task->state != TaskState::Opening) {
+        useArtifacts(*task, -1);
+    }
+    task->state = TaskState::Ended;
+    task->expiry.cancel();
+    VLOG(1) << "request: ended request=" << task->name() << " outcome=" << last.outcome() << " code=" << last.code() << " bytes=" << task->bytes;
+    if (!task->stream) {
+        return;
+    }
+    wire::AgentFrame frame;
+    *frame.mutable_end() = last;
+    const auto stream = std::move(task->stream);
+    stream->send(frame);
+    stream->finish();
+}
+
+auto RequestTasks::Private::useArtifacts(const RequestTask &task, int change) -> void
+{
+    for (const auto &name : task.open.artifacts()) {
+        auto &count = inUse[ArtifactName(name)];
+        count += change;
+        if (count == 0) {
+            inUse.erase(ArtifactName(name));
+        }
+    }
+}
+
+/// The caller has left or given up. What must run once and has started goes on, so that its record is true.
+auto RequestTasks::Private::cancel(const TaskPtr &task) -> void
+{
+    switch (task->state) {
+    case TaskState::Claiming:
+        hooks.claims.cancel(task->send);
+        task->hasClaim = false;
+        end(task, unknownOf("cancelled", "the caller left"));
+        return;
+    case TaskState::Queued:
+        leaveQueue(task);
+        reportRunEnd(task, RunEnd::NotRun);
+        end(task, refusalOf("cancelled", "the caller left before it ran"));
+        hooks.onChanged();
+        return;
+    case TaskState::Running:
+        if (task->open.run_once()) {
+            return;
+        }
+        if (hooks.cancelAtTarget) {
+            hooks.cancelAtTarget(RequestId(task->open.request_id()));
+        }
+        task->call->cancel();
+        return;
+    default:
+        return;
+    }
+}
+
+auto RequestTasks::Private::onStreamEnd(const TaskPtr &task) -> void
+{
+    task->stream = nullptr;
+    if (task->state == TaskState::Opening) {
+        tasks.erase(task);
+        return;
+    }
+    cancel(task);
+}
+
+RequestTasks::RequestTasks(EventLoop &loop, HttpClient &client, RequestSettings settings, RequestHooks hooks)
+    : d(std::make_unique<Private>(loop, client, std::move(settings), std::move(hooks)))
+{
+}
+
+RequestTasks::~RequestTasks() = default;
+
+auto RequestTasks::running() const -> int
+{
+    return d->running;
+}
+
+auto RequestTasks::queued() const -> int
+{
+    return static_cast<int>(d->tasks.size()) - d->running;
+}
+
+auto RequestTasks::concurrencyLimit() const -> int
+{
+    return d->limit.limit();
+}
+
+auto RequestTasks::meanServiceTime() const -> Duration
+{
+    return Duration::micros(static_cast<std::int64_t>(d->meanMicros));
+}
+
+auto RequestTasks::isInUse(const ArtifactName &artifact) const -> bool
+{
+    return d->inUse.contains(artifact);
+}
+
+auto RequestTasks::isLeaving() const -> bool
+{
+    return d->leaving;
+}
+
+auto RequestTasks::fingerprintsInFlight() const -> std::vector<std::string>
+{
+    std::vector<std::string> fingerprints;
+    for (const auto &task : d->tasks) {
+        if (task->state == TaskState::Running || task->state == TaskState::Asking) {
+            fingerprints.push_back(task->open.fingerprint());
+        }
+    }
+    return fingerprints;
+}
+
+auto RequestTasks::accept(const PeerStreamPtr &stream) -> void
+{
+    auto task = std::make_shared<RequestTask>();
+    task->stream = stream;
+    d->tasks.insert(task);
+    // The task holds the stream and the stream's hooks hold the task; end() lets go of the stream, which breaks the circle.
+    stream->onMessage = [this, weak = std::weak_ptr(task)](std::string_view message) {
+        if (const auto self = weak.lock(); self && self->stream) {
+            d->onMessage(self, message);
+        }
+    };
+    stream->onEnd = [this, weak = std::weak_ptr(task)](StreamEnd /*end*/) {
+        if (const auto self = weak.lock(); self && self->stream) {
+            d->onStreamEnd(self);
+        }
+    };
+    stream->onDrained = [weak = std::weak_ptr(task)] {
+        if (const auto self = weak.lock(); self && self->isPaused && self->call) {
+            self->isPaused = false;
+            self->call->resume();
+        }
+    };
+}
+
+auto RequestTasks::setLeaving(bool isLeaving) -> void
+{
+    d->leaving = isLeaving;
+}
+
+auto RequestTasks::observeStep(Duration decodeStep) -> void
+{
+    d->limit.observeStep(decodeStep, d->running);
+}
+
+auto RequestTasks::abandonAll() -> int
+{
+    const auto left = d->tasks;
+    for (const auto &task : left) {
+        d->cancel(task);
+    }
+    return static_cast<int>(left.size());
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/agent/residencytask.cpp
@@ -0,0 +1,356 @@
+#include "agent/residencytask.h"
+
+#include "core/residency.h"
+
+#include <glog/logging.h>
+#include <optional>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Status questions without an answer in a row after which the engine counts as not ready.
+constexpr int MissedStatusLimit = 2;
+
+/// Someone who wants to know whether the engine has crashed since.
+struct CrashQuestion {
+    std::uint64_t generation = 0; ///< of the engine when its call broke
+    TimePoint since;
+    std::function<void(bool hasCrashed)> done;
+};
+
+} // namespace
+
+struct ResidencyTask::Private {
+    EventLoop &loop;
+    EngineAdapter engine;
+    ResidencySettings settings;
+    ResidencyHooks hooks;
+    std::optional<MemoryLedger> ledger;
+    FencingSupport fencing = FencingSupport::Ignored;
+    Declarations declarations;
+    FloorPins pins;
+    TimePoint startedAt;
+    Timer stepTimer;
+    std::string planner; ///< whose surge wishes are followed
+    std::uint64_t wishSequence = 0;
+    TimePoint wishedAt;
+    std::vector<ArtifactName> wishes;
+    std::uint64_t generation = 0; ///< of the engine; 0 before the first status
+    std::uint64_t crashReported = 0;
+    int missedStatus = 0;
+    bool ready = false;
+    bool statusAsked = false;
+    std::vector<CrashQuestion> crashQuestions;
+
+    Private(EventLoop &ownerLoop, EngineAdapter adapter, ResidencySettings taskSettings, ResidencyHooks taskHooks)
+        : loop(ownerLoop)
+        , engine(std::move(adapter))
+        , settings(std::move(taskSettings))
+        , hooks(std::move(taskHooks))
+        , startedAt(loop.now())
+    {
+    }
+
+    auto step() -> void;
+    auto askStatus() -> void;
+    auto onStatus(TimePoint askedAt, const StatusAnswer &answer) -> void;
+    auto onGeneration(std::uint64_t now) -> void;
+    auto reportCrash(std::uint64_t dead) -> void;
+    auto raiseFence(Fence fence) -> void;
+    auto giveOrders() -> void;
+    auto giveOrder(const ResidencyOrder &order) -> bool;
+    auto wants() const -> std::vector<WantedArtifact>;
+    auto retired() const -> std::vector<ArtifactName>;
+    auto setReady(bool isReady) -> void;
+    auto answerCrashQuestions(TimePoint askedAt, const StatusAnswer &answer) -> void;
+};
+
+auto ResidencyTask::Private::setReady(bool isReady) -> void
+{
+    if (ready != isReady) {
+        ready = isReady;
+        LOG(INFO) << "engine: " << (ready ? "ready" : "not answering") << " generation=" << generation;
+        hooks.onChanged();
+    }
+}
+
+/// Tells once per generation that its engine is gone.
+auto ResidencyTask::Private::reportCrash(std::uint64_t dead) -> void
+{
+    if (dead != 0 && dead > crashReported) {
+        crashReported = dead;
+        LOG(WARNING) << "engine: crashed generation=" << dead;
+        hooks.onCrash(dead);
+    }
+}
+
+auto ResidencyTask::Private::onGeneration(std::uint64_t now) -> void
+{
+    if (generation != 0 && now > generation) {
+        reportCrash(generation);
+    }
+    generation = now;
+}
+
+/// A status that was asked for before the call broke says nothing about it; such questions wait for the next.
+auto ResidencyTask::Private::answerCrashQuestions(TimePoint askedAt, const StatusAnswer &answer) -> void
+{
+    std::vector<CrashQuestion> open;
+    open.swap(crashQuestions);
+    for (auto &question : open) {
+        const bool isNewer = answer.status && answer.status->generation > question.generation;
+        const bool isLate = askedAt >= question.since;
+        if (answer.isRefused || isNewer || isLate) {
+            question.done(answer.isRefused || isNewer);
+        } else {
+            crashQuestions.push_back(std::move(question));
+        }
+    }
+    if (!crashQuestions.empty()) {
+        askStatus();
+    }
+}
+
+auto ResidencyTask::Private::onStatus(TimePoint askedAt, const StatusAnswer &answer) -> void
+{
+    statusAsked = false;
+    // First the crash, with all that was in flight; then those who asked, who end their requests.
+    if (answer.isRefused) {
+        reportCrash(generation);
+    } else if (answer.status) {
+        onGeneration(answer.status->generation);
+    }
+    answerCrashQuestions(askedAt, answer);
+    if (!answer.status) {
+        ++missedStatus;
+        if (answer.isRefused || missedStatus >= MissedStatusLimit) {
+            setReady(false);
+        }
+        return;
+    }
+    missedStatus = 0;
+    if (ledger) {
+        ledger->statusReceived(askedAt, *answer.status);
+    }
+    setReady(true);
+    hooks.onChanged();
+    step();
+}
+
+auto ResidencyTask::Private::askStatus() -> void
+{
+    if (statusAsked) {
+        return;
+    }
+    statusAsked = true;
+    const auto askedAt = loop.now();
+    if (ledger) {
+        ledger->statusAsked(askedAt);
+    }
+    engine.askStatus([this, askedAt](const StatusAnswer &answer) { onStatus(askedAt, answer); });
+}
+
+auto ResidencyTask::Private::raiseFence(Fence fence) -> void
+{
+    LOG(INFO) << "ledger: raising the fence fence=" << fence;
+    ledger->fenceSent(fence, loop.now());
+    engine.raiseFence(fence, [this, fence](FenceAnswer answer) {
+        if (answer == FenceAnswer::Raised) {
+            ledger->fenceRaised(fence);
+        } else if (answer == FenceAnswer::Unsupported) {
+            ledger->fenceUnsupported();
+        }
+        step();
+    });
+}
+
+auto ResidencyTask::Private::step() -> void
+{
+    if (!ledger) {
+        if (!ready) {
+            askStatus();
+        }
+        return;
+    }
+    const auto action = ledger->nextAction(loop.now());
+    if (action.kind == LedgerAction::Kind::AskStatus) {
+        askStatus();
+    } else if (action.kind == LedgerAction::Kind::RaiseFence) {
+        raiseFence(action.fence);
+    }
+    if (ready) {
+        giveOrders();
+    }
+}
+
+/// Floor copies first, bases before their adapters, then the surge wishes in the planner's order.
+auto ResidencyTask::Private::wants() const -> std::vector<WantedArtifact>
+{
+    std::vector<WantedArtifact> wanted;
+    const auto add = [&](const ArtifactName &name, bool isFloor) {
+        const auto artifact = declarations.artifacts.find(name);
+        if (artifact != declarations.artifacts.end()) {
+            wanted.push_back({name, artifact->second.base, artifact->second.size, isFloor});
+        }
+    };
+    for (const auto kind : {ArtifactKind::ModelVersion, ArtifactKind::Adapter}) {
+        for (const auto &name : pins.named()) {
+            const auto artifact = declarations.artifacts.find(name);
+            if (artifact != declarations.artifacts.end() && artifact->second.kind == kind) {
+                add(name, true);
+            }
+        }
+    }
+    if (loop.now() - wishedAt < settings.wishLifetime) {
+        for (const auto &name : wishes) {
+            add(name, false);
+        }
+    }
+    return wanted;
+}
+
+auto ResidencyTask::Private::retired() const -> std::vector<ArtifactName>
+{
+    std::vector<ArtifactName> names;
+    for (const auto &resident : ledger->residents()) {
+        if (!declarations.artifacts.contains(resident.artifact)) {
+            names.push_back(resident.artifact);
+        }
+    }
+    return names;
+}
+
+auto ResidencyTask::Private::giveOrders() -> void
+{
+    ResidencyInput input;
+    input.wants = wants();
+    input.retired = retired();
+    input.isPinned = [this](const ArtifactName &name) { return pins.isPinned(name) && declarations.artifacts.contains(name); };
+    input.isInUse = hooks.isInUse;
+    input.baseOf = [this](const ArtifactName &name) {
+        const auto artifact = declarations.artifacts.find(name);
+        return artifact == declarations.artifacts.end() ? ArtifactName() : artifact->second.base;
+    };
+    bool given = false;
+    while (const auto order = nextResidencyOrder(*ledger, input)) {
+        if (!giveOrder(*order)) {
+            break;
+        }
+        given = true;
+    }
+    if (given) {
+        hooks.onChanged();
+    }
+}
+
+auto ResidencyTask::Private::giveOrder(const ResidencyOrder &order) -> bool
+{
+    const auto engineOrder = order.kind == OrderKind::Load ? ledger->orderLoad(order.artifact, order.base, order.bytes, loop.now())
+                                                           : ledger->orderUnload(order.artifact, loop.now());
+    if (!engineOrder) {
+        return false;
+    }
+    LOG(INFO) << "placement: ordered " << (order.kind == OrderKind::Load ? "load" : "unload") << " artifact=" << order.artifact
+              << " order=" << engineOrder->id << " fence=" << engineOrder->fence << " charged-gb=" << ledger->charged().inGigabytes()
+              << " reason=" << order.reason;
+    engine.sendOrder(*engineOrder, [this, id = engineOrder->id](OrderAnswer answer) {
+        ledger->orderAnswered(id, answer);
+        // A refused order is given again at the next regular step, not at once: its reason may last.
+        if (answer == OrderAnswer::Accepted) {
+            step();
+        }
+    });
+    return true;
+}
+
+ResidencyTask::ResidencyTask(EventLoop &loop, EngineAdapter engine, ResidencySettings settings, ResidencyHooks hooks)
+    : d(std::make_unique<Private>(loop, std::move(engine), std::move(settings), std::move(hooks)))
+{
+    d->stepTimer = loop.every(d->settings.stepPeriod, [this] { d->step(); });
+    d->askStatus();
+}
+
+ResidencyTask::~ResidencyTask() = default;
+
+auto ResidencyTask::isEngineReady() const -> bool
+{
+    return d->ready;
+}
+
+auto ResidencyTask::isUsable(const ArtifactName &artifact) const -> bool
+{
+    return d->ready && d->ledger && d->ledger->isUsable(artifact);
+}
+
+auto ResidencyTask::ledger() const -> const MemoryLedger *
+{
+    return d->ledger ? &*d->ledger : nullptr;
+}
+
+auto ResidencyTask::isPinned(const ArtifactName &artifact) const -> bool
+{
+    return d->pins.isPinned(artifact);
+}
+
+auto ResidencyTask::planVersion() const -> RowVersion
+{
+    return d->pins.version();
+}
+
+auto ResidencyTask::engineGeneration() const -> std::uint64_t
+{
+    return d->generation;
+}
+
+auto ResidencyTask::adopt(const Declarations &declarations) -> void
+{
+    d->declarations = declarations;
+    LedgerSettings settings;
+    const auto target = declarations.targets.find(d->settings.target);
+    if (target != declarations.targets.end()) {
+        settings.fencing = target->second.fencing;
+        settings.longestOrderDelay = target->second.longestOrderDelay;
+    }
+    settings.kvReserve = declarations.policy.kvReserve;
+    settings.firstFence = d->settings.firstFence;
+    // The engine's kind of fencing is part of the ledger's reasoning: with another kind it starts anew, as after a restart.
+    if (!d->ledger || d->fencing != settings.fencing) {
+        const bool isFirst = !d->ledger;
+        d->fencing = settings.fencing;
+        d->ledger.emplace(settings, d->settings.orderPrefix + (isFirst ? "a" : "b" + std::to_string(d->loop.now().inMicros())),
+                          isFirst ? d->startedAt : d->loop.now());
+    }
+    d->step();
+}
+
+auto ResidencyTask::floorRowRead(RowSource source, RowVersion version, const FloorRow &row) -> void
+{
+    if (d->pins.rowRead(source, version, row.artifactsOf(d->settings.target))) {
+        LOG(INFO) << "placement: adopted floor plan version=" << version << " artifacts=" << d->pins.named().size();
+        d->step();
+        d->hooks.onChanged();
+    }
+}
+
+auto ResidencyTask::surgeWished(const std::string &planner, std::uint64_t sequence, std::vector<ArtifactName> artifacts) -> void
+{
+    if (planner == d->planner && sequence <= d->wishSequence) {
+        return;
+    }
+    d->planner = planner;
+    d->wishSequence = sequence;
+    d->wishedAt = d->loop.now();
+    d->wishes = std::move(artifacts);
+    d->step();
+}
+
+auto ResidencyTask::suspectCrash(std::function<void(bool hasCrashed)> done) -> void
+{
+    d->crashQuestions.push_back({d->generation, d->loop.now(), std::move(done)});
+    d->askStatus();
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/wire/control.cpp
@@ -0,0 +1,64 @@
+#include "wire/control.h"
+
+#include <glog/logging.h>
+
+namespace KingCup
+{
+
+auto readControl(const PeerStreamPtr &stream, const std::string &from, std::function<void(const wire::ControlFrame &frame)> handler) -> void
+{
+    stream->onMessage = [weak = std::weak_ptr(stream), from, handler = std::move(handler)](std::string_view message) {
+        wire::ControlFrame frame;
+        if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+            LOG(WARNING) << "wire: unreadable control message from=" << from << " bytes=" << message.size();
+            if (const auto self = weak.lock()) {
+                self->reset();
+            }
+            return;
+        }
+        handler(frame);
+    };
+}
+
+auto helloFrame(const std::string &id, const std::string &zone, std::uint64_t incarnation) -> wire::ControlFrame
+{
+    wire::ControlFrame frame;
+    auto *hello = frame.mutable_hello();
+    hello->set_version(wire::PROTOCOL_VERSION_CURRENT);
+    hello->set_id(id);
+    hello->set_zone(zone);
+    hello->set_incarnation(incarnation);
+    return frame;
+}
+
+auto pingFrame(std::uint64_t sequence) -> wire::ControlFrame
+{
+    wire::ControlFrame frame;
+    frame.mutable_ping()->set_sequence(sequence);
+    return frame;
+}
+
+auto pongFrame(std::uint64_t sequence) -> wire::ControlFrame
+{
+    wire::ControlFrame frame;
+    frame.mutable_pong()->set_sequence(sequence);
+    return frame;
+}
+
+auto configFrame(std::uint64_t revision, const std::string &declarations) -> wire::ControlFrame
+{
+    wire::ControlFrame frame;
+    frame.mutable_config()->set_revision(revision);
+    frame.mutable_config()->set_declarations(declarations);
+    return frame;
+}
+
+auto planFrame(std::uint64_t version, const std::string &plan) -> wire::ControlFrame
+{
+    wire::ControlFrame frame;
+    frame.mutable_plan()->set_row_version(version);
+    frame.mutable_plan()->set_plan(plan);
+    return frame;
+}
+
+} // namespace KingCup
