--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -156,6 +156,14 @@
     }
 }
 
+auto Membership::saidStaying(const std::string &id) -> void
+{
+    const auto found = m_members.find(id);
+    if (found != m_members.end() && found->second.state == MemberState::Leaving && !found->second.host.leaving) {
+        found->second.state = MemberState::Live;
+    }
+}
+
 auto Membership::connectionLost(const std::string &id) -> void
 {
     const auto found = m_members.find(id);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -384,6 +384,17 @@
     return result;
 }
 
+auto Router::instances(const ServiceName &service, TimePoint now) const -> std::vector<TargetId>
+{
+    std::vector<TargetId> result;
+    for (const auto &[id, state] : d->targets) {
+        if (d->isEligible(state, service, {}, now)) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 auto Router::inFlight(const TargetId &target) const -> int
 {
     const auto found = d->targets.find(target);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -125,6 +125,7 @@
     // Queries
     auto targets() const -> std::vector<TargetId>; ///< all that are known
     auto holders(const std::vector<ArtifactName> &artifacts, TimePoint now) const -> std::vector<TargetId>; ///< eligible ones
+    auto instances(const ServiceName &service, TimePoint now) const -> std::vector<TargetId>; ///< eligible ones of a plain service
     auto inFlight(const TargetId &target) const -> int; ///< sent by this process and not ended
     auto lastReport(const TargetId &target) const -> std::optional<TargetLoad>;
     auto weight(const TargetId &target, TimePoint now) const -> double; ///< 0 (gets nothing) to 1 (its full share)
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,478 @@
+// Index of sections (search for [SECTION]):
+//   Parts       the tasks and what they tell each other
+//   Control     messages from agents and other entries
+//   Pages       callers' requests, metrics and health
+//   Leaving     planned stops
+#include "entry/entry.h"
+
+#include "core/declarationcodec.h"
+#include "core/versionswitch.h"
+#include "entry/configtask.h"
+#include "entry/fleet.h"
+#include "entry/planner.h"
+#include "entry/requestflows.h"
+#include "platform/hostlistclient.h"
+#include "platform/tableclient.h"
+
+#include <ctime>
+#include <glog/logging.h>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto FlushTime = Duration::millis(200);
+constexpr auto LeaveCheckPeriod = Duration::millis(50);
+constexpr auto ForecastAhead = Duration::seconds(5);
+constexpr auto HousekeepingPeriod = Duration::millis(500);
+constexpr int ExitCutOff = 1;
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+
+auto wallMillis() -> std::uint64_t
+{
+    timespec time {};
+    clock_gettime(CLOCK_REALTIME, &time);
+    constexpr std::uint64_t MillisPerSecond = 1000;
+    constexpr std::uint64_t NanosPerMilli = 1000000;
+    return static_cast<std::uint64_t>(time.tv_sec) * MillisPerSecond + static_cast<std::uint64_t>(time.tv_nsec) / NanosPerMilli;
+}
+
+auto routingOptions(const DaemonSettings &settings) -> RoutingOptions
+{
+    RoutingOptions options;
+    options.zone = settings.process.zone;
+    options.seed = wallMillis();
+    switch (settings.policy.routing) {
+    case RoutingPolicy::Objective:
+        options.strategy = RoutingStrategy::Objective;
+        break;
+    case RoutingPolicy::RoundRobin:
+        options.strategy = RoutingStrategy::RoundRobin;
+        break;
+    case RoutingPolicy::LeastLoaded:
+        options.strategy = RoutingStrategy::LeastLoaded;
+        break;
+    }
+    return options;
+}
+
+auto placementOptions(const DaemonSettings &settings) -> PlacementOptions
+{
+    PlacementOptions options;
+    switch (settings.policy.placement) {
+    case PlacementPolicy::Objective:
+        options.strategy = PlacementStrategy::Objective;
+        break;
+    case PlacementPolicy::Static:
+        options.strategy = PlacementStrategy::Static;
+        break;
+    case PlacementPolicy::OnDemand:
+        options.strategy = PlacementStrategy::LoadOnDemand;
+        break;
+    }
+    return options;
+}
+
+} // namespace
+
+// [SECTION] Parts
+
+struct Entry::Private {
+    EventLoop &loop;
+    DaemonSettings settings;
+    std::uint64_t incarnation = wallMillis();
+    HttpClient client;
+    Metrics metrics;
+    DecisionLog decisions;
+    Suspects suspects;
+    DemandForecast demand;
+    VersionSwitch versions;
+    Router router;
+    Declarations declarations;
+    Revision revision;
+    std::string declarationsText; ///< the revision in force, as it travels
+    std::unique_ptr<Fleet> fleet;
+    std::unique_ptr<RequestFlows> flows;
+    std::unique_ptr<Planner> planner;
+    std::unique_ptr<PeerServer> peers;
+    std::set<PeerStreamPtr> peerStreams; ///< control streams that other entries opened
+    std::unique_ptr<HttpServer> callers;
+    Timer housekeeping;
+    Timer leaveCheck;
+    TimePoint leavingSince;
+    std::uint64_t digestSequence = 0;
+    bool isLeaving = false;
+    int cutOff = 0;
+
+    Private(EventLoop &ownerLoop, DaemonSettings daemonSettings)
+        : loop(ownerLoop)
+        , settings(std::move(daemonSettings))
+        , client(loop)
+        , decisions(static_cast<std::size_t>(settings.limits.maxDecisions))
+        , router(routingOptions(settings))
+    {
+    }
+
+    auto build() -> void;
+    auto buildFleet() -> void;
+    auto buildFlows() -> void;
+    auto buildPlanner() -> void;
+    auto buildServers() -> void;
+    auto adopt(Revision newRevision, const std::string &text) -> void;
+    auto greeting() const -> std::vector<wire::ControlFrame>;
+    auto acceptPeer(const PeerStreamPtr &stream) -> void;
+    auto onPeerFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void;
+    auto onEntryFrame(const wire::ControlFrame &frame) -> void;
+    auto onSuspects(const wire::Suspects &told) -> void;
+    auto suspectsFrame() const -> wire::ControlFrame;
+    auto demandFrame() -> wire::ControlFrame;
+    auto onDemand(const wire::DemandDigest &message) -> void;
+    auto housekeep() -> void;
+    auto lowestRevision() const -> Revision;
+    auto handle(const std::shared_ptr<HttpExchange> &exchange) -> void;
+    auto metricsText() -> std::string;
+    auto isReady() const -> bool;
+    auto checkLeft() -> void;
+};
+
+auto Entry::Private::buildFleet() -> void
+{
+    FleetHooks hooks;
+    hooks.greeting = [this] { return greeting(); };
+    hooks.onRoom = [this] {
+        if (flows) {
+            flows->pump();
+        }
+    };
+    hooks.onSuspects = [this](const wire::Suspects &told) { onSuspects(told); };
+    hooks.onEntryFrame = [this](const wire::ControlFrame &frame) { onEntryFrame(frame); };
+    FleetSettings fleetSettings;
+    fleetSettings.self = settings.process.id;
+    fleetSettings.heartbeat = settings.timing.heartbeat;
+    fleetSettings.suspectAfter = settings.timing.suspectAfter;
+    if (settings.tls.peers) {
+        fleetSettings.peers.tls = settings.tls.files;
+    }
+    fleet = std::make_unique<Fleet>(loop, fleetSettings, router, std::move(hooks));
+}
+
+auto Entry::Private::buildFlows() -> void
+{
+    FlowSettings flowSettings;
+    flowSettings.entry = settings.process.id;
+    flowSettings.incarnation = incarnation;
+    flowSettings.streamBuffer = settings.limits.streamBuffer;
+    flowSettings.maxQueue = settings.limits.maxQueue;
+    flowSettings.requestBudget = settings.limits.requestBudget;
+    FlowHooks hooks;
+    hooks.openStream = [this](const TargetId &target) { return fleet->open(target); };
+    hooks.versionOf = [this](const std::string &model) { return versions.effective(model); };
+    hooks.onMissing = [this](const ArtifactName &artifact) { planner->missing(artifact); };
+    hooks.onSuspects = [this] {
+        fleet->sendAgents(suspectsFrame());
+        fleet->sendEntries(suspectsFrame());
+    };
+    flows = std::make_unique<RequestFlows>(FlowParts {loop, router, demand, suspects, metrics, decisions}, flowSettings, std::move(hooks));
+}
+
+auto Entry::Private::buildPlanner() -> void
+{
+    PlannerHooks hooks;
+    hooks.table.read = [this](std::vector<std::string> keys, std::function<void(const std::optional<std::vector<TableRow>> &)> done) {
+        readTable(std::move(keys), std::move(done));
+    };
+    hooks.table.transact = [this](std::vector<TableOp> ops, std::function<void(const TransactResult &)> done) { transactTable(std::move(ops), std::move(done)); };
+    hooks.ranksFirst = [this](const std::string &subject) { return fleet->ranksFirst(subject); };
+    hooks.runners = [this] { return fleet->runners(); };
+    hooks.holderReports = [this] { return fleet->holderReports(); };
+    hooks.demand = [this] { return demand.forecast(loop.now(), ForecastAhead); };
+    hooks.retained = [this] { return versions.retained(); };
+    hooks.onFloor = [this](RowVersion version, const std::string &plan) {
+        fleet->sendAgents(planFrame(version.value(), plan));
+        fleet->sendEntries(planFrame(version.value(), plan));
+    };
+    hooks.wish = [this](const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts) {
+        wire::ControlFrame frame;
+        frame.mutable_surge()->set_planner(settings.process.id + "-" + std::to_string(incarnation));
+        frame.mutable_surge()->set_sequence(sequence);
+        for (const auto &artifact : artifacts) {
+            frame.mutable_surge()->add_artifacts(artifact.text());
+        }
+        fleet->sendTo(target.text(), frame);
+    };
+    PlannerSettings plannerSettings;
+    plannerSettings.entry = settings.process.id;
+    plannerSettings.placement = placementOptions(settings);
+    plannerSettings.period = settings.timing.planPeriod;
+    planner = std::make_unique<Planner>(loop, plannerSettings, std::move(hooks), decisions);
+}
+
+auto Entry::Private::buildServers() -> void
+{
+    PeerOptions peerOptions;
+    if (settings.tls.peers) {
+        peerOptions.tls = settings.tls.files;
+    }
+    peers = std::make_unique<PeerServer>(
+        loop, settings.listen.peers, [this](const PeerStreamPtr &stream) { acceptPeer(stream); }, peerOptions);
+    HttpServerOptions options;
+    options.listen = settings.listen.callers;
+    options.keptHeaders = callerHeaderNames();
+    options.maxBody = settings.limits.maxBody;
+    options.maxConnections = settings.limits.maxConnections;
+    options.headerTimeout = settings.limits.headerTimeout;
+    if (settings.tls.callers) {
+        options.tls = settings.tls.files;
+        options.tls.authority.clear(); // callers need no certificate
+    }
+    callers = std::make_unique<HttpServer>(loop, options, [this](const auto &exchange) { handle(exchange); });
+}
+
+auto Entry::Private::build() -> void
+{
+    buildFleet();
+    buildFlows();
+    buildPlanner();
+    buildPlatform();
+    buildServers();
+    housekeeping = loop.every(HousekeepingPeriod, [this] { housekeep(); });
+}
+
+/// Of a higher revision only: an accepted configuration is never taken back.
+auto Entry::Private::adopt(Revision newRevision, const Declarations &set, const std::string &text) -> void
+{
+    if (newRevision <= revision) {
+        return;
+    }
+    declarations = set;
+    declarationsText = text;
+    revision = newRevision;
+    LOG(INFO) << "config: adopted revision=" << revision << " services=" << declarations.services.size() << " artifacts=" << declarations.artifacts.size();
+    versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
+    fleet->sendAgents(configFrame(revision.value(), text));
+    fleet->sendEntries(configFrame(revision.value(), text));
+    flows->adopt(declarations);
+    planner->adopt(declarations);
+}
+
+// [SECTION] Control
+
+/// What a peer needs to be useful at once, also while the store is down.
+auto Entry::Private::greeting() const -> std::vector<wire::ControlFrame>
+{
+    std::vector<wire::ControlFrame> frames {helloFrame(settings.process.id, settings.process.zone.text(), incarnation)};
+    if (revision > Revision()) {
+        frames.push_back(configFrame(revision.value(), declarationsText));
+    }
+    if (planner && planner->floorVersion() > RowVersion()) {
+        frames.push_back(planFrame(planner->floorVersion().value(), planner->floorText()));
+    }
+    frames.push_back(suspectsFrame());
+    return frames;
+}
+
+auto Entry::Private::acceptPeer(const PeerStreamPtr &stream) -> void
+{
+    if (stream->path() != ControlPath) {
+        stream->refuse();
+        return;
+    }
+    peerStreams.insert(stream);
+    readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const wire::ControlFrame &frame) {
+        if (const auto self = weak.lock()) {
+            onPeerFrame(self, frame);
+        }
+    });
+    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) { std::erase_if(peerStreams, [&](const auto &held) { return held.get() == raw; }); };
+    for (const auto &frame : greeting()) {
+        stream->send(frame);
+    }
+}
+
+auto Entry::Private::onPeerFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void
+{
+    if (frame.has_ping()) {
+        stream->send(pongFrame(frame.ping().sequence()));
+    } else {
+        onEntryFrame(frame);
+    }
+}
+
+auto Entry::Private::onEntryFrame(const wire::ControlFrame &frame) -> void
+{
+    switch (frame.kind_case()) {
+    case wire::ControlFrame::kConfig:
+        config->offer(Revision(frame.config().revision()), frame.config().declarations());
+        break;
+    case wire::ControlFrame::kPlan:
+        planner->floorRead(RowVersion(frame.plan().row_version()), frame.plan().plan());
+        break;
+    case wire::ControlFrame::kDemand:
+        onDemand(frame.demand());
+        break;
+    case wire::ControlFrame::kRevisions:
+        fleet->entryReported(frame.revisions().entry(), Revision(frame.revisions().revision()));
+        break;
+    case wire::ControlFrame::kSuspects:
+        onSuspects(frame.suspects());
+        break;
+    default:
+        break;
+    }
+}
+
+auto Entry::Private::onSuspects(const wire::Suspects &told) -> void
+{
+    SuspectDigest digest;
+    digest.suspected.assign(told.suspected().begin(), told.suspected().end());
+    digest.quarantined.assign(told.quarantined().begin(), told.quarantined().end());
+    const auto before = suspects.size();
+    suspects.merge(digest, loop.now());
+    if (suspects.size() != before) {
+        fleet->sendAgents(suspectsFrame());
+        fleet->sendEntries(suspectsFrame());
+    }
+}
+
+auto Entry::Private::suspectsFrame() const -> wire::ControlFrame
+{
+    const auto digest = suspects.digest(loop.now());
+    wire::ControlFrame frame;
+    frame.mutable_suspects()->mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
+    frame.mutable_suspects()->mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
+    return frame;
+}
+
+auto Entry::Private::demandFrame() -> wire::ControlFrame
+{
+    const auto digest = demand.digest(EntryId(settings.process.id), ++digestSequence);
+    wire::ControlFrame frame;
+    auto *message = frame.mutable_demand();
+    message->set_entry(digest.entry.text());
+    message->set_sequence(digest.sequence);
+    for (const auto &rate : digest.rates) {
+        auto *added = message->add_rates();
+        added->set_artifact(rate.artifact.text());
+        added->set_per_second(rate.perSecond);
+        added->set_service_us(static_cast<double>(rate.serviceTime.inMicros()));
+        added->set_missed_per_second(rate.missedPerSecond);
+    }
+    return frame;
+}
+
+auto Entry::Private::onDemand(const wire::DemandDigest &message) -> void
+{
+    DemandDigest digest;
+    digest.entry = EntryId(message.entry());
+    digest.sequence = message.sequence();
+    for (const auto &rate : message.rates()) {
+        digest.rates.push_back({ArtifactName(rate.artifact()),
+                                rate.per_second(),
+                                Duration::micros(static_cast<std::int64_t>(rate.service_us())),
+                                rate.missed_per_second()});
+    }
+    demand.merge(digest, loop.now());
+}
+
+auto Entry::Private::lowestRevision() const -> Revision
+{
+    auto lowest = revision;
+    for (const auto &member : fleet->members()) {
+        const bool counts = member.state == MemberState::Live || member.state == MemberState::Suspect;
+        lowest = counts ? std::min(lowest, member.revision) : lowest;
+    }
+    return lowest;
+}
+
+auto Entry::Private::housekeep() -> void
+{
+    demand.advance(loop.now());
+    suspects.expire(loop.now());
+    versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
+    fleet->sendEntries(demandFrame());
+    wire::ControlFrame frame;
+    frame.mutable_revisions()->set_entry(settings.process.id);
+    frame.mutable_revisions()->set_revision(revision.value());
+    fleet->sendEntries(frame);
+}
+
+// [SECTION] Pages
+
+auto Entry::Private::isReady() const -> bool
+{
+    return !isLeaving && revision > Revision();
+}
+
+auto Entry::Private::metricsText() -> std::string
+{
+    metrics.set("requests_open", static_cast<double>(flows->open()));
+    metrics.set("requests_waiting", static_cast<double>(flows->waiting()));
+    metrics.set("revision", static_cast<double>(revision.value()));
+    metrics.set("revision_lowest", static_cast<double>(lowestRevision().value()));
+    metrics.set("floor_version", static_cast<double>(planner->floorVersion().value()));
+    metrics.set("store_reachable", planner->isStoreReachable() ? 1 : 0);
+    metrics.set("host_list_trusted", fleet->isListTrusted() ? 1 : 0);
+    return metrics.text();
+}
+
+auto Entry::Private::handle(const std::shared_ptr<HttpExchange> &exchange) -> void
+{
+    const auto &path = exchange->request().path;
+    if (path == "/metrics") {
+        exchange->respond(StatusOk, {{"content-type", "text/plain; version=0.0.4"}}, metricsText());
+    } else if (path == "/healthz") {
+        exchange->respond(StatusOk, {{"content-type", "text/plain"}}, "ok\n");
+    } else if (path == "/readyz") {
+        exchange->respond(isReady() ? StatusOk : StatusUnavailable, {{"content-type", "text/plain"}}, isReady() ? "ready\n" : "not ready\n");
+    } else {
+        flows->handle(exchange);
+    }
+}
+
+// [SECTION] Leaving
+
+auto Entry::Private::checkLeft() -> void
+{
+    const auto open = flows->open();
+    const bool isLate = loop.now() - leavingSince > settings.timing.drainLimit;
+    if (open > 0 && !isLate) {
+        return;
+    }
+    cutOff = open > 0 ? flows->abandonAll() : 0;
+    leaveCheck = loop.after(FlushTime, [this] {
+        LOG(INFO) << "leaving: stopped cut-off=" << cutOff;
+        loop.stop();
+    });
+}
+
+Entry::Entry(EventLoop &loop, DaemonSettings settings)
+    : d(std::make_unique<Private>(loop, std::move(settings)))
+{
+    d->build();
+    LOG(INFO) << "entry: started id=" << d->settings.process.id << " zone=" << d->settings.process.zone << " callers=" << toString(d->settings.listen.callers)
+              << " peers=" << toString(d->settings.listen.peers);
+}
+
+Entry::~Entry() = default;
+
+auto Entry::leave() -> void
+{
+    if (d->isLeaving) {
+        return;
+    }
+    d->isLeaving = true;
+    d->leavingSince = d->loop.now();
+    LOG(INFO) << "leaving: started open=" << d->flows->open();
+    d->flows->setLeaving();
+    d->leaveCheck = d->loop.every(LeaveCheckPeriod, [this] { d->checkLeft(); });
+}
+
+auto Entry::exitCode() const -> int
+{
+    return d->cutOff == 0 ? 0 : ExitCutOff;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/entry/fleet.h
@@ -0,0 +1,79 @@
+// What an entry knows of agents and other entries: who is there, what they reported. Feeds the router and the planner.
+//
+// Index of sections (search for [SECTION]):
+//   Hooks   what the fleet tells
+//   Fleet   the task
+#pragma once
+
+#include "core/floor.h"
+#include "core/membership.h"
+#include "core/placement.h"
+#include "core/routing.h"
+#include "entry/peerlinks.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Hooks
+
+struct FleetHooks {
+    std::function<std::vector<wire::ControlFrame>()> greeting; ///< for a peer whose connection has come up
+    std::function<void()> onRoom; ///< targets or copies may have appeared
+    std::function<void(const wire::Suspects &suspects)> onSuspects;
+    std::function<void(const wire::ControlFrame &frame)> onEntryFrame; ///< configuration, plan, demand, revisions
+};
+
+struct FleetSettings {
+    std::string self;
+    Duration heartbeat;
+    Duration suspectAfter;
+    PeerOptions peers;
+};
+
+/// One process as `kingcupctl status` shows it.
+struct FleetMember {
+    std::string id;
+    HostRole role = HostRole::Agent;
+    ZoneName zone;
+    MemberState state = MemberState::Proposed;
+    Revision revision; ///< in force there; 0: not heard yet
+    wire::LoadReport report; ///< agents
+};
+
+// [SECTION] Fleet
+
+class Fleet
+{
+public:
+    Fleet(EventLoop &loop, FleetSettings settings, Router &router, FleetHooks hooks);
+    ~Fleet();
+
+    // Queries
+    auto members() const -> std::vector<FleetMember>; ///< agents and other entries
+    auto runners() const -> std::vector<RunnerState>;
+    auto holderReports() const -> std::map<TargetId, HolderReport>;
+    auto ranksFirst(const std::string &subject) const -> bool; ///< this entry, among the live ones
+    auto isListTrusted() const -> bool;
+    auto hasCopy(const ArtifactName &artifact) const -> bool; ///< on a live runner
+
+    // Commands
+    auto listReceived(const std::vector<ListedHost> &hosts) -> void;
+    auto entryReported(const std::string &id, Revision revision) -> void;
+    auto open(const TargetId &target) -> PeerStreamPtr;
+    auto sendTo(const std::string &id, const wire::ControlFrame &frame) -> void;
+    auto sendAgents(const wire::ControlFrame &frame) -> void;
+    auto sendEntries(const wire::ControlFrame &frame) -> void;
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/entry/planner.cpp
@@ -0,0 +1,250 @@
+#include "entry/planner.h"
+
+#include <glog/logging.h>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto FloorSubject = "floor";
+constexpr auto SurgeSubject = "surge";
+constexpr auto SoonDelay = Duration::millis(100); // a missing copy is planned for after this, not at the next regular round
+constexpr int RoundsPerRead = 3; // rounds between two reads of the floor's row by entries that don't plan it
+
+auto planOf(const FloorRow &row) -> Plan
+{
+    Plan plan;
+    for (const auto &[target, artifacts] : row.holders) {
+        for (const auto &artifact : artifacts) {
+            plan.add(target, artifact);
+        }
+    }
+    return plan;
+}
+
+auto rowOf(const Plan &plan) -> FloorRow
+{
+    FloorRow row;
+    for (const auto &target : plan.targets()) {
+        const auto &artifacts = plan.artifactsOn(target);
+        row.holders[target] = ArtifactSet(artifacts.begin(), artifacts.end());
+    }
+    return row;
+}
+
+} // namespace
+
+struct Planner::Private {
+    EventLoop &loop;
+    PlannerSettings settings;
+    PlannerHooks hooks;
+    DecisionLog &decisions;
+    SurgePlanner surge;
+    Declarations declarations;
+    bool hasDeclarations = false;
+    Plan floor;
+    Plan wantedFloor;
+    RowVersion floorVersion;
+    std::string floorText;
+    bool storeReachable = false;
+    bool reading = false;
+    bool writing = false;
+    std::uint64_t wishSequence = 0;
+    int round = 0;
+    Timer period;
+    Timer soon;
+
+    Private(EventLoop &ownerLoop, PlannerSettings plannerSettings, PlannerHooks plannerHooks, DecisionLog &log)
+        : loop(ownerLoop)
+        , settings(std::move(plannerSettings))
+        , hooks(std::move(plannerHooks))
+        , decisions(log)
+        , surge(settings.placement)
+    {
+    }
+
+    auto plan() -> void;
+    auto readFloor() -> void;
+    auto onFloorRead(const std::optional<std::vector<TableRow>> &rows) -> void;
+    auto planFloorRow() -> void;
+    auto writeFloor(const FloorRow &row) -> void;
+    auto planSurge() -> void;
+    auto input() const -> PlacementInput;
+    auto note(const std::vector<PlacementDecision> &list) -> void;
+    auto adoptFloor(RowVersion version, const std::string &text) -> void;
+};
+
+auto Planner::Private::input() const -> PlacementInput
+{
+    PlacementInput input;
+    input.declarations = &declarations;
+    input.runners = hooks.runners();
+    input.demand = hooks.demand();
+    input.floor = floor;
+    input.retained = hooks.retained();
+    return input;
+}
+
+auto Planner::Private::note(const std::vector<PlacementDecision> &list) -> void
+{
+    for (const auto &decision : list) {
+        const std::string text = std::string(toString(decision.kind)) + " target=" + decision.target.text() + " reason=\"" + decision.reason + "\"";
+        LOG(INFO) << "placement: " << toString(decision.kind) << " artifact=" << decision.artifact << " target=" << decision.target << " reason=\""
+                  << decision.reason << "\"";
+        decisions.add({loop.now(), "placement", decision.artifact.text(), text});
+    }
+}
+
+auto Planner::Private::plan() -> void
+{
+    ++round;
+    const bool plansFloor = hooks.ranksFirst(FloorSubject);
+    if (plansFloor || round % RoundsPerRead == 1) {
+        readFloor();
+    }
+    if (hasDeclarations && hooks.ranksFirst(SurgeSubject)) {
+        planSurge();
+    }
+}
+
+auto Planner::Private::readFloor() -> void
+{
+    if (reading) {
+        return;
+    }
+    reading = true;
+    hooks.table.read({FloorRowKey}, [this](const std::optional<std::vector<TableRow>> &rows) { onFloorRead(rows); });
+}
+
+auto Planner::Private::onFloorRead(const std::optional<std::vector<TableRow>> &rows) -> void
+{
+    reading = false;
+    storeReachable = rows.has_value();
+    if (!rows) {
+        return;
+    }
+    if (!rows->empty()) {
+        adoptFloor(rows->front().version, rows->front().value);
+    }
+    if (hasDeclarations && hooks.ranksFirst(FloorSubject)) {
+        planFloorRow();
+    }
+}
+
+auto Planner::Private::adoptFloor(RowVersion version, const std::string &text) -> void
+{
+    if (version <= floorVersion) {
+        return;
+    }
+    const auto decoded = planFromJson(text);
+    if (!decoded) {
+        LOG(ERROR) << "placement: unreadable floor row version=" << version << " error=\"" << decoded.error().message << "\"";
+        return;
+    }
+    floor = decoded.value();
+    floorVersion = version;
+    floorText = text;
+    hooks.onFloor(version, text);
+}
+
+auto Planner::Private::planFloorRow() -> void
+{
+    if (writing || settings.placement.strategy == PlacementStrategy::LoadOnDemand) {
+        return;
+    }
+    auto result = planFloor(input(), settings.placement);
+    wantedFloor = result.plan;
+    for (const auto &artifact : result.unplaced) {
+        LOG_EVERY_N(ERROR, 60) << "placement: no runner has room artifact=" << artifact;
+    }
+    FloorInput floorInput;
+    floorInput.current = rowOf(floor);
+    floorInput.version = floorVersion;
+    floorInput.desired = rowOf(result.plan);
+    floorInput.reports = hooks.holderReports();
+    for (const auto &[name, artifact] : declarations.artifacts) {
+        floorInput.declared.insert(name);
+    }
+    for (const auto &name : hooks.retained()) {
+        floorInput.declared.insert(name);
+    }
+    const auto row = composeFloorRow(floorInput);
+    if (row) {
+        note(result.decisions);
+        writeFloor(*row);
+    }
+}
+
+auto Planner::Private::writeFloor(const FloorRow &row) -> void
+{
+    writing = true;
+    const auto text = planToJson(planOf(row));
+    TableOp op;
+    op.key = FloorRowKey;
+    op.expect = floorVersion;
+    op.value = text;
+    hooks.table.transact({op}, [this, text](const TransactResult &result) {
+        writing = false;
+        LOG(INFO) << "placement: wrote floor row committed=" << (result.end == TransactEnd::Committed) << " version=" << result.version;
+        if (result.end == TransactEnd::Committed) {
+            adoptFloor(result.version, text);
+        }
+        // Otherwise the next read tells what became of it.
+    });
+}
+
+auto Planner::Private::planSurge() -> void
+{
+    const auto result = surge.plan(input(), wantedFloor, loop.now());
+    note(result.decisions);
+    ++wishSequence;
+    for (const auto &runner : hooks.runners()) {
+        hooks.wish(runner.id, wishSequence, result.wishes.artifactsOn(runner.id));
+    }
+}
+
+Planner::Planner(EventLoop &loop, PlannerSettings settings, PlannerHooks hooks, DecisionLog &decisions)
+    : d(std::make_unique<Private>(loop, std::move(settings), std::move(hooks), decisions))
+{
+    d->period = loop.every(d->settings.period, [this] { d->plan(); });
+}
+
+Planner::~Planner() = default;
+
+auto Planner::floorVersion() const -> RowVersion
+{
+    return d->floorVersion;
+}
+
+auto Planner::floorText() const -> const std::string &
+{
+    return d->floorText;
+}
+
+auto Planner::isStoreReachable() const -> bool
+{
+    return d->storeReachable;
+}
+
+auto Planner::adopt(const Declarations &declarations) -> void
+{
+    d->declarations = declarations;
+    d->hasDeclarations = true;
+    missing({});
+}
+
+auto Planner::floorRead(RowVersion version, const std::string &text) -> void
+{
+    d->adoptFloor(version, text);
+}
+
+auto Planner::missing(const ArtifactName & /*artifact*/) -> void
+{
+    if (!d->soon.isActive()) {
+        d->soon = d->loop.after(SoonDelay, [this] { d->plan(); });
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/entry/planner.h
@@ -0,0 +1,76 @@
+// Plans where copies are kept. Every entry runs one; the floor is written and surge copies are wished for by the entry that ranks
+// first, without a lease: two planners at once waste effort but break nothing, since the floor's row changes by compare-and-set.
+//
+// Index of sections (search for [SECTION]):
+//   Hooks     what the planner needs
+//   Planner   the task
+#pragma once
+
+#include "core/decisionlog.h"
+#include "core/demand.h"
+#include "core/floor.h"
+#include "core/placement.h"
+#include "core/table.h"
+#include "net/eventloop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Hooks
+
+/// The table as the planner uses it.
+struct PlanTable {
+    std::function<void(std::vector<std::string> keys, std::function<void(const std::optional<std::vector<TableRow>> &rows)> done)> read;
+    std::function<void(std::vector<TableOp> ops, std::function<void(const TransactResult &result)> done)> transact;
+};
+
+struct PlannerHooks {
+    PlanTable table;
+    std::function<bool(const std::string &subject)> ranksFirst; ///< among the live entries
+    std::function<std::vector<RunnerState>()> runners; ///< as last heard of
+    std::function<std::map<TargetId, HolderReport>()> holderReports; ///< of the same
+    std::function<std::vector<ArtifactDemand>()> demand; ///< forecast over the horizon
+    std::function<std::vector<ArtifactName>()> retained; ///< old versions still in use
+    std::function<void(RowVersion version, const std::string &plan)> onFloor; ///< a newer floor row was read
+    std::function<void(const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts)> wish; ///< surge copies of a target
+};
+
+struct PlannerSettings {
+    std::string entry;
+    PlacementOptions placement;
+    Duration period = Duration::seconds(1);
+};
+
+// [SECTION] Planner
+
+constexpr auto FloorRowKey = "plan/floor";
+
+class Planner
+{
+public:
+    Planner(EventLoop &loop, PlannerSettings settings, PlannerHooks hooks, DecisionLog &decisions);
+    ~Planner();
+
+    // Queries
+    auto floorVersion() const -> RowVersion; ///< of the newest row read; 0: none
+    auto floorText() const -> const std::string &; ///< that row
+    auto isStoreReachable() const -> bool; ///< the last read was answered
+
+    // Commands
+    auto adopt(const Declarations &declarations) -> void;
+    auto floorRead(RowVersion version, const std::string &text) -> void; ///< from the table or a peer
+    auto missing(const ArtifactName &artifact) -> void; ///< a request found no copy: plan soon
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/entry/requestflows.cpp
@@ -0,0 +1,660 @@
+// Index of sections (search for [SECTION]):
+//   Flow        one request
+//   Arrival     reading, admission
+//   Attempts    choosing a target, sending
+//   Answers     what comes back
+//   Ending      retries and the last word
+#include "entry/requestflows.h"
+
+#include "entry/eventstream.h"
+#include "kingcup/wire.pb.h"
+
+#include <glog/logging.h>
+#include <map>
+#include <unordered_map>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int StatusUnprocessable = 422;
+constexpr int StatusTooMany = 429;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusTimeout = 504;
+constexpr auto PumpPeriod = Duration::millis(50); // while requests wait
+constexpr auto RetryLater = Duration::seconds(1);
+
+enum class FlowState { Waiting, Trying, Ended };
+
+struct Flow {
+    std::shared_ptr<HttpExchange> exchange;
+    CallerRequest request;
+    FlowState state = FlowState::Waiting;
+    TimePoint arrivedAt;
+    TimePoint deadline;
+    Timer expiry;
+    PeerStreamPtr stream;
+    TargetId target; // of the attempt under way
+    TimePoint sentAt;
+    int attempts = 0;
+    std::vector<TargetId> excluded;
+    bool mayHaveRun = false; // some attempt ended without a definite word
+    bool runsAlone = false;
+    bool isPaused = false;
+    int status = 0;
+    HttpHeaders headers;
+    bool isStream = false; // server-sent events
+    bool headSeen = false;
+    EventStream events;
+    std::string held; // a plain answer, until it is whole
+    wire::End last;
+    bool endSeen = false;
+};
+using FlowPtr = std::shared_ptr<Flow>;
+
+auto outcomeOf(const wire::End &end) -> AttemptOutcome
+{
+    switch (end.outcome()) {
+    case wire::OUTCOME_DELIVERED:
+        return AttemptOutcome::Delivered;
+    case wire::OUTCOME_NOT_RUN:
+        return AttemptOutcome::NotRun;
+    default:
+        return AttemptOutcome::Unknown;
+    }
+}
+
+auto healthOf(const AttemptEnd &end) -> AttemptResult
+{
+    if (end.outcome == AttemptOutcome::Delivered) {
+        return AttemptResult::Delivered;
+    }
+    if (end.outcome == AttemptOutcome::NotRun) {
+        return AttemptResult::Refused;
+    }
+    return end.code == "cancelled" ? AttemptResult::Cancelled : AttemptResult::Failed;
+}
+
+} // namespace
+
+// [SECTION] Flow
+
+struct RequestFlows::Private {
+    FlowParts parts;
+    FlowSettings settings;
+    FlowHooks hooks;
+    Declarations declarations;
+    AdmissionQueue queue;
+    RetryBudget budget;
+    std::unordered_map<RequestId, FlowPtr> flows;
+    std::map<LaneName, RoutingRequest> lanes; // what a lane's requests need
+    Timer pumpTimer;
+    std::uint64_t count = 0;
+    bool leaving = false;
+
+    Private(FlowParts flowParts, FlowSettings flowSettings, FlowHooks flowHooks)
+        : parts(flowParts)
+        , settings(std::move(flowSettings))
+        , hooks(std::move(flowHooks))
+        , queue(AdmissionOptions {.most = static_cast<std::size_t>(settings.maxQueue)})
+    {
+    }
+
+    auto now() const -> TimePoint
+    {
+        return parts.loop.now();
+    }
+    auto admit(const FlowPtr &flow) -> void;
+    auto wait(const FlowPtr &flow) -> void;
+    auto pump() -> void;
+    auto hasRoom(const LaneName &lane, Priority priority) const -> bool;
+    auto routingRequest(const Flow &flow) const -> RoutingRequest;
+    auto tryNow(const FlowPtr &flow) -> bool;
+    auto start(const FlowPtr &flow, const RoutingChoice &choice) -> void;
+    auto openMessage(const Flow &flow) const -> wire::EntryFrame;
+    auto listen(const FlowPtr &flow) -> void;
+    auto onFrame(const FlowPtr &flow, std::string_view message) -> void;
+    auto onHead(const FlowPtr &flow, const wire::Head &head) -> void;
+    auto onData(const FlowPtr &flow, const std::string &body) -> void;
+    auto onAttemptEnd(const FlowPtr &flow, const AttemptEnd &end) -> void;
+    auto holdBack(const FlowPtr &flow) -> void;
+    auto decide(const FlowPtr &flow, const AttemptEnd &end) -> void;
+    auto noteCrash(const Flow &flow, const AttemptEnd &end) -> void;
+    auto deliver(const FlowPtr &flow) -> void;
+    auto refuse(const FlowPtr &flow, const Problem &problem) -> void;
+    auto finish(const FlowPtr &flow, CallerOutcome outcome, const std::string &code) -> void;
+    auto onExpired(const FlowPtr &flow) -> void;
+    auto onCallerLeft(const FlowPtr &flow) -> void;
+    auto dropAttempt(const FlowPtr &flow, AttemptResult result) -> void;
+    auto log(const Flow &flow, const std::string &what, const std::string &fields) -> void;
+    auto demandOf(const Flow &flow) const -> ArtifactName
+    {
+        return flow.request.artifacts.empty() ? ArtifactName() : flow.request.artifacts.back();
+    }
+};
+
+auto RequestFlows::Private::log(const Flow &flow, const std::string &what, const std::string &fields) -> void
+{
+    const std::string text = what + " " + fields;
+    LOG(INFO) << "routing: " << what << " request=" << flow.request.id << " service=" << flow.request.service << " " << fields;
+    parts.decisions.add({now(), "routing", flow.request.id.text(), text});
+}
+
+// [SECTION] Arrival
+
+auto RequestFlows::Private::admit(const FlowPtr &flow) -> void
+{
+    auto &request = flow->request;
+    flow->arrivedAt = now();
+    flow->deadline = flow->arrivedAt + request.budget;
+    budget.requestSeen(request.service);
+    if (!request.artifacts.empty()) {
+        parts.demand.arrived(demandOf(*flow), now());
+    }
+    const auto verdict = parts.suspects.verdict(request.fingerprint, now());
+    if (verdict == Verdict::Quarantined) {
+        refuse(flow, {StatusUnprocessable, "quarantined", "this request has crashed targets before; it isn't run again", CallerOutcome::NotRun, {}});
+        return;
+    }
+    flow->expiry = parts.loop.after(request.budget, [this, flow] { onExpired(flow); });
+    const auto lane = laneOf(request.service, request.artifacts);
+    lanes.try_emplace(lane, routingRequest(*flow));
+    // Whoever waits in the lane goes first.
+    if (queue.waiting(lane) > 0 || !tryNow(flow)) {
+        wait(flow);
+    }
+}
+
+auto RequestFlows::Private::wait(const FlowPtr &flow) -> void
+{
+    if (flow->state == FlowState::Ended) {
+        return;
+    }
+    flow->state = FlowState::Waiting;
+    WaitingRequest waiting;
+    waiting.id = flow->request.id;
+    waiting.service = flow->request.service;
+    waiting.lane = laneOf(flow->request.service, flow->request.artifacts);
+    waiting.priority = flow->request.priority;
+    waiting.deadline = flow->deadline;
+    const auto answer = queue.offer(waiting, now());
+    if (answer.isRefused()) {
+        const int status = answer.refusal == AdmissionRefusal::QueueFull ? StatusTooMany : StatusUnavailable;
+        const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
+        refuse(flow, {status, toString(answer.refusal), answer.reason, outcome, answer.retryAfter});
+        return;
+    }
+    if (!pumpTimer.isActive()) {
+        pumpTimer = parts.loop.every(PumpPeriod, [this] { pump(); });
+    }
+}
+
+auto RequestFlows::Private::hasRoom(const LaneName &lane, Priority priority) const -> bool
+{
+    const auto found = lanes.find(lane);
+    if (found == lanes.end()) {
+        return false;
+    }
+    const auto &needs = found->second;
+    const auto targets = needs.artifacts.empty() ? parts.router.instances(needs.service, now()) : parts.router.holders(needs.artifacts, now());
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetId &target) { return parts.router.hasRoom(target, priority, now()); });
+}
+
+auto RequestFlows::Private::pump() -> void
+{
+    for (const auto &id : queue.expire(now())) {
+        const auto found = flows.find(id);
+        if (found != flows.end()) {
+            const auto flow = found->second;
+            const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
+            refuse(flow, {StatusUnavailable, "too-late", "it could no longer be answered in time", outcome, RetryLater});
+        }
+    }
+    std::vector<FlowPtr> again;
+    while (const auto id = queue.next(now(), [this](const LaneName &lane, Priority priority) { return hasRoom(lane, priority); })) {
+        const auto found = flows.find(*id);
+        if (found == flows.end()) {
+            continue;
+        }
+        if (!tryNow(found->second)) {
+            again.push_back(found->second);
+            break; // the router sees less room than the queue: no use in going on now
+        }
+    }
+    for (const auto &flow : again) {
+        wait(flow);
+    }
+    if (queue.size() == 0) {
+        pumpTimer.cancel();
+    }
+}
+
+// [SECTION] Attempts
+
+auto RequestFlows::Private::routingRequest(const Flow &flow) const -> RoutingRequest
+{
+    RoutingRequest routing;
+    routing.id = flow.request.id;
+    routing.service = flow.request.service;
+    routing.artifacts = flow.request.artifacts;
+    routing.prefixHash = flow.request.prefixHash;
+    routing.stickyKey = flow.request.mustRunOnce ? flow.request.key.text() : std::string();
+    routing.deadline = flow.deadline;
+    routing.priority = flow.request.priority;
+    routing.excluded = flow.excluded;
+    routing.alone = flow.runsAlone;
+    return routing;
+}
+
+/// False if there is no room now and the request should wait. Anything final is said to the caller here.
+auto RequestFlows::Private::tryNow(const FlowPtr &flow) -> bool
+{
+    flow->runsAlone = parts.suspects.verdict(flow->request.fingerprint, now()) == Verdict::Alone;
+    auto choice = parts.router.choose(routingRequest(*flow), now());
+    if (choice.isRefused() && choice.refusal == RoutingRefusal::AllExcluded && !flow->mayHaveRun) {
+        flow->excluded.clear(); // they refused it; by now one may have room
+        return false;
+    }
+    if (!choice.isRefused()) {
+        start(flow, choice);
+        return true;
+    }
+    if (choice.refusal == RoutingRefusal::NoCopy && !flow->request.artifacts.empty()) {
+        hooks.onMissing(demandOf(*flow));
+    }
+    if (choice.refusal == RoutingRefusal::TooLate || choice.refusal == RoutingRefusal::AllExcluded) {
+        log(*flow, "refused", "reason=\"" + choice.reason + "\"");
+        const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
+        refuse(flow, {StatusUnavailable, toString(choice.refusal), "no target can answer in time", outcome, choice.expected});
+        return true;
+    }
+    return false;
+}
+
+auto RequestFlows::Private::openMessage(const Flow &flow) const -> wire::EntryFrame
+{
+    wire::EntryFrame frame;
+    auto *open = frame.mutable_open();
+    const auto &request = flow.request;
+    open->set_version(wire::PROTOCOL_VERSION_CURRENT);
+    open->set_request_id(request.id.text());
+    open->set_attempt(static_cast<std::uint32_t>(flow.attempts));
+    open->set_attempt_id(request.id.text() + "/" + std::to_string(flow.attempts));
+    open->set_service(request.service.text());
+    for (const auto &artifact : request.artifacts) {
+        open->add_artifacts(artifact.text());
+    }
+    open->set_method(request.method);
+    open->set_path(request.path);
+    for (const auto &header : request.headers) {
+        auto *added = open->add_headers();
+        added->set_name(header.name);
+        added->set_value(header.value);
+    }
+    open->set_body(request.body);
+    open->set_key(request.key.text());
+    open->set_run_once(request.mustRunOnce);
+    open->set_budget_us((flow.deadline - now()).inMicros());
+    open->set_priority(static_cast<std::uint32_t>(request.priority));
+    open->set_fingerprint(request.fingerprint);
+    open->set_alone(flow.runsAlone);
+    open->set_resume_offset(flow.events.tokens());
+    return frame;
+}
+
+auto RequestFlows::Private::start(const FlowPtr &flow, const RoutingChoice &choice) -> void
+{
+    flow->state = FlowState::Trying;
+    flow->target = choice.target;
+    flow->sentAt = now();
+    ++flow->attempts;
+    flow->headSeen = false;
+    flow->endSeen = false;
+    flow->held.clear();
+    log(*flow, "chose target", "target=" + choice.target.text() + " attempt=" + std::to_string(flow->attempts) + " reason=\"" + choice.reason + "\"");
+    parts.router.requestStarted(flow->request.id, flow->target, flow->request.priority, now());
+    flow->stream = hooks.openStream(choice.target);
+    if (!flow->stream) {
+        parts.loop.post([this, flow] { onAttemptEnd(flow, {AttemptOutcome::NotRun, "not-connected", flow->events.tokens(), flow->exchange->hasBegun()}); });
+        return;
+    }
+    listen(flow);
+    flow->stream->send(openMessage(*flow));
+}
+
+/// Hooks of one attempt's stream. They name that stream, so that a late answer of an attempt that was given up counts for nothing.
+auto RequestFlows::Private::listen(const FlowPtr &flow) -> void
+{
+    auto *raw = flow->stream.get();
+    const auto isCurrent = [flow, raw] { return flow->stream.get() == raw && flow->state == FlowState::Trying; };
+    flow->stream->onMessage = [this, flow, isCurrent](std::string_view message) {
+        if (isCurrent()) {
+            onFrame(flow, message);
+        }
+    };
+    flow->stream->onEnd = [this, flow, isCurrent](StreamEnd end) {
+        if (!isCurrent()) {
+            return;
+        }
+        AttemptEnd attempt;
+        attempt.outcome = end == StreamEnd::Refused ? AttemptOutcome::NotRun : AttemptOutcome::Unknown;
+        attempt.code = end == StreamEnd::Refused ? "refused" : "connection-lost";
+        attempt.deliveredTokens = flow->events.tokens();
+        attempt.answerBegan = flow->exchange->hasBegun();
+        onAttemptEnd(flow, attempt);
+    };
+}
+
+// [SECTION] Answers
+
+auto RequestFlows::Private::onFrame(const FlowPtr &flow, std::string_view message) -> void
+{
+    wire::AgentFrame frame;
+    if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+        LOG(WARNING) << "routing: unreadable answer request=" << flow->request.id << " target=" << flow->target;
+        flow->stream->reset();
+        return;
+    }
+    if (frame.has_head()) {
+        onHead(flow, frame.head());
+    } else if (frame.has_data()) {
+        onData(flow, frame.data().body());
+    } else if (frame.has_end()) {
+        flow->last = frame.end();
+        flow->endSeen = true;
+        onAttemptEnd(flow, {outcomeOf(frame.end()), frame.end().code(), flow->events.tokens(), flow->exchange->hasBegun()});
+    }
+}
+
+auto RequestFlows::Private::onHead(const FlowPtr &flow, const wire::Head &head) -> void
+{
+    if (flow->headSeen) {
+        return;
+    }
+    flow->headSeen = true;
+    flow->status = static_cast<int>(head.status());
+    flow->headers.clear();
+    for (const auto &header : head.headers()) {
+        flow->headers.push_back({header.name(), header.value()});
+    }
+    flow->isStream = headerValue(flow->headers, "content-type").starts_with("text/event-stream");
+    if (flow->isStream && !flow->exchange->hasBegun()) {
+        auto headers = flow->headers;
+        // The outcome of a stream is known at its end only: "[DONE]" says delivered, an error event says what else.
+        headers.push_back({"kingcup-outcome", "streamed"});
+        headers.push_back({"kingcup-request", flow->request.id.text()});
+        flow->exchange->begin(flow->status, std::move(headers));
+    }
+}
+
+auto RequestFlows::Private::onData(const FlowPtr &flow, const std::string &body) -> void
+{
+    if (flow->isStream) {
+        const bool isFirst = flow->events.tokens() == 0;
+        flow->exchange->write(flow->events.feed(body));
+        if (isFirst && flow->events.tokens() > 0) {
+            parts.metrics.observe("first_token_seconds", (now() - flow->arrivedAt).inSeconds());
+        }
+        holdBack(flow);
+        return;
+    }
+    flow->held.append(body);
+    if (flow->held.size() > settings.heldAnswer) {
+        flow->stream->reset();
+        dropAttempt(flow, AttemptResult::Cancelled);
+        refuse(flow, {StatusBadGateway, "answer-too-large", "the target's answer is larger than an entry holds", CallerOutcome::Unknown, {}});
+    }
+}
+
+/// A caller that reads slowly holds back its stream all the way to the engine.
+auto RequestFlows::Private::holdBack(const FlowPtr &flow) -> void
+{
+    if (flow->isPaused || flow->exchange->pendingBytes() <= settings.streamBuffer) {
+        return;
+    }
+    flow->isPaused = true;
+    flow->stream->pause();
+    flow->exchange->onDrained = [flow] {
+        if (flow->isPaused) {
+            flow->isPaused = false;
+            if (flow->stream) {
+                flow->stream->resume();
+            }
+        }
+    };
+}
+
+auto RequestFlows::Private::onAttemptEnd(const FlowPtr &flow, const AttemptEnd &end) -> void
+{
+    if (flow->state != FlowState::Trying) {
+        return;
+    }
+    const auto took = now() - flow->sentAt;
+    parts.router.requestEnded(flow->request.id, flow->target, healthOf(end), now());
+    if (flow->stream) {
+        flow->stream->finish();
+        flow->stream = nullptr;
+    }
+    flow->isPaused = false;
+    if (end.outcome == AttemptOutcome::Delivered && !flow->request.artifacts.empty()) {
+        parts.demand.served(demandOf(*flow), took);
+    }
+    flow->mayHaveRun = flow->mayHaveRun || end.outcome == AttemptOutcome::Unknown;
+    noteCrash(*flow, end);
+    decide(flow, end);
+    pump();
+}
+
+/// The next target must not meet the request unprepared.
+auto RequestFlows::Private::noteCrash(const Flow &flow, const AttemptEnd &end) -> void
+{
+    if (end.code != "target-crashed") {
+        return;
+    }
+    const auto load = parts.router.lastReport(flow.target);
+    const auto generation = load ? load->engineGeneration : 0;
+    parts.suspects.targetCrashed(flow.target, generation, {flow.request.fingerprint}, now());
+    hooks.onSuspects();
+}
+
+// [SECTION] Ending
+
+auto RequestFlows::Private::decide(const FlowPtr &flow, const AttemptEnd &end) -> void
+{
+    RequestFacts facts;
+    facts.service = flow->request.service;
+    facts.idempotent = flow->request.isIdempotent;
+    facts.resumable = flow->request.kind == ServiceKind::Models && flow->request.wantsStream;
+    facts.attempts = flow->attempts;
+    facts.deadline = flow->deadline;
+    const auto decision = decideRetry(facts, end, budget, now());
+    if (decision.action == RetryAction::Deliver) {
+        deliver(flow);
+        return;
+    }
+    log(*flow, toString(decision.action), "target=" + flow->target.text() + " code=" + end.code + " reason=\"" + decision.reason + "\"");
+    parts.metrics.add("attempts_failed_total{code=\"" + end.code + "\"}");
+    if (decision.action == RetryAction::Retry || decision.action == RetryAction::Resume) {
+        flow->excluded.push_back(flow->target);
+        flow->events.dropPartial();
+        const bool isQuarantined = parts.suspects.verdict(flow->request.fingerprint, now()) == Verdict::Quarantined;
+        if (isQuarantined) {
+            refuse(flow, {StatusUnprocessable, "quarantined", "this request has crashed targets; it isn't run again", CallerOutcome::Unknown, {}});
+        } else if (!tryNow(flow)) {
+            wait(flow);
+        }
+        return;
+    }
+    const bool isNotRun = decision.action == RetryAction::SayNotRun && !flow->mayHaveRun;
+    const auto retryAfter = Duration::micros(flow->last.retry_after_us());
+    const int status = isNotRun ? StatusUnavailable : end.code == "timeout" ? StatusTimeout : StatusBadGateway;
+    refuse(flow, {status, end.code, flow->endSeen ? flow->last.detail() : decision.reason, isNotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown, retryAfter});
+}
+
+auto RequestFlows::Private::deliver(const FlowPtr &flow) -> void
+{
+    if (flow->isStream) {
+        flow->exchange->finish();
+    } else {
+        auto headers = flow->headers;
+        headers.push_back({"kingcup-outcome", toString(CallerOutcome::Delivered)});
+        headers.push_back({"kingcup-request", flow->request.id.text()});
+        if (flow->last.from_record()) {
+            headers.push_back({"kingcup-replayed", "true"});
+        }
+        flow->exchange->respond(flow->status, std::move(headers), std::move(flow->held));
+    }
+    finish(flow, CallerOutcome::Delivered, "ok");
+}
+
+/// The last word when there is no whole answer: problem details, or for a stream that has begun a final error event.
+auto RequestFlows::Private::refuse(const FlowPtr &flow, const Problem &problem) -> void
+{
+    if (flow->state == FlowState::Ended) {
+        return;
+    }
+    if (problem.outcome == CallerOutcome::NotRun && !flow->request.artifacts.empty()) {
+        parts.demand.missed(demandOf(*flow), now());
+    }
+    const auto body = problemBody(problem, flow->request.id);
+    if (flow->exchange->hasBegun()) {
+        flow->exchange->write("event: error\ndata: " + body + "\n\n");
+        flow->exchange->finish();
+    } else {
+        flow->exchange->respond(problem.status, problemHeaders(problem, flow->request.id), body);
+    }
+    finish(flow, problem.outcome, problem.code);
+}
+
+auto RequestFlows::Private::finish(const FlowPtr &flow, CallerOutcome outcome, const std::string &code) -> void
+{
+    flow->state = FlowState::Ended;
+    flow->expiry.cancel();
+    queue.remove(flow->request.id);
+    flows.erase(flow->request.id);
+    flow->exchange->onClosed = nullptr;
+    flow->exchange->onDrained = nullptr;
+    if (flow->stream) {
+        flow->stream->reset();
+        flow->stream = nullptr;
+    }
+    const auto took = now() - flow->arrivedAt;
+    const std::string priority = toString(flow->request.priority);
+    parts.metrics.add("requests_total{outcome=\"" + std::string(toString(outcome)) + "\",priority=\"" + priority + "\"}");
+    parts.metrics.observe("request_seconds{priority=\"" + priority + "\"}", took.inSeconds());
+    log(*flow, "answered", "outcome=" + std::string(toString(outcome)) + " code=" + code + " attempts=" + std::to_string(flow->attempts) + " ms=" + std::to_string(took.inMillis()));
+}
+
+/// Gives up the attempt under way: its late answer, if one comes, counts for nothing.
+auto RequestFlows::Private::dropAttempt(const FlowPtr &flow, AttemptResult result) -> void
+{
+    if (flow->state != FlowState::Trying) {
+        return;
+    }
+    flow->mayHaveRun = true;
+    parts.router.requestEnded(flow->request.id, flow->target, result, now());
+    if (flow->stream) {
+        wire::EntryFrame cancel;
+        cancel.mutable_cancel()->set_reason("given up");
+        flow->stream->send(cancel);
+        flow->stream->finish();
+        flow->stream = nullptr;
+    }
+    flow->state = FlowState::Waiting;
+}
+
+auto RequestFlows::Private::onExpired(const FlowPtr &flow) -> void
+{
+    dropAttempt(flow, AttemptResult::Failed);
+    if (flow->mayHaveRun) {
+        refuse(flow, {StatusTimeout, "timeout", "the time budget ran out", CallerOutcome::Unknown, {}});
+    } else {
+        refuse(flow, {StatusUnavailable, "too-late", "the time budget ran out before it ran", CallerOutcome::NotRun, RetryLater});
+    }
+}
+
+auto RequestFlows::Private::onCallerLeft(const FlowPtr &flow) -> void
+{
+    const auto outcome = flow->state == FlowState::Trying || flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
+    dropAttempt(flow, AttemptResult::Cancelled);
+    finish(flow, outcome, "caller-left");
+    pump();
+}
+
+RequestFlows::RequestFlows(FlowParts parts, FlowSettings settings, FlowHooks hooks)
+    : d(std::make_unique<Private>(parts, std::move(settings), std::move(hooks)))
+{
+}
+
+RequestFlows::~RequestFlows() = default;
+
+auto RequestFlows::open() const -> std::size_t
+{
+    return d->flows.size();
+}
+
+auto RequestFlows::waiting() const -> std::size_t
+{
+    return d->queue.size();
+}
+
+auto RequestFlows::adopt(const Declarations &declarations) -> void
+{
+    d->declarations = declarations;
+    for (const auto &[name, service] : declarations.services) {
+        d->queue.setShare(name, service.share);
+    }
+    d->pump();
+}
+
+auto RequestFlows::handle(const std::shared_ptr<HttpExchange> &exchange) -> void
+{
+    const RequestId id(d->settings.entry + "-" + std::to_string(d->settings.incarnation) + "-" + std::to_string(++d->count));
+    CallerDefaults defaults;
+    defaults.budget = d->settings.requestBudget;
+    defaults.versionOf = d->hooks.versionOf;
+    auto read = readCallerRequest(exchange->request(), id, d->declarations, defaults);
+    if (d->leaving) {
+        read = Problem {StatusUnavailable, "leaving", "this entry is stopping; ask another", CallerOutcome::NotRun, RetryLater};
+    }
+    if (const auto *problem = std::get_if<Problem>(&read)) {
+        LOG(INFO) << "caller: refused request=" << id << " code=" << problem->code << " peer=" << exchange->request().peer;
+        d->parts.metrics.add("requests_refused_total{code=\"" + problem->code + "\"}");
+        exchange->respond(problem->status, problemHeaders(*problem, id), problemBody(*problem, id));
+        return;
+    }
+    auto flow = std::make_shared<Flow>();
+    flow->exchange = exchange;
+    flow->request = std::get<CallerRequest>(std::move(read));
+    d->flows.emplace(id, flow);
+    exchange->onClosed = [this, weak = std::weak_ptr(flow)] {
+        if (const auto self = weak.lock()) {
+            d->onCallerLeft(self);
+        }
+    };
+    d->admit(flow);
+}
+
+auto RequestFlows::pump() -> void
+{
+    d->pump();
+}
+
+auto RequestFlows::setLeaving() -> void
+{
+    d->leaving = true;
+}
+
+auto RequestFlows::abandonAll() -> int
+{
+    const auto open = d->flows;
+    for (const auto &[id, flow] : open) {
+        d->onExpired(flow);
+    }
+    return static_cast<int>(open.size());
+}
+
+} // namespace KingCup
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -86,8 +86,8 @@
 {
     if (d && d->active && *d->alive) {
         lws_sul_cancel(&d->entry);
-        d->active = false;
     }
+    d.reset(); // with the task: it may hold the timer's owner
 }
 
 // [SECTION] EventLoop
