--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -90,16 +90,16 @@
     auto build() -> void;
     auto requestHooks() -> RequestHooks;
     auto controlHooks() -> ControlHooks;
-    auto onConfig(const wire::ConfigSnapshot &config) -> void;
-    auto onPlan(const wire::FloorPlan &plan) -> void;
-    auto onSurge(const wire::SurgeWish &wish) -> void;
-    auto onSuspects(const wire::Suspects &told) -> void;
+    auto onConfig(const Wire::ConfigSnapshot &config) -> void;
+    auto onPlan(const Wire::FloorPlan &plan) -> void;
+    auto onSurge(const Wire::SurgeWish &wish) -> void;
+    auto onSuspects(const Wire::Suspects &told) -> void;
     auto onDrain(const std::string &reason) -> void;
     auto onCrash(std::uint64_t generation) -> void;
-    auto hello() const -> wire::Hello;
-    auto report() const -> wire::LoadReport;
-    auto reportMemory(wire::LoadReport &report) const -> void;
-    auto suspectsMessage() const -> wire::Suspects;
+    auto hello() const -> Wire::Hello;
+    auto report() const -> Wire::LoadReport;
+    auto reportMemory(Wire::LoadReport &report) const -> void;
+    auto suspectsMessage() const -> Wire::Suspects;
     auto pollLoad() -> void;
     auto checkLeft() -> void;
     auto page(const std::shared_ptr<HttpExchange> &exchange) -> void;
@@ -192,16 +192,16 @@
     hooks.hello = [this] { return hello(); };
     hooks.report = [this] { return report(); };
     hooks.suspects = [this] { return suspectsMessage(); };
-    hooks.onConfig = [this](const wire::ConfigSnapshot &config) { onConfig(config); };
-    hooks.onPlan = [this](const wire::FloorPlan &plan) { onPlan(plan); };
-    hooks.onSurge = [this](const wire::SurgeWish &wish) { onSurge(wish); };
-    hooks.onSuspects = [this](const wire::Suspects &told) { onSuspects(told); };
+    hooks.onConfig = [this](const Wire::ConfigSnapshot &config) { onConfig(config); };
+    hooks.onPlan = [this](const Wire::FloorPlan &plan) { onPlan(plan); };
+    hooks.onSurge = [this](const Wire::SurgeWish &wish) { onSurge(wish); };
+    hooks.onSuspects = [this](const Wire::Suspects &told) { onSuspects(told); };
     hooks.onDrain = [this](const std::string &reason) { onDrain(reason); };
     return hooks;
 }
 
 /// Only higher revisions are adopted, so that a lagging entry can't take an accepted change back.
-auto Agent::Private::onConfig(const wire::ConfigSnapshot &config) -> void
+auto Agent::Private::onConfig(const Wire::ConfigSnapshot &config) -> void
 {
     if (Revision(config.revision()) <= revision) {
         return;
@@ -220,7 +220,7 @@
     sessions->reportSoon();
 }
 
-auto Agent::Private::onPlan(const wire::FloorPlan &plan) -> void
+auto Agent::Private::onPlan(const Wire::FloorPlan &plan) -> void
 {
     if (!residency) {
         return;
@@ -233,7 +233,7 @@
     residency->floorRowRead(RowSource::Peer, RowVersion(plan.row_version()), floorRowOf(decoded.value()));
 }
 
-auto Agent::Private::onSurge(const wire::SurgeWish &wish) -> void
+auto Agent::Private::onSurge(const Wire::SurgeWish &wish) -> void
 {
     if (!residency) {
         return;
@@ -245,7 +245,7 @@
     residency->surgeWished(wish.planner(), wish.sequence(), std::move(artifacts));
 }
 
-auto Agent::Private::onSuspects(const wire::Suspects &told) -> void
+auto Agent::Private::onSuspects(const Wire::Suspects &told) -> void
 {
     SuspectDigest digest;
     digest.suspected.assign(told.suspected().begin(), told.suspected().end());
@@ -265,7 +265,7 @@
 
 // [SECTION] Report
 
-auto Agent::Private::hello() const -> wire::Hello
+auto Agent::Private::hello() const -> Wire::Hello
 {
     auto hello = helloFrame(settings.process.id, settings.process.zone.text(), incarnation).hello();
     hello.set_runner(isRunner());
@@ -278,7 +278,7 @@
     return hello;
 }
 
-auto Agent::Private::reportMemory(wire::LoadReport &report) const -> void
+auto Agent::Private::reportMemory(Wire::LoadReport &report) const -> void
 {
     const auto *ledger = residency->ledger();
     if (ledger == nullptr) {
@@ -296,9 +296,9 @@
     }
 }
 
-auto Agent::Private::report() const -> wire::LoadReport
+auto Agent::Private::report() const -> Wire::LoadReport
 {
-    wire::LoadReport report;
+    Wire::LoadReport report;
     report.set_running(static_cast<std::uint32_t>(requests->running()));
     report.set_queued(static_cast<std::uint32_t>(requests->queued()));
     report.set_concurrency_limit(static_cast<std::uint32_t>(requests->concurrencyLimit()));
@@ -320,10 +320,10 @@
     return report;
 }
 
-auto Agent::Private::suspectsMessage() const -> wire::Suspects
+auto Agent::Private::suspectsMessage() const -> Wire::Suspects
 {
     const auto digest = suspects.digest(loop.now());
-    wire::Suspects message;
+    Wire::Suspects message;
     message.mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
     message.mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
     return message;
--- a/src/agent/controlsessions.cpp
+++ b/src/agent/controlsessions.cpp
@@ -29,34 +29,34 @@
         , hooks(std::move(controlHooks))
     {
     }
-    auto onFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void;
+    auto onFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void;
     auto sendReport() -> void;
-    auto sendAll(const wire::ControlFrame &frame) -> void;
-    auto suspectsFrame() const -> wire::ControlFrame;
+    auto sendAll(const Wire::ControlFrame &frame) -> void;
+    auto suspectsFrame() const -> Wire::ControlFrame;
 };
 
-auto ControlSessions::Private::onFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void
+auto ControlSessions::Private::onFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void
 {
     switch (frame.kind_case()) {
-    case wire::ControlFrame::kHello:
+    case Wire::ControlFrame::kHello:
         LOG(INFO) << "control: entry connected entry=" << frame.hello().id() << " zone=" << frame.hello().zone();
         break;
-    case wire::ControlFrame::kPing:
+    case Wire::ControlFrame::kPing:
         stream->send(pongFrame(frame.ping().sequence()));
         break;
-    case wire::ControlFrame::kConfig:
+    case Wire::ControlFrame::kConfig:
         hooks.onConfig(frame.config());
         break;
-    case wire::ControlFrame::kPlan:
+    case Wire::ControlFrame::kPlan:
         hooks.onPlan(frame.plan());
         break;
-    case wire::ControlFrame::kSurge:
+    case Wire::ControlFrame::kSurge:
         hooks.onSurge(frame.surge());
         break;
-    case wire::ControlFrame::kSuspects:
+    case Wire::ControlFrame::kSuspects:
         hooks.onSuspects(frame.suspects());
         break;
-    case wire::ControlFrame::kDrain:
+    case Wire::ControlFrame::kDrain:
         hooks.onDrain(frame.drain().reason());
         break;
     default:
@@ -64,7 +64,7 @@
     }
 }
 
-auto ControlSessions::Private::sendAll(const wire::ControlFrame &frame) -> void
+auto ControlSessions::Private::sendAll(const Wire::ControlFrame &frame) -> void
 {
     const auto targets = streams; // a failed send may remove one
     for (const auto &stream : targets) {
@@ -76,15 +76,15 @@
 
 auto ControlSessions::Private::sendReport() -> void
 {
-    wire::ControlFrame frame;
+    Wire::ControlFrame frame;
     *frame.mutable_report() = hooks.report();
     frame.mutable_report()->set_sequence(++sequence);
     sendAll(frame);
 }
 
-auto ControlSessions::Private::suspectsFrame() const -> wire::ControlFrame
+auto ControlSessions::Private::suspectsFrame() const -> Wire::ControlFrame
 {
-    wire::ControlFrame frame;
+    Wire::ControlFrame frame;
     *frame.mutable_suspects() = hooks.suspects();
     return frame;
 }
@@ -106,17 +106,17 @@
 {
     d->streams.insert(stream);
     // The stream must not be held by its own hooks.
-    readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const wire::ControlFrame &frame) {
+    readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const Wire::ControlFrame &frame) {
         if (const auto self = weak.lock()) {
             d->onFrame(self, frame);
         }
     });
     stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) { std::erase_if(d->streams, [&](const auto &held) { return held.get() == raw; }); };
-    wire::ControlFrame hello;
+    Wire::ControlFrame hello;
     *hello.mutable_hello() = d->hooks.hello();
     stream->send(hello);
     stream->send(d->suspectsFrame());
-    wire::ControlFrame report;
+    Wire::ControlFrame report;
     *report.mutable_report() = d->hooks.report();
     report.mutable_report()->set_sequence(++d->sequence);
     stream->send(report);
--- a/src/agent/controlsessions.h
+++ b/src/agent/controlsessions.h
@@ -5,7 +5,7 @@
 //   Sessions   ControlSessions
 #pragma once
 
-#include "kingcup/wire.pb.h"
+#include "wire/messages.h"
 #include "net/eventloop.h"
 #include "wire/control.h"
 
@@ -19,13 +19,13 @@
 // [SECTION] Hooks
 
 struct ControlHooks {
-    std::function<wire::Hello()> hello; ///< of this agent
-    std::function<wire::LoadReport()> report; ///< as it is now
-    std::function<wire::Suspects()> suspects; ///< known here
-    std::function<void(const wire::ConfigSnapshot &config)> onConfig;
-    std::function<void(const wire::FloorPlan &plan)> onPlan;
-    std::function<void(const wire::SurgeWish &wish)> onSurge;
-    std::function<void(const wire::Suspects &suspects)> onSuspects;
+    std::function<Wire::Hello()> hello; ///< of this agent
+    std::function<Wire::LoadReport()> report; ///< as it is now
+    std::function<Wire::Suspects()> suspects; ///< known here
+    std::function<void(const Wire::ConfigSnapshot &config)> onConfig;
+    std::function<void(const Wire::FloorPlan &plan)> onPlan;
+    std::function<void(const Wire::SurgeWish &wish)> onSurge;
+    std::function<void(const Wire::Suspects &suspects)> onSuspects;
     std::function<void(const std::string &reason)> onDrain; ///< an empty reason undoes it
 };
 
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -37,7 +37,7 @@
 
 struct RequestTask {
     PeerStreamPtr stream; // null once the entry has gone, or the task has ended
-    wire::Open open;
+    Wire::Open open;
     TaskState state = TaskState::Opening;
     TimePoint arrivedAt;
     TimePoint startedAt;
@@ -70,29 +70,29 @@
     auto operator<=>(const QueueKey &) const = default;
 };
 
-auto refusalOf(const std::string &code, const std::string &detail, Duration retryAfter = {}) -> wire::End
+auto refusalOf(const std::string &code, const std::string &detail, Duration retryAfter = {}) -> Wire::End
 {
-    wire::End end;
-    end.set_outcome(wire::OUTCOME_NOT_RUN);
+    Wire::End end;
+    end.set_outcome(Wire::OUTCOME_NOT_RUN);
     end.set_code(code);
     end.set_detail(detail);
     end.set_retry_after_us(retryAfter.inMicros());
     return end;
 }
 
-auto unknownOf(const std::string &code, const std::string &detail) -> wire::End
+auto unknownOf(const std::string &code, const std::string &detail) -> Wire::End
 {
-    wire::End end;
-    end.set_outcome(wire::OUTCOME_UNKNOWN);
+    Wire::End end;
+    end.set_outcome(Wire::OUTCOME_UNKNOWN);
     end.set_code(code);
     end.set_detail(detail);
     return end;
 }
 
-auto deliveredEnd() -> wire::End
+auto deliveredEnd() -> Wire::End
 {
-    wire::End end;
-    end.set_outcome(wire::OUTCOME_DELIVERED);
+    Wire::End end;
+    end.set_outcome(Wire::OUTCOME_DELIVERED);
     return end;
 }
 
@@ -123,7 +123,7 @@
     auto onMessage(const TaskPtr &task, std::string_view message) -> void;
     auto onOpen(const TaskPtr &task) -> void;
     auto onStreamEnd(const TaskPtr &task) -> void;
-    auto reasonToRefuse(const RequestTask &task) const -> wire::End;
+    auto reasonToRefuse(const RequestTask &task) const -> Wire::End;
     auto claim(const TaskPtr &task) -> void;
     auto onVerdict(const TaskPtr &task, const ClaimVerdict &verdict) -> void;
     auto answerFromRecord(const TaskPtr &task, const RunRecord &record) -> void;
@@ -140,7 +140,7 @@
     auto sendData(const TaskPtr &task, std::string_view data) -> void;
     auto finishRun(const TaskPtr &task) -> void;
     auto reportRunEnd(const TaskPtr &task, RunEnd end) -> void;
-    auto end(const TaskPtr &task, const wire::End &end) -> void;
+    auto end(const TaskPtr &task, const Wire::End &end) -> void;
     auto useArtifacts(const RequestTask &task, int change) -> void;
     auto leaveQueue(const TaskPtr &task) -> void;
     auto cancel(const TaskPtr &task) -> void;
@@ -150,7 +150,7 @@
 
 auto RequestTasks::Private::onMessage(const TaskPtr &task, std::string_view message) -> void
 {
-    wire::EntryFrame frame;
+    Wire::EntryFrame frame;
     if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
         LOG(WARNING) << "request: unreadable message bytes=" << message.size();
         task->stream->reset();
@@ -165,9 +165,9 @@
 }
 
 /// Why the request can't run here; an end without a code if it can.
-auto RequestTasks::Private::reasonToRefuse(const RequestTask &task) const -> wire::End
+auto RequestTasks::Private::reasonToRefuse(const RequestTask &task) const -> Wire::End
 {
-    if (task.open.version() != wire::PROTOCOL_VERSION_CURRENT) {
+    if (task.open.version() != Wire::PROTOCOL_VERSION_CURRENT) {
         return refusalOf("version", "the agent speaks another protocol version");
     }
     if (leaving) {
@@ -352,7 +352,7 @@
     if (!task->stream) {
         return;
     }
-    wire::AgentFrame frame;
+    Wire::AgentFrame frame;
     frame.mutable_head()->set_status(static_cast<std::uint32_t>(task->status));
     for (const auto &header : task->headers) {
         auto *added = frame.mutable_head()->add_headers();
@@ -367,7 +367,7 @@
     if (!task->stream || data.empty()) {
         return;
     }
-    wire::AgentFrame frame;
+    Wire::AgentFrame frame;
     frame.mutable_data()->set_body(data.data(), data.size());
     task->stream->send(frame);
 }
@@ -480,7 +480,7 @@
     hooks.claims.runEnded(task->send, how, record);
 }
 
-auto RequestTasks::Private::end(const TaskPtr &task, const wire::End &last) -> void
+auto RequestTasks::Private::end(const TaskPtr &task, const Wire::End &last) -> void
 {
     if (tasks.erase(task) == 0) {
         return;
@@ -494,7 +494,7 @@
     if (!task->stream) {
         return;
     }
-    wire::AgentFrame frame;
+    Wire::AgentFrame frame;
     *frame.mutable_end() = last;
     const auto stream = std::move(task->stream);
     stream->send(frame);
--- a/src/agent/requesttasks.h
+++ b/src/agent/requesttasks.h
@@ -8,7 +8,7 @@
 
 #include "core/declarations.h"
 #include "core/runonce.h"
-#include "kingcup/wire.pb.h"
+#include "wire/messages.h"
 #include "net/http.h"
 #include "wire/peer.h"
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -11,8 +11,8 @@
 #include "entry/fleet.h"
 #include "entry/planner.h"
 #include "entry/requestflows.h"
-#include "platform/hostlistclient.h"
-#include "platform/tableclient.h"
+#include "platform/hostlist.h"
+#include "platform/tableaccess.h"
 
 #include <ctime>
 #include <glog/logging.h>
@@ -85,6 +85,7 @@
     DaemonSettings settings;
     std::uint64_t incarnation = wallMillis();
     HttpClient client;
+    TableAccess table;
     Metrics metrics;
     DecisionLog decisions;
     Suspects suspects;
@@ -100,6 +101,7 @@
     std::unique_ptr<PeerServer> peers;
     std::set<PeerStreamPtr> peerStreams; ///< control streams that other entries opened
     std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HostListPoll> hostList;
     Timer housekeeping;
     Timer leaveCheck;
     TimePoint leavingSince;
@@ -111,6 +113,7 @@
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
         , client(loop)
+        , table(httpTableAccess(client, settings.platform.table))
         , decisions(static_cast<std::size_t>(settings.limits.maxDecisions))
         , router(routingOptions(settings))
     {
@@ -121,15 +124,15 @@
     auto buildFlows() -> void;
     auto buildPlanner() -> void;
     auto buildServers() -> void;
-    auto adopt(Revision newRevision, const std::string &text) -> void;
-    auto greeting() const -> std::vector<wire::ControlFrame>;
+    auto adopt(Revision newRevision, const Declarations &set, const std::string &text) -> void;
+    auto greeting() const -> std::vector<Wire::ControlFrame>;
     auto acceptPeer(const PeerStreamPtr &stream) -> void;
-    auto onPeerFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void;
-    auto onEntryFrame(const wire::ControlFrame &frame) -> void;
-    auto onSuspects(const wire::Suspects &told) -> void;
-    auto suspectsFrame() const -> wire::ControlFrame;
-    auto demandFrame() -> wire::ControlFrame;
-    auto onDemand(const wire::DemandDigest &message) -> void;
+    auto onPeerFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void;
+    auto onEntryFrame(const Wire::ControlFrame &frame) -> void;
+    auto onSuspects(const Wire::Suspects &told) -> void;
+    auto suspectsFrame() const -> Wire::ControlFrame;
+    auto demandFrame() -> Wire::ControlFrame;
+    auto onDemand(const Wire::DemandDigest &message) -> void;
     auto housekeep() -> void;
     auto lowestRevision() const -> Revision;
     auto handle(const std::shared_ptr<HttpExchange> &exchange) -> void;
@@ -147,8 +150,8 @@
             flows->pump();
         }
     };
-    hooks.onSuspects = [this](const wire::Suspects &told) { onSuspects(told); };
-    hooks.onEntryFrame = [this](const wire::ControlFrame &frame) { onEntryFrame(frame); };
+    hooks.onSuspects = [this](const Wire::Suspects &told) { onSuspects(told); };
+    hooks.onEntryFrame = [this](const Wire::ControlFrame &frame) { onEntryFrame(frame); };
     FleetSettings fleetSettings;
     fleetSettings.self = settings.process.id;
     fleetSettings.heartbeat = settings.timing.heartbeat;
@@ -181,10 +184,7 @@
 auto Entry::Private::buildPlanner() -> void
 {
     PlannerHooks hooks;
-    hooks.table.read = [this](std::vector<std::string> keys, std::function<void(const std::optional<std::vector<TableRow>> &)> done) {
-        readTable(std::move(keys), std::move(done));
-    };
-    hooks.table.transact = [this](std::vector<TableOp> ops, std::function<void(const TransactResult &)> done) { transactTable(std::move(ops), std::move(done)); };
+    hooks.table = table;
     hooks.ranksFirst = [this](const std::string &subject) { return fleet->ranksFirst(subject); };
     hooks.runners = [this] { return fleet->runners(); };
     hooks.holderReports = [this] { return fleet->holderReports(); };
@@ -195,7 +195,7 @@
         fleet->sendEntries(planFrame(version.value(), plan));
     };
     hooks.wish = [this](const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts) {
-        wire::ControlFrame frame;
+        Wire::ControlFrame frame;
         frame.mutable_surge()->set_planner(settings.process.id + "-" + std::to_string(incarnation));
         frame.mutable_surge()->set_sequence(sequence);
         for (const auto &artifact : artifacts) {
@@ -236,8 +236,10 @@
     buildFleet();
     buildFlows();
     buildPlanner();
-    buildPlatform();
     buildServers();
+    hostList = std::make_unique<HostListPoll>(loop, client, settings.platform.hosts, settings.timing.hostsPoll, [this](const auto &hosts) {
+        fleet->listReceived(hosts);
+    });
     housekeeping = loop.every(HousekeepingPeriod, [this] { housekeep(); });
 }
 
@@ -261,9 +263,9 @@
 // [SECTION] Control
 
 /// What a peer needs to be useful at once, also while the store is down.
-auto Entry::Private::greeting() const -> std::vector<wire::ControlFrame>
+auto Entry::Private::greeting() const -> std::vector<Wire::ControlFrame>
 {
-    std::vector<wire::ControlFrame> frames {helloFrame(settings.process.id, settings.process.zone.text(), incarnation)};
+    std::vector<Wire::ControlFrame> frames {helloFrame(settings.process.id, settings.process.zone.text(), incarnation)};
     if (revision > Revision()) {
         frames.push_back(configFrame(revision.value(), declarationsText));
     }
@@ -281,7 +283,7 @@
         return;
     }
     peerStreams.insert(stream);
-    readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const wire::ControlFrame &frame) {
+    readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const Wire::ControlFrame &frame) {
         if (const auto self = weak.lock()) {
             onPeerFrame(self, frame);
         }
@@ -292,7 +294,7 @@
     }
 }
 
-auto Entry::Private::onPeerFrame(const PeerStreamPtr &stream, const wire::ControlFrame &frame) -> void
+auto Entry::Private::onPeerFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_ping()) {
         stream->send(pongFrame(frame.ping().sequence()));
@@ -301,22 +303,22 @@
     }
 }
 
-auto Entry::Private::onEntryFrame(const wire::ControlFrame &frame) -> void
+auto Entry::Private::onEntryFrame(const Wire::ControlFrame &frame) -> void
 {
     switch (frame.kind_case()) {
-    case wire::ControlFrame::kConfig:
+    case Wire::ControlFrame::kConfig:
         config->offer(Revision(frame.config().revision()), frame.config().declarations());
         break;
-    case wire::ControlFrame::kPlan:
+    case Wire::ControlFrame::kPlan:
         planner->floorRead(RowVersion(frame.plan().row_version()), frame.plan().plan());
         break;
-    case wire::ControlFrame::kDemand:
+    case Wire::ControlFrame::kDemand:
         onDemand(frame.demand());
         break;
-    case wire::ControlFrame::kRevisions:
+    case Wire::ControlFrame::kRevisions:
         fleet->entryReported(frame.revisions().entry(), Revision(frame.revisions().revision()));
         break;
-    case wire::ControlFrame::kSuspects:
+    case Wire::ControlFrame::kSuspects:
         onSuspects(frame.suspects());
         break;
     default:
@@ -324,7 +326,7 @@
     }
 }
 
-auto Entry::Private::onSuspects(const wire::Suspects &told) -> void
+auto Entry::Private::onSuspects(const Wire::Suspects &told) -> void
 {
     SuspectDigest digest;
     digest.suspected.assign(told.suspected().begin(), told.suspected().end());
@@ -337,19 +339,19 @@
     }
 }
 
-auto Entry::Private::suspectsFrame() const -> wire::ControlFrame
+auto Entry::Private::suspectsFrame() const -> Wire::ControlFrame
 {
     const auto digest = suspects.digest(loop.now());
-    wire::ControlFrame frame;
+    Wire::ControlFrame frame;
     frame.mutable_suspects()->mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
     frame.mutable_suspects()->mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
     return frame;
 }
 
-auto Entry::Private::demandFrame() -> wire::ControlFrame
+auto Entry::Private::demandFrame() -> Wire::ControlFrame
 {
     const auto digest = demand.digest(EntryId(settings.process.id), ++digestSequence);
-    wire::ControlFrame frame;
+    Wire::ControlFrame frame;
     auto *message = frame.mutable_demand();
     message->set_entry(digest.entry.text());
     message->set_sequence(digest.sequence);
@@ -363,7 +365,7 @@
     return frame;
 }
 
-auto Entry::Private::onDemand(const wire::DemandDigest &message) -> void
+auto Entry::Private::onDemand(const Wire::DemandDigest &message) -> void
 {
     DemandDigest digest;
     digest.entry = EntryId(message.entry());
@@ -393,7 +395,7 @@
     suspects.expire(loop.now());
     versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
     fleet->sendEntries(demandFrame());
-    wire::ControlFrame frame;
+    Wire::ControlFrame frame;
     frame.mutable_revisions()->set_entry(settings.process.id);
     frame.mutable_revisions()->set_revision(revision.value());
     fleet->sendEntries(frame);
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -9,7 +9,7 @@
 {
 
 /// An artifact that is named in a report but not loaded yet.
-auto residentsOf(const wire::LoadReport &report, bool confirmedOnly) -> std::vector<ArtifactName>
+auto residentsOf(const Wire::LoadReport &report, bool confirmedOnly) -> std::vector<ArtifactName>
 {
     std::vector<ArtifactName> names;
     for (const auto &resident : report.residents()) {
@@ -20,7 +20,7 @@
     return names;
 }
 
-auto targetLoadOf(const wire::LoadReport &report) -> TargetLoad
+auto targetLoadOf(const Wire::LoadReport &report) -> TargetLoad
 {
     TargetLoad load;
     load.sequence = report.sequence();
@@ -44,7 +44,7 @@
     bool isRunner = false;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0; ///< of the last report
-    wire::LoadReport report;
+    Wire::LoadReport report;
     bool hasReport = false;
     TimePoint usableAt; ///< when it was last usable
     bool toldToDrain = false; ///< for the list's mark
@@ -74,9 +74,9 @@
     }
 
     auto linkHooks(bool isAgent) -> LinkHooks;
-    auto onHello(const std::string &id, const wire::Hello &hello) -> void;
-    auto onAgentFrame(const std::string &id, const wire::ControlFrame &frame) -> void;
-    auto onReport(const std::string &id, const wire::LoadReport &report) -> void;
+    auto onHello(const std::string &id, const Wire::Hello &hello) -> void;
+    auto onAgentFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
+    auto onReport(const std::string &id, const Wire::LoadReport &report) -> void;
     auto onDown(const std::string &id) -> void;
     auto advance() -> void;
     auto tellDrains() -> void;
@@ -90,16 +90,16 @@
     link.onHeard = [this](const std::string &id) { membership.heard(id, loop.now()); };
     link.onDown = [this](const std::string &id) { onDown(id); };
     if (isAgent) {
-        link.onHello = [this](const std::string &id, const wire::Hello &hello) { onHello(id, hello); };
-        link.onFrame = [this](const std::string &id, const wire::ControlFrame &frame) { onAgentFrame(id, frame); };
+        link.onHello = [this](const std::string &id, const Wire::Hello &hello) { onHello(id, hello); };
+        link.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) { onAgentFrame(id, frame); };
     } else {
-        link.onHello = [](const std::string &id, const wire::Hello &hello) { LOG(INFO) << "entry: connected id=" << id << " zone=" << hello.zone(); };
-        link.onFrame = [this](const std::string & /*id*/, const wire::ControlFrame &frame) { hooks.onEntryFrame(frame); };
+        link.onHello = [](const std::string &id, const Wire::Hello &hello) { LOG(INFO) << "entry: connected id=" << id << " zone=" << hello.zone(); };
+        link.onFrame = [this](const std::string & /*id*/, const Wire::ControlFrame &frame) { hooks.onEntryFrame(frame); };
     }
     return link;
 }
 
-auto Fleet::Private::onHello(const std::string &id, const wire::Hello &hello) -> void
+auto Fleet::Private::onHello(const std::string &id, const Wire::Hello &hello) -> void
 {
     auto &agent = known[id];
     agent.zone = ZoneName(hello.zone());
@@ -115,7 +115,7 @@
     router.targetUp(TargetId(id), agent.zone, agent.service, loop.now());
 }
 
-auto Fleet::Private::onAgentFrame(const std::string &id, const wire::ControlFrame &frame) -> void
+auto Fleet::Private::onAgentFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_report()) {
         onReport(id, frame.report());
@@ -124,7 +124,7 @@
     }
 }
 
-auto Fleet::Private::onReport(const std::string &id, const wire::LoadReport &report) -> void
+auto Fleet::Private::onReport(const std::string &id, const Wire::LoadReport &report) -> void
 {
     const auto found = known.find(id);
     if (found == known.end() || report.sequence() <= found->second.sequence) {
@@ -167,7 +167,7 @@
             continue;
         }
         agent.toldToDrain = isMarked;
-        wire::ControlFrame frame;
+        Wire::ControlFrame frame;
         frame.mutable_drain()->set_reason(isMarked ? "host-list" : "");
         agents->send(id, frame);
     }
@@ -312,17 +312,17 @@
     return d->agents->open(target.text());
 }
 
-auto Fleet::sendTo(const std::string &id, const wire::ControlFrame &frame) -> void
+auto Fleet::sendTo(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     d->agents->send(id, frame);
 }
 
-auto Fleet::sendAgents(const wire::ControlFrame &frame) -> void
+auto Fleet::sendAgents(const Wire::ControlFrame &frame) -> void
 {
     d->agents->sendAll(frame);
 }
 
-auto Fleet::sendEntries(const wire::ControlFrame &frame) -> void
+auto Fleet::sendEntries(const Wire::ControlFrame &frame) -> void
 {
     d->entries->sendAll(frame);
 }
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -23,10 +23,10 @@
 // [SECTION] Hooks
 
 struct FleetHooks {
-    std::function<std::vector<wire::ControlFrame>()> greeting; ///< for a peer whose connection has come up
+    std::function<std::vector<Wire::ControlFrame>()> greeting; ///< for a peer whose connection has come up
     std::function<void()> onRoom; ///< targets or copies may have appeared
-    std::function<void(const wire::Suspects &suspects)> onSuspects;
-    std::function<void(const wire::ControlFrame &frame)> onEntryFrame; ///< configuration, plan, demand, revisions
+    std::function<void(const Wire::Suspects &suspects)> onSuspects;
+    std::function<void(const Wire::ControlFrame &frame)> onEntryFrame; ///< configuration, plan, demand, revisions
 };
 
 struct FleetSettings {
@@ -43,7 +43,7 @@
     ZoneName zone;
     MemberState state = MemberState::Proposed;
     Revision revision; ///< in force there; 0: not heard yet
-    wire::LoadReport report; ///< agents
+    Wire::LoadReport report; ///< agents
 };
 
 // [SECTION] Fleet
@@ -66,9 +66,9 @@
     auto listReceived(const std::vector<ListedHost> &hosts) -> void;
     auto entryReported(const std::string &id, Revision revision) -> void;
     auto open(const TargetId &target) -> PeerStreamPtr;
-    auto sendTo(const std::string &id, const wire::ControlFrame &frame) -> void;
-    auto sendAgents(const wire::ControlFrame &frame) -> void;
-    auto sendEntries(const wire::ControlFrame &frame) -> void;
+    auto sendTo(const std::string &id, const Wire::ControlFrame &frame) -> void;
+    auto sendAgents(const Wire::ControlFrame &frame) -> void;
+    auto sendEntries(const Wire::ControlFrame &frame) -> void;
 
     struct Private;
 
--- a/src/entry/peerlinks.cpp
+++ b/src/entry/peerlinks.cpp
@@ -40,7 +40,7 @@
     auto connect(const ListedHost &host) -> void;
     auto onUp(Link &link) -> void;
     auto onDown(Link &link) -> void;
-    auto onFrame(Link &link, const wire::ControlFrame &frame) -> void;
+    auto onFrame(Link &link, const Wire::ControlFrame &frame) -> void;
     auto find(const std::string &id) const -> Link *
     {
         const auto found = links.find(id);
@@ -65,7 +65,7 @@
     if (!link.control) {
         return;
     }
-    readControl(link.control, link.id, [this, raw = &link](const wire::ControlFrame &frame) { onFrame(*raw, frame); });
+    readControl(link.control, link.id, [this, raw = &link](const Wire::ControlFrame &frame) { onFrame(*raw, frame); });
     for (const auto &frame : hooks.greeting()) {
         link.control->send(frame);
     }
@@ -80,12 +80,12 @@
     hooks.onDown(link.id);
 }
 
-auto PeerLinks::Private::onFrame(Link &link, const wire::ControlFrame &frame) -> void
+auto PeerLinks::Private::onFrame(Link &link, const Wire::ControlFrame &frame) -> void
 {
     hooks.onHeard(link.id);
     if (frame.has_hello()) {
         // An address may have been given to another process: its messages must not count for the one we meant.
-        if (frame.hello().id() != link.id || frame.hello().version() != wire::PROTOCOL_VERSION_CURRENT) {
+        if (frame.hello().id() != link.id || frame.hello().version() != Wire::PROTOCOL_VERSION_CURRENT) {
             LOG(WARNING) << part << ": another process answered wanted=" << link.id << " got=" << frame.hello().id() << " version=" << frame.hello().version();
             link.control->reset();
             link.control = nullptr;
@@ -138,7 +138,7 @@
     return link == nullptr || !link->control ? nullptr : link->client->open(RequestPath);
 }
 
-auto PeerLinks::send(const std::string &id, const wire::ControlFrame &frame) -> void
+auto PeerLinks::send(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     auto *link = d->find(id);
     if (link != nullptr && link->control && link->control->pendingBytes() < MaxPendingBytes) {
@@ -146,7 +146,7 @@
     }
 }
 
-auto PeerLinks::sendAll(const wire::ControlFrame &frame) -> void
+auto PeerLinks::sendAll(const Wire::ControlFrame &frame) -> void
 {
     for (const auto &id : ids()) {
         send(id, frame);
--- a/src/entry/peerlinks.h
+++ b/src/entry/peerlinks.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "core/membership.h"
-#include "kingcup/wire.pb.h"
+#include "wire/messages.h"
 #include "net/eventloop.h"
 #include "wire/control.h"
 
@@ -21,11 +21,11 @@
 // [SECTION] Hooks
 
 struct LinkHooks {
-    std::function<void(const std::string &id, const wire::Hello &hello)> onHello;
-    std::function<void(const std::string &id, const wire::ControlFrame &frame)> onFrame; ///< all but hello and pong
+    std::function<void(const std::string &id, const Wire::Hello &hello)> onHello;
+    std::function<void(const std::string &id, const Wire::ControlFrame &frame)> onFrame; ///< all but hello and pong
     std::function<void(const std::string &id)> onHeard; ///< any message: it is alive
     std::function<void(const std::string &id)> onDown;
-    std::function<std::vector<wire::ControlFrame>()> greeting; ///< sent when a connection is up: hello, configuration, plan
+    std::function<std::vector<Wire::ControlFrame>()> greeting; ///< sent when a connection is up: hello, configuration, plan
 };
 
 // [SECTION] Links
@@ -47,8 +47,8 @@
     auto setHosts(const std::vector<ListedHost> &hosts) -> void;
     /// A new request stream; null while not connected.
     auto open(const std::string &id) -> PeerStreamPtr;
-    auto send(const std::string &id, const wire::ControlFrame &frame) -> void; ///< on the control stream; lost while not connected
-    auto sendAll(const wire::ControlFrame &frame) -> void;
+    auto send(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< on the control stream; lost while not connected
+    auto sendAll(const Wire::ControlFrame &frame) -> void;
     auto reconnect(const std::string &id) -> void; ///< it is silent though connected
 
     struct Private;
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -185,7 +185,8 @@
     op.key = FloorRowKey;
     op.expect = floorVersion;
     op.value = text;
-    hooks.table.transact({op}, [this, text](const TransactResult &result) {
+    const auto writeId = settings.entry + "-floor-" + std::to_string(loop.now().inMicros());
+    hooks.table.transact(writeId, {op}, [this, text](const TransactResult &result) {
         writing = false;
         LOG(INFO) << "placement: wrote floor row committed=" << (result.end == TransactEnd::Committed) << " version=" << result.version;
         if (result.end == TransactEnd::Committed) {
--- a/src/entry/planner.h
+++ b/src/entry/planner.h
@@ -10,8 +10,8 @@
 #include "core/demand.h"
 #include "core/floor.h"
 #include "core/placement.h"
-#include "core/table.h"
 #include "net/eventloop.h"
+#include "platform/tableaccess.h"
 
 #include <functional>
 #include <memory>
@@ -24,14 +24,8 @@
 
 // [SECTION] Hooks
 
-/// The table as the planner uses it.
-struct PlanTable {
-    std::function<void(std::vector<std::string> keys, std::function<void(const std::optional<std::vector<TableRow>> &rows)> done)> read;
-    std::function<void(std::vector<TableOp> ops, std::function<void(const TransactResult &result)> done)> transact;
-};
-
 struct PlannerHooks {
-    PlanTable table;
+    TableAccess table;
     std::function<bool(const std::string &subject)> ranksFirst; ///< among the live entries
     std::function<std::vector<RunnerState>()> runners; ///< as last heard of
     std::function<std::map<TargetId, HolderReport>()> holderReports; ///< of the same
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -7,7 +7,7 @@
 #include "entry/requestflows.h"
 
 #include "entry/eventstream.h"
-#include "kingcup/wire.pb.h"
+#include "wire/messages.h"
 
 #include <glog/logging.h>
 #include <map>
@@ -50,17 +50,17 @@
     bool headSeen = false;
     EventStream events;
     std::string held; // a plain answer, until it is whole
-    wire::End last;
+    Wire::End last;
     bool endSeen = false;
 };
 using FlowPtr = std::shared_ptr<Flow>;
 
-auto outcomeOf(const wire::End &end) -> AttemptOutcome
+auto outcomeOf(const Wire::End &end) -> AttemptOutcome
 {
     switch (end.outcome()) {
-    case wire::OUTCOME_DELIVERED:
+    case Wire::OUTCOME_DELIVERED:
         return AttemptOutcome::Delivered;
-    case wire::OUTCOME_NOT_RUN:
+    case Wire::OUTCOME_NOT_RUN:
         return AttemptOutcome::NotRun;
     default:
         return AttemptOutcome::Unknown;
@@ -114,10 +114,10 @@
     auto routingRequest(const Flow &flow) const -> RoutingRequest;
     auto tryNow(const FlowPtr &flow) -> bool;
     auto start(const FlowPtr &flow, const RoutingChoice &choice) -> void;
-    auto openMessage(const Flow &flow) const -> wire::EntryFrame;
+    auto openMessage(const Flow &flow) const -> Wire::EntryFrame;
     auto listen(const FlowPtr &flow) -> void;
     auto onFrame(const FlowPtr &flow, std::string_view message) -> void;
-    auto onHead(const FlowPtr &flow, const wire::Head &head) -> void;
+    auto onHead(const FlowPtr &flow, const Wire::Head &head) -> void;
     auto onData(const FlowPtr &flow, const std::string &body) -> void;
     auto onAttemptEnd(const FlowPtr &flow, const AttemptEnd &end) -> void;
     auto holdBack(const FlowPtr &flow) -> void;
@@ -274,12 +274,12 @@
     return false;
 }
 
-auto RequestFlows::Private::openMessage(const Flow &flow) const -> wire::EntryFrame
+auto RequestFlows::Private::openMessage(const Flow &flow) const -> Wire::EntryFrame
 {
-    wire::EntryFrame frame;
+    Wire::EntryFrame frame;
     auto *open = frame.mutable_open();
     const auto &request = flow.request;
-    open->set_version(wire::PROTOCOL_VERSION_CURRENT);
+    open->set_version(Wire::PROTOCOL_VERSION_CURRENT);
     open->set_request_id(request.id.text());
     open->set_attempt(static_cast<std::uint32_t>(flow.attempts));
     open->set_attempt_id(request.id.text() + "/" + std::to_string(flow.attempts));
@@ -352,7 +352,7 @@
 
 auto RequestFlows::Private::onFrame(const FlowPtr &flow, std::string_view message) -> void
 {
-    wire::AgentFrame frame;
+    Wire::AgentFrame frame;
     if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
         LOG(WARNING) << "routing: unreadable answer request=" << flow->request.id << " target=" << flow->target;
         flow->stream->reset();
@@ -369,7 +369,7 @@
     }
 }
 
-auto RequestFlows::Private::onHead(const FlowPtr &flow, const wire::Head &head) -> void
+auto RequestFlows::Private::onHead(const FlowPtr &flow, const Wire::Head &head) -> void
 {
     if (flow->headSeen) {
         return;
@@ -557,7 +557,7 @@
     flow->mayHaveRun = true;
     parts.router.requestEnded(flow->request.id, flow->target, result, now());
     if (flow->stream) {
-        wire::EntryFrame cancel;
+        Wire::EntryFrame cancel;
         cancel.mutable_cancel()->set_reason("given up");
         flow->stream->send(cancel);
         flow->stream->finish();
--- /dev/null
+++ b/src/kingcupd/main.cpp
@@ -0,0 +1,96 @@
+// kingcupd: the daemon. One binary, two roles; the role and everything else is in its settings file.
+#include "agent/agent.h"
+#include "entry/entry.h"
+#include "net/eventloop.h"
+#include "settings/daemonsettings.h"
+
+#include <boost/program_options.hpp>
+#include <glog/logging.h>
+#include <iostream>
+
+namespace
+{
+
+using namespace KingCup;
+namespace Options = boost::program_options;
+
+constexpr int ExitUsage = 2;
+constexpr int ExitSettings = 3;
+constexpr int ExitStart = 4;
+
+auto startLogging(const LogSettings &log, const char *program) -> void
+{
+    if (log.directory.empty()) {
+        FLAGS_logtostderr = true;
+    } else {
+        FLAGS_log_dir = log.directory;
+    }
+    FLAGS_logbufsecs = 0; // a process may be killed at any moment; its last lines are the ones that matter
+    FLAGS_v = log.verbosity;
+    google::InitGoogleLogging(program);
+}
+
+template<typename Role>
+auto runRole(const DaemonSettings &settings) -> int
+{
+    EventLoop loop;
+    try {
+        Role role(loop, settings);
+        onTerminationSignal(loop, [&role] { role.leave(); });
+        loop.run();
+        return role.exitCode();
+    } catch (const std::runtime_error &error) {
+        LOG(ERROR) << "start: " << error.what();
+        return ExitStart;
+    }
+}
+
+auto runWith(const std::string &file, bool checkOnly, const char *program) -> int
+{
+    const auto loaded = loadDaemonSettings(file);
+    for (const auto &finding : loaded.findings) {
+        std::cerr << toString(finding) << "\n";
+    }
+    if (!loaded.isValid()) {
+        return ExitSettings;
+    }
+    if (checkOnly) {
+        std::cout << file << ": ok\n";
+        return 0;
+    }
+    const auto &settings = loaded.value;
+    startLogging(settings.log, program);
+    return settings.process.role == ProcessRole::Entry ? runRole<Entry>(settings) : runRole<Agent>(settings);
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    Options::options_description description("kingcupd: serves callers (role entry) or a target (role agent)");
+    auto add = description.add_options();
+    add("help,h", "show this");
+    add("settings,s", Options::value<std::string>(), "the settings file (INI)");
+    add("check-settings", "report every finding in the settings file and exit");
+    add("print-settings", "write a commented settings file with all defaults");
+    Options::variables_map given;
+    try {
+        Options::store(Options::parse_command_line(argc, argv, description), given);
+    } catch (const Options::error &error) {
+        std::cerr << "kingcupd: " << error.what() << "\n";
+        return ExitUsage;
+    }
+    if (given.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    if (given.count("print-settings") > 0) {
+        std::cout << commentedSettings();
+        return 0;
+    }
+    if (given.count("settings") == 0) {
+        std::cerr << "kingcupd: --settings FILE is needed; --print-settings shows one\n";
+        return ExitUsage;
+    }
+    return runWith(given["settings"].as<std::string>(), given.count("check-settings") > 0, argv[0]);
+}
--- a/src/platform/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Keeps the folder's library non-empty until its first source lands.
