--- /dev/null
+++ b/src/entry/configtask.cpp
@@ -0,0 +1,234 @@
+// Index of sections (search for [SECTION]):
+//   Adoption   polling, peers
+//   Commits    one operator's change, driven over the table
+#include "entry/configtask.h"
+
+#include "core/configlog.h"
+#include "core/declarationcodec.h"
+#include "core/hashing.h"
+
+#include <glog/logging.h>
+#include <set>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// One change on its way. Owns itself through the task's set until it is decided.
+struct Commit {
+    ConfigCommit machine;
+    DeclarationsChange change;
+    std::string text;
+    std::function<void(const ChangeAnswer &)> answer;
+    Timer wake;
+};
+using CommitPtr = std::shared_ptr<Commit>;
+
+auto outcomeOf(CommitOutcome outcome) -> ChangeOutcome
+{
+    switch (outcome) {
+    case CommitOutcome::Accepted:
+        return ChangeOutcome::Accepted;
+    case CommitOutcome::Unchanged:
+        return ChangeOutcome::Unchanged;
+    case CommitOutcome::Conflict:
+        return ChangeOutcome::Conflict;
+    case CommitOutcome::Unavailable:
+    case CommitOutcome::Unknown:
+        return ChangeOutcome::Unknown;
+    }
+    return ChangeOutcome::Unknown;
+}
+
+} // namespace
+
+struct ConfigTask::Private {
+    EventLoop &loop;
+    TableAccess table;
+    ConfigSettings settings;
+    ConfigHooks hooks;
+    Declarations declarations;
+    std::string text;
+    Revision revision;
+    std::set<CommitPtr> commits;
+    Timer pollTimer;
+    bool polling = false;
+    bool storeReachable = false;
+    std::uint64_t writes = 0;
+
+    Private(EventLoop &ownerLoop, TableAccess access, ConfigSettings taskSettings, ConfigHooks taskHooks)
+        : loop(ownerLoop)
+        , table(std::move(access))
+        , settings(std::move(taskSettings))
+        , hooks(std::move(taskHooks))
+    {
+    }
+
+    auto poll() -> void;
+    auto onHead(const std::optional<std::vector<TableRow>> &rows) -> void;
+    auto readLog(Revision wanted) -> void;
+    auto adopt(Revision offered, const std::string &set) -> void;
+    auto perform(const CommitPtr &commit, const ConfigStep &step) -> void;
+    auto decide(const CommitPtr &commit, const CommitDecision &decision) -> void;
+};
+
+// [SECTION] Adoption
+
+auto ConfigTask::Private::poll() -> void
+{
+    if (polling) {
+        return;
+    }
+    polling = true;
+    table.read({ConfigHeadKey}, [this](const std::optional<std::vector<TableRow>> &rows) {
+        polling = false;
+        onHead(rows);
+    });
+}
+
+auto ConfigTask::Private::onHead(const std::optional<std::vector<TableRow>> &rows) -> void
+{
+    if (storeReachable != rows.has_value()) {
+        storeReachable = rows.has_value();
+        LOG(INFO) << "config: store " << (storeReachable ? "reachable" : "not reachable") << " revision=" << revision;
+    }
+    if (!rows || rows->empty()) {
+        return;
+    }
+    const auto head = parseConfigHead(rows->front().value);
+    if (!head) {
+        LOG(ERROR) << "config: unreadable head row version=" << rows->front().version;
+    } else if (mayAdopt(revision, head->revision)) {
+        readLog(head->revision);
+    }
+}
+
+auto ConfigTask::Private::readLog(Revision wanted) -> void
+{
+    table.read({configLogKey(wanted)}, [this, wanted](const std::optional<std::vector<TableRow>> &rows) {
+        if (!rows || rows->empty()) {
+            return; // the next poll asks again
+        }
+        const auto entry = parseConfigLogEntry(rows->front().value);
+        if (entry) {
+            adopt(wanted, entry->declarations);
+        } else {
+            LOG(ERROR) << "config: unreadable log row revision=" << wanted;
+        }
+    });
+}
+
+auto ConfigTask::Private::adopt(Revision offered, const std::string &set) -> void
+{
+    if (!mayAdopt(revision, offered)) {
+        return;
+    }
+    auto decoded = declarationsFromJson(set);
+    if (!decoded) {
+        LOG(ERROR) << "config: unreadable declarations revision=" << offered << " error=\"" << decoded.error().message << "\"";
+        return;
+    }
+    declarations = std::move(decoded.value());
+    text = set;
+    revision = offered;
+    hooks.onAdopted(revision, declarations, text);
+}
+
+// [SECTION] Commits
+
+auto ConfigTask::Private::perform(const CommitPtr &commit, const ConfigStep &step) -> void
+{
+    if (const auto *read = std::get_if<ReadConfig>(&step)) {
+        table.read(read->keys, [this, commit](const std::optional<std::vector<TableRow>> &rows) { perform(commit, commit->machine.readDone(rows, loop.now())); });
+    } else if (const auto *write = std::get_if<WriteConfig>(&step)) {
+        const auto id = settings.entry + "-config-" + std::to_string(loop.now().inMicros()) + "-" + std::to_string(++writes);
+        table.transact(id, write->ops, [this, commit](const TransactResult &result) { perform(commit, commit->machine.writeDone(result, loop.now())); });
+    } else if (const auto *wait = std::get_if<WaitUntil>(&step)) {
+        commit->wake = loop.after(wait->until - loop.now(), [this, commit] { perform(commit, commit->machine.resume(loop.now())); });
+    } else {
+        decide(commit, std::get<CommitDecision>(step));
+    }
+}
+
+auto ConfigTask::Private::decide(const CommitPtr &commit, const CommitDecision &decision) -> void
+{
+    commits.erase(commit);
+    commit->wake.cancel();
+    LOG(INFO) << "config: change decided change=" << commit->change.id << " outcome=" << toString(decision.outcome) << " revision=" << decision.revision
+              << " author=" << commit->change.author;
+    if (decision.outcome == CommitOutcome::Accepted) {
+        adopt(decision.revision, commit->text);
+    }
+    ChangeAnswer answer;
+    answer.outcome = outcomeOf(decision.outcome);
+    answer.revision = decision.revision;
+    if (decision.outcome == CommitOutcome::Conflict) {
+        answer.message = "revision " + std::to_string(decision.revision.value()) + " came first";
+    } else if (decision.outcome == CommitOutcome::Unavailable) {
+        answer.message = "the store could not be asked; the change has not been made";
+    } else if (decision.outcome == CommitOutcome::Unknown) {
+        answer.message = "the store did not answer; ask again with change id " + commit->change.id.text();
+    }
+    commit->answer(answer);
+}
+
+ConfigTask::ConfigTask(EventLoop &loop, TableAccess table, ConfigSettings settings, ConfigHooks hooks)
+    : d(std::make_unique<Private>(loop, std::move(table), std::move(settings), std::move(hooks)))
+{
+    d->pollTimer = loop.every(d->settings.pollPeriod, [this] { d->poll(); });
+    d->poll();
+}
+
+ConfigTask::~ConfigTask() = default;
+
+auto ConfigTask::revision() const -> Revision
+{
+    return d->revision;
+}
+
+auto ConfigTask::declarations() const -> const Declarations &
+{
+    return d->declarations;
+}
+
+auto ConfigTask::text() const -> const std::string &
+{
+    return d->text;
+}
+
+auto ConfigTask::isStoreReachable() const -> bool
+{
+    return d->storeReachable;
+}
+
+auto ConfigTask::apply(const DeclarationsChange &change, std::function<void(const ChangeAnswer &)> answer) -> void
+{
+    auto findings = checkDeclarations(change.set);
+    if (!findings.empty()) {
+        ChangeAnswer refusal;
+        refusal.outcome = ChangeOutcome::Refused;
+        refusal.revision = d->revision;
+        refusal.findings = std::move(findings);
+        answer(refusal);
+        return;
+    }
+    ConfigProposal proposal;
+    proposal.change = change.id;
+    proposal.expected = change.expected;
+    proposal.author = change.author;
+    proposal.declarations = declarationsToJson(change.set);
+    proposal.digest = std::to_string(stableHash(proposal.declarations));
+    const auto text = proposal.declarations;
+    const auto commit = std::make_shared<Commit>(Commit {ConfigCommit(std::move(proposal), d->loop.now() + d->settings.commitTimeout), change, text, std::move(answer), {}});
+    d->commits.insert(commit);
+    d->perform(commit, commit->machine.begin());
+}
+
+auto ConfigTask::offer(Revision revision, const std::string &text) -> void
+{
+    d->adopt(revision, text);
+}
+
+} // namespace KingCup
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,16 +1,18 @@
 // Index of sections (search for [SECTION]):
 //   Parts       the tasks and what they tell each other
+//   Operators   status, drain, explain
 //   Control     messages from agents and other entries
 //   Pages       callers' requests, metrics and health
 //   Leaving     planned stops
 #include "entry/entry.h"
 
-#include "core/declarationcodec.h"
 #include "core/versionswitch.h"
 #include "entry/configtask.h"
 #include "entry/fleet.h"
+#include "entry/operatormodule.h"
 #include "entry/planner.h"
 #include "entry/requestflows.h"
+#include "entry/systemstatus.h"
 #include "platform/hostlist.h"
 #include "platform/tableaccess.h"
 
@@ -27,6 +29,7 @@
 constexpr auto LeaveCheckPeriod = Duration::millis(50);
 constexpr auto ForecastAhead = Duration::seconds(5);
 constexpr auto HousekeepingPeriod = Duration::millis(500);
+constexpr std::size_t MostExplained = 200;
 constexpr int ExitCutOff = 1;
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
@@ -92,9 +95,8 @@
     DemandForecast demand;
     VersionSwitch versions;
     Router router;
-    Declarations declarations;
-    Revision revision;
-    std::string declarationsText; ///< the revision in force, as it travels
+    std::unique_ptr<ConfigTask> config;
+    std::unique_ptr<OperatorServer> operators;
     std::unique_ptr<Fleet> fleet;
     std::unique_ptr<RequestFlows> flows;
     std::unique_ptr<Planner> planner;
@@ -124,7 +126,12 @@
     auto buildFlows() -> void;
     auto buildPlanner() -> void;
     auto buildServers() -> void;
-    auto adopt(Revision newRevision, const Declarations &set, const std::string &text) -> void;
+    auto buildConfig() -> void;
+    auto buildOperators() -> void;
+    auto onAdopted(Revision revision, const Declarations &declarations, const std::string &text) -> void;
+    auto status() const -> SystemStatus;
+    auto drain(const TargetId &target, bool undo) -> DrainAnswer;
+    auto explain(const std::string &subject) const -> std::vector<RecentDecision>;
     auto greeting() const -> std::vector<Wire::ControlFrame>;
     auto acceptPeer(const PeerStreamPtr &stream) -> void;
     auto onPeerFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void;
@@ -134,7 +141,6 @@
     auto demandFrame() -> Wire::ControlFrame;
     auto onDemand(const Wire::DemandDigest &message) -> void;
     auto housekeep() -> void;
-    auto lowestRevision() const -> Revision;
     auto handle(const std::shared_ptr<HttpExchange> &exchange) -> void;
     auto metricsText() -> std::string;
     auto isReady() const -> bool;
@@ -236,22 +242,51 @@
     buildFleet();
     buildFlows();
     buildPlanner();
+    buildConfig();
     buildServers();
+    buildOperators();
     hostList = std::make_unique<HostListPoll>(loop, client, settings.platform.hosts, settings.timing.hostsPoll, [this](const auto &hosts) {
         fleet->listReceived(hosts);
     });
     housekeeping = loop.every(HousekeepingPeriod, [this] { housekeep(); });
 }
 
-/// Of a higher revision only: an accepted configuration is never taken back.
-auto Entry::Private::adopt(Revision newRevision, const Declarations &set, const std::string &text) -> void
+auto Entry::Private::buildConfig() -> void
 {
-    if (newRevision <= revision) {
+    ConfigSettings configSettings;
+    configSettings.entry = settings.process.id;
+    configSettings.pollPeriod = settings.timing.configPoll;
+    ConfigHooks hooks;
+    hooks.onAdopted = [this](Revision revision, const Declarations &declarations, const std::string &text) { onAdopted(revision, declarations, text); };
+    config = std::make_unique<ConfigTask>(loop, table, configSettings, std::move(hooks));
+}
+
+auto Entry::Private::buildOperators() -> void
+{
+    if (!settings.listen.operators) {
         return;
     }
-    declarations = set;
-    declarationsText = text;
-    revision = newRevision;
+    OperatorHooks hooks;
+    hooks.post = [this](std::function<void()> task) { loop.post(std::move(task)); };
+    hooks.apply = [this](const DeclarationsChange &change, std::function<void(const ChangeAnswer &)> answer) { config->apply(change, std::move(answer)); };
+    hooks.declarations = [this] { return DeclarationsAt {config->revision(), config->declarations()}; };
+    hooks.status = [this] { return status(); };
+    hooks.drain = [this](const TargetId &target, bool undo, const std::function<void(const DrainAnswer &)> &answer) { answer(drain(target, undo)); };
+    hooks.explain = [this](const std::string &subject) { return explain(subject); };
+    OperatorOptions options;
+    options.listen = *settings.listen.operators;
+    if (settings.tls.operators) {
+        options.tls = settings.tls.files;
+    }
+    auto started = startOperatorServer(operatorModulePath(settings.process.operatorModule), options, hooks);
+    if (!started) {
+        throw std::runtime_error(started.error().message);
+    }
+    operators = std::move(started.value());
+}
+
+auto Entry::Private::onAdopted(Revision revision, const Declarations &declarations, const std::string &text) -> void
+{
     LOG(INFO) << "config: adopted revision=" << revision << " services=" << declarations.services.size() << " artifacts=" << declarations.artifacts.size();
     versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
     fleet->sendAgents(configFrame(revision.value(), text));
@@ -260,14 +295,53 @@
     planner->adopt(declarations);
 }
 
+// [SECTION] Operators
+
+auto Entry::Private::status() const -> SystemStatus
+{
+    EntrySelf self;
+    self.id = settings.process.id;
+    self.zone = settings.process.zone;
+    self.revision = config->revision();
+    self.isLeaving = isLeaving;
+    self.open = static_cast<int>(flows->open());
+    self.waiting = static_cast<int>(flows->waiting());
+    self.planVersion = planner->floorVersion();
+    self.isStoreReachable = config->isStoreReachable();
+    return systemStatus(self, *fleet, config->declarations(), demand.forecast(loop.now(), ForecastAhead));
+}
+
+auto Entry::Private::drain(const TargetId &target, bool undo) -> DrainAnswer
+{
+    for (const auto &member : fleet->members()) {
+        if (member.id == target.text() && member.role == HostRole::Agent) {
+            Wire::ControlFrame frame;
+            frame.mutable_drain()->set_reason(undo ? "" : "operator");
+            fleet->sendTo(target.text(), frame);
+            LOG(INFO) << "leaving: operator's drain target=" << target << " undo=" << undo;
+            return {true, undo ? "drain undone" : "draining: it takes no new work; see status"};
+        }
+    }
+    return {false, "no such target: " + target.text()};
+}
+
+auto Entry::Private::explain(const std::string &subject) const -> std::vector<RecentDecision>
+{
+    std::vector<RecentDecision> list;
+    for (const auto &decision : decisions.find(subject, MostExplained)) {
+        list.push_back({loop.now() - decision.at, decision.part, decision.subject, decision.text});
+    }
+    return list;
+}
+
 // [SECTION] Control
 
 /// What a peer needs to be useful at once, also while the store is down.
 auto Entry::Private::greeting() const -> std::vector<Wire::ControlFrame>
 {
     std::vector<Wire::ControlFrame> frames {helloFrame(settings.process.id, settings.process.zone.text(), incarnation)};
-    if (revision > Revision()) {
-        frames.push_back(configFrame(revision.value(), declarationsText));
+    if (config && config->revision() > Revision()) {
+        frames.push_back(configFrame(config->revision().value(), config->text()));
     }
     if (planner && planner->floorVersion() > RowVersion()) {
         frames.push_back(planFrame(planner->floorVersion().value(), planner->floorText()));
@@ -379,25 +453,15 @@
     demand.merge(digest, loop.now());
 }
 
-auto Entry::Private::lowestRevision() const -> Revision
-{
-    auto lowest = revision;
-    for (const auto &member : fleet->members()) {
-        const bool counts = member.state == MemberState::Live || member.state == MemberState::Suspect;
-        lowest = counts ? std::min(lowest, member.revision) : lowest;
-    }
-    return lowest;
-}
-
 auto Entry::Private::housekeep() -> void
 {
     demand.advance(loop.now());
     suspects.expire(loop.now());
-    versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
+    versions.update(config->declarations(), [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
     fleet->sendEntries(demandFrame());
     Wire::ControlFrame frame;
     frame.mutable_revisions()->set_entry(settings.process.id);
-    frame.mutable_revisions()->set_revision(revision.value());
+    frame.mutable_revisions()->set_revision(config->revision().value());
     fleet->sendEntries(frame);
 }
 
@@ -405,17 +469,17 @@
 
 auto Entry::Private::isReady() const -> bool
 {
-    return !isLeaving && revision > Revision();
+    return !isLeaving && config->revision() > Revision();
 }
 
 auto Entry::Private::metricsText() -> std::string
 {
     metrics.set("requests_open", static_cast<double>(flows->open()));
     metrics.set("requests_waiting", static_cast<double>(flows->waiting()));
-    metrics.set("revision", static_cast<double>(revision.value()));
-    metrics.set("revision_lowest", static_cast<double>(lowestRevision().value()));
+    metrics.set("revision", static_cast<double>(config->revision().value()));
+    metrics.set("revision_lowest", static_cast<double>(status().inForce.value()));
     metrics.set("floor_version", static_cast<double>(planner->floorVersion().value()));
-    metrics.set("store_reachable", planner->isStoreReachable() ? 1 : 0);
+    metrics.set("store_reachable", config->isStoreReachable() ? 1 : 0);
     metrics.set("host_list_trusted", fleet->isListTrusted() ? 1 : 0);
     return metrics.text();
 }
