--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -288,6 +288,7 @@
 auto Entry::Private::onAdopted(Revision revision, const Declarations &declarations, const std::string &text) -> void
 {
     LOG(INFO) << "config: adopted revision=" << revision << " services=" << declarations.services.size() << " artifacts=" << declarations.artifacts.size();
+    fleet->adopt(declarations);
     versions.update(declarations, [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
     fleet->sendAgents(configFrame(revision.value(), text));
     fleet->sendEntries(configFrame(revision.value(), text));
@@ -522,7 +523,12 @@
               << " peers=" << toString(d->settings.listen.peers);
 }
 
-Entry::~Entry() = default;
+Entry::~Entry()
+{
+    if (d->operators) {
+        d->operators->shutdown(); // its threads call into the other parts
+    }
+}
 
 auto Entry::leave() -> void
 {
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -62,6 +62,7 @@
     std::unique_ptr<PeerLinks> entries;
     std::map<std::string, Agent> known; // agents that have said hello
     std::map<std::string, Revision> entryRevisions;
+    std::map<TargetId, ServiceName> declaredServices;
     Timer watch;
 
     Private(EventLoop &ownerLoop, FleetSettings fleetSettings, Router &theRouter, FleetHooks fleetHooks)
@@ -80,6 +81,7 @@
     auto onDown(const std::string &id) -> void;
     auto advance() -> void;
     auto tellDrains() -> void;
+    auto serviceOf(const std::string &id, const Agent &agent) const -> ServiceName;
     auto isUsable(const std::string &id, const Agent &agent) const -> bool;
 };
 
@@ -112,7 +114,14 @@
         agent.toldToDrain = false;
     }
     LOG(INFO) << "target: connected id=" << id << " zone=" << agent.zone << " service=" << agent.service << " incarnation=" << agent.incarnation;
-    router.targetUp(TargetId(id), agent.zone, agent.service, loop.now());
+    router.targetUp(TargetId(id), agent.zone, serviceOf(id, agent), loop.now());
+}
+
+/// An agent that starts before it has a configuration doesn't know its service.
+auto Fleet::Private::serviceOf(const std::string &id, const Agent &agent) const -> ServiceName
+{
+    const auto declared = declaredServices.find(TargetId(id));
+    return agent.service.isEmpty() && declared != declaredServices.end() ? declared->second : agent.service;
 }
 
 auto Fleet::Private::onAgentFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
@@ -239,7 +248,7 @@
         RunnerState runner;
         runner.id = TargetId(id);
         runner.zone = agent.zone;
-        runner.service = agent.service;
+        runner.service = d->serviceOf(id, agent);
         runner.memoryTotal = Bytes(agent.report.memory_total());
         runner.concurrency = static_cast<int>(agent.report.concurrency_limit());
         runner.isUsable = d->isUsable(id, agent);
@@ -285,6 +294,19 @@
     return !d->router.holders({artifact}, d->loop.now()).empty();
 }
 
+auto Fleet::adopt(const Declarations &declarations) -> void
+{
+    d->declaredServices.clear();
+    for (const auto &[id, target] : declarations.targets) {
+        d->declaredServices[id] = target.service;
+    }
+    for (const auto &[id, agent] : d->known) {
+        if (agent.service.isEmpty() && d->agents->isConnected(id)) {
+            d->router.targetUp(TargetId(id), agent.zone, d->serviceOf(id, agent), d->loop.now());
+        }
+    }
+}
+
 auto Fleet::listReceived(const std::vector<ListedHost> &hosts) -> void
 {
     d->membership.listReceived(hosts, d->loop.now());
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -63,6 +63,7 @@
     auto hasCopy(const ArtifactName &artifact) const -> bool; ///< on a live runner
 
     // Commands
+    auto adopt(const Declarations &declarations) -> void; ///< says which service a target is for, where its own settings don't
     auto listReceived(const std::vector<ListedHost> &hosts) -> void;
     auto entryReported(const std::string &id, Revision revision) -> void;
     auto open(const TargetId &target) -> PeerStreamPtr;
