--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -32,7 +32,7 @@
 
 auto wallMillis() -> std::uint64_t
 {
-    timespec time{};
+    timespec time {};
     clock_gettime(CLOCK_REALTIME, &time);
     constexpr std::uint64_t MillisPerSecond = 1000;
     constexpr std::uint64_t NanosPerMilli = 1000000;
@@ -113,13 +113,17 @@
         residencySettings.firstFence = Fence(incarnation);
         residencySettings.orderPrefix = settings.process.id + "-" + std::to_string(incarnation) + "-";
         ResidencyHooks hooks;
-        hooks.isInUse = [this](const ArtifactName &artifact) { return requests && requests->isInUse(artifact); };
+        hooks.isInUse = [this](const ArtifactName &artifact) {
+            return requests && requests->isInUse(artifact);
+        };
         hooks.onChanged = [this] {
             if (sessions) {
                 sessions->reportSoon();
             }
         };
-        hooks.onCrash = [this](std::uint64_t generation) { onCrash(generation); };
+        hooks.onCrash = [this](std::uint64_t generation) {
+            onCrash(generation);
+        };
         residency = std::make_unique<ResidencyTask>(loop, httpEngineAdapter(client, settings.target.engine), residencySettings, std::move(hooks));
         loadPoll = loop.every(settings.timing.report, [this] { pollLoad(); });
     }
@@ -157,18 +161,30 @@
 auto Agent::Private::requestHooks() -> RequestHooks
 {
     RequestHooks hooks;
-    hooks.isTargetReady = [this] { return !residency || residency->isEngineReady(); };
-    hooks.isUsable = [this](const ArtifactName &artifact) { return residency && residency->isUsable(artifact); };
-    hooks.isQuarantined = [this](const std::string &fingerprint) { return suspects.verdict(fingerprint, loop.now()) == Verdict::Quarantined; };
-    hooks.completedAlone = [this](const std::string &fingerprint) { suspects.completedAlone(fingerprint, loop.now()); };
+    hooks.isTargetReady = [this] {
+        return !residency || residency->isEngineReady();
+    };
+    hooks.isUsable = [this](const ArtifactName &artifact) {
+        return residency && residency->isUsable(artifact);
+    };
+    hooks.isQuarantined = [this](const std::string &fingerprint) {
+        return suspects.verdict(fingerprint, loop.now()) == Verdict::Quarantined;
+    };
+    hooks.completedAlone = [this](const std::string &fingerprint) {
+        suspects.completedAlone(fingerprint, loop.now());
+    };
     hooks.onChanged = [this] {
         if (sessions) {
             sessions->reportSoon();
         }
     };
     if (residency) {
-        hooks.suspectCrash = [this](std::function<void(bool)> done) { residency->suspectCrash(std::move(done)); };
-        hooks.cancelAtTarget = [this](const RequestId &request) { httpEngineAdapter(client, settings.target.engine).cancel(request); };
+        hooks.suspectCrash = [this](std::function<void(bool)> done) {
+            residency->suspectCrash(std::move(done));
+        };
+        hooks.cancelAtTarget = [this](const RequestId &request) {
+            httpEngineAdapter(client, settings.target.engine).cancel(request);
+        };
     }
     return hooks;
 }
@@ -189,14 +205,30 @@
 auto Agent::Private::controlHooks() -> ControlHooks
 {
     ControlHooks hooks;
-    hooks.hello = [this] { return hello(); };
-    hooks.report = [this] { return report(); };
-    hooks.suspects = [this] { return suspectsMessage(); };
-    hooks.onConfig = [this](const Wire::ConfigSnapshot &config) { onConfig(config); };
-    hooks.onPlan = [this](const Wire::FloorPlan &plan) { onPlan(plan); };
-    hooks.onSurge = [this](const Wire::SurgeWish &wish) { onSurge(wish); };
-    hooks.onSuspects = [this](const Wire::Suspects &told) { onSuspects(told); };
-    hooks.onDrain = [this](const std::string &reason) { onDrain(reason); };
+    hooks.hello = [this] {
+        return hello();
+    };
+    hooks.report = [this] {
+        return report();
+    };
+    hooks.suspects = [this] {
+        return suspectsMessage();
+    };
+    hooks.onConfig = [this](const Wire::ConfigSnapshot &config) {
+        onConfig(config);
+    };
+    hooks.onPlan = [this](const Wire::FloorPlan &plan) {
+        onPlan(plan);
+    };
+    hooks.onSurge = [this](const Wire::SurgeWish &wish) {
+        onSurge(wish);
+    };
+    hooks.onSuspects = [this](const Wire::Suspects &told) {
+        onSuspects(told);
+    };
+    hooks.onDrain = [this](const std::string &reason) {
+        onDrain(reason);
+    };
     return hooks;
 }
 
@@ -393,8 +425,8 @@
     : d(std::make_unique<Private>(loop, std::move(settings)))
 {
     d->build();
-    LOG(INFO) << "agent: started id=" << d->settings.process.id << " zone=" << d->settings.process.zone
-              << " peers=" << toString(d->settings.listen.peers) << " target=" << toString(d->settings.target.engine);
+    LOG(INFO) << "agent: started id=" << d->settings.process.id << " zone=" << d->settings.process.zone << " peers=" << toString(d->settings.listen.peers)
+              << " target=" << toString(d->settings.target.engine);
 }
 
 Agent::~Agent() = default;
--- a/src/agent/controlsessions.cpp
+++ b/src/agent/controlsessions.cpp
@@ -111,7 +111,9 @@
             d->onFrame(self, frame);
         }
     });
-    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) { std::erase_if(d->streams, [&](const auto &held) { return held.get() == raw; }); };
+    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) {
+        std::erase_if(d->streams, [&](const auto &held) { return held.get() == raw; });
+    };
     Wire::ControlFrame hello;
     *hello.mutable_hello() = d->hooks.hello();
     stream->send(hello);
--- a/src/agent/controlsessions.h
+++ b/src/agent/controlsessions.h
@@ -5,9 +5,9 @@
 //   Sessions   ControlSessions
 #pragma once
 
-#include "wire/messages.h"
 #include "net/eventloop.h"
 #include "wire/control.h"
+#include "wire/messages.h"
 
 #include <functional>
 #include <memory>
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -219,7 +219,7 @@
     }
     task->keepsBody = true;
     task->hasClaim = true;
-    const ClaimKey key{ServiceName(task->open.service()), RequestKey(task->open.key())};
+    const ClaimKey key {ServiceName(task->open.service()), RequestKey(task->open.key())};
     task->send = hooks.claims.begin(key, task->deadline, [this, task](const ClaimVerdict &verdict) { onVerdict(task, verdict); });
 }
 
@@ -258,7 +258,7 @@
 auto RequestTasks::Private::enqueue(const TaskPtr &task) -> void
 {
     task->state = TaskState::Queued;
-    queue.emplace(QueueKey{task->open.priority(), task->deadline}, task);
+    queue.emplace(QueueKey {task->open.priority(), task->deadline}, task);
     pump();
     if (task->state == TaskState::Queued) {
         task->expiry = loop.after(task->deadline - loop.now(), [this, task] {
@@ -329,9 +329,15 @@
     ++running;
     isolated = task->open.alone();
     auto call = callOf(*task);
-    call.onHead = [this, task](int status, const HttpHeaders &headers) { onHead(task, status, headers); };
-    call.onData = [this, task](std::string_view data) { onData(task, data); };
-    call.onEnd = [this, task](CallEnd how) { onCallEnd(task, how); };
+    call.onHead = [this, task](int status, const HttpHeaders &headers) {
+        onHead(task, status, headers);
+    };
+    call.onData = [this, task](std::string_view data) {
+        onData(task, data);
+    };
+    call.onEnd = [this, task](CallEnd how) {
+        onCallEnd(task, how);
+    };
     task->call = client.start(std::move(call));
     hooks.onChanged();
 }
--- a/src/agent/requesttasks.h
+++ b/src/agent/requesttasks.h
@@ -8,8 +8,8 @@
 
 #include "core/declarations.h"
 #include "core/runonce.h"
-#include "wire/messages.h"
 #include "net/http.h"
+#include "wire/messages.h"
 #include "wire/peer.h"
 
 #include <functional>
--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -44,6 +44,7 @@
     bool ready = false;
     bool statusAsked = false;
     std::vector<CrashQuestion> crashQuestions;
+    TimePoint loadsHeldUntil; ///< the weight store asked for patience
 
     Private(EventLoop &ownerLoop, EngineAdapter adapter, ResidencySettings taskSettings, ResidencyHooks taskHooks)
         : loop(ownerLoop)
@@ -228,7 +229,9 @@
     ResidencyInput input;
     input.wants = wants();
     input.retired = retired();
-    input.isPinned = [this](const ArtifactName &name) { return pins.isPinned(name) && declarations.artifacts.contains(name); };
+    input.isPinned = [this](const ArtifactName &name) {
+        return pins.isPinned(name) && declarations.artifacts.contains(name);
+    };
     input.isInUse = hooks.isInUse;
     input.baseOf = [this](const ArtifactName &name) {
         const auto artifact = declarations.artifacts.find(name);
@@ -236,7 +239,8 @@
     };
     bool given = false;
     while (const auto order = nextResidencyOrder(*ledger, input)) {
-        if (!giveOrder(*order)) {
+        const bool isHeld = order->kind == OrderKind::Load && loop.now() < loadsHeldUntil;
+        if (isHeld || !giveOrder(*order)) {
             break;
         }
         given = true;
@@ -253,13 +257,15 @@
     if (!engineOrder) {
         return false;
     }
-    LOG(INFO) << "placement: ordered " << (order.kind == OrderKind::Load ? "load" : "unload") << " artifact=" << order.artifact
-              << " order=" << engineOrder->id << " fence=" << engineOrder->fence << " charged-gb=" << ledger->charged().inGigabytes()
-              << " reason=" << order.reason;
-    engine.sendOrder(*engineOrder, [this, id = engineOrder->id](OrderAnswer answer) {
-        ledger->orderAnswered(id, answer);
+    LOG(INFO) << "placement: ordered " << (order.kind == OrderKind::Load ? "load" : "unload") << " artifact=" << order.artifact << " order=" << engineOrder->id
+              << " fence=" << engineOrder->fence << " charged-gb=" << ledger->charged().inGigabytes() << " reason=" << order.reason;
+    engine.sendOrder(*engineOrder, [this, id = engineOrder->id](const OrderReply &reply) {
+        ledger->orderAnswered(id, reply.answer);
+        if (reply.retryAfter > Duration()) {
+            loadsHeldUntil = loop.now() + reply.retryAfter;
+        }
         // A refused order is given again at the next regular step, not at once: its reason may last.
-        if (answer == OrderAnswer::Accepted) {
+        if (reply.answer == OrderAnswer::Accepted) {
             step();
         }
     });
@@ -320,8 +326,8 @@
     if (!d->ledger || d->fencing != settings.fencing) {
         const bool isFirst = !d->ledger;
         d->fencing = settings.fencing;
-        d->ledger.emplace(settings, d->settings.orderPrefix + (isFirst ? "a" : "b" + std::to_string(d->loop.now().inMicros())),
-                          isFirst ? d->startedAt : d->loop.now());
+        d->ledger.emplace(
+            settings, d->settings.orderPrefix + (isFirst ? "a" : "b" + std::to_string(d->loop.now().inMicros())), isFirst ? d->startedAt : d->loop.now());
     }
     d->step();
 }
--- a/src/engine/engineadapter.cpp
+++ b/src/engine/engineadapter.cpp
@@ -14,6 +14,7 @@
 constexpr int StatusOk = 200;
 constexpr int StatusAccepted = 202;
 constexpr int StatusNotFound = 404;
+constexpr int StatusTooMany = 429;
 constexpr int FirstClientError = 400;
 constexpr int FirstServerError = 500;
 constexpr auto ShortTimeout = Duration::seconds(2);
@@ -52,13 +53,22 @@
     return answer.status >= FirstClientError && answer.status < FirstServerError ? OrderAnswer::Refused : OrderAnswer::Lost;
 }
 
+/// The weight store allows so many loads a second; the engine passes on when to ask again.
+auto retryAfterOf(const HttpAnswer &answer) -> Duration
+{
+    if (answer.status != StatusTooMany) {
+        return {};
+    }
+    const auto parsed = json::parse(answer.body, nullptr, false);
+    return Duration::millis(parsed.is_object() ? parsed.value("retryAfterMs", std::int64_t(0)) : 0);
+}
+
 auto artifactsOf(const json &list) -> std::vector<EngineArtifact>
 {
     std::vector<EngineArtifact> artifacts;
     for (const auto &item : list) {
-        artifacts.push_back({ArtifactName(item.at("artifact").get<std::string>()),
-                             Bytes(item.at("bytes").get<std::int64_t>()),
-                             OrderId(item.value("order", std::string()))});
+        artifacts.push_back(
+            {ArtifactName(item.at("artifact").get<std::string>()), Bytes(item.at("bytes").get<std::int64_t>()), OrderId(item.value("order", std::string()))});
     }
     return artifacts;
 }
@@ -99,10 +109,10 @@
 
 auto orderBody(const EngineOrder &order) -> json
 {
-    json body{{"id", order.id.text()},
-              {"fence", order.fence.value()},
-              {"kind", order.kind == OrderKind::Load ? "load" : "unload"},
-              {"artifact", order.artifact.text()}};
+    json body {{"id", order.id.text()},
+               {"fence", order.fence.value()},
+               {"kind", order.kind == OrderKind::Load ? "load" : "unload"},
+               {"artifact", order.artifact.text()}};
     if (order.kind == OrderKind::Load) {
         body["base"] = order.base.text();
         body["bytes"] = order.bytes.count();
@@ -112,12 +122,12 @@
 
 } // namespace
 
-auto httpEngineAdapter(HttpClient &client, Endpoint engine) -> EngineAdapter
+auto httpEngineAdapter(HttpClient &client, const Endpoint &engine) -> EngineAdapter
 {
     EngineAdapter adapter;
-    adapter.sendOrder = [&client, engine](const EngineOrder &order, std::function<void(OrderAnswer)> done) {
+    adapter.sendOrder = [&client, engine](const EngineOrder &order, std::function<void(const OrderReply &)> done) {
         startShortCall(client, postJson(engine, "/orders", orderBody(order), OrderTimeout), [done = std::move(done)](const HttpAnswer &answer) {
-            done(orderAnswerOf(answer));
+            done({orderAnswerOf(answer), retryAfterOf(answer)});
         });
     };
     adapter.askStatus = [&client, engine](std::function<void(const StatusAnswer &)> done) {
--- a/src/engine/engineadapter.h
+++ b/src/engine/engineadapter.h
@@ -31,6 +31,12 @@
     Lost, ///< no answer
 };
 
+/// What became of an order, and for a throttled one when to come back.
+struct OrderReply {
+    OrderAnswer answer = OrderAnswer::Lost;
+    Duration retryAfter; ///< 0: none is stated
+};
+
 /// An answer to GET /status, or why there is none.
 struct StatusAnswer {
     std::optional<EngineStatus> status;
@@ -40,7 +46,7 @@
 // [SECTION] Adapter
 
 struct EngineAdapter {
-    std::function<void(const EngineOrder &order, std::function<void(OrderAnswer answer)> done)> sendOrder;
+    std::function<void(const EngineOrder &order, std::function<void(const OrderReply &reply)> done)> sendOrder;
     std::function<void(std::function<void(const StatusAnswer &answer)> done)> askStatus;
     std::function<void(Fence fence, std::function<void(FenceAnswer answer)> done)> raiseFence;
     std::function<void(std::function<void(const std::optional<EngineLoad> &load)> done)> askLoad;
@@ -48,6 +54,6 @@
 };
 
 /// `client` must outlive the adapter.
-auto httpEngineAdapter(HttpClient &client, Endpoint engine) -> EngineAdapter;
+auto httpEngineAdapter(HttpClient &client, const Endpoint &engine) -> EngineAdapter;
 
 } // namespace KingCup
--- a/src/entry/configtask.cpp
+++ b/src/entry/configtask.cpp
@@ -141,7 +141,8 @@
 auto ConfigTask::Private::perform(const CommitPtr &commit, const ConfigStep &step) -> void
 {
     if (const auto *read = std::get_if<ReadConfig>(&step)) {
-        table.read(read->keys, [this, commit](const std::optional<std::vector<TableRow>> &rows) { perform(commit, commit->machine.readDone(rows, loop.now())); });
+        table.read(read->keys,
+                   [this, commit](const std::optional<std::vector<TableRow>> &rows) { perform(commit, commit->machine.readDone(rows, loop.now())); });
     } else if (const auto *write = std::get_if<WriteConfig>(&step)) {
         const auto id = settings.entry + "-config-" + std::to_string(loop.now().inMicros()) + "-" + std::to_string(++writes);
         table.transact(id, write->ops, [this, commit](const TransactResult &result) { perform(commit, commit->machine.writeDone(result, loop.now())); });
@@ -221,7 +222,8 @@
     proposal.declarations = declarationsToJson(change.set);
     proposal.digest = std::to_string(stableHash(proposal.declarations));
     const auto text = proposal.declarations;
-    const auto commit = std::make_shared<Commit>(Commit {ConfigCommit(std::move(proposal), d->loop.now() + d->settings.commitTimeout), change, text, std::move(answer), {}});
+    const auto commit
+        = std::make_shared<Commit>(Commit {ConfigCommit(std::move(proposal), d->loop.now() + d->settings.commitTimeout), change, text, std::move(answer), {}});
     d->commits.insert(commit);
     d->perform(commit, commit->machine.begin());
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -150,14 +150,20 @@
 auto Entry::Private::buildFleet() -> void
 {
     FleetHooks hooks;
-    hooks.greeting = [this] { return greeting(); };
+    hooks.greeting = [this] {
+        return greeting();
+    };
     hooks.onRoom = [this] {
         if (flows) {
             flows->pump();
         }
     };
-    hooks.onSuspects = [this](const Wire::Suspects &told) { onSuspects(told); };
-    hooks.onEntryFrame = [this](const Wire::ControlFrame &frame) { onEntryFrame(frame); };
+    hooks.onSuspects = [this](const Wire::Suspects &told) {
+        onSuspects(told);
+    };
+    hooks.onEntryFrame = [this](const Wire::ControlFrame &frame) {
+        onEntryFrame(frame);
+    };
     FleetSettings fleetSettings;
     fleetSettings.self = settings.process.id;
     fleetSettings.heartbeat = settings.timing.heartbeat;
@@ -177,9 +183,15 @@
     flowSettings.maxQueue = settings.limits.maxQueue;
     flowSettings.requestBudget = settings.limits.requestBudget;
     FlowHooks hooks;
-    hooks.openStream = [this](const TargetId &target) { return fleet->open(target); };
-    hooks.versionOf = [this](const std::string &model) { return versions.effective(model); };
-    hooks.onMissing = [this](const ArtifactName &artifact) { planner->missing(artifact); };
+    hooks.openStream = [this](const TargetId &target) {
+        return fleet->open(target);
+    };
+    hooks.versionOf = [this](const std::string &model) {
+        return versions.effective(model);
+    };
+    hooks.onMissing = [this](const ArtifactName &artifact) {
+        planner->missing(artifact);
+    };
     hooks.onSuspects = [this] {
         fleet->sendAgents(suspectsFrame());
         fleet->sendEntries(suspectsFrame());
@@ -191,11 +203,21 @@
 {
     PlannerHooks hooks;
     hooks.table = table;
-    hooks.ranksFirst = [this](const std::string &subject) { return fleet->ranksFirst(subject); };
-    hooks.runners = [this] { return fleet->runners(); };
-    hooks.holderReports = [this] { return fleet->holderReports(); };
-    hooks.demand = [this] { return demand.forecast(loop.now(), ForecastAhead); };
-    hooks.retained = [this] { return versions.retained(); };
+    hooks.ranksFirst = [this](const std::string &subject) {
+        return fleet->ranksFirst(subject);
+    };
+    hooks.runners = [this] {
+        return fleet->runners();
+    };
+    hooks.holderReports = [this] {
+        return fleet->holderReports();
+    };
+    hooks.demand = [this] {
+        return demand.forecast(loop.now(), ForecastAhead);
+    };
+    hooks.retained = [this] {
+        return versions.retained();
+    };
     hooks.onFloor = [this](RowVersion version, const std::string &plan) {
         fleet->sendAgents(planFrame(version.value(), plan));
         fleet->sendEntries(planFrame(version.value(), plan));
@@ -245,9 +267,8 @@
     buildConfig();
     buildServers();
     buildOperators();
-    hostList = std::make_unique<HostListPoll>(loop, client, settings.platform.hosts, settings.timing.hostsPoll, [this](const auto &hosts) {
-        fleet->listReceived(hosts);
-    });
+    hostList = std::make_unique<HostListPoll>(
+        loop, client, settings.platform.hosts, settings.timing.hostsPoll, [this](const auto &hosts) { fleet->listReceived(hosts); });
     housekeeping = loop.every(HousekeepingPeriod, [this] { housekeep(); });
 }
 
@@ -257,7 +278,9 @@
     configSettings.entry = settings.process.id;
     configSettings.pollPeriod = settings.timing.configPoll;
     ConfigHooks hooks;
-    hooks.onAdopted = [this](Revision revision, const Declarations &declarations, const std::string &text) { onAdopted(revision, declarations, text); };
+    hooks.onAdopted = [this](Revision revision, const Declarations &declarations, const std::string &text) {
+        onAdopted(revision, declarations, text);
+    };
     config = std::make_unique<ConfigTask>(loop, table, configSettings, std::move(hooks));
 }
 
@@ -267,12 +290,24 @@
         return;
     }
     OperatorHooks hooks;
-    hooks.post = [this](std::function<void()> task) { loop.post(std::move(task)); };
-    hooks.apply = [this](const DeclarationsChange &change, std::function<void(const ChangeAnswer &)> answer) { config->apply(change, std::move(answer)); };
-    hooks.declarations = [this] { return DeclarationsAt {config->revision(), config->declarations()}; };
-    hooks.status = [this] { return status(); };
-    hooks.drain = [this](const TargetId &target, bool undo, const std::function<void(const DrainAnswer &)> &answer) { answer(drain(target, undo)); };
-    hooks.explain = [this](const std::string &subject) { return explain(subject); };
+    hooks.post = [this](std::function<void()> task) {
+        loop.post(std::move(task));
+    };
+    hooks.apply = [this](const DeclarationsChange &change, std::function<void(const ChangeAnswer &)> answer) {
+        config->apply(change, std::move(answer));
+    };
+    hooks.declarations = [this] {
+        return DeclarationsAt {config->revision(), config->declarations()};
+    };
+    hooks.status = [this] {
+        return status();
+    };
+    hooks.drain = [this](const TargetId &target, bool undo, const std::function<void(const DrainAnswer &)> &answer) {
+        answer(drain(target, undo));
+    };
+    hooks.explain = [this](const std::string &subject) {
+        return explain(subject);
+    };
     OperatorOptions options;
     options.listen = *settings.listen.operators;
     if (settings.tls.operators) {
@@ -363,7 +398,9 @@
             onPeerFrame(self, frame);
         }
     });
-    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) { std::erase_if(peerStreams, [&](const auto &held) { return held.get() == raw; }); };
+    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) {
+        std::erase_if(peerStreams, [&](const auto &held) { return held.get() == raw; });
+    };
     for (const auto &frame : greeting()) {
         stream->send(frame);
     }
@@ -446,10 +483,8 @@
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
     for (const auto &rate : message.rates()) {
-        digest.rates.push_back({ArtifactName(rate.artifact()),
-                                rate.per_second(),
-                                Duration::micros(static_cast<std::int64_t>(rate.service_us())),
-                                rate.missed_per_second()});
+        digest.rates.push_back(
+            {ArtifactName(rate.artifact()), rate.per_second(), Duration::micros(static_cast<std::int64_t>(rate.service_us())), rate.missed_per_second()});
     }
     demand.merge(digest, loop.now());
 }
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -89,14 +89,26 @@
 {
     LinkHooks link;
     link.greeting = hooks.greeting;
-    link.onHeard = [this](const std::string &id) { membership.heard(id, loop.now()); };
-    link.onDown = [this](const std::string &id) { onDown(id); };
+    link.onHeard = [this](const std::string &id) {
+        membership.heard(id, loop.now());
+    };
+    link.onDown = [this](const std::string &id) {
+        onDown(id);
+    };
     if (isAgent) {
-        link.onHello = [this](const std::string &id, const Wire::Hello &hello) { onHello(id, hello); };
-        link.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) { onAgentFrame(id, frame); };
+        link.onHello = [this](const std::string &id, const Wire::Hello &hello) {
+            onHello(id, hello);
+        };
+        link.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) {
+            onAgentFrame(id, frame);
+        };
     } else {
-        link.onHello = [](const std::string &id, const Wire::Hello &hello) { LOG(INFO) << "entry: connected id=" << id << " zone=" << hello.zone(); };
-        link.onFrame = [this](const std::string & /*id*/, const Wire::ControlFrame &frame) { hooks.onEntryFrame(frame); };
+        link.onHello = [](const std::string &id, const Wire::Hello &hello) {
+            LOG(INFO) << "entry: connected id=" << id << " zone=" << hello.zone();
+        };
+        link.onFrame = [this](const std::string & /*id*/, const Wire::ControlFrame &frame) {
+            hooks.onEntryFrame(frame);
+        };
     }
     return link;
 }
--- a/src/entry/peerlinks.cpp
+++ b/src/entry/peerlinks.cpp
@@ -54,8 +54,12 @@
     auto *raw = link.get();
     link->id = host.id;
     link->client = std::make_unique<PeerClient>(loop, host.endpoint, options);
-    link->client->onUp = [this, raw] { onUp(*raw); };
-    link->client->onDown = [this, raw] { onDown(*raw); };
+    link->client->onUp = [this, raw] {
+        onUp(*raw);
+    };
+    link->client->onDown = [this, raw] {
+        onDown(*raw);
+    };
     links[host.id] = std::move(link);
 }
 
@@ -123,7 +127,8 @@
 auto PeerLinks::setHosts(const std::vector<ListedHost> &hosts) -> void
 {
     std::erase_if(d->links, [&](const auto &item) {
-        return std::none_of(hosts.begin(), hosts.end(), [&](const ListedHost &host) { return host.id == item.first && host.endpoint == item.second->client->server(); });
+        return std::none_of(
+            hosts.begin(), hosts.end(), [&](const ListedHost &host) { return host.id == item.first && host.endpoint == item.second->client->server(); });
     });
     for (const auto &host : hosts) {
         if (!d->links.contains(host.id)) {
--- a/src/entry/peerlinks.h
+++ b/src/entry/peerlinks.h
@@ -6,9 +6,9 @@
 #pragma once
 
 #include "core/membership.h"
-#include "wire/messages.h"
 #include "net/eventloop.h"
 #include "wire/control.h"
+#include "wire/messages.h"
 
 #include <functional>
 #include <memory>
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -329,7 +329,9 @@
 auto RequestFlows::Private::listen(const FlowPtr &flow) -> void
 {
     auto *raw = flow->stream.get();
-    const auto isCurrent = [flow, raw] { return flow->stream.get() == raw && flow->state == FlowState::Trying; };
+    const auto isCurrent = [flow, raw] {
+        return flow->stream.get() == raw && flow->state == FlowState::Trying;
+    };
     flow->stream->onMessage = [this, flow, isCurrent](std::string_view message) {
         if (isCurrent()) {
             onFrame(flow, message);
@@ -491,7 +493,8 @@
     const bool isNotRun = decision.action == RetryAction::SayNotRun && !flow->mayHaveRun;
     const auto retryAfter = Duration::micros(flow->last.retry_after_us());
     const int status = isNotRun ? StatusUnavailable : end.code == "timeout" ? StatusTimeout : StatusBadGateway;
-    refuse(flow, {status, end.code, flow->endSeen ? flow->last.detail() : decision.reason, isNotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown, retryAfter});
+    refuse(flow,
+           {status, end.code, flow->endSeen ? flow->last.detail() : decision.reason, isNotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown, retryAfter});
 }
 
 auto RequestFlows::Private::deliver(const FlowPtr &flow) -> void
@@ -545,7 +548,10 @@
     const std::string priority = toString(flow->request.priority);
     parts.metrics.add("requests_total{outcome=\"" + std::string(toString(outcome)) + "\",priority=\"" + priority + "\"}");
     parts.metrics.observe("request_seconds{priority=\"" + priority + "\"}", took.inSeconds());
-    log(*flow, "answered", "outcome=" + std::string(toString(outcome)) + " code=" + code + " attempts=" + std::to_string(flow->attempts) + " ms=" + std::to_string(took.inMillis()));
+    log(*flow,
+        "answered",
+        "outcome=" + std::string(toString(outcome)) + " code=" + code + " attempts=" + std::to_string(flow->attempts)
+            + " ms=" + std::to_string(took.inMillis()));
 }
 
 /// Gives up the attempt under way: its late answer, if one comes, counts for nothing.
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -17,7 +17,7 @@
 
 namespace Stats = boost::accumulators;
 using Distribution = Stats::accumulator_set<double, Stats::stats<Stats::tag::count, Stats::tag::sum, Stats::tag::extended_p_square>>;
-constexpr std::array<double, 3> Quantiles{0.5, 0.95, 0.99};
+constexpr std::array<double, 3> Quantiles {0.5, 0.95, 0.99};
 
 /// name{a="b"} and quantile="0.5" to name{a="b",quantile="0.5"}.
 auto withLabel(const std::string &name, const std::string &label) -> std::string
--- a/src/platform/tableaccess.cpp
+++ b/src/platform/tableaccess.cpp
@@ -118,7 +118,7 @@
 
 } // namespace
 
-auto httpTableAccess(HttpClient &client, Endpoint table) -> TableAccess
+auto httpTableAccess(HttpClient &client, const Endpoint &table) -> TableAccess
 {
     TableAccess access;
     access.read = [&client, table](std::vector<std::string> keys, TableAccess::ReadDone done) {
--- a/src/platform/tableaccess.h
+++ b/src/platform/tableaccess.h
@@ -22,6 +22,6 @@
 };
 
 /// Without retries: whoever asks decides whether to ask again. `client` must outlive it.
-auto httpTableAccess(HttpClient &client, Endpoint table) -> TableAccess;
+auto httpTableAccess(HttpClient &client, const Endpoint &table) -> TableAccess;
 
 } // namespace KingCup
