--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -13,6 +13,7 @@
 #include "core/plan.h"
 #include "core/suspects.h"
 #include "net/metrics.h"
+#include "platform/tableaccess.h"
 
 #include <ctime>
 #include <glog/logging.h>
@@ -27,6 +28,7 @@
 
 constexpr auto FlushTime = Duration::millis(200); // for last answers to leave the process
 constexpr auto LeaveCheckPeriod = Duration::millis(50);
+constexpr auto FloorReadPeriod = Duration::seconds(2); // between tries to read the floor's row, until one succeeds
 constexpr auto SuspectCheckPeriod = Duration::seconds(5);
 constexpr int ExitCutOff = 1;
 
@@ -58,6 +60,7 @@
     DaemonSettings settings;
     std::uint64_t incarnation = wallMillis();
     HttpClient client;
+    TableAccess table;
     Metrics metrics;
     Suspects suspects;
     Declarations declarations;
@@ -69,6 +72,7 @@
     std::unique_ptr<PeerServer> peers;
     std::unique_ptr<HttpServer> pages;
     Timer loadPoll;
+    Timer floorRead; ///< until the row was read once
     Timer suspectCheck;
     Timer leaveCheck;
     TimePoint leavingSince;
@@ -80,6 +84,7 @@
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
         , client(loop)
+        , table(httpTableAccess(client, settings.platform.table))
     {
     }
 
@@ -100,6 +105,7 @@
     auto report() const -> Wire::LoadReport;
     auto reportMemory(Wire::LoadReport &report) const -> void;
     auto suspectsMessage() const -> Wire::Suspects;
+    auto readFloor() -> void;
     auto pollLoad() -> void;
     auto checkLeft() -> void;
     auto page(const std::shared_ptr<HttpExchange> &exchange) -> void;
@@ -126,6 +132,7 @@
         };
         residency = std::make_unique<ResidencyTask>(loop, httpEngineAdapter(client, settings.target.engine), residencySettings, std::move(hooks));
         loadPoll = loop.every(settings.timing.report, [this] { pollLoad(); });
+        floorRead = loop.every(FloorReadPeriod, [this] { readFloor(); });
     }
     RequestSettings requestSettings;
     requestSettings.target = settings.target.engine;
@@ -265,6 +272,24 @@
     residency->floorRowRead(RowSource::Peer, RowVersion(plan.row_version()), floorRowOf(decoded.value()));
 }
 
+/// Once, after the start: see FloorPins::isSettled(). From then on entries pass newer rows on.
+auto Agent::Private::readFloor() -> void
+{
+    if (residency->isSettled()) {
+        floorRead.cancel();
+        return;
+    }
+    table.read({FloorRowKey}, [this](const std::optional<std::vector<TableRow>> &rows) {
+        if (!rows) {
+            return;
+        }
+        const auto plan = rows->empty() ? Result<Plan>(Plan()) : planFromJson(rows->front().value);
+        if (plan) {
+            residency->floorRowRead(RowSource::Table, rows->empty() ? RowVersion() : rows->front().version, floorRowOf(plan.value()));
+        }
+    });
+}
+
 auto Agent::Private::onSurge(const Wire::SurgeWish &wish) -> void
 {
     if (!residency) {
--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -217,7 +217,8 @@
 {
     std::vector<ArtifactName> names;
     for (const auto &resident : ledger->residents()) {
-        if (!declarations.artifacts.contains(resident.artifact)) {
+        // An old version stays while the floor names it: callers are sent to it until the new one is resident.
+        if (!declarations.artifacts.contains(resident.artifact) && !pins.isPinned(resident.artifact)) {
             names.push_back(resident.artifact);
         }
     }
@@ -230,7 +231,7 @@
     input.wants = wants();
     input.retired = retired();
     input.isPinned = [this](const ArtifactName &name) {
-        return pins.isPinned(name) && declarations.artifacts.contains(name);
+        return pins.isPinned(name);
     };
     input.isInUse = hooks.isInUse;
     input.baseOf = [this](const ArtifactName &name) {
@@ -296,6 +297,11 @@
     return d->ledger ? &*d->ledger : nullptr;
 }
 
+auto ResidencyTask::isSettled() const -> bool
+{
+    return d->pins.isSettled();
+}
+
 auto ResidencyTask::isPinned(const ArtifactName &artifact) const -> bool
 {
     return d->pins.isPinned(artifact);
--- a/src/agent/residencytask.h
+++ b/src/agent/residencytask.h
@@ -48,6 +48,7 @@
     auto isEngineReady() const -> bool; ///< it answered its last status
     auto isUsable(const ArtifactName &artifact) const -> bool; ///< new requests may use it
     auto ledger() const -> const MemoryLedger *; ///< null before the first configuration
+    auto isSettled() const -> bool; ///< has read the floor's row from the table itself; until then everything resident is pinned
     auto isPinned(const ArtifactName &artifact) const -> bool;
     auto planVersion() const -> RowVersion;
     auto engineGeneration() const -> std::uint64_t;
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -12,6 +12,9 @@
 namespace KingCup
 {
 
+/// The table's row that holds the floor plan in force.
+constexpr auto FloorRowKey = "plan/floor";
+
 /// Holdings of targets, each list sorted by name. Targets that hold nothing are left out.
 class Plan
 {
--- a/src/entry/planner.h
+++ b/src/entry/planner.h
@@ -43,8 +43,6 @@
 
 // [SECTION] Planner
 
-constexpr auto FloorRowKey = "plan/floor";
-
 class Planner
 {
 public:
