--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -136,10 +136,11 @@
     }
     auto step() -> void
     {
-        runTasks();
+        // Tasks come last: whoever waits for what they do looks right after them, and not only at the next event.
         if (!stopping) {
             lws_service(context, hasTasks() ? -1 : 0);
         }
+        runTasks();
     }
 };
 
