--- /dev/null
+++ b/src/kingcupctl/main.cpp
@@ -0,0 +1,53 @@
+// kingcupctl: operators' command line. See `kingcupctl help`.
+#include "commands.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace KingCup
+{
+
+namespace
+{
+
+auto complain(const std::string &message) -> ExitCode
+{
+    std::cerr << "kingcupctl: " << message << "; see kingcupctl help\n";
+    return ExitCode::Usage;
+}
+
+auto run(int count, const char *const *texts) -> ExitCode
+{
+    const auto [arguments, error] = parseArguments(count, texts);
+    if (!error.empty()) {
+        return complain(error);
+    }
+    if (arguments.help) {
+        return runHelp(arguments);
+    }
+    if (arguments.command.empty()) {
+        return complain("no command was given");
+    }
+    const auto &all = commands();
+    const auto &name = arguments.command;
+    const auto command = std::find_if(all.begin(), all.end(), [&](const Command &known) { return known.name == name; });
+    if (command == all.end()) {
+        return complain("unknown command '" + name + "'");
+    }
+    if (arguments.operands.size() != static_cast<std::size_t>(command->operandCount)) {
+        return complain(name + " takes " + (command->operands.empty() ? "no operand" : command->operands));
+    }
+    if (command->needsServer && arguments.servers.empty()) {
+        return complain("no server was named; use --server IP:PORT");
+    }
+    return command->run(arguments);
+}
+
+} // namespace
+
+} // namespace KingCup
+
+auto main(int count, char **texts) -> int
+{
+    return static_cast<int>(KingCup::run(count, texts));
+}
--- /dev/null
+++ b/tests/unit_operator.cpp
@@ -0,0 +1,258 @@
+#include "core/declarationcodec.h"
+#include "net/eventloop.h"
+#include "operator/operatorcodec.h"
+#include "settings/declarationfile.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <grpcpp/grpcpp.h>
+#include <kingcup/operator.grpc.pb.h>
+
+using namespace KingCup;
+namespace Proto = kingcup::operators;
+
+namespace
+{
+
+constexpr auto Limit = Duration::seconds(20);
+
+auto smallSet() -> Declarations
+{
+    return parseDeclarations("small.ini",
+                             "[service advisory]\n"
+                             "[service ledger]\nkind = plain\nnon-idempotent = POST /debits\n"
+                             "[model sun]\nservice = advisory\ncurrent = 1\n"
+                             "[version sun@1]\nsize-gb = 14\n"
+                             "[adapter austin]\nbase = sun@1\nsize-gb = 0.3\n"
+                             "[target runner-1]\nservice = advisory\nfencing = checked\n")
+        .value;
+}
+
+/// An entry's loop with hooks that the tests set, the server, and a client that calls it from another thread.
+struct Bench {
+    EventLoop loop;
+    DeclarationsAt current;
+    SystemStatus status;
+    std::vector<DeclarationsChange> applied;
+    std::function<void(const ChangeAnswer &)> waiting; ///< of the last change, if `answerAtOnce` is false
+    bool answerAtOnce = true;
+    std::unique_ptr<OperatorServer> server;
+    std::unique_ptr<Proto::Operators::Stub> stub;
+
+    Bench()
+    {
+        OperatorHooks hooks;
+        hooks.post = [this](std::function<void()> task) {
+            loop.post(std::move(task));
+        };
+        hooks.apply = [this](const DeclarationsChange &change, std::function<void(const ChangeAnswer &)> answer) {
+            applied.push_back(change);
+            if (answerAtOnce) {
+                answer({.outcome = ChangeOutcome::Accepted, .revision = change.expected.next(), .findings = {}, .message = ""});
+            } else {
+                waiting = std::move(answer);
+            }
+        };
+        hooks.declarations = [this] {
+            return current;
+        };
+        hooks.status = [this] {
+            return status;
+        };
+        hooks.drain = [](const TargetId &target, bool undo, const std::function<void(const DrainAnswer &)> &answer) {
+            answer({target.text() == "runner-1" && !undo, "as asked"});
+        };
+        hooks.explain = [](const std::string &subject) {
+            return std::vector<RecentDecision> {{Duration::millis(5), "routing", subject, "chose target=runner-1"}};
+        };
+        std::string error;
+        server.reset(kingcupCreateOperatorServer({.listen = {}, .tls = {}, .watchPeriod = Duration::millis(5)}, hooks, error));
+        REQUIRE(error.empty());
+        const auto channel = grpc::CreateChannel("127.0.0.1:" + std::to_string(server->port()), grpc::InsecureChannelCredentials());
+        stub = Proto::Operators::NewStub(channel);
+    }
+
+    /// Runs a blocking call on another thread while the loop runs.
+    auto whileRunning(const std::function<grpc::Status()> &call) -> grpc::Status
+    {
+        auto result = std::async(std::launch::async, call);
+        REQUIRE(loop.runUntil([&] { return result.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, Limit));
+        return result.get();
+    }
+
+    template<typename Request, typename Reply>
+    auto call(grpc::Status (Proto::Operators::Stub::*method)(grpc::ClientContext *, const Request &, Reply *), const Request &request, Reply &reply)
+        -> grpc::Status
+    {
+        return whileRunning([&] {
+            grpc::ClientContext context;
+            return (stub.get()->*method)(&context, request, &reply);
+        });
+    }
+};
+
+auto applyRequest() -> Proto::ApplyRequest
+{
+    Proto::ApplyRequest request;
+    request.set_change_id("change-1");
+    request.set_expected_revision(7);
+    *request.mutable_set() = toProto(smallSet());
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a set survives the way through the schema, with its places")
+{
+    const auto set = smallSet();
+    const auto back = fromProto(toProto(set));
+    REQUIRE(back.isValid());
+    REQUIRE(isSameSet(back.value, set));
+    REQUIRE(back.value.artifacts.at(ArtifactName("austin")).place == set.artifacts.at(ArtifactName("austin")).place);
+    REQUIRE(back.value.models.at("sun").versions == set.models.at("sun").versions);
+}
+
+TEST_CASE("an operator's set reaches the entry and is answered with its revision")
+{
+    Bench bench;
+    Proto::ChangeReply reply;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Apply, applyRequest(), reply).ok());
+    REQUIRE(reply.outcome() == Proto::CHANGE_OUTCOME_ACCEPTED);
+    REQUIRE(reply.revision() == 8);
+    REQUIRE(reply.change_id() == "change-1");
+    REQUIRE(bench.applied.size() == 1);
+    REQUIRE(isSameSet(bench.applied[0].set, smallSet()));
+    REQUIRE(bench.applied[0].expected == Revision(7));
+}
+
+TEST_CASE("a request with a field that the entry doesn't know is refused whole")
+{
+    // A newer tool sends a field that this entry was built without. Passed over, the change would be accepted without the part that
+    // the operator added, and nobody would notice.
+    Bench bench;
+    auto request = applyRequest();
+    auto *service = request.mutable_set()->mutable_services(0);
+    service->GetReflection()->MutableUnknownFields(service)->AddVarint(99, 1);
+    Proto::ChangeReply reply;
+    const auto status = bench.call(&Proto::Operators::Stub::Apply, request, reply);
+    REQUIRE(status.error_code() == grpc::StatusCode::INVALID_ARGUMENT);
+    REQUIRE(status.error_message() == "this entry doesn't know: field 99 of Service; nothing was changed");
+    REQUIRE(bench.applied.empty());
+}
+
+TEST_CASE("a value that the entry doesn't know is refused as well")
+{
+    Bench bench;
+    auto request = applyRequest();
+    request.mutable_set()->mutable_services(0)->set_priority(static_cast<Proto::Priority>(17));
+    Proto::ChangeReply reply;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Apply, request, reply).error_code() == grpc::StatusCode::INVALID_ARGUMENT);
+    REQUIRE(bench.applied.empty());
+}
+
+TEST_CASE("a name that stands twice in a request is a finding, with its place")
+{
+    Bench bench;
+    auto request = applyRequest();
+    auto *twin = request.mutable_set()->add_models();
+    *twin = request.set().models(0);
+    twin->mutable_place()->set_file("other.ini");
+    twin->mutable_place()->set_line(4);
+    Proto::ChangeReply reply;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Apply, request, reply).ok());
+    REQUIRE(reply.outcome() == Proto::CHANGE_OUTCOME_REFUSED);
+    REQUIRE(toString(fromProto(reply.findings(0))) == "other.ini:4: model sun is declared twice");
+    REQUIRE(bench.applied.empty());
+}
+
+TEST_CASE("one entity alone is merged into the set that its author saw")
+{
+    Bench bench;
+    bench.current = {Revision(7), smallSet()};
+    Proto::ChangeRequest request;
+    request.set_change_id("change-2");
+    request.set_expected_revision(7);
+    request.set_remove_adapter("austin");
+    Proto::ChangeReply reply;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Change, request, reply).ok());
+    REQUIRE(reply.outcome() == Proto::CHANGE_OUTCOME_ACCEPTED);
+    REQUIRE_FALSE(bench.applied.at(0).set.artifacts.contains(ArtifactName("austin")));
+    REQUIRE(bench.applied.at(0).set.artifacts.contains(ArtifactName("sun@1")));
+
+    request.set_remove_adapter("nobody");
+    REQUIRE(bench.call(&Proto::Operators::Stub::Change, request, reply).ok());
+    REQUIRE(reply.outcome() == Proto::CHANGE_OUTCOME_REFUSED);
+
+    request.set_expected_revision(6);
+    REQUIRE(bench.call(&Proto::Operators::Stub::Change, request, reply).ok());
+    REQUIRE(reply.outcome() == Proto::CHANGE_OUTCOME_CONFLICT);
+    REQUIRE(reply.revision() == 7);
+}
+
+TEST_CASE("get, drain and explain answer what the entry says")
+{
+    Bench bench;
+    bench.current = {Revision(7), smallSet()};
+    Proto::GetReply got;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Get, Proto::GetRequest(), got).ok());
+    REQUIRE(got.revision() == 7);
+    REQUIRE(isSameSet(fromProto(got.set()).value, smallSet()));
+    Proto::DrainRequest drain;
+    drain.set_target("runner-1");
+    Proto::DrainReply drained;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Drain, drain, drained).ok());
+    REQUIRE(drained.accepted());
+    Proto::ExplainRequest explain;
+    explain.set_subject("request-1");
+    Proto::ExplainReply explained;
+    REQUIRE(bench.call(&Proto::Operators::Stub::Explain, explain, explained).ok());
+    REQUIRE(explained.decisions(0).subject() == "request-1");
+}
+
+TEST_CASE("a watch shows each change of the status and ends once the revision is in force")
+{
+    Bench bench;
+    bench.status.revision = Revision(8);
+    bench.status.inForce = Revision(7);
+    auto timer = bench.loop.after(Duration::millis(50), [&] { bench.status.inForce = Revision(8); });
+    std::vector<std::uint64_t> seen;
+    const auto status = bench.whileRunning([&] {
+        grpc::ClientContext context;
+        Proto::WatchRequest request;
+        request.set_until_revision(8);
+        const auto reader = bench.stub->Watch(&context, request);
+        Proto::StatusReply reply;
+        while (reader->Read(&reply)) {
+            seen.push_back(reply.in_force());
+        }
+        return reader->Finish();
+    });
+    REQUIRE(status.ok());
+    REQUIRE(seen == std::vector<std::uint64_t> {7, 8});
+}
+
+TEST_CASE("an entry that stops ends the calls that wait for the store")
+{
+    // An entry is stopped while a change waits for the store's answer. Were the call kept open, the entry's planned stop would hang on
+    // it; answered as refused, the operator would be told a thing that nobody knows.
+    Bench bench;
+    bench.answerAtOnce = false;
+    auto result = std::async(std::launch::async, [&] {
+        grpc::ClientContext context;
+        Proto::ChangeReply reply;
+        return bench.stub->Apply(&context, applyRequest(), &reply);
+    });
+    REQUIRE(bench.loop.runUntil([&] { return bench.waiting != nullptr; }, Limit));
+    bench.server->shutdown();
+    REQUIRE(result.get().error_code() == grpc::StatusCode::UNAVAILABLE);
+    bench.waiting({.outcome = ChangeOutcome::Accepted, .revision = Revision(8), .findings = {}, .message = ""});
+}
+
+TEST_CASE("a second server on the same port is refused")
+{
+    Bench bench;
+    std::string error;
+    const OperatorHooks hooks;
+    REQUIRE(kingcupCreateOperatorServer({.listen = {"127.0.0.1", bench.server->port()}, .tls = {}}, hooks, error) == nullptr);
+    REQUIRE_FALSE(error.empty());
+}
