--- a/src/entry/operatormodule.cpp
+++ b/src/entry/operatormodule.cpp
@@ -23,8 +23,7 @@
     return (executable.parent_path() / ModuleFile).string();
 }
 
-auto startOperatorServer(const std::string &modulePath, const OperatorOptions &options, const OperatorHooks &hooks)
-    -> Result<std::unique_ptr<OperatorServer>>
+auto startOperatorServer(const std::string &modulePath, const OperatorOptions &options, const OperatorHooks &hooks) -> Result<std::unique_ptr<OperatorServer>>
 {
     void *module = dlopen(modulePath.c_str(), RTLD_NOW | RTLD_LOCAL);
     if (module == nullptr) {
--- a/src/entry/operatormodule.h
+++ b/src/entry/operatormodule.h
@@ -14,7 +14,6 @@
 auto operatorModulePath(const std::string &setting) -> std::string;
 
 /// Loads the module and starts its server. The module stays loaded until the process ends: gRPC's threads outlive a server.
-auto startOperatorServer(const std::string &modulePath, const OperatorOptions &options, const OperatorHooks &hooks)
-    -> Result<std::unique_ptr<OperatorServer>>;
+auto startOperatorServer(const std::string &modulePath, const OperatorOptions &options, const OperatorHooks &hooks) -> Result<std::unique_ptr<OperatorServer>>;
 
 } // namespace KingCup
--- a/src/kingcupctl/changecommands.cpp
+++ b/src/kingcupctl/changecommands.cpp
@@ -223,8 +223,8 @@
     if (!set) {
         return ExitCode::Refused;
     }
-    std::cerr << set->services.size() << " services, " << set->models.size() << " models, " << set->artifacts.size() << " artifacts, "
-              << set->targets.size() << " targets; no findings\n";
+    std::cerr << set->services.size() << " services, " << set->models.size() << " models, " << set->artifacts.size() << " artifacts, " << set->targets.size()
+              << " targets; no findings\n";
     return ExitCode::Ok;
 }
 
--- a/src/operator/operatorserver.cpp
+++ b/src/operator/operatorserver.cpp
@@ -68,7 +68,8 @@
                                        .author = question.author()};
             // Merged into another set than the author saw, the change could mean something else; the store would refuse it anyway.
             if (current.revision != change.expected) {
-                const ChangeAnswer answer {.outcome = ChangeOutcome::Conflict, .revision = current.revision, .findings = {}, .message = "another revision came first"};
+                const ChangeAnswer answer {
+                    .outcome = ChangeOutcome::Conflict, .revision = current.revision, .findings = {}, .message = "another revision came first"};
                 finish(change.id, answer, reply, call);
                 return;
             }
@@ -77,7 +78,8 @@
         });
     }
 
-    auto Get(grpc::CallbackServerContext * /*context*/, const OperatorProto::GetRequest *request, OperatorProto::GetReply *reply) -> grpc::ServerUnaryReactor * override
+    auto Get(grpc::CallbackServerContext * /*context*/, const OperatorProto::GetRequest *request, OperatorProto::GetReply *reply)
+        -> grpc::ServerUnaryReactor * override
     {
         return onLoop(*request, [this, reply](const auto & /*question*/, const std::shared_ptr<UnaryCall> &call) {
             const auto current = m_hooks.declarations();
--- a/tests/unit_operator.cpp
+++ b/tests/unit_operator.cpp
@@ -3,6 +3,7 @@
 #include "operator/operatorcodec.h"
 #include "settings/declarationfile.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
 #include <grpcpp/grpcpp.h>
@@ -75,8 +76,14 @@
     /// Runs a blocking call on another thread while the loop runs.
     auto whileRunning(const std::function<grpc::Status()> &call) -> grpc::Status
     {
-        auto result = std::async(std::launch::async, call);
-        REQUIRE(loop.runUntil([&] { return result.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, Limit));
+        std::atomic<bool> done = false;
+        auto result = std::async(std::launch::async, [&] {
+            auto outcome = call();
+            done = true;
+            loop.post([] {}); // the loop looks at its condition after events only
+            return outcome;
+        });
+        REQUIRE(loop.runUntil([&] { return done.load(); }, Limit));
         return result.get();
     }
 
