Sets that arrive by a call are checked as strictly as files

Cause: names, ranges and paths were checked in the INI reader only; a gRPC call could put in force what no file can say. Change: checkDeclarations checks names, calls, time spans and the policy; a faulty number in a file is one finding, not two. Result: unit_declarations with a new case, 39 cases of settings, declarations, operator and placement pass.

--- a/src/core/declarations.cpp
+++ b/src/core/declarations.cpp
@@ -1,6 +1,7 @@
 #include "core/declarations.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace KingCup
 {
@@ -31,14 +32,66 @@
 namespace
 {
 
+constexpr std::size_t LongestName = 200;
+constexpr double MostKvReserve = 0.95;
+
+auto checkName(const std::string &what, const std::string &name, const Place &place, Findings &findings) -> void
+{
+    if (!isValidName(name)) {
+        findings.push_back({place, what + " '" + name + "': not a name (letters, digits, - _ . @)"});
+    }
+}
+
+auto checkCall(const Service &service, const NonIdempotentCall &call, Findings &findings) -> void
+{
+    if (call.method.empty() || !call.pathPrefix.starts_with('/')) {
+        findings.push_back({service.place, "service " + service.name.text() + ": '" + call.method + " " + call.pathPrefix + "' is not METHOD /PATH"});
+    }
+}
+
 auto checkService(const Service &service, Findings &findings) -> void
 {
+    const std::string what = "service " + service.name.text() + ": ";
+    checkName("service", service.name.text(), service.place, findings);
     if (service.kind == ServiceKind::Models && !service.nonIdempotentCalls.empty()) {
-        findings.push_back({service.place, "service " + service.name.text() + ": non-idempotent calls belong to plain services"});
+        findings.push_back({service.place, what + "non-idempotent calls belong to plain services"});
+    }
+    if (!(service.share > 0)) {
+        findings.push_back({service.place, what + "share must be above 0"});
+    }
+    if (service.timeBudget <= Duration() || service.claimRetention <= Duration()) {
+        findings.push_back({service.place, what + "time budget and claim retention must be above 0"});
+    }
+    for (const auto &call : service.nonIdempotentCalls) {
+        checkCall(service, call, findings);
     }
-    if (service.share <= 0) {
-        findings.push_back({service.place, "service " + service.name.text() + ": share must be above 0"});
+}
+
+auto checkTarget(const Declarations &declarations, const Target &target, Findings &findings) -> void
+{
+    const std::string what = "target " + target.id.text() + ": ";
+    checkName("target", target.id.text(), target.place, findings);
+    if (!declarations.services.contains(target.service)) {
+        findings.push_back({target.place, what + "unknown service '" + target.service.text() + "'"});
     }
+    if (target.longestOrderDelay < Duration()) {
+        findings.push_back({target.place, what + "longest order delay must not be below 0"});
+    }
+}
+
+auto checkPolicy(const Policy &policy, Findings &findings) -> void
+{
+    const auto require = [&](bool holds, const char *message) {
+        if (!holds) {
+            findings.push_back({policy.place, std::string("policy: ") + message});
+        }
+    };
+    require(policy.moveCost >= 0, "move cost must not be below 0");
+    require(policy.horizon > Duration(), "horizon must be above 0");
+    require(policy.loadsPerSecond > 0, "loads per second must be above 0");
+    require(policy.parallelLoads > 0, "parallel loads must be above 0");
+    require(policy.kvReserve >= 0 && policy.kvReserve <= MostKvReserve, "KV reserve must be from 0 to 0.95");
+    require(policy.floorZones > 0, "floor zones must be above 0");
 }
 
 auto checkAdapter(const Declarations &declarations, const Artifact &artifact, Findings &findings) -> void
@@ -57,6 +110,7 @@
 auto checkArtifact(const Declarations &declarations, const Artifact &artifact, Findings &findings) -> void
 {
     const std::string what = "artifact " + artifact.name.text() + ": ";
+    checkName("artifact", artifact.name.text(), artifact.place, findings);
     if (artifact.size <= Bytes(0)) {
         findings.push_back({artifact.place, what + "size must be above 0"});
     }
@@ -74,6 +128,7 @@
 
 auto checkModel(const Declarations &declarations, const Model &model, Findings &findings) -> void
 {
+    checkName("model", model.name, model.place, findings);
     const auto service = declarations.services.find(model.service);
     if (service == declarations.services.end()) {
         findings.push_back({model.place, "model " + model.name + ": unknown service '" + model.service.text() + "'"});
@@ -95,6 +150,14 @@
 
 } // namespace
 
+auto isValidName(const std::string &text) -> bool
+{
+    const auto isAllowed = [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.' || letter == '@';
+    };
+    return !text.empty() && text.size() <= LongestName && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
 auto modelOfVersion(const ArtifactName &version) -> std::string
 {
     const auto at = version.text().find('@');
@@ -129,10 +192,9 @@
         checkModel(declarations, model, findings);
     }
     for (const auto &[id, target] : declarations.targets) {
-        if (!declarations.services.contains(target.service)) {
-            findings.push_back({target.place, "target " + id.text() + ": unknown service '" + target.service.text() + "'"});
-        }
+        checkTarget(declarations, target, findings);
     }
+    checkPolicy(declarations.policy, findings);
     return findings;
 }
 
--- a/src/core/declarations.h
+++ b/src/core/declarations.h
@@ -112,6 +112,9 @@
     Policy policy;
 };
 
+/// Letters, digits, '-', '_', '.' and '@'; 1 to 200 of them: safe in paths, rows' keys and log lines.
+auto isValidName(const std::string &text) -> bool;
+
 /// The model that a version belongs to by its name: "sun" for "sun@1"; empty for other names.
 auto modelOfVersion(const ArtifactName &version) -> std::string;
 
--- a/src/settings/declarationfile.cpp
+++ b/src/settings/declarationfile.cpp
@@ -64,7 +64,9 @@
     {
         return text(key, [&](const std::string &given) {
             const auto parsed = parseInteger(given, least, most);
-            set(parsed.value);
+            if (parsed.error.empty()) {
+                set(parsed.value);
+            }
             return parsed.error;
         });
     }
@@ -73,7 +75,9 @@
     {
         return text(key, [&](const std::string &given) {
             const auto parsed = parseDecimal(given, least, most);
-            set(parsed.value);
+            if (parsed.error.empty()) {
+                set(parsed.value);
+            }
             return parsed.error;
         });
     }
@@ -82,7 +86,9 @@
     {
         return text(key, [&](const std::string &given) {
             const auto parsed = parseWord(given, words);
-            set(parsed.value);
+            if (parsed.error.empty()) {
+                set(parsed.value);
+            }
             return parsed.error;
         });
     }
--- a/src/settings/valueparsers.cpp
+++ b/src/settings/valueparsers.cpp
@@ -1,8 +1,9 @@
 #include "settings/valueparsers.h"
 
+#include "core/declarations.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
-#include <cctype>
 #include <charconv>
 #include <sstream>
 
@@ -12,8 +13,6 @@
 namespace
 {
 
-constexpr std::size_t LongestName = 200;
-
 template<typename T>
 auto parseNumber(const std::string &text, T least, T most, const char *kind) -> ParsedValue<T>
 {
@@ -81,10 +80,7 @@
 
 auto parseName(const std::string &text) -> ParsedValue<std::string>
 {
-    const auto isAllowed = [](unsigned char letter) {
-        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.' || letter == '@';
-    };
-    if (text.empty() || text.size() > LongestName || !std::all_of(text.begin(), text.end(), isAllowed)) {
+    if (!isValidName(text)) {
         return {text, "'" + text + "' is not a name (letters, digits, - _ . @)"};
     }
     return {text, {}};
--- a/tests/unit_declarations.cpp
+++ b/tests/unit_declarations.cpp
@@ -49,3 +49,16 @@
     REQUIRE(resolveModel(set, "austin")->artifacts == std::vector {ArtifactName("sun@1"), ArtifactName("austin")});
     REQUIRE_FALSE(resolveModel(set, "moon").has_value());
 }
+
+TEST_CASE("what arrives by another way than a file is checked as strictly")
+{
+    // A typed call can carry what no file would: a name with a slash in it, a policy of zeros. In force, such a name could not be
+    // called, and such a policy would stop every load.
+    auto set = smallSet();
+    set.services[ServiceName("a/b")] = Service {.name = ServiceName("a/b")};
+    set.services[ServiceName("ledger")]
+        = Service {.name = ServiceName("ledger"), .kind = ServiceKind::Plain, .timeBudget = Duration(), .nonIdempotentCalls = {{"POST", "debits"}}};
+    set.policy.parallelLoads = 0;
+    set.policy.kvReserve = 1.5;
+    REQUIRE(checkDeclarations(set).size() == 5);
+}
