A change that was certainly not made is told apart from an unknown one

Cause: an entry whose store can't be reached knows that it changed nothing, but could only say unknown. Change: outcome UNAVAILABLE in the schema; kingcupctl reports it as unreachable, unless an earlier try of the same change has no known end.

--- a/src/kingcupctl/changecommands.cpp
+++ b/src/kingcupctl/changecommands.cpp
@@ -74,20 +74,31 @@
 struct ChangeResult {
     grpc::Status status;
     Proto::ChangeReply reply;
+    bool mayHaveHappened = false; ///< some try of it has no known end
 };
 
+/// Whether asking again could tell nothing new.
+auto isFinal(const ChangeResult &result) -> bool
+{
+    if (!result.status.ok()) {
+        return result.status.error_code() == grpc::StatusCode::INVALID_ARGUMENT;
+    }
+    return result.reply.outcome() != Proto::CHANGE_OUTCOME_UNKNOWN && result.reply.outcome() != Proto::CHANGE_OUTCOME_UNAVAILABLE;
+}
+
 /// Asks until an entry knows the outcome. The change id makes every further try a question about the same change.
-auto applyUntilKnown(Connection &connection, const Proto::ApplyRequest &request, Duration limit) -> ChangeResult
+auto applyUntilKnown(Connection &connection, const Proto::ApplyRequest &request, Duration limit, ChangeResult &result) -> void
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::microseconds(limit.inMicros());
-    ChangeResult result;
     while (true) {
         result.status = connection.call(&OperatorStub::Apply, request, result.reply);
-        const bool isKnown = result.status.ok() && result.reply.outcome() != Proto::CHANGE_OUTCOME_UNKNOWN;
-        if (isKnown || result.status.error_code() == grpc::StatusCode::INVALID_ARGUMENT || std::chrono::steady_clock::now() > end) {
-            return result;
+        if (isFinal(result) || std::chrono::steady_clock::now() > end) {
+            return;
         }
-        std::cerr << "kingcupctl: no answer yet; asking again about change " << request.change_id() << "\n";
+        // "Certainly not done" is said of one try. An earlier one, whose answer was lost, may still have been done.
+        const bool isUndone = result.status.ok() && result.reply.outcome() == Proto::CHANGE_OUTCOME_UNAVAILABLE;
+        result.mayHaveHappened = result.mayHaveHappened || !isUndone;
+        std::cerr << "kingcupctl: not done yet; asking again about change " << request.change_id() << "\n";
         std::this_thread::sleep_for(PauseBetweenTries);
     }
 }
@@ -124,6 +135,12 @@
     case Proto::CHANGE_OUTCOME_CONFLICT:
         std::cerr << "kingcupctl: conflict: revision " << reply.revision() << " came first; nothing was changed\n";
         return ExitCode::Conflict;
+    case Proto::CHANGE_OUTCOME_UNAVAILABLE:
+        if (!result.mayHaveHappened) {
+            std::cerr << "kingcupctl: unreachable: the store could not be asked; nothing was changed\n";
+            return ExitCode::Unreachable;
+        }
+        return reportUnknown(changeId);
     default:
         return reportUnknown(changeId);
     }
@@ -183,12 +200,13 @@
     request.set_expected_revision(arguments.hasExpected ? arguments.expected : current.revision());
     request.set_author(arguments.author);
     *request.mutable_set() = toProto(*set);
-    ChangeResult result;
+    // An id that was given may stand for a change that was sent before, by an earlier run of this tool.
+    ChangeResult result {.status = {}, .reply = {}, .mayHaveHappened = !arguments.changeId.empty()};
     const bool isNew = arguments.changeId.empty() && !arguments.hasExpected;
     if (isNew && current.revision() != 0 && isSameSet(fromProto(current.set()).value, *set)) {
         result.reply = unchangedReply(current.revision());
     } else {
-        result = applyUntilKnown(connection, request, arguments.timeout);
+        applyUntilKnown(connection, request, arguments.timeout, result);
     }
     if (arguments.json) {
         std::cout << toJsonText(result.reply);
--- a/src/operator/operatorapi.h
+++ b/src/operator/operatorapi.h
@@ -40,6 +40,7 @@
     Refused, ///< the findings say why
     Conflict, ///< another revision came first
     Unknown, ///< the store didn't answer; ask again with the same id
+    Unavailable, ///< the store could not be asked: this call has certainly changed nothing
 };
 
 struct ChangeAnswer {
--- a/src/operator/operatorcodec.cpp
+++ b/src/operator/operatorcodec.cpp
@@ -215,6 +215,8 @@
         return OperatorProto::CHANGE_OUTCOME_REFUSED;
     case ChangeOutcome::Conflict:
         return OperatorProto::CHANGE_OUTCOME_CONFLICT;
+    case ChangeOutcome::Unavailable:
+        return OperatorProto::CHANGE_OUTCOME_UNAVAILABLE;
     case ChangeOutcome::Unknown:
         break;
     }
