Claims of requests that must run once, driven over the table

Cause: such requests were answered not-run, since nothing claimed them. Change: agent/claimtask drives core/runonce over the table and cleans up old rows.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,6 +6,7 @@
 //   Pages      metrics and health
 #include "agent/agent.h"
 
+#include "agent/claimtask.h"
 #include "agent/controlsessions.h"
 #include "agent/requesttasks.h"
 #include "agent/residencytask.h"
@@ -67,6 +68,7 @@
     Revision revision;
     std::optional<EngineLoad> engineLoad;
     std::unique_ptr<ResidencyTask> residency; // runners only
+    std::unique_ptr<ClaimTask> claims;
     std::unique_ptr<RequestTasks> requests;
     std::unique_ptr<ControlSessions> sessions;
     std::unique_ptr<PeerServer> peers;
@@ -93,6 +95,7 @@
         return settings.target.kind == TargetKind::Runner;
     }
     auto build() -> void;
+    auto buildClaims() -> void;
     auto requestHooks() -> RequestHooks;
     auto controlHooks() -> ControlHooks;
     auto onConfig(const Wire::ConfigSnapshot &config) -> void;
@@ -134,6 +137,7 @@
         loadPoll = loop.every(settings.timing.report, [this] { pollLoad(); });
         floorRead = loop.every(FloorReadPeriod, [this] { readFloor(); });
     }
+    buildClaims();
     RequestSettings requestSettings;
     requestSettings.target = settings.target.engine;
     requestSettings.isRunner = isRunner();
@@ -165,9 +169,24 @@
     }
 }
 
+auto Agent::Private::buildClaims() -> void
+{
+    ClaimSettings claimSettings;
+    claimSettings.claimant = settings.process.id + "-" + std::to_string(incarnation);
+    claimSettings.retention = [this](const ServiceName &service) {
+        const auto declared = declarations.services.find(service);
+        return declared == declarations.services.end() ? Service().claimRetention : declared->second.claimRetention;
+    };
+    claimSettings.wallMillis = [] {
+        return static_cast<std::int64_t>(wallMillis());
+    };
+    claims = std::make_unique<ClaimTask>(loop, table, std::move(claimSettings));
+}
+
 auto Agent::Private::requestHooks() -> RequestHooks
 {
     RequestHooks hooks;
+    hooks.claims = claims->hooks();
     hooks.isTargetReady = [this] {
         return !residency || residency->isEngineReady();
     };
@@ -404,7 +423,8 @@
 
 auto Agent::Private::checkLeft() -> void
 {
-    const int open = requests->running() + requests->queued();
+    // Records of runs that have ended are still being written: without them a duplicate would be answered unknown.
+    const auto open = requests->running() + requests->queued() + static_cast<int>(claims->openKeys());
     const bool isLate = loop.now() - leavingSince > settings.timing.drainLimit;
     if (open > 0 && !isLate) {
         return;
@@ -430,6 +450,7 @@
         metrics.set("concurrency_limit", requests->concurrencyLimit());
         metrics.set("revision", static_cast<double>(revision.value()));
         metrics.set("engine_crashes_total", crashes);
+        metrics.set("claims_open", static_cast<double>(claims->openKeys()));
         metrics.set("control_streams", static_cast<double>(sessions->count()));
         if (residency && residency->ledger() != nullptr) {
             metrics.set("memory_charged_bytes", static_cast<double>(residency->ledger()->charged().count()));
--- /dev/null
+++ b/src/agent/claimtask.cpp
@@ -0,0 +1,187 @@
+// Index of sections (search for [SECTION]):
+//   Actions    what the decisions ask for
+//   Clean-up   rows that were kept long enough
+#include "agent/claimtask.h"
+
+#include <glog/logging.h>
+#include <unordered_map>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int CleanupPage = 100; // rows of one scan
+
+template<typename... Handlers>
+struct Overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+struct ClaimTask::Private {
+    using Done = std::function<void(const ClaimVerdict &verdict)>;
+
+    EventLoop &loop;
+    TableAccess table;
+    ClaimSettings settings;
+    RunOnce runOnce;
+    std::unordered_map<std::uint64_t, Done> waiting; // sends without a verdict
+    std::uint64_t sends = 0;
+    std::uint64_t writes = 0;
+    Timer wake;
+    Timer cleanup;
+    std::string cleanupAfter; // the last key looked at
+
+    Private(EventLoop &ownerLoop, TableAccess access, ClaimSettings claimSettings)
+        : loop(ownerLoop)
+        , table(std::move(access))
+        , settings(std::move(claimSettings))
+        , runOnce(settings.runOnce, settings.claimant)
+    {
+    }
+
+    auto begin(const ClaimKey &key, TimePoint deadline, Done done) -> SendId;
+    auto perform(const RunOnceActions &actions) -> void;
+    auto decide(SendId send, const ClaimVerdict &verdict) -> void;
+    auto write(const WriteClaims &action) -> void;
+    auto read(const ReadClaims &action) -> void;
+    auto scheduleTick() -> void;
+    auto cleanUp() -> void;
+    auto deleteOld(const std::vector<TableRow> &rows) -> void;
+};
+
+// [SECTION] Actions
+
+auto ClaimTask::Private::begin(const ClaimKey &key, TimePoint deadline, Done done) -> SendId
+{
+    RunOnceSend send;
+    send.send = SendId(++sends);
+    send.key = key;
+    send.deadline = deadline;
+    send.keepUntilMs = settings.wallMillis() + settings.retention(key.service).inMillis();
+    waiting.emplace(send.send.value(), std::move(done));
+    // A verdict may come at once; the caller must have its send's id first.
+    loop.post([this, send] { perform(runOnce.arrive(send, loop.now())); });
+    return send.send;
+}
+
+auto ClaimTask::Private::decide(SendId send, const ClaimVerdict &verdict) -> void
+{
+    const auto found = waiting.find(send.value());
+    if (found == waiting.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    waiting.erase(found);
+    done(verdict);
+}
+
+auto ClaimTask::Private::perform(const RunOnceActions &actions) -> void
+{
+    for (const auto &action : actions) {
+        std::visit(Overloaded {[this](const ForwardSend &forward) { decide(forward.send, forward); },
+                               [this](const AnswerFromRecord &answer) { decide(answer.send, answer); },
+                               [this](const AnswerNotRun &answer) { decide(answer.send, answer); },
+                               [this](const AnswerUnknown &answer) { decide(answer.send, answer); },
+                               [this](const WriteClaims &batch) { write(batch); },
+                               [this](const ReadClaims &keys) {
+                                   read(keys);
+                               }},
+                   action);
+    }
+    scheduleTick();
+}
+
+auto ClaimTask::Private::write(const WriteClaims &action) -> void
+{
+    const auto id = settings.claimant + "-" + std::to_string(++writes);
+    VLOG(1) << "claims: writing batch=" << action.batch << " rows=" << action.ops.size();
+    table.transact(id, action.ops, [this, batch = action.batch](const TransactResult &result) {
+        if (result.end == TransactEnd::Lost) {
+            LOG(WARNING) << "claims: answer of a write was lost batch=" << batch;
+        }
+        perform(runOnce.transactDone(batch, result, loop.now()));
+    });
+}
+
+auto ClaimTask::Private::read(const ReadClaims &action) -> void
+{
+    table.read(action.keys,
+               [this, read = action.read](const std::optional<std::vector<TableRow>> &rows) { perform(runOnce.readDone(read, rows, loop.now())); });
+}
+
+auto ClaimTask::Private::scheduleTick() -> void
+{
+    const auto next = runOnce.nextWake();
+    if (!next) {
+        wake.cancel();
+        return;
+    }
+    wake = loop.after(*next - loop.now(), [this] { perform(runOnce.tick(loop.now())); });
+}
+
+// [SECTION] Clean-up
+
+/// One page a period: spread over the agents, this keeps up with many claims and costs next to nothing.
+auto ClaimTask::Private::cleanUp() -> void
+{
+    table.scan(ClaimRowPrefix, cleanupAfter, CleanupPage, [this](const std::optional<std::vector<TableRow>> &rows) {
+        if (!rows) {
+            return;
+        }
+        cleanupAfter = rows->size() < static_cast<std::size_t>(CleanupPage) ? std::string() : rows->back().key;
+        deleteOld(*rows);
+    });
+}
+
+auto ClaimTask::Private::deleteOld(const std::vector<TableRow> &rows) -> void
+{
+    const auto ops = planClaimCleanup(rows, settings.wallMillis());
+    if (ops.empty()) {
+        return;
+    }
+    table.transact(settings.claimant + "-cleanup-" + std::to_string(++writes), ops, [count = ops.size()](const TransactResult &result) {
+        LOG(INFO) << "claims: cleaned up rows=" << count << " committed=" << (result.end == TransactEnd::Committed);
+    });
+}
+
+ClaimTask::ClaimTask(EventLoop &loop, TableAccess table, ClaimSettings settings)
+    : d(std::make_unique<Private>(loop, std::move(table), std::move(settings)))
+{
+    d->cleanup = loop.every(d->settings.cleanupPeriod, [this] { d->cleanUp(); });
+}
+
+ClaimTask::~ClaimTask() = default;
+
+auto ClaimTask::hooks() -> ClaimHooks
+{
+    ClaimHooks hooks;
+    hooks.begin = [this](const ClaimKey &key, TimePoint deadline, std::function<void(const ClaimVerdict &)> done) {
+        return d->begin(key, deadline, std::move(done));
+    };
+    hooks.cancel = [this](SendId send) {
+        d->waiting.erase(send.value());
+        d->perform(d->runOnce.cancel(send, d->loop.now()));
+    };
+    hooks.runEnded = [this](SendId send, RunEnd end, const RunRecord &record) {
+        d->perform(d->runOnce.runEnded(send, end, record, d->loop.now()));
+    };
+    return hooks;
+}
+
+auto ClaimTask::openKeys() const -> std::size_t
+{
+    return d->runOnce.openKeys();
+}
+
+auto ClaimTask::pendingWrites() const -> std::size_t
+{
+    return d->runOnce.pendingWrites();
+}
+
+} // namespace KingCup
