Rows of the table are parsed from a named document

Cause: a range-for over a member of a temporary: the document was gone before the loop began, rows were often seen as absent, and operators' changes ended as conflict with revision 0 or unavailable. Change: the document has a name.

--- a/src/platform/tableaccess.cpp
+++ b/src/platform/tableaccess.cpp
@@ -60,7 +60,9 @@
     }
     try {
         std::vector<TableRow> rows;
-        for (const auto &row : json::parse(answer.body).at("rows")) {
+        // Named, as a temporary would be gone before the loop begins: rows were seen as absent then, and every change as a conflict.
+        const auto parsed = json::parse(answer.body);
+        for (const auto &row : parsed.at("rows")) {
             rows.push_back({row.at("key").get<std::string>(), RowVersion(row.at("version").get<std::uint64_t>()), row.at("value").get<std::string>()});
         }
         return rows;
