A change id stands for the set that was sent with it first

Cause: asked again with the same id and an edited folder, an entry put the edited set in force under the revision that the table holds with other contents; and a store that could not be asked was told as unknown. Change: what is accepted is read back from its log row, and another set under the id is refused; unavailable is told as such.

--- a/src/entry/configtask.cpp
+++ b/src/entry/configtask.cpp
@@ -36,6 +36,7 @@
     case CommitOutcome::Conflict:
         return ChangeOutcome::Conflict;
     case CommitOutcome::Unavailable:
+        return ChangeOutcome::Unavailable;
     case CommitOutcome::Unknown:
         return ChangeOutcome::Unknown;
     }
@@ -68,10 +69,12 @@
 
     auto poll() -> void;
     auto onHead(const std::optional<std::vector<TableRow>> &rows) -> void;
-    auto readLog(Revision wanted) -> void;
+    /// Adopts the set of that revision; `done` gets its text, or nothing if it could not be read.
+    auto readLog(Revision wanted, std::function<void(const std::optional<std::string> &text)> done = nullptr) -> void;
     auto adopt(Revision offered, const std::string &set) -> void;
     auto perform(const CommitPtr &commit, const ConfigStep &step) -> void;
     auto decide(const CommitPtr &commit, const CommitDecision &decision) -> void;
+    auto answerAccepted(const CommitPtr &commit, Revision accepted) -> void;
 };
 
 // [SECTION] Adoption
@@ -105,17 +108,20 @@
     }
 }
 
-auto ConfigTask::Private::readLog(Revision wanted) -> void
+auto ConfigTask::Private::readLog(Revision wanted, std::function<void(const std::optional<std::string> &text)> done) -> void
 {
-    table.read({configLogKey(wanted)}, [this, wanted](const std::optional<std::vector<TableRow>> &rows) {
-        if (!rows || rows->empty()) {
-            return; // the next poll asks again
+    table.read({configLogKey(wanted)}, [this, wanted, done = std::move(done)](const std::optional<std::vector<TableRow>> &rows) {
+        std::optional<std::string> set;
+        if (rows && !rows->empty()) { // otherwise the next poll asks again
+            const auto entry = parseConfigLogEntry(rows->front().value);
+            LOG_IF(ERROR, !entry) << "config: unreadable log row revision=" << wanted;
+            set = entry ? std::optional(entry->declarations) : std::nullopt;
         }
-        const auto entry = parseConfigLogEntry(rows->front().value);
-        if (entry) {
-            adopt(wanted, entry->declarations);
-        } else {
-            LOG(ERROR) << "config: unreadable log row revision=" << wanted;
+        if (set) {
+            adopt(wanted, *set);
+        }
+        if (done) {
+            done(set);
         }
     });
 }
@@ -160,7 +166,8 @@
     LOG(INFO) << "config: change decided change=" << commit->change.id << " outcome=" << toString(decision.outcome) << " revision=" << decision.revision
               << " author=" << commit->change.author;
     if (decision.outcome == CommitOutcome::Accepted) {
-        adopt(decision.revision, commit->text);
+        answerAccepted(commit, decision.revision);
+        return;
     }
     ChangeAnswer answer;
     answer.outcome = outcomeOf(decision.outcome);
@@ -175,6 +182,23 @@
     commit->answer(answer);
 }
 
+auto ConfigTask::Private::answerAccepted(const CommitPtr &commit, Revision accepted) -> void
+{
+    // An id that an operator used before stands for the set that was sent with it then. Put in force from this call, another set
+    // would be in force here under a revision that the table holds with other contents.
+    readLog(accepted, [commit, accepted](const std::optional<std::string> &set) {
+        ChangeAnswer answer;
+        answer.outcome = ChangeOutcome::Accepted;
+        answer.revision = accepted;
+        if (set && *set != commit->text) {
+            answer.outcome = ChangeOutcome::Refused;
+            answer.findings.push_back(
+                {{}, "change id " + commit->change.id.text() + " became revision " + std::to_string(accepted.value()) + " with another set"});
+        }
+        commit->answer(answer);
+    });
+}
+
 ConfigTask::ConfigTask(EventLoop &loop, TableAccess table, ConfigSettings settings, ConfigHooks hooks)
     : d(std::make_unique<Private>(loop, std::move(table), std::move(settings), std::move(hooks)))
 {
--- /dev/null
+++ b/tests/unit_configtask.cpp
@@ -0,0 +1,238 @@
+#include "core/configlog.h"
+#include "core/declarationcodec.h"
+#include "entry/configtask.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr auto Limit = Duration::seconds(20);
+
+/// The platform's table in memory, for several entries on one loop.
+struct MemoryTable {
+    EventLoop &loop;
+    std::map<std::string, TableRow> rows;
+    std::uint64_t version = 0;
+    bool down = false;
+    int answersToLose = 0; ///< of transactions that take effect
+    std::size_t transactions = 0;
+
+    auto access() -> TableAccess
+    {
+        TableAccess access;
+        access.read = [this](const std::vector<std::string> &keys, TableAccess::ReadDone done) {
+            loop.post([this, keys, done = std::move(done)] { done(down ? std::nullopt : std::optional(find(keys))); });
+        };
+        access.transact = [this](const std::string & /*writeId*/, const std::vector<TableOp> &ops, TableAccess::TransactDone done) {
+            loop.post([this, ops, done = std::move(done)] { done(apply(ops)); });
+        };
+        return access;
+    }
+
+    auto find(const std::vector<std::string> &keys) const -> std::vector<TableRow>
+    {
+        std::vector<TableRow> found;
+        for (const auto &key : keys) {
+            if (const auto row = rows.find(key); row != rows.end()) {
+                found.push_back(row->second);
+            }
+        }
+        return found;
+    }
+
+    auto apply(const std::vector<TableOp> &ops) -> TransactResult
+    {
+        TransactResult result;
+        if (down) {
+            result.end = TransactEnd::Refused;
+            return result;
+        }
+        for (const auto &op : ops) {
+            const auto row = rows.find(op.key);
+            const auto current = row == rows.end() ? RowVersion() : row->second.version;
+            if (current != op.expect) {
+                result.end = TransactEnd::Conflict;
+                result.conflicts.emplace_back(op.key, current);
+            }
+        }
+        if (result.end == TransactEnd::Conflict) {
+            return result;
+        }
+        ++transactions;
+        result.version = RowVersion(++version);
+        for (const auto &op : ops) {
+            rows[op.key] = TableRow {op.key, result.version, op.value};
+        }
+        result.end = answersToLose-- > 0 ? TransactEnd::Lost : TransactEnd::Committed;
+        return result;
+    }
+};
+
+auto setWith(double moveCost) -> Declarations
+{
+    Declarations set;
+    set.services[ServiceName("advisory")] = Service {.name = ServiceName("advisory")};
+    set.policy.moveCost = moveCost;
+    return set;
+}
+
+struct Bench {
+    EventLoop loop;
+    MemoryTable table {.loop = loop, .rows = {}};
+    std::vector<Revision> adopted; ///< by the first entry
+
+    auto entry(const std::string &id) -> std::unique_ptr<ConfigTask>
+    {
+        ConfigHooks hooks;
+        hooks.onAdopted = [this, id](Revision revision, const Declarations & /*set*/, const std::string & /*text*/) {
+            if (id == "entry-1") {
+                adopted.push_back(revision);
+            }
+        };
+        const ConfigSettings settings {.entry = id, .pollPeriod = Duration::millis(5), .commitTimeout = Duration::millis(400)};
+        return std::make_unique<ConfigTask>(loop, table.access(), settings, hooks);
+    }
+
+    auto waitFor(const std::function<bool()> &done) -> void
+    {
+        REQUIRE(loop.runUntil(done, Limit));
+    }
+};
+
+auto change(const std::string &id, std::uint64_t expected, double moveCost) -> DeclarationsChange
+{
+    return {.id = ChangeId(id), .expected = Revision(expected), .set = setWith(moveCost), .author = "unit"};
+}
+
+/// An answer that has not come yet is empty.
+using Answer = std::optional<ChangeAnswer>;
+
+auto into(Answer &answer) -> std::function<void(const ChangeAnswer &)>
+{
+    return [&answer](const ChangeAnswer &given) {
+        REQUIRE_FALSE(answer.has_value());
+        answer = given;
+    };
+}
+
+} // namespace
+
+TEST_CASE("an accepted change comes into force in the entry that was asked and in the others")
+{
+    Bench bench;
+    const auto first = bench.entry("entry-1");
+    const auto second = bench.entry("entry-2");
+    Answer answer;
+    second->apply(change("c1", 0, 7), into(answer));
+    bench.waitFor([&] { return answer && first->revision() == Revision(1); });
+    REQUIRE(answer->outcome == ChangeOutcome::Accepted);
+    REQUIRE(answer->revision == Revision(1));
+    REQUIRE(second->revision() == Revision(1));
+    REQUIRE(first->declarations().policy.moveCost == 7);
+    REQUIRE(first->text() == second->text());
+}
+
+TEST_CASE("of two operators who race, one wins and the other learns which revision beat it")
+{
+    // Two operators apply at the same moment, each through another entry and against the same revision. Were both accepted, the
+    // second would silently undo the first.
+    Bench bench;
+    const auto first = bench.entry("entry-1");
+    const auto second = bench.entry("entry-2");
+    Answer one;
+    Answer other;
+    first->apply(change("c1", 0, 7), into(one));
+    second->apply(change("c2", 0, 8), into(other));
+    bench.waitFor([&] { return one && other; });
+    const auto &winner = one->outcome == ChangeOutcome::Accepted ? *one : *other;
+    const auto &loser = one->outcome == ChangeOutcome::Accepted ? *other : *one;
+    REQUIRE(winner.outcome == ChangeOutcome::Accepted);
+    REQUIRE(loser.outcome == ChangeOutcome::Conflict);
+    REQUIRE(loser.revision == Revision(1));
+    REQUIRE(bench.table.transactions == 1);
+}
+
+TEST_CASE("a commit whose answer is lost is told as accepted, once")
+{
+    // The table commits, and its answer is lost on the way. Told "not done", the operator would apply it again as another revision.
+    Bench bench;
+    bench.table.answersToLose = 1;
+    const auto entry = bench.entry("entry-1");
+    Answer answer;
+    entry->apply(change("c1", 0, 7), into(answer));
+    bench.waitFor([&] { return answer.has_value(); });
+    REQUIRE(answer->outcome == ChangeOutcome::Accepted);
+    REQUIRE(answer->revision == Revision(1));
+    REQUIRE(bench.table.transactions == 1);
+}
+
+TEST_CASE("a change id that was used for another set puts nothing in force")
+{
+    // An operator asks again about a change, but has edited the files in between. Taken as accepted, the edited set would be in force
+    // in this entry alone, under a revision that every other process knows with other contents.
+    Bench bench;
+    const auto entry = bench.entry("entry-1");
+    Answer first;
+    entry->apply(change("c1", 0, 7), into(first));
+    bench.waitFor([&] { return first.has_value(); });
+    const auto restarted = bench.entry("entry-2");
+    Answer again;
+    restarted->apply(change("c1", 0, 9), into(again));
+    bench.waitFor([&] { return again.has_value(); });
+    REQUIRE(again->outcome == ChangeOutcome::Refused);
+    REQUIRE(again->findings.size() == 1);
+    REQUIRE(restarted->declarations().policy.moveCost == 7);
+    Answer same;
+    restarted->apply(change("c1", 0, 7), into(same));
+    bench.waitFor([&] { return same.has_value(); });
+    REQUIRE(same->outcome == ChangeOutcome::Accepted);
+    REQUIRE(same->revision == Revision(1));
+}
+
+TEST_CASE("with the store down a change is certainly not made, and a peer's snapshot comes into force")
+{
+    // An entry starts during an outage of the table. Without the snapshot of a peer it would know no service and refuse every caller.
+    Bench bench;
+    bench.table.down = true;
+    const auto entry = bench.entry("entry-1");
+    Answer answer;
+    entry->apply(change("c1", 0, 7), into(answer));
+    bench.waitFor([&] { return answer.has_value(); });
+    REQUIRE(answer->outcome == ChangeOutcome::Unavailable);
+    REQUIRE_FALSE(entry->isStoreReachable());
+    entry->offer(Revision(5), declarationsToJson(setWith(3)));
+    REQUIRE(entry->revision() == Revision(5));
+    REQUIRE(entry->declarations().policy.moveCost == 3);
+}
+
+TEST_CASE("a configuration in force never reverts")
+{
+    // A peer that lags, or a snapshot cut short on its way, offers what is older or unreadable.
+    Bench bench;
+    bench.table.down = true;
+    const auto entry = bench.entry("entry-1");
+    entry->offer(Revision(5), declarationsToJson(setWith(3)));
+    entry->offer(Revision(4), declarationsToJson(setWith(2)));
+    entry->offer(Revision(5), declarationsToJson(setWith(1)));
+    entry->offer(Revision(6), declarationsToJson(setWith(0)).substr(0, 20));
+    REQUIRE(entry->revision() == Revision(5));
+    REQUIRE(entry->declarations().policy.moveCost == 3);
+    REQUIRE(bench.adopted == std::vector {Revision(5)});
+}
+
+TEST_CASE("a set with findings is refused before the store is asked")
+{
+    Bench bench;
+    const auto entry = bench.entry("entry-1");
+    auto faulty = change("c1", 0, -1);
+    Answer answer;
+    entry->apply(faulty, into(answer));
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->outcome == ChangeOutcome::Refused);
+    REQUIRE(answer->findings.size() == 1);
+    REQUIRE(bench.table.transactions == 0);
+}
