Pages for operators; settings page from the table of keys

Cause: an operator had no page on deploying, changing, draining, outages and upgrades; one settings key had no effect.

--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -73,6 +73,7 @@
     add("settings,s", Options::value<std::string>(), "the settings file (INI)");
     add("check-settings", "report every finding in the settings file and exit");
     add("print-settings", "write a commented settings file with all defaults");
+    add("print-settings-page", "write docs/SETTINGS.md");
     Options::variables_map given;
     try {
         Options::store(Options::parse_command_line(argc, argv, description), given);
@@ -88,6 +89,10 @@
         std::cout << commentedSettings();
         return 0;
     }
+    if (given.count("print-settings-page") > 0) {
+        std::cout << settingsPage();
+        return 0;
+    }
     if (given.count("settings") == 0) {
         std::cerr << "kingcupd: --settings FILE is needed; --print-settings shows one\n";
         return ExitUsage;
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -45,22 +45,6 @@
         });
     }
 
-    using DecimalSetter = std::function<void(DaemonSettings &, double)>;
-    struct DecimalRange {
-        double least;
-        double most;
-    };
-    auto decimal(const std::string &key, const std::string &unit, DecimalRange range, double fallback, const std::string &meaning, const DecimalSetter &set)
-        -> SpecBuilder &
-    {
-        const auto rangeText = numberText(range.least) + " to " + numberText(range.most);
-        return add({m_section, key, "number", unit, rangeText, numberText(fallback), meaning}, [=](DaemonSettings &settings, const std::string &text) {
-            const auto parsed = parseDecimal(text, range.least, range.most);
-            set(settings, parsed.value);
-            return parsed.error;
-        });
-    }
-
     using EndpointSetter = std::function<void(DaemonSettings &, const Endpoint &)>;
     auto endpoint(const std::string &key, const std::string &meaning, const EndpointSetter &set) -> SpecBuilder &
     {
@@ -168,7 +152,6 @@
 
 auto addTarget(SpecBuilder &table) -> void
 {
-    constexpr double MostGigabytes = 4096;
     table.section("target")
         .endpoint("engine", "agents: the engine of the runner, or the plain service's instance", [](Settings &s, const Endpoint &e) { s.target.engine = e; })
         .word("kind",
@@ -176,11 +159,8 @@
               "runner",
               "agents: an engine with an accelerator, or an instance of a plain service",
               [](Settings &s, std::size_t index) { s.target.kind = static_cast<TargetKind>(index); })
-        .name("service",
-              "agents: the service that the target is for; default: as its declaration says",
-              [](Settings &s, const std::string &text) { s.target.service = ServiceName(text); })
-        .decimal("memory-gb", "GB", {0, MostGigabytes}, 0, "agents: accelerator memory; 0 asks the engine", [](Settings &s, double number) {
-            s.target.memory = Bytes::gigabytes(number);
+        .name("service", "agents: the service that the target is for; default: as its declaration says", [](Settings &s, const std::string &text) {
+            s.target.service = ServiceName(text);
         });
 }
 
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -55,7 +55,6 @@
     Endpoint engine; ///< of the runner's engine or the plain service
     TargetKind kind {};
     ServiceName service; ///< that a plain target serves; empty: as declared
-    Bytes memory; ///< of the accelerator; 0: ask the engine
 };
 
 struct TlsSettings {
--- a/src/settings/settingspage.cpp
+++ b/src/settings/settingspage.cpp
@@ -49,7 +49,7 @@
     text << "# Settings of kingcupd\n\n"
          << "One INI file per process, named with `kingcupd --settings FILE` and read once at the start. `kingcupd --check-settings`\n"
          << "lists everything that is wrong with a file, with lines; `kingcupd --print-settings` writes a commented file with all\n"
-         << "defaults. Unknown keys are refused. `tools/settings-page` writes this page from the table in\n"
+         << "defaults. Unknown keys are refused. `kingcupd --print-settings-page` writes this page from the table in\n"
          << "`src/settings/daemonsettings.cpp`; a test checks that it is current.\n";
     std::string section;
     for (const auto &key : settingDescriptions()) {
--- a/tests/unit_settings.cpp
+++ b/tests/unit_settings.cpp
@@ -103,3 +103,9 @@
         REQUIRE(commentedSettings().find(key.key + " =") != std::string::npos);
     }
 }
+
+TEST_CASE("docs/SETTINGS.md is current")
+{
+    // kingcupd --print-settings-page > docs/SETTINGS.md
+    REQUIRE(readTextFile(std::string(KINGCUP_SOURCE) + "/docs/SETTINGS.md") == settingsPage());
+}
