--- a/src/net/http.h
+++ b/src/net/http.h
@@ -37,8 +37,8 @@
 
 struct HttpRequest {
     std::string method; ///< "GET", "POST", ...
-    std::string path; ///< without the query
-    std::string query; ///< "a=1&b=2", as sent
+    std::string path; ///< without the query; percent-encoded, so that it can be passed on
+    std::string query; ///< "a=1&b=2", percent-encoded likewise
     HttpHeaders headers; ///< those that the server was told to keep
     std::string body;
     std::string peer; ///< the caller's IP number
@@ -80,6 +80,7 @@
     std::vector<std::string> keptHeaders; ///< lower-case names, beyond content-type, content-length and accept
     std::size_t maxBody = 8U << 20U; ///< bytes; larger requests get 413
     int maxConnections = 4096; ///< further callers are turned away
+    Duration tlsCheck = Duration::seconds(10); ///< between two looks whether the TLS files were renewed
     Duration headerTimeout = Duration::seconds(10); ///< a caller that sends slower is cut off
 };
 
@@ -109,7 +110,7 @@
 /// How a call ended.
 enum class CallEnd {
     Complete, ///< the whole answer arrived
-    NotSent, ///< no connection: the server can't have seen the request
+    NotSent, ///< no connection, or none in time: the server can't have seen the request
     Broken, ///< sent in part or whole, answer missing or cut short: effect unknown
     Timeout, ///< as Broken, by the clock
     Cancelled, ///< by us
@@ -143,8 +144,9 @@
 class HttpClient
 {
 public:
-    /// With `tls`, every call is encrypted and the server's certificate checked against the authority.
-    explicit HttpClient(EventLoop &loop, TlsFiles tls = {});
+    /// With `tls`, every call is encrypted and the server's certificate checked against the authority. Throws std::runtime_error if
+    /// the files can't be used.
+    explicit HttpClient(EventLoop &loop, const TlsFiles &tls = {});
     ~HttpClient();
 
     /// Never calls a hook before it has returned.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 // The client half of net/http.h. Each call has a connection of its own.
 #include "net/http.h"
 #include "net/lwsheaders.h"
+#include "net/tls.h"
 
 #include <algorithm>
 #include <array>
@@ -22,16 +23,20 @@
 
 struct HttpClient::Private {
     EventLoop &loop;
-    TlsFiles tls;
+    std::unique_ptr<TlsContext> tlsContext; // null without TLS
+    std::unique_ptr<TlsRenewal> tlsRenewal;
     lws_vhost *vhost = nullptr;
     std::array<lws_protocols, 2> protocols {};
     struct Call;
     std::unordered_set<std::shared_ptr<Call>> calls;
 
-    explicit Private(EventLoop &ownerLoop, TlsFiles tlsFiles)
+    explicit Private(EventLoop &ownerLoop, const TlsFiles &tls)
         : loop(ownerLoop)
-        , tls(std::move(tlsFiles))
     {
+        if (tls.isEnabled()) {
+            tlsContext = std::make_unique<TlsContext>(TlsContext::Side::Client, tls);
+            tlsRenewal = std::make_unique<TlsRenewal>(loop, tls, tlsContext->native());
+        }
     }
     static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
 };
@@ -44,6 +49,7 @@
     bool sent = false; // the far side may have seen the request
     bool headSeen = false;
     bool cutOff = false; // the server closed while more was due
+    bool dataInRead = false; // the read under way has brought some of the body
     bool complete = false;
     bool ended = false;
     bool paused = false;
@@ -191,8 +197,9 @@
     char *at = buffer.data() + LWS_PRE;
     int length = ReadBufferBytes;
     // When the connection closes in the middle of a chunked answer, libwebsockets reports it as completed, and the part would
-    // pass for the whole. But then there is nothing left to read before the end mark was met.
+    // pass for the whole. But then there is nothing left to read, neither here nor in what came along with the head.
     char byte = 0;
+    dataInRead = false;
     cutOff = recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     return lws_http_client_read(wsi, &at, &length) < 0 ? -1 : 0;
 }
@@ -229,12 +236,13 @@
         return call->onReadable();
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
         call->received += length;
+        call->dataInRead = true;
         if (call->call.onData && !call->ended) {
             call->call.onData({static_cast<const char *>(in), length});
         }
         return call->ended ? -1 : 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        call->complete = call->hasLength || !call->cutOff;
+        call->complete = call->hasLength || !call->cutOff || call->dataInRead;
         return -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
@@ -245,19 +253,17 @@
     }
 }
 
-HttpClient::HttpClient(EventLoop &loop, TlsFiles tls)
-    : d(std::make_unique<Private>(loop, std::move(tls)))
+HttpClient::HttpClient(EventLoop &loop, const TlsFiles &tls)
+    : d(std::make_unique<Private>(loop, tls))
 {
     d->protocols[0] = lws_protocols {"http", &Private::callback, 0, ReadBufferBytes, 0, nullptr, 0};
     lws_context_creation_info info {};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = d->protocols.data();
     info.vhost_name = "client";
-    if (d->tls.isEnabled()) {
+    if (d->tlsContext) {
         info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
-        info.client_ssl_ca_filepath = d->tls.authority.c_str();
-        info.client_ssl_cert_filepath = d->tls.certificate.empty() ? nullptr : d->tls.certificate.c_str();
-        info.client_ssl_private_key_filepath = d->tls.key.empty() ? nullptr : d->tls.key.c_str();
+        info.provided_client_ssl_ctx = d->tlsContext->native();
     }
     d->vhost = lws_create_vhost(loop.context(), &info);
 }
@@ -280,7 +286,7 @@
     if (started->call.timeout > Duration()) {
         started->timer = d->loop.after(started->call.timeout, [weak = std::weak_ptr(started)] {
             if (const auto self = weak.lock()) {
-                self->end(CallEnd::Timeout);
+                self->end(self->sent ? CallEnd::Timeout : CallEnd::NotSent);
             }
         });
     }
@@ -299,7 +305,7 @@
     info.alpn = "http/1.1";
     info.opaque_user_data = started.get();
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (d->tls.isEnabled()) {
+    if (d->tlsContext) {
         info.ssl_connection |= LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
     }
     lws *wsi = lws_client_connect_via_info(&info);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -5,6 +5,8 @@
 //   Server     callbacks of libwebsockets, and the table of open exchanges
 #include "net/http.h"
 #include "net/lwsheaders.h"
+#include "net/tls.h"
+#include "net/urlencoding.h"
 
 #include <array>
 #include <charconv>
@@ -13,6 +15,7 @@
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace KingCup
 {
@@ -244,8 +247,12 @@
     std::array<lws_protocols, 2> protocols {};
     std::unordered_map<lws *, std::shared_ptr<HttpExchange>> exchanges;
     std::uint64_t refused = 0;
-    int connections = 0;
+    std::unordered_set<lws *> sockets; // every open connection, also idle ones
+    lws *listener = nullptr; // known from the first connection on
     bool accepting = true;
+    bool destroyed = false; // the HttpServer has gone; libwebsockets still holds the virtual host
+    SSL_CTX *tlsContext = nullptr; // the virtual host's; null without TLS
+    std::unique_ptr<TlsRenewal> tlsRenewal;
     Timer hangUpCheck; // runs while there are open exchanges
 
     Private(EventLoop &ownerLoop, HttpServerOptions serverOptions, Handler requestHandler)
@@ -256,6 +263,7 @@
     }
 
     static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
+    static auto forget(lws_vhost *vhost, void *self) -> void;
     auto onRequest(lws *wsi, const char *path) -> int;
     auto onBody(lws *wsi, std::string_view data) -> int;
     auto onBodyEnd(lws *wsi) -> int;
@@ -301,7 +309,7 @@
     std::array<char, 4096> fragment {};
     for (int i = 0; lws_hdr_copy_fragment(wsi, fragment.data(), fragment.size(), WSI_TOKEN_HTTP_URI_ARGS, i) > 0; ++i) {
         query += (query.empty() ? "" : "&");
-        query += fragment.data();
+        query += encodeQueryPair(fragment.data());
     }
     return query;
 }
@@ -352,7 +360,7 @@
 {
     HttpRequest request;
     request.method = methodOf(wsi);
-    request.path = path;
+    request.path = encodePath(path);
     request.query = queryOf(wsi);
     request.peer = peerOf(wsi);
     auto names = options.keptHeaders;
@@ -365,6 +373,12 @@
     auto exchange = std::make_shared<HttpExchange>(std::move(request));
     exchange->d->wsi = wsi;
     exchanges[wsi] = exchange;
+    if (knownHeader(wsi, WSI_TOKEN_HTTP).rfind("HTTP/1.", 0) != 0) {
+        // libwebsockets ends the request line at an encoded line end. The call that is left is another than the caller meant;
+        // one notices by the version, which has gone with the rest.
+        refuse(*exchange, StatusBadRequest, "bad-request-line");
+        return 0;
+    }
     if (isChunked || (mayHaveBody && length.empty())) {
         refuse(*exchange, StatusLengthRequired, "length-required");
         return 0;
@@ -439,21 +453,28 @@
     }
 }
 
-auto HttpServer::Private::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, size_t length) -> int
+auto HttpServer::Private::callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int
 {
     lws_vhost *vhost = wsi == nullptr ? nullptr : lws_get_vhost(wsi);
     auto *self = vhost == nullptr ? nullptr : static_cast<Private *>(lws_vhost_user(vhost));
     if (self == nullptr) {
         return 0;
     }
+    if (self->destroyed) {
+        return reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION ? -1 : 0;
+    }
     switch (reason) {
+    case LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS:
+        self->tlsContext = static_cast<SSL_CTX *>(user);
+        return 0;
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
-        return self->accepting && self->connections < self->options.maxConnections ? 0 : -1;
-    case LWS_CALLBACK_WSI_CREATE:
-        ++self->connections;
+        self->listener = wsi;
+        return self->accepting && static_cast<int>(self->sockets.size()) < self->options.maxConnections ? 0 : -1;
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        self->sockets.insert(wsi);
         return 0;
     case LWS_CALLBACK_WSI_DESTROY:
-        --self->connections;
+        self->sockets.erase(wsi);
         self->onGone(wsi);
         return 0;
     case LWS_CALLBACK_HTTP:
@@ -472,6 +493,12 @@
     }
 }
 
+/// libwebsockets has let go of the virtual host.
+auto HttpServer::Private::forget(lws_vhost * /*vhost*/, void *self) -> void
+{
+    delete static_cast<Private *>(self);
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, Handler handler)
     : d(std::make_unique<Private>(loop, std::move(options), std::move(handler)))
 {
@@ -481,6 +508,8 @@
     info.iface = d->options.listen.address.c_str();
     info.protocols = d->protocols.data();
     info.user = d.get();
+    info.finalize = &Private::forget;
+    info.finalize_arg = d.get();
     info.timeout_secs = static_cast<unsigned>(d->options.headerTimeout.inSeconds());
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
     if (d->options.tls.isEnabled()) {
@@ -495,6 +524,9 @@
     if (d->vhost == nullptr) {
         throw std::runtime_error("cannot listen on " + toString(d->options.listen));
     }
+    if (d->tlsContext != nullptr) {
+        d->tlsRenewal = std::make_unique<TlsRenewal>(loop, d->options.tls, d->tlsContext, d->options.tlsCheck);
+    }
 }
 
 HttpServer::~HttpServer()
@@ -506,7 +538,21 @@
         exchange->onDrained = nullptr;
     }
     d->exchanges.clear();
-    lws_vhost_destroy(d->vhost);
+    // Destroying the virtual host closes its port, not its connections: whoever waits for an answer would wait for ever.
+    const auto open = d->sockets;
+    for (lws *socket : open) {
+        lws_set_timeout(socket, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
+    }
+    // The port closes only when the loop comes round: a caller may still get in, and the callback must find its state until forget().
+    if (d->listener != nullptr) {
+        lws_set_timeout(d->listener, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
+    }
+    d->destroyed = true;
+    d->hangUpCheck.cancel();
+    d->tlsRenewal.reset();
+    d->handler = nullptr;
+    lws_vhost *vhost = d.release()->vhost;
+    lws_vhost_destroy(vhost);
 }
 
 auto HttpServer::port() const -> int
