Agent: ledger's new status call, floor confirmations, claims that nobody waits for

Cause: review of the tasks that drive the safety decisions. A restarted agent vouched for floor copies that an earlier agent's unload may still take away; a run-once request that the engine refused kept its claim open; so did one whose caller left before its claim was begun.

Change: a copy counts as pinned only while the ledger is open, and planners count only pinned copies; refused runs are reported as not run; a forward that nobody waits for is released. The ledger gets the time at which a status arrived.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -367,7 +367,8 @@
         auto *added = report.add_residents();
         added->set_artifact(resident.artifact.text());
         added->set_bytes(resident.bytes.count());
-        added->set_pinned(residency->isPinned(resident.artifact));
+        // While an earlier agent's unload may still arrive no copy is vouched for: a planner would drop the last other one on it.
+        added->set_pinned(ledger->isOpen() && residency->isPinned(resident.artifact));
         added->set_loading(!residency->isUsable(resident.artifact));
     }
 }
--- a/src/agent/claimtask.cpp
+++ b/src/agent/claimtask.cpp
@@ -48,6 +48,7 @@
     auto begin(const ClaimKey &key, TimePoint deadline, Done done) -> SendId;
     auto perform(const RunOnceActions &actions) -> void;
     auto decide(SendId send, const ClaimVerdict &verdict) -> void;
+    auto forward(const ForwardSend &send) -> void;
     auto write(const WriteClaims &action) -> void;
     auto read(const ReadClaims &action) -> void;
     auto scheduleTick() -> void;
@@ -81,10 +82,20 @@
     done(verdict);
 }
 
+/// A caller may leave before its send has arrived in RunOnce; its claim, once won, would stay open for ever with nobody to run it.
+auto ClaimTask::Private::forward(const ForwardSend &send) -> void
+{
+    if (waiting.contains(send.send.value())) {
+        decide(send.send, send);
+        return;
+    }
+    loop.post([this, id = send.send] { perform(runOnce.runEnded(id, RunEnd::NotRun, {}, loop.now())); });
+}
+
 auto ClaimTask::Private::perform(const RunOnceActions &actions) -> void
 {
     for (const auto &action : actions) {
-        std::visit(Overloaded {[this](const ForwardSend &forward) { decide(forward.send, forward); },
+        std::visit(Overloaded {[this](const ForwardSend &send) { forward(send); },
                                [this](const AnswerFromRecord &answer) { decide(answer.send, answer); },
                                [this](const AnswerNotRun &answer) { decide(answer.send, answer); },
                                [this](const AnswerUnknown &answer) { decide(answer.send, answer); },
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -438,6 +438,7 @@
     if (task->holdsHead) {
         const bool isMissing = task->status == StatusNotFound && task->held.find("not-resident") != std::string::npos;
         if (isMissing || task->status != StatusNotFound) {
+            reportRunEnd(task, RunEnd::NotRun);
             end(task, refusalOf(isMissing ? "not-resident" : "overloaded", "the engine refused it"));
             return;
         }
--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -134,7 +134,7 @@
     }
     missedStatus = 0;
     if (ledger) {
-        ledger->statusReceived(askedAt, *answer.status);
+        ledger->statusReceived(askedAt, *answer.status, loop.now());
     }
     setReady(true);
     hooks.onChanged();
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -282,8 +282,13 @@
         if (!agent.isRunner || !d->isUsable(id, agent)) {
             continue;
         }
-        const auto residents = residentsOf(agent.report, true);
-        reports[TargetId(id)] = HolderReport {RowVersion(agent.report.plan_version()), ArtifactSet(residents.begin(), residents.end())};
+        HolderReport report {RowVersion(agent.report.plan_version()), {}};
+        for (const auto &resident : agent.report.residents()) {
+            if (resident.pinned() && !resident.loading()) {
+                report.resident.emplace(resident.artifact());
+            }
+        }
+        reports[TargetId(id)] = std::move(report);
     }
     return reports;
 }
--- /dev/null
+++ b/tests/unit_claimtask.cpp
@@ -0,0 +1,70 @@
+#include "agent/claimtask.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr auto Limit = Duration::seconds(20);
+
+/// A table that commits everything, a moment later.
+auto willingTable(EventLoop &loop, int &version) -> TableAccess
+{
+    TableAccess table;
+    table.transact = [&](const std::string &, const std::vector<TableOp> &, const std::function<void(const TransactResult &)> &done) {
+        loop.post([&version, done] { done({.end = TransactEnd::Committed, .version = RowVersion(static_cast<std::uint64_t>(++version))}); });
+    };
+    return table;
+}
+
+auto settings() -> ClaimSettings
+{
+    ClaimSettings settings;
+    settings.claimant = "a-1";
+    settings.retention = [](const ServiceName &) {
+        return Duration::seconds(60);
+    };
+    settings.wallMillis = [] {
+        return std::int64_t {1000};
+    };
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("a caller that leaves before its claim is written leaves nothing open")
+{
+    // A clerk's connection drops in the moment in which the debit arrives. Were its claim kept open, the agent would wait for it when it
+    // should stop, and the clerk's next try would be told that the debit is running.
+    EventLoop loop;
+    int version = 0;
+    ClaimTask claims(loop, willingTable(loop, version), settings());
+    auto hooks = claims.hooks();
+    bool decided = false;
+    const auto send = hooks.begin({ServiceName("minutes"), RequestKey("k")}, loop.now() + Limit, [&](const ClaimVerdict &) { decided = true; });
+    hooks.cancel(send);
+    REQUIRE(loop.runUntil([&] { return version == 2 && claims.openKeys() == 0; }, Limit));
+    REQUIRE_FALSE(decided);
+}
+
+TEST_CASE("a claim is won, run and recorded")
+{
+    EventLoop loop;
+    int version = 0;
+    ClaimTask claims(loop, willingTable(loop, version), settings());
+    auto hooks = claims.hooks();
+    std::vector<ClaimVerdict> verdicts;
+    const ClaimKey key {ServiceName("minutes"), RequestKey("k")};
+    const auto note = [&](const ClaimVerdict &verdict) {
+        verdicts.push_back(verdict);
+    };
+    const auto send = hooks.begin(key, loop.now() + Limit, note);
+    REQUIRE(loop.runUntil([&] { return !verdicts.empty(); }, Limit));
+    REQUIRE(std::holds_alternative<ForwardSend>(verdicts.front()));
+    hooks.runEnded(send, RunEnd::Answered, {.status = 201, .headers = {}, .body = "done"});
+    hooks.begin(key, loop.now() + Limit, note);
+    REQUIRE(loop.runUntil([&] { return verdicts.size() == 2 && claims.openKeys() == 0; }, Limit));
+    REQUIRE(std::get<AnswerFromRecord>(verdicts.back()).record.body == "done");
+}
