Stand-ins only where no usable runner is to hold a copy

Cause: a first trial with real processes: while the floor was being filled for the first time, each artifact not yet loaded got a stand-in, which took loads of the weight store from the floor. Change: a planned copy on a usable runner counts as live.

--- a/src/core/placementmodel.cpp
+++ b/src/core/placementmodel.cpp
@@ -172,9 +172,9 @@
             m_planned[cell(runner, artifact)] = true;
             m_runners[runner].used += m_artifacts[artifact].declared->size;
             m_artifacts[artifact].copies.push_back({runner, 0});
+            m_artifacts[artifact].isLive = true;
             if (areWishes) {
                 m_runners[runner].wished.push_back(artifact);
-                m_artifacts[artifact].isLive = true;
             }
         }
     }
--- a/src/core/placementmodel.h
+++ b/src/core/placementmodel.h
@@ -46,7 +46,7 @@
     ArtifactIndex base = NoIndex; ///< of an adapter
     double streams = 0; ///< requests running at once, by the forecast
     std::vector<CopyLoad> copies;
-    bool isLive = false; ///< resident or being loaded on a usable runner
+    bool isLive = false; ///< on a usable runner: resident, or planned and so about to be
 };
 
 // [SECTION] PlacementModel
