Ledger: a new KV reserve or order delay is in force without a restart

Cause: the agent handed the declared longest order delay and KV reserve to its ledger once, when it was made. An operator's accepted change of either came into force only at the agent's next start.

Change: MemoryLedger::declare(), called with every revision that the agent adopts; it holds for outstanding orders too.

--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -335,6 +335,7 @@
         d->ledger.emplace(
             settings, d->settings.orderPrefix + (isFirst ? "a" : "b" + std::to_string(d->loop.now().inMicros())), isFirst ? d->startedAt : d->loop.now());
     }
+    d->ledger->declare(settings.longestOrderDelay, settings.kvReserve);
     d->step();
 }
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -312,6 +312,12 @@
     return {};
 }
 
+auto MemoryLedger::declare(Duration longestOrderDelay, double kvReserve) -> void
+{
+    d->settings.longestOrderDelay = longestOrderDelay;
+    d->settings.kvReserve = kvReserve;
+}
+
 auto MemoryLedger::orderLoad(const ArtifactName &artifact, const ArtifactName &base, Bytes bytes, TimePoint now) -> std::optional<EngineOrder>
 {
     if (mayLoad(artifact, bytes) != LedgerRefusal::None) {
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -130,7 +130,10 @@
     /// What to do at `now`; the same until an event or time changes it.
     auto nextAction(TimePoint now) const -> LedgerAction;
 
-    // Commands: call them before the bytes leave the process, or a crash in between forgets an order.
+    /// A new declaration of the engine. Holds for outstanding orders too.
+    auto declare(Duration longestOrderDelay, double kvReserve) -> void;
+
+    // Orders and what comes back: call them before the bytes leave the process, or a crash in between forgets an order.
 
     /// The order to send, charged from now on; none if mayLoad() refuses.
     auto orderLoad(const ArtifactName &artifact, const ArtifactName &base, Bytes bytes, TimePoint now) -> std::optional<EngineOrder>;
--- a/tests/unit_ledger.cpp
+++ b/tests/unit_ledger.cpp
@@ -131,6 +131,20 @@
     REQUIRE(ledger.mayLoad(Sun, gigabytes(40)) == LedgerRefusal::None);
 }
 
+TEST_CASE("a longer delay that is declared while an order is out holds for it")
+{
+    // Operators learn that an engine acts later than they thought and declare it. An order that is out already must be waited for that long,
+    // or its room is given away too soon.
+    auto ledger = openLedger();
+    ledger.orderLoad(Sun, {}, gigabytes(40), at(17));
+    ledger.declare(Duration::seconds(60), 0.25);
+    tell(ledger, at(40), status());
+    REQUIRE(ledger.charged() == gigabytes(40));
+    REQUIRE(ledger.freeBytes() == gigabytes(20));
+    tell(ledger, at(77), status());
+    REQUIRE(ledger.charged() == gigabytes(0));
+}
+
 TEST_CASE("a restarted agent waits out its predecessor's orders")
 {
     // An agent is killed right after it ordered a load, and its replacement sees an engine with room. That room may be taken any moment.
