TLS for operators, tested; TLS files that can't be read are findings

Cause: nothing showed that a stranger's certificate is turned away at the operators' port, and a mistyped path showed at the first handshake only.

--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -437,7 +437,14 @@
     if (!text) {
         return {{}, {{{path, 0}, "file can't be read"}}};
     }
-    return parseDaemonSettings(path, *text);
+    auto result = parseDaemonSettings(path, *text);
+    const auto &files = result.value.tls.files;
+    for (const auto &file : {files.certificate, files.key, files.authority}) {
+        if (!file.empty() && !readTextFile(file)) {
+            result.findings.push_back({{path, 0}, "file '" + file + "' named in [tls] can't be read"});
+        }
+    }
+    return result;
 }
 
 auto settingDescriptions() -> std::vector<SettingDescription>
--- a/tests/certificates.h
+++ b/tests/certificates.h
@@ -5,6 +5,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <string>
 
@@ -19,6 +20,7 @@
     {
         std::string pattern = std::filesystem::temp_directory_path() / "kingcup-tls-XXXXXX";
         m_folder = mkdtemp(pattern.data());
+        std::ofstream(m_folder / "names.ext") << "subjectAltName=IP:127.0.0.1\n";
         run("req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -days 2 -subj /CN=authority -keyout ca.key -out ca.pem");
     }
     ~TestAuthority()
@@ -32,7 +34,7 @@
     auto issue(const std::string &name) -> TlsFiles
     {
         run("req -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -subj /CN=" + name + " -keyout " + name + ".new -out " + name + ".csr");
-        run("x509 -req -days 2 -in " + name + ".csr -CA ca.pem -CAkey ca.key -CAcreateserial -out " + name + ".pem");
+        run("x509 -req -days 2 -in " + name + ".csr -CA ca.pem -CAkey ca.key -CAcreateserial -extfile names.ext -out " + name + ".pem");
         std::filesystem::rename(m_folder / (name + ".new"), m_folder / (name + ".key"));
         return {m_folder / (name + ".pem"), m_folder / (name + ".key"), m_folder / "ca.pem"};
     }
--- a/tests/unit_operator.cpp
+++ b/tests/unit_operator.cpp
@@ -2,6 +2,8 @@
 #include "net/eventloop.h"
 #include "operator/operatorcodec.h"
 #include "settings/declarationfile.h"
+#include "settings/inifile.h"
+#include "tests/certificates.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -40,7 +42,7 @@
     std::unique_ptr<OperatorServer> server;
     std::unique_ptr<Proto::Operators::Stub> stub;
 
-    Bench()
+    explicit Bench(const TlsFiles &tls = {})
     {
         OperatorHooks hooks;
         hooks.post = [this](std::function<void()> task) {
@@ -67,10 +69,14 @@
             return std::vector<RecentDecision> {{Duration::millis(5), "routing", subject, "chose target=runner-1"}};
         };
         std::string error;
-        server.reset(kingcupCreateOperatorServer({.listen = {}, .tls = {}, .watchPeriod = Duration::millis(5)}, hooks, error));
+        server.reset(kingcupCreateOperatorServer({.listen = {}, .tls = tls, .watchPeriod = Duration::millis(5)}, hooks, error));
         REQUIRE(error.empty());
-        const auto channel = grpc::CreateChannel("127.0.0.1:" + std::to_string(server->port()), grpc::InsecureChannelCredentials());
-        stub = Proto::Operators::NewStub(channel);
+        connect(grpc::InsecureChannelCredentials());
+    }
+
+    auto connect(const std::shared_ptr<grpc::ChannelCredentials> &credentials) -> void
+    {
+        stub = Proto::Operators::NewStub(grpc::CreateChannel("127.0.0.1:" + std::to_string(server->port()), credentials));
     }
 
     /// Runs a blocking call on another thread while the loop runs.
@@ -98,6 +104,15 @@
     }
 };
 
+/// Of an operator with these files.
+auto tlsCredentials(const TlsFiles &files) -> std::shared_ptr<grpc::ChannelCredentials>
+{
+    const auto read = [](const std::string &path) {
+        return path.empty() ? std::string() : readTextFile(path).value();
+    };
+    return grpc::SslCredentials({read(files.authority), read(files.key), read(files.certificate)});
+}
+
 auto applyRequest() -> Proto::ApplyRequest
 {
     Proto::ApplyRequest request;
@@ -255,6 +270,29 @@
     bench.waiting({.outcome = ChangeOutcome::Accepted, .revision = Revision(8), .findings = {}, .message = ""});
 }
 
+TEST_CASE("with TLS only operators whose certificate the authority signed get through")
+{
+    // The operators' port can be reached from other hosts. Whoever gets through can remove every service.
+    TestAuthority authority;
+    TestAuthority stranger;
+    Bench bench(authority.issue("entry"));
+    Proto::GetReply reply;
+    const auto plain = bench.call(&Proto::Operators::Stub::Get, Proto::GetRequest(), reply);
+    REQUIRE(plain.error_code() == grpc::StatusCode::UNAVAILABLE);
+
+    auto files = authority.issue("operator");
+    bench.connect(tlsCredentials(files));
+    REQUIRE(bench.call(&Proto::Operators::Stub::Get, Proto::GetRequest(), reply).ok());
+
+    bench.connect(tlsCredentials({"", "", files.authority}));
+    REQUIRE(bench.call(&Proto::Operators::Stub::Get, Proto::GetRequest(), reply).error_code() == grpc::StatusCode::UNAVAILABLE);
+
+    auto strange = stranger.issue("operator");
+    strange.authority = files.authority;
+    bench.connect(tlsCredentials(strange));
+    REQUIRE(bench.call(&Proto::Operators::Stub::Get, Proto::GetRequest(), reply).error_code() == grpc::StatusCode::UNAVAILABLE);
+}
+
 TEST_CASE("a second server on the same port is refused")
 {
     Bench bench;
--- a/tests/unit_settings.cpp
+++ b/tests/unit_settings.cpp
@@ -2,6 +2,10 @@
 #include "settings/inifile.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 using namespace KingCup;
 
@@ -93,6 +97,18 @@
     REQUIRE(settings.findings.size() == 2);
 }
 
+TEST_CASE("a TLS file that can't be read is found before the process serves anyone")
+{
+    // A path is mistyped. Found only at the first handshake, every caller would be turned away by a process that says it is well.
+    std::string path = std::filesystem::temp_directory_path() / "kingcup-settings-XXXXXX";
+    close(mkstemp(path.data()));
+    std::ofstream(path) << EntryText << "[tls]\ncallers = true\ncertificate = " << path << "\nkey = /nowhere/key.pem\n";
+    const auto settings = loadDaemonSettings(path);
+    std::remove(path.c_str());
+    REQUIRE(settings.findings.size() == 1);
+    REQUIRE(settings.findings[0].message == "file '/nowhere/key.pem' named in [tls] can't be read");
+}
+
 TEST_CASE("the commented file says what the table says")
 {
     // An operator starts from the printed file and adds only what has no default; it must be accepted as it is.
