Run-once: the cost of an event no longer grows with the keys that are held

Change: deadlines and reads are kept in order of time, with stale hints left in; the commit queue looks at no more writes than fit into one transaction.

--- a/src/core/commitqueue.cpp
+++ b/src/core/commitqueue.cpp
@@ -69,7 +69,9 @@
         return std::nullopt;
     }
     std::optional<TimePoint> earliest;
-    for (const auto &write : m_waiting) {
+    const auto looked = static_cast<std::ptrdiff_t>(std::min(m_waiting.size(), MaxTransactionOps));
+    for (auto next = m_waiting.begin(); next != m_waiting.begin() + looked; ++next) {
+        const auto &write = *next;
         const auto gathered = m_sent.empty() ? write.since : write.since + window();
         const auto due = std::max(gathered, write.notBefore);
         earliest = earliest ? std::min(*earliest, due) : due;
@@ -93,8 +95,8 @@
 auto CommitQueue::putBack(Waiting write, TimePoint notBefore) -> void
 {
     write.notBefore = notBefore;
-    const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &other) {
-        return write.urgency < other.urgency || (write.urgency == other.urgency && write.since < other.since);
+    const auto place = std::upper_bound(m_waiting.begin(), m_waiting.end(), write, [](const Waiting &one, const Waiting &other) {
+        return one.urgency < other.urgency || (one.urgency == other.urgency && one.since < other.since);
     });
     m_waiting.insert(place, std::move(write));
 }
@@ -120,9 +122,11 @@
     }
     Batch batch {BatchId(++m_batches), {}};
     Sent sent {{}, now};
-    std::deque<Waiting> rest;
-    for (auto &write : m_waiting) {
-        const bool fits = batch.ops.size() < MaxTransactionOps && m_tokens >= 1 && write.notBefore <= now;
+    std::vector<Waiting> rest;
+    for (auto looked = std::min(m_waiting.size(), MaxTransactionOps); looked > 0; --looked) {
+        auto write = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        const bool fits = m_tokens >= 1 && write.notBefore <= now;
         if (!fits) {
             rest.push_back(std::move(write));
             continue;
@@ -131,7 +135,7 @@
         batch.ops.push_back(write.op);
         sent.writes.push_back(std::move(write));
     }
-    m_waiting = std::move(rest);
+    m_waiting.insert(m_waiting.begin(), std::make_move_iterator(rest.begin()), std::make_move_iterator(rest.end()));
     if (batch.ops.empty()) {
         return std::nullopt;
     }
--- a/src/core/commitqueue.h
+++ b/src/core/commitqueue.h
@@ -92,7 +92,9 @@
     auto settleConflict(const Sent &sent, const TransactResult &result, TimePoint now, CommitSettled &settled) -> void;
 
     CommitSettings m_settings;
-    std::deque<Waiting> m_waiting; ///< First before Later, older before newer
+    /// First before Later, older before newer. Only as many as one transaction holds are looked at, from the front: a queue that has grown
+    /// long in an outage must not cost more with every event. What waits behind writes that are to be retried waits that little longer.
+    std::deque<Waiting> m_waiting;
     std::map<BatchId, Sent> m_sent;
     std::uint64_t m_batches = 0;
     double m_rate;
--- a/src/core/runonce.cpp
+++ b/src/core/runonce.cpp
@@ -82,6 +82,9 @@
     std::map<SendId, std::string> rowOf; ///< of sends not answered or running
     std::map<ReadId, std::vector<std::string>> readsInFlight;
     std::deque<std::string> remembered; ///< oldest first
+    /// When to look at which row: sends' deadlines and reads. A hint may be stale; looking once too often does no harm.
+    std::multimap<TimePoint, std::string> deadlineHints;
+    std::multimap<TimePoint, std::string> readHints;
     RunOnceActions actions; ///< of the event being handled
 
     auto finish(TimePoint now) -> RunOnceActions;
@@ -102,6 +105,7 @@
     auto answerNotRunAll(KeyEntry &entry, const std::string &code) -> void;
     auto expire(const std::string &row, KeyEntry &entry, TimePoint now) -> void;
     auto answerExpired(const KeyEntry &entry, SendId send) -> void;
+    auto scheduleRead(const std::string &row, KeyEntry &entry, TimePoint when) -> void;
     auto readDue(TimePoint now) -> void;
 };
 
@@ -288,7 +292,7 @@
     auto &entry = found->second;
     if (entry.phase == Phase::Claiming) {
         entry.phase = Phase::Checking;
-        entry.readAt = now;
+        scheduleRead(row, entry, now);
     } else if (entry.phase == Phase::Recording) {
         remember(row, entry); // an earlier try of this write took effect, its answer was lost
     } else if (entry.phase == Phase::Releasing) {
@@ -366,7 +370,7 @@
         return;
     }
     entry.phase = Phase::Elsewhere;
-    entry.readAt = now + settings.pollPeriod;
+    scheduleRead(row, entry, now + settings.pollPeriod);
     expire(row, entry, now);
 }
 
@@ -386,7 +390,7 @@
         }
         entry->second.readSent = false;
         if (!rows) {
-            entry->second.readAt = now + d->settings.retryDelay;
+            d->scheduleRead(key, entry->second, now + d->settings.retryDelay);
             continue;
         }
         const auto row = std::find_if(rows->begin(), rows->end(), [&](const TableRow &candidate) { return candidate.key == key; });
@@ -395,16 +399,24 @@
     return d->finish(now);
 }
 
+auto RunOnce::Private::scheduleRead(const std::string &row, KeyEntry &entry, TimePoint when) -> void
+{
+    entry.readAt = when;
+    readHints.emplace(when, row);
+}
+
 auto RunOnce::Private::readDue(TimePoint now) -> void
 {
     ReadClaims read;
-    for (auto &[row, entry] : keys) {
-        const bool due = entry.readAt && *entry.readAt <= now && !entry.readSent;
-        if (!due || read.keys.size() >= MaxTransactionOps) {
-            continue;
+    while (!readHints.empty() && readHints.begin()->first <= now && read.keys.size() < MaxTransactionOps) {
+        const auto row = std::move(readHints.begin()->second);
+        readHints.erase(readHints.begin());
+        const auto found = keys.find(row);
+        const bool due = found != keys.end() && found->second.readAt && *found->second.readAt <= now && !found->second.readSent;
+        if (due) {
+            found->second.readSent = true;
+            read.keys.push_back(row);
         }
-        entry.readSent = true;
-        read.keys.push_back(row);
     }
     if (read.keys.empty()) {
         return;
@@ -432,6 +444,7 @@
         return d->finish(now);
     }
     d->rowOf[send.send] = row;
+    d->deadlineHints.emplace(send.deadline, row);
     if (!known) {
         d->startClaim(row, entry, RowVersion(), now);
     }
@@ -484,18 +497,14 @@
 
 auto RunOnce::tick(TimePoint now) -> RunOnceActions
 {
-    std::vector<std::string> late;
-    for (const auto &[row, entry] : d->keys) {
-        const auto expired = [&](const RunOnceSend &send) {
-            return send.deadline <= now;
-        };
-        if (std::any_of(entry.waiting.begin(), entry.waiting.end(), expired)) {
-            late.push_back(row);
+    while (!d->deadlineHints.empty() && d->deadlineHints.begin()->first <= now) {
+        const auto row = std::move(d->deadlineHints.begin()->second);
+        d->deadlineHints.erase(d->deadlineHints.begin());
+        const auto found = d->keys.find(row);
+        if (found != d->keys.end() && !found->second.waiting.empty()) {
+            d->expire(row, found->second, now);
         }
     }
-    for (const auto &row : late) {
-        d->expire(row, d->keys.at(row), now);
-    }
     return d->finish(now);
 }
 
@@ -534,15 +543,10 @@
 auto RunOnce::nextWake() const -> std::optional<TimePoint>
 {
     auto wake = d->queue.nextWake();
-    const auto sooner = [&](TimePoint when) {
-        wake = wake ? std::min(*wake, when) : when;
-    };
-    for (const auto &[row, entry] : d->keys) {
-        if (entry.readAt && !entry.readSent) {
-            sooner(*entry.readAt);
-        }
-        for (const auto &send : entry.waiting) {
-            sooner(send.deadline);
+    for (const auto *hints : {&d->deadlineHints, &d->readHints}) {
+        if (!hints->empty()) {
+            const auto first = hints->begin()->first;
+            wake = wake ? std::min(*wake, first) : first;
         }
     }
     return wake;
