--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -134,7 +134,7 @@
     }
     missedStatus = 0;
     if (ledger) {
-        ledger->statusReceived(askedAt, *answer.status);
+        ledger->statusReceived(askedAt, *answer.status, loop.now());
     }
     setReady(true);
     hooks.onChanged();
@@ -335,6 +335,7 @@
         d->ledger.emplace(
             settings, d->settings.orderPrefix + (isFirst ? "a" : "b" + std::to_string(d->loop.now().inMicros())), isFirst ? d->startedAt : d->loop.now());
     }
+    d->ledger->declare(settings.longestOrderDelay, settings.kvReserve);
     d->step();
 }
 
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -130,15 +130,18 @@
     /// What to do at `now`; the same until an event or time changes it.
     auto nextAction(TimePoint now) const -> LedgerAction;
 
-    // Commands: call them before the bytes leave the process, or a crash in between forgets an order.
+    /// A new declaration of the engine. Holds for outstanding orders too.
+    auto declare(Duration longestOrderDelay, double kvReserve) -> void;
+
+    // Orders and what comes back: call them before the bytes leave the process, or a crash in between forgets an order.
 
     /// The order to send, charged from now on; none if mayLoad() refuses.
     auto orderLoad(const ArtifactName &artifact, const ArtifactName &base, Bytes bytes, TimePoint now) -> std::optional<EngineOrder>;
     auto orderUnload(const ArtifactName &artifact, TimePoint now) -> std::optional<EngineOrder>;
     auto orderAnswered(const OrderId &id, OrderAnswer answer) -> void;
     auto statusAsked(TimePoint now) -> void;
-    /// `askedAt`: when the question was sent, not when the answer came.
-    auto statusReceived(TimePoint askedAt, const EngineStatus &status) -> void;
+    /// `askedAt`: when the question was sent; `now`: when its answer came.
+    auto statusReceived(TimePoint askedAt, const EngineStatus &status, TimePoint now) -> void;
     auto fenceSent(Fence fence, TimePoint now) -> void;
     /// The engine answered POST /fence with `fence`.
     auto fenceRaised(Fence fence) -> void;
