--- /dev/null
+++ b/tests/fuzz_declarations.cpp
@@ -0,0 +1,135 @@
+// Declarations and settings come from people's editors and from other processes: whatever the bytes, they are read or refused.
+#include "core/declarationcodec.h"
+#include "settings/daemonsettings.h"
+#include "settings/declarationfile.h"
+#include "settings/inifile.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr int Rounds = 3000;
+constexpr std::size_t MostEdits = 8;
+
+/// Cuts, doubles, swaps and replaces bytes, also with those that parsers trip over.
+class Mutator
+{
+public:
+    explicit Mutator(std::uint32_t seed)
+        : m_random(seed)
+    {
+    }
+
+    auto mutate(std::string text) -> std::string
+    {
+        const auto edits = 1 + below(MostEdits);
+        for (std::size_t edit = 0; edit < edits && !text.empty(); ++edit) {
+            editOnce(text);
+        }
+        return text;
+    }
+
+private:
+    auto below(std::size_t limit) -> std::size_t
+    {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(m_random);
+    }
+
+    auto editOnce(std::string &text) -> void
+    {
+        static const std::vector<std::string> Nasty {
+            "\n", "[", "]", "=", ";", "\"", "{", "}", "\\", std::string(1, '\0'), "\xff", "-1", "1e999", "nan", std::string(300, 'x')};
+        const auto at = below(text.size());
+        const auto length = 1 + below(std::min<std::size_t>(text.size() - at, 40));
+        switch (below(4)) {
+        case 0:
+            text.erase(at, length);
+            break;
+        case 1:
+            text.insert(below(text.size()), text.substr(at, length));
+            break;
+        case 2:
+            text.insert(at, Nasty[below(Nasty.size())]);
+            break;
+        default:
+            text[at] = static_cast<char>(below(256));
+        }
+    }
+
+    std::mt19937 m_random;
+};
+
+auto exampleText() -> std::string
+{
+    const auto folder = std::string(KINGCUP_SOURCE) + "/examples/lone-star/";
+    return readTextFile(folder + "services.ini").value() + readTextFile(folder + "policy.ini").value()
+        + "[model sun]\nservice = advisory\ncurrent = 1\n[version sun@1]\nsize-gb = 14\n[adapter tan]\nbase = sun@1\nsize-gb = 0.3\n"
+          "[target runner-1]\nservice = advisory\nfencing = checked\nlongest-order-delay-ms = 15000\n";
+}
+
+auto lineCount(const std::string &text) -> int
+{
+    return static_cast<int>(std::count(text.begin(), text.end(), '\n')) + 1;
+}
+
+auto arePlacesInside(const Findings &findings, const std::string &text) -> bool
+{
+    return std::all_of(findings.begin(), findings.end(), [&](const Finding &finding) {
+        return finding.place.line >= 0 && finding.place.line <= lineCount(text) && !finding.message.empty();
+    });
+}
+
+} // namespace
+
+TEST_CASE("garbled declarations are read whole or have findings with places in the file")
+{
+    const auto original = exampleText();
+    REQUIRE(parseDeclarations("a.ini", original).isValid());
+    int refused = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto text = Mutator(static_cast<std::uint32_t>(round)).mutate(original);
+        const auto read = parseDeclarations("a.ini", text);
+        INFO("round " << round);
+        REQUIRE(arePlacesInside(read.findings, text));
+        refused += read.isValid() ? 0 : 1;
+        if (read.isValid()) {
+            const auto json = declarationsToJson(read.value);
+            const auto back = declarationsFromJson(json);
+            REQUIRE(back.has_value());
+            REQUIRE(declarationsToJson(back.value()) == json);
+        }
+    }
+    REQUIRE(refused > Rounds / 10);
+}
+
+TEST_CASE("garbled settings have findings with places in the file")
+{
+    const auto original = commentedSettings() + "[process]\nrole = entry\n";
+    for (int round = 0; round < Rounds; ++round) {
+        const auto text = Mutator(static_cast<std::uint32_t>(round)).mutate(original);
+        INFO("round " << round);
+        REQUIRE(arePlacesInside(parseDaemonSettings("a.ini", text).findings, text));
+    }
+}
+
+TEST_CASE("a garbled snapshot is refused, or is a set that can be passed on unchanged")
+{
+    const auto original = declarationsToJson(parseDeclarations("a.ini", exampleText()).value);
+    int refused = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto read = declarationsFromJson(Mutator(static_cast<std::uint32_t>(round)).mutate(original));
+        refused += read ? 0 : 1;
+        if (read) {
+            const auto json = declarationsToJson(read.value());
+            INFO("round " << round);
+            REQUIRE(declarationsFromJson(json).has_value());
+            REQUIRE(declarationsToJson(declarationsFromJson(json).value()) == json);
+        }
+    }
+    REQUIRE(refused > Rounds / 10);
+}
