--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -1,9 +1,8 @@
 #include "engine.h"
+#include "tokentext.h"
 
 #include <algorithm>
 #include <glog/logging.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 namespace KingCup
 {
@@ -14,7 +13,6 @@
 constexpr auto ReportsKept = Duration::seconds(5);
 constexpr std::size_t SlowReaderBytes = 64U << 10U; // a stream with more untaken bytes gains no tokens
 constexpr int DefaultOutputTokens = 16;
-constexpr std::uint64_t TokenHashRange = 0xffff;
 
 /// One completion's answer, built up token by token.
 struct CompletionAnswer {
@@ -95,13 +93,6 @@
 
 } // namespace
 
-auto tokenText(const std::string &artifact, const std::string &prompt, int index) -> std::string
-{
-    const auto seed = XXH3_64bits_withSeed(prompt.data(), prompt.size(), XXH3_64bits(artifact.data(), artifact.size()));
-    const auto hash = XXH3_64bits_withSeed(&index, sizeof index, seed) & TokenHashRange;
-    return std::to_string(index) + ":" + std::to_string(hash) + " ";
-}
-
 Engine::Engine(SimClock &clock, WeightStore &weights, EngineSettings settings)
     : m_clock(clock)
     , m_weights(weights)
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -15,9 +15,6 @@
 namespace KingCup
 {
 
-/// The text of one generated token: "INDEX:HASH ", the hash being of artifact, prompt and index.
-auto tokenText(const std::string &artifact, const std::string &prompt, int index) -> std::string;
-
 struct EngineSettings {
     std::string id;
     int port = 0;
--- a/fakes/proxy.cpp
+++ b/fakes/proxy.cpp
@@ -265,7 +265,8 @@
 auto Link::Private::onClosed(Pair &pair, Side side) -> void
 {
     pair.sockets[side] = nullptr;
-    pair.ending = true;
+    // Where data is lost, the news of the end is lost as well.
+    pair.ending = !swallows(side);
     if (side == Far && !pair.farConnected && pair.sockets[Near] != nullptr) {
         lws_set_timeout(pair.sockets[Near], PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     }
@@ -367,6 +368,12 @@
             d->kill(*pair);
         }
     }
+    for (auto &[key, pair] : d->pairs) {
+        const auto isGone = [&](Side side) {
+            return pair->sockets[side] == nullptr && !d->swallows(side);
+        };
+        pair->ending = pair->ending || isGone(Near) || (isGone(Far) && pair->farConnected);
+    }
     d->refill();
     d->wakeUpAll();
 }
--- /dev/null
+++ b/tests/harness_process.cpp
@@ -0,0 +1,166 @@
+#include "tests/harness_process.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ; // NOLINT(readability-redundant-declaration)
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int SignalledBase = 128;
+constexpr int LogFileMode = 0644;
+// Below the range that Linux takes outgoing ports from; tests of other processes start elsewhere in it.
+constexpr int FirstPort = 10000;
+constexpr int PortSpan = 20000;
+constexpr int PortsPerProcess = 97;
+
+auto pointersTo(std::vector<std::string> &texts) -> std::vector<char *>
+{
+    std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
+    for (auto &text : texts) {
+        pointers.push_back(text.data());
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+auto canListen(int port) -> bool
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool ok = ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0 && ::listen(socket, 1) == 0;
+    ::close(socket);
+    return ok;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(std::vector<std::string> arguments, std::string logFile, const std::vector<std::string> &environment)
+    : m_logFile(std::move(logFile))
+{
+    std::vector<std::string> variables(environment);
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        variables.emplace_back(*variable);
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogFileMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    auto argumentPointers = pointersTo(arguments);
+    auto variablePointers = pointersTo(variables);
+    const int error = posix_spawn(&m_pid, arguments.front().c_str(), &actions, nullptr, argumentPointers.data(), variablePointers.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        throw std::runtime_error("cannot start " + arguments.front());
+    }
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (!exitCode()) {
+        ::kill(m_pid, SIGKILL); // also ends a stopped process
+        ::waitpid(m_pid, nullptr, 0);
+    }
+}
+
+auto ChildProcess::pid() const -> pid_t
+{
+    return m_pid;
+}
+
+auto ChildProcess::log() const -> std::string
+{
+    std::ifstream in(m_logFile);
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+auto ChildProcess::logTail(std::size_t lines) const -> std::string
+{
+    const auto text = log();
+    auto start = text.size();
+    while (start > 0 && lines > 0) {
+        const auto end = text.rfind('\n', start - 1);
+        start = end == std::string::npos ? 0 : end;
+        --lines;
+    }
+    return text.substr(start);
+}
+
+auto ChildProcess::send(int signal) const -> void
+{
+    if (!m_exit) {
+        ::kill(m_pid, signal);
+    }
+}
+
+auto ChildProcess::exitCode() -> std::optional<int>
+{
+    int status = 0;
+    if (!m_exit && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        m_exit = WIFEXITED(status) ? WEXITSTATUS(status) : SignalledBase + WTERMSIG(status);
+    }
+    return m_exit;
+}
+
+auto freePort() -> int
+{
+    static int next = static_cast<int>(::getpid()) * PortsPerProcess % PortSpan;
+    for (int tries = 0; tries < PortSpan; ++tries) {
+        const int port = FirstPort + next;
+        next = (next + 1) % PortSpan;
+        if (canListen(port)) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port");
+}
+
+TemporaryFolder::TemporaryFolder()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "kingcup-test-XXXXXX").string();
+    if (::mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary folder");
+    }
+    m_path = name;
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(m_path, ignored);
+}
+
+auto TemporaryFolder::path() const -> const std::string &
+{
+    return m_path;
+}
+
+auto TemporaryFolder::write(const std::string &name, const std::string &text) const -> std::string
+{
+    const auto file = m_path + "/" + name;
+    std::ofstream(file) << text;
+    return file;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/tests/system_answers.cpp
@@ -0,0 +1,90 @@
+// Each caller gets the whole answer to its own request, or is told that it isn't whole.
+#include "tests/harness_cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// Never a wrong or doubled token; and an answer that claims to be whole is whole.
+auto checkHonest(const CallPtr &call, const std::string &artifact, const std::string &prompt, int tokens) -> void
+{
+    const auto expected = expectedText(artifact, prompt, tokens);
+    const auto got = call->text();
+    INFO("prompt " << prompt << " outcome " << call->outcome() << " got " << got);
+    CHECK(expected.compare(0, got.size(), got) == 0);
+    if (call->outcome() == "delivered") {
+        CHECK(got == expected);
+    }
+}
+
+struct Asked {
+    CallPtr call;
+    std::string artifact;
+    std::string prompt;
+    int tokens;
+};
+
+auto askMany(Cluster &cluster, int count, int tokens) -> std::vector<Asked>
+{
+    std::vector<Asked> asked;
+    for (int i = 0; i < count; ++i) {
+        const std::string model = i % 3 == 0 ? "moon" : "sun";
+        const auto prompt = "question " + std::to_string(i);
+        asked.push_back({cluster.beginCompletion(1 + i % 2, model, prompt, tokens, i % 4 != 3), model + "@1", prompt, tokens});
+    }
+    return asked;
+}
+
+auto checkAll(Cluster &cluster, const std::vector<Asked> &asked) -> int
+{
+    int delivered = 0;
+    for (const auto &one : asked) {
+        cluster.waitFor("an answer ends", [&] { return one.call->done; }, Duration::seconds(60));
+        checkHonest(one.call, one.artifact, one.prompt, one.tokens);
+        delivered += one.call->outcome() == "delivered" ? 1 : 0;
+    }
+    return delivered;
+}
+
+} // namespace
+
+TEST_CASE("streams whose engine or agent dies are resumed in place, or marked as cut")
+{
+    // The target dies in the middle of an answer. Continued from the wrong token, or ended as if it were whole, the caller would read a wrong or a half
+    // answer as the right one.
+    const std::string fault = GENERATE(as<std::string> {}, "engine", "agent", "link to the agent", "link to the engine");
+    INFO("what fails: " << fault);
+    Cluster cluster;
+    cluster.bringUp();
+    const auto asked = askMany(cluster, 16, 100);
+    cluster.sleep(Duration::millis(700));
+    if (fault == "engine") {
+        cluster.fault({{"part", "engine"}, {"id", "runner-1"}, {"mode", "crash"}});
+    } else if (fault == "agent") {
+        cluster.kill("runner-1");
+    } else {
+        const std::string name = fault == "link to the agent" ? "peer:runner-1" : "target:runner-1";
+        cluster.fault({{"part", "link"}, {"name", name}, {"mode", "cut"}});
+    }
+    const int delivered = checkAll(cluster, asked);
+    CHECK(delivered == 16);
+    checkAlways(cluster);
+}
+
+TEST_CASE("answers that come late, slowly or through a link that stalls are matched to their request")
+{
+    const std::string mode = GENERATE(as<std::string> {}, "delay", "drip", "freeze");
+    INFO("links to the agents: " << mode);
+    Cluster cluster;
+    cluster.bringUp();
+    const auto asked = askMany(cluster, 12, 40);
+    cluster.sleep(Duration::millis(200));
+    cluster.fault({{"part", "link"}, {"name", "peer:runner-1"}, {"mode", mode}, {"ms", 600}, {"bytesPerSecond", 2000}});
+    cluster.sleep(Duration::seconds(3));
+    cluster.heal();
+    checkAll(cluster, asked);
+    checkAlways(cluster);
+}
--- /dev/null
+++ b/tests/system_fakes.cpp
@@ -0,0 +1,127 @@
+// The stand-ins and the proxy themselves: a ground truth that lies would make every other system test worthless.
+#include "tests/harness_cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// The stand-ins alone.
+struct Alone {
+    Cluster cluster;
+    HttpClient client {cluster.loop()};
+    Json ports;
+
+    Alone()
+        : cluster({.entries = 0, .runners = 0, .ledgers = 0, .fakes = {"--engine.count=1", "--service.groups=ledger:1", "--engine.restart-ms=300"}})
+        , ports(cluster.admin("GET", "/ports"))
+    {
+    }
+
+    auto call(int port, HttpCall request) -> HttpAnswer
+    {
+        request.server = Endpoint {"127.0.0.1", port};
+        request.timeout = Duration::seconds(2);
+        HttpAnswer answer;
+        bool done = false;
+        startShortCall(client, std::move(request), [&](const HttpAnswer &got) {
+            answer = got;
+            done = true;
+        });
+        REQUIRE(cluster.loop().runUntil([&] { return done; }, Duration::seconds(20)));
+        return answer;
+    }
+    auto enginePort() -> int
+    {
+        return ports["engines"][0]["port"];
+    }
+    auto servicePort() -> int
+    {
+        return ports["services"][0]["port"];
+    }
+    auto order(const std::string &artifact, double gigabytes) -> HttpAnswer
+    {
+        const Json body {{"id", "order-" + artifact}, {"fence", 1}, {"kind", "load"}, {"artifact", artifact}, {"bytes", static_cast<std::int64_t>(gigabytes * 1e9)}};
+        return call(enginePort(), {.method = "POST", .path = "/orders", .body = body.dump()});
+    }
+    auto debit(int port, const std::string &key) -> HttpAnswer
+    {
+        return call(port, {.method = "POST", .path = "/debits", .headers = {{"idempotency-key", key}}, .body = R"({"account":"a","minutes":1})"});
+    }
+};
+
+} // namespace
+
+TEST_CASE("an engine that is given more than it has room for counts it and crashes")
+{
+    // A load is ordered that doesn't fit beside what is there. On a real accelerator the engine dies, and every request on it.
+    Alone alone;
+    REQUIRE(alone.order("sun@1", 40).status == 202);
+    REQUIRE(alone.cluster.truth()["totals"]["overcommits"] == 0);
+    alone.order("moon@1", 30);
+    REQUIRE(alone.cluster.truth()["totals"]["overcommits"] == 1);
+    REQUIRE(alone.call(alone.enginePort(), {.path = "/status"}).end == CallEnd::NotSent);
+    HttpAnswer status;
+    alone.cluster.waitFor("the engine is back", [&] {
+        status = alone.call(alone.enginePort(), {.path = "/status"});
+        return status.status == 200;
+    });
+    const auto back = Json::parse(status.body);
+    REQUIRE(back["generation"] == 2);
+    REQUIRE(back["memoryUsed"] == 0);
+}
+
+TEST_CASE("the ledger stand-in counts each execution of a key")
+{
+    Alone alone;
+    REQUIRE(alone.debit(alone.servicePort(), "once").status == 201);
+    REQUIRE(alone.debit(alone.servicePort(), "twice").status == 201);
+    REQUIRE(alone.debit(alone.servicePort(), "twice").status == 201);
+    REQUIRE(alone.cluster.executions("once") == 1);
+    REQUIRE(alone.cluster.executions("twice") == 2);
+    REQUIRE(alone.cluster.truth()["totals"]["doubled"] == Json::array({"ledger:twice"}));
+}
+
+TEST_CASE("a table write whose answer is dropped has taken effect")
+{
+    // The write is committed and the connection dies before the answer: the writer can't tell it from a write that never arrived.
+    Alone alone;
+    const int table = alone.ports["table"];
+    alone.cluster.fault({{"part", "table"}, {"mode", "drop-answer"}, {"count", 1}});
+    const HttpCall write {.method = "POST", .path = "/table/transact", .body = R"({"id":"w","ops":[{"op":"put","key":"k","expect":0,"value":"v"}]})"};
+    REQUIRE(alone.call(table, write).end == CallEnd::Broken);
+    REQUIRE(alone.call(table, write).status == 409);
+    REQUIRE(alone.cluster.admin("GET", "/rows?prefix=k")["rows"].size() == 1);
+}
+
+TEST_CASE("each fault of a proxied link does what it says, and healing ends it")
+{
+    Alone alone;
+    const int port = alone.cluster.admin("POST", "/links", {{"name", "l"}, {"target", "127.0.0.1:" + std::to_string(alone.servicePort())}})["port"];
+    const auto setMode = [&](const std::string &mode) {
+        alone.cluster.fault({{"part", "link"}, {"name", "l"}, {"mode", mode}});
+    };
+    REQUIRE(alone.debit(port, "plain").status == 201);
+    setMode("drop-answer");
+    REQUIRE(alone.debit(port, "dropped").end == CallEnd::Broken);
+    REQUIRE(alone.cluster.executions("dropped") == 1);
+    setMode("cut");
+    REQUIRE(alone.debit(port, "cut").end != CallEnd::Complete);
+    REQUIRE(alone.cluster.executions("cut") == 0);
+    setMode("heal");
+    setMode("lose-up");
+    REQUIRE(alone.debit(port, "lost").end == CallEnd::Timeout);
+    REQUIRE(alone.cluster.executions("lost") == 0);
+    setMode("heal");
+    setMode("lose-down");
+    REQUIRE(alone.debit(port, "unheard").end == CallEnd::Timeout);
+    REQUIRE(alone.cluster.executions("unheard") == 1);
+    setMode("heal");
+    setMode("freeze");
+    REQUIRE(alone.debit(port, "frozen").end == CallEnd::Timeout);
+    REQUIRE(alone.cluster.executions("frozen") == 0);
+    setMode("heal");
+    REQUIRE(alone.debit(port, "healed").status == 201);
+}
--- /dev/null
+++ b/tests/system_memory.cpp
@@ -0,0 +1,88 @@
+// Accelerator memory is never overcommitted, whatever becomes of orders, agents and engines.
+#include "tests/harness_cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// More than fits everywhere, so that every plan is tight: 4 runners of 40 GB (34 for weights), 8 models of 14 GB on a floor of two zones where they fit.
+auto tightOptions(const std::string &fencing) -> ClusterOptions
+{
+    ClusterOptions options {.entries = 2, .runners = 4, .ledgers = 0, .fencing = fencing};
+    options.fakes = {"--engine.memory-gb=40", "--weights.gb-per-second=40"};
+    for (int i = 1; i <= 6; ++i) {
+        const auto name = "m" + std::to_string(i);
+        options.models += "[model " + name + "]\nservice = advisory\ncurrent = 1\n[version " + name + "@1]\nsize-gb = " + (i % 2 == 0 ? "14" : "10") + "\n";
+    }
+    return options;
+}
+
+/// Demand that moves from model to model, so that copies are loaded and unloaded all the time.
+auto moveDemand(Cluster &cluster, Duration span) -> void
+{
+    const auto until = cluster.loop().now() + span;
+    int round = 0;
+    std::vector<CallPtr> open;
+    while (cluster.loop().now() < until) {
+        const auto model = "m" + std::to_string(1 + (round / 8) % 6);
+        open.push_back(cluster.beginCompletion(1 + round % 2, model, "round " + std::to_string(round), 20));
+        ++round;
+        cluster.sleep(Duration::millis(40));
+        checkAlways(cluster);
+    }
+    cluster.waitFor(
+        "all completions end", [&] { return std::all_of(open.begin(), open.end(), [](const auto &call) { return call->done; }); }, Duration::seconds(60));
+}
+
+} // namespace
+
+TEST_CASE("orders that are lost or late, and whose answers are lost, never overcommit an engine")
+{
+    // An order is sent, nothing comes back, and memory is given away again on the guess that it had no effect; then the order arrives after all. On a
+    // real accelerator the engine dies of it, with every request it was answering.
+    const std::string fencing = GENERATE(as<std::string> {}, "checked", "ignored");
+    INFO("fencing numbers are " << fencing);
+    Cluster cluster(tightOptions(fencing));
+    cluster.bringUp();
+    cluster.fault({{"part", "engine"}, {"loseRate", 0.15}, {"dropAnswerRate", 0.15}, {"lateRate", 0.2}, {"lateMostMs", 5000}});
+    moveDemand(cluster, Duration::seconds(10));
+    checkAlways(cluster);
+}
+
+TEST_CASE("agents that die and come back amid late orders never overcommit an engine")
+{
+    // The agent is killed right after it has sent an order. Its successor knows nothing of the order, which may still be on its way.
+    const std::string fencing = GENERATE(as<std::string> {}, "checked", "ignored");
+    INFO("fencing numbers are " << fencing);
+    Cluster cluster(tightOptions(fencing));
+    cluster.fault({{"part", "engine"}, {"lateRate", 0.5}, {"lateMostMs", 3000}});
+    cluster.ctl({"apply", cluster.writeDeclarations(cluster.declarations())});
+    for (int i = 0; i < 8; ++i) {
+        cluster.sleep(Duration::millis(400));
+        const auto id = "runner-" + std::to_string(1 + i % 4);
+        cluster.kill(id);
+        cluster.start(id);
+        checkAlways(cluster);
+    }
+    cluster.fault({{"part", "engine"}, {"lateRate", 0}});
+    cluster.bringUp();
+    checkAlways(cluster);
+}
+
+TEST_CASE("an engine that crashes and comes back empty is filled again without overcommitting it")
+{
+    // The agent believes its models resident, and orders that were under way are gone. To count on either would leave callers without a model, or
+    // charge memory twice.
+    Cluster cluster(tightOptions("alternate"));
+    cluster.bringUp();
+    for (int i = 0; i < 4; ++i) {
+        cluster.fault({{"part", "engine"}, {"id", "runner-" + std::to_string(1 + i)}, {"mode", "crash"}});
+        cluster.sleep(Duration::millis(500));
+    }
+    cluster.bringUp();
+    checkAlways(cluster);
+    CHECK(cluster.truth()["totals"]["crashes"] == 4);
+}
--- /dev/null
+++ b/tests/system_reachable.cpp
@@ -0,0 +1,70 @@
+// Every declared model stays reachable, or is so again, when agents, engines, entries and the platform fail.
+#include "tests/harness_cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto everyModelAnswers(Cluster &cluster, int entry) -> bool
+{
+    for (const auto *model : {"sun", "moon", "tan"}) {
+        const auto answer = cluster.complete(entry, model, "reachable?", 2, true, {{"kingcup-time-budget-ms", "3000"}});
+        if (answer->outcome() != "delivered") {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("every model is reachable again after its holders die")
+{
+    // A rack goes, and with it the only runners that held some models. Receptionists asking for those get an error until they are loaded elsewhere.
+    const bool storeIsDown = GENERATE(false, true);
+    INFO("the table is " << (storeIsDown ? "down" : "up"));
+    Cluster cluster({.entries = 2, .runners = 3, .ledgers = 0});
+    cluster.bringUp();
+    if (storeIsDown) {
+        cluster.fault({{"part", "table"}, {"mode", "refuse"}});
+    }
+    cluster.kill("runner-1");
+    cluster.fault({{"part", "engine"}, {"id", "runner-1"}, {"mode", "crash"}});
+    cluster.waitFor("every model answers without runner-1", [&] { return everyModelAnswers(cluster, 1) && everyModelAnswers(cluster, 2); });
+    cluster.kill("runner-2");
+    cluster.fault({{"part", "engine"}, {"id", "runner-2"}, {"mode", "crash"}});
+    cluster.waitFor("every model answers on runner-3 alone", [&] { return everyModelAnswers(cluster, 1) && everyModelAnswers(cluster, 2); }, Duration::seconds(45));
+    checkAlways(cluster);
+}
+
+TEST_CASE("a wrong host list takes nothing out of service")
+{
+    // The platform's list suddenly is empty, or claims that all are leaving. To believe it would take every target away at once.
+    const std::string mode = GENERATE(as<std::string> {}, "empty", "refuse", "freeze");
+    INFO("the host list: " << mode);
+    Cluster cluster;
+    cluster.bringUp();
+    cluster.fault({{"part", "hosts"}, {"mode", mode}});
+    cluster.sleep(Duration::seconds(6));
+    CHECK(everyModelAnswers(cluster, 1));
+    CHECK(everyModelAnswers(cluster, 2));
+    CHECK(cluster.debit(1, "wrong-list", "asha", 1)->outcome() == "delivered");
+}
+
+TEST_CASE("processes that start during an outage of the table serve from what their peers know")
+{
+    // The table is down for an hour, and meanwhile hosts are replaced as on any day. A new entry or agent that waited for the table would be lost capacity.
+    Cluster cluster;
+    cluster.bringUp();
+    cluster.fault({{"part", "table"}, {"mode", "refuse"}});
+    cluster.kill("entry-2");
+    cluster.kill("runner-1");
+    cluster.start("entry-2");
+    cluster.start("runner-1");
+    cluster.waitFor("the new entry serves every model", [&] { return everyModelAnswers(cluster, 2); });
+    CHECK(cluster.call(2, {.path = "/services/ledger/balance/asha"})->outcome() == "delivered");
+    checkAlways(cluster);
+}
--- /dev/null
+++ b/tests/system_runonce.cpp
@@ -0,0 +1,164 @@
+// A request that may not be repeated runs at most once, and "not run" is true whenever it is said.
+#include "tests/harness_cluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto plainOptions() -> ClusterOptions
+{
+    return {.entries = 2, .runners = 0, .ledgers = 2, .models = "# none\n"};
+}
+
+/// What an answer claims must agree with the ledger's own count.
+auto checkClaim(Cluster &cluster, const CallPtr &answer, const std::string &key) -> void
+{
+    const int runs = cluster.executions(key);
+    INFO("key " << key << " outcome " << answer->outcome() << " runs " << runs << " body " << answer->body);
+    CHECK(runs <= 1);
+    if (answer->outcome() == "delivered") {
+        CHECK(runs == 1);
+    }
+    if (answer->outcome() == "not-run") {
+        CHECK(runs == 0);
+    }
+}
+
+/// Sends the same debit through the other entry until it gets a definite answer, as a caller would.
+auto sendAgain(Cluster &cluster, const std::string &key, int tries = 5) -> CallPtr
+{
+    CallPtr answer;
+    for (int i = 0; i < tries; ++i) {
+        answer = cluster.debit(1 + i % 2, key, "asha", 3);
+        if (answer->outcome() == "delivered") {
+            return answer;
+        }
+        cluster.sleep(Duration::millis(300));
+    }
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("a debit that is sent again through another entry runs once")
+{
+    // The clerk's tool gives up waiting and posts the debit again; the balancer sends it to the other entry. Run twice, the patron pays for
+    // minutes never used.
+    Cluster cluster(plainOptions());
+    cluster.bringUp();
+    SECTION("after the answer")
+    {
+        CHECK(cluster.debit(1, "again-1", "asha", 3)->outcome() == "delivered");
+        const auto second = cluster.debit(2, "again-1", "asha", 3);
+        CHECK(second->outcome() == "delivered");
+        CHECK(second->json()["minutes"] == -3);
+    }
+    SECTION("while the first is running")
+    {
+        const auto first = cluster.beginDebit(1, "again-1", "asha", 3, "?hold-ms=1500");
+        cluster.waitFor("the first has run", [&] { return cluster.executions("again-1") == 1; });
+        const auto second = cluster.debit(2, "again-1", "asha", 3, "?hold-ms=1500");
+        cluster.waitFor("the first is answered", [&] { return first->done; });
+        CHECK(first->outcome() == "delivered");
+        checkClaim(cluster, second, "again-1");
+    }
+    CHECK(cluster.executions("again-1") == 1);
+    checkAlways(cluster);
+}
+
+TEST_CASE("a debit whose agent dies after it ran is never run again")
+{
+    // The ledger has booked the debit, and the agent's host dies before the answer gets out. Nobody else knows that it ran, but the claim does.
+    Cluster cluster(plainOptions());
+    cluster.bringUp();
+    const auto first = cluster.beginDebit(1, "killed-1", "asha", 3, "?hold-ms=2500");
+    cluster.waitFor("the debit has run", [&] { return cluster.executions("killed-1") == 1; });
+    const auto instance = cluster.truth()["services"]["ledger"]["executions"]["killed-1"]["instances"][0].get<std::string>();
+    cluster.kill(instance);
+    cluster.waitFor("the caller is answered", [&] { return first->done; });
+    CHECK(first->outcome() == "unknown");
+    const auto second = sendAgain(cluster, "killed-1", 3);
+    CHECK(second->outcome() == "unknown");
+    cluster.start(instance);
+    checkClaim(cluster, sendAgain(cluster, "killed-1", 3), "killed-1");
+    CHECK(cluster.executions("killed-1") == 1);
+    checkAlways(cluster);
+}
+
+TEST_CASE("a claim whose answer is lost after it took effect doubles nothing and is not called not-run")
+{
+    // The table commits the claim, and the connection dies before the agent hears of it. To guess either way would be wrong: run twice, or refused
+    // for ever.
+    Cluster cluster(plainOptions());
+    cluster.bringUp();
+    for (int i = 0; i < 6; ++i) {
+        const auto key = "lost-" + std::to_string(i);
+        cluster.fault({{"part", "table"}, {"mode", i % 2 == 0 ? "drop-answer" : "late-effect"}, {"op", "write"}, {"count", 1}, {"ms", 700}});
+        const auto answer = cluster.debit(1 + i % 2, key, "asha", 3);
+        checkClaim(cluster, answer, key);
+        cluster.fault({{"part", "table"}, {"mode", "ok"}});
+        cluster.sleep(Duration::millis(800));
+        checkClaim(cluster, sendAgain(cluster, key), key);
+    }
+    checkAlways(cluster);
+}
+
+TEST_CASE("an agent that is paused and wakes up runs nothing a second time")
+{
+    // The host swaps or its virtual machine is moved: the agent stands still between taking a debit and passing it on. The caller has it posted again
+    // elsewhere; then the agent wakes and goes on as if nothing had happened.
+    Cluster cluster(plainOptions());
+    cluster.bringUp();
+    std::vector<CallPtr> first;
+    for (int i = 0; i < 10; ++i) {
+        first.push_back(cluster.beginDebit(1, "paused-" + std::to_string(i), "asha", 1, "?wait-ms=200"));
+    }
+    cluster.stop("ledger-1");
+    cluster.sleep(Duration::millis(3000));
+    std::vector<CallPtr> second;
+    for (int i = 0; i < 10; ++i) {
+        second.push_back(cluster.debit(2, "paused-" + std::to_string(i), "asha", 1));
+    }
+    cluster.resume("ledger-1");
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        cluster.waitFor("the first send is answered", [&] { return first[i]->done; });
+    }
+    cluster.sleep(Duration::millis(1000));
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        const auto key = "paused-" + std::to_string(i);
+        checkClaim(cluster, first[i], key);
+        checkClaim(cluster, second[i], key);
+    }
+    checkAlways(cluster);
+}
+
+TEST_CASE("with the table down a debit is refused as not run, and truly isn't")
+{
+    // An outage of the platform's table service. The clerk is told at once that nothing was debited, and posts it again when the table is back.
+    const std::string mode = GENERATE(as<std::string> {}, "refuse", "hang");
+    INFO("the table: " << mode);
+    Cluster cluster(plainOptions());
+    cluster.bringUp();
+    cluster.fault({{"part", "table"}, {"mode", mode}});
+    for (int i = 0; i < 4; ++i) {
+        const auto key = "outage-" + std::to_string(i);
+        const auto answer = cluster.debit(1 + i % 2, key, "asha", 3);
+        CHECK(answer->outcome() != "delivered");
+        if (mode == "refuse") {
+            CHECK(answer->outcome() == "not-run");
+        }
+        checkClaim(cluster, answer, key);
+    }
+    const auto lookup = cluster.call(1, {.path = "/services/ledger/balance/asha"});
+    CHECK(lookup->outcome() == "delivered");
+    cluster.heal();
+    cluster.waitFor("debits run again", [&] { return cluster.debit(1, "after-" + mode, "asha", 1)->outcome() == "delivered"; });
+    for (int i = 0; i < 4; ++i) {
+        const auto key = "outage-" + std::to_string(i);
+        checkClaim(cluster, sendAgain(cluster, key), key);
+    }
+    checkAlways(cluster);
+}
