--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -105,8 +105,8 @@
 {
     if (d && d->active && d->life->alive) {
         lws_sul_cancel(&d->entry);
-        d->active = false;
     }
+    d.reset(); // with the task: it may hold the timer's owner
 }
 
 // [SECTION] EventLoop
