Suspects are told with their crashes; SIGTERM reaches the loop whatever threads a role starts

The gRPC threads of an entry were started before the signals were blocked; one of them took SIGTERM and the process died with code 143 amid its streams (system_path). Change: digests carry crash ids; signals are blocked before the role is made.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -6,6 +6,8 @@
 //   Pages      metrics and health
 #include "agent/agent.h"
 
+#include "wire/suspectsmessage.h"
+
 #include "agent/claimtask.h"
 #include "agent/controlsessions.h"
 #include "agent/requesttasks.h"
@@ -323,10 +325,7 @@
 
 auto Agent::Private::onSuspects(const Wire::Suspects &told) -> void
 {
-    SuspectDigest digest;
-    digest.suspected.assign(told.suspected().begin(), told.suspected().end());
-    digest.quarantined.assign(told.quarantined().begin(), told.quarantined().end());
-    suspects.merge(digest, loop.now());
+    suspects.merge(fromMessage(told), loop.now());
 }
 
 auto Agent::Private::onDrain(const std::string &reason) -> void
@@ -398,11 +397,7 @@
 
 auto Agent::Private::suspectsMessage() const -> Wire::Suspects
 {
-    const auto digest = suspects.digest(loop.now());
-    Wire::Suspects message;
-    message.mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
-    message.mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
-    return message;
+    return toMessage(suspects.digest(loop.now()));
 }
 
 auto Agent::Private::pollLoad() -> void
--- a/src/core/suspects.cpp
+++ b/src/core/suspects.cpp
@@ -46,7 +46,11 @@
         if (record.until <= now || record.cleared) {
             continue;
         }
-        (record.quarantined ? result.quarantined : result.suspected).push_back(fingerprint);
+        if (record.quarantined) {
+            result.quarantined.push_back(fingerprint);
+        } else {
+            result.suspected.push_back(Suspicion {fingerprint, {record.crashes.begin(), record.crashes.end()}});
+        }
     }
     return result;
 }
@@ -97,8 +101,15 @@
             quarantine(record, now);
         }
     }
-    for (const auto &fingerprint : digest.suspected) {
-        m_records.try_emplace(fingerprint, Record {.until = now + m_options.suspectFor, .crashes = {"elsewhere"}});
+    for (const auto &suspicion : digest.suspected) {
+        auto &record = m_records.try_emplace(suspicion.fingerprint, Record {.until = now + m_options.suspectFor}).first->second;
+        if (record.quarantined || record.cleared) {
+            continue;
+        }
+        record.crashes.insert(suspicion.crashes.begin(), suspicion.crashes.end());
+        if (record.crashes.size() >= CrashesToQuarantine) {
+            quarantine(record, now);
+        }
     }
     makeRoom();
 }
--- a/src/core/suspects.h
+++ b/src/core/suspects.h
@@ -27,9 +27,16 @@
     Duration quarantineFor = Duration::seconds(86400);
 };
 
+/// A suspected fingerprint and the crashes it was in flight at, as "TARGET#GENERATION". Without the crashes, one that is told by two processes
+/// would count as two and an innocent request would be quarantined.
+struct Suspicion {
+    std::string fingerprint;
+    std::vector<std::string> crashes;
+};
+
 /// What one process tells others.
 struct SuspectDigest {
-    std::vector<std::string> suspected;
+    std::vector<Suspicion> suspected;
     std::vector<std::string> quarantined;
 };
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -6,6 +6,8 @@
 //   Leaving     planned stops
 #include "entry/entry.h"
 
+#include "wire/suspectsmessage.h"
+
 #include "core/versionswitch.h"
 #include "entry/configtask.h"
 #include "entry/fleet.h"
@@ -440,11 +442,8 @@
 
 auto Entry::Private::onSuspects(const Wire::Suspects &told) -> void
 {
-    SuspectDigest digest;
-    digest.suspected.assign(told.suspected().begin(), told.suspected().end());
-    digest.quarantined.assign(told.quarantined().begin(), told.quarantined().end());
     const auto before = suspects.size();
-    suspects.merge(digest, loop.now());
+    suspects.merge(fromMessage(told), loop.now());
     if (suspects.size() != before) {
         fleet->sendAgents(suspectsFrame());
         fleet->sendEntries(suspectsFrame());
@@ -453,10 +452,8 @@
 
 auto Entry::Private::suspectsFrame() const -> Wire::ControlFrame
 {
-    const auto digest = suspects.digest(loop.now());
     Wire::ControlFrame frame;
-    frame.mutable_suspects()->mutable_suspected()->Assign(digest.suspected.begin(), digest.suspected.end());
-    frame.mutable_suspects()->mutable_quarantined()->Assign(digest.quarantined.begin(), digest.quarantined.end());
+    *frame.mutable_suspects() = toMessage(suspects.digest(loop.now()));
     return frame;
 }
 
--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -7,6 +7,7 @@
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
 #include <iostream>
+#include <memory>
 
 namespace
 {
@@ -35,10 +36,13 @@
 {
     EventLoop loop;
     try {
-        Role role(loop, settings);
-        onTerminationSignal(loop, [&role] { role.leave(); });
+        // Before the role: threads that it starts inherit the blocked signals. One that doesn't would take a SIGTERM, and with it the process,
+        // in the middle of every answer.
+        std::unique_ptr<Role> role;
+        onTerminationSignal(loop, [&role] { role->leave(); });
+        role = std::make_unique<Role>(loop, settings);
         loop.run();
-        return role.exitCode();
+        return role->exitCode();
     } catch (const std::runtime_error &error) {
         LOG(ERROR) << "start: " << error.what();
         return ExitStart;
--- a/tests/unit_membership.cpp
+++ b/tests/unit_membership.cpp
@@ -121,6 +121,23 @@
     REQUIRE(here.verdict("innocent", at(3)) == Verdict::Clear);
 }
 
+TEST_CASE("one crash that is told by two processes counts once")
+{
+    // An engine crashes under several requests. Their entry hears of it twice: from the agent, and as the end of each request. Counted as two
+    // crashes, every innocent request among them would be refused for a day.
+    Suspects agent;
+    Suspects entry;
+    agent.targetCrashed(TargetId("r1"), 4, {"innocent"}, at(0));
+    entry.merge(agent.digest(at(0)), at(0));
+    entry.targetCrashed(TargetId("r1"), 4, {"innocent"}, at(0.1));
+    entry.merge(agent.digest(at(0.2)), at(0.2));
+    REQUIRE(entry.verdict("innocent", at(1)) == Verdict::Alone);
+    Suspects other;
+    other.targetCrashed(TargetId("r2"), 1, {"innocent"}, at(1));
+    entry.merge(other.digest(at(1)), at(1));
+    REQUIRE(entry.verdict("innocent", at(2)) == Verdict::Quarantined);
+}
+
 TEST_CASE("suspicion ends, also between processes that tell each other")
 {
     Suspects one({.suspectFor = Duration::seconds(10), .quarantineFor = Duration::seconds(20)});
