--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -13,6 +13,10 @@
 
 /// Status questions without an answer in a row after which the engine counts as not ready.
 constexpr int MissedStatusLimit = 2;
+/// A question that broke off tells nothing: a dying engine may still accept a connection. It is asked again after a pause, and an engine
+/// that stays silent this long counts as crashed.
+constexpr auto AskAgainPause = Duration::millis(30);
+constexpr auto SilenceLimit = Duration::seconds(2);
 
 /// Someone who wants to know whether the engine has crashed since.
 struct CrashQuestion {
@@ -44,6 +48,7 @@
     bool ready = false;
     bool statusAsked = false;
     std::vector<CrashQuestion> crashQuestions;
+    Timer askAgain;
     TimePoint loadsHeldUntil; ///< the weight store asked for patience
 
     Private(EventLoop &ownerLoop, EngineAdapter adapter, ResidencySettings taskSettings, ResidencyHooks taskHooks)
@@ -103,15 +108,19 @@
     open.swap(crashQuestions);
     for (auto &question : open) {
         const bool isNewer = answer.status && answer.status->generation > question.generation;
-        const bool isLate = askedAt >= question.since;
-        if (answer.isRefused || isNewer || isLate) {
-            question.done(answer.isRefused || isNewer);
+        const bool isAlive = answer.status && askedAt >= question.since;
+        const bool isSilent = !answer.status && loop.now() - question.since > SilenceLimit;
+        if (isSilent) {
+            reportCrash(question.generation);
+        }
+        if (answer.isRefused || isNewer || isAlive || isSilent) {
+            question.done(!isAlive || isNewer);
         } else {
             crashQuestions.push_back(std::move(question));
         }
     }
     if (!crashQuestions.empty()) {
-        askStatus();
+        askAgain = loop.after(AskAgainPause, [this] { askStatus(); });
     }
 }
 
--- a/tests/system_path.cpp
+++ b/tests/system_path.cpp
@@ -98,10 +98,12 @@
     Cluster cluster;
     cluster.bringUp();
     std::vector<CallPtr> streams;
+    streams.reserve(12);
     for (int i = 0; i < 12; ++i) {
         streams.push_back(cluster.beginCompletion(1, i % 2 == 0 ? "sun" : "moon", "stop " + std::to_string(i), 80));
     }
     std::vector<CallPtr> debits;
+    debits.reserve(8);
     for (int i = 0; i < 8; ++i) {
         debits.push_back(cluster.beginDebit(1, "stop-" + std::to_string(i), "asha", 1, "?hold-ms=1000"));
     }
