Long prompts of lower classes wait in the entry's queue, one at a time for each target

Change: a standard or batch request needs a target with few unread prompt tokens (1,000 and 100 by default).

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -116,7 +116,8 @@
     auto isEligible(const TargetState &state, const ServiceName &service, const std::vector<ArtifactName> &artifacts, TimePoint now) const -> bool;
     auto load(const TargetState &state) const -> int;
     auto limit(const TargetState &state) const -> int;
-    auto room(const TargetState &state, Priority priority) const -> int;
+    auto room(const TargetState &state, Priority priority, TimePoint now) const -> int;
+    auto isReadingTooMuch(const TargetState &state, Priority priority, TimePoint now) const -> bool;
     auto weight(const TargetState &state, TimePoint now) const -> double;
     auto serviceTime(const TargetState &state, Priority priority) const -> Duration;
     auto expected(const TargetState &state, Priority priority, TimePoint now) const -> Duration;
@@ -162,8 +163,21 @@
     return state.load && state.load->concurrencyLimit > 0 ? state.load->concurrencyLimit : LimitIfUnknown;
 }
 
-auto Router::Private::room(const TargetState &state, Priority priority) const -> int
+/// Long prompts of lower classes go one at a time. Sent as they come they keep the engine reading for seconds, and every interactive request that
+/// meets them there has its first token late; kept in our queue they wait in order of deadline while interactive ones pass.
+auto Router::Private::isReadingTooMuch(const TargetState &state, Priority priority, TimePoint now) const -> bool
 {
+    if (!options.countsPrompts || priority == Priority::Interactive) {
+        return false;
+    }
+    return unreadTokens(state, now) > (priority == Priority::Batch ? options.batchBacklog : options.standardBacklog);
+}
+
+auto Router::Private::room(const TargetState &state, Priority priority, TimePoint now) const -> int
+{
+    if (isReadingTooMuch(state, priority, now)) {
+        return 0;
+    }
     auto most = static_cast<double>(limit(state));
     if (priority == Priority::Batch) {
         most *= options.batchShare;
@@ -243,7 +257,7 @@
         Candidate candidate {.id = id, .state = &state, .weight = weight(state, now), .load = load(state), .expected = expected(state, request.priority, now)};
         soonest = std::min(soonest, candidate.expected);
         // The baselines know no limits: they send on whatever they have, as the common proxies do.
-        if (options.strategy == RoutingStrategy::Objective && room(state, request.priority) <= 0) {
+        if (options.strategy == RoutingStrategy::Objective && room(state, request.priority, now) <= 0) {
             continue;
         }
         ++withRoom;
@@ -432,10 +446,10 @@
     return found == d->targets.end() ? 0 : d->weight(found->second, now);
 }
 
-auto Router::hasRoom(const TargetId &target, Priority priority, TimePoint) const -> bool
+auto Router::hasRoom(const TargetId &target, Priority priority, TimePoint now) const -> bool
 {
     const auto found = d->targets.find(target);
-    return found != d->targets.end() && d->room(found->second, priority) > 0;
+    return found != d->targets.end() && d->room(found->second, priority, now) > 0;
 }
 
 auto Router::choose(const RoutingRequest &request, TimePoint now) -> RoutingChoice
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -111,6 +111,8 @@
     double affinityBound = 1.25; ///< a preferred target may have this many times the mean load
     Duration affinitySaving = Duration::millis(50); ///< a preferred target may be expected to take this much longer than the best
     double promptTokensPerSecond = 4500; ///< that an engine reads beside decoding
+    double standardBacklog = 1000; ///< unread prompt tokens beyond which a target gets no further standard request
+    double batchBacklog = 100; ///< and no batch request
     bool countsPrompts = true; ///< switches for ablation runs, this and the next two
     bool prefixAffinity = true;
     bool twoChoices = true;
