--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -57,6 +57,13 @@
     TimePoint promptsAt;
 };
 
+/// Requests whose service times are alike.
+struct RequestClassName {
+    ServiceName service;
+    Priority priority = Priority::Standard;
+    auto operator<=>(const RequestClassName &) const = default;
+};
+
 struct Candidate {
     TargetId id;
     TargetState *state = nullptr;
@@ -111,7 +118,7 @@
     std::mt19937_64 random;
     std::map<TargetId, TargetState> targets;
     std::uint64_t turn = 0;
-    double classMicros[3] = {0, 0, 0}; ///< mean service time seen by this process, by priority
+    std::map<RequestClassName, double> classMicros; ///< mean service times seen by this process
 
     auto isEligible(const TargetState &state, const ServiceName &service, const std::vector<ArtifactName> &artifacts, TimePoint now) const -> bool;
     auto load(const TargetState &state) const -> int;
@@ -209,10 +216,10 @@
 {
     // Means are kept over all targets: the few requests that one target served last differ more by their length than by the target. A target
     // that is slow itself shows in the ratio.
-    const auto seen = classMicros[static_cast<int>(priority)];
+    const auto seen = classMicros.find({state.service, priority});
     const double slowness = state.slowness > SlowFrom ? state.slowness : 1.0;
-    if (seen > 0) {
-        return Duration::micros(static_cast<std::int64_t>(seen * slowness));
+    if (seen != classMicros.end()) {
+        return Duration::micros(static_cast<std::int64_t>(seen->second * slowness));
     }
     return state.load && state.load->serviceTime.inMicros() > 0 ? state.load->serviceTime : ServiceTimeIfUnknown;
 }
@@ -544,7 +551,7 @@
     }
     auto &health = state.health;
     if (result == AttemptResult::Delivered) {
-        auto &mean = d->classMicros[static_cast<int>(sent.priority)];
+        auto &mean = d->classMicros[{state.service, sent.priority}];
         const auto micros = std::max(1.0, static_cast<double>((now - sent.at).inMicros()));
         mean = mean == 0 ? micros : mean + RecentShare * (micros - mean);
         state.slowness += SlownessShare * (micros / mean - state.slowness);
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -220,8 +220,11 @@
         if (found == flows.end()) {
             continue;
         }
-        if (!tryNow(found->second)) {
-            again.push_back(found->second);
+        // A copy: refusing the request erases it from the list, and a reference into the list would then be of something gone. The entry died
+        // of that under load, with every answer that it was passing on.
+        const auto flow = found->second;
+        if (!tryNow(flow)) {
+            again.push_back(flow);
             break; // the router sees less room than the queue: no use in going on now
         }
     }
--- a/tests/unit_routing.cpp
+++ b/tests/unit_routing.cpp
@@ -268,6 +268,24 @@
     REQUIRE(scene.countSends(40)[target(0)] == 0);
 }
 
+TEST_CASE("a plain service isn't judged by a model's service times")
+{
+    // Both are interactive. An advisory takes two seconds, a balance lookup twenty milliseconds; were they one class, every lookup would be
+    // refused as too late for its budget of one second.
+    Scene scene({}, 2);
+    const ServiceName ledger("ledger");
+    scene.router.targetUp(TargetId("ledger-1"), Here, ledger, scene.now);
+    scene.router.reportReceived(TargetId("ledger-1"), {.sequence = 1, .concurrencyLimit = 8, .serviceTime = Duration::millis(20)}, scene.now);
+    for (int i = 0; i < 50; ++i) {
+        auto advisory = scene.request();
+        advisory.priority = Priority::Interactive;
+        scene.router.requestStarted(advisory, target(0), scene.now);
+        scene.router.requestEnded(advisory.id, target(0), AttemptResult::Delivered, scene.now + Duration::seconds(2));
+    }
+    const RoutingRequest lookup {.id = id(-1), .service = ledger, .deadline = scene.now + Duration::seconds(1), .priority = Priority::Interactive};
+    REQUIRE(scene.router.choose(lookup, scene.now).target == TargetId("ledger-1"));
+}
+
 TEST_CASE("a target whose reports stop is used less, then not at all")
 {
     Scene scene({}, 2);
