--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -26,6 +26,7 @@
 constexpr int StatusTimeout = 504;
 constexpr auto PumpPeriod = Duration::millis(50); // while requests wait
 constexpr auto RetryLater = Duration::seconds(1);
+constexpr std::size_t BytesPerToken = 4; // of a request's body, about
 
 enum class FlowState { Waiting, Trying, Ended };
 
@@ -219,8 +220,11 @@
         if (found == flows.end()) {
             continue;
         }
-        if (!tryNow(found->second)) {
-            again.push_back(found->second);
+        // A copy: refusing the request erases it from the list, and a reference into the list would then be of something gone. The entry died
+        // of that under load, with every answer that it was passing on.
+        const auto flow = found->second;
+        if (!tryNow(flow)) {
+            again.push_back(flow);
             break; // the router sees less room than the queue: no use in going on now
         }
     }
@@ -241,6 +245,7 @@
     routing.service = flow.request.service;
     routing.artifacts = flow.request.artifacts;
     routing.prefixHash = flow.request.prefixHash;
+    routing.promptTokens = flow.request.artifacts.empty() ? 0 : static_cast<int>(flow.request.body.size() / BytesPerToken);
     routing.stickyKey = flow.request.mustRunOnce ? flow.request.key.text() : std::string();
     routing.deadline = flow.deadline;
     routing.priority = flow.request.priority;
@@ -315,7 +320,7 @@
     flow->endSeen = false;
     flow->held.clear();
     log(*flow, "chose target", "target=" + choice.target.text() + " attempt=" + std::to_string(flow->attempts) + " reason=\"" + choice.reason + "\"");
-    parts.router.requestStarted(flow->request.id, flow->target, flow->request.priority, now());
+    parts.router.requestStarted(routingRequest(*flow), flow->target, now());
     flow->stream = hooks.openStream(choice.target);
     if (!flow->stream) {
         parts.loop.post([this, flow] { onAttemptEnd(flow, {AttemptOutcome::NotRun, "not-connected", flow->events.tokens(), flow->exchange->hasBegun()}); });
