Control: residents only when they change, wishes only when new

Change: a stream's report leaves out residents that it has carried; a planner repeats unchanged wishes every 5 s.

--- a/src/agent/controlsessions.cpp
+++ b/src/agent/controlsessions.cpp
@@ -1,7 +1,7 @@
 #include "agent/controlsessions.h"
 
 #include <glog/logging.h>
-#include <set>
+#include <map>
 
 namespace KingCup
 {
@@ -11,6 +11,8 @@
 
 /// Changes within this time go out together.
 constexpr auto ReportDelay = Duration::millis(10);
+/// Differs from every serialised list, the empty one too: a stream's first report names the residents.
+constexpr auto NothingReported = "none";
 /// An entry that takes no reports isn't sent more: they would pile up.
 constexpr std::size_t MaxPendingBytes = 1U << 20U;
 
@@ -19,7 +21,7 @@
 struct ControlSessions::Private {
     EventLoop &loop;
     ControlHooks hooks;
-    std::set<PeerStreamPtr> streams;
+    std::map<PeerStreamPtr, std::string> streams; // with the residents last reported there, serialised
     Timer period;
     Timer soon;
     std::uint64_t sequence = 0;
@@ -31,6 +33,7 @@
     }
     auto onFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void;
     auto sendReport() -> void;
+    auto sendReport(const PeerStreamPtr &stream, const Wire::LoadReport &report) -> void;
     auto sendAll(const Wire::ControlFrame &frame) -> void;
     auto suspectsFrame() const -> Wire::ControlFrame;
 };
@@ -67,7 +70,7 @@
 auto ControlSessions::Private::sendAll(const Wire::ControlFrame &frame) -> void
 {
     const auto targets = streams; // a failed send may remove one
-    for (const auto &stream : targets) {
+    for (const auto &[stream, residents] : targets) {
         if (stream->pendingBytes() < MaxPendingBytes) {
             stream->send(frame);
         }
@@ -76,10 +79,34 @@
 
 auto ControlSessions::Private::sendReport() -> void
 {
+    const auto report = hooks.report();
+    ++sequence;
+    auto targets = streams;
+    for (auto &[stream, residents] : targets) {
+        sendReport(stream, report);
+    }
+}
+
+/// Residents rarely change and make up most of a report: they are left out where the stream, which loses nothing, has carried them.
+auto ControlSessions::Private::sendReport(const PeerStreamPtr &stream, const Wire::LoadReport &report) -> void
+{
+    const auto found = streams.find(stream);
+    if (found == streams.end() || stream->pendingBytes() >= MaxPendingBytes) {
+        return;
+    }
     Wire::ControlFrame frame;
-    *frame.mutable_report() = hooks.report();
-    frame.mutable_report()->set_sequence(++sequence);
-    sendAll(frame);
+    *frame.mutable_report() = report;
+    frame.mutable_report()->set_sequence(sequence);
+    Wire::LoadReport residents;
+    *residents.mutable_residents() = report.residents();
+    auto text = residents.SerializeAsString();
+    if (text == found->second) {
+        frame.mutable_report()->clear_residents();
+        frame.mutable_report()->set_residents_unchanged(true);
+    } else {
+        found->second = std::move(text);
+    }
+    stream->send(frame);
 }
 
 auto ControlSessions::Private::suspectsFrame() const -> Wire::ControlFrame
@@ -104,7 +131,7 @@
 
 auto ControlSessions::accept(const PeerStreamPtr &stream) -> void
 {
-    d->streams.insert(stream);
+    d->streams.emplace(stream, NothingReported);
     // The stream must not be held by its own hooks.
     readControl(stream, "entry", [this, weak = std::weak_ptr(stream)](const Wire::ControlFrame &frame) {
         if (const auto self = weak.lock()) {
@@ -112,16 +139,14 @@
         }
     });
     stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) {
-        std::erase_if(d->streams, [&](const auto &held) { return held.get() == raw; });
+        std::erase_if(d->streams, [&](const auto &held) { return held.first.get() == raw; });
     };
     Wire::ControlFrame hello;
     *hello.mutable_hello() = d->hooks.hello();
     stream->send(hello);
     stream->send(d->suspectsFrame());
-    Wire::ControlFrame report;
-    *report.mutable_report() = d->hooks.report();
-    report.mutable_report()->set_sequence(++d->sequence);
-    stream->send(report);
+    ++d->sequence;
+    d->sendReport(stream, d->hooks.report());
 }
 
 auto ControlSessions::reportSoon() -> void
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -153,14 +153,18 @@
     }
     auto &agent = found->second;
     agent.sequence = report.sequence();
+    const auto residents = agent.report.residents();
     agent.report = report;
+    if (report.residents_unchanged()) {
+        *agent.report.mutable_residents() = residents;
+    }
     agent.hasReport = true;
     if (report.leaving()) {
         membership.saidLeaving(id);
     } else {
         membership.saidStaying(id);
     }
-    router.reportReceived(TargetId(id), targetLoadOf(report), loop.now());
+    router.reportReceived(TargetId(id), targetLoadOf(agent.report), loop.now());
     hooks.onRoom();
 }
 
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -1,6 +1,7 @@
 #include "entry/planner.h"
 
 #include <glog/logging.h>
+#include <map>
 
 namespace KingCup
 {
@@ -11,8 +12,15 @@
 constexpr auto FloorSubject = "floor";
 constexpr auto SurgeSubject = "surge";
 constexpr auto SoonDelay = Duration::millis(100); // a missing copy is planned for after this, not at the next regular round
+constexpr auto WishRepeat = Duration::seconds(5); // well below the agents' ResidencySettings::wishLifetime
 constexpr int RoundsPerRead = 3; // rounds between two reads of the floor's row by entries that don't plan it
 
+/// What a target was told last.
+struct ToldWishes {
+    std::vector<ArtifactName> artifacts;
+    TimePoint at;
+};
+
 auto planOf(const FloorRow &row) -> Plan
 {
     Plan plan;
@@ -52,6 +60,7 @@
     bool reading = false;
     bool writing = false;
     std::uint64_t wishSequence = 0;
+    std::map<TargetId, ToldWishes> toldWishes;
     int round = 0;
     Timer period;
     Timer soon;
@@ -71,6 +80,7 @@
     auto planFloorRow() -> void;
     auto writeFloor(const FloorRow &row) -> void;
     auto planSurge() -> void;
+    auto tellWishes(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void;
     auto input() const -> PlacementInput;
     auto note(const std::vector<PlacementDecision> &list) -> void;
     auto adoptFloor(RowVersion version, const std::string &text) -> void;
@@ -202,8 +212,20 @@
     note(result.decisions);
     ++wishSequence;
     for (const auto &runner : hooks.runners()) {
-        hooks.wish(runner.id, wishSequence, result.wishes.artifactsOn(runner.id));
+        tellWishes(runner.id, result.wishes.artifactsOn(runner.id));
+    }
+}
+
+/// Only news, and now and then the same again: agents forget wishes that nobody repeats, and a message may have met a closed connection.
+auto Planner::Private::tellWishes(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void
+{
+    auto &told = toldWishes[target];
+    if (told.artifacts == artifacts && told.at > TimePoint() && loop.now() - told.at < WishRepeat) {
+        return;
     }
+    told.artifacts = artifacts;
+    told.at = loop.now();
+    hooks.wish(target, wishSequence, artifacts);
 }
 
 Planner::Planner(EventLoop &loop, PlannerSettings settings, PlannerHooks hooks, DecisionLog &decisions)
