Path cost: a tool that measures it, and descriptors looked up directly

Cause: told a descriptor limit of its own, libwebsockets 4.1 finds each descriptor by going through its whole table of 8192, at every event (perf: wsi_from_fd and its neighbours were the top five entries of entry and agent).

--- /dev/null
+++ b/load/pathcost/main.cpp
@@ -0,0 +1,152 @@
+// What the way through an entry and an agent costs against calling the target directly: added latency, and processor time for each
+// request. Direct and indirect rounds alternate in one run, so that both meet the same state of the machine.
+//
+//   kingcup-pathcost DIRECT-IP:PORT DIRECT-PATH ENTRY-IP:PORT ENTRY-PATH REQUESTS CALLERS [PID...]
+//
+// A closed loop: each caller sends its next request once the last is answered. PIDs: whose processor time is counted.
+#include "net/http.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace
+{
+
+using namespace KingCup;
+
+constexpr int Rounds = 10; // of each kind
+constexpr int LeastArguments = 7;
+constexpr double Median = 0.5;
+constexpr double Tail = 0.99;
+constexpr double MicrosPerMilli = 1000;
+
+struct Way {
+    Endpoint server;
+    std::string path;
+    std::vector<double> millis; // of each request
+    int failed = 0;
+    double cpuSeconds = 0;
+    double seconds = 0;
+};
+
+auto cpuSecondsOf(const std::vector<std::string> &pids) -> double
+{
+    constexpr int FieldsBeforeTimes = 11; // behind the name: state ... cmajflt
+    double ticks = 0;
+    for (const auto &pid : pids) {
+        std::ifstream file("/proc/" + pid + "/stat");
+        std::string text((std::istreambuf_iterator<char>(file)), {});
+        std::istringstream fields(text.substr(text.rfind(')') + 1));
+        std::string skipped;
+        for (int i = 0; i < FieldsBeforeTimes; ++i) {
+            fields >> skipped;
+        }
+        double user = 0;
+        double system = 0;
+        fields >> user >> system;
+        ticks += user + system;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+class Round
+{
+public:
+    Round(EventLoop &loop, HttpClient &client, Way &way, int requests)
+        : m_loop(loop)
+        , m_client(client)
+        , m_way(way)
+        , m_toSend(requests)
+        , m_open(requests)
+    {
+    }
+    auto run(int callers) -> void
+    {
+        const auto start = m_loop.now();
+        for (int i = 0; i < callers; ++i) {
+            next();
+        }
+        m_loop.runUntil([&] { return m_open == 0; }, Duration::seconds(600));
+        m_way.seconds += (m_loop.now() - start).inSeconds();
+    }
+
+private:
+    auto next() -> void
+    {
+        if (m_toSend == 0) {
+            return;
+        }
+        --m_toSend;
+        const auto start = m_loop.now();
+        HttpCall call {.server = m_way.server, .path = m_way.path};
+        startShortCall(m_client, std::move(call), [this, start](const HttpAnswer &answer) {
+            --m_open;
+            m_way.millis.push_back(static_cast<double>((m_loop.now() - start).inMicros()) / MicrosPerMilli);
+            m_way.failed += answer.end == CallEnd::Complete && answer.status == 200 ? 0 : 1;
+            next();
+        });
+    }
+
+    EventLoop &m_loop;
+    HttpClient &m_client;
+    Way &m_way;
+    int m_toSend;
+    int m_open;
+};
+
+auto quantile(std::vector<double> values, double share) -> double
+{
+    std::sort(values.begin(), values.end());
+    return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+auto print(const char *name, const Way &way) -> void
+{
+    const auto count = static_cast<double>(way.millis.size());
+    std::printf("%-8s requests=%.0f failed=%d p50=%.3f ms p99=%.3f ms rate=%.0f/s cpu=%.1f us/request\n",
+                name,
+                count,
+                way.failed,
+                quantile(way.millis, Median),
+                quantile(way.millis, Tail),
+                count / way.seconds,
+                way.cpuSeconds / count * 1e6);
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    const std::vector<std::string> arguments(argv, argv + argc);
+    if (argc < LeastArguments) {
+        std::cerr << "usage: kingcup-pathcost DIRECT-IP:PORT DIRECT-PATH ENTRY-IP:PORT ENTRY-PATH REQUESTS CALLERS [PID...]\n";
+        return 2;
+    }
+    Way direct {endpointFromString(arguments[1]), arguments[2], {}};
+    Way indirect {endpointFromString(arguments[3]), arguments[4], {}};
+    const int requests = std::stoi(arguments[5]) / Rounds;
+    const int callers = std::stoi(arguments[6]);
+    const std::vector<std::string> pids(arguments.begin() + LeastArguments, arguments.end());
+    EventLoop loop;
+    HttpClient client(loop);
+    for (int round = 0; round < Rounds; ++round) {
+        for (auto *way : {&direct, &indirect}) {
+            const double before = cpuSecondsOf(pids);
+            Round(loop, client, *way, requests).run(callers);
+            way->cpuSeconds += cpuSecondsOf(pids) - before;
+        }
+    }
+    print("direct", direct);
+    print("path", indirect);
+    std::printf("added    p50=%.3f ms p99=%.3f ms; %.0f requests a second for each core of entry and agent together\n",
+                quantile(indirect.millis, Median) - quantile(direct.millis, Median),
+                quantile(indirect.millis, Tail) - quantile(direct.millis, Tail),
+                static_cast<double>(indirect.millis.size()) / std::max(indirect.cpuSeconds, 1e-9));
+    return indirect.failed == 0 ? 0 : 1;
+}
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 #include <libwebsockets.h>
 #include <mutex>
+#include <sys/resource.h>
 #include <thread>
 #include <utility>
 
@@ -16,8 +17,8 @@
 namespace
 {
 
-/// libwebsockets sizes tables by this; the platform's limit on open files may be a million, which would cost memory.
-constexpr unsigned MaxDescriptors = 8192;
+/// libwebsockets sizes tables by the limit on open files; the platform's may be a million, which would cost memory.
+constexpr rlim_t MaxDescriptors = 8192;
 constexpr unsigned ServiceBufferBytes = 16384;
 /// All headers of one request or answer together; callers with more are refused.
 constexpr unsigned short MaxHeaderBytes = 16384;
@@ -144,15 +145,31 @@
     }
 };
 
+namespace
+{
+
+/// Lowers this process's limit. Were libwebsockets told a limit of its own, it would look each descriptor up by going through the
+/// whole table, at every event: that was a third of an agent's processor time.
+auto limitDescriptors() -> void
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur > MaxDescriptors) {
+        limit.rlim_cur = MaxDescriptors;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+} // namespace
+
 EventLoop::EventLoop()
     : d(std::make_unique<Private>())
 {
     std::signal(SIGPIPE, SIG_IGN);
+    limitDescriptors();
     lws_set_log_level(LLL_ERR, &forwardLwsLog);
     lws_context_creation_info info {};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT | LWS_SERVER_OPTION_DISABLE_IPV6;
-    info.fd_limit_per_thread = MaxDescriptors;
     info.pt_serv_buf_size = ServiceBufferBytes;
     info.max_http_header_data = MaxHeaderBytes;
     d->context = lws_create_context(&info);
