One client for the table, the host list and the engine; one wall clock; one way between plans and floor rows

Cause: adapters written for the thin path stood beside the fuller clients, and two of their types had the same names. Change: the product uses TableClient (circuit breaker, bounded calls), HostListClient and EngineClient; the doubles are gone. An engine that answers with an error no longer counts as gone.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -16,9 +16,10 @@
 #include "core/plan.h"
 #include "core/suspects.h"
 #include "net/metrics.h"
+#include "net/wallclock.h"
 #include "platform/tableaccess.h"
+#include "platform/tableclient.h"
 
-#include <ctime>
 #include <glog/logging.h>
 #include <optional>
 #include <unistd.h>
@@ -35,25 +36,6 @@
 constexpr auto SuspectCheckPeriod = Duration::seconds(5);
 constexpr int ExitCutOff = 1;
 
-auto wallMillis() -> std::uint64_t
-{
-    timespec time {};
-    clock_gettime(CLOCK_REALTIME, &time);
-    constexpr std::uint64_t MillisPerSecond = 1000;
-    constexpr std::uint64_t NanosPerMilli = 1000000;
-    return static_cast<std::uint64_t>(time.tv_sec) * MillisPerSecond + static_cast<std::uint64_t>(time.tv_nsec) / NanosPerMilli;
-}
-
-auto floorRowOf(const Plan &plan) -> FloorRow
-{
-    FloorRow row;
-    for (const auto &target : plan.targets()) {
-        const auto &artifacts = plan.artifactsOn(target);
-        row.holders[target] = ArtifactSet(artifacts.begin(), artifacts.end());
-    }
-    return row;
-}
-
 } // namespace
 
 // [SECTION] Parts
@@ -63,7 +45,9 @@
     DaemonSettings settings;
     std::uint64_t incarnation = wallMillis();
     HttpClient client;
+    std::unique_ptr<TableClient> tableClient;
     TableAccess table;
+    std::unique_ptr<EngineClient> engine;
     Metrics metrics;
     Suspects suspects;
     Declarations declarations;
@@ -88,7 +72,9 @@
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
         , client(loop)
-        , table(httpTableAccess(client, settings.platform.table))
+        , tableClient(makeTableClient(loop, client, PlatformOptions {.server = settings.platform.table}))
+        , table(tableAccess(*tableClient))
+        , engine(makeEngineClient(client, EngineOptions {.server = settings.target.engine}))
     {
     }
 
@@ -135,7 +121,7 @@
         hooks.onCrash = [this](std::uint64_t generation) {
             onCrash(generation);
         };
-        residency = std::make_unique<ResidencyTask>(loop, httpEngineAdapter(client, settings.target.engine), residencySettings, std::move(hooks));
+        residency = std::make_unique<ResidencyTask>(loop, *engine, residencySettings, std::move(hooks));
         loadPoll = loop.every(settings.timing.report, [this] { pollLoad(); });
         floorRead = loop.every(FloorReadPeriod, [this] { readFloor(); });
     }
@@ -211,7 +197,7 @@
             residency->suspectCrash(std::move(done));
         };
         hooks.cancelAtTarget = [this](const RequestId &request) {
-            httpEngineAdapter(client, settings.target.engine).cancel(request);
+            engine->cancel(request);
         };
     }
     return hooks;
@@ -407,10 +393,10 @@
         engineLoad.reset(); // an idle engine's figures tell nothing
         return;
     }
-    httpEngineAdapter(client, settings.target.engine).askLoad([this](const std::optional<EngineLoad> &load) {
-        engineLoad = load;
+    engine->load([this](const Result<EngineLoad> &load) {
+        engineLoad = load ? std::optional<EngineLoad>(load.value()) : std::nullopt;
         if (load) {
-            requests->observeStep(load->decodeStep);
+            requests->observeStep(load.value().decodeStep);
         }
     });
 }
--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -18,6 +18,12 @@
 constexpr auto AskAgainPause = Duration::millis(30);
 constexpr auto SilenceLimit = Duration::seconds(2);
 
+/// Nothing listens there: the engine is down, not slow.
+auto isGone(const Result<EngineView> &answer) -> bool
+{
+    return !answer && answer.error().code == ErrorCode::Unavailable;
+}
+
 /// Someone who wants to know whether the engine has crashed since.
 struct CrashQuestion {
     std::uint64_t generation = 0; ///< of the engine when its call broke
@@ -29,7 +35,7 @@
 
 struct ResidencyTask::Private {
     EventLoop &loop;
-    EngineAdapter engine;
+    EngineClient &engine;
     ResidencySettings settings;
     ResidencyHooks hooks;
     std::optional<MemoryLedger> ledger;
@@ -51,9 +57,9 @@
     Timer askAgain;
     TimePoint loadsHeldUntil; ///< the weight store asked for patience
 
-    Private(EventLoop &ownerLoop, EngineAdapter adapter, ResidencySettings taskSettings, ResidencyHooks taskHooks)
+    Private(EventLoop &ownerLoop, EngineClient &engineClient, ResidencySettings taskSettings, ResidencyHooks taskHooks)
         : loop(ownerLoop)
-        , engine(std::move(adapter))
+        , engine(engineClient)
         , settings(std::move(taskSettings))
         , hooks(std::move(taskHooks))
         , startedAt(loop.now())
@@ -62,7 +68,7 @@
 
     auto step() -> void;
     auto askStatus() -> void;
-    auto onStatus(TimePoint askedAt, const StatusAnswer &answer) -> void;
+    auto onStatus(TimePoint askedAt, const Result<EngineView> &answer) -> void;
     auto onGeneration(std::uint64_t now) -> void;
     auto reportCrash(std::uint64_t dead) -> void;
     auto raiseFence(Fence fence) -> void;
@@ -71,7 +77,7 @@
     auto wants() const -> std::vector<WantedArtifact>;
     auto retired() const -> std::vector<ArtifactName>;
     auto setReady(bool isReady) -> void;
-    auto answerCrashQuestions(TimePoint askedAt, const StatusAnswer &answer) -> void;
+    auto answerCrashQuestions(TimePoint askedAt, const Result<EngineView> &answer) -> void;
 };
 
 auto ResidencyTask::Private::setReady(bool isReady) -> void
@@ -102,18 +108,18 @@
 }
 
 /// A status that was asked for before the call broke says nothing about it; such questions wait for the next.
-auto ResidencyTask::Private::answerCrashQuestions(TimePoint askedAt, const StatusAnswer &answer) -> void
+auto ResidencyTask::Private::answerCrashQuestions(TimePoint askedAt, const Result<EngineView> &answer) -> void
 {
     std::vector<CrashQuestion> open;
     open.swap(crashQuestions);
     for (auto &question : open) {
-        const bool isNewer = answer.status && answer.status->generation > question.generation;
-        const bool isAlive = answer.status && askedAt >= question.since;
-        const bool isSilent = !answer.status && loop.now() - question.since > SilenceLimit;
+        const bool isNewer = answer && answer.value().status.generation > question.generation;
+        const bool isAlive = answer && askedAt >= question.since;
+        const bool isSilent = !answer && loop.now() - question.since > SilenceLimit;
         if (isSilent) {
             reportCrash(question.generation);
         }
-        if (answer.isRefused || isNewer || isAlive || isSilent) {
+        if (isGone(answer) || isNewer || isAlive || isSilent) {
             question.done(!isAlive || isNewer);
         } else {
             crashQuestions.push_back(std::move(question));
@@ -124,26 +130,26 @@
     }
 }
 
-auto ResidencyTask::Private::onStatus(TimePoint askedAt, const StatusAnswer &answer) -> void
+auto ResidencyTask::Private::onStatus(TimePoint askedAt, const Result<EngineView> &answer) -> void
 {
     statusAsked = false;
     // First the crash, with all that was in flight; then those who asked, who end their requests.
-    if (answer.isRefused) {
+    if (isGone(answer)) {
         reportCrash(generation);
-    } else if (answer.status) {
-        onGeneration(answer.status->generation);
+    } else if (answer) {
+        onGeneration(answer.value().status.generation);
     }
     answerCrashQuestions(askedAt, answer);
-    if (!answer.status) {
+    if (!answer) {
         ++missedStatus;
-        if (answer.isRefused || missedStatus >= MissedStatusLimit) {
+        if (isGone(answer) || missedStatus >= MissedStatusLimit) {
             setReady(false);
         }
         return;
     }
     missedStatus = 0;
     if (ledger) {
-        ledger->statusReceived(askedAt, *answer.status, loop.now());
+        ledger->statusReceived(askedAt, answer.value().status, loop.now());
     }
     setReady(true);
     hooks.onChanged();
@@ -160,17 +166,17 @@
     if (ledger) {
         ledger->statusAsked(askedAt);
     }
-    engine.askStatus([this, askedAt](const StatusAnswer &answer) { onStatus(askedAt, answer); });
+    engine.status([this, askedAt](const Result<EngineView> &answer) { onStatus(askedAt, answer); });
 }
 
 auto ResidencyTask::Private::raiseFence(Fence fence) -> void
 {
     LOG(INFO) << "ledger: raising the fence fence=" << fence;
     ledger->fenceSent(fence, loop.now());
-    engine.raiseFence(fence, [this, fence](FenceAnswer answer) {
-        if (answer == FenceAnswer::Raised) {
+    engine.raiseFence(fence, [this, fence](const FenceReply &reply) {
+        if (reply.kind == FenceReply::Kind::Raised) {
             ledger->fenceRaised(fence);
-        } else if (answer == FenceAnswer::Unsupported) {
+        } else if (reply.kind == FenceReply::Kind::Unsupported) {
             ledger->fenceUnsupported();
         }
         step();
@@ -269,7 +275,7 @@
     }
     LOG(INFO) << "placement: ordered " << (order.kind == OrderKind::Load ? "load" : "unload") << " artifact=" << order.artifact << " order=" << engineOrder->id
               << " fence=" << engineOrder->fence << " charged-gb=" << ledger->charged().inGigabytes() << " reason=" << order.reason;
-    engine.sendOrder(*engineOrder, [this, id = engineOrder->id](const OrderReply &reply) {
+    engine.order(*engineOrder, [this, id = engineOrder->id](const OrderReply &reply) {
         ledger->orderAnswered(id, reply.answer);
         if (reply.retryAfter > Duration()) {
             loadsHeldUntil = loop.now() + reply.retryAfter;
@@ -282,8 +288,8 @@
     return true;
 }
 
-ResidencyTask::ResidencyTask(EventLoop &loop, EngineAdapter engine, ResidencySettings settings, ResidencyHooks hooks)
-    : d(std::make_unique<Private>(loop, std::move(engine), std::move(settings), std::move(hooks)))
+ResidencyTask::ResidencyTask(EventLoop &loop, EngineClient &engine, ResidencySettings settings, ResidencyHooks hooks)
+    : d(std::make_unique<Private>(loop, engine, std::move(settings), std::move(hooks)))
 {
     d->stepTimer = loop.every(d->settings.stepPeriod, [this] { d->step(); });
     d->askStatus();
--- a/src/agent/residencytask.h
+++ b/src/agent/residencytask.h
@@ -9,7 +9,7 @@
 #include "core/declarations.h"
 #include "core/floor.h"
 #include "core/ledger.h"
-#include "engine/engineadapter.h"
+#include "engine/engineclient.h"
 #include "net/eventloop.h"
 
 #include <functional>
@@ -41,7 +41,8 @@
 class ResidencyTask
 {
 public:
-    ResidencyTask(EventLoop &loop, EngineAdapter engine, ResidencySettings settings, ResidencyHooks hooks);
+    /// `engine` must outlive the task.
+    ResidencyTask(EventLoop &loop, EngineClient &engine, ResidencySettings settings, ResidencyHooks hooks);
     ~ResidencyTask();
 
     // Queries
--- a/src/core/floor.cpp
+++ b/src/core/floor.cpp
@@ -32,6 +32,27 @@
 
 // [SECTION] Holder
 
+auto floorRowOf(const Plan &plan) -> FloorRow
+{
+    FloorRow row;
+    for (const auto &target : plan.targets()) {
+        const auto &artifacts = plan.artifactsOn(target);
+        row.holders[target] = ArtifactSet(artifacts.begin(), artifacts.end());
+    }
+    return row;
+}
+
+auto planOf(const FloorRow &row) -> Plan
+{
+    Plan plan;
+    for (const auto &[target, artifacts] : row.holders) {
+        for (const auto &artifact : artifacts) {
+            plan.add(target, artifact);
+        }
+    }
+    return plan;
+}
+
 auto FloorPins::isSettled() const -> bool
 {
     return m_settled;
--- a/src/core/floor.h
+++ b/src/core/floor.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/plan.h"
 
 #include <map>
 #include <optional>
@@ -35,6 +36,10 @@
     auto operator==(const FloorRow &) const -> bool = default;
 };
 
+/// The same as a plan, the form in which the row is stored and sent.
+auto floorRowOf(const Plan &plan) -> FloorRow;
+auto planOf(const FloorRow &row) -> Plan;
+
 // [SECTION] Holder
 
 /// Where a holder got a row from.
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -29,7 +29,8 @@
     if (answer.end != CallEnd::Complete) {
         return {ErrorCode::Unknown, toString(answer.end)};
     }
-    return {answer.status == StatusNotFound ? ErrorCode::NotFound : ErrorCode::Unavailable, "status " + std::to_string(answer.status)};
+    // An engine that answers is there, whatever it says: only one that can't be reached counts as gone.
+    return {answer.status == StatusNotFound ? ErrorCode::NotFound : ErrorCode::Overloaded, "status " + std::to_string(answer.status)};
 }
 
 auto orderReply(const HttpAnswer &answer) -> OrderReply
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -15,10 +15,11 @@
 #include "entry/planner.h"
 #include "entry/requestflows.h"
 #include "entry/systemstatus.h"
-#include "platform/hostlist.h"
+#include "net/wallclock.h"
+#include "platform/hostlistclient.h"
 #include "platform/tableaccess.h"
+#include "platform/tableclient.h"
 
-#include <ctime>
 #include <glog/logging.h>
 
 namespace KingCup
@@ -36,15 +37,6 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-auto wallMillis() -> std::uint64_t
-{
-    timespec time {};
-    clock_gettime(CLOCK_REALTIME, &time);
-    constexpr std::uint64_t MillisPerSecond = 1000;
-    constexpr std::uint64_t NanosPerMilli = 1000000;
-    return static_cast<std::uint64_t>(time.tv_sec) * MillisPerSecond + static_cast<std::uint64_t>(time.tv_nsec) / NanosPerMilli;
-}
-
 auto routingOptions(const DaemonSettings &settings) -> RoutingOptions
 {
     RoutingOptions options;
@@ -90,6 +82,7 @@
     DaemonSettings settings;
     std::uint64_t incarnation = wallMillis();
     HttpClient client;
+    std::unique_ptr<TableClient> tableClient;
     TableAccess table;
     std::unique_ptr<ObjectClient> objects;
     Metrics metrics;
@@ -106,7 +99,7 @@
     std::unique_ptr<PeerServer> peers;
     std::set<PeerStreamPtr> peerStreams; ///< control streams that other entries opened
     std::unique_ptr<HttpServer> callers;
-    std::unique_ptr<HostListPoll> hostList;
+    std::unique_ptr<HostListClient> hostList;
     Timer housekeeping;
     Timer leaveCheck;
     TimePoint leavingSince;
@@ -118,7 +111,8 @@
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
         , client(loop)
-        , table(httpTableAccess(client, settings.platform.table))
+        , tableClient(makeTableClient(loop, client, PlatformOptions {.server = settings.platform.table}))
+        , table(tableAccess(*tableClient))
         , objects(makeObjectClient(loop, client, PlatformOptions {.server = settings.platform.objects}))
         , decisions(static_cast<std::size_t>(settings.limits.maxDecisions))
         , router(routingOptions(settings))
@@ -271,8 +265,10 @@
     buildConfig();
     buildServers();
     buildOperators();
-    hostList = std::make_unique<HostListPoll>(
-        loop, client, settings.platform.hosts, settings.timing.hostsPoll, [this](const auto &hosts) { fleet->listReceived(hosts); });
+    HostListOptions listOptions;
+    listOptions.platform.server = settings.platform.hosts;
+    listOptions.period = settings.timing.hostsPoll;
+    hostList = std::make_unique<HostListClient>(loop, client, listOptions, [this](const std::vector<ListedHost> &hosts) { fleet->listReceived(hosts); });
     housekeeping = loop.every(HousekeepingPeriod, [this] { housekeep(); });
 }
 
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -21,27 +21,6 @@
     TimePoint at;
 };
 
-auto planOf(const FloorRow &row) -> Plan
-{
-    Plan plan;
-    for (const auto &[target, artifacts] : row.holders) {
-        for (const auto &artifact : artifacts) {
-            plan.add(target, artifact);
-        }
-    }
-    return plan;
-}
-
-auto rowOf(const Plan &plan) -> FloorRow
-{
-    FloorRow row;
-    for (const auto &target : plan.targets()) {
-        const auto &artifacts = plan.artifactsOn(target);
-        row.holders[target] = ArtifactSet(artifacts.begin(), artifacts.end());
-    }
-    return row;
-}
-
 } // namespace
 
 struct Planner::Private {
@@ -170,9 +149,9 @@
         LOG_EVERY_N(ERROR, 60) << "placement: no runner has room artifact=" << artifact;
     }
     FloorInput floorInput;
-    floorInput.current = rowOf(floor);
+    floorInput.current = floorRowOf(floor);
     floorInput.version = floorVersion;
-    floorInput.desired = rowOf(result.plan);
+    floorInput.desired = floorRowOf(result.plan);
     floorInput.reports = hooks.holderReports();
     for (const auto &[name, artifact] : declarations.artifacts) {
         floorInput.declared.insert(name);
--- a/src/platform/tableaccess.h
+++ b/src/platform/tableaccess.h
@@ -1,8 +1,9 @@
-// The table service as the decisions' owners use it: two hooks. Others may bring their own; httpTableAccess() speaks docs/PROTOCOLS.md.
+// The table service as the decisions' owners use it: a few hooks. Tests bring their own; tableAccess() takes
+// them from a TableClient.
 #pragma once
 
 #include "core/table.h"
-#include "net/http.h"
+#include "platform/tableclient.h"
 
 #include <functional>
 #include <optional>
@@ -21,7 +22,7 @@
     std::function<void(std::string writeId, std::vector<TableOp> ops, TransactDone done)> transact;
 };
 
-/// Without retries: whoever asks decides whether to ask again. `client` must outlive it.
-auto httpTableAccess(HttpClient &client, const Endpoint &table) -> TableAccess;
+/// `client` must outlive it.
+auto tableAccess(TableClient &client) -> TableAccess;
 
 } // namespace KingCup
