--- a/src/core/floorplanning.cpp
+++ b/src/core/floorplanning.cpp
@@ -295,16 +295,6 @@
     FloorResult m_result;
 };
 
-auto isResidentOn(const std::vector<RunnerState> &runners, const TargetId &target, const ArtifactName &artifact) -> bool
-{
-    return std::any_of(runners.begin(), runners.end(), [&](const RunnerState &runner) {
-        const auto holds = [&](const ResidentArtifact &resident) {
-            return resident.artifact == artifact && !resident.isLoading;
-        };
-        return runner.id == target && runner.isUsable && std::any_of(runner.residents.begin(), runner.residents.end(), holds);
-    });
-}
-
 } // namespace
 
 auto planFloor(const PlacementInput &input, const PlacementOptions &options) -> FloorResult
@@ -315,30 +305,4 @@
     return FloorPlanning(input, options).run();
 }
 
-auto stepFloor(const Plan &inForce, const Plan &wanted, const std::vector<RunnerState> &runners) -> Plan
-{
-    Plan next = inForce;
-    for (const auto &target : wanted.targets()) {
-        for (const auto &artifact : wanted.artifactsOn(target)) {
-            if (isResidentOn(runners, target, artifact) || inForce.holders(artifact).empty()) {
-                next.add(target, artifact);
-            }
-        }
-    }
-    for (const auto &target : inForce.targets()) {
-        for (const auto &artifact : inForce.artifactsOn(target)) {
-            if (wanted.contains(target, artifact)) {
-                continue;
-            }
-            const auto holders = wanted.holders(artifact);
-            const bool areResident
-                = std::all_of(holders.begin(), holders.end(), [&](const TargetId &holder) { return isResidentOn(runners, holder, artifact); });
-            if (areResident) {
-                next.remove(target, artifact);
-            }
-        }
-    }
-    return next;
-}
-
 } // namespace KingCup
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -7,7 +7,7 @@
 // Index of sections (search for [SECTION]):
 //   Input          runners, demand, options
 //   Output         decisions with their reasons
-//   Floor          planFloor() says what should be, stepFloor() which part of it may be written now
+//   Floor          planFloor() says what should be; composeFloorRow() (core/floor.h) which part of it may be written now
 //   SurgePlanner   extra copies; keeps its wishes between rounds
 #pragma once
 
@@ -96,10 +96,6 @@
 /// Keeps what is well placed and adds what is missing: first one copy of everything, then copies in further zones where memory allows.
 auto planFloor(const PlacementInput &input, const PlacementOptions &options) -> FloorResult;
 
-/// The part of the way to `wanted` that may be written now: make before break. A new copy is named once it is resident (or if the artifact
-/// has no copy at all); an old one is left out once every wanted copy of its artifact is resident.
-auto stepFloor(const Plan &inForce, const Plan &wanted, const std::vector<RunnerState> &runners) -> Plan;
-
 // [SECTION] SurgePlanner
 
 struct SurgeResult {
--- a/tests/unit_placement.cpp
+++ b/tests/unit_placement.cpp
@@ -1,3 +1,4 @@
+#include "core/floor.h"
 #include "core/placement.h"
 
 #include <catch2/catch.hpp>
@@ -144,11 +145,16 @@
 
     SurgePlanner planner({});
     REQUIRE(planner.plan(input, wanted, at(0)).wishes.contains(TargetId("r2"), sun));
-    auto row = stepFloor(input.floor, wanted, input.runners);
-    REQUIRE(row == input.floor);
-    input.runners[1].residents.push_back({sun, Bytes::gigabytes(28)});
-    row = stepFloor(input.floor, wanted, input.runners);
-    REQUIRE(row == wanted);
+    FloorInput step {.version = RowVersion(1), .declared = {sun}};
+    step.current.holders[TargetId("r1")] = {sun};
+    step.desired.holders[TargetId("r2")] = {sun};
+    const auto both = composeFloorRow(step);
+    REQUIRE(both.has_value());
+    REQUIRE(both->holders.contains(TargetId("r1")));
+    step.current = *both;
+    REQUIRE_FALSE(composeFloorRow(step).has_value());
+    step.reports[TargetId("r2")] = HolderReport {RowVersion(1), {sun}};
+    REQUIRE_FALSE(composeFloorRow(step)->holders.contains(TargetId("r1")));
 }
 
 TEST_CASE("a burst wins a surge copy, a move that costs more than it brings doesn't happen")
