--- a/tests/harness_cluster.cpp
+++ b/tests/harness_cluster.cpp
@@ -470,6 +470,11 @@
     return d->ctlText;
 }
 
+auto Cluster::operatorsPort(int entry) const -> int
+{
+    return d->operators.at(static_cast<std::size_t>(entry - 1));
+}
+
 auto Cluster::callersPort(int entry) const -> int
 {
     return d->callers.at(static_cast<std::size_t>(entry - 1));
--- a/tests/harness_cluster.h
+++ b/tests/harness_cluster.h
@@ -95,6 +95,7 @@
 
     // The callers' side. Entries count from 1.
     auto callersPort(int entry) const -> int;
+    auto operatorsPort(int entry) const -> int;
     auto peersPort(const std::string &id) const -> int; ///< the process's own, not through the proxy
     auto begin(int entry, HttpCall call) -> CallPtr; ///< starts a call
     auto call(int entry, HttpCall call) -> CallPtr; ///< and waits for its end
