--- a/src/entry/peerlinks.cpp
+++ b/src/entry/peerlinks.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+/// Heartbeats without a message after which a peer is asked.
+constexpr double SilentBeats = 1.5;
 /// A peer that takes no control messages isn't sent more: they would pile up. It gets the newest state when it is back.
 constexpr std::size_t MaxPendingBytes = 4U << 20U;
 
@@ -17,6 +19,7 @@
     std::string id;
     std::unique_ptr<PeerClient> client;
     PeerStreamPtr control;
+    TimePoint heardAt; ///< any message
 };
 
 } // namespace
@@ -41,6 +44,7 @@
     auto onUp(Link &link) -> void;
     auto onDown(Link &link) -> void;
     auto onFrame(Link &link, const Wire::ControlFrame &frame) -> void;
+    auto pingSilent(Duration silence) -> void;
     auto find(const std::string &id) const -> Link *
     {
         const auto found = links.find(id);
@@ -86,6 +90,7 @@
 
 auto PeerLinks::Private::onFrame(Link &link, const Wire::ControlFrame &frame) -> void
 {
+    link.heardAt = loop.now();
     hooks.onHeard(link.id);
     if (frame.has_hello()) {
         // An address may have been given to another process: its messages must not count for the one we meant.
@@ -101,10 +106,20 @@
     }
 }
 
+/// A peer that sends anything is alive; only a silent one is asked. Asking all doubled an idle entry's wake-ups.
+auto PeerLinks::Private::pingSilent(Duration silence) -> void
+{
+    for (const auto &[id, link] : links) {
+        if (link->control && loop.now() - link->heardAt > silence) {
+            link->control->send(pingFrame(++pings));
+        }
+    }
+}
+
 PeerLinks::PeerLinks(EventLoop &loop, std::string part, PeerOptions options, Duration heartbeat, LinkHooks hooks)
     : d(std::make_unique<Private>(loop, std::move(part), std::move(options), std::move(hooks)))
 {
-    d->heartbeat = loop.every(heartbeat, [this] { sendAll(pingFrame(++d->pings)); });
+    d->heartbeat = loop.every(heartbeat, [this, heartbeat] { d->pingSilent(heartbeat * SilentBeats); });
 }
 
 PeerLinks::~PeerLinks() = default;
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -12,6 +12,7 @@
 constexpr auto FloorSubject = "floor";
 constexpr auto SurgeSubject = "surge";
 constexpr auto SoonDelay = Duration::millis(100); // a missing copy is planned for after this, not at the next regular round
+constexpr auto SettleTime = Duration::seconds(2); // without a further runner, before the first floor is planned
 constexpr auto WishRepeat = Duration::seconds(5); // well below the agents' ResidencySettings::wishLifetime
 constexpr int RoundsPerRead = 3; // rounds between two reads of the floor's row by entries that don't plan it
 
@@ -38,6 +39,8 @@
     bool storeReachable = false;
     bool reading = false;
     bool writing = false;
+    std::size_t runnersSeen = 0;
+    TimePoint runnersSince;
     std::uint64_t wishSequence = 0;
     std::map<TargetId, ToldWishes> toldWishes;
     int round = 0;
@@ -57,6 +60,7 @@
     auto readFloor() -> void;
     auto onFloorRead(const std::optional<std::vector<TableRow>> &rows) -> void;
     auto planFloorRow() -> void;
+    auto isFleetSettled() -> bool;
     auto writeFloor(const FloorRow &row) -> void;
     auto planSurge() -> void;
     auto tellWishes(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void;
@@ -143,6 +147,9 @@
     if (writing || settings.placement.strategy == PlacementStrategy::LoadOnDemand) {
         return;
     }
+    if (floorVersion == RowVersion() && !isFleetSettled()) {
+        return;
+    }
     auto result = planFloor(input(), settings.placement);
     wantedFloor = result.plan;
     for (const auto &artifact : result.unplaced) {
@@ -166,6 +173,18 @@
     }
 }
 
+/// A first floor that is planned while runners are still connecting crowds everything onto the few that are there, and copies that are
+/// well placed aren't moved later. So it waits until no further runner has come for a while.
+auto Planner::Private::isFleetSettled() -> bool
+{
+    const auto count = hooks.runners().size();
+    if (count != runnersSeen) {
+        runnersSeen = count;
+        runnersSince = loop.now();
+    }
+    return count > 0 && loop.now() - runnersSince >= SettleTime;
+}
+
 auto Planner::Private::writeFloor(const FloorRow &row) -> void
 {
     writing = true;
