--- /dev/null
+++ b/tests/unit_requestflows.cpp
@@ -0,0 +1,253 @@
+#include "entry/requestflows.h"
+
+#include "wire/messages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr auto Limit = Duration::seconds(20);
+
+/// An agent's end of a request stream, played by the test.
+class PlayedStream : public PeerStream
+{
+public:
+    auto path() const -> const std::string & override
+    {
+        return m_path;
+    }
+    auto isOpen() const -> bool override
+    {
+        return true;
+    }
+    auto pendingBytes() const -> std::size_t override
+    {
+        return 0;
+    }
+    auto send(const google::protobuf::MessageLite &message) -> void override
+    {
+        Wire::EntryFrame frame;
+        frame.ParseFromString(message.SerializeAsString());
+        sent.push_back(frame);
+    }
+    auto finish() -> void override
+    {
+    }
+    auto reset() -> void override
+    {
+    }
+    auto refuse() -> void override
+    {
+    }
+    auto pause() -> void override
+    {
+    }
+    auto resume() -> void override
+    {
+    }
+
+    auto answerHead(const std::string &type) -> void
+    {
+        Wire::AgentFrame frame;
+        frame.mutable_head()->set_status(200);
+        auto *header = frame.mutable_head()->add_headers();
+        header->set_name("content-type");
+        header->set_value(type);
+        answer(frame);
+    }
+    auto answerData(const std::string &body) -> void
+    {
+        Wire::AgentFrame frame;
+        frame.mutable_data()->set_body(body);
+        answer(frame);
+    }
+    auto answerEnd(Wire::Outcome outcome, const std::string &code) -> void
+    {
+        Wire::AgentFrame frame;
+        frame.mutable_end()->set_outcome(outcome);
+        frame.mutable_end()->set_code(code);
+        answer(frame);
+    }
+
+    std::vector<Wire::EntryFrame> sent;
+
+private:
+    auto answer(const Wire::AgentFrame &frame) -> void
+    {
+        const auto hook = onMessage; // the hook may let go of this stream
+        hook(frame.SerializeAsString());
+    }
+    std::string m_path = "/request";
+};
+
+/// Flows before played agents, behind a real HTTP server.
+struct Stage {
+    EventLoop loop;
+    Router router {RoutingOptions {}};
+    DemandForecast demand;
+    Suspects suspects;
+    Metrics metrics;
+    DecisionLog decisions;
+    std::map<TargetId, std::vector<std::shared_ptr<PlayedStream>>> streams;
+    RequestFlows flows;
+    HttpServer server;
+    HttpClient client {loop};
+    std::uint64_t reports = 0;
+
+    Stage()
+        : flows(FlowParts {loop, router, demand, suspects, metrics, decisions}, FlowSettings {.entry = "entry-1", .incarnation = 1}, hooks())
+        , server(loop, HttpServerOptions {.keptHeaders = callerHeaderNames()}, [this](const auto &exchange) { flows.handle(exchange); })
+    {
+        Declarations set;
+        set.services[ServiceName("advisory")] = Service {.name = ServiceName("advisory")};
+        Artifact weights {.name = ArtifactName("sun@1"), .service = ServiceName("advisory"), .size = Bytes::gigabytes(14)};
+        set.artifacts[weights.name] = weights;
+        set.models["sun"] = Model {.name = "sun", .service = ServiceName("advisory"), .current = weights.name, .versions = {weights.name}};
+        flows.adopt(set);
+    }
+
+    auto hooks() -> FlowHooks
+    {
+        FlowHooks hooks;
+        hooks.openStream = [this](const TargetId &target) {
+            streams[target].push_back(std::make_shared<PlayedStream>());
+            return streams[target].back();
+        };
+        hooks.versionOf = [](const std::string & /*model*/) {
+            return ArtifactName();
+        };
+        hooks.onSuspects = [] {
+        };
+        hooks.onMissing = [](const ArtifactName & /*artifact*/) {
+        };
+        return hooks;
+    }
+
+    auto report(const std::string &target, int running, Duration serviceTime) -> void
+    {
+        TargetLoad load;
+        load.sequence = ++reports;
+        load.running = running;
+        load.concurrencyLimit = 16;
+        load.serviceTime = serviceTime;
+        load.residents = {ArtifactName("sun@1")};
+        router.targetUp(TargetId(target), ZoneName("round-rock"), ServiceName("advisory"), loop.now());
+        router.reportReceived(TargetId(target), load, loop.now());
+    }
+
+    auto ask(const std::string &body, const std::string &budgetMs) -> std::shared_ptr<HttpAnswer>
+    {
+        auto answer = std::make_shared<HttpAnswer>();
+        HttpCall call {.server = {"127.0.0.1", server.port()}, .method = "POST", .path = "/v1/completions"};
+        call.headers = {{"kingcup-time-budget-ms", budgetMs}};
+        call.body = body;
+        call.keptHeaders = {"kingcup-outcome"};
+        startShortCall(client, std::move(call), [answer](const HttpAnswer &got) { *answer = got; });
+        return answer;
+    }
+    auto await(const std::function<bool()> &condition) -> bool
+    {
+        return loop.runUntil(condition, Limit);
+    }
+    auto streamOf(const std::string &target) -> std::shared_ptr<PlayedStream>
+    {
+        const auto &list = streams[TargetId(target)];
+        return list.empty() ? nullptr : list.back();
+    }
+};
+
+constexpr auto Plain = R"({"model":"sun","prompt":"hello"})";
+constexpr auto Streamed = R"({"model":"sun","prompt":"hello","stream":true})";
+
+} // namespace
+
+TEST_CASE("a request that waited is refused when the room that appears is too slow for it")
+{
+    // A request waits, for its only target is full. Then the target has room, but has become so slow that the request can't be in time there.
+    // The entry refused it while still holding a reference into its list of requests, and died; every caller found it unreachable.
+    Stage stage;
+    stage.report("runner-1", 64, Duration::millis(100));
+    const auto answer = stage.ask(Plain, "5000");
+    REQUIRE(stage.await([&] { return stage.flows.waiting() == 1; }));
+    stage.report("runner-1", 0, Duration::seconds(1000));
+    stage.flows.pump();
+    REQUIRE(stage.await([&] { return answer->status != 0; }));
+    REQUIRE(answer->status == 503);
+    REQUIRE(headerValue(answer->headers, "kingcup-outcome") == "not-run");
+    REQUIRE(stage.flows.open() == 0);
+}
+
+TEST_CASE("the late answer of an attempt that was given up reaches nobody")
+{
+    // The time budget runs out while a target still works. Its answer comes afterwards, when the caller's next request is already under way: were it
+    // taken for that one's, a clerk would read another patron's balance.
+    Stage stage;
+    stage.report("runner-1", 0, Duration::millis(10));
+    const auto first = stage.ask(Plain, "200");
+    REQUIRE(stage.await([&] { return first->status != 0; }));
+    REQUIRE(first->status == 504);
+    REQUIRE(headerValue(first->headers, "kingcup-outcome") == "unknown");
+    const auto late = stage.streamOf("runner-1");
+    stage.report("runner-1", 0, Duration::millis(10));
+    const auto second = stage.ask(Plain, "10000");
+    REQUIRE(stage.await([&] { return stage.streams[TargetId("runner-1")].size() == 2; }));
+    late->answerHead("application/json");
+    late->answerData("the first one's");
+    late->answerEnd(Wire::OUTCOME_DELIVERED, "");
+    const auto own = stage.streamOf("runner-1");
+    own->answerHead("application/json");
+    own->answerData("its own");
+    own->answerEnd(Wire::OUTCOME_DELIVERED, "");
+    REQUIRE(stage.await([&] { return second->status != 0; }));
+    REQUIRE(second->body == "its own");
+}
+
+TEST_CASE("a stream that breaks in the middle of an event goes on elsewhere with that event")
+{
+    // An agent's host dies while it passes on a stream, with half an event on the way. The other target goes on at the number of whole events. Were the
+    // half passed on as well, the caller would read that token one and a half times.
+    Stage stage;
+    stage.report("runner-1", 0, Duration::millis(10));
+    const auto answer = stage.ask(Streamed, "10000");
+    REQUIRE(stage.await([&] { return stage.streamOf("runner-1") != nullptr; }));
+    const auto broken = stage.streamOf("runner-1");
+    broken->answerHead("text/event-stream");
+    broken->answerData("data: one\n\ndata: tw");
+    stage.report("runner-2", 0, Duration::millis(10));
+    const auto hook = broken->onEnd;
+    hook(StreamEnd::Broken);
+    REQUIRE(stage.await([&] { return stage.streamOf("runner-2") != nullptr; }));
+    const auto resumed = stage.streamOf("runner-2");
+    REQUIRE(resumed->sent.front().open().resume_offset() == 1);
+    resumed->answerHead("text/event-stream");
+    resumed->answerData("data: two\n\ndata: [DONE]\n\n");
+    resumed->answerEnd(Wire::OUTCOME_DELIVERED, "");
+    REQUIRE(stage.await([&] { return answer->status != 0; }));
+    REQUIRE(answer->body == "data: one\n\ndata: two\n\ndata: [DONE]\n\n");
+}
+
+TEST_CASE("a call that must not repeat is not sent again once it may have run")
+{
+    // A target dies after it took a debit without a key. Sent elsewhere, the debit would be made twice.
+    Stage stage;
+    Declarations set;
+    set.services[ServiceName("ledger")] = Service {.name = ServiceName("ledger"), .kind = ServiceKind::Plain, .nonIdempotentCalls = {{"POST", "/debits"}}};
+    stage.flows.adopt(set);
+    for (const auto *name : {"ledger-1", "ledger-2"}) {
+        stage.router.targetUp(TargetId(name), ZoneName("round-rock"), ServiceName("ledger"), stage.loop.now());
+        stage.router.reportReceived(TargetId(name), TargetLoad {.sequence = 1, .concurrencyLimit = 16}, stage.loop.now());
+    }
+    HttpAnswer answer;
+    HttpCall call {.server = {"127.0.0.1", stage.server.port()}, .method = "POST", .path = "/services/ledger/debits", .body = "{}"};
+    call.keptHeaders = {"kingcup-outcome"};
+    startShortCall(stage.client, std::move(call), [&](const HttpAnswer &got) { answer = got; });
+    REQUIRE(stage.await([&] { return stage.streams.size() == 1; }));
+    const auto hook = stage.streams.begin()->second.front()->onEnd;
+    hook(StreamEnd::Broken);
+    REQUIRE(stage.await([&] { return answer.status != 0; }));
+    REQUIRE(headerValue(answer.headers, "kingcup-outcome") == "unknown");
+    REQUIRE(stage.streams.size() == 1);
+}
