--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -144,6 +144,7 @@
             {"down", m_down},
             {"ordersLost", m_ordersLost},
             {"ordersLate", m_ordersLate},
+            {"ordersUnanswered", m_ordersUnanswered},
             {"oldFences", m_oldFences},
             {"tokens", m_batch.tokens()},
             {"prefilled", m_batch.prefilled()},
@@ -249,6 +250,7 @@
         delay = m_clock.randomDuration(m_settings.orderMost, m_settings.orderLateMost);
     }
     const bool dropsAnswer = m_clock.random() < m_settings.orderDropAnswerRate;
+    m_ordersUnanswered += dropsAnswer ? 1 : 0;
     const auto heard = dropsAnswer ? std::make_shared<HttpExchange>(exchange->request()) : exchange;
     m_clock.after(delay, [this, order = *order, exchange, heard, generation = m_generation] {
         if (generation != m_generation || m_down) {
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -100,6 +100,7 @@
     std::uint64_t m_crashes = 0;
     std::uint64_t m_ordersLost = 0;
     std::uint64_t m_ordersLate = 0;
+    std::uint64_t m_ordersUnanswered = 0;
     std::uint64_t m_oldFences = 0;
     std::int64_t m_lastWork = -1;
     std::string m_lastCrash;
--- a/tests/system_memory.cpp
+++ b/tests/system_memory.cpp
@@ -49,9 +49,15 @@
     const std::string fencing = GENERATE(as<std::string> {}, "checked", "ignored");
     INFO("fencing numbers are " << fencing);
     Cluster cluster(tightOptions(fencing));
-    cluster.bringUp();
-    cluster.fault({{"part", "engine"}, {"loseRate", 0.15}, {"dropAnswerRate", 0.15}, {"lateRate", 0.2}, {"lateMostMs", 5000}});
-    moveDemand(cluster, Duration::seconds(10));
+    cluster.fault({{"part", "engine"}, {"loseRate", 0.2}, {"dropAnswerRate", 0.4}, {"lateRate", 0.3}, {"lateMostMs", 5000}});
+    cluster.waitFor("declarations are accepted", [&] { return cluster.ctl({"apply", cluster.writeDeclarations(cluster.declarations())}) == 0; });
+    moveDemand(cluster, Duration::seconds(20));
+    std::uint64_t troubled = 0;
+    const auto truth = cluster.truth();
+    for (const auto &engine : truth["engines"]) {
+        troubled += engine["ordersLost"].get<std::uint64_t>() + engine["ordersLate"].get<std::uint64_t>() + engine["ordersUnanswered"].get<std::uint64_t>();
+    }
+    CHECK(troubled > 0);
     checkAlways(cluster);
 }
 
