--- a/fakes/proxy.cpp
+++ b/fakes/proxy.cpp
@@ -321,8 +321,7 @@
     info.listen_accept_role = "raw-skt";
     info.listen_accept_protocol = "proxy";
     info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG | LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
-    const std::string vhostName = "link-" + d->name;
-    info.vhost_name = vhostName.c_str();
+    info.vhost_name = "proxy-link"; // kept as a pointer
     d->vhost = lws_create_vhost(clock.loop().context(), &info);
     if (d->vhost == nullptr) {
         throw std::runtime_error("cannot listen for link " + d->name);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -24,6 +24,9 @@
 namespace
 {
 
+/// libwebsockets keeps the pointer and reads the name at every request: a string that goes would be read after its end, and the process
+/// would die of that now and then.
+constexpr auto VhostName = "http-server";
 constexpr std::size_t MaxAnswerHeaderBytes = 8192;
 constexpr std::size_t MaxWriteBytes = 32768;
 constexpr int SlowCallerSeconds = 30; // a caller that takes nothing for so long is cut off
@@ -530,8 +533,7 @@
         info.ssl_private_key_filepath = d->options.tls.key.c_str();
         info.alpn = "http/1.1";
     }
-    const std::string name = "server-" + toString(d->options.listen);
-    info.vhost_name = name.c_str();
+    info.vhost_name = VhostName;
     d->vhost = lws_create_vhost(loop.context(), &info);
     if (d->vhost == nullptr) {
         throw std::runtime_error("cannot listen on " + toString(d->options.listen));
--- a/src/wire/peerserver.cpp
+++ b/src/wire/peerserver.cpp
@@ -50,6 +50,7 @@
 /// a late callback finds that the server is gone.
 struct VhostOwner {
     std::weak_ptr<PeerServer::Private> server;
+    std::string address; ///< libwebsockets keeps a pointer to it
 };
 
 auto forgetOwner(lws_vhost * /*vhost*/, void *owner) -> void
@@ -100,13 +101,12 @@
         tlsRenewal = std::make_unique<TlsRenewal>(loop, options.tls, tls->native(), options.tlsCheck);
     }
     static const std::array<lws_protocols, 2> Protocols {{{"kingcup-peer", &Private::callback, 0, 0, 0, nullptr, PeerWriteBytes}, {}}};
-    const std::string name = "peers-" + toString(endpoint);
-    auto *owner = new VhostOwner {weak_from_this()}; // the vhost's, see forgetOwner()
+    auto *owner = new VhostOwner {weak_from_this(), endpoint.address}; // the vhost's, see forgetOwner()
     lws_context_creation_info info {};
     info.port = endpoint.port;
-    info.iface = endpoint.address.c_str();
+    info.iface = owner->address.c_str();
     info.protocols = Protocols.data();
-    info.vhost_name = name.c_str();
+    info.vhost_name = "peer-server"; // kept as a pointer, like the address above
     info.user = owner;
     info.finalize = &forgetOwner;
     info.finalize_arg = owner;
