--- a/src/entry/eventstream.cpp
+++ b/src/entry/eventstream.cpp
@@ -6,47 +6,40 @@
 namespace
 {
 
-constexpr std::string_view EventEnd = "\n\n";
-constexpr std::string_view DataField = "data:";
-constexpr std::string_view EndMark = "data: [DONE]";
+constexpr auto EndEvent = "data: [DONE]\n\n";
 
 } // namespace
 
-auto EventStream::tokens() const -> std::uint64_t
+EventStream::EventStream()
 {
-    return m_tokens;
+    beginAttempt();
 }
 
-auto EventStream::hasEnded() const -> bool
+auto EventStream::tokens() const -> std::uint64_t
 {
-    return m_hasEnded;
+    return m_earlier + m_reader->events();
 }
 
-auto EventStream::count(std::string_view event) -> void
+auto EventStream::hasEnded() const -> bool
 {
-    if (event.starts_with(EndMark)) {
-        m_hasEnded = true;
-    } else if (event.starts_with(DataField)) {
-        ++m_tokens;
-    }
+    return m_hasEnded;
 }
 
 auto EventStream::feed(std::string_view bytes) -> std::string
 {
-    m_partial.append(bytes);
-    std::size_t done = 0;
-    for (auto end = m_partial.find(EventEnd); end != std::string::npos; end = m_partial.find(EventEnd, done)) {
-        count(std::string_view(m_partial).substr(done, end - done));
-        done = end + EventEnd.size();
+    m_whole.clear();
+    m_reader->feed(bytes);
+    if (m_reader->isDone() && !m_hasEnded) {
+        m_hasEnded = true;
+        m_whole += EndEvent;
     }
-    std::string whole = m_partial.substr(0, done);
-    m_partial.erase(0, done);
-    return whole;
+    return std::move(m_whole);
 }
 
-auto EventStream::dropPartial() -> void
+auto EventStream::beginAttempt() -> void
 {
-    m_partial.clear();
+    m_earlier += m_reader ? m_reader->events() : 0;
+    m_reader.emplace([this](std::string_view /*data*/, std::string_view raw) { m_whole.append(raw); });
 }
 
 } // namespace KingCup
--- a/src/entry/eventstream.h
+++ b/src/entry/eventstream.h
@@ -1,10 +1,13 @@
-// Cuts a stream of server-sent events into whole events, and counts the tokens among them.
+// A caller's stream of server-sent events, put together from the streams of one or more attempts.
 //
 // Why: a stream that breaks is resumed elsewhere at the number of tokens that were passed on. Were half an event passed on, the
 // caller would get it once in part and once whole.
 #pragma once
 
+#include "core/eventstream.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,19 +17,22 @@
 class EventStream
 {
 public:
-    auto tokens() const -> std::uint64_t; ///< whole data events so far, the end mark not counted
+    EventStream();
+    EventStream(const EventStream &) = delete;
+    auto operator=(const EventStream &) -> EventStream & = delete;
+
+    auto tokens() const -> std::uint64_t; ///< whole data events so far, over all attempts, the end mark not counted
     auto hasEnded() const -> bool; ///< the end mark "data: [DONE]" was met
 
-    /// Takes bytes as they come; returns the whole events that they complete.
+    /// Takes bytes as they come; returns the whole events that they complete, the end mark included.
     auto feed(std::string_view bytes) -> std::string;
-    /// Forgets a half event: its stream broke.
-    auto dropPartial() -> void;
+    /// Forgets a half event: its attempt broke. The next bytes are another attempt's.
+    auto beginAttempt() -> void;
 
 private:
-    auto count(std::string_view event) -> void;
-
-    std::string m_partial;
-    std::uint64_t m_tokens = 0;
+    std::optional<EventStreamReader> m_reader;
+    std::uint64_t m_earlier = 0; ///< tokens of earlier attempts
+    std::string m_whole; ///< events completed by the bytes being fed
     bool m_hasEnded = false;
 };
 
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -372,7 +372,10 @@
     } else if (frame.has_end()) {
         flow->last = frame.end();
         flow->endSeen = true;
-        onAttemptEnd(flow, {outcomeOf(frame.end()), frame.end().code(), flow->events.tokens(), flow->exchange->hasBegun()});
+        // Whatever the agent says: a stream without its end mark isn't whole, and is never passed off as such.
+        const bool isCut = frame.end().outcome() == Wire::OUTCOME_DELIVERED && flow->isStream && !flow->events.hasEnded();
+        const auto outcome = isCut ? AttemptOutcome::Unknown : outcomeOf(frame.end());
+        onAttemptEnd(flow, {outcome, isCut ? "incomplete" : frame.end().code(), flow->events.tokens(), flow->exchange->hasBegun()});
     }
 }
 
@@ -486,7 +489,7 @@
     parts.metrics.add("attempts_failed_total{code=\"" + end.code + "\"}");
     if (decision.action == RetryAction::Retry || decision.action == RetryAction::Resume) {
         flow->excluded.push_back(flow->target);
-        flow->events.dropPartial();
+        flow->events.beginAttempt();
         const bool isQuarantined = parts.suspects.verdict(flow->request.fingerprint, now()) == Verdict::Quarantined;
         if (isQuarantined) {
             refuse(flow, {StatusUnprocessable, "quarantined", "this request has crashed targets; it isn't run again", CallerOutcome::Unknown, {}});
--- a/tests/unit_requestflows.cpp
+++ b/tests/unit_requestflows.cpp
@@ -1,6 +1,6 @@
 #include "entry/requestflows.h"
 
-#include "wire/messages.h"
+#include "tests/played_stream.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,78 +11,6 @@
 
 constexpr auto Limit = Duration::seconds(20);
 
-/// An agent's end of a request stream, played by the test.
-class PlayedStream : public PeerStream
-{
-public:
-    auto path() const -> const std::string & override
-    {
-        return m_path;
-    }
-    auto isOpen() const -> bool override
-    {
-        return true;
-    }
-    auto pendingBytes() const -> std::size_t override
-    {
-        return 0;
-    }
-    auto send(const google::protobuf::MessageLite &message) -> void override
-    {
-        Wire::EntryFrame frame;
-        frame.ParseFromString(message.SerializeAsString());
-        sent.push_back(frame);
-    }
-    auto finish() -> void override
-    {
-    }
-    auto reset() -> void override
-    {
-    }
-    auto refuse() -> void override
-    {
-    }
-    auto pause() -> void override
-    {
-    }
-    auto resume() -> void override
-    {
-    }
-
-    auto answerHead(const std::string &type) -> void
-    {
-        Wire::AgentFrame frame;
-        frame.mutable_head()->set_status(200);
-        auto *header = frame.mutable_head()->add_headers();
-        header->set_name("content-type");
-        header->set_value(type);
-        answer(frame);
-    }
-    auto answerData(const std::string &body) -> void
-    {
-        Wire::AgentFrame frame;
-        frame.mutable_data()->set_body(body);
-        answer(frame);
-    }
-    auto answerEnd(Wire::Outcome outcome, const std::string &code) -> void
-    {
-        Wire::AgentFrame frame;
-        frame.mutable_end()->set_outcome(outcome);
-        frame.mutable_end()->set_code(code);
-        answer(frame);
-    }
-
-    std::vector<Wire::EntryFrame> sent;
-
-private:
-    auto answer(const Wire::AgentFrame &frame) -> void
-    {
-        const auto hook = onMessage; // the hook may let go of this stream
-        hook(frame.SerializeAsString());
-    }
-    std::string m_path = "/request";
-};
-
 /// Flows before played agents, behind a real HTTP server.
 struct Stage {
     EventLoop loop;
@@ -229,6 +157,23 @@
     REQUIRE(answer->body == "data: one\n\ndata: two\n\ndata: [DONE]\n\n");
 }
 
+TEST_CASE("a stream without its end mark is not passed off as whole")
+{
+    // An engine closes its stream in order but early, and its agent takes that for the end. Told "delivered", an inspector would read half a review as if it
+    // were all of it. There is no second target, so the caller gets an error event.
+    Stage stage;
+    stage.report("runner-1", 0, Duration::millis(10));
+    const auto answer = stage.ask(Streamed, "10000");
+    REQUIRE(stage.await([&] { return stage.streamOf("runner-1") != nullptr; }));
+    const auto cut = stage.streamOf("runner-1");
+    cut->answerHead("text/event-stream");
+    cut->answerData("data: one\n\n");
+    cut->answerEnd(Wire::OUTCOME_DELIVERED, "");
+    REQUIRE(stage.await([&] { return answer->status != 0; }));
+    REQUIRE(answer->body.starts_with("data: one\n\nevent: error\n"));
+    REQUIRE(answer->body.find("\"outcome\":\"unknown\"") != std::string::npos);
+}
+
 TEST_CASE("a call that must not repeat is not sent again once it may have run")
 {
     // A target dies after it took a debit without a key. Sent elsewhere, the debit would be made twice.
