--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -241,6 +241,7 @@
             shown.role = role;
             shown.zone = member.host.zone;
             shown.state = member.state;
+            shown.silentFor = d->loop.now() - member.lastHeard;
             if (const auto agent = d->known.find(shown.id); agent != d->known.end()) {
                 shown.report = agent->second.report;
                 shown.revision = Revision(shown.report.revision());
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -42,6 +42,7 @@
     HostRole role = HostRole::Agent;
     ZoneName zone;
     MemberState state = MemberState::Proposed;
+    Duration silentFor; ///< since it was last heard, or first listed
     Revision revision; ///< in force there; 0: not heard yet
     Wire::LoadReport report; ///< agents
 };
