--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -253,7 +253,7 @@
 {
     d->declarations = declarations;
     d->hasDeclarations = true;
-    missing({});
+    planSoon();
 }
 
 auto Planner::floorRead(RowVersion version, const std::string &text) -> void
@@ -261,7 +261,7 @@
     d->adoptFloor(version, text);
 }
 
-auto Planner::missing(const ArtifactName & /*artifact*/) -> void
+auto Planner::planSoon() -> void
 {
     if (!d->soon.isActive()) {
         d->soon = d->loop.after(SoonDelay, [this] { d->plan(); });
--- a/src/entry/planner.h
+++ b/src/entry/planner.h
@@ -57,7 +57,7 @@
     // Commands
     auto adopt(const Declarations &declarations) -> void;
     auto floorRead(RowVersion version, const std::string &text) -> void; ///< from the table or a peer
-    auto missing(const ArtifactName &artifact) -> void; ///< a request found no copy: plan soon
+    auto planSoon() -> void; ///< before the next regular round: a request found no copy, say
 
     struct Private;
 
