--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -187,8 +187,8 @@
     hooks.versionOf = [this](const std::string &model) {
         return versions.effective(model);
     };
-    hooks.onMissing = [this](const ArtifactName &artifact) {
-        planner->missing(artifact);
+    hooks.onMissing = [this](const ArtifactName & /*artifact*/) {
+        planner->planSoon();
     };
     hooks.onSuspects = [this] {
         fleet->sendAgents(suspectsFrame());
