--- /dev/null
+++ b/src/core/dispatch.h
@@ -0,0 +1,155 @@
+// Dispatch: which target gets a request, where entries reach targets directly. Pure: what targets say, what is sent and what comes back
+// go in with a time; a choice comes out.
+//
+// A runner's engine reads prompts one after another between the steps of its running streams, so the time to a request's first token is
+// what is yet to be read there, plus what of its own prompt the engine hasn't kept. Reports of engines are late and cost a call; but all
+// work goes through the entries, so what each has sent and not seen answered (its own sends, and the others' digests) tells the same
+// sooner. What that misses (another pace of a runner, failures) is learnt from the answers.
+//
+// Requests with a common beginning of their prompts go where it was read before, as long as that runner isn't later than another that
+// would have to read it anew. Where nobody has read it yet, all entries rank the runners alike, so that they choose the same one.
+//
+// Index of sections (search for [SECTION]):
+//   Requests    what is to be sent
+//   Choices     a target or a refusal
+//   Digests     what entries tell each other
+//   Options     constants
+//   Dispatcher  the state and the decision
+#pragma once
+
+#include "core/ids.h"
+#include "core/promptcache.h"
+#include "core/targetinfo.h"
+#include "core/traffic.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Requests
+
+/// A number that this process gives to each send; never used again.
+using SendId = StrongNumber<struct SendIdTag>;
+
+struct DispatchRequest {
+    ServiceName service;
+    std::string model; ///< empty: a plain service
+    std::string adapter; ///< of that model; empty: none
+    std::vector<PromptChain> prompt; ///< the last chain is the request's own
+    int promptTokens = 0;
+    int outputTokens = 0; ///< the most it may make
+    std::vector<TargetId> excluded; ///< tried already, or known not to take it
+};
+
+// [SECTION] Choices
+
+enum class DispatchRefusal {
+    None,
+    NoTarget, ///< no target of the service is up
+    NotHeld, ///< none that is up holds the model
+    AdapterMissing, ///< runners hold the model, none of them the adapter
+    AllExcluded, ///< every target that could take it was tried
+};
+auto toString(DispatchRefusal refusal) -> const char *;
+
+struct DispatchChoice {
+    TargetId target; ///< empty if refused
+    DispatchRefusal refusal = DispatchRefusal::None;
+    Endpoint address;
+    Duration expectedFirst; ///< until the first token, or a plain service's answer
+    Duration backlog; ///< of that, what others must wait for first
+    int unreadTokens = 0; ///< of the prompt
+    int candidates = 0; ///< targets that could have taken it
+};
+
+/// How a send ended, for what is thought of its target.
+enum class SendResult {
+    Delivered,
+    Rejected, ///< not run: full or leaving. Says nothing about health
+    Failed, ///< broken, silent, or an error of the target
+    Cancelled, ///< by the client: says nothing about health
+};
+
+// [SECTION] Digests
+
+/// One entry's work at one target.
+struct TargetWork {
+    TargetId target;
+    int running = 0; ///< sends without an end
+    Duration backlog; ///< prompts still to be read, by its own estimate
+    std::int64_t tokens = 0; ///< memory that its running requests may take
+    double failures = 0; ///< 0 (none) to 1 (all of late)
+};
+
+struct WorkDigest {
+    EntryId entry;
+    std::uint64_t sequence = 0; ///< a lower one than the last is ignored
+    std::vector<TargetWork> work;
+    std::vector<std::pair<TargetId, PromptChain>> read; ///< prompt beginnings that its sends made targets read since the last digest
+};
+
+// [SECTION] Options
+
+struct DispatchOptions {
+    ZoneName zone; ///< this process's own
+    Duration otherZone = Duration::millis(4); ///< added to targets of other zones: there and back, and what the bytes between zones cost
+    double millisPerToken = 0.03; ///< reading a prompt, until it was observed; engines of the sizes in use do 20 to 200 tokens a ms
+    Duration firstStep = Duration::millis(15); ///< of an engine, beside reading
+    Duration plainTime = Duration::millis(60); ///< of a plain service's request, until it was observed
+    double learnRate = 0.1; ///< weight of one observation
+    double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
+    Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
+    double failuresToAvoid = 0.5; ///< a target above this, and above the others, gets work only if nobody else can take it
+    Duration workLifetime = Duration::seconds(2); ///< a digest that is older no longer counts
+};
+
+// [SECTION] Dispatcher
+
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatchOptions options);
+    ~Dispatcher();
+    Dispatcher(const Dispatcher &) = delete;
+    auto operator=(const Dispatcher &) -> Dispatcher & = delete;
+
+    // Queries
+    auto targets() const -> std::vector<TargetId>;
+    auto description(const TargetId &target) const -> const TargetDescription *; ///< null: not known
+    auto running(const TargetId &target, TimePoint now) const -> int; ///< of all entries
+    auto failures(const TargetId &target, TimePoint now) const -> double;
+    auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
+
+    // Commands: who is there
+    auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
+    /// New, changed, or started anew: then nothing is known of what it holds and does.
+    auto targetSeen(const TargetDescription &target, TimePoint now) -> void;
+    auto targetGone(const TargetId &target) -> void;
+    /// What a runner holds, where that is known better than from its description.
+    auto targetHolds(const TargetId &target, const std::vector<HeldModel> &models) -> void;
+
+    // Commands: what happened
+    auto sent(const DispatchRequest &request, const TargetId &target, TimePoint now) -> SendId;
+    auto firstToken(SendId send, TimePoint now) -> void;
+    auto ended(SendId send, SendResult result, TimePoint now) -> void;
+    auto connectFailed(const TargetId &target, TimePoint now) -> void; ///< nothing was sent
+
+    // Other entries
+    /// Also forgets what was read since the last call.
+    auto takeDigest(const EntryId &self, TimePoint now) -> WorkDigest;
+    auto merge(const WorkDigest &digest, TimePoint now) -> void;
+    auto entryGone(const EntryId &entry) -> void;
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/callerserver.cpp
@@ -0,0 +1,480 @@
+// Index of sections (search for [SECTION]):
+//   Connection   reads requests, writes answers
+//   Exchange     the handler's side of it
+//   Server       accepts, and looks for slow and idle callers
+#include "gateway/callerserver.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <unordered_set>
+#include <vector>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusTimeout = 408;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusHeadTooLarge = 431;
+constexpr std::size_t ReadAheadBytes = 65536; ///< of a request that comes before the answer to the last one
+constexpr auto SweepPeriod = Duration::millis(250); ///< between looks for slow and idle callers
+constexpr auto LingerTime = Duration::seconds(1); ///< for a caller to read its last answer before the connection is closed
+
+} // namespace
+
+struct CallerServer::Private {
+    EventLoop &loop;
+    Handler handler;
+    CallerLimits limits;
+    CallerServerCounts counts;
+    std::unique_ptr<TcpListener> listener;
+    std::unordered_set<std::shared_ptr<CallerConnection>> connections;
+    std::size_t openExchanges = 0;
+    bool leaving = false;
+    Timer sweep;
+
+    Private(EventLoop &ownerLoop, Handler requestHandler)
+        : loop(ownerLoop)
+        , handler(std::move(requestHandler))
+    {
+    }
+    auto checkTimes() -> void;
+};
+
+// [SECTION] Connection
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    CallerConnection(std::shared_ptr<CallerServer::Private> server, std::unique_ptr<TcpStream> stream);
+
+    auto start() -> void;
+    auto isIdle() const -> bool
+    {
+        return !m_exchange && !m_reader.hasBegun() && !m_lingering;
+    }
+    auto isLastAnswer() const -> bool
+    {
+        return m_closeAfter || m_server->leaving;
+    }
+    auto pendingBytes() const -> std::size_t
+    {
+        return m_stream ? m_stream->pendingBytes() : 0;
+    }
+    auto write(std::string_view bytes) -> void
+    {
+        if (m_stream) {
+            m_stream->write(bytes);
+        }
+    }
+    auto answered() -> void; ///< the exchange's answer was written to its end
+    auto close() -> void;
+    auto checkTimes(TimePoint now) -> void;
+
+private:
+    auto onData(std::string_view bytes) -> void;
+    auto onEnd() -> void;
+    auto read() -> void;
+    auto onHead() -> void;
+    auto onBody(std::string_view bytes) -> void;
+    auto dispatch() -> void;
+    auto refuse(int status) -> void;
+    auto prepareReader() -> void;
+    auto linger() -> void;
+    auto dropExchange() -> CallerExchangePtr;
+
+    std::shared_ptr<CallerServer::Private> m_server;
+    std::unique_ptr<TcpStream> m_stream; ///< null once closed
+    HttpReader m_reader;
+    std::string m_unread; ///< bytes behind the request that is being answered
+    std::string m_body;
+    CallerExchangePtr m_exchange; ///< being answered
+    bool m_closeAfter = false; ///< the answer under way is the last of this connection
+    bool m_bodyTooLarge = false;
+    bool m_lingering = false;
+    bool m_isReading = false; ///< within read()
+    TimePoint m_begunAt; ///< of the request being read
+    TimePoint m_quietSince; ///< the last byte read, or the last answer's end
+};
+
+CallerConnection::CallerConnection(std::shared_ptr<CallerServer::Private> server, std::unique_ptr<TcpStream> stream)
+    : m_server(std::move(server))
+    , m_stream(std::move(stream))
+    , m_reader(HttpReader::Kind::Request, m_server->limits.headBytes)
+    , m_quietSince(m_server->loop.now())
+{
+}
+
+auto CallerConnection::start() -> void
+{
+    m_stream->onData = [this](std::string_view bytes) {
+        onData(bytes);
+    };
+    m_stream->onEnd = [this](TcpEnd /*how*/) {
+        onEnd();
+    };
+    m_stream->onDrained = [this] {
+        if (const auto exchange = m_exchange; exchange && exchange->onDrained) {
+            exchange->onDrained();
+        }
+    };
+    prepareReader();
+}
+
+auto CallerConnection::prepareReader() -> void
+{
+    m_reader.reset();
+    m_body.clear();
+    m_bodyTooLarge = false;
+    m_reader.onHead = [this] {
+        onHead();
+    };
+    m_reader.onBody = [this](std::string_view bytes) {
+        onBody(bytes);
+    };
+}
+
+auto CallerConnection::onData(std::string_view bytes) -> void
+{
+    const auto self = shared_from_this();
+    if (m_lingering) {
+        return;
+    }
+    m_quietSince = m_server->loop.now();
+    m_unread.append(bytes);
+    if (m_exchange) {
+        if (m_unread.size() > ReadAheadBytes) {
+            m_stream->pauseReading();
+        }
+        return;
+    }
+    read();
+}
+
+auto CallerConnection::read() -> void
+{
+    m_isReading = true;
+    while (m_stream && !m_exchange && !m_lingering && !m_unread.empty()) {
+        if (!m_reader.hasBegun()) {
+            m_begunAt = m_server->loop.now();
+        }
+        const auto used = m_reader.feed(m_unread);
+        m_unread.erase(0, used);
+        if (m_bodyTooLarge) {
+            refuse(StatusTooLarge);
+        } else if (m_reader.fault() == HttpFault::TooLarge) {
+            refuse(StatusHeadTooLarge);
+        } else if (m_reader.fault() == HttpFault::Malformed) {
+            refuse(StatusBadRequest);
+        } else if (m_reader.isComplete()) {
+            dispatch();
+        }
+    }
+    m_isReading = false;
+}
+
+auto CallerConnection::onHead() -> void
+{
+    const auto &head = m_reader.head();
+    m_bodyTooLarge = head.length.value_or(0) > m_server->limits.bodyBytes;
+    const auto expectation = findHeader(head.headers, "expect");
+    if (expectation && !m_bodyTooLarge) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+auto CallerConnection::onBody(std::string_view bytes) -> void
+{
+    m_bodyTooLarge = m_bodyTooLarge || m_body.size() + bytes.size() > m_server->limits.bodyBytes;
+    if (!m_bodyTooLarge) {
+        m_body.append(bytes);
+    }
+}
+
+auto CallerConnection::dispatch() -> void
+{
+    m_closeAfter = !m_reader.head().keepsConnection;
+    m_exchange = std::make_shared<CallerExchange>(weak_from_this(), m_reader.head(), std::move(m_body), m_begunAt);
+    ++m_server->openExchanges;
+    m_server->handler(m_exchange);
+}
+
+/// An answer to what can't be handed on as a request. The connection can't be used after it.
+auto CallerConnection::refuse(int status) -> void
+{
+    ++m_server->counts.malformed;
+    VLOG(1) << "callers: refused what is no request status=" << status;
+    write(answerHead(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
+    linger();
+}
+
+auto CallerConnection::answered() -> void
+{
+    const auto self = shared_from_this();
+    const bool isLast = isLastAnswer();
+    dropExchange();
+    if (isLast) {
+        linger();
+        return;
+    }
+    m_quietSince = m_server->loop.now();
+    if (m_stream) {
+        m_stream->resumeReading();
+    }
+    prepareReader();
+    if (!m_isReading) {
+        read(); // else the loop there goes on
+    }
+}
+
+/// Closed at once with bytes unread, the connection would be reset, and the caller might lose the answer.
+auto CallerConnection::linger() -> void
+{
+    m_lingering = true;
+    m_quietSince = m_server->loop.now();
+    if (m_stream) {
+        m_stream->resumeReading();
+        m_stream->finishWriting();
+    }
+}
+
+auto CallerConnection::dropExchange() -> CallerExchangePtr
+{
+    auto dropped = std::exchange(m_exchange, nullptr);
+    if (dropped) {
+        --m_server->openExchanges;
+    }
+    return dropped;
+}
+
+auto CallerConnection::onEnd() -> void
+{
+    close();
+}
+
+auto CallerConnection::close() -> void
+{
+    const auto self = shared_from_this();
+    m_stream.reset();
+    m_server->connections.erase(self);
+    const auto exchange = dropExchange();
+    if (exchange && exchange->onGone) {
+        const auto hook = std::move(exchange->onGone);
+        hook();
+    }
+}
+
+auto CallerConnection::checkTimes(TimePoint now) -> void
+{
+    const auto quiet = now - m_quietSince;
+    const auto &limits = m_server->limits;
+    if (m_lingering) {
+        if (quiet > LingerTime) {
+            close();
+        }
+    } else if (m_exchange) {
+        return;
+    } else if (!m_reader.hasBegun()) {
+        if (quiet > limits.idleTimeout) {
+            close();
+        }
+    } else if (m_reader.hasHead() ? quiet > limits.headTimeout : now - m_begunAt > limits.headTimeout) {
+        refuse(StatusTimeout);
+    }
+}
+
+// [SECTION] Exchange
+
+CallerExchange::CallerExchange(std::weak_ptr<CallerConnection> connection, HttpHead head, std::string body, TimePoint startedAt)
+    : m_connection(std::move(connection))
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+    , m_startedAt(startedAt)
+{
+}
+
+auto CallerExchange::head() const -> const HttpHead &
+{
+    return m_head;
+}
+
+auto CallerExchange::body() const -> const std::string &
+{
+    return m_body;
+}
+
+auto CallerExchange::startedAt() const -> TimePoint
+{
+    return m_startedAt;
+}
+
+auto CallerExchange::isOpen() const -> bool
+{
+    return !m_finished && !m_connection.expired();
+}
+
+auto CallerExchange::hasBegun() const -> bool
+{
+    return m_begun;
+}
+
+auto CallerExchange::pendingBytes() const -> std::size_t
+{
+    const auto connection = m_connection.lock();
+    return connection ? connection->pendingBytes() : 0;
+}
+
+auto CallerExchange::connectionHeaders(HttpHeaders headers) const -> HttpHeaders
+{
+    const auto connection = m_connection.lock();
+    if (connection && connection->isLastAnswer()) {
+        headers.push_back({"Connection", "close"});
+    }
+    return headers;
+}
+
+auto CallerExchange::respond(int status, HttpHeaders headers, std::string_view body) -> void
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_begun) {
+        return;
+    }
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+    auto bytes = answerHead(status, connectionHeaders(std::move(headers)));
+    if (m_head.method != "HEAD") {
+        bytes += body;
+    }
+    m_begun = true;
+    m_finished = true;
+    connection->write(bytes);
+    connection->answered();
+}
+
+auto CallerExchange::begin(int status, HttpHeaders headers, std::optional<std::uint64_t> length) -> void
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_begun) {
+        return;
+    }
+    m_begun = true;
+    m_chunked = !length && m_head.method != "HEAD";
+    if (length) {
+        headers.push_back({"Content-Length", std::to_string(*length)});
+    } else {
+        headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    connection->write(answerHead(status, connectionHeaders(std::move(headers))));
+}
+
+auto CallerExchange::write(std::string_view bytes) -> void
+{
+    const auto connection = m_connection.lock();
+    if (connection && m_begun && !m_finished && !bytes.empty()) {
+        connection->write(m_chunked ? chunk(bytes) : std::string(bytes));
+    }
+}
+
+auto CallerExchange::finish() -> void
+{
+    const auto connection = m_connection.lock();
+    if (!connection || !m_begun || m_finished) {
+        return;
+    }
+    m_finished = true;
+    if (m_chunked) {
+        connection->write(LastChunk);
+    }
+    connection->answered();
+}
+
+auto CallerExchange::abort() -> void
+{
+    const auto connection = m_connection.lock();
+    if (connection && !m_finished) {
+        m_finished = true;
+        onGone = nullptr;
+        connection->close();
+    }
+}
+
+// [SECTION] Server
+
+auto CallerServer::Private::checkTimes() -> void
+{
+    const std::vector<std::shared_ptr<CallerConnection>> all(connections.begin(), connections.end());
+    const auto now = loop.now();
+    for (const auto &connection : all) {
+        connection->checkTimes(now);
+    }
+}
+
+CallerServer::CallerServer(EventLoop &loop, const Endpoint &listen, Handler handler)
+    : d(std::make_shared<Private>(loop, std::move(handler)))
+{
+    d->listener = std::make_unique<TcpListener>(loop, listen, TcpOptions(), [raw = d.get(), weak = std::weak_ptr(d)](std::unique_ptr<TcpStream> stream) {
+        ++raw->counts.accepted;
+        auto connection = std::make_shared<CallerConnection>(weak.lock(), std::move(stream));
+        raw->connections.insert(connection);
+        connection->start();
+    });
+    d->sweep = loop.every(SweepPeriod, [raw = d.get()] { raw->checkTimes(); });
+}
+
+CallerServer::~CallerServer()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> all(d->connections.begin(), d->connections.end());
+    for (const auto &connection : all) {
+        connection->close();
+    }
+    d->sweep.cancel();
+}
+
+auto CallerServer::port() const -> int
+{
+    return d->listener ? d->listener->port() : 0;
+}
+
+auto CallerServer::connections() const -> std::size_t
+{
+    return d->connections.size();
+}
+
+auto CallerServer::openExchanges() const -> std::size_t
+{
+    return d->openExchanges;
+}
+
+auto CallerServer::counts() const -> const CallerServerCounts &
+{
+    return d->counts;
+}
+
+auto CallerServer::setLimits(const CallerLimits &limits) -> void
+{
+    d->limits = limits;
+}
+
+auto CallerServer::setLeaving() -> void
+{
+    d->leaving = true;
+}
+
+auto CallerServer::stopListening() -> void
+{
+    d->listener.reset();
+}
+
+auto CallerServer::closeIdle() -> void
+{
+    const std::vector<std::shared_ptr<CallerConnection>> all(d->connections.begin(), d->connections.end());
+    for (const auto &connection : all) {
+        if (connection->isIdle()) {
+            connection->close();
+        }
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/forwarder.cpp
@@ -0,0 +1,663 @@
+// Index of sections (search for [SECTION]):
+//   State      the forwarder's, and that of one request
+//   Sending    choosing a target and starting the call
+//   Answers    what comes back
+//   Ending     final answers
+//   Forwarder  the public face
+#include "gateway/forwarder.h"
+
+#include "core/eventcursor.h"
+
+#include <algorithm>
+#include <random>
+#include <unordered_set>
+#include <vector>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusRequestTimeout = 408;
+constexpr int StatusMisdirected = 421;
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusServerError = 500;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+
+/// What a client is told to wait where nothing better is known: long enough for a change of membership to arrive.
+constexpr auto DefaultRetryAfter = Duration::millis(300);
+/// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
+constexpr double WaitShare = 0.6;
+/// The time left that is worth a send: about the quickest answer.
+constexpr auto LeastTime = Duration::millis(10);
+
+auto isSuccess(int status) -> bool
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses that promise that the request did not run.
+auto promisesNotRun(int status) -> bool
+{
+    return status == StatusUnavailable || status == StatusTooManyRequests || status == StatusRequestTimeout || status == StatusMisdirected;
+}
+
+} // namespace
+
+// [SECTION] State
+
+class Flow;
+
+struct Forwarder::Private {
+    ForwarderParts parts;
+    ForwarderOptions options;
+    ForwarderHooks hooks;
+    std::shared_ptr<const Traffic> traffic;
+    RouteTable routes;
+    std::map<ServiceName, SharedRetryBudget> budgets;
+    SharedRetryBudgetOptions budgetOptions;
+    int entries = 1;
+    std::mt19937_64 random;
+    std::unordered_set<std::shared_ptr<Flow>> flows;
+
+    Private(ForwarderParts forwarderParts, ForwarderOptions forwarderOptions, ForwarderHooks forwarderHooks)
+        : parts(forwarderParts)
+        , options(forwarderOptions)
+        , hooks(std::move(forwarderHooks))
+        , random(forwarderOptions.seed)
+    {
+    }
+    auto budget(const ServiceName &service) -> SharedRetryBudget &
+    {
+        auto [found, isNew] = budgets.try_emplace(service, budgetOptions);
+        if (isNew) {
+            found->second.setEntries(entries);
+        }
+        return found->second;
+    }
+    auto answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why) -> void;
+};
+
+/// One request.
+class Flow : public std::enable_shared_from_this<Flow>
+{
+public:
+    Flow(Forwarder::Private &owner, CallerExchangePtr exchange, RequestTraits traits, Route route, ServiceName service);
+
+    auto start() -> void;
+    auto isWaiting() const -> bool
+    {
+        return m_isWaiting;
+    }
+    auto tryAgain() -> void;
+    auto abandon() -> void;
+
+private:
+    auto attempt() -> void;
+    auto waitOrRefuse(DispatchRefusal refusal) -> void;
+    auto send(const DispatchChoice &choice) -> void;
+    auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
+    auto onHead(const HttpHead &head) -> AnswerVerdict;
+    auto onBody(std::string_view bytes) -> void;
+    auto onEnd(const PooledEnd &end) -> void;
+    auto onAnswer() -> void;
+    auto onFailure(const PooledEnd &end) -> void;
+    auto onNotRun() -> void;
+    auto beginPassing() -> void;
+    auto passOn(std::string_view bytes) -> void;
+    auto mayRunAgain() const -> bool;
+    auto maySendAgain() const -> bool;
+    auto sendAgain() -> void;
+    auto closeSend(SendResult result) -> void;
+    auto passWholeAnswer() -> void;
+    auto giveUp(int status, const char *why) -> void;
+    auto onTimeout() -> void;
+    auto onGone() -> void;
+    auto finish(int status, const char *outcome) -> void;
+    auto now() const -> TimePoint
+    {
+        return m_owner.parts.loop.now();
+    }
+
+    Forwarder::Private &m_owner;
+    CallerExchangePtr m_exchange;
+    RequestTraits m_traits;
+    Route m_route;
+    DispatchRequest m_request;
+    TimePoint m_deadline; ///< the final answer is due
+    Timer m_deadlineTimer;
+    Timer m_waitTimer;
+    std::shared_ptr<PooledHandle> m_call;
+    SendId m_send;
+    bool m_hasSend = false;
+    TimePoint m_sentAt;
+    TargetId m_target; ///< of the send in flight
+    int m_sends = 0;
+    int m_mayHaveRun = 0; ///< sends that weren't truthfully turned away
+    HttpHead m_head; ///< of the answer in flight
+    AnswerTraits m_answer;
+    std::string m_held; ///< its body, as far as it is kept until it is whole
+    bool m_hasHead = false;
+    bool m_passing = false; ///< the body goes to the client as it comes
+    std::optional<EventCursor> m_events; ///< of a stream that may go on elsewhere
+    std::size_t m_passedBytes = 0;
+    bool m_isWaiting = false;
+    TimePoint m_waitingSince;
+    bool m_finished = false;
+};
+
+Flow::Flow(Forwarder::Private &owner, CallerExchangePtr exchange, RequestTraits traits, Route route, ServiceName service)
+    : m_owner(owner)
+    , m_exchange(std::move(exchange))
+    , m_traits(std::move(traits))
+    , m_route(std::move(route))
+{
+    m_request.service = std::move(service);
+    m_request.model = m_traits.model;
+    m_request.adapter = m_traits.adapter;
+    m_request.prompt = promptChains(m_traits.model + "/" + m_traits.adapter, m_traits.promptParts);
+    m_request.promptTokens = m_traits.promptTokens;
+    m_request.outputTokens = m_traits.mostOutputTokens;
+}
+
+auto Flow::start() -> void
+{
+    const auto budget = m_traits.patience ? std::min(*m_traits.patience, m_route.timeout) : m_route.timeout;
+    m_deadline = m_exchange->startedAt() + budget;
+    m_exchange->onGone = [this] {
+        onGone();
+    };
+    m_deadlineTimer = m_owner.parts.loop.after(m_deadline - now(), [this] { onTimeout(); });
+    m_owner.budget(m_request.service).requested(now());
+    attempt();
+}
+
+// [SECTION] Sending
+
+auto Flow::attempt() -> void
+{
+    const auto self = shared_from_this();
+    m_isWaiting = false;
+    m_waitTimer.cancel();
+    if (m_deadline - now() < LeastTime) {
+        giveUp(m_mayHaveRun > 0 ? StatusGatewayTimeout : StatusUnavailable, "no-time-left");
+        return;
+    }
+    const auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    if (choice.target.isEmpty()) {
+        waitOrRefuse(choice.refusal);
+        return;
+    }
+    send(choice);
+}
+
+auto Flow::waitOrRefuse(DispatchRefusal refusal) -> void
+{
+    if (refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing) {
+        m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
+    }
+    const auto waitUntil = m_exchange->startedAt() + m_route.goal * WaitShare;
+    if (refusal == DispatchRefusal::AllExcluded || now() >= waitUntil) {
+        giveUp(m_mayHaveRun > 0 ? StatusBadGateway : StatusUnavailable, toString(refusal));
+        return;
+    }
+    m_isWaiting = true;
+    m_waitTimer = m_owner.parts.loop.after(waitUntil - now(), [this] { attempt(); });
+}
+
+auto Flow::tryAgain() -> void
+{
+    if (m_isWaiting) {
+        attempt();
+    }
+}
+
+auto Flow::requestHeaders(const DispatchChoice &choice) const -> HttpHeaders
+{
+    HttpHeaders headers;
+    const auto &head = m_exchange->head();
+    const auto connection = findHeader(head.headers, "connection").value_or(std::string_view());
+    for (const auto &header : head.headers) {
+        const bool isFraming = isSameHeaderName(header.name, "content-length") || isSameHeaderName(header.name, "expect");
+        if (!isFraming && !isHopByHop(header.name, connection)) {
+            headers.push_back(header);
+        }
+    }
+    ForwardTraits traits;
+    traits.patience = m_deadline - now();
+    traits.target = choice.target;
+    traits.urgency = m_route.priority;
+    traits.lastEventId = m_events ? m_events->lastId() : std::string();
+    m_owner.parts.protocol.rewriteRequest(headers, traits);
+    return headers;
+}
+
+auto Flow::send(const DispatchChoice &choice) -> void
+{
+    ++m_sends;
+    m_target = choice.target;
+    m_hasHead = false;
+    m_held.clear();
+    m_sentAt = now();
+    m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
+    m_hasSend = true;
+    m_owner.parts.log.line("routing", "chosen")
+        .add("id", m_traits.attempt.text())
+        .add("route", m_route.name)
+        .add("target", choice.target.text())
+        .add("model", m_request.model)
+        .add("adapter", m_request.adapter)
+        .add("send", m_sends)
+        .add("expected", choice.expectedFirst)
+        .add("backlog", choice.backlog)
+        .add("unread", choice.unreadTokens)
+        .add("prompt", m_request.promptTokens)
+        .add("candidates", choice.candidates)
+        .add("left", m_deadline - now());
+    PooledCall call;
+    call.server = choice.address;
+    call.method = m_exchange->head().method;
+    call.target = m_exchange->head().target;
+    call.headers = requestHeaders(choice);
+    call.body = m_exchange->body();
+    call.reuseWithin = m_route.mayRepeat() ? Duration::seconds(60) : m_owner.options.freshWithin;
+    call.onHead = [this](const HttpHead &head) {
+        return onHead(head);
+    };
+    call.onBody = [this](std::string_view bytes) {
+        onBody(bytes);
+    };
+    call.onEnd = [this](const PooledEnd &end) {
+        onEnd(end);
+    };
+    m_call = m_owner.parts.pool.start(std::move(call));
+}
+
+// [SECTION] Answers
+
+auto Flow::onHead(const HttpHead &head) -> AnswerVerdict
+{
+    const auto answer = m_owner.parts.protocol.readAnswer(head);
+    if (!answer.attempt.isEmpty() && answer.attempt != m_traits.attempt) {
+        m_owner.parts.log.line("answer", "stray").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("found", answer.attempt.text());
+        return AnswerVerdict::Skip;
+    }
+    const bool isTrusted = isSuccess(head.status) ? answer.isSigned && !answer.isEncoded && !answer.attempt.isEmpty() : true;
+    if (!isTrusted) {
+        m_owner.parts.log.line("answer", "untrusted").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", head.status);
+        return AnswerVerdict::Refuse;
+    }
+    m_hasHead = true;
+    m_head = head;
+    m_answer = answer;
+    if (isSuccess(head.status) && m_route.kind == RouteKind::Stream) {
+        beginPassing();
+    }
+    return AnswerVerdict::Take;
+}
+
+/// The status and headers go to the client with the first bytes: a stream that breaks before any can still be sent elsewhere.
+auto Flow::beginPassing() -> void
+{
+    m_passing = true;
+    if (m_route.isResumable && !m_events) {
+        m_events.emplace([this](std::string_view raw) { passOn(raw); });
+    }
+}
+
+auto Flow::onBody(std::string_view bytes) -> void
+{
+    const auto self = shared_from_this();
+    if (m_finished) {
+        return;
+    }
+    m_owner.parts.dispatcher.firstToken(m_send, now());
+    if (!m_passing) {
+        m_held.append(bytes);
+        if (m_held.size() > m_owner.options.heldAnswer) {
+            m_passing = true;
+            const auto held = std::move(m_held);
+            m_held.clear();
+            passOn(held);
+        }
+        return;
+    }
+    if (m_events) {
+        m_events->feed(bytes);
+    } else {
+        passOn(bytes);
+    }
+}
+
+namespace
+{
+
+/// The target's headers, without those of its connection.
+auto answerHeaders(const HttpHead &head) -> HttpHeaders
+{
+    HttpHeaders headers;
+    const auto connection = findHeader(head.headers, "connection").value_or(std::string_view());
+    for (const auto &header : head.headers) {
+        if (!isSameHeaderName(header.name, "content-length") && !isHopByHop(header.name, connection)) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+} // namespace
+
+auto Flow::passOn(std::string_view bytes) -> void
+{
+    if (m_finished || bytes.empty()) {
+        return;
+    }
+    if (!m_exchange->hasBegun()) {
+        m_exchange->begin(m_head.status, answerHeaders(m_head), m_events ? std::nullopt : m_head.length);
+        m_exchange->onDrained = [this] {
+            if (m_call) {
+                m_call->resume();
+            }
+        };
+    }
+    m_passedBytes += bytes.size();
+    m_exchange->write(bytes);
+    if (m_exchange->pendingBytes() > m_owner.options.streamBuffer && m_call) {
+        m_call->pause();
+    }
+}
+
+auto Flow::onEnd(const PooledEnd &end) -> void
+{
+    const auto self = shared_from_this();
+    m_call = nullptr;
+    if (m_finished) {
+        return;
+    }
+    if (end.end == CallEnd::Complete) {
+        onAnswer();
+    } else {
+        onFailure(end);
+    }
+}
+
+/// A whole answer has come.
+auto Flow::onAnswer() -> void
+{
+    if (m_answer.isNotRun) {
+        onNotRun();
+        return;
+    }
+    ++m_mayHaveRun;
+    const bool isFailure = m_head.status >= StatusServerError || promisesNotRun(m_head.status);
+    closeSend(isFailure ? SendResult::Failed : SendResult::Delivered);
+    if (isFailure && !m_passing && mayRunAgain() && maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    if (m_passing) {
+        if (m_events && m_events->hasPartial()) {
+            m_events->dropPartial();
+            finish(m_head.status, "cut");
+            m_exchange->abort();
+            return;
+        }
+        if (!m_exchange->hasBegun()) {
+            m_exchange->begin(m_head.status, answerHeaders(m_head), std::nullopt);
+        }
+        finish(m_head.status, "delivered");
+        m_exchange->finish();
+        return;
+    }
+    passWholeAnswer();
+}
+
+auto Flow::passWholeAnswer() -> void
+{
+    // Of what may have run nobody must say that it didn't.
+    if (promisesNotRun(m_head.status)) {
+        giveUp(StatusBadGateway, "target-failed");
+        return;
+    }
+    finish(m_head.status, isSuccess(m_head.status) ? "delivered" : "target-failed");
+    m_exchange->respond(m_head.status, answerHeaders(m_head), m_held);
+}
+
+/// The target says that it did not run the request: it may go elsewhere, whatever its kind.
+auto Flow::onNotRun() -> void
+{
+    closeSend(SendResult::Rejected);
+    m_owner.parts.log.line("attempt", "not-run").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", m_head.status);
+    if (m_answer.isMisdirected) {
+        m_owner.hooks.onMisdirected(m_target, m_answer.target);
+    }
+    m_request.excluded.push_back(m_target);
+    if (maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    giveUp(m_mayHaveRun > 0 ? StatusBadGateway : StatusUnavailable, "not-run");
+}
+
+auto Flow::onFailure(const PooledEnd &end) -> void
+{
+    const bool neverSent = end.end == CallEnd::NotSent;
+    closeSend(neverSent ? SendResult::Rejected : SendResult::Failed);
+    m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("after", now() - m_sentAt)
+        .add("reused", end.wasReused)
+        .add("connection", toString(end.connection))
+        .add("head", m_hasHead)
+        .add("passed", static_cast<std::uint64_t>(m_passedBytes));
+    m_request.excluded.push_back(m_target);
+    if (neverSent) {
+        m_owner.parts.dispatcher.connectFailed(m_target, now());
+        attempt();
+        return;
+    }
+    ++m_mayHaveRun;
+    if (m_events) {
+        m_events->dropPartial();
+    }
+    const bool canGoOn = !m_exchange->hasBegun() || m_events;
+    if (canGoOn && mayRunAgain() && maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    giveUp(StatusBadGateway, "target-broke-off");
+}
+
+auto Flow::mayRunAgain() const -> bool
+{
+    return m_route.mayRepeat() && m_mayHaveRun < m_route.attempts;
+}
+
+auto Flow::maySendAgain() const -> bool
+{
+    return m_sends < m_owner.options.mostSends && m_owner.budget(m_request.service).left(now()) >= 1;
+}
+
+auto Flow::sendAgain() -> void
+{
+    m_owner.budget(m_request.service).sentAgain(now());
+    attempt();
+}
+
+auto Flow::closeSend(SendResult result) -> void
+{
+    if (m_hasSend) {
+        m_hasSend = false;
+        m_owner.parts.dispatcher.ended(m_send, result, now());
+    }
+}
+
+// [SECTION] Ending
+
+auto Flow::giveUp(int status, const char *why) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    const auto exchange = m_exchange;
+    const bool hasBegun = exchange->hasBegun();
+    finish(hasBegun ? m_head.status : status, why);
+    if (hasBegun) {
+        exchange->abort();
+        return;
+    }
+    const auto retryAfter = promisesNotRun(status) ? std::optional(DefaultRetryAfter) : std::nullopt;
+    exchange->respond(status, m_owner.parts.protocol.ownAnswerHeaders(m_traits.attempt, retryAfter), "");
+}
+
+auto Flow::onTimeout() -> void
+{
+    const auto self = shared_from_this();
+    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
+    giveUp(wasSent ? StatusGatewayTimeout : StatusUnavailable, "timeout");
+}
+
+auto Flow::onGone() -> void
+{
+    const auto self = shared_from_this();
+    finish(0, "caller-left");
+}
+
+auto Flow::abandon() -> void
+{
+    const auto self = shared_from_this();
+    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
+    giveUp(wasSent ? StatusBadGateway : StatusUnavailable, "stopped");
+}
+
+/// Nothing of the request is left here after this; its answer is the caller's of this function to write.
+auto Flow::finish(int status, const char *outcome) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_isWaiting = false;
+    m_deadlineTimer.cancel();
+    m_waitTimer.cancel();
+    m_exchange->onGone = nullptr;
+    m_exchange->onDrained = nullptr;
+    if (m_call) {
+        const auto call = std::exchange(m_call, nullptr);
+        call->cancel();
+    }
+    closeSend(SendResult::Cancelled);
+    const auto took = now() - m_exchange->startedAt();
+    m_owner.parts.log.line("request", "answered")
+        .add("id", m_traits.attempt.text())
+        .add("status", status)
+        .add("outcome", outcome)
+        .add("target", m_target.text())
+        .add("sends", m_sends)
+        .add("took", took);
+    m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
+    m_owner.parts.metrics.observe("request_seconds", took.inSeconds());
+    m_owner.flows.erase(shared_from_this());
+}
+
+auto Forwarder::Private::answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why)
+    -> void
+{
+    parts.log.line("request", "refused")
+        .add("id", traits.attempt.text())
+        .add("status", status)
+        .add("why", why)
+        .add("host", findHeader(exchange->head().headers, "host").value_or(""))
+        .add("path", exchange->head().target)
+        .add("traffic", traffic ? traffic->version.value() : 0);
+    parts.metrics.add("requests_total{outcome=\"" + std::string(why) + "\"}");
+    exchange->respond(status, parts.protocol.ownAnswerHeaders(traits.attempt, retryAfter), "");
+}
+
+// [SECTION] Forwarder
+
+Forwarder::Forwarder(ForwarderParts parts, ForwarderOptions options, ForwarderHooks hooks)
+    : d(std::make_unique<Private>(parts, options, std::move(hooks)))
+{
+}
+
+Forwarder::~Forwarder()
+{
+    abandonAll();
+}
+
+auto Forwarder::open() const -> std::size_t
+{
+    return d->flows.size();
+}
+
+auto Forwarder::adopt(std::shared_ptr<const Traffic> traffic) -> void
+{
+    d->traffic = std::move(traffic);
+    d->routes = RouteTable(*d->traffic);
+}
+
+auto Forwarder::setRetryBudget(const SharedRetryBudgetOptions &options) -> void
+{
+    d->budgetOptions = options;
+    for (auto &[service, budget] : d->budgets) {
+        budget.setOptions(options);
+    }
+}
+
+auto Forwarder::setEntries(int live) -> void
+{
+    d->entries = live;
+    for (auto &[service, budget] : d->budgets) {
+        budget.setEntries(live);
+    }
+}
+
+auto Forwarder::handle(const CallerExchangePtr &exchange) -> void
+{
+    const auto traits = d->parts.protocol.readRequest(exchange->head());
+    if (!d->traffic) {
+        d->answer(exchange, traits, StatusUnavailable, DefaultRetryAfter, "no-traffic-declared");
+        return;
+    }
+    if (traits.attempt.isEmpty() || traits.isPatienceMalformed) {
+        d->answer(exchange, traits, StatusBadRequest, std::nullopt, traits.attempt.isEmpty() ? "no-attempt-id" : "bad-deadline");
+        return;
+    }
+    const auto host = findHeader(exchange->head().headers, "host").value_or(std::string_view());
+    const auto *route = d->routes.find(host, exchange->head().target);
+    if (route == nullptr) {
+        const bool isCertain = d->hooks.isTrafficCurrent();
+        d->answer(exchange, traits, isCertain ? StatusNotFound : StatusUnavailable, isCertain ? std::nullopt : std::optional(DefaultRetryAfter), "no-route");
+        return;
+    }
+    const auto service = pickService(*route, std::uniform_real_distribution<double>(0, 1)(d->random));
+    auto flow = std::make_shared<Flow>(*d, exchange, traits, *route, service);
+    d->flows.insert(flow);
+    flow->start();
+}
+
+auto Forwarder::pump() -> void
+{
+    const std::vector<std::shared_ptr<Flow>> all(d->flows.begin(), d->flows.end());
+    for (const auto &flow : all) {
+        flow->tryAgain();
+    }
+}
+
+auto Forwarder::abandonAll() -> int
+{
+    const std::vector<std::shared_ptr<Flow>> all(d->flows.begin(), d->flows.end());
+    for (const auto &flow : all) {
+        flow->abandon();
+    }
+    return static_cast<int>(all.size());
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/storeclient.cpp
@@ -0,0 +1,355 @@
+#include "gateway/storeclient.h"
+
+#include <random>
+#include <unordered_set>
+#include <utility>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+constexpr int StatusGone = 410;
+constexpr int StatusPreconditionFailed = 412;
+constexpr int FirstClientError = 400;
+constexpr int StatusUnavailable = 503;
+/// A watch that is answered no sooner than its wait, and this much later.
+constexpr auto WatchMargin = Duration::seconds(2);
+
+} // namespace
+
+auto toString(StoreEnd end) -> const char *
+{
+    switch (end) {
+    case StoreEnd::Done:
+        return "done";
+    case StoreEnd::Conflict:
+        return "conflict";
+    case StoreEnd::HistoryLost:
+        return "history-lost";
+    case StoreEnd::Refused:
+        return "refused";
+    case StoreEnd::Unclear:
+        return "unclear";
+    }
+    return "?";
+}
+
+// [SECTION] StoreClient
+
+struct StoreClient::Private : std::enable_shared_from_this<StoreClient::Private> {
+    EventLoop &loop;
+    HttpPool &pool;
+    const StoreFormat &format;
+    StoreClientOptions options;
+    std::uint64_t calls = 0;
+
+    using Decode = std::function<bool(const std::string &body, StoreAnswer &answer)>;
+
+    Private(EventLoop &ownerLoop, HttpPool &ownerPool, const StoreFormat &storeFormat, StoreClientOptions clientOptions)
+        : loop(ownerLoop)
+        , pool(ownerPool)
+        , format(storeFormat)
+        , options(std::move(clientOptions))
+    {
+    }
+    auto call(CallText text, Duration timeout, Decode decode, Done done) -> void;
+};
+
+namespace
+{
+
+/// One call under way: its answer as far as it has come.
+struct StoreCall {
+    int status = 0;
+    std::string body;
+    std::shared_ptr<PooledHandle> handle;
+    Timer timer;
+    StoreClient::Done done;
+
+    auto finish(const StoreAnswer &answer) -> void
+    {
+        timer.cancel();
+        handle = nullptr;
+        if (const auto hook = std::exchange(done, nullptr)) {
+            hook(answer);
+        }
+    }
+};
+
+auto endOfStatus(int status) -> StoreEnd
+{
+    if (status == StatusOk) {
+        return StoreEnd::Done;
+    }
+    if (status == StatusPreconditionFailed) {
+        return StoreEnd::Conflict;
+    }
+    if (status == StatusGone) {
+        return StoreEnd::HistoryLost;
+    }
+    return status == StatusUnavailable || (status >= FirstClientError && status < StatusUnavailable) ? StoreEnd::Refused : StoreEnd::Unclear;
+}
+
+} // namespace
+
+auto StoreClient::Private::call(CallText text, Duration timeout, Decode decode, Done done) -> void
+{
+    ++calls;
+    auto state = std::make_shared<StoreCall>();
+    state->done = std::move(done);
+    PooledCall pooled;
+    pooled.server = options.server;
+    pooled.method = std::move(text.method);
+    pooled.target = std::move(text.target);
+    pooled.headers = std::move(text.headers);
+    pooled.headers.insert(pooled.headers.begin(), {"Host", toString(options.server)});
+    pooled.body = std::move(text.body);
+    pooled.onHead = [state](const HttpHead &head) {
+        state->status = head.status;
+        return AnswerVerdict::Take;
+    };
+    pooled.onBody = [state](std::string_view bytes) {
+        state->body.append(bytes);
+    };
+    pooled.onEnd = [state, decode = std::move(decode)](const PooledEnd &end) {
+        StoreAnswer answer;
+        if (end.end == CallEnd::Complete) {
+            answer.end = endOfStatus(state->status);
+            if (answer.end == StoreEnd::Done && !decode(state->body, answer)) {
+                answer.end = StoreEnd::Unclear;
+            }
+        } else {
+            answer.end = end.end == CallEnd::NotSent ? StoreEnd::Refused : StoreEnd::Unclear;
+        }
+        state->finish(answer);
+    };
+    state->timer = loop.after(timeout, [state] {
+        const auto self = state;
+        if (const auto handle = self->handle) {
+            handle->cancel();
+        }
+        self->finish({});
+    });
+    state->handle = pool.start(std::move(pooled));
+}
+
+StoreClient::StoreClient(EventLoop &loop, HttpPool &pool, const StoreFormat &format, StoreClientOptions options)
+    : d(std::make_shared<Private>(loop, pool, format, std::move(options)))
+{
+}
+
+StoreClient::~StoreClient() = default;
+
+auto StoreClient::calls() const -> std::uint64_t
+{
+    return d->calls;
+}
+
+auto StoreClient::setServer(const Endpoint &server) -> void
+{
+    d->options.server = server;
+}
+
+namespace
+{
+
+auto pageDecoder(const StoreFormat &format)
+{
+    return [&format](const std::string &body, StoreAnswer &answer) {
+        auto page = format.decodePage(body);
+        if (page) {
+            answer.page = std::move(*page);
+        }
+        return page.has_value();
+    };
+}
+
+} // namespace
+
+auto StoreClient::read(StoreTable table, const std::string &from, Done done) -> void
+{
+    d->call(d->format.readCall(table, from), d->options.timeout, pageDecoder(d->format), std::move(done));
+}
+
+auto StoreClient::watch(StoreTable table, RowVersion after, Duration wait, Done done) -> void
+{
+    d->call(d->format.watchCall(table, after, wait), wait + WatchMargin, pageDecoder(d->format), std::move(done));
+}
+
+auto StoreClient::change(StoreTable table, const std::vector<StoreChange> &changes, Done done) -> void
+{
+    const auto decode = [&format = d->format](const std::string &body, StoreAnswer &answer) {
+        const auto version = format.decodeChanged(body);
+        answer.version = version.value_or(RowVersion());
+        return version.has_value();
+    };
+    d->call(d->format.changeCall(table, changes), d->options.timeout, decode, std::move(done));
+}
+
+// [SECTION] TableWatch
+
+struct TableWatch::Private : std::enable_shared_from_this<TableWatch::Private> {
+    EventLoop &loop;
+    StoreClient &client;
+    EventLog &log;
+    StoreTable table;
+    TableWatchOptions options;
+    TableWatchHooks hooks;
+    Backoff backoff;
+    std::minstd_rand random;
+    Timer again;
+    std::vector<StoredRow> gathered; // pages of a read under way
+    std::optional<RowVersion> readVersion; // of its first page
+    RowVersion version;
+    std::uint64_t round = 0; // answers to calls of an earlier round are ignored
+    bool isLoaded = false;
+    bool isReached = false;
+
+    Private(EventLoop &ownerLoop, StoreClient &storeClient, EventLog &eventLog, StoreTable watched, TableWatchOptions watchOptions, TableWatchHooks watchHooks)
+        : loop(ownerLoop)
+        , client(storeClient)
+        , log(eventLog)
+        , table(watched)
+        , options(watchOptions)
+        , hooks(std::move(watchHooks))
+        , backoff(options.backoff)
+        , random(static_cast<std::minstd_rand::result_type>(loop.now().inMicros()))
+    {
+    }
+    auto start(bool fromScratch) -> void;
+    auto readPage(const std::string &from) -> void;
+    auto onPage(const StoreAnswer &answer) -> void;
+    auto watch() -> void;
+    auto onChanges(const StoreAnswer &answer) -> void;
+    auto setReached(bool reached) -> void;
+    auto retry(StoreEnd why) -> void;
+    template<typename Handler>
+    auto guarded(Handler handler)
+    {
+        return [weak = weak_from_this(), handler, started = round](const StoreAnswer &answer) {
+            const auto self = weak.lock();
+            if (self && self->round == started) {
+                handler(*self, answer);
+            }
+        };
+    }
+};
+
+auto TableWatch::Private::start(bool fromScratch) -> void
+{
+    ++round;
+    if (fromScratch || !isLoaded) {
+        gathered.clear();
+        readVersion.reset();
+        readPage("");
+    } else {
+        watch();
+    }
+}
+
+auto TableWatch::Private::readPage(const std::string &from) -> void
+{
+    client.read(table, from, guarded([](Private &self, const StoreAnswer &answer) { self.onPage(answer); }));
+}
+
+auto TableWatch::Private::onPage(const StoreAnswer &answer) -> void
+{
+    if (answer.end != StoreEnd::Done) {
+        isLoaded = false;
+        retry(answer.end);
+        return;
+    }
+    setReached(true);
+    // Rows of later pages may be newer than the first page's version; the watch from there brings them once more.
+    readVersion = readVersion.value_or(answer.page.upTo);
+    gathered.insert(gathered.end(), answer.page.rows.begin(), answer.page.rows.end());
+    if (answer.page.hasMore && !answer.page.rows.empty()) {
+        readPage(answer.page.rows.back().key + '\0');
+        return;
+    }
+    version = *readVersion;
+    isLoaded = true;
+    const auto rows = std::move(gathered);
+    gathered.clear();
+    hooks.onTable(rows);
+    watch();
+}
+
+auto TableWatch::Private::watch() -> void
+{
+    client.watch(table, version, options.wait, guarded([](Private &self, const StoreAnswer &answer) { self.onChanges(answer); }));
+}
+
+auto TableWatch::Private::onChanges(const StoreAnswer &answer) -> void
+{
+    if (answer.end == StoreEnd::HistoryLost) {
+        log.line("store", "history-lost").add("table", static_cast<int>(table)).add("version", version.value());
+        start(true);
+        return;
+    }
+    if (answer.end != StoreEnd::Done) {
+        retry(answer.end);
+        return;
+    }
+    setReached(true);
+    version = std::max(version, answer.page.upTo);
+    if (!answer.page.rows.empty()) {
+        hooks.onChanges(answer.page.rows);
+    }
+    watch();
+}
+
+auto TableWatch::Private::setReached(bool reached) -> void
+{
+    if (reached) {
+        backoff.reset();
+    }
+    if (isReached != reached) {
+        isReached = reached;
+        hooks.onContact(reached);
+    }
+}
+
+auto TableWatch::Private::retry(StoreEnd why) -> void
+{
+    ++round;
+    if (isReached) {
+        log.line("store", "lost").add("table", static_cast<int>(table)).add("why", toString(why)).add("version", version.value());
+    }
+    setReached(false);
+    again = loop.after(backoff.next(random), [this] { start(false); });
+}
+
+TableWatch::TableWatch(EventLoop &loop, StoreClient &client, EventLog &log, StoreTable table, TableWatchOptions options, TableWatchHooks hooks)
+    : d(std::make_shared<Private>(loop, client, log, table, options, std::move(hooks)))
+{
+    d->start(true);
+}
+
+TableWatch::~TableWatch() = default;
+
+auto TableWatch::isLoaded() const -> bool
+{
+    return d->isLoaded;
+}
+
+auto TableWatch::isReached() const -> bool
+{
+    return d->isReached;
+}
+
+auto TableWatch::version() const -> RowVersion
+{
+    return d->version;
+}
+
+auto TableWatch::reload() -> void
+{
+    d->again.cancel();
+    d->start(true);
+}
+
+} // namespace KingCup
--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -1,10 +1,13 @@
 // kingcupd: the daemon. One binary, two roles; the role and everything else is in its settings file.
 #include "agent/agent.h"
 #include "entry/entry.h"
+#include "gateway/gateway.h"
 #include "net/eventloop.h"
+#include "platform/protocol.h"
 #include "settings/daemonsettings.h"
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <glog/logging.h>
 #include <iostream>
 #include <memory>
@@ -31,6 +34,21 @@
     google::InitGoogleLogging(program);
 }
 
+auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Entry> &role) -> void
+{
+    role = std::make_unique<Entry>(loop, settings);
+}
+
+auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Agent> &role) -> void
+{
+    role = std::make_unique<Agent>(loop, settings);
+}
+
+auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Gateway> &role) -> void
+{
+    role = std::make_unique<Gateway>(loop, settings, Platform::makeProtocol());
+}
+
 template<typename Role>
 auto runRole(const DaemonSettings &settings) -> int
 {
@@ -40,7 +58,7 @@
         // in the middle of every answer.
         std::unique_ptr<Role> role;
         onTerminationSignal(loop, [&role] { role->leave(); });
-        role = std::make_unique<Role>(loop, settings);
+        makeRole(loop, settings, role);
         loop.run();
         return role->exitCode();
     } catch (const std::runtime_error &error) {
@@ -64,7 +82,15 @@
     }
     const auto &settings = loaded.value;
     startLogging(settings.log, program);
-    return settings.process.role == ProcessRole::Entry ? runRole<Entry>(settings) : runRole<Agent>(settings);
+    switch (settings.process.role) {
+    case ProcessRole::Entry:
+        return runRole<Entry>(settings);
+    case ProcessRole::Agent:
+        return runRole<Agent>(settings);
+    case ProcessRole::Gateway:
+        return runRole<Gateway>(settings);
+    }
+    return ExitUsage;
 }
 
 } // namespace
@@ -75,6 +101,7 @@
     auto add = description.add_options();
     add("help,h", "show this");
     add("settings,s", Options::value<std::string>(), "the settings file (INI)");
+    add("settings-from", Options::value<std::string>(), "name of the environment variable that holds the settings file's path");
     add("check-settings", "report every finding in the settings file and exit");
     add("print-settings", "write a commented settings file with all defaults");
     add("print-settings-page", "write docs/SETTINGS.md");
@@ -97,6 +124,10 @@
         std::cout << settingsPage();
         return 0;
     }
+    if (given.count("settings-from") > 0) {
+        const char *path = std::getenv(given["settings-from"].as<std::string>().c_str());
+        return runWith(path == nullptr ? "" : path, given.count("check-settings") > 0, argv[0]);
+    }
     if (given.count("settings") == 0) {
         std::cerr << "kingcupd: --settings FILE is needed; --print-settings shows one\n";
         return ExitUsage;
--- /dev/null
+++ b/src/net/eventlog.h
@@ -0,0 +1,84 @@
+// Structured log lines on standard output, "key=value" separated by blanks: one line for each decision that touches a request or changes
+// what the process believes.
+//
+// Lines are gathered and written a few times a second. Writing never blocks: when the reader of our output stops reading, or lines come
+// faster than the allowed rate, further ones are dropped and a line says how many. A process that waited for its log would hold up
+// every request, and one would notice it only as lateness everywhere.
+//
+// Index of sections (search for [SECTION]):
+//   LogLine    one line while it is put together
+//   EventLog   the writer
+#pragma once
+
+#include "core/units.h"
+#include "net/eventloop.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace KingCup
+{
+
+class EventLog;
+
+// [SECTION] LogLine
+
+/// Written when it goes out of scope: log.line("routing", "chosen").add("id", id).add("target", target);
+class LogLine
+{
+public:
+    LogLine(EventLog *log, std::string_view part, std::string_view event);
+    ~LogLine();
+    LogLine(const LogLine &) = delete;
+    auto operator=(const LogLine &) -> LogLine & = delete;
+
+    auto add(std::string_view key, std::string_view value) -> LogLine &; ///< quoted where it needs to be
+    auto add(std::string_view key, const char *value) -> LogLine &;
+    auto add(std::string_view key, std::int64_t value) -> LogLine &;
+    auto add(std::string_view key, int value) -> LogLine &;
+    auto add(std::string_view key, std::uint64_t value) -> LogLine &;
+    auto add(std::string_view key, double value) -> LogLine &; ///< two decimals
+    auto add(std::string_view key, bool value) -> LogLine &;
+    auto add(std::string_view key, Duration value) -> LogLine &; ///< milliseconds, one decimal
+
+private:
+    EventLog *m_log; ///< null: the line is dropped
+    std::string m_text;
+};
+
+// [SECTION] EventLog
+
+struct EventLogOptions {
+    int descriptor = 1;
+    std::string host; ///< stands in every line
+    double linesPerSecond = 1500; ///< more are dropped; some ten lines for each request at the design's peak of an entry
+    double burst = 4000; ///< lines beyond the rate
+    std::size_t mostPending = 1U << 20U; ///< bytes not yet taken by the reader; more are dropped
+    Duration flushPeriod = Duration::millis(50);
+};
+
+class EventLog
+{
+public:
+    EventLog(EventLoop &loop, EventLogOptions options);
+    ~EventLog(); ///< writes what is left, as far as it goes without blocking
+    EventLog(const EventLog &) = delete;
+    auto operator=(const EventLog &) -> EventLog & = delete;
+
+    auto droppedLines() const -> std::uint64_t; ///< since the start
+
+    auto line(std::string_view part, std::string_view event) -> LogLine;
+    auto flush() -> void;
+
+    struct Private;
+
+private:
+    friend class LogLine;
+    auto append(std::string text) -> void;
+    auto mayAppend() -> bool;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/httppool.cpp
@@ -0,0 +1,423 @@
+// Index of sections (search for [SECTION]):
+//   Connection   one connection and the call on it
+//   Pool         which connection a call takes
+#include "net/httppool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <glog/logging.h>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Connection
+
+namespace
+{
+
+constexpr int FirstFinalStatus = 200; ///< below are interim answers
+
+/// The timeout that a Keep-Alive header states; nothing if it has none.
+auto keepAliveTimeout(const HttpHeaders &headers) -> std::optional<Duration>
+{
+    const auto value = findHeader(headers, "keep-alive");
+    constexpr std::string_view Key = "timeout=";
+    const auto at = value ? value->find(Key) : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const auto digits = value->substr(at + Key.size());
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return parsed.ec == std::errc() ? std::optional(Duration::seconds(seconds)) : std::nullopt;
+}
+
+} // namespace
+
+class PoolConnection : public PooledHandle, public std::enable_shared_from_this<PoolConnection>
+{
+public:
+    PoolConnection(HttpPool::Private &pool, EventLoop &loop, const Endpoint &server);
+
+    auto isIdle() const -> bool
+    {
+        return !m_busy && m_stream != nullptr;
+    }
+    auto idleSince() const -> TimePoint
+    {
+        return m_idleSince;
+    }
+    auto isUsableAt(TimePoint now) const -> bool
+    {
+        return isIdle() && now < m_idleUntil;
+    }
+    auto server() const -> const Endpoint &
+    {
+        return m_server;
+    }
+    auto run(PooledCall call) -> void;
+    auto close() -> void;
+
+    auto wasSent() const -> bool override;
+    auto cancel() -> void override;
+    auto pause() -> void override;
+    auto resume() -> void override;
+
+private:
+    auto onData(std::string_view bytes) -> void;
+    auto onHead() -> void;
+    auto onClosed(TcpEnd how) -> void;
+    auto onAnswered(bool reusable) -> void;
+    auto finish(CallEnd end, TcpEnd how) -> void;
+    auto prepareReader() -> void;
+
+    HttpPool::Private *m_pool; ///< null once the connection has left it
+    EventLoop &m_loop;
+    Endpoint m_server;
+    std::unique_ptr<TcpStream> m_stream; ///< null once closed
+    HttpReader m_reader;
+    std::shared_ptr<PooledCall> m_call; ///< shared, so that a hook that cancels the call doesn't destroy itself
+    AnswerVerdict m_verdict = AnswerVerdict::Take;
+    bool m_busy = false;
+    int m_calls = 0; ///< started on this connection
+    int m_skipped = 0; ///< late answers during this call
+    bool m_wasSent = false;
+    TimePoint m_idleSince;
+    TimePoint m_idleUntil;
+};
+
+// [SECTION] Pool
+
+struct HttpPool::Private {
+    EventLoop &loop;
+    HttpPoolOptions options;
+    HttpPoolCounts counts;
+    std::map<Endpoint, std::vector<std::shared_ptr<PoolConnection>>> connections; ///< by server, the last used last
+    Timer sweep;
+
+    Private(EventLoop &ownerLoop, HttpPoolOptions poolOptions)
+        : loop(ownerLoop)
+        , options(poolOptions)
+    {
+    }
+    auto remove(PoolConnection &connection) -> void
+    {
+        const auto found = connections.find(connection.server());
+        if (found == connections.end()) {
+            return;
+        }
+        std::erase_if(found->second, [&](const auto &held) { return held.get() == &connection; });
+        if (found->second.empty()) {
+            connections.erase(found);
+        }
+    }
+    auto findIdle(const Endpoint &server, Duration within) const -> std::shared_ptr<PoolConnection>;
+    auto closeExpired() -> void;
+};
+
+PoolConnection::PoolConnection(HttpPool::Private &pool, EventLoop &loop, const Endpoint &server)
+    : m_pool(&pool)
+    , m_loop(loop)
+    , m_server(server)
+    , m_reader(HttpReader::Kind::Answer, pool.options.headBytes)
+{
+}
+
+auto PoolConnection::prepareReader() -> void
+{
+    m_reader.reset();
+    m_verdict = AnswerVerdict::Take;
+    m_reader.onHead = [this] {
+        onHead();
+    };
+    m_reader.onBody = [this](std::string_view bytes) {
+        const auto call = m_call;
+        if (m_verdict == AnswerVerdict::Take && call && call->onBody) {
+            call->onBody(bytes);
+        }
+    };
+    if (m_call->method == "HEAD") {
+        m_reader.expectNoBody();
+    }
+}
+
+auto PoolConnection::run(PooledCall call) -> void
+{
+    m_call = std::make_shared<PooledCall>(std::move(call));
+    m_busy = true;
+    ++m_calls;
+    m_skipped = 0;
+    m_wasSent = false;
+    prepareReader();
+    if (!m_stream) {
+        m_stream = TcpStream::connect(m_loop, m_server, m_pool->options.tcp);
+        m_stream->onData = [this](std::string_view bytes) {
+            onData(bytes);
+        };
+        m_stream->onEnd = [this](TcpEnd how) {
+            onClosed(how);
+        };
+    }
+    const bool hasBody = !m_call->body.empty() || (m_call->method != "GET" && m_call->method != "HEAD" && m_call->method != "DELETE");
+    if (hasBody) {
+        m_call->headers.push_back({"Content-Length", std::to_string(m_call->body.size())});
+    }
+    auto bytes = requestHead(m_call->method, m_call->target, m_call->headers);
+    bytes += m_call->body;
+    m_call->body.clear();
+    m_stream->write(bytes);
+}
+
+auto PoolConnection::wasSent() const -> bool
+{
+    // On a kept connection the bytes went into the system's buffers at once.
+    return m_wasSent || (m_busy && m_stream && (m_calls > 1 || m_stream->hasSent()));
+}
+
+auto PoolConnection::cancel() -> void
+{
+    if (m_busy) {
+        m_wasSent = wasSent();
+        m_call = nullptr;
+        m_busy = false;
+        close();
+    }
+}
+
+auto PoolConnection::pause() -> void
+{
+    if (m_stream) {
+        m_stream->pauseReading();
+    }
+}
+
+auto PoolConnection::resume() -> void
+{
+    if (m_stream) {
+        m_stream->resumeReading();
+    }
+}
+
+auto PoolConnection::close() -> void
+{
+    const auto self = shared_from_this();
+    m_stream.reset();
+    if (m_pool != nullptr) {
+        std::exchange(m_pool, nullptr)->remove(*this);
+    }
+}
+
+auto PoolConnection::onHead() -> void
+{
+    const auto &head = m_reader.head();
+    if (head.status < FirstFinalStatus) {
+        m_verdict = AnswerVerdict::Skip;
+        return;
+    }
+    const auto call = m_call;
+    m_verdict = call && call->onHead ? call->onHead(head) : AnswerVerdict::Take;
+}
+
+auto PoolConnection::onData(std::string_view bytes) -> void
+{
+    const auto self = shared_from_this(); // a hook may cancel the call
+    while (!bytes.empty() && m_stream) {
+        if (!m_busy) {
+            ++m_pool->counts.strayAnswers;
+            VLOG(1) << "net: bytes when no answer was due server=" << toString(m_server) << " bytes=" << bytes.size();
+            close();
+            return;
+        }
+        const auto used = m_reader.feed(bytes);
+        if (!m_stream || !m_busy) {
+            return;
+        }
+        bytes.remove_prefix(std::min(used, bytes.size()));
+        if (m_reader.fault() != HttpFault::None || (m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse)) {
+            finish(CallEnd::Broken, TcpEnd::Reset);
+            return;
+        }
+        if (!m_reader.isComplete()) {
+            return;
+        }
+        if (m_verdict == AnswerVerdict::Take) {
+            onAnswered(bytes.empty());
+            return;
+        }
+        const bool isInterim = m_reader.head().status < FirstFinalStatus;
+        if (!isInterim) {
+            ++m_pool->counts.strayAnswers;
+            if (++m_skipped > m_pool->options.mostSkipped || !m_reader.head().keepsConnection) {
+                finish(CallEnd::Broken, TcpEnd::Reset);
+                return;
+            }
+        }
+        prepareReader();
+    }
+}
+
+/// The answer is whole. `isQuiet`: nothing came behind it.
+auto PoolConnection::onAnswered(bool isQuiet) -> void
+{
+    const auto &head = m_reader.head();
+    // A server may answer before it has read the call: the rest of the body is still due then, and a next call would be read as that.
+    const bool isReusable = isQuiet && head.keepsConnection && m_stream->pendingBytes() == 0 && !m_reader.endsWithConnection();
+    if (!isQuiet) {
+        ++m_pool->counts.strayAnswers;
+    }
+    if (!isReusable) {
+        finish(CallEnd::Complete, TcpEnd::Closed);
+        return;
+    }
+    const auto now = m_loop.now();
+    const auto &options = m_pool->options;
+    const auto stated = keepAliveTimeout(head.headers);
+    m_idleSince = now;
+    m_idleUntil = now + (stated ? std::min(*stated - options.keepMargin, options.keepFor) : options.keepFor);
+    m_stream->resumeReading();
+    m_busy = false;
+    auto &list = m_pool->connections[m_server];
+    const auto self = shared_from_this();
+    std::erase(list, self);
+    list.push_back(self);
+    const auto call = std::exchange(m_call, nullptr);
+    if (call->onEnd) {
+        call->onEnd({CallEnd::Complete, true, m_calls > 1, TcpEnd::Closed});
+    }
+}
+
+auto PoolConnection::onClosed(TcpEnd how) -> void
+{
+    const auto self = shared_from_this();
+    if (!m_busy) {
+        close();
+        return;
+    }
+    // Without a length an answer is whole only if the connection was closed in order.
+    if (how == TcpEnd::Closed && m_reader.endsWithConnection() && m_verdict == AnswerVerdict::Take && m_reader.feedEnd()) {
+        finish(CallEnd::Complete, how);
+        return;
+    }
+    const bool neverSent = how == TcpEnd::NotConnected;
+    finish(neverSent ? CallEnd::NotSent : CallEnd::Broken, how);
+}
+
+auto PoolConnection::finish(CallEnd end, TcpEnd how) -> void
+{
+    const auto self = shared_from_this();
+    m_wasSent = end != CallEnd::NotSent;
+    m_busy = false;
+    const auto call = std::exchange(m_call, nullptr);
+    close();
+    if (call->onEnd) {
+        call->onEnd({end, m_wasSent, m_calls > 1, how});
+    }
+}
+
+auto HttpPool::Private::findIdle(const Endpoint &server, Duration within) const -> std::shared_ptr<PoolConnection>
+{
+    const auto found = connections.find(server);
+    if (found == connections.end()) {
+        return nullptr;
+    }
+    const auto now = loop.now();
+    const auto &list = found->second;
+    const auto fits = [&](const auto &connection) {
+        return connection->isUsableAt(now) && now - connection->idleSince() < within;
+    };
+    const auto match = std::find_if(list.rbegin(), list.rend(), fits); // the last used is the least likely to be dead
+    return match == list.rend() ? nullptr : *match;
+}
+
+auto HttpPool::Private::closeExpired() -> void
+{
+    std::vector<std::shared_ptr<PoolConnection>> expired;
+    for (const auto &[server, list] : connections) {
+        for (const auto &connection : list) {
+            if (connection->isIdle() && !connection->isUsableAt(loop.now())) {
+                expired.push_back(connection);
+            }
+        }
+    }
+    for (const auto &connection : expired) {
+        connection->close();
+    }
+}
+
+HttpPool::HttpPool(EventLoop &loop, HttpPoolOptions options)
+    : d(std::make_shared<Private>(loop, options))
+{
+    constexpr auto SweepPeriod = Duration::seconds(1);
+    d->sweep = loop.every(SweepPeriod, [raw = d.get()] { raw->closeExpired(); });
+}
+
+HttpPool::~HttpPool()
+{
+    auto all = std::exchange(d->connections, {});
+    for (const auto &[server, list] : all) {
+        for (const auto &connection : list) {
+            connection->cancel();
+            connection->close();
+        }
+    }
+}
+
+auto HttpPool::counts() const -> const HttpPoolCounts &
+{
+    return d->counts;
+}
+
+auto HttpPool::connections(const Endpoint &server) const -> std::size_t
+{
+    const auto found = d->connections.find(server);
+    return found == d->connections.end() ? 0 : found->second.size();
+}
+
+auto HttpPool::hasIdle(const Endpoint &server, Duration within) const -> bool
+{
+    return d->findIdle(server, within) != nullptr;
+}
+
+auto HttpPool::start(PooledCall call) -> std::shared_ptr<PooledHandle>
+{
+    auto connection = d->findIdle(call.server, call.reuseWithin);
+    if (connection) {
+        ++d->counts.reused;
+    } else {
+        ++d->counts.opened;
+        connection = std::make_shared<PoolConnection>(*d, d->loop, call.server);
+        d->connections[call.server].push_back(connection);
+    }
+    connection->run(std::move(call));
+    return connection;
+}
+
+auto HttpPool::forget(const Endpoint &server) -> void
+{
+    const auto found = d->connections.find(server);
+    if (found == d->connections.end()) {
+        return;
+    }
+    const auto list = found->second;
+    for (const auto &connection : list) {
+        if (connection->isIdle()) {
+            connection->close();
+        }
+    }
+}
+
+auto HttpPool::forgetAll() -> void
+{
+    std::vector<Endpoint> servers;
+    for (const auto &[server, list] : d->connections) {
+        servers.push_back(server);
+    }
+    for (const auto &server : servers) {
+        forget(server);
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/httpreader.cpp
@@ -0,0 +1,332 @@
+#include "net/httpreader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+#include <http_parser.h>
+#include <limits>
+
+namespace KingCup
+{
+
+namespace
+{
+
+auto lower(char c) -> char
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+/// http-parser lets some bytes through that other readers end a name at; passed on, they could hide a header from one side.
+auto isToken(std::string_view name) -> bool
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || Marks.find(c) != std::string_view::npos;
+    });
+}
+
+auto trimmed(std::string_view text) -> std::string_view
+{
+    constexpr std::string_view Blanks = " \t";
+    const auto first = text.find_first_not_of(Blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
+}
+
+auto listContains(std::string_view list, std::string_view wanted) -> bool
+{
+    while (!list.empty()) {
+        const auto comma = std::min(list.find(','), list.size());
+        if (isSameHeaderName(trimmed(list.substr(0, comma)), wanted)) {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+} // namespace
+
+auto isSameHeaderName(std::string_view a, std::string_view b) -> bool
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+auto findHeader(const HttpHeaders &headers, std::string_view name) -> std::optional<std::string_view>
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const HttpHeader &header) { return isSameHeaderName(header.name, name); });
+    return found == headers.end() ? std::nullopt : std::optional<std::string_view>(found->value);
+}
+
+// [SECTION] HttpReader
+
+struct HttpReader::Private {
+    HttpReader *owner = nullptr;
+    Kind kind;
+    std::size_t headLimit;
+    http_parser parser {};
+    HttpHead head;
+    std::size_t headBytes = 0;
+    bool begun = false;
+    bool headDone = false;
+    bool complete = false;
+    bool noBody = false;
+    bool lastWasValue = true; // the next name starts a new header
+    HttpFault fault = HttpFault::None;
+
+    Private(HttpReader *reader, Kind messageKind, std::size_t limit)
+        : owner(reader)
+        , kind(messageKind)
+        , headLimit(limit)
+    {
+    }
+
+    auto init() -> void
+    {
+        http_parser_init(&parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+    }
+    /// http-parser has a limit of its own, for the whole process; ours is checked by what the callbacks see.
+    auto count(std::size_t bytes) -> int
+    {
+        headBytes += bytes;
+        if (headBytes > headLimit) {
+            fault = HttpFault::TooLarge;
+            return 1;
+        }
+        return 0;
+    }
+    auto onName(std::string_view text) -> int;
+    auto onValue(std::string_view text) -> int;
+    auto onHeadDone() -> int;
+    static auto settings() -> const http_parser_settings &;
+    static auto from(http_parser *parser) -> Private &
+    {
+        return *static_cast<Private *>(parser->data);
+    }
+};
+
+auto HttpReader::Private::onName(std::string_view text) -> int
+{
+    if (headDone) {
+        return count(text.size()); // a trailer: not passed on
+    }
+    if (lastWasValue) {
+        head.headers.emplace_back();
+        lastWasValue = false;
+    }
+    head.headers.back().name += text;
+    return count(text.size());
+}
+
+auto HttpReader::Private::onValue(std::string_view text) -> int
+{
+    if (headDone) {
+        return count(text.size());
+    }
+    lastWasValue = true;
+    head.headers.back().value += text;
+    return count(text.size());
+}
+
+/// Returns what http-parser is to do: 0 to go on, 1 to skip the body, another value to fail.
+auto HttpReader::Private::onHeadDone() -> int
+{
+    constexpr int Fail = -1;
+    constexpr int SkipBody = 1;
+    for (auto &header : head.headers) {
+        header.value = std::string(trimmed(header.value));
+        if (!isToken(header.name)) {
+            fault = HttpFault::Malformed;
+            return Fail;
+        }
+    }
+    if (kind == Kind::Request) {
+        head.method = http_method_str(static_cast<http_method>(parser.method));
+    } else {
+        head.status = static_cast<int>(parser.status_code);
+    }
+    head.isChunked = (parser.flags & F_CHUNKED) != 0;
+    if ((parser.flags & F_CONTENTLENGTH) != 0) {
+        head.length = parser.content_length;
+    }
+    head.keepsConnection = http_should_keep_alive(&parser) != 0;
+    headDone = true;
+    if (owner->onHead) {
+        owner->onHead();
+    }
+    return noBody ? SkipBody : 0;
+}
+
+auto HttpReader::Private::settings() -> const http_parser_settings &
+{
+    static const http_parser_settings Callbacks = [] {
+        http_parser_settings made {};
+        http_parser_settings_init(&made);
+        made.on_message_begin = [](http_parser *parser) {
+            from(parser).begun = true;
+            return 0;
+        };
+        made.on_url = [](http_parser *parser, const char *at, size_t length) {
+            from(parser).head.target.append(at, length);
+            return from(parser).count(length);
+        };
+        made.on_header_field = [](http_parser *parser, const char *at, size_t length) {
+            return from(parser).onName({at, length});
+        };
+        made.on_header_value = [](http_parser *parser, const char *at, size_t length) {
+            return from(parser).onValue({at, length});
+        };
+        made.on_headers_complete = [](http_parser *parser) {
+            return from(parser).onHeadDone();
+        };
+        made.on_body = [](http_parser *parser, const char *at, size_t length) {
+            if (from(parser).owner->onBody) {
+                from(parser).owner->onBody({at, length});
+            }
+            return 0;
+        };
+        made.on_message_complete = [](http_parser *parser) {
+            from(parser).complete = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return made;
+    }();
+    return Callbacks;
+}
+
+HttpReader::HttpReader(Kind kind, std::size_t headBytes)
+    : d(std::make_unique<Private>(this, kind, headBytes))
+{
+    http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
+    d->init();
+}
+
+HttpReader::~HttpReader() = default;
+
+auto HttpReader::hasBegun() const -> bool
+{
+    return d->begun;
+}
+
+auto HttpReader::hasHead() const -> bool
+{
+    return d->headDone;
+}
+
+auto HttpReader::isComplete() const -> bool
+{
+    return d->complete;
+}
+
+auto HttpReader::fault() const -> HttpFault
+{
+    return d->fault;
+}
+
+auto HttpReader::head() const -> const HttpHead &
+{
+    return d->head;
+}
+
+auto HttpReader::endsWithConnection() const -> bool
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    constexpr int FirstFinal = 200;
+    const auto &head = d->head;
+    const bool hasBody = head.status >= FirstFinal && head.status != NoContent && head.status != NotModified && !d->noBody;
+    return d->headDone && d->kind == Kind::Answer && hasBody && !head.isChunked && !head.length;
+}
+
+auto HttpReader::feed(std::string_view bytes) -> std::size_t
+{
+    if (d->complete || d->fault != HttpFault::None) {
+        return 0;
+    }
+    const auto used = http_parser_execute(&d->parser, &Private::settings(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&d->parser);
+    if (error != HPE_OK && error != HPE_PAUSED && d->fault == HttpFault::None) {
+        d->fault = HttpFault::Malformed;
+    }
+    return used;
+}
+
+auto HttpReader::feedEnd() -> bool
+{
+    if (!d->complete && d->fault == HttpFault::None && d->headDone) {
+        http_parser_execute(&d->parser, &Private::settings(), nullptr, 0);
+    }
+    return d->complete;
+}
+
+auto HttpReader::reset() -> void
+{
+    auto fresh = std::make_unique<Private>(this, d->kind, d->headLimit);
+    d.swap(fresh);
+    d->init();
+}
+
+auto HttpReader::expectNoBody() -> void
+{
+    d->noBody = true;
+}
+
+// [SECTION] Writing
+
+auto isHopByHop(std::string_view name, std::string_view connection) -> bool
+{
+    constexpr std::array<std::string_view, 9> Names {
+        "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade"};
+    const bool isListed = std::any_of(Names.begin(), Names.end(), [&](std::string_view known) { return isSameHeaderName(known, name); });
+    return isListed || listContains(connection, name);
+}
+
+auto reasonOf(int status) -> const char *
+{
+    const char *text = http_status_str(static_cast<http_status>(status));
+    return text == nullptr ? "Unknown" : text;
+}
+
+namespace
+{
+
+auto appendHeaders(std::string &bytes, const HttpHeaders &headers) -> void
+{
+    for (const auto &header : headers) {
+        bytes.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    bytes.append("\r\n");
+}
+
+} // namespace
+
+auto answerHead(int status, const HttpHeaders &headers) -> std::string
+{
+    std::string bytes = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
+    appendHeaders(bytes, headers);
+    return bytes;
+}
+
+auto requestHead(const std::string &method, const std::string &target, const HttpHeaders &headers) -> std::string
+{
+    std::string bytes = method + " " + target + " HTTP/1.1\r\n";
+    appendHeaders(bytes, headers);
+    return bytes;
+}
+
+auto chunk(std::string_view bytes) -> std::string
+{
+    std::array<char, 24> prefix {};
+    const int length = std::snprintf(prefix.data(), prefix.size(), "%zx\r\n", bytes.size());
+    std::string framed(prefix.data(), static_cast<std::size_t>(length));
+    framed.append(bytes).append("\r\n");
+    return framed;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/polled.cpp
@@ -0,0 +1,121 @@
+#include "net/polled.h"
+
+#include <array>
+#include <glog/logging.h>
+#include <libwebsockets.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto ProtocolName = "polled";
+
+} // namespace
+
+struct PolledDescriptor::Callbacks {
+    static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
+};
+
+auto PolledDescriptor::Callbacks::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/, size_t /*length*/) -> int
+{
+    auto *found = wsi == nullptr ? nullptr : static_cast<PolledDescriptor *>(lws_get_opaque_user_data(wsi));
+    if (found == nullptr) {
+        return 0;
+    }
+    const auto self = found->shared_from_this();
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        self->onReadable();
+        return self->m_wsi == nullptr ? -1 : 0;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        self->onWritable();
+        return self->m_wsi == nullptr ? -1 : 0;
+    case LWS_CALLBACK_RAW_CLOSE_FILE:
+        // libwebsockets closes the descriptor after this.
+        self->m_wsi = nullptr;
+        self->m_descriptor = -1;
+        self->onHangUp();
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+namespace
+{
+
+/// One virtual host for each loop, made at the first use and destroyed with the loop's context.
+auto vhostOf(EventLoop &loop) -> lws_vhost *
+{
+    static std::array<lws_protocols, 2> protocols {};
+    protocols[0].name = ProtocolName;
+    protocols[0].callback = &PolledDescriptor::Callbacks::callback;
+    auto *existing = lws_get_vhost_by_name(loop.context(), ProtocolName);
+    if (existing != nullptr) {
+        return existing;
+    }
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.vhost_name = ProtocolName;
+    info.protocols = protocols.data();
+    return lws_create_vhost(loop.context(), &info);
+}
+
+} // namespace
+
+PolledDescriptor::~PolledDescriptor()
+{
+    release();
+}
+
+auto PolledDescriptor::attach(EventLoop &loop, int descriptor) -> bool
+{
+    lws_sock_file_fd_type fd {};
+    fd.filefd = descriptor;
+    m_wsi = lws_adopt_descriptor_vhost(vhostOf(loop), LWS_ADOPT_RAW_FILE_DESC, fd, ProtocolName, nullptr);
+    if (m_wsi == nullptr) {
+        // libwebsockets has closed it.
+        LOG(WARNING) << "net: the loop takes no further descriptor";
+        return false;
+    }
+    m_descriptor = descriptor;
+    lws_set_opaque_user_data(m_wsi, this);
+    return true;
+}
+
+auto PolledDescriptor::descriptor() const -> int
+{
+    return m_descriptor;
+}
+
+auto PolledDescriptor::askForWritable() -> void
+{
+    if (m_wsi != nullptr) {
+        lws_callback_on_writable(m_wsi);
+    }
+}
+
+auto PolledDescriptor::setReading(bool on) -> void
+{
+    if (m_wsi != nullptr) {
+        lws_rx_flow_control(m_wsi, on ? 1 : 0);
+    }
+}
+
+auto PolledDescriptor::release() -> void
+{
+    if (m_wsi == nullptr) {
+        return;
+    }
+    lws *wsi = m_wsi;
+    m_wsi = nullptr;
+    m_descriptor = -1;
+    lws_set_opaque_user_data(wsi, nullptr);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/net/tcpstream.cpp
@@ -0,0 +1,416 @@
+#include "net/tcpstream.h"
+
+#include "net/polled.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr std::size_t ReadBytes = 32768;
+constexpr int ProbeCount = 3; ///< unanswered keep-alive probes that end a connection
+constexpr int ListenBacklog = 1024;
+constexpr int MostAcceptedAtOnce = 64; ///< so that a rush of connections doesn't hold up the open ones
+
+auto socketAddress(const Endpoint &endpoint) -> sockaddr_in
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(endpoint.port));
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+template<typename Value>
+auto setOption(int descriptor, int level, int option, Value value) -> void
+{
+    setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+/// A peer that loses its power or its path answers nothing: without these a connection to it would seem well for ever.
+auto applyOptions(int descriptor, const TcpOptions &options) -> void
+{
+    constexpr std::int64_t MillisPerSecond = 1000;
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(options.silence.inMillis()));
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(std::max(options.probeAfter.inMillis() / MillisPerSecond, std::int64_t {1})));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+}
+
+auto endOfError(int error) -> TcpEnd
+{
+    return error == ETIMEDOUT ? TcpEnd::Silent : TcpEnd::Reset;
+}
+
+} // namespace
+
+auto toString(TcpEnd end) -> const char *
+{
+    switch (end) {
+    case TcpEnd::Closed:
+        return "closed";
+    case TcpEnd::Reset:
+        return "reset";
+    case TcpEnd::Silent:
+        return "silent";
+    case TcpEnd::NotConnected:
+        return "not-connected";
+    }
+    return "?";
+}
+
+// [SECTION] TcpStream
+
+struct TcpStream::Private : std::enable_shared_from_this<TcpStream::Private> {
+    TcpStream *owner = nullptr; // null once the stream was destroyed
+    std::shared_ptr<PolledDescriptor> polled = std::make_shared<PolledDescriptor>();
+    std::string out; // not yet taken by the system
+    std::size_t outStart = 0; // bytes of `out` that were taken
+    bool connecting = false;
+    bool ended = false;
+    bool sent = false;
+    bool writingDone = false; // finishWriting() was called
+    Timer connectTimer;
+
+    auto start(EventLoop &loop, int descriptor) -> bool;
+    auto onReadable() -> void;
+    auto onWritable() -> void;
+    auto onHangUp() -> void;
+    auto finishConnect() -> bool;
+    auto flush() -> void;
+    auto end(TcpEnd how) -> void;
+    auto socketError() const -> int;
+    auto pending() const -> std::size_t
+    {
+        return out.size() - outStart;
+    }
+};
+
+auto TcpStream::Private::start(EventLoop &loop, int descriptor) -> bool
+{
+    polled->onReadable = [this] {
+        onReadable();
+    };
+    polled->onWritable = [this] {
+        onWritable();
+    };
+    polled->onHangUp = [this] {
+        onHangUp();
+    };
+    return polled->attach(loop, descriptor);
+}
+
+auto TcpStream::Private::socketError() const -> int
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(polled->descriptor(), SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
+}
+
+auto TcpStream::Private::end(TcpEnd how) -> void
+{
+    if (ended) {
+        return;
+    }
+    const auto self = shared_from_this();
+    ended = true;
+    connectTimer.cancel();
+    polled->release();
+    if (owner != nullptr && owner->onEnd) {
+        const auto hook = owner->onEnd; // it may destroy the stream, and with it the stored function
+        hook(how);
+    }
+}
+
+/// True if the connection is up.
+auto TcpStream::Private::finishConnect() -> bool
+{
+    const int error = socketError();
+    if (error != 0) {
+        end(TcpEnd::NotConnected);
+        return false;
+    }
+    connecting = false;
+    connectTimer.cancel();
+    if (owner != nullptr && owner->onConnected) {
+        const auto hook = owner->onConnected;
+        hook();
+    }
+    return !ended && owner != nullptr;
+}
+
+auto TcpStream::Private::onReadable() -> void
+{
+    const auto self = shared_from_this();
+    if (connecting && !finishConnect()) {
+        return;
+    }
+    std::array<char, ReadBytes> buffer; // not cleared: written before it is read
+    const ssize_t size = recv(polled->descriptor(), buffer.data(), buffer.size(), 0);
+    if (size > 0) {
+        if (owner->onData) {
+            const auto hook = owner->onData;
+            hook({buffer.data(), static_cast<std::size_t>(size)});
+        }
+        return;
+    }
+    if (size == 0) {
+        end(TcpEnd::Closed);
+    } else if (errno != EAGAIN && errno != EINTR) {
+        end(endOfError(errno));
+    }
+}
+
+auto TcpStream::Private::onWritable() -> void
+{
+    const auto self = shared_from_this();
+    if (connecting && !finishConnect()) {
+        return;
+    }
+    const bool hadBytes = pending() > 0;
+    flush();
+    if (hadBytes && !ended && pending() == 0 && owner != nullptr && owner->onDrained) {
+        const auto hook = owner->onDrained;
+        hook();
+    }
+}
+
+auto TcpStream::Private::onHangUp() -> void
+{
+    // The descriptor is gone with its error; a connection that had come up was broken off.
+    end(connecting ? TcpEnd::NotConnected : TcpEnd::Reset);
+}
+
+/// Writes what the system takes. An error is left to the next read: what the far side sent before it broke off can still be read.
+auto TcpStream::Private::flush() -> void
+{
+    while (pending() > 0) {
+        const ssize_t size = send(polled->descriptor(), out.data() + outStart, pending(), MSG_NOSIGNAL);
+        if (size < 0) {
+            if (errno == EAGAIN) {
+                polled->askForWritable();
+            } else if (errno == EINTR) {
+                continue;
+            } else {
+                out.clear();
+                outStart = 0;
+            }
+            return;
+        }
+        sent = true;
+        outStart += static_cast<std::size_t>(size);
+    }
+    out.clear();
+    outStart = 0;
+    if (writingDone) {
+        shutdown(polled->descriptor(), SHUT_WR);
+    }
+}
+
+TcpStream::TcpStream()
+    : d(std::make_shared<Private>())
+{
+    d->owner = this;
+}
+
+TcpStream::~TcpStream()
+{
+    d->owner = nullptr;
+    d->ended = true;
+    d->connectTimer.cancel();
+    if (d->polled->descriptor() >= 0) {
+        shutdown(d->polled->descriptor(), SHUT_RDWR); // at once: the loop closes the descriptor a little later
+    }
+    d->polled->release();
+}
+
+auto TcpStream::connect(EventLoop &loop, const Endpoint &server, const TcpOptions &options) -> std::unique_ptr<TcpStream>
+{
+    std::unique_ptr<TcpStream> stream(new TcpStream);
+    auto &d = stream->d;
+    d->connecting = true;
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    bool started = descriptor >= 0;
+    if (started) {
+        applyOptions(descriptor, options);
+        const auto address = socketAddress(server);
+        started = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0 || errno == EINPROGRESS;
+        if (started) {
+            started = d->start(loop, descriptor);
+        } else {
+            close(descriptor);
+        }
+    }
+    const auto giveUp = [weak = std::weak_ptr(d)] {
+        if (const auto self = weak.lock(); self && self->connecting) {
+            self->end(TcpEnd::NotConnected);
+        }
+    };
+    if (!started) {
+        loop.post(giveUp);
+        return stream;
+    }
+    d->polled->askForWritable();
+    d->connectTimer = loop.after(options.connectTimeout, giveUp);
+    return stream;
+}
+
+auto TcpStream::adopt(EventLoop &loop, int descriptor, const TcpOptions &options) -> std::unique_ptr<TcpStream>
+{
+    applyOptions(descriptor, options);
+    std::unique_ptr<TcpStream> stream(new TcpStream);
+    return stream->d->start(loop, descriptor) ? std::move(stream) : nullptr;
+}
+
+auto TcpStream::isConnected() const -> bool
+{
+    return !d->connecting && !d->ended;
+}
+
+auto TcpStream::hasSent() const -> bool
+{
+    return d->sent;
+}
+
+auto TcpStream::pendingBytes() const -> std::size_t
+{
+    return d->pending();
+}
+
+auto TcpStream::peer() const -> std::string
+{
+    sockaddr_in address {};
+    socklen_t size = sizeof(address);
+    if (getpeername(d->polled->descriptor(), reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+        return "";
+    }
+    std::array<char, INET_ADDRSTRLEN> text {};
+    return inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+}
+
+auto TcpStream::write(std::string_view bytes) -> void
+{
+    if (d->ended || bytes.empty()) {
+        return;
+    }
+    const bool isFirst = d->pending() == 0;
+    d->out.append(bytes);
+    if (isFirst && !d->connecting) {
+        d->flush();
+    }
+}
+
+auto TcpStream::pauseReading() -> void
+{
+    d->polled->setReading(false);
+}
+
+auto TcpStream::resumeReading() -> void
+{
+    d->polled->setReading(true);
+}
+
+auto TcpStream::finishWriting() -> void
+{
+    if (d->ended || d->writingDone) {
+        return;
+    }
+    d->writingDone = true;
+    if (d->pending() == 0 && !d->connecting) {
+        shutdown(d->polled->descriptor(), SHUT_WR);
+    }
+}
+
+// [SECTION] TcpListener
+
+struct TcpListener::Private : std::enable_shared_from_this<TcpListener::Private> {
+    EventLoop &loop;
+    TcpOptions options;
+    Handler handler;
+    std::shared_ptr<PolledDescriptor> polled = std::make_shared<PolledDescriptor>();
+    int port = 0;
+    bool open = true;
+
+    Private(EventLoop &ownerLoop, const TcpOptions &tcpOptions, Handler onAccepted)
+        : loop(ownerLoop)
+        , options(tcpOptions)
+        , handler(std::move(onAccepted))
+    {
+    }
+    auto accept() -> void;
+};
+
+auto TcpListener::Private::accept() -> void
+{
+    const auto self = shared_from_this();
+    for (int i = 0; i < MostAcceptedAtOnce && open; ++i) {
+        const int descriptor = accept4(polled->descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+                LOG(WARNING) << "net: no connection could be accepted: " << std::strerror(errno);
+            }
+            return;
+        }
+        auto stream = TcpStream::adopt(loop, descriptor, options);
+        if (stream) {
+            handler(std::move(stream));
+        }
+    }
+}
+
+TcpListener::TcpListener(EventLoop &loop, const Endpoint &listen, const TcpOptions &options, Handler onAccepted)
+    : d(std::make_shared<Private>(loop, options, std::move(onAccepted)))
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    const auto address = socketAddress(listen);
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(descriptor, ListenBacklog) != 0) {
+        const std::string why = std::strerror(errno);
+        close(descriptor);
+        throw std::runtime_error("can't listen on " + toString(listen) + ": " + why);
+    }
+    sockaddr_in bound {};
+    socklen_t size = sizeof(bound);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &size);
+    d->port = ntohs(bound.sin_port);
+    d->polled->onReadable = [raw = d.get()] {
+        raw->accept();
+    };
+    d->polled->onWritable = [] {
+    };
+    d->polled->onHangUp = [] {
+    };
+    if (!d->polled->attach(loop, descriptor)) {
+        throw std::runtime_error("can't listen on " + toString(listen) + ": too many open descriptors");
+    }
+}
+
+TcpListener::~TcpListener()
+{
+    d->open = false;
+    d->polled->release();
+}
+
+auto TcpListener::port() const -> int
+{
+    return d->port;
+}
+
+} // namespace KingCup
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -45,6 +45,22 @@
         });
     }
 
+    using RealSetter = std::function<void(DaemonSettings &, double)>;
+    struct RealRange {
+        double least;
+        double most;
+    };
+    auto real(const std::string &key, const std::string &unit, RealRange range, const std::string &fallback, const std::string &meaning, const RealSetter &set)
+        -> SpecBuilder &
+    {
+        const auto rangeText = numberText(range.least) + " to " + numberText(range.most);
+        return add({m_section, key, "number", unit, rangeText, fallback, meaning}, [=](DaemonSettings &settings, const std::string &text) {
+            const auto parsed = parseDecimal(text, range.least, range.most);
+            set(settings, parsed.value);
+            return parsed.error;
+        });
+    }
+
     using EndpointSetter = std::function<void(DaemonSettings &, const Endpoint &)>;
     auto endpoint(const std::string &key, const std::string &meaning, const EndpointSetter &set) -> SpecBuilder &
     {
@@ -120,9 +136,9 @@
 {
     table.section("process")
         .word("role",
-              {"entry", "agent"},
+              {"entry", "agent", "gateway"},
               "",
-              "what this process is: entry on an entry host, agent in a target's slot",
+              "what this process is: entry on an entry host, agent in a target's slot, gateway on an entry host where targets have no agents",
               [](Settings &s, std::size_t index) { s.process.role = static_cast<ProcessRole>(index); })
         .name("id", "of the entry, or of the target that the agent stands beside", [](Settings &s, const std::string &text) { s.process.id = text; })
         .name("zone", "availability zone of this host", [](Settings &s, const std::string &text) { s.process.zone = ZoneName(text); })
@@ -139,7 +155,10 @@
                   "both roles: for the system's other processes; an agent's is also the lock of its slot",
                   [](Settings &s, const Endpoint &e) { s.listen.peers = e; })
         .endpoint("operators", "entries: gRPC for operators; absent: none", [](Settings &s, const Endpoint &e) { s.listen.operators = e; })
-        .endpoint("metrics", "agents: HTTP for /metrics, /healthz and /readyz; absent: none", [](Settings &s, const Endpoint &e) { s.listen.metrics = e; });
+        .endpoint("metrics",
+                  "agents and gateways: HTTP for /metrics, /healthz and /readyz; absent: none",
+                  [](Settings &s, const Endpoint &e) { s.listen.metrics = e; })
+        .endpoint("ready", "gateways: answers 200 while new connections are welcome", [](Settings &s, const Endpoint &e) { s.listen.ready = e; });
 }
 
 auto addPlatform(SpecBuilder &table) -> void
@@ -147,7 +166,8 @@
     table.section("platform")
         .endpoint("table", "transactional table service", [](Settings &s, const Endpoint &e) { s.platform.table = e; })
         .endpoint("objects", "object store", [](Settings &s, const Endpoint &e) { s.platform.objects = e; })
-        .endpoint("hosts", "list of live and leaving hosts", [](Settings &s, const Endpoint &e) { s.platform.hosts = e; });
+        .endpoint("hosts", "list of live and leaving hosts", [](Settings &s, const Endpoint &e) { s.platform.hosts = e; })
+        .endpoint("store", "gateways: rows that last, watched and changed under conditions", [](Settings &s, const Endpoint &e) { s.platform.store = e; });
 }
 
 auto addTarget(SpecBuilder &table) -> void
@@ -298,6 +318,54 @@
                  [](Settings &s, std::int64_t n) { s.timing.drainLimit = Duration::seconds(static_cast<double>(n)); });
 }
 
+auto addGateway(SpecBuilder &table) -> void
+{
+    constexpr double MostAllowance = 100000;
+    constexpr std::int64_t LeastLeaseMillis = 100;
+    constexpr std::int64_t MinuteInMillis = 60000;
+    constexpr std::int64_t HourInSeconds = 3600;
+    table.section("gateway")
+        .real("retry-ratio",
+              "",
+              {0, 1},
+              "0.2",
+              "sends beyond the first of a request, as a share of all requests",
+              [](Settings &s, double n) { s.gateway.retryRatio = n; })
+        .integer("retry-window-s",
+                 "s",
+                 {1, HourInSeconds},
+                 10,
+                 "the span over which that share is taken",
+                 [](Settings &s, std::int64_t n) { s.gateway.retryWindow = Duration::seconds(static_cast<double>(n)); })
+        .real("retry-allowance",
+              "",
+              {0, MostAllowance},
+              "50",
+              "such sends in a window beyond the share, of all gateways together",
+              [](Settings &s, double n) { s.gateway.retryAllowance = n; })
+        .integer("lease-ms",
+                 "ms",
+                 {LeastLeaseMillis, MinuteInMillis},
+                 3000,
+                 "how long one gateway may give orders to runners without renewing its lease",
+                 [](Settings &s, std::int64_t n) { s.gateway.lease = Duration::millis(n); })
+        .integer("stop-limit-s",
+                 "s",
+                 {1, HourInSeconds},
+                 8,
+                 "from the request to stop until the process is killed",
+                 [](Settings &s, std::int64_t n) { s.gateway.stopLimit = Duration::seconds(static_cast<double>(n)); })
+        .integer("load-window-s",
+                 "s",
+                 {1, HourInSeconds},
+                 5,
+                 "the span over which loads from the weight store are counted",
+                 [](Settings &s, std::int64_t n) { s.gateway.loadWindowSeconds = static_cast<int>(n); })
+        .real("load-overshoot", "", {1, 10}, "1", "factor on the loads that the weight store allows in that span", [](Settings &s, double n) {
+            s.gateway.loadOvershoot = n;
+        });
+}
+
 auto specs() -> const std::vector<SettingSpec> &
 {
     static const std::vector<SettingSpec> Table = [] {
@@ -311,6 +379,7 @@
         addPolicy(builder);
         addLog(builder);
         addTiming(builder);
+        addGateway(builder);
         return builder.build();
     }();
     return Table;
@@ -365,14 +434,18 @@
         {.section = "process", .key = "id"},
         {.section = "process", .key = "zone"},
         {.section = "listen", .key = "peers"},
-        {.section = "platform", .key = "table"},
-        {.section = "platform", .key = "objects"},
-        {.section = "platform", .key = "hosts"},
     };
-    if (role == ProcessRole::Entry) {
-        keys.push_back({.section = "listen", .key = "callers"});
+    if (role == ProcessRole::Gateway) {
+        keys.push_back({.section = "platform", .key = "store"});
     } else {
+        keys.push_back({.section = "platform", .key = "table"});
+        keys.push_back({.section = "platform", .key = "objects"});
+        keys.push_back({.section = "platform", .key = "hosts"});
+    }
+    if (role == ProcessRole::Agent) {
         keys.push_back({.section = "target", .key = "engine"});
+    } else {
+        keys.push_back({.section = "listen", .key = "callers"});
     }
     return keys;
 }
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -23,7 +23,8 @@
 
 // [SECTION] Values
 
-enum class ProcessRole { Entry, Agent };
+/// A gateway is an entry that reaches targets directly, without agents.
+enum class ProcessRole { Entry, Agent, Gateway };
 /// A runner drives an accelerator; a plain target is an instance of a plain service.
 enum class TargetKind { Runner, Plain };
 /// How floor and surge copies are planned; the last two are baselines for measurements.
@@ -42,13 +43,26 @@
     Endpoint callers; ///< entries
     Endpoint peers; ///< both roles; an agent's is also the lock of its slot
     std::optional<Endpoint> operators; ///< entries; gRPC
-    std::optional<Endpoint> metrics; ///< agents; entries serve metrics on the callers' port
+    std::optional<Endpoint> metrics; ///< agents and gateways; entries serve metrics on the callers' port
+    std::optional<Endpoint> ready; ///< gateways: answers whether this process takes new connections
 };
 
 struct PlatformSettings {
     Endpoint table;
     Endpoint objects;
     Endpoint hosts;
+    Endpoint store; ///< gateways: rows, watched and changed under conditions
+};
+
+/// What the deployment allows a gateway, and how soon it must act.
+struct GatewaySettings {
+    double retryRatio = 0; ///< sends beyond the first, as a share of the requests
+    Duration retryWindow;
+    double retryAllowance = 0; ///< such sends in a window, over all gateways together, beyond the share
+    Duration lease; ///< of the one gateway that gives orders to runners
+    Duration stopLimit; ///< from the request to stop until the process must be gone
+    int loadWindowSeconds = 0; ///< over which loads from the weight store are counted
+    double loadOvershoot = 0; ///< factor on the loads allowed in that window
 };
 
 struct TargetSettings {
@@ -104,6 +118,7 @@
     PolicySettings policy;
     LogSettings log;
     TimingSettings timing;
+    GatewaySettings gateway;
 };
 
 // [SECTION] Reading
