--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -102,6 +102,7 @@
     std::map<EntryId, HeardWork> heard;
     std::map<std::string, double> readMillis; ///< per token, by model
     std::map<ServiceName, double> plainMillis;
+    std::map<std::string, double> meanRead; ///< milliseconds of reading that a request of the model took, by model
     std::vector<std::pair<TargetId, PromptChain>> newlyRead;
     std::uint64_t digests = 0;
 
@@ -178,6 +179,13 @@
     return found == d->targets.end() ? 0 : d->failuresOf(found->second, now);
 }
 
+auto Dispatcher::occupancy(const std::string &model, Duration ran, double slots) const -> double
+{
+    const auto found = d->meanRead.find(model);
+    const double read = found == d->meanRead.end() ? 0 : found->second / 1000;
+    return read + ran.inSeconds() / std::max(slots, 1.0);
+}
+
 auto Dispatcher::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
 {
     d->engines[service] = engine;
@@ -375,6 +383,8 @@
     state.tokens += send.tokens;
     if (!request.model.empty()) {
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slowness;
+        auto &mean = d->meanRead.try_emplace(request.model, send.readMillis).first->second;
+        mean += (send.readMillis - mean) * d->options.learnRate;
         state.unreadMillis += send.readMillis;
         state.readUntil = std::max(state.readUntil, now) + fromMillis(send.readMillis);
         state.cache.touch(request.prompt);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -125,6 +125,9 @@
     auto running(const TargetId &target, TimePoint now) const -> int; ///< of all entries
     auto failures(const TargetId &target, TimePoint now) const -> double;
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
+    /// The part of a runner that one request of the model takes, as a span of the whole runner: reading its prompt, and one of `slots`
+    /// places for as long as it ran.
+    auto occupancy(const std::string &model, Duration ran, double slots) const -> double; ///< seconds
 
     // Commands: who is there
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
--- /dev/null
+++ b/src/core/orderlease.h
@@ -0,0 +1,119 @@
+// The lease of the one gateway that gives orders to runners: a row of the store that is changed under conditions, renewed while it is
+// held, and taken over when its holder is gone. Pure: what was read, written and heard goes in with a time; the next step comes out.
+//
+// Two holders must never give orders at once: runners of some deployments act on whatever order comes. So
+//   - a holder stops before its time is over, counted from before the write that renewed it left;
+//   - a successor takes the row only if it saw it unchanged for a whole lease, by its own clock, and heard nothing of the holder as long.
+// No two clocks are compared. They must count the time that a host was suspended.
+//
+// The second condition lets a holder go on while the store is away: as long as every other gateway that it knows of has lately said that
+// it hears the holder, none of them can have begun to count. A store that is away for seconds would otherwise leave every request
+// waiting that needs an adapter loaded.
+//
+// Index of sections (search for [SECTION]):
+//   Steps        what the owner is to do
+//   OrderLease   the state
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace KingCup
+{
+
+// [SECTION] Steps
+
+/// One start of a gateway: "ID#INCARNATION".
+using HolderName = StrongName<struct HolderNameTag>;
+
+enum class LeaseStep {
+    None,
+    Read, ///< the row, then rowRead()
+    Write, ///< the row under the version that writeStarted() answers, then written() and its kin
+};
+
+struct LeaseWrite {
+    RowVersion expected; ///< 0: there must be no row
+    std::string value;
+};
+
+struct OrderLeaseOptions {
+    Duration duration = Duration::seconds(3);
+    Duration margin = Duration::millis(300); ///< a holder stops this long before its time is over: an order under way still has to arrive
+    Duration renewAfter = Duration::millis(1200); ///< two more tries fit into the rest of a lease of 3 s
+    Duration retryAfter = Duration::millis(300); ///< between tries that failed
+    Duration stagger = Duration::millis(400); ///< gateways that want the row spread their tries over this
+    Duration silence = Duration::seconds(1); ///< without word from the holder before the row is looked at: five of its digests
+};
+
+// [SECTION] OrderLease
+
+class OrderLease
+{
+public:
+    OrderLease(HolderName self, OrderLeaseOptions options, TimePoint startedAt);
+
+    // Queries
+    auto mayOrder(TimePoint now) const -> bool;
+    auto isHolder() const -> bool; ///< it wrote the row last, as far as it knows; mayOrder() says whether that still counts
+    auto fence() const -> Fence; ///< of this tenure; 0: never held
+    auto holder() const -> const HolderName &; ///< as last heard or read; may be this gateway
+    auto lastHolderSequence() const -> std::uint64_t; ///< of the holder's digests that were heard
+    auto nextStep(TimePoint now) const -> LeaseStep;
+
+    // Commands: the row
+    auto readStarted(TimePoint now) -> void;
+    auto rowRead(RowVersion version, const std::string &value, TimePoint now) -> void; ///< version 0: there is no row
+    auto writeStarted(TimePoint now) -> LeaseWrite;
+    auto written(RowVersion version, TimePoint now) -> void;
+    auto writeRefused(TimePoint now) -> void; ///< certainly without effect, or another version stands there: reads next
+    auto writeUnclear(TimePoint now) -> void; ///< reads next, to see
+    auto readFailed(TimePoint now) -> void;
+
+    // Commands: other gateways
+    /// A digest of a gateway that holds the lease.
+    auto holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, TimePoint now) -> void;
+    /// This gateway sends a digest with that number.
+    auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
+    /// Another gateway says which of this gateway's digests it has heard last.
+    auto peerHears(const EntryId &peer, std::uint64_t sequence) -> void;
+    /// Gateways that may want the lease: the extension needs the word of each.
+    auto setPeers(const std::set<EntryId> &peers) -> void;
+
+private:
+    struct Write {
+        std::uint64_t number = 0;
+        TimePoint sentAt;
+    };
+    auto validUntil() const -> TimePoint;
+    auto peersUntil() const -> std::optional<TimePoint>;
+    auto lose() -> void;
+    auto valueOf(std::uint64_t number) const -> std::string;
+
+    HolderName m_self;
+    OrderLeaseOptions m_options;
+    bool m_holds = false;
+    Fence m_fence;
+    RowVersion m_version; ///< of the row as last seen
+    TimePoint m_seenSince; ///< since when it has that version, by own sight
+    bool m_isRowKnown = false;
+    bool m_mustRead = true;
+    bool m_underWay = false;
+    TimePoint m_nextTry;
+    TimePoint m_renewedAt; ///< when the last write that took effect left
+    std::map<std::uint64_t, TimePoint> m_writes; ///< by number, when each left
+    std::uint64_t m_lastWrite = 0;
+    HolderName m_holder;
+    std::uint64_t m_holderSequence = 0;
+    TimePoint m_holderHeardAt;
+    std::map<std::uint64_t, TimePoint> m_digests; ///< own ones, when each left
+    std::map<EntryId, std::uint64_t> m_peers; ///< the last own digest that each has heard; 0: none
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/runnerbook.cpp
@@ -0,0 +1,330 @@
+#include "core/runnerbook.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// After a report that didn't help, until the next one is asked for.
+constexpr auto ReportPause = Duration::millis(150);
+
+auto contains(const std::vector<std::string> &list, std::string_view text) -> bool
+{
+    return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+} // namespace
+
+auto toString(WeightSource source) -> const char *
+{
+    switch (source) {
+    case WeightSource::Memory:
+        return "memory";
+    case WeightSource::Disk:
+        return "disk";
+    case WeightSource::Store:
+        return "store";
+    }
+    return "?";
+}
+
+RunnerBook::RunnerBook(RunnerBookOptions options)
+    : m_options(options)
+{
+}
+
+auto RunnerBook::description() const -> const TargetDescription &
+{
+    return m_description;
+}
+
+auto RunnerBook::isKnown() const -> bool
+{
+    return m_isKnown;
+}
+
+auto RunnerBook::isAsked() const -> bool
+{
+    return m_isAsked || m_sent;
+}
+
+auto RunnerBook::ordersTaken() const -> std::uint64_t
+{
+    return m_description.ordersTaken;
+}
+
+auto RunnerBook::model(std::string_view name) -> HeldModel *
+{
+    auto &models = m_description.models;
+    const auto found = std::find_if(models.begin(), models.end(), [&](const HeldModel &held) { return held.name == name; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+auto RunnerBook::freeMemory(const EngineDeclaration &engine, TimePoint now) const -> Bytes
+{
+    Bytes used;
+    Bytes largest;
+    for (const auto &declared : engine.models) {
+        largest = std::max(largest, declared.weights);
+    }
+    for (const auto &held : m_description.models) {
+        const auto *declared = engine.model(held.name);
+        used += declared == nullptr ? largest : declared->weights;
+        used += declared == nullptr ? Bytes() : Bytes(declared->adapterWeights.count() * static_cast<std::int64_t>(held.adapters.size()));
+    }
+    for (const auto &under : m_adapters) {
+        const auto *declared = engine.model(under.order.model);
+        used += declared == nullptr ? Bytes() : declared->adapterWeights;
+    }
+    if (m_modelOrder) {
+        // Loaded, or not yet given back: an unload waits for the requests that still run.
+        const auto *declared = engine.model(m_modelOrder->order.model);
+        used += declared == nullptr ? largest : declared->weights;
+    }
+    if (mayStillTakeLateOrders(now)) {
+        used += largest;
+    }
+    return engine.memory - used;
+}
+
+auto RunnerBook::freeAdapterSlots(const EngineDeclaration &engine, TimePoint now) const -> int
+{
+    std::size_t used = m_adapters.size() + (mayStillTakeLateOrders(now) ? 1 : 0);
+    for (const auto &held : m_description.models) {
+        used += held.adapters.size();
+    }
+    return engine.adapterSlots - static_cast<int>(used);
+}
+
+auto RunnerBook::isBusy() const -> bool
+{
+    return m_modelOrder.has_value();
+}
+
+auto RunnerBook::loading() const -> std::optional<std::string>
+{
+    return m_modelOrder && m_modelOrder->order.isLoad ? std::optional(m_modelOrder->order.model) : std::nullopt;
+}
+
+auto RunnerBook::sourceOf(std::string_view model) const -> WeightSource
+{
+    if (contains(m_description.weightsInMemory, model)) {
+        return WeightSource::Memory;
+    }
+    return contains(m_description.weightsOnDisk, model) ? WeightSource::Disk : WeightSource::Store;
+}
+
+auto RunnerBook::mayStillTakeLateOrders(TimePoint now) const -> bool
+{
+    return now < m_lateUntil;
+}
+
+auto RunnerBook::holdsAdapter(std::string_view model, std::string_view adapter) const -> bool
+{
+    const auto *held = m_description.model(model);
+    const auto isUnderWay = std::any_of(m_adapters.begin(), m_adapters.end(), [&](const Under &under) {
+        return under.order.model == model && under.order.adapter == adapter;
+    });
+    return isUnderWay || (held != nullptr && held->hasAdapter(adapter));
+}
+
+auto RunnerBook::mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool
+{
+    if (!m_isKnown || isAsked() || m_description.isLeaving || isBusy()) {
+        return false;
+    }
+    const auto *held = m_description.model(order.model);
+    const auto *declared = engine.model(order.model);
+    if (declared == nullptr && order.isLoad) {
+        return false;
+    }
+    if (order.adapter.empty()) {
+        return order.isLoad ? held == nullptr && freeMemory(engine, now) >= declared->weights : held != nullptr;
+    }
+    if (!order.isLoad) {
+        return held != nullptr && held->hasAdapter(order.adapter);
+    }
+    const bool hasRoom = freeAdapterSlots(engine, now) > 0 && freeMemory(engine, now) >= declared->adapterWeights;
+    return held != nullptr && !holdsAdapter(order.model, order.adapter) && hasRoom && static_cast<int>(m_adapters.size()) < m_options.adaptersUnderWay;
+}
+
+auto RunnerBook::needsReport(TimePoint now) const -> bool
+{
+    if (m_isAsked || m_sent || now < m_reportAt) {
+        return false;
+    }
+    return !m_isKnown || (m_modelOrder && now >= m_modelOrder->doneAt);
+}
+
+auto RunnerBook::advance(TimePoint now) -> bool
+{
+    bool changed = false;
+    for (const auto &under : m_adapters) {
+        if (now >= under.doneAt) {
+            apply(under.order);
+            changed = true;
+        }
+    }
+    std::erase_if(m_adapters, [&](const Under &under) { return now >= under.doneAt; });
+    return changed;
+}
+
+auto RunnerBook::seen(const TargetDescription &description, TimePoint now) -> void
+{
+    if (m_description.incarnation != description.incarnation) {
+        const bool isSameId = m_description.incarnation.id == description.incarnation.id;
+        const auto unansweredUntil = m_unansweredUntil;
+        *this = RunnerBook(m_options);
+        m_lateUntil = isSameId ? unansweredUntil : TimePoint();
+        m_unansweredUntil = unansweredUntil;
+        m_description = description;
+        m_isKnown = true;
+        m_reportAt = now;
+        return;
+    }
+    // The row is written when more than the number of orders changes; adapters come and go without it.
+    const bool isNewer = description.ordersTaken >= m_description.ordersTaken && !m_sent;
+    auto kept = std::move(m_description);
+    m_description = description;
+    if (!isNewer || (m_isKnown && description.ordersTaken == kept.ordersTaken && !m_modelOrder)) {
+        m_description.ordersTaken = kept.ordersTaken;
+        m_description.models = std::move(kept.models);
+        return;
+    }
+    settle();
+}
+
+/// A model order that is done according to what was just read is no longer under way.
+auto RunnerBook::settle() -> void
+{
+    if (!m_modelOrder) {
+        return;
+    }
+    const bool isHeld = model(m_modelOrder->order.model) != nullptr;
+    if (isHeld == m_modelOrder->order.isLoad) {
+        m_modelOrder.reset();
+    }
+}
+
+auto RunnerBook::reportAsked(TimePoint /*now*/) -> void
+{
+    m_isAsked = true;
+}
+
+auto RunnerBook::reported(const RunnerReport &report, TimePoint now) -> void
+{
+    m_isAsked = false;
+    m_reportAt = now + ReportPause;
+    if (report.bornMillis && m_description.incarnation.bornMillis != 0 && *report.bornMillis != m_description.incarnation.bornMillis) {
+        return; // another start than the row's: the row will follow
+    }
+    if (report.ordersTaken < m_description.ordersTaken && m_isKnown) {
+        return; // older than what was already known
+    }
+    m_description.ordersTaken = report.ordersTaken;
+    m_description.models = report.models;
+    if (!report.weightsInMemory.empty() || !report.weightsOnDisk.empty()) {
+        m_description.weightsInMemory = report.weightsInMemory;
+        m_description.weightsOnDisk = report.weightsOnDisk;
+    }
+    m_adapters.clear();
+    for (const auto &pending : report.adaptersUnderWay) {
+        const auto slash = std::min(pending.find('/'), pending.size());
+        m_adapters.push_back({{true, pending.substr(0, slash), pending.substr(std::min(slash + 1, pending.size()))}, {}, now + m_options.adapterTime});
+    }
+    m_isKnown = true;
+    if (!report.isBusy) {
+        m_modelOrder.reset();
+    } else if (!m_modelOrder) {
+        m_modelOrder = Under {{false, "", ""}, {}, now + ReportPause};
+    }
+}
+
+auto RunnerBook::reportFailed(TimePoint now) -> void
+{
+    m_isAsked = false;
+    m_reportAt = now + ReportPause * 2;
+}
+
+auto RunnerBook::ordered(const RunnerOrder &order, Duration expected, TimePoint now) -> void
+{
+    m_sent = Under {order, expected, now + expected};
+}
+
+auto RunnerBook::accepted(bool isDone, TimePoint now) -> void
+{
+    if (!m_sent) {
+        return;
+    }
+    auto under = *m_sent;
+    m_sent.reset();
+    under.doneAt = now + under.expected;
+    ++m_description.ordersTaken;
+    if (isDone || !under.order.isLoad) {
+        apply(under.order);
+    }
+    if (isDone) {
+        return;
+    }
+    if (under.order.adapter.empty()) {
+        m_modelOrder = under;
+    } else if (under.order.isLoad) {
+        m_adapters.push_back(under);
+    }
+}
+
+auto RunnerBook::apply(const RunnerOrder &order) -> void
+{
+    auto &models = m_description.models;
+    auto *held = model(order.model);
+    if (order.adapter.empty()) {
+        if (order.isLoad && held == nullptr) {
+            models.push_back({order.model, 0, {}});
+        } else if (!order.isLoad) {
+            std::erase_if(models, [&](const HeldModel &some) { return some.name == order.model; });
+        }
+        return;
+    }
+    if (held == nullptr) {
+        return;
+    }
+    std::erase(held->adapters, order.adapter);
+    if (order.isLoad) {
+        held->adapters.push_back(order.adapter);
+    }
+}
+
+auto RunnerBook::refused(TimePoint now) -> void
+{
+    m_sent.reset();
+    m_isKnown = false;
+    m_reportAt = now;
+}
+
+auto RunnerBook::unanswered(TimePoint now) -> void
+{
+    m_sent.reset();
+    m_isKnown = false;
+    m_reportAt = now;
+    m_unansweredUntil = now + m_options.latestOrder;
+}
+
+auto RunnerBook::doubt(TimePoint now) -> void
+{
+    if (m_isKnown) {
+        m_isKnown = false;
+        m_reportAt = std::max(m_reportAt, now);
+    }
+}
+
+auto RunnerBook::takenOver(TimePoint now) -> void
+{
+    m_isKnown = false;
+    m_reportAt = now;
+    m_unansweredUntil = now + m_options.latestOrder;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/runnerbook.h
@@ -0,0 +1,108 @@
+// What the gateway that gives orders knows of one runner: what it holds, how many orders it has taken, and which may still take effect.
+//
+// Every order names the number of orders that the runner must have taken before, and the runner refuses it otherwise, also when it comes
+// late. So an order that got no answer can only ever act on the very state that it was made for, and what is ordered next under the same
+// number excludes it. One case is left: a runner that starts again under its id counts from 0, and a late order from before may
+// meet the same number there. After such a start room for one more model and adapter is kept free until no order can be that late.
+//
+// Index of sections (search for [SECTION]):
+//   Orders       what may be ordered
+//   RunnerBook   the state
+#pragma once
+
+#include "core/targetinfo.h"
+#include "core/traffic.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Orders
+
+struct RunnerOrder {
+    bool isLoad = true; ///< else an unload
+    std::string model;
+    std::string adapter; ///< empty: the model itself
+
+    auto operator==(const RunnerOrder &) const -> bool = default;
+};
+
+/// Where a runner would take a model's weights from.
+enum class WeightSource { Memory, Disk, Store };
+auto toString(WeightSource source) -> const char *;
+
+struct RunnerBookOptions {
+    Duration latestOrder = Duration::seconds(13); ///< an order without an answer takes effect within this, or never
+    Duration adapterTime = Duration::millis(12); ///< an adapter is usable this long after its load was accepted
+    int adaptersUnderWay = 4; ///< at most, to one runner
+};
+
+// [SECTION] RunnerBook
+
+class RunnerBook
+{
+public:
+    explicit RunnerBook(RunnerBookOptions options = {});
+
+    // Queries
+    auto description() const -> const TargetDescription &; ///< models and adapters in it are those of this book
+    auto isKnown() const -> bool; ///< what it holds and the number of its orders; else ask for its report
+    auto isAsked() const -> bool; ///< an order or a report is under way
+    auto ordersTaken() const -> std::uint64_t; ///< for the next order
+    auto freeMemory(const EngineDeclaration &engine, TimePoint now) const -> Bytes;
+    auto freeAdapterSlots(const EngineDeclaration &engine, TimePoint now) const -> int;
+    auto isBusy() const -> bool; ///< carrying out an order on a model, as far as known
+    auto sourceOf(std::string_view model) const -> WeightSource;
+    auto loading() const -> std::optional<std::string>; ///< the model being loaded
+    auto mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool;
+    auto holdsAdapter(std::string_view model, std::string_view adapter) const -> bool; ///< loaded, or under way
+    auto mayStillTakeLateOrders(TimePoint now) const -> bool;
+    auto needsReport(TimePoint now) const -> bool; ///< an order should be done by now, or nothing is known
+
+    // Commands
+    /// Adapters whose load should be done count as held. True if that changed anything.
+    auto advance(TimePoint now) -> bool;
+    /// From its row. A new start forgets everything.
+    auto seen(const TargetDescription &description, TimePoint now) -> void;
+    auto reportAsked(TimePoint now) -> void;
+    auto reported(const RunnerReport &report, TimePoint now) -> void;
+    auto reportFailed(TimePoint now) -> void;
+    /// `expected`: how long it takes.
+    auto ordered(const RunnerOrder &order, Duration expected, TimePoint now) -> void;
+    auto accepted(bool isDone, TimePoint now) -> void;
+    auto refused(TimePoint now) -> void; ///< certainly without effect; what is known of it is wrong
+    auto unanswered(TimePoint now) -> void;
+    /// A request met something else there than this book says: asked for its report.
+    auto doubt(TimePoint now) -> void;
+    /// Who gives orders is new: another gateway's last ones may still be on their way.
+    auto takenOver(TimePoint now) -> void;
+
+private:
+    struct Under {
+        RunnerOrder order;
+        Duration expected;
+        TimePoint doneAt; ///< probably; known once accepted
+    };
+    auto apply(const RunnerOrder &order) -> void;
+    auto settle() -> void;
+    auto model(std::string_view name) -> HeldModel *;
+
+    RunnerBookOptions m_options;
+    TargetDescription m_description;
+    bool m_isKnown = false;
+    bool m_isAsked = false;
+    std::optional<Under> m_sent; ///< an order without an answer yet
+    std::optional<Under> m_modelOrder; ///< accepted, being carried out
+    std::vector<Under> m_adapters; ///< accepted loads that aren't usable yet
+    TimePoint m_lateUntil; ///< orders from before this start may still come
+    TimePoint m_unansweredUntil; ///< the last order without an answer may still come
+    TimePoint m_reportAt; ///< not before
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/targetview.cpp
@@ -0,0 +1,112 @@
+#include "core/targetview.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCup
+{
+
+TargetView::TargetView(TargetViewOptions options)
+    : m_options(options)
+{
+}
+
+auto TargetView::isSettled(TimePoint now) const -> bool
+{
+    return !m_hadTrouble || now - m_troubleAt >= m_options.trustSpan;
+}
+
+auto TargetView::find(const TargetId &target) const -> const TargetDescription *
+{
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+auto TargetView::targets() const -> const std::map<TargetId, TargetDescription> &
+{
+    return m_targets;
+}
+
+auto TargetView::trouble(TimePoint now) -> void
+{
+    m_hadTrouble = true;
+    m_troubleAt = now;
+}
+
+auto TargetView::table(const std::vector<TargetDescription> &rows, TimePoint now) -> TargetChanges
+{
+    TargetChanges changes;
+    std::set<TargetId> present;
+    for (const auto &description : rows) {
+        present.insert(description.incarnation.id);
+        auto one = row(description, now);
+        std::move(one.seen.begin(), one.seen.end(), std::back_inserter(changes.seen));
+    }
+    std::vector<TargetId> absent;
+    for (const auto &[id, description] : m_targets) {
+        if (!present.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const auto &id : absent) {
+        auto one = rowGone(id, now);
+        std::move(one.gone.begin(), one.gone.end(), std::back_inserter(changes.gone));
+    }
+    return changes;
+}
+
+auto TargetView::row(const TargetDescription &description, TimePoint /*now*/) -> TargetChanges
+{
+    m_missing.erase(description.incarnation.id);
+    m_targets[description.incarnation.id] = description;
+    return {.seen = {description}, .gone = {}};
+}
+
+auto TargetView::rowGone(const TargetId &target, TimePoint now) -> TargetChanges
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end()) {
+        return {};
+    }
+    // One that had said that it leaves is gone for certain.
+    if (!isSettled(now) && !found->second.isLeaving) {
+        m_missing.try_emplace(target, now + m_options.settleTime);
+        return {};
+    }
+    m_targets.erase(found);
+    m_missing.erase(target);
+    return {.seen = {}, .gone = {target}};
+}
+
+auto TargetView::saidLeaving(const TargetIncarnation &target, TimePoint /*now*/) -> TargetChanges
+{
+    const auto found = m_targets.find(target.id);
+    if (found == m_targets.end() || found->second.isLeaving || found->second.incarnation != target) {
+        return {};
+    }
+    found->second.isLeaving = true;
+    return {.seen = {found->second}, .gone = {}};
+}
+
+auto TargetView::misdirected(const TargetId &target) -> TargetChanges
+{
+    m_missing.erase(target);
+    return m_targets.erase(target) > 0 ? TargetChanges {.seen = {}, .gone = {target}} : TargetChanges {};
+}
+
+auto TargetView::advance(TimePoint now) -> TargetChanges
+{
+    TargetChanges changes;
+    for (auto missing = m_missing.begin(); missing != m_missing.end();) {
+        if (now < missing->second || (m_hadTrouble && now - m_troubleAt < m_options.settleTime)) {
+            ++missing;
+            continue;
+        }
+        m_targets.erase(missing->first);
+        changes.gone.push_back(missing->first);
+        missing = m_missing.erase(missing);
+    }
+    return changes;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/targetview.h
@@ -0,0 +1,58 @@
+// Which targets are there, by their rows in the store. Pure.
+//
+// A row that goes says that its target has left, and nothing new is sent there. But the store drops rows by their silence, and while it was
+// away itself, targets that are well could not be heard: their rows go, and come back within two seconds of its return. Believed at
+// once, such a gap would leave callers without any target. So a row that goes during trouble, or soon after, is kept that long.
+#pragma once
+
+#include "core/targetinfo.h"
+#include "core/units.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace KingCup
+{
+
+struct TargetViewOptions {
+    Duration settleTime = Duration::millis(2600); ///< after trouble: targets are back within two seconds, and their rows have to arrive
+    Duration trustSpan = Duration::millis(3000); ///< without trouble until a row that goes is believed at once
+};
+
+struct TargetChanges {
+    std::vector<TargetDescription> seen; ///< new or changed
+    std::vector<TargetId> gone;
+};
+
+class TargetView
+{
+public:
+    explicit TargetView(TargetViewOptions options = {});
+
+    auto isSettled(TimePoint now) const -> bool; ///< rows that go are believed at once
+    auto find(const TargetId &target) const -> const TargetDescription *;
+    auto targets() const -> const std::map<TargetId, TargetDescription> &;
+
+    /// The store wasn't reached, here or by another gateway.
+    auto trouble(TimePoint now) -> void;
+    /// The whole table.
+    auto table(const std::vector<TargetDescription> &rows, TimePoint now) -> TargetChanges;
+    auto row(const TargetDescription &description, TimePoint now) -> TargetChanges;
+    /// The row is gone, or names no target any more.
+    auto rowGone(const TargetId &target, TimePoint now) -> TargetChanges;
+    /// Another gateway knows that it leaves. Another start under the same id is another target.
+    auto saidLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges;
+    /// It isn't at its address any more, whatever its row says.
+    auto misdirected(const TargetId &target) -> TargetChanges;
+    auto advance(TimePoint now) -> TargetChanges; ///< call a few times a second
+
+private:
+    TargetViewOptions m_options;
+    std::map<TargetId, TargetDescription> m_targets;
+    std::map<TargetId, TimePoint> m_missing; ///< rows that went during trouble, with when they are believed to be gone
+    TimePoint m_troubleAt;
+    bool m_hadTrouble = false;
+};
+
+} // namespace KingCup
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -9,7 +9,7 @@
 #include "core/membership.h"
 #include "core/placement.h"
 #include "core/routing.h"
-#include "entry/peerlinks.h"
+#include "wire/peerlinks.h"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/src/gateway/digests.h
@@ -0,0 +1,23 @@
+// What gateways tell each other, as messages.
+#pragma once
+
+#include "core/demand.h"
+#include "core/dispatch.h"
+#include "core/targetinfo.h"
+#include "wire/messages.h"
+
+#include <vector>
+
+namespace KingCup
+{
+
+auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void;
+auto workOf(const Wire::GatewayDigest &message) -> WorkDigest;
+
+auto writeDemand(const DemandDigest &demand, Wire::GatewayDigest &message) -> void;
+auto demandOf(const Wire::GatewayDigest &message, const EntryId &entry) -> DemandDigest;
+
+auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame;
+auto modelsOf(const Wire::Holding &holding) -> std::vector<HeldModel>;
+
+} // namespace KingCup
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -246,6 +246,7 @@
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
+    m_owner.hooks.onSent(choice.target, m_request);
     m_owner.parts.log.line("routing", "chosen")
         .add("id", m_traits.attempt.text())
         .add("route", m_route.name)
@@ -396,6 +397,7 @@
     ++m_mayHaveRun;
     const bool isFailure = m_head.status >= StatusServerError || promisesNotRun(m_head.status);
     closeSend(isFailure ? SendResult::Failed : SendResult::Delivered);
+    m_owner.hooks.onServed(m_request, now() - m_sentAt);
     if (isFailure && !m_passing && mayRunAgain() && maySendAgain()) {
         sendAgain();
         return;
@@ -434,7 +436,7 @@
     closeSend(SendResult::Rejected);
     m_owner.parts.log.line("attempt", "not-run").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", m_head.status);
     if (m_answer.isMisdirected) {
-        m_owner.hooks.onMisdirected(m_target, m_answer.target);
+        m_owner.hooks.onMisdirected(m_target, m_answer.target, m_request.model, m_request.adapter);
     }
     m_request.excluded.push_back(m_target);
     if (maySendAgain()) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -40,7 +40,10 @@
 struct ForwarderHooks {
     std::function<bool()> isTrafficCurrent; ///< the declared traffic was confirmed lately, so what it lacks isn't there
     std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter)> onMissing; ///< no target holds it
-    std::function<void(const TargetId &target, const TargetId &found)> onMisdirected; ///< another target has that address, or it lacks the model
+    /// Another target has that address, or this one lacks the model or adapter. `found`: who answered; empty if it didn't say.
+    std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
+    std::function<void(const TargetId &target, const DispatchRequest &request)> onSent;
+    std::function<void(const DispatchRequest &request, Duration occupied)> onServed; ///< for how long the request took one place of a runner
 };
 
 struct ForwarderOptions {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,12 +1,20 @@
 // Index of sections (search for [SECTION]):
 //   Parts     the tasks and what they tell each other
-//   Store     declarations and targets
+//   Store     declarations, targets and gateways
+//   Requests  what the forwarder tells
+//   Peers     digests to and from other gateways
 //   Pages     readiness and metrics
 //   Leaving   planned stops
 #include "gateway/gateway.h"
 
+#include "core/demand.h"
+#include "core/targetview.h"
 #include "gateway/callerserver.h"
+#include "gateway/digests.h"
 #include "gateway/forwarder.h"
+#include "gateway/gatewaypeers.h"
+#include "gateway/ordertask.h"
+#include "gateway/registration.h"
 #include "gateway/storeclient.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
@@ -14,7 +22,6 @@
 #include "net/wallclock.h"
 
 #include <algorithm>
-
 #include <glog/logging.h>
 
 namespace KingCup
@@ -34,6 +41,12 @@
 constexpr auto StopMargin = Duration::millis(500);
 /// Without word from the store for so long, what the declared traffic lacks may have been declared meanwhile.
 constexpr auto CurrentWithin = Duration::seconds(2);
+/// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
+constexpr auto DigestPeriod = Duration::millis(200);
+/// A gateway that is behind for so long can't have the store's word under way any more.
+constexpr auto BehindPatience = Duration::millis(500);
+constexpr auto ForecastAhead = Duration::seconds(3);
+constexpr auto DemandBucket = Duration::millis(500);
 
 } // namespace
 
@@ -43,20 +56,32 @@
     EventLoop &loop;
     DaemonSettings settings;
     Protocol protocol;
+    std::uint64_t incarnation = wallMillis();
     EventLog log;
     Metrics metrics;
     HttpPool targetPool;
     HttpPool storePool;
     Dispatcher dispatcher;
+    TargetView view;
+    DemandForecast demand;
     StoreClient store;
+    std::unique_ptr<GatewayPeers> peers;
+    std::unique_ptr<OrderTask> orders;
     std::unique_ptr<Forwarder> forwarder;
     std::unique_ptr<CallerServer> callers;
     std::unique_ptr<CallerServer> readyPage;
     std::unique_ptr<CallerServer> metricsPage;
     std::unique_ptr<TableWatch> operatorsWatch;
     std::unique_ptr<TableWatch> targetsWatch;
+    std::unique_ptr<Registration> registration;
     std::shared_ptr<const Traffic> traffic;
-    TimePoint trafficLostAt; ///< when the store was last lost
+    std::string trafficDocument;
+    TimePoint storeLostAt;
+    Timer digestTimer;
+    std::uint64_t digests = 0;
+    std::map<std::string, TimePoint> behindSince; ///< gateways with an older version than ours
+    std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
+    std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
@@ -70,16 +95,31 @@
         , targetPool(loop)
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone})
+        , demand({.bucket = DemandBucket})
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
     }
     auto build() -> void;
+    auto buildPeers() -> void;
+    auto buildOrders() -> void;
     auto buildForwarder() -> void;
     auto buildPages() -> void;
     auto buildWatches() -> void;
-    auto adoptTraffic(const std::vector<StoredRow> &rows) -> void;
-    auto onTargetRow(const StoredRow &row) -> void;
-    auto onTargets(const std::vector<StoredRow> &rows) -> void;
+    auto onContact(const char *what, bool isReached) -> void;
+    auto onTrouble() -> void;
+    auto adoptRows(const std::vector<StoredRow> &rows) -> void;
+    auto adoptTraffic(const std::string &document) -> void;
+    auto onTargetRows(const std::vector<StoredRow> &rows, bool isWhole) -> void;
+    auto apply(const TargetChanges &changes) -> void;
+    auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
+    auto onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
+    auto onHolding(const TargetDescription &target) -> void;
+    auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
+    auto sendDigest() -> void;
+    auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
+    auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
+    auto onHoldingHeard(const Wire::Holding &holding) -> void;
+    auto bringUpToDate(const std::string &id, std::uint64_t version) -> void;
     auto isReady() const -> bool
     {
         return traffic && targetsWatch->isLoaded() && !isLeaving;
@@ -89,150 +129,446 @@
 
 auto Gateway::Private::build() -> void
 {
+    buildPeers();
+    buildOrders();
     buildForwarder();
     buildPages();
     buildWatches();
+    digestTimer = loop.every(DigestPeriod, [this] { sendDigest(); });
 }
 
-auto Gateway::Private::buildForwarder() -> void
+auto Gateway::Private::buildOrders() -> void
 {
-    ForwarderHooks hooks;
-    hooks.isTrafficCurrent = [this] {
-        return operatorsWatch->isReached() || loop.now() - trafficLostAt < CurrentWithin;
+    OrderTaskHooks hooks;
+    hooks.work = [this](const ServiceName &service) {
+        return work(service);
     };
-    hooks.onMissing = [](const ServiceName & /*service*/, const std::string & /*model*/, const std::string & /*adapter*/) {
+    hooks.load = [this](const TargetId &target) {
+        const auto *about = dispatcher.description(target);
+        return about == nullptr ? 0.0 : static_cast<double>(dispatcher.running(target, loop.now())) / std::max(about->slots, 1);
     };
-    hooks.onMisdirected = [](const TargetId & /*target*/, const TargetId & /*found*/) {
+    hooks.onHolding = [this](const TargetDescription &target) {
+        onHolding(target);
     };
-    ForwarderOptions options;
-    options.seed = wallMillis();
-    options.streamBuffer = settings.limits.streamBuffer;
-    forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, metrics, log}, options, std::move(hooks));
-    forwarder->setRetryBudget({.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+    OrderTaskSettings orderSettings;
+    orderSettings.self = HolderName(settings.process.id + "#" + std::to_string(incarnation));
+    orderSettings.lease.duration = settings.gateway.lease;
+    orderSettings.loadWindow = Duration::seconds(settings.gateway.loadWindowSeconds);
+    orderSettings.loadOvershoot = settings.gateway.loadOvershoot;
+    orders = std::make_unique<OrderTask>(OrderTaskParts {loop, protocol, targetPool, store, metrics, log}, orderSettings, std::move(hooks));
 }
 
-// [SECTION] Pages
+// [SECTION] Store
 
-auto Gateway::Private::buildPages() -> void
+auto Gateway::Private::onContact(const char *what, bool isReached) -> void
 {
-    callers = std::make_unique<CallerServer>(loop, settings.listen.callers, [this](const CallerExchangePtr &exchange) { forwarder->handle(exchange); });
-    if (settings.listen.ready) {
-        readyPage = std::make_unique<CallerServer>(
-            loop, *settings.listen.ready, [this](const CallerExchangePtr &exchange) { exchange->respond(isReady() ? StatusOk : StatusUnavailable, {}, ""); });
-    }
-    if (settings.listen.metrics) {
-        metricsPage = std::make_unique<CallerServer>(loop, *settings.listen.metrics, [this](const CallerExchangePtr &exchange) {
-            const bool isKnown = exchange->head().target == "/metrics";
-            exchange->respond(isKnown ? StatusOk : StatusNotFound, {{"Content-Type", "text/plain; version=0.0.4"}}, isKnown ? metrics.text() : "");
-        });
+    log.line("store", isReached ? "reached" : "not-reached").add("for", what);
+    metrics.set(std::string("store_reached{table=\"") + what + "\"}", isReached ? 1 : 0);
+    if (!isReached) {
+        onTrouble();
     }
 }
 
-// [SECTION] Store
+auto Gateway::Private::onTrouble() -> void
+{
+    storeLostAt = loop.now();
+    view.trouble(loop.now());
+}
 
 auto Gateway::Private::buildWatches() -> void
 {
     TableWatchHooks operators;
     operators.onTable = [this](const std::vector<StoredRow> &rows) {
-        adoptTraffic(rows);
+        adoptRows(rows);
     };
     operators.onChanges = operators.onTable;
     operators.onContact = [this](bool isReached) {
-        if (!isReached) {
-            trafficLostAt = loop.now();
-        }
-        log.line("store", isReached ? "reached" : "not-reached").add("for", "declarations");
+        onContact("declarations", isReached);
     };
     operatorsWatch = std::make_unique<TableWatch>(loop, store, log, StoreTable::Operators, TableWatchOptions(), std::move(operators));
     TableWatchHooks targets;
     targets.onTable = [this](const std::vector<StoredRow> &rows) {
-        onTargets(rows);
+        onTargetRows(rows, true);
     };
     targets.onChanges = [this](const std::vector<StoredRow> &rows) {
-        for (const auto &row : rows) {
-            onTargetRow(row);
-        }
-        forwarder->pump();
+        onTargetRows(rows, false);
     };
     targets.onContact = [this](bool isReached) {
-        log.line("store", isReached ? "reached" : "not-reached").add("for", "targets");
+        onContact("targets", isReached);
     };
     targetsWatch = std::make_unique<TableWatch>(loop, store, log, StoreTable::Targets, TableWatchOptions(), std::move(targets));
+    RegistrationSettings self;
+    self.id = settings.process.id;
+    self.zone = settings.process.zone;
+    self.peers = settings.listen.peers;
+    self.incarnation = incarnation;
+    RegistrationHooks hooks;
+    hooks.onGateways = [this](const std::vector<ListedHost> &hosts) {
+        peers->setHosts(hosts);
+        std::set<EntryId> others;
+        for (const auto &host : hosts) {
+            if (host.id != settings.process.id) {
+                others.insert(EntryId(host.id));
+            }
+        }
+        orders->lease().setPeers(others);
+    };
+    hooks.onContact = [this](bool isReached) {
+        onContact("gateways", isReached);
+    };
+    registration = std::make_unique<Registration>(loop, store, log, self, std::move(hooks));
 }
 
-auto Gateway::Private::adoptTraffic(const std::vector<StoredRow> &rows) -> void
+auto Gateway::Private::adoptRows(const std::vector<StoredRow> &rows) -> void
 {
     for (const auto &row : rows) {
-        if (row.key != protocol.store.trafficKey || row.isRemoved) {
-            continue;
+        if (row.key == protocol.store.trafficKey && !row.isRemoved) {
+            adoptTraffic(row.value);
         }
-        auto decoded = protocol.decodeTraffic(row.value);
-        for (const auto &finding : decoded.findings) {
-            log.line("config", "finding").add("what", toString(finding));
+    }
+}
+
+auto Gateway::Private::adoptTraffic(const std::string &document) -> void
+{
+    auto decoded = protocol.decodeTraffic(document);
+    for (const auto &finding : decoded.findings) {
+        log.line("config", "finding").add("what", toString(finding));
+    }
+    // Never back: an answer that was under way while a newer one came must not undo it.
+    if (decoded.value.version <= (traffic ? traffic->version : TrafficVersion())) {
+        return;
+    }
+    traffic = std::make_shared<const Traffic>(std::move(decoded.value));
+    trafficDocument = document;
+    log.line("config", "adopted").add("version", traffic->version.value()).add("routes", static_cast<int>(traffic->routes.size()));
+    metrics.set("traffic_version", static_cast<double>(traffic->version.value()));
+    for (const auto &[name, service] : traffic->services) {
+        if (service.engine) {
+            dispatcher.adoptEngine(name, *service.engine);
+            orders->adoptEngine(name, *service.engine);
         }
-        // Never back: an answer that was under way while a newer one came must not undo it.
-        if (decoded.value.version <= (traffic ? traffic->version : TrafficVersion())) {
+    }
+    callers->setLimits(traffic->limits);
+    forwarder->adopt(traffic);
+}
+
+auto Gateway::Private::onTargetRows(const std::vector<StoredRow> &rows, bool isWhole) -> void
+{
+    std::vector<TargetDescription> readable;
+    for (const auto &row : rows) {
+        const auto target = row.isRemoved ? std::nullopt : protocol.decodeTarget(row.key, row.value);
+        if (target) {
+            readable.push_back(*target);
             continue;
         }
-        traffic = std::make_shared<const Traffic>(std::move(decoded.value));
-        log.line("config", "adopted").add("version", traffic->version.value()).add("routes", static_cast<int>(traffic->routes.size()));
-        for (const auto &[name, service] : traffic->services) {
-            if (service.engine) {
-                dispatcher.adoptEngine(name, *service.engine);
-            }
+        log.line("targets", row.isRemoved ? "row-removed" : "row-unreadable").add("target", row.key).add("version", row.version.value());
+        if (!isWhole) {
+            apply(view.rowGone(TargetId(row.key), loop.now()));
+        }
+    }
+    if (isWhole) {
+        apply(view.table(readable, loop.now()));
+    } else {
+        for (const auto &target : readable) {
+            apply(view.row(target, loop.now()));
         }
-        callers->setLimits(traffic->limits);
-        forwarder->adopt(traffic);
     }
+    forwarder->pump();
 }
 
-auto Gateway::Private::onTargetRow(const StoredRow &row) -> void
+auto Gateway::Private::apply(const TargetChanges &changes) -> void
 {
-    const auto target = row.isRemoved ? std::nullopt : protocol.decodeTarget(row.key, row.value);
-    if (target) {
-        log.line("targets", target->isLeaving ? "leaving" : "seen")
-            .add("target", row.key)
-            .add("service", target->service.text())
-            .add("address", toString(target->address))
-            .add("models", static_cast<int>(target->models.size()))
-            .add("version", row.version.value());
-        dispatcher.targetSeen(*target, loop.now());
-    } else {
-        log.line("targets", row.isRemoved ? "removed" : "unreadable").add("target", row.key).add("version", row.version.value());
-        dispatcher.targetGone(TargetId(row.key));
+    for (const auto &target : changes.seen) {
+        log.line("targets", target.isLeaving ? "leaving" : "seen")
+            .add("target", target.incarnation.id.text())
+            .add("born", target.incarnation.bornMillis)
+            .add("service", target.service.text())
+            .add("address", toString(target.address))
+            .add("models", static_cast<int>(target.models.size()))
+            .add("orders", target.ordersTaken);
+        dispatcher.targetSeen(target, loop.now());
+        orders->targetSeen(target);
+        if (target.isLeaving) {
+            leavingTold.try_emplace(target.incarnation, loop.now());
+        }
+    }
+    for (const auto &target : changes.gone) {
+        log.line("targets", "gone").add("target", target.text()).add("settled", view.isSettled(loop.now()));
+        if (const auto *about = dispatcher.description(target)) {
+            targetPool.forget(about->address);
+            leavingTold.try_emplace(about->incarnation, loop.now());
+        }
+        dispatcher.targetGone(target);
+        orders->targetGone(target);
     }
 }
 
-auto Gateway::Private::onTargets(const std::vector<StoredRow> &rows) -> void
+// [SECTION] Requests
+
+auto Gateway::Private::buildForwarder() -> void
 {
-    for (const auto &known : dispatcher.targets()) {
-        const auto isRow = [&](const StoredRow &row) {
-            return row.key == known.text();
-        };
-        if (std::none_of(rows.begin(), rows.end(), isRow)) {
-            dispatcher.targetGone(known);
+    ForwarderHooks hooks;
+    hooks.isTrafficCurrent = [this] {
+        return operatorsWatch->isReached() || loop.now() - storeLostAt < CurrentWithin;
+    };
+    hooks.onMissing = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
+        onMissing(service, model, adapter);
+    };
+    hooks.onMisdirected = [this](const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) {
+        onMisdirected(target, found, model, adapter);
+    };
+    hooks.onSent = [this](const TargetId &target, const DispatchRequest &request) {
+        if (!request.model.empty()) {
+            demand.arrived(ArtifactName(request.model), loop.now());
         }
+        if (!request.adapter.empty()) {
+            orders->adapterUsed(target, request.model, request.adapter);
+            adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
+        }
+    };
+    hooks.onServed = [this](const DispatchRequest &request, Duration occupied) {
+        if (!request.model.empty()) {
+            demand.served(ArtifactName(request.model), occupied);
+        }
+    };
+    ForwarderOptions options;
+    options.seed = wallMillis();
+    options.streamBuffer = settings.limits.streamBuffer;
+    forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, metrics, log}, options, std::move(hooks));
+    forwarder->setRetryBudget(
+        {.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+}
+
+auto Gateway::Private::onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
+{
+    if (orders->mayOrder()) {
+        orders->wanted(service, model, adapter);
+        return;
     }
-    for (const auto &row : rows) {
-        onTargetRow(row);
+    const auto &holder = orders->lease().holder().text();
+    Wire::ControlFrame frame;
+    frame.mutable_wanted()->set_service(service.text());
+    frame.mutable_wanted()->set_model(model);
+    frame.mutable_wanted()->set_adapter(adapter);
+    peers->send(holder.substr(0, holder.rfind('#')), frame);
+}
+
+auto Gateway::Private::onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void
+{
+    log.line("targets", "misdirected").add("target", target.text()).add("found", found.text()).add("model", model).add("adapter", adapter);
+    if (!found.isEmpty() && found != target) {
+        apply(view.misdirected(target));
+        return;
+    }
+    const auto *about = dispatcher.description(target);
+    if (about == nullptr || model.empty()) {
+        return;
+    }
+    auto models = about->models;
+    for (auto &held : models) {
+        if (held.name == model) {
+            std::erase(held.adapters, adapter);
+        }
+    }
+    if (adapter.empty()) {
+        std::erase_if(models, [&](const HeldModel &held) { return held.name == model; });
+    }
+    dispatcher.targetHolds(target, models);
+    onMissing(about->service, model, adapter);
+}
+
+auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
+{
+    std::map<std::string, ModelWork> result;
+    const auto found = traffic ? traffic->services.find(service) : std::map<ServiceName, ServiceDeclaration>::const_iterator();
+    if (!traffic || found == traffic->services.end() || !found->second.engine) {
+        return result;
+    }
+    const double slots = std::max(found->second.engine->slots, 1);
+    const auto add = [&](const std::vector<ArtifactDemand> &rates, double ModelWork::*into) {
+        for (const auto &rate : rates) {
+            result[rate.artifact.text()].*into += rate.perSecond * dispatcher.occupancy(rate.artifact.text(), rate.serviceTime, slots);
+        }
+    };
+    add(demand.forecast(loop.now(), Duration()), &ModelWork::now);
+    add(demand.forecast(loop.now(), ForecastAhead), &ModelWork::soon);
+    return result;
+}
+
+// [SECTION] Peers
+
+auto Gateway::Private::buildPeers() -> void
+{
+    GatewayPeerSettings peerSettings;
+    peerSettings.id = settings.process.id;
+    peerSettings.zone = settings.process.zone.text();
+    peerSettings.incarnation = incarnation;
+    peerSettings.listen = settings.listen.peers;
+    GatewayPeerHooks hooks;
+    hooks.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) {
+        onFrame(id, frame);
+    };
+    hooks.greeting = [this] {
+        std::vector<Wire::ControlFrame> frames;
+        if (orders && orders->mayOrder()) {
+            for (const auto &target : orders->holdings()) {
+                frames.push_back(holdingFrame(target));
+            }
+        }
+        return frames;
+    };
+    hooks.onSilent = [this](const std::string &id) {
+        dispatcher.entryGone(EntryId(id));
+    };
+    peers = std::make_unique<GatewayPeers>(loop, log, peerSettings, std::move(hooks));
+}
+
+/// Known here before the runner's row says so, and told to those who can't know it yet.
+auto Gateway::Private::onHolding(const TargetDescription &target) -> void
+{
+    dispatcher.targetHolds(target.incarnation.id, target.models);
+    if (orders && orders->mayOrder()) {
+        peers->sendAll(holdingFrame(target));
+        forwarder->pump();
     }
+}
+
+auto Gateway::Private::onHoldingHeard(const Wire::Holding &holding) -> void
+{
+    const TargetId target(holding.target());
+    const auto *about = dispatcher.description(target);
+    if (about == nullptr || about->incarnation.bornMillis != holding.born_ms() || orders->mayOrder()) {
+        return;
+    }
+    dispatcher.targetHolds(target, modelsOf(holding));
     forwarder->pump();
 }
 
+auto Gateway::Private::sendDigest() -> void
+{
+    demand.advance(loop.now());
+    apply(view.advance(loop.now()));
+    std::erase_if(leavingTold, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
+    Wire::ControlFrame frame;
+    auto *digest = frame.mutable_gateway();
+    digest->set_entry(settings.process.id + "#" + std::to_string(incarnation));
+    digest->set_sequence(++digests);
+    digest->set_traffic_version(traffic ? traffic->version.value() : 0);
+    writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
+    writeDemand(demand.digest(EntryId(settings.process.id), digests), *digest);
+    for (const auto &[target, at] : leavingTold) {
+        auto *added = digest->add_leaving();
+        added->set_target(target.id.text());
+        added->set_born_ms(target.bornMillis);
+    }
+    for (const auto &[key, use] : adapterUses) {
+        auto *added = digest->add_uses();
+        added->set_target(use.first.text());
+        added->set_adapter(use.second);
+    }
+    adapterUses.clear();
+    auto &lease = orders->lease();
+    if (orders->mayOrder()) {
+        digest->set_lease_fence(lease.fence().value());
+    }
+    digest->set_heard_holder(lease.holder().text());
+    digest->set_heard_sequence(lease.lastHolderSequence());
+    digest->set_store_trouble(loop.now() - storeLostAt < Duration::seconds(1) || !targetsWatch->isReached());
+    lease.digestSent(digests, loop.now());
+    peers->sendAll(frame);
+    forwarder->setEntries(static_cast<int>(peers->live().size()) + 1);
+}
+
+auto Gateway::Private::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
+{
+    if (frame.has_gateway()) {
+        onDigest(id, frame.gateway());
+    } else if (frame.has_wanted() && orders->mayOrder()) {
+        orders->wanted(ServiceName(frame.wanted().service()), frame.wanted().model(), frame.wanted().adapter());
+    } else if (frame.has_holding()) {
+        onHoldingHeard(frame.holding());
+    } else if (frame.has_traffic()) {
+        log.line("config", "from-peer").add("peer", id).add("version", frame.traffic().version());
+        adoptTraffic(frame.traffic().document());
+    }
+}
+
+auto Gateway::Private::onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void
+{
+    dispatcher.merge(workOf(digest), loop.now());
+    demand.merge(demandOf(digest, EntryId(id)), loop.now());
+    auto &lease = orders->lease();
+    if (digest.lease_fence() > 0) {
+        lease.holderHeard(HolderName(digest.entry()), Fence(digest.lease_fence()), digest.sequence(), loop.now());
+    }
+    if (digest.heard_holder() == settings.process.id + "#" + std::to_string(incarnation)) {
+        lease.peerHears(EntryId(id), digest.heard_sequence());
+    }
+    for (const auto &use : digest.uses()) {
+        const auto slash = use.adapter().find('/');
+        orders->adapterUsed(TargetId(use.target()), use.adapter().substr(0, slash), use.adapter().substr(slash + 1));
+    }
+    if (digest.store_trouble()) {
+        view.trouble(loop.now());
+    }
+    for (const auto &target : digest.leaving()) {
+        apply(view.saidLeaving({TargetId(target.target()), target.born_ms()}, loop.now()));
+    }
+    bringUpToDate(id, digest.traffic_version());
+}
+
+/// A gateway that can't reach the store learns the newest declarations from the others.
+auto Gateway::Private::bringUpToDate(const std::string &id, std::uint64_t version) -> void
+{
+    if (!traffic || version >= traffic->version.value()) {
+        behindSince.erase(id);
+        return;
+    }
+    auto [since, isNew] = behindSince.try_emplace(id, loop.now());
+    if (isNew || loop.now() - since->second < BehindPatience) {
+        return;
+    }
+    since->second = loop.now();
+    Wire::ControlFrame frame;
+    frame.mutable_traffic()->set_version(traffic->version.value());
+    frame.mutable_traffic()->set_document(trafficDocument);
+    peers->send(id, frame);
+}
+
+// [SECTION] Pages
+
+auto Gateway::Private::buildPages() -> void
+{
+    callers = std::make_unique<CallerServer>(loop, settings.listen.callers, [this](const CallerExchangePtr &exchange) { forwarder->handle(exchange); });
+    if (settings.listen.ready) {
+        readyPage = std::make_unique<CallerServer>(
+            loop, *settings.listen.ready, [this](const CallerExchangePtr &exchange) { exchange->respond(isReady() ? StatusOk : StatusUnavailable, {}, ""); });
+    }
+    if (settings.listen.metrics) {
+        metricsPage = std::make_unique<CallerServer>(loop, *settings.listen.metrics, [this](const CallerExchangePtr &exchange) {
+            const bool isKnown = exchange->head().target == "/metrics";
+            exchange->respond(isKnown ? StatusOk : StatusNotFound, {{"Content-Type", "text/plain; version=0.0.4"}}, isKnown ? metrics.text() : "");
+        });
+    }
+}
+
 // [SECTION] Leaving
 
 auto Gateway::Private::checkLeft() -> void
 {
     const auto sinceLeave = loop.now() - leavingSince;
+    if (sinceLeave > NoticeTime) {
+        // Nobody sends us new connections any more; on one that is kept, a request could still come when there is no time left for it.
+        callers->stopListening();
+        callers->closeIdle();
+    }
     const bool isLate = sinceLeave > settings.gateway.stopLimit - StopMargin;
     const bool isDone = sinceLeave > NoticeTime && callers->openExchanges() == 0;
     if (!isLate && !isDone) {
         return;
     }
     leaveCheck.cancel();
-    callers->stopListening();
     cutOff = forwarder->abandonAll();
-    callers->closeIdle();
     log.line("process", "stopped").add("cut-off", cutOff);
     log.flush();
     loop.stop();
@@ -263,6 +599,7 @@
     d->isLeaving = true;
     d->leavingSince = d->loop.now();
     d->callers->setLeaving();
+    d->orders->stop();
     d->log.line("process", "leaving").add("open", static_cast<int>(d->callers->openExchanges()));
     d->leaveCheck = d->loop.every(LeaveCheckPeriod, [this] { d->checkLeft(); });
 }
--- /dev/null
+++ b/src/gateway/gatewaypeers.cpp
@@ -0,0 +1,162 @@
+#include "gateway/gatewaypeers.h"
+
+#include <map>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto CheckPeriod = Duration::millis(300);
+
+struct Heard {
+    TimePoint at;
+    bool isLive = false;
+};
+
+} // namespace
+
+struct GatewayPeers::Private {
+    EventLoop &loop;
+    EventLog &log;
+    GatewayPeerSettings settings;
+    GatewayPeerHooks hooks;
+    std::unique_ptr<PeerServer> server;
+    std::unique_ptr<PeerLinks> links;
+    std::set<PeerStreamPtr> incoming;
+    std::map<std::string, Heard> heard;
+    std::map<std::string, TimePoint> reconnectedAt;
+    Timer check;
+
+    Private(EventLoop &ownerLoop, EventLog &eventLog, GatewayPeerSettings peerSettings, GatewayPeerHooks peerHooks)
+        : loop(ownerLoop)
+        , log(eventLog)
+        , settings(std::move(peerSettings))
+        , hooks(std::move(peerHooks))
+    {
+    }
+    auto greeting() const -> std::vector<Wire::ControlFrame>;
+    auto accept(const PeerStreamPtr &stream) -> void;
+    auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
+    auto checkSilent() -> void;
+    auto buildLinks() -> void;
+};
+
+auto GatewayPeers::Private::greeting() const -> std::vector<Wire::ControlFrame>
+{
+    auto frames = hooks.greeting();
+    frames.insert(frames.begin(), helloFrame(settings.id, settings.zone, settings.incarnation));
+    return frames;
+}
+
+auto GatewayPeers::Private::buildLinks() -> void
+{
+    LinkHooks linkHooks;
+    linkHooks.onHello = [](const std::string & /*id*/, const Wire::Hello & /*hello*/) {};
+    linkHooks.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) {
+        onFrame(id, frame);
+    };
+    linkHooks.onHeard = [](const std::string & /*id*/) {};
+    linkHooks.onDown = [this](const std::string &id) {
+        log.line("peers", "link-down").add("peer", id);
+    };
+    linkHooks.greeting = [this] {
+        return greeting();
+    };
+    constexpr auto NeverPing = Duration::seconds(3600); // digests show silence sooner
+    links = std::make_unique<PeerLinks>(loop, "peers", PeerOptions(), NeverPing, std::move(linkHooks));
+}
+
+/// Frames come on the streams that others open to us; on ours only their greeting does.
+auto GatewayPeers::Private::accept(const PeerStreamPtr &stream) -> void
+{
+    if (stream->path() != ControlPath) {
+        stream->refuse();
+        return;
+    }
+    incoming.insert(stream);
+    auto sender = std::make_shared<std::string>();
+    readControl(stream, "gateway", [this, sender](const Wire::ControlFrame &frame) {
+        if (frame.has_hello()) {
+            *sender = frame.hello().id();
+        }
+        onFrame(*sender, frame);
+    });
+    stream->onEnd = [this, raw = stream.get()](StreamEnd /*end*/) {
+        std::erase_if(incoming, [&](const auto &held) { return held.get() == raw; });
+    };
+    stream->send(helloFrame(settings.id, settings.zone, settings.incarnation));
+}
+
+auto GatewayPeers::Private::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
+{
+    if (id.empty()) {
+        return; // it hasn't said who it is
+    }
+    auto &state = heard[id];
+    state.at = loop.now();
+    if (!state.isLive) {
+        state.isLive = true;
+        log.line("peers", "heard").add("peer", id);
+    }
+    hooks.onFrame(id, frame);
+}
+
+auto GatewayPeers::Private::checkSilent() -> void
+{
+    const auto now = loop.now();
+    for (auto &[id, state] : heard) {
+        if (!state.isLive || now - state.at < settings.silentAfter) {
+            continue;
+        }
+        state.isLive = false;
+        log.line("peers", "silent").add("peer", id).add("for", now - state.at);
+        hooks.onSilent(id);
+        // The way there may be as dead as the way back: a connection can go silent without being closed.
+        links->reconnect(id);
+    }
+}
+
+GatewayPeers::GatewayPeers(EventLoop &loop, EventLog &log, GatewayPeerSettings settings, GatewayPeerHooks hooks)
+    : d(std::make_unique<Private>(loop, log, std::move(settings), std::move(hooks)))
+{
+    d->buildLinks();
+    d->server = std::make_unique<PeerServer>(loop, d->settings.listen, [this](const PeerStreamPtr &stream) { d->accept(stream); });
+    d->check = loop.every(CheckPeriod, [this] { d->checkSilent(); });
+}
+
+GatewayPeers::~GatewayPeers() = default;
+
+auto GatewayPeers::live() const -> std::set<std::string>
+{
+    std::set<std::string> ids;
+    for (const auto &[id, state] : d->heard) {
+        if (state.isLive) {
+            ids.insert(id);
+        }
+    }
+    return ids;
+}
+
+auto GatewayPeers::setHosts(const std::vector<ListedHost> &hosts) -> void
+{
+    auto others = hosts;
+    std::erase_if(others, [&](const ListedHost &host) { return host.id == d->settings.id; });
+    d->links->setHosts(others);
+    std::erase_if(d->heard, [&](const auto &known) {
+        return std::none_of(others.begin(), others.end(), [&](const ListedHost &host) { return host.id == known.first; });
+    });
+}
+
+auto GatewayPeers::sendAll(const Wire::ControlFrame &frame) -> void
+{
+    d->links->sendAll(frame);
+}
+
+auto GatewayPeers::send(const std::string &id, const Wire::ControlFrame &frame) -> void
+{
+    d->links->send(id, frame);
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/ordertask.cpp
@@ -0,0 +1,512 @@
+// Index of sections (search for [SECTION]):
+//   State     runners, wishes
+//   Lease     the row in the store
+//   Reports   what runners say when asked
+//   Orders    planned, sent, answered
+//   Task      the public face
+#include "gateway/ordertask.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto LeaseKey = "orders";
+constexpr auto TickPeriod = Duration::millis(50);
+
+/// A call to a runner whose whole answer is wanted.
+struct RunnerCall {
+    int status = 0;
+    std::string body;
+    std::shared_ptr<PooledHandle> handle;
+    Timer timer;
+};
+
+using WishKey = std::tuple<ServiceName, std::string, std::string>;
+
+} // namespace
+
+auto toString(OrderVerdict verdict) -> const char *
+{
+    switch (verdict) {
+    case OrderVerdict::Started:
+        return "started";
+    case OrderVerdict::Done:
+        return "done";
+    case OrderVerdict::Busy:
+        return "busy";
+    case OrderVerdict::Fenced:
+        return "fenced";
+    case OrderVerdict::Elsewhere:
+        return "elsewhere";
+    case OrderVerdict::Invalid:
+        return "invalid";
+    case OrderVerdict::Unclear:
+        return "unclear";
+    }
+    return "?";
+}
+
+// [SECTION] State
+
+struct OrderTask::Private {
+    OrderTaskParts parts;
+    OrderTaskSettings settings;
+    OrderTaskHooks hooks;
+    OrderLease lease;
+    std::map<ServiceName, EngineDeclaration> engines;
+    std::map<ServiceName, LoadMeter> meters;
+    std::map<TargetId, RunnerBook> books;
+    std::map<WishKey, TimePoint> wishes;
+    std::map<TargetId, std::string> intended;
+    AdapterUses uses;
+    Timer tick;
+    TimePoint plannedAt;
+    bool wasHolder = false;
+    bool stopped = false;
+
+    Private(OrderTaskParts taskParts, OrderTaskSettings taskSettings, OrderTaskHooks taskHooks)
+        : parts(taskParts)
+        , settings(std::move(taskSettings))
+        , hooks(std::move(taskHooks))
+        , lease(settings.self, settings.lease, parts.loop.now())
+    {
+    }
+    auto now() const -> TimePoint
+    {
+        return parts.loop.now();
+    }
+    auto mayOrder() const -> bool
+    {
+        return !stopped && lease.mayOrder(now());
+    }
+    auto onTick() -> void;
+    auto stepLease() -> void;
+    auto noticeTenure() -> void;
+    auto askReports() -> void;
+    auto askReport(RunnerBook &book) -> void;
+    auto advanceBooks() -> void;
+    auto planModels() -> void;
+    auto serveWishes() -> void;
+    auto serveWish(const WishKey &wish) -> bool;
+    auto input(const ServiceName &service) const -> CopyPlanInput;
+    auto give(const ServiceName &service, const PlannedOrder &planned) -> void;
+    auto onOrderAnswer(const TargetIncarnation &target, const RunnerOrder &order, OrderVerdict verdict, int status) -> void;
+    auto expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration;
+    auto tellHolding(const RunnerBook &book) -> void;
+    auto find(const TargetIncarnation &target) -> RunnerBook *;
+    auto call(const Endpoint &server, CallText text, std::function<void(int status, const std::string &body)> done) -> void;
+};
+
+auto OrderTask::Private::find(const TargetIncarnation &target) -> RunnerBook *
+{
+    const auto found = books.find(target.id);
+    return found == books.end() || found->second.description().incarnation != target ? nullptr : &found->second;
+}
+
+auto OrderTask::Private::tellHolding(const RunnerBook &book) -> void
+{
+    hooks.onHolding(book.description());
+}
+
+/// `done` gets status 0 if there was no whole answer in time.
+auto OrderTask::Private::call(const Endpoint &server, CallText text, std::function<void(int status, const std::string &body)> done) -> void
+{
+    auto state = std::make_shared<RunnerCall>();
+    PooledCall pooled;
+    pooled.server = server;
+    pooled.method = std::move(text.method);
+    pooled.target = std::move(text.target);
+    pooled.headers = std::move(text.headers);
+    pooled.headers.insert(pooled.headers.begin(), {"Host", toString(server)});
+    pooled.body = std::move(text.body);
+    pooled.onHead = [state](const HttpHead &head) {
+        state->status = head.status;
+        return AnswerVerdict::Take;
+    };
+    pooled.onBody = [state](std::string_view bytes) {
+        state->body.append(bytes);
+    };
+    pooled.onEnd = [state, done](const PooledEnd &end) {
+        state->timer.cancel();
+        state->handle = nullptr;
+        done(end.end == CallEnd::Complete ? state->status : 0, state->body);
+    };
+    state->timer = parts.loop.after(settings.answerTimeout, [state, done] {
+        if (const auto handle = std::exchange(state->handle, nullptr)) {
+            handle->cancel();
+        }
+        done(0, "");
+    });
+    state->handle = parts.pool.start(std::move(pooled));
+}
+
+// [SECTION] Lease
+
+auto OrderTask::Private::onTick() -> void
+{
+    if (stopped) {
+        return;
+    }
+    stepLease();
+    noticeTenure();
+    advanceBooks();
+    if (!mayOrder()) {
+        return;
+    }
+    askReports();
+    if (now() - plannedAt >= settings.planPeriod) {
+        plannedAt = now();
+        planModels();
+    }
+    serveWishes();
+}
+
+auto OrderTask::Private::stepLease() -> void
+{
+    const auto step = lease.nextStep(now());
+    if (step == LeaseStep::Read) {
+        lease.readStarted(now());
+        parts.store.read(StoreTable::Leases, LeaseKey, [this](const StoreAnswer &answer) {
+            if (answer.end != StoreEnd::Done) {
+                lease.readFailed(now());
+                return;
+            }
+            const auto isLease = [](const StoredRow &row) {
+                return row.key == LeaseKey;
+            };
+            const auto found = std::find_if(answer.page.rows.begin(), answer.page.rows.end(), isLease);
+            const bool isThere = found != answer.page.rows.end();
+            lease.rowRead(isThere ? found->version : RowVersion(), isThere ? found->value : "", now());
+        });
+    } else if (step == LeaseStep::Write) {
+        const auto write = lease.writeStarted(now());
+        parts.store.change(StoreTable::Leases, {{LeaseKey, write.expected, write.value}}, [this](const StoreAnswer &answer) {
+            if (answer.end == StoreEnd::Done) {
+                lease.written(answer.version, now());
+            } else if (answer.end == StoreEnd::Unclear) {
+                lease.writeUnclear(now());
+            } else {
+                lease.writeRefused(now());
+            }
+        });
+    }
+}
+
+auto OrderTask::Private::noticeTenure() -> void
+{
+    const bool isHolder = lease.mayOrder(now());
+    if (isHolder == wasHolder) {
+        return;
+    }
+    wasHolder = isHolder;
+    parts.log.line("lease", isHolder ? "held" : "not-held").add("fence", lease.fence().value()).add("holder", lease.holder().text());
+    parts.metrics.set("holds_order_lease", isHolder ? 1 : 0);
+    if (isHolder) {
+        for (auto &[id, book] : books) {
+            book.takenOver(now());
+        }
+        for (auto &[service, meter] : meters) {
+            meter.takenOver(now());
+        }
+        intended.clear();
+    }
+}
+
+// [SECTION] Reports
+
+auto OrderTask::Private::askReports() -> void
+{
+    for (auto &[id, book] : books) {
+        if (book.needsReport(now())) {
+            askReport(book);
+        }
+    }
+}
+
+auto OrderTask::Private::askReport(RunnerBook &book) -> void
+{
+    book.reportAsked(now());
+    const auto incarnation = book.description().incarnation;
+    call(book.description().address, parts.protocol.reportCall, [this, incarnation](int status, const std::string &body) {
+        constexpr int StatusOk = 200;
+        auto *asked = find(incarnation);
+        if (asked == nullptr) {
+            return;
+        }
+        const auto report = status == StatusOk ? parts.protocol.decodeReport(body) : std::nullopt;
+        if (!report) {
+            parts.log.line("orders", "no-report").add("target", incarnation.id.text()).add("status", status);
+            asked->reportFailed(now());
+            return;
+        }
+        asked->reported(*report, now());
+        parts.log.line("orders", "report")
+            .add("target", incarnation.id.text())
+            .add("orders", report->ordersTaken)
+            .add("busy", report->isBusy)
+            .add("running", report->running)
+            .add("waiting", report->waiting)
+            .add("kv", report->kvUsed);
+        tellHolding(*asked);
+        serveWishes();
+    });
+}
+
+auto OrderTask::Private::advanceBooks() -> void
+{
+    for (auto &[id, book] : books) {
+        if (book.advance(now())) {
+            tellHolding(book);
+        }
+    }
+    std::erase_if(wishes, [&](const auto &wish) { return now() - wish.second > settings.wishLifetime; });
+}
+
+// [SECTION] Orders
+
+auto OrderTask::Private::input(const ServiceName &service) const -> CopyPlanInput
+{
+    CopyPlanInput made;
+    made.engine = &engines.at(service);
+    made.work = hooks.work(service);
+    made.intended = intended;
+    for (const auto &[id, book] : books) {
+        if (book.description().service == service) {
+            made.runners.push_back(&book);
+            made.load[id] = hooks.load(id);
+        }
+    }
+    return made;
+}
+
+auto OrderTask::Private::planModels() -> void
+{
+    for (const auto &[service, engine] : engines) {
+        auto made = input(service);
+        for (const auto &[wish, at] : wishes) {
+            if (std::get<0>(wish) == service) {
+                made.work[std::get<1>(wish)].isWanted = true;
+            }
+        }
+        const auto orders = planCopies(made, settings.plan, meters[service].available(now()), now());
+        for (const auto &planned : orders) {
+            give(service, planned);
+        }
+    }
+    std::erase_if(intended, [&](const auto &item) {
+        const auto book = books.find(item.first);
+        return book == books.end() || book->second.description().model(item.second) != nullptr;
+    });
+}
+
+auto OrderTask::Private::serveWishes() -> void
+{
+    if (!mayOrder()) {
+        return;
+    }
+    const auto open = wishes;
+    for (const auto &[wish, at] : open) {
+        if (serveWish(wish)) {
+            wishes.erase(wish);
+        }
+    }
+}
+
+/// True if nothing more is to be done for it.
+auto OrderTask::Private::serveWish(const WishKey &wish) -> bool
+{
+    const auto &[service, model, adapter] = wish;
+    if (adapter.empty() || !engines.contains(service)) {
+        return false; // models are planned together
+    }
+    for (const auto &[id, book] : books) {
+        if (book.description().service == service && book.holdsAdapter(model, adapter)) {
+            return true;
+        }
+    }
+    if (const auto planned = placeAdapter(input(service), model, adapter, uses, now())) {
+        give(service, *planned);
+    }
+    return false;
+}
+
+auto OrderTask::Private::expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration
+{
+    const auto *declared = engines.at(service).model(planned.order.model);
+    if (!planned.order.adapter.empty()) {
+        return RunnerBookOptions().adapterTime;
+    }
+    if (declared == nullptr || !planned.order.isLoad) {
+        return Duration::millis(50);
+    }
+    switch (planned.source) {
+    case WeightSource::Memory:
+        return declared->memoryLoadTime;
+    case WeightSource::Disk:
+        return declared->diskLoadTime;
+    case WeightSource::Store:
+        return declared->loadTime;
+    }
+    return declared->loadTime;
+}
+
+auto OrderTask::Private::give(const ServiceName &service, const PlannedOrder &planned) -> void
+{
+    const auto found = books.find(planned.target);
+    if (found == books.end() || !mayOrder()) {
+        return;
+    }
+    auto &book = found->second;
+    const auto &about = book.description();
+    if (planned.order.isLoad && planned.order.adapter.empty()) {
+        intended.erase(planned.target);
+        if (planned.source == WeightSource::Store) {
+            meters[service].began(now());
+        }
+    }
+    if (!planned.makesRoomFor.empty()) {
+        intended[planned.target] = planned.makesRoomFor;
+    }
+    OrderText text;
+    text.isLoad = planned.order.isLoad;
+    text.model = planned.order.model;
+    text.adapter = planned.order.adapter;
+    text.expectedOrders = book.ordersTaken();
+    text.holder = settings.self.text();
+    text.fence = lease.fence();
+    text.target = planned.target;
+    parts.log.line("orders", planned.order.isLoad ? "load" : "unload")
+        .add("target", planned.target.text())
+        .add("model", planned.order.model)
+        .add("adapter", planned.order.adapter)
+        .add("why", planned.reason)
+        .add("for", planned.makesRoomFor)
+        .add("source", planned.order.isLoad ? toString(planned.source) : "-")
+        .add("after", text.expectedOrders)
+        .add("fence", lease.fence().value());
+    book.ordered(planned.order, expectedTime(service, planned), now());
+    const auto incarnation = about.incarnation;
+    call(about.address, parts.protocol.orderCall(text), [this, incarnation, order = planned.order](int status, const std::string & /*body*/) {
+        const auto verdict = status == 0 ? OrderVerdict::Unclear : parts.protocol.readOrderAnswer(status);
+        onOrderAnswer(incarnation, order, verdict, status);
+    });
+}
+
+auto OrderTask::Private::onOrderAnswer(const TargetIncarnation &target, const RunnerOrder &order, OrderVerdict verdict, int status) -> void
+{
+    parts.log.line("orders", "answered")
+        .add("target", target.id.text())
+        .add("model", order.model)
+        .add("adapter", order.adapter)
+        .add("verdict", toString(verdict))
+        .add("status", status);
+    parts.metrics.add("orders_total{verdict=\"" + std::string(toString(verdict)) + "\"}");
+    auto *book = find(target);
+    if (book == nullptr) {
+        return;
+    }
+    switch (verdict) {
+    case OrderVerdict::Started:
+    case OrderVerdict::Done:
+        book->accepted(verdict == OrderVerdict::Done, now());
+        break;
+    case OrderVerdict::Unclear:
+        book->unanswered(now());
+        break;
+    case OrderVerdict::Busy:
+    case OrderVerdict::Fenced:
+    case OrderVerdict::Elsewhere:
+    case OrderVerdict::Invalid:
+        book->refused(now());
+        break;
+    }
+    tellHolding(*book);
+    serveWishes();
+}
+
+// [SECTION] Task
+
+OrderTask::OrderTask(OrderTaskParts parts, OrderTaskSettings settings, OrderTaskHooks hooks)
+    : d(std::make_unique<Private>(parts, std::move(settings), std::move(hooks)))
+{
+    d->tick = d->parts.loop.every(TickPeriod, [this] { d->onTick(); });
+}
+
+OrderTask::~OrderTask() = default;
+
+auto OrderTask::mayOrder() const -> bool
+{
+    return d->mayOrder();
+}
+
+auto OrderTask::lease() const -> const OrderLease &
+{
+    return d->lease;
+}
+
+auto OrderTask::lease() -> OrderLease &
+{
+    return d->lease;
+}
+
+auto OrderTask::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
+{
+    d->engines[service] = engine;
+    d->meters[service].setRate(engine.loadsPerSecond, d->settings.loadWindow, d->settings.loadOvershoot);
+}
+
+auto OrderTask::targetSeen(const TargetDescription &target) -> void
+{
+    auto &book = d->books[target.incarnation.id];
+    book.seen(target, d->now());
+    d->hooks.onHolding(book.description());
+}
+
+auto OrderTask::targetGone(const TargetId &target) -> void
+{
+    d->books.erase(target);
+    d->intended.erase(target);
+    std::erase_if(d->uses, [&](const auto &use) { return use.first.first == target; });
+}
+
+auto OrderTask::wanted(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
+{
+    for (auto &[id, book] : d->books) {
+        const bool isHeld = adapter.empty() ? book.description().model(model) != nullptr : book.description().model(model) != nullptr && book.description().model(model)->hasAdapter(adapter);
+        if (isHeld && book.description().service == service) {
+            // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
+            book.doubt(d->now());
+            d->hooks.onHolding(book.description());
+        }
+    }
+    d->wishes[{service, model, adapter}] = d->now();
+    d->serveWishes();
+}
+
+auto OrderTask::adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void
+{
+    d->uses[{target, model + "/" + adapter}] = d->now();
+}
+
+auto OrderTask::holdings() const -> std::vector<TargetDescription>
+{
+    std::vector<TargetDescription> list;
+    for (const auto &[id, book] : d->books) {
+        list.push_back(book.description());
+    }
+    return list;
+}
+
+auto OrderTask::stop() -> void
+{
+    d->stopped = true;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/ordertask.h
@@ -0,0 +1,85 @@
+// Gives runners their orders, in the one gateway that holds the lease; in the others it only follows what runners hold.
+//
+// Index of sections (search for [SECTION]):
+//   Hooks       what it needs and tells
+//   OrderTask   the task
+#pragma once
+
+#include "core/copyplan.h"
+#include "core/orderlease.h"
+#include "gateway/protocol.h"
+#include "gateway/storeclient.h"
+#include "net/eventlog.h"
+#include "net/httppool.h"
+#include "net/metrics.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace KingCup
+{
+
+// [SECTION] Hooks
+
+struct OrderTaskParts {
+    EventLoop &loop;
+    const Protocol &protocol;
+    HttpPool &pool;
+    StoreClient &store;
+    Metrics &metrics;
+    EventLog &log;
+};
+
+struct OrderTaskHooks {
+    std::function<std::map<std::string, ModelWork>(const ServiceName &service)> work; ///< by model
+    std::function<double(const TargetId &target)> load; ///< the share of its places that is taken
+    /// What a runner holds has changed; known here before its row says so.
+    std::function<void(const TargetDescription &target)> onHolding;
+};
+
+struct OrderTaskSettings {
+    HolderName self;
+    OrderLeaseOptions lease;
+    Duration loadWindow = Duration::seconds(5);
+    double loadOvershoot = 1;
+    CopyPlanOptions plan;
+    Duration planPeriod = Duration::millis(250); ///< between two looks at models; a load takes some four times as long at least
+    Duration answerTimeout = Duration::millis(400); ///< of an order or a report; an order is answered before it is carried out
+    Duration wishLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
+};
+
+// [SECTION] OrderTask
+
+class OrderTask
+{
+public:
+    OrderTask(OrderTaskParts parts, OrderTaskSettings settings, OrderTaskHooks hooks);
+    ~OrderTask();
+    OrderTask(const OrderTask &) = delete;
+    auto operator=(const OrderTask &) -> OrderTask & = delete;
+
+    // Queries
+    auto mayOrder() const -> bool;
+    auto lease() const -> const OrderLease &;
+
+    // Commands
+    auto lease() -> OrderLease &; ///< for what other gateways say
+    auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
+    auto targetSeen(const TargetDescription &target) -> void;
+    auto targetGone(const TargetId &target) -> void;
+    /// A request waits for a model or an adapter. Only the holder acts on it.
+    auto wanted(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
+    auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
+    /// What runners hold, as far as it is known here: for gateways that have just come up.
+    auto holdings() const -> std::vector<TargetDescription>;
+    /// No orders from here on: this process stops.
+    auto stop() -> void;
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/registration.cpp
@@ -0,0 +1,120 @@
+#include "gateway/registration.h"
+
+#include "net/json.h"
+
+#include <map>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto WritePause = Duration::millis(500); ///< after a write that failed
+
+auto rowText(const RegistrationSettings &settings) -> std::string
+{
+    return dumpJson({{"peers", toString(settings.peers)}, {"zone", settings.zone.text()}});
+}
+
+} // namespace
+
+struct Registration::Private {
+    EventLoop &loop;
+    StoreClient &store;
+    EventLog &log;
+    RegistrationSettings settings;
+    RegistrationHooks hooks;
+    std::unique_ptr<TableWatch> watch;
+    std::map<std::string, ListedHost> hosts;
+    Timer again;
+    bool isWriting = false;
+
+    Private(EventLoop &ownerLoop, StoreClient &storeClient, EventLog &eventLog, RegistrationSettings self, RegistrationHooks tell)
+        : loop(ownerLoop)
+        , store(storeClient)
+        , log(eventLog)
+        , settings(std::move(self))
+        , hooks(std::move(tell))
+    {
+    }
+    auto take(const StoredRow &row) -> void;
+    auto tell() -> void;
+    auto ensureOwnRow() -> void;
+};
+
+auto Registration::Private::take(const StoredRow &row) -> void
+{
+    if (row.isRemoved) {
+        hosts.erase(row.key);
+        return;
+    }
+    const auto parsed = parseJson(row.value);
+    const auto endpoint = endpointFromString(textOf(member(parsed, "peers")));
+    if (endpoint.port == 0) {
+        log.line("peers", "row-unreadable").add("peer", row.key);
+        hosts.erase(row.key);
+        return;
+    }
+    ListedHost host;
+    host.id = row.key;
+    host.role = HostRole::Entry;
+    host.zone = ZoneName(textOf(member(parsed, "zone")));
+    host.endpoint = endpoint;
+    hosts[row.key] = host;
+}
+
+auto Registration::Private::tell() -> void
+{
+    std::vector<ListedHost> list;
+    for (const auto &[id, host] : hosts) {
+        list.push_back(host);
+    }
+    hooks.onGateways(list);
+    ensureOwnRow();
+}
+
+/// Written if it is missing or names another address: a host that was replaced may come back under its old name.
+auto Registration::Private::ensureOwnRow() -> void
+{
+    const auto own = hosts.find(settings.id);
+    if (isWriting || (own != hosts.end() && own->second.endpoint == settings.peers)) {
+        return;
+    }
+    isWriting = true;
+    store.change(StoreTable::Entries, {{settings.id, std::nullopt, rowText(settings)}}, [this](const StoreAnswer &answer) {
+        log.line("peers", "registered").add("end", toString(answer.end));
+        // The watch shows the row; if it doesn't, the write is made again.
+        again = loop.after(WritePause, [this] {
+            isWriting = false;
+            ensureOwnRow();
+        });
+    });
+}
+
+Registration::Registration(EventLoop &loop, StoreClient &store, EventLog &log, RegistrationSettings settings, RegistrationHooks hooks)
+    : d(std::make_unique<Private>(loop, store, log, std::move(settings), std::move(hooks)))
+{
+    TableWatchHooks watchHooks;
+    watchHooks.onTable = [this](const std::vector<StoredRow> &rows) {
+        d->hosts.clear();
+        for (const auto &row : rows) {
+            d->take(row);
+        }
+        d->tell();
+    };
+    watchHooks.onChanges = [this](const std::vector<StoredRow> &rows) {
+        for (const auto &row : rows) {
+            d->take(row);
+        }
+        d->tell();
+    };
+    watchHooks.onContact = [this](bool isReached) {
+        d->hooks.onContact(isReached);
+    };
+    d->watch = std::make_unique<TableWatch>(loop, store, log, StoreTable::Entries, TableWatchOptions(), std::move(watchHooks));
+}
+
+Registration::~Registration() = default;
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/registration.h
@@ -0,0 +1,39 @@
+// Where gateways find each other: each writes a row with its address into the store and follows the others' rows.
+#pragma once
+
+#include "core/membership.h"
+#include "gateway/storeclient.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+struct RegistrationSettings {
+    std::string id;
+    ZoneName zone;
+    Endpoint peers; ///< where it listens for the others
+    std::uint64_t incarnation = 0;
+};
+
+struct RegistrationHooks {
+    std::function<void(const std::vector<ListedHost> &hosts)> onGateways; ///< all that are registered, this one included
+    std::function<void(bool isReached)> onContact;
+};
+
+class Registration
+{
+public:
+    Registration(EventLoop &loop, StoreClient &store, EventLog &log, RegistrationSettings settings, RegistrationHooks hooks);
+    ~Registration();
+
+    struct Private;
+
+private:
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCup
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -127,11 +127,10 @@
         state->finish(answer);
     };
     state->timer = loop.after(timeout, [state] {
-        const auto self = state;
-        if (const auto handle = self->handle) {
-            handle->cancel();
+        if (state->handle) {
+            state->handle->cancel();
         }
-        self->finish({});
+        state->finish({});
     });
     state->handle = pool.start(std::move(pooled));
 }
--- a/src/net/eventlog.cpp
+++ b/src/net/eventlog.cpp
@@ -174,7 +174,7 @@
     return true;
 }
 
-auto EventLog::append(std::string text) -> void
+auto EventLog::append(const std::string &text) -> void
 {
     if (d->droppedToSay > 0) {
         d->addLine("part=log event=dropped lines=" + std::to_string(d->droppedToSay));
--- a/src/net/eventlog.h
+++ b/src/net/eventlog.h
@@ -76,7 +76,7 @@
 
 private:
     friend class LogLine;
-    auto append(std::string text) -> void;
+    auto append(const std::string &text) -> void;
     auto mayAppend() -> bool;
     std::unique_ptr<Private> d;
 };
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -243,7 +243,7 @@
 auto EventLoop::now() const -> TimePoint
 {
     timespec time {};
-    clock_gettime(CLOCK_MONOTONIC, &time);
+    clock_gettime(CLOCK_BOOTTIME, &time); // leases and deadlines go on while a host is suspended
     constexpr std::int64_t MicrosPerSecond = 1000000;
     constexpr std::int64_t NanosPerMicro = 1000;
     return TimePoint::fromMicros(time.tv_sec * MicrosPerSecond + time.tv_nsec / NanosPerMicro);
--- a/src/entry/peerlinks.cpp
+++ b/src/wire/peerlinks.cpp
@@ -1,4 +1,4 @@
-#include "entry/peerlinks.h"
+#include "wire/peerlinks.h"
 
 #include <algorithm>
 #include <glog/logging.h>
