Copies ahead of demand; orders counted from runners' reports

Cause: a row's sequence counts heartbeats, not orders, so every first order was refused (142 of 313); the planner acted on rows that were still coming in at the start; demand moved to a model with one copy and its load takes 5.8 s, longer than the forecast looked ahead. Ruled out: slow orders (answered within 5 ms). Change: orders are counted from reports; planning waits until targets stop appearing; the forecast looks as far as a load takes; free places go to models with many adapters; the holder makes its planning input a few times a second, not for each wish (it had used its whole processor share, and callers' hang-ups were seen seconds late).

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -34,7 +34,7 @@
                        intended != input.intended.end() && runner->description().model(intended->second) == nullptr) {
                 ++m_copies[intended->second];
             }
-            m_underWay += runner->isBusy() ? 1 : 0;
+            m_underWay += runner->isBusy(now) ? 1 : 0;
         }
     }
 
@@ -47,6 +47,7 @@
             }
         }
         addBusy();
+        fillFree();
         return std::move(m_orders);
     }
 
@@ -67,6 +68,7 @@
         return found == m_input.load.end() ? 0 : found->second;
     }
     auto addBusy() -> void;
+    auto fillFree() -> void;
     auto addCopy(const ModelDeclaration &model, double perCopy, const char *why) -> bool;
     auto loadIntended() -> void;
     auto freePlace(const ModelDeclaration &model) const -> const RunnerBook *;
@@ -98,7 +100,9 @@
     } else {
         --m_copies[what.model];
     }
-    m_orders.push_back({id, std::move(what), source, "", why});
+    const double ofModel = work(what.model);
+    const int ofCopies = copies(what.model);
+    m_orders.push_back({id, std::move(what), source, "", why, ofModel, ofCopies});
 }
 
 /// Where room was made for a model, it is loaded as soon as the runner takes the order.
@@ -144,6 +148,30 @@
     }
 }
 
+/// Places that nothing needs now go to the models that are likeliest to be asked for next, one at a time: a copy that is there when demand
+/// moves saves the seconds of its load. Only free memory is used, and nothing gives way.
+auto Round::fillFree() -> void
+{
+    constexpr int MostSpareAtOnce = 3; // the weight store is left to what is needed
+    while (m_underWay < MostSpareAtOnce) {
+        const ModelDeclaration *best = nullptr;
+        double most = m_options.worthFilling;
+        for (const auto &model : m_input.engine->models) {
+            const double copyCount = std::max(copies(model.name), 1);
+            const double busy = std::max(work(model.name) / copyCount - m_options.easyCopy, 0.0);
+            const double worth = busy + model.adapters * m_options.adaptersWorth / copyCount;
+            if (worth > most && freePlace(model) != nullptr) {
+                most = worth;
+                best = &model;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        addCopy(*best, most, "spare-place");
+    }
+}
+
 auto Round::freePlace(const ModelDeclaration &model) const -> const RunnerBook *
 {
     const RunnerBook *best = nullptr;
@@ -280,10 +308,10 @@
         }
     }
     if (free != nullptr) {
-        return PlannedOrder {free->description().incarnation.id, load, WeightSource::Memory, "", "asked-for"};
+        return PlannedOrder {free->description().incarnation.id, load, WeightSource::Memory, "", "asked-for", 0, 0};
     }
     if (eviction) {
-        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "makes-room"};
+        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "makes-room", 0, 0};
     }
     return std::nullopt;
 }
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -44,7 +44,10 @@
 
 struct CopyPlanOptions {
     double busyCopy = 0.35; ///< work of one copy beyond which waiting grows faster than work: half of a request's own time at 0.5
+    double easyCopy = 0.15; ///< work of one copy below which another copy shortens nothing
     double clearlyLess = 0.5; ///< a model gives way only if its copies stay this much less busy than the one that comes
+    double adaptersWorth = 0.002; ///< what one declared adapter of a model counts as work when free places are given out: many callers, though none now
+    double worthFilling = 0.01; ///< work of one copy below which a free place stays free: a load has its price
     int mostAtOnce = 6; ///< model orders under way, so that a wrong forecast moves a third of a site at most
 };
 
@@ -56,6 +59,8 @@
     WeightSource source = WeightSource::Store; ///< loads
     std::string makesRoomFor; ///< unloads: the model that is to come in its place
     std::string reason;
+    double work = 0; ///< of the model, when this was decided
+    int copies = 0; ///< of it, after this order
 };
 
 /// At most one order for each runner. `storeLoads`: loads from the weight store that may begin now.
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -53,7 +53,7 @@
 
 auto RunnerBook::ordersTaken() const -> std::uint64_t
 {
-    return m_description.ordersTaken;
+    return m_ordersTaken;
 }
 
 auto RunnerBook::model(std::string_view name) -> HeldModel *
@@ -79,7 +79,7 @@
         const auto *declared = engine.model(under.order.model);
         used += declared == nullptr ? Bytes() : declared->adapterWeights;
     }
-    if (m_modelOrder) {
+    if (m_modelOrder && isBusy(now)) {
         // Loaded, or not yet given back: an unload waits for the requests that still run.
         const auto *declared = engine.model(m_modelOrder->order.model);
         used += declared == nullptr ? largest : declared->weights;
@@ -99,9 +99,10 @@
     return engine.adapterSlots - static_cast<int>(used);
 }
 
-auto RunnerBook::isBusy() const -> bool
+auto RunnerBook::isBusy(TimePoint now) const -> bool
 {
-    return m_modelOrder.has_value();
+    // While it unloads, it refuses other orders by itself: asking for its report would take longer than trying.
+    return m_modelOrder && (m_modelOrder->order.isLoad || m_modelOrder->order.model.empty() || now < m_modelOrder->doneAt);
 }
 
 auto RunnerBook::loading() const -> std::optional<std::string>
@@ -125,15 +126,14 @@
 auto RunnerBook::holdsAdapter(std::string_view model, std::string_view adapter) const -> bool
 {
     const auto *held = m_description.model(model);
-    const auto isUnderWay = std::any_of(m_adapters.begin(), m_adapters.end(), [&](const Under &under) {
-        return under.order.model == model && under.order.adapter == adapter;
-    });
+    const auto isUnderWay
+        = std::any_of(m_adapters.begin(), m_adapters.end(), [&](const Under &under) { return under.order.model == model && under.order.adapter == adapter; });
     return isUnderWay || (held != nullptr && held->hasAdapter(adapter));
 }
 
 auto RunnerBook::mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool
 {
-    if (!m_isKnown || isAsked() || m_description.isLeaving || isBusy()) {
+    if (!m_isKnown || isAsked() || m_description.isLeaving || isBusy(now)) {
         return false;
     }
     const auto *held = m_description.model(order.model);
@@ -156,7 +156,7 @@
     if (m_isAsked || m_sent || now < m_reportAt) {
         return false;
     }
-    return !m_isKnown || (m_modelOrder && now >= m_modelOrder->doneAt);
+    return !m_isKnown || (m_modelOrder && isBusy(now) && now >= m_modelOrder->doneAt);
 }
 
 auto RunnerBook::advance(TimePoint now) -> bool
@@ -181,19 +181,22 @@
         m_lateUntil = isSameId ? unansweredUntil : TimePoint();
         m_unansweredUntil = unansweredUntil;
         m_description = description;
-        m_isKnown = true;
         m_reportAt = now;
         return;
     }
-    // The row is written when more than the number of orders changes; adapters come and go without it.
-    const bool isNewer = description.ordersTaken >= m_description.ordersTaken && !m_sent;
+    // The row is written when what it says changes; adapters come and go without it, and it may be older than an order that was accepted.
     auto kept = std::move(m_description);
     m_description = description;
-    if (!isNewer || (m_isKnown && description.ordersTaken == kept.ordersTaken && !m_modelOrder)) {
-        m_description.ordersTaken = kept.ordersTaken;
+    const bool isUnloading = m_modelOrder && !m_modelOrder->order.isLoad;
+    if (m_sent || isUnloading) {
         m_description.models = std::move(kept.models);
         return;
     }
+    for (auto &held : m_description.models) {
+        if (const auto *before = kept.model(held.name)) {
+            held.adapters = before->adapters;
+        }
+    }
     settle();
 }
 
@@ -221,10 +224,10 @@
     if (report.bornMillis && m_description.incarnation.bornMillis != 0 && *report.bornMillis != m_description.incarnation.bornMillis) {
         return; // another start than the row's: the row will follow
     }
-    if (report.ordersTaken < m_description.ordersTaken && m_isKnown) {
+    if (report.ordersTaken < m_ordersTaken && m_isKnown) {
         return; // older than what was already known
     }
-    m_description.ordersTaken = report.ordersTaken;
+    m_ordersTaken = report.ordersTaken;
     m_description.models = report.models;
     if (!report.weightsInMemory.empty() || !report.weightsOnDisk.empty()) {
         m_description.weightsInMemory = report.weightsInMemory;
@@ -262,7 +265,7 @@
     auto under = *m_sent;
     m_sent.reset();
     under.doneAt = now + under.expected;
-    ++m_description.ordersTaken;
+    ++m_ordersTaken;
     if (isDone || !under.order.isLoad) {
         apply(under.order);
     }
@@ -270,6 +273,7 @@
         return;
     }
     if (under.order.adapter.empty()) {
+        under.doneAt = under.order.isLoad ? under.doneAt : now + m_options.unloadTime;
         m_modelOrder = under;
     } else if (under.order.isLoad) {
         m_adapters.push_back(under);
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -41,6 +41,7 @@
     Duration latestOrder = Duration::seconds(13); ///< an order without an answer takes effect within this, or never
     Duration adapterTime = Duration::millis(12); ///< an adapter is usable this long after its load was accepted
     int adaptersUnderWay = 4; ///< at most, to one runner
+    Duration unloadTime = Duration::millis(20); ///< an unload that no request holds up is done by then; the runner refuses what comes too soon
 };
 
 // [SECTION] RunnerBook
@@ -57,7 +58,7 @@
     auto ordersTaken() const -> std::uint64_t; ///< for the next order
     auto freeMemory(const EngineDeclaration &engine, TimePoint now) const -> Bytes;
     auto freeAdapterSlots(const EngineDeclaration &engine, TimePoint now) const -> int;
-    auto isBusy() const -> bool; ///< carrying out an order on a model, as far as known
+    auto isBusy(TimePoint now) const -> bool; ///< carrying out an order on a model, as far as known
     auto sourceOf(std::string_view model) const -> WeightSource;
     auto loading() const -> std::optional<std::string>; ///< the model being loaded
     auto mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool;
@@ -97,6 +98,7 @@
     TargetDescription m_description;
     bool m_isKnown = false;
     bool m_isAsked = false;
+    std::uint64_t m_ordersTaken = 0; ///< as far as known
     std::optional<Under> m_sent; ///< an order without an answer yet
     std::optional<Under> m_modelOrder; ///< accepted, being carried out
     std::vector<Under> m_adapters; ///< accepted loads that aren't usable yet
--- a/src/core/targetinfo.h
+++ b/src/core/targetinfo.h
@@ -50,7 +50,6 @@
     std::optional<Duration> goneWithin; ///< leaving at short notice: whatever still runs then is cut off
     Duration slowFor; ///< after its start it is slow for this much longer
     std::vector<HeldModel> models;
-    std::uint64_t ordersTaken = 0; ///< orders accepted since its start
     std::vector<std::string> weightsInMemory; ///< models whose weights it can load from its own memory
     std::vector<std::string> weightsOnDisk; ///< or from its own disk
 
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -66,7 +66,6 @@
     auto *holding = frame.mutable_holding();
     holding->set_target(target.incarnation.id.text());
     holding->set_born_ms(target.incarnation.bornMillis);
-    holding->set_orders(target.ordersTaken);
     for (const auto &model : target.models) {
         auto *added = holding->add_models();
         added->set_name(model.name);
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -33,6 +33,8 @@
 constexpr auto DefaultRetryAfter = Duration::millis(300);
 /// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
 constexpr double WaitShare = 0.6;
+/// Between two words of one request to the gateway that gives orders: the first may have been lost.
+constexpr auto TellMissingPeriod = Duration::millis(300);
 /// The time left that is worth a send: about the quickest answer.
 constexpr auto LeastTime = Duration::millis(10);
 
@@ -147,7 +149,7 @@
     std::optional<EventCursor> m_events; ///< of a stream that may go on elsewhere
     std::size_t m_passedBytes = 0;
     bool m_isWaiting = false;
-    TimePoint m_waitingSince;
+    TimePoint m_missingToldAt;
     bool m_finished = false;
 };
 
@@ -198,7 +200,9 @@
 
 auto Flow::waitOrRefuse(DispatchRefusal refusal) -> void
 {
-    if (refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing) {
+    const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
+    if (isMissing && now() - m_missingToldAt >= TellMissingPeriod) {
+        m_missingToldAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
     }
     const auto waitUntil = m_exchange->startedAt() + m_route.goal * WaitShare;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,6 @@
 constexpr auto DigestPeriod = Duration::millis(200);
 /// A gateway that is behind for so long can't have the store's word under way any more.
 constexpr auto BehindPatience = Duration::millis(500);
-constexpr auto ForecastAhead = Duration::seconds(3);
 constexpr auto DemandBucket = Duration::millis(500);
 
 } // namespace
@@ -284,8 +283,7 @@
             .add("born", target.incarnation.bornMillis)
             .add("service", target.service.text())
             .add("address", toString(target.address))
-            .add("models", static_cast<int>(target.models.size()))
-            .add("orders", target.ordersTaken);
+            .add("models", static_cast<int>(target.models.size()));
         dispatcher.targetSeen(target, loop.now());
         orders->targetSeen(target);
         if (target.isLeaving) {
@@ -335,8 +333,7 @@
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
     forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, metrics, log}, options, std::move(hooks));
-    forwarder->setRetryBudget(
-        {.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+    forwarder->setRetryBudget({.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
 }
 
 auto Gateway::Private::onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
@@ -391,7 +388,11 @@
         }
     };
     add(demand.forecast(loop.now(), Duration()), &ModelWork::now);
-    add(demand.forecast(loop.now(), ForecastAhead), &ModelWork::soon);
+    Duration loadTime;
+    for (const auto &model : found->second.engine->models) {
+        loadTime = std::max(loadTime, model.loadTime);
+    }
+    add(demand.forecast(loop.now(), loadTime), &ModelWork::soon);
     return result;
 }
 
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -53,11 +53,13 @@
 auto GatewayPeers::Private::buildLinks() -> void
 {
     LinkHooks linkHooks;
-    linkHooks.onHello = [](const std::string & /*id*/, const Wire::Hello & /*hello*/) {};
+    linkHooks.onHello = [](const std::string & /*id*/, const Wire::Hello & /*hello*/) {
+    };
     linkHooks.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) {
         onFrame(id, frame);
     };
-    linkHooks.onHeard = [](const std::string & /*id*/) {};
+    linkHooks.onHeard = [](const std::string & /*id*/) {
+    };
     linkHooks.onDown = [this](const std::string &id) {
         log.line("peers", "link-down").add("peer", id);
     };
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -19,6 +19,11 @@
 
 constexpr auto LeaseKey = "orders";
 constexpr auto TickPeriod = Duration::millis(50);
+/// Targets may come and go all the time; after so many settle times planning begins all the same.
+constexpr double SettlePatience = 4;
+constexpr auto InputLifetime = Duration::millis(100);
+/// Wishes of one moment are served together; much shorter than the loading of an adapter.
+constexpr auto WishDelay = Duration::millis(1);
 
 /// A call to a runner whose whole answer is wanted.
 struct RunnerCall {
@@ -66,8 +71,13 @@
     std::map<WishKey, TimePoint> wishes;
     std::map<TargetId, std::string> intended;
     AdapterUses uses;
+    std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
+    TimePoint inputsAt;
+    Timer wishTimer;
     Timer tick;
     TimePoint plannedAt;
+    TimePoint startedAt;
+    TimePoint newTargetAt;
     bool wasHolder = false;
     bool stopped = false;
 
@@ -76,6 +86,8 @@
         , settings(std::move(taskSettings))
         , hooks(std::move(taskHooks))
         , lease(settings.self, settings.lease, parts.loop.now())
+        , startedAt(parts.loop.now())
+        , newTargetAt(startedAt)
     {
     }
     auto now() const -> TimePoint
@@ -93,9 +105,10 @@
     auto askReport(RunnerBook &book) -> void;
     auto advanceBooks() -> void;
     auto planModels() -> void;
+    auto serveWishesSoon() -> void;
     auto serveWishes() -> void;
     auto serveWish(const WishKey &wish) -> bool;
-    auto input(const ServiceName &service) const -> CopyPlanInput;
+    auto input(const ServiceName &service) -> const CopyPlanInput &;
     auto give(const ServiceName &service, const PlannedOrder &planned) -> void;
     auto onOrderAnswer(const TargetIncarnation &target, const RunnerOrder &order, OrderVerdict verdict, int status) -> void;
     auto expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration;
@@ -161,7 +174,8 @@
         return;
     }
     askReports();
-    if (now() - plannedAt >= settings.planPeriod) {
+    const bool isSettled = now() - newTargetAt >= settings.settleTime || now() - startedAt >= settings.settleTime * SettlePatience;
+    if (isSettled && now() - plannedAt >= settings.planPeriod) {
         plannedAt = now();
         planModels();
     }
@@ -255,7 +269,7 @@
             .add("waiting", report->waiting)
             .add("kv", report->kvUsed);
         tellHolding(*asked);
-        serveWishes();
+        serveWishesSoon();
     });
 }
 
@@ -271,30 +285,34 @@
 
 // [SECTION] Orders
 
-auto OrderTask::Private::input(const ServiceName &service) const -> CopyPlanInput
+/// Made anew a few times a second: what it takes from demand and from other gateways' work doesn't change sooner, and making it for each wish
+/// took most of the holder's processor time when many requests waited for adapters.
+auto OrderTask::Private::input(const ServiceName &service) -> const CopyPlanInput &
 {
-    CopyPlanInput made;
-    made.engine = &engines.at(service);
-    made.work = hooks.work(service);
-    made.intended = intended;
-    for (const auto &[id, book] : books) {
-        if (book.description().service == service) {
-            made.runners.push_back(&book);
-            made.load[id] = hooks.load(id);
+    if (now() - inputsAt >= InputLifetime) {
+        inputs.clear();
+        inputsAt = now();
+    }
+    const auto [found, isNew] = inputs.try_emplace(service);
+    auto &made = found->second;
+    if (isNew) {
+        made.engine = &engines.at(service);
+        made.work = hooks.work(service);
+        for (const auto &[id, book] : books) {
+            if (book.description().service == service) {
+                made.runners.push_back(&book);
+                made.load[id] = hooks.load(id);
+            }
         }
     }
+    made.intended = intended;
     return made;
 }
 
 auto OrderTask::Private::planModels() -> void
 {
     for (const auto &[service, engine] : engines) {
-        auto made = input(service);
-        for (const auto &[wish, at] : wishes) {
-            if (std::get<0>(wish) == service) {
-                made.work[std::get<1>(wish)].isWanted = true;
-            }
-        }
+        const auto &made = input(service);
         const auto orders = planCopies(made, settings.plan, meters[service].available(now()), now());
         for (const auto &planned : orders) {
             give(service, planned);
@@ -306,6 +324,13 @@
     });
 }
 
+auto OrderTask::Private::serveWishesSoon() -> void
+{
+    if (!wishes.empty() && !wishTimer.isActive()) {
+        wishTimer = parts.loop.after(WishDelay, [this] { serveWishes(); });
+    }
+}
+
 auto OrderTask::Private::serveWishes() -> void
 {
     if (!mayOrder()) {
@@ -344,7 +369,7 @@
         return RunnerBookOptions().adapterTime;
     }
     if (declared == nullptr || !planned.order.isLoad) {
-        return Duration::millis(50);
+        return RunnerBookOptions().unloadTime;
     }
     switch (planned.source) {
     case WeightSource::Memory:
@@ -389,6 +414,8 @@
         .add("why", planned.reason)
         .add("for", planned.makesRoomFor)
         .add("source", planned.order.isLoad ? toString(planned.source) : "-")
+        .add("work", planned.work)
+        .add("copies", planned.copies)
         .add("after", text.expectedOrders)
         .add("fence", lease.fence().value());
     book.ordered(planned.order, expectedTime(service, planned), now());
@@ -428,7 +455,7 @@
         break;
     }
     tellHolding(*book);
-    serveWishes();
+    serveWishesSoon();
 }
 
 // [SECTION] Task
@@ -458,19 +485,24 @@
 
 auto OrderTask::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
 {
+    d->inputs.clear();
     d->engines[service] = engine;
     d->meters[service].setRate(engine.loadsPerSecond, d->settings.loadWindow, d->settings.loadOvershoot);
 }
 
 auto OrderTask::targetSeen(const TargetDescription &target) -> void
 {
-    auto &book = d->books[target.incarnation.id];
+    d->inputs.clear();
+    auto [found, isNew] = d->books.try_emplace(target.incarnation.id);
+    auto &book = found->second;
+    d->newTargetAt = isNew ? d->now() : d->newTargetAt;
     book.seen(target, d->now());
     d->hooks.onHolding(book.description());
 }
 
 auto OrderTask::targetGone(const TargetId &target) -> void
 {
+    d->inputs.clear();
     d->books.erase(target);
     d->intended.erase(target);
     std::erase_if(d->uses, [&](const auto &use) { return use.first.first == target; });
@@ -479,7 +511,8 @@
 auto OrderTask::wanted(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
 {
     for (auto &[id, book] : d->books) {
-        const bool isHeld = adapter.empty() ? book.description().model(model) != nullptr : book.description().model(model) != nullptr && book.description().model(model)->hasAdapter(adapter);
+        const bool isHeld = adapter.empty() ? book.description().model(model) != nullptr
+                                            : book.description().model(model) != nullptr && book.description().model(model)->hasAdapter(adapter);
         if (isHeld && book.description().service == service) {
             // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
             book.doubt(d->now());
@@ -487,7 +520,7 @@
         }
     }
     d->wishes[{service, model, adapter}] = d->now();
-    d->serveWishes();
+    d->serveWishesSoon();
 }
 
 auto OrderTask::adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void
