Gateways read their settings again at SIGHUP; the order giver's book outweighs rows

Change: onSignals() with a reload hook, settings read again every 5 s and at SIGHUP; a known book keeps its own list.

--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -15,7 +15,7 @@
     try {
         KingCup::EventLoop loop;
         KingCup::Fakes fakes(loop, *settings);
-        KingCup::onTerminationSignal(loop, [&loop] { loop.stop(); });
+        KingCup::onSignals(loop, [&loop] { loop.stop(); });
         std::cout << "ready " << fakes.ports().dump() << std::endl;
         loop.run();
     } catch (const std::exception &error) {
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -184,30 +184,17 @@
         m_reportAt = now;
         return;
     }
-    // The row is written when what it says changes; adapters come and go without it, and it may be older than an order that was accepted.
-    auto kept = std::move(m_description);
+    auto known = std::move(m_description.models);
     m_description = description;
-    const bool isUnloading = m_modelOrder && !m_modelOrder->order.isLoad;
-    if (m_sent || isUnloading) {
-        m_description.models = std::move(kept.models);
+    if (!m_isKnown) {
         return;
     }
-    for (auto &held : m_description.models) {
-        if (const auto *before = kept.model(held.name)) {
-            held.adapters = before->adapters;
-        }
-    }
-    settle();
-}
-
-/// A model order that is done according to what was just read is no longer under way.
-auto RunnerBook::settle() -> void
-{
-    if (!m_modelOrder) {
-        return;
-    }
-    const bool isHeld = model(m_modelOrder->order.model) != nullptr;
-    if (isHeld == m_modelOrder->order.isLoad) {
+    // Whoever gives the orders knows better: the row may be older than one that was accepted, and adapters come and go without it.
+    // Believed, it would hide adapters that are there, and the next one ordered would be one too many.
+    const auto *loaded = m_modelOrder && m_modelOrder->order.isLoad ? description.model(m_modelOrder->order.model) : nullptr;
+    m_description.models = std::move(known);
+    if (loaded != nullptr) {
+        m_description.models.push_back(*loaded);
         m_modelOrder.reset();
     }
 }
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -91,7 +91,6 @@
         TimePoint doneAt; ///< probably; known once accepted
     };
     auto apply(const RunnerOrder &order) -> void;
-    auto settle() -> void;
     auto model(std::string_view name) -> HeldModel *;
 
     RunnerBookOptions m_options;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 //   Peers     digests to and from other gateways
 //   Pages     readiness and metrics
 //   Leaving   planned stops
+//   Settings  read again
 #include "gateway/gateway.h"
 
 #include "core/demand.h"
@@ -45,15 +46,24 @@
 constexpr auto DigestPeriod = Duration::millis(200);
 /// A gateway that is behind for so long can't have the store's word under way any more.
 constexpr auto BehindPatience = Duration::millis(500);
+/// The settings file may change without a signal; reading it takes less than a millisecond.
+constexpr auto SettingsPeriod = Duration::seconds(5);
 constexpr auto DemandBucket = Duration::millis(500);
 
 } // namespace
 
 // [SECTION] Parts
 
+/// What the gateway that gives orders says that one start of a runner holds.
+struct ToldHolding {
+    TargetIncarnation incarnation;
+    std::vector<HeldModel> models;
+};
+
 struct Gateway::Private {
     EventLoop &loop;
     DaemonSettings settings;
+    ReadSettings readSettings;
     Protocol protocol;
     std::uint64_t incarnation = wallMillis();
     EventLog log;
@@ -76,19 +86,22 @@
     std::shared_ptr<const Traffic> traffic;
     std::string trafficDocument;
     TimePoint storeLostAt;
+    Timer settingsTimer;
     Timer digestTimer;
     std::uint64_t digests = 0;
     std::map<std::string, TimePoint> behindSince; ///< gateways with an older version than ours
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
+    std::map<TargetId, ToldHolding> holdings;
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
     int cutOff = 0;
 
-    Private(EventLoop &ownerLoop, DaemonSettings daemonSettings, Protocol deployment)
+    Private(EventLoop &ownerLoop, DaemonSettings daemonSettings, Protocol deployment, ReadSettings reader)
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
+        , readSettings(std::move(reader))
         , protocol(std::move(deployment))
         , log(loop, {.host = settings.process.id})
         , targetPool(loop)
@@ -123,6 +136,8 @@
     {
         return traffic && targetsWatch->isLoaded() && !isLeaving;
     }
+    auto applyRetryBudget() -> void;
+    auto reload(bool isAsked) -> void;
     auto checkLeft() -> void;
 };
 
@@ -133,6 +148,7 @@
     buildForwarder();
     buildPages();
     buildWatches();
+    settingsTimer = loop.every(SettingsPeriod, [this] { reload(false); });
     digestTimer = loop.every(DigestPeriod, [this] { sendDigest(); });
 }
 
@@ -286,6 +302,10 @@
             .add("models", static_cast<int>(target.models.size()));
         dispatcher.targetSeen(target, loop.now());
         orders->targetSeen(target);
+        const auto told = holdings.find(target.incarnation.id);
+        if (!orders->mayOrder() && told != holdings.end() && told->second.incarnation == target.incarnation) {
+            dispatcher.targetHolds(target.incarnation.id, told->second.models); // newer than the row as long as somebody gives orders
+        }
         if (target.isLeaving) {
             leavingTold.try_emplace(target.incarnation, loop.now());
         }
@@ -296,6 +316,7 @@
             targetPool.forget(about->address);
             leavingTold.try_emplace(about->incarnation, loop.now());
         }
+        holdings.erase(target);
         dispatcher.targetGone(target);
         orders->targetGone(target);
     }
@@ -333,7 +354,7 @@
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
     forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, metrics, log}, options, std::move(hooks));
-    forwarder->setRetryBudget({.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+    applyRetryBudget();
 }
 
 auto Gateway::Private::onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
@@ -441,7 +462,9 @@
     if (about == nullptr || about->incarnation.bornMillis != holding.born_ms() || orders->mayOrder()) {
         return;
     }
-    dispatcher.targetHolds(target, modelsOf(holding));
+    auto &told = holdings[target];
+    told = {about->incarnation, modelsOf(holding)};
+    dispatcher.targetHolds(target, told.models);
     forwarder->pump();
 }
 
@@ -575,8 +598,35 @@
     loop.stop();
 }
 
-Gateway::Gateway(EventLoop &loop, DaemonSettings settings, Protocol protocol)
-    : d(std::make_unique<Private>(loop, std::move(settings), std::move(protocol)))
+// [SECTION] Settings
+
+auto Gateway::Private::applyRetryBudget() -> void
+{
+    forwarder->setRetryBudget(
+        {.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+}
+
+auto Gateway::Private::reload(bool isAsked) -> void
+{
+    const auto read = readSettings();
+    for (const auto &finding : read.findings) {
+        log.line("settings", "finding").add("what", toString(finding));
+    }
+    if (!read.isValid()) {
+        return;
+    }
+    const bool isChanged = read.value.gateway != settings.gateway || read.value.platform.store != settings.platform.store;
+    if (isAsked || isChanged) {
+        log.line("settings", "reloaded").add("asked", isAsked).add("changed", isChanged);
+    }
+    settings.gateway = read.value.gateway;
+    settings.platform.store = read.value.platform.store;
+    store.setServer(settings.platform.store);
+    applyRetryBudget();
+}
+
+Gateway::Gateway(EventLoop &loop, DaemonSettings settings, Protocol protocol, ReadSettings readSettings)
+    : d(std::make_unique<Private>(loop, std::move(settings), std::move(protocol), std::move(readSettings)))
 {
     d->build();
     d->log.line("process", "started")
@@ -592,6 +642,11 @@
     return d->cutOff == 0 ? 0 : ExitCutOff;
 }
 
+auto Gateway::reload() -> void
+{
+    d->reload(true);
+}
+
 auto Gateway::leave() -> void
 {
     if (d->isLeaving) {
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -33,6 +33,18 @@
     Timer timer;
 };
 
+auto textOf(const std::vector<HeldModel> &models) -> std::string
+{
+    std::string text;
+    for (const auto &model : models) {
+        text += (text.empty() ? "" : ",") + model.name;
+        for (const auto &adapter : model.adapters) {
+            text += "/" + adapter;
+        }
+    }
+    return text;
+}
+
 using WishKey = std::tuple<ServiceName, std::string, std::string>;
 
 } // namespace
@@ -230,6 +242,10 @@
             meter.takenOver(now());
         }
         intended.clear();
+    } else {
+        for (auto &[id, book] : books) {
+            book.doubt(now());
+        }
     }
 }
 
@@ -267,7 +283,9 @@
             .add("busy", report->isBusy)
             .add("running", report->running)
             .add("waiting", report->waiting)
-            .add("kv", report->kvUsed);
+            .add("kv", report->kvUsed)
+            .add("holds", textOf(report->models))
+            .add("under-way", static_cast<int>(report->adaptersUnderWay.size()));
         tellHolding(*asked);
         serveWishesSoon();
     });
--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <functional>
 #include <glog/logging.h>
 #include <iostream>
 #include <memory>
@@ -34,31 +35,23 @@
     google::InitGoogleLogging(program);
 }
 
-auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Entry> &role) -> void
-{
-    role = std::make_unique<Entry>(loop, settings);
-}
-
-auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Agent> &role) -> void
-{
-    role = std::make_unique<Agent>(loop, settings);
-}
-
-auto makeRole(EventLoop &loop, const DaemonSettings &settings, std::unique_ptr<Gateway> &role) -> void
-{
-    role = std::make_unique<Gateway>(loop, settings, Platform::makeProtocol());
-}
-
+/// Runs the loop with one role on it; `start` makes the role.
 template<typename Role>
-auto runRole(const DaemonSettings &settings) -> int
+auto runRole(const std::function<std::unique_ptr<Role>(EventLoop &loop)> &start, const std::function<void(Role &role)> &reload) -> int
 {
     EventLoop loop;
     try {
         // Before the role: threads that it starts inherit the blocked signals. One that doesn't would take a SIGTERM, and with it the process,
         // in the middle of every answer.
         std::unique_ptr<Role> role;
-        onTerminationSignal(loop, [&role] { role->leave(); });
-        makeRole(loop, settings, role);
+        std::function<void()> onReload;
+        if (reload) {
+            onReload = [&role, &reload] {
+                reload(*role);
+            };
+        }
+        onSignals(loop, [&role] { role->leave(); }, onReload);
+        role = start(loop);
         loop.run();
         return role->exitCode();
     } catch (const std::runtime_error &error) {
@@ -67,6 +60,24 @@
     }
 }
 
+auto runEntry(const DaemonSettings &settings) -> int
+{
+    return runRole<Entry>([&](EventLoop &loop) { return std::make_unique<Entry>(loop, settings); }, nullptr);
+}
+
+auto runAgent(const DaemonSettings &settings) -> int
+{
+    return runRole<Agent>([&](EventLoop &loop) { return std::make_unique<Agent>(loop, settings); }, nullptr);
+}
+
+auto runGateway(const std::string &file, const DaemonSettings &settings) -> int
+{
+    const auto start = [&](EventLoop &loop) {
+        return std::make_unique<Gateway>(loop, settings, Platform::makeProtocol(), [file] { return loadDaemonSettings(file); });
+    };
+    return runRole<Gateway>(start, [](Gateway &gateway) { gateway.reload(); });
+}
+
 auto runWith(const std::string &file, bool checkOnly, const char *program) -> int
 {
     const auto loaded = loadDaemonSettings(file);
@@ -84,11 +95,11 @@
     startLogging(settings.log, program);
     switch (settings.process.role) {
     case ProcessRole::Entry:
-        return runRole<Entry>(settings);
+        return runEntry(settings);
     case ProcessRole::Agent:
-        return runRole<Agent>(settings);
+        return runAgent(settings);
     case ProcessRole::Gateway:
-        return runRole<Gateway>(settings);
+        return runGateway(file, settings);
     }
     return ExitUsage;
 }
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -254,18 +254,21 @@
     return d->context;
 }
 
-auto onTerminationSignal(EventLoop &loop, std::function<void()> onSignal) -> void
+auto onSignals(EventLoop &loop, std::function<void()> onStop, std::function<void()> onReload) -> void
 {
     // A thread that waits for the signals may take locks, which a signal handler may not.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    if (onReload) {
+        sigaddset(&signals, SIGHUP);
+    }
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::thread([&loop, signals, onSignal = std::move(onSignal)] {
+    std::thread([&loop, signals, onStop = std::move(onStop), onReload = std::move(onReload)] {
         int signal = 0;
         while (sigwait(&signals, &signal) == 0) {
-            loop.post(onSignal);
+            loop.post(signal == SIGHUP ? onReload : onStop);
         }
     }).detach();
 }
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -77,7 +77,7 @@
     std::unique_ptr<Private> d;
 };
 
-/// Stops `loop` gracefully on SIGTERM and SIGINT: calls `onSignal` on the loop, once per signal. One per process.
-auto onTerminationSignal(EventLoop &loop, std::function<void()> onSignal) -> void;
+/// Calls `onStop` on the loop at SIGTERM and SIGINT, and `onReload`, if there is one, at SIGHUP; once per signal. One per process.
+auto onSignals(EventLoop &loop, std::function<void()> onStop, std::function<void()> onReload = {}) -> void;
 
 } // namespace KingCup
