Late loads are charged by their number; rows that go are believed once the store has been back for two seconds

Change: RunnerBook charges unanswered loads whose number is still to come; a report's word on being busy counts; a peer's trouble makes a gateway ask the store itself, and only its own trouble counts, the moment of the store's return included.

--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -10,6 +10,8 @@
 
 /// After a report that didn't help, until the next one is asked for.
 constexpr auto ReportPause = Duration::millis(150);
+/// How old what a report says may be: runners of the sizes in use say 200 ms.
+constexpr auto ReportAge = Duration::millis(400);
 
 auto contains(const std::vector<std::string> &list, std::string_view text) -> bool
 {
@@ -84,15 +86,20 @@
         const auto *declared = engine.model(m_modelOrder->order.model);
         used += declared == nullptr ? largest : declared->weights;
     }
-    if (mayStillTakeLateOrders(now)) {
-        used += largest;
+    for (const auto &late : m_late) {
+        const auto *declared = engine.model(late.order.model);
+        if (isCharged(late, now) && declared != nullptr) {
+            used += late.order.adapter.empty() ? declared->weights : declared->adapterWeights;
+        }
     }
     return engine.memory - used;
 }
 
 auto RunnerBook::freeAdapterSlots(const EngineDeclaration &engine, TimePoint now) const -> int
 {
-    std::size_t used = m_adapters.size() + (mayStillTakeLateOrders(now) ? 1 : 0);
+    auto used = m_adapters.size();
+    used += static_cast<std::size_t>(
+        std::count_if(m_late.begin(), m_late.end(), [&](const Late &late) { return !late.order.adapter.empty() && isCharged(late, now); }));
     for (const auto &held : m_description.models) {
         used += held.adapters.size();
     }
@@ -102,7 +109,7 @@
 auto RunnerBook::isBusy(TimePoint now) const -> bool
 {
     // While it unloads, it refuses other orders by itself: asking for its report would take longer than trying.
-    return m_modelOrder && (m_modelOrder->order.isLoad || m_modelOrder->order.model.empty() || now < m_modelOrder->doneAt);
+    return m_modelOrder && (m_modelOrder->order.isLoad || m_isBusyForSure || now < m_modelOrder->doneAt);
 }
 
 auto RunnerBook::loading() const -> std::optional<std::string>
@@ -118,9 +125,9 @@
     return contains(m_description.weightsOnDisk, model) ? WeightSource::Disk : WeightSource::Store;
 }
 
-auto RunnerBook::mayStillTakeLateOrders(TimePoint now) const -> bool
+auto RunnerBook::isCharged(const Late &late, TimePoint now) const -> bool
 {
-    return now < m_lateUntil;
+    return now < late.until && late.expected > m_ordersTaken;
 }
 
 auto RunnerBook::holdsAdapter(std::string_view model, std::string_view adapter) const -> bool
@@ -175,11 +182,9 @@
 auto RunnerBook::seen(const TargetDescription &description, TimePoint now) -> void
 {
     if (m_description.incarnation != description.incarnation) {
-        const bool isSameId = m_description.incarnation.id == description.incarnation.id;
-        const auto unansweredUntil = m_unansweredUntil;
+        auto late = std::move(m_late);
         *this = RunnerBook(m_options);
-        m_lateUntil = isSameId ? unansweredUntil : TimePoint();
-        m_unansweredUntil = unansweredUntil;
+        m_late = std::move(late);
         m_description = description;
         m_reportAt = now;
         return;
@@ -199,9 +204,10 @@
     }
 }
 
-auto RunnerBook::reportAsked(TimePoint /*now*/) -> void
+auto RunnerBook::reportAsked(TimePoint now) -> void
 {
     m_isAsked = true;
+    m_reportAskedAt = now;
 }
 
 auto RunnerBook::reported(const RunnerReport &report, TimePoint now) -> void
@@ -211,8 +217,10 @@
     if (report.bornMillis && m_description.incarnation.bornMillis != 0 && *report.bornMillis != m_description.incarnation.bornMillis) {
         return; // another start than the row's: the row will follow
     }
-    if (report.ordersTaken < m_ordersTaken && m_isKnown) {
-        return; // older than what was already known
+    // What a report says is some hundred milliseconds old: fewer orders than are known of may only mean that.
+    const bool mayBeOld = m_isKnown || m_reportAskedAt - m_acceptedAt < ReportAge;
+    if (report.ordersTaken < m_ordersTaken && mayBeOld) {
+        return;
     }
     m_ordersTaken = report.ordersTaken;
     m_description.models = report.models;
@@ -226,10 +234,17 @@
         m_adapters.push_back({{true, pending.substr(0, slash), pending.substr(std::min(slash + 1, pending.size()))}, {}, now + m_options.adapterTime});
     }
     m_isKnown = true;
+    m_isBusyForSure = report.isBusy;
     if (!report.isBusy) {
         m_modelOrder.reset();
-    } else if (!m_modelOrder) {
-        m_modelOrder = Under {{false, "", ""}, {}, now + ReportPause};
+        return;
+    }
+    if (!m_modelOrder) {
+        m_modelOrder = Under {{false, "", ""}, {}, now}; // somebody else's
+    }
+    m_modelOrder->doneAt = std::max(m_modelOrder->doneAt, now + ReportPause);
+    if (!m_modelOrder->order.isLoad) {
+        apply(m_modelOrder->order); // it still runs requests with the model, and takes no new ones
     }
 }
 
@@ -252,16 +267,23 @@
     auto under = *m_sent;
     m_sent.reset();
     under.doneAt = now + under.expected;
-    ++m_ordersTaken;
+    m_acceptedAt = now;
     if (isDone || !under.order.isLoad) {
         apply(under.order);
     }
     if (isDone) {
+        // Done at once is counted for adapters that gave way, not for what held already: that is only known from a report.
+        const bool isCounted = !under.order.isLoad && !under.order.adapter.empty();
+        m_ordersTaken += isCounted ? 1 : 0;
+        m_isKnown = isCounted;
+        m_reportAt = now;
         return;
     }
+    ++m_ordersTaken;
     if (under.order.adapter.empty()) {
         under.doneAt = under.order.isLoad ? under.doneAt : now + m_options.unloadTime;
         m_modelOrder = under;
+        m_isBusyForSure = false;
     } else if (under.order.isLoad) {
         m_adapters.push_back(under);
     }
@@ -297,10 +319,13 @@
 
 auto RunnerBook::unanswered(TimePoint now) -> void
 {
+    std::erase_if(m_late, [&](const Late &late) { return now >= late.until; });
+    if (m_sent && m_sent->order.isLoad) {
+        m_late.push_back({m_sent->order, m_ordersTaken, now + m_options.latestOrder});
+    }
     m_sent.reset();
     m_isKnown = false;
     m_reportAt = now;
-    m_unansweredUntil = now + m_options.latestOrder;
 }
 
 auto RunnerBook::doubt(TimePoint now) -> void
@@ -315,7 +340,6 @@
 {
     m_isKnown = false;
     m_reportAt = now;
-    m_unansweredUntil = now + m_options.latestOrder;
 }
 
 } // namespace KingCup
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -2,8 +2,9 @@
 //
 // Every order names the number of orders that the runner must have taken before, and the runner refuses it otherwise, also when it comes
 // late. So an order that got no answer can only ever act on the very state that it was made for, and what is ordered next under the same
-// number excludes it. One case is left: a runner that starts again under its id counts from 0, and a late order from before may
-// meet the same number there. After such a start room for one more model and adapter is kept free until no order can be that late.
+// number excludes it. Two cases are left, in which a late load meets its number in another state: the number was counted wrong, or the
+// runner started again under its id and counts from 0. So a load without an answer is charged to the room as long as its number is still to
+// come there and it can still come.
 //
 // Index of sections (search for [SECTION]):
 //   Orders       what may be ordered
@@ -63,7 +64,6 @@
     auto loading() const -> std::optional<std::string>; ///< the model being loaded
     auto mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool;
     auto holdsAdapter(std::string_view model, std::string_view adapter) const -> bool; ///< loaded, or under way
-    auto mayStillTakeLateOrders(TimePoint now) const -> bool;
     auto needsReport(TimePoint now) const -> bool; ///< an order should be done by now, or nothing is known
 
     // Commands
@@ -90,6 +90,13 @@
         Duration expected;
         TimePoint doneAt; ///< probably; known once accepted
     };
+    /// A load without an answer, and the number that it meets its moment at.
+    struct Late {
+        RunnerOrder order;
+        std::uint64_t expected = 0;
+        TimePoint until;
+    };
+    auto isCharged(const Late &late, TimePoint now) const -> bool;
     auto apply(const RunnerOrder &order) -> void;
     auto model(std::string_view name) -> HeldModel *;
 
@@ -101,8 +108,10 @@
     std::optional<Under> m_sent; ///< an order without an answer yet
     std::optional<Under> m_modelOrder; ///< accepted, being carried out
     std::vector<Under> m_adapters; ///< accepted loads that aren't usable yet
-    TimePoint m_lateUntil; ///< orders from before this start may still come
-    TimePoint m_unansweredUntil; ///< the last order without an answer may still come
+    bool m_isBusyForSure = false; ///< the runner said so itself
+    std::vector<Late> m_late;
+    TimePoint m_acceptedAt; ///< the last order
+    TimePoint m_reportAskedAt;
     TimePoint m_reportAt; ///< not before
 };
 
--- a/src/core/targetview.cpp
+++ b/src/core/targetview.cpp
@@ -13,7 +13,7 @@
 
 auto TargetView::isSettled(TimePoint now) const -> bool
 {
-    return !m_hadTrouble || now - m_troubleAt >= m_options.trustSpan;
+    return !m_hadTrouble || now - m_troubleAt >= m_options.settleTime;
 }
 
 auto TargetView::find(const TargetId &target) const -> const TargetDescription *
@@ -70,7 +70,7 @@
     }
     // One that had said that it leaves is gone for certain.
     if (!isSettled(now) && !found->second.isLeaving) {
-        m_missing.try_emplace(target, now + m_options.settleTime);
+        m_missing.insert(target);
         return {};
     }
     m_targets.erase(found);
@@ -97,14 +97,12 @@
 auto TargetView::advance(TimePoint now) -> TargetChanges
 {
     TargetChanges changes;
-    for (auto missing = m_missing.begin(); missing != m_missing.end();) {
-        if (now < missing->second || (m_hadTrouble && now - m_troubleAt < m_options.settleTime)) {
-            ++missing;
-            continue;
+    if (isSettled(now)) {
+        for (const auto &target : m_missing) {
+            m_targets.erase(target);
+            changes.gone.push_back(target);
         }
-        m_targets.erase(missing->first);
-        changes.gone.push_back(missing->first);
-        missing = m_missing.erase(missing);
+        m_missing.clear();
     }
     return changes;
 }
--- a/src/core/targetview.h
+++ b/src/core/targetview.h
@@ -16,8 +16,7 @@
 {
 
 struct TargetViewOptions {
-    Duration settleTime = Duration::millis(2600); ///< after trouble: targets are back within two seconds, and their rows have to arrive
-    Duration trustSpan = Duration::millis(3000); ///< without trouble until a row that goes is believed at once
+    Duration settleTime = Duration::millis(2300); ///< after trouble: targets are back within two seconds, and their rows have to arrive
 };
 
 struct TargetChanges {
@@ -34,7 +33,7 @@
     auto find(const TargetId &target) const -> const TargetDescription *;
     auto targets() const -> const std::map<TargetId, TargetDescription> &;
 
-    /// The store wasn't reached, here or by another gateway.
+    /// The store wasn't reached.
     auto trouble(TimePoint now) -> void;
     /// The whole table.
     auto table(const std::vector<TargetDescription> &rows, TimePoint now) -> TargetChanges;
@@ -50,7 +49,7 @@
 private:
     TargetViewOptions m_options;
     std::map<TargetId, TargetDescription> m_targets;
-    std::map<TargetId, TimePoint> m_missing; ///< rows that went during trouble, with when they are believed to be gone
+    std::set<TargetId> m_missing; ///< rows that went during trouble
     TimePoint m_troubleAt;
     bool m_hadTrouble = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,6 +48,8 @@
 constexpr auto BehindPatience = Duration::millis(500);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
+/// While another gateway misses the store, it is asked this often here.
+constexpr auto ProbePause = Duration::millis(700);
 constexpr auto DemandBucket = Duration::millis(500);
 
 } // namespace
@@ -86,6 +88,7 @@
     std::shared_ptr<const Traffic> traffic;
     std::string trafficDocument;
     TimePoint storeLostAt;
+    bool isProbing = false; ///< a call is under way to see whether the store answers
     Timer settingsTimer;
     Timer digestTimer;
     std::uint64_t digests = 0;
@@ -119,6 +122,7 @@
     auto buildWatches() -> void;
     auto onContact(const char *what, bool isReached) -> void;
     auto onTrouble() -> void;
+    auto probeStore() -> void;
     auto adoptRows(const std::vector<StoredRow> &rows) -> void;
     auto adoptTraffic(const std::string &document) -> void;
     auto onTargetRows(const std::vector<StoredRow> &rows, bool isWhole) -> void;
@@ -148,6 +152,9 @@
     buildForwarder();
     buildPages();
     buildWatches();
+    store.onTrouble = [this] {
+        onTrouble();
+    };
     settingsTimer = loop.every(SettingsPeriod, [this] { reload(false); });
     digestTimer = loop.every(DigestPeriod, [this] { sendDigest(); });
 }
@@ -179,9 +186,6 @@
 {
     log.line("store", isReached ? "reached" : "not-reached").add("for", what);
     metrics.set(std::string("store_reached{table=\"") + what + "\"}", isReached ? 1 : 0);
-    if (!isReached) {
-        onTrouble();
-    }
 }
 
 auto Gateway::Private::onTrouble() -> void
@@ -190,6 +194,16 @@
     view.trouble(loop.now());
 }
 
+/// Another gateway doesn't reach the store. It may be alone with that, or a watch here may hang without having noticed yet: a call tells.
+auto Gateway::Private::probeStore() -> void
+{
+    if (isProbing || loop.now() - store.lastAnswerAt() < ProbePause) {
+        return;
+    }
+    isProbing = true;
+    store.read(StoreTable::Leases, "", [this](const StoreAnswer & /*answer*/) { isProbing = false; });
+}
+
 auto Gateway::Private::buildWatches() -> void
 {
     TableWatchHooks operators;
@@ -533,7 +547,7 @@
         orders->adapterUsed(TargetId(use.target()), use.adapter().substr(0, slash), use.adapter().substr(slash + 1));
     }
     if (digest.store_trouble()) {
-        view.trouble(loop.now());
+        probeStore();
     }
     for (const auto &target : digest.leaving()) {
         apply(view.saidLeaving({TargetId(target.target()), target.born_ms()}, loop.now()));
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -45,6 +45,11 @@
     const StoreFormat &format;
     StoreClientOptions options;
     std::uint64_t calls = 0;
+    TimePoint lastAnswerAt;
+    bool isReached = true;
+    std::function<void()> *onTrouble = nullptr;
+
+    auto noteEnd(StoreEnd end) -> void;
 
     using Decode = std::function<bool(const std::string &body, StoreAnswer &answer)>;
 
@@ -114,39 +119,67 @@
     pooled.onBody = [state](std::string_view bytes) {
         state->body.append(bytes);
     };
-    pooled.onEnd = [state, decode = std::move(decode)](const PooledEnd &end) {
+    pooled.onEnd = [weak = weak_from_this(), state, decode = std::move(decode)](const PooledEnd &end) {
         StoreAnswer answer;
         if (end.end == CallEnd::Complete) {
             answer.end = endOfStatus(state->status);
+
             if (answer.end == StoreEnd::Done && !decode(state->body, answer)) {
                 answer.end = StoreEnd::Unclear;
             }
         } else {
             answer.end = end.end == CallEnd::NotSent ? StoreEnd::Refused : StoreEnd::Unclear;
         }
+        if (const auto self = weak.lock()) {
+            self->noteEnd(answer.end);
+        }
         state->finish(answer);
     };
-    state->timer = loop.after(timeout, [state] {
+    state->timer = loop.after(timeout, [weak = weak_from_this(), state] {
         if (state->handle) {
             state->handle->cancel();
         }
+        if (const auto self = weak.lock()) {
+            self->noteEnd(StoreEnd::Unclear);
+        }
         state->finish({});
     });
     state->handle = pool.start(std::move(pooled));
 }
 
+auto StoreClient::Private::noteEnd(StoreEnd end) -> void
+{
+    const bool wasReached = std::exchange(isReached, end != StoreEnd::Refused && end != StoreEnd::Unclear);
+    if (isReached) {
+        lastAnswerAt = loop.now();
+    }
+    // Also the moment of its return counts: rows that lapsed meanwhile come back only after it.
+    if ((!isReached || !wasReached) && onTrouble != nullptr && *onTrouble) {
+        (*onTrouble)();
+    }
+}
+
 StoreClient::StoreClient(EventLoop &loop, HttpPool &pool, const StoreFormat &format, StoreClientOptions options)
     : d(std::make_shared<Private>(loop, pool, format, std::move(options)))
 {
+    d->onTrouble = &onTrouble;
 }
 
-StoreClient::~StoreClient() = default;
+StoreClient::~StoreClient()
+{
+    d->onTrouble = nullptr;
+}
 
 auto StoreClient::calls() const -> std::uint64_t
 {
     return d->calls;
 }
 
+auto StoreClient::lastAnswerAt() const -> TimePoint
+{
+    return d->lastAnswerAt;
+}
+
 auto StoreClient::setServer(const Endpoint &server) -> void
 {
     d->options.server = server;
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -56,6 +56,10 @@
     auto operator=(const StoreClient &) -> StoreClient & = delete;
 
     auto calls() const -> std::uint64_t; ///< started so far: each has its price
+    auto lastAnswerAt() const -> TimePoint; ///< of any call
+
+    /// The store was not reached, or is reached again after that.
+    std::function<void()> onTrouble;
 
     auto setServer(const Endpoint &server) -> void;
     /// One page of a table, from key `from` on.
