--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace KingCup
 {
@@ -11,6 +12,18 @@
 namespace
 {
 
+/// The part of a model's work that is lost or late: all of it without a copy; else what grows as its runners fill up, and goes on growing
+/// when they are more than full: with a step there, nothing would be gained by a first copy of several that are needed.
+/// `fill`: the share of the runners' time that is taken, with all models on them.
+auto lostWork(double work, int copies, double fill, const CopyPlanOptions &options) -> double
+{
+    if (copies <= 0) {
+        return work + options.silentModel;
+    }
+    const double squared = fill * fill;
+    return work * squared / (squared + options.halfLost * options.halfLost);
+}
+
 /// The state of one round of planning.
 class Round
 {
@@ -22,61 +35,66 @@
         , m_now(now)
     {
         for (const auto *runner : input.runners) {
-            if (runner->description().isLeaving) {
-                continue;
-            }
-            for (const auto &held : runner->description().models) {
-                ++m_copies[held.name];
-            }
-            if (const auto loading = runner->loading()) {
-                ++m_copies[*loading];
-            } else if (const auto intended = input.intended.find(runner->description().incarnation.id);
-                       intended != input.intended.end() && runner->description().model(intended->second) == nullptr) {
-                ++m_copies[intended->second];
-            }
-            m_underWay += runner->isBusy(now) ? 1 : 0;
+            countCopies(*runner);
+        }
+        for (const auto *runner : input.runners) {
+            countFill(*runner);
         }
     }
 
     auto plan() -> std::vector<PlannedOrder>
     {
         loadIntended();
-        for (const auto &model : m_input.engine->models) {
-            if (copies(model.name) == 0) {
-                addCopy(model, std::numeric_limits<double>::infinity(), "no-copy");
-            }
-        }
-        addBusy();
-        fillFree();
+        addWhereItGains();
         return std::move(m_orders);
     }
 
 private:
+    struct Place {
+        const RunnerBook *runner = nullptr;
+        WeightSource source = WeightSource::Store;
+        std::string victim; ///< that gives way; empty: none has to
+        double cost = 0; ///< work that is lost with the victim
+    };
+    auto countCopies(const RunnerBook &runner) -> void;
     auto copies(const std::string &model) const -> int
     {
         const auto found = m_copies.find(model);
         return found == m_copies.end() ? 0 : found->second;
     }
-    auto work(const std::string &model) const -> double
+    auto work(const ModelDeclaration &model) const -> double
     {
-        const auto found = m_input.work.find(model);
-        return found == m_input.work.end() ? 0 : std::max(found->second.now, found->second.soon);
+        const auto found = m_input.work.find(model.name);
+        const double asked = found == m_input.work.end() ? 0 : std::max(found->second.now, found->second.soon);
+        return asked + model.adapters * m_options.adaptersWorth;
     }
-    auto loadOf(const TargetId &target) const -> double
+    auto workOf(const std::string &name) const -> double
     {
-        const auto found = m_input.load.find(target);
-        return found == m_input.load.end() ? 0 : found->second;
+        const auto *declared = m_input.engine->model(name);
+        return declared == nullptr ? 0 : work(*declared);
     }
-    auto addBusy() -> void;
-    auto fillFree() -> void;
-    auto addCopy(const ModelDeclaration &model, double perCopy, const char *why) -> bool;
-    auto loadIntended() -> void;
-    auto freePlace(const ModelDeclaration &model) const -> const RunnerBook *;
-    auto victimOn(const RunnerBook &runner, const ModelDeclaration &model, double perCopy) const -> std::optional<std::string>;
-    auto isTaken(const RunnerBook &runner) const -> bool
+    /// The work that one copy of a model takes of its runner, spread evenly.
+    auto perCopy(const std::string &name) const -> double
+    {
+        return workOf(name) / std::max(copies(name), 1);
+    }
+    auto fillOf(const RunnerBook &runner) const -> double
+    {
+        const auto found = m_fill.find(runner.description().incarnation.id);
+        return found == m_fill.end() ? 0 : found->second;
+    }
+    auto countFill(const RunnerBook &runner) -> void;
+    auto meanFill(const std::string &model) const -> double;
+    auto gain(const ModelDeclaration &model, double fillThere) const -> double;
+    auto isUsable(const RunnerBook &runner) const -> bool
     {
-        return m_taken.contains(runner.description().incarnation.id);
+        const auto &id = runner.description().incarnation.id;
+        return !runner.description().isLeaving && !m_input.failing.contains(id) && !m_taken.contains(id);
     }
+    auto loadIntended() -> void;
+    auto addWhereItGains() -> void;
+    auto findPlace(const ModelDeclaration &model, double gained) const -> Place;
+    auto placeOn(const RunnerBook &runner, const ModelDeclaration &model, double gained) const -> Place;
     auto order(const RunnerBook &runner, RunnerOrder what, WeightSource source, const char *why) -> void;
 
     const CopyPlanInput &m_input;
@@ -84,23 +102,74 @@
     int m_storeLoads;
     TimePoint m_now;
     std::map<std::string, int> m_copies;
-    int m_underWay = 0;
-    std::set<TargetId> m_taken; ///< have an order of this round
+    std::map<TargetId, double> m_fill; ///< the share of each runner's time that is taken
+    std::map<std::string, double> m_fills; ///< the sum of that over the runners of each model
+    int m_givingWay = 0; ///< runners on which a model gives way to another
+    std::set<TargetId> m_taken; ///< have an order of this round, or wait for one
     std::vector<PlannedOrder> m_orders;
 };
 
+auto Round::countFill(const RunnerBook &runner) -> void
+{
+    if (!isUsable(runner)) {
+        return;
+    }
+    const auto &about = runner.description();
+    double fill = 0;
+    for (const auto &held : about.models) {
+        fill += perCopy(held.name);
+    }
+    m_fill[about.incarnation.id] = fill;
+    for (const auto &held : about.models) {
+        m_fills[held.name] += fill;
+    }
+}
+
+/// Over the runners that hold it.
+auto Round::meanFill(const std::string &model) const -> double
+{
+    const auto found = m_fills.find(model);
+    return found == m_fills.end() ? 0 : found->second / std::max(copies(model), 1);
+}
+
+/// What another copy saves, on a runner that is filled so far by others.
+auto Round::gain(const ModelDeclaration &model, double fillThere) const -> double
+{
+    const int held = copies(model.name);
+    const double asked = work(model);
+    const double fill = meanFill(model.name);
+    const double shareAfter = asked / (held + 1);
+    const double restBefore = held * fill - asked * (held > 0 ? 1 : 0); // of other models on its runners
+    const double fillAfter = (restBefore + fillThere) / (held + 1) + shareAfter;
+    return lostWork(asked, held, fill, m_options) - lostWork(asked, held + 1, fillAfter, m_options);
+}
+
+/// Copies on runners that leave or fail don't count: what is asked for is served elsewhere already.
+auto Round::countCopies(const RunnerBook &runner) -> void
+{
+    if (!isUsable(runner)) {
+        return;
+    }
+    const auto &about = runner.description();
+    for (const auto &held : about.models) {
+        ++m_copies[held.name];
+    }
+    const auto intended = m_input.intended.find(about.incarnation.id);
+    if (const auto loading = runner.loading()) {
+        ++m_copies[*loading];
+    } else if (intended != m_input.intended.end() && about.model(intended->second) == nullptr) {
+        ++m_copies[intended->second];
+    }
+    m_givingWay += intended != m_input.intended.end() ? 1 : 0;
+}
+
 auto Round::order(const RunnerBook &runner, RunnerOrder what, WeightSource source, const char *why) -> void
 {
     const auto &id = runner.description().incarnation.id;
     m_taken.insert(id);
-    ++m_underWay;
-    if (what.isLoad) {
-        ++m_copies[what.model];
-        m_storeLoads -= source == WeightSource::Store ? 1 : 0;
-    } else {
-        --m_copies[what.model];
-    }
-    const double ofModel = work(what.model);
+    m_copies[what.model] += what.isLoad ? 1 : -1;
+    m_storeLoads -= what.isLoad && source == WeightSource::Store ? 1 : 0;
+    const double ofModel = workOf(what.model);
     const int ofCopies = copies(what.model);
     m_orders.push_back({id, std::move(what), source, "", why, ofModel, ofCopies});
 }
@@ -110,7 +179,7 @@
 {
     for (const auto *runner : m_input.runners) {
         const auto intended = m_input.intended.find(runner->description().incarnation.id);
-        if (intended == m_input.intended.end()) {
+        if (intended == m_input.intended.end() || !isUsable(*runner)) {
             continue;
         }
         const RunnerOrder load {true, intended->second, ""};
@@ -125,125 +194,85 @@
     }
 }
 
-/// The model whose copies are busiest gets another one, as long as one is too busy.
-auto Round::addBusy() -> void
-{
-    std::set<std::string> given;
-    while (m_underWay < m_options.mostAtOnce) {
-        const ModelDeclaration *busiest = nullptr;
-        double most = m_options.busyCopy;
-        for (const auto &model : m_input.engine->models) {
-            const double perCopy = work(model.name) / std::max(copies(model.name), 1);
-            if (perCopy > most && !given.contains(model.name)) {
-                most = perCopy;
-                busiest = &model;
-            }
-        }
-        if (busiest == nullptr) {
-            return;
-        }
-        if (!addCopy(*busiest, most, "busy")) {
-            given.insert(busiest->name);
-        }
-    }
-}
-
-/// Places that nothing needs now go to the models that are likeliest to be asked for next, one at a time: a copy that is there when demand
-/// moves saves the seconds of its load. Only free memory is used, and nothing gives way.
-auto Round::fillFree() -> void
+/// The copy that saves the most work comes first, as long as one is worth its load.
+auto Round::addWhereItGains() -> void
 {
-    constexpr int MostSpareAtOnce = 3; // the weight store is left to what is needed
-    while (m_underWay < MostSpareAtOnce) {
+    std::set<std::string> settled; // models that found no place
+    while (true) {
         const ModelDeclaration *best = nullptr;
-        double most = m_options.worthFilling;
-        for (const auto &model : m_input.engine->models) {
-            const double copyCount = std::max(copies(model.name), 1);
-            const double busy = std::max(work(model.name) / copyCount - m_options.easyCopy, 0.0);
-            const double worth = busy + model.adapters * m_options.adaptersWorth / copyCount;
-            if (worth > most && freePlace(model) != nullptr) {
-                most = worth;
+        double most = m_options.leastGain;
+        for (const auto &model : m_input.engine->models()) {
+            const double gained = settled.contains(model.name) ? 0 : gain(model, 0);
+            if (gained > most) {
+                most = gained;
                 best = &model;
             }
         }
         if (best == nullptr) {
             return;
         }
-        addCopy(*best, most, "spare-place");
+        const auto place = findPlace(*best, most);
+        const bool isTooMuch = !place.victim.empty() && m_givingWay >= m_options.mostGivingWay * static_cast<double>(m_input.runners.size());
+        if (isTooMuch || place.runner == nullptr || gain(*best, fillOf(*place.runner)) < m_options.leastGain) {
+            settled.insert(best->name);
+            continue;
+        }
+        m_fills[best->name] += fillOf(*place.runner);
+        const char *why = copies(best->name) == 0 ? "no-copy" : "busy";
+        if (place.victim.empty()) {
+            order(*place.runner, {true, best->name, ""}, place.source, why);
+            continue;
+        }
+        order(*place.runner, {false, place.victim, ""}, place.source, why);
+        ++m_givingWay;
+        m_orders.back().makesRoomFor = best->name;
+        ++m_copies[best->name]; // its load follows on the room that this makes
     }
 }
 
-auto Round::freePlace(const ModelDeclaration &model) const -> const RunnerBook *
+/// Free memory before a victim, a runner with time before a busy one, a quick load before a slow one.
+auto Round::findPlace(const ModelDeclaration &model, double gained) const -> Place
 {
-    const RunnerBook *best = nullptr;
-    std::pair<int, double> bestRank;
+    Place best;
+    std::tuple<bool, bool, int, double> bestRank;
     for (const auto *runner : m_input.runners) {
-        const auto source = runner->sourceOf(model.name);
-        const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-        if (isTaken(*runner) || !isAllowed || !runner->mayOrder({true, model.name, ""}, *m_input.engine, m_now)) {
+        const auto place = placeOn(*runner, model, gained);
+        if (place.runner == nullptr) {
             continue;
         }
-        const std::pair rank(static_cast<int>(source), loadOf(runner->description().incarnation.id));
-        if (best == nullptr || rank < bestRank) {
-            best = runner;
+        const std::tuple rank(!place.victim.empty(), fillOf(*runner) > m_options.easyRunner, static_cast<int>(place.source), fillOf(*runner) + place.cost);
+        if (best.runner == nullptr || rank < bestRank) {
+            best = place;
             bestRank = rank;
         }
     }
     return best;
 }
 
-/// The model that gives way there, if one does for less than what comes.
-auto Round::victimOn(const RunnerBook &runner, const ModelDeclaration &model, double perCopy) const -> std::optional<std::string>
+auto Round::placeOn(const RunnerBook &runner, const ModelDeclaration &model, double gained) const -> Place
 {
-    std::optional<std::string> victim;
-    double least = perCopy * m_options.clearlyLess;
-    for (const auto &held : runner.description().models) {
-        const int others = copies(held.name) - 1;
-        if (held.name == model.name || others < 1) {
-            continue;
-        }
-        const double afterwards = work(held.name) / others;
-        if (afterwards < least && runner.mayOrder({false, held.name, ""}, *m_input.engine, m_now)) {
-            least = afterwards;
-            victim = held.name;
-        }
+    const auto source = runner.sourceOf(model.name);
+    const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
+    const auto &about = runner.description();
+    if (!isUsable(runner) || !isAllowed || about.model(model.name) != nullptr) {
+        return {};
     }
-    return victim;
-}
-
-auto Round::addCopy(const ModelDeclaration &model, double perCopy, const char *why) -> bool
-{
-    if (const auto *place = freePlace(model)) {
-        order(*place, {true, model.name, ""}, place->sourceOf(model.name), why);
-        return true;
+    if (runner.mayOrder({true, model.name, ""}, *m_input.engine, m_now)) {
+        return {&runner, source, "", 0};
     }
-    const RunnerBook *best = nullptr;
-    std::string bestVictim;
-    std::pair<int, double> bestRank;
-    for (const auto *runner : m_input.runners) {
-        const auto source = runner->sourceOf(model.name);
-        const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-        const bool holdsIt = runner->description().model(model.name) != nullptr;
-        if (isTaken(*runner) || holdsIt || !isAllowed || runner->description().isLeaving) {
-            continue;
-        }
-        const auto victim = victimOn(*runner, model, perCopy);
-        if (!victim) {
-            continue;
-        }
-        const std::pair rank(static_cast<int>(source), work(*victim) / std::max(copies(*victim) - 1, 1));
-        if (best == nullptr || rank < bestRank) {
-            best = runner;
-            bestVictim = *victim;
-            bestRank = rank;
+    Place place;
+    double least = gained * m_options.clearlyLess;
+    for (const auto &held : about.models) {
+        const int left = copies(held.name) - 1;
+        const double fill = meanFill(held.name);
+        const double fillAfter = left > 0 ? fill + perCopy(held.name) / left : 0;
+        const double lost = lostWork(workOf(held.name), left, fillAfter, m_options) - lostWork(workOf(held.name), left + 1, fill, m_options);
+        if (left >= 1 && lost < least && runner.mayOrder({false, held.name, ""}, *m_input.engine, m_now)) {
+            least = lost;
+            place = {&runner, source, held.name, lost};
         }
     }
-    if (best == nullptr) {
-        return false;
-    }
-    order(*best, {false, bestVictim, ""}, WeightSource::Memory, why);
-    m_orders.back().makesRoomFor = model.name;
-    ++m_copies[model.name];
-    return true;
+    return place;
 }
 
 } // namespace
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -1,9 +1,10 @@
 // Which models and adapters runners are to hold, where one gateway orders them directly. Pure: what runners hold and what is asked for go
 // in; the orders that should be given now come out.
 //
-// Models. Each stays loaded somewhere. Beyond that, places go where requests would otherwise wait: a model whose copies are busier than
-// others gets another one, on free memory first, else in place of a model that is asked for far less there. The pattern this answers:
-// demand moves from one model to the next within seconds, while a load takes seconds; so the forecast counts, not the level.
+// Models. Each stays loaded somewhere. Beyond that, each place goes where it saves the most work that would be lost or late, on free memory
+// first, else in place of a model with which far less is lost. The pattern this answers: demand moves from one model to the next within
+// seconds, while a load takes seconds; so the forecast counts, not the level. After a loss of many runners the copies that most work waits
+// for come first, and those of models that hardly anybody asks for later.
 //
 // Adapters. They are small and loaded in milliseconds, but a runner has few places for them; they are loaded when asked for, and the one
 // that was not used for the longest time gives way.
@@ -19,6 +20,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,7 +33,6 @@
 struct ModelWork {
     double now = 0; ///< runners that its requests keep busy
     double soon = 0; ///< likewise when a load that begins now is done
-    bool isWanted = false; ///< a request waits for it and no runner holds it
 };
 
 struct CopyPlanInput {
@@ -39,16 +40,18 @@
     std::vector<const RunnerBook *> runners; ///< those that are up; leaving ones too
     std::map<std::string, ModelWork> work; ///< by model
     std::map<TargetId, double> load; ///< of each runner: the share of its places that is taken
+    std::set<TargetId> failing; ///< runners that don't answer: what they hold is of no use now
     std::map<TargetId, std::string> intended; ///< models that runners were made room for and that aren't ordered yet
 };
 
 struct CopyPlanOptions {
-    double busyCopy = 0.35; ///< work of one copy beyond which waiting grows faster than work: half of a request's own time at 0.5
-    double easyCopy = 0.15; ///< work of one copy below which another copy shortens nothing
-    double clearlyLess = 0.5; ///< a model gives way only if its copies stay this much less busy than the one that comes
-    double adaptersWorth = 0.002; ///< what one declared adapter of a model counts as work when free places are given out: many callers, though none now
-    double worthFilling = 0.01; ///< work of one copy below which a free place stays free: a load has its price
-    int mostAtOnce = 6; ///< model orders under way, so that a wrong forecast moves a third of a site at most
+    double halfLost = 0.6; ///< the share of a runner's time at which half of what comes is late: reading waits, and streams stall behind it
+    double easyRunner = 0.4; ///< below, what comes hardly waits
+    double leastGain = 0.01; ///< work saved that makes a load worth it: some seconds of that against the price of a load and two orders
+    double clearlyLess = 0.5; ///< a model gives way only if less than this part of the gain is lost with it
+    double silentModel = 0.02; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
+    double adaptersWorth = 0.0015; ///< likewise one declared adapter of a model: it has many callers, though maybe none now
+    double mostGivingWay = 0.34; ///< of the runners may give up one model for another at once: a wrong forecast moves no more than that
 };
 
 // [SECTION] Models
--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -75,10 +75,10 @@
     return result;
 }
 
-auto DemandForecast::arrived(const ArtifactName &artifact, TimePoint now) -> void
+auto DemandForecast::arrived(const ArtifactName &artifact, TimePoint now, double count) -> void
 {
     advance(now);
-    m_series[artifact].count += 1;
+    m_series[artifact].count += count;
 }
 
 auto DemandForecast::missed(const ArtifactName &artifact, TimePoint now) -> void
--- a/src/core/demand.h
+++ b/src/core/demand.h
@@ -58,7 +58,7 @@
     auto forecast(TimePoint now, Duration ahead) const -> std::vector<ArtifactDemand>;
 
     // Commands
-    auto arrived(const ArtifactName &artifact, TimePoint now) -> void;
+    auto arrived(const ArtifactName &artifact, TimePoint now, double count = 1) -> void;
     auto missed(const ArtifactName &artifact, TimePoint now) -> void; ///< refused, or not in time
     auto served(const ArtifactName &artifact, Duration serviceTime) -> void;
     auto merge(const DemandDigest &digest, TimePoint now) -> void;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 
 namespace KingCup
@@ -38,6 +39,9 @@
 {
 
 constexpr double MicrosPerMilli = 1000;
+constexpr double MostSlowness = 10;
+constexpr double SlownessHalfLife = 3; // seconds; a runner that crashed or was disturbed is well again after a few
+constexpr double SlownessRate = 0.15; // weight of one observation: some ten requests tell a slow target from an unlucky one
 
 auto fromMillis(double millis) -> Duration
 {
@@ -58,8 +62,25 @@
     TimePoint readUntil; ///< when the engine has probably read all prompts of own sends
     double unreadMillis = 0; ///< of own sends without a first token
     double slowness = 1; ///< observed over expected time to the first token
+    TimePoint slownessSeen; ///< the last observation
+
+    /// Without observations a target counts as sound again after some seconds: it gets a request, and is seen anew.
+    auto slownessAt(TimePoint now) const -> double
+    {
+        const double halves = std::max((now - slownessSeen).inSeconds(), 0.0) / SlownessHalfLife;
+        return 1 + (slowness - 1) * std::exp2(-halves);
+    }
+    auto observeSlowness(double ratio, TimePoint now) -> void
+    {
+        slowness = slownessAt(now) + (std::clamp(ratio, 1.0, MostSlowness) - slownessAt(now)) * SlownessRate;
+        slownessSeen = now;
+    }
     double failures = 0;
     TimePoint failuresAt;
+    int strikes = 0; ///< requests in a row that didn't get through
+    TimePoint ejectedUntil;
+    SendId trial; ///< the one that is tried after an ejection; 0: none
+    TimePoint succeededAt;
 };
 
 /// One send without an end.
@@ -73,6 +94,7 @@
     double readMillis = 0; ///< expected for its own prompt
     int unreadTokens = 0;
     std::int64_t tokens = 0;
+    double slowness = 1; ///< of the target, as it was taken to be
     bool hasFirst = false;
 };
 
@@ -102,7 +124,6 @@
     std::map<EntryId, HeardWork> heard;
     std::map<std::string, double> readMillis; ///< per token, by model
     std::map<ServiceName, double> plainMillis;
-    std::map<std::string, double> meanRead; ///< milliseconds of reading that a request of the model took, by model
     std::vector<std::pair<TargetId, PromptChain>> newlyRead;
     std::uint64_t digests = 0;
 
@@ -140,7 +161,11 @@
     auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
     auto estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
-    auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made) const -> void;
+    auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto strike(TargetState &state, TimePoint now) const -> void;
+    auto isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool;
+    auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
+    auto learnReading(const Send &send, double took) -> void;
     auto addRankPenalty(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
 };
 
@@ -179,11 +204,10 @@
     return found == d->targets.end() ? 0 : d->failuresOf(found->second, now);
 }
 
-auto Dispatcher::occupancy(const std::string &model, Duration ran, double slots) const -> double
+auto Dispatcher::isEjected(const TargetId &target, TimePoint now) const -> bool
 {
-    const auto found = d->meanRead.find(model);
-    const double read = found == d->meanRead.end() ? 0 : found->second / 1000;
-    return read + ran.inSeconds() / std::max(slots, 1.0);
+    const auto found = d->targets.find(target);
+    return found != d->targets.end() && d->isEjected(target, found->second, now);
 }
 
 auto Dispatcher::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
@@ -221,6 +245,34 @@
     }
 }
 
+/// By own experience: until its time is over, and then until the one request that is tried has come through.
+auto Dispatcher::Private::isEjectedHere(const TargetState &state, TimePoint now) const -> bool
+{
+    return state.strikes > 0 && (now < state.ejectedUntil || sends.contains(state.trial.value()));
+}
+
+/// Others' experience counts as long as there is none here that is newer: with many entries each would otherwise lose some requests to find out.
+auto Dispatcher::Private::isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool
+{
+    if (isEjectedHere(state, now)) {
+        return true;
+    }
+    return std::any_of(heard.begin(), heard.end(), [&](const auto &told) {
+        const auto found = told.second.work.find(id);
+        const bool isFresh = now - told.second.at < options.workLifetime && told.second.at > state.succeededAt;
+        return isFresh && found != told.second.work.end() && found->second.isEjected;
+    });
+}
+
+auto Dispatcher::Private::strike(TargetState &state, TimePoint now) const -> void
+{
+    if (now < state.ejectedUntil) {
+        return; // sent before it was known
+    }
+    state.ejectedUntil = now + std::min(options.firstEjection * std::exp2(state.strikes), options.longestEjection);
+    ++state.strikes;
+}
+
 // [SECTION] Choosing
 
 auto Dispatcher::Private::others(const TargetId &target, TimePoint now) const -> Others
@@ -254,16 +306,17 @@
     if (state.running + rest.running >= slots) {
         backlog += FullMillis;
     }
-    const double perToken = millisPerToken(request.model) * state.slowness;
+    const double perToken = millisPerToken(request.model) * state.slownessAt(now);
     const double read = made.unread * perToken;
     made.backlog = fromMillis(backlog);
     made.first = made.backlog + fromMillis(read) + options.firstStep;
     made.cost = backlog + read;
 }
 
-auto Dispatcher::Private::estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made) const -> void
+auto Dispatcher::Private::estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
+    -> void
 {
-    const double time = plainTime(request.service) * state.slowness;
+    const double time = plainTime(request.service) * state.slownessAt(now);
     const double slots = std::max(state.description.slots, 1);
     const double before = state.running + rest.running;
     const double wait = std::max(before + 1 - slots, 0.0) / slots * time;
@@ -280,7 +333,7 @@
     made.state = &state;
     const auto rest = others(id, now);
     if (request.model.empty()) {
-        estimatePlain(request, state, rest, made);
+        estimatePlain(request, state, rest, made, now);
     } else {
         estimateRunner(request, state, rest, made, now);
     }
@@ -343,12 +396,12 @@
         return choice;
     }
     d->addRankPenalty(request, estimates);
-    const auto failing = [&](const Estimate &made) {
-        return d->failuresOf(*made.state, now) > d->options.failuresToAvoid;
+    const auto rank = [&](const Estimate &made) {
+        const bool isFailing = d->failuresOf(*made.state, now) > d->options.failuresToAvoid;
+        return std::tuple(d->isEjected(made.target, *made.state, now), isFailing, made.cost);
     };
-    const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) {
-        return std::pair(failing(a), a.cost) < std::pair(failing(b), b.cost);
-    });
+    const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return rank(a) < rank(b); });
+    choice.isLastResort = d->isEjected(best->target, *best->state, now);
     choice.refusal = DispatchRefusal::None;
     choice.target = best->target;
     choice.address = best->state->description.address;
@@ -378,13 +431,15 @@
     send.expectedFirst = made.first;
     send.backlog = made.backlog;
     send.unreadTokens = made.unread;
+    send.slowness = state.slownessAt(now);
     send.tokens = request.promptTokens + request.outputTokens;
+    if (state.strikes > 0 && !d->isEjectedHere(state, now)) {
+        state.trial = d->lastSend;
+    }
     ++state.running;
     state.tokens += send.tokens;
     if (!request.model.empty()) {
-        send.readMillis = made.unread * d->millisPerToken(request.model) * state.slowness;
-        auto &mean = d->meanRead.try_emplace(request.model, send.readMillis).first->second;
-        mean += (send.readMillis - mean) * d->options.learnRate;
+        send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
         state.unreadMillis += send.readMillis;
         state.readUntil = std::max(state.readUntil, now) + fromMillis(send.readMillis);
         state.cache.touch(request.prompt);
@@ -396,6 +451,13 @@
     return d->lastSend;
 }
 
+auto Dispatcher::readingTime(const DispatchRequest &request, const TargetId &target) const -> Duration
+{
+    const auto found = d->targets.find(target);
+    const int cached = found == d->targets.end() ? 0 : found->second.cache.cachedTokens(request.prompt);
+    return fromMillis(std::max(request.promptTokens - cached, 0) * d->millisPerToken(request.model));
+}
+
 auto Dispatcher::firstToken(SendId id, TimePoint now) -> void
 {
     const auto found = d->sends.find(id.value());
@@ -411,24 +473,32 @@
     auto &state = target->second;
     state.unreadMillis = std::max(state.unreadMillis - send.readMillis, 0.0);
     state.readUntil = now + fromMillis(state.unreadMillis);
+    state.strikes = 0;
+    state.succeededAt = now;
     const auto took = toMillis(now - send.at);
     if (send.model.empty()) {
         return;
     }
-    const double rate = d->options.learnRate;
+    d->learnReading(send, took);
+    constexpr double LeastExpected = 20; // milliseconds; below, chance outweighs
+    state.observeSlowness(took / std::max(toMillis(send.expectedFirst) / send.slowness, LeastExpected), now);
+}
+
+/// How long one token takes where nothing else is read: what is seen is mostly more than that, so observations below count much more than
+/// those above.
+auto Dispatcher::Private::learnReading(const Send &send, double took) -> void
+{
     constexpr int LeastTokens = 400; // below, the step's time outweighs reading
-    const double beforeReading = toMillis(send.backlog) + toMillis(d->options.firstStep);
-    if (send.unreadTokens >= LeastTokens && send.backlog < Duration::millis(20)) {
-        auto &perToken = d->readMillis.try_emplace(send.model, d->options.millisPerToken).first->second;
-        constexpr double LeastPerToken = 0.002;
-        constexpr double MostPerToken = 0.5;
-        const double observed = std::clamp((took - beforeReading) / send.unreadTokens, LeastPerToken, MostPerToken);
-        perToken += (observed / state.slowness - perToken) * rate;
-    }
-    constexpr double MostSlowness = 10;
-    const double expected = std::max(toMillis(send.expectedFirst), 20.0) / state.slowness;
-    const double ratio = std::clamp(took / expected, 1.0, MostSlowness);
-    state.slowness += (ratio - state.slowness) * rate;
+    if (send.unreadTokens < LeastTokens || send.backlog > Duration::millis(5)) {
+        return;
+    }
+    constexpr double LeastPerToken = 0.002;
+    constexpr double MostPerToken = 0.2;
+    constexpr double RateDown = 0.2;
+    constexpr double RateUp = 0.01;
+    auto &perToken = readMillis.try_emplace(send.model, options.millisPerToken).first->second;
+    const double observed = std::clamp((took - toMillis(options.firstStep)) / send.unreadTokens, LeastPerToken, MostPerToken);
+    perToken += (observed - perToken) * (observed < perToken ? RateDown : RateUp);
 }
 
 auto Dispatcher::ended(SendId id, SendResult result, TimePoint now) -> void
@@ -450,25 +520,29 @@
         state.unreadMillis = std::max(state.unreadMillis - send.readMillis, 0.0);
         state.readUntil = now + fromMillis(state.unreadMillis);
     }
-    if (result == SendResult::Delivered || result == SendResult::Failed) {
-        d->addResult(state, result == SendResult::Failed ? 1 : 0, now);
+    if (result == SendResult::Delivered) {
+        state.strikes = 0;
+        state.succeededAt = now;
+    }
+    if (result == SendResult::NoEntry) {
+        d->strike(state, now);
+    }
+    if (result == SendResult::Delivered || result == SendResult::Failed || result == SendResult::NoEntry) {
+        d->addResult(state, result == SendResult::Delivered ? 0 : 1, now);
     }
     if (result == SendResult::Delivered && send.model.empty()) {
         auto &time = d->plainMillis.try_emplace(state.description.service, toMillis(d->options.plainTime)).first->second;
         const double took = toMillis(now - send.at);
         time += (std::min(took, time * 4) - time) * d->options.learnRate;
-        const double ratio = std::clamp(took / std::max(time, 1.0), 0.5, 8.0);
-        state.slowness += (std::max(ratio, 1.0) - state.slowness) * d->options.learnRate;
+        state.observeSlowness(took / std::max(time, 1.0), now);
     }
 }
 
-auto Dispatcher::connectFailed(const TargetId &target, TimePoint now) -> void
+auto Dispatcher::unreachable(const TargetId &target, TimePoint now) -> void
 {
     const auto found = d->targets.find(target);
     if (found != d->targets.end()) {
-        // Nothing can be sent there at all: avoided at once.
-        found->second.failures = 1;
-        found->second.failuresAt = now;
+        d->strike(found->second, now);
     }
 }
 
@@ -484,8 +558,10 @@
     for (const auto &[id, state] : d->targets) {
         const double failures = d->failuresOf(state, now);
         constexpr double WorthTelling = 0.05;
-        if (state.running > 0 || failures > WorthTelling) {
-            digest.work.push_back({id, state.running, std::max(state.readUntil - now, Duration()), state.tokens, failures});
+        // Told on for a while after its time: who found out also tries whether it is well again.
+        const bool isEjected = d->isEjectedHere(state, now) || (state.strikes > 0 && now < state.ejectedUntil + d->options.workLifetime);
+        if (state.running > 0 || failures > WorthTelling || isEjected) {
+            digest.work.push_back({id, state.running, std::max(state.readUntil - now, Duration()), state.tokens, failures, isEjected});
         }
     }
     return digest;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -66,13 +66,15 @@
     Duration backlog; ///< of that, what others must wait for first
     int unreadTokens = 0; ///< of the prompt
     int candidates = 0; ///< targets that could have taken it
+    bool isLastResort = false; ///< requests don't get through to it of late, nor to any other that could take it
 };
 
 /// How a send ended, for what is thought of its target.
 enum class SendResult {
     Delivered,
     Rejected, ///< not run: full or leaving. Says nothing about health
-    Failed, ///< broken, silent, or an error of the target
+    Failed, ///< cut off midway, or an error of the target
+    NoEntry, ///< the target broke off before it gave any answer: requests don't get through to it
     Cancelled, ///< by the client: says nothing about health
 };
 
@@ -85,6 +87,7 @@
     Duration backlog; ///< prompts still to be read, by its own estimate
     std::int64_t tokens = 0; ///< memory that its running requests may take
     double failures = 0; ///< 0 (none) to 1 (all of late)
+    bool isEjected = false; ///< requests don't get through to it
 };
 
 struct WorkDigest {
@@ -106,6 +109,8 @@
     double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
     double failuresToAvoid = 0.5; ///< a target above this, and above the others, gets work only if nobody else can take it
+    Duration firstEjection = Duration::millis(1000); ///< after a request didn't get through; then one is tried
+    Duration longestEjection = Duration::millis(4000); ///< doubled up to this with each that fails again; a crashed target is back within some seconds
     Duration workLifetime = Duration::seconds(2); ///< a digest that is older no longer counts
 };
 
@@ -124,10 +129,8 @@
     auto description(const TargetId &target) const -> const TargetDescription *; ///< null: not known
     auto running(const TargetId &target, TimePoint now) const -> int; ///< of all entries
     auto failures(const TargetId &target, TimePoint now) const -> double;
+    auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< requests don't get through to it, here or at another entry
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
-    /// The part of a runner that one request of the model takes, as a span of the whole runner: reading its prompt, and one of `slots`
-    /// places for as long as it ran.
-    auto occupancy(const std::string &model, Duration ran, double slots) const -> double; ///< seconds
 
     // Commands: who is there
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
@@ -139,9 +142,12 @@
 
     // Commands: what happened
     auto sent(const DispatchRequest &request, const TargetId &target, TimePoint now) -> SendId;
+    /// What a request makes its runner read, where nothing else is read.
+    auto readingTime(const DispatchRequest &request, const TargetId &target) const -> Duration;
     auto firstToken(SendId send, TimePoint now) -> void;
     auto ended(SendId send, SendResult result, TimePoint now) -> void;
-    auto connectFailed(const TargetId &target, TimePoint now) -> void; ///< nothing was sent
+    /// A connection was not accepted, or what is sent isn't acknowledged.
+    auto unreachable(const TargetId &target, TimePoint now) -> void;
 
     // Other entries
     /// Also forgets what was read since the last call.
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -68,10 +68,7 @@
 auto RunnerBook::freeMemory(const EngineDeclaration &engine, TimePoint now) const -> Bytes
 {
     Bytes used;
-    Bytes largest;
-    for (const auto &declared : engine.models) {
-        largest = std::max(largest, declared.weights);
-    }
+    const auto largest = engine.largestWeights();
     for (const auto &held : m_description.models) {
         const auto *declared = engine.model(held.name);
         used += declared == nullptr ? largest : declared->weights;
--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -37,10 +37,31 @@
     return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable);
 }
 
+auto EngineDeclaration::models() const -> const std::vector<ModelDeclaration> &
+{
+    return m_models;
+}
+
 auto EngineDeclaration::model(std::string_view name) const -> const ModelDeclaration *
 {
-    const auto found = std::find_if(models.begin(), models.end(), [&](const ModelDeclaration &declared) { return declared.name == name; });
-    return found == models.end() ? nullptr : &*found;
+    const auto found = m_positions.find(name);
+    return found == m_positions.end() ? nullptr : &m_models[found->second];
+}
+
+auto EngineDeclaration::largestWeights() const -> Bytes
+{
+    return m_largestWeights;
+}
+
+auto EngineDeclaration::setModels(std::vector<ModelDeclaration> models) -> void
+{
+    m_models = std::move(models);
+    m_positions.clear();
+    m_largestWeights = Bytes();
+    for (std::size_t i = 0; i < m_models.size(); ++i) {
+        m_positions[m_models[i].name] = i;
+        m_largestWeights = std::max(m_largestWeights, m_models[i].weights);
+    }
 }
 
 RouteTable::RouteTable(const Traffic &traffic)
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -13,6 +13,7 @@
 #include "core/units.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -73,9 +74,15 @@
     double loadsPerSecond = 0; ///< from the weight store, over all runners; 0: not limited
     Bytes hostMemory; ///< for copies of weights beside the accelerator
     Bytes disk; ///< likewise
-    std::vector<ModelDeclaration> models;
+    auto models() const -> const std::vector<ModelDeclaration> &;
+    auto model(std::string_view name) const -> const ModelDeclaration *; ///< null: not declared
+    auto largestWeights() const -> Bytes; ///< of any model
+    auto setModels(std::vector<ModelDeclaration> models) -> void;
 
-    auto model(std::string_view name) const -> const ModelDeclaration *;
+private:
+    std::vector<ModelDeclaration> m_models;
+    std::map<std::string, std::size_t, std::less<>> m_positions; ///< by name: planning looks models up thousands of times a round
+    Bytes m_largestWeights;
 };
 
 struct ServiceDeclaration {
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -30,6 +30,7 @@
         columns->add_backlog_ms(static_cast<std::uint32_t>(one.backlog.inMillis()));
         columns->add_tokens(static_cast<std::uint32_t>(one.tokens / TokenUnit));
         columns->add_failures(static_cast<std::uint32_t>(one.failures * Percent));
+        columns->add_ejected(one.isEjected);
     }
     auto *read = message.mutable_read();
     for (const auto &[target, chain] : work.read) {
@@ -49,7 +50,7 @@
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
     const auto &work = message.work();
-    const int rows = std::min({work.target_size(), work.running_size(), work.backlog_ms_size(), work.tokens_size(), work.failures_size()});
+    const int rows = std::min({work.target_size(), work.running_size(), work.backlog_ms_size(), work.tokens_size(), work.failures_size(), work.ejected_size()});
     for (int i = 0; i < rows; ++i) {
         const auto name = names.find(work.target(i));
         if (name != names.end()) {
@@ -57,7 +58,8 @@
                                    static_cast<int>(work.running(i)),
                                    Duration::millis(work.backlog_ms(i)),
                                    work.tokens(i) * TokenUnit,
-                                   work.failures(i) / Percent});
+                                   work.failures(i) / Percent,
+                                   work.ejected(i)});
         }
     }
     const auto &read = message.read();
@@ -71,30 +73,6 @@
     return digest;
 }
 
-auto writeDemand(const DemandDigest &demand, Wire::DemandDigest &message) -> void
-{
-    message.set_sequence(demand.sequence);
-    for (const auto &rate : demand.rates) {
-        auto *added = message.add_rates();
-        added->set_artifact(rate.artifact.text());
-        added->set_per_second(rate.perSecond);
-        added->set_service_us(static_cast<double>(rate.serviceTime.inMicros()));
-        added->set_missed_per_second(rate.missedPerSecond);
-    }
-}
-
-auto demandOf(const Wire::DemandDigest &message, const EntryId &entry) -> DemandDigest
-{
-    DemandDigest digest;
-    digest.entry = entry;
-    digest.sequence = message.sequence();
-    for (const auto &rate : message.rates()) {
-        digest.rates.push_back(
-            {ArtifactName(rate.artifact()), rate.per_second(), Duration::micros(static_cast<std::int64_t>(rate.service_us())), rate.missed_per_second()});
-    }
-    return digest;
-}
-
 auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame
 {
     Wire::ControlFrame frame;
--- a/src/gateway/digests.h
+++ b/src/gateway/digests.h
@@ -1,7 +1,6 @@
 // What gateways tell each other, as messages.
 #pragma once
 
-#include "core/demand.h"
 #include "core/dispatch.h"
 #include "core/targetinfo.h"
 #include "wire/messages.h"
@@ -15,9 +14,6 @@
 /// `targets`: those that are known here; work at others is left out.
 auto workOf(const Wire::GatewayDigest &message, const std::vector<TargetId> &targets) -> WorkDigest;
 
-auto writeDemand(const DemandDigest &demand, Wire::DemandDigest &message) -> void;
-auto demandOf(const Wire::DemandDigest &message, const EntryId &entry) -> DemandDigest;
-
 auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame;
 auto modelsOf(const Wire::Holding &holding) -> std::vector<HeldModel>;
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -35,6 +35,12 @@
 constexpr double WaitShare = 0.6;
 /// Between two words of one request to the gateway that gives orders: the first may have been lost.
 constexpr auto TellMissingPeriod = Duration::millis(300);
+/// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
+constexpr auto FirstSilenceCheck = Duration::millis(100);
+/// Longer than the system takes to send a lost packet once more (200 ms at least).
+constexpr auto SecondSilenceCheck = Duration::millis(230);
+/// Between tries to connect where nobody else can take a request.
+constexpr auto ConnectPause = Duration::millis(150);
 /// The time left that is worth a send: about the quickest answer.
 constexpr auto LeastTime = Duration::millis(10);
 
@@ -82,6 +88,8 @@
         }
         return found->second;
     }
+    /// Requests don't get through to the target: kept connections to it are as dead.
+    auto noteUnreachable(const TargetId &target) -> void;
     auto answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why) -> void;
 };
 
@@ -104,6 +112,7 @@
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
     auto send(const DispatchChoice &choice) -> void;
     auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
+    auto checkSilence(std::size_t unackedBefore) -> void;
     auto onHead(const HttpHead &head) -> AnswerVerdict;
     auto onBody(std::string_view bytes) -> void;
     auto onEnd(const PooledEnd &end) -> void;
@@ -134,6 +143,7 @@
     TimePoint m_deadline; ///< the final answer is due
     Timer m_deadlineTimer;
     Timer m_waitTimer;
+    Timer m_silenceTimer;
     std::shared_ptr<PooledHandle> m_call;
     SendId m_send;
     bool m_hasSend = false;
@@ -150,6 +160,7 @@
     std::size_t m_passedBytes = 0;
     bool m_isWaiting = false;
     TimePoint m_missingToldAt;
+    TimePoint m_connectFailedAt;
     bool m_finished = false;
 };
 
@@ -195,6 +206,11 @@
         waitOrRefuse(choice.refusal);
         return;
     }
+    if (choice.isLastResort && now() - m_connectFailedAt < ConnectPause) {
+        m_isWaiting = true;
+        m_waitTimer = m_owner.parts.loop.after(ConnectPause, [this] { attempt(); });
+        return;
+    }
     send(choice);
 }
 
@@ -263,6 +279,7 @@
         .add("unread", choice.unreadTokens)
         .add("prompt", m_request.promptTokens)
         .add("candidates", choice.candidates)
+        .add("last-resort", choice.isLastResort)
         .add("left", m_deadline - now());
     PooledCall call;
     call.server = choice.address;
@@ -271,6 +288,9 @@
     call.headers = requestHeaders(choice);
     call.body = m_exchange->body();
     call.reuseWithin = m_route.mayRepeat() ? Duration::seconds(60) : m_owner.options.freshWithin;
+    if (choice.isLastResort) {
+        call.reuseWithin = Duration(); // whether a new connection is accepted shows without a risk
+    }
     call.onHead = [this](const HttpHead &head) {
         return onHead(head);
     };
@@ -281,6 +301,38 @@
         onEnd(end);
     };
     m_call = m_owner.parts.pool.start(std::move(call));
+    m_silenceTimer = m_owner.parts.loop.after(FirstSilenceCheck, [this] { checkSilence(0); });
+}
+
+/// A target that has lost its power or its path answers nothing, and the connection shows it only after seconds. But its system would have
+/// acknowledged what was sent within a round trip: if it doesn't, nobody sends it more, and what may run twice goes elsewhere.
+auto Flow::checkSilence(std::size_t unackedBefore) -> void
+{
+    const auto self = shared_from_this();
+    if (!m_call || m_hasHead || !m_call->wasSent()) {
+        return;
+    }
+    const auto unacked = m_call->unackedBytes();
+    if (unacked == 0) {
+        return;
+    }
+    if (unackedBefore == 0 || unacked < unackedBefore) {
+        m_silenceTimer = m_owner.parts.loop.after(SecondSilenceCheck, [this, unacked] { checkSilence(unacked); });
+        return;
+    }
+    m_owner.parts.log.line("attempt", "silent")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("unacked", static_cast<std::uint64_t>(unacked));
+    m_owner.noteUnreachable(m_target);
+    if (m_exchange->hasBegun() || m_mayHaveRun + 1 >= m_route.attempts || !m_route.mayRepeat() || !maySendAgain()) {
+        return;
+    }
+    std::exchange(m_call, nullptr)->cancel();
+    ++m_mayHaveRun;
+    closeSend(SendResult::NoEntry);
+    m_request.excluded.push_back(m_target);
+    sendAgain();
 }
 
 // [SECTION] Answers
@@ -401,7 +453,6 @@
     ++m_mayHaveRun;
     const bool isFailure = m_head.status >= StatusServerError || promisesNotRun(m_head.status);
     closeSend(isFailure ? SendResult::Failed : SendResult::Delivered);
-    m_owner.hooks.onServed(m_request, now() - m_sentAt);
     if (isFailure && !m_passing && mayRunAgain() && maySendAgain()) {
         sendAgain();
         return;
@@ -453,7 +504,8 @@
 auto Flow::onFailure(const PooledEnd &end) -> void
 {
     const bool neverSent = end.end == CallEnd::NotSent;
-    closeSend(neverSent ? SendResult::Rejected : SendResult::Failed);
+    const bool hadNoEntry = !m_hasHead && !end.wasReused;
+    closeSend(neverSent ? SendResult::Rejected : hadNoEntry ? SendResult::NoEntry : SendResult::Failed);
     m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
         .add("id", m_traits.attempt.text())
         .add("target", m_target.text())
@@ -462,12 +514,13 @@
         .add("connection", toString(end.connection))
         .add("head", m_hasHead)
         .add("passed", static_cast<std::uint64_t>(m_passedBytes));
-    m_request.excluded.push_back(m_target);
     if (neverSent) {
-        m_owner.parts.dispatcher.connectFailed(m_target, now());
+        m_connectFailedAt = now();
+        m_owner.noteUnreachable(m_target);
         attempt();
         return;
     }
+    m_request.excluded.push_back(m_target);
     ++m_mayHaveRun;
     if (m_events) {
         m_events->dropPartial();
@@ -552,6 +605,7 @@
     m_isWaiting = false;
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
+    m_silenceTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
     if (m_call) {
@@ -572,6 +626,14 @@
     m_owner.flows.erase(shared_from_this());
 }
 
+auto Forwarder::Private::noteUnreachable(const TargetId &target) -> void
+{
+    parts.dispatcher.unreachable(target, parts.loop.now());
+    if (const auto *about = parts.dispatcher.description(target)) {
+        parts.pool.forget(about->address);
+    }
+}
+
 auto Forwarder::Private::answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why)
     -> void
 {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -43,7 +43,6 @@
     /// Another target has that address, or this one lacks the model or adapter. `found`: who answered; empty if it didn't say.
     std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
     std::function<void(const TargetId &target, const DispatchRequest &request)> onSent;
-    std::function<void(const DispatchRequest &request, Duration occupied)> onServed; ///< for how long the request took one place of a runner
 };
 
 struct ForwarderOptions {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,7 +48,15 @@
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Demand is planned for a few times a second.
 constexpr std::uint64_t DigestsPerDemand = 2;
+/// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
+constexpr auto TargetConnectTimeout = Duration::millis(150);
 constexpr auto DemandBucket = Duration::millis(500);
+/// Demand moves between models within four to nine seconds, and a copy that is dropped too soon costs a load: up within a second, down within some.
+constexpr double DemandRise = 0.4;
+constexpr double DemandFall = 0.08;
+/// What a request takes of a runner beside reading its prompt: its share of the steps of some three hundred tokens.
+constexpr auto StepShare = Duration::millis(25);
+constexpr double MillisPerSecond = 1000;
 
 } // namespace
 
@@ -60,6 +68,12 @@
     std::vector<HeldModel> models;
 };
 
+/// Requests for one model since the last word to the gateway that gives orders.
+struct AskedFor {
+    int requests = 0;
+    Duration reading; ///< that their prompts take
+};
+
 struct Gateway::Private {
     EventLoop &loop;
     DaemonSettings settings;
@@ -88,6 +102,7 @@
     Timer digestTimer;
     std::uint64_t digests = 0;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
+    std::map<std::string, AskedFor> askedFor; ///< by model, since the last word to the gateway that gives orders
     std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
     std::map<TargetId, ToldHolding> holdings;
     Timer leaveCheck;
@@ -101,10 +116,10 @@
         , readSettings(std::move(reader))
         , protocol(std::move(deployment))
         , log(loop, {.host = settings.process.id})
-        , targetPool(loop)
+        , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout}})
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone})
-        , demand({.bucket = DemandBucket})
+        , demand({.bucket = DemandBucket, .rise = DemandRise, .fall = DemandFall})
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
     }
@@ -127,7 +142,8 @@
     auto holderId() const -> std::string;
     auto sendDigest() -> void;
     auto sendDemand() -> void;
-    auto onDemand(const std::string &id, const Wire::GatewayDemand &message) -> void;
+    auto countDemand(const std::string &model, const AskedFor &asked) -> void;
+    auto onDemand(const Wire::GatewayDemand &message) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onHoldingHeard(const Wire::Holding &holding) -> void;
@@ -161,6 +177,9 @@
         const auto *about = dispatcher.description(target);
         return about == nullptr ? 0.0 : static_cast<double>(dispatcher.running(target, loop.now())) / std::max(about->slots, 1);
     };
+    hooks.isFailing = [this](const TargetId &target) {
+        return dispatcher.isEjected(target, loop.now());
+    };
     hooks.onHolding = [this](const TargetDescription &target) {
         onHolding(target);
     };
@@ -324,18 +343,15 @@
     };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request) {
         if (!request.model.empty()) {
-            demand.arrived(ArtifactName(request.model), loop.now());
+            auto &asked = askedFor[request.model];
+            ++asked.requests;
+            asked.reading = asked.reading + dispatcher.readingTime(request, target);
         }
         if (!request.adapter.empty()) {
             orders->adapterUsed(target, request.model, request.adapter);
             adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
         }
     };
-    hooks.onServed = [this](const DispatchRequest &request, Duration occupied) {
-        if (!request.model.empty()) {
-            demand.served(ArtifactName(request.model), occupied);
-        }
-    };
     ForwarderOptions options;
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
@@ -394,21 +410,29 @@
     if (!traffic || found == traffic->services.end() || !found->second.engine) {
         return result;
     }
-    const double slots = std::max(found->second.engine->slots, 1);
+    Duration loadTime;
+    for (const auto &model : found->second.engine->models()) {
+        loadTime = std::max(loadTime, model.loadTime);
+    }
     const auto add = [&](const std::vector<ArtifactDemand> &rates, double ModelWork::*into) {
         for (const auto &rate : rates) {
-            result[rate.artifact.text()].*into += rate.perSecond * dispatcher.occupancy(rate.artifact.text(), rate.serviceTime, slots);
+            result[rate.artifact.text()].*into += rate.perSecond * rate.serviceTime.inSeconds();
         }
     };
     add(demand.forecast(loop.now(), Duration()), &ModelWork::now);
-    Duration loadTime;
-    for (const auto &model : found->second.engine->models) {
-        loadTime = std::max(loadTime, model.loadTime);
-    }
     add(demand.forecast(loop.now(), loadTime), &ModelWork::soon);
     return result;
 }
 
+auto Gateway::Private::countDemand(const std::string &model, const AskedFor &asked) -> void
+{
+    const ArtifactName artifact(model);
+    demand.arrived(artifact, loop.now(), asked.requests);
+    if (asked.requests > 0) {
+        demand.served(artifact, asked.reading * (1.0 / asked.requests) + StepShare);
+    }
+}
+
 // [SECTION] Peers
 
 auto Gateway::Private::buildPeers() -> void
@@ -495,23 +519,36 @@
 /// Only the gateway that gives orders needs it. Told to all, the names of models were the larger part of what gateways tell each other.
 auto Gateway::Private::sendDemand() -> void
 {
-    if (!orders->mayOrder()) {
-        Wire::ControlFrame frame;
-        auto *message = frame.mutable_gateway_demand();
-        writeDemand(demand.digest(EntryId(settings.process.id), digests), *message->mutable_demand());
-        for (const auto &[key, use] : adapterUses) {
-            auto *added = message->add_uses();
-            added->set_target(use.first.text());
-            added->set_adapter(use.second);
+    Wire::ControlFrame frame;
+    auto *message = frame.mutable_gateway_demand();
+    const bool isHolder = orders->mayOrder();
+    for (const auto &[model, asked] : askedFor) {
+        if (isHolder) {
+            countDemand(model, asked);
+            continue;
         }
+        auto *added = message->add_asked();
+        added->set_model(model);
+        added->set_requests(static_cast<std::uint32_t>(asked.requests));
+        added->set_read_ms(asked.reading.inSeconds() * MillisPerSecond);
+    }
+    for (const auto &[key, use] : adapterUses) {
+        auto *added = message->add_uses();
+        added->set_target(use.first.text());
+        added->set_adapter(use.second);
+    }
+    if (!isHolder && (message->asked_size() > 0 || message->uses_size() > 0)) {
         peers->send(holderId(), frame);
     }
+    askedFor.clear();
     adapterUses.clear();
 }
 
-auto Gateway::Private::onDemand(const std::string &id, const Wire::GatewayDemand &message) -> void
+auto Gateway::Private::onDemand(const Wire::GatewayDemand &message) -> void
 {
-    demand.merge(demandOf(message.demand(), EntryId(id)), loop.now());
+    for (const auto &asked : message.asked()) {
+        countDemand(asked.model(), {static_cast<int>(asked.requests()), Duration::seconds(asked.read_ms() / MillisPerSecond)});
+    }
     for (const auto &use : message.uses()) {
         const auto slash = use.adapter().find('/');
         orders->adapterUsed(TargetId(use.target()), use.adapter().substr(0, slash), use.adapter().substr(slash + 1));
@@ -525,7 +562,7 @@
     } else if (frame.has_wanted() && orders->mayOrder()) {
         orders->wanted(ServiceName(frame.wanted().service()), frame.wanted().model(), frame.wanted().adapter());
     } else if (frame.has_gateway_demand()) {
-        onDemand(id, frame.gateway_demand());
+        onDemand(frame.gateway_demand());
     } else if (frame.has_holding()) {
         onHoldingHeard(frame.holding());
     } else {
@@ -592,8 +629,7 @@
 
 auto Gateway::Private::applyRetryBudget() -> void
 {
-    forwarder->setRetryBudget(
-        {.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
+    forwarder->setRetryBudget({.window = settings.gateway.retryWindow, .ratio = settings.gateway.retryRatio, .allowance = settings.gateway.retryAllowance});
 }
 
 auto Gateway::Private::reload(bool isAsked) -> void
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -7,6 +7,8 @@
 #include "gateway/ordertask.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -21,6 +23,8 @@
 constexpr auto TickPeriod = Duration::millis(50);
 /// Targets may come and go all the time; after so many settle times planning begins all the same.
 constexpr double SettlePatience = 4;
+constexpr auto DemandLogPeriod = Duration::seconds(1);
+constexpr std::size_t MostLoggedModels = 12;
 constexpr auto InputLifetime = Duration::millis(100);
 /// Wishes of one moment are served together; much shorter than the loading of an adapter.
 constexpr auto WishDelay = Duration::millis(1);
@@ -88,6 +92,7 @@
     Timer wishTimer;
     Timer tick;
     TimePoint plannedAt;
+    TimePoint demandLoggedAt;
     TimePoint startedAt;
     TimePoint newTargetAt;
     bool wasHolder = false;
@@ -116,6 +121,7 @@
     auto askReports() -> void;
     auto askReport(RunnerBook &book) -> void;
     auto advanceBooks() -> void;
+    auto logDemand(const CopyPlanInput &made) -> void;
     auto planModels() -> void;
     auto serveWishesSoon() -> void;
     auto serveWishes() -> void;
@@ -320,6 +326,9 @@
             if (book.description().service == service) {
                 made.runners.push_back(&book);
                 made.load[id] = hooks.load(id);
+                if (hooks.isFailing(id)) {
+                    made.failing.insert(id);
+                }
             }
         }
     }
@@ -327,10 +336,36 @@
     return made;
 }
 
+/// The models that are asked for most, with their copies: what the planning of this moment rests on.
+auto OrderTask::Private::logDemand(const CopyPlanInput &made) -> void
+{
+    if (now() - demandLoggedAt < DemandLogPeriod) {
+        return;
+    }
+    demandLoggedAt = now();
+    std::vector<std::pair<double, std::string>> ranked;
+    for (const auto &[model, work] : made.work) {
+        const auto holds = [&](const RunnerBook *runner) {
+            return runner->description().model(model) != nullptr;
+        };
+        const auto copies = std::count_if(made.runners.begin(), made.runners.end(), holds);
+        std::array<char, 64> text {};
+        std::snprintf(text.data(), text.size(), ":%.2f>%.2f/%d", work.now, work.soon, static_cast<int>(copies));
+        ranked.emplace_back(std::max(work.now, work.soon), model + text.data());
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::string list;
+    for (std::size_t i = 0; i < std::min(ranked.size(), MostLoggedModels); ++i) {
+        list += (i == 0 ? "" : ",") + ranked[i].second;
+    }
+    parts.log.line("orders", "demand").add("work-now>soon/copies", list);
+}
+
 auto OrderTask::Private::planModels() -> void
 {
     for (const auto &[service, engine] : engines) {
         const auto &made = input(service);
+        logDemand(made);
         const auto orders = planCopies(made, settings.plan, meters[service].available(now()), now());
         for (const auto &planned : orders) {
             give(service, planned);
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -34,6 +34,7 @@
 struct OrderTaskHooks {
     std::function<std::map<std::string, ModelWork>(const ServiceName &service)> work; ///< by model
     std::function<double(const TargetId &target)> load; ///< the share of its places that is taken
+    std::function<bool(const TargetId &target)> isFailing; ///< requests don't get through to it
     /// What a runner holds has changed; known here before its row says so.
     std::function<void(const TargetDescription &target)> onHolding;
 };
@@ -45,7 +46,7 @@
     double loadOvershoot = 1;
     CopyPlanOptions plan;
     Duration planPeriod = Duration::millis(250); ///< between two looks at models; a load takes some four times as long at least
-    Duration answerTimeout = Duration::millis(400); ///< of an order or a report; an order is answered before it is carried out
+    Duration answerTimeout = Duration::millis(250); ///< of an order or a report; an order is answered before it is carried out
     Duration settleTime = Duration::millis(1500); ///< after the last new target until models are planned: at a start their rows come in over seconds
     Duration wishLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
 };
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -271,8 +271,7 @@
 
 // [SECTION] Follower
 
-StoreFollower::StoreFollower(
-    EventLoop &loop, StoreClient &store, EventLog &log, GatewayPeers &peers, StoreFollowerSettings settings, StoreFollowerHooks hooks)
+StoreFollower::StoreFollower(EventLoop &loop, StoreClient &store, EventLog &log, GatewayPeers &peers, StoreFollowerSettings settings, StoreFollowerHooks hooks)
     : d(std::make_unique<Private>(loop, store, log, peers, std::move(settings), std::move(hooks)))
 {
     // Not from within the constructor: the hooks belong to an owner that is still being built.
--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -50,7 +50,8 @@
                 reload(*role);
             };
         }
-        onSignals(loop, [&role] { role->leave(); }, onReload);
+        onSignals(
+            loop, [&role] { role->leave(); }, onReload);
         role = start(loop);
         loop.run();
         return role->exitCode();
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -62,6 +62,7 @@
     auto close() -> void;
 
     auto wasSent() const -> bool override;
+    auto unackedBytes() const -> std::size_t override;
     auto cancel() -> void override;
     auto pause() -> void override;
     auto resume() -> void override;
@@ -177,6 +178,11 @@
     return m_wasSent || (m_busy && m_stream && (m_calls > 1 || m_stream->hasSent()));
 }
 
+auto PoolConnection::unackedBytes() const -> std::size_t
+{
+    return m_stream ? m_stream->unackedBytes() : 0;
+}
+
 auto PoolConnection::cancel() -> void
 {
     if (m_busy) {
@@ -409,6 +415,11 @@
     }
 }
 
+auto HttpPool::setTcpOptions(const TcpOptions &tcp) -> void
+{
+    d->options.tcp = tcp;
+}
+
 auto HttpPool::forgetAll() -> void
 {
     std::vector<Endpoint> servers;
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -54,6 +54,7 @@
 public:
     virtual ~PooledHandle() = default;
     virtual auto wasSent() const -> bool = 0;
+    virtual auto unackedBytes() const -> std::size_t = 0; ///< of the call, not yet acknowledged by the server's system
     /// Closes the connection; no hook is called from here on.
     virtual auto cancel() -> void = 0;
     virtual auto pause() -> void = 0; ///< stops reading: the server is held back
@@ -92,6 +93,7 @@
     auto start(PooledCall call) -> std::shared_ptr<PooledHandle>;
     /// Closes idle connections to a server that is gone, or whose connections can't be trusted any more.
     auto forget(const Endpoint &server) -> void;
+    auto setTcpOptions(const TcpOptions &tcp) -> void; ///< of connections to come
     auto forgetAll() -> void;
 
     struct Private;
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -8,9 +8,11 @@
 #include <cerrno>
 #include <cstring>
 #include <glog/logging.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -294,6 +296,15 @@
     return d->pending();
 }
 
+auto TcpStream::unackedBytes() const -> std::size_t
+{
+    int queued = 0;
+    if (d->polled->descriptor() < 0 || ioctl(d->polled->descriptor(), SIOCOUTQ, &queued) != 0) {
+        return d->pending();
+    }
+    return d->pending() + static_cast<std::size_t>(std::max(queued, 0));
+}
+
 auto TcpStream::peer() const -> std::string
 {
     sockaddr_in address {};
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -58,6 +58,7 @@
     auto isConnected() const -> bool;
     auto hasSent() const -> bool; ///< at least one byte has left: the far side may act on it
     auto pendingBytes() const -> std::size_t; ///< written, not yet taken by the system
+    auto unackedBytes() const -> std::size_t; ///< written, and not yet acknowledged by the far side's system
     auto peer() const -> std::string; ///< the far side's IP number; empty if unknown
 
     auto write(std::string_view bytes) -> void;
