Late requests go behind those that can be on time; adapters in use count for copies; demand counted once a request

Cause: on an overloaded runner all requests waited in one queue and all came late; retries counted as demand; an unload that came to nothing left a model counted as coming for good (0 copies for 7 s); one wish for an adapter made room on several runners at once. Change: bands of urgency in dispatch and towards the engine, demotion and refusal by expected first token, backlog from unread prompts of all gateways; intents expire; one order at a time for a wish; failures and ejections of other gateways count.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -65,8 +65,12 @@
     auto work(const ModelDeclaration &model) const -> double
     {
         const auto found = m_input.work.find(model.name);
-        const double asked = found == m_input.work.end() ? 0 : std::max(found->second.now, found->second.soon);
-        return asked + model.adapters * m_options.adaptersWorth;
+        const auto none = ModelWork();
+        const auto &asked = found == m_input.work.end() ? none : found->second;
+        // A runner whose places for adapters are all taken refuses as many as one whose time is.
+        const double slots = std::max(m_input.engine->adapterSlots, 1);
+        const double adapters = asked.activeAdapters / slots * m_options.halfLost;
+        return std::max({asked.now, asked.soon, adapters}) + model.adapters * m_options.adaptersWorth;
     }
     auto workOf(const std::string &name) const -> double
     {
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -33,6 +33,7 @@
 struct ModelWork {
     double now = 0; ///< runners that its requests keep busy
     double soon = 0; ///< likewise when a load that begins now is done
+    int activeAdapters = 0; ///< different ones that its requests use now or wait for
 };
 
 struct CopyPlanInput {
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <tuple>
 #include <unordered_map>
 
@@ -53,17 +54,32 @@
     return static_cast<double>(span.inMicros()) / MicrosPerMilli;
 }
 
+/// Milliseconds of reading, by band.
+using BandMillis = std::array<double, UrgencyBands>;
+
+/// Of the bands that go before or with `band`.
+auto upTo(const BandMillis &unread, UrgencyBand band) -> double
+{
+    return std::accumulate(unread.begin(), unread.begin() + static_cast<int>(band) + 1, 0.0);
+}
+
 /// What is known of one target.
 struct TargetState {
     TargetDescription description;
     PromptCache cache;
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
-    TimePoint readUntil; ///< when the engine has probably read all prompts of own sends
-    double unreadMillis = 0; ///< of own sends without a first token
+    BandMillis unread {}; ///< of own sends without a first token
+    TimePoint readingSince; ///< the first of them, or the last first token: the engine has been reading since
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
+    auto readDone(UrgencyBand band, double millis, TimePoint now) -> void
+    {
+        auto &left = unread.at(static_cast<std::size_t>(band));
+        left = std::max(left - millis, 0.0);
+        readingSince = now;
+    }
     /// Without observations a target counts as sound again after some seconds: it gets a request, and is seen anew.
     auto slownessAt(TimePoint now) const -> double
     {
@@ -93,6 +109,7 @@
     Duration backlog;
     double readMillis = 0; ///< expected for its own prompt
     int unreadTokens = 0;
+    UrgencyBand band = UrgencyBand::Usual;
     std::int64_t tokens = 0;
     double slowness = 1; ///< of the target, as it was taken to be
     bool hasFirst = false;
@@ -108,6 +125,7 @@
     TargetId target;
     const TargetState *state = nullptr;
     Duration first;
+    Duration ifPatient;
     Duration backlog;
     int unread = 0;
     double cost = 0; ///< milliseconds, with what only serves the choice
@@ -155,13 +173,14 @@
     }
     struct Others {
         int running = 0;
-        double backlogMillis = 0;
+        BandMillis unread {};
         std::int64_t tokens = 0;
     };
     auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
     auto estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
     auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
     auto strike(TargetState &state, TimePoint now) const -> void;
     auto isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool;
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
@@ -264,6 +283,19 @@
     });
 }
 
+/// Own experience and that of others, whichever is worse: a target that answers with errors would otherwise cost every entry some requests.
+auto Dispatcher::Private::failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double
+{
+    double worst = failuresOf(state, now);
+    for (const auto &[entry, told] : heard) {
+        const auto found = told.work.find(id);
+        if (found != told.work.end() && now - told.at < options.workLifetime) {
+            worst = std::max(worst, found->second.failures);
+        }
+    }
+    return worst;
+}
+
 auto Dispatcher::Private::strike(TargetState &state, TimePoint now) const -> void
 {
     if (now < state.ejectedUntil) {
@@ -278,6 +310,8 @@
 auto Dispatcher::Private::others(const TargetId &target, TimePoint now) const -> Others
 {
     Others sum;
+    double age = 0;
+    int tellers = 0;
     for (const auto &[entry, told] : heard) {
         const auto found = told.work.find(target);
         if (found == told.work.end() || now - told.at > options.workLifetime) {
@@ -285,7 +319,18 @@
         }
         sum.running += found->second.running;
         sum.tokens += found->second.tokens;
-        sum.backlogMillis += std::max(toMillis(found->second.backlog) - toMillis(now - told.at), 0.0);
+        for (std::size_t band = 0; band < UrgencyBands; ++band) {
+            sum.unread.at(band) += toMillis(found->second.unread.at(band));
+        }
+        age += toMillis(now - told.at);
+        ++tellers;
+    }
+    // One engine reads for all of them: since they told, it has read once as much as time has passed, not once for each.
+    double read = tellers > 0 ? age / tellers : 0;
+    for (auto &unread : sum.unread) {
+        const double done = std::min(read, unread);
+        unread -= done;
+        read -= done;
     }
     return sum;
 }
@@ -295,7 +340,13 @@
 {
     const auto *engine = engineOf(request.service);
     made.unread = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
-    double backlog = std::max(toMillis(state.readUntil - now), 0.0) + rest.backlogMillis;
+    // The one that is being read now is half done on average, but no more than the time since it began.
+    const double reading = std::clamp(toMillis(now - state.readingSince), 0.0, upTo(state.unread, UrgencyBand::Patient) / 2);
+    const auto before = [&](UrgencyBand band) {
+        return std::max(upTo(state.unread, band) - reading, 0.0) + upTo(rest.unread, band);
+    };
+    double backlog = before(request.band);
+    const double patient = before(UrgencyBand::Patient) - backlog;
     const auto inMemory = state.tokens + rest.tokens + request.promptTokens + request.outputTokens;
     const int slots = engine == nullptr ? state.description.slots : engine->slots;
     // Without room the request waits until others end, or has them thrown out and read anew.
@@ -310,6 +361,7 @@
     const double read = made.unread * perToken;
     made.backlog = fromMillis(backlog);
     made.first = made.backlog + fromMillis(read) + options.firstStep;
+    made.ifPatient = made.first + fromMillis(patient);
     made.cost = backlog + read;
 }
 
@@ -397,7 +449,7 @@
     }
     d->addRankPenalty(request, estimates);
     const auto rank = [&](const Estimate &made) {
-        const bool isFailing = d->failuresOf(*made.state, now) > d->options.failuresToAvoid;
+        const bool isFailing = d->failuresToldOf(made.target, *made.state, now) > d->options.failuresToAvoid;
         return std::tuple(d->isEjected(made.target, *made.state, now), isFailing, made.cost);
     };
     const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return rank(a) < rank(b); });
@@ -406,6 +458,7 @@
     choice.target = best->target;
     choice.address = best->state->description.address;
     choice.expectedFirst = best->first;
+    choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
     choice.unreadTokens = best->unread;
     choice.candidates = static_cast<int>(estimates.size());
@@ -432,6 +485,7 @@
     send.backlog = made.backlog;
     send.unreadTokens = made.unread;
     send.slowness = state.slownessAt(now);
+    send.band = request.band;
     send.tokens = request.promptTokens + request.outputTokens;
     if (state.strikes > 0 && !d->isEjectedHere(state, now)) {
         state.trial = d->lastSend;
@@ -440,8 +494,10 @@
     state.tokens += send.tokens;
     if (!request.model.empty()) {
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
-        state.unreadMillis += send.readMillis;
-        state.readUntil = std::max(state.readUntil, now) + fromMillis(send.readMillis);
+        if (upTo(state.unread, UrgencyBand::Patient) <= 0) {
+            state.readingSince = now;
+        }
+        state.unread.at(static_cast<std::size_t>(send.band)) += send.readMillis;
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
             d->newlyRead.emplace_back(target, chain);
@@ -471,8 +527,7 @@
         return;
     }
     auto &state = target->second;
-    state.unreadMillis = std::max(state.unreadMillis - send.readMillis, 0.0);
-    state.readUntil = now + fromMillis(state.unreadMillis);
+    state.readDone(send.band, send.readMillis, now);
     state.strikes = 0;
     state.succeededAt = now;
     const auto took = toMillis(now - send.at);
@@ -517,8 +572,7 @@
     --state.running;
     state.tokens -= send.tokens;
     if (!send.hasFirst && !send.model.empty()) {
-        state.unreadMillis = std::max(state.unreadMillis - send.readMillis, 0.0);
-        state.readUntil = now + fromMillis(state.unreadMillis);
+        state.readDone(send.band, send.readMillis, now);
     }
     if (result == SendResult::Delivered) {
         state.strikes = 0;
@@ -561,7 +615,9 @@
         // Told on for a while after its time: who found out also tries whether it is well again.
         const bool isEjected = d->isEjectedHere(state, now) || (state.strikes > 0 && now < state.ejectedUntil + d->options.workLifetime);
         if (state.running > 0 || failures > WorthTelling || isEjected) {
-            digest.work.push_back({id, state.running, std::max(state.readUntil - now, Duration()), state.tokens, failures, isEjected});
+            TargetWork work {id, state.running, {}, state.tokens, failures, isEjected};
+            std::transform(state.unread.begin(), state.unread.end(), work.unread.begin(), fromMillis);
+            digest.work.push_back(work);
         }
     }
     return digest;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -23,6 +23,7 @@
 #include "core/traffic.h"
 #include "core/units.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -44,6 +45,7 @@
     std::vector<PromptChain> prompt; ///< the last chain is the request's own
     int promptTokens = 0;
     int outputTokens = 0; ///< the most it may make
+    UrgencyBand band = UrgencyBand::Usual;
     std::vector<TargetId> excluded; ///< tried already, or known not to take it
 };
 
@@ -63,7 +65,8 @@
     DispatchRefusal refusal = DispatchRefusal::None;
     Endpoint address;
     Duration expectedFirst; ///< until the first token, or a plain service's answer
-    Duration backlog; ///< of that, what others must wait for first
+    Duration expectedIfPatient; ///< likewise, if everything else there goes first
+    Duration backlog; ///< of expectedFirst, what others must wait for first
     int unreadTokens = 0; ///< of the prompt
     int candidates = 0; ///< targets that could have taken it
     bool isLastResort = false; ///< requests don't get through to it of late, nor to any other that could take it
@@ -84,7 +87,7 @@
 struct TargetWork {
     TargetId target;
     int running = 0; ///< sends without an end
-    Duration backlog; ///< prompts still to be read, by its own estimate
+    std::array<Duration, UrgencyBands> unread; ///< prompts still to be read, by its own estimate; by band
     std::int64_t tokens = 0; ///< memory that its running requests may take
     double failures = 0; ///< 0 (none) to 1 (all of late)
     bool isEjected = false; ///< requests don't get through to it
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -320,9 +320,8 @@
     if (m_sent && m_sent->order.isLoad) {
         m_late.push_back({m_sent->order, m_ordersTaken, now + m_options.latestOrder});
     }
+    // The same number again is safe: either this order has taken effect and the next is refused, or the next one shuts it out.
     m_sent.reset();
-    m_isKnown = false;
-    m_reportAt = now;
 }
 
 auto RunnerBook::doubt(TimePoint now) -> void
--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -64,6 +64,20 @@
     }
 }
 
+auto assignBands(Traffic &traffic) -> void
+{
+    constexpr double PatientGoal = 2; // times the shortest goal of the same priority
+    std::map<int, Duration> shortest;
+    for (const auto &route : traffic.routes) {
+        const auto [found, isNew] = shortest.try_emplace(route.priority, route.goal);
+        found->second = std::min(found->second, route.goal);
+    }
+    for (auto &route : traffic.routes) {
+        const int later = route.goal >= shortest[route.priority] * PatientGoal ? 1 : 0;
+        route.band = static_cast<UrgencyBand>(std::clamp(route.priority + later, 0, static_cast<int>(UrgencyBands) - 1));
+    }
+}
+
 RouteTable::RouteTable(const Traffic &traffic)
 {
     for (const auto &route : traffic.routes) {
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -25,6 +25,10 @@
 
 // [SECTION] Routes
 
+/// How urgent a runner's engine is to take a request, against others of its service. Engines take the more urgent ones first.
+enum class UrgencyBand { Urgent = 0, Usual = 1, Patient = 2 };
+constexpr std::size_t UrgencyBands = 3;
+
 enum class RouteKind {
     Idempotent, ///< may run more than once
     NonIdempotent, ///< at most once for each try of a client
@@ -47,6 +51,7 @@
     Duration goal; ///< an answer (streams: the first event) within it is on time
     Duration pauseGoal; ///< streams: the longest pause between events that is still on time; 0: none declared
     int priority = 0; ///< 0 is the most urgent
+    UrgencyBand band = UrgencyBand::Usual; ///< from priority and goal; see assignBands()
     int attempts = 1; ///< targets that one try of a client may run on
     bool isResumable = false; ///< streams: may go on at another target after the last event
 
@@ -112,6 +117,9 @@
     CallerLimits limits;
 };
 
+/// Sorts the routes into bands: by priority, and where one route of a priority has several times the goal of another, it can wait for it.
+auto assignBands(Traffic &traffic) -> void;
+
 // [SECTION] Finding
 
 /// Finds routes by host and longest matching prefix.
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -27,7 +27,9 @@
     for (const auto &one : work.work) {
         columns->add_target(shortName(one.target));
         columns->add_running(static_cast<std::uint32_t>(one.running));
-        columns->add_backlog_ms(static_cast<std::uint32_t>(one.backlog.inMillis()));
+        for (const auto &unread : one.unread) {
+            columns->add_unread_ms(static_cast<std::uint32_t>(unread.inMillis()));
+        }
         columns->add_tokens(static_cast<std::uint32_t>(one.tokens / TokenUnit));
         columns->add_failures(static_cast<std::uint32_t>(one.failures * Percent));
         columns->add_ejected(one.isEjected);
@@ -50,17 +52,24 @@
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
     const auto &work = message.work();
-    const int rows = std::min({work.target_size(), work.running_size(), work.backlog_ms_size(), work.tokens_size(), work.failures_size(), work.ejected_size()});
+    constexpr int Bands = static_cast<int>(UrgencyBands);
+    const int rows
+        = std::min({work.target_size(), work.running_size(), work.unread_ms_size() / Bands, work.tokens_size(), work.failures_size(), work.ejected_size()});
     for (int i = 0; i < rows; ++i) {
         const auto name = names.find(work.target(i));
-        if (name != names.end()) {
-            digest.work.push_back({name->second,
-                                   static_cast<int>(work.running(i)),
-                                   Duration::millis(work.backlog_ms(i)),
-                                   work.tokens(i) * TokenUnit,
-                                   work.failures(i) / Percent,
-                                   work.ejected(i)});
+        if (name == names.end()) {
+            continue;
+        }
+        TargetWork one;
+        one.target = name->second;
+        one.running = static_cast<int>(work.running(i));
+        for (int band = 0; band < Bands; ++band) {
+            one.unread.at(static_cast<std::size_t>(band)) = Duration::millis(work.unread_ms(i * Bands + band));
         }
+        one.tokens = work.tokens(i) * TokenUnit;
+        one.failures = work.failures(i) / Percent;
+        one.isEjected = work.ejected(i);
+        digest.work.push_back(one);
     }
     const auto &read = message.read();
     const int reads = std::min({read.target_size(), read.chain_size(), read.tokens_size()});
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -41,6 +41,13 @@
 constexpr auto SecondSilenceCheck = Duration::millis(230);
 /// Between tries to connect where nobody else can take a request.
 constexpr auto ConnectPause = Duration::millis(150);
+/// Engines know ten degrees of urgency; the bands lie apart so that those that are late anyway fit behind each.
+constexpr int UrgencyStep = 3;
+constexpr int DemotedStep = 2;
+/// What a stream of some hundred tokens takes after its first: less than that left, and it would be cut off.
+constexpr auto StreamTime = Duration::millis(600);
+/// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
+constexpr auto LongestRetryAfter = Duration::millis(1500);
 /// The time left that is worth a send: about the quickest answer.
 constexpr auto LeastTime = Duration::millis(10);
 
@@ -109,12 +116,14 @@
 
 private:
     auto attempt() -> void;
+    auto admit(const DispatchChoice &choice) -> bool;
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
     auto send(const DispatchChoice &choice) -> void;
     auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
     auto checkSilence(std::size_t unackedBefore) -> void;
     auto onHead(const HttpHead &head) -> AnswerVerdict;
     auto onBody(std::string_view bytes) -> void;
+    auto noteProgress() -> void;
     auto onEnd(const PooledEnd &end) -> void;
     auto onAnswer() -> void;
     auto onFailure(const PooledEnd &end) -> void;
@@ -158,9 +167,14 @@
     bool m_passing = false; ///< the body goes to the client as it comes
     std::optional<EventCursor> m_events; ///< of a stream that may go on elsewhere
     std::size_t m_passedBytes = 0;
+    std::optional<Duration> m_firstAfter; ///< from the request's first byte to the answer's
+    Duration m_longestPause; ///< between pieces of the answer
+    TimePoint m_lastBytesAt;
     bool m_isWaiting = false;
     TimePoint m_missingToldAt;
     TimePoint m_connectFailedAt;
+    bool m_isDemoted = false; ///< too late to be on time: after all that still can be
+    Duration m_retryAfter = DefaultRetryAfter;
     bool m_finished = false;
 };
 
@@ -176,6 +190,7 @@
     m_request.prompt = promptChains(m_traits.model + "/" + m_traits.adapter, m_traits.promptParts);
     m_request.promptTokens = m_traits.promptTokens;
     m_request.outputTokens = m_traits.mostOutputTokens;
+    m_request.band = m_route.band;
 }
 
 auto Flow::start() -> void
@@ -187,6 +202,7 @@
     };
     m_deadlineTimer = m_owner.parts.loop.after(m_deadline - now(), [this] { onTimeout(); });
     m_owner.budget(m_request.service).requested(now());
+    m_owner.hooks.onRequest(m_request);
     attempt();
 }
 
@@ -211,9 +227,36 @@
         m_waitTimer = m_owner.parts.loop.after(ConnectPause, [this] { attempt(); });
         return;
     }
+    if (!m_request.model.empty() && !admit(choice)) {
+        return;
+    }
     send(choice);
 }
 
+/// On time if it can be; else after everything that still can, as long as it is answered at all. With all of them in one queue, a
+/// runner that is asked for half more than it can do would soon answer every request late, and its streams would stall behind the reading.
+auto Flow::admit(const DispatchChoice &choice) -> bool
+{
+    const auto elapsed = now() - m_exchange->startedAt();
+    if (elapsed + choice.expectedFirst <= m_route.goal) {
+        return true;
+    }
+    if (choice.expectedIfPatient + StreamTime < m_deadline - now()) {
+        m_isDemoted = true;
+        m_request.band = UrgencyBand::Patient;
+        return true;
+    }
+    m_owner.parts.log.line("routing", "too-late")
+        .add("id", m_traits.attempt.text())
+        .add("target", choice.target.text())
+        .add("expected", choice.expectedFirst)
+        .add("if-patient", choice.expectedIfPatient)
+        .add("left", m_deadline - now());
+    m_retryAfter = std::clamp(choice.backlog - m_route.goal * WaitShare, DefaultRetryAfter, LongestRetryAfter);
+    giveUp(m_mayHaveRun > 0 ? StatusBadGateway : StatusUnavailable, "too-late");
+    return false;
+}
+
 auto Flow::waitOrRefuse(DispatchRefusal refusal) -> void
 {
     const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
@@ -251,7 +294,7 @@
     ForwardTraits traits;
     traits.patience = m_deadline - now();
     traits.target = choice.target;
-    traits.urgency = m_route.priority;
+    traits.urgency = static_cast<int>(m_request.band) * UrgencyStep + (m_isDemoted ? DemotedStep : 0);
     traits.lastEventId = m_events ? m_events->lastId() : std::string();
     m_owner.parts.protocol.rewriteRequest(headers, traits);
     return headers;
@@ -266,7 +309,7 @@
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
-    m_owner.hooks.onSent(choice.target, m_request);
+    m_owner.hooks.onSent(choice.target, m_request, m_sends == 1);
     m_owner.parts.log.line("routing", "chosen")
         .add("id", m_traits.attempt.text())
         .add("route", m_route.name)
@@ -276,6 +319,7 @@
         .add("send", m_sends)
         .add("expected", choice.expectedFirst)
         .add("backlog", choice.backlog)
+        .add("demoted", m_isDemoted)
         .add("unread", choice.unreadTokens)
         .add("prompt", m_request.promptTokens)
         .add("candidates", choice.candidates)
@@ -374,6 +418,7 @@
         return;
     }
     m_owner.parts.dispatcher.firstToken(m_send, now());
+    noteProgress();
     if (!m_passing) {
         m_held.append(bytes);
         if (m_held.size() > m_owner.options.heldAnswer) {
@@ -391,6 +436,16 @@
     }
 }
 
+auto Flow::noteProgress() -> void
+{
+    if (!m_firstAfter) {
+        m_firstAfter = now() - m_exchange->startedAt();
+    } else {
+        m_longestPause = std::max(m_longestPause, now() - m_lastBytesAt);
+    }
+    m_lastBytesAt = now();
+}
+
 namespace
 {
 
@@ -571,7 +626,7 @@
         exchange->abort();
         return;
     }
-    const auto retryAfter = promisesNotRun(status) ? std::optional(DefaultRetryAfter) : std::nullopt;
+    const auto retryAfter = promisesNotRun(status) ? std::optional(m_retryAfter) : std::nullopt;
     exchange->respond(status, m_owner.parts.protocol.ownAnswerHeaders(m_traits.attempt, retryAfter), "");
 }
 
@@ -620,6 +675,9 @@
         .add("outcome", outcome)
         .add("target", m_target.text())
         .add("sends", m_sends)
+        .add("demoted", m_isDemoted)
+        .add("first", m_firstAfter.value_or(Duration()))
+        .add("longest-pause", m_longestPause)
         .add("took", took);
     m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
     m_owner.parts.metrics.observe("request_seconds", took.inSeconds());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,8 +70,9 @@
 
 /// Requests for one model since the last word to the gateway that gives orders.
 struct AskedFor {
-    int requests = 0;
-    Duration reading; ///< that their prompts take
+    int requests = 0; ///< also those that found no copy
+    int sent = 0;
+    Duration reading; ///< that the prompts of those sent take
 };
 
 struct Gateway::Private {
@@ -269,6 +270,7 @@
     if (decoded.value.version <= (traffic ? traffic->version : TrafficVersion())) {
         return;
     }
+    assignBands(decoded.value);
     traffic = std::make_shared<const Traffic>(std::move(decoded.value));
     log.line("config", "adopted").add("version", traffic->version.value()).add("routes", static_cast<int>(traffic->routes.size()));
     metrics.set("traffic_version", static_cast<double>(traffic->version.value()));
@@ -341,10 +343,15 @@
     hooks.onMisdirected = [this](const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) {
         onMisdirected(target, found, model, adapter);
     };
-    hooks.onSent = [this](const TargetId &target, const DispatchRequest &request) {
+    hooks.onRequest = [this](const DispatchRequest &request) {
         if (!request.model.empty()) {
+            ++askedFor[request.model].requests;
+        }
+    };
+    hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, bool isFirst) {
+        if (!request.model.empty() && isFirst) {
             auto &asked = askedFor[request.model];
-            ++asked.requests;
+            ++asked.sent;
             asked.reading = asked.reading + dispatcher.readingTime(request, target);
         }
         if (!request.adapter.empty()) {
@@ -428,8 +435,8 @@
 {
     const ArtifactName artifact(model);
     demand.arrived(artifact, loop.now(), asked.requests);
-    if (asked.requests > 0) {
-        demand.served(artifact, asked.reading * (1.0 / asked.requests) + StepShare);
+    if (asked.sent > 0) {
+        demand.served(artifact, asked.reading * (1.0 / asked.sent) + StepShare);
     }
 }
 
@@ -530,6 +537,7 @@
         auto *added = message->add_asked();
         added->set_model(model);
         added->set_requests(static_cast<std::uint32_t>(asked.requests));
+        added->set_sent(static_cast<std::uint32_t>(asked.sent));
         added->set_read_ms(asked.reading.inSeconds() * MillisPerSecond);
     }
     for (const auto &[key, use] : adapterUses) {
@@ -547,7 +555,7 @@
 auto Gateway::Private::onDemand(const Wire::GatewayDemand &message) -> void
 {
     for (const auto &asked : message.asked()) {
-        countDemand(asked.model(), {static_cast<int>(asked.requests()), Duration::seconds(asked.read_ms() / MillisPerSecond)});
+        countDemand(asked.model(), {static_cast<int>(asked.requests()), static_cast<int>(asked.sent()), Duration::seconds(asked.read_ms() / MillisPerSecond)});
     }
     for (const auto &use : message.uses()) {
         const auto slash = use.adapter().find('/');
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -23,6 +23,10 @@
 constexpr auto TickPeriod = Duration::millis(50);
 /// Targets may come and go all the time; after so many settle times planning begins all the same.
 constexpr double SettlePatience = 4;
+/// An unload that no request holds up takes some tens of milliseconds, one that waits for streams a second or two.
+constexpr auto IntentLifetime = Duration::seconds(2);
+/// A stream of some three hundred tokens takes about that long.
+constexpr auto AdapterActive = Duration::millis(2500);
 constexpr auto DemandLogPeriod = Duration::seconds(1);
 constexpr std::size_t MostLoggedModels = 12;
 constexpr auto InputLifetime = Duration::millis(100);
@@ -49,6 +53,19 @@
     return text;
 }
 
+/// A model that room was made for on a runner, and that isn't ordered yet.
+struct Intent {
+    std::string model;
+    TimePoint since;
+};
+
+/// A request waits for an adapter.
+struct Wish {
+    TimePoint at; ///< when it was last told
+    TargetId orderedOn; ///< a runner that has an order for it, answered or not; empty: none
+    TimePoint orderedAt;
+};
+
 using WishKey = std::tuple<ServiceName, std::string, std::string>;
 
 } // namespace
@@ -84,8 +101,8 @@
     std::map<ServiceName, EngineDeclaration> engines;
     std::map<ServiceName, LoadMeter> meters;
     std::map<TargetId, RunnerBook> books;
-    std::map<WishKey, TimePoint> wishes;
-    std::map<TargetId, std::string> intended;
+    std::map<WishKey, Wish> wishes;
+    std::map<TargetId, Intent> intended;
     AdapterUses uses;
     std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
     TimePoint inputsAt;
@@ -125,7 +142,8 @@
     auto planModels() -> void;
     auto serveWishesSoon() -> void;
     auto serveWishes() -> void;
-    auto serveWish(const WishKey &wish) -> bool;
+    auto serveWish(const WishKey &key, Wish &wish) -> bool;
+    auto addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void;
     auto input(const ServiceName &service) -> const CopyPlanInput &;
     auto give(const ServiceName &service, const PlannedOrder &planned) -> void;
     auto onOrderAnswer(const TargetIncarnation &target, const RunnerOrder &order, OrderVerdict verdict, int status) -> void;
@@ -304,7 +322,7 @@
             tellHolding(book);
         }
     }
-    std::erase_if(wishes, [&](const auto &wish) { return now() - wish.second > settings.wishLifetime; });
+    std::erase_if(wishes, [&](const auto &wish) { return now() - wish.second.at > settings.wishLifetime; });
 }
 
 // [SECTION] Orders
@@ -322,6 +340,7 @@
     if (isNew) {
         made.engine = &engines.at(service);
         made.work = hooks.work(service);
+        addAdapters(service, made.work);
         for (const auto &[id, book] : books) {
             if (book.description().service == service) {
                 made.runners.push_back(&book);
@@ -332,10 +351,32 @@
             }
         }
     }
-    made.intended = intended;
+    made.intended.clear();
+    for (const auto &[id, intent] : intended) {
+        made.intended[id] = intent.model;
+    }
     return made;
 }
 
+/// Adapters in use just now take their places for as long as their streams run: a model needs copies enough for them too.
+auto OrderTask::Private::addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void
+{
+    std::set<std::string> active; // "MODEL/ADAPTER"
+    for (const auto &[place, usedAt] : uses) {
+        if (now() - usedAt < AdapterActive) {
+            active.insert(place.second);
+        }
+    }
+    for (const auto &[key, wish] : wishes) {
+        if (std::get<0>(key) == service && !std::get<2>(key).empty()) {
+            active.insert(std::get<1>(key) + "/" + std::get<2>(key));
+        }
+    }
+    for (const auto &name : active) {
+        ++work[name.substr(0, name.find('/'))].activeAdapters;
+    }
+}
+
 /// The models that are asked for most, with their copies: what the planning of this moment rests on.
 auto OrderTask::Private::logDemand(const CopyPlanInput &made) -> void
 {
@@ -372,8 +413,9 @@
         }
     }
     std::erase_if(intended, [&](const auto &item) {
+        // One that comes to nothing must not go on counting as a copy: the model would stay without one.
         const auto book = books.find(item.first);
-        return book == books.end() || book->second.description().model(item.second) != nullptr;
+        return book == books.end() || now() - item.second.since > IntentLifetime || book->second.description().model(item.second.model) != nullptr;
     });
 }
 
@@ -389,18 +431,15 @@
     if (!mayOrder()) {
         return;
     }
-    const auto open = wishes;
-    for (const auto &[wish, at] : open) {
-        if (serveWish(wish)) {
-            wishes.erase(wish);
-        }
+    for (auto open = wishes.begin(); open != wishes.end();) {
+        open = serveWish(open->first, open->second) ? wishes.erase(open) : std::next(open);
     }
 }
 
 /// True if nothing more is to be done for it.
-auto OrderTask::Private::serveWish(const WishKey &wish) -> bool
+auto OrderTask::Private::serveWish(const WishKey &key, Wish &wish) -> bool
 {
-    const auto &[service, model, adapter] = wish;
+    const auto &[service, model, adapter] = key;
     if (adapter.empty() || !engines.contains(service)) {
         return false; // models are planned together
     }
@@ -409,7 +448,14 @@
             return true;
         }
     }
+    // One order at a time for it: while an adapter gives way on one runner, others would on the next ones.
+    const auto asked = books.find(wish.orderedOn);
+    if (asked != books.end() && asked->second.isAsked() && now() - wish.orderedAt < settings.answerTimeout) {
+        return false;
+    }
     if (const auto planned = placeAdapter(input(service), model, adapter, uses, now())) {
+        wish.orderedOn = planned->target;
+        wish.orderedAt = now();
         give(service, *planned);
     }
     return false;
@@ -450,7 +496,7 @@
         }
     }
     if (!planned.makesRoomFor.empty()) {
-        intended[planned.target] = planned.makesRoomFor;
+        intended[planned.target] = {planned.makesRoomFor, now()};
     }
     OrderText text;
     text.isLoad = planned.order.isLoad;
@@ -499,12 +545,14 @@
         break;
     case OrderVerdict::Unclear:
         book->unanswered(now());
+        intended.erase(target.id);
         break;
     case OrderVerdict::Busy:
     case OrderVerdict::Fenced:
     case OrderVerdict::Elsewhere:
     case OrderVerdict::Invalid:
         book->refused(now());
+        intended.erase(target.id);
         break;
     }
     tellHolding(*book);
@@ -572,7 +620,7 @@
             d->hooks.onHolding(book.description());
         }
     }
-    d->wishes[{service, model, adapter}] = d->now();
+    d->wishes[{service, model, adapter}].at = d->now();
     d->serveWishesSoon();
 }
 
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -45,7 +45,7 @@
     Duration loadWindow = Duration::seconds(5);
     double loadOvershoot = 1;
     CopyPlanOptions plan;
-    Duration planPeriod = Duration::millis(250); ///< between two looks at models; a load takes some four times as long at least
+    Duration planPeriod = Duration::millis(100); ///< between two looks at models; the quickest load takes some four times as long
     Duration answerTimeout = Duration::millis(250); ///< of an order or a report; an order is answered before it is carried out
     Duration settleTime = Duration::millis(1500); ///< after the last new target until models are planned: at a start their rows come in over seconds
     Duration wishLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
