Planning counts its own changes, and a runner rests after an order on a model

Change: planCopies keeps holdings by index and counts fills after each decision; a swap must gain more than a fixed loss; three seconds of rest on a runner after an order on a model.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -24,23 +24,37 @@
     return work * squared / (squared + options.halfLost * options.halfLost);
 }
 
+/// A model in one round.
+struct PlannedModel {
+    const ModelDeclaration *declared = nullptr;
+    double work = 0; ///< runners that its requests keep busy
+    int copies = 0; ///< loaded, being loaded, or to come in place of one that gives way
+    double fillSum = 0; ///< of the runners that hold it
+    bool isSettled = false; ///< found no place in this round
+
+    auto perCopy() const -> double
+    {
+        return work / std::max(copies, 1);
+    }
+    auto meanFill() const -> double
+    {
+        return fillSum / std::max(copies, 1);
+    }
+};
+
+/// A runner in one round; only those that are up and answer.
+struct PlannedRunner {
+    const RunnerBook *book = nullptr;
+    std::vector<std::size_t> holds; ///< models, by their place in the round's list
+    double fill = 0; ///< the share of its time that is taken, each model's work spread evenly over its copies
+    bool isTaken = false; ///< has an order of this round, or waits for one
+};
+
 /// The state of one round of planning.
 class Round
 {
 public:
-    Round(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now)
-        : m_input(input)
-        , m_options(options)
-        , m_storeLoads(storeLoads)
-        , m_now(now)
-    {
-        for (const auto *runner : input.runners) {
-            countCopies(*runner);
-        }
-        for (const auto *runner : input.runners) {
-            countFill(*runner);
-        }
-    }
+    Round(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now);
 
     auto plan() -> std::vector<PlannedOrder>
     {
@@ -51,149 +65,180 @@
 
 private:
     struct Place {
-        const RunnerBook *runner = nullptr;
+        PlannedRunner *runner = nullptr;
         WeightSource source = WeightSource::Store;
-        std::string victim; ///< that gives way; empty: none has to
+        std::optional<std::size_t> victim; ///< the model that gives way; none has to
         double cost = 0; ///< work that is lost with the victim
     };
-    auto countCopies(const RunnerBook &runner) -> void;
-    auto copies(const std::string &model) const -> int
-    {
-        const auto found = m_copies.find(model);
-        return found == m_copies.end() ? 0 : found->second;
-    }
-    auto work(const ModelDeclaration &model) const -> double
-    {
-        const auto found = m_input.work.find(model.name);
-        const auto none = ModelWork();
-        const auto &asked = found == m_input.work.end() ? none : found->second;
-        // A runner whose places for adapters are all taken refuses as many as one whose time is.
-        const double slots = std::max(m_input.engine->adapterSlots, 1);
-        const double adapters = asked.activeAdapters / slots * m_options.halfLost;
-        return std::max({asked.now, asked.soon, adapters}) + model.adapters * m_options.adaptersWorth;
-    }
-    auto workOf(const std::string &name) const -> double
-    {
-        const auto *declared = m_input.engine->model(name);
-        return declared == nullptr ? 0 : work(*declared);
-    }
-    /// The work that one copy of a model takes of its runner, spread evenly.
-    auto perCopy(const std::string &name) const -> double
-    {
-        return workOf(name) / std::max(copies(name), 1);
-    }
-    auto fillOf(const RunnerBook &runner) const -> double
-    {
-        const auto found = m_fill.find(runner.description().incarnation.id);
-        return found == m_fill.end() ? 0 : found->second;
-    }
-    auto countFill(const RunnerBook &runner) -> void;
-    auto meanFill(const std::string &model) const -> double;
-    auto gain(const ModelDeclaration &model, double fillThere) const -> double;
-    auto isUsable(const RunnerBook &runner) const -> bool
-    {
-        const auto &id = runner.description().incarnation.id;
-        return !runner.description().isLeaving && !m_input.failing.contains(id) && !m_taken.contains(id);
-    }
+    auto workOf(const ModelDeclaration &model) const -> double;
+    auto addRunner(const RunnerBook &book) -> void;
+    auto indexOf(const std::string &model) const -> std::optional<std::size_t>;
+    auto countFills() -> void;
+    auto gain(const PlannedModel &model, double fillThere) const -> double;
+    auto lossWithout(const PlannedModel &model) const -> double;
     auto loadIntended() -> void;
     auto addWhereItGains() -> void;
-    auto findPlace(const ModelDeclaration &model, double gained) const -> Place;
-    auto placeOn(const RunnerBook &runner, const ModelDeclaration &model, double gained) const -> Place;
-    auto order(const RunnerBook &runner, RunnerOrder what, WeightSource source, const char *why) -> void;
+    auto mostGaining() -> PlannedModel *;
+    auto findPlace(const PlannedModel &model) -> Place;
+    auto placeOn(PlannedRunner &runner, const PlannedModel &model) -> Place;
+    auto isWorthIt(const PlannedModel &model, const Place &place) const -> bool;
+    auto load(PlannedRunner &runner, std::size_t model, WeightSource source, const char *why) -> void;
+    auto giveWay(PlannedRunner &runner, std::size_t victim, std::size_t comes, const char *why) -> void;
+    auto order(PlannedRunner &runner, const RunnerOrder &what, WeightSource source, const char *why) -> PlannedOrder &;
 
     const CopyPlanInput &m_input;
     const CopyPlanOptions &m_options;
     int m_storeLoads;
     TimePoint m_now;
-    std::map<std::string, int> m_copies;
-    std::map<TargetId, double> m_fill; ///< the share of each runner's time that is taken
-    std::map<std::string, double> m_fills; ///< the sum of that over the runners of each model
-    int m_givingWay = 0; ///< runners on which a model gives way to another
-    std::set<TargetId> m_taken; ///< have an order of this round, or wait for one
+    std::vector<PlannedModel> m_models; ///< in the declaration's order
+    std::vector<PlannedRunner> m_runners;
+    std::size_t m_givingWay = 0; ///< runners on which a model gives way to another
     std::vector<PlannedOrder> m_orders;
 };
 
-auto Round::countFill(const RunnerBook &runner) -> void
+Round::Round(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now)
+    : m_input(input)
+    , m_options(options)
+    , m_storeLoads(storeLoads)
+    , m_now(now)
 {
-    if (!isUsable(runner)) {
-        return;
-    }
-    const auto &about = runner.description();
-    double fill = 0;
-    for (const auto &held : about.models) {
-        fill += perCopy(held.name);
+    for (const auto &model : input.engine->models()) {
+        m_models.push_back({.declared = &model, .work = workOf(model)});
     }
-    m_fill[about.incarnation.id] = fill;
-    for (const auto &held : about.models) {
-        m_fills[held.name] += fill;
+    for (const auto *book : input.runners) {
+        addRunner(*book);
     }
+    countFills();
 }
 
-/// Over the runners that hold it.
-auto Round::meanFill(const std::string &model) const -> double
+auto Round::workOf(const ModelDeclaration &model) const -> double
 {
-    const auto found = m_fills.find(model);
-    return found == m_fills.end() ? 0 : found->second / std::max(copies(model), 1);
+    const auto found = m_input.work.find(model.name);
+    const auto none = ModelWork();
+    const auto &asked = found == m_input.work.end() ? none : found->second;
+    // A runner whose places for adapters are all taken refuses as many as one whose time is.
+    const double slots = std::max(m_input.engine->adapterSlots, 1);
+    const double adapters = asked.activeAdapters / slots * m_options.halfLost;
+    return std::max({asked.now, asked.soon, adapters}) + model.adapters * m_options.adaptersWorth;
 }
 
-/// What another copy saves, on a runner that is filled so far by others.
-auto Round::gain(const ModelDeclaration &model, double fillThere) const -> double
+auto Round::indexOf(const std::string &model) const -> std::optional<std::size_t>
 {
-    const int held = copies(model.name);
-    const double asked = work(model);
-    const double fill = meanFill(model.name);
-    const double shareAfter = asked / (held + 1);
-    const double restBefore = held * fill - asked * (held > 0 ? 1 : 0); // of other models on its runners
-    const double fillAfter = (restBefore + fillThere) / (held + 1) + shareAfter;
-    return lostWork(asked, held, fill, m_options) - lostWork(asked, held + 1, fillAfter, m_options);
+    const auto *declared = m_input.engine->model(model);
+    return declared == nullptr ? std::nullopt : std::optional(static_cast<std::size_t>(declared - m_input.engine->models().data()));
 }
 
 /// Copies on runners that leave or fail don't count: what is asked for is served elsewhere already.
-auto Round::countCopies(const RunnerBook &runner) -> void
+auto Round::addRunner(const RunnerBook &book) -> void
 {
-    if (!isUsable(runner)) {
+    const auto &about = book.description();
+    if (about.isLeaving || m_input.failing.contains(about.incarnation.id)) {
         return;
     }
-    const auto &about = runner.description();
+    PlannedRunner runner {.book = &book};
+    const auto hold = [&](const std::string &model) {
+        const auto index = indexOf(model);
+        if (index && std::find(runner.holds.begin(), runner.holds.end(), *index) == runner.holds.end()) {
+            runner.holds.push_back(*index);
+            ++m_models[*index].copies;
+        }
+    };
     for (const auto &held : about.models) {
-        ++m_copies[held.name];
+        hold(held.name);
     }
     const auto intended = m_input.intended.find(about.incarnation.id);
-    if (const auto loading = runner.loading()) {
-        ++m_copies[*loading];
-    } else if (intended != m_input.intended.end() && about.model(intended->second) == nullptr) {
-        ++m_copies[intended->second];
+    if (const auto loading = book.loading()) {
+        hold(*loading);
+    } else if (intended != m_input.intended.end()) {
+        hold(intended->second);
+        ++m_givingWay;
+    }
+    m_runners.push_back(std::move(runner));
+}
+
+auto Round::countFills() -> void
+{
+    for (auto &model : m_models) {
+        model.fillSum = 0;
+    }
+    for (auto &runner : m_runners) {
+        runner.fill = 0;
+        for (const auto index : runner.holds) {
+            runner.fill += m_models[index].perCopy();
+        }
+        for (const auto index : runner.holds) {
+            m_models[index].fillSum += runner.fill;
+        }
+    }
+}
+
+/// What another copy saves, on a runner that is filled so far by others.
+auto Round::gain(const PlannedModel &model, double fillThere) const -> double
+{
+    const double ofOthers = model.copies > 0 ? std::max(model.fillSum - model.work, 0.0) : 0;
+    const double fillAfter = (ofOthers + fillThere + model.work) / (model.copies + 1);
+    return lostWork(model.work, model.copies, model.meanFill(), m_options) - lostWork(model.work, model.copies + 1, fillAfter, m_options);
+}
+
+/// What is lost with one copy less.
+auto Round::lossWithout(const PlannedModel &model) const -> double
+{
+    const int left = model.copies - 1;
+    const double fillAfter = left > 0 ? model.meanFill() + model.perCopy() / left : 0;
+    return lostWork(model.work, left, fillAfter, m_options) - lostWork(model.work, model.copies, model.meanFill(), m_options);
+}
+
+auto Round::order(PlannedRunner &runner, const RunnerOrder &what, WeightSource source, const char *why) -> PlannedOrder &
+{
+    runner.isTaken = true;
+    countFills();
+    const auto index = indexOf(what.model);
+    PlannedOrder planned;
+    planned.target = runner.book->description().incarnation.id;
+    planned.order = what;
+    planned.source = source;
+    planned.reason = why;
+    planned.work = index ? m_models[*index].work : 0;
+    planned.copies = index ? m_models[*index].copies : 0;
+    m_orders.push_back(planned);
+    return m_orders.back();
+}
+
+auto Round::load(PlannedRunner &runner, std::size_t model, WeightSource source, const char *why) -> void
+{
+    if (std::find(runner.holds.begin(), runner.holds.end(), model) == runner.holds.end()) {
+        runner.holds.push_back(model);
+        ++m_models[model].copies;
     }
-    m_givingWay += intended != m_input.intended.end() ? 1 : 0;
+    m_storeLoads -= source == WeightSource::Store ? 1 : 0;
+    order(runner, {true, m_models[model].declared->name, ""}, source, why);
 }
 
-auto Round::order(const RunnerBook &runner, RunnerOrder what, WeightSource source, const char *why) -> void
+auto Round::giveWay(PlannedRunner &runner, std::size_t victim, std::size_t comes, const char *why) -> void
 {
-    const auto &id = runner.description().incarnation.id;
-    m_taken.insert(id);
-    m_copies[what.model] += what.isLoad ? 1 : -1;
-    m_storeLoads -= what.isLoad && source == WeightSource::Store ? 1 : 0;
-    const double ofModel = workOf(what.model);
-    const int ofCopies = copies(what.model);
-    m_orders.push_back({id, std::move(what), source, "", why, ofModel, ofCopies});
+    std::erase(runner.holds, victim);
+    --m_models[victim].copies;
+    runner.holds.push_back(comes);
+    ++m_models[comes].copies; // its load follows on the room that this makes
+    ++m_givingWay;
+    order(runner, {false, m_models[victim].declared->name, ""}, WeightSource::Memory, why).makesRoomFor = m_models[comes].declared->name;
 }
 
 /// Where room was made for a model, it is loaded as soon as the runner takes the order.
 auto Round::loadIntended() -> void
 {
-    for (const auto *runner : m_input.runners) {
-        const auto intended = m_input.intended.find(runner->description().incarnation.id);
-        if (intended == m_input.intended.end() || !isUsable(*runner)) {
+    for (auto &runner : m_runners) {
+        const auto intended = m_input.intended.find(runner.book->description().incarnation.id);
+        const auto index = intended == m_input.intended.end() ? std::nullopt : indexOf(intended->second);
+        if (!index) {
             continue;
         }
-        const RunnerOrder load {true, intended->second, ""};
-        const auto source = runner->sourceOf(load.model);
+        const auto source = runner.book->sourceOf(intended->second);
         const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-        if (isAllowed && runner->mayOrder(load, *m_input.engine, m_now)) {
-            --m_copies[load.model]; // counted as intended already
-            order(*runner, load, source, "room-made");
+        if (isAllowed && runner.book->mayOrder({true, intended->second, ""}, *m_input.engine, m_now)) {
+            load(runner, *index, source, "room-made");
         } else {
-            m_taken.insert(intended->first);
+            runner.isTaken = true;
         }
     }
 }
@@ -201,50 +246,60 @@
 /// The copy that saves the most work comes first, as long as one is worth its load.
 auto Round::addWhereItGains() -> void
 {
-    std::set<std::string> settled; // models that found no place
-    while (true) {
-        const ModelDeclaration *best = nullptr;
-        double most = m_options.leastGain;
-        for (const auto &model : m_input.engine->models()) {
-            const double gained = settled.contains(model.name) ? 0 : gain(model, 0);
-            if (gained > most) {
-                most = gained;
-                best = &model;
-            }
-        }
-        if (best == nullptr) {
-            return;
-        }
-        const auto place = findPlace(*best, most);
-        const bool isTooMuch = !place.victim.empty() && m_givingWay >= m_options.mostGivingWay * static_cast<double>(m_input.runners.size());
-        if (isTooMuch || place.runner == nullptr || gain(*best, fillOf(*place.runner)) < m_options.leastGain) {
-            settled.insert(best->name);
+    while (auto *model = mostGaining()) {
+        const auto place = findPlace(*model);
+        if (place.runner == nullptr || !isWorthIt(*model, place)) {
+            model->isSettled = true;
             continue;
         }
-        m_fills[best->name] += fillOf(*place.runner);
-        const char *why = copies(best->name) == 0 ? "no-copy" : "busy";
-        if (place.victim.empty()) {
-            order(*place.runner, {true, best->name, ""}, place.source, why);
-            continue;
+        const char *why = model->copies == 0 ? "no-copy" : "busy";
+        const auto index = static_cast<std::size_t>(model - m_models.data());
+        if (place.victim) {
+            giveWay(*place.runner, *place.victim, index, why);
+        } else {
+            load(*place.runner, index, place.source, why);
+        }
+    }
+}
+
+/// Null if no copy is worth its load any more.
+auto Round::mostGaining() -> PlannedModel *
+{
+    PlannedModel *best = nullptr;
+    double most = m_options.leastGain;
+    for (auto &model : m_models) {
+        const double gained = model.isSettled ? 0 : gain(model, 0);
+        if (gained > most) {
+            most = gained;
+            best = &model;
         }
-        order(*place.runner, {false, place.victim, ""}, place.source, why);
-        ++m_givingWay;
-        m_orders.back().makesRoomFor = best->name;
-        ++m_copies[best->name]; // its load follows on the room that this makes
     }
+    return best;
+}
+
+auto Round::isWorthIt(const PlannedModel &model, const Place &place) const -> bool
+{
+    double fillThere = place.runner->fill;
+    if (!place.victim) {
+        return gain(model, fillThere) > m_options.leastGain;
+    }
+    fillThere -= m_models[*place.victim].perCopy();
+    const bool isTooMuch = static_cast<double>(m_givingWay) >= m_options.mostGivingWay * static_cast<double>(m_runners.size());
+    return !isTooMuch && gain(model, fillThere) * m_options.clearlyLess > place.cost + m_options.swapCost;
 }
 
 /// Free memory before a victim, a runner with time before a busy one, a quick load before a slow one.
-auto Round::findPlace(const ModelDeclaration &model, double gained) const -> Place
+auto Round::findPlace(const PlannedModel &model) -> Place
 {
     Place best;
     std::tuple<bool, bool, int, double> bestRank;
-    for (const auto *runner : m_input.runners) {
-        const auto place = placeOn(*runner, model, gained);
+    for (auto &runner : m_runners) {
+        const auto place = placeOn(runner, model);
         if (place.runner == nullptr) {
             continue;
         }
-        const std::tuple rank(!place.victim.empty(), fillOf(*runner) > m_options.easyRunner, static_cast<int>(place.source), fillOf(*runner) + place.cost);
+        const bool isBusy = runner.fill > m_options.easyRunner;
+        const std::tuple rank(place.victim.has_value(), isBusy, static_cast<int>(place.source), runner.fill + place.cost);
         if (best.runner == nullptr || rank < bestRank) {
             best = place;
             bestRank = rank;
@@ -253,27 +308,29 @@
     return best;
 }
 
-auto Round::placeOn(const RunnerBook &runner, const ModelDeclaration &model, double gained) const -> Place
+auto Round::placeOn(PlannedRunner &runner, const PlannedModel &model) -> Place
 {
-    const auto source = runner.sourceOf(model.name);
+    const auto &name = model.declared->name;
+    const auto source = runner.book->sourceOf(name);
     const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-    const auto &about = runner.description();
-    if (!isUsable(runner) || !isAllowed || about.model(model.name) != nullptr) {
+    const auto index = static_cast<std::size_t>(&model - m_models.data());
+    const bool holdsIt = std::find(runner.holds.begin(), runner.holds.end(), index) != runner.holds.end();
+    if (runner.isTaken || !isAllowed || holdsIt) {
         return {};
     }
-    if (runner.mayOrder({true, model.name, ""}, *m_input.engine, m_now)) {
-        return {&runner, source, "", 0};
+    if (runner.book->mayOrder({true, name, ""}, *m_input.engine, m_now)) {
+        return {&runner, source, std::nullopt, 0};
     }
     Place place;
-    double least = gained * m_options.clearlyLess;
-    for (const auto &held : about.models) {
-        const int left = copies(held.name) - 1;
-        const double fill = meanFill(held.name);
-        const double fillAfter = left > 0 ? fill + perCopy(held.name) / left : 0;
-        const double lost = lostWork(workOf(held.name), left, fillAfter, m_options) - lostWork(workOf(held.name), left + 1, fill, m_options);
-        if (left >= 1 && lost < least && runner.mayOrder({false, held.name, ""}, *m_input.engine, m_now)) {
-            least = lost;
-            place = {&runner, source, held.name, lost};
+    if (m_now - runner.book->modelOrderedAt() < m_options.restTime) {
+        return place;
+    }
+    for (const auto victim : runner.holds) {
+        const auto &other = m_models[victim];
+        const double lost = lossWithout(other);
+        const bool isBetter = place.runner == nullptr || lost < place.cost;
+        if (other.copies >= 2 && isBetter && runner.book->mayOrder({false, other.declared->name, ""}, *m_input.engine, m_now)) {
+            place = {&runner, source, victim, lost};
         }
     }
     return place;
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -50,6 +50,8 @@
     double easyRunner = 0.4; ///< below, what comes hardly waits
     double leastGain = 0.01; ///< work saved that makes a load worth it: some seconds of that against the price of a load and two orders
     double clearlyLess = 0.5; ///< a model gives way only if less than this part of the gain is lost with it
+    double swapCost = 0.02; ///< work that must be gained beyond that: the place serves nobody while it is loaded
+    Duration restTime = Duration::seconds(3); ///< after an order on a model, until another one gives way on that runner: plans must not chase each other
     double silentModel = 0.02; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
     double adaptersWorth = 0.0015; ///< likewise one declared adapter of a model: it has many callers, though maybe none now
     double mostGivingWay = 0.34; ///< of the runners may give up one model for another at once: a wrong forecast moves no more than that
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -103,6 +103,11 @@
     return engine.adapterSlots - static_cast<int>(used);
 }
 
+auto RunnerBook::modelOrderedAt() const -> TimePoint
+{
+    return m_modelOrderedAt;
+}
+
 auto RunnerBook::isBusy(TimePoint now) const -> bool
 {
     // While it unloads, it refuses other orders by itself: asking for its report would take longer than trying.
@@ -278,6 +283,7 @@
     }
     ++m_ordersTaken;
     if (under.order.adapter.empty()) {
+        m_modelOrderedAt = now;
         under.doneAt = under.order.isLoad ? under.doneAt : now + m_options.unloadTime;
         m_modelOrder = under;
         m_isBusyForSure = false;
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -59,6 +59,7 @@
     auto ordersTaken() const -> std::uint64_t; ///< for the next order
     auto freeMemory(const EngineDeclaration &engine, TimePoint now) const -> Bytes;
     auto freeAdapterSlots(const EngineDeclaration &engine, TimePoint now) const -> int;
+    auto modelOrderedAt() const -> TimePoint; ///< the last accepted order on a model
     auto isBusy(TimePoint now) const -> bool; ///< carrying out an order on a model, as far as known
     auto sourceOf(std::string_view model) const -> WeightSource;
     auto loading() const -> std::optional<std::string>; ///< the model being loaded
@@ -111,6 +112,7 @@
     bool m_isBusyForSure = false; ///< the runner said so itself
     std::vector<Late> m_late;
     TimePoint m_acceptedAt; ///< the last order
+    TimePoint m_modelOrderedAt; ///< the last one on a model
     TimePoint m_reportAskedAt;
     TimePoint m_reportAt; ///< not before
 };
