--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -305,6 +305,7 @@
     ++m_sends;
     m_target = choice.target;
     m_hasHead = false;
+    m_passing = false;
     m_held.clear();
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
@@ -421,7 +422,8 @@
     noteProgress();
     if (!m_passing) {
         m_held.append(bytes);
-        if (m_held.size() > m_owner.options.heldAnswer) {
+        const bool isTooLong = m_held.size() > m_owner.options.heldAnswer;
+        if (isTooLong && !m_exchange->hasBegun()) {
             m_passing = true;
             const auto held = std::move(m_held);
             m_held.clear();
@@ -512,6 +514,11 @@
         sendAgain();
         return;
     }
+    if (!m_passing && m_exchange->hasBegun()) {
+        // The stream had begun at another target, and this one doesn't go on with it: its answer must not look like the stream's end.
+        giveUp(StatusBadGateway, "not-resumed");
+        return;
+    }
     if (m_passing) {
         if (m_events && m_events->hasPartial()) {
             m_events->dropPartial();
