Stand-ins of the users' platform and system tests of gateways; waiting requests ask again for what they miss

Cause: a wish that was sent before any gateway held the lease was lost, and the request that waited never repeated it (found by the new test of adapters on demand: 503 after its whole wait). Change: fakes/platform* (store, runners, a small site), tests/system_gateway with 17 cases, real processes through the fault proxy.

--- a/fakes/fakes.cpp
+++ b/fakes/fakes.cpp
@@ -49,6 +49,7 @@
     , m_hosts(m_clock, portAt(settings, HostsOffset), settings.hostLag)
     , m_weights(m_clock, settings.weights)
     , m_proxy(m_clock)
+    , m_platform(m_clock, settings.platform)
     , m_admin(loop, HttpServerOptions {.listen = {"127.0.0.1", settings.basePort}}, guarded([this](const ExchangePtr &exchange) { handle(exchange); }))
 {
     addEngines(settings);
@@ -94,6 +95,7 @@
     for (const auto &service : m_services) {
         all["services"].push_back({{"id", service->id()}, {"name", service->name()}, {"port", service->port()}});
     }
+    all["platform"] = m_platform.ports();
     return all;
 }
 
@@ -137,6 +139,8 @@
         answerJson(exchange, Status::Ok, truth());
     } else if (call == "GET /ports") {
         answerJson(exchange, Status::Ok, ports());
+    } else if (call == "GET /platform") {
+        answerJson(exchange, Status::Ok, m_platform.truth());
     } else if (call == "GET /completions") {
         auto all = Json::object();
         for (const auto &engine : m_engines) {
@@ -188,6 +192,9 @@
     if (part == "service") {
         return applyServiceFault(command);
     }
+    if (part == "platform") {
+        return m_platform.command(command.value("command", Json::object()));
+    }
     return part == "link" && m_proxy.command(command);
 }
 
--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -6,6 +6,7 @@
 #include "hostlist.h"
 #include "objectstore.h"
 #include "plainservice.h"
+#include "platformsite.h"
 #include "proxy.h"
 #include "tablestore.h"
 #include "weightstore.h"
@@ -48,6 +49,7 @@
     std::vector<std::unique_ptr<Engine>> m_engines;
     std::map<std::string, std::shared_ptr<ServiceState>> m_states;
     std::vector<std::unique_ptr<PlainService>> m_services;
+    PlatformSite m_platform;
     HttpServer m_admin;
 };
 
--- a/fakes/fakessettings.cpp
+++ b/fakes/fakessettings.cpp
@@ -89,6 +89,9 @@
     add("service.read-ms", with(raw.readMillis), "");
     add("service.write-ms", with(raw.writeMillis), "");
     add("service.concurrency", with(s.service.concurrency), "calls one instance works on at once");
+    add("platform.runners", with(s.platform.runners), "runners of the users' platform");
+    add("platform.instances", with(s.platform.instances), "instances of a plain service there");
+    add("platform.models", with(s.platform.models), "declared there");
     add("proxy.link", Options::value(&s.links)->composing(), "NAME,LISTEN-PORT,TARGET; may be repeated");
     return all;
 }
--- a/fakes/fakessettings.h
+++ b/fakes/fakessettings.h
@@ -4,6 +4,7 @@
 #include "engine.h"
 #include "hostlist.h"
 #include "plainservice.h"
+#include "platformsite.h"
 #include "tablestore.h"
 #include "weightstore.h"
 
@@ -35,6 +36,7 @@
     Duration objectLatency = Duration::millis(5);
     Duration hostLag = Duration::seconds(2);
     std::vector<Host> hosts;
+    PlatformSiteSettings platform; ///< the users' platform in small; none without runners or instances
     std::vector<std::string> links; ///< NAME,LISTEN-PORT,TARGET
 };
 
--- /dev/null
+++ b/fakes/platformrunner.cpp
@@ -0,0 +1,429 @@
+#include "platformrunner.h"
+
+#include "net/wallclock.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr int Misdirected = 421;
+constexpr int ServerError = 500;
+constexpr double AdapterMegabytes = 50;
+constexpr auto AdapterTime = Duration::millis(5);
+constexpr auto LateOrderTime = Duration::millis(800);
+
+auto text(const HttpHead &head, const char *name) -> std::string
+{
+    return std::string(findHeader(head.headers, name).value_or(""));
+}
+
+} // namespace
+
+PlatformRunner::PlatformRunner(SimClock &clock, PlatformStore &store, PlatformRunnerSettings settings)
+    : m_clock(clock)
+    , m_store(store)
+    , m_settings(std::move(settings))
+    , m_server(
+          clock.loop(), m_settings.port, [this](const WirePtr &connection, const HttpHead &head, const std::string &body) { handle(connection, head, body); })
+    , m_id(m_settings.id)
+{
+    for (const auto &model : m_settings.holds) {
+        m_holds[model];
+    }
+    start();
+}
+
+auto PlatformRunner::id() const -> const std::string &
+{
+    return m_settings.id;
+}
+
+auto PlatformRunner::port() const -> int
+{
+    return m_server.port();
+}
+
+auto PlatformRunner::start() -> void
+{
+    ++m_starts;
+    m_up = true;
+    m_born = wallMillis();
+    m_server.setAccepting(true);
+    beat();
+}
+
+auto PlatformRunner::models() const -> Json
+{
+    Json list = Json::array();
+    for (const auto &[name, held] : m_holds) {
+        list.push_back({{"name", name}, {"version", 1}, {"adapters", held.adapters}});
+    }
+    return list;
+}
+
+/// Its row, as often as runners write; the store drops rows of silent runners, also of those that it couldn't hear.
+auto PlatformRunner::beat() -> void
+{
+    const auto life = m_life;
+    m_clock.after(m_settings.beat, [this, life] {
+        if (life == m_life) {
+            beat();
+        }
+    });
+    const bool isHeard = m_up && m_listed && m_mode != "dark" && !m_store.isDown();
+    if (isHeard) {
+        Json row {{"service", m_settings.service},
+                  {"address", "127.0.0.1:" + std::to_string(port())},
+                  {"zone", m_settings.zone},
+                  {"version", "v1"},
+                  {"slots", m_settings.slots},
+                  {"state", m_draining ? "draining" : "ready"},
+                  {"cold_left_ms", 0},
+                  {"born", m_born},
+                  {"sequence", m_starts}};
+        if (m_settings.isRunner) {
+            row["models"] = models();
+        }
+        const auto value = row.dump();
+        m_lastBeat = m_clock.now();
+        if (value != m_lastRow || m_store.row("servers", m_id).empty()) {
+            m_lastRow = value;
+            m_store.put("servers", m_id, value);
+        }
+    } else if (m_clock.now() - m_lastBeat > m_settings.lapse && !m_store.row("servers", m_id).empty()) {
+        m_store.remove("servers", m_id);
+    }
+}
+
+auto PlatformRunner::crash(Duration down, bool sameId) -> void
+{
+    ++m_life;
+    m_up = false;
+    m_holds.clear();
+    m_orders = 0;
+    m_busy = false;
+    m_running = 0;
+    m_server.setAccepting(false);
+    m_server.closeAll();
+    beat();
+    m_clock.after(down, [this, sameId, old = m_id] {
+        ++m_life;
+        if (!sameId) {
+            m_id = m_settings.id + "-" + std::to_string(m_starts + 1);
+            m_store.remove("servers", old);
+        }
+        start();
+    });
+}
+
+auto PlatformRunner::command(const Json &command) -> bool
+{
+    static const std::set<std::string> Modes {"well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark"};
+    const auto mode = command.value("mode", std::string());
+    if (mode == "crash") {
+        crash(Duration::millis(command.value("downMs", 300)), command.value("sameId", false));
+        return true;
+    }
+    if (mode == "crash-on") {
+        m_poison = command.value("body", std::string());
+        return true;
+    }
+    if (mode == "drain") {
+        m_draining = true;
+        ++m_life;
+        beat();
+        return true;
+    }
+    if (mode == "leave") {
+        m_listed = false;
+        m_store.remove("servers", m_id);
+        return true;
+    }
+    if (!Modes.contains(mode)) {
+        return false;
+    }
+    m_mode = mode;
+    m_server.setDark(mode == "dark");
+    return true;
+}
+
+auto PlatformRunner::truth() const -> Json
+{
+    return {{"runs", m_runs},
+            {"bodies", m_bodies},
+            {"overfull", m_overfull},
+            {"cancelled", m_cancelled},
+            {"orderers", m_orderers},
+            {"orderLog", m_orderLog},
+            {"running", m_running},
+            {"holds", models()},
+            {"connections", m_server.connections()},
+            {"mostConnections", m_mostConnections},
+            {"starts", m_starts}};
+}
+
+auto PlatformRunner::handle(const WirePtr &connection, const HttpHead &head, const std::string &body) -> void
+{
+    m_mostConnections = std::max(m_mostConnections, static_cast<int>(m_server.connections()));
+    if (m_mode == "reset") {
+        connection->close();
+        return;
+    }
+    if (head.target == "/report") {
+        connection->answer(Status::Ok, {{"Content-Type", "application/json"}}, report().dump());
+    } else if (head.target == "/order") {
+        if (text(head, "Expect-Instance") != m_id) {
+            refuse(connection, "", Misdirected);
+        } else {
+            takeOrder(connection, body);
+        }
+    } else {
+        run(connection, head, body);
+    }
+}
+
+auto PlatformRunner::refuse(const WirePtr &connection, const std::string &attempt, int status) -> void
+{
+    HttpHeaders headers {{"Not-Executed", "1"}, {"Instance-Id", m_id}};
+    if (!attempt.empty()) {
+        headers.push_back({"Attempt-Id", attempt});
+    }
+    connection->answer(status, headers, "");
+}
+
+// [SECTION] Requests
+
+auto PlatformRunner::run(const WirePtr &connection, const HttpHead &head, const std::string &body) -> void
+{
+    const auto attempt = text(head, "Attempt-Id");
+    const auto expected = text(head, "Expect-Instance");
+    const auto model = text(head, "Model");
+    const auto slash = std::min(model.find('/'), model.size());
+    const auto held = m_holds.find(model.substr(0, slash));
+    const bool lacksModel = m_settings.isRunner && held == m_holds.end();
+    const bool lacksAdapter = !lacksModel && slash < model.size() && !held->second.adapters.contains(model.substr(slash + 1));
+    if (attempt.empty()) {
+        refuse(connection, attempt, Status::BadRequest);
+        return;
+    }
+    if ((!expected.empty() && expected != m_id) || lacksModel || lacksAdapter) {
+        refuse(connection, attempt, Misdirected);
+        return;
+    }
+    if (m_running >= m_settings.slots) {
+        refuse(connection, attempt, Status::Unavailable);
+        return;
+    }
+    ++m_runs[attempt];
+    m_bodies[attempt] = body;
+    if (!m_poison.empty() && body == m_poison) {
+        crash(Duration::millis(300), false);
+        return;
+    }
+    ++m_running;
+    connection->onGone = [this, life = m_life] {
+        if (life == m_life) {
+            ++m_cancelled;
+            --m_running;
+        }
+    };
+    const auto life = m_life;
+    m_clock.after(m_settings.workTime, [this, connection, head, attempt, life] {
+        if (life != m_life || !connection->isOpen()) {
+            return;
+        }
+        if (m_settings.isRunner) {
+            runStream(connection, head, attempt);
+        } else {
+            runPlain(connection, attempt);
+        }
+    });
+}
+
+auto PlatformRunner::finish(const WirePtr &connection, const std::string &attempt, int status, const std::string &body) -> void
+{
+    connection->onGone = nullptr;
+    --m_running;
+    HttpHeaders headers {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}};
+    if (m_mode == "lose-answers") {
+        connection->close();
+    } else if (m_mode == "truncate") {
+        headers.push_back({"Content-Length", std::to_string(body.size())});
+        connection->write(answerHead(status, headers) + body.substr(0, body.size() / 2));
+        connection->close();
+    } else if (m_mode == "unframed") {
+        headers.push_back({"Connection", "close"});
+        connection->write(answerHead(status, headers) + body);
+        connection->close();
+    } else if (m_mode == "extra") {
+        connection->answer(status, headers, body);
+        connection->write("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Stamp: again\r\nContent-Length: 3\r\n\r\nbad");
+    } else if (m_mode == "stray") {
+        // The answer to an earlier request comes where the next one is due.
+        connection->write("HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nServer-Stamp: old\r\nContent-Length: 3\r\n\r\nold");
+        connection->answer(status, headers, body);
+    } else {
+        connection->answer(status, headers, body);
+    }
+}
+
+auto PlatformRunner::runPlain(const WirePtr &connection, const std::string &attempt) -> void
+{
+    if (m_mode == "errors") {
+        finish(connection, attempt, ServerError, "error");
+    } else {
+        finish(connection, attempt, Status::Ok, "done by " + m_id + " for " + attempt);
+    }
+}
+
+auto PlatformRunner::runStream(const WirePtr &connection, const HttpHead &head, const std::string &attempt) -> void
+{
+    if (m_mode == "errors") {
+        finish(connection, attempt, ServerError, "error");
+        return;
+    }
+    const auto usage = text(head, "Token-Usage");
+    const auto comma = std::min(usage.find(','), usage.size());
+    const int last = static_cast<int>(numberOr(usage.substr(std::min(comma + 1, usage.size())), 3));
+    const int first = static_cast<int>(numberOr(text(head, "Last-Event-Id"), 0)) + 1;
+    connection->write(answerHead(
+        Status::Ok,
+        {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Type", "text/event-stream"}, {"Transfer-Encoding", "chunked"}}));
+    sendEvent(connection, attempt, first, last);
+}
+
+auto PlatformRunner::sendEvent(const WirePtr &connection, const std::string &attempt, int number, int last) -> void
+{
+    if (!connection->isOpen()) {
+        return;
+    }
+    if (number > last) {
+        connection->onGone = nullptr;
+        --m_running;
+        connection->write(LastChunk);
+        return;
+    }
+    const auto event = "id: " + std::to_string(number) + "\ndata: " + attempt + " " + std::to_string(number) + "\n\n";
+    if (m_mode == "truncate" && number == 2) {
+        connection->onGone = nullptr;
+        --m_running;
+        connection->write(chunk(event.substr(0, event.size() / 2)));
+        connection->close();
+        return;
+    }
+    connection->write(chunk(event));
+    m_clock.after(m_settings.eventTime, [this, connection, attempt, number, last, life = m_life] {
+        if (life == m_life) {
+            sendEvent(connection, attempt, number + 1, last);
+        }
+    });
+}
+
+// [SECTION] Orders
+
+auto PlatformRunner::report() const -> Json
+{
+    return {{"stage", "combined"},
+            {"models", models()},
+            {"busy", m_busy},
+            {"sequence", m_orders},
+            {"waiting", 0},
+            {"running", m_running},
+            {"kv_used", 0},
+            {"kv_total", 100000},
+            {"handles", 0},
+            {"born", m_born}};
+}
+
+auto PlatformRunner::usedMegabytes() const -> double
+{
+    double used = 0;
+    for (const auto &[name, held] : m_holds) {
+        const auto declared = std::find_if(m_settings.models.begin(), m_settings.models.end(), [&](const PlatformModel &model) { return model.name == name; });
+        used += declared == m_settings.models.end() ? 0 : declared->weightsMegabytes;
+        used += AdapterMegabytes * static_cast<double>(held.adapters.size());
+    }
+    return used;
+}
+
+auto PlatformRunner::usedAdapterSlots() const -> std::size_t
+{
+    std::size_t used = 0;
+    for (const auto &[name, held] : m_holds) {
+        used += held.adapters.size();
+    }
+    return used;
+}
+
+auto PlatformRunner::takeOrder(const WirePtr &connection, const std::string &body) -> void
+{
+    const auto parsed = Json::parse(body, nullptr, false);
+    const Order order {
+        parsed.value("operation", "") == "load", parsed.value("model", ""), parsed.value("adapter", ""), parsed.value("expected_revision", 0ULL)};
+    const auto holder = parsed.value("holder", "");
+    m_orderers[holder] = std::to_string(parsed.value("fencing_token", 0ULL));
+    m_orderLog.push_back(std::to_string(m_clock.now().inMillis()) + " " + holder + " " + parsed.value("operation", "") + " " + order.model + "/"
+                         + order.adapter);
+    if (m_mode == "late-orders") {
+        // No answer, and it is carried out later if its number still holds.
+        connection->close();
+        m_clock.after(LateOrderTime, [this, order] { carryOut(order); });
+        return;
+    }
+    connection->answer(carryOut(order), {}, "");
+}
+
+auto PlatformRunner::carryOut(const Order &order) -> int
+{
+    if (m_busy || order.expected != m_orders || !m_up) {
+        return Status::Conflict;
+    }
+    const auto declared
+        = std::find_if(m_settings.models.begin(), m_settings.models.end(), [&](const PlatformModel &model) { return model.name == order.model; });
+    if (declared == m_settings.models.end()) {
+        return Status::BadRequest;
+    }
+    const bool holds = m_holds.contains(order.model);
+    const auto life = m_life;
+    if (!order.adapter.empty()) {
+        if (!holds) {
+            return Status::BadRequest;
+        }
+        ++m_orders;
+        auto &adapters = m_holds[order.model].adapters;
+        if (!order.isLoad) {
+            adapters.erase(order.adapter);
+            return Status::Ok;
+        }
+        m_overfull += usedAdapterSlots() >= static_cast<std::size_t>(m_settings.adapterSlots) ? 1 : 0;
+        m_clock.after(AdapterTime, [this, order, life] {
+            if (life == m_life && m_holds.contains(order.model)) {
+                m_holds[order.model].adapters.insert(order.adapter);
+            }
+        });
+        return Status::Accepted;
+    }
+    if (order.isLoad == holds) {
+        return Status::Ok;
+    }
+    ++m_orders;
+    if (!order.isLoad) {
+        m_holds.erase(order.model);
+        return Status::Accepted;
+    }
+    m_overfull += usedMegabytes() + declared->weightsMegabytes > m_settings.memoryMegabytes ? 1 : 0;
+    m_busy = true;
+    m_clock.after(declared->loadTime, [this, order, life] {
+        if (life == m_life) {
+            m_busy = false;
+            m_holds[order.model];
+        }
+    });
+    return Status::Accepted;
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/fakes/platformrunner.h
@@ -0,0 +1,113 @@
+// Stand-in for one of the users' runners: a model runner that takes orders, or an instance of a plain service. It keeps the truth of what it
+// ran, and misbehaves on command.
+#pragma once
+
+#include "answers.h"
+#include "platformstore.h"
+#include "platformwire.h"
+#include "simclock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+struct PlatformModel {
+    std::string name;
+    double weightsMegabytes = 70000;
+    Duration loadTime = Duration::millis(300);
+    int adapters = 0;
+};
+
+struct PlatformRunnerSettings {
+    std::string id;
+    std::string service;
+    std::string zone = "north";
+    int slots = 8;
+    int port = 0;
+    bool isRunner = true; ///< holds models; else a plain service's instance
+    double memoryMegabytes = 150000;
+    int adapterSlots = 2;
+    std::vector<PlatformModel> models; ///< declared
+    std::vector<std::string> holds; ///< at its start
+    Duration workTime = Duration::millis(20); ///< of a plain request, and until the first event of a stream
+    Duration eventTime = Duration::millis(10); ///< between events
+    Duration beat = Duration::millis(200);
+    Duration lapse = Duration::millis(600); ///< of silence, until its row goes
+};
+
+class PlatformRunner
+{
+public:
+    PlatformRunner(SimClock &clock, PlatformStore &store, PlatformRunnerSettings settings);
+
+    auto id() const -> const std::string &;
+    auto port() const -> int;
+    auto truth() const -> Json;
+    /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row goes, it serves on), "dark"/"light", "errors", "reset", "truncate",
+    /// "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well". False if the mode is unknown.
+    auto command(const Json &command) -> bool;
+
+private:
+    struct Held {
+        std::set<std::string> adapters;
+    };
+    struct Order {
+        bool isLoad = true;
+        std::string model;
+        std::string adapter;
+        std::uint64_t expected = 0;
+    };
+    auto handle(const WirePtr &connection, const HttpHead &head, const std::string &body) -> void;
+    auto run(const WirePtr &connection, const HttpHead &head, const std::string &body) -> void;
+    auto runPlain(const WirePtr &connection, const std::string &attempt) -> void;
+    auto runStream(const WirePtr &connection, const HttpHead &head, const std::string &attempt) -> void;
+    auto sendEvent(const WirePtr &connection, const std::string &attempt, int number, int last) -> void;
+    auto finish(const WirePtr &connection, const std::string &attempt, int status, const std::string &body) -> void;
+    auto refuse(const WirePtr &connection, const std::string &attempt, int status) -> void;
+    auto takeOrder(const WirePtr &connection, const std::string &body) -> void;
+    auto carryOut(const Order &order) -> int;
+    auto report() const -> Json;
+    auto models() const -> Json;
+    auto beat() -> void;
+    auto start() -> void;
+    auto crash(Duration down, bool sameId) -> void;
+    auto usedMegabytes() const -> double;
+    auto usedAdapterSlots() const -> std::size_t;
+
+    SimClock &m_clock;
+    PlatformStore &m_store;
+    PlatformRunnerSettings m_settings;
+    WireServer m_server;
+    std::string m_id; ///< of this start
+    std::uint64_t m_born = 0;
+    int m_starts = 0;
+    std::uint64_t m_life = 0; ///< rises at each crash: timers of an earlier life do nothing
+    bool m_up = true;
+    bool m_draining = false;
+    bool m_listed = true;
+    std::string m_mode = "well";
+    std::string m_poison; ///< a request with this body crashes it
+    std::map<std::string, Held> m_holds;
+    bool m_busy = false;
+    std::uint64_t m_orders = 0;
+    int m_running = 0;
+    std::string m_lastRow;
+    Duration m_lastBeat;
+
+    // The truth.
+    std::map<std::string, int> m_runs; ///< by attempt, over all its lives
+    std::map<std::string, std::string> m_bodies; ///< by attempt
+    std::uint64_t m_overfull = 0; ///< orders to load more than there is room for
+    std::uint64_t m_cancelled = 0; ///< runs whose caller left
+    std::map<std::string, std::string> m_orderers; ///< holder and fence, by holder
+    std::vector<std::string> m_orderLog;
+    int m_mostConnections = 0;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/fakes/platformstore.h
@@ -0,0 +1,73 @@
+// Stand-in for the users' store, as far as the product uses it: rows in tables, transactions under conditions, reads and watches.
+#pragma once
+
+#include "answers.h"
+#include "platformwire.h"
+#include "simclock.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+
+namespace KingCup
+{
+
+class PlatformStore
+{
+public:
+    PlatformStore(SimClock &clock, int port);
+
+    auto port() const -> int;
+    auto truth() const -> Json;
+    auto row(const std::string &table, const std::string &key) const -> std::string; ///< its value; empty: none
+
+    /// As the operator and the runners write: not over the network.
+    auto put(const std::string &table, const std::string &key, const std::string &value) -> void;
+    auto remove(const std::string &table, const std::string &key) -> void;
+    auto isDown() const -> bool;
+    /// {"mode":"up"|"busy"|"reset"|"silent"|"lose-answers"|"forget-history"}: "busy" answers 503, "reset" closes, "silent" answers nothing;
+    /// "lose-answers" does what it is asked and closes. False if the mode is unknown.
+    auto setMode(const std::string &mode) -> bool;
+
+private:
+    struct Row {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+    struct Change {
+        std::string table;
+        std::string key;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+    struct Watch {
+        WirePtr connection;
+        std::string table;
+        std::uint64_t after = 0;
+        std::uint64_t number = 0;
+    };
+    auto handle(const WirePtr &connection, const HttpHead &head, const std::string &body) -> void;
+    auto read(const WirePtr &connection, const std::string &query) -> void;
+    auto watch(const WirePtr &connection, const std::string &query) -> void;
+    auto transact(const WirePtr &connection, const std::string &body) -> void;
+    auto change(const std::string &table, const std::string &key, bool removed) -> void;
+    auto answerWatches() -> void;
+    auto changesOf(const std::string &table, std::uint64_t after) const -> Json;
+    auto rowJson(const std::string &table, const std::string &key) const -> Json;
+    auto answer(const WirePtr &connection, int status, Json body) -> void;
+
+    SimClock &m_clock;
+    WireServer m_server;
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::deque<Change> m_changes;
+    std::list<Watch> m_watches;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_forgottenUpTo = 0;
+    std::uint64_t m_watchNumber = 0;
+    std::map<std::string, std::uint64_t> m_calls; ///< by path
+    std::string m_mode = "up";
+};
+
+} // namespace KingCup
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -33,7 +33,7 @@
 constexpr auto DefaultRetryAfter = Duration::millis(300);
 /// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
 constexpr double WaitShare = 0.6;
-/// Between two words of one request to the gateway that gives orders: the first may have been lost.
+/// Between two words of one request to the gateway that gives orders: the first may have been lost, or there was none yet.
 constexpr auto TellMissingPeriod = Duration::millis(300);
 /// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
 constexpr auto FirstSilenceCheck = Duration::millis(100);
@@ -270,7 +270,7 @@
         return;
     }
     m_isWaiting = true;
-    m_waitTimer = m_owner.parts.loop.after(waitUntil - now(), [this] { attempt(); });
+    m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), TellMissingPeriod), [this] { attempt(); });
 }
 
 auto Flow::tryAgain() -> void
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -278,7 +278,8 @@
 auto OrderTask::Private::askReports() -> void
 {
     for (auto &[id, book] : books) {
-        if (book.needsReport(now())) {
+        const bool takesOrders = engines.contains(book.description().service);
+        if (takesOrders && book.needsReport(now())) {
             askReport(book);
         }
     }
--- /dev/null
+++ b/tests/system_gateway.cpp
@@ -0,0 +1,305 @@
+// Gateways as real processes on the stand-ins of the users' platform: requests of every kind, and what may go wrong around them.
+#include "tests/harness_gateways.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// The runner that works on something; empty if none does.
+auto busyRunner(Site &site) -> std::string
+{
+    const auto truth = site.truth();
+    for (const auto &[id, runner] : truth["runners"].items()) {
+        if (runner["running"].get<int>() > 0) {
+            return id;
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_CASE("a calm day: requests of every kind come back whole, from every gateway")
+{
+    Site site;
+    for (int gateway = 1; gateway <= 2; ++gateway) {
+        const auto read = site.call(gateway, {.path = "/read/balance?of=asha"});
+        CHECK(read->status == 200);
+        CHECK(read->body.starts_with("done by p"));
+        CHECK(read->header("Server-Stamp").starts_with("stamp-p"));
+
+        const auto attempt = site.freshAttempt();
+        const auto write = site.call(gateway, {.path = "/write/debit", .method = "POST", .attempt = attempt, .body = "7 minutes"});
+        CHECK(write->status == 200);
+        CHECK(site.runsOf(attempt) == 1);
+
+        const auto stream = site.stream(gateway, "m2", 5);
+        CHECK(stream->isWhole());
+        CHECK(stream->events().size() == 5);
+        CHECK(stream->header("Server-Stamp").starts_with("stamp-r"));
+    }
+    CHECK(site.truth()["overfull"] == 0);
+}
+
+TEST_CASE("an adapter that no runner holds is loaded when it is asked for, also by a gateway that gives no orders")
+{
+    Site site;
+    for (int gateway = 1; gateway <= 2; ++gateway) {
+        // The first request of each adapter waits for its load; there are more adapters than places for them.
+        for (int adapter = 1; adapter <= 3; ++adapter) {
+            const auto reply = site.stream(gateway, "m1/a" + std::to_string(adapter));
+            INFO("gateway " << gateway << " adapter " << adapter << " status " << reply->status);
+            CHECK(reply->isWhole());
+            CHECK(reply->events().size() == 3);
+        }
+    }
+    CHECK(site.truth()["overfull"] == 0);
+}
+
+TEST_CASE("what is no proper request gets a clear answer, and nothing runs")
+{
+    // A caller's program is broken. It must be told so at once, and no other caller may notice.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    CHECK(site.call(1, {.path = "/nowhere/x"})->status == 404);
+    CHECK(site.call(1, {.path = "/read/x", .host = "other.example"})->status == 404);
+    CHECK(site.call(1, {.path = "/read/x", .headers = {{"Deadline-Ms", "soon"}}})->status == 200); // the first of two counts
+    const std::string big(70000, 'x');
+    const auto tooLarge = site.call(1, {.path = "/write/x", .method = "POST", .body = big});
+    CHECK(tooLarge->status == 413);
+    CHECK(site.truth()["runs"].size() == 1);
+    CHECK(site.call(1, {.path = "/read/y"})->status == 200);
+}
+
+TEST_CASE("a runner that dies: what may repeat goes elsewhere, what may not is never told as not run")
+{
+    // A runner's process crashes while it works. Its lookups are answered by another instance. A debit that was under way may have been
+    // made: the clerk must not be told that it wasn't.
+    Site site;
+    const auto write = site.freshAttempt();
+    std::vector<ReplyPtr> writes;
+    std::vector<std::string> attempts;
+    for (int i = 0; i < 6; ++i) {
+        attempts.push_back(site.freshAttempt());
+        writes.push_back(site.begin(1, {.path = "/write/debit", .method = "POST", .attempt = attempts.back(), .body = "x"}));
+    }
+    site.sleep(Duration::millis(8));
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "crash"}, {"downMs", 500}});
+    for (int i = 0; i < 10; ++i) {
+        CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+    }
+    for (std::size_t i = 0; i < writes.size(); ++i) {
+        site.waitFor("the answers", [&] { return writes[i]->done; });
+        const int runs = site.runsOf(attempts[i]);
+        CHECK(runs <= 1);
+        const bool saidNotRun = writes[i]->status == 503 || writes[i]->status == 429;
+        CHECK_FALSE((saidNotRun && runs > 0));
+    }
+}
+
+TEST_CASE("a stream that may be resumed goes on at another runner, whole and in order")
+{
+    // The only runner of a model dies amid a stream; another one has the model. The reader sees one stream, no event missing or twice.
+    Site site({.gateways = 1, .runners = 4, .instances = 1, .models = 2});
+    const auto reply = site.begin(1, {.path = "/tell/x", .method = "POST", .model = "m1", .events = 40, .body = "prompt"});
+    site.waitFor("some events", [&] { return reply->events().size() >= 5; });
+    const auto running = busyRunner(site);
+    REQUIRE_FALSE(running.empty());
+    site.platform({{"part", "runner"}, {"id", running}, {"mode", "crash"}, {"downMs", 1000}});
+    site.waitFor("the end", [&] { return reply->done; });
+    CHECK(reply->isWhole());
+    const auto events = reply->events();
+    REQUIRE(events.size() == 40);
+    for (std::size_t i = 0; i < events.size(); ++i) {
+        CHECK(events[i].ends_with(" " + std::to_string(i + 1)));
+    }
+}
+
+TEST_CASE("a resumed stream whose next runner answers with an error looks cut, not ended")
+{
+    // A stream breaks, and the runner that is to go on with it answers with an error of its own. Framed like an end, that would pass a part of
+    // a review off as the whole one.
+    Site site({.gateways = 1, .runners = 2, .instances = 1, .models = 1});
+    const auto reply = site.begin(1, {.path = "/tell/x", .method = "POST", .model = "m1", .events = 40, .body = "prompt"});
+    site.waitFor("some events", [&] { return reply->events().size() >= 3; });
+    const auto running = busyRunner(site);
+    const std::string other = running == "r1" ? "r2" : "r1";
+    site.platform({{"part", "runner"}, {"id", other}, {"mode", "errors"}});
+    site.platform({{"part", "runner"}, {"id", running}, {"mode", "crash"}, {"downMs", 2000}});
+    site.waitFor("the end", [&] { return reply->done; });
+    CHECK_FALSE(reply->isWhole());
+}
+
+TEST_CASE("answers that are cut, doubled, unframed or late never reach the wrong caller")
+{
+    // A faulty runner cuts its answers, sends a second one, or sends an answer to an earlier request first. Each caller gets its own whole
+    // answer or none.
+    Site site({.gateways = 1, .runners = 1, .instances = 2, .models = 1});
+    for (const auto *mode : {"extra", "stray", "unframed", "truncate", "lose-answers"}) {
+        site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", mode}});
+        for (int i = 0; i < 8; ++i) {
+            const auto attempt = site.freshAttempt();
+            const auto reply = site.call(1, {.path = "/read/x", .attempt = attempt});
+            INFO("mode " << mode << " status " << reply->status << " body " << reply->body);
+            if (reply->status == 200) {
+                CHECK(reply->isWhole());
+                CHECK(reply->body.ends_with(" for " + attempt));
+            }
+            CHECK((reply->status == 200 || reply->status == 502));
+        }
+    }
+}
+
+TEST_CASE("the store is away: what is known goes on, and leaving runners are not forgotten")
+{
+    // The store answers nobody for two seconds, and rows of runners lapse meanwhile although the runners are well. Callers must not notice.
+    Site site;
+    site.platform({{"part", "store"}, {"mode", "busy"}});
+    const auto until = site.loop().now() + Duration::seconds(2);
+    while (site.loop().now() < until) {
+        CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+        CHECK(site.stream(2, "m1")->isWhole());
+        site.sleep(Duration::millis(50));
+    }
+    site.platform({{"part", "store"}, {"mode", "up"}});
+    for (int i = 0; i < 20; ++i) {
+        CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+        site.sleep(Duration::millis(50));
+    }
+}
+
+TEST_CASE("a gateway that alone loses the store learns declarations and leaving runners from the others")
+{
+    // One host's way to the store is cut, silently. Its callers must get new routes like all others, and none of their requests may go to a
+    // runner that has said that it leaves.
+    Site site;
+    site.link("store:gw-2", "freeze");
+    site.platform({{"part", "operator"}, {"change", "add-route"}});
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "drain"}});
+    site.waitFor(
+        "the new route at gw-2", [&] { return site.call(2, {.path = "/extra/x"})->status == 200; }, Duration::seconds(3));
+    site.sleep(Duration::millis(500));
+    for (int i = 0; i < 10; ++i) {
+        CHECK(site.call(2, {.path = "/read/x"})->body.starts_with("done by p2"));
+    }
+}
+
+TEST_CASE("rows that nobody can read name no runner, and the others hold")
+{
+    // Some program writes rubbish among the runners' rows. Requests must go on to the runners that are there.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    for (const auto *value : {"",
+                              "not json",
+                              "[]",
+                              "{\"service\":7}",
+                              "{\"service\":\"ledger\",\"address\":\"nowhere\",\"slots\":6,\"state\":\"ready\"}",
+                              "{\"service\":\"ledger\",\"address\":\"127.0.0.1:1\",\"zone\":\"north\",\"slots\":6,\"state\":\"resting\",\"sequence\":1}"}) {
+        site.platform({{"part", "row"}, {"key", "rubbish"}, {"value", value}});
+        CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+    }
+}
+
+TEST_CASE("a runner that comes back under its id is taken for a new one")
+{
+    // A runner crashes and starts again under the id that it had, empty. A request for what it held before must not be lost on it.
+    Site site({.gateways = 1, .runners = 2, .instances = 1, .models = 2});
+    REQUIRE(site.stream(1, "m1")->isWhole());
+    site.platform({{"part", "runner"}, {"id", "r1"}, {"mode", "crash"}, {"downMs", 200}, {"sameId", true}});
+    site.waitFor(
+        "the model elsewhere or again", [&] { return site.stream(1, "m1")->isWhole(); }, Duration::seconds(8));
+    CHECK(site.truth()["overfull"] == 0);
+}
+
+TEST_CASE("orders that get no answer and come late never fill a runner beyond its room")
+{
+    // Runners leave orders unanswered and carry them out later. A runner that is ordered more than it holds crashes, with all its streams.
+    Site site({.gateways = 2, .runners = 3, .instances = 1, .models = 3});
+    site.platform({{"part", "runner"}, {"id", "r1"}, {"mode", "late-orders"}});
+    site.platform({{"part", "runner"}, {"id", "r2"}, {"mode", "late-orders"}});
+    for (int i = 0; i < 12; ++i) {
+        site.begin(1 + i % 2, {.path = "/chat/x", .method = "POST", .model = "m" + std::to_string(1 + i % 3) + "/a" + std::to_string(1 + i % 2), .body = "p"});
+        site.sleep(Duration::millis(100));
+    }
+    site.sleep(Duration::millis(1500));
+    CHECK(site.truth()["overfull"] == 0);
+}
+
+TEST_CASE("the gateway that gives orders dies: another one does, and never both")
+{
+    // The order giver is killed. Adapters can be loaded again after its lease, by one gateway alone.
+    Site site({.gateways = 3, .runners = 2, .instances = 1, .models = 2});
+    REQUIRE(site.stream(1, "m1/a1")->isWhole());
+    const auto holder = [&] {
+        const auto value = site.truth()["store"]["rows"]["kingcup-leases"]["orders"]["value"].get<std::string>();
+        return value.substr(0, value.find('#'));
+    };
+    const auto first = holder();
+    site.process(first).send(SIGKILL);
+    site.waitForExit(first);
+    const int alive = first == "gw-1" ? 2 : 1;
+    site.waitFor(
+        "an adapter to be loaded again", [&] { return site.stream(alive, "m2/a2")->isWhole(); }, Duration::seconds(12));
+    CHECK(holder() != first);
+    const auto truth = site.truth();
+    for (const auto &[id, runner] : truth["runners"].items()) {
+        CHECK(runner["orderers"].size() <= 2);
+    }
+}
+
+TEST_CASE("a planned stop cuts off nothing")
+{
+    // A host is taken away in order. What its callers had sent is answered whole, and the process ends by itself.
+    Site site;
+    const auto reply = site.begin(1, {.path = "/chat/x", .method = "POST", .model = "m1", .events = 60, .body = "prompt"});
+    site.waitFor("some events", [&] { return reply->events().size() >= 3; });
+    site.process("gw-1").send(SIGTERM);
+    site.sleep(Duration::millis(100));
+    CHECK_FALSE(site.isReady(1));
+    const auto late = site.call(1, {.path = "/read/x"});
+    CHECK(late->status == 200);
+    CHECK(late->header("Connection") == "close");
+    site.waitFor("the stream's end", [&] { return reply->done; });
+    CHECK(reply->isWhole());
+    CHECK(reply->events().size() == 60);
+    CHECK(site.waitForExit("gw-1") == 0);
+}
+
+TEST_CASE("SIGHUP makes a gateway read its settings again, and a broken file changes nothing")
+{
+    // An operator's tool writes the settings file and sends SIGHUP, as to any daemon. A daemon that ended at it would cut off all its callers.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    site.process("gw-1").send(SIGHUP);
+    site.waitFor("the reload", [&] { return site.process("gw-1").log().find("part=settings event=reloaded") != std::string::npos; });
+    std::ofstream(site.settingsFile("gw-1"), std::ios::app) << "retry-ratio = lots\n";
+    site.process("gw-1").send(SIGHUP);
+    site.waitFor("the finding", [&] { return site.process("gw-1").log().find("part=settings event=finding") != std::string::npos; });
+    CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+}
+
+TEST_CASE("a caller that leaves has its work cancelled")
+{
+    // A client gives up. Its runner must not go on working for nobody.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    const auto reply = site.begin(1, {.path = "/chat/x", .method = "POST", .model = "m1", .events = 300, .body = "prompt"});
+    site.waitFor("an event", [&] { return !reply->events().empty(); });
+    reply->handle->cancel();
+    site.waitFor(
+        "the cancellation", [&] { return site.truth()["runners"]["r1"]["cancelled"] == 1; }, Duration::seconds(1));
+}
+
+TEST_CASE("a request that reaches its route's timeout gets its final answer then")
+{
+    // The operator has shortened a route's timeout while requests take longer. Whoever waits on must be told.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    site.platform({{"part", "operator"}, {"change", "timeout"}, {"ms", 300}});
+    site.sleep(Duration::millis(300));
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "dark"}});
+    const auto before = site.loop().now();
+    const auto reply = site.call(1, {.path = "/write/x", .method = "POST", .body = "x"});
+    CHECK((reply->status == 504 || reply->status == 503 || reply->status == 502));
+    CHECK(site.loop().now() - before < Duration::millis(900));
+}
