Formatter and linter cover the platform folder; the callers' server test is formatted as they ask

Change: formatted, and what the linter then found in the platform's stand-in, the order task and the harness mended.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -342,10 +342,13 @@
 auto PlatformRunner::usedMegabytes() const -> double
 {
     double used = 0;
-    for (const auto &[name, held] : m_holds) {
-        const auto declared = std::find_if(m_settings.models.begin(), m_settings.models.end(), [&](const PlatformModel &model) { return model.name == name; });
+    for (const auto &holding : m_holds) {
+        const auto isHeld = [&](const PlatformModel &model) {
+            return model.name == holding.first;
+        };
+        const auto declared = std::find_if(m_settings.models.begin(), m_settings.models.end(), isHeld);
         used += declared == m_settings.models.end() ? 0 : declared->weightsMegabytes;
-        used += AdapterMegabytes * static_cast<double>(held.adapters.size());
+        used += AdapterMegabytes * static_cast<double>(holding.second.adapters.size());
     }
     return used;
 }
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -150,7 +150,7 @@
     auto expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration;
     auto tellHolding(const RunnerBook &book) -> void;
     auto find(const TargetIncarnation &target) -> RunnerBook *;
-    auto call(const Endpoint &server, CallText text, std::function<void(int status, const std::string &body)> done) -> void;
+    auto call(const Endpoint &server, CallText text, const std::function<void(int status, const std::string &body)> &done) -> void;
 };
 
 auto OrderTask::Private::find(const TargetIncarnation &target) -> RunnerBook *
@@ -165,7 +165,7 @@
 }
 
 /// `done` gets status 0 if there was no whole answer in time.
-auto OrderTask::Private::call(const Endpoint &server, CallText text, std::function<void(int status, const std::string &body)> done) -> void
+auto OrderTask::Private::call(const Endpoint &server, CallText text, const std::function<void(int status, const std::string &body)> &done) -> void
 {
     auto state = std::make_shared<RunnerCall>();
     PooledCall pooled;
@@ -386,14 +386,15 @@
     }
     demandLoggedAt = now();
     std::vector<std::pair<double, std::string>> ranked;
-    for (const auto &[model, work] : made.work) {
+    for (const auto &asked : made.work) {
+        const auto &work = asked.second;
         const auto holds = [&](const RunnerBook *runner) {
-            return runner->description().model(model) != nullptr;
+            return runner->description().model(asked.first) != nullptr;
         };
         const auto copies = std::count_if(made.runners.begin(), made.runners.end(), holds);
         std::array<char, 64> text {};
         std::snprintf(text.data(), text.size(), ":%.2f>%.2f/%d", work.now, work.soon, static_cast<int>(copies));
-        ranked.emplace_back(std::max(work.now, work.soon), model + text.data());
+        ranked.emplace_back(std::max(work.now, work.soon), asked.first + text.data());
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::string list;
--- a/src/net/eventlog.cpp
+++ b/src/net/eventlog.cpp
@@ -55,7 +55,7 @@
 LogLine::~LogLine()
 {
     if (m_log != nullptr) {
-        m_log->append(std::move(m_text));
+        m_log->append(m_text);
     }
 }
 
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -114,7 +114,7 @@
     call.target = target;
     call.headers = {{"Host", "stand-ins"}, {"Content-Type", "application/json"}};
     call.body = body;
-    const auto reply = start(std::move(call));
+    auto reply = start(std::move(call));
     wait(reply);
     return reply;
 }
@@ -272,7 +272,7 @@
 
 auto Site::call(int gateway, const Ask &ask) -> ReplyPtr
 {
-    const auto reply = begin(gateway, ask);
+    auto reply = begin(gateway, ask);
     d->wait(reply);
     return reply;
 }
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -53,10 +53,9 @@
 TEST_CASE("requests on one connection are answered one after the other")
 {
     Bench bench;
-    const auto answer = bench.call(
-        "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
-        "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
-        "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto answer = bench.call("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                                   "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+                                   "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     CHECK(countOf(answer.text, "HTTP/1.1 200 OK") == 3);
     CHECK(answer.text.find("POST /b hi") != std::string::npos);
     CHECK(answer.text.find("GET /c ") > answer.text.find("POST /b hi"));
