--- a/src/kingcupctl/arguments.cpp
+++ b/src/kingcupctl/arguments.cpp
@@ -55,6 +55,9 @@
         arguments.operands = values["operands"].as<std::vector<std::string>>();
     }
     arguments.tls = {text("certificate"), text("key"), text("authority")};
+    if (values.count("log") > 0) {
+        arguments.logs = values["log"].as<std::vector<std::string>>();
+    }
     arguments.changeId = text("change-id");
     arguments.author = text("author");
     arguments.json = values.count("json") > 0;
@@ -85,6 +88,7 @@
     add("change-id", options::value<std::string>(), "apply: ask again about a change whose outcome is unknown");
     add("author", options::value<std::string>(), "apply: noted with the change");
     add("until", options::value<std::uint64_t>(), "watch: end once this revision is in force everywhere");
+    add("log", options::value<std::vector<std::string>>()->composing(), "explain: a file with log lines, in place of a server; repeat it for those of other hosts");
     add("undo", "drain: let the target take work again");
     add("certificate", options::value<std::string>(), "PEM file of the operator's certificate");
     add("key", options::value<std::string>(), "PEM file of its private key");
--- a/src/kingcupctl/arguments.h
+++ b/src/kingcupctl/arguments.h
@@ -35,6 +35,7 @@
     bool hasExpected = false;
     std::uint64_t expected = 0;
     std::uint64_t until = 0;
+    std::vector<std::string> logs; ///< files with log lines of any hosts
     std::string changeId;
     std::string author;
     Duration timeout;
--- a/src/kingcupctl/commands.cpp
+++ b/src/kingcupctl/commands.cpp
@@ -13,7 +13,7 @@
         {"status", "", 0, true, "show processes, copies and the revision in force", runStatus},
         {"watch", "", 0, true, "show the status whenever it changes", runWatch},
         {"drain", "TARGET", 1, true, "let a target finish its work and give it no new one", runDrain},
-        {"explain", "SUBJECT", 1, true, "show recent decisions about a request, a model or a target", runExplain},
+        {"explain", "SUBJECT", 1, true, "show recent decisions about a request, a model or a target; with --log: a request's lines", runExplain},
         {"completion", "", 0, false, "print completion for bash", runCompletion},
         {"help", "", 0, false, "show this help", runHelp},
     };
--- a/src/kingcupctl/commands.h
+++ b/src/kingcupctl/commands.h
@@ -34,6 +34,9 @@
 auto runWatch(const Arguments &arguments) -> ExitCode;
 auto runExplain(const Arguments &arguments) -> ExitCode;
 
+// What logs say (logcommands.cpp).
+auto explainFromLogs(const Arguments &arguments) -> ExitCode;
+
 // About the tool itself (helpcommands.cpp).
 auto runHelp(const Arguments &arguments) -> ExitCode;
 auto runCompletion(const Arguments &arguments) -> ExitCode;
--- a/src/kingcupctl/main.cpp
+++ b/src/kingcupctl/main.cpp
@@ -37,7 +37,8 @@
     if (arguments.operands.size() != static_cast<std::size_t>(command->operandCount)) {
         return complain(name + " takes " + (command->operands.empty() ? "no operand" : command->operands));
     }
-    if (command->needsServer && arguments.servers.empty()) {
+    const bool readsLogs = name == "explain" && !arguments.logs.empty();
+    if (command->needsServer && arguments.servers.empty() && !readsLogs) {
         return complain("no server was named; use --server IP:PORT");
     }
     return command->run(arguments);
--- a/src/kingcupctl/viewcommands.cpp
+++ b/src/kingcupctl/viewcommands.cpp
@@ -126,6 +126,9 @@
 
 auto runExplain(const Arguments &arguments) -> ExitCode
 {
+    if (!arguments.logs.empty()) {
+        return explainFromLogs(arguments);
+    }
     Connection connection(arguments);
     Proto::ExplainRequest request;
     request.set_subject(arguments.operands.front());
--- /dev/null
+++ b/tests/fuzz_platform.cpp
@@ -0,0 +1,180 @@
+// What the deployment's store, operators and runners say comes over a network from programs that others maintain: whatever the bytes, it is
+// read with values in their ranges or refused; it never crashes a gateway, for all gateways read the same rows at the same time.
+#include "net/httpreader.h"
+#include "platform/protocol.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr int Rounds = 4000;
+
+const std::string Document = R"({"version":7,"routes":[{"name":"chat","host":"a.example","prefix":"/c/","service":"s","route_kind":"streaming",)"
+                             R"("timeout_ms":30000,"goal_ms":900,"gap_target_ms":500,"priority":1,"attempts":3,"resumable":true,)"
+                             R"("split":[{"service":"s","weight":3},{"service":"t","weight":1}]}],)"
+                             R"("services":[{"name":"s","health_path":"/h","max_conns":9,"engine":{"slots":8,"kv_capacity":90000,"weights_mb":80000,)"
+                             R"("adapter_slots":4,"loads_per_s":0.5,"host_mb":1,"disk_mb":2,"models":[{"name":"m1","weights_mb":20000,"load_s":4,)"
+                             R"("warm_s":1,"disk_s":2,"adapters":9,"adapter_mb":200}]}}],)"
+                             R"("limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":9000}})";
+const std::string Row = R"({"service":"s","address":"127.0.0.1:9000","zone":"z1","state":"ready","slots":8,"version":"1","sequence":12,"born":5,)"
+                        R"("remaining_ms":900,"cold_left_ms":10,"models":[{"name":"m1","version":2,"adapters":["a1"]}],)"
+                        R"("available":{"in_memory":["m1"],"on_disk":["m2"]}})";
+const std::string Report = R"({"born":5,"models":[{"name":"m1","version":2,"adapters":["a1"]}],"pending":["m1/a2@3"],"busy":true,"sequence":4,)"
+                           R"("waiting":1,"running":2,"kv_used":300,"kv_total":90000,"available":{"in_memory":["m1"],"on_disk":[]}})";
+
+class Mutator
+{
+public:
+    explicit Mutator(int seed)
+        : m_random(static_cast<std::uint32_t>(seed))
+    {
+    }
+    auto mutate(std::string text) -> std::string
+    {
+        const auto edits = 1 + below(4);
+        for (std::size_t edit = 0; edit < edits && !text.empty(); ++edit) {
+            editOnce(text);
+        }
+        return text;
+    }
+    auto below(std::size_t limit) -> std::size_t
+    {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(m_random);
+    }
+
+private:
+    auto editOnce(std::string &text) -> void
+    {
+        static const std::vector<std::string> Nasty {
+            "null", "-1", "1e308", "-1e308", "99999999999999999999", "[]", "{}", "\"\"", "true", "[[[[[[[[", "\xff\xfe", std::string(1, '\0'), "0.5"};
+        const auto at = below(text.size());
+        const auto length = std::min<std::size_t>(1 + below(12), text.size() - at);
+        switch (below(4)) {
+        case 0:
+            text.erase(at, length);
+            break;
+        case 1:
+            text.insert(below(text.size()), text.substr(at, length));
+            break;
+        case 2: { // another value for a field: most likely to be read
+            const auto colon = text.find(':', at);
+            if (colon != std::string::npos) {
+                const auto end = text.find_first_of(",}]", colon);
+                text.replace(colon + 1, (end == std::string::npos ? text.size() : end) - colon - 1, Nasty[below(Nasty.size())]);
+            }
+            break;
+        }
+        default:
+            text[at] = static_cast<char>(below(256));
+        }
+    }
+
+    std::mt19937 m_random;
+};
+
+auto isSpan(Duration time) -> bool
+{
+    return time >= Duration() && time <= Duration::seconds(1e9);
+}
+
+auto isSane(const EngineDeclaration &engine) -> bool
+{
+    const auto &models = engine.models();
+    return engine.slots >= 0 && engine.kvTokens >= 0 && engine.adapterSlots >= 0 && engine.loadsPerSecond >= 0 && engine.memory >= Bytes()
+        && std::all_of(models.begin(), models.end(), [](const ModelDeclaration &model) {
+               return model.weights >= Bytes() && model.adapterWeights >= Bytes() && model.adapters >= 0 && isSpan(model.loadTime) && isSpan(model.diskLoadTime);
+           });
+}
+
+auto isSane(const Route &route) -> bool
+{
+    const auto &services = route.services;
+    return isSpan(route.timeout) && isSpan(route.goal) && isSpan(route.pauseGoal) && route.attempts >= 1 && route.priority >= 0 && !services.empty()
+        && std::all_of(services.begin(), services.end(), [](const WeightedService &shared) { return shared.weight >= 0; });
+}
+
+} // namespace
+
+TEST_CASE("garbled operators' documents are refused, or read with values in their ranges")
+{
+    REQUIRE(Platform::decodeTraffic(Document).isValid());
+    int read = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto checked = Platform::decodeTraffic(Mutator(round).mutate(Document));
+        read += checked.isValid() ? 1 : 0;
+        INFO("round " << round);
+        for (const auto &route : checked.value.routes) {
+            REQUIRE(isSane(route));
+        }
+        for (const auto &[name, service] : checked.value.services) {
+            REQUIRE(service.maxConnections >= 0);
+            REQUIRE((!service.engine || isSane(*service.engine)));
+        }
+        const auto &limits = checked.value.limits;
+        REQUIRE((limits.headBytes > 0 && limits.bodyBytes > 0 && limits.bodyBytes < (1ULL << 40U) && isSpan(limits.headTimeout) && isSpan(limits.idleTimeout)));
+    }
+    REQUIRE(read > Rounds / 10);
+}
+
+TEST_CASE("garbled rows name no target, or one with values in their ranges")
+{
+    REQUIRE(Platform::decodeTarget("r1", Row));
+    int read = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto target = Platform::decodeTarget("r1", Mutator(round).mutate(Row));
+        read += target ? 1 : 0;
+        INFO("round " << round);
+        REQUIRE((!target || (target->slots >= 0 && target->address.port > 0 && isSpan(target->slowFor) && isSpan(target->goneWithin.value_or(Duration())))));
+    }
+    REQUIRE(read > Rounds / 20);
+}
+
+TEST_CASE("garbled reports are refused, or read with values in their ranges")
+{
+    REQUIRE(Platform::decodeReport(Report));
+    int read = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto report = Platform::decodeReport(Mutator(round).mutate(Report));
+        read += report ? 1 : 0;
+        INFO("round " << round);
+        REQUIRE((!report || (report->waiting >= 0 && report->running >= 0 && report->kvUsed >= 0 && report->kvTotal >= 0)));
+    }
+    REQUIRE(read > Rounds / 20);
+}
+
+TEST_CASE("the store's pages and answers of any bytes are read or refused")
+{
+    const auto format = Platform::makeStoreFormat();
+    const std::string page = R"({"rows":[{"key":"a","version":3,"value":"x"},{"key":"b","version":4,"deleted":true}],"version":9,"more":false})";
+    for (int round = 0; round < Rounds; ++round) {
+        const auto garbled = Mutator(round).mutate(page);
+        const auto decoded = format.decodePage(garbled);
+        REQUIRE((!decoded || decoded->rows.size() < 100));
+        format.decodeChanged(garbled);
+    }
+}
+
+TEST_CASE("request heads with any values are read, and nothing in them is below 0")
+{
+    HttpHead example;
+    example.method = "POST";
+    example.target = "/c/x";
+    const std::vector<HttpHeader> known {{"Attempt-Id", "t1"}, {"Deadline-Ms", "900"}, {"Model", "m1/a2"}, {"Token-Usage", "1200,300"},
+        {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}, {"Last-Event-Id", "17"}, {"Server-Stamp", "x"}, {"Not-Executed", "1"}, {"Instance-Id", "r1"}};
+    for (int round = 0; round < Rounds; ++round) {
+        auto head = example;
+        for (const auto &[name, value] : known) {
+            head.headers.push_back({name, Mutator(round).mutate(value)});
+        }
+        const auto traits = Platform::readRequest(head);
+        REQUIRE((traits.promptTokens >= 0 && traits.mostOutputTokens >= 0));
+        REQUIRE_FALSE(traits.patience.value_or(Duration()) < Duration());
+        Platform::readAnswer(head);
+    }
+}
--- /dev/null
+++ b/tests/unit_dispatch.cpp
@@ -0,0 +1,254 @@
+// Who gets a request, where entries reach targets directly: load, kept prompts, other entries' work, failing targets. In virtual time.
+#include "core/dispatch.h"
+#include "core/sharedretrybudget.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr int PromptTokens = 6300;
+
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(seconds);
+}
+
+class DispatchBench
+{
+public:
+    explicit DispatchBench(int runners, const std::string &zone = "z1")
+        : m_dispatcher(DispatchOptions {.zone = ZoneName(zone)})
+    {
+        EngineDeclaration engine;
+        engine.slots = 16;
+        engine.kvTokens = 200000;
+        engine.memory = Bytes::gigabytes(80);
+        engine.adapterSlots = 4;
+        ModelDeclaration model;
+        model.name = "m1";
+        model.weights = Bytes::gigabytes(20);
+        engine.setModels({model});
+        m_dispatcher.adoptEngine(ServiceName("assistant"), engine);
+        for (int i = 0; i < runners; ++i) {
+            add("r" + std::to_string(i), "z1");
+        }
+    }
+    auto add(const std::string &id, const std::string &zone, std::vector<HeldModel> models = {{"m1", 0, {}}}) -> void
+    {
+        TargetDescription target;
+        target.incarnation = {TargetId(id), 1};
+        target.service = ServiceName("assistant");
+        target.address = {"127.0.0.1", 9000};
+        target.zone = ZoneName(zone);
+        target.slots = 16;
+        target.models = std::move(models);
+        m_dispatcher.targetSeen(target, at(0));
+    }
+    auto operator->() -> Dispatcher *
+    {
+        return &m_dispatcher;
+    }
+
+private:
+    Dispatcher m_dispatcher;
+};
+
+auto request(std::uint64_t shared = 0) -> DispatchRequest
+{
+    static std::uint64_t own = 1000000;
+    DispatchRequest made;
+    made.service = ServiceName("assistant");
+    made.model = "m1";
+    made.promptTokens = PromptTokens + 100;
+    made.outputTokens = 200;
+    made.prompt = promptChains("m1", {{shared == 0 ? ++own : shared, PromptTokens}, {++own, 100}});
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("requests spread by what is yet to be read at each runner")
+{
+    DispatchBench bench(4);
+    std::map<TargetId, int> sent;
+    for (int i = 0; i < 40; ++i) {
+        const auto one = request();
+        const auto choice = bench->choose(one, at(1));
+        REQUIRE(choice.refusal == DispatchRefusal::None);
+        bench->sent(one, choice.target, at(1));
+        ++sent[choice.target];
+    }
+    REQUIRE(sent.size() == 4);
+    for (const auto &[target, count] : sent) {
+        INFO(target.text());
+        REQUIRE(count == 10);
+    }
+}
+
+TEST_CASE("a shared beginning goes where it was read, until another runner would be sooner all the same")
+{
+    // Load pattern: many callers with one long beginning of their prompts. Kept on one runner it is read once; but a burst of them must not
+    // wait there in a row while others are idle.
+    DispatchBench bench(4);
+    const auto first = request(7);
+    const auto home = bench->choose(first, at(1)).target;
+    const auto send = bench->sent(first, home, at(1));
+    bench->firstToken(send, at(1.3));
+    bench->ended(send, SendResult::Delivered, at(2));
+    REQUIRE(bench->choose(request(7), at(3)).target == home);
+    REQUIRE(bench->choose(request(7), at(3)).unreadTokens < 200);
+
+    std::map<TargetId, int> sent;
+    for (int i = 0; i < 200; ++i) {
+        const auto one = request(7);
+        const auto choice = bench->choose(one, at(3));
+        bench->sent(one, choice.target, at(3));
+        ++sent[choice.target];
+    }
+    REQUIRE(sent.size() > 1);
+}
+
+TEST_CASE("two entries that know nothing yet choose the same runner for the same beginning")
+{
+    DispatchBench one(6);
+    DispatchBench two(6);
+    for (std::uint64_t shared = 1; shared <= 20; ++shared) {
+        REQUIRE(one->choose(request(shared), at(1)).target == two->choose(request(shared), at(1)).target);
+    }
+}
+
+TEST_CASE("other entries' work counts, until their digest is too old")
+{
+    DispatchBench bench(2);
+    const auto home = bench->choose(request(5), at(1)).target;
+    WorkDigest digest;
+    digest.entry = EntryId("other");
+    digest.sequence = 1;
+    TargetWork work;
+    work.target = home;
+    work.running = 10;
+    work.unread.fill(Duration::seconds(1));
+    digest.work = {work};
+    bench->merge(digest, at(1));
+    REQUIRE(bench->choose(request(5), at(1.1)).target != home);
+    REQUIRE(bench->running(home, at(1.1)) == 10);
+    REQUIRE(bench->choose(request(5), at(4)).target == home);
+
+    bench->merge(digest, at(5)); // the same number again: a copy that was late
+    REQUIRE(bench->running(home, at(5)) == 0);
+}
+
+TEST_CASE("a target that breaks off without an answer gets nothing for a while, then one request")
+{
+    DispatchBench bench(2);
+    const auto one = request(3);
+    const auto home = bench->choose(one, at(1)).target;
+    bench->ended(bench->sent(one, home, at(1)), SendResult::NoEntry, at(1.1));
+    REQUIRE(bench->isEjected(home, at(1.2)));
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(bench->choose(request(3), at(1.2)).target != home);
+    }
+    REQUIRE_FALSE(bench->isEjected(home, at(9)));
+}
+
+TEST_CASE("the client's going away says nothing about its target")
+{
+    DispatchBench bench(1);
+    const auto one = request();
+    const TargetId target("r0");
+    bench->ended(bench->sent(one, target, at(1)), SendResult::Cancelled, at(1.1));
+    REQUIRE(bench->failures(target, at(1.2)) == 0);
+    REQUIRE_FALSE(bench->isEjected(target, at(1.2)));
+}
+
+TEST_CASE("where no target gets through, the request still goes to one, as a last resort")
+{
+    DispatchBench bench(1);
+    bench->unreachable(TargetId("r0"), at(1));
+    const auto choice = bench->choose(request(), at(1.1));
+    REQUIRE(choice.target == TargetId("r0"));
+    REQUIRE(choice.isLastResort);
+}
+
+TEST_CASE("a refusal says what was missing")
+{
+    DispatchBench bench(2);
+    auto other = request();
+    other.model = "m2";
+    REQUIRE(bench->choose(other, at(1)).refusal == DispatchRefusal::NotHeld);
+    auto adapted = request();
+    adapted.adapter = "a1";
+    REQUIRE(bench->choose(adapted, at(1)).refusal == DispatchRefusal::AdapterMissing);
+    auto unknown = request();
+    unknown.service = ServiceName("nobody");
+    REQUIRE(bench->choose(unknown, at(1)).refusal == DispatchRefusal::NoTarget);
+    auto tried = request();
+    tried.excluded = {TargetId("r0"), TargetId("r1")};
+    REQUIRE(bench->choose(tried, at(1)).refusal == DispatchRefusal::AllExcluded);
+}
+
+TEST_CASE("a target that leaves or has gone gets nothing new, and a new start is known for nothing")
+{
+    DispatchBench bench(2);
+    bench->targetGone(TargetId("r0"));
+    REQUIRE(bench->choose(request(), at(1)).target == TargetId("r1"));
+    auto leaving = *bench->description(TargetId("r1"));
+    leaving.isLeaving = true;
+    bench->targetSeen(leaving, at(1));
+    REQUIRE(bench->choose(request(), at(1)).target.isEmpty());
+}
+
+TEST_CASE("the own zone comes first while its runners are no later")
+{
+    DispatchBench bench(0, "z2");
+    bench.add("near", "z2");
+    bench.add("far", "z1");
+    std::map<TargetId, int> chosen;
+    for (int i = 0; i < 40; ++i) {
+        auto one = request();
+        one.prompt.clear(); // nothing kept anywhere, nothing to rank runners by
+        one.promptTokens = 100;
+        ++chosen[bench->choose(one, at(1)).target];
+    }
+    REQUIRE(chosen[TargetId("near")] == 40);
+}
+
+TEST_CASE("prompts are kept by what leads to them, and the longest unused go first")
+{
+    const auto chains = promptChains("m1", {{1, 100}, {2, 50}});
+    REQUIRE(chains.size() == 2);
+    REQUIRE(promptChains("m2", {{1, 100}})[0].hash != chains[0].hash);
+    REQUIRE(promptChains("m1", {{2, 50}})[0].hash != chains[1].hash);
+
+    PromptCache cache(250);
+    cache.touch(chains);
+    REQUIRE(cache.cachedTokens(chains) == 150);
+    REQUIRE(cache.cachedTokens(promptChains("m1", {{1, 100}, {3, 10}})) == 100);
+    cache.touch(promptChains("m1", {{9, 120}})); // 270 in all
+    REQUIRE(cache.usedTokens() <= 250);
+    REQUIRE(cache.cachedTokens(promptChains("m1", {{9, 120}})) == 120);
+}
+
+TEST_CASE("sends beyond the first keep to a share of the requests and a part of the allowance")
+{
+    // Load pattern: half of the targets crash at once and every request would be sent again; the sound ones would get twice their load.
+    SharedRetryBudget budget({.window = Duration::seconds(10), .ratio = 0.2, .allowance = 50, .caution = 1});
+    budget.setEntries(10);
+    REQUIRE(budget.left(at(20)) == Approx(5));
+    for (int i = 0; i < 100; ++i) {
+        budget.requested(at(20 + i * 0.05));
+    }
+    REQUIRE(budget.left(at(25)) <= 25);
+    int again = 0;
+    for (; again < 100 && budget.left(at(25)) >= 1; ++again) {
+        budget.sentAgain(at(25));
+    }
+    REQUIRE(again >= 5);
+    REQUIRE(again <= 25);
+    REQUIRE(budget.left(at(40)) == Approx(5));
+}
--- /dev/null
+++ b/tests/unit_orders.cpp
@@ -0,0 +1,470 @@
+// What one gateway knows and orders for all runners: the lease, the books it keeps of them, and the plan of copies. In virtual time.
+#include "core/copyplan.h"
+#include "core/orderlease.h"
+#include "core/runnerbook.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(seconds);
+}
+
+/// The row of the lease as the store keeps it, and any number of gateways that go for it.
+class LeaseBench
+{
+public:
+    auto step(OrderLease &lease, double now) -> LeaseStep
+    {
+        const auto next = lease.nextStep(at(now));
+        if (next == LeaseStep::Read) {
+            lease.readStarted(at(now));
+            lease.rowRead(m_version, m_value, at(now));
+        } else if (next == LeaseStep::Write) {
+            const auto write = lease.writeStarted(at(now));
+            if (write.expected == m_version) {
+                put(write.value);
+                lease.written(m_version, at(now));
+            } else {
+                lease.writeRefused(at(now));
+            }
+        }
+        return next;
+    }
+    auto put(const std::string &value) -> void
+    {
+        m_version = m_version.next();
+        m_value = value;
+    }
+    auto version() const -> RowVersion
+    {
+        return m_version;
+    }
+    auto value() const -> std::string
+    {
+        return m_value;
+    }
+
+private:
+    RowVersion m_version;
+    std::string m_value;
+};
+
+const HolderName First("gateway-a#1");
+const HolderName Second("gateway-b#1");
+
+auto runUntil(LeaseBench &bench, OrderLease &lease, double from, double to) -> void
+{
+    for (double now = from; now < to; now += 0.1) {
+        bench.step(lease, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("one gateway gets the lease and keeps it by renewing")
+{
+    LeaseBench bench;
+    OrderLease lease(First, {}, at(0));
+    REQUIRE_FALSE(lease.mayOrder(at(0)));
+    runUntil(bench, lease, 0, 10);
+    REQUIRE(lease.mayOrder(at(10)));
+    REQUIRE(lease.fence().value() > 0);
+    REQUIRE(bench.version().value() >= 5); // renewed each 1.2 s
+}
+
+TEST_CASE("a holder that is frozen gives no order after its lease, and its successor none before")
+{
+    // The holder's host stops for some seconds and goes on as if nothing had been. Meanwhile another gateway has taken the lease. Were the
+    // first to go on with orders, two would plan for the same runners, and runners would be filled beyond their memory.
+    LeaseBench bench;
+    OrderLease first(First, {}, at(0));
+    OrderLease second(Second, {}, at(0));
+    runUntil(bench, first, 0, 2);
+    REQUIRE(first.mayOrder(at(2)));
+    double taken = 0;
+    for (double now = 2; now < 12 && taken == 0; now += 0.05) {
+        bench.step(second, now);
+        REQUIRE_FALSE((first.mayOrder(at(now)) && second.mayOrder(at(now))));
+        taken = second.mayOrder(at(now)) ? now : 0;
+    }
+    REQUIRE(taken > 0);
+    REQUIRE_FALSE(first.mayOrder(at(taken)));
+    REQUIRE(second.fence() > first.fence());
+    bench.step(first, taken + 0.1); // thawed: writes under the version it knew, and is refused
+    bench.step(first, taken + 1);
+    REQUIRE_FALSE(first.isHolder());
+    REQUIRE_FALSE(first.mayOrder(at(taken + 1)));
+}
+
+TEST_CASE("a write whose answer was lost counts from when it left")
+{
+    // The store took the renewal, its answer was lost. The holder reads the row to see. Counted from the reading, the lease would seem to
+    // last longer than its successor waits.
+    LeaseBench bench;
+    OrderLease lease(First, {}, at(0));
+    runUntil(bench, lease, 0, 1);
+    REQUIRE(lease.isHolder());
+    const auto write = lease.writeStarted(at(2));
+    bench.put(write.value);
+    lease.writeUnclear(at(4));
+    REQUIRE_FALSE(lease.mayOrder(at(4)));
+    for (double now = 4; now < 4.6; now += 0.1) {
+        if (lease.nextStep(at(now)) == LeaseStep::Read) {
+            lease.readStarted(at(now));
+            lease.rowRead(bench.version(), bench.value(), at(now));
+            break;
+        }
+    }
+    REQUIRE(lease.isHolder());
+    REQUIRE(lease.mayOrder(at(4.6)));
+    REQUIRE_FALSE(lease.mayOrder(at(4.8))); // 2 + 3 - 0.3
+}
+
+TEST_CASE("a gateway that starts again doesn't take its predecessor's lease for its own")
+{
+    LeaseBench bench;
+    OrderLease before(First, {}, at(0));
+    runUntil(bench, before, 0, 1);
+    OrderLease after(HolderName("gateway-a#2"), {}, at(1));
+    runUntil(bench, after, 1, 2.5);
+    REQUIRE_FALSE(after.isHolder());
+    runUntil(bench, after, 2.5, 6);
+    REQUIRE(after.isHolder());
+}
+
+TEST_CASE("while the store is away the holder goes on as long as each other gateway says that it hears it")
+{
+    // Without this a store that is away for seconds leaves every request waiting that needs an adapter loaded.
+    LeaseBench bench;
+    OrderLease lease(First, {}, at(0));
+    runUntil(bench, lease, 0, 1);
+    const EntryId one("gateway-b");
+    const EntryId two("gateway-c");
+    lease.setPeers({one, two});
+    std::uint64_t sequence = 0;
+    const auto digest = [&](double now, bool isTwoHearing) {
+        lease.digestSent(++sequence, at(now));
+        lease.peerHears(one, sequence);
+        if (isTwoHearing) {
+            lease.peerHears(two, sequence);
+        }
+    };
+    for (double now = 1; now < 9; now += 0.2) {
+        digest(now, true);
+        REQUIRE(lease.mayOrder(at(now)));
+    }
+    // One of them doesn't hear it any more: it may have begun to count.
+    for (double now = 9; now < 13; now += 0.2) {
+        digest(now, false);
+    }
+    REQUIRE_FALSE(lease.mayOrder(at(13)));
+}
+
+TEST_CASE("who hears the holder doesn't take its lease, however long the row stands unchanged")
+{
+    LeaseBench bench;
+    bench.put(First.text() + " 1");
+    OrderLease second(Second, {}, at(0));
+    for (double now = 0; now < 20; now += 0.2) {
+        second.holderHeard(First, Fence(1), static_cast<std::uint64_t>(now * 5), at(now));
+        bench.step(second, now);
+        REQUIRE_FALSE(second.isHolder());
+    }
+    runUntil(bench, second, 20, 25); // silent from now on
+    REQUIRE(second.isHolder());
+}
+
+namespace
+{
+
+constexpr double WeightsGb = 20;
+
+auto declaredEngine(int models, int adaptersEach = 0) -> EngineDeclaration
+{
+    EngineDeclaration engine;
+    engine.slots = 8;
+    engine.kvTokens = 100000;
+    engine.memory = Bytes::gigabytes(2 * WeightsGb + 2);
+    engine.adapterSlots = 4;
+    std::vector<ModelDeclaration> list;
+    for (int i = 0; i < models; ++i) {
+        ModelDeclaration model;
+        model.name = "m" + std::to_string(i + 1);
+        model.weights = Bytes::gigabytes(WeightsGb);
+        model.loadTime = Duration::seconds(4);
+        model.adapters = adaptersEach;
+        model.adapterWeights = Bytes::gigabytes(0.2);
+        list.push_back(model);
+    }
+    engine.setModels(list);
+    return engine;
+}
+
+auto description(const std::string &id, std::vector<HeldModel> models, std::uint64_t born = 1) -> TargetDescription
+{
+    TargetDescription target;
+    target.incarnation = {TargetId(id), born};
+    target.service = ServiceName("assistant");
+    target.address = {"127.0.0.1", 9000};
+    target.slots = 8;
+    target.models = std::move(models);
+    return target;
+}
+
+auto knownBook(const TargetDescription &target, std::uint64_t orders = 0, double now = 0) -> RunnerBook
+{
+    RunnerBook book;
+    book.seen(target, at(now));
+    book.reportAsked(at(now));
+    RunnerReport report;
+    report.models = target.models;
+    report.ordersTaken = orders;
+    book.reported(report, at(now));
+    return book;
+}
+
+auto load(const std::string &model, const std::string &adapter = "") -> RunnerOrder
+{
+    return {true, model, adapter};
+}
+
+} // namespace
+
+TEST_CASE("nothing is ordered from a runner before its report")
+{
+    const auto engine = declaredEngine(2);
+    RunnerBook book;
+    book.seen(description("r1", {}), at(0));
+    REQUIRE(book.needsReport(at(0)));
+    REQUIRE_FALSE(book.mayOrder(load("m1"), engine, at(0)));
+    REQUIRE(knownBook(description("r1", {})).mayOrder(load("m1"), engine, at(0)));
+}
+
+TEST_CASE("a row that is older than an accepted order doesn't bring back what was there before")
+{
+    // Rows are written every second, orders are accepted in between. A row from before an adapter's load, believed, hides the adapter: the
+    // next one ordered is one too many, and the runner's memory or its places are exceeded.
+    const auto engine = declaredEngine(1, 8);
+    auto book = knownBook(description("r1", {{"m1", 0, {}}}));
+    for (int i = 1; i <= 4; ++i) {
+        book.ordered(load("m1", "a" + std::to_string(i)), Duration::millis(12), at(i));
+        book.accepted(false, at(i));
+        book.advance(at(i + 0.5));
+        book.seen(description("r1", {{"m1", 0, {}}}), at(i + 0.6));
+    }
+    REQUIRE(book.freeAdapterSlots(engine, at(5)) == 0);
+    REQUIRE_FALSE(book.mayOrder(load("m1", "a5"), engine, at(5)));
+}
+
+TEST_CASE("an order without an answer is charged only where it can still meet its number")
+{
+    // The load of a model got no answer. It names the orders that the runner must have taken before, so it can act only in that state, and
+    // the next order under that number shuts it out. Charged regardless, a runner would stay without its models for as long as orders can
+    // be late; not charged after the runner starts again under its id, a late load would fill it beyond its memory.
+    const auto engine = declaredEngine(3);
+    auto book = knownBook(description("r1", {}), 5);
+    book.ordered(load("m1"), Duration::seconds(4), at(1));
+    book.unanswered(at(2));
+    REQUIRE(book.mayOrder(load("m2"), engine, at(2)));
+    REQUIRE(book.freeMemory(engine, at(2)) == engine.memory);
+
+    // It starts again and counts from 0: the late load may meet its number 5 there.
+    book.seen(description("r1", {}, 2), at(3));
+    book.reportAsked(at(3));
+    book.reported({}, at(3.1));
+    REQUIRE(book.freeMemory(engine, at(3.1)) == engine.memory - Bytes::gigabytes(WeightsGb));
+    REQUIRE(book.freeMemory(engine, at(16)) == engine.memory); // too late by now
+}
+
+TEST_CASE("a report that is older than the last order changes nothing")
+{
+    auto book = knownBook(description("r1", {{"m1", 0, {}}}), 3);
+    book.ordered({false, "m1", ""}, Duration(), at(1));
+    book.accepted(false, at(1));
+    REQUIRE(book.ordersTaken() == 4);
+    book.reportAsked(at(1.05));
+    RunnerReport old;
+    old.models = {{"m1", 0, {}}};
+    old.ordersTaken = 3;
+    book.reported(old, at(1.1));
+    REQUIRE(book.ordersTaken() == 4);
+    REQUIRE(book.description().model("m1") == nullptr);
+}
+
+TEST_CASE("a refused order leads to a report, not to another order")
+{
+    const auto engine = declaredEngine(2);
+    auto book = knownBook(description("r1", {}));
+    book.ordered(load("m1"), Duration::seconds(4), at(1));
+    book.refused(at(1));
+    REQUIRE_FALSE(book.mayOrder(load("m1"), engine, at(1)));
+    REQUIRE(book.needsReport(at(1.2)));
+}
+
+TEST_CASE("a runner in another's stead gets no order while it carries one out, nor one that leaves")
+{
+    const auto engine = declaredEngine(3);
+    auto book = knownBook(description("r1", {}));
+    book.ordered(load("m1"), Duration::seconds(4), at(1));
+    book.accepted(false, at(1));
+    REQUIRE_FALSE(book.mayOrder(load("m2"), engine, at(2)));
+    REQUIRE(book.loading() == std::optional<std::string>("m1"));
+    auto leaving = description("r2", {});
+    leaving.isLeaving = true;
+    REQUIRE_FALSE(knownBook(leaving).mayOrder(load("m1"), engine, at(1)));
+}
+
+namespace
+{
+
+/// Runners and demand for the planner.
+class PlanBench
+{
+public:
+    explicit PlanBench(EngineDeclaration engine)
+        : m_engine(std::move(engine))
+    {
+        m_input.engine = &m_engine;
+    }
+    auto add(const std::string &id, const std::vector<HeldModel> &models, double fill = 0) -> PlanBench &
+    {
+        m_books.push_back(std::make_unique<RunnerBook>(knownBook(description(id, models))));
+        m_input.load[TargetId(id)] = fill;
+        return *this;
+    }
+    auto work(const std::string &model, double now, double soon) -> PlanBench &
+    {
+        m_input.work[model] = {now, soon, 0};
+        return *this;
+    }
+    auto plan(double now = 100) -> std::vector<PlannedOrder>
+    {
+        m_input.runners.clear();
+        for (const auto &book : m_books) {
+            m_input.runners.push_back(book.get());
+        }
+        return planCopies(m_input, {}, 100, at(now));
+    }
+    auto input() -> CopyPlanInput &
+    {
+        return m_input;
+    }
+    auto place(const std::string &model, const std::string &adapter, const AdapterUses &uses, double now = 100) -> std::optional<PlannedOrder>
+    {
+        plan(now);
+        return placeAdapter(m_input, model, adapter, uses, at(now));
+    }
+
+private:
+    EngineDeclaration m_engine;
+    std::vector<std::unique_ptr<RunnerBook>> m_books;
+    CopyPlanInput m_input;
+};
+
+auto loadsOf(const std::vector<PlannedOrder> &orders, const std::string &model) -> int
+{
+    int count = 0;
+    for (const auto &planned : orders) {
+        count += planned.order == load(model) ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a model without a copy gets one, also when hardly anybody asks for it")
+{
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}}).add("r2", {{"m2", 0, {}}}).work("m1", 0.1, 0.1);
+    REQUIRE(loadsOf(bench.plan(), "m3") == 1);
+}
+
+TEST_CASE("demand that moves to another model within seconds gets its copies from what the forecast says")
+{
+    // Load pattern: what was asked of m1 is asked of m2 within some seconds; a load takes four. By the level alone m2 would get its copies
+    // when the move is over.
+    PlanBench bench(declaredEngine(2));
+    for (int i = 0; i < 6; ++i) {
+        bench.add("r" + std::to_string(i), i == 0 ? std::vector<HeldModel> {{"m2", 0, {}}} : std::vector<HeldModel> {{"m1", 0, {}}});
+    }
+    bench.work("m1", 2, 1).work("m2", 0.2, 3);
+    const auto orders = bench.plan();
+    REQUIRE(loadsOf(orders, "m2") >= 3);
+    REQUIRE(orders.front().order == load("m2"));
+}
+
+TEST_CASE("after the loss of many runners the models that most work waits for come first, and none is forgotten")
+{
+    // Load pattern: two thirds of the runners crash at once; all copies of m1 (busy) and m4 (rare) are gone.
+    PlanBench bench(declaredEngine(4));
+    bench.add("r1", {{"m2", 0, {}}, {"m3", 0, {}}}).add("r2", {}).add("r3", {});
+    bench.work("m1", 1.5, 1.5).work("m2", 0.1, 0.1).work("m3", 0.05, 0.05);
+    const auto orders = bench.plan();
+    REQUIRE(orders.size() >= 2);
+    REQUIRE(orders.front().order == load("m1"));
+    REQUIRE(loadsOf(orders, "m4") + loadsOf(orders, "m1") >= 2);
+}
+
+TEST_CASE("copies don't chase each other: a calm fleet gets no orders")
+{
+    PlanBench bench(declaredEngine(2));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m2", 0, {}}}).work("m1", 0.3, 0.3).work("m2", 0.3, 0.3);
+    REQUIRE(bench.plan().empty());
+}
+
+TEST_CASE("the last copy of a model never gives way to another copy of a busy one")
+{
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m1", 0.2, 0.2).work("m2", 0.01, 0.01).work("m3", 0.01, 0.01);
+    for (const auto &planned : bench.plan()) {
+        REQUIRE(planned.order.isLoad);
+    }
+}
+
+TEST_CASE("runners that don't answer don't count as copies")
+{
+    PlanBench bench(declaredEngine(1));
+    bench.add("r1", {{"m1", 0, {}}}).add("r2", {}).work("m1", 0.05, 0.05);
+    bench.input().failing = {TargetId("r1")};
+    const auto orders = bench.plan();
+    REQUIRE(loadsOf(orders, "m1") == 1);
+    REQUIRE(orders.front().target == TargetId("r2"));
+}
+
+TEST_CASE("an adapter takes a free place, else that of the one that was not used for the longest time")
+{
+    // Load pattern: more adapters are asked for in turn than runners have places for.
+    PlanBench bench(declaredEngine(1, 9));
+    bench.add("r1", {{"m1", 0, {"a1", "a2", "a3"}}});
+    const TargetId runner("r1");
+    AdapterUses uses {{{runner, "m1/a1"}, at(99)}, {{runner, "m1/a2"}, at(20)}, {{runner, "m1/a3"}, at(98)}};
+    REQUIRE(bench.place("m1", "a4", uses)->order == load("m1", "a4"));
+
+    PlanBench full(declaredEngine(1, 9));
+    full.add("r1", {{"m1", 0, {"a1", "a2", "a3", "a4"}}});
+    uses[{runner, "m1/a4"}] = at(97);
+    const auto planned = full.place("m1", "a5", uses);
+    REQUIRE(planned);
+    REQUIRE(planned->order == RunnerOrder {false, "m1", "a2"});
+}
+
+TEST_CASE("loads from the weight store keep to its pace, also over a change of who gives orders")
+{
+    LoadMeter meter;
+    meter.setRate(1, Duration::seconds(5), 1);
+    REQUIRE(meter.available(at(100)) == 5);
+    for (int i = 0; i < 5; ++i) {
+        meter.began(at(100));
+    }
+    REQUIRE(meter.available(at(104)) == 0);
+    REQUIRE(meter.available(at(105.5)) == 5);
+    meter.takenOver(at(106));
+    REQUIRE(meter.available(at(106)) == 0);
+    REQUIRE(meter.available(at(111.5)) == 5);
+}
--- /dev/null
+++ b/tests/unit_targets.cpp
@@ -0,0 +1,193 @@
+// What entries know of targets and routes: copies of tables, rows that go, routes by host and prefix. In virtual time.
+#include "core/eventcursor.h"
+#include "core/rowmirror.h"
+#include "core/targetview.h"
+#include "core/traffic.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(seconds);
+}
+
+auto row(const std::string &key, std::uint64_t version, const std::string &value = "v") -> StoredRow
+{
+    return {key, RowVersion(version), value, false};
+}
+
+auto target(const std::string &id, std::uint64_t born = 1) -> TargetDescription
+{
+    TargetDescription described;
+    described.incarnation = {TargetId(id), born};
+    described.service = ServiceName("s");
+    return described;
+}
+
+} // namespace
+
+TEST_CASE("changes that overtake each other leave the newest row")
+{
+    RowMirror mirror;
+    REQUIRE(mirror.takeChanges({row("a", 5, "new")}).size() == 1);
+    REQUIRE(mirror.takeChanges({row("a", 3, "old")}).empty());
+    REQUIRE(mirror.rows().front().value == "new");
+    REQUIRE(mirror.version() == RowVersion(5));
+}
+
+TEST_CASE("a removed row isn't brought back by older word of it")
+{
+    // One gateway's word of a target's row arrives after another's word that the row is gone. Brought back, the target would be sent work
+    // that it can't take until somebody reads the whole table again.
+    RowMirror mirror;
+    mirror.takeChanges({row("a", 5)});
+    REQUIRE(mirror.takeChanges({{"a", RowVersion(6), "", true}}).size() == 1);
+    REQUIRE(mirror.takeChanges({row("a", 5)}).empty());
+    REQUIRE(mirror.rows().empty());
+    REQUIRE(mirror.takeChanges({row("a", 7)}).size() == 1);
+}
+
+TEST_CASE("a whole table removes what isn't in it, but not what is newer")
+{
+    RowMirror mirror;
+    REQUIRE_FALSE(mirror.isLoaded());
+    mirror.takeChanges({row("old", 2), row("newer", 12)});
+    const auto news = mirror.takeTable({row("kept", 4)}, RowVersion(10));
+    REQUIRE(mirror.isLoaded());
+    REQUIRE(news.size() == 2);
+    REQUIRE(mirror.rows().size() == 2);
+    REQUIRE(mirror.takeChanges({row("old", 9)}).empty());
+}
+
+TEST_CASE("mirrors that took the same rows in another order have the same checksum")
+{
+    RowMirror one;
+    RowMirror two;
+    one.takeChanges({row("a", 1), row("b", 2), row("a", 3)});
+    two.takeChanges({row("a", 3), row("b", 2)});
+    REQUIRE(one.checksum() == two.checksum());
+    two.takeChanges({row("c", 4)});
+    REQUIRE(one.checksum() != two.checksum());
+}
+
+TEST_CASE("a row that goes is believed at once, but not during the store's trouble nor soon after")
+{
+    // The store was away and drops all rows, for it heard nothing of the targets itself. Believed, every caller would be refused until the
+    // targets are back.
+    TargetView view;
+    view.row(target("r1"), at(0));
+    view.row(target("r2"), at(0));
+    REQUIRE(view.rowGone(TargetId("r1"), at(1)).gone.size() == 1);
+    view.trouble(at(5));
+    REQUIRE(view.rowGone(TargetId("r2"), at(6)).gone.empty());
+    REQUIRE(view.find(TargetId("r2")) != nullptr);
+    REQUIRE(view.advance(at(7)).gone.empty());
+    REQUIRE(view.advance(at(7.4)).gone.size() == 1);
+    REQUIRE(view.find(TargetId("r2")) == nullptr);
+}
+
+TEST_CASE("a target that is back after trouble stays")
+{
+    TargetView view;
+    view.row(target("r1"), at(0));
+    view.trouble(at(1));
+    view.rowGone(TargetId("r1"), at(2));
+    view.row(target("r1"), at(3));
+    REQUIRE(view.advance(at(9)).gone.empty());
+    REQUIRE(view.find(TargetId("r1")) != nullptr);
+}
+
+TEST_CASE("a target that had said that it leaves is gone when its row goes, trouble or not")
+{
+    TargetView view;
+    view.row(target("r1"), at(0));
+    view.trouble(at(1));
+    REQUIRE(view.saidLeaving({TargetId("r1"), 1}, at(1)).seen.size() == 1);
+    REQUIRE(view.rowGone(TargetId("r1"), at(2)).gone.size() == 1);
+}
+
+TEST_CASE("word that a target leaves doesn't count for its next start")
+{
+    // Under the same id a new process is up; word of its predecessor's leaving is still on its way. Believed, a sound target gets nothing.
+    TargetView view;
+    view.row(target("r1", 2), at(0));
+    REQUIRE(view.saidLeaving({TargetId("r1"), 1}, at(1)).seen.empty());
+    REQUIRE_FALSE(view.find(TargetId("r1"))->isLeaving);
+}
+
+namespace
+{
+
+auto route(const std::string &name, const std::string &host, const std::string &prefix, int priority = 0, double goal = 1) -> Route
+{
+    Route made;
+    made.name = name;
+    made.host = host;
+    made.prefix = prefix;
+    made.services = {{ServiceName("s"), 1}};
+    made.priority = priority;
+    made.goal = Duration::seconds(goal);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes wins, in whole parts of the path")
+{
+    Traffic traffic;
+    traffic.routes = {route("all", "a.example", "/"), route("chat", "a.example", "/chat/"), route("deep", "a.example", "/chat/deep/")};
+    const RouteTable table(traffic);
+    REQUIRE(table.find("A.Example:8080", "/chat/deep/x?q=/")->name == "deep");
+    REQUIRE(table.find("a.example", "/chat/x")->name == "chat");
+    REQUIRE(table.find("a.example", "/chatter")->name == "all");
+    REQUIRE(table.find("b.example", "/chat/x") == nullptr);
+    REQUIRE(table.find("", "") == nullptr);
+}
+
+TEST_CASE("weights share a route's requests, and a weight of 0 gets none")
+{
+    auto shared = route("r", "h", "/");
+    shared.services = {{ServiceName("none"), 0}, {ServiceName("most"), 9}, {ServiceName("few"), 1}};
+    REQUIRE(pickService(shared, 0.0) == ServiceName("most"));
+    REQUIRE(pickService(shared, 0.89) == ServiceName("most"));
+    REQUIRE(pickService(shared, 0.91) == ServiceName("few"));
+}
+
+TEST_CASE("within a priority a route with a much longer goal waits for the others")
+{
+    Traffic traffic;
+    traffic.routes = {route("urgent", "h", "/u/", 0, 1), route("later", "h", "/l/", 5, 1), route("patient", "h", "/p/", 0, 60)};
+    assignBands(traffic);
+    REQUIRE(traffic.routes[0].band < traffic.routes[2].band);
+    REQUIRE(traffic.routes[0].band <= traffic.routes[1].band);
+}
+
+TEST_CASE("events come whole with their ids, whatever pieces their bytes come in")
+{
+    const std::string stream = "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: cut";
+    for (std::size_t piece = 1; piece < stream.size(); ++piece) {
+        std::string seen;
+        EventCursor cursor([&](std::string_view raw) { seen += raw; });
+        for (std::size_t from = 0; from < stream.size(); from += piece) {
+            cursor.feed(std::string_view(stream).substr(from, piece));
+        }
+        INFO("pieces of " << piece);
+        REQUIRE(seen == stream.substr(0, stream.find("id: 3")));
+        REQUIRE(cursor.lastId() == "2");
+        REQUIRE(cursor.hasPartial());
+        cursor.dropPartial();
+        REQUIRE_FALSE(cursor.hasPartial());
+    }
+}
+
+TEST_CASE("an event without an end doesn't take all memory")
+{
+    EventCursor cursor([](std::string_view) {}, 100);
+    cursor.feed("data: " + std::string(200, 'x'));
+    REQUIRE(cursor.isTooLong());
+}
