Gateways bar a request that takes down one target after the other

Change: core/crashrepeats counts breaks one after the other by path and body, gateways tell each other, a good end clears, and after the third the request is refused. Ruled out: core/suspects of the agents' path, which runs suspects alone on a target and takes whatever was in flight at a crash for suspect; here many are in flight at each, and no target can be kept free. Seen to fail: with the limit put to 99 by hand, the system test counts more than three runs.

--- /dev/null
+++ b/src/core/crashrepeats.cpp
@@ -0,0 +1,78 @@
+#include "core/crashrepeats.h"
+
+#include "core/hashing.h"
+
+#include <string>
+
+namespace KingCup
+{
+
+auto requestFingerprint(std::string_view path, std::string_view body) -> std::uint64_t
+{
+    std::string text(path);
+    text.push_back('\n');
+    text.append(body);
+    return stableHash(text);
+}
+
+CrashRepeats::CrashRepeats(CrashRepeatOptions options)
+    : m_options(options)
+{
+}
+
+auto CrashRepeats::isEmpty() const -> bool
+{
+    return m_records.empty();
+}
+
+auto CrashRepeats::breaks(std::uint64_t fingerprint) const -> int
+{
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? 0 : found->second.breaks;
+}
+
+auto CrashRepeats::isBarred(std::uint64_t fingerprint, TimePoint now) const -> bool
+{
+    const auto found = m_records.find(fingerprint);
+    return found != m_records.end() && found->second.breaks >= m_options.mostBreaks && now - found->second.lastAt < m_options.lifetime;
+}
+
+auto CrashRepeats::record(std::uint64_t fingerprint) -> Record *
+{
+    const auto found = m_records.find(fingerprint);
+    if (found != m_records.end()) {
+        return &found->second;
+    }
+    return m_records.size() < m_options.most ? &m_records[fingerprint] : nullptr;
+}
+
+auto CrashRepeats::brokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> bool
+{
+    auto *known = record(fingerprint);
+    const bool isNext = known != nullptr && (known->breaks == 0 || sentAt > known->lastAt);
+    if (isNext) {
+        ++known->breaks;
+        known->lastAt = now;
+    }
+    return isNext;
+}
+
+auto CrashRepeats::succeeded(std::uint64_t fingerprint) -> void
+{
+    m_records.erase(fingerprint);
+}
+
+auto CrashRepeats::heard(std::uint64_t fingerprint, int breaks, TimePoint now) -> void
+{
+    auto *known = record(fingerprint);
+    if (known != nullptr && breaks > known->breaks) {
+        *known = {breaks, now};
+    }
+}
+
+auto CrashRepeats::expire(TimePoint now) -> void
+{
+    std::erase_if(m_records, [&](const auto &known) { return now - known.second.lastAt >= m_options.lifetime; });
+}
+
+} // namespace KingCup
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -6,6 +6,7 @@
 //   Forwarder  the public face
 #include "gateway/forwarder.h"
 
+#include "core/crashrepeats.h"
 #include "core/eventcursor.h"
 
 #include <algorithm>
@@ -48,6 +49,8 @@
 constexpr auto StreamTime = Duration::millis(600);
 /// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
 constexpr auto LongestRetryAfter = Duration::millis(1500);
+/// Likewise for a request that takes targets down: it is forgotten then.
+constexpr auto BarredRetryAfter = CrashRepeatOptions().lifetime;
 /// The time left that is worth a send: about the quickest answer.
 constexpr auto LeastTime = Duration::millis(10);
 
@@ -76,6 +79,7 @@
     RouteTable routes;
     std::map<ServiceName, SharedRetryBudget> budgets;
     SharedRetryBudgetOptions budgetOptions;
+    CrashRepeats crashes;
     int entries = 1;
     std::mt19937_64 random;
     std::unordered_set<std::shared_ptr<Flow>> flows;
@@ -124,6 +128,10 @@
     auto onHead(const HttpHead &head) -> AnswerVerdict;
     auto onBody(std::string_view bytes) -> void;
     auto noteProgress() -> void;
+    auto fingerprint() const -> std::uint64_t;
+    auto isBarred() const -> bool;
+    auto noteBreak() -> void;
+    auto noteSuccess() -> void;
     auto onEnd(const PooledEnd &end) -> void;
     auto onAnswer() -> void;
     auto onFailure(const PooledEnd &end) -> void;
@@ -213,6 +221,11 @@
     const auto self = shared_from_this();
     m_isWaiting = false;
     m_waitTimer.cancel();
+    if (isBarred()) {
+        m_retryAfter = BarredRetryAfter;
+        giveUp(m_mayHaveRun > 0 ? StatusBadGateway : StatusUnavailable, "takes-targets-down");
+        return;
+    }
     if (m_deadline - now() < LeastTime) {
         giveUp(m_mayHaveRun > 0 ? StatusGatewayTimeout : StatusUnavailable, "no-time-left");
         return;
@@ -529,6 +542,7 @@
         if (!m_exchange->hasBegun()) {
             m_exchange->begin(m_head.status, answerHeaders(m_head), std::nullopt);
         }
+        noteSuccess();
         finish(m_head.status, "delivered");
         m_exchange->finish();
         return;
@@ -543,6 +557,9 @@
         giveUp(StatusBadGateway, "target-failed");
         return;
     }
+    if (isSuccess(m_head.status)) {
+        noteSuccess();
+    }
     finish(m_head.status, isSuccess(m_head.status) ? "delivered" : "target-failed");
     m_exchange->respond(m_head.status, answerHeaders(m_head), m_held);
 }
@@ -584,6 +601,7 @@
     }
     m_request.excluded.push_back(m_target);
     ++m_mayHaveRun;
+    noteBreak();
     if (m_events) {
         m_events->dropPartial();
     }
@@ -595,9 +613,34 @@
     giveUp(StatusBadGateway, "target-broke-off");
 }
 
+auto Flow::fingerprint() const -> std::uint64_t
+{
+    return requestFingerprint(m_exchange->head().target, m_exchange->body());
+}
+
+auto Flow::isBarred() const -> bool
+{
+    return !m_owner.crashes.isEmpty() && m_owner.crashes.isBarred(fingerprint(), now());
+}
+
+auto Flow::noteBreak() -> void
+{
+    const auto request = fingerprint();
+    if (m_owner.crashes.brokeOff(request, m_sentAt, now())) {
+        m_owner.hooks.onCrashRepeat(request, m_owner.crashes.breaks(request));
+    }
+}
+
+auto Flow::noteSuccess() -> void
+{
+    if (!m_owner.crashes.isEmpty()) {
+        m_owner.crashes.succeeded(fingerprint());
+    }
+}
+
 auto Flow::mayRunAgain() const -> bool
 {
-    return m_route.mayRepeat() && m_mayHaveRun < m_route.attempts;
+    return m_route.mayRepeat() && m_mayHaveRun < m_route.attempts && !isBarred();
 }
 
 auto Flow::maySendAgain() const -> bool
@@ -776,8 +819,14 @@
     flow->start();
 }
 
+auto Forwarder::crashRepeatHeard(std::uint64_t fingerprint, int breaks) -> void
+{
+    d->crashes.heard(fingerprint, breaks, d->parts.loop.now());
+}
+
 auto Forwarder::pump() -> void
 {
+    d->crashes.expire(d->parts.loop.now());
     const std::vector<std::shared_ptr<Flow>> all(d->flows.begin(), d->flows.end());
     for (const auto &flow : all) {
         flow->tryAgain();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -44,6 +44,7 @@
     std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
     std::function<void(const DispatchRequest &request)> onRequest; ///< once for each
     std::function<void(const TargetId &target, const DispatchRequest &request, bool isFirst)> onSent;
+    std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat; ///< other gateways are to know it
 };
 
 struct ForwarderOptions {
@@ -72,6 +73,8 @@
     auto handle(const CallerExchangePtr &exchange) -> void;
     /// Targets or what they hold have changed: requests that wait for that are tried again.
     auto pump() -> void;
+    /// Another gateway has seen targets break off while they ran that request.
+    auto crashRepeatHeard(std::uint64_t fingerprint, int breaks) -> void;
     /// Ends all that is open; returns how many were cut off.
     auto abandonAll() -> int;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,8 @@
 /// What a request takes of a runner beside reading its prompt: its share of the steps of some three hundred tokens.
 constexpr auto StepShare = Duration::millis(25);
 constexpr double MillisPerSecond = 1000;
+/// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
+constexpr std::uint32_t MostBreaksHeard = 16;
 
 } // namespace
 
@@ -360,6 +362,13 @@
             adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
         }
     };
+    hooks.onCrashRepeat = [this](std::uint64_t fingerprint, int breaks) {
+        log.line("crashes", "counted").add("request", fingerprint).add("breaks", breaks);
+        Wire::ControlFrame frame;
+        frame.mutable_crash_repeat()->set_request(fingerprint);
+        frame.mutable_crash_repeat()->set_breaks(static_cast<std::uint32_t>(breaks));
+        peers->sendAll(frame);
+    };
     ForwarderOptions options;
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
@@ -580,6 +589,8 @@
         onDemand(frame.gateway_demand());
     } else if (frame.has_holding()) {
         onHoldingHeard(frame.holding());
+    } else if (frame.has_crash_repeat()) {
+        forwarder->crashRepeatHeard(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MostBreaksHeard)));
     } else {
         follower->onFrame(id, frame);
     }
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -103,6 +103,27 @@
     }
 }
 
+TEST_CASE("a request that crashes each runner costs three of them, whichever gateway it comes to")
+{
+    // A client repeats one request, and each runner that begins it crashes. Sent on each time, it would keep the service down for everybody.
+    Site site;
+    for (const auto *id : {"p1", "p2"}) {
+        site.platform({{"part", "runner"}, {"id", id}, {"mode", "crash-on"}, {"body", "deadly"}});
+    }
+    int runs = 0;
+    for (int i = 0; i < 10; ++i) {
+        const auto attempt = site.freshAttempt();
+        const auto reply = site.begin(1 + i % 2, {.path = "/write/debit", .method = "POST", .attempt = attempt, .body = "deadly"});
+        site.waitFor("the answer", [&] { return reply->done; });
+        CHECK(reply->status >= 500);
+        runs += site.runsOf(attempt);
+        site.sleep(Duration::millis(400));
+    }
+    CHECK(runs <= 3);
+    CHECK(runs >= 1);
+    CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+}
+
 TEST_CASE("a stream that may be resumed goes on at another runner, whole and in order")
 {
     // The only runner of a model dies amid a stream; another one has the model. The reader sees one stream, no event missing or twice.
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -1,4 +1,5 @@
 // Who gets a request, where entries reach targets directly: load, kept prompts, other entries' work, failing targets. In virtual time.
+#include "core/crashrepeats.h"
 #include "core/dispatch.h"
 #include "core/sharedretrybudget.h"
 
@@ -252,3 +253,36 @@
     REQUIRE(again <= 25);
     REQUIRE(budget.left(at(40)) == Approx(5));
 }
+
+TEST_CASE("a request that takes down one target after the other is barred after the third, at other entries too")
+{
+    // Load pattern: a client repeats one request each second, at any entry; each try kills a runner for some seconds. Unchecked, it empties a
+    // service of a few runners, and all other callers are refused.
+    CrashRepeats here;
+    CrashRepeats there;
+    const auto request = requestFingerprint("/chat", "the same");
+    for (int i = 1; i <= 3; ++i) {
+        auto &entry = i == 2 ? there : here;
+        REQUIRE_FALSE(entry.isBarred(request, at(i)));
+        REQUIRE(entry.brokeOff(request, at(i), at(i + 0.2)));
+        here.heard(request, entry.breaks(request), at(i + 0.3));
+        there.heard(request, entry.breaks(request), at(i + 0.3));
+    }
+    REQUIRE(here.isBarred(request, at(4)));
+    REQUIRE(there.isBarred(request, at(4)));
+    REQUIRE_FALSE(here.isBarred(requestFingerprint("/chat", "another"), at(4)));
+    here.expire(at(200));
+    REQUIRE(here.isEmpty());
+}
+
+TEST_CASE("many targets that fail at once bar nobody, and a good end clears")
+{
+    CrashRepeats repeats;
+    const auto request = requestFingerprint("/chat", "usual");
+    for (int i = 0; i < 10; ++i) {
+        repeats.brokeOff(request, at(1 + i * 0.01), at(2 + i * 0.001)); // all were sent before the first broke off
+    }
+    REQUIRE(repeats.breaks(request) == 1);
+    repeats.succeeded(request);
+    REQUIRE(repeats.isEmpty());
+}
