A silent store is noticed within three seconds; a lease that was over stays over

Cause: the store stopped answering without closing anything, and its calls in flight were lost. A watch waits 20 s, so nobody noticed; when the store dropped all targets' rows, they were believed, and that they came back was heard only when the lost watches ran out. Ruled out: connection probes (the connections were well), the watchers' hand-over. Change: the watch of the targets' table, where heartbeats come all the time, waits 1.5 s; when it is lost, the watches of the other tables are made anew, with short waits until one is answered; and rows of more than half of the targets that go at one moment are kept as during trouble.

Found by the new model of the order lease: a holder that was frozen for longer than its lease sends a digest when it is thawed; a successor that is just writing the row hears it and says so; that word brought the old lease back, and two gateways could give orders. Now the others' word only prolongs a lease that still runs.

--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -217,8 +217,11 @@
     trim(m_digests);
 }
 
-auto OrderLease::peerHears(const EntryId &peer, std::uint64_t sequence) -> void
+auto OrderLease::peerHears(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void
 {
+    if (m_holds && !mayOrder(now)) {
+        return;
+    }
     const auto found = m_peers.find(peer);
     if (found != m_peers.end()) {
         found->second = std::max(found->second, sequence);
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -81,8 +81,9 @@
     auto holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, TimePoint now) -> void;
     /// This gateway sends a digest with that number.
     auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
-    /// Another gateway says which of this gateway's digests it has heard last.
-    auto peerHears(const EntryId &peer, std::uint64_t sequence) -> void;
+    /// Another gateway says which of this gateway's digests it has heard last. A lease that is over isn't brought back by that: a gateway that
+    /// heard nothing for long enough may have begun to take the row, and goes on hearing digests meanwhile. Only the row tells then.
+    auto peerHears(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void;
     /// Gateways that may want the lease: the extension needs the word of each.
     auto setPeers(const std::set<EntryId> &peers) -> void;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -136,6 +136,7 @@
     auto onTrouble() -> void;
     auto adoptRows(const std::vector<StoredRow> &rows) -> void;
     auto adoptTraffic(const std::string &document) -> void;
+    auto doubtMassLoss(const std::vector<StoredRow> &rows) -> void;
     auto onTargetRows(const std::vector<StoredRow> &rows) -> void;
     auto apply(const TargetChanges &changes) -> void;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
@@ -287,8 +288,23 @@
     forwarder->adopt(traffic);
 }
 
+/// Most targets don't go at one moment; a store that was away drops the rows of all that it couldn't hear. They are back within two seconds.
+/// Without this, every caller is refused that long wherever its absence wasn't noticed before.
+auto Gateway::Private::doubtMassLoss(const std::vector<StoredRow> &rows) -> void
+{
+    const auto isKnown = [this](const StoredRow &row) {
+        return row.isRemoved && view.find(TargetId(row.key)) != nullptr;
+    };
+    const auto removed = static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), isKnown));
+    if (removed > 1 && removed * 2 > view.targets().size()) {
+        log.line("targets", "mass-loss-doubted").add("removed", static_cast<std::uint64_t>(removed)).add("known", static_cast<std::uint64_t>(view.targets().size()));
+        view.trouble(loop.now());
+    }
+}
+
 auto Gateway::Private::onTargetRows(const std::vector<StoredRow> &rows) -> void
 {
+    doubtMassLoss(rows);
     for (const auto &row : rows) {
         const auto target = row.isRemoved ? std::nullopt : protocol.decodeTarget(row.key, row.value);
         if (target) {
@@ -610,7 +626,7 @@
         }
     }
     if (digest.heard_holder() == settings.process.id + "#" + std::to_string(incarnation)) {
-        lease.peerHears(EntryId(id), digest.heard_sequence());
+        lease.peerHears(EntryId(id), digest.heard_sequence(), loop.now());
     }
     for (const auto &target : digest.leaving()) {
         apply(view.saidLeaving({TargetId(target.target()), target.born_ms()}, loop.now()));
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -16,7 +16,7 @@
 constexpr int FirstClientError = 400;
 constexpr int StatusUnavailable = 503;
 /// A watch that is answered no sooner than its wait, and this much later.
-constexpr auto WatchMargin = Duration::seconds(2);
+constexpr auto WatchMargin = Duration::seconds(1);
 
 } // namespace
 
@@ -313,7 +313,7 @@
 
 auto TableWatch::Private::watch() -> void
 {
-    client.watch(table, version, options.wait, guarded([](Private &self, const StoreAnswer &answer) { self.onChanges(answer); }));
+    client.watch(table, version, isReached ? options.wait : options.probe, guarded([](Private &self, const StoreAnswer &answer) { self.onChanges(answer); }));
 }
 
 auto TableWatch::Private::onChanges(const StoreAnswer &answer) -> void
@@ -388,6 +388,13 @@
     d->pause = pause;
 }
 
+auto TableWatch::renew() -> void
+{
+    d->again.cancel();
+    d->setReached(false);
+    d->start(false);
+}
+
 auto TableWatch::reload() -> void
 {
     d->again.cancel();
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -86,7 +86,8 @@
 };
 
 struct TableWatchOptions {
-    Duration wait = Duration::seconds(20); ///< of one watch call; a dead connection shows sooner, by its probes
+    Duration wait = Duration::seconds(20); ///< of one watch call; one that the store took and forgot shows only after this
+    Duration probe = Duration::millis(300); ///< likewise, until the store has answered again: whoever was cut off must hear soon that it is back
     BackoffOptions backoff {.first = Duration::millis(50), .most = Duration::millis(500)}; ///< after a failed call
 };
 
@@ -105,6 +106,8 @@
     auto setPause(Duration pause) -> void;
     /// Reads the table anew, at once.
     auto reload() -> void;
+    /// Whether the call that waits will ever be answered is doubtful: makes another one, from the same version.
+    auto renew() -> void;
 
     struct Private;
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -83,6 +83,7 @@
     auto startWatching(const char *why) -> void;
     auto stopWatching() -> void;
     auto watch(std::size_t index) -> void;
+    auto renewOthers(std::size_t but) -> void;
     auto takeOwn(std::size_t index, std::vector<StoredRow> news) -> void;
     auto passOn(std::size_t index, const std::vector<StoredRow> &rows) -> void;
     auto passPending() -> void;
@@ -161,8 +162,26 @@
     };
     watchHooks.onContact = [this, index](bool isReached) {
         log.line("store", isReached ? "reached" : "not-reached").add("for", nameOf(index));
+        if (!isReached && Tables.at(index) == StoreTable::Targets) {
+            renewOthers(index);
+        }
     };
-    tables.at(index).watch = std::make_unique<TableWatch>(loop, store, log, Tables.at(index), TableWatchOptions(), std::move(watchHooks));
+    TableWatchOptions options;
+    if (Tables.at(index) == StoreTable::Targets) {
+        options.wait = settings.targetsWait;
+    }
+    tables.at(index).watch = std::make_unique<TableWatch>(loop, store, log, Tables.at(index), options, std::move(watchHooks));
+}
+
+/// The store was away without a word: calls that waited there are never answered, and those for tables that hardly change would go on waiting
+/// for twenty seconds. Callers would be served by old declarations as long. Targets' rows change all the time, so their watch tells first.
+auto StoreFollower::Private::renewOthers(std::size_t but) -> void
+{
+    for (std::size_t i = 0; i < TableCount; ++i) {
+        if (i != but && tables.at(i).watch) {
+            tables.at(i).watch->renew();
+        }
+    }
 }
 
 auto StoreFollower::Private::takeOwn(std::size_t index, std::vector<StoredRow> news) -> void
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -35,6 +35,7 @@
     Duration trustFor = Duration::millis(1000); ///< since a watcher's last digest
     Duration handOver = Duration::millis(1000); ///< a watcher must be there this long before an own watch ends
     Duration standInAfter = Duration::millis(300); ///< the first watcher's digest must show a change by then, or the next passes it on
+    Duration targetsWait = Duration::millis(1500); ///< of one call for targets: their heartbeats come each second or so, so silence for longer is the store's
     Duration gatherFor = Duration::millis(100); ///< the first watcher waits this long after a change of targets before it watches on
     Duration gatherBehind = Duration::millis(700); ///< and the others, which only stand in
     Duration repairAfter = Duration::millis(600); ///< a table that differs from a watcher's for so long is asked for whole
