--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -143,6 +143,12 @@
         m_store.remove("servers", m_id);
         return true;
     }
+    if (mode == "return") {
+        m_listed = true;
+        ++m_life;
+        beat();
+        return true;
+    }
     if (!Modes.contains(mode)) {
         return false;
     }
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -49,7 +49,7 @@
     auto id() const -> const std::string &;
     auto port() const -> int;
     auto truth() const -> Json;
-    /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row goes, it serves on), "dark"/"light", "errors", "reset", "truncate",
+    /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row goes, it serves on), "return", "dark"/"light", "errors", "reset", "truncate",
     /// "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well". False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
--- a/fakes/platformstore.cpp
+++ b/fakes/platformstore.cpp
@@ -66,7 +66,7 @@
 
 auto PlatformStore::isDown() const -> bool
 {
-    return m_mode == "busy" || m_mode == "reset" || m_mode == "silent";
+    return m_mode == "busy" || m_mode == "reset" || m_mode == "silent" || m_mode == "swallow";
 }
 
 auto PlatformStore::setMode(const std::string &mode) -> bool
@@ -80,7 +80,7 @@
         m_watches.clear();
         return true;
     }
-    if (mode != "up" && mode != "busy" && mode != "reset" && mode != "silent" && mode != "lose-answers") {
+    if (mode != "up" && mode != "busy" && mode != "reset" && mode != "silent" && mode != "swallow" && mode != "lose-answers") {
         return false;
     }
     m_mode = mode;
@@ -88,6 +88,9 @@
         m_server.closeAll();
         m_watches.clear();
     }
+    if (mode == "swallow") {
+        m_watches.clear();
+    }
     m_server.setDark(mode == "silent");
     return true;
 }
@@ -138,6 +141,9 @@
         connection->answer(Status::Unavailable, {}, "");
         return;
     }
+    if (m_mode == "swallow") {
+        return;
+    }
     const auto mark = std::min(head.target.find('?'), head.target.size());
     const auto path = head.target.substr(0, mark);
     const auto query = head.target.substr(std::min(mark + 1, head.target.size()));
--- a/fakes/platformstore.h
+++ b/fakes/platformstore.h
@@ -27,7 +27,8 @@
     auto put(const std::string &table, const std::string &key, const std::string &value) -> void;
     auto remove(const std::string &table, const std::string &key) -> void;
     auto isDown() const -> bool;
-    /// {"mode":"up"|"busy"|"reset"|"silent"|"lose-answers"|"forget-history"}: "busy" answers 503, "reset" closes, "silent" answers nothing;
+    /// {"mode":"up"|"busy"|"reset"|"silent"|"swallow"|"lose-answers"|"forget-history"}: "busy" answers 503, "reset" closes, "silent" answers nothing;
+    /// "swallow" takes calls and forgets them, also those that wait: their connections stay open and are never answered;
     /// "lose-answers" does what it is asked and closes. False if the mode is unknown.
     auto setMode(const std::string &mode) -> bool;
 
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -195,6 +195,37 @@
     }
 }
 
+TEST_CASE("the store falls silent and forgets the calls that wait: rows that lapsed are doubted, and its return is noticed")
+{
+    // The store answers nothing for some seconds; connections stay open, and what waited there is never answered. It drops all runners' rows, for it
+    // could not hear them either; they are back a second after its return. Callers must not notice, and what operators change then must be
+    // in force soon: a gateway that waits for an answer to its lost call would refuse everything for as long.
+    Site site;
+    const std::vector<std::string> targets {"r1", "r2", "r3", "p1", "p2"};
+    const auto serveFor = [&](Duration time) {
+        const auto until = site.loop().now() + time;
+        while (site.loop().now() < until) {
+            CHECK(site.call(1, {.path = "/read/x"})->status == 200);
+            CHECK(site.stream(2, "m1")->isWhole());
+            site.sleep(Duration::millis(50));
+        }
+    };
+    site.platform({{"part", "store"}, {"mode", "swallow"}});
+    serveFor(Duration::millis(3500));
+    for (const auto &id : targets) {
+        site.platform({{"part", "runner"}, {"id", id}, {"mode", "leave"}});
+    }
+    site.platform({{"part", "store"}, {"mode", "up"}});
+    serveFor(Duration::millis(1000));
+    for (const auto &id : targets) {
+        site.platform({{"part", "runner"}, {"id", id}, {"mode", "return"}});
+    }
+    serveFor(Duration::millis(2500));
+    site.platform({{"part", "operator"}, {"change", "add-route"}});
+    site.waitFor(
+        "the new route", [&] { return site.call(2, {.path = "/extra/x"})->status == 200; }, Duration::seconds(2));
+}
+
 TEST_CASE("a gateway that alone loses the store learns declarations and leaving runners from the others")
 {
     // One host's way to the store is cut, silently. Its callers must get new routes like all others, and none of their requests may go to a
