--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,7 +297,9 @@
     };
     const auto removed = static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), isKnown));
     if (removed > 1 && removed * 2 > view.targets().size()) {
-        log.line("targets", "mass-loss-doubted").add("removed", static_cast<std::uint64_t>(removed)).add("known", static_cast<std::uint64_t>(view.targets().size()));
+        log.line("targets", "mass-loss-doubted")
+            .add("removed", static_cast<std::uint64_t>(removed))
+            .add("known", static_cast<std::uint64_t>(view.targets().size()));
         view.trouble(loop.now());
     }
 }
--- a/src/kingcupctl/arguments.cpp
+++ b/src/kingcupctl/arguments.cpp
@@ -88,7 +88,9 @@
     add("change-id", options::value<std::string>(), "apply: ask again about a change whose outcome is unknown");
     add("author", options::value<std::string>(), "apply: noted with the change");
     add("until", options::value<std::uint64_t>(), "watch: end once this revision is in force everywhere");
-    add("log", options::value<std::vector<std::string>>()->composing(), "explain: a file with log lines, in place of a server; repeat it for those of other hosts");
+    add("log",
+        options::value<std::vector<std::string>>()->composing(),
+        "explain: a file with log lines, in place of a server; repeat it for those of other hosts");
     add("undo", "drain: let the target take work again");
     add("certificate", options::value<std::string>(), "PEM file of the operator's certificate");
     add("key", options::value<std::string>(), "PEM file of its private key");
--- a/tests/fuzz_platform.cpp
+++ b/tests/fuzz_platform.cpp
@@ -88,7 +88,8 @@
     const auto &models = engine.models();
     return engine.slots >= 0 && engine.kvTokens >= 0 && engine.adapterSlots >= 0 && engine.loadsPerSecond >= 0 && engine.memory >= Bytes()
         && std::all_of(models.begin(), models.end(), [](const ModelDeclaration &model) {
-               return model.weights >= Bytes() && model.adapterWeights >= Bytes() && model.adapters >= 0 && isSpan(model.loadTime) && isSpan(model.diskLoadTime);
+               return model.weights >= Bytes() && model.adapterWeights >= Bytes() && model.adapters >= 0 && isSpan(model.loadTime)
+                   && isSpan(model.diskLoadTime);
            });
 }
 
@@ -165,8 +166,15 @@
     HttpHead example;
     example.method = "POST";
     example.target = "/c/x";
-    const std::vector<HttpHeader> known {{"Attempt-Id", "t1"}, {"Deadline-Ms", "900"}, {"Model", "m1/a2"}, {"Token-Usage", "1200,300"},
-        {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}, {"Last-Event-Id", "17"}, {"Server-Stamp", "x"}, {"Not-Executed", "1"}, {"Instance-Id", "r1"}};
+    const std::vector<HttpHeader> known {{"Attempt-Id", "t1"},
+                                         {"Deadline-Ms", "900"},
+                                         {"Model", "m1/a2"},
+                                         {"Token-Usage", "1200,300"},
+                                         {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                                         {"Last-Event-Id", "17"},
+                                         {"Server-Stamp", "x"},
+                                         {"Not-Executed", "1"},
+                                         {"Instance-Id", "r1"}};
     for (int round = 0; round < Rounds; ++round) {
         auto head = example;
         for (const auto &[name, value] : known) {
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace KingCup;
 
 namespace
@@ -15,6 +17,18 @@
     return TimePoint() + Duration::seconds(seconds);
 }
 
+/// Moments from `from` on, before `to`, each `step` seconds.
+auto moments(double from, double to, double step) -> std::vector<double>
+{
+    std::vector<double> list;
+    const int count = static_cast<int>(std::ceil((to - from) / step - 1e-9));
+    list.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        list.push_back(from + i * step);
+    }
+    return list;
+}
+
 /// The row of the lease as the store keeps it, and any number of gateways that go for it.
 class LeaseBench
 {
@@ -60,7 +74,7 @@
 
 auto runUntil(LeaseBench &bench, OrderLease &lease, double from, double to) -> void
 {
-    for (double now = from; now < to; now += 0.1) {
+    for (const double now : moments(from, to, 0.1)) {
         bench.step(lease, now);
     }
 }
@@ -88,7 +102,10 @@
     runUntil(bench, first, 0, 2);
     REQUIRE(first.mayOrder(at(2)));
     double taken = 0;
-    for (double now = 2; now < 12 && taken == 0; now += 0.05) {
+    for (const double now : moments(2, 12, 0.05)) {
+        if (taken > 0) {
+            break;
+        }
         bench.step(second, now);
         REQUIRE_FALSE((first.mayOrder(at(now)) && second.mayOrder(at(now))));
         taken = second.mayOrder(at(now)) ? now : 0;
@@ -114,7 +131,7 @@
     bench.put(write.value);
     lease.writeUnclear(at(4));
     REQUIRE_FALSE(lease.mayOrder(at(4)));
-    for (double now = 4; now < 4.6; now += 0.1) {
+    for (const double now : moments(4, 4.6, 0.1)) {
         if (lease.nextStep(at(now)) == LeaseStep::Read) {
             lease.readStarted(at(now));
             lease.rowRead(bench.version(), bench.value(), at(now));
@@ -155,12 +172,12 @@
             lease.peerHears(two, sequence, at(now));
         }
     };
-    for (double now = 1; now < 9; now += 0.2) {
+    for (const double now : moments(1, 9, 0.2)) {
         digest(now, true);
         REQUIRE(lease.mayOrder(at(now)));
     }
     // One of them doesn't hear it any more: it may have begun to count.
-    for (double now = 9; now < 13; now += 0.2) {
+    for (const double now : moments(9, 13, 0.2)) {
         digest(now, false);
     }
     REQUIRE_FALSE(lease.mayOrder(at(13)));
@@ -190,7 +207,7 @@
     LeaseBench bench;
     bench.put(First.text() + " 1");
     OrderLease second(Second, {}, at(0));
-    for (double now = 0; now < 20; now += 0.2) {
+    for (const double now : moments(0, 20, 0.2)) {
         second.holderHeard(First, Fence(1), static_cast<std::uint64_t>(now * 5), at(now));
         bench.step(second, now);
         REQUIRE_FALSE(second.isHolder());
@@ -440,7 +457,11 @@
 TEST_CASE("the last copy of a model never gives way to another copy of a busy one")
 {
     PlanBench bench(declaredEngine(3));
-    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m1", 0.2, 0.2).work("m2", 0.01, 0.01).work("m3", 0.01, 0.01);
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}})
+        .add("r2", {{"m1", 0, {}}, {"m3", 0, {}}})
+        .work("m1", 0.2, 0.2)
+        .work("m2", 0.01, 0.01)
+        .work("m3", 0.01, 0.01);
     for (const auto &planned : bench.plan()) {
         REQUIRE(planned.order.isLoad);
     }
