Rows are passed on between gateways compressed

Ruled out: the store (the watcher had it at once), parsing. Change: rows that are passed on are compressed by zlib, once for all peers.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -6,6 +6,7 @@
 #include "gateway/storefollower.h"
 
 #include "core/hashing.h"
+#include "wire/packedrows.h"
 
 #include <algorithm>
 #include <array>
@@ -205,17 +206,18 @@
 auto StoreFollower::Private::rowsFrame(std::size_t index, const std::vector<StoredRow> &rows, bool isWhole) const -> Wire::ControlFrame
 {
     Wire::ControlFrame frame;
-    auto *message = frame.mutable_rows();
-    message->set_table(static_cast<std::uint32_t>(index));
-    message->set_whole(isWhole);
-    message->set_up_to(tables.at(index).mirror.version().value());
+    Wire::StoreRows message;
+    message.set_table(static_cast<std::uint32_t>(index));
+    message.set_whole(isWhole);
+    message.set_up_to(tables.at(index).mirror.version().value());
     for (const auto &row : rows) {
-        auto *added = message->add_rows();
+        auto *added = message.add_rows();
         added->set_key(row.key);
         added->set_version(row.version.value());
         added->set_value(row.value);
         added->set_removed(row.isRemoved);
     }
+    *frame.mutable_rows() = packRows(message);
     return frame;
 }
 
@@ -354,12 +356,17 @@
         return;
     }
     const auto index = frame.rows().table();
+    const auto message = unpackRows(frame.rows());
+    if (!message) {
+        d->log.line("peers", "rows-unreadable").add("peer", id).add("table", nameOf(index));
+        return;
+    }
     std::vector<StoredRow> rows;
-    for (const auto &row : frame.rows().rows()) {
+    for (const auto &row : message->rows()) {
         rows.push_back({row.key(), RowVersion(row.version()), row.value(), row.removed()});
     }
     auto &mirror = d->tables.at(index).mirror;
-    const auto news = frame.rows().whole() ? mirror.takeTable(rows, RowVersion(frame.rows().up_to())) : mirror.takeChanges(rows);
+    const auto news = message->whole() ? mirror.takeTable(rows, RowVersion(message->up_to())) : mirror.takeChanges(rows);
     d->hooks.onRows(Tables.at(index), news);
 }
 
--- a/tests/unit_wire.cpp
+++ b/tests/unit_wire.cpp
@@ -3,7 +3,9 @@
 #include "wire/framing.h"
 #include "wire/peer.h"
 
+#include "wire/packedrows.h"
 #include <algorithm>
+
 #include <catch2/catch.hpp>
 #include <future>
 #include <map>
@@ -426,3 +428,30 @@
     REQUIRE_FALSE(up);
     REQUIRE_FALSE(lonely.isConnected());
 }
+
+TEST_CASE("rows are passed on a tenth as long, and what can't be read is refused")
+{
+    Wire::StoreRows rows;
+    rows.set_table(1);
+    rows.set_up_to(7);
+    for (int i = 0; i < 1000; ++i) {
+        auto *row = rows.add_rows();
+        row->set_key("target-" + std::to_string(i));
+        row->set_value(R"({"service":"assistant","zone":"north","state":"ready","slots":64,"sequence":)" + std::to_string(i) + "}");
+    }
+    const auto packed = packRows(rows);
+    REQUIRE(packed.table() == 1);
+    REQUIRE(packed.ByteSizeLong() * 5 < rows.ByteSizeLong());
+    REQUIRE(unpackRows(packed)->SerializeAsString() == rows.SerializeAsString());
+    REQUIRE(unpackRows(rows)->SerializeAsString() == rows.SerializeAsString());
+
+    auto cut = packed;
+    cut.set_packed(packed.packed().substr(0, packed.packed().size() / 2));
+    REQUIRE_FALSE(unpackRows(cut));
+    auto endless = packed;
+    endless.set_unpacked_bytes(1ULL << 60U);
+    REQUIRE_FALSE(unpackRows(endless));
+    auto wrong = packed;
+    wrong.set_unpacked_bytes(packed.unpacked_bytes() + 1);
+    REQUIRE_FALSE(unpackRows(wrong));
+}
