Breaks of one request count only some time apart

Cause: system_gateway's case of a runner that comes back under its id failed: a client that tried again each 30 ms met the same crashed runner three times, and was barred for two minutes although one runner had crashed once. Ruled out: a mistake in the count itself. Change: breaks count only if 0.9 s lie between them, and the host is part of what makes requests the same.

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -7,11 +7,10 @@
 namespace KingCup
 {
 
-auto requestFingerprint(std::string_view path, std::string_view body) -> std::uint64_t
+auto requestFingerprint(std::string_view host, std::string_view path, std::string_view body) -> std::uint64_t
 {
-    std::string text(path);
-    text.push_back('\n');
-    text.append(body);
+    std::string text(host);
+    text.append(path).append("\n").append(body);
     return stableHash(text);
 }
 
@@ -49,7 +48,7 @@
 auto CrashRepeats::brokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> bool
 {
     auto *known = record(fingerprint);
-    const bool isNext = known != nullptr && (known->breaks == 0 || sentAt > known->lastAt);
+    const bool isNext = known != nullptr && (known->breaks == 0 || (sentAt > known->lastAt && now - known->lastAt >= m_options.apart));
     if (isNext) {
         ++known->breaks;
         known->lastAt = now;
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -1,8 +1,9 @@
 // Requests that take down each target that runs them, and come again. The third target that broke off in a row while it ran the same request is
 // the last one: sent on, such a request would empty a service one target after the other, at any entry that it reaches.
 //
-// Only breaks one after the other count: when many targets fail at once, each request breaks off once, and is none of these. And whatever
-// came to a good end once takes nothing down.
+// Only breaks one after the other count, and some time apart: when many targets fail at once, or one is down and breaks off whatever it gets,
+// each request breaks off, maybe several times within moments, and is none of these. And whatever came to a good end once takes nothing
+// down.
 //
 // Load pattern: a client repeats one request each second or so, at any entry; each try kills a target for some seconds. Pure.
 #pragma once
@@ -18,12 +19,13 @@
 
 struct CrashRepeatOptions {
     int mostBreaks = 3; ///< targets; the least that tells such a request from two accidents of targets within the lifetime
+    Duration apart = Duration::millis(900); ///< between breaks that count; a crashed target is down for longer, and clients come again after about a second
     Duration lifetime = Duration::seconds(120); ///< after the last break; who repeats a request does so within its patience, some seconds
     std::size_t most = 4096; ///< requests remembered; beyond, no further ones are
 };
 
-/// The same for requests with the same path and body.
-auto requestFingerprint(std::string_view path, std::string_view body) -> std::uint64_t;
+/// The same for requests with the same host, path and body.
+auto requestFingerprint(std::string_view host, std::string_view path, std::string_view body) -> std::uint64_t;
 
 class CrashRepeats
 {
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -615,7 +615,8 @@
 
 auto Flow::fingerprint() const -> std::uint64_t
 {
-    return requestFingerprint(m_exchange->head().target, m_exchange->body());
+    const auto &head = m_exchange->head();
+    return requestFingerprint(findHeader(head.headers, "host").value_or(std::string_view()), head.target, m_exchange->body());
 }
 
 auto Flow::isBarred() const -> bool
