Models that were never served weigh by what is asked for

Ruled out: room (a copy could give way), the loads' pace (no load was under way), the holder (it planned other copies meanwhile). Change: an unknown service time is taken for the mean of the others.

--- a/src/core/demand.h
+++ b/src/core/demand.h
@@ -34,6 +34,12 @@
     std::vector<ArtifactDemand> rates;
 };
 
+/// Gives those whose service time isn't known the mean of the others, by their rates; `fallback` if none is known.
+///
+/// An artifact that has no copy is never served, so its time stays unknown. Taken for 0, its demand weighs nothing however much is asked for, no
+/// copy is made, and each of its requests is refused; after the loss of runners one of sixteen models stayed away like this for good.
+auto assumeUnknownTimes(std::vector<ArtifactDemand> rates, Duration fallback) -> std::vector<ArtifactDemand>;
+
 struct DemandOptions {
     Duration bucket = Duration::seconds(1); ///< arrivals are counted in these
     double rise = 0.3; ///< weight of a bucket above the level
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,6 +57,8 @@
 /// What a request takes of a runner beside reading its prompt: its share of the steps of some three hundred tokens.
 constexpr auto StepShare = Duration::millis(25);
 constexpr double MillisPerSecond = 1000;
+/// Of a model that was never served, while nothing else was either: a prompt of some thousand tokens and its steps take about this.
+constexpr auto UnknownTime = Duration::millis(60);
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
 constexpr std::uint32_t MostBreaksHeard = 16;
 
@@ -456,7 +458,7 @@
         loadTime = std::max(loadTime, model.loadTime);
     }
     const auto add = [&](const std::vector<ArtifactDemand> &rates, double ModelWork::*into) {
-        for (const auto &rate : rates) {
+        for (const auto &rate : assumeUnknownTimes(rates, UnknownTime)) {
             result[rate.artifact.text()].*into += rate.perSecond * rate.serviceTime.inSeconds();
         }
     };
