--- a/src/core/demand.h
+++ b/src/core/demand.h
@@ -37,7 +37,7 @@
 /// Gives those whose service time isn't known the mean of the others, by their rates; `fallback` if none is known.
 ///
 /// An artifact that has no copy is never served, so its time stays unknown. Taken for 0, its demand weighs nothing however much is asked for, no
-/// copy is made, and each of its requests is refused; after the loss of runners one of sixteen models stayed away like this for good.
+/// copy is made, and each of its requests is refused for good: one request in eight after the loss of a runner with a busy model's only copy.
 auto assumeUnknownTimes(std::vector<ArtifactDemand> rates, Duration fallback) -> std::vector<ArtifactDemand>;
 
 struct DemandOptions {
