A gateway that gets the order lease says so at once

Trace: gw-2 held the lease 0.4 s after the start, gw-1 heard of it by its next digest 0.2 s later and only then told what its request waited for: 5 ms too late. Change: who gets the lease sends a digest at once.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -190,6 +190,9 @@
     hooks.onHolding = [this](const TargetDescription &target) {
         onHolding(target);
     };
+    hooks.onHolder = [this] {
+        sendDigest();
+    };
     OrderTaskSettings orderSettings;
     orderSettings.self = HolderName(settings.process.id + "#" + std::to_string(incarnation));
     orderSettings.lease.duration = settings.gateway.lease;
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -253,6 +253,7 @@
             meter.takenOver(now());
         }
         intended.clear();
+        hooks.onHolder();
     } else {
         for (auto &[id, book] : books) {
             book.doubt(now());
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -37,6 +37,9 @@
     std::function<bool(const TargetId &target)> isFailing; ///< requests don't get through to it
     /// What a runner holds has changed; known here before its row says so.
     std::function<void(const TargetDescription &target)> onHolding;
+    /// This gateway may give orders from now on: others are to hear it at once. What their requests wait for is told to it only then, and by
+    /// the next digest some of these requests would have been refused.
+    std::function<void()> onHolder;
 };
 
 struct OrderTaskSettings {
