A prompt that is being read counts before all others at its runner

Cause: requests were sent behind long prompts as if these weren't there. Ruled out: late digests alone (the gateway that had sent the long prompt did the same); a wrong pace of reading (the estimate of the long one was right to 2 in 100). Change: core/readqueue keeps each prompt of own sends; the one taken to be read now counts with the most urgent band, with what is left of it, also in the digest to the other gateways. The guess that half of everything was read is gone.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -6,6 +6,7 @@
 #include "core/dispatch.h"
 
 #include "core/hashing.h"
+#include "core/readqueue.h"
 
 #include <algorithm>
 #include <cmath>
@@ -54,32 +55,16 @@
     return static_cast<double>(span.inMicros()) / MicrosPerMilli;
 }
 
-/// Milliseconds of reading, by band.
-using BandMillis = std::array<double, UrgencyBands>;
-
-/// Of the bands that go before or with `band`.
-auto upTo(const BandMillis &unread, UrgencyBand band) -> double
-{
-    return std::accumulate(unread.begin(), unread.begin() + static_cast<int>(band) + 1, 0.0);
-}
-
 /// What is known of one target.
 struct TargetState {
     TargetDescription description;
     PromptCache cache;
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
-    BandMillis unread {}; ///< of own sends without a first token
-    TimePoint readingSince; ///< the first of them, or the last first token: the engine has been reading since
+    ReadQueue reads; ///< own sends without a first token
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
-    auto readDone(UrgencyBand band, double millis, TimePoint now) -> void
-    {
-        auto &left = unread.at(static_cast<std::size_t>(band));
-        left = std::max(left - millis, 0.0);
-        readingSince = now;
-    }
     /// Without observations a target counts as sound again after some seconds: it gets a request, and is seen anew.
     auto slownessAt(TimePoint now) const -> double
     {
@@ -340,10 +325,9 @@
 {
     const auto *engine = engineOf(request.service);
     made.unread = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
-    // The one that is being read now is half done on average, but no more than the time since it began.
-    const double reading = std::clamp(toMillis(now - state.readingSince), 0.0, upTo(state.unread, UrgencyBand::Patient) / 2);
+    const auto own = state.reads.byBand(now);
     const auto before = [&](UrgencyBand band) {
-        return std::max(upTo(state.unread, band) - reading, 0.0) + upTo(rest.unread, band);
+        return upTo(own, band) + upTo(rest.unread, band);
     };
     double backlog = before(request.band);
     const double patient = before(UrgencyBand::Patient) - backlog;
@@ -494,10 +478,8 @@
     state.tokens += send.tokens;
     if (!request.model.empty()) {
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
-        if (upTo(state.unread, UrgencyBand::Patient) <= 0) {
-            state.readingSince = now;
-        }
-        state.unread.at(static_cast<std::size_t>(send.band)) += send.readMillis;
+        const bool isNext = upTo(d->others(target, now).unread, UrgencyBand::Patient) <= 0;
+        state.reads.add(d->lastSend, send.band, send.readMillis, isNext, now);
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
             d->newlyRead.emplace_back(target, chain);
@@ -527,7 +509,7 @@
         return;
     }
     auto &state = target->second;
-    state.readDone(send.band, send.readMillis, now);
+    state.reads.remove(id, now);
     state.strikes = 0;
     state.succeededAt = now;
     const auto took = toMillis(now - send.at);
@@ -572,7 +554,7 @@
     --state.running;
     state.tokens -= send.tokens;
     if (!send.hasFirst && !send.model.empty()) {
-        state.readDone(send.band, send.readMillis, now);
+        state.reads.remove(id, now);
     }
     if (result == SendResult::Delivered) {
         state.strikes = 0;
@@ -616,7 +598,8 @@
         const bool isEjected = d->isEjectedHere(state, now) || (state.strikes > 0 && now < state.ejectedUntil + d->options.workLifetime);
         if (state.running > 0 || failures > WorthTelling || isEjected) {
             TargetWork work {id, state.running, {}, state.tokens, failures, isEjected};
-            std::transform(state.unread.begin(), state.unread.end(), work.unread.begin(), fromMillis);
+            const auto unread = state.reads.byBand(now);
+            std::transform(unread.begin(), unread.end(), work.unread.begin(), fromMillis);
             digest.work.push_back(work);
         }
     }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -35,9 +35,6 @@
 
 // [SECTION] Requests
 
-/// A number that this process gives to each send; never used again.
-using SendId = StrongNumber<struct SendIdTag>;
-
 struct DispatchRequest {
     ServiceName service;
     std::string model; ///< empty: a plain service
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -99,6 +99,7 @@
 using Revision = StrongNumber<struct RevisionTag>; ///< of the declared configuration; only ever rises
 using Fence = StrongNumber<struct FenceTag>; ///< fencing number of orders; engines that check it refuse lower ones
 using RowVersion = StrongNumber<struct RowVersionTag>; ///< of a table row; 0 means the row is absent
+using SendId = StrongNumber<struct SendIdTag>; ///< one sending of one request, counted by the process that sent it
 
 } // namespace KingCup
 
--- /dev/null
+++ b/src/core/readqueue.cpp
@@ -0,0 +1,47 @@
+#include "core/readqueue.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace KingCup
+{
+
+auto upTo(const BandMillis &unread, UrgencyBand band) -> double
+{
+    return std::accumulate(unread.begin(), unread.begin() + static_cast<int>(band) + 1, 0.0);
+}
+
+/// One that takes longer than expected isn't done either: a tenth of it stays until its first token comes.
+auto ReadQueue::Read::left(TimePoint now) const -> double
+{
+    constexpr double LeastShare = 0.1;
+    constexpr double MillisPerSecond = 1000;
+    return since ? std::max(millis - (now - *since).inSeconds() * MillisPerSecond, millis * LeastShare) : millis;
+}
+
+auto ReadQueue::byBand(TimePoint now) const -> BandMillis
+{
+    BandMillis sums {};
+    for (const auto &read : m_reads) {
+        sums.at(static_cast<std::size_t>(read.since ? UrgencyBand::Urgent : read.band)) += read.left(now);
+    }
+    return sums;
+}
+
+auto ReadQueue::add(SendId send, UrgencyBand band, double millis, bool isNext, TimePoint now) -> void
+{
+    const bool isFirst = isNext && m_reads.empty();
+    m_reads.push_back({send, band, millis, isFirst ? std::optional(now) : std::nullopt});
+}
+
+auto ReadQueue::remove(SendId send, TimePoint now) -> void
+{
+    std::erase_if(m_reads, [&](const Read &read) { return read.send == send; });
+    const bool isReading = std::any_of(m_reads.begin(), m_reads.end(), [](const Read &read) { return read.since.has_value(); });
+    const auto next = std::min_element(m_reads.begin(), m_reads.end(), [](const Read &a, const Read &b) { return a.band < b.band; });
+    if (!isReading && next != m_reads.end()) {
+        next->since = now;
+    }
+}
+
+} // namespace KingCup
--- a/src/core/runonce.h
+++ b/src/core/runonce.h
@@ -78,8 +78,6 @@
 
 // [SECTION] Requests
 
-/// One send, from arrival to answer, within this process.
-using SendId = StrongNumber<struct SendIdTag>;
 using BatchId = CommitQueue::BatchId; ///< one transaction
 using ReadId = StrongNumber<struct ReadIdTag>; ///< one read of rows
 
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -59,6 +59,19 @@
     Dispatcher m_dispatcher;
 };
 
+auto longRequest(int tokens, UrgencyBand band) -> DispatchRequest
+{
+    static std::uint64_t own = 5000000;
+    DispatchRequest made;
+    made.service = ServiceName("assistant");
+    made.model = "m1";
+    made.promptTokens = tokens;
+    made.outputTokens = 50;
+    made.prompt = promptChains("m1", {{++own, tokens}});
+    made.band = band;
+    return made;
+}
+
 auto request(std::uint64_t shared = 0) -> DispatchRequest
 {
     static std::uint64_t own = 1000000;
@@ -114,6 +127,43 @@
     REQUIRE(sent.size() > 1);
 }
 
+TEST_CASE("behind a long prompt that is being read an urgent short one would wait, and goes elsewhere")
+{
+    // Load pattern: one prompt in thirty is ten times as long as the others, and takes a runner a second to read. An engine doesn't lay aside
+    // the prompt that it is reading for a more urgent one. Short urgent prompts that were sent to that runner got their first token late, by
+    // up to two seconds, while the other copies of the model had nothing to do.
+    DispatchBench bench(2);
+    const auto big = longRequest(30000, UrgencyBand::Usual);
+    const auto busy = bench->choose(big, at(1)).target;
+    const auto send = bench->sent(big, busy, at(1));
+
+    const auto urgent = longRequest(300, UrgencyBand::Urgent);
+    REQUIRE(bench->choose(urgent, at(1.1)).target != busy);
+
+    SECTION("what has been read of it no longer counts")
+    {
+        const auto idle = bench->choose(urgent, at(1.1)).target;
+        bench->sent(longRequest(10000, UrgencyBand::Urgent), idle, at(1.1));
+        REQUIRE(bench->choose(urgent, at(1.2)).target == idle);
+        REQUIRE(bench->choose(urgent, at(1.2)).backlog < Duration::millis(250));
+    }
+    SECTION("another entry hears of it as of the most urgent work")
+    {
+        DispatchBench other(2);
+        other->merge(bench->takeDigest(EntryId("e1"), at(1.01)), at(1.01));
+        REQUIRE(other->choose(urgent, at(1.1)).target != busy);
+    }
+    SECTION("one that still waits there goes behind the urgent ones")
+    {
+        const auto waiting = longRequest(30000, UrgencyBand::Usual);
+        bench->sent(waiting, busy, at(1));
+        bench->firstToken(send, at(1.9));
+        const auto idle = bench->choose(urgent, at(1.1)).target;
+        bench->sent(longRequest(60000, UrgencyBand::Urgent), idle, at(1.9));
+        REQUIRE(bench->choose(urgent, at(2.7)).target == busy);
+    }
+}
+
 TEST_CASE("two entries that know nothing yet choose the same runner for the same beginning")
 {
     DispatchBench one(6);
