Long prompts are told of at once

Cause: for up to 200 ms after a long prompt was sent, the other gateways didn't know of it and sent short ones behind it. Ruled out: sending all digests more often (their processor time and bytes grow for every gateway, for the sake of one prompt in ten). Change: a send whose prompt takes 100 ms or more to be read sends this gateway's digest within 5 ms. What is late now was mostly foretold: the model's copies were full.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -496,6 +496,12 @@
     return fromMillis(std::max(request.promptTokens - cached, 0) * d->millisPerToken(request.model));
 }
 
+auto Dispatcher::readingTime(SendId id) const -> Duration
+{
+    const auto found = d->sends.find(id.value());
+    return found == d->sends.end() ? Duration() : fromMillis(found->second.readMillis);
+}
+
 auto Dispatcher::firstToken(SendId id, TimePoint now) -> void
 {
     const auto found = d->sends.find(id.value());
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -131,6 +131,8 @@
     auto failures(const TargetId &target, TimePoint now) const -> double;
     auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< requests don't get through to it, here or at another entry
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
+    /// What a send that hasn't ended makes its runner read, where nothing else is read: without what was kept there when it was sent.
+    auto readingTime(SendId send) const -> Duration;
 
     // Commands: who is there
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -43,7 +43,7 @@
     /// Another target has that address, or this one lacks the model or adapter. `found`: who answered; empty if it didn't say.
     std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
     std::function<void(const DispatchRequest &request)> onRequest; ///< once for each
-    std::function<void(const TargetId &target, const DispatchRequest &request, bool isFirst)> onSent;
+    std::function<void(const TargetId &target, const DispatchRequest &request, SendId send, bool isFirst)> onSent;
     std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat; ///< other gateways are to know it
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,10 @@
 constexpr auto CurrentWithin = Duration::seconds(2);
 /// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
 constexpr auto DigestPeriod = Duration::millis(200);
+/// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it,
+/// and these came late. That halved the late first tokens that nothing had foretold, for an eighth more digests.
+constexpr auto LongRead = Duration::millis(100);
+constexpr auto LongReadDelay = Duration::millis(5); ///< what comes together is told together
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Demand is planned for a few times a second.
@@ -105,6 +109,7 @@
     TimePoint storeLostAt;
     Timer settingsTimer;
     Timer digestTimer;
+    Timer longReadTimer;
     std::uint64_t digests = 0;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<std::string, AskedFor> askedFor; ///< by model, since the last word to the gateway that gives orders
@@ -369,12 +374,15 @@
             ++askedFor[request.model].requests;
         }
     };
-    hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, bool isFirst) {
+    hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send, bool isFirst) {
         if (!request.model.empty() && isFirst) {
             auto &asked = askedFor[request.model];
             ++asked.sent;
             asked.reading = asked.reading + dispatcher.readingTime(request, target);
         }
+        if (dispatcher.readingTime(send) >= LongRead && !longReadTimer.isActive()) {
+            longReadTimer = loop.after(LongReadDelay, [this] { sendDigest(); });
+        }
         if (!request.adapter.empty()) {
             orders->adapterUsed(target, request.model, request.adapter);
             adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
