An adapter whose only runner is busy is loaded on a second one

Half of the chats name an adapter; nothing asked for one that was there already. Ruled out: sending them elsewhere without it (refused there); more copies of the model (an adapter is still on one of them). Change: where a request would wait for more than a quarter of its route's goal at the only runner with its adapter, the gateway says so to the holder of the order lease, at most every 300 ms an adapter; the holder places a second copy, but drives out none that was used within four seconds.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -362,7 +362,7 @@
 
 } // namespace
 
-auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, TimePoint now)
+auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
     -> std::optional<PlannedOrder>
 {
     const RunnerBook *free = nullptr;
@@ -391,7 +391,8 @@
                 const RunnerOrder unload {false, held.name, loaded};
                 const auto used = lastUse(uses, about.incarnation.id, held.name, loaded);
                 const bool isOlder = !eviction || used < eviction->lastUsed;
-                if (isOlder && runner->mayOrder(unload, *input.engine, now)) {
+                const bool isSpared = now - used < spared;
+                if (isOlder && !isSpared && runner->mayOrder(unload, *input.engine, now)) {
                     eviction = Eviction {runner, unload, used};
                 }
             }
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -78,7 +78,8 @@
 using AdapterUses = std::map<std::pair<TargetId, std::string>, TimePoint>;
 
 /// The next order that brings the adapter closer to being loaded somewhere; nothing if none can be given now.
-auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, TimePoint now)
+/// `spared`: one that was used within this time doesn't give way.
+auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
     -> std::optional<PlannedOrder>;
 
 // [SECTION] Loads
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -45,6 +45,8 @@
 /// Engines know ten degrees of urgency; the bands lie apart so that those that are late anyway fit behind each.
 constexpr int UrgencyStep = 3;
 constexpr int DemotedStep = 2;
+/// Of a route's goal: where a request would wait for longer at the only target with its adapter, the adapter is asked for on another one.
+constexpr double BusyShare = 0.25;
 /// What a stream of some hundred tokens takes after its first: less than that left, and it would be cut off.
 constexpr auto StreamTime = Duration::millis(600);
 /// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
@@ -252,6 +254,9 @@
 auto Flow::admit(const DispatchChoice &choice) -> bool
 {
     const auto elapsed = now() - m_exchange->startedAt();
+    if (!m_request.adapter.empty() && choice.candidates == 1 && choice.backlog > m_route.goal * BusyShare) {
+        m_owner.hooks.onOverloaded(m_request.service, m_request.model, m_request.adapter);
+    }
     if (elapsed + choice.expectedFirst <= m_route.goal) {
         return true;
     }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -44,6 +44,8 @@
     std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter)> onMissing; ///< no target holds it
     /// Another target has that address, or this one lacks the model or adapter. `found`: who answered; empty if it didn't say.
     std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
+    /// The only target with the adapter is too busy.
+    std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter)> onOverloaded;
     std::function<void(const DispatchRequest &request)> onRequest; ///< once for each
     std::function<void(const TargetId &target, const DispatchRequest &request, SendId send, bool isFirst)> onSent;
     std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat; ///< other gateways are to know it
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,6 +47,8 @@
 /// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it,
 /// and these came late. That halved the late first tokens that nothing had foretold, for an eighth more digests.
 constexpr auto LongRead = Duration::millis(100);
+/// An adapter that is asked for on a second runner is there within some tens of milliseconds, or there is no room for it for a while.
+constexpr auto TellOverloadedPeriod = Duration::millis(300);
 constexpr auto LongReadDelay = Duration::millis(5); ///< what comes together is told together
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
@@ -114,6 +116,7 @@
     std::uint64_t digests = 0;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<std::string, AskedFor> askedFor; ///< by model, since the last word to the gateway that gives orders
+    std::map<std::string, TimePoint> overloadedTold; ///< by "MODEL/ADAPTER"
     std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
     std::map<TargetId, ToldHolding> holdings;
     Timer leaveCheck;
@@ -154,6 +157,7 @@
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     auto tellMissing(const MissingArtifact &missing) -> void;
+    auto onOverloaded(const MissingArtifact &adapter) -> void;
     auto onHolding(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     auto holderId() const -> std::string;
@@ -371,6 +375,9 @@
     hooks.onMissing = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
         onMissing(service, model, adapter);
     };
+    hooks.onOverloaded = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
+        onOverloaded({service, model, adapter});
+    };
     hooks.onMisdirected = [this](const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) {
         onMisdirected(target, found, model, adapter);
     };
@@ -426,6 +433,26 @@
     peers->send(holderId(), frame);
 }
 
+auto Gateway::Private::onOverloaded(const MissingArtifact &adapter) -> void
+{
+    auto &toldAt = overloadedTold[adapter.model + "/" + adapter.adapter];
+    if (loop.now() - toldAt < TellOverloadedPeriod) {
+        return;
+    }
+    toldAt = loop.now();
+    log.line("routing", "adapter-overloaded").add("model", adapter.model).add("adapter", adapter.adapter);
+    if (orders->mayOrder()) {
+        orders->overloaded(adapter.service, adapter.model, adapter.adapter);
+        return;
+    }
+    Wire::ControlFrame frame;
+    frame.mutable_wanted()->set_service(adapter.service.text());
+    frame.mutable_wanted()->set_model(adapter.model);
+    frame.mutable_wanted()->set_adapter(adapter.adapter);
+    frame.mutable_wanted()->set_another(true);
+    peers->send(holderId(), frame);
+}
+
 /// The gateway that gives orders, as far as known.
 auto Gateway::Private::holderId() const -> std::string
 {
@@ -543,6 +570,7 @@
     follower->advance();
     demand.advance(loop.now());
     apply(view.advance(loop.now()));
+    std::erase_if(overloadedTold, [&](const auto &told) { return loop.now() - told.second > TellOverloadedPeriod; });
     std::erase_if(leavingTold, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
     Wire::ControlFrame frame;
     auto *digest = frame.mutable_gateway();
@@ -615,7 +643,9 @@
     if (frame.has_gateway()) {
         onDigest(id, frame.gateway());
     } else if (frame.has_wanted() && orders->mayOrder()) {
-        orders->wanted(ServiceName(frame.wanted().service()), frame.wanted().model(), frame.wanted().adapter());
+        const auto &wanted = frame.wanted();
+        const ServiceName service(wanted.service());
+        wanted.another() ? orders->overloaded(service, wanted.model(), wanted.adapter()) : orders->wanted(service, wanted.model(), wanted.adapter());
     } else if (frame.has_gateway_demand()) {
         onDemand(frame.gateway_demand());
     } else if (frame.has_holding()) {
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -29,6 +29,8 @@
 constexpr auto IntentLifetime = Duration::seconds(2);
 /// A stream of some three hundred tokens takes about that long.
 constexpr auto AdapterActive = Duration::millis(2500);
+/// An adapter that was used within this time doesn't give way to a second copy of another one: its next request would wait for it to come back.
+constexpr auto SparedForAnother = Duration::seconds(4);
 constexpr auto DemandLogPeriod = Duration::seconds(1);
 constexpr std::size_t MostLoggedModels = 12;
 constexpr auto InputLifetime = Duration::millis(100);
@@ -62,6 +64,7 @@
 /// A request waits for an adapter.
 struct Wish {
     TimePoint at; ///< when it was last told
+    int copies = 1; ///< runners that are to hold it
     TargetId orderedOn; ///< a runner that has an order for it, answered or not; empty: none
     TimePoint orderedAt;
 };
@@ -433,17 +436,19 @@
     if (adapter.empty() || !engines.contains(service)) {
         return false; // models are planned together
     }
-    for (const auto &[id, book] : books) {
-        if (book.description().service == service && book.holdsAdapter(model, adapter)) {
-            return true;
-        }
+    const auto holds = [&](const auto &item) {
+        return item.second.description().service == service && item.second.holdsAdapter(model, adapter);
+    };
+    if (std::count_if(books.begin(), books.end(), holds) >= wish.copies) {
+        return true;
     }
     // One order at a time for it: while an adapter gives way on one runner, others would on the next ones.
     const auto asked = books.find(wish.orderedOn);
     if (asked != books.end() && asked->second.isAsked() && now() - wish.orderedAt < settings.answerTimeout) {
         return false;
     }
-    if (const auto planned = placeAdapter(input(service), model, adapter, uses, now())) {
+    const auto spared = wish.copies > 1 ? SparedForAnother : Duration();
+    if (const auto planned = placeAdapter(input(service), model, adapter, uses, spared, now())) {
         wish.orderedOn = planned->target;
         wish.orderedAt = now();
         give(service, *planned);
@@ -629,6 +634,14 @@
     d->serveWishesSoon();
 }
 
+auto OrderTask::overloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
+{
+    auto &wish = d->wishes[{service, model, adapter}];
+    wish.at = d->now();
+    wish.copies = 2;
+    d->serveWishesSoon();
+}
+
 auto OrderTask::adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void
 {
     d->uses[{target, model + "/" + adapter}] = d->now();
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -88,6 +88,9 @@
     auto remember(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     /// Likewise, and this gateway gives the orders.
     auto wanted(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
+    /// The only runner with an adapter is too busy to answer a request for it in time. An adapter is loaded within milliseconds, and half of the
+    /// streams name one: bound to one runner, they were late there while the model's other copies had time.
+    auto overloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
     /// What runners hold, as far as it is known here: for gateways that have just come up.
     auto holdings() const -> std::vector<TargetDescription>;
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -391,10 +391,10 @@
     {
         return m_input;
     }
-    auto place(const std::string &model, const std::string &adapter, const AdapterUses &uses, double now = 100) -> std::optional<PlannedOrder>
+    auto place(const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared = {}) -> std::optional<PlannedOrder>
     {
-        plan(now);
-        return placeAdapter(m_input, model, adapter, uses, at(now));
+        plan();
+        return placeAdapter(m_input, model, adapter, uses, spared, at(100));
     }
 
 private:
@@ -494,6 +494,28 @@
     REQUIRE(planned->order == RunnerOrder {false, "m1", "a2"});
 }
 
+TEST_CASE("a second copy of an adapter goes to another runner, and drives out none that was just used")
+{
+    // Load pattern: half of the streams name an adapter, and one runner with a popular one gets more than it can do. The model's other copies
+    // have time; but what drives out an adapter in use only moves the wait to that one's callers.
+    PlanBench bench(declaredEngine(1, 9));
+    bench.add("r1", {{"m1", 0, {"a1"}}}, 0.9).add("r2", {{"m1", 0, {"a2"}}}, 0.8).add("r3", {{"m1", 0, {"a3"}}}, 0.1);
+    const auto second = bench.place("m1", "a1", {});
+    REQUIRE(second);
+    REQUIRE(second->target == TargetId("r3"));
+
+    PlanBench full(declaredEngine(1, 9));
+    full.add("r1", {{"m1", 0, {"a1"}}}, 0.9).add("r2", {{"m1", 0, {"a2", "a3", "a4", "a5"}}}, 0.1);
+    AdapterUses uses;
+    for (const char *adapter : {"m1/a2", "m1/a3", "m1/a4", "m1/a5"}) {
+        uses[{TargetId("r2"), adapter}] = at(98);
+    }
+    REQUIRE_FALSE(full.place("m1", "a1", uses, Duration::seconds(4)));
+    REQUIRE(full.place("m1", "a6", uses));
+    uses[{TargetId("r2"), "m1/a4"}] = at(90);
+    REQUIRE(full.place("m1", "a1", uses, Duration::seconds(4))->order == RunnerOrder {false, "m1", "a4"});
+}
+
 TEST_CASE("loads from the weight store keep to its pace, also over a change of who gives orders")
 {
     LoadMeter meter;
