--- a/fakes/plainservice.cpp
+++ b/fakes/plainservice.cpp
@@ -1,13 +1,13 @@
 #include "plainservice.h"
 
+#include "net/httpstatus.h"
+
 namespace KingCup
 {
 
 namespace
 {
 
-constexpr int StatusUnprocessable = 422;
-
 /// What stands behind `prefix` in `path`; empty if it doesn't start so.
 auto restAfter(const std::string &path, const std::string &prefix) -> std::string
 {
@@ -62,7 +62,7 @@
         m_extensions[body["name"].get<std::string>()] = body["extension"].get<std::string>();
         return {Status::Created, {{"name", body["name"]}, {"extension", body["extension"]}, {"key", key}}};
     }
-    return {StatusUnprocessable, {{"code", "not-understood"}}};
+    return {HttpStatus::Unprocessable, {{"code", "not-understood"}}};
 }
 
 auto ServiceState::truth() const -> Json
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -6,6 +6,7 @@
 #include "agent/requesttasks.h"
 
 #include "core/concurrencylimit.h"
+#include "net/httpstatus.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -20,9 +21,6 @@
 
 constexpr std::size_t TailBytes = 64; // of a stream, in which its end mark is looked for
 constexpr auto EndMark = "data: [DONE]";
-constexpr int StatusNotFound = 404;
-constexpr int StatusTooMany = 429;
-constexpr int StatusUnavailable = 503;
 constexpr double MeanWeight = 0.1;
 
 } // namespace
@@ -347,7 +345,7 @@
     task->status = status;
     task->headers = headers;
     task->isStream = headerValue(headers, "content-type").starts_with("text/event-stream");
-    task->holdsHead = settings.isRunner && (status == StatusNotFound || status == StatusTooMany || status == StatusUnavailable);
+    task->holdsHead = settings.isRunner && (status == HttpStatus::NotFound || status == HttpStatus::TooManyRequests || status == HttpStatus::Unavailable);
     if (!task->holdsHead) {
         sendHead(task);
     }
@@ -436,8 +434,8 @@
 auto RequestTasks::Private::finishRun(const TaskPtr &task) -> void
 {
     if (task->holdsHead) {
-        const bool isMissing = task->status == StatusNotFound && task->held.find("not-resident") != std::string::npos;
-        if (isMissing || task->status != StatusNotFound) {
+        const bool isMissing = task->status == HttpStatus::NotFound && task->held.find("not-resident") != std::string::npos;
+        if (isMissing || task->status != HttpStatus::NotFound) {
             reportRunEnd(task, RunEnd::NotRun);
             end(task, refusalOf(isMissing ? "not-resident" : "overloaded", "the engine refused it"));
             return;
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -1,6 +1,7 @@
 #include "engine/engineclient.h"
 
 #include "core/eventstream.h"
+#include "net/httpstatus.h"
 #include "net/json.h"
 
 namespace KingCup
@@ -9,16 +10,9 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusAccepted = 202;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-constexpr int StatusThrottled = 429;
-constexpr int StatusUnavailable = 503;
-
 auto isGood(const HttpAnswer &answer) -> bool
 {
-    return answer.end == CallEnd::Complete && answer.status == StatusOk;
+    return answer.end == CallEnd::Complete && answer.status == HttpStatus::Ok;
 }
 
 auto callError(const HttpAnswer &answer) -> Error
@@ -30,7 +24,7 @@
         return {ErrorCode::Unknown, toString(answer.end)};
     }
     // An engine that answers is there, whatever it says: only one that can't be reached counts as gone.
-    return {answer.status == StatusNotFound ? ErrorCode::NotFound : ErrorCode::Overloaded, "status " + std::to_string(answer.status)};
+    return {answer.status == HttpStatus::NotFound ? ErrorCode::NotFound : ErrorCode::Overloaded, "status " + std::to_string(answer.status)};
 }
 
 auto orderReply(const HttpAnswer &answer) -> OrderReply
@@ -40,11 +34,11 @@
     reply.code = textOf(member(json, "code"));
     reply.fence = Fence(unsignedOf(member(json, "fence")));
     reply.retryAfter = Duration::millis(signedOf(member(json, "retryAfterMs")));
-    const bool isVerdict = answer.status == StatusConflict || answer.status == StatusThrottled || answer.status == StatusUnavailable;
+    const bool isVerdict = answer.status == HttpStatus::Conflict || answer.status == HttpStatus::TooManyRequests || answer.status == HttpStatus::Unavailable;
     if (answer.end == CallEnd::NotSent) {
         reply.answer = OrderAnswer::Refused;
         reply.code = "not-sent";
-    } else if (answer.status == StatusAccepted) {
+    } else if (answer.status == HttpStatus::Accepted) {
         reply.answer = OrderAnswer::Accepted;
     } else if (isVerdict) {
         reply.answer = OrderAnswer::Refused;
@@ -59,7 +53,7 @@
     if (isGood(answer) && member(json, "fence").is_number_unsigned()) {
         reply.kind = FenceReply::Kind::Raised;
         reply.fence = Fence(unsignedOf(member(json, "fence")));
-    } else if (answer.end == CallEnd::Complete && answer.status == StatusNotFound) {
+    } else if (answer.end == CallEnd::Complete && answer.status == HttpStatus::NotFound) {
         reply.kind = FenceReply::Kind::Unsupported;
     }
     return reply;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -6,6 +6,7 @@
 //   Leaving     planned stops
 #include "entry/entry.h"
 
+#include "net/httpstatus.h"
 #include "wire/suspectsmessage.h"
 
 #include "core/versionswitch.h"
@@ -34,8 +35,6 @@
 constexpr auto HousekeepingPeriod = Duration::millis(500);
 constexpr std::size_t MostExplained = 200;
 constexpr int ExitCutOff = 1;
-constexpr int StatusOk = 200;
-constexpr int StatusUnavailable = 503;
 
 auto routingOptions(const DaemonSettings &settings) -> RoutingOptions
 {
@@ -519,11 +518,11 @@
 {
     const auto &path = exchange->request().path;
     if (path == "/metrics") {
-        exchange->respond(StatusOk, {{"content-type", "text/plain; version=0.0.4"}}, metricsText());
+        exchange->respond(HttpStatus::Ok, {{"content-type", "text/plain; version=0.0.4"}}, metricsText());
     } else if (path == "/healthz") {
-        exchange->respond(StatusOk, {{"content-type", "text/plain"}}, "ok\n");
+        exchange->respond(HttpStatus::Ok, {{"content-type", "text/plain"}}, "ok\n");
     } else if (path == "/readyz") {
-        exchange->respond(isReady() ? StatusOk : StatusUnavailable, {{"content-type", "text/plain"}}, isReady() ? "ready\n" : "not ready\n");
+        exchange->respond(isReady() ? HttpStatus::Ok : HttpStatus::Unavailable, {{"content-type", "text/plain"}}, isReady() ? "ready\n" : "not ready\n");
     } else {
         flows->handle(exchange);
     }
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -7,6 +7,7 @@
 #include "entry/requestflows.h"
 
 #include "entry/eventstream.h"
+#include "net/httpstatus.h"
 #include "wire/messages.h"
 
 #include <glog/logging.h>
@@ -19,11 +20,6 @@
 namespace
 {
 
-constexpr int StatusUnprocessable = 422;
-constexpr int StatusTooMany = 429;
-constexpr int StatusBadGateway = 502;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusTimeout = 504;
 constexpr auto PumpPeriod = Duration::millis(50); // while requests wait
 constexpr auto RetryLater = Duration::seconds(1);
 constexpr std::size_t BytesPerToken = 4; // of a request's body, about
@@ -157,7 +153,7 @@
     }
     const auto verdict = parts.suspects.verdict(request.fingerprint, now());
     if (verdict == Verdict::Quarantined) {
-        refuse(flow, {StatusUnprocessable, "quarantined", "this request has crashed targets before; it isn't run again", CallerOutcome::NotRun, {}});
+        refuse(flow, {HttpStatus::Unprocessable, "quarantined", "this request has crashed targets before; it isn't run again", CallerOutcome::NotRun, {}});
         return;
     }
     flow->expiry = parts.loop.after(request.budget, [this, flow] { onExpired(flow); });
@@ -183,7 +179,7 @@
     waiting.deadline = flow->deadline;
     const auto answer = queue.offer(waiting, now());
     if (answer.isRefused()) {
-        const int status = answer.refusal == AdmissionRefusal::QueueFull ? StatusTooMany : StatusUnavailable;
+        const int status = answer.refusal == AdmissionRefusal::QueueFull ? HttpStatus::TooManyRequests : HttpStatus::Unavailable;
         const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
         refuse(flow, {status, toString(answer.refusal), answer.reason, outcome, answer.retryAfter});
         return;
@@ -211,7 +207,7 @@
         if (found != flows.end()) {
             const auto flow = found->second;
             const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
-            refuse(flow, {StatusUnavailable, "too-late", "it could no longer be answered in time", outcome, RetryLater});
+            refuse(flow, {HttpStatus::Unavailable, "too-late", "it could no longer be answered in time", outcome, RetryLater});
         }
     }
     std::vector<FlowPtr> again;
@@ -273,7 +269,7 @@
     if (choice.refusal == RoutingRefusal::TooLate || choice.refusal == RoutingRefusal::AllExcluded) {
         log(*flow, "refused", "reason=\"" + choice.reason + "\"");
         const auto outcome = flow->mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun;
-        refuse(flow, {StatusUnavailable, toString(choice.refusal), "no target can answer in time", outcome, choice.expected});
+        refuse(flow, {HttpStatus::Unavailable, toString(choice.refusal), "no target can answer in time", outcome, choice.expected});
         return true;
     }
     return false;
@@ -415,7 +411,7 @@
     if (flow->held.size() > settings.heldAnswer) {
         flow->stream->reset();
         dropAttempt(flow, AttemptResult::Cancelled);
-        refuse(flow, {StatusBadGateway, "answer-too-large", "the target's answer is larger than an entry holds", CallerOutcome::Unknown, {}});
+        refuse(flow, {HttpStatus::BadGateway, "answer-too-large", "the target's answer is larger than an entry holds", CallerOutcome::Unknown, {}});
     }
 }
 
@@ -492,7 +488,7 @@
         flow->events.beginAttempt();
         const bool isQuarantined = parts.suspects.verdict(flow->request.fingerprint, now()) == Verdict::Quarantined;
         if (isQuarantined) {
-            refuse(flow, {StatusUnprocessable, "quarantined", "this request has crashed targets; it isn't run again", CallerOutcome::Unknown, {}});
+            refuse(flow, {HttpStatus::Unprocessable, "quarantined", "this request has crashed targets; it isn't run again", CallerOutcome::Unknown, {}});
         } else if (!tryNow(flow)) {
             wait(flow);
         }
@@ -500,7 +496,7 @@
     }
     const bool isNotRun = decision.action == RetryAction::SayNotRun && !flow->mayHaveRun;
     const auto retryAfter = Duration::micros(flow->last.retry_after_us());
-    const int status = isNotRun ? StatusUnavailable : end.code == "timeout" ? StatusTimeout : StatusBadGateway;
+    const int status = isNotRun ? HttpStatus::Unavailable : end.code == "timeout" ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway;
     refuse(flow,
            {status, end.code, flow->endSeen ? flow->last.detail() : decision.reason, isNotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown, retryAfter});
 }
@@ -584,9 +580,9 @@
 {
     dropAttempt(flow, AttemptResult::Failed);
     if (flow->mayHaveRun) {
-        refuse(flow, {StatusTimeout, "timeout", "the time budget ran out", CallerOutcome::Unknown, {}});
+        refuse(flow, {HttpStatus::GatewayTimeout, "timeout", "the time budget ran out", CallerOutcome::Unknown, {}});
     } else {
-        refuse(flow, {StatusUnavailable, "too-late", "the time budget ran out before it ran", CallerOutcome::NotRun, RetryLater});
+        refuse(flow, {HttpStatus::Unavailable, "too-late", "the time budget ran out before it ran", CallerOutcome::NotRun, RetryLater});
     }
 }
 
@@ -632,7 +628,7 @@
     defaults.versionOf = d->hooks.versionOf;
     auto read = readCallerRequest(exchange->request(), id, d->declarations, defaults);
     if (d->leaving) {
-        read = Problem {StatusUnavailable, "leaving", "this entry is stopping; ask another", CallerOutcome::NotRun, RetryLater};
+        read = Problem {HttpStatus::Unavailable, "leaving", "this entry is stopping; ask another", CallerOutcome::NotRun, RetryLater};
     }
     if (const auto *problem = std::get_if<Problem>(&read)) {
         LOG(INFO) << "caller: refused request=" << id << " code=" << problem->code << " peer=" << exchange->request().peer;
--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -4,6 +4,8 @@
 //   Server       accepts, and looks for slow and idle callers
 #include "gateway/callerserver.h"
 
+#include "net/httpstatus.h"
+
 #include <algorithm>
 #include <glog/logging.h>
 #include <unordered_set>
@@ -15,10 +17,6 @@
 namespace
 {
 
-constexpr int StatusBadRequest = 400;
-constexpr int StatusTimeout = 408;
-constexpr int StatusTooLarge = 413;
-constexpr int StatusHeadTooLarge = 431;
 constexpr std::size_t ReadAheadBytes = 65536; ///< of a request that comes before the answer to the last one
 constexpr auto SweepPeriod = Duration::millis(250); ///< between looks for slow and idle callers
 constexpr auto LingerTime = Duration::seconds(1); ///< for a caller to read its last answer before the connection is closed
@@ -164,11 +162,11 @@
         const auto used = m_reader.feed(m_unread);
         m_unread.erase(0, used);
         if (m_bodyTooLarge) {
-            refuse(StatusTooLarge);
+            refuse(HttpStatus::ContentTooLarge);
         } else if (m_reader.fault() == HttpFault::TooLarge) {
-            refuse(StatusHeadTooLarge);
+            refuse(HttpStatus::HeadTooLarge);
         } else if (m_reader.fault() == HttpFault::Malformed) {
-            refuse(StatusBadRequest);
+            refuse(HttpStatus::BadRequest);
         } else if (m_reader.isComplete()) {
             dispatch();
         }
@@ -282,7 +280,7 @@
             close();
         }
     } else if (m_reader.hasHead() ? quiet > limits.headTimeout : now - m_begunAt > limits.headTimeout) {
-        refuse(StatusTimeout);
+        refuse(HttpStatus::RequestTimeout);
     }
 }
 
--- /dev/null
+++ b/src/gateway/forwardedanswer.cpp
@@ -0,0 +1,287 @@
+// What comes back from a target: a whole answer, a stream, a refusal, or a break; and whether the request goes on elsewhere.
+#include "gateway/forwardedrequest.h"
+
+#include "net/httpstatus.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+auto ForwardedRequest::onHead(const HttpHead &head) -> AnswerVerdict
+{
+    const auto answer = m_owner.parts.protocol.readAnswer(head);
+    if (!answer.attempt.isEmpty() && answer.attempt != m_traits.attempt) {
+        m_owner.parts.log.line("answer", "stray").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("found", answer.attempt.text());
+        return AnswerVerdict::Skip;
+    }
+    const bool isTrusted = HttpStatus::isSuccess(head.status) ? answer.isSigned && !answer.isEncoded && !answer.attempt.isEmpty() : true;
+    if (!isTrusted) {
+        m_owner.parts.log.line("answer", "untrusted").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", head.status);
+        return AnswerVerdict::Refuse;
+    }
+    m_hasHead = true;
+    m_head = head;
+    m_answer = answer;
+    if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream) {
+        beginPassing();
+    }
+    return AnswerVerdict::Take;
+}
+
+/// The status and headers go to the client with the first bytes: a stream that breaks before any can still be sent elsewhere.
+auto ForwardedRequest::beginPassing() -> void
+{
+    m_passing = true;
+    if (m_route.isResumable && !m_events) {
+        m_events.emplace([this](std::string_view raw) { passOn(raw); });
+    }
+}
+
+auto ForwardedRequest::onBody(std::string_view bytes) -> void
+{
+    const auto self = shared_from_this();
+    if (m_finished) {
+        return;
+    }
+    m_owner.parts.dispatcher.firstToken(m_send, now());
+    noteProgress();
+    if (!m_passing) {
+        m_held.append(bytes);
+        const bool isTooLong = m_held.size() > m_owner.options.heldAnswer;
+        if (isTooLong && !m_exchange->hasBegun()) {
+            m_passing = true;
+            const auto held = std::move(m_held);
+            m_held.clear();
+            passOn(held);
+        }
+        return;
+    }
+    if (m_events) {
+        m_events->feed(bytes);
+    } else {
+        passOn(bytes);
+    }
+}
+
+auto ForwardedRequest::noteProgress() -> void
+{
+    if (!m_firstAfter) {
+        m_firstAfter = now() - m_exchange->startedAt();
+    } else {
+        m_longestPause = std::max(m_longestPause, now() - m_lastBytesAt);
+    }
+    m_lastBytesAt = now();
+}
+
+namespace
+{
+
+/// The target's headers, without those of its connection.
+auto answerHeaders(const HttpHead &head) -> HttpHeaders
+{
+    HttpHeaders headers;
+    const auto connection = findHeader(head.headers, "connection").value_or(std::string_view());
+    for (const auto &header : head.headers) {
+        if (!isSameHeaderName(header.name, "content-length") && !isHopByHop(header.name, connection)) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+} // namespace
+
+auto ForwardedRequest::passOn(std::string_view bytes) -> void
+{
+    if (m_finished || bytes.empty()) {
+        return;
+    }
+    if (!m_exchange->hasBegun()) {
+        m_exchange->begin(m_head.status, answerHeaders(m_head), m_events ? std::nullopt : m_head.length);
+        m_exchange->onDrained = [this] {
+            if (m_call) {
+                m_call->resume();
+            }
+        };
+    }
+    m_passedBytes += bytes.size();
+    m_exchange->write(bytes);
+    if (m_exchange->pendingBytes() > m_owner.options.streamBuffer && m_call) {
+        m_call->pause();
+    }
+}
+
+auto ForwardedRequest::onEnd(const PooledEnd &end) -> void
+{
+    const auto self = shared_from_this();
+    m_call = nullptr;
+    if (m_finished) {
+        return;
+    }
+    if (end.end == CallEnd::Complete) {
+        onAnswer();
+    } else {
+        onFailure(end);
+    }
+}
+
+/// A whole answer has come.
+auto ForwardedRequest::onAnswer() -> void
+{
+    if (m_answer.isNotRun) {
+        onNotRun();
+        return;
+    }
+    ++m_mayHaveRun;
+    const bool isFailure = m_head.status >= HttpStatus::ServerError || promisesNotRun(m_head.status);
+    closeSend(isFailure ? SendResult::Failed : SendResult::Delivered);
+    if (isFailure && !m_passing && mayRunAgain() && maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    if (!m_passing && m_exchange->hasBegun()) {
+        // The stream had begun at another target, and this one doesn't go on with it: its answer must not look like the stream's end.
+        giveUp(HttpStatus::BadGateway, "not-resumed");
+        return;
+    }
+    if (m_passing) {
+        if (m_events && m_events->hasPartial()) {
+            m_events->dropPartial();
+            finish(m_head.status, "cut");
+            m_exchange->abort();
+            return;
+        }
+        if (!m_exchange->hasBegun()) {
+            m_exchange->begin(m_head.status, answerHeaders(m_head), std::nullopt);
+        }
+        noteSuccess();
+        finish(m_head.status, "delivered");
+        m_exchange->finish();
+        return;
+    }
+    passWholeAnswer();
+}
+
+auto ForwardedRequest::passWholeAnswer() -> void
+{
+    // Of what may have run nobody must say that it didn't.
+    if (promisesNotRun(m_head.status)) {
+        giveUp(HttpStatus::BadGateway, "target-failed");
+        return;
+    }
+    const bool isDelivered = HttpStatus::isSuccess(m_head.status);
+    if (isDelivered) {
+        noteSuccess();
+    }
+    finish(m_head.status, isDelivered ? "delivered" : "target-failed");
+    m_exchange->respond(m_head.status, answerHeaders(m_head), m_held);
+}
+
+/// The target says that it did not run the request: it may go elsewhere, whatever its kind.
+auto ForwardedRequest::onNotRun() -> void
+{
+    closeSend(SendResult::Rejected);
+    m_owner.parts.log.line("attempt", "not-run").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", m_head.status);
+    if (m_answer.isMisdirected) {
+        m_owner.hooks.onMisdirected(m_target, m_answer.target, m_request.model, m_request.adapter);
+    }
+    m_request.excluded.push_back(m_target);
+    if (maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "not-run");
+}
+
+auto ForwardedRequest::onFailure(const PooledEnd &end) -> void
+{
+    const bool neverSent = end.end == CallEnd::NotSent;
+    const bool hadNoEntry = !m_hasHead && !end.wasReused;
+    closeSend(neverSent ? SendResult::Rejected : hadNoEntry ? SendResult::NoEntry : SendResult::Failed);
+    m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("after", now() - m_sentAt)
+        .add("reused", end.wasReused)
+        .add("connection", toString(end.connection))
+        .add("head", m_hasHead)
+        .add("passed", static_cast<std::uint64_t>(m_passedBytes));
+    if (neverSent) {
+        m_connectFailedAt = now();
+        m_owner.noteUnreachable(m_target);
+        attempt();
+        return;
+    }
+    if (end.wasReused && !m_hasHead && m_owner.parts.reuse.brokeOff(end.idleBefore, now() - m_sentAt, now())) {
+        m_owner.parts.log.line("connections", "dropped-while-idle").add("target", m_target.text()).add("idle", end.idleBefore);
+    }
+    m_request.excluded.push_back(m_target);
+    ++m_mayHaveRun;
+    noteBreak();
+    if (m_events) {
+        m_events->dropPartial();
+    }
+    const bool canGoOn = !m_exchange->hasBegun() || m_events;
+    if (canGoOn && mayRunAgain() && maySendAgain()) {
+        sendAgain();
+        return;
+    }
+    giveUp(HttpStatus::BadGateway, "target-broke-off");
+}
+
+/// Made once, and only if it is asked for: it goes over the whole body, and waiting requests are looked at several times a second.
+auto ForwardedRequest::fingerprint() -> std::uint64_t
+{
+    if (!m_fingerprint) {
+        const auto &head = m_exchange->head();
+        m_fingerprint = requestFingerprint(findHeader(head.headers, "host").value_or(std::string_view()), head.target, m_exchange->body());
+    }
+    return *m_fingerprint;
+}
+
+auto ForwardedRequest::isBarred() -> bool
+{
+    return !m_owner.crashes.isEmpty() && m_owner.crashes.isBarred(fingerprint(), now());
+}
+
+auto ForwardedRequest::noteBreak() -> void
+{
+    const auto request = fingerprint();
+    if (m_owner.crashes.brokeOff(request, m_sentAt, now())) {
+        m_owner.hooks.onCrashRepeat(request, m_owner.crashes.breaks(request));
+    }
+}
+
+auto ForwardedRequest::noteSuccess() -> void
+{
+    if (!m_owner.crashes.isEmpty()) {
+        m_owner.crashes.succeeded(fingerprint());
+    }
+}
+
+auto ForwardedRequest::mayRunAgain() -> bool
+{
+    return m_route.mayRepeat() && m_mayHaveRun < m_route.attempts && !isBarred();
+}
+
+auto ForwardedRequest::maySendAgain() const -> bool
+{
+    return m_sends < m_owner.options.mostSends && m_owner.budget(m_request.service).left(now()) >= 1;
+}
+
+auto ForwardedRequest::sendAgain() -> void
+{
+    m_owner.budget(m_request.service).sentAgain(now());
+    attempt();
+}
+
+auto ForwardedRequest::closeSend(SendResult result) -> void
+{
+    if (m_hasSend) {
+        m_hasSend = false;
+        m_owner.parts.dispatcher.ended(m_send, result, now());
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/forwardedrequest.cpp
@@ -0,0 +1,330 @@
+// Index of sections (search for [SECTION]):
+//   Sending    choosing a target and starting the call
+//   Ending     final answers
+#include "gateway/forwardedrequest.h"
+
+#include "net/httpstatus.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
+constexpr double WaitShare = 0.6;
+/// Between two words of one request to the gateway that gives orders: the first may have been lost, or there was none yet.
+constexpr auto TellMissingPeriod = Duration::millis(300);
+/// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
+constexpr auto FirstSilenceCheck = Duration::millis(100);
+/// Longer than the system takes to send a lost packet once more (200 ms at least).
+constexpr auto SecondSilenceCheck = Duration::millis(230);
+/// Between tries to connect where nobody else can take a request.
+constexpr auto ConnectPause = Duration::millis(150);
+/// Engines know ten degrees of urgency; the bands lie apart so that those that are late anyway fit behind each.
+constexpr int UrgencyStep = 3;
+constexpr int DemotedStep = 2;
+/// Of a route's goal: where a request would wait for longer at the only target with its adapter, the adapter is asked for on another one.
+constexpr double BusyShare = 0.25;
+/// What a stream of some hundred tokens takes after its first: less than that left, and it would be cut off.
+constexpr auto StreamTime = Duration::millis(600);
+/// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
+constexpr auto LongestRetryAfter = Duration::millis(1500);
+/// Likewise for a request that takes targets down: it is forgotten then.
+constexpr auto BarredRetryAfter = CrashRepeatOptions().lifetime;
+/// The time left that is worth a send: about the quickest answer.
+constexpr auto LeastTime = Duration::millis(10);
+
+} // namespace
+
+auto promisesNotRun(int status) -> bool
+{
+    return status == HttpStatus::Unavailable || status == HttpStatus::TooManyRequests || status == HttpStatus::RequestTimeout
+        || status == HttpStatus::Misdirected;
+}
+
+ForwardedRequest::ForwardedRequest(Forwarder::Private &owner, CallerExchangePtr exchange, RequestTraits traits, Route route, ServiceName service)
+    : m_owner(owner)
+    , m_exchange(std::move(exchange))
+    , m_traits(std::move(traits))
+    , m_route(std::move(route))
+{
+    m_request.service = std::move(service);
+    m_request.model = m_traits.model;
+    m_request.adapter = m_traits.adapter;
+    m_request.prompt = promptChains(m_traits.model + "/" + m_traits.adapter, m_traits.promptParts);
+    m_request.promptTokens = m_traits.promptTokens;
+    m_request.outputTokens = m_traits.mostOutputTokens;
+    m_request.band = m_route.band;
+}
+
+auto ForwardedRequest::start() -> void
+{
+    const auto budget = m_traits.patience ? std::min(*m_traits.patience, m_route.timeout) : m_route.timeout;
+    m_deadline = m_exchange->startedAt() + budget;
+    m_exchange->onGone = [this] {
+        onGone();
+    };
+    m_deadlineTimer = m_owner.parts.loop.after(m_deadline - now(), [this] { onTimeout(); });
+    m_owner.budget(m_request.service).requested(now());
+    m_owner.hooks.onRequest(m_request);
+    attempt();
+}
+
+// [SECTION] Sending
+
+auto ForwardedRequest::attempt() -> void
+{
+    const auto self = shared_from_this();
+    m_isWaiting = false;
+    m_waitTimer.cancel();
+    if (isBarred()) {
+        m_retryAfter = BarredRetryAfter;
+        giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
+        return;
+    }
+    if (m_deadline - now() < LeastTime) {
+        giveUp(m_mayHaveRun > 0 ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "no-time-left");
+        return;
+    }
+    const auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    if (choice.target.isEmpty()) {
+        waitOrRefuse(choice.refusal);
+        return;
+    }
+    if (choice.isLastResort && now() - m_connectFailedAt < ConnectPause) {
+        m_isWaiting = true;
+        m_waitTimer = m_owner.parts.loop.after(ConnectPause, [this] { attempt(); });
+        return;
+    }
+    if (!m_request.model.empty() && !admit(choice)) {
+        return;
+    }
+    send(choice);
+}
+
+/// On time if it can be; else after everything that still can, as long as it is answered at all. With all of them in one queue, a
+/// runner that is asked for half more than it can do would soon answer every request late, and its streams would stall behind the reading.
+auto ForwardedRequest::admit(const DispatchChoice &choice) -> bool
+{
+    const auto elapsed = now() - m_exchange->startedAt();
+    if (!m_request.adapter.empty() && choice.candidates == 1 && choice.backlog > m_route.goal * BusyShare) {
+        m_owner.hooks.onOverloaded(m_request.service, m_request.model, m_request.adapter);
+    }
+    if (elapsed + choice.expectedFirst <= m_route.goal) {
+        return true;
+    }
+    if (choice.expectedIfPatient + StreamTime < m_deadline - now()) {
+        m_isDemoted = true;
+        m_request.band = UrgencyBand::Patient;
+        return true;
+    }
+    m_owner.parts.log.line("routing", "too-late")
+        .add("id", m_traits.attempt.text())
+        .add("target", choice.target.text())
+        .add("expected", choice.expectedFirst)
+        .add("if-patient", choice.expectedIfPatient)
+        .add("left", m_deadline - now());
+    m_retryAfter = std::clamp(choice.backlog - m_route.goal * WaitShare, DefaultRetryAfter, LongestRetryAfter);
+    giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "too-late");
+    return false;
+}
+
+auto ForwardedRequest::waitOrRefuse(DispatchRefusal refusal) -> void
+{
+    const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
+    if (isMissing && now() - m_missingToldAt >= TellMissingPeriod) {
+        m_missingToldAt = now();
+        m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
+    }
+    const auto waitUntil = m_exchange->startedAt() + m_route.goal * WaitShare;
+    if (refusal == DispatchRefusal::AllExcluded || now() >= waitUntil) {
+        giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
+        return;
+    }
+    m_isWaiting = true;
+    m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), TellMissingPeriod), [this] { attempt(); });
+}
+
+auto ForwardedRequest::tryAgain() -> void
+{
+    if (m_isWaiting) {
+        attempt();
+    }
+}
+
+auto ForwardedRequest::requestHeaders(const DispatchChoice &choice) const -> HttpHeaders
+{
+    HttpHeaders headers;
+    const auto &head = m_exchange->head();
+    const auto connection = findHeader(head.headers, "connection").value_or(std::string_view());
+    for (const auto &header : head.headers) {
+        const bool isFraming = isSameHeaderName(header.name, "content-length") || isSameHeaderName(header.name, "expect");
+        if (!isFraming && !isHopByHop(header.name, connection)) {
+            headers.push_back(header);
+        }
+    }
+    ForwardTraits traits;
+    traits.patience = m_deadline - now();
+    traits.target = choice.target;
+    traits.urgency = static_cast<int>(m_request.band) * UrgencyStep + (m_isDemoted ? DemotedStep : 0);
+    traits.lastEventId = m_events ? m_events->lastId() : std::string();
+    m_owner.parts.protocol.rewriteRequest(headers, traits);
+    return headers;
+}
+
+auto ForwardedRequest::send(const DispatchChoice &choice) -> void
+{
+    ++m_sends;
+    m_target = choice.target;
+    m_hasHead = false;
+    m_passing = false;
+    m_held.clear();
+    m_sentAt = now();
+    m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
+    m_hasSend = true;
+    m_owner.hooks.onSent(choice.target, m_request, m_send);
+    m_owner.parts.log.line("routing", "chosen")
+        .add("id", m_traits.attempt.text())
+        .add("route", m_route.name)
+        .add("target", choice.target.text())
+        .add("model", m_request.model)
+        .add("adapter", m_request.adapter)
+        .add("send", m_sends)
+        .add("expected", choice.expectedFirst)
+        .add("backlog", choice.backlog)
+        .add("demoted", m_isDemoted)
+        .add("unread", choice.unreadTokens)
+        .add("prompt", m_request.promptTokens)
+        .add("candidates", choice.candidates)
+        .add("last-resort", choice.isLastResort)
+        .add("left", m_deadline - now());
+    PooledCall call;
+    call.server = choice.address;
+    call.method = m_exchange->head().method;
+    call.target = m_exchange->head().target;
+    call.headers = requestHeaders(choice);
+    call.body = m_exchange->body();
+    call.reuseWithin = m_route.mayRepeat() ? Duration::seconds(60) : m_owner.parts.reuse.limit(now());
+    if (choice.isLastResort) {
+        call.reuseWithin = Duration(); // whether a new connection is accepted shows without a risk
+    }
+    call.onHead = [this](const HttpHead &head) {
+        return onHead(head);
+    };
+    call.onBody = [this](std::string_view bytes) {
+        onBody(bytes);
+    };
+    call.onEnd = [this](const PooledEnd &end) {
+        onEnd(end);
+    };
+    m_call = m_owner.parts.pool.start(std::move(call));
+    m_silenceTimer = m_owner.parts.loop.after(FirstSilenceCheck, [this] { checkSilence(0); });
+}
+
+/// A target that has lost its power or its path answers nothing, and the connection shows it only after seconds. But its system would have
+/// acknowledged what was sent within a round trip: if it doesn't, nobody sends it more, and what may run twice goes elsewhere.
+auto ForwardedRequest::checkSilence(std::size_t unackedBefore) -> void
+{
+    const auto self = shared_from_this();
+    if (!m_call || m_hasHead || !m_call->wasSent()) {
+        return;
+    }
+    const auto unacked = m_call->unackedBytes();
+    if (unacked == 0) {
+        return;
+    }
+    if (unackedBefore == 0 || unacked < unackedBefore) {
+        m_silenceTimer = m_owner.parts.loop.after(SecondSilenceCheck, [this, unacked] { checkSilence(unacked); });
+        return;
+    }
+    m_owner.parts.log.line("attempt", "silent")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("unacked", static_cast<std::uint64_t>(unacked));
+    m_owner.noteUnreachable(m_target);
+    if (m_exchange->hasBegun() || m_mayHaveRun + 1 >= m_route.attempts || !m_route.mayRepeat() || !maySendAgain()) {
+        return;
+    }
+    std::exchange(m_call, nullptr)->cancel();
+    ++m_mayHaveRun;
+    closeSend(SendResult::NoEntry);
+    m_request.excluded.push_back(m_target);
+    sendAgain();
+}
+
+// [SECTION] Ending
+
+auto ForwardedRequest::giveUp(int status, const char *why) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    const auto exchange = m_exchange;
+    const bool hasBegun = exchange->hasBegun();
+    finish(hasBegun ? m_head.status : status, why);
+    if (hasBegun) {
+        exchange->abort();
+        return;
+    }
+    const auto retryAfter = promisesNotRun(status) ? std::optional(m_retryAfter) : std::nullopt;
+    exchange->respond(status, m_owner.parts.protocol.ownAnswerHeaders(m_traits.attempt, retryAfter), "");
+}
+
+auto ForwardedRequest::onTimeout() -> void
+{
+    const auto self = shared_from_this();
+    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
+    giveUp(wasSent ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "timeout");
+}
+
+auto ForwardedRequest::onGone() -> void
+{
+    const auto self = shared_from_this();
+    finish(0, "caller-left");
+}
+
+auto ForwardedRequest::abandon() -> void
+{
+    const auto self = shared_from_this();
+    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
+    giveUp(wasSent ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stopped");
+}
+
+/// Nothing of the request is left here after this; its answer is the caller's of this function to write.
+auto ForwardedRequest::finish(int status, const char *outcome) -> void
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_isWaiting = false;
+    m_deadlineTimer.cancel();
+    m_waitTimer.cancel();
+    m_silenceTimer.cancel();
+    m_exchange->onGone = nullptr;
+    m_exchange->onDrained = nullptr;
+    if (m_call) {
+        const auto call = std::exchange(m_call, nullptr);
+        call->cancel();
+    }
+    closeSend(SendResult::Cancelled);
+    const auto took = now() - m_exchange->startedAt();
+    m_owner.parts.log.line("request", "answered")
+        .add("id", m_traits.attempt.text())
+        .add("status", status)
+        .add("outcome", outcome)
+        .add("target", m_target.text())
+        .add("sends", m_sends)
+        .add("demoted", m_isDemoted)
+        .add("first", m_firstAfter.value_or(Duration()))
+        .add("longest-pause", m_longestPause)
+        .add("took", took);
+    m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
+    m_owner.parts.metrics.observe("request_seconds", took.inSeconds());
+    m_owner.flows.erase(shared_from_this());
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/forwardedrequest.h
@@ -0,0 +1,150 @@
+// One request on its way through a gateway: from the choice of a target to the last byte of its answer, over as many sends as its kind and the
+// retry budget allow. Inner part of the forwarder.
+//
+// Index of sections (search for [SECTION]):
+//   State             the forwarder's own, shared by its requests
+//   ForwardedRequest  the state of one
+#pragma once
+
+#include "core/crashrepeats.h"
+#include "core/eventcursor.h"
+#include "gateway/forwarder.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_set>
+
+namespace KingCup
+{
+
+/// What a client is told to wait where nothing better is known: long enough for a change of membership to arrive.
+constexpr auto DefaultRetryAfter = Duration::millis(300);
+
+/// Statuses that promise that the request did not run.
+auto promisesNotRun(int status) -> bool;
+
+// [SECTION] State
+
+class ForwardedRequest;
+
+struct Forwarder::Private {
+    ForwarderParts parts;
+    ForwarderOptions options;
+    ForwarderHooks hooks;
+    std::shared_ptr<const Traffic> traffic;
+    RouteTable routes;
+    std::map<ServiceName, SharedRetryBudget> budgets;
+    SharedRetryBudgetOptions budgetOptions;
+    CrashRepeats crashes;
+    int entries = 1;
+    std::mt19937_64 random;
+    std::unordered_set<std::shared_ptr<ForwardedRequest>> flows;
+
+    Private(ForwarderParts forwarderParts, ForwarderOptions forwarderOptions, ForwarderHooks forwarderHooks)
+        : parts(forwarderParts)
+        , options(forwarderOptions)
+        , hooks(std::move(forwarderHooks))
+        , random(forwarderOptions.seed)
+    {
+    }
+    auto budget(const ServiceName &service) -> SharedRetryBudget &
+    {
+        auto [found, isNew] = budgets.try_emplace(service, budgetOptions);
+        if (isNew) {
+            found->second.setEntries(entries);
+        }
+        return found->second;
+    }
+    /// Requests don't get through to the target: kept connections to it are as dead.
+    auto noteUnreachable(const TargetId &target) -> void;
+    auto answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why) -> void;
+};
+
+// [SECTION] ForwardedRequest
+
+/// One request.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    ForwardedRequest(Forwarder::Private &owner, CallerExchangePtr exchange, RequestTraits traits, Route route, ServiceName service);
+
+    auto start() -> void;
+    auto isWaiting() const -> bool
+    {
+        return m_isWaiting;
+    }
+    auto tryAgain() -> void;
+    auto abandon() -> void;
+
+private:
+    auto attempt() -> void;
+    auto admit(const DispatchChoice &choice) -> bool;
+    auto waitOrRefuse(DispatchRefusal refusal) -> void;
+    auto send(const DispatchChoice &choice) -> void;
+    auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
+    auto checkSilence(std::size_t unackedBefore) -> void;
+    auto onHead(const HttpHead &head) -> AnswerVerdict;
+    auto onBody(std::string_view bytes) -> void;
+    auto noteProgress() -> void;
+    auto fingerprint() -> std::uint64_t;
+    auto isBarred() -> bool;
+    auto noteBreak() -> void;
+    auto noteSuccess() -> void;
+    auto onEnd(const PooledEnd &end) -> void;
+    auto onAnswer() -> void;
+    auto onFailure(const PooledEnd &end) -> void;
+    auto onNotRun() -> void;
+    auto beginPassing() -> void;
+    auto passOn(std::string_view bytes) -> void;
+    auto mayRunAgain() -> bool;
+    auto maySendAgain() const -> bool;
+    auto sendAgain() -> void;
+    auto closeSend(SendResult result) -> void;
+    auto passWholeAnswer() -> void;
+    auto giveUp(int status, const char *why) -> void;
+    auto onTimeout() -> void;
+    auto onGone() -> void;
+    auto finish(int status, const char *outcome) -> void;
+    auto now() const -> TimePoint
+    {
+        return m_owner.parts.loop.now();
+    }
+
+    Forwarder::Private &m_owner;
+    CallerExchangePtr m_exchange;
+    RequestTraits m_traits;
+    Route m_route;
+    DispatchRequest m_request;
+    TimePoint m_deadline; ///< the final answer is due
+    Timer m_deadlineTimer;
+    Timer m_waitTimer;
+    Timer m_silenceTimer;
+    std::shared_ptr<PooledHandle> m_call;
+    SendId m_send;
+    bool m_hasSend = false;
+    TimePoint m_sentAt;
+    TargetId m_target; ///< of the send in flight
+    int m_sends = 0;
+    int m_mayHaveRun = 0; ///< sends that weren't truthfully turned away
+    HttpHead m_head; ///< of the answer in flight
+    AnswerTraits m_answer;
+    std::string m_held; ///< its body, as far as it is kept until it is whole
+    bool m_hasHead = false;
+    bool m_passing = false; ///< the body goes to the client as it comes
+    std::optional<EventCursor> m_events; ///< of a stream that may go on elsewhere
+    std::size_t m_passedBytes = 0;
+    std::optional<Duration> m_firstAfter; ///< from the request's first byte to the answer's
+    Duration m_longestPause; ///< between pieces of the answer
+    TimePoint m_lastBytesAt;
+    bool m_isWaiting = false;
+    TimePoint m_missingToldAt;
+    TimePoint m_connectFailedAt;
+    bool m_isDemoted = false; ///< too late to be on time: after all that still can be
+    Duration m_retryAfter = DefaultRetryAfter;
+    std::optional<std::uint64_t> m_fingerprint;
+    bool m_finished = false;
+};
+
+} // namespace KingCup
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 #include "gateway/storefollower.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
+#include "net/httpstatus.h"
 #include "net/metrics.h"
 #include "net/wallclock.h"
 
@@ -31,9 +32,6 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusNotFound = 404;
 constexpr int ExitCutOff = 1;
 /// Whoever sends us new connections looks once a second and believes the second miss.
 constexpr auto NoticeTime = Duration::millis(2500);
@@ -648,13 +646,14 @@
 {
     callers = std::make_unique<CallerServer>(loop, settings.listen.callers, [this](const CallerExchangePtr &exchange) { forwarder->handle(exchange); });
     if (settings.listen.ready) {
-        readyPage = std::make_unique<CallerServer>(
-            loop, *settings.listen.ready, [this](const CallerExchangePtr &exchange) { exchange->respond(isReady() ? StatusOk : StatusUnavailable, {}, ""); });
+        readyPage = std::make_unique<CallerServer>(loop, *settings.listen.ready, [this](const CallerExchangePtr &exchange) {
+            exchange->respond(isReady() ? HttpStatus::Ok : HttpStatus::Unavailable, {}, "");
+        });
     }
     if (settings.listen.metrics) {
         metricsPage = std::make_unique<CallerServer>(loop, *settings.listen.metrics, [this](const CallerExchangePtr &exchange) {
             const bool isKnown = exchange->head().target == "/metrics";
-            exchange->respond(isKnown ? StatusOk : StatusNotFound, {{"Content-Type", "text/plain; version=0.0.4"}}, isKnown ? metrics.text() : "");
+            exchange->respond(isKnown ? HttpStatus::Ok : HttpStatus::NotFound, {{"Content-Type", "text/plain; version=0.0.4"}}, isKnown ? metrics.text() : "");
         });
     }
 }
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -7,6 +7,7 @@
 #include "gateway/ordertask.h"
 
 #include "gateway/pooledcall.h"
+#include "net/httpstatus.h"
 
 #include <algorithm>
 #include <array>
@@ -281,12 +282,11 @@
     book.reportAsked(now());
     const auto incarnation = book.description().incarnation;
     call(book.description().address, parts.protocol.reportCall, [this, incarnation](int status, const std::string &body) {
-        constexpr int StatusOk = 200;
         auto *asked = find(incarnation);
         if (asked == nullptr) {
             return;
         }
-        const auto report = status == StatusOk ? parts.protocol.decodeReport(body) : std::nullopt;
+        const auto report = status == HttpStatus::Ok ? parts.protocol.decodeReport(body) : std::nullopt;
         if (!report) {
             parts.log.line("orders", "no-report").add("target", incarnation.id.text()).add("status", status);
             asked->reportFailed(now());
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -1,6 +1,7 @@
 #include "gateway/storeclient.h"
 
 #include "gateway/pooledcall.h"
+#include "net/httpstatus.h"
 
 #include <random>
 #include <unordered_set>
@@ -12,11 +13,7 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusGone = 410;
-constexpr int StatusPreconditionFailed = 412;
 constexpr int FirstClientError = 400;
-constexpr int StatusUnavailable = 503;
 /// A watch that is answered no sooner than its wait, and this much later.
 constexpr auto WatchMargin = Duration::seconds(1);
 
@@ -86,16 +83,16 @@
 
 auto endOfStatus(int status) -> StoreEnd
 {
-    if (status == StatusOk) {
+    if (status == HttpStatus::Ok) {
         return StoreEnd::Done;
     }
-    if (status == StatusPreconditionFailed) {
+    if (status == HttpStatus::PreconditionFailed) {
         return StoreEnd::Conflict;
     }
-    if (status == StatusGone) {
+    if (status == HttpStatus::Gone) {
         return StoreEnd::HistoryLost;
     }
-    return status == StatusUnavailable || (status >= FirstClientError && status < StatusUnavailable) ? StoreEnd::Refused : StoreEnd::Unclear;
+    return status == HttpStatus::Unavailable || (status >= FirstClientError && status < HttpStatus::Unavailable) ? StoreEnd::Refused : StoreEnd::Unclear;
 }
 
 } // namespace
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -4,6 +4,7 @@
 //   Exchange   the state of one answer, and how it is written
 //   Server     callbacks of libwebsockets, and the table of open exchanges
 #include "net/http.h"
+#include "net/httpstatus.h"
 #include "net/lwsheaders.h"
 #include "net/tls.h"
 #include "net/urlencoding.h"
@@ -31,9 +32,6 @@
 constexpr std::size_t MaxWriteBytes = 32768;
 constexpr int SlowCallerSeconds = 30; // a caller that takes nothing for so long is cut off
 constexpr auto HangUpCheckPeriod = Duration::millis(250);
-constexpr int StatusLengthRequired = 411;
-constexpr int StatusTooLarge = 413;
-constexpr int StatusBadRequest = 400;
 
 } // namespace
 
@@ -381,21 +379,21 @@
     if (knownHeader(wsi, WSI_TOKEN_HTTP).rfind("HTTP/1.", 0) != 0) {
         // libwebsockets ends the request line at an encoded line end. The call that is left is another than the caller meant;
         // one notices by the version, which has gone with the rest.
-        refuse(*exchange, StatusBadRequest, "bad-request-line");
+        refuse(*exchange, HttpStatus::BadRequest, "bad-request-line");
         return 0;
     }
     if (isChunked || (mayHaveBody && length.empty())) {
-        refuse(*exchange, StatusLengthRequired, "length-required");
+        refuse(*exchange, HttpStatus::LengthRequired, "length-required");
         return 0;
     }
     std::size_t expected = 0;
     const auto parsed = std::from_chars(length.data(), length.data() + length.size(), expected);
     if (!length.empty() && (parsed.ec != std::errc() || parsed.ptr != length.data() + length.size())) {
-        refuse(*exchange, StatusBadRequest, "bad-content-length");
+        refuse(*exchange, HttpStatus::BadRequest, "bad-content-length");
         return 0;
     }
     if (expected > options.maxBody) {
-        refuse(*exchange, StatusTooLarge, "body-too-large");
+        refuse(*exchange, HttpStatus::ContentTooLarge, "body-too-large");
         return 0;
     }
     exchange->d->expectedBody = expected;
--- a/src/platform/hostlistclient.cpp
+++ b/src/platform/hostlistclient.cpp
@@ -1,5 +1,6 @@
 #include "platform/hostlistclient.h"
 
+#include "net/httpstatus.h"
 #include "net/json.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-
 auto hostOf(const nlohmann::json &json) -> ListedHost
 {
     ListedHost host;
@@ -95,7 +94,7 @@
 auto HostListClient::Private::onAnswer(const PlatformAnswer &answer) -> void
 {
     schedule();
-    if (answer.end != PlatformEnd::Answered || answer.status != StatusOk) {
+    if (answer.end != PlatformEnd::Answered || answer.status != HttpStatus::Ok) {
         return;
     }
     auto list = hostsOf(answer.body);
--- a/src/platform/objectclient.cpp
+++ b/src/platform/objectclient.cpp
@@ -1,16 +1,13 @@
 #include "platform/objectclient.h"
 
+#include "net/httpstatus.h"
+
 namespace KingCup
 {
 
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusNoContent = 204;
-constexpr int StatusNotFound = 404;
-constexpr int StatusPreconditionFailed = 412;
-
 auto isStatus(const PlatformAnswer &answer, int status) -> bool
 {
     return answer.end == PlatformEnd::Answered && answer.status == status;
@@ -18,10 +15,10 @@
 
 auto objectError(const PlatformAnswer &answer) -> Error
 {
-    if (isStatus(answer, StatusPreconditionFailed)) {
+    if (isStatus(answer, HttpStatus::PreconditionFailed)) {
         return {ErrorCode::Conflict, "another object is there"};
     }
-    if (isStatus(answer, StatusNotFound)) {
+    if (isStatus(answer, HttpStatus::NotFound)) {
         return {ErrorCode::NotFound, "no such object"};
     }
     return errorOf(answer);
@@ -65,7 +62,7 @@
         call.headers.push_back({"if-match", condition.etag});
     }
     m_caller.call(std::move(call), [done = std::move(done)](const PlatformAnswer &answer) {
-        if (isStatus(answer, StatusOk)) {
+        if (isStatus(answer, HttpStatus::Ok)) {
             done(answer.etag);
         } else {
             done(objectError(answer));
@@ -76,7 +73,7 @@
 auto HttpObjectClient::get(const std::string &key, Duration deadline, GetDone done) -> void
 {
     m_caller.callRepeatedly(makeCall("GET", key), deadline, [done = std::move(done)](const PlatformAnswer &answer) {
-        if (isStatus(answer, StatusOk)) {
+        if (isStatus(answer, HttpStatus::Ok)) {
             done(StoredObject {answer.etag, answer.body});
         } else {
             done(objectError(answer));
@@ -87,7 +84,7 @@
 auto HttpObjectClient::remove(const std::string &key, Duration deadline, RemoveDone done) -> void
 {
     m_caller.callRepeatedly(makeCall("DELETE", key), deadline, [done = std::move(done)](const PlatformAnswer &answer) {
-        done(isStatus(answer, StatusNoContent) || isStatus(answer, StatusOk) || isStatus(answer, StatusNotFound));
+        done(isStatus(answer, HttpStatus::NoContent) || isStatus(answer, HttpStatus::Ok) || isStatus(answer, HttpStatus::NotFound));
     });
 }
 
--- a/src/platform/platformcaller.cpp
+++ b/src/platform/platformcaller.cpp
@@ -1,5 +1,7 @@
 #include "platform/platformcaller.h"
 
+#include "net/httpstatus.h"
+
 #include <algorithm>
 #include <glog/logging.h>
 #include <random>
@@ -10,8 +12,6 @@
 namespace
 {
 
-constexpr int StatusThrottled = 429;
-constexpr int StatusUnavailable = 503;
 constexpr auto ShortestTry = Duration::millis(1); // 0 would mean no limit
 
 auto answerOf(const HttpAnswer &got) -> PlatformAnswer
@@ -20,8 +20,8 @@
     answer.status = got.status;
     answer.body = got.body;
     answer.etag = headerValue(got.headers, "etag");
-    answer.throttled = got.status == StatusThrottled;
-    if (got.end == CallEnd::NotSent || got.status == StatusThrottled || got.status == StatusUnavailable) {
+    answer.throttled = got.status == HttpStatus::TooManyRequests;
+    if (got.end == CallEnd::NotSent || got.status == HttpStatus::TooManyRequests || got.status == HttpStatus::Unavailable) {
         answer.end = PlatformEnd::Refused;
     } else if (got.end == CallEnd::Complete) {
         answer.end = PlatformEnd::Answered;
--- a/src/platform/tableclient.cpp
+++ b/src/platform/tableclient.cpp
@@ -1,5 +1,6 @@
 #include "platform/tableclient.h"
 
+#include "net/httpstatus.h"
 #include "net/json.h"
 #include "net/urlencoding.h"
 
@@ -11,9 +12,6 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusConflict = 409;
-
 auto opName(TableOp::Kind kind) -> const char *
 {
     switch (kind) {
@@ -47,17 +45,17 @@
 
 auto isGood(const PlatformAnswer &answer) -> bool
 {
-    return answer.end == PlatformEnd::Answered && answer.status == StatusOk;
+    return answer.end == PlatformEnd::Answered && answer.status == HttpStatus::Ok;
 }
 
 /// An answer that can't be understood says nothing certain about the effect: it counts as lost.
 auto verdictOf(const PlatformAnswer &answer, TransactResult &result) -> void
 {
     const auto json = parseJson(answer.body);
-    if (answer.status == StatusOk && boolOf(member(json, "committed"))) {
+    if (answer.status == HttpStatus::Ok && boolOf(member(json, "committed"))) {
         result.end = TransactEnd::Committed;
         result.version = RowVersion(unsignedOf(member(json, "version")));
-    } else if (answer.status == StatusConflict) {
+    } else if (answer.status == HttpStatus::Conflict) {
         result.end = TransactEnd::Conflict;
         for (const auto &row : member(json, "conflicts")) {
             result.conflicts.emplace_back(textOf(member(row, "key")), RowVersion(unsignedOf(member(row, "version"))));
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -2,12 +2,16 @@
 
 #include "tests/textparts.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <fcntl.h>
 #include <iostream>
 #include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
 
 namespace KingCup
 {
@@ -56,6 +60,7 @@
     TemporaryFolder folder;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes;
     std::map<std::string, GatewayPorts> ports;
+    std::map<std::string, int> unread; ///< outputs that nobody reads, by gateway
     int adminPort = 0;
     std::uint64_t attempts = 0;
     int uncaughtBefore = std::uncaught_exceptions();
@@ -65,6 +70,15 @@
         , options(siteOptions)
     {
     }
+    ~Private()
+    {
+        for (const auto &[id, descriptor] : unread) {
+            ::close(descriptor);
+        }
+    }
+    Private(const Private &) = delete;
+    auto operator=(const Private &) -> Private & = delete;
+
     auto startFakes() -> void;
     auto writeSettings(const std::string &id) -> void;
     auto ask(int serverPort, const std::string &method, const std::string &target, const std::string &body) -> ReplyPtr;
@@ -175,6 +189,10 @@
     // Logs are written a few times a second: what led to the failure may not be in them yet.
     d->loop.runUntil([] { return false; }, Duration::millis(200));
     for (const auto &[id, process] : d->processes) {
+        if (d->unread.contains(id)) {
+            std::cerr << "---- " << id << "\n" << readLog(id) << "\n";
+            continue;
+        }
         std::cerr << "---- " << id << "\n" << process->logTail(TailLines) << "\n";
     }
 }
@@ -208,8 +226,14 @@
 
 auto Site::start(const std::string &id) -> void
 {
-    d->processes[id] = std::make_unique<ChildProcess>(std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)},
-                                                      d->options.muteLog ? "/dev/null" : d->folder.path() + "/" + id + ".log");
+    const auto log = d->folder.path() + "/" + id + ".log";
+    if (d->options.unreadLog) {
+        constexpr int OwnerOnly = 0600;
+        ::mkfifo(log.c_str(), OwnerOnly);
+        d->unread[id] = ::open(log.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC); // also a writer: opening it waits for nobody
+        REQUIRE(d->unread[id] >= 0);
+    }
+    d->processes[id] = std::make_unique<ChildProcess>(std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)}, log);
 }
 
 auto Site::waitForExit(const std::string &id, Duration limit) -> int
@@ -230,6 +254,17 @@
     return d->folder.path() + "/" + id + ".ini";
 }
 
+auto Site::readLog(const std::string &id) -> std::string
+{
+    std::string text;
+    std::array<char, 4096> buffer {};
+    ssize_t size = 0;
+    while ((size = ::read(d->unread.at(id), buffer.data(), buffer.size())) > 0) {
+        text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+}
+
 auto Site::port(int gateway) const -> int
 {
     return d->ports.at("gw-" + std::to_string(gateway)).callers;
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -30,7 +30,7 @@
     int runners = 3;
     int instances = 2;
     int models = 3;
-    bool muteLog = false; ///< nobody reads the gateways' output
+    bool unreadLog = false; ///< the gateways' output is a pipe, which nobody reads until readLog()
 };
 
 // [SECTION] Reply
@@ -84,6 +84,8 @@
     auto start(const std::string &id) -> void;
     auto waitForExit(const std::string &id, Duration limit = Duration::seconds(20)) -> int;
     auto settingsFile(const std::string &id) const -> std::string;
+    /// What a gateway's unread output holds now; more may follow.
+    auto readLog(const std::string &id) -> std::string;
 
     // Callers. Gateways count from 1.
     auto port(int gateway) const -> int;
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -357,3 +357,63 @@
     CHECK((reply->status == 504 || reply->status == 503 || reply->status == 502));
     CHECK(site.loop().now() - before < Duration::millis(900));
 }
+
+TEST_CASE("nobody reads a gateway's log: no request waits for it, and what is read later is whole lines")
+{
+    // The collector of logs hangs, and the pipe to it fills up within a hundred requests. A gateway that waited for it would answer nobody any
+    // more, and its log, of all things, could not say why.
+    Site site({.gateways = 1, .unreadLog = true});
+    constexpr int Requests = 400; // some three times what a pipe holds
+    std::string last;
+    auto slowest = Duration();
+    for (int i = 0; i < Requests; ++i) {
+        last = site.freshAttempt();
+        const auto before = site.loop().now();
+        const auto reply = site.call(1, {.path = "/read/x", .attempt = last});
+        REQUIRE(reply->status == 200);
+        slowest = std::max(slowest, site.loop().now() - before);
+    }
+    CHECK(slowest < Duration::seconds(1));
+
+    std::string log;
+    site.waitFor("the last request's lines", [&] {
+        log += site.readLog("gw-1");
+        return log.find("event=answered id=" + last) != std::string::npos;
+    });
+    const auto text = log.substr(0, log.rfind('\n') + 1);
+    for (std::size_t at = 0; at < text.size(); at = text.find('\n', at) + 1) {
+        REQUIRE(text.compare(at, 2, "t=") == 0);
+    }
+}
+
+TEST_CASE("what a request costs a gateway", "[.cost]")
+{
+    // Not part of the checks: prints processor time per request. perf can be attached to the process meanwhile.
+    Site site({.gateways = 1, .runners = 4});
+    const auto processorMillis = [&] {
+        std::ifstream in("/proc/" + std::to_string(site.process("gw-1").pid()) + "/schedstat");
+        double nanos = 0;
+        in >> nanos;
+        return nanos / 1e6;
+    };
+    const auto measure = [&](const char *what, int count, int atOnce, const std::function<Ask()> &ask) {
+        const double before = processorMillis();
+        std::vector<ReplyPtr> open;
+        for (int i = 0; i < count; ++i) {
+            open.push_back(site.begin(1, ask()));
+            const bool isFull = static_cast<int>(open.size()) >= atOnce;
+            while (isFull && !open.empty()) {
+                site.loop().runUntil([&] { return open.back()->done; }, Duration::seconds(20));
+                open.pop_back();
+            }
+        }
+        site.sleep(Duration::seconds(2));
+        const double took = processorMillis() - before;
+        std::printf("%s: %d requests, %.3f ms of processor time each\n", what, count, took / count);
+    };
+    const double idleFrom = processorMillis();
+    site.sleep(Duration::seconds(10));
+    std::printf("at rest: %.2f ms of processor time a second\n", (processorMillis() - idleFrom) / 10);
+    measure("reads", 4000, 16, [] { return Ask {}; });
+    measure("streams of 50 events", 1000, 16, [] { return Ask {.path = "/chat/x", .method = "POST", .model = "m1", .events = 50, .body = "prompt"}; });
+}
