Counting an adapter's holders as a function of its own

Cause: the linter's compiler takes no structured bindings in a lambda; the formatter and linter are part of the checks. Change: OrderTask's holdersOf. Conclusion: behaviour unchanged.

--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -146,6 +146,7 @@
     auto planModels() -> void;
     auto serveWishesSoon() -> void;
     auto serveWishes() -> void;
+    auto holdersOf(const WishKey &key) const -> int;
     auto serveWish(const WishKey &key, Wish &wish) -> bool;
     auto addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void;
     auto input(const ServiceName &service) -> const CopyPlanInput &;
@@ -429,6 +430,17 @@
     }
 }
 
+/// Runners that hold the adapter, or soon will.
+auto OrderTask::Private::holdersOf(const WishKey &key) const -> int
+{
+    int holders = 0;
+    for (const auto &[id, book] : books) {
+        const bool isOfService = book.description().service == std::get<0>(key);
+        holders += isOfService && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
+    }
+    return holders;
+}
+
 /// True if nothing more is to be done for it.
 auto OrderTask::Private::serveWish(const WishKey &key, Wish &wish) -> bool
 {
@@ -436,10 +448,7 @@
     if (adapter.empty() || !engines.contains(service)) {
         return false; // models are planned together
     }
-    const auto holds = [&](const auto &item) {
-        return item.second.description().service == service && item.second.holdsAdapter(model, adapter);
-    };
-    if (std::count_if(books.begin(), books.end(), holds) >= wish.copies) {
+    if (holdersOf(key) >= wish.copies) {
         return true;
     }
     // One order at a time for it: while an adapter gives way on one runner, others would on the next ones.
