A gateway that is about to give orders keeps the wishes that reach it

Cause: the whole check beside load failed once in system_gateway (the first request for an adapter was answered 503 after 0.6 s). The name of the next holder of the order lease stands in the lease's row before it may give orders: another gateway that has read it there sends its wishes to it, and they were dropped; when the holder then says that it holds the lease, its name is no news, and nothing was told again. Change: wishes are remembered there until the lease is held; a new holder is told by its fence, not by its name.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,6 +106,7 @@
     std::map<std::string, TimePoint> overloadedTold; ///< by "MODEL/ADAPTER"
     std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
     std::map<TargetId, ToldHolding> holdings;
+    Fence toldFence; ///< of the holder of the order lease that was last told what requests wait for
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
@@ -604,10 +605,14 @@
 {
     if (frame.has_gateway()) {
         onDigest(id, frame.gateway());
-    } else if (frame.has_wanted() && orders->mayOrder()) {
+    } else if (frame.has_wanted()) {
         const auto &wanted = frame.wanted();
         const ServiceName service(wanted.service());
-        if (wanted.another()) {
+        if (!orders->mayOrder()) {
+            // Its name stands in the lease's row before it may give orders, and others send to whom they read there: dropped, the first requests
+            // after a start were refused.
+            orders->remember(service, wanted.model(), wanted.adapter());
+        } else if (wanted.another()) {
             orders->overloaded(service, wanted.model(), wanted.adapter());
         } else {
             orders->wanted(service, wanted.model(), wanted.adapter());
@@ -628,9 +633,11 @@
     dispatcher.merge(workOf(digest, dispatcher.targets()), loop.now());
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
-        const auto before = lease.holder();
-        lease.holderHeard(HolderName(digest.entry()), Fence(digest.lease_fence()), digest.sequence(), loop.now());
-        if (lease.holder() != before) {
+        const Fence fence(digest.lease_fence());
+        lease.holderHeard(HolderName(digest.entry()), fence, digest.sequence(), loop.now());
+        // By its fence, not by its name: that stands in the lease's row before it may give orders.
+        if (fence != toldFence) {
+            toldFence = fence;
             for (const auto &missing : orders->remembered()) {
                 tellMissing(missing);
             }
