One word to the holder, one own name, one look at the others' work per send

Cause: read once more: the word that an adapter is wanted was put together in two places, a gateway's own name in three, what other gateways have at a runner was summed up twice for each send, and the load tool kept its own bounds of a success. Change: tellWanted, selfName; the estimate says whether others' prompts are read there; HttpStatus::isSuccess. Nothing behaves differently.

--- a/load/caller.cpp
+++ b/load/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "answercheck.h"
 #include "net/http.h"
+#include "net/httpstatus.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,8 +18,6 @@
 constexpr auto Tick = Duration::millis(5); // libwebsockets spins through the last millisecond before a timer: shorter ticks cost a core
 constexpr auto PatienceAfterBudget = Duration::seconds(10); ///< then the caller hangs up
 constexpr std::size_t CharsPerToken = 4; ///< as the stand-ins count
-constexpr int StatusOkFirst = 200;
-constexpr int StatusOkEnd = 300;
 constexpr int Accounts = 100000;
 
 /// One sending of a request. A request has a second one if its caller sends again.
@@ -256,7 +255,7 @@
         code = "entry-unreachable";
         return SeenEnd::Refused;
     }
-    const bool isGood = call->status >= StatusOkFirst && call->status < StatusOkEnd;
+    const bool isGood = HttpStatus::isSuccess(call->status);
     if (isGood && call->isStream) {
         code = call->check.problem();
         return call->check.isWrong() ? SeenEnd::Wrong : call->check.isWhole() && end == CallEnd::Complete ? SeenEnd::Whole : SeenEnd::Unknown;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -113,6 +113,7 @@
     Duration ifPatient;
     Duration backlog;
     int unread = 0;
+    bool othersRead = false; ///< another entry's prompts are read there or wait
     double cost = 0; ///< milliseconds, with what only serves the choice
 };
 
@@ -324,6 +325,7 @@
     -> void
 {
     const auto *engine = engineOf(request.service);
+    made.othersRead = upTo(rest.unread, UrgencyBand::Patient) > 0;
     made.unread = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
     const auto own = state.reads.byBand(now);
     const auto before = [&](UrgencyBand band) {
@@ -484,8 +486,7 @@
     state.tokens += send.tokens;
     if (!request.model.empty()) {
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
-        const bool isNext = upTo(d->others(target, now).unread, UrgencyBand::Patient) <= 0;
-        state.reads.add(d->lastSend, send.band, send.readMillis, isNext, now);
+        state.reads.add(d->lastSend, send.band, send.readMillis, !made.othersRead, now);
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
             d->newlyRead.emplace_back(target, chain);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,10 +144,15 @@
     auto apply(const TargetChanges &changes) -> void;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
-    auto tellMissing(const MissingArtifact &missing) -> void;
+    auto tellWanted(const MissingArtifact &wanted, bool another) -> void;
     auto onOverloaded(const MissingArtifact &adapter) -> void;
     auto onHolding(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
+    /// This start of this process, as digests and the order lease name it.
+    auto selfName() const -> HolderName
+    {
+        return HolderName(settings.process.id + "#" + std::to_string(incarnation));
+    }
     auto holderId() const -> std::string;
     auto sendDigest() -> void;
     auto sendDemand() -> void;
@@ -195,7 +200,7 @@
         sendDigest();
     };
     OrderTaskSettings orderSettings;
-    orderSettings.self = HolderName(settings.process.id + "#" + std::to_string(incarnation));
+    orderSettings.self = selfName();
     orderSettings.lease.duration = settings.gateway.lease;
     orderSettings.loadWindow = Duration::seconds(settings.gateway.loadWindowSeconds);
     orderSettings.loadOvershoot = settings.gateway.loadOvershoot;
@@ -403,15 +408,18 @@
         return;
     }
     orders->remember(service, model, adapter);
-    tellMissing({service, model, adapter});
+    tellWanted({service, model, adapter}, false);
 }
 
-auto Gateway::Private::tellMissing(const MissingArtifact &missing) -> void
+/// To the gateway that gives orders.
+auto Gateway::Private::tellWanted(const MissingArtifact &wanted, bool another) -> void
 {
     Wire::ControlFrame frame;
-    frame.mutable_wanted()->set_service(missing.service.text());
-    frame.mutable_wanted()->set_model(missing.model);
-    frame.mutable_wanted()->set_adapter(missing.adapter);
+    auto *message = frame.mutable_wanted();
+    message->set_service(wanted.service.text());
+    message->set_model(wanted.model);
+    message->set_adapter(wanted.adapter);
+    message->set_another(another);
     peers->send(holderId(), frame);
 }
 
@@ -427,12 +435,7 @@
         orders->overloaded(adapter.service, adapter.model, adapter.adapter);
         return;
     }
-    Wire::ControlFrame frame;
-    frame.mutable_wanted()->set_service(adapter.service.text());
-    frame.mutable_wanted()->set_model(adapter.model);
-    frame.mutable_wanted()->set_adapter(adapter.adapter);
-    frame.mutable_wanted()->set_another(true);
-    peers->send(holderId(), frame);
+    tellWanted(adapter, true);
 }
 
 /// The gateway that gives orders, as far as known.
@@ -539,7 +542,7 @@
     std::erase_if(leavingTold, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
     Wire::ControlFrame frame;
     auto *digest = frame.mutable_gateway();
-    digest->set_entry(settings.process.id + "#" + std::to_string(incarnation));
+    digest->set_entry(selfName().text());
     digest->set_sequence(++digests);
     digest->set_traffic_version(traffic ? traffic->version.value() : 0);
     writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
@@ -639,11 +642,11 @@
         if (fence != toldFence) {
             toldFence = fence;
             for (const auto &missing : orders->remembered()) {
-                tellMissing(missing);
+                tellWanted(missing, false);
             }
         }
     }
-    if (digest.heard_holder() == settings.process.id + "#" + std::to_string(incarnation)) {
+    if (HolderName(digest.heard_holder()) == selfName()) {
         lease.peerHears(EntryId(id), digest.heard_sequence(), loop.now());
     }
     for (const auto &target : digest.leaving()) {
