--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -293,6 +293,16 @@
     giveUp(wasSent ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stopped");
 }
 
+auto ForwardedRequest::lateness() const -> const char *
+{
+    const bool isFirstLate = m_firstAfter.value_or(Duration()) > m_route.goal;
+    const bool hasPaused = m_route.pauseGoal > Duration() && m_longestPause > m_route.pauseGoal;
+    if (isFirstLate) {
+        return hasPaused ? "both" : "first";
+    }
+    return hasPaused ? "pause" : "no";
+}
+
 /// Nothing of the request is left here after this; its answer is the caller's of this function to write.
 auto ForwardedRequest::finish(int status, const char *outcome) -> void
 {
@@ -321,6 +331,7 @@
         .add("demoted", m_isDemoted)
         .add("first", m_firstAfter.value_or(Duration()))
         .add("longest-pause", m_longestPause)
+        .add("late", lateness())
         .add("took", took);
     m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
     m_owner.parts.metrics.observe("request_seconds", took.inSeconds());
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -106,6 +106,7 @@
     auto giveUp(int status, const char *why) -> void;
     auto onTimeout() -> void;
     auto onGone() -> void;
+    auto lateness() const -> const char *; ///< which aims of its route the answer missed: its first bytes, a pause, both, or none
     auto finish(int status, const char *outcome) -> void;
     auto now() const -> TimePoint
     {
