--- /dev/null
+++ b/src/core/adapterplan.cpp
@@ -0,0 +1,68 @@
+#include "core/adapterplan.h"
+
+namespace KingCup
+{
+
+namespace
+{
+
+auto lastUse(const AdapterUses &uses, const TargetId &target, const std::string &model, const std::string &adapter) -> TimePoint
+{
+    const auto found = uses.find({target, model + "/" + adapter});
+    return found == uses.end() ? TimePoint() : found->second;
+}
+
+struct Eviction {
+    const RunnerBook *runner = nullptr;
+    RunnerOrder order;
+    TimePoint lastUsed;
+};
+
+} // namespace
+
+auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
+    -> std::optional<PlannedOrder>
+{
+    const RunnerBook *free = nullptr;
+    double freeLoad = 0;
+    std::optional<Eviction> eviction;
+    const RunnerOrder load {true, model, adapter};
+    for (const auto *runner : input.runners) {
+        const auto &about = runner->description();
+        if (about.model(model) == nullptr || about.isLeaving || input.isGivingWay(about.incarnation.id, model)) {
+            continue;
+        }
+        if (runner->mayOrder(load, *input.engine, now)) {
+            const auto taken = input.load.find(about.incarnation.id);
+            const double load01 = (taken == input.load.end() ? 0 : taken->second) - runner->freeAdapterSlots(*input.engine, now);
+            if (free == nullptr || load01 < freeLoad) {
+                free = runner;
+                freeLoad = load01;
+            }
+            continue;
+        }
+        if (runner->freeAdapterSlots(*input.engine, now) > 0) {
+            continue; // it is only occupied: evicting wouldn't help
+        }
+        for (const auto &held : about.models) {
+            for (const auto &loaded : held.adapters) {
+                const RunnerOrder unload {false, held.name, loaded};
+                const auto used = lastUse(uses, about.incarnation.id, held.name, loaded);
+                const bool isOlder = !eviction || used < eviction->lastUsed;
+                const bool isSpared = now - used < spared;
+                if (isOlder && !isSpared && runner->mayOrder(unload, *input.engine, now)) {
+                    eviction = Eviction {runner, unload, used};
+                }
+            }
+        }
+    }
+    if (free != nullptr) {
+        return PlannedOrder {free->description().incarnation.id, load, WeightSource::Memory, "", "asked-for", 0, 0};
+    }
+    if (eviction) {
+        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "makes-room", 0, 0};
+    }
+    return std::nullopt;
+}
+
+} // namespace KingCup
--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -1,89 +1,96 @@
+// Index of sections (search for [SECTION]):
+//   Round   the state of one round
+//   Moves   those under way
+//   Places  for one more copy
+//   Plan    the public face
 #include "core/copyplan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
-#include <set>
 #include <tuple>
 
 namespace KingCup
 {
 
+// [SECTION] Round
+
 namespace
 {
 
-/// The part of a model's work that is lost or late: all of it without a copy; else what grows as its runners fill up, and goes on growing
-/// when they are more than full: with a step there, nothing would be gained by a first copy of several that are needed.
-/// `fill`: the share of the runners' time that is taken, with all models on them.
-auto lostWork(double work, int copies, double fill, const CopyPlanOptions &options) -> double
-{
-    if (copies <= 0) {
-        return work + options.silentModel;
-    }
-    const double squared = fill * fill;
-    return work * squared / (squared + options.halfLost * options.halfLost);
-}
+/// Models looked at closely for one more copy, and places for each: the spread of work is worked out for every pair.
+constexpr std::size_t MostCandidates = 4;
+constexpr std::size_t MostPlaces = 4;
+/// Added to a runner's load for each step from memory to disk to the store: a tenth of its time is lost sooner than a slow load is made up for.
+constexpr double SourceCost = 0.1;
+constexpr double NoGain = -std::numeric_limits<double>::infinity();
 
 /// A model in one round.
 struct PlannedModel {
     const ModelDeclaration *declared = nullptr;
     double work = 0; ///< runners that its requests keep busy
-    int copies = 0; ///< loaded, being loaded, or to come in place of one that gives way
-    double fillSum = 0; ///< of the runners that hold it
-    bool isSettled = false; ///< found no place in this round
-
-    auto perCopy() const -> double
-    {
-        return work / std::max(copies, 1);
-    }
-    auto meanFill() const -> double
-    {
-        return fillSum / std::max(copies, 1);
-    }
+    int usable = 0; ///< copies that serve now and don't give way
 };
 
 /// A runner in one round; only those that are up and answer.
 struct PlannedRunner {
     const RunnerBook *book = nullptr;
-    std::vector<std::size_t> holds; ///< models, by their place in the round's list
-    double fill = 0; ///< the share of its time that is taken, each model's work spread evenly over its copies
+    const CopyMove *move = nullptr; ///< under way; null: none
+    std::vector<std::size_t> holds; ///< models that serve there now and don't give way
     bool isTaken = false; ///< has an order of this round, or waits for one
 };
 
-/// The state of one round of planning.
+/// Where one more copy of a model could go.
+struct Place {
+    std::size_t runner = 0;
+    WeightSource source = WeightSource::Store;
+    std::vector<std::size_t> goes; ///< models that make room there
+    double rank = 0; ///< lower first
+};
+
 class Round
 {
 public:
     Round(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now);
 
-    auto plan() -> std::vector<PlannedOrder>
+    auto plan() -> CopyPlan
     {
-        loadIntended();
+        continueMoves();
         addWhereItGains();
-        return std::move(m_orders);
+        return std::move(m_plan);
     }
 
 private:
-    struct Place {
-        PlannedRunner *runner = nullptr;
-        WeightSource source = WeightSource::Store;
-        std::optional<std::size_t> victim; ///< the model that gives way; none has to
-        double cost = 0; ///< work that is lost with the victim
+    struct Choice {
+        std::size_t model = 0;
+        Place place;
+        double gain = NoGain;
     };
     auto workOf(const ModelDeclaration &model) const -> double;
     auto addRunner(const RunnerBook &book) -> void;
     auto indexOf(const std::string &model) const -> std::optional<std::size_t>;
-    auto countFills() -> void;
-    auto gain(const PlannedModel &model, double fillThere) const -> double;
-    auto lossWithout(const PlannedModel &model) const -> double;
-    auto loadIntended() -> void;
+    auto nameOf(std::size_t model) const -> const std::string &;
+    auto idOf(const PlannedRunner &runner) const -> const TargetId &;
+    auto withoutCopy(std::size_t model) const -> double;
+    auto lost(const CopySpread &spread) const -> double;
+
+    auto continueMoves() -> void;
+    auto continueMove(std::size_t runner) -> void;
+    auto isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool;
+    auto giveUp(std::size_t runner, std::size_t comes) -> void;
+    auto unloadDrained(PlannedRunner &runner) -> void;
+    auto isDrained(const PlannedRunner &runner, const std::string &model) const -> bool;
+
     auto addWhereItGains() -> void;
-    auto mostGaining() -> PlannedModel *;
-    auto findPlace(const PlannedModel &model) -> Place;
-    auto placeOn(PlannedRunner &runner, const PlannedModel &model) -> Place;
-    auto isWorthIt(const PlannedModel &model, const Place &place) const -> bool;
-    auto load(PlannedRunner &runner, std::size_t model, WeightSource source, const char *why) -> void;
-    auto giveWay(PlannedRunner &runner, std::size_t victim, std::size_t comes, const char *why) -> void;
+    auto candidates() const -> std::vector<std::size_t>;
+    auto hopedFor(std::size_t model, double least) const -> double;
+    auto places(std::size_t model) const -> std::vector<Place>;
+    auto placeOn(std::size_t runner, std::size_t model) const -> std::optional<Place>;
+    auto makeRoom(std::size_t runner, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
+    auto streamsAt(std::size_t runner, std::size_t model) const -> double;
+    auto weightsThere(const PlannedRunner &runner, std::size_t model) const -> Bytes;
+    auto gainOf(std::size_t model, const Place &place, double lostNow) const -> double;
+    auto carryOut(const Choice &choice) -> void;
+    auto load(std::size_t runner, std::size_t model, WeightSource source, const char *why) -> void;
     auto order(PlannedRunner &runner, const RunnerOrder &what, WeightSource source, const char *why) -> PlannedOrder &;
 
     const CopyPlanInput &m_input;
@@ -92,8 +99,9 @@
     TimePoint m_now;
     std::vector<PlannedModel> m_models; ///< in the declaration's order
     std::vector<PlannedRunner> m_runners;
-    std::size_t m_givingWay = 0; ///< runners on which a model gives way to another
-    std::vector<PlannedOrder> m_orders;
+    CopySpread m_spread; ///< over the copies that serve, are being loaded or are to come
+    std::size_t m_moves = 0; ///< under way
+    CopyPlan m_plan;
 };
 
 Round::Round(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now)
@@ -101,14 +109,16 @@
     , m_options(options)
     , m_storeLoads(storeLoads)
     , m_now(now)
+    , m_spread(input.engine->models().size(), input.runners.size())
 {
     for (const auto &model : input.engine->models()) {
         m_models.push_back({.declared = &model, .work = workOf(model)});
+        m_spread.setWork(m_models.size() - 1, m_models.back().work);
     }
     for (const auto *book : input.runners) {
         addRunner(*book);
     }
-    countFills();
+    m_spread.settle();
 }
 
 auto Round::workOf(const ModelDeclaration &model) const -> double
@@ -118,8 +128,7 @@
     const auto &asked = found == m_input.work.end() ? none : found->second;
     // A runner whose places for adapters are all taken refuses as many as one whose time is.
     const double slots = std::max(m_input.engine->adapterSlots, 1);
-    const double adapters = asked.activeAdapters / slots * m_options.halfLost;
-    return std::max({asked.now, asked.soon, adapters}) + model.adapters * m_options.adaptersWorth;
+    return std::max({asked.now, asked.soon, asked.activeAdapters / slots * m_options.adapterFill});
 }
 
 auto Round::indexOf(const std::string &model) const -> std::optional<std::size_t>
@@ -128,6 +137,16 @@
     return declared == nullptr ? std::nullopt : std::optional(static_cast<std::size_t>(declared - m_input.engine->models().data()));
 }
 
+auto Round::nameOf(std::size_t model) const -> const std::string &
+{
+    return m_models[model].declared->name;
+}
+
+auto Round::idOf(const PlannedRunner &runner) const -> const TargetId &
+{
+    return runner.book->description().incarnation.id;
+}
+
 /// Copies on runners that leave or fail don't count: what is asked for is served elsewhere already.
 auto Round::addRunner(const RunnerBook &book) -> void
 {
@@ -135,323 +154,370 @@
     if (about.isLeaving || m_input.failing.contains(about.incarnation.id)) {
         return;
     }
+    const auto number = m_runners.size();
     PlannedRunner runner {.book = &book};
-    const auto hold = [&](const std::string &model) {
-        const auto index = indexOf(model);
-        if (index && std::find(runner.holds.begin(), runner.holds.end(), *index) == runner.holds.end()) {
+    const auto move = m_input.moves.find(about.incarnation.id);
+    if (move != m_input.moves.end()) {
+        runner.move = &move->second;
+        ++m_moves;
+    }
+    for (const auto &held : about.models) {
+        const auto index = indexOf(held.name);
+        if (index && !m_input.isGivingWay(about.incarnation.id, held.name)) {
             runner.holds.push_back(*index);
-            ++m_models[*index].copies;
+            ++m_models[*index].usable;
+            m_spread.add(*index, number);
         }
-    };
-    for (const auto &held : about.models) {
-        hold(held.name);
     }
-    const auto intended = m_input.intended.find(about.incarnation.id);
-    if (const auto loading = book.loading()) {
-        hold(*loading);
-    } else if (intended != m_input.intended.end()) {
-        hold(intended->second);
-        ++m_givingWay;
-    }
-    m_runners.push_back(std::move(runner));
-}
-
-auto Round::countFills() -> void
-{
-    for (auto &model : m_models) {
-        model.fillSum = 0;
-    }
-    for (auto &runner : m_runners) {
-        runner.fill = 0;
-        for (const auto index : runner.holds) {
-            runner.fill += m_models[index].perCopy();
-        }
-        for (const auto index : runner.holds) {
-            m_models[index].fillSum += runner.fill;
+    for (const auto &coming : {book.loading(), runner.move != nullptr ? std::optional(runner.move->comes) : std::nullopt}) {
+        if (const auto index = coming ? indexOf(*coming) : std::nullopt) {
+            m_spread.add(*index, number);
         }
     }
+    m_runners.push_back(std::move(runner));
 }
 
-/// What another copy saves, on a runner that is filled so far by others.
-auto Round::gain(const PlannedModel &model, double fillThere) const -> double
+/// What is lost with a model that has no copy: all that is asked for, and that nobody can ask for it.
+auto Round::withoutCopy(std::size_t model) const -> double
 {
-    const double ofOthers = model.copies > 0 ? std::max(model.fillSum - model.work, 0.0) : 0;
-    const double fillAfter = (ofOthers + fillThere + model.work) / (model.copies + 1);
-    return lostWork(model.work, model.copies, model.meanFill(), m_options) - lostWork(model.work, model.copies + 1, fillAfter, m_options);
+    return m_models[model].work + m_options.silentModel + m_models[model].declared->adapters * m_options.adaptersWorth;
 }
 
-/// What is lost with one copy less.
-auto Round::lossWithout(const PlannedModel &model) const -> double
+auto Round::lost(const CopySpread &spread) const -> double
 {
-    const int left = model.copies - 1;
-    const double fillAfter = left > 0 ? model.meanFill() + model.perCopy() / left : 0;
-    return lostWork(model.work, left, fillAfter, m_options) - lostWork(model.work, model.copies, model.meanFill(), m_options);
+    double sum = spread.lost(m_options.loss);
+    for (std::size_t model = 0; model < m_models.size(); ++model) {
+        sum += spread.copies(model) == 0 ? withoutCopy(model) : 0;
+    }
+    return sum;
 }
 
 auto Round::order(PlannedRunner &runner, const RunnerOrder &what, WeightSource source, const char *why) -> PlannedOrder &
 {
     runner.isTaken = true;
-    countFills();
     const auto index = indexOf(what.model);
     PlannedOrder planned;
-    planned.target = runner.book->description().incarnation.id;
+    planned.target = idOf(runner);
     planned.order = what;
     planned.source = source;
     planned.reason = why;
     planned.work = index ? m_models[*index].work : 0;
-    planned.copies = index ? m_models[*index].copies : 0;
-    m_orders.push_back(planned);
-    return m_orders.back();
+    planned.copies = index ? static_cast<int>(m_spread.copies(*index)) : 0;
+    m_plan.orders.push_back(planned);
+    return m_plan.orders.back();
 }
 
-auto Round::load(PlannedRunner &runner, std::size_t model, WeightSource source, const char *why) -> void
+auto Round::load(std::size_t runner, std::size_t model, WeightSource source, const char *why) -> void
 {
-    if (std::find(runner.holds.begin(), runner.holds.end(), model) == runner.holds.end()) {
-        runner.holds.push_back(model);
-        ++m_models[model].copies;
-    }
+    m_spread.add(model, runner);
+    m_spread.settle();
     m_storeLoads -= source == WeightSource::Store ? 1 : 0;
-    order(runner, {true, m_models[model].declared->name, ""}, source, why);
+    order(m_runners[runner], {true, nameOf(model), ""}, source, why);
 }
 
-auto Round::giveWay(PlannedRunner &runner, std::size_t victim, std::size_t comes, const char *why) -> void
+// [SECTION] Moves
+
+auto Round::continueMoves() -> void
 {
-    std::erase(runner.holds, victim);
-    --m_models[victim].copies;
-    runner.holds.push_back(comes);
-    ++m_models[comes].copies; // its load follows on the room that this makes
-    ++m_givingWay;
-    order(runner, {false, m_models[victim].declared->name, ""}, WeightSource::Memory, why).makesRoomFor = m_models[comes].declared->name;
+    for (std::size_t runner = 0; runner < m_runners.size(); ++runner) {
+        if (m_runners[runner].move != nullptr) {
+            continueMove(runner);
+        }
+    }
 }
 
-/// Where room was made for a model, it is loaded as soon as the runner takes the order.
-auto Round::loadIntended() -> void
+auto Round::continueMove(std::size_t number) -> void
 {
-    for (auto &runner : m_runners) {
-        const auto intended = m_input.intended.find(runner.book->description().incarnation.id);
-        const auto index = intended == m_input.intended.end() ? std::nullopt : indexOf(intended->second);
-        if (!index) {
-            continue;
-        }
-        const auto source = runner.book->sourceOf(intended->second);
-        const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-        if (isAllowed && runner.book->mayOrder({true, intended->second, ""}, *m_input.engine, m_now)) {
-            load(runner, *index, source, "room-made");
-        } else {
-            runner.isTaken = true;
-        }
+    auto &runner = m_runners[number];
+    const auto &move = *runner.move;
+    const auto comes = indexOf(move.comes);
+    if (!comes || !isStillWorthIt(number, *comes)) {
+        giveUp(number, comes.value_or(m_models.size()));
+        return;
     }
+    const auto source = runner.book->sourceOf(move.comes);
+    const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
+    if (isAllowed && runner.book->mayOrder({true, move.comes, ""}, *m_input.engine, m_now)) {
+        load(number, *comes, source, "room-made");
+        return;
+    }
+    runner.isTaken = true;
+    unloadDrained(runner);
 }
 
-/// The copy that saves the most work comes first, as long as one is worth its load.
-auto Round::addWhereItGains() -> void
+/// Against having the copies that give way back in use.
+auto Round::isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool
 {
-    while (auto *model = mostGaining()) {
-        const auto place = findPlace(*model);
-        if (place.runner == nullptr || !isWorthIt(*model, place)) {
-            model->isSettled = true;
-            continue;
+    const auto *book = m_runners[runner].book;
+    if (book->loading() == nameOf(comes)) {
+        return true;
+    }
+    auto before = m_spread;
+    before.remove(comes, runner);
+    for (const auto &held : book->description().models) {
+        const auto index = indexOf(held.name);
+        if (index && m_runners[runner].move->goes.contains(held.name)) {
+            before.add(*index, runner);
         }
-        const char *why = model->copies == 0 ? "no-copy" : "busy";
-        const auto index = static_cast<std::size_t>(model - m_models.data());
-        if (place.victim) {
-            giveWay(*place.runner, *place.victim, index, why);
-        } else {
-            load(*place.runner, index, place.source, why);
+    }
+    before.settle();
+    return lost(before) - lost(m_spread) > m_options.keepGain;
+}
+
+auto Round::giveUp(std::size_t number, std::size_t comes) -> void
+{
+    auto &runner = m_runners[number];
+    if (comes < m_models.size()) {
+        m_spread.remove(comes, number);
+    }
+    for (const auto &held : runner.book->description().models) {
+        const auto index = indexOf(held.name);
+        if (index && runner.move->goes.contains(held.name)) {
+            m_spread.add(*index, number);
         }
     }
+    m_spread.settle();
+    m_plan.givenUp.push_back(idOf(runner));
+    runner.isTaken = true;
+    --m_moves;
 }
 
-/// Null if no copy is worth its load any more.
-auto Round::mostGaining() -> PlannedModel *
+/// One at a time: a runner carries out one order after the other.
+auto Round::unloadDrained(PlannedRunner &runner) -> void
 {
-    PlannedModel *best = nullptr;
-    double most = m_options.leastGain;
-    for (auto &model : m_models) {
-        const double gained = model.isSettled ? 0 : gain(model, 0);
-        if (gained > most) {
-            most = gained;
-            best = &model;
+    for (const auto &name : runner.move->goes) {
+        const auto index = indexOf(name);
+        const bool isLast = !index || m_models[*index].usable == 0;
+        if (!isLast && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
+            order(runner, {false, name, ""}, WeightSource::Memory, "makes-room").makesRoomFor = runner.move->comes;
+            return;
         }
     }
-    return best;
 }
 
-auto Round::isWorthIt(const PlannedModel &model, const Place &place) const -> bool
+auto Round::isDrained(const PlannedRunner &runner, const std::string &model) const -> bool
 {
-    double fillThere = place.runner->fill;
-    if (!place.victim) {
-        return gain(model, fillThere) > m_options.leastGain;
+    const auto waited = m_now - runner.move->since;
+    const auto told = m_input.streams.find({idOf(runner), model});
+    if (told == m_input.streams.end()) {
+        return waited >= m_options.toldWithin;
     }
-    fillThere -= m_models[*place.victim].perCopy();
-    const bool isTooMuch = static_cast<double>(m_givingWay) >= m_options.mostGivingWay * static_cast<double>(m_runners.size());
-    return !isTooMuch && gain(model, fillThere) * m_options.clearlyLess > place.cost + m_options.swapCost;
+    return told->second == 0 || waited >= m_options.longestWait;
 }
 
-/// Free memory before a victim, a runner with time before a busy one, a quick load before a slow one.
-auto Round::findPlace(const PlannedModel &model) -> Place
+// [SECTION] Places
+
+/// The copy that saves the most comes first, as long as one is worth it.
+auto Round::addWhereItGains() -> void
 {
-    Place best;
-    std::tuple<bool, bool, int, double> bestRank;
-    for (auto &runner : m_runners) {
-        const auto place = placeOn(runner, model);
-        if (place.runner == nullptr) {
-            continue;
+    for (;;) {
+        Choice best;
+        const double lostNow = lost(m_spread);
+        for (const auto model : candidates()) {
+            for (const auto &place : places(model)) {
+                const double gain = gainOf(model, place, lostNow);
+                if (gain > best.gain) {
+                    best = {model, place, gain};
+                }
+            }
         }
-        const bool isBusy = runner.fill > m_options.easyRunner;
-        const std::tuple rank(place.victim.has_value(), isBusy, static_cast<int>(place.source), runner.fill + place.cost);
-        if (best.runner == nullptr || rank < bestRank) {
-            best = place;
-            bestRank = rank;
+        if (best.gain <= 0) {
+            return;
         }
+        carryOut(best);
     }
-    return best;
 }
 
-auto Round::placeOn(PlannedRunner &runner, const PlannedModel &model) -> Place
+/// Models without a copy, and those whose runners are full while others have time.
+auto Round::candidates() const -> std::vector<std::size_t>
 {
-    const auto &name = model.declared->name;
-    const auto source = runner.book->sourceOf(name);
-    const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-    const auto index = static_cast<std::size_t>(&model - m_models.data());
-    const bool holdsIt = std::find(runner.holds.begin(), runner.holds.end(), index) != runner.holds.end();
-    if (runner.isTaken || !isAllowed || holdsIt) {
-        return {};
-    }
-    if (runner.book->mayOrder({true, name, ""}, *m_input.engine, m_now)) {
-        return {&runner, source, std::nullopt, 0};
-    }
-    Place place;
-    if (m_now - runner.book->modelOrderedAt() < m_options.restTime) {
-        return place;
+    double least = std::numeric_limits<double>::infinity();
+    for (std::size_t runner = 0; runner < m_runners.size(); ++runner) {
+        least = std::min(least, m_runners[runner].isTaken ? least : m_spread.load(runner));
     }
-    for (const auto victim : runner.holds) {
-        const auto &other = m_models[victim];
-        const double lost = lossWithout(other);
-        const bool isBetter = place.runner == nullptr || lost < place.cost;
-        if (other.copies >= 2 && isBetter && runner.book->mayOrder({false, other.declared->name, ""}, *m_input.engine, m_now)) {
-            place = {&runner, source, victim, lost};
+    std::vector<std::pair<double, std::size_t>> ranked;
+    for (std::size_t model = 0; model < m_models.size(); ++model) {
+        const bool isMissing = m_spread.copies(model) == 0;
+        const double most = isMissing ? withoutCopy(model) : hopedFor(model, least);
+        if (most > m_options.leastGain) {
+            ranked.emplace_back(most, model);
         }
     }
-    return place;
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::size_t> list;
+    for (std::size_t i = 0; i < std::min(ranked.size(), MostCandidates); ++i) {
+        list.push_back(ranked[i].second);
+    }
+    return list;
 }
 
-} // namespace
-
-auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon) -> std::map<std::string, ModelWork>
+/// Were as much of its work moved as makes two runners even.
+auto Round::hopedFor(std::size_t model, double least) const -> double
 {
-    // Seconds of a runner: a share of the steps of some three hundred tokens. Nearly twice as much made no difference.
-    constexpr double RequestSeconds = 0.025;
-    std::map<std::string, ModelWork> result;
-    for (const auto &rate : now) {
-        result[rate.artifact.text()].now += rate.perSecond * RequestSeconds;
-    }
-    for (const auto &rate : soon) {
-        result[rate.artifact.text()].soon += rate.perSecond * RequestSeconds;
-    }
-    return result;
+    const auto &loss = m_options.loss;
+    const double level = m_spread.level(model);
+    const double moved = std::min(m_models[model].work, std::max(level - least, 0.0)) / 2;
+    return loss.lost(level) - loss.lost(level - moved) + loss.lost(least) - loss.lost(least + moved);
 }
 
-auto planCopies(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now) -> std::vector<PlannedOrder>
+auto Round::places(std::size_t model) const -> std::vector<Place>
 {
-    return Round(input, options, storeLoads, now).plan();
+    std::vector<Place> list;
+    for (std::size_t runner = 0; runner < m_runners.size(); ++runner) {
+        if (auto place = placeOn(runner, model)) {
+            list.push_back(std::move(*place));
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const Place &a, const Place &b) { return a.rank < b.rank; });
+    list.resize(std::min(list.size(), MostPlaces));
+    return list;
 }
 
-// [SECTION] Adapters
-
-namespace
+/// A runner with time before a busy one, free memory before a copy that gives way, a quick load before a slow one.
+auto Round::placeOn(std::size_t number, std::size_t model) const -> std::optional<Place>
 {
+    const auto &runner = m_runners[number];
+    const auto source = runner.book->sourceOf(nameOf(model));
+    const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
+    if (runner.isTaken || !isAllowed || m_spread.holds(model, number)) {
+        return std::nullopt;
+    }
+    Place place {.runner = number, .source = source};
+    place.rank = m_spread.load(number) + SourceCost * static_cast<int>(source);
+    if (runner.book->mayOrder({true, nameOf(model), ""}, *m_input.engine, m_now)) {
+        return place;
+    }
+    const bool isResting = m_now - runner.book->modelOrderedAt() < m_options.restTime;
+    const bool isTooMuch = static_cast<double>(m_moves) >= m_options.mostGivingWay * static_cast<double>(m_runners.size());
+    if (isResting || isTooMuch) {
+        return std::nullopt;
+    }
+    const auto missing = m_models[model].declared->weights - runner.book->freeMemory(*m_input.engine, m_now);
+    auto goes = makeRoom(number, missing);
+    if (!goes) {
+        return std::nullopt;
+    }
+    for (const auto victim : *goes) {
+        place.rank += SourceCost + m_spread.share(victim, number) + m_options.streamCost * streamsAt(number, victim);
+    }
+    place.goes = std::move(*goes);
+    return place;
+}
 
-auto lastUse(const AdapterUses &uses, const TargetId &target, const std::string &model, const std::string &adapter) -> TimePoint
+auto Round::streamsAt(std::size_t runner, std::size_t model) const -> double
 {
-    const auto found = uses.find({target, model + "/" + adapter});
-    return found == uses.end() ? TimePoint() : found->second;
+    return m_input.likelyStreams ? m_input.likelyStreams({idOf(m_runners[runner]), nameOf(model)}) : 0;
 }
 
-struct Eviction {
-    const RunnerBook *runner = nullptr;
-    RunnerOrder order;
-    TimePoint lastUsed;
-};
-
-} // namespace
-
-auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
-    -> std::optional<PlannedOrder>
-{
-    const RunnerBook *free = nullptr;
-    double freeLoad = 0;
-    std::optional<Eviction> eviction;
-    const RunnerOrder load {true, model, adapter};
-    for (const auto *runner : input.runners) {
-        const auto &about = runner->description();
-        if (about.model(model) == nullptr || about.isLeaving) {
-            continue;
-        }
-        if (runner->mayOrder(load, *input.engine, now)) {
-            const auto taken = input.load.find(about.incarnation.id);
-            const double load01 = (taken == input.load.end() ? 0 : taken->second) - runner->freeAdapterSlots(*input.engine, now);
-            if (free == nullptr || load01 < freeLoad) {
-                free = runner;
-                freeLoad = load01;
-            }
-            continue;
-        }
-        if (runner->freeAdapterSlots(*input.engine, now) > 0) {
-            continue; // it is only occupied: evicting wouldn't help
+/// The copies that are missed least, as many as are needed; nothing if the room can't be made.
+auto Round::makeRoom(std::size_t number, Bytes missing) const -> std::optional<std::vector<std::size_t>>
+{
+    const auto &runner = m_runners[number];
+    std::vector<std::size_t> mayGo;
+    for (const auto model : runner.holds) {
+        const bool isNeeded = m_models[model].usable < 2;
+        if (!isNeeded && m_spread.holds(model, number) && runner.book->mayOrder({false, nameOf(model), ""}, *m_input.engine, m_now)) {
+            mayGo.push_back(model);
         }
-        for (const auto &held : about.models) {
-            for (const auto &loaded : held.adapters) {
-                const RunnerOrder unload {false, held.name, loaded};
-                const auto used = lastUse(uses, about.incarnation.id, held.name, loaded);
-                const bool isOlder = !eviction || used < eviction->lastUsed;
-                const bool isSpared = now - used < spared;
-                if (isOlder && !isSpared && runner->mayOrder(unload, *input.engine, now)) {
-                    eviction = Eviction {runner, unload, used};
-                }
-            }
+    }
+    const auto isMissedLess = [&](std::size_t a, std::size_t b) {
+        const auto harm = [&](std::size_t model) {
+            return std::tuple(m_spread.share(model, number) + m_options.streamCost * streamsAt(number, model), m_models[model].work, model);
+        };
+        return harm(a) < harm(b);
+    };
+    std::sort(mayGo.begin(), mayGo.end(), isMissedLess);
+    std::vector<std::size_t> goes;
+    for (const auto model : mayGo) {
+        if (missing <= Bytes()) {
+            break;
         }
+        goes.push_back(model);
+        missing -= weightsThere(runner, model);
     }
-    if (free != nullptr) {
-        return PlannedOrder {free->description().incarnation.id, load, WeightSource::Memory, "", "asked-for", 0, 0};
+    if (missing > Bytes()) {
+        return std::nullopt;
     }
-    if (eviction) {
-        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "makes-room", 0, 0};
+    // What turned out not to be needed stays, the most missed first.
+    for (std::size_t i = goes.size(); i > 0; --i) {
+        const auto size = weightsThere(runner, goes[i - 1]);
+        if (missing + size <= Bytes()) {
+            missing += size;
+            goes.erase(goes.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        }
     }
-    return std::nullopt;
+    return goes;
 }
 
-// [SECTION] Loads
+/// With its adapters there.
+auto Round::weightsThere(const PlannedRunner &runner, std::size_t model) const -> Bytes
+{
+    const auto *declared = m_models[model].declared;
+    const auto *held = runner.book->description().model(declared->name);
+    const auto adapters = held == nullptr ? 0 : static_cast<std::int64_t>(held->adapters.size());
+    return declared->weights + Bytes(declared->adapterWeights.count() * adapters);
+}
 
-auto LoadMeter::setRate(double perSecond, Duration window, double overshoot) -> void
+/// Work that is no longer late or lost, less what the change must bring at least.
+auto Round::gainOf(std::size_t model, const Place &place, double lostNow) const -> double
 {
-    m_perSecond = perSecond;
-    m_window = window;
-    m_overshoot = overshoot;
+    auto after = m_spread;
+    after.add(model, place.runner);
+    for (const auto victim : place.goes) {
+        after.remove(victim, place.runner);
+    }
+    after.settle();
+    const double least = place.goes.empty() ? m_options.leastGain : m_options.swapCost;
+    return lostNow - lost(after) - least;
 }
 
-auto LoadMeter::available(TimePoint now) const -> int
+auto Round::carryOut(const Choice &choice) -> void
 {
-    if (m_perSecond <= 0) {
-        return std::numeric_limits<int>::max();
+    const char *why = m_spread.copies(choice.model) == 0 ? "no-copy" : "busy";
+    const auto &place = choice.place;
+    if (place.goes.empty()) {
+        load(place.runner, choice.model, place.source, why);
+        return;
+    }
+    auto &runner = m_runners[place.runner];
+    CopyMove move {.comes = nameOf(choice.model), .since = m_now};
+    for (const auto victim : place.goes) {
+        move.goes.insert(nameOf(victim));
+        m_spread.remove(victim, place.runner);
+        --m_models[victim].usable;
     }
-    const auto recent = std::count_if(m_begun.begin(), m_begun.end(), [&](TimePoint at) { return now - at < m_window; });
-    // A holder that has only begun knows nothing of the loads before; its own part of the window grows with time.
-    const double known = std::min((now - m_startedAt).inSeconds() / m_window.inSeconds(), 1.0);
-    const double allowed = m_perSecond * m_window.inSeconds() * m_overshoot * known;
-    return std::max(static_cast<int>(std::floor(allowed)) - static_cast<int>(recent), 0);
+    m_spread.add(choice.model, place.runner);
+    m_spread.settle();
+    runner.isTaken = true;
+    ++m_moves;
+    m_plan.begun.push_back({idOf(runner), move, why, choice.gain});
+}
+
+} // namespace
+
+// [SECTION] Plan
+
+auto CopyPlanInput::isGivingWay(const TargetId &target, const std::string &model) const -> bool
+{
+    const auto found = moves.find(target);
+    return found != moves.end() && found->second.goes.contains(model);
 }
 
-auto LoadMeter::began(TimePoint now) -> void
+auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon, const RequestCost &cost) -> std::map<std::string, ModelWork>
 {
-    std::erase_if(m_begun, [&](TimePoint at) { return now - at >= m_window; });
-    m_begun.push_back(now);
+    std::map<std::string, ModelWork> result;
+    for (const auto &rate : now) {
+        result[rate.artifact.text()].now += rate.perSecond * cost.seconds(rate.artifact.text());
+    }
+    for (const auto &rate : soon) {
+        result[rate.artifact.text()].soon += rate.perSecond * cost.seconds(rate.artifact.text());
+    }
+    return result;
 }
 
-auto LoadMeter::takenOver(TimePoint now) -> void
+auto planCopies(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now) -> CopyPlan
 {
-    m_begun.clear();
-    m_startedAt = now;
+    return Round(input, options, storeLoads, now).plan();
 }
 
 } // namespace KingCup
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -1,24 +1,27 @@
-// Which models and adapters runners are to hold, where one gateway orders them directly. Pure: what runners hold and what is asked for go
-// in; the orders that should be given now come out.
+// Which models runners are to hold, where one gateway orders them directly. Pure: what runners hold and what is asked for go in; the orders that
+// should be given now, and the moves that should begin or be given up, come out.
 //
-// Models. Each stays loaded somewhere. Beyond that, each place goes where it saves the most work that would be lost or late, on free memory
-// first, else in place of a model with which far less is lost. The pattern this answers: demand moves from one model to the next within
-// seconds, while a load takes seconds; so the forecast counts, not the level. After a loss of many runners the copies that most work waits
-// for come first, and those of models that hardly anybody asks for later.
+// Each model stays loaded somewhere. Beyond that, a copy goes where the work that is late or lost falls most by it, with each model's requests
+// on the emptiest runners that hold it: into free memory first, else in place of copies that are missed least. The pattern this answers: demand moves from
+// one model to the next within seconds, while a load takes a second and streams of the model that gives way run for several.
 //
-// Adapters. They are small and loaded in milliseconds, but a runner has few places for them; they are loaded when asked for, and the one
-// that was not used for the longest time gives way.
+// A move. A copy that gives way is first left by new requests, at all gateways; the runner goes on with everything else. When its last stream has
+// ended it is unloaded, within milliseconds, and the model that it made room for is loaded. Ordered at once, the unload would wait for the streams at
+// the runner, which refuses all other orders meanwhile, also those for adapters. A move stays decided until it is done or nothing is gained by it any
+// more: the copy that was to go is then used again, as if nothing had been.
 //
 // Index of sections (search for [SECTION]):
-//   Input      runners and demand
-//   Models     planCopies()
-//   Adapters   placeAdapter()
-//   Loads      the pace that the weight store allows
+//   Input    runners, demand, moves under way
+//   Options  constants
+//   Plan     planCopies()
 #pragma once
 
+#include "core/copyspread.h"
 #include "core/demand.h"
+#include "core/requestcost.h"
 #include "core/runnerbook.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,10 +40,18 @@
     int activeAdapters = 0; ///< different ones that its requests use now or wait for
 };
 
-/// What is asked for, by model. Every request counts the same, whatever it makes its runner read. Weighed by reading times (on one deployment,
-/// mean worth 0.77 against 0.79) a few very long prompts moved copies about, a new copy, which reads shared beginnings anew, made its model look
-/// busier still, and a model without a copy, for which no time is known, had no weight at all.
-auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon) -> std::map<std::string, ModelWork>;
+/// What is asked for, by model, as work of runners.
+auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon, const RequestCost &cost) -> std::map<std::string, ModelWork>;
+
+/// On one runner: a model that is to come, and the copies that make room for it.
+struct CopyMove {
+    std::string comes;
+    std::set<std::string> goes; ///< get no new requests
+    TimePoint since;
+};
+
+/// One copy, by its runner and model.
+using CopyKey = std::pair<TargetId, std::string>;
 
 struct CopyPlanInput {
     const EngineDeclaration *engine = nullptr;
@@ -48,22 +59,31 @@
     std::map<std::string, ModelWork> work; ///< by model
     std::map<TargetId, double> load; ///< of each runner: the share of its places that is taken
     std::set<TargetId> failing; ///< runners that don't answer: what they hold is of no use now
-    std::map<TargetId, std::string> intended; ///< models that runners were made room for and that aren't ordered yet
+    std::map<TargetId, CopyMove> moves; ///< under way
+    std::map<CopyKey, int> streams; ///< under way at copies that give way, as all gateways have told; not there: not told yet
+    std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy, by what is known here; none: not known
+
+    auto isGivingWay(const TargetId &target, const std::string &model) const -> bool;
 };
 
+// [SECTION] Options
+
 struct CopyPlanOptions {
-    double halfLost = 0.6; ///< the share of a runner's time at which half of what comes is late: reading waits, and streams stall behind it
-    double easyRunner = 0.4; ///< below, what comes hardly waits
-    double leastGain = 0.01; ///< work saved that makes a load worth it: some seconds of that against the price of a load and two orders
-    double clearlyLess = 0.5; ///< a model gives way only if less than this part of the gain is lost with it
-    double swapCost = 0.02; ///< work that must be gained beyond that: the place serves nobody while it is loaded
-    Duration restTime = Duration::seconds(3); ///< after an order on a model, until another one gives way on that runner: plans must not chase each other
-    double silentModel = 0.02; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
+    LossCurve loss;
+    double leastGain = 0.01; ///< work saved that makes a load worth its price and the room that is then no longer free for the next model
+    double swapCost = 0.03; ///< work that must be saved where another copy gives way: the place serves nobody while that ends and this one comes
+    double keepGain = -0.1; ///< a move that saves less than this is given up: on the way its gain is seen through the noise of a few seconds' arrivals
+    double streamCost = 0.01; ///< in the choice of a place, a stream that must end first counts as this share of a runner's time
+    double silentModel = 0.1; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
     double adaptersWorth = 0.0015; ///< likewise one declared adapter of a model: it has many callers, though maybe none now
+    double adapterFill = 0.6; ///< the work that counts for a runner whose places for adapters are all in use
+    Duration restTime = Duration::seconds(3); ///< after an order on a model, until another one gives way on that runner: plans must not chase each other
     double mostGivingWay = 0.34; ///< of the runners may give up one model for another at once: a wrong forecast moves no more than that
+    Duration toldWithin = Duration::millis(1500); ///< gateways that haven't told by then how many streams they have at a copy are taken to have none
+    Duration longestWait = Duration::seconds(5); ///< for the streams of a copy that gives way; then it is unloaded all the same, and the runner waits for them
 };
 
-// [SECTION] Models
+// [SECTION] Plan
 
 struct PlannedOrder {
     TargetId target;
@@ -75,40 +95,20 @@
     int copies = 0; ///< of it, after this order
 };
 
-/// At most one order for each runner. `storeLoads`: loads from the weight store that may begin now.
-auto planCopies(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now) -> std::vector<PlannedOrder>;
-
-// [SECTION] Adapters
-
-/// When each adapter of a runner was last used, as far as known: by target, then "MODEL/ADAPTER".
-using AdapterUses = std::map<std::pair<TargetId, std::string>, TimePoint>;
-
-/// The next order that brings the adapter closer to being loaded somewhere; nothing if none can be given now.
-/// `spared`: one that was used within this time doesn't give way.
-auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
-    -> std::optional<PlannedOrder>;
-
-// [SECTION] Loads
-
-/// The loads from the weight store that may begin, counted over a sliding window. A new holder begins with nothing: what its predecessor
-/// began counts too.
-class LoadMeter
-{
-public:
-    /// `perSecond` 0: not limited.
-    auto setRate(double perSecond, Duration window, double overshoot) -> void;
-
-    auto available(TimePoint now) const -> int;
-
-    auto began(TimePoint now) -> void;
-    auto takenOver(TimePoint now) -> void;
+struct BegunMove {
+    TargetId target;
+    CopyMove move;
+    std::string reason;
+    double gain = 0; ///< work that is no longer late or lost
+};
 
-private:
-    double m_perSecond = 0;
-    Duration m_window = Duration::seconds(5);
-    double m_overshoot = 1;
-    std::vector<TimePoint> m_begun;
-    TimePoint m_startedAt;
+struct CopyPlan {
+    std::vector<PlannedOrder> orders; ///< at most one for each runner
+    std::vector<BegunMove> begun;
+    std::vector<TargetId> givenUp; ///< runners whose move saves nothing any more
 };
 
+/// `storeLoads`: loads from the weight store that may begin now.
+auto planCopies(const CopyPlanInput &input, const CopyPlanOptions &options, int storeLoads, TimePoint now) -> CopyPlan;
+
 } // namespace KingCup
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -62,6 +62,7 @@
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
     ReadQueue reads; ///< own sends without a first token
+    RecentReading recent; ///< own sends of the last moments
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
@@ -90,9 +91,11 @@
     TargetIncarnation incarnation;
     std::string model;
     TimePoint at;
+    TimePoint firstAt; ///< its first token, once it has come
     Duration expectedFirst;
     Duration backlog;
     double readMillis = 0; ///< expected for its own prompt
+    int ownTokens = 0; ///< of its prompt, those that no other request shares
     int unreadTokens = 0;
     UrgencyBand band = UrgencyBand::Usual;
     std::int64_t tokens = 0;
@@ -114,6 +117,8 @@
     Duration backlog;
     int unread = 0;
     bool othersRead = false; ///< another entry's prompts are read there or wait
+    bool isGivingWay = false; ///< the copy there is to be unloaded
+    Duration pauseWait;
     double cost = 0; ///< milliseconds, with what only serves the choice
 };
 
@@ -128,6 +133,8 @@
     std::map<EntryId, HeardWork> heard;
     std::map<std::string, double> readMillis; ///< per token, by model
     std::map<ServiceName, double> plainMillis;
+    std::map<TargetId, double> newReading; ///< milliseconds, not told to others yet
+    RequestCost requestCost;
     std::vector<std::pair<TargetId, PromptChain>> newlyRead;
     std::uint64_t digests = 0;
 
@@ -171,6 +178,7 @@
     auto isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool;
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
     auto learnReading(const Send &send, double took) -> void;
+    auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
     auto addRankPenalty(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
 };
 
@@ -203,6 +211,17 @@
     return (found == d->targets.end() ? 0 : found->second.running) + d->others(target, now).running;
 }
 
+auto Dispatcher::ownRunning(const TargetId &target, const std::string &model) const -> int
+{
+    return static_cast<int>(
+        std::count_if(d->sends.begin(), d->sends.end(), [&](const auto &send) { return send.second.target == target && send.second.model == model; }));
+}
+
+auto Dispatcher::requestCost() const -> const RequestCost &
+{
+    return d->requestCost;
+}
+
 auto Dispatcher::failures(const TargetId &target, TimePoint now) const -> double
 {
     const auto found = d->targets.find(target);
@@ -348,7 +367,10 @@
     made.backlog = fromMillis(backlog);
     made.first = made.backlog + fromMillis(read) + options.firstStep;
     made.ifPatient = made.first + fromMillis(patient);
-    made.cost = backlog + read;
+    made.cost = backlog + read + state.recent.within(request.pauseGoal, now);
+    if (request.pauseGoal > Duration() && state.running + rest.running > 0) {
+        made.pauseWait = state.recent.waitFor(read, toMillis(request.pauseGoal) * options.readingShare, request.pauseGoal, now);
+    }
     if (request.promptTokens >= options.deepPrompt && made.unread >= options.deepPrompt / 2) {
         made.cost += toMillis(options.stalledStream) * (state.running + rest.running);
     }
@@ -414,17 +436,22 @@
     DispatchChoice choice;
     choice.refusal = DispatchRefusal::NoTarget;
     std::vector<Estimate> estimates;
+    bool stays = false; // a copy of the model that doesn't give way, with its adapter or not
     for (const auto &[id, state] : d->targets) {
         const auto &about = state.description;
         if (about.service != request.service || about.isLeaving) {
             continue;
         }
+        bool isGivingWay = false;
         if (!request.model.empty()) {
             const auto *held = about.model(request.model);
             if (held == nullptr) {
                 choice.refusal = std::max(choice.refusal, DispatchRefusal::NotHeld);
                 continue;
             }
+            isGivingWay = held->isGivingWay;
+            const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+            stays = stays || (!isGivingWay && !isExcluded && !d->isEjected(id, state, now));
             if (!request.adapter.empty() && !held->hasAdapter(request.adapter)) {
                 choice.refusal = std::max(choice.refusal, DispatchRefusal::AdapterMissing);
                 continue;
@@ -435,6 +462,11 @@
             continue;
         }
         estimates.push_back(d->estimate(request, id, state, now));
+        estimates.back().isGivingWay = isGivingWay;
+    }
+    if (stays && std::erase_if(estimates, [](const Estimate &made) { return made.isGivingWay; }) > 0 && estimates.empty()) {
+        // The adapter is loaded beside a copy that stays, within milliseconds; sent where it is now, its requests would keep that copy from ever going.
+        choice.refusal = DispatchRefusal::AdapterMissing;
     }
     if (estimates.empty()) {
         return choice;
@@ -452,6 +484,7 @@
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
+    choice.pauseWait = best->pauseWait;
     choice.unreadTokens = best->unread;
     choice.candidates = static_cast<int>(estimates.size());
     return choice;
@@ -479,6 +512,7 @@
     send.slowness = state.slownessAt(now);
     send.band = request.band;
     send.tokens = request.promptTokens + request.outputTokens;
+    send.ownTokens = request.prompt.empty() ? request.promptTokens : request.prompt.back().tokens;
     if (state.strikes > 0 && !d->isEjectedHere(state, now)) {
         state.trial = d->lastSend;
     }
@@ -487,6 +521,8 @@
     if (!request.model.empty()) {
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
         state.reads.add(d->lastSend, send.band, send.readMillis, !made.othersRead, now);
+        state.recent.add(send.readMillis, now);
+        d->newReading[target] += send.readMillis;
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
             d->newlyRead.emplace_back(target, chain);
@@ -510,6 +546,7 @@
     }
     auto &send = found->second;
     send.hasFirst = true;
+    send.firstAt = now;
     const auto target = d->targets.find(send.target);
     if (target == d->targets.end() || target->second.description.incarnation != send.incarnation) {
         return;
@@ -544,7 +581,18 @@
     perToken += (observed - perToken) * (observed < perToken ? RateDown : RateUp);
 }
 
-auto Dispatcher::ended(SendId id, SendResult result, TimePoint now) -> void
+auto Dispatcher::Private::observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void
+{
+    const auto *engine = engineOf(state.description.service);
+    SeenAnswer answer;
+    answer.reading = fromMillis(send.ownTokens * millisPerToken(send.model));
+    answer.streaming = now - send.firstAt;
+    answer.bytes = bytes;
+    answer.slots = engine == nullptr ? state.description.slots : engine->slots;
+    requestCost.observe(send.model, answer);
+}
+
+auto Dispatcher::ended(SendId id, SendResult result, TimePoint now, std::size_t bytes) -> void
 {
     const auto found = d->sends.find(id.value());
     if (found == d->sends.end()) {
@@ -572,6 +620,9 @@
     if (result == SendResult::Delivered || result == SendResult::Failed || result == SendResult::NoEntry) {
         d->addResult(state, result == SendResult::Delivered ? 0 : 1, now);
     }
+    if (result == SendResult::Delivered && !send.model.empty() && send.hasFirst) {
+        d->observeCost(send, state, bytes, now);
+    }
     if (result == SendResult::Delivered && send.model.empty()) {
         auto &time = d->plainMillis.try_emplace(state.description.service, toMillis(d->options.plainTime)).first->second;
         const double took = toMillis(now - send.at);
@@ -632,6 +683,26 @@
     }
 }
 
+auto Dispatcher::takeSentReading() -> std::vector<SentReading>
+{
+    std::vector<SentReading> list;
+    for (const auto &[target, millis] : d->newReading) {
+        list.push_back({target, fromMillis(millis)});
+    }
+    d->newReading.clear();
+    return list;
+}
+
+auto Dispatcher::merge(const std::vector<SentReading> &sent, TimePoint now) -> void
+{
+    for (const auto &told : sent) {
+        const auto found = d->targets.find(told.target);
+        if (found != d->targets.end()) {
+            found->second.recent.add(toMillis(told.reading), now);
+        }
+    }
+}
+
 auto Dispatcher::entryGone(const EntryId &entry) -> void
 {
     d->heard.erase(entry);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -19,6 +19,7 @@
 
 #include "core/ids.h"
 #include "core/promptcache.h"
+#include "core/requestcost.h"
 #include "core/targetinfo.h"
 #include "core/traffic.h"
 #include "core/units.h"
@@ -44,6 +45,7 @@
     int promptTokens = 0;
     int outputTokens = 0; ///< the most it may make
     UrgencyBand band = UrgencyBand::Usual;
+    Duration pauseGoal; ///< streams: the longest pause between events that is on time; 0: none is aimed at
     std::vector<TargetId> excluded; ///< tried already, or known not to take it
 };
 
@@ -65,6 +67,7 @@
     Duration expectedFirst; ///< until the first token, or a plain service's answer
     Duration expectedIfPatient; ///< likewise, if everything else there goes first
     Duration backlog; ///< of expectedFirst, what others must wait for first
+    Duration pauseWait; ///< sent sooner, with what else was sent there, it would stall the streams there for longer than is aimed at
     int unreadTokens = 0; ///< of the prompt
     int candidates = 0; ///< targets that could have taken it
     bool isLastResort = false; ///< requests don't get through to it of late, nor to any other that could take it
@@ -91,6 +94,12 @@
     bool isEjected = false; ///< requests don't get through to it
 };
 
+/// What one entry has given a target to read since it last told.
+struct SentReading {
+    TargetId target;
+    Duration reading;
+};
+
 struct WorkDigest {
     EntryId entry;
     std::uint64_t sequence = 0; ///< a lower one than the last is ignored
@@ -113,6 +122,8 @@
     /// stream there. Sent where few run, half as many streams stalled (two in a hundred before), for no later first tokens.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
+    /// Of the longest pause aimed at, what a runner may read within it: the rest is taken by the steps of its streams.
+    double readingShare = 0.55;
     double learnRate = 0.1; ///< weight of one observation
     double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
@@ -136,12 +147,15 @@
     auto targets() const -> std::vector<TargetId>;
     auto description(const TargetId &target) const -> const TargetDescription *; ///< null: not known
     auto running(const TargetId &target, TimePoint now) const -> int; ///< of all entries
+    auto ownRunning(const TargetId &target, const std::string &model) const -> int; ///< this entry's sends of one model
     auto failures(const TargetId &target, TimePoint now) const -> double;
     auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< requests don't get through to it, here or at another entry
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
     /// What a send that hasn't ended makes its runner read, where nothing else is read: without what was kept there when it was sent.
     auto readingTime(SendId send) const -> Duration;
 
+    auto requestCost() const -> const RequestCost &; ///< of runners, by model
+
     // Commands: who is there
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
     /// New, changed, or started anew: then nothing is known of what it holds and does.
@@ -153,7 +167,8 @@
     // Commands: what happened
     auto sent(const DispatchRequest &request, const TargetId &target, TimePoint now) -> SendId;
     auto firstToken(SendId send, TimePoint now) -> void;
-    auto ended(SendId send, SendResult result, TimePoint now) -> void;
+    /// `bytes`: of the answer.
+    auto ended(SendId send, SendResult result, TimePoint now, std::size_t bytes = 0) -> void;
     /// A connection was not accepted, or what is sent isn't acknowledged.
     auto unreachable(const TargetId &target, TimePoint now) -> void;
 
@@ -162,6 +177,9 @@
     auto takeDigest(const EntryId &self, TimePoint now) -> WorkDigest;
     auto merge(const WorkDigest &digest, TimePoint now) -> void;
     auto entryGone(const EntryId &entry) -> void;
+    /// Forgets what was sent since the last call. A digest is too old for this: what comes together comes within a few steps of an engine.
+    auto takeSentReading() -> std::vector<SentReading>;
+    auto merge(const std::vector<SentReading> &sent, TimePoint now) -> void;
 
     struct Private;
 
--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -29,9 +29,15 @@
 
 } // namespace
 
+auto hostOf(const HolderName &holder) -> std::string
+{
+    return holder.text().substr(0, holder.text().rfind('#'));
+}
+
 OrderLease::OrderLease(HolderName self, OrderLeaseOptions options, TimePoint startedAt)
     : m_self(std::move(self))
     , m_options(options)
+    , m_startedAt(startedAt)
     , m_nextTry(startedAt + staggerOf(m_self, options.stagger))
     , m_holderHeardAt(startedAt)
 {
@@ -62,6 +68,11 @@
     return m_holderSequence;
 }
 
+auto OrderLease::version() const -> RowVersion
+{
+    return m_version;
+}
+
 auto OrderLease::peersUntil() const -> std::optional<TimePoint>
 {
     std::optional<TimePoint> until;
@@ -147,13 +158,22 @@
         return; // nobody has it: write
     }
     m_holder = writer;
-    const auto waitFrom = std::max(m_seenSince, m_holderHeardAt);
-    if (now - waitFrom < m_options.duration) {
+    const auto until = waitUntil();
+    if (now < until) {
         m_mustRead = true; // once more at the end, to see whether it is still the same
-        m_nextTry = waitFrom + m_options.duration;
+        m_nextTry = until;
     }
 }
 
+/// From when on the row may be taken from the one that wrote it.
+auto OrderLease::waitUntil() const -> TimePoint
+{
+    if (hostOf(m_holder) == hostOf(m_self)) {
+        return m_startedAt + m_options.margin;
+    }
+    return std::max(m_seenSince, m_holderHeardAt) + m_options.duration;
+}
+
 auto OrderLease::writeStarted(TimePoint now) -> LeaseWrite
 {
     m_underWay = true;
@@ -201,7 +221,7 @@
     m_mustRead = true;
 }
 
-auto OrderLease::holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, TimePoint now) -> void
+auto OrderLease::holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void
 {
     if (holder == m_self || (m_holds && fence < m_fence)) {
         return; // an older holder that doesn't know yet
@@ -209,6 +229,13 @@
     m_holder = holder;
     m_holderSequence = sequence;
     m_holderHeardAt = now;
+    if (!m_holds && version > m_version) {
+        m_version = version;
+        m_seenSince = now;
+        m_isRowKnown = true;
+        // A write that was decided on the version before would now be accepted, though its holder has renewed the lease.
+        m_mustRead = true;
+    }
 }
 
 auto OrderLease::digestSent(std::uint64_t sequence, TimePoint now) -> void
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -3,7 +3,9 @@
 //
 // Two holders must never give orders at once: runners of some deployments act on whatever order comes. So
 //   - a holder stops before its time is over, counted from before the write that renewed it left;
-//   - a successor takes the row only if it saw it unchanged for a whole lease, by its own clock, and heard nothing of the holder as long.
+//   - a successor takes the row only if it saw it unchanged for a whole lease, by its own clock, and heard nothing of the holder as long;
+//   - but a gateway that has started again on the holder's own host knows that the holder has ended, as one host runs one gateway: it only
+//     waits until the last orders of before have arrived. When all gateways were killed at once, runners are without orders for a second in place of four.
 // No two clocks are compared. They must count the time that a host was suspended.
 //
 // The second condition lets a holder go on while the store is away: as long as every other gateway that it knows of has lately said that
@@ -32,6 +34,9 @@
 /// One start of a gateway: "ID#INCARNATION".
 using HolderName = StrongName<struct HolderNameTag>;
 
+/// "ID" of it.
+auto hostOf(const HolderName &holder) -> std::string;
+
 enum class LeaseStep {
     None,
     Read, ///< the row, then rowRead()
@@ -65,6 +70,7 @@
     auto fence() const -> Fence; ///< of this tenure; 0: never held
     auto holder() const -> const HolderName &; ///< as last heard or read; may be this gateway
     auto lastHolderSequence() const -> std::uint64_t; ///< of the holder's digests that were heard
+    auto version() const -> RowVersion; ///< of the row, as last seen
     auto nextStep(TimePoint now) const -> LeaseStep;
 
     // Commands: the row
@@ -77,8 +83,9 @@
     auto readFailed(TimePoint now) -> void;
 
     // Commands: other gateways
-    /// A digest of a gateway that holds the lease.
-    auto holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, TimePoint now) -> void;
+    /// A digest of a gateway that holds the lease. `version`: of the row, as it wrote it last; that is as good as having read it, and the wait of a
+    /// successor doesn't begin only when the holder has been missed.
+    auto holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void;
     /// This gateway sends a digest with that number.
     auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
     /// Another gateway says which of this gateway's digests it has heard last. A lease that is over isn't brought back by that: a gateway that
@@ -94,11 +101,13 @@
     };
     auto validUntil() const -> TimePoint;
     auto peersUntil() const -> std::optional<TimePoint>;
+    auto waitUntil() const -> TimePoint;
     auto lose() -> void;
     auto valueOf(std::uint64_t number) const -> std::string;
 
     HolderName m_self;
     OrderLeaseOptions m_options;
+    TimePoint m_startedAt;
     bool m_holds = false;
     Fence m_fence;
     RowVersion m_version; ///< of the row as last seen
--- a/src/core/readqueue.cpp
+++ b/src/core/readqueue.cpp
@@ -44,4 +44,37 @@
     }
 }
 
+auto RecentReading::within(Duration span, TimePoint now) const -> double
+{
+    double sum = 0;
+    for (auto read = m_reads.rbegin(); read != m_reads.rend() && now - read->at < span; ++read) {
+        sum += read->millis;
+    }
+    return sum;
+}
+
+auto RecentReading::waitFor(double millis, double most, Duration span, TimePoint now) const -> Duration
+{
+    double sum = within(span, now) + millis;
+    for (const auto &read : m_reads) {
+        if (sum <= most) {
+            break;
+        }
+        if (now - read.at < span) {
+            sum -= read.millis;
+            if (sum <= most || &read == &m_reads.back()) {
+                return read.at + span - now;
+            }
+        }
+    }
+    return {};
+}
+
+auto RecentReading::add(double millis, TimePoint now) -> void
+{
+    constexpr auto Longest = Duration::seconds(1);
+    std::erase_if(m_reads, [&](const Read &read) { return now - read.at > Longest; });
+    m_reads.push_back({now, millis});
+}
+
 } // namespace KingCup
--- a/src/core/readqueue.h
+++ b/src/core/readqueue.h
@@ -49,4 +49,25 @@
     std::vector<Read> m_reads; ///< oldest first
 };
 
+/// What one target was given to read within the last moments, read by now or not. An engine reads prompts between the steps of its streams, and between
+/// two events of a stream lie several steps: a handful of prompts that come together stall every stream there for longer than is aimed at, each of
+/// them small and read at once. Sent where little was to be read of late, they come one by one everywhere.
+class RecentReading
+{
+public:
+    /// Milliseconds; `span` up to a second.
+    auto within(Duration span, TimePoint now) const -> double;
+    /// Until `millis` more make no more than `most` within any span.
+    auto waitFor(double millis, double most, Duration span, TimePoint now) const -> Duration;
+
+    auto add(double millis, TimePoint now) -> void;
+
+private:
+    struct Read {
+        TimePoint at;
+        double millis = 0;
+    };
+    std::vector<Read> m_reads; ///< oldest first
+};
+
 } // namespace KingCup
--- /dev/null
+++ b/src/core/requestcost.cpp
@@ -0,0 +1,69 @@
+#include "core/requestcost.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// A shorter answer tells nothing of the pace: its last bytes may have come with its first.
+constexpr auto ShortestStream = Duration::millis(30);
+/// Answers that were quicker than thought count much more than those that were held up.
+constexpr double PaceDown = 0.2;
+constexpr double PaceUp = 0.01;
+
+} // namespace
+
+RequestCost::RequestCost(RequestCostOptions options)
+    : m_options(options)
+{
+}
+
+/// The plain mean of the first answers, then one that forgets.
+auto RequestCost::Mean::add(double seen, double rate) -> void
+{
+    ++answers;
+    value += (seen - value) * std::max(rate, 1 / answers);
+}
+
+auto RequestCost::Model::learnPace(const SeenAnswer &answer) -> void
+{
+    if (answer.streaming < ShortestStream || answer.bytes == 0) {
+        return;
+    }
+    const double pace = answer.streaming.inSeconds() / static_cast<double>(answer.bytes);
+    if (secondsPerByte == 0) {
+        secondsPerByte = pace;
+    }
+    secondsPerByte += (pace - secondsPerByte) * (pace < secondsPerByte ? PaceDown : PaceUp);
+}
+
+auto RequestCost::Model::seconds() const -> double
+{
+    return readingSeconds.value + bytes.value * secondsPerByte / slots;
+}
+
+auto RequestCost::seconds(const std::string &model) const -> double
+{
+    const double all = m_all.answers > 0 ? m_all.value : m_options.unknownSeconds;
+    const auto found = m_models.find(model);
+    if (found == m_models.end()) {
+        return all;
+    }
+    const double answers = found->second.bytes.answers;
+    return (found->second.seconds() * answers + all * m_options.priorAnswers) / (answers + m_options.priorAnswers);
+}
+
+auto RequestCost::observe(const std::string &model, const SeenAnswer &answer) -> void
+{
+    auto &own = m_models[model];
+    own.slots = std::max(answer.slots, 1);
+    own.readingSeconds.add(answer.reading.inSeconds(), m_options.learnRate);
+    own.bytes.add(static_cast<double>(answer.bytes), m_options.learnRate);
+    own.learnPace(answer);
+    m_all.add(own.seconds(), m_options.learnRate);
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/copyuse.h
@@ -0,0 +1,56 @@
+// Streams under way at copies of models that give way, over all gateways: such a copy is unloaded when its last stream has ended, and each gateway knows
+// only its own streams.
+//
+// Each gateway tells its number to the one that gives orders, at once when a copy is said to give way and with every digest until that is over.
+//
+// Index of sections (search for [SECTION]):
+//   Hooks     what it needs
+//   CopyUse   the state
+#pragma once
+
+#include "core/copyplan.h"
+#include "wire/messages.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace KingCup
+{
+
+// [SECTION] Hooks
+
+struct CopyUseHooks {
+    std::function<int(const CopyKey &copy)> ownStreams; ///< of this gateway
+    std::function<void(const Wire::ControlFrame &frame)> tellHolder; ///< the gateway that gives orders
+};
+
+// [SECTION] CopyUse
+
+class CopyUse
+{
+public:
+    explicit CopyUse(CopyUseHooks hooks);
+
+    // Queries
+    /// Of all gateways; only copies of which each of `peers` has told.
+    auto streams(const std::set<std::string> &peers) const -> std::map<CopyKey, int>;
+
+    // Commands: where another gateway gives orders
+    /// What a runner holds, as the one that gives orders has said.
+    auto held(const TargetId &target, const std::vector<HeldModel> &models) -> void;
+    auto targetGone(const TargetId &target) -> void;
+    auto tell() const -> void; ///< to be called regularly
+
+    // Commands: where this one does
+    auto setMoves(const std::map<TargetId, CopyMove> &moves) -> void;
+    auto heard(const std::string &peer, const Wire::CopyStreams &message) -> void;
+
+private:
+    CopyUseHooks m_hooks;
+    std::set<CopyKey> m_givingWay;
+    std::map<CopyKey, std::map<std::string, int>> m_told; ///< by copy, then by gateway
+};
+
+} // namespace KingCup
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -13,12 +13,22 @@
 
 constexpr std::int64_t TokenUnit = 64;
 constexpr double Percent = 100;
+constexpr std::int64_t MicrosPerTenth = 100;
 
 auto shortName(const TargetId &target) -> std::uint32_t
 {
     return static_cast<std::uint32_t>(stableHash(target.text()));
 }
 
+auto targetNames(const std::vector<TargetId> &targets) -> std::unordered_map<std::uint32_t, TargetId>
+{
+    std::unordered_map<std::uint32_t, TargetId> names;
+    for (const auto &target : targets) {
+        names.emplace(shortName(target), target);
+    }
+    return names;
+}
+
 } // namespace
 
 auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void
@@ -44,10 +54,7 @@
 
 auto workOf(const Wire::GatewayDigest &message, const std::vector<TargetId> &targets) -> WorkDigest
 {
-    std::unordered_map<std::uint32_t, TargetId> names;
-    for (const auto &target : targets) {
-        names.emplace(shortName(target), target);
-    }
+    const auto names = targetNames(targets);
     WorkDigest digest;
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
@@ -82,6 +89,27 @@
     return digest;
 }
 
+auto writeReading(const std::vector<SentReading> &sent, Wire::SentReading &message) -> void
+{
+    for (const auto &one : sent) {
+        message.add_target(shortName(one.target));
+        message.add_tenths_ms(static_cast<std::uint32_t>(one.reading.inMicros() / MicrosPerTenth));
+    }
+}
+
+auto readingOf(const Wire::SentReading &message, const std::vector<TargetId> &targets) -> std::vector<SentReading>
+{
+    const auto names = targetNames(targets);
+    std::vector<SentReading> list;
+    for (int i = 0; i < std::min(message.target_size(), message.tenths_ms_size()); ++i) {
+        const auto name = names.find(message.target(i));
+        if (name != names.end()) {
+            list.push_back({name->second, Duration::micros(message.tenths_ms(i) * MicrosPerTenth)});
+        }
+    }
+    return list;
+}
+
 auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame
 {
     Wire::ControlFrame frame;
@@ -92,6 +120,7 @@
         auto *added = holding->add_models();
         added->set_name(model.name);
         added->set_version(model.version);
+        added->set_giving_way(model.isGivingWay);
         for (const auto &adapter : model.adapters) {
             added->add_adapters(adapter);
         }
@@ -106,6 +135,7 @@
         HeldModel held;
         held.name = model.name();
         held.version = model.version();
+        held.isGivingWay = model.giving_way();
         held.adapters.assign(model.adapters().begin(), model.adapters().end());
         models.push_back(std::move(held));
     }
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -45,6 +45,7 @@
         return;
     }
     m_owner.parts.dispatcher.firstToken(m_send, now());
+    m_answerBytes += bytes.size();
     noteProgress();
     if (!m_passing) {
         m_held.append(bytes);
@@ -69,7 +70,10 @@
     if (!m_firstAfter) {
         m_firstAfter = now() - m_exchange->startedAt();
     } else {
-        m_longestPause = std::max(m_longestPause, now() - m_lastBytesAt);
+        if (now() - m_lastBytesAt > m_longestPause) {
+            m_longestPause = now() - m_lastBytesAt;
+            m_pauseEndedAfter = now() - m_exchange->startedAt();
+        }
     }
     m_lastBytesAt = now();
 }
@@ -280,7 +284,7 @@
 {
     if (m_hasSend) {
         m_hasSend = false;
-        m_owner.parts.dispatcher.ended(m_send, result, now());
+        m_owner.parts.dispatcher.ended(m_send, result, now(), m_answerBytes);
     }
 }
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -28,6 +28,8 @@
 constexpr int DemotedStep = 2;
 /// Of a route's goal: where a request would wait for longer at the only target with its adapter, the adapter is asked for on another one.
 constexpr double BusyShare = 0.25;
+/// Of a route's goal: a prompt that waits so that streams aren't stalled has this to begin in; the rest is for what the estimate doesn't know.
+constexpr double PaceShare = 0.7;
 /// What a stream of some hundred tokens takes after its first: less than that left, and it would be cut off.
 constexpr auto StreamTime = Duration::millis(600);
 /// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
@@ -58,6 +60,7 @@
     m_request.promptTokens = m_traits.promptTokens;
     m_request.outputTokens = m_traits.mostOutputTokens;
     m_request.band = m_route.band;
+    m_request.pauseGoal = m_route.pauseGoal;
 }
 
 auto ForwardedRequest::start() -> void
@@ -99,12 +102,24 @@
         m_waitTimer = m_owner.parts.loop.after(ConnectPause, [this] { attempt(); });
         return;
     }
-    if (!m_request.model.empty() && !admit(choice)) {
+    if (!m_request.model.empty() && (waitForStreams(choice) || !admit(choice))) {
         return;
     }
     send(choice);
 }
 
+/// A prompt that would stall the streams at the best target waits for a moment here, as long as it is on time all the same: at the target it would be
+/// read at once, beside the others that have just come, and each stream there would pause for all of them together.
+auto ForwardedRequest::waitForStreams(const DispatchChoice &choice) -> bool
+{
+    const auto elapsed = now() - m_exchange->startedAt();
+    if (choice.pauseWait == Duration() || elapsed + choice.pauseWait + choice.expectedFirst > m_route.goal * PaceShare) {
+        return false;
+    }
+    m_waitTimer = m_owner.parts.loop.after(choice.pauseWait, [this] { attempt(); });
+    return true;
+}
+
 /// On time if it can be; else after everything that still can, as long as it is answered at all. With all of them in one queue, a
 /// runner that is asked for half more than it can do would soon answer every request late, and its streams would stall behind the reading.
 auto ForwardedRequest::admit(const DispatchChoice &choice) -> bool
@@ -182,6 +197,7 @@
     m_hasHead = false;
     m_passing = false;
     m_held.clear();
+    m_answerBytes = 0;
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
@@ -331,6 +347,7 @@
         .add("demoted", m_isDemoted)
         .add("first", m_firstAfter.value_or(Duration()))
         .add("longest-pause", m_longestPause)
+        .add("pause-ended", m_pauseEndedAfter)
         .add("late", lateness())
         .add("took", took);
     m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -80,6 +80,7 @@
 
 private:
     auto attempt() -> void;
+    auto waitForStreams(const DispatchChoice &choice) -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
     auto send(const DispatchChoice &choice) -> void;
@@ -136,8 +137,10 @@
     bool m_passing = false; ///< the body goes to the client as it comes
     std::optional<EventCursor> m_events; ///< of a stream that may go on elsewhere
     std::size_t m_passedBytes = 0;
+    std::size_t m_answerBytes = 0; ///< of the send in flight
     std::optional<Duration> m_firstAfter; ///< from the request's first byte to the answer's
     Duration m_longestPause; ///< between pieces of the answer
+    Duration m_pauseEndedAfter; ///< when it ended, from the request's first byte
     TimePoint m_lastBytesAt;
     bool m_isWaiting = false;
     TimePoint m_missingToldAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "core/demand.h"
 #include "core/targetview.h"
 #include "gateway/callerserver.h"
+#include "gateway/copyuse.h"
 #include "gateway/digests.h"
 #include "gateway/forwarder.h"
 #include "gateway/gatewaypeers.h"
@@ -47,6 +48,10 @@
 /// for a tenth more bytes between zones.
 constexpr auto LongRead = Duration::millis(100);
 constexpr auto LongReadDelay = Duration::millis(5); ///< what comes together is told together
+/// Between two words to the others of what targets were given to read, for each gateway that hears it: a gateway hears some hundred of them a second,
+/// however many there are.
+constexpr auto ReadingPeriodPerPeer = Duration::millis(8);
+constexpr auto LongestReadingPeriod = Duration::millis(200);
 /// An adapter that is asked for on a second runner is there within some tens of milliseconds, or there is no room for it for a while.
 constexpr auto TellOverloadedPeriod = Duration::millis(300);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
@@ -56,9 +61,10 @@
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
 constexpr auto TargetConnectTimeout = Duration::millis(150);
 constexpr auto DemandBucket = Duration::millis(500);
-/// Demand moves between models within four to nine seconds, and a copy that is dropped too soon costs a load: up within a second, down within some.
+/// Demand moves between models within four to nine seconds. What is no longer asked for must be noticed as soon: its copies take the room of those that
+/// are. Nothing is lost by it, as a copy goes only when another model needs its place.
 constexpr double DemandRise = 0.4;
-constexpr double DemandFall = 0.08;
+constexpr double DemandFall = 0.3;
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
 constexpr std::uint32_t MostBreaksHeard = 16;
 
@@ -88,6 +94,7 @@
     DemandForecast demand;
     StoreClient store;
     std::unique_ptr<GatewayPeers> peers;
+    std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<Forwarder> forwarder;
     std::unique_ptr<CallerServer> callers;
@@ -100,6 +107,7 @@
     Timer settingsTimer;
     Timer digestTimer;
     Timer longReadTimer;
+    Timer readingTimer;
     std::uint64_t digests = 0;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<std::string, int> askedFor; ///< requests by model since the last word to the gateway that gives orders; also those that found no copy
@@ -155,6 +163,7 @@
     }
     auto holderId() const -> std::string;
     auto sendDigest() -> void;
+    auto tellReadingSoon() -> void;
     auto sendDemand() -> void;
     auto onDemand(const Wire::GatewayDemand &message) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
@@ -182,6 +191,14 @@
 
 auto Gateway::Private::buildOrders() -> void
 {
+    CopyUseHooks useHooks;
+    useHooks.ownStreams = [this](const CopyKey &copy) {
+        return dispatcher.ownRunning(copy.first, copy.second);
+    };
+    useHooks.tellHolder = [this](const Wire::ControlFrame &frame) {
+        peers->send(holderId(), frame);
+    };
+    copyUse = std::make_unique<CopyUse>(std::move(useHooks));
     OrderTaskHooks hooks;
     hooks.work = [this](const ServiceName &service) {
         return work(service);
@@ -196,6 +213,16 @@
     hooks.onHolding = [this](const TargetDescription &target) {
         onHolding(target);
     };
+    hooks.onMoves = [this](const std::map<TargetId, CopyMove> &moves) {
+        copyUse->setMoves(moves);
+    };
+    hooks.likelyStreams = [this](const CopyKey &copy) {
+        // Clients are spread over the gateways: the others have about as many as this one.
+        return static_cast<double>(dispatcher.ownRunning(copy.first, copy.second)) * static_cast<double>(peers->live().size() + 1);
+    };
+    hooks.streams = [this] {
+        return copyUse->streams(peers->live());
+    };
     hooks.onHolder = [this] {
         sendDigest();
     };
@@ -351,6 +378,7 @@
             leavingTold.try_emplace(about->incarnation, loop.now());
         }
         holdings.erase(target);
+        copyUse->targetGone(target);
         dispatcher.targetGone(target);
         orders->targetGone(target);
     }
@@ -382,6 +410,9 @@
         if (dispatcher.readingTime(send) >= LongRead && !longReadTimer.isActive()) {
             longReadTimer = loop.after(LongReadDelay, [this] { sendDigest(); });
         }
+        if (!request.model.empty()) {
+            tellReadingSoon();
+        }
         if (!request.adapter.empty()) {
             orders->adapterUsed(target, request.model, request.adapter);
             adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
@@ -441,8 +472,7 @@
 /// The gateway that gives orders, as far as known.
 auto Gateway::Private::holderId() const -> std::string
 {
-    const auto &holder = orders->lease().holder().text();
-    return holder.substr(0, holder.rfind('#'));
+    return hostOf(orders->lease().holder());
 }
 
 auto Gateway::Private::onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void
@@ -479,7 +509,7 @@
     for (const auto &model : found->second.engine->models()) {
         loadTime = std::max(loadTime, model.loadTime);
     }
-    return modelWork(demand.forecast(loop.now(), Duration()), demand.forecast(loop.now(), loadTime));
+    return modelWork(demand.forecast(loop.now(), Duration()), demand.forecast(loop.now(), loadTime), dispatcher.requestCost());
 }
 
 // [SECTION] Peers
@@ -530,6 +560,7 @@
     auto &told = holdings[target];
     told = {about->incarnation, modelsOf(holding)};
     dispatcher.targetHolds(target, told.models);
+    copyUse->held(target, told.models);
     forwarder->pump();
 }
 
@@ -554,6 +585,7 @@
     auto &lease = orders->lease();
     if (orders->mayOrder()) {
         digest->set_lease_fence(lease.fence().value());
+        digest->set_lease_version(lease.version().value());
     }
     digest->set_heard_holder(lease.holder().text());
     digest->set_heard_sequence(lease.lastHolderSequence());
@@ -561,11 +593,28 @@
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
     forwarder->setEntries(static_cast<int>(peers->live().size()) + 1);
+    if (!orders->mayOrder()) {
+        copyUse->tell();
+    }
     if (digests % DigestsPerDemand == 0) {
         sendDemand();
     }
 }
 
+/// Prompts that come together at one target stall its streams: gateways that don't know of each other's last ones send them to the same target.
+auto Gateway::Private::tellReadingSoon() -> void
+{
+    if (readingTimer.isActive()) {
+        return;
+    }
+    const auto period = ReadingPeriodPerPeer * static_cast<double>(peers->live().size());
+    readingTimer = loop.after(std::min(period, LongestReadingPeriod), [this] {
+        Wire::ControlFrame frame;
+        writeReading(dispatcher.takeSentReading(), *frame.mutable_sent_reading());
+        peers->sendAll(frame);
+    });
+}
+
 /// Only the gateway that gives orders needs it. Told to all, the names of models were the larger part of what gateways tell each other.
 auto Gateway::Private::sendDemand() -> void
 {
@@ -622,6 +671,11 @@
         }
     } else if (frame.has_gateway_demand()) {
         onDemand(frame.gateway_demand());
+    } else if (frame.has_sent_reading()) {
+        dispatcher.merge(readingOf(frame.sent_reading(), dispatcher.targets()), loop.now());
+    } else if (frame.has_copy_streams()) {
+        copyUse->heard(id, frame.copy_streams());
+        orders->planSoon();
     } else if (frame.has_holding()) {
         onHoldingHeard(frame.holding());
     } else if (frame.has_crash_repeat()) {
@@ -637,7 +691,7 @@
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
-        lease.holderHeard(HolderName(digest.entry()), fence, digest.sequence(), loop.now());
+        lease.holderHeard(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
         // By its fence, not by its name: that stands in the lease's row before it may give orders.
         if (fence != toldFence) {
             toldFence = fence;
@@ -689,6 +743,9 @@
         return;
     }
     leaveCheck.cancel();
+    // Not before: until another gateway has waited a whole lease, nobody else loads adapters or models, and in a rolling restart the next holder would
+    // be told to leave as soon as it has begun.
+    orders->stop();
     cutOff = forwarder->abandonAll();
     log.line("process", "stopped").add("cut-off", cutOff);
     log.flush();
@@ -751,7 +808,6 @@
     d->isLeaving = true;
     d->leavingSince = d->loop.now();
     d->callers->setLeaving();
-    d->orders->stop();
     d->log.line("process", "leaving").add("open", static_cast<int>(d->callers->openExchanges()));
     d->leaveCheck = d->loop.every(LeaveCheckPeriod, [this] { d->checkLeft(); });
 }
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -2,7 +2,10 @@
 //   State     runners, wishes
 //   Lease     the row in the store
 //   Reports   what runners say when asked
-//   Orders    planned, sent, answered
+//   Orders    planned
+//   Moves     of models from one to the other on a runner
+//   Adapters  that requests wait for
+//   Sending   orders and what runners answer
 //   Task      the public face
 #include "gateway/ordertask.h"
 
@@ -26,8 +29,6 @@
 constexpr auto TickPeriod = Duration::millis(50);
 /// Targets may come and go all the time; after so many settle times planning begins all the same.
 constexpr double SettlePatience = 4;
-/// An unload that no request holds up takes some tens of milliseconds, one that waits for streams a second or two.
-constexpr auto IntentLifetime = Duration::seconds(2);
 /// A stream of some three hundred tokens takes about that long.
 constexpr auto AdapterActive = Duration::millis(2500);
 /// An adapter that was used within this time doesn't give way to a second copy of another one: its next request would wait for it to come back.
@@ -56,12 +57,6 @@
     return text;
 }
 
-/// A model that room was made for on a runner, and that isn't ordered yet.
-struct Intent {
-    std::string model;
-    TimePoint since;
-};
-
 /// A request waits for an adapter.
 struct Wish {
     TimePoint at; ///< when it was last told
@@ -106,7 +101,7 @@
     std::map<ServiceName, LoadMeter> meters;
     std::map<TargetId, RunnerBook> books;
     std::map<WishKey, Wish> wishes;
-    std::map<TargetId, Intent> intended;
+    std::map<TargetId, CopyMove> moves; ///< under way
     AdapterUses uses;
     std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
     TimePoint inputsAt;
@@ -143,7 +138,12 @@
     auto askReport(RunnerBook &book) -> void;
     auto advanceBooks() -> void;
     auto logDemand(const CopyPlanInput &made) -> void;
+    auto holdingOf(const RunnerBook &book) const -> TargetDescription;
+    auto beginMove(const BegunMove &begun) -> void;
+    auto endMove(const TargetId &target, const char *why) -> void;
+    auto endFinishedMoves() -> void;
     auto planModels() -> void;
+    auto planSoon() -> void; ///< at the next tick, if moves are under way
     auto serveWishesSoon() -> void;
     auto serveWishes() -> void;
     auto holdersOf(const WishKey &key) const -> int;
@@ -164,9 +164,20 @@
     return found == books.end() || found->second.description().incarnation != target ? nullptr : &found->second;
 }
 
+/// With the copies that are to get no new requests.
+auto OrderTask::Private::holdingOf(const RunnerBook &book) const -> TargetDescription
+{
+    auto about = book.description();
+    const auto move = moves.find(about.incarnation.id);
+    for (auto &held : about.models) {
+        held.isGivingWay = move != moves.end() && move->second.goes.contains(held.name);
+    }
+    return about;
+}
+
 auto OrderTask::Private::tellHolding(const RunnerBook &book) -> void
 {
-    hooks.onHolding(book.description());
+    hooks.onHolding(holdingOf(book));
 }
 
 /// `done` gets status 0 if there was no whole answer in time.
@@ -257,12 +268,13 @@
         for (auto &[service, meter] : meters) {
             meter.takenOver(now());
         }
-        intended.clear();
         hooks.onHolder();
     } else {
         for (auto &[id, book] : books) {
             book.doubt(now());
         }
+        moves.clear();
+        hooks.onMoves(moves);
     }
 }
 
@@ -344,10 +356,9 @@
             }
         }
     }
-    made.intended.clear();
-    for (const auto &[id, intent] : intended) {
-        made.intended[id] = intent.model;
-    }
+    made.moves = moves;
+    made.streams = hooks.streams();
+    made.likelyStreams = hooks.likelyStreams;
     return made;
 }
 
@@ -401,18 +412,80 @@
     for (const auto &[service, engine] : engines) {
         const auto &made = input(service);
         logDemand(made);
-        const auto orders = planCopies(made, settings.plan, meters[service].available(now()), now());
-        for (const auto &planned : orders) {
+        const auto plan = planCopies(made, settings.plan, meters[service].available(now()), now());
+        for (const auto &target : plan.givenUp) {
+            endMove(target, "nothing-gained");
+        }
+        for (const auto &begun : plan.begun) {
+            beginMove(begun);
+        }
+        for (const auto &planned : plan.orders) {
             give(service, planned);
         }
     }
-    std::erase_if(intended, [&](const auto &item) {
-        // One that comes to nothing must not go on counting as a copy: the model would stay without one.
-        const auto book = books.find(item.first);
-        return book == books.end() || now() - item.second.since > IntentLifetime || book->second.description().model(item.second.model) != nullptr;
-    });
+    endFinishedMoves();
+}
+
+// [SECTION] Moves
+
+auto OrderTask::Private::beginMove(const BegunMove &begun) -> void
+{
+    std::string goes;
+    for (const auto &model : begun.move.goes) {
+        goes += (goes.empty() ? "" : ",") + model;
+    }
+    parts.log.line("orders", "move-begun")
+        .add("target", begun.target.text())
+        .add("comes", begun.move.comes)
+        .add("goes", goes)
+        .add("why", begun.reason)
+        .add("gain", begun.gain);
+    moves[begun.target] = begun.move;
+    hooks.onMoves(moves);
+    const auto book = books.find(begun.target);
+    if (book != books.end()) {
+        tellHolding(book->second);
+    }
+}
+
+auto OrderTask::Private::endMove(const TargetId &target, const char *why) -> void
+{
+    const auto found = moves.find(target);
+    if (found == moves.end()) {
+        return;
+    }
+    parts.log.line("orders", "move-ended")
+        .add("target", target.text())
+        .add("comes", found->second.comes)
+        .add("why", why)
+        .add("after", now() - found->second.since);
+    moves.erase(found);
+    hooks.onMoves(moves);
+    const auto book = books.find(target);
+    if (book != books.end()) {
+        tellHolding(book->second);
+    }
+}
+
+/// One whose runner is gone, leaves or started anew must not go on counting as a copy to come.
+auto OrderTask::Private::endFinishedMoves() -> void
+{
+    std::vector<std::pair<TargetId, const char *>> ended;
+    for (const auto &[target, move] : moves) {
+        const auto book = books.find(target);
+        if (book == books.end() || book->second.description().isLeaving || hooks.isFailing(target)) {
+            ended.emplace_back(target, "runner-lost");
+        } else if (book->second.description().model(move.comes) != nullptr || book->second.loading() == move.comes) {
+            ended.emplace_back(target, "done");
+        }
+    }
+    for (const auto &[target, why] : ended) {
+        endMove(target, why);
+    }
 }
 
+// [SECTION] Adapters
+
 auto OrderTask::Private::serveWishesSoon() -> void
 {
     if (!wishes.empty() && !wishTimer.isActive()) {
@@ -436,7 +509,9 @@
     int holders = 0;
     for (const auto &[id, book] : books) {
         const bool isOfService = book.description().service == std::get<0>(key);
-        holders += isOfService && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
+        const auto move = moves.find(id);
+        const bool isGivingWay = move != moves.end() && move->second.goes.contains(std::get<1>(key));
+        holders += isOfService && !isGivingWay && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
     }
     return holders;
 }
@@ -466,6 +541,8 @@
     return false;
 }
 
+// [SECTION] Sending
+
 auto OrderTask::Private::expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration
 {
     const auto *declared = engines.at(service).model(planned.order.model);
@@ -494,14 +571,8 @@
     }
     auto &book = found->second;
     const auto &about = book.description();
-    if (planned.order.isLoad && planned.order.adapter.empty()) {
-        intended.erase(planned.target);
-        if (planned.source == WeightSource::Store) {
-            meters[service].began(now());
-        }
-    }
-    if (!planned.makesRoomFor.empty()) {
-        intended[planned.target] = {planned.makesRoomFor, now()};
+    if (planned.order.isLoad && planned.order.adapter.empty() && planned.source == WeightSource::Store) {
+        meters[service].began(now());
     }
     OrderText text;
     text.isLoad = planned.order.isLoad;
@@ -550,20 +621,28 @@
         break;
     case OrderVerdict::Unclear:
         book->unanswered(now());
-        intended.erase(target.id);
         break;
     case OrderVerdict::Busy:
     case OrderVerdict::Fenced:
     case OrderVerdict::Elsewhere:
     case OrderVerdict::Invalid:
         book->refused(now());
-        intended.erase(target.id);
         break;
     }
     tellHolding(*book);
+    if (verdict == OrderVerdict::Started || verdict == OrderVerdict::Done) {
+        planSoon();
+    }
     serveWishesSoon();
 }
 
+auto OrderTask::Private::planSoon() -> void
+{
+    if (!moves.empty()) {
+        plannedAt = now() - settings.planPeriod;
+    }
+}
+
 // [SECTION] Task
 
 OrderTask::OrderTask(OrderTaskParts parts, OrderTaskSettings settings, OrderTaskHooks hooks)
@@ -589,6 +668,11 @@
     return d->lease;
 }
 
+auto OrderTask::planSoon() -> void
+{
+    d->planSoon();
+}
+
 auto OrderTask::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
 {
     d->inputs.clear();
@@ -603,14 +687,14 @@
     auto &book = found->second;
     d->newTargetAt = isNew ? d->now() : d->newTargetAt;
     book.seen(target, d->now());
-    d->hooks.onHolding(book.description());
+    d->tellHolding(book);
 }
 
 auto OrderTask::targetGone(const TargetId &target) -> void
 {
     d->inputs.clear();
+    d->endMove(target, "runner-lost");
     d->books.erase(target);
-    d->intended.erase(target);
     std::erase_if(d->uses, [&](const auto &use) { return use.first.first == target; });
 }
 
@@ -634,10 +718,12 @@
     for (auto &[id, book] : d->books) {
         const auto *held = book.description().model(model);
         const bool isHeld = held != nullptr && (adapter.empty() || held->hasAdapter(adapter));
-        if (isHeld && book.description().service == service) {
+        const auto move = d->moves.find(id);
+        const bool isGivingWay = move != d->moves.end() && move->second.goes.contains(model);
+        if (isHeld && !isGivingWay && book.description().service == service) {
             // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
             book.doubt(d->now());
-            d->hooks.onHolding(book.description());
+            d->tellHolding(book);
         }
     }
     remember(service, model, adapter);
@@ -661,7 +747,7 @@
 {
     std::vector<TargetDescription> list;
     for (const auto &[id, book] : d->books) {
-        list.push_back(book.description());
+        list.push_back(d->holdingOf(book));
     }
     return list;
 }
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -5,7 +5,9 @@
 //   OrderTask   the task
 #pragma once
 
+#include "core/adapterplan.h"
 #include "core/copyplan.h"
+#include "core/loadmeter.h"
 #include "core/orderlease.h"
 #include "gateway/protocol.h"
 #include "gateway/storeclient.h"
@@ -35,6 +37,9 @@
     std::function<std::map<std::string, ModelWork>(const ServiceName &service)> work; ///< by model
     std::function<double(const TargetId &target)> load; ///< the share of its places that is taken
     std::function<bool(const TargetId &target)> isFailing; ///< requests don't get through to it
+    std::function<void(const std::map<TargetId, CopyMove> &moves)> onMoves; ///< those under way have changed
+    std::function<std::map<CopyKey, int>()> streams; ///< under way at copies that give way, as all gateways have told
+    std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy
     /// What a runner holds has changed; known here before its row says so.
     std::function<void(const TargetDescription &target)> onHolding;
     /// This gateway may give orders from now on: others are to hear it at once. What their requests wait for is told to it only then, and by
@@ -79,6 +84,8 @@
 
     // Commands
     auto lease() -> OrderLease &; ///< for what other gateways say
+    /// Another gateway has told of its streams at copies that give way: one may have none any more.
+    auto planSoon() -> void;
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
     auto targetSeen(const TargetDescription &target) -> void;
     auto targetGone(const TargetId &target) -> void;
