Work of models is known from the start, demand told with every digest, unloads tried again instead of asked about

Cause: in the first seconds after a start only short answers have ended, so everything seemed to cost a third of what it does, and the second busiest model got its copies five seconds late; a load refused while an unload was being finished led to reports that are 200 ms old, 0.4 s lost each. Change: what is not known yet counts like thirty answers; demand goes with each digest (200 ms); a runner found busy with our unload is tried again after 80 ms.

--- a/src/core/requestcost.cpp
+++ b/src/core/requestcost.cpp
@@ -18,6 +18,7 @@
 
 RequestCost::RequestCost(RequestCostOptions options)
     : m_options(options)
+    , m_all {options.unknownSeconds, options.priorAnswers}
 {
 }
 
@@ -47,7 +48,7 @@
 
 auto RequestCost::seconds(const std::string &model) const -> double
 {
-    const double all = m_all.answers > 0 ? m_all.value : m_options.unknownSeconds;
+    const double all = m_all.value;
     const auto found = m_models.find(model);
     if (found == m_models.end()) {
         return all;
--- a/src/core/requestcost.h
+++ b/src/core/requestcost.h
@@ -21,7 +21,8 @@
 struct RequestCostOptions {
     double unknownSeconds = 0.025; ///< until anything was seen: a share of the steps of some three hundred tokens
     double learnRate = 0.03; ///< weight of one answer in the means
-    double priorAnswers = 10; ///< a model of which fewer were seen counts for the most part like all models together
+    /// What is not known yet counts like this many answers. Short answers end first: without it everything seems cheap for some seconds after a start.
+    double priorAnswers = 30;
 };
 
 /// One answer as it was seen.
@@ -60,7 +61,7 @@
         auto seconds() const -> double;
     };
     RequestCostOptions m_options;
-    Mean m_all;
+    Mean m_all; ///< begins as if the unknown had been seen
     std::map<std::string, Model> m_models;
 };
 
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -10,6 +10,9 @@
 
 /// After a report that didn't help, until the next one is asked for.
 constexpr auto ReportPause = Duration::millis(150);
+/// Between two orders to a runner that is still unloading, and how often that is tried before its report is asked for.
+constexpr auto BusyPause = Duration::millis(80);
+constexpr int MostTriesWhileBusy = 6;
 /// How old what a report says may be: runners of the sizes in use say 200 ms.
 constexpr auto ReportAge = Duration::millis(400);
 
@@ -270,6 +273,7 @@
     m_sent.reset();
     under.doneAt = now + under.expected;
     m_acceptedAt = now;
+    m_foundBusy = 0;
     if (isDone || !under.order.isLoad) {
         apply(under.order);
     }
@@ -320,6 +324,17 @@
     m_reportAt = now;
 }
 
+auto RunnerBook::foundBusy(TimePoint now) -> void
+{
+    const bool isUnloading = m_modelOrder && !m_modelOrder->order.isLoad;
+    if (!isUnloading || ++m_foundBusy > MostTriesWhileBusy) {
+        refused(now);
+        return;
+    }
+    m_sent.reset();
+    m_modelOrder->doneAt = now + BusyPause;
+}
+
 auto RunnerBook::unanswered(TimePoint now) -> void
 {
     std::erase_if(m_late, [&](const Late &late) { return now >= late.until; });
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -79,6 +79,9 @@
     auto ordered(const RunnerOrder &order, Duration expected, TimePoint now) -> void;
     auto accepted(bool isDone, TimePoint now) -> void;
     auto refused(TimePoint now) -> void; ///< certainly without effect; what is known of it is wrong
+    /// Certainly without effect: the runner carries out another order, or counts its orders otherwise. While an unload of ours may still wait for streams,
+    /// that is the reason, and asking for a report, which is some hundred milliseconds old, would take longer than trying again.
+    auto foundBusy(TimePoint now) -> void;
     auto unanswered(TimePoint now) -> void;
     /// A request met something else there than this book says: asked for its report.
     auto doubt(TimePoint now) -> void;
@@ -110,6 +113,7 @@
     std::optional<Under> m_modelOrder; ///< accepted, being carried out
     std::vector<Under> m_adapters; ///< accepted loads that aren't usable yet
     bool m_isBusyForSure = false; ///< the runner said so itself
+    int m_foundBusy = 0; ///< times in a row since the last accepted order
     std::vector<Late> m_late;
     TimePoint m_acceptedAt; ///< the last order
     TimePoint m_modelOrderedAt; ///< the last one on a model
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,8 +56,6 @@
 constexpr auto TellOverloadedPeriod = Duration::millis(300);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
-/// Demand is planned for a few times a second.
-constexpr std::uint64_t DigestsPerDemand = 2;
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
 constexpr auto TargetConnectTimeout = Duration::millis(150);
 constexpr auto DemandBucket = Duration::millis(500);
@@ -596,9 +594,7 @@
     if (!orders->mayOrder()) {
         copyUse->tell();
     }
-    if (digests % DigestsPerDemand == 0) {
-        sendDemand();
-    }
+    sendDemand();
 }
 
 /// Prompts that come together at one target stall its streams: gateways that don't know of each other's last ones send them to the same target.
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -623,6 +623,8 @@
         book->unanswered(now());
         break;
     case OrderVerdict::Busy:
+        book->foundBusy(now());
+        break;
     case OrderVerdict::Fenced:
     case OrderVerdict::Elsewhere:
     case OrderVerdict::Invalid:
