A full runner's place is waited for by urgency, not for a second by everybody

Change: the wait is the number of waiting requests as urgent or more, times the time between two streams that end there (core/dispatch, core/requestcost).

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -41,6 +41,7 @@
 {
 
 constexpr double MicrosPerMilli = 1000;
+constexpr double MillisPerSecond = 1000;
 constexpr double MostSlowness = 10;
 constexpr double SlownessHalfLife = 3; // seconds; a runner that crashed or was disturbed is well again after a few
 constexpr double SlownessRate = 0.15; // weight of one observation: some ten requests tell a slow target from an unlucky one
@@ -172,6 +173,7 @@
     auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
     auto estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double;
     auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
     auto failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
     auto strike(TargetState &state, TimePoint now) const -> void;
@@ -340,6 +342,19 @@
     return sum;
 }
 
+/// Until a place in a full runner's batch is free for a request of that band: streams end one after the other, and those that wait and are as urgent go first.
+/// Taken for a second whoever asks, every request to a full runner seemed late, went behind all others, and all were late.
+auto Dispatcher::Private::slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double
+{
+    const double eachMillis = std::max(requestCost.readingSeconds() * MillisPerSecond, 1.0);
+    const auto waiting = [&](UrgencyBand upToBand) {
+        return state.reads.waiting(upToBand) + upTo(rest.unread, upToBand) / eachMillis;
+    };
+    const double streams = state.running + rest.running - waiting(UrgencyBand::Patient);
+    const double lacking = waiting(band) + 1 - std::max(slots - streams, 0.0);
+    return std::max(lacking, 0.0) * requestCost.slotSeconds() * MillisPerSecond;
+}
+
 auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
     -> void
 {
@@ -354,19 +369,18 @@
     const double patient = before(UrgencyBand::Patient) - backlog;
     const auto inMemory = state.tokens + rest.tokens + request.promptTokens + request.outputTokens;
     const int slots = engine == nullptr ? state.description.slots : engine->slots;
-    // Without room the request waits until others end, or has them thrown out and read anew.
+    // Without memory the request waits until others end, or has them thrown out and read anew.
     constexpr double FullMillis = 1000;
     if (engine != nullptr && inMemory > engine->kvTokens) {
         backlog += FullMillis * static_cast<double>(inMemory - engine->kvTokens) / std::max(engine->kvTokens, 1);
     }
-    if (state.running + rest.running >= slots) {
-        backlog += FullMillis;
-    }
+    backlog += slotWait(state, rest, slots, request.band);
+    const double patientWait = slotWait(state, rest, slots, UrgencyBand::Patient) - slotWait(state, rest, slots, request.band);
     const double perToken = millisPerToken(request.model) * state.slownessAt(now);
     const double read = made.unread * perToken;
     made.backlog = fromMillis(backlog);
     made.first = made.backlog + fromMillis(read) + options.firstStep;
-    made.ifPatient = made.first + fromMillis(patient);
+    made.ifPatient = made.first + fromMillis(patient + patientWait);
     made.cost = backlog + read + state.recent.within(request.pauseGoal, now);
     if (request.pauseGoal > Duration() && state.running + rest.running > 0) {
         made.pauseWait = state.recent.waitFor(read, toMillis(request.pauseGoal) * options.readingShare, request.pauseGoal, now);
--- a/src/core/readqueue.cpp
+++ b/src/core/readqueue.cpp
@@ -28,6 +28,11 @@
     return sums;
 }
 
+auto ReadQueue::waiting(UrgencyBand band) const -> int
+{
+    return static_cast<int>(std::count_if(m_reads.begin(), m_reads.end(), [&](const Read &read) { return read.band <= band; }));
+}
+
 auto ReadQueue::add(SendId send, UrgencyBand band, double millis, bool isNext, TimePoint now) -> void
 {
     const bool isFirst = isNext && m_reads.empty();
--- a/src/core/readqueue.h
+++ b/src/core/readqueue.h
@@ -30,6 +30,7 @@
     // Queries
     /// What is left to be read. The prompt that is being read counts with the most urgent band.
     auto byBand(TimePoint now) const -> BandMillis;
+    auto waiting(UrgencyBand band) const -> int; ///< sends without a first token, of the bands that go before or with `band`
 
     // Commands
     /// `millis`: what it takes where nothing else is read. `isNext`: as far as known, no other process's prompt is read there or waits.
--- a/src/core/requestcost.cpp
+++ b/src/core/requestcost.cpp
@@ -19,6 +19,8 @@
 RequestCost::RequestCost(RequestCostOptions options)
     : m_options(options)
     , m_all {options.unknownSeconds, options.priorAnswers}
+    , m_reading {options.unknownSeconds / 2, options.priorAnswers}
+    , m_slot {options.unknownSeconds, options.priorAnswers}
 {
 }
 
@@ -57,6 +59,16 @@
     return (found->second.seconds() * answers + all * m_options.priorAnswers) / (answers + m_options.priorAnswers);
 }
 
+auto RequestCost::readingSeconds() const -> double
+{
+    return m_reading.value;
+}
+
+auto RequestCost::slotSeconds() const -> double
+{
+    return m_slot.value;
+}
+
 auto RequestCost::observe(const std::string &model, const SeenAnswer &answer) -> void
 {
     auto &own = m_models[model];
@@ -65,6 +77,8 @@
     own.bytes.add(static_cast<double>(answer.bytes), m_options.learnRate);
     own.learnPace(answer);
     m_all.add(own.seconds(), m_options.learnRate);
+    m_reading.add(answer.reading.inSeconds(), m_options.learnRate);
+    m_slot.add(answer.streaming.inSeconds() / own.slots, m_options.learnRate);
 }
 
 } // namespace KingCup
--- a/src/core/requestcost.h
+++ b/src/core/requestcost.h
@@ -40,6 +40,8 @@
 
     // Queries
     auto seconds(const std::string &model) const -> double; ///< of a runner, per request
+    auto readingSeconds() const -> double; ///< of one prompt, over all models
+    auto slotSeconds() const -> double; ///< between two streams that end on a full runner, over all models, as answers took
 
     // Commands
     auto observe(const std::string &model, const SeenAnswer &answer) -> void;
@@ -62,6 +64,8 @@
     };
     RequestCostOptions m_options;
     Mean m_all; ///< begins as if the unknown had been seen
+    Mean m_reading; ///< likewise
+    Mean m_slot; ///< likewise
     std::map<std::string, Model> m_models;
 };
 
