--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -119,7 +119,6 @@
     int unread = 0;
     bool othersRead = false; ///< another entry's prompts are read there or wait
     bool isGivingWay = false; ///< the copy there is to be unloaded
-    Duration pauseWait;
     double cost = 0; ///< milliseconds, with what only serves the choice
 };
 
@@ -133,6 +132,7 @@
     SendId lastSend;
     std::map<EntryId, HeardWork> heard;
     std::map<std::string, double> readMillis; ///< per token, by model
+    std::map<std::string, double> stepMillis; ///< to the first token of a prompt that is hardly to be read, by model
     std::map<ServiceName, double> plainMillis;
     std::map<TargetId, double> newReading; ///< milliseconds, not told to others yet
     RequestCost requestCost;
@@ -149,6 +149,11 @@
         const auto found = readMillis.find(model);
         return found == readMillis.end() ? options.millisPerToken : found->second;
     }
+    auto firstStepOf(const std::string &model) const -> double
+    {
+        const auto found = stepMillis.find(model);
+        return found == stepMillis.end() ? toMillis(options.firstStep) : found->second;
+    }
     auto plainTime(const ServiceName &service) const -> double
     {
         const auto found = plainMillis.find(service);
@@ -379,12 +384,9 @@
     const double perToken = millisPerToken(request.model) * state.slownessAt(now);
     const double read = made.unread * perToken;
     made.backlog = fromMillis(backlog);
-    made.first = made.backlog + fromMillis(read) + options.firstStep;
+    made.first = made.backlog + fromMillis(read + firstStepOf(request.model));
     made.ifPatient = made.first + fromMillis(patient + patientWait);
     made.cost = backlog + read + state.recent.within(request.pauseGoal, now);
-    if (request.pauseGoal > Duration() && state.running + rest.running > 0) {
-        made.pauseWait = state.recent.waitFor(read, toMillis(request.pauseGoal) * options.readingShare, request.pauseGoal, now);
-    }
     if (request.promptTokens >= options.deepPrompt && made.unread >= options.deepPrompt / 2) {
         made.cost += toMillis(options.stalledStream) * (state.running + rest.running);
     }
@@ -498,7 +500,6 @@
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
-    choice.pauseWait = best->pauseWait;
     choice.unreadTokens = best->unread;
     choice.candidates = static_cast<int>(estimates.size());
     return choice;
@@ -578,20 +579,31 @@
     state.observeSlowness(took / std::max(toMillis(send.expectedFirst) / send.slowness, LeastExpected), now);
 }
 
-/// How long one token takes where nothing else is read: what is seen is mostly more than that, so observations below count much more than
-/// those above.
+/// How long one token takes where nothing else is read, and a first step: what is seen is mostly more than that, so observations below count much more than
+/// those above. The step is learnt from short prompts, the reading from the others: with a step taken to be longer than it is, reading seemed half as long
+/// as it was, and runners were given more prompts at once than their streams could bear.
 auto Dispatcher::Private::learnReading(const Send &send, double took) -> void
 {
     constexpr int LeastTokens = 400; // below, the step's time outweighs reading
-    if (send.unreadTokens < LeastTokens || send.backlog > Duration::millis(5)) {
+    constexpr int FewTokens = 200; // below, reading hardly counts
+    if (send.backlog > Duration::millis(5)) {
         return;
     }
     constexpr double LeastPerToken = 0.002;
     constexpr double MostPerToken = 0.2;
     constexpr double RateDown = 0.2;
     constexpr double RateUp = 0.01;
+    constexpr double LeastStep = 2; // milliseconds; a round trip within a region
+    if (send.unreadTokens < FewTokens) {
+        auto &step = stepMillis.try_emplace(send.model, toMillis(options.firstStep)).first->second;
+        const double seen = std::max(took - send.unreadTokens * millisPerToken(send.model), LeastStep);
+        step += (seen - step) * (seen < step ? RateDown : RateUp);
+    }
+    if (send.unreadTokens < LeastTokens) {
+        return;
+    }
     auto &perToken = readMillis.try_emplace(send.model, options.millisPerToken).first->second;
-    const double observed = std::clamp((took - toMillis(options.firstStep)) / send.unreadTokens, LeastPerToken, MostPerToken);
+    const double observed = std::clamp((took - firstStepOf(send.model)) / send.unreadTokens, LeastPerToken, MostPerToken);
     perToken += (observed - perToken) * (observed < perToken ? RateDown : RateUp);
 }
 
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -67,7 +67,6 @@
     Duration expectedFirst; ///< until the first token, or a plain service's answer
     Duration expectedIfPatient; ///< likewise, if everything else there goes first
     Duration backlog; ///< of expectedFirst, what others must wait for first
-    Duration pauseWait; ///< sent sooner, with what else was sent there, it would stall the streams there for longer than is aimed at
     int unreadTokens = 0; ///< of the prompt
     int candidates = 0; ///< targets that could have taken it
     bool isLastResort = false; ///< requests don't get through to it of late, nor to any other that could take it
@@ -122,8 +121,6 @@
     /// stream there. Sent where few run, half as many streams stalled (two in a hundred before), for no later first tokens.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
-    /// Of the longest pause aimed at, what a runner may read within it: the rest is taken by the steps of its streams.
-    double readingShare = 0.55;
     double learnRate = 0.1; ///< weight of one observation
     double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
--- a/src/core/readqueue.cpp
+++ b/src/core/readqueue.cpp
@@ -58,23 +58,6 @@
     return sum;
 }
 
-auto RecentReading::waitFor(double millis, double most, Duration span, TimePoint now) const -> Duration
-{
-    double sum = within(span, now) + millis;
-    for (const auto &read : m_reads) {
-        if (sum <= most) {
-            break;
-        }
-        if (now - read.at < span) {
-            sum -= read.millis;
-            if (sum <= most || &read == &m_reads.back()) {
-                return read.at + span - now;
-            }
-        }
-    }
-    return {};
-}
-
 auto RecentReading::add(double millis, TimePoint now) -> void
 {
     constexpr auto Longest = Duration::seconds(1);
--- a/src/core/readqueue.h
+++ b/src/core/readqueue.h
@@ -58,8 +58,6 @@
 public:
     /// Milliseconds; `span` up to a second.
     auto within(Duration span, TimePoint now) const -> double;
-    /// Until `millis` more make no more than `most` within any span.
-    auto waitFor(double millis, double most, Duration span, TimePoint now) const -> Duration;
 
     auto add(double millis, TimePoint now) -> void;
 
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -50,6 +50,7 @@
     Duration timeout; ///< from the request's first byte to its last answer at the latest
     Duration goal; ///< an answer (streams: the first event) within it is on time
     Duration pauseGoal; ///< streams: the longest pause between events that is still on time; 0: none declared
+    Duration callersLeave; ///< streams: callers give up when nothing has come for so long, also before the first event; 0: not known
     int priority = 0; ///< 0 is the most urgent
     UrgencyBand band = UrgencyBand::Usual; ///< from priority and goal; see assignBands()
     int attempts = 1; ///< targets that one try of a client may run on
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -28,8 +28,6 @@
 constexpr int DemotedStep = 2;
 /// Of a route's goal: where a request would wait for longer at the only target with its adapter, the adapter is asked for on another one.
 constexpr double BusyShare = 0.25;
-/// Of a route's goal: a prompt that waits so that streams aren't stalled has this to begin in; the rest is for what the estimate doesn't know.
-constexpr double PaceShare = 0.7;
 /// What a stream of some hundred tokens takes after its first: less than that left, and it would be cut off.
 constexpr auto StreamTime = Duration::millis(600);
 /// An overload of seconds is over by then or isn't over soon; clients come back within a third of the time they have left.
@@ -102,24 +100,12 @@
         m_waitTimer = m_owner.parts.loop.after(ConnectPause, [this] { attempt(); });
         return;
     }
-    if (!m_request.model.empty() && (waitForStreams(choice) || !admit(choice))) {
+    if (!m_request.model.empty() && !admit(choice)) {
         return;
     }
     send(choice);
 }
 
-/// A prompt that would stall the streams at the best target waits for a moment here, as long as it is on time all the same: at the target it would be
-/// read at once, beside the others that have just come, and each stream there would pause for all of them together.
-auto ForwardedRequest::waitForStreams(const DispatchChoice &choice) -> bool
-{
-    const auto elapsed = now() - m_exchange->startedAt();
-    if (choice.pauseWait == Duration() || elapsed + choice.pauseWait + choice.expectedFirst > m_route.goal * PaceShare) {
-        return false;
-    }
-    m_waitTimer = m_owner.parts.loop.after(choice.pauseWait, [this] { attempt(); });
-    return true;
-}
-
 /// On time if it can be; else after everything that still can, as long as it is answered at all. With all of them in one queue, a
 /// runner that is asked for half more than it can do would soon answer every request late, and its streams would stall behind the reading.
 auto ForwardedRequest::admit(const DispatchChoice &choice) -> bool
@@ -131,7 +117,8 @@
     if (elapsed + choice.expectedFirst <= m_route.goal) {
         return true;
     }
-    if (choice.expectedIfPatient + StreamTime < m_deadline - now()) {
+    const bool callerStays = m_route.callersLeave == Duration() || elapsed + choice.expectedIfPatient < m_route.callersLeave;
+    if (callerStays && choice.expectedIfPatient + StreamTime < m_deadline - now()) {
         m_isDemoted = true;
         m_request.band = UrgencyBand::Patient;
         return true;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -80,7 +80,6 @@
 
 private:
     auto attempt() -> void;
-    auto waitForStreams(const DispatchChoice &choice) -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
     auto send(const DispatchChoice &choice) -> void;
