--- /dev/null
+++ b/tests/unit_copies.cpp
@@ -0,0 +1,143 @@
+// How work spreads over copies, what a request costs a runner, and who has streams at a copy that gives way. Without network.
+#include "core/copyspread.h"
+#include "core/requestcost.h"
+#include "gateway/copyuse.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto answer(double reading, double streaming, std::size_t bytes) -> SeenAnswer
+{
+    return {Duration::seconds(reading), Duration::seconds(streaming), bytes, 64};
+}
+
+} // namespace
+
+TEST_CASE("work goes to the emptiest runners with its model")
+{
+    // Two models share runner 1. Spread evenly over copies it would seem to be the busiest, and runner 0 to have time that it hasn't.
+    CopySpread spread(2, 3);
+    spread.setWork(0, 1.0);
+    spread.setWork(1, 0.6);
+    spread.add(0, 0);
+    spread.add(0, 1);
+    spread.add(1, 1);
+    spread.add(1, 2);
+    spread.settle();
+    for (std::size_t runner = 0; runner < 3; ++runner) {
+        REQUIRE(spread.load(runner) == Approx(1.6 / 3).margin(0.02));
+    }
+    REQUIRE(spread.share(0, 0) + spread.share(0, 1) == Approx(1.0));
+    spread.remove(1, 2);
+    spread.settle();
+    REQUIRE(spread.load(2) == Approx(0).margin(1e-9));
+    REQUIRE(spread.load(0) == Approx(0.8).margin(0.02));
+    REQUIRE(spread.level(0) == Approx(0.8).margin(0.02));
+}
+
+TEST_CASE("the loss rises ever more steeply until a runner is full, and then as steeply")
+{
+    const LossCurve curve;
+    double slope = 0;
+    for (double work = 0.05; work < 4; work += 0.05) {
+        const double next = (curve.lost(work + 0.05) - curve.lost(work)) / 0.05;
+        REQUIRE(next >= slope - 1e-6);
+        slope = next;
+    }
+    REQUIRE(curve.lost(0) == Approx(0));
+    REQUIRE(slope > 1);
+    REQUIRE(slope < 1.6);
+}
+
+TEST_CASE("a full runner doesn't make its model's requests seem dearer")
+{
+    // Load pattern: a model with too few copies. Its streams take three times as long, held up by each other. Counted by that time, its work would seem to
+    // treble, and copies of all other models would go for it.
+    RequestCost cost;
+    for (int i = 0; i < 200; ++i) {
+        cost.observe("m1", answer(0.01, 2, 3000));
+    }
+    const double before = cost.seconds("m1");
+    REQUIRE(before == Approx(0.01 + 2.0 / 64).epsilon(0.2));
+    for (int i = 0; i < 60; ++i) {
+        cost.observe("m1", answer(0.01, 6, 3000));
+    }
+    REQUIRE(cost.seconds("m1") < before * 2);
+}
+
+TEST_CASE("models are told apart by pace, and short answers that end first don't make all seem cheap")
+{
+    RequestCost cost;
+    for (int i = 0; i < 5; ++i) {
+        cost.observe("m1", answer(0.002, 0.2, 300));
+    }
+    REQUIRE(cost.seconds("m1") > 0.015);
+    REQUIRE(cost.seconds("never-seen") > 0.015);
+    for (int i = 0; i < 300; ++i) {
+        cost.observe("slow", answer(0.01, 2, 3000));
+        cost.observe("quick", answer(0.001, 0.2, 3000));
+    }
+    REQUIRE(cost.seconds("slow") > cost.seconds("quick") * 4);
+}
+
+TEST_CASE("a copy that gives way is empty when every gateway has said so")
+{
+    // A gateway that was not heard may still have streams there; taken to have none, the unload would keep the runner waiting for them.
+    const CopyKey copy(TargetId("r1"), "m1");
+    CopyUseHooks hooks;
+    int own = 2;
+    hooks.ownStreams = [&own](const CopyKey &) {
+        return own;
+    };
+    hooks.tellHolder = [](const Wire::ControlFrame &) {};
+    CopyUse use(hooks);
+    use.setMoves({{TargetId("r1"), CopyMove {"m2", {"m1"}, TimePoint()}}});
+    REQUIRE(use.streams({"b", "c"}).empty());
+    Wire::CopyStreams told;
+    auto *one = told.add_copies();
+    one->set_target("r1");
+    one->set_model("m1");
+    one->set_streams(3);
+    use.heard("b", told);
+    REQUIRE(use.streams({"b", "c"}).empty());
+    one->set_streams(0);
+    use.heard("c", told);
+    REQUIRE(use.streams({"b", "c"}).at(copy) == 5);
+    own = 0;
+    use.heard("b", told);
+    REQUIRE(use.streams({"b", "c"}).at(copy) == 0);
+    // What was told of a move that is over says nothing of the next one.
+    use.setMoves({});
+    use.setMoves({{TargetId("r1"), CopyMove {"m2", {"m1"}, TimePoint()}}});
+    REQUIRE(use.streams({"b", "c"}).empty());
+}
+
+TEST_CASE("a gateway tells of its streams at once, and until the copy no longer gives way")
+{
+    CopyUseHooks hooks;
+    std::vector<int> told;
+    hooks.ownStreams = [](const CopyKey &) {
+        return 4;
+    };
+    hooks.tellHolder = [&told](const Wire::ControlFrame &frame) {
+        for (const auto &copy : frame.copy_streams().copies()) {
+            told.push_back(static_cast<int>(copy.streams()));
+        }
+    };
+    CopyUse use(hooks);
+    use.held(TargetId("r1"), {{"m1", 0, {}, true}, {"m2", 0, {}}});
+    REQUIRE(told == std::vector<int> {4});
+    use.held(TargetId("r1"), {{"m1", 0, {}, true}, {"m2", 0, {}}});
+    REQUIRE(told.size() == 1);
+    use.tell();
+    REQUIRE(told.size() == 2);
+    use.held(TargetId("r1"), {{"m1", 0, {}}, {"m2", 0, {}}});
+    use.tell();
+    REQUIRE(told.size() == 2);
+}
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -406,3 +406,94 @@
     repeats.succeeded(request);
     REQUIRE(repeats.isEmpty());
 }
+
+TEST_CASE("a copy that gives way gets no new requests while another can take them")
+{
+    // Load pattern: demand moves to another model, and a runner is to make room for it. Requests that still went to the model that leaves would keep its streams
+    // from ever ending; but where it is the only copy, they must not be refused for it.
+    DispatchBench bench(0);
+    bench.add("r0", "z1", {{"m1", 0, {"a1"}, true}});
+    REQUIRE(bench->choose(request(), at(1)).target == TargetId("r0"));
+    bench.add("r1", "z1", {{"m1", 0, {}}});
+    for (int i = 0; i < 20; ++i) {
+        const auto one = request();
+        const auto choice = bench->choose(one, at(1));
+        REQUIRE(choice.target == TargetId("r1"));
+        bench->sent(one, choice.target, at(1));
+    }
+    // An adapter that is only there is loaded beside the copy that stays, rather than asked for where it keeps the old one.
+    auto adapted = request();
+    adapted.adapter = "a1";
+    REQUIRE(bench->choose(adapted, at(1)).refusal == DispatchRefusal::AdapterMissing);
+    // Should the other copy not be reached, the one that gives way is better than none.
+    bench->unreachable(TargetId("r1"), at(1));
+    REQUIRE(bench->choose(request(), at(1)).target == TargetId("r0"));
+}
+
+TEST_CASE("a full runner is waited for by urgency")
+{
+    // Load pattern: the only runner with a model is asked for more than it can do. Its places turn over all the while, and requests that can still be on time
+    // take the next ones; those that can't wait behind. Were a full runner a second's wait for everybody, all would count as late and all would be.
+    DispatchBench bench(1);
+    const auto small = [](UrgencyBand band) {
+        return longRequest(10, band);
+    };
+    for (int i = 0; i < 16; ++i) {
+        const auto send = bench->sent(small(UrgencyBand::Usual), TargetId("r0"), at(1));
+        bench->firstToken(send, at(1.01));
+    }
+    const auto nextToFull = bench->choose(small(UrgencyBand::Usual), at(1.1)).expectedFirst;
+    REQUIRE(nextToFull < Duration::millis(150));
+    for (int i = 0; i < 20; ++i) {
+        bench->sent(small(UrgencyBand::Patient), TargetId("r0"), at(1.1));
+    }
+    const auto urgent = bench->choose(small(UrgencyBand::Usual), at(1.1));
+    REQUIRE(urgent.expectedFirst < Duration::millis(150));
+    REQUIRE(urgent.expectedIfPatient > Duration::millis(400)); // behind the twenty
+    REQUIRE(bench->choose(small(UrgencyBand::Patient), at(1.1)).expectedFirst > Duration::millis(400));
+}
+
+TEST_CASE("prompts go where little was to be read of late, also by what others have sent")
+{
+    // Load pattern: many short prompts a second from several entries. Each is read within some milliseconds, but ten that come to one runner within the time
+    // between two events stall every stream there, while the runner beside it reads nothing.
+    DispatchBench bench(2);
+    auto first = longRequest(400, UrgencyBand::Usual);
+    first.pauseGoal = Duration::millis(150);
+    const auto send = bench->sent(first, TargetId("r0"), at(1));
+    bench->firstToken(send, at(1.02));
+    const auto next = [] {
+        auto made = longRequest(400, UrgencyBand::Usual);
+        made.pauseGoal = Duration::millis(150);
+        return made;
+    };
+    REQUIRE(bench->choose(next(), at(1.05)).target == TargetId("r1"));
+    bench->merge({{TargetId("r1"), Duration::millis(60)}}, at(1.05));
+    REQUIRE(bench->choose(next(), at(1.06)).target == TargetId("r0"));
+    const auto told = bench->takeSentReading();
+    REQUIRE(told.size() == 1);
+    REQUIRE(told.front().target == TargetId("r0"));
+    REQUIRE(told.front().reading > Duration::millis(5));
+    REQUIRE(bench->takeSentReading().empty());
+}
+
+TEST_CASE("a first step and the reading of a prompt are told apart")
+{
+    // An engine whose first step takes 8 ms and that reads 40 tokens a millisecond. With the step taken to be twice as long, reading would seem to take next to
+    // no time, and many prompts at once on one runner would seem to do no harm.
+    DispatchBench bench(1);
+    double now = 1;
+    for (int i = 0; i < 300; ++i) {
+        const int tokens = i % 3 == 0 ? 100 : 1000;
+        const auto send = bench->sent(longRequest(tokens, UrgencyBand::Usual), TargetId("r0"), at(now));
+        const double took = 0.008 + tokens / 40.0 / 1000;
+        bench->firstToken(send, at(now + took));
+        bench->ended(send, SendResult::Delivered, at(now + took + 0.2));
+        now += 1;
+    }
+    const auto shortOne = bench->choose(longRequest(50, UrgencyBand::Usual), at(now)).expectedFirst;
+    const auto longOne = bench->choose(longRequest(2000, UrgencyBand::Usual), at(now)).expectedFirst;
+    REQUIRE(shortOne < Duration::millis(12));
+    REQUIRE(longOne - shortOne > Duration::millis(40));
+    REQUIRE(longOne - shortOne < Duration::millis(60));
+}
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -580,6 +580,103 @@
     REQUIRE(loadsOf(bench.plan(), "m1") == 1);
 }
 
+TEST_CASE("a move first leaves the copy that gives way to its streams, then unloads it, then loads what comes")
+{
+    // Load pattern: demand has moved from m1 to m2 while streams of m1 run on for seconds. Unloaded at once, m1 would keep its runner from every other order
+    // until its last stream has ended; and the room, free at last, went to whatever was first to ask for it.
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m1", 0.05, 0.05).work("m2", 2, 2).work("m3", 0.05, 0.05);
+    const auto begun = bench.wholePlan(100).begun;
+    REQUIRE(begun.size() == 1);
+    REQUIRE(begun.front().target == TargetId("r2"));
+    REQUIRE(begun.front().move.comes == "m2");
+    REQUIRE(begun.front().move.goes == std::set<std::string> {"m1"});
+    bench.input().moves[TargetId("r2")] = begun.front().move;
+
+    // Nothing is known yet, or streams run: no order, and no second move for the same want.
+    REQUIRE(bench.wholePlan(100.1).orders.empty());
+    bench.input().streams[{TargetId("r2"), "m1"}] = 3;
+    REQUIRE(bench.wholePlan(100.2).orders.empty());
+    REQUIRE(bench.wholePlan(100.2).begun.empty());
+    REQUIRE(bench.wholePlan(100.2).givenUp.empty());
+    // The last stream has ended.
+    bench.input().streams[{TargetId("r2"), "m1"}] = 0;
+    const auto unload = bench.wholePlan(100.3).orders;
+    REQUIRE(unload.size() == 1);
+    REQUIRE(unload.front().order == RunnerOrder {false, "m1", ""});
+    REQUIRE(unload.front().makesRoomFor == "m2");
+}
+
+TEST_CASE("a move whose streams don't end, or of which gateways don't tell, goes on all the same")
+{
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m2", 2, 2);
+    bench.input().moves[TargetId("r2")] = bench.wholePlan(100).begun.front().move;
+    REQUIRE(bench.wholePlan(101).orders.empty());
+    REQUIRE(bench.wholePlan(102).orders.size() == 1); // a gateway that says nothing is taken to have none
+    bench.input().streams[{TargetId("r2"), "m1"}] = 1;
+    REQUIRE(bench.wholePlan(104).orders.empty());
+    REQUIRE(bench.wholePlan(106).orders.size() == 1);
+}
+
+TEST_CASE("a move is kept through noise, and given up when it would do harm")
+{
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m2", 1.2, 1.2);
+    bench.input().moves[TargetId("r2")] = bench.wholePlan(100).begun.front().move;
+    bench.input().streams[{TargetId("r2"), "m1"}] = 3;
+    bench.work("m2", 0.9, 0.9);
+    REQUIRE(bench.wholePlan(100.5).givenUp.empty());
+    bench.work("m2", 0.05, 0.05).work("m1", 2, 2);
+    REQUIRE(bench.wholePlan(101).givenUp == std::vector<TargetId> {TargetId("r2")});
+}
+
+TEST_CASE("the last copy that serves isn't unloaded, though another is on its way")
+{
+    // The other runner with the model has failed since the move began.
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m2", 2, 2);
+    bench.input().moves[TargetId("r2")] = bench.wholePlan(100).begun.front().move;
+    bench.input().streams[{TargetId("r2"), "m1"}] = 0;
+    bench.input().failing = {TargetId("r1")};
+    for (const auto &planned : bench.wholePlan(101).orders) {
+        REQUIRE(planned.order != RunnerOrder {false, "m1", ""});
+    }
+}
+
+TEST_CASE("an adapter isn't loaded beside a copy that gives way")
+{
+    PlanBench bench(declaredEngine(2, 8));
+    bench.add("r1", {{"m1", 0, {}}}).add("r2", {{"m1", 0, {}}}, 0.5);
+    bench.input().moves[TargetId("r1")] = {"m2", {"m1"}, at(99)};
+    const auto planned = bench.place("m1", "a1", {});
+    REQUIRE(planned);
+    REQUIRE(planned->target == TargetId("r2"));
+}
+
+TEST_CASE("a runner that is still unloading is tried again, not asked for a report that is older than the order")
+{
+    const auto engine = declaredEngine(3);
+    auto book = knownBook(description("r1", {{"m1", 0, {}}, {"m2", 0, {}}}));
+    book.ordered({false, "m1", ""}, Duration(), at(1));
+    book.accepted(false, at(1));
+    REQUIRE(book.mayOrder(load("m3"), engine, at(1.05)));
+    for (int i = 0; i < 4; ++i) {
+        const double now = 1.05 + i * 0.1;
+        book.ordered(load("m3"), Duration::seconds(1), at(now));
+        book.foundBusy(at(now));
+        REQUIRE(book.isKnown());
+        REQUIRE_FALSE(book.mayOrder(load("m3"), engine, at(now + 0.05)));
+        REQUIRE(book.mayOrder(load("m3"), engine, at(now + 0.09)));
+    }
+    // But not for ever: then something else is wrong with what is known of it.
+    for (int i = 0; i < 4; ++i) {
+        book.ordered(load("m3"), Duration::seconds(1), at(2 + i));
+        book.foundBusy(at(2 + i));
+    }
+    REQUIRE_FALSE(book.isKnown());
+}
+
 TEST_CASE("an adapter takes a free place, else that of the one that was not used for the longest time")
 {
     // Load pattern: more adapters are asked for in turn than runners have places for.
