--- a/tests/unit_copies.cpp
+++ b/tests/unit_copies.cpp
@@ -95,7 +95,8 @@
     hooks.ownStreams = [&own](const CopyKey &) {
         return own;
     };
-    hooks.tellHolder = [](const Wire::ControlFrame &) {};
+    hooks.tellHolder = [](const Wire::ControlFrame &) {
+    };
     CopyUse use(hooks);
     use.setMoves({{TargetId("r1"), CopyMove {"m2", {"m1"}, TimePoint()}}});
     REQUIRE(use.streams({"b", "c"}).empty());
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -409,8 +409,8 @@
 
 TEST_CASE("a copy that gives way gets no new requests while another can take them")
 {
-    // Load pattern: demand moves to another model, and a runner is to make room for it. Requests that still went to the model that leaves would keep its streams
-    // from ever ending; but where it is the only copy, they must not be refused for it.
+    // Load pattern: demand moves to another model, and a runner is to make room for it. Requests that still went to the model that leaves would keep its
+    // streams from ever ending; but where it is the only copy, they must not be refused for it.
     DispatchBench bench(0);
     bench.add("r0", "z1", {{"m1", 0, {"a1"}, true}});
     REQUIRE(bench->choose(request(), at(1)).target == TargetId("r0"));
