Reading of late counts only beyond what streams bear

Cause: on sites with long prompts and a pause of 400 ms the sum of all that was read in that time outweighed the kept beginnings of prompts. Change: a prompt costs what its runner would read beyond half of the pause aimed at (core/dispatch).

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -178,6 +178,7 @@
     auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
     auto estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double;
     auto slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double;
     auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
     auto failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
@@ -360,6 +361,12 @@
     return std::max(lacking, 0.0) * requestCost.slotSeconds() * MillisPerSecond;
 }
 
+/// What a prompt would make the runner read beyond what its streams bear between two events, in milliseconds.
+auto Dispatcher::Private::stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double
+{
+    return std::max(state.recent.within(pauseGoal, now) + read - toMillis(pauseGoal) * options.readingShare, 0.0);
+}
+
 auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
     -> void
 {
@@ -386,7 +393,7 @@
     made.backlog = fromMillis(backlog);
     made.first = made.backlog + fromMillis(read + firstStepOf(request.model));
     made.ifPatient = made.first + fromMillis(patient + patientWait);
-    made.cost = backlog + read + state.recent.within(request.pauseGoal, now);
+    made.cost = backlog + read + stallOf(state, read, request.pauseGoal, now);
     if (request.promptTokens >= options.deepPrompt && made.unread >= options.deepPrompt / 2) {
         made.cost += toMillis(options.stalledStream) * (state.running + rest.running);
     }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -121,6 +121,7 @@
     /// stream there. Sent where few run, half as many streams stalled (two in a hundred before), for no later first tokens.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
+    double readingShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
     double learnRate = 0.1; ///< weight of one observation
     double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
