--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -63,7 +63,7 @@
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
     ReadQueue reads; ///< own sends without a first token
-    RecentReading recent; ///< own sends of the last moments
+    RecentReading recent; ///< of all entries, as far as they have told
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -112,13 +112,13 @@
     ZoneName zone; ///< this process's own
     Duration otherZone = Duration::millis(4); ///< added to targets of other zones: there and back, and what the bytes between zones cost
     std::function<bool(const Endpoint &address)> isConnected; ///< a kept connection could be used; none: not known
-    /// Added to targets without one: some round trips, and a place of the few hundred that a target has. One new connection in eight less.
+    /// Added to targets without one: some round trips, and a place of the few hundred that a target has.
     Duration newConnection = Duration::millis(5);
     double millisPerToken = 0.03; ///< reading a prompt, until it was observed; engines of the sizes in use do 20 to 200 tokens a ms
     Duration firstStep = Duration::millis(15); ///< of an engine, beside reading
     Duration plainTime = Duration::millis(60); ///< of a plain service's request, until it was observed
     /// Tokens. While a prompt as long is read anew, each step of its runner takes so long that half a second passes between two events of every
-    /// stream there. Sent where few run, half as many streams stalled (two in a hundred before), for no later first tokens.
+    /// stream there; where few run, few are stalled.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
     double readingShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,9 +43,8 @@
 constexpr auto CurrentWithin = Duration::seconds(2);
 /// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
 constexpr auto DigestPeriod = Duration::millis(200);
-/// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it,
-/// and these came late. That halved the late first tokens that nothing had foretold (235 to 99 over five days of the larger ledger site's load),
-/// for a tenth more bytes between zones.
+/// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it, and
+/// their first tokens would come late though nothing had foretold it.
 constexpr auto LongRead = Duration::millis(100);
 constexpr auto LongReadDelay = Duration::millis(5); ///< what comes together is told together
 /// Between two words to the others of what targets were given to read, for each gateway that hears it: a gateway hears some hundred of them a second,
