Only a model's load is tried again where an unload may hold it up

Cause: any refusal by a runner that had once unloaded a model was put down to that unload, also that of an adapter, and what is known of the runner stayed as it was though its count of orders differed. Change: refusals of adapters, and those a second or more after the unload, lead to a report as before. Unit test, seen to fail without it.

--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -13,6 +13,8 @@
 /// Between two orders to a runner that is still unloading, and how often that is tried before its report is asked for.
 constexpr auto BusyPause = Duration::millis(80);
 constexpr int MostTriesWhileBusy = 6;
+/// An unload that takes longer than this is not what keeps the runner from other orders: its count of them is another than is known here.
+constexpr auto LongestUnload = Duration::seconds(1);
 /// How old what a report says may be: runners of the sizes in use say 200 ms.
 constexpr auto ReportAge = Duration::millis(400);
 
@@ -326,8 +328,9 @@
 
 auto RunnerBook::foundBusy(TimePoint now) -> void
 {
-    const bool isUnloading = m_modelOrder && !m_modelOrder->order.isLoad;
-    if (!isUnloading || ++m_foundBusy > MostTriesWhileBusy) {
+    const bool isModelLoad = m_sent && m_sent->order.isLoad && m_sent->order.adapter.empty();
+    const bool isUnloading = m_modelOrder && !m_modelOrder->order.isLoad && now - m_modelOrderedAt < LongestUnload;
+    if (!isModelLoad || !isUnloading || ++m_foundBusy > MostTriesWhileBusy) {
         refused(now);
         return;
     }
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -79,8 +79,9 @@
     auto ordered(const RunnerOrder &order, Duration expected, TimePoint now) -> void;
     auto accepted(bool isDone, TimePoint now) -> void;
     auto refused(TimePoint now) -> void; ///< certainly without effect; what is known of it is wrong
-    /// Certainly without effect: the runner carries out another order, or counts its orders otherwise. While an unload of ours may still wait for streams,
-    /// that is the reason, and asking for a report, which is some hundred milliseconds old, would take longer than trying again.
+    /// Certainly without effect: the runner carries out another order, or counts its orders otherwise. For a model that follows on an unload of ours from a
+    /// moment ago the first is the reason, and asking for a report, which is some hundred milliseconds old, would take longer than trying again. For an adapter
+    /// it isn't: what is thought to be free there may be wrong, and the next load would be one too many.
     auto foundBusy(TimePoint now) -> void;
     auto unanswered(TimePoint now) -> void;
     /// A request met something else there than this book says: asked for its report.
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -670,13 +670,33 @@
         REQUIRE(book.mayOrder(load("m3"), engine, at(now + 0.09)));
     }
     // But not for ever: then something else is wrong with what is known of it.
+    auto later = book;
+    later.ordered(load("m3"), Duration::seconds(1), at(2.5));
+    later.foundBusy(at(2.5));
+    REQUIRE_FALSE(later.isKnown());
     for (int i = 0; i < 4; ++i) {
-        book.ordered(load("m3"), Duration::seconds(1), at(2 + i));
-        book.foundBusy(at(2 + i));
+        book.ordered(load("m3"), Duration::seconds(1), at(1.5 + i * 0.1));
+        book.foundBusy(at(1.5 + i * 0.1));
     }
     REQUIRE_FALSE(book.isKnown());
 }
 
+TEST_CASE("an adapter that is refused by a runner that was just unloading leads to a report")
+{
+    // The runner refuses because its count of orders is another: an adapter that gave way there is still in use, or a late order has taken effect. Were its
+    // refusal put down to the unload, the book would go on with a wrong list, and the next adapter ordered there would be one too many for its places.
+    const auto engine = declaredEngine(3, 8);
+    auto book = knownBook(description("r1", {{"m1", 0, {}}, {"m2", 0, {}}}));
+    book.ordered({false, "m1", ""}, Duration(), at(1));
+    book.accepted(false, at(1));
+    const RunnerOrder adapter {true, "m2", "a1"};
+    REQUIRE(book.mayOrder(adapter, engine, at(1.05)));
+    book.ordered(adapter, Duration(), at(1.05));
+    book.foundBusy(at(1.05));
+    REQUIRE_FALSE(book.isKnown());
+    REQUIRE(book.needsReport(at(1.1)));
+}
+
 TEST_CASE("an adapter takes a free place, else that of the one that was not used for the longest time")
 {
     // Load pattern: more adapters are asked for in turn than runners have places for.
