A runner that carries out an order gets no other, though it has room

The refusal made its book forget the model that it was loading, and a later load was more than it holds. Change: a place without a copy that gives way needs a runner that takes the order; an order that the runner's book doesn't allow is not sent (orders not-allowed). Unit test, seen to fail.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -393,6 +393,9 @@
         return std::nullopt;
     }
     const auto missing = m_models[model].declared->weights - runner.book->freeMemory(*m_input.engine, m_now);
+    if (missing <= Bytes()) {
+        return std::nullopt; // there is room, but it takes no order now: it carries one out, or isn't known
+    }
     auto goes = makeRoom(number, missing);
     if (!goes) {
         return std::nullopt;
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -571,6 +571,10 @@
     }
     auto &book = found->second;
     const auto &about = book.description();
+    if (!book.mayOrder(planned.order, engines.at(service), now())) {
+        parts.log.line("orders", "not-allowed").add("target", planned.target.text()).add("model", planned.order.model).add("adapter", planned.order.adapter);
+        return;
+    }
     if (planned.order.isLoad && planned.order.adapter.empty() && planned.source == WeightSource::Store) {
         meters[service].began(now());
     }
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -456,6 +456,10 @@
         }
         return planCopies(m_input, {}, storeLoads, at(now));
     }
+    auto book(std::size_t number) -> RunnerBook &
+    {
+        return *m_books.at(number);
+    }
     auto input() -> CopyPlanInput &
     {
         return m_input;
@@ -631,6 +635,22 @@
     REQUIRE(bench.wholePlan(101).givenUp == std::vector<TargetId> {TargetId("r2")});
 }
 
+TEST_CASE("a runner that is loading gets no second load, though it has room and its last order is long ago")
+{
+    // Load pattern: a load from the weight store takes six seconds, and a model without a copy waits meanwhile. The order would be refused, what is known of
+    // the runner given up, and with it the model that it is loading: the next loads there would be more than it holds, and it would crash.
+    PlanBench bench(declaredEngine(3));
+    bench.add("r1", {}).work("m1", 0.5, 0.5).work("m2", 0.5, 0.5).work("m3", 0.1, 0.1);
+    auto &book = bench.book(0);
+    book.ordered(load("m1"), Duration::seconds(6), at(100));
+    book.accepted(false, at(100));
+    for (const double now : {100.5, 102.0, 103.5, 105.0}) {
+        const auto plan = bench.wholePlan(now);
+        REQUIRE(plan.orders.empty());
+        REQUIRE(plan.begun.empty());
+    }
+}
+
 TEST_CASE("the last copy that serves isn't unloaded, though another is on its way")
 {
     // The other runner with the model has failed since the move began.
