Whether a copy gives way is asked in one place

Found in reading the change once more: the plan's input and three places of the order task spelt the same look-up.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -500,12 +500,17 @@
 
 // [SECTION] Plan
 
-auto CopyPlanInput::isGivingWay(const TargetId &target, const std::string &model) const -> bool
+auto isGivingWay(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool
 {
     const auto found = moves.find(target);
     return found != moves.end() && found->second.goes.contains(model);
 }
 
+auto CopyPlanInput::isGivingWay(const TargetId &target, const std::string &model) const -> bool
+{
+    return KingCup::isGivingWay(moves, target, model);
+}
+
 auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon, const RequestCost &cost) -> std::map<std::string, ModelWork>
 {
     std::map<std::string, ModelWork> result;
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -50,6 +50,9 @@
     TimePoint since;
 };
 
+/// Whether a copy makes room for another model there.
+auto isGivingWay(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool;
+
 /// One copy, by its runner and model.
 using CopyKey = std::pair<TargetId, std::string>;
 
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -168,9 +168,8 @@
 auto OrderTask::Private::holdingOf(const RunnerBook &book) const -> TargetDescription
 {
     auto about = book.description();
-    const auto move = moves.find(about.incarnation.id);
     for (auto &held : about.models) {
-        held.isGivingWay = move != moves.end() && move->second.goes.contains(held.name);
+        held.isGivingWay = isGivingWay(moves, about.incarnation.id, held.name);
     }
     return about;
 }
@@ -509,9 +508,8 @@
     int holders = 0;
     for (const auto &[id, book] : books) {
         const bool isOfService = book.description().service == std::get<0>(key);
-        const auto move = moves.find(id);
-        const bool isGivingWay = move != moves.end() && move->second.goes.contains(std::get<1>(key));
-        holders += isOfService && !isGivingWay && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
+        const bool stays = !isGivingWay(moves, id, std::get<1>(key));
+        holders += isOfService && stays && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
     }
     return holders;
 }
@@ -724,9 +722,7 @@
     for (auto &[id, book] : d->books) {
         const auto *held = book.description().model(model);
         const bool isHeld = held != nullptr && (adapter.empty() || held->hasAdapter(adapter));
-        const auto move = d->moves.find(id);
-        const bool isGivingWay = move != d->moves.end() && move->second.goes.contains(model);
-        if (isHeld && !isGivingWay && book.description().service == service) {
+        if (isHeld && !isGivingWay(d->moves, id, model) && book.description().service == service) {
             // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
             book.doubt(d->now());
             d->tellHolding(book);
