gateway: exchange load through one view per cell

Cause: each of 103 gateways sent its load to each other one five times a second, and its recent prefills as often: some 100,000 messages a second in all, decoded by hosts with 0.09 of a core.

Change: beyond 40 other gateways each reports to one of them every 100 ms, the first in a ranking by processor share that all know; it publishes the sum, directly in its own zone and through one relay in each other zone. Digests go out less often there, but for those of the lease holder and of the store's watchers. A silent keeper is passed over after 700 ms; a sum that arrives twice or late changes nothing. Messages grow with the gateways, not with their square. Short names of targets are kept in a map in place of being hashed for each message.

Up to 40 gateways nothing changes.

--- /dev/null
+++ b/src/core/cellload.cpp
@@ -0,0 +1,171 @@
+// Index of sections (search for [SECTION]):
+//   CellLoadSum   at the keeper
+//   OwnReports    at each gateway
+#include "core/cellload.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Of own reports that no sum has included: a keeper that is lost for longer has its sums begun anew.
+constexpr std::size_t MostOwnReports = 64;
+/// Failures travel in whole percents.
+constexpr double SameFailures = 0.011;
+
+} // namespace
+
+// [SECTION] CellLoadSum
+
+CellLoadSum::CellLoadSum(EntryId keeper, Duration lifetime)
+    : m_keeper(std::move(keeper))
+    , m_lifetime(lifetime)
+{
+}
+
+auto CellLoadSum::hasOthers(TimePoint now) const -> bool
+{
+    return std::any_of(m_reports.begin(), m_reports.end(), [&](const auto &known) { return known.first != m_keeper && now - known.second.at < m_lifetime; });
+}
+
+auto CellLoadSum::reportedWithin(Duration span, TimePoint now) const -> std::set<EntryId>
+{
+    std::set<EntryId> gateways;
+    for (const auto &[gateway, report] : m_reports) {
+        if (now - report.at < span) {
+            gateways.insert(gateway);
+        }
+    }
+    return gateways;
+}
+
+auto CellLoadSum::merge(const GatewayLoad &report, TimePoint now) -> void
+{
+    auto &known = m_reports[report.work.entry];
+    if (report.work.sequence <= known.work.sequence) {
+        return;
+    }
+    known = {report.work, now};
+    known.work.read.clear();
+    m_read.insert(m_read.end(), report.work.read.begin(), report.work.read.end());
+    for (const auto &sent : report.prefill) {
+        m_prefill[sent.target] = m_prefill[sent.target] + sent.reading;
+    }
+}
+
+auto CellLoadSum::expire(TimePoint now) -> void
+{
+    std::erase_if(m_reports, [&](const auto &known) { return now - known.second.at >= m_lifetime; });
+}
+
+auto CellLoadSum::addWork(const Report &report, std::map<TargetId, CellTargetLoad> &targets) const -> void
+{
+    for (const auto &work : report.work.work) {
+        auto &target = targets[work.target];
+        auto &sum = target.sum;
+        sum.target = work.target;
+        sum.running += work.running;
+        sum.tokens += work.tokens;
+        for (std::size_t band = 0; band < UrgencyBands; ++band) {
+            sum.unread.at(band) = sum.unread.at(band) + work.unread.at(band);
+        }
+        target.nextFailures = std::max(target.nextFailures, std::min(sum.failures, work.failures));
+        sum.failures = std::max(sum.failures, work.failures);
+        sum.isEjected = sum.isEjected || work.isEjected;
+        target.ejections += work.isEjected ? 1 : 0;
+    }
+}
+
+auto CellLoadSum::take(TimePoint now) -> CellLoad
+{
+    expire(now);
+    CellLoad cell;
+    cell.keeper = m_keeper;
+    cell.sequence = ++m_sequence;
+    std::map<TargetId, CellTargetLoad> targets;
+    for (const auto &[gateway, report] : m_reports) {
+        addWork(report, targets);
+        cell.reported[gateway] = report.work.sequence;
+    }
+    for (const auto &[id, target] : targets) {
+        cell.targets.push_back(target);
+    }
+    for (const auto &[target, prefill] : m_prefill) {
+        cell.prefill.push_back({target, prefill});
+    }
+    cell.read = std::move(m_read);
+    m_read.clear();
+    m_prefill.clear();
+    return cell;
+}
+
+// [SECTION] OwnReports
+
+OwnReports::OwnReports(EntryId self)
+    : m_self(std::move(self))
+{
+}
+
+auto OwnReports::sent(const GatewayLoad &report) -> void
+{
+    Report own {.sequence = report.work.sequence, .prefill = report.prefill};
+    for (const auto &work : report.work.work) {
+        own.work[work.target] = work;
+    }
+    m_reports.push_back(std::move(own));
+    if (m_reports.size() > MostOwnReports) {
+        m_reports.pop_front();
+    }
+}
+
+auto OwnReports::othersOf(const CellLoad &cell) -> GatewayLoad
+{
+    GatewayLoad others;
+    others.work.entry = cell.keeper;
+    others.work.sequence = cell.sequence;
+    others.work.read = cell.read;
+    const auto included = cell.reported.find(m_self);
+    const std::uint64_t upTo = included == cell.reported.end() ? 0 : included->second;
+    std::map<TargetId, Duration> ownPrefill;
+    while (!m_reports.empty() && m_reports.front().sequence <= upTo) {
+        const auto &report = m_reports.front();
+        for (const auto &sent : report.prefill) {
+            ownPrefill[sent.target] = report.sequence > m_lastIncluded ? ownPrefill[sent.target] + sent.reading : ownPrefill[sent.target];
+        }
+        if (report.sequence == upTo) {
+            break;
+        }
+        m_reports.pop_front();
+    }
+    m_lastIncluded = std::max(m_lastIncluded, upTo);
+    static const std::map<TargetId, TargetWork> Nothing;
+    const bool isKept = upTo > 0 && !m_reports.empty() && m_reports.front().sequence == upTo;
+    const auto &ownWork = isKept ? m_reports.front().work : Nothing;
+    for (const auto &target : cell.targets) {
+        auto work = target.sum;
+        const auto own = ownWork.find(work.target);
+        if (own != ownWork.end()) {
+            work.running = std::max(work.running - own->second.running, 0);
+            work.tokens = std::max<std::int64_t>(work.tokens - own->second.tokens, 0);
+            for (std::size_t band = 0; band < UrgencyBands; ++band) {
+                work.unread.at(band) = std::max(work.unread.at(band) - own->second.unread.at(band), Duration());
+            }
+            work.failures = own->second.failures + SameFailures >= work.failures ? target.nextFailures : work.failures;
+            work.isEjected = target.ejections > (own->second.isEjected ? 1 : 0);
+        }
+        others.work.work.push_back(work);
+    }
+    for (const auto &sent : cell.prefill) {
+        const auto own = ownPrefill.find(sent.target);
+        const auto rest = own == ownPrefill.end() ? sent.reading : sent.reading - own->second;
+        if (rest > Duration()) {
+            others.prefill.push_back({sent.target, rest});
+        }
+    }
+    return others;
+}
+
+} // namespace KingCup
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -28,6 +28,7 @@
     ZoneName zone;
     Endpoint endpoint;
     bool leaving = false;
+    double processorShare = 1; ///< cores that are its own, where known
 };
 
 // [SECTION] Ranking
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -3,7 +3,6 @@
 #include "core/hashing.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace KingCup
 {
@@ -15,78 +14,185 @@
 constexpr double Percent = 100;
 constexpr std::int64_t MicrosPerTenth = 100;
 
+auto shortName(const std::string &name) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(stableHash(name));
+}
+
 auto shortName(const TargetId &target) -> std::uint32_t
 {
-    return static_cast<std::uint32_t>(stableHash(target.text()));
+    return shortName(target.text());
+}
+
+auto writeColumns(const TargetWork &one, Wire::GatewayDigest::Work &columns) -> void
+{
+    columns.add_target(shortName(one.target));
+    columns.add_running(static_cast<std::uint32_t>(one.running));
+    for (const auto &unread : one.unread) {
+        columns.add_unread_ms(static_cast<std::uint32_t>(unread.inMillis()));
+    }
+    columns.add_tokens(static_cast<std::uint32_t>(one.tokens / TokenUnit));
+    columns.add_failures(static_cast<std::uint32_t>(one.failures * Percent));
+    columns.add_ejected(one.isEjected);
+}
+
+auto rowsOf(const Wire::GatewayDigest::Work &work) -> int
+{
+    constexpr int Bands = static_cast<int>(UrgencyBands);
+    return std::min({work.target_size(), work.running_size(), work.unread_ms_size() / Bands, work.tokens_size(), work.failures_size(), work.ejected_size()});
+}
+
+auto workAt(const Wire::GatewayDigest::Work &work, int row, const TargetId &target) -> TargetWork
+{
+    constexpr int Bands = static_cast<int>(UrgencyBands);
+    TargetWork one;
+    one.target = target;
+    one.running = static_cast<int>(work.running(row));
+    for (int band = 0; band < Bands; ++band) {
+        one.unread.at(static_cast<std::size_t>(band)) = Duration::millis(work.unread_ms(row * Bands + band));
+    }
+    one.tokens = work.tokens(row) * TokenUnit;
+    one.failures = work.failures(row) / Percent;
+    one.isEjected = work.ejected(row);
+    return one;
+}
+
+auto workOf(const Wire::GatewayDigest::Work &message, const TargetNames &names) -> std::vector<TargetWork>
+{
+    std::vector<TargetWork> list;
+    const int rows = rowsOf(message);
+    for (int i = 0; i < rows; ++i) {
+        if (const auto *target = names.find(message.target(i))) {
+            list.push_back(workAt(message, i, *target));
+        }
+    }
+    return list;
+}
+
+using ReadChains = std::vector<std::pair<TargetId, PromptChain>>;
+
+auto writeRead(const ReadChains &chains, Wire::GatewayDigest::Read &message) -> void
+{
+    for (const auto &[target, chain] : chains) {
+        message.add_target(shortName(target));
+        message.add_chain(chain.hash);
+        message.add_tokens(static_cast<std::uint32_t>(chain.tokens));
+    }
 }
 
-auto targetNames(const std::vector<TargetId> &targets) -> std::unordered_map<std::uint32_t, TargetId>
+auto readOf(const Wire::GatewayDigest::Read &message, const TargetNames &names) -> ReadChains
 {
-    std::unordered_map<std::uint32_t, TargetId> names;
-    for (const auto &target : targets) {
-        names.emplace(shortName(target), target);
+    ReadChains chains;
+    const int rows = std::min({message.target_size(), message.chain_size(), message.tokens_size()});
+    for (int i = 0; i < rows; ++i) {
+        if (const auto *target = names.find(message.target(i))) {
+            chains.emplace_back(*target, PromptChain {message.chain(i), static_cast<int>(message.tokens(i))});
+        }
     }
-    return names;
+    return chains;
 }
 
 } // namespace
 
+auto TargetNames::find(std::uint32_t name) const -> const TargetId *
+{
+    const auto found = m_targets.find(name);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+auto TargetNames::add(const TargetId &target) -> void
+{
+    m_targets.insert_or_assign(shortName(target), target);
+}
+
+auto TargetNames::remove(const TargetId &target) -> void
+{
+    m_targets.erase(shortName(target));
+}
+
 auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void
 {
-    auto *columns = message.mutable_work();
     for (const auto &one : work.work) {
-        columns->add_target(shortName(one.target));
-        columns->add_running(static_cast<std::uint32_t>(one.running));
-        for (const auto &unread : one.unread) {
-            columns->add_unread_ms(static_cast<std::uint32_t>(unread.inMillis()));
-        }
-        columns->add_tokens(static_cast<std::uint32_t>(one.tokens / TokenUnit));
-        columns->add_failures(static_cast<std::uint32_t>(one.failures * Percent));
-        columns->add_ejected(one.isEjected);
-    }
-    auto *read = message.mutable_read();
-    for (const auto &[target, chain] : work.read) {
-        read->add_target(shortName(target));
-        read->add_chain(chain.hash);
-        read->add_tokens(static_cast<std::uint32_t>(chain.tokens));
+        writeColumns(one, *message.mutable_work());
     }
+    writeRead(work.read, *message.mutable_read());
 }
 
-auto workOf(const Wire::GatewayDigest &message, const std::vector<TargetId> &targets) -> WorkDigest
+auto workOf(const Wire::GatewayDigest &message, const TargetNames &names) -> WorkDigest
 {
-    const auto names = targetNames(targets);
     WorkDigest digest;
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
-    const auto &work = message.work();
-    constexpr int Bands = static_cast<int>(UrgencyBands);
-    const int rows
-        = std::min({work.target_size(), work.running_size(), work.unread_ms_size() / Bands, work.tokens_size(), work.failures_size(), work.ejected_size()});
+    digest.work = workOf(message.work(), names);
+    digest.read = readOf(message.read(), names);
+    return digest;
+}
+
+auto gatewayLoadFrame(const GatewayLoad &load) -> Wire::ControlFrame
+{
+    Wire::ControlFrame frame;
+    auto *message = frame.mutable_gateway_load();
+    message->set_gateway(load.work.entry.text());
+    message->set_sequence(load.work.sequence);
+    for (const auto &one : load.work.work) {
+        writeColumns(one, *message->mutable_work());
+    }
+    writeRead(load.work.read, *message->mutable_read());
+    writeReading(load.prefill, *message->mutable_prefill());
+    return frame;
+}
+
+auto gatewayLoadOf(const Wire::GatewayLoad &message, const TargetNames &names) -> GatewayLoad
+{
+    GatewayLoad load;
+    load.work.entry = EntryId(message.gateway());
+    load.work.sequence = message.sequence();
+    load.work.work = workOf(message.work(), names);
+    load.work.read = readOf(message.read(), names);
+    load.prefill = readingOf(message.prefill(), names);
+    return load;
+}
+
+auto cellLoadFrame(const CellLoad &cell) -> Wire::ControlFrame
+{
+    Wire::ControlFrame frame;
+    auto *message = frame.mutable_cell_load();
+    message->set_keeper(cell.keeper.text());
+    message->set_sequence(cell.sequence);
+    for (const auto &target : cell.targets) {
+        writeColumns(target.sum, *message->mutable_work());
+        message->add_next_failures(static_cast<std::uint32_t>(target.nextFailures * Percent));
+        message->add_ejections(static_cast<std::uint32_t>(target.ejections));
+    }
+    writeRead(cell.read, *message->mutable_read());
+    writeReading(cell.prefill, *message->mutable_prefill());
+    for (const auto &[gateway, sequence] : cell.reported) {
+        message->add_reporter(shortName(gateway.text()));
+        message->add_reported(sequence);
+    }
+    return frame;
+}
+
+auto cellLoadOf(const Wire::CellLoad &message, const EntryId &self, const TargetNames &names) -> CellLoad
+{
+    CellLoad cell;
+    cell.keeper = EntryId(message.keeper());
+    cell.sequence = message.sequence();
+    const int rows = std::min({rowsOf(message.work()), message.next_failures_size(), message.ejections_size()});
     for (int i = 0; i < rows; ++i) {
-        const auto name = names.find(work.target(i));
-        if (name == names.end()) {
-            continue;
+        if (const auto *target = names.find(message.work().target(i))) {
+            cell.targets.push_back({workAt(message.work(), i, *target), message.next_failures(i) / Percent, static_cast<int>(message.ejections(i))});
         }
-        TargetWork one;
-        one.target = name->second;
-        one.running = static_cast<int>(work.running(i));
-        for (int band = 0; band < Bands; ++band) {
-            one.unread.at(static_cast<std::size_t>(band)) = Duration::millis(work.unread_ms(i * Bands + band));
-        }
-        one.tokens = work.tokens(i) * TokenUnit;
-        one.failures = work.failures(i) / Percent;
-        one.isEjected = work.ejected(i);
-        digest.work.push_back(one);
     }
-    const auto &read = message.read();
-    const int reads = std::min({read.target_size(), read.chain_size(), read.tokens_size()});
-    for (int i = 0; i < reads; ++i) {
-        const auto name = names.find(read.target(i));
-        if (name != names.end()) {
-            digest.read.emplace_back(name->second, PromptChain {read.chain(i), static_cast<int>(read.tokens(i))});
+    cell.prefill = readingOf(message.prefill(), names);
+    cell.read = readOf(message.read(), names);
+    const auto ownName = shortName(self.text());
+    for (int i = 0; i < std::min(message.reporter_size(), message.reported_size()); ++i) {
+        if (message.reporter(i) == ownName) {
+            cell.reported[self] = message.reported(i);
         }
     }
-    return digest;
+    return cell;
 }
 
 auto writeReading(const std::vector<SentReading> &sent, Wire::SentReading &message) -> void
@@ -97,14 +203,12 @@
     }
 }
 
-auto readingOf(const Wire::SentReading &message, const std::vector<TargetId> &targets) -> std::vector<SentReading>
+auto readingOf(const Wire::SentReading &message, const TargetNames &names) -> std::vector<SentReading>
 {
-    const auto names = targetNames(targets);
     std::vector<SentReading> list;
     for (int i = 0; i < std::min(message.target_size(), message.tenths_ms_size()); ++i) {
-        const auto name = names.find(message.target(i));
-        if (name != names.end()) {
-            list.push_back({name->second, Duration::micros(message.tenths_ms(i) * MicrosPerTenth)});
+        if (const auto *target = names.find(message.target(i))) {
+            list.push_back({*target, Duration::micros(message.tenths_ms(i) * MicrosPerTenth)});
         }
     }
     return list;
--- a/src/gateway/digests.h
+++ b/src/gateway/digests.h
@@ -1,21 +1,44 @@
 // What gateways tell each other, as messages.
 #pragma once
 
+#include "core/cellload.h"
 #include "core/dispatch.h"
 #include "core/targetinfo.h"
 #include "wire/messages.h"
 
+#include <cstdint>
+#include <unordered_map>
 #include <vector>
 
 namespace KingCup
 {
 
+/// The short names of targets in messages. Kept up to date with the targets: made anew for each message it cost more than all the rest of it.
+class TargetNames
+{
+public:
+    auto find(std::uint32_t name) const -> const TargetId *; ///< null: not known here
+
+    auto add(const TargetId &target) -> void;
+    auto remove(const TargetId &target) -> void;
+
+private:
+    std::unordered_map<std::uint32_t, TargetId> m_targets;
+};
+
+/// What is read leaves out targets that aren't in `names`.
 auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void;
-/// `targets`: those that are known here; work at others is left out.
-auto workOf(const Wire::GatewayDigest &message, const std::vector<TargetId> &targets) -> WorkDigest;
+auto workOf(const Wire::GatewayDigest &message, const TargetNames &names) -> WorkDigest;
 
 auto writeReading(const std::vector<SentReading> &sent, Wire::SentReading &message) -> void;
-auto readingOf(const Wire::SentReading &message, const std::vector<TargetId> &targets) -> std::vector<SentReading>;
+auto readingOf(const Wire::SentReading &message, const TargetNames &names) -> std::vector<SentReading>;
+
+auto gatewayLoadFrame(const GatewayLoad &load) -> Wire::ControlFrame;
+auto gatewayLoadOf(const Wire::GatewayLoad &message, const TargetNames &names) -> GatewayLoad;
+
+auto cellLoadFrame(const CellLoad &cell) -> Wire::ControlFrame;
+/// Of the gateways that are included, only `self` is read.
+auto cellLoadOf(const Wire::CellLoad &message, const EntryId &self, const TargetNames &names) -> CellLoad;
 
 auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame;
 auto modelsOf(const Wire::Holding &holding) -> std::vector<HeldModel>;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "gateway/digests.h"
 #include "gateway/forwarder.h"
 #include "gateway/gatewaypeers.h"
+#include "gateway/loadexchange.h"
 #include "gateway/ordertask.h"
 #include "gateway/registration.h"
 #include "gateway/storefollower.h"
@@ -43,6 +44,12 @@
 constexpr auto CurrentWithin = Duration::seconds(2);
 /// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
 constexpr auto DigestPeriod = Duration::millis(200);
+/// Where many gateways exchange digests: between two of them, for each gateway that receives them, and at most. Some hundred a second reach a gateway,
+/// however many there are.
+constexpr auto DigestPeriodPerPeer = Duration::millis(8);
+constexpr auto LongestDigestPeriod = Duration::millis(1000);
+/// A peer is silent after this many of the longest periods between its digests.
+constexpr double SilentDigests = 3.5;
 /// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it, and
 /// their first tokens would come late though nothing had foretold it.
 constexpr auto LongRead = Duration::millis(100);
@@ -65,6 +72,11 @@
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
 constexpr std::uint32_t MostBreaksHeard = 16;
 
+auto digestPeriod(std::size_t gateways) -> Duration
+{
+    return std::clamp(DigestPeriodPerPeer * static_cast<double>(gateways), DigestPeriod, LongestDigestPeriod);
+}
+
 } // namespace
 
 // [SECTION] Parts
@@ -90,7 +102,9 @@
     TargetView view;
     DemandForecast demand;
     StoreClient store;
+    TargetNames targetNames;
     std::unique_ptr<GatewayPeers> peers;
+    std::unique_ptr<LoadExchange> loads;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<Forwarder> forwarder;
@@ -106,6 +120,7 @@
     Timer longReadTimer;
     Timer readingTimer;
     std::uint64_t digests = 0;
+    TimePoint digestSentAt;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<std::string, int> askedFor; ///< requests by model since the last word to the gateway that gives orders; also those that found no copy
     std::map<std::string, TimePoint> overloadedTold; ///< by "MODEL/ADAPTER"
@@ -126,10 +141,8 @@
         , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout}})
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone,
-                      .isConnected =
-                          [this](const Endpoint &address) {
-                              return targetPool.hasIdle(address, reuse.limit(loop.now()));
-                          }})
+                      .isConnected = [this](const Endpoint &address) { return targetPool.hasIdle(address, reuse.limit(loop.now())); },
+                      .seed = incarnation ^ stableHash(settings.process.id)})
         , demand({.bucket = DemandBucket, .rise = DemandRise, .fall = DemandFall})
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
@@ -159,7 +172,10 @@
         return HolderName(settings.process.id + "#" + std::to_string(incarnation));
     }
     auto holderId() const -> std::string;
+    auto everyPeriod() -> void;
+    auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
+    auto publishLoad() -> void;
     auto tellReadingSoon() -> void;
     auto sendDemand() -> void;
     auto onDemand(const Wire::GatewayDemand &message) -> void;
@@ -183,7 +199,7 @@
     buildPages();
     buildStore();
     settingsTimer = loop.every(SettingsPeriod, [this] { reload(false); });
-    digestTimer = loop.every(DigestPeriod, [this] { sendDigest(); });
+    digestTimer = loop.every(DigestPeriod, [this] { everyPeriod(); });
 }
 
 auto Gateway::Private::buildOrders() -> void
@@ -246,9 +262,16 @@
     self.zone = settings.process.zone;
     self.peers = settings.listen.peers;
     self.incarnation = incarnation;
+    self.processorShare = settings.gateway.processorShare;
     RegistrationHooks registrationHooks;
     registrationHooks.onGateways = [this](const std::vector<ListedHost> &hosts) {
         peers->setHosts(hosts);
+        peers->setSilentAfter(std::max(GatewayPeerSettings().silentAfter, digestPeriod(hosts.size()) * SilentDigests));
+        std::vector<CellMember> members;
+        for (const auto &host : hosts) {
+            members.push_back({host.id, host.zone, host.processorShare});
+        }
+        loads->setMembers(members);
         std::set<EntryId> others;
         for (const auto &host : hosts) {
             if (host.id != settings.process.id) {
@@ -359,6 +382,7 @@
             .add("address", toString(target.address))
             .add("models", static_cast<int>(target.models.size()));
         dispatcher.targetSeen(target, loop.now());
+        targetNames.add(target.incarnation.id);
         orders->targetSeen(target);
         const auto told = holdings.find(target.incarnation.id);
         if (!orders->mayOrder() && told != holdings.end() && told->second.incarnation == target.incarnation) {
@@ -377,6 +401,7 @@
         holdings.erase(target);
         copyUse->targetGone(target);
         dispatcher.targetGone(target);
+        targetNames.remove(target);
         orders->targetGone(target);
     }
 }
@@ -405,9 +430,9 @@
     };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send) {
         if (dispatcher.readingTime(send) >= LongRead && !longReadTimer.isActive()) {
-            longReadTimer = loop.after(LongReadDelay, [this] { sendDigest(); });
+            longReadTimer = loop.after(LongReadDelay, [this] { publishLoad(); });
         }
-        if (!request.model.empty()) {
+        if (!request.model.empty() && loads->isDirect()) {
             tellReadingSoon();
         }
         if (!request.adapter.empty()) {
@@ -535,6 +560,10 @@
         dispatcher.entryGone(EntryId(id));
     };
     peers = std::make_unique<GatewayPeers>(loop, log, peerSettings, std::move(hooks));
+    LoadExchangeSettings loadSettings;
+    loadSettings.id = settings.process.id;
+    loadSettings.self = EntryId(selfName().text());
+    loads = std::make_unique<LoadExchange>(LoadExchangeParts {loop, log, metrics, dispatcher, *peers, targetNames}, loadSettings);
 }
 
 /// Known here before the runner's row says so, and told to those who can't know it yet.
@@ -561,19 +590,42 @@
     forwarder->pump();
 }
 
-auto Gateway::Private::sendDigest() -> void
+auto Gateway::Private::everyPeriod() -> void
 {
     follower->advance();
     demand.advance(loop.now());
     apply(view.advance(loop.now()));
     std::erase_if(overloadedTold, [&](const auto &told) { return loop.now() - told.second > TellOverloadedPeriod; });
     std::erase_if(leavingTold, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
+    if (isDigestDue()) {
+        sendDigest();
+    }
+    forwarder->setEntries(static_cast<int>(peers->live().size()) + 1);
+    if (!orders->mayOrder()) {
+        copyUse->tell();
+    }
+    sendDemand();
+}
+
+/// All others depend on the digests of the lease holder and of the store's watchers, and miss them soon.
+auto Gateway::Private::isDigestDue() const -> bool
+{
+    const bool isAwaited = orders->mayOrder() || follower->isWatching();
+    return isAwaited || loop.now() - digestSentAt >= digestPeriod(peers->live().size()) - DigestPeriod * 0.5;
+}
+
+auto Gateway::Private::sendDigest() -> void
+{
+    digestSentAt = loop.now();
     Wire::ControlFrame frame;
     auto *digest = frame.mutable_gateway();
     digest->set_entry(selfName().text());
     digest->set_sequence(++digests);
     digest->set_traffic_version(traffic ? traffic->version.value() : 0);
-    writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
+    if (loads->isDirect()) {
+        digest->mutable_work(); // without rows: nothing under way
+        writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
+    }
     for (const auto &[target, at] : leavingTold) {
         auto *added = digest->add_leaving();
         added->set_target(target.id.text());
@@ -589,11 +641,16 @@
     follower->writeDigest(*digest);
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
-    forwarder->setEntries(static_cast<int>(peers->live().size()) + 1);
-    if (!orders->mayOrder()) {
-        copyUse->tell();
+}
+
+/// Before the next period.
+auto Gateway::Private::publishLoad() -> void
+{
+    if (loads->isDirect()) {
+        sendDigest();
+    } else {
+        loads->reportNow();
     }
-    sendDemand();
 }
 
 /// Prompts that come together at one target stall its streams: gateways that don't know of each other's last ones send them to the same target.
@@ -667,7 +724,11 @@
     } else if (frame.has_gateway_demand()) {
         onDemand(frame.gateway_demand());
     } else if (frame.has_sent_reading()) {
-        dispatcher.merge(readingOf(frame.sent_reading(), dispatcher.targets()), loop.now());
+        dispatcher.merge(readingOf(frame.sent_reading(), targetNames), loop.now());
+    } else if (frame.has_gateway_load()) {
+        loads->onReport(frame.gateway_load());
+    } else if (frame.has_cell_load()) {
+        loads->onSum(id, frame.cell_load());
     } else if (frame.has_copy_streams()) {
         copyUse->heard(id, frame.copy_streams());
         orders->planSoon();
@@ -682,7 +743,9 @@
 
 auto Gateway::Private::onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void
 {
-    dispatcher.merge(workOf(digest, dispatcher.targets()), loop.now());
+    if (digest.has_work()) {
+        dispatcher.merge(workOf(digest, targetNames), loop.now());
+    }
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -151,6 +151,11 @@
     });
 }
 
+auto GatewayPeers::setSilentAfter(Duration span) -> void
+{
+    d->settings.silentAfter = span;
+}
+
 auto GatewayPeers::sendAll(const Wire::ControlFrame &frame) -> void
 {
     d->links->sendAll(frame);
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -48,6 +48,7 @@
     // Commands
     /// All gateways that are registered, this one included.
     auto setHosts(const std::vector<ListedHost> &hosts) -> void;
+    auto setSilentAfter(Duration span) -> void; ///< without any message from a peer
     auto sendAll(const Wire::ControlFrame &frame) -> void;
     auto send(const std::string &id, const Wire::ControlFrame &frame) -> void;
 
--- /dev/null
+++ b/src/gateway/loadexchange.cpp
@@ -0,0 +1,187 @@
+// Index of sections (search for [SECTION]):
+//   State          members, the keeper, own reports
+//   Reporting      to the keeper
+//   Keeping        the cell's sum
+//   LoadExchange   the public face
+#include "gateway/loadexchange.h"
+
+namespace KingCup
+{
+
+// [SECTION] State
+
+namespace
+{
+
+/// A gateway that hasn't reported for this long isn't chosen to pass sums on in its zone: five of its reports.
+constexpr auto RelayReportsWithin = Duration::millis(500);
+
+auto hostOfStart(const EntryId &start) -> std::string
+{
+    return start.text().substr(0, start.text().find('#'));
+}
+
+} // namespace
+
+struct LoadExchange::Private {
+    LoadExchangeParts parts;
+    LoadExchangeSettings settings;
+    CellKeeper keeper;
+    CellLoadSum sum;
+    OwnReports ownReports;
+    int others = 0; ///< registered gateways but this one
+    EntryId lastKeeper; ///< whose sum was merged last
+    std::uint64_t lastSum = 0;
+    Timer timer;
+
+    Private(LoadExchangeParts exchangeParts, LoadExchangeSettings exchangeSettings)
+        : parts(exchangeParts)
+        , settings(std::move(exchangeSettings))
+        , keeper(settings.id)
+        , sum(settings.self)
+        , ownReports(settings.self)
+    {
+    }
+    auto isDirect() const -> bool
+    {
+        return others <= settings.mostDirect;
+    }
+    auto tick() -> void;
+    auto report() -> void;
+    auto publish() -> void;
+    auto receivers() const -> std::set<std::string>;
+    auto mergeSum(const CellLoad &cell) -> void;
+};
+
+// [SECTION] Reporting
+
+auto LoadExchange::Private::tick() -> void
+{
+    if (isDirect()) {
+        return;
+    }
+    if (keeper.choose(parts.peers.live(), parts.loop.now())) {
+        parts.log.line("load-view", "keeper-chosen").add("keeper", keeper.keeper());
+    }
+    report();
+    publish();
+}
+
+auto LoadExchange::Private::report() -> void
+{
+    GatewayLoad load;
+    load.work = parts.dispatcher.takeDigest(settings.self, parts.loop.now());
+    load.prefill = parts.dispatcher.takeSentReading();
+    ownReports.sent(load);
+    if (keeper.keeper() == settings.id) {
+        sum.merge(load, parts.loop.now());
+        return;
+    }
+    parts.peers.send(keeper.keeper(), gatewayLoadFrame(load));
+}
+
+// [SECTION] Keeping
+
+/// Gateways to which the sum goes from here: those of the own zone, and in other zones those that pass it on.
+auto LoadExchange::Private::receivers() const -> std::set<std::string>
+{
+    std::set<std::string> reporting;
+    for (const auto &start : sum.reportedWithin(RelayReportsWithin, parts.loop.now())) {
+        reporting.insert(hostOfStart(start));
+    }
+    return keeper.relays(reporting);
+}
+
+/// Whoever gets reports publishes their sum: gateways may disagree for a while about who keeps the view.
+auto LoadExchange::Private::publish() -> void
+{
+    const bool isKeeper = keeper.keeper() == settings.id;
+    if (!isKeeper && !sum.hasOthers(parts.loop.now())) {
+        return;
+    }
+    const auto cell = sum.take(parts.loop.now());
+    auto frame = cellLoadFrame(cell);
+    for (const auto &mate : keeper.zoneMates(parts.peers.live())) {
+        parts.peers.send(mate, frame);
+    }
+    frame.mutable_cell_load()->set_relay(true);
+    for (const auto &relay : receivers()) {
+        parts.peers.send(relay, frame);
+    }
+    parts.metrics.add("load_sums_published_total");
+    if (isKeeper) {
+        mergeSum(cell);
+    }
+}
+
+auto LoadExchange::Private::mergeSum(const CellLoad &cell) -> void
+{
+    if (cell.keeper == lastKeeper && cell.sequence <= lastSum) {
+        return; // received through two relays
+    }
+    if (cell.keeper != lastKeeper) {
+        parts.dispatcher.entryGone(lastKeeper);
+        lastKeeper = cell.keeper;
+    }
+    lastSum = cell.sequence;
+    const auto rest = ownReports.othersOf(cell);
+    parts.dispatcher.merge(rest.work, parts.loop.now());
+    parts.dispatcher.merge(rest.prefill, parts.loop.now());
+}
+
+// [SECTION] LoadExchange
+
+LoadExchange::LoadExchange(LoadExchangeParts parts, LoadExchangeSettings settings)
+    : d(std::make_unique<Private>(parts, std::move(settings)))
+{
+    d->timer = d->parts.loop.every(d->settings.period, [this] { d->tick(); });
+}
+
+LoadExchange::~LoadExchange() = default;
+
+auto LoadExchange::isDirect() const -> bool
+{
+    return d->isDirect();
+}
+
+auto LoadExchange::setMembers(const std::vector<CellMember> &members) -> void
+{
+    d->others = std::max(static_cast<int>(members.size()) - 1, 0);
+    d->keeper.setMembers(members);
+}
+
+auto LoadExchange::reportNow() -> void
+{
+    if (!isDirect()) {
+        d->report();
+    }
+}
+
+auto LoadExchange::onReport(const Wire::GatewayLoad &message) -> void
+{
+    d->sum.merge(gatewayLoadOf(message, d->parts.names), d->parts.loop.now());
+    d->parts.metrics.add("load_reports_received_total");
+}
+
+auto LoadExchange::onSum(const std::string &from, const Wire::CellLoad &message) -> void
+{
+    d->parts.metrics.add("load_sums_received_total");
+    const auto cell = cellLoadOf(message, d->settings.self, d->parts.names);
+    if (message.relay()) {
+        Wire::ControlFrame frame;
+        *frame.mutable_cell_load() = message;
+        frame.mutable_cell_load()->set_relay(false);
+        auto mates = d->keeper.zoneMates(d->parts.peers.live());
+        mates.erase(from);
+        for (const auto &mate : mates) {
+            d->parts.peers.send(mate, frame);
+        }
+    }
+    const auto keeper = hostOfStart(cell.keeper);
+    d->keeper.sumReceived(keeper, d->parts.loop.now());
+    if (keeper == d->keeper.keeper() || d->isDirect()) {
+        d->mergeSum(cell);
+    }
+}
+
+} // namespace KingCup
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -14,7 +14,7 @@
 
 auto rowText(const RegistrationSettings &settings) -> std::string
 {
-    return dumpJson({{"peers", toString(settings.peers)}, {"zone", settings.zone.text()}});
+    return dumpJson({{"peers", toString(settings.peers)}, {"zone", settings.zone.text()}, {"processor", settings.processorShare}});
 }
 
 } // namespace
@@ -60,6 +60,7 @@
     host.role = HostRole::Entry;
     host.zone = ZoneName(textOf(member(parsed, "zone")));
     host.endpoint = endpoint;
+    host.processorShare = numberOf(member(parsed, "processor"), host.processorShare);
     hosts[row.key] = host;
 }
 
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -17,6 +17,7 @@
     ZoneName zone;
     Endpoint peers; ///< where it listens for the others
     std::uint64_t incarnation = 0;
+    double processorShare = 1; ///< cores that are this gateway's own
 };
 
 struct RegistrationHooks {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -311,6 +311,11 @@
     return false;
 }
 
+auto StoreFollower::isWatching() const -> bool
+{
+    return d->watching;
+}
+
 auto StoreFollower::isCurrent() const -> bool
 {
     return d->reachesStore() || d->firstTrusted().has_value();
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -53,6 +53,7 @@
 
     // Queries
     auto isLoaded(StoreTable table) const -> bool;
+    auto isWatching() const -> bool; ///< by itself
     auto isCurrent() const -> bool; ///< the store is reached, here or by a watcher that is heard
 
     // Commands
--- a/src/net/json.h
+++ b/src/net/json.h
@@ -30,6 +30,11 @@
     return value.is_string() ? value.get<std::string>() : std::string();
 }
 
+inline auto numberOf(const nlohmann::json &value, double fallback) -> double
+{
+    return value.is_number() ? value.get<double>() : fallback;
+}
+
 inline auto unsignedOf(const nlohmann::json &value) -> std::uint64_t
 {
     return value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -320,7 +320,8 @@
 
 auto addGateway(SpecBuilder &table) -> void
 {
-    constexpr double MostAllowance = 100000;
+    constexpr double MostProcessorShare = 1024;
+constexpr double MostAllowance = 100000;
     constexpr std::int64_t LeastLeaseMillis = 100;
     constexpr std::int64_t MinuteInMillis = 60000;
     constexpr std::int64_t HourInSeconds = 3600;
@@ -363,6 +364,9 @@
                  [](Settings &s, std::int64_t n) { s.gateway.loadWindowSeconds = static_cast<int>(n); })
         .real("load-overshoot", "", {1, 10}, "1", "factor on the loads that the weight store allows in that span", [](Settings &s, double n) {
             s.gateway.loadOvershoot = n;
+        })
+        .real("processor-share", "", {0, MostProcessorShare}, "1", "cores of the host that are this process's own", [](Settings &s, double n) {
+            s.gateway.processorShare = n;
         });
 }
 
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -63,6 +63,7 @@
     Duration stopLimit; ///< from the request to stop until the process must be gone
     int loadWindowSeconds = 0; ///< over which loads from the weight store are counted
     double loadOvershoot = 0; ///< factor on the loads allowed in that window
+    double processorShare = 0; ///< cores of the host that are this process's own
 
     auto operator==(const GatewaySettings &) const -> bool = default;
 };
