copy plan, dispatch: evict silent replicas for models that wait; spread plain calls of many gateways

Change: a last replica may be evicted for a model that requests wait for, the least recently used first, once arrivals have been counted for three seconds; a model that is asked for without a replica gains weight with time, so that all take turns. Requests for a model that is held nowhere wait for up to two loads of it, as far as their deadline allows.

Change: among two drawn at random the better one; others' calls count less the older their report is.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -29,6 +29,8 @@
     const ModelDeclaration *declared = nullptr;
     double work = 0; ///< runners that its requests keep busy
     int usable = 0; ///< copies that serve now and don't give way
+    TimePoint lastAsked;
+    double missingSeconds = 0; ///< asked for without a copy
 };
 
 /// A runner in one round; only those that are up and answer.
@@ -85,7 +87,8 @@
     auto hopedFor(std::size_t model, double least) const -> double;
     auto places(std::size_t model) const -> std::vector<Place>;
     auto placeOn(std::size_t runner, std::size_t model) const -> std::optional<Place>;
-    auto makeRoom(std::size_t runner, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
+    auto mayEvictLast(std::size_t comes) const -> bool;
+    auto makeRoom(std::size_t runner, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
     auto streamsAt(std::size_t runner, std::size_t model) const -> double;
     auto weightsThere(const PlannedRunner &runner, std::size_t model) const -> Bytes;
     auto gainOf(std::size_t model, const Place &place, double lostNow) const -> double;
@@ -113,6 +116,11 @@
 {
     for (const auto &model : input.engine->models()) {
         m_models.push_back({.declared = &model, .work = workOf(model)});
+        auto &planned = m_models.back();
+        const auto asked = input.lastAsked.find(model.name);
+        planned.lastAsked = asked == input.lastAsked.end() ? TimePoint() : asked->second;
+        const auto missing = input.missingSince.find(model.name);
+        planned.missingSeconds = missing == input.missingSince.end() ? 0 : (now - missing->second).inSeconds();
         m_spread.setWork(m_models.size() - 1, m_models.back().work);
     }
     for (const auto *book : input.runners) {
@@ -180,7 +188,8 @@
 /// What is lost with a model that has no copy: all that is asked for, and that nobody can ask for it.
 auto Round::withoutCopy(std::size_t model) const -> double
 {
-    return m_models[model].work * m_options.missingWork + m_options.silentModel + m_models[model].declared->adapters * m_options.adaptersWorth;
+    const double waited = 1 + m_models[model].missingSeconds / m_options.missingDoubles.inSeconds();
+    return m_models[model].work * m_options.missingWork * waited + m_options.silentModel + m_models[model].declared->adapters * m_options.adaptersWorth;
 }
 
 auto Round::lost(const CopySpread &spread) const -> double
@@ -287,8 +296,8 @@
 {
     for (const auto &name : runner.move->goes) {
         const auto index = indexOf(name);
-        const bool isLast = !index || m_models[*index].usable == 0;
-        if (!isLast && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
+        const bool isNeeded = !index || (m_models[*index].usable == 0 && !runner.move->lastReplicas.contains(name));
+        if (!isNeeded && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
             order(runner, {false, name, ""}, WeightSource::Memory, "makes-room").makesRoomFor = runner.move->comes;
             return;
         }
@@ -396,7 +405,7 @@
     if (missing <= Bytes()) {
         return std::nullopt; // there is room, but it takes no order now: it carries one out, or isn't known
     }
-    auto goes = makeRoom(number, missing);
+    auto goes = makeRoom(number, model, missing);
     if (!goes) {
         return std::nullopt;
     }
@@ -412,20 +421,31 @@
     return m_input.likelyStreams ? m_input.likelyStreams({idOf(m_runners[runner]), nameOf(model)}) : 0;
 }
 
+/// Whether another model's only copy may be evicted for this one: then the gain decides.
+auto Round::mayEvictLast(std::size_t comes) const -> bool
+{
+    return m_input.isDemandKnown && m_models[comes].work > 0;
+}
+
 /// The copies that are missed least, as many as are needed; nothing if the room can't be made.
-auto Round::makeRoom(std::size_t number, Bytes missing) const -> std::optional<std::vector<std::size_t>>
+auto Round::makeRoom(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
 {
+    if (m_models[comes].work <= 0 && !m_input.isDemandKnown) {
+        return std::nullopt;
+    }
     const auto &runner = m_runners[number];
     std::vector<std::size_t> mayGo;
     for (const auto model : runner.holds) {
-        const bool isNeeded = m_models[model].usable < 2;
+        const bool isNeeded = m_models[model].usable < 2 && !mayEvictLast(comes);
         if (!isNeeded && m_spread.holds(model, number) && runner.book->mayOrder({false, nameOf(model), ""}, *m_input.engine, m_now)) {
             mayGo.push_back(model);
         }
     }
     const auto isMissedLess = [&](std::size_t a, std::size_t b) {
         const auto harm = [&](std::size_t model) {
-            return std::tuple(m_spread.share(model, number) + m_options.streamCost * streamsAt(number, model), m_models[model].work, model);
+            const bool isLast = m_models[model].usable < 2;
+            const double inUse = m_spread.share(model, number) + m_options.streamCost * streamsAt(number, model);
+            return std::tuple(isLast ? withoutCopy(model) : inUse, m_models[model].lastAsked, m_models[model].work, model);
         };
         return harm(a) < harm(b);
     };
@@ -486,6 +506,9 @@
     CopyMove move {.comes = nameOf(choice.model), .since = m_now};
     for (const auto victim : place.goes) {
         move.goes.insert(nameOf(victim));
+        if (m_models[victim].usable < 2) {
+            move.lastReplicas.insert(nameOf(victim));
+        }
         m_spread.remove(victim, place.runner);
         --m_models[victim].usable;
     }
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -1,9 +1,13 @@
 // Which models runners are to hold, where one gateway orders them directly. Pure: what runners hold and what is asked for go in; the orders that
 // should be given now, and the moves that should begin or be given up, come out.
 //
-// Each model stays loaded somewhere. Beyond that, a copy goes where the work that is late or lost falls most by it, with each model's requests
-// on the emptiest runners that hold it: into free memory first, else in place of copies that are missed least. The pattern this answers: demand moves from
-// one model to the next within seconds, while a load takes a second and streams of the model that gives way run for several.
+// A copy goes where the work that is late or lost falls most by it, with each model's requests on the emptiest runners that hold it: into free memory
+// first, else in place of copies that are missed least. The pattern this answers: demand moves from one model to the next within seconds, while a load
+// takes a second and streams of the model that gives way run for several.
+//
+// Models may outnumber the slots for them. A model's last replica is evicted only for one that requests wait for, the least recently used first; a model
+// that waits gains weight with time, so that all that are asked for are served in turn. Without known demand nothing is evicted for a silent model:
+// after a restart, no arrivals seen is no evidence of no demand.
 //
 // A move. A copy that gives way is first left by new requests, at all gateways; the runner goes on with everything else. When its last stream has
 // ended it is unloaded, within milliseconds, and the model that it made room for is loaded. Ordered at once, the unload would wait for the streams at
@@ -48,6 +52,7 @@
     std::string comes;
     std::set<std::string> goes; ///< get no new requests
     TimePoint since;
+    std::set<std::string> lastReplicas; ///< of `goes`, those that were their model's only replica when the move began
 };
 
 /// Whether a copy makes room for another model there.
@@ -63,6 +68,9 @@
     std::map<TargetId, double> load; ///< of each runner: the share of its places that is taken
     std::set<TargetId> failing; ///< runners that don't answer: what they hold is of no use now
     std::map<TargetId, CopyMove> moves; ///< under way
+    bool isDemandKnown = true; ///< arrivals have been counted for long enough that a model without any is a silent one
+    std::map<std::string, TimePoint> lastAsked; ///< by model, of its last request; not there: none was seen
+    std::map<std::string, TimePoint> missingSince; ///< by model, since when it is asked for without a copy
     std::map<CopyKey, int> streams; ///< under way at copies that give way, as all gateways have told; not there: not told yet
     std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy, by what is known here; none: not known
 
@@ -80,6 +88,7 @@
     /// What is asked of a model without a copy counts this much: above the steepest rise of the loss on a full runner. Counted once, much work without a copy
     /// seemed better off than on one runner that is asked for several times what it can do, and such a model never got its first copy.
     double missingWork = 2;
+    Duration missingDoubles = Duration::seconds(4); ///< what is asked of a model without a copy counts once more after each such span
     double silentModel = 0.1; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
     double adaptersWorth = 0.0015; ///< likewise one declared adapter of a model: it has many callers, though maybe none now
     double adapterFill = 0.15; ///< the work that counts for a runner whose places for adapters are all in use: one gives way to the next within milliseconds
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -174,6 +174,7 @@
         int running = 0;
         BandMillis unread {};
         std::int64_t tokens = 0;
+        double ageMillis = 0; ///< of what is known
     };
     auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
@@ -187,6 +188,8 @@
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
     auto learnReading(const Send &send, double took) -> void;
     auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
+    auto drawPlain(std::vector<Estimate> &estimates, TimePoint now) const -> void;
+    auto hasFreshReports(TimePoint now) const -> bool;
     auto addRankPenalty(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
 };
 
@@ -230,6 +233,13 @@
     return d->requestCost;
 }
 
+auto Dispatcher::loadTime(const ServiceName &service, const std::string &model) const -> Duration
+{
+    const auto *engine = d->engineOf(service);
+    const auto *declared = engine == nullptr ? nullptr : engine->model(model);
+    return declared == nullptr ? Duration() : declared->loadTime;
+}
+
 auto Dispatcher::failures(const TargetId &target, TimePoint now) const -> double
 {
     const auto found = d->targets.find(target);
@@ -339,7 +349,8 @@
         ++tellers;
     }
     // One engine reads for all of them: since they told, it has read once as much as time has passed, not once for each.
-    double read = tellers > 0 ? age / tellers : 0;
+    sum.ageMillis = tellers > 0 ? age / tellers : 0;
+    double read = sum.ageMillis;
     for (auto &unread : sum.unread) {
         const double done = std::min(read, unread);
         unread -= done;
@@ -404,7 +415,8 @@
 {
     const double time = plainTime(request.service) * state.slownessAt(now);
     const double slots = std::max(state.description.slots, 1);
-    const double before = state.running + rest.running;
+    // Calls that others had under way when they reported have ended one after the other since.
+    const double before = state.running + rest.running * std::exp(-rest.ageMillis / std::max(time, 1.0));
     const double wait = std::max(before + 1 - slots, 0.0) / slots * time;
     constexpr double LoadShare = 0.25; // of the service time: an emptier target is a little quicker also below its slots
     made.backlog = fromMillis(wait);
@@ -454,6 +466,34 @@
     }
 }
 
+auto Dispatcher::Private::hasFreshReports(TimePoint now) const -> bool
+{
+    return std::any_of(heard.begin(), heard.end(), [&](const auto &told) { return now - told.second.at < options.workLifetime; });
+}
+
+/// A plain request lasts for less than the age of what is known of the other entries' sends. If all chose the target that looked emptiest, they
+/// would fill it together and leave the others idle; among two drawn at random, the better one spreads their requests.
+auto Dispatcher::Private::drawPlain(std::vector<Estimate> &estimates, TimePoint now) const -> void
+{
+    std::vector<Estimate> sound;
+    for (const auto &made : estimates) {
+        if (!isEjected(made.target, *made.state, now) && failuresToldOf(made.target, *made.state, now) <= options.failuresToAvoid) {
+            sound.push_back(made);
+        }
+    }
+    const auto choices = static_cast<std::size_t>(options.plainChoices);
+    if (sound.size() <= choices) {
+        return;
+    }
+    const auto draw = std::to_string(options.seed + lastSend.value()) + "@" + std::to_string((now - TimePoint()).inMicros());
+    const auto isBefore = [&](const Estimate &a, const Estimate &b) {
+        return rendezvousScore(draw, a.target.text()) < rendezvousScore(draw, b.target.text());
+    };
+    std::sort(sound.begin(), sound.end(), isBefore);
+    sound.resize(choices);
+    estimates = std::move(sound);
+}
+
 auto Dispatcher::choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice
 {
     DispatchChoice choice;
@@ -499,6 +539,10 @@
         const bool isFailing = d->failuresToldOf(made.target, *made.state, now) > d->options.failuresToAvoid;
         return std::tuple(d->isEjected(made.target, *made.state, now), isFailing, made.cost);
     };
+    choice.candidates = static_cast<int>(estimates.size());
+    if (request.model.empty() && d->hasFreshReports(now)) {
+        d->drawPlain(estimates, now);
+    }
     const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return rank(a) < rank(b); });
     choice.isLastResort = d->isEjected(best->target, *best->state, now);
     choice.refusal = DispatchRefusal::None;
@@ -508,7 +552,6 @@
     choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
     choice.unreadTokens = best->unread;
-    choice.candidates = static_cast<int>(estimates.size());
     return choice;
 }
 
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -122,6 +122,8 @@
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
     double readingShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
+    int plainChoices = 2; ///< plain services: so many targets, drawn at random, are compared for each request
+    std::uint64_t seed = 0; ///< of that draw; another one at each entry
     double learnRate = 0.1; ///< weight of one observation
     double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
@@ -152,6 +154,7 @@
     /// What a send that hasn't ended makes its runner read, where nothing else is read: without what was kept there when it was sent.
     auto readingTime(SendId send) const -> Duration;
 
+    auto loadTime(const ServiceName &service, const std::string &model) const -> Duration; ///< from the weight store; 0: not declared
     auto requestCost() const -> const RequestCost &; ///< of runners, by model
 
     // Commands: who is there
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -15,6 +15,8 @@
 
 /// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
 constexpr double WaitShare = 0.6;
+/// Requests for a model that is held nowhere wait for so many times its load: a replica is evicted first, and loads share the weight store.
+constexpr double LoadWaits = 2.0;
 /// Between two words of one request to the gateway that gives orders: the first may have been lost, or there was none yet.
 constexpr auto TellMissingPeriod = Duration::millis(300);
 /// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
@@ -134,6 +136,18 @@
     return false;
 }
 
+/// For what the request is missing, from its start. A model that is held nowhere is being loaded: its callers are better served late than not at all.
+auto ForwardedRequest::longestWait(DispatchRefusal refusal) const -> Duration
+{
+    const auto usual = m_route.goal * WaitShare;
+    if (refusal != DispatchRefusal::NotHeld) {
+        return usual;
+    }
+    const auto load = m_owner.parts.dispatcher.loadTime(m_request.service, m_request.model) * LoadWaits;
+    const auto left = m_deadline - m_exchange->startedAt() - StreamTime;
+    return std::max(usual, std::min(load, left));
+}
+
 auto ForwardedRequest::waitOrRefuse(DispatchRefusal refusal) -> void
 {
     const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
@@ -141,7 +155,7 @@
         m_missingToldAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
     }
-    const auto waitUntil = m_exchange->startedAt() + m_route.goal * WaitShare;
+    const auto waitUntil = m_exchange->startedAt() + longestWait(refusal);
     if (refusal == DispatchRefusal::AllExcluded || now() >= waitUntil) {
         giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
         return;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -81,6 +81,7 @@
 private:
     auto attempt() -> void;
     auto admit(const DispatchChoice &choice) -> bool;
+    auto longestWait(DispatchRefusal refusal) const -> Duration;
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
     auto send(const DispatchChoice &choice) -> void;
     auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gateway.h"
 
 #include "core/demand.h"
+#include "core/hashing.h"
 #include "core/targetview.h"
 #include "gateway/callerserver.h"
 #include "gateway/copyuse.h"
@@ -676,6 +677,7 @@
     for (const auto &[model, requests] : askedFor) {
         if (isHolder) {
             demand.arrived(ArtifactName(model), loop.now(), requests);
+            orders->modelAsked(model);
             continue;
         }
         auto *added = message->add_asked();
@@ -698,6 +700,7 @@
 {
     for (const auto &asked : message.asked()) {
         demand.arrived(ArtifactName(asked.model()), loop.now(), asked.requests());
+        orders->modelAsked(asked.model());
     }
     for (const auto &use : message.uses()) {
         const auto slash = use.adapter().find('/');
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -103,6 +104,9 @@
     std::map<WishKey, Wish> wishes;
     std::map<TargetId, CopyMove> moves; ///< under way
     AdapterUses uses;
+    std::map<std::string, TimePoint> lastAsked; ///< by model, within this tenure
+    std::map<ServiceName, std::map<std::string, TimePoint>> missingSince; ///< by model, since when it is asked for without a copy
+    std::optional<TimePoint> firstAskedAt; ///< within this tenure
     std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
     TimePoint inputsAt;
     Timer wishTimer;
@@ -148,6 +152,11 @@
     auto serveWishes() -> void;
     auto holdersOf(const WishKey &key) const -> int;
     auto serveWish(const WishKey &key, Wish &wish) -> bool;
+    auto isDemandKnown() const -> bool
+    {
+        return firstAskedAt && now() - *firstAskedAt >= settings.demandKnownAfter;
+    }
+    auto noteMissing(const ServiceName &service, const CopyPlanInput &made) -> void;
     auto addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void;
     auto input(const ServiceName &service) -> const CopyPlanInput &;
     auto give(const ServiceName &service, const PlannedOrder &planned) -> void;
@@ -264,6 +273,9 @@
         for (auto &[id, book] : books) {
             book.takenOver(now());
         }
+        lastAsked.clear();
+        missingSince.clear();
+        firstAskedAt.reset();
         for (auto &[service, meter] : meters) {
             meter.takenOver(now());
         }
@@ -355,12 +367,35 @@
             }
         }
     }
+    noteMissing(service, made);
+    made.missingSince = missingSince[service];
+    made.lastAsked = lastAsked;
+    made.isDemandKnown = isDemandKnown();
     made.moves = moves;
     made.streams = hooks.streams();
     made.likelyStreams = hooks.likelyStreams;
     return made;
 }
 
+/// Models that are asked for and neither held nor coming.
+auto OrderTask::Private::noteMissing(const ServiceName &service, const CopyPlanInput &made) -> void
+{
+    std::set<std::string> there;
+    for (const auto *book : made.runners) {
+        for (const auto &held : book->description().models) {
+            there.insert(held.name);
+        }
+        there.insert(book->loading().value_or(""));
+    }
+    auto &missing = missingSince[service];
+    std::erase_if(missing, [&](const auto &known) { return there.contains(known.first) || !made.work.contains(known.first); });
+    for (const auto &[model, work] : made.work) {
+        if (work.now > 0 && !there.contains(model)) {
+            missing.try_emplace(model, now());
+        }
+    }
+}
+
 /// Adapters in use just now take their places for as long as their streams run: a model needs copies enough for them too.
 auto OrderTask::Private::addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void
 {
@@ -740,6 +775,12 @@
     d->serveWishesSoon();
 }
 
+auto OrderTask::modelAsked(const std::string &model) -> void
+{
+    d->lastAsked[model] = d->now();
+    d->firstAskedAt = d->firstAskedAt.value_or(d->now());
+}
+
 auto OrderTask::adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void
 {
     d->uses[{target, model + "/" + adapter}] = d->now();
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -56,6 +56,7 @@
     Duration planPeriod = Duration::millis(100); ///< between two looks at models; the quickest load takes some four times as long
     Duration answerTimeout = Duration::millis(250); ///< of an order or a report; an order is answered before it is carried out
     Duration settleTime = Duration::millis(1500); ///< after the last new target until models are planned: at a start their rows come in over seconds
+    Duration demandKnownAfter = Duration::seconds(3); ///< of the first request that is counted: six of the forecast's buckets
     Duration wishLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
 };
 
@@ -99,6 +100,7 @@
     /// streams name one: bound to one runner, they were late there while the model's other copies had time.
     auto overloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
+    auto modelAsked(const std::string &model) -> void; ///< requests for it have come, here or at another gateway
     /// What runners hold, as far as it is known here: for gateways that have just come up.
     auto holdings() const -> std::vector<TargetDescription>;
     /// No orders from here on: this process stops.
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -770,3 +770,176 @@
     REQUIRE(meter.available(at(106)) == 0);
     REQUIRE(meter.available(at(111.5)) == 5);
 }
+
+namespace
+{
+
+/// A fleet whose models outnumber what its runners hold, one round of planning after the other; loads take effect at once.
+class ScarceFleet
+{
+public:
+    ScarceFleet(int runners, int models)
+        : m_engine(declaredEngine(models))
+        , m_models(models)
+    {
+        m_engine.memory = Bytes::gigabytes(SlotsEach * WeightsGb + 2);
+        int next = 1;
+        for (int i = 0; i < runners; ++i) {
+            auto &held = m_held["r" + std::to_string(i)];
+            for (int slot = 0; slot < SlotsEach; ++slot) {
+                held.insert(name(next));
+                next = next % models + 1;
+            }
+        }
+    }
+    static constexpr int SlotsEach = 3;
+    static auto name(int model) -> std::string
+    {
+        return "m" + std::to_string(model);
+    }
+    auto work(int model, double runners) -> void
+    {
+        m_work[name(model)] = {runners, runners, 0};
+    }
+    auto clearWork() -> void
+    {
+        m_work.clear();
+    }
+    auto isHeld(int model) const -> bool
+    {
+        return copies(model) > 0;
+    }
+    auto copies(int model) const -> int
+    {
+        int count = 0;
+        for (const auto &[runner, held] : m_held) {
+            count += held.contains(name(model)) ? 1 : 0;
+        }
+        return count;
+    }
+    /// True if anything was evicted.
+    auto round(double now, bool isDemandKnown = true) -> bool;
+
+private:
+    EngineDeclaration m_engine;
+    int m_models;
+    std::map<std::string, std::set<std::string>> m_held;
+    std::map<std::string, ModelWork> m_work;
+    std::map<std::string, TimePoint> m_missingSince;
+    std::map<std::string, TimePoint> m_lastAsked;
+};
+
+auto ScarceFleet::round(double now, bool isDemandKnown) -> bool
+{
+    CopyPlanInput input;
+    input.engine = &m_engine;
+    input.isDemandKnown = isDemandKnown;
+    input.work = m_work;
+    std::vector<RunnerBook> books;
+    books.reserve(m_held.size());
+    for (const auto &[runner, held] : m_held) {
+        std::vector<HeldModel> models;
+        for (const auto &model : held) {
+            models.push_back({model, 0, {}});
+        }
+        books.push_back(knownBook(description(runner, models)));
+    }
+    for (const auto &book : books) {
+        input.runners.push_back(&book);
+    }
+    for (int model = 1; model <= m_models; ++model) {
+        const auto asked = m_work.find(name(model));
+        const bool isAsked = asked != m_work.end() && asked->second.now > 0;
+        if (isAsked) {
+            m_lastAsked[name(model)] = at(now);
+        }
+        if (isAsked && !isHeld(model)) {
+            m_missingSince.try_emplace(name(model), at(now));
+        } else {
+            m_missingSince.erase(name(model));
+        }
+    }
+    input.missingSince = m_missingSince;
+    input.lastAsked = m_lastAsked;
+    const auto plan = planCopies(input, CopyPlanOptions(), 4, at(now));
+    for (const auto &begun : plan.begun) {
+        auto &held = m_held[begun.target.text()];
+        for (const auto &model : begun.move.goes) {
+            held.erase(model);
+        }
+        held.insert(begun.move.comes);
+    }
+    for (const auto &planned : plan.orders) {
+        m_held[planned.target.text()].insert(planned.order.model);
+    }
+    return !plan.begun.empty();
+}
+
+} // namespace
+
+TEST_CASE("more models than slots: each model that is asked for gets a replica, in place of silent ones")
+{
+    // Load pattern: 37 runners of three slots each, all of them taken by models that nobody asks for while others wait.
+    for (const int models : {111, 200, 333}) {
+        ScarceFleet fleet(37, models);
+        constexpr int Asked = 40;
+        for (int i = 0; i < Asked; ++i) {
+            fleet.work(models - i, i == 0 ? 3.0 : 0.05);
+        }
+        for (int step = 0; step < 40; ++step) {
+            fleet.round(100 + step * 0.5);
+        }
+        for (int i = 0; i < Asked; ++i) {
+            CHECK(fleet.isHeld(models - i));
+        }
+        CHECK(fleet.copies(models) >= 3); // the busy one, beside last replicas of silent ones
+    }
+}
+
+TEST_CASE("where all models fit, the silent ones keep their replicas")
+{
+    ScarceFleet fleet(37, 60);
+    for (int model = 1; model <= 20; ++model) {
+        fleet.work(model, 0.3);
+    }
+    for (int step = 0; step < 40; ++step) {
+        fleet.round(100 + step * 0.5);
+    }
+    for (int model = 1; model <= 60; ++model) {
+        CHECK(fleet.isHeld(model));
+    }
+}
+
+TEST_CASE("after a restart of all gateways nothing is evicted before demand is known")
+{
+    // Load pattern: a new lease holder has counted no arrival yet. Taken for no demand, the replicas of the busiest model went to silent ones.
+    ScarceFleet fleet(37, 150);
+    CHECK_FALSE(fleet.round(100, false));
+    fleet.work(149, 0.2);
+    fleet.round(101, false);
+    for (int model = 1; model <= 111; ++model) {
+        CHECK(fleet.isHeld(model));
+    }
+}
+
+TEST_CASE("models that are asked for and don't all fit take turns")
+{
+    // Load pattern: four runners of three slots, eighteen models with the same steady demand.
+    ScarceFleet fleet(4, 18);
+    std::set<int> served;
+    for (int model = 1; model <= 18; ++model) {
+        fleet.work(model, 0.05 + model * 0.001);
+    }
+    for (int step = 0; step < 240; ++step) {
+        fleet.round(100 + step * 0.1);
+        for (int model = 1; model <= 18; ++model) {
+            if (fleet.isHeld(model)) {
+                served.insert(model);
+            }
+        }
+    }
+    for (int model = 1; model <= 18; ++model) {
+        INFO("model " << model);
+        CHECK(served.contains(model));
+    }
+}
