copy plan: keep last replicas where all models fit

Change: where all models fit with a quarter to spare, a last replica goes only for a model that is asked for and has none.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -6,6 +6,7 @@
 #include "core/copyplan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -67,6 +68,7 @@
         Place place;
         double gain = NoGain;
     };
+    auto slots() const -> double;
     auto workOf(const ModelDeclaration &model) const -> double;
     auto addRunner(const RunnerBook &book) -> void;
     auto indexOf(const std::string &model) const -> std::optional<std::size_t>;
@@ -104,6 +106,7 @@
     std::vector<PlannedRunner> m_runners;
     CopySpread m_spread; ///< over the copies that serve, are being loaded or are to come
     std::size_t m_moves = 0; ///< under way
+    bool m_allFit = true; ///< each model can have a replica beside further copies of busy ones
     CopyPlan m_plan;
 };
 
@@ -127,6 +130,19 @@
         addRunner(*book);
     }
     m_spread.settle();
+    m_allFit = slots() >= options.slotsForAll * static_cast<double>(m_models.size());
+}
+
+/// Models of the mean size that the runners hold at once.
+auto Round::slots() const -> double
+{
+    double weights = 0;
+    for (const auto &model : m_models) {
+        weights += static_cast<double>(model.declared->weights.count());
+    }
+    const double mean = m_models.empty() ? 0 : weights / static_cast<double>(m_models.size());
+    const double each = mean > 0 ? std::floor(static_cast<double>(m_input.engine->memory.count()) / mean) : 0;
+    return each * static_cast<double>(m_runners.size());
 }
 
 auto Round::workOf(const ModelDeclaration &model) const -> double
@@ -424,7 +440,8 @@
 /// Whether another model's only copy may be evicted for this one: then the gain decides.
 auto Round::mayEvictLast(std::size_t comes) const -> bool
 {
-    return m_input.isDemandKnown && m_models[comes].work > 0;
+    const bool isMissing = m_spread.copies(comes) == 0;
+    return m_input.isDemandKnown && m_models[comes].work > 0 && (isMissing || !m_allFit);
 }
 
 /// The copies that are missed least, as many as are needed; nothing if the room can't be made.
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -5,8 +5,9 @@
 // first, else in place of copies that are missed least. The pattern this answers: demand moves from one model to the next within seconds, while a load
 // takes a second and streams of the model that gives way run for several.
 //
-// Models may outnumber the slots for them. A model's last replica is evicted only for one that requests wait for, the least recently used first; a model
-// that waits gains weight with time, so that all that are asked for are served in turn. Without known demand nothing is evicted for a silent model:
+// Models may outnumber the slots for them. Where all fit, a model's last replica is evicted only for a model that requests wait for and that has none,
+// the least recently used first; where they don't, also for a further copy of a busy one. A model that waits gains weight with time, so that all that are
+// asked for are served in turn. Without known demand nothing is evicted for a silent model:
 // after a restart, no arrivals seen is no evidence of no demand.
 //
 // A move. A copy that gives way is first left by new requests, at all gateways; the runner goes on with everything else. When its last stream has
@@ -89,6 +90,7 @@
     /// seemed better off than on one runner that is asked for several times what it can do, and such a model never got its first copy.
     double missingWork = 2;
     Duration missingDoubles = Duration::seconds(4); ///< what is asked of a model without a copy counts once more after each such span
+    double slotsForAll = 1.25; ///< for each model, from which on all can stay loaded beside further copies of the busy ones
     double silentModel = 0.1; ///< what a model without a copy counts as beyond what is asked for: each is to stay reachable
     double adaptersWorth = 0.0015; ///< likewise one declared adapter of a model: it has many callers, though maybe none now
     double adapterFill = 0.15; ///< the work that counts for a runner whose places for adapters are all in use: one gives way to the next within milliseconds
