--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -16,7 +16,9 @@
 /// Requests wait for a missing model or adapter no longer than this share of their goal; then they are refused while there is time to return.
 constexpr double WaitShare = 0.6;
 /// Requests for a model that is held nowhere wait for so many times its load: a replica is evicted first, and loads share the weight store.
-constexpr double LoadWaits = 2.0;
+constexpr double LoadWaits = 1.3;
+/// Of a request's time, the most that it waits for a model; what is refused then still has time to come back.
+constexpr double MostWaitShare = 0.5;
 /// Between two words of one request to the gateway that gives orders: the first may have been lost, or there was none yet.
 constexpr auto TellMissingPeriod = Duration::millis(300);
 /// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
@@ -144,7 +146,7 @@
         return usual;
     }
     const auto load = m_owner.parts.dispatcher.loadTime(m_request.service, m_request.model) * LoadWaits;
-    const auto left = m_deadline - m_exchange->startedAt() - StreamTime;
+    const auto left = (m_deadline - m_exchange->startedAt()) * MostWaitShare;
     return std::max(usual, std::min(load, left));
 }
 
