--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -321,7 +321,7 @@
 auto addGateway(SpecBuilder &table) -> void
 {
     constexpr double MostProcessorShare = 1024;
-constexpr double MostAllowance = 100000;
+    constexpr double MostAllowance = 100000;
     constexpr std::int64_t LeastLeaseMillis = 100;
     constexpr std::int64_t MinuteInMillis = 60000;
     constexpr std::int64_t HourInSeconds = 3600;
@@ -362,9 +362,12 @@
                  5,
                  "the span over which loads from the weight store are counted",
                  [](Settings &s, std::int64_t n) { s.gateway.loadWindowSeconds = static_cast<int>(n); })
-        .real("load-overshoot", "", {1, 10}, "1", "factor on the loads that the weight store allows in that span", [](Settings &s, double n) {
-            s.gateway.loadOvershoot = n;
-        })
+        .real("load-overshoot",
+              "",
+              {1, 10},
+              "1",
+              "factor on the loads that the weight store allows in that span",
+              [](Settings &s, double n) { s.gateway.loadOvershoot = n; })
         .real("processor-share", "", {0, MostProcessorShare}, "1", "cores of the host that are this process's own", [](Settings &s, double n) {
             s.gateway.processorShare = n;
         });
