--- a/src/core/adapterplan.cpp
+++ b/src/core/adapterplan.cpp
@@ -29,7 +29,7 @@
     const RunnerOrder load {true, model, adapter};
     for (const auto *runner : input.runners) {
         const auto &about = runner->description();
-        if (about.model(model) == nullptr || about.isLeaving || input.isGivingWay(about.incarnation.id, model)) {
+        if (about.model(model) == nullptr || about.isLeaving || input.isDraining(about.incarnation.id, model)) {
             continue;
         }
         if (runner->mayOrder(load, *input.engine, now)) {
--- a/src/core/cellload.h
+++ b/src/core/cellload.h
@@ -29,7 +29,7 @@
 
 struct GatewayLoad {
     WorkDigest work;
-    std::vector<SentReading> prefill; ///< sent since the last report
+    std::vector<SentPrefill> prefill; ///< sent since the last report
 };
 
 struct CellTargetLoad {
@@ -42,7 +42,7 @@
     EntryId keeper; ///< one start of it
     std::uint64_t sequence = 0; ///< rises
     std::vector<CellTargetLoad> targets;
-    std::vector<SentReading> prefill; ///< reported since the last sum
+    std::vector<SentPrefill> prefill; ///< reported since the last sum
     std::vector<std::pair<TargetId, PromptChain>> read; ///< likewise
     std::map<EntryId, std::uint64_t> reported; ///< by gateway, the last of its reports that is included
 };
@@ -96,7 +96,7 @@
     struct Report {
         std::uint64_t sequence = 0;
         std::map<TargetId, TargetWork> work;
-        std::vector<SentReading> prefill;
+        std::vector<SentPrefill> prefill;
     };
 
     EntryId m_self;
--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -90,7 +90,7 @@
     auto places(std::size_t model) const -> std::vector<Place>;
     auto placeOn(std::size_t runner, std::size_t model) const -> std::optional<Place>;
     auto mayEvictLast(std::size_t comes) const -> bool;
-    auto makeRoom(std::size_t runner, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
+    auto chooseEvictions(std::size_t runner, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
     auto streamsAt(std::size_t runner, std::size_t model) const -> double;
     auto weightsThere(const PlannedRunner &runner, std::size_t model) const -> Bytes;
     auto gainOf(std::size_t model, const Place &place, double lostNow) const -> double;
@@ -187,7 +187,7 @@
     }
     for (const auto &held : about.models) {
         const auto index = indexOf(held.name);
-        if (index && !m_input.isGivingWay(about.incarnation.id, held.name)) {
+        if (index && !m_input.isDraining(about.incarnation.id, held.name)) {
             runner.holds.push_back(*index);
             ++m_models[*index].usable;
             m_spread.add(*index, number);
@@ -286,7 +286,7 @@
         }
     }
     before.settle();
-    return lost(before) - lost(m_spread) > m_options.keepGain;
+    return lost(before) - lost(m_spread) > m_options.abortGain;
 }
 
 auto Round::giveUp(std::size_t number, std::size_t comes) -> void
@@ -314,7 +314,7 @@
         const auto index = indexOf(name);
         const bool isNeeded = !index || (m_models[*index].usable == 0 && !runner.move->lastReplicas.contains(name));
         if (!isNeeded && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
-            order(runner, {false, name, ""}, WeightSource::Memory, "makes-room").makesRoomFor = runner.move->comes;
+            order(runner, {false, name, ""}, WeightSource::Memory, "makes-room").evictedFor = runner.move->comes;
             return;
         }
     }
@@ -325,7 +325,7 @@
     const auto waited = m_now - runner.move->since;
     const auto told = m_input.streams.find({idOf(runner), model});
     if (told == m_input.streams.end()) {
-        return waited >= m_options.toldWithin;
+        return waited >= m_options.reportWithin;
     }
     return told->second == 0 || waited >= m_options.longestWait;
 }
@@ -413,7 +413,7 @@
         return place;
     }
     const bool isResting = m_now - runner.book->modelOrderedAt() < m_options.restTime;
-    const bool isTooMuch = static_cast<double>(m_moves) >= m_options.mostGivingWay * static_cast<double>(m_runners.size());
+    const bool isTooMuch = static_cast<double>(m_moves) >= m_options.mostDraining * static_cast<double>(m_runners.size());
     if (isResting || isTooMuch) {
         return std::nullopt;
     }
@@ -421,7 +421,7 @@
     if (missing <= Bytes()) {
         return std::nullopt; // there is room, but it takes no order now: it carries one out, or isn't known
     }
-    auto goes = makeRoom(number, model, missing);
+    auto goes = chooseEvictions(number, model, missing);
     if (!goes) {
         return std::nullopt;
     }
@@ -445,7 +445,7 @@
 }
 
 /// The copies that are missed least, as many as are needed; nothing if the room can't be made.
-auto Round::makeRoom(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
+auto Round::chooseEvictions(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
 {
     if (m_models[comes].work <= 0 && !m_input.isDemandKnown) {
         return std::nullopt;
@@ -540,15 +540,15 @@
 
 // [SECTION] Plan
 
-auto isGivingWay(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool
+auto isDraining(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool
 {
     const auto found = moves.find(target);
     return found != moves.end() && found->second.goes.contains(model);
 }
 
-auto CopyPlanInput::isGivingWay(const TargetId &target, const std::string &model) const -> bool
+auto CopyPlanInput::isDraining(const TargetId &target, const std::string &model) const -> bool
 {
-    return KingCup::isGivingWay(moves, target, model);
+    return KingCup::isDraining(moves, target, model);
 }
 
 auto modelWork(const std::vector<ArtifactDemand> &now, const std::vector<ArtifactDemand> &soon, const RequestCost &cost) -> std::map<std::string, ModelWork>
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -57,7 +57,7 @@
 };
 
 /// Whether a copy makes room for another model there.
-auto isGivingWay(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool;
+auto isDraining(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool;
 
 /// One copy, by its runner and model.
 using CopyKey = std::pair<TargetId, std::string>;
@@ -75,7 +75,7 @@
     std::map<CopyKey, int> streams; ///< under way at copies that give way, as all gateways have told; not there: not told yet
     std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy, by what is known here; none: not known
 
-    auto isGivingWay(const TargetId &target, const std::string &model) const -> bool;
+    auto isDraining(const TargetId &target, const std::string &model) const -> bool;
 };
 
 // [SECTION] Options
@@ -84,7 +84,7 @@
     LossCurve loss;
     double leastGain = 0.01; ///< work saved that makes a load worth its price and the room that is then no longer free for the next model
     double swapCost = 0.03; ///< work that must be saved where another copy gives way: the place serves nobody while that ends and this one comes
-    double keepGain = -0.1; ///< a move that saves less than this is given up: on the way its gain is seen through the noise of a few seconds' arrivals
+    double abortGain = -0.1; ///< a move that saves less than this is given up: on the way its gain is seen through the noise of a few seconds' arrivals
     double streamCost = 0.01; ///< in the choice of a place, a stream that must end first counts as this share of a runner's time
     /// What is asked of a model without a copy counts this much: above the steepest rise of the loss on a full runner. Counted once, much work without a copy
     /// seemed better off than on one runner that is asked for several times what it can do, and such a model never got its first copy.
@@ -96,8 +96,8 @@
     double adapterFill = 0.15; ///< the work that counts for a runner whose places for adapters are all in use: one gives way to the next within milliseconds
     int mostChanges = 16; ///< loads and moves that one round begins, the best first: a round must not hold up requests; the next one goes on
     Duration restTime = Duration::seconds(3); ///< after an order on a model, until another one gives way on that runner: plans must not chase each other
-    double mostGivingWay = 0.34; ///< of the runners may give up one model for another at once: a wrong forecast moves no more than that
-    Duration toldWithin = Duration::millis(1500); ///< gateways that haven't told by then how many streams they have at a copy are taken to have none
+    double mostDraining = 0.34; ///< of the runners may give up one model for another at once: a wrong forecast moves no more than that
+    Duration reportWithin = Duration::millis(1500); ///< gateways that haven't told by then how many streams they have at a copy are taken to have none
     Duration longestWait = Duration::seconds(5); ///< for the streams of a copy that gives way; then it is unloaded all the same, and the runner waits for them
 };
 
@@ -107,7 +107,7 @@
     TargetId target;
     RunnerOrder order;
     WeightSource source = WeightSource::Store; ///< loads
-    std::string makesRoomFor; ///< unloads: the model that is to come in its place
+    std::string evictedFor; ///< unloads: the model that is to come in its place
     std::string reason;
     double work = 0; ///< of the model, when this was decided
     int copies = 0; ///< of it, after this order
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -6,7 +6,7 @@
 #include "core/dispatch.h"
 
 #include "core/hashing.h"
-#include "core/readqueue.h"
+#include "core/prefillqueue.h"
 
 #include <algorithm>
 #include <cmath>
@@ -62,8 +62,8 @@
     PromptCache cache;
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
-    ReadQueue reads; ///< own sends without a first token
-    RecentReading recent; ///< of all entries, as far as they have told
+    PrefillQueue reads; ///< own sends without a first token
+    RecentPrefill recent; ///< of all entries, as far as they have told
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
@@ -97,14 +97,14 @@
     Duration backlog;
     double readMillis = 0; ///< expected for its own prompt
     int ownTokens = 0; ///< of its prompt, those that no other request shares
-    int unreadTokens = 0;
+    int prefillTokens = 0;
     UrgencyBand band = UrgencyBand::Usual;
     std::int64_t tokens = 0;
     double slowness = 1; ///< of the target, as it was taken to be
     bool hasFirst = false;
 };
 
-struct HeardWork {
+struct PeerLoad {
     std::uint64_t sequence = 0;
     TimePoint at;
     std::map<TargetId, TargetWork> work;
@@ -118,7 +118,7 @@
     Duration backlog;
     int unread = 0;
     bool othersRead = false; ///< another entry's prompts are read there or wait
-    bool isGivingWay = false; ///< the copy there is to be unloaded
+    bool isDraining = false; ///< the copy there is to be unloaded
     double cost = 0; ///< milliseconds, with what only serves the choice
 };
 
@@ -131,11 +131,11 @@
     std::unordered_map<std::uint64_t, Send> sends;
     SendId lastSend;
     std::map<std::pair<TargetId, std::string>, int> runningByModel; ///< own sends without an end, by target and model
-    std::map<EntryId, HeardWork> heard;
+    std::map<EntryId, PeerLoad> peerLoads;
     std::map<std::string, double> readMillis; ///< per token, by model
     std::map<std::string, double> stepMillis; ///< to the first token of a prompt that is hardly to be read, by model
     std::map<ServiceName, double> plainMillis;
-    std::map<TargetId, double> newReading; ///< milliseconds, not told to others yet
+    std::map<TargetId, double> newPrefill; ///< milliseconds, not told to others yet
     RequestCost requestCost;
     std::vector<std::pair<TargetId, PromptChain>> newlyRead;
     std::uint64_t digests = 0;
@@ -183,11 +183,11 @@
     auto stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double;
     auto slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double;
     auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
-    auto failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
+    auto reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
     auto strike(TargetState &state, TimePoint now) const -> void;
     auto isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool;
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
-    auto learnReading(const Send &send, double took) -> void;
+    auto learnPrefill(const Send &send, double took) -> void;
     auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
     auto drawPlain(std::vector<Estimate> &estimates, TimePoint now) const -> void;
     auto hasFreshReports(TimePoint now) const -> bool;
@@ -300,7 +300,7 @@
     if (isEjectedHere(state, now)) {
         return true;
     }
-    return std::any_of(heard.begin(), heard.end(), [&](const auto &told) {
+    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &told) {
         const auto found = told.second.work.find(id);
         const bool isFresh = now - told.second.at < options.workLifetime && told.second.at > state.succeededAt;
         return isFresh && found != told.second.work.end() && found->second.isEjected;
@@ -308,10 +308,10 @@
 }
 
 /// Own experience and that of others, whichever is worse: a target that answers with errors would otherwise cost every entry some requests.
-auto Dispatcher::Private::failuresToldOf(const TargetId &id, const TargetState &state, TimePoint now) const -> double
+auto Dispatcher::Private::reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double
 {
     double worst = failuresOf(state, now);
-    for (const auto &[entry, told] : heard) {
+    for (const auto &[entry, told] : peerLoads) {
         const auto found = told.work.find(id);
         if (found != told.work.end() && now - told.at < options.workLifetime) {
             worst = std::max(worst, found->second.failures);
@@ -336,7 +336,7 @@
     Others sum;
     double age = 0;
     int tellers = 0;
-    for (const auto &[entry, told] : heard) {
+    for (const auto &[entry, told] : peerLoads) {
         const auto found = told.work.find(target);
         if (found == told.work.end() || now - told.at > options.workLifetime) {
             continue;
@@ -376,7 +376,7 @@
 /// What a prompt would make the runner read beyond what its streams bear between two events, in milliseconds.
 auto Dispatcher::Private::stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double
 {
-    return std::max(state.recent.within(pauseGoal, now) + read - toMillis(pauseGoal) * options.readingShare, 0.0);
+    return std::max(state.recent.within(pauseGoal, now) + read - toMillis(pauseGoal) * options.prefillShare, 0.0);
 }
 
 auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
@@ -469,7 +469,7 @@
 
 auto Dispatcher::Private::hasFreshReports(TimePoint now) const -> bool
 {
-    return std::any_of(heard.begin(), heard.end(), [&](const auto &told) { return now - told.second.at < options.workLifetime; });
+    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &told) { return now - told.second.at < options.workLifetime; });
 }
 
 /// A plain request lasts for less than the age of what is known of the other entries' sends. If all chose the target that looked emptiest, they
@@ -478,7 +478,7 @@
 {
     std::vector<Estimate> sound;
     for (const auto &made : estimates) {
-        if (!isEjected(made.target, *made.state, now) && failuresToldOf(made.target, *made.state, now) <= options.failuresToAvoid) {
+        if (!isEjected(made.target, *made.state, now) && reportedFailures(made.target, *made.state, now) <= options.failuresToAvoid) {
             sound.push_back(made);
         }
     }
@@ -506,16 +506,16 @@
         if (about.service != request.service || about.isLeaving) {
             continue;
         }
-        bool isGivingWay = false;
+        bool isDraining = false;
         if (!request.model.empty()) {
             const auto *held = about.model(request.model);
             if (held == nullptr) {
                 choice.refusal = std::max(choice.refusal, DispatchRefusal::NotHeld);
                 continue;
             }
-            isGivingWay = held->isGivingWay;
+            isDraining = held->isDraining;
             const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-            stays = stays || (!isGivingWay && !isExcluded && !d->isEjected(id, state, now));
+            stays = stays || (!isDraining && !isExcluded && !d->isEjected(id, state, now));
             if (!request.adapter.empty() && !held->hasAdapter(request.adapter)) {
                 choice.refusal = std::max(choice.refusal, DispatchRefusal::AdapterMissing);
                 continue;
@@ -526,9 +526,9 @@
             continue;
         }
         estimates.push_back(d->estimate(request, id, state, now));
-        estimates.back().isGivingWay = isGivingWay;
+        estimates.back().isDraining = isDraining;
     }
-    if (stays && std::erase_if(estimates, [](const Estimate &made) { return made.isGivingWay; }) > 0 && estimates.empty()) {
+    if (stays && std::erase_if(estimates, [](const Estimate &made) { return made.isDraining; }) > 0 && estimates.empty()) {
         // The adapter is loaded beside a copy that stays, within milliseconds; sent where it is now, its requests would keep that copy from ever going.
         choice.refusal = DispatchRefusal::AdapterMissing;
     }
@@ -537,7 +537,7 @@
     }
     d->addRankPenalty(request, estimates);
     const auto rank = [&](const Estimate &made) {
-        const bool isFailing = d->failuresToldOf(made.target, *made.state, now) > d->options.failuresToAvoid;
+        const bool isFailing = d->reportedFailures(made.target, *made.state, now) > d->options.failuresToAvoid;
         return std::tuple(d->isEjected(made.target, *made.state, now), isFailing, made.cost);
     };
     choice.candidates = static_cast<int>(estimates.size());
@@ -552,7 +552,7 @@
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
-    choice.unreadTokens = best->unread;
+    choice.prefillTokens = best->unread;
     return choice;
 }
 
@@ -574,7 +574,7 @@
     send.at = now;
     send.expectedFirst = made.first;
     send.backlog = made.backlog;
-    send.unreadTokens = made.unread;
+    send.prefillTokens = made.unread;
     send.slowness = state.slownessAt(now);
     send.band = request.band;
     send.tokens = request.promptTokens + request.outputTokens;
@@ -588,7 +588,7 @@
         send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
         state.reads.add(d->lastSend, send.band, send.readMillis, !made.othersRead, now);
         state.recent.add(send.readMillis, now);
-        d->newReading[target] += send.readMillis;
+        d->newPrefill[target] += send.readMillis;
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
             d->newlyRead.emplace_back(target, chain);
@@ -599,7 +599,7 @@
     return d->lastSend;
 }
 
-auto Dispatcher::readingTime(SendId id) const -> Duration
+auto Dispatcher::prefillTime(SendId id) const -> Duration
 {
     const auto found = d->sends.find(id.value());
     return found == d->sends.end() ? Duration() : fromMillis(found->second.readMillis);
@@ -626,7 +626,7 @@
     if (send.model.empty()) {
         return;
     }
-    d->learnReading(send, took);
+    d->learnPrefill(send, took);
     constexpr double LeastExpected = 20; // milliseconds; below, chance outweighs
     state.observeSlowness(took / std::max(toMillis(send.expectedFirst) / send.slowness, LeastExpected), now);
 }
@@ -634,7 +634,7 @@
 /// How long one token takes where nothing else is read, and a first step: what is seen is mostly more than that, so observations below count much more than
 /// those above. The step is learnt from short prompts, the reading from the others: with a step taken to be longer than it is, reading seemed half as long
 /// as it was, and runners were given more prompts at once than their streams could bear.
-auto Dispatcher::Private::learnReading(const Send &send, double took) -> void
+auto Dispatcher::Private::learnPrefill(const Send &send, double took) -> void
 {
     constexpr int LeastTokens = 400; // below, the step's time outweighs reading
     constexpr int FewTokens = 200; // below, reading hardly counts
@@ -646,16 +646,16 @@
     constexpr double RateDown = 0.2;
     constexpr double RateUp = 0.01;
     constexpr double LeastStep = 2; // milliseconds; a round trip within a region
-    if (send.unreadTokens < FewTokens) {
+    if (send.prefillTokens < FewTokens) {
         auto &step = stepMillis.try_emplace(send.model, toMillis(options.firstStep)).first->second;
-        const double seen = std::max(took - send.unreadTokens * millisPerToken(send.model), LeastStep);
+        const double seen = std::max(took - send.prefillTokens * millisPerToken(send.model), LeastStep);
         step += (seen - step) * (seen < step ? RateDown : RateUp);
     }
-    if (send.unreadTokens < LeastTokens) {
+    if (send.prefillTokens < LeastTokens) {
         return;
     }
     auto &perToken = readMillis.try_emplace(send.model, options.millisPerToken).first->second;
-    const double observed = std::clamp((took - firstStepOf(send.model)) / send.unreadTokens, LeastPerToken, MostPerToken);
+    const double observed = std::clamp((took - firstStepOf(send.model)) / send.prefillTokens, LeastPerToken, MostPerToken);
     perToken += (observed - perToken) * (observed < perToken ? RateDown : RateUp);
 }
 
@@ -747,7 +747,7 @@
 
 auto Dispatcher::merge(const WorkDigest &digest, TimePoint now) -> void
 {
-    auto &told = d->heard[digest.entry];
+    auto &told = d->peerLoads[digest.entry];
     if (digest.sequence <= told.sequence) {
         return;
     }
@@ -765,17 +765,17 @@
     }
 }
 
-auto Dispatcher::takeSentReading() -> std::vector<SentReading>
+auto Dispatcher::takeSentPrefill() -> std::vector<SentPrefill>
 {
-    std::vector<SentReading> list;
-    for (const auto &[target, millis] : d->newReading) {
+    std::vector<SentPrefill> list;
+    for (const auto &[target, millis] : d->newPrefill) {
         list.push_back({target, fromMillis(millis)});
     }
-    d->newReading.clear();
+    d->newPrefill.clear();
     return list;
 }
 
-auto Dispatcher::merge(const std::vector<SentReading> &sent, TimePoint now) -> void
+auto Dispatcher::merge(const std::vector<SentPrefill> &sent, TimePoint now) -> void
 {
     for (const auto &told : sent) {
         const auto found = d->targets.find(told.target);
@@ -787,7 +787,7 @@
 
 auto Dispatcher::entryGone(const EntryId &entry) -> void
 {
-    d->heard.erase(entry);
+    d->peerLoads.erase(entry);
 }
 
 } // namespace KingCup
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -67,7 +67,7 @@
     Duration expectedFirst; ///< until the first token, or a plain service's answer
     Duration expectedIfPatient; ///< likewise, if everything else there goes first
     Duration backlog; ///< of expectedFirst, what others must wait for first
-    int unreadTokens = 0; ///< of the prompt
+    int prefillTokens = 0; ///< of the prompt
     int candidates = 0; ///< targets that could have taken it
     bool isLastResort = false; ///< requests don't get through to it of late, nor to any other that could take it
 };
@@ -94,7 +94,7 @@
 };
 
 /// What one entry has given a target to read since it last told.
-struct SentReading {
+struct SentPrefill {
     TargetId target;
     Duration reading;
 };
@@ -121,7 +121,7 @@
     /// stream there; where few run, few are stalled.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
-    double readingShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
+    double prefillShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
     int plainChoices = 2; ///< plain services: so many targets, drawn at random, are compared for each request
     std::uint64_t seed = 0; ///< of that draw; another one at each entry
     double learnRate = 0.1; ///< weight of one observation
@@ -152,7 +152,7 @@
     auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< requests don't get through to it, here or at another entry
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
     /// What a send that hasn't ended makes its runner read, where nothing else is read: without what was kept there when it was sent.
-    auto readingTime(SendId send) const -> Duration;
+    auto prefillTime(SendId send) const -> Duration;
 
     auto loadTime(const ServiceName &service, const std::string &model) const -> Duration; ///< from the weight store; 0: not declared
     auto requestCost() const -> const RequestCost &; ///< of runners, by model
@@ -179,8 +179,8 @@
     auto merge(const WorkDigest &digest, TimePoint now) -> void;
     auto entryGone(const EntryId &entry) -> void;
     /// Forgets what was sent since the last call. A digest is too old for this: what comes together comes within a few steps of an engine.
-    auto takeSentReading() -> std::vector<SentReading>;
-    auto merge(const std::vector<SentReading> &sent, TimePoint now) -> void;
+    auto takeSentPrefill() -> std::vector<SentPrefill>;
+    auto merge(const std::vector<SentPrefill> &sent, TimePoint now) -> void;
 
     struct Private;
 
--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -39,7 +39,7 @@
     , m_options(options)
     , m_startedAt(startedAt)
     , m_nextTry(startedAt + staggerOf(m_self, options.stagger))
-    , m_holderHeardAt(startedAt)
+    , m_holderSeenAt(startedAt)
 {
 }
 
@@ -107,7 +107,7 @@
     if (!m_mustRead) {
         return LeaseStep::Write;
     }
-    const bool isHolderSilent = now - m_holderHeardAt >= m_options.silence;
+    const bool isHolderSilent = now - m_holderSeenAt >= m_options.silence;
     return isHolderSilent || !m_isRowKnown ? LeaseStep::Read : LeaseStep::None;
 }
 
@@ -171,7 +171,7 @@
     if (hostOf(m_holder) == hostOf(m_self)) {
         return m_startedAt + m_options.margin;
     }
-    return std::max(m_seenSince, m_holderHeardAt) + m_options.duration;
+    return std::max(m_seenSince, m_holderSeenAt) + m_options.duration;
 }
 
 auto OrderLease::writeStarted(TimePoint now) -> LeaseWrite
@@ -221,14 +221,14 @@
     m_mustRead = true;
 }
 
-auto OrderLease::holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void
+auto OrderLease::holderAnnounced(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void
 {
     if (holder == m_self || (m_holds && fence < m_fence)) {
         return; // an older holder that doesn't know yet
     }
     m_holder = holder;
     m_holderSequence = sequence;
-    m_holderHeardAt = now;
+    m_holderSeenAt = now;
     if (!m_holds && version > m_version) {
         m_version = version;
         m_seenSince = now;
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -85,7 +85,7 @@
     // Commands: other gateways
     /// A digest of a gateway that holds the lease. `version`: of the row, as it wrote it last; that is as good as having read it, and the wait of a
     /// successor doesn't begin only when the holder has been missed.
-    auto holderHeard(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void;
+    auto holderAnnounced(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void;
     /// This gateway sends a digest with that number.
     auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
     /// Another gateway says which of this gateway's digests it has heard last. A lease that is over isn't brought back by that: a gateway that
@@ -121,7 +121,7 @@
     std::uint64_t m_lastWrite = 0;
     HolderName m_holder;
     std::uint64_t m_holderSequence = 0;
-    TimePoint m_holderHeardAt;
+    TimePoint m_holderSeenAt;
     std::map<std::uint64_t, TimePoint> m_digests; ///< own ones, when each left
     std::map<EntryId, std::uint64_t> m_peers; ///< the last own digest that each has heard; 0: none
 };
--- a/src/core/readqueue.cpp
+++ b/src/core/prefillqueue.cpp
@@ -1,4 +1,4 @@
-#include "core/readqueue.h"
+#include "core/prefillqueue.h"
 
 #include <algorithm>
 #include <numeric>
@@ -12,14 +12,14 @@
 }
 
 /// One that takes longer than expected isn't done either: a tenth of it stays until its first token comes.
-auto ReadQueue::Read::left(TimePoint now) const -> double
+auto PrefillQueue::Read::left(TimePoint now) const -> double
 {
     constexpr double LeastShare = 0.1;
     constexpr double MillisPerSecond = 1000;
     return since ? std::max(millis - (now - *since).inSeconds() * MillisPerSecond, millis * LeastShare) : millis;
 }
 
-auto ReadQueue::byBand(TimePoint now) const -> BandMillis
+auto PrefillQueue::byBand(TimePoint now) const -> BandMillis
 {
     BandMillis sums {};
     for (const auto &read : m_reads) {
@@ -28,18 +28,18 @@
     return sums;
 }
 
-auto ReadQueue::waiting(UrgencyBand band) const -> int
+auto PrefillQueue::waiting(UrgencyBand band) const -> int
 {
     return static_cast<int>(std::count_if(m_reads.begin(), m_reads.end(), [&](const Read &read) { return read.band <= band; }));
 }
 
-auto ReadQueue::add(SendId send, UrgencyBand band, double millis, bool isNext, TimePoint now) -> void
+auto PrefillQueue::add(SendId send, UrgencyBand band, double millis, bool isNext, TimePoint now) -> void
 {
     const bool isFirst = isNext && m_reads.empty();
     m_reads.push_back({send, band, millis, isFirst ? std::optional(now) : std::nullopt});
 }
 
-auto ReadQueue::remove(SendId send, TimePoint now) -> void
+auto PrefillQueue::remove(SendId send, TimePoint now) -> void
 {
     std::erase_if(m_reads, [&](const Read &read) { return read.send == send; });
     const bool isReading = std::any_of(m_reads.begin(), m_reads.end(), [](const Read &read) { return read.since.has_value(); });
@@ -49,7 +49,7 @@
     }
 }
 
-auto RecentReading::within(Duration span, TimePoint now) const -> double
+auto RecentPrefill::within(Duration span, TimePoint now) const -> double
 {
     double sum = 0;
     for (auto read = m_reads.rbegin(); read != m_reads.rend() && now - read->at < span; ++read) {
@@ -58,7 +58,7 @@
     return sum;
 }
 
-auto RecentReading::add(double millis, TimePoint now) -> void
+auto RecentPrefill::add(double millis, TimePoint now) -> void
 {
     constexpr auto Longest = Duration::seconds(1);
     std::erase_if(m_reads, [&](const Read &read) { return now - read.at > Longest; });
--- a/src/core/readqueue.h
+++ b/src/core/prefillqueue.h
@@ -23,7 +23,7 @@
 /// Of the bands that go before or with `band`.
 auto upTo(const BandMillis &unread, UrgencyBand band) -> double;
 
-class ReadQueue
+class PrefillQueue
 {
 public:
     // Queries
@@ -52,7 +52,7 @@
 /// What one target was given to read within the last moments, read by now or not. An engine reads prompts between the steps of its streams, and between
 /// two events of a stream lie several steps: a handful of prompts that come together stall every stream there for longer than is aimed at, each of
 /// them small and read at once. Sent where little was to be read of late, they come one by one everywhere.
-class RecentReading
+class RecentPrefill
 {
 public:
     /// Milliseconds; `span` up to a second.
--- a/src/core/targetinfo.h
+++ b/src/core/targetinfo.h
@@ -26,7 +26,7 @@
     std::string name;
     std::uint64_t version = 0; ///< of its weights
     std::vector<std::string> adapters; ///< ready to use
-    bool isGivingWay = false; ///< to be unloaded when its last stream has ended: takes no new requests if another copy can
+    bool isDraining = false; ///< to be unloaded when its last stream has ended: takes no new requests if another copy can
 
     auto hasAdapter(std::string_view adapter) const -> bool;
     auto operator==(const HeldModel &) const -> bool = default;
--- a/src/gateway/copyuse.h
+++ b/src/gateway/copyuse.h
@@ -23,7 +23,7 @@
 
 struct CopyUseHooks {
     std::function<int(const CopyKey &copy)> ownStreams; ///< of this gateway
-    std::function<void(const Wire::ControlFrame &frame)> tellHolder; ///< the gateway that gives orders
+    std::function<void(const Wire::ControlFrame &frame)> sendToHolder; ///< the gateway that gives orders
 };
 
 // [SECTION] CopyUse
@@ -49,8 +49,8 @@
 
 private:
     CopyUseHooks m_hooks;
-    std::set<CopyKey> m_givingWay;
-    std::map<CopyKey, std::map<std::string, int>> m_told; ///< by copy, then by gateway
+    std::set<CopyKey> m_draining;
+    std::map<CopyKey, std::map<std::string, int>> m_reported; ///< by copy, then by gateway
 };
 
 } // namespace KingCup
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -138,7 +138,7 @@
         writeColumns(one, *message->mutable_work());
     }
     writeRead(load.work.read, *message->mutable_read());
-    writeReading(load.prefill, *message->mutable_prefill());
+    writePrefill(load.prefill, *message->mutable_prefill());
     return frame;
 }
 
@@ -149,7 +149,7 @@
     load.work.sequence = message.sequence();
     load.work.work = workOf(message.work(), names);
     load.work.read = readOf(message.read(), names);
-    load.prefill = readingOf(message.prefill(), names);
+    load.prefill = prefillOf(message.prefill(), names);
     return load;
 }
 
@@ -165,7 +165,7 @@
         message->add_ejections(static_cast<std::uint32_t>(target.ejections));
     }
     writeRead(cell.read, *message->mutable_read());
-    writeReading(cell.prefill, *message->mutable_prefill());
+    writePrefill(cell.prefill, *message->mutable_prefill());
     for (const auto &[gateway, sequence] : cell.reported) {
         message->add_reporter(shortName(gateway.text()));
         message->add_reported(sequence);
@@ -184,7 +184,7 @@
             cell.targets.push_back({workAt(message.work(), i, *target), message.next_failures(i) / Percent, static_cast<int>(message.ejections(i))});
         }
     }
-    cell.prefill = readingOf(message.prefill(), names);
+    cell.prefill = prefillOf(message.prefill(), names);
     cell.read = readOf(message.read(), names);
     const auto ownName = shortName(self.text());
     for (int i = 0; i < std::min(message.reporter_size(), message.reported_size()); ++i) {
@@ -195,7 +195,7 @@
     return cell;
 }
 
-auto writeReading(const std::vector<SentReading> &sent, Wire::SentReading &message) -> void
+auto writePrefill(const std::vector<SentPrefill> &sent, Wire::SentPrefill &message) -> void
 {
     for (const auto &one : sent) {
         message.add_target(shortName(one.target));
@@ -203,9 +203,9 @@
     }
 }
 
-auto readingOf(const Wire::SentReading &message, const TargetNames &names) -> std::vector<SentReading>
+auto prefillOf(const Wire::SentPrefill &message, const TargetNames &names) -> std::vector<SentPrefill>
 {
-    std::vector<SentReading> list;
+    std::vector<SentPrefill> list;
     for (int i = 0; i < std::min(message.target_size(), message.tenths_ms_size()); ++i) {
         if (const auto *target = names.find(message.target(i))) {
             list.push_back({*target, Duration::micros(message.tenths_ms(i) * MicrosPerTenth)});
@@ -214,7 +214,7 @@
     return list;
 }
 
-auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame
+auto residencyFrame(const TargetDescription &target) -> Wire::ControlFrame
 {
     Wire::ControlFrame frame;
     auto *holding = frame.mutable_holding();
@@ -224,7 +224,7 @@
         auto *added = holding->add_models();
         added->set_name(model.name);
         added->set_version(model.version);
-        added->set_giving_way(model.isGivingWay);
+        added->set_draining(model.isDraining);
         for (const auto &adapter : model.adapters) {
             added->add_adapters(adapter);
         }
@@ -239,7 +239,7 @@
         HeldModel held;
         held.name = model.name();
         held.version = model.version();
-        held.isGivingWay = model.giving_way();
+        held.isDraining = model.draining();
         held.adapters.assign(model.adapters().begin(), model.adapters().end());
         models.push_back(std::move(held));
     }
--- a/src/gateway/digests.h
+++ b/src/gateway/digests.h
@@ -30,8 +30,8 @@
 auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void;
 auto workOf(const Wire::GatewayDigest &message, const TargetNames &names) -> WorkDigest;
 
-auto writeReading(const std::vector<SentReading> &sent, Wire::SentReading &message) -> void;
-auto readingOf(const Wire::SentReading &message, const TargetNames &names) -> std::vector<SentReading>;
+auto writePrefill(const std::vector<SentPrefill> &sent, Wire::SentPrefill &message) -> void;
+auto prefillOf(const Wire::SentPrefill &message, const TargetNames &names) -> std::vector<SentPrefill>;
 
 auto gatewayLoadFrame(const GatewayLoad &load) -> Wire::ControlFrame;
 auto gatewayLoadOf(const Wire::GatewayLoad &message, const TargetNames &names) -> GatewayLoad;
@@ -40,7 +40,7 @@
 /// Of the gateways that are included, only `self` is read.
 auto cellLoadOf(const Wire::CellLoad &message, const EntryId &self, const TargetNames &names) -> CellLoad;
 
-auto holdingFrame(const TargetDescription &target) -> Wire::ControlFrame;
+auto residencyFrame(const TargetDescription &target) -> Wire::ControlFrame;
 auto modelsOf(const Wire::Holding &holding) -> std::vector<HeldModel>;
 
 } // namespace KingCup
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -20,7 +20,7 @@
 /// Of a request's time, the most that it waits for a model; what is refused then still has time to come back.
 constexpr double MostWaitShare = 0.5;
 /// Between two words of one request to the gateway that gives orders: the first may have been lost, or there was none yet.
-constexpr auto TellMissingPeriod = Duration::millis(300);
+constexpr auto LoadRequestPeriod = Duration::millis(300);
 /// Some twenty round trips within a region, and longer than a host with a fifth of a core takes to come to it.
 constexpr auto FirstSilenceCheck = Duration::millis(100);
 /// Longer than the system takes to send a lost packet once more (200 ms at least).
@@ -153,8 +153,8 @@
 auto ForwardedRequest::waitOrRefuse(DispatchRefusal refusal) -> void
 {
     const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
-    if (isMissing && now() - m_missingToldAt >= TellMissingPeriod) {
-        m_missingToldAt = now();
+    if (isMissing && now() - m_loadRequestedAt >= LoadRequestPeriod) {
+        m_loadRequestedAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
     }
     const auto waitUntil = m_exchange->startedAt() + longestWait(refusal);
@@ -163,7 +163,7 @@
         return;
     }
     m_isWaiting = true;
-    m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), TellMissingPeriod), [this] { attempt(); });
+    m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), LoadRequestPeriod), [this] { attempt(); });
 }
 
 auto ForwardedRequest::tryAgain() -> void
@@ -215,7 +215,7 @@
         .add("expected", choice.expectedFirst)
         .add("backlog", choice.backlog)
         .add("demoted", m_isDemoted)
-        .add("unread", choice.unreadTokens)
+        .add("unread", choice.prefillTokens)
         .add("prompt", m_request.promptTokens)
         .add("candidates", choice.candidates)
         .add("last-resort", choice.isLastResort)
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -143,7 +143,7 @@
     Duration m_pauseEndedAfter; ///< when it ended, from the request's first byte
     TimePoint m_lastBytesAt;
     bool m_isWaiting = false;
-    TimePoint m_missingToldAt;
+    TimePoint m_loadRequestedAt;
     TimePoint m_connectFailedAt;
     bool m_isDemoted = false; ///< too late to be on time: after all that still can be
     Duration m_retryAfter = DefaultRetryAfter;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -97,7 +97,7 @@
     flow->start();
 }
 
-auto Forwarder::crashRepeatHeard(std::uint64_t fingerprint, int breaks) -> void
+auto Forwarder::crashRepeatReported(std::uint64_t fingerprint, int breaks) -> void
 {
     d->crashes.heard(fingerprint, breaks, d->parts.loop.now());
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -77,7 +77,7 @@
     /// Targets or what they hold have changed: requests that wait for that are tried again.
     auto pump() -> void;
     /// Another gateway has seen targets break off while they ran that request.
-    auto crashRepeatHeard(std::uint64_t fingerprint, int breaks) -> void;
+    auto crashRepeatReported(std::uint64_t fingerprint, int breaks) -> void;
     /// Ends all that is open; returns how many were cut off.
     auto abandonAll() -> int;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,7 +37,7 @@
 
 constexpr int ExitCutOff = 1;
 /// Whoever sends us new connections looks once a second and believes the second miss.
-constexpr auto NoticeTime = Duration::millis(2500);
+constexpr auto BalancerNoticeTime = Duration::millis(2500);
 constexpr auto LeaveCheckPeriod = Duration::millis(50);
 /// Before the limit, so that answers that are cut off are cut by us, and said so in the log.
 constexpr auto StopMargin = Duration::millis(500);
@@ -53,14 +53,14 @@
 constexpr double SilentDigests = 3.5;
 /// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it, and
 /// their first tokens would come late though nothing had foretold it.
-constexpr auto LongRead = Duration::millis(100);
-constexpr auto LongReadDelay = Duration::millis(5); ///< what comes together is told together
+constexpr auto LongPrefill = Duration::millis(100);
+constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is told together
 /// Between two words to the others of what targets were given to read, for each gateway that hears it: a gateway hears some hundred of them a second,
 /// however many there are.
-constexpr auto ReadingPeriodPerPeer = Duration::millis(8);
-constexpr auto LongestReadingPeriod = Duration::millis(200);
+constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
+constexpr auto LongestPrefillPeriod = Duration::millis(200);
 /// An adapter that is asked for on a second runner is there within some tens of milliseconds, or there is no room for it for a while.
-constexpr auto TellOverloadedPeriod = Duration::millis(300);
+constexpr auto ReportOverloadedPeriod = Duration::millis(300);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
@@ -71,7 +71,7 @@
 constexpr double DemandRise = 0.4;
 constexpr double DemandFall = 0.3;
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
-constexpr std::uint32_t MostBreaksHeard = 16;
+constexpr std::uint32_t MostBreaksReported = 16;
 
 auto digestPeriod(int gateways) -> Duration
 {
@@ -83,7 +83,7 @@
 // [SECTION] Parts
 
 /// What the gateway that gives orders says that one start of a runner holds.
-struct ToldHolding {
+struct ReportedResidency {
     TargetIncarnation incarnation;
     std::vector<HeldModel> models;
 };
@@ -118,16 +118,16 @@
     TimePoint storeLostAt;
     Timer settingsTimer;
     Timer digestTimer;
-    Timer longReadTimer;
-    Timer readingTimer;
+    Timer longPrefillTimer;
+    Timer prefillTimer;
     std::uint64_t digests = 0;
     TimePoint digestSentAt;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
     std::map<std::string, int> askedFor; ///< requests by model since the last word to the gateway that gives orders; also those that found no copy
-    std::map<std::string, TimePoint> overloadedTold; ///< by "MODEL/ADAPTER"
-    std::map<TargetIncarnation, TimePoint> leavingTold; ///< targets that leave or left, told to others for a while
-    std::map<TargetId, ToldHolding> holdings;
-    Fence toldFence; ///< of the holder of the order lease that was last told what requests wait for
+    std::map<std::string, TimePoint> overloadedReported; ///< by "MODEL/ADAPTER"
+    std::map<TargetIncarnation, TimePoint> leavingAnnounced; ///< targets that leave or left, told to others for a while
+    std::map<TargetId, ReportedResidency> residencies;
+    Fence announcedFence; ///< of the holder of the order lease that was last told what requests wait for
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
@@ -163,9 +163,9 @@
     auto apply(const TargetChanges &changes) -> void;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
-    auto tellWanted(const MissingArtifact &wanted, bool another) -> void;
+    auto sendLoadRequest(const MissingArtifact &wanted, bool another) -> void;
     auto onOverloaded(const MissingArtifact &adapter) -> void;
-    auto onHolding(const TargetDescription &target) -> void;
+    auto onResidency(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     /// This start of this process, as digests and the order lease name it.
     auto selfName() const -> HolderName
@@ -177,12 +177,12 @@
     auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
     auto publishLoad() -> void;
-    auto tellReadingSoon() -> void;
+    auto publishPrefillSoon() -> void;
     auto sendDemand() -> void;
     auto onDemand(const Wire::GatewayDemand &message) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
-    auto onHoldingHeard(const Wire::Holding &holding) -> void;
+    auto onResidencyReport(const Wire::Holding &holding) -> void;
     auto isReady() const -> bool
     {
         return traffic && follower->isLoaded(StoreTable::Targets) && !isLeaving;
@@ -209,7 +209,7 @@
     useHooks.ownStreams = [this](const CopyKey &copy) {
         return dispatcher.ownRunning(copy.first, copy.second);
     };
-    useHooks.tellHolder = [this](const Wire::ControlFrame &frame) {
+    useHooks.sendToHolder = [this](const Wire::ControlFrame &frame) {
         peers->send(holderId(), frame);
     };
     copyUse = std::make_unique<CopyUse>(std::move(useHooks));
@@ -224,8 +224,8 @@
     hooks.isFailing = [this](const TargetId &target) {
         return dispatcher.isEjected(target, loop.now());
     };
-    hooks.onHolding = [this](const TargetDescription &target) {
-        onHolding(target);
+    hooks.onResidency = [this](const TargetDescription &target) {
+        onResidency(target);
     };
     hooks.onMoves = [this](const std::map<TargetId, CopyMove> &moves) {
         copyUse->setMoves(moves);
@@ -385,21 +385,21 @@
         dispatcher.targetSeen(target, loop.now());
         targetNames.add(target.incarnation.id);
         orders->targetSeen(target);
-        const auto told = holdings.find(target.incarnation.id);
-        if (!orders->mayOrder() && told != holdings.end() && told->second.incarnation == target.incarnation) {
+        const auto told = residencies.find(target.incarnation.id);
+        if (!orders->mayOrder() && told != residencies.end() && told->second.incarnation == target.incarnation) {
             dispatcher.targetHolds(target.incarnation.id, told->second.models); // newer than the row as long as somebody gives orders
         }
         if (target.isLeaving) {
-            leavingTold.try_emplace(target.incarnation, loop.now());
+            leavingAnnounced.try_emplace(target.incarnation, loop.now());
         }
     }
     for (const auto &target : changes.gone) {
         log.line("targets", "gone").add("target", target.text()).add("settled", view.isSettled(loop.now()));
         if (const auto *about = dispatcher.description(target)) {
             targetPool.forget(about->address);
-            leavingTold.try_emplace(about->incarnation, loop.now());
+            leavingAnnounced.try_emplace(about->incarnation, loop.now());
         }
-        holdings.erase(target);
+        residencies.erase(target);
         copyUse->targetGone(target);
         dispatcher.targetGone(target);
         targetNames.remove(target);
@@ -430,11 +430,11 @@
         }
     };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send) {
-        if (dispatcher.readingTime(send) >= LongRead && !longReadTimer.isActive()) {
-            longReadTimer = loop.after(LongReadDelay, [this] { publishLoad(); });
+        if (dispatcher.prefillTime(send) >= LongPrefill && !longPrefillTimer.isActive()) {
+            longPrefillTimer = loop.after(LongPrefillDelay, [this] { publishLoad(); });
         }
         if (!request.model.empty() && loads->isDirect()) {
-            tellReadingSoon();
+            publishPrefillSoon();
         }
         if (!request.adapter.empty()) {
             orders->adapterUsed(target, request.model, request.adapter);
@@ -462,11 +462,11 @@
         return;
     }
     orders->remember(service, model, adapter);
-    tellWanted({service, model, adapter}, false);
+    sendLoadRequest({service, model, adapter}, false);
 }
 
 /// To the gateway that gives orders.
-auto Gateway::Private::tellWanted(const MissingArtifact &wanted, bool another) -> void
+auto Gateway::Private::sendLoadRequest(const MissingArtifact &wanted, bool another) -> void
 {
     Wire::ControlFrame frame;
     auto *message = frame.mutable_wanted();
@@ -479,8 +479,8 @@
 
 auto Gateway::Private::onOverloaded(const MissingArtifact &adapter) -> void
 {
-    auto &toldAt = overloadedTold[adapter.model + "/" + adapter.adapter];
-    if (loop.now() - toldAt < TellOverloadedPeriod) {
+    auto &toldAt = overloadedReported[adapter.model + "/" + adapter.adapter];
+    if (loop.now() - toldAt < ReportOverloadedPeriod) {
         return;
     }
     toldAt = loop.now();
@@ -489,7 +489,7 @@
         orders->overloaded(adapter.service, adapter.model, adapter.adapter);
         return;
     }
-    tellWanted(adapter, true);
+    sendLoadRequest(adapter, true);
 }
 
 /// The gateway that gives orders, as far as known.
@@ -551,8 +551,8 @@
     hooks.greeting = [this] {
         std::vector<Wire::ControlFrame> frames;
         if (orders && orders->mayOrder()) {
-            for (const auto &target : orders->holdings()) {
-                frames.push_back(holdingFrame(target));
+            for (const auto &target : orders->residencies()) {
+                frames.push_back(residencyFrame(target));
             }
         }
         return frames;
@@ -568,23 +568,23 @@
 }
 
 /// Known here before the runner's row says so, and told to those who can't know it yet.
-auto Gateway::Private::onHolding(const TargetDescription &target) -> void
+auto Gateway::Private::onResidency(const TargetDescription &target) -> void
 {
     dispatcher.targetHolds(target.incarnation.id, target.models);
     if (orders && orders->mayOrder()) {
-        peers->sendAll(holdingFrame(target));
+        peers->sendAll(residencyFrame(target));
         forwarder->pump();
     }
 }
 
-auto Gateway::Private::onHoldingHeard(const Wire::Holding &holding) -> void
+auto Gateway::Private::onResidencyReport(const Wire::Holding &holding) -> void
 {
     const TargetId target(holding.target());
     const auto *about = dispatcher.description(target);
     if (about == nullptr || about->incarnation.bornMillis != holding.born_ms() || orders->mayOrder()) {
         return;
     }
-    auto &told = holdings[target];
+    auto &told = residencies[target];
     told = {about->incarnation, modelsOf(holding)};
     dispatcher.targetHolds(target, told.models);
     copyUse->held(target, told.models);
@@ -596,8 +596,8 @@
     follower->advance();
     demand.advance(loop.now());
     apply(view.advance(loop.now()));
-    std::erase_if(overloadedTold, [&](const auto &told) { return loop.now() - told.second > TellOverloadedPeriod; });
-    std::erase_if(leavingTold, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
+    std::erase_if(overloadedReported, [&](const auto &told) { return loop.now() - told.second > ReportOverloadedPeriod; });
+    std::erase_if(leavingAnnounced, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
     if (isDigestDue()) {
         sendDigest();
     }
@@ -627,7 +627,7 @@
         digest->mutable_work(); // without rows: nothing under way
         writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
     }
-    for (const auto &[target, at] : leavingTold) {
+    for (const auto &[target, at] : leavingAnnounced) {
         auto *added = digest->add_leaving();
         added->set_target(target.id.text());
         added->set_born_ms(target.bornMillis);
@@ -655,15 +655,15 @@
 }
 
 /// Prompts that come together at one target stall its streams: gateways that don't know of each other's last ones send them to the same target.
-auto Gateway::Private::tellReadingSoon() -> void
+auto Gateway::Private::publishPrefillSoon() -> void
 {
-    if (readingTimer.isActive()) {
+    if (prefillTimer.isActive()) {
         return;
     }
-    const auto period = ReadingPeriodPerPeer * peers->liveCount();
-    readingTimer = loop.after(std::min(period, LongestReadingPeriod), [this] {
+    const auto period = PrefillPeriodPerPeer * peers->liveCount();
+    prefillTimer = loop.after(std::min(period, LongestPrefillPeriod), [this] {
         Wire::ControlFrame frame;
-        writeReading(dispatcher.takeSentReading(), *frame.mutable_sent_reading());
+        writePrefill(dispatcher.takeSentPrefill(), *frame.mutable_sent_prefill());
         peers->sendAll(frame);
     });
 }
@@ -726,8 +726,8 @@
         }
     } else if (frame.has_gateway_demand()) {
         onDemand(frame.gateway_demand());
-    } else if (frame.has_sent_reading()) {
-        dispatcher.merge(readingOf(frame.sent_reading(), targetNames), loop.now());
+    } else if (frame.has_sent_prefill()) {
+        dispatcher.merge(prefillOf(frame.sent_prefill(), targetNames), loop.now());
     } else if (frame.has_gateway_load()) {
         loads->onReport(frame.gateway_load());
     } else if (frame.has_cell_load()) {
@@ -736,9 +736,9 @@
         copyUse->heard(id, frame.copy_streams());
         orders->planSoon();
     } else if (frame.has_holding()) {
-        onHoldingHeard(frame.holding());
+        onResidencyReport(frame.holding());
     } else if (frame.has_crash_repeat()) {
-        forwarder->crashRepeatHeard(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MostBreaksHeard)));
+        forwarder->crashRepeatReported(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MostBreaksReported)));
     } else {
         follower->onFrame(id, frame);
     }
@@ -752,12 +752,12 @@
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
-        lease.holderHeard(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
+        lease.holderAnnounced(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
         // By its fence, not by its name: that stands in the lease's row before it may give orders.
-        if (fence != toldFence) {
-            toldFence = fence;
+        if (fence != announcedFence) {
+            announcedFence = fence;
             for (const auto &missing : orders->remembered()) {
-                tellWanted(missing, false);
+                sendLoadRequest(missing, false);
             }
         }
     }
@@ -793,13 +793,13 @@
 auto Gateway::Private::checkLeft() -> void
 {
     const auto sinceLeave = loop.now() - leavingSince;
-    if (sinceLeave > NoticeTime) {
+    if (sinceLeave > BalancerNoticeTime) {
         // Nobody sends us new connections any more; on one that is kept, a request could still come when there is no time left for it.
         callers->stopListening();
         callers->closeIdle();
     }
     const bool isLate = sinceLeave > settings.gateway.stopLimit - StopMargin;
-    const bool isDone = sinceLeave > NoticeTime && callers->openExchanges() == 0;
+    const bool isDone = sinceLeave > BalancerNoticeTime && callers->openExchanges() == 0;
     if (!isLate && !isDone) {
         return;
     }
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -71,7 +71,7 @@
 {
     GatewayLoad load;
     load.work = parts.dispatcher.takeDigest(settings.self, parts.loop.now());
-    load.prefill = parts.dispatcher.takeSentReading();
+    load.prefill = parts.dispatcher.takeSentPrefill();
     ownReports.sent(load);
     if (keeper.keeper() == settings.id) {
         sum.merge(load, parts.loop.now());
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -1,5 +1,5 @@
 // Index of sections (search for [SECTION]):
-//   State     runners, wishes
+//   State     runners, pending
 //   Lease     the row in the store
 //   Reports   what runners say when asked
 //   Orders    planned
@@ -38,7 +38,7 @@
 constexpr std::size_t MostLoggedModels = 12;
 constexpr auto InputLifetime = Duration::millis(100);
 /// Wishes of one moment are served together; much shorter than the loading of an adapter.
-constexpr auto WishDelay = Duration::millis(1);
+constexpr auto PendingDelay = Duration::millis(1);
 
 /// A call to a runner whose whole answer is wanted.
 struct RunnerCall : CollectedAnswer {
@@ -59,14 +59,14 @@
 }
 
 /// A request waits for an adapter.
-struct Wish {
+struct AdapterRequest {
     TimePoint at; ///< when it was last told
     int copies = 1; ///< runners that are to hold it
     TargetId orderedOn; ///< a runner that has an order for it, answered or not; empty: none
     TimePoint orderedAt;
 };
 
-using WishKey = std::tuple<ServiceName, std::string, std::string>;
+using AdapterRequestKey = std::tuple<ServiceName, std::string, std::string>;
 
 } // namespace
 
@@ -101,7 +101,7 @@
     std::map<ServiceName, EngineDeclaration> engines;
     std::map<ServiceName, LoadMeter> meters;
     std::map<TargetId, RunnerBook> books;
-    std::map<WishKey, Wish> wishes;
+    std::map<AdapterRequestKey, AdapterRequest> pending;
     std::map<TargetId, CopyMove> moves; ///< under way
     AdapterUses uses;
     std::map<std::string, TimePoint> lastAsked; ///< by model, within this tenure
@@ -109,7 +109,7 @@
     std::optional<TimePoint> firstAskedAt; ///< within this tenure
     std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
     TimePoint inputsAt;
-    Timer wishTimer;
+    Timer pendingTimer;
     Timer tick;
     TimePoint plannedAt;
     TimePoint demandLoggedAt;
@@ -142,16 +142,16 @@
     auto askReport(RunnerBook &book) -> void;
     auto advanceBooks() -> void;
     auto logDemand(const CopyPlanInput &made) -> void;
-    auto holdingOf(const RunnerBook &book) const -> TargetDescription;
+    auto residencyOf(const RunnerBook &book) const -> TargetDescription;
     auto beginMove(const BegunMove &begun) -> void;
     auto endMove(const TargetId &target, const char *why) -> void;
     auto endFinishedMoves() -> void;
     auto planModels() -> void;
     auto planSoon() -> void; ///< at the next tick, if moves are under way
-    auto serveWishesSoon() -> void;
-    auto serveWishes() -> void;
-    auto holdersOf(const WishKey &key) const -> int;
-    auto serveWish(const WishKey &key, Wish &wish) -> bool;
+    auto servePendingSoon() -> void;
+    auto servePending() -> void;
+    auto holdersOf(const AdapterRequestKey &key) const -> int;
+    auto serveAdapterRequest(const AdapterRequestKey &key, AdapterRequest &request) -> bool;
     auto isDemandKnown() const -> bool
     {
         return firstAskedAt && now() - *firstAskedAt >= settings.demandKnownAfter;
@@ -163,7 +163,7 @@
     auto give(const ServiceName &service, const PlannedOrder &planned) -> void;
     auto onOrderAnswer(const TargetIncarnation &target, const RunnerOrder &order, OrderVerdict verdict, int status) -> void;
     auto expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration;
-    auto tellHolding(const RunnerBook &book) -> void;
+    auto publishResidency(const RunnerBook &book) -> void;
     auto find(const TargetIncarnation &target) -> RunnerBook *;
     auto call(const Endpoint &server, CallText text, const std::function<void(int status, const std::string &body)> &done) -> void;
 };
@@ -175,18 +175,18 @@
 }
 
 /// With the copies that are to get no new requests.
-auto OrderTask::Private::holdingOf(const RunnerBook &book) const -> TargetDescription
+auto OrderTask::Private::residencyOf(const RunnerBook &book) const -> TargetDescription
 {
     auto about = book.description();
     for (auto &held : about.models) {
-        held.isGivingWay = isGivingWay(moves, about.incarnation.id, held.name);
+        held.isDraining = isDraining(moves, about.incarnation.id, held.name);
     }
     return about;
 }
 
-auto OrderTask::Private::tellHolding(const RunnerBook &book) -> void
+auto OrderTask::Private::publishResidency(const RunnerBook &book) -> void
 {
-    hooks.onHolding(holdingOf(book));
+    hooks.onResidency(residencyOf(book));
 }
 
 /// `done` gets status 0 if there was no whole answer in time.
@@ -227,7 +227,7 @@
         plannedAt = now();
         planModels();
     }
-    serveWishes();
+    servePending();
 }
 
 auto OrderTask::Private::stepLease() -> void
@@ -327,8 +327,8 @@
             .add("kv", report->kvUsed)
             .add("holds", textOf(report->models))
             .add("under-way", static_cast<int>(report->adaptersUnderWay.size()));
-        tellHolding(*asked);
-        serveWishesSoon();
+        publishResidency(*asked);
+        servePendingSoon();
     });
 }
 
@@ -336,15 +336,15 @@
 {
     for (auto &[id, book] : books) {
         if (book.advance(now())) {
-            tellHolding(book);
+            publishResidency(book);
         }
     }
-    std::erase_if(wishes, [&](const auto &wish) { return now() - wish.second.at > settings.wishLifetime; });
+    std::erase_if(pending, [&](const auto &request) { return now() - request.second.at > settings.pendingLifetime; });
 }
 
 // [SECTION] Orders
 
-/// Made anew a few times a second: what it takes from demand and from other gateways' work doesn't change sooner, and making it for each wish
+/// Made anew a few times a second: what it takes from demand and from other gateways' work doesn't change sooner, and making it for each request
 /// took most of the holder's processor time when many requests waited for adapters.
 auto OrderTask::Private::input(const ServiceName &service) -> const CopyPlanInput &
 {
@@ -414,7 +414,7 @@
             active.insert(place.second);
         }
     }
-    for (const auto &[key, wish] : wishes) {
+    for (const auto &[key, request] : pending) {
         if (std::get<0>(key) == service && !std::get<2>(key).empty()) {
             active.insert(std::get<1>(key) + "/" + std::get<2>(key));
         }
@@ -487,7 +487,7 @@
     hooks.onMoves(moves);
     const auto book = books.find(begun.target);
     if (book != books.end()) {
-        tellHolding(book->second);
+        publishResidency(book->second);
     }
 }
 
@@ -506,7 +506,7 @@
     hooks.onMoves(moves);
     const auto book = books.find(target);
     if (book != books.end()) {
-        tellHolding(book->second);
+        publishResidency(book->second);
     }
 }
 
@@ -529,55 +529,55 @@
 
 // [SECTION] Adapters
 
-auto OrderTask::Private::serveWishesSoon() -> void
+auto OrderTask::Private::servePendingSoon() -> void
 {
-    if (!wishes.empty() && !wishTimer.isActive()) {
-        wishTimer = parts.loop.after(WishDelay, [this] { serveWishes(); });
+    if (!pending.empty() && !pendingTimer.isActive()) {
+        pendingTimer = parts.loop.after(PendingDelay, [this] { servePending(); });
     }
 }
 
-auto OrderTask::Private::serveWishes() -> void
+auto OrderTask::Private::servePending() -> void
 {
     if (!mayOrder()) {
         return;
     }
-    for (auto open = wishes.begin(); open != wishes.end();) {
-        open = serveWish(open->first, open->second) ? wishes.erase(open) : std::next(open);
+    for (auto open = pending.begin(); open != pending.end();) {
+        open = serveAdapterRequest(open->first, open->second) ? pending.erase(open) : std::next(open);
     }
 }
 
 /// Runners that hold the adapter, or soon will.
-auto OrderTask::Private::holdersOf(const WishKey &key) const -> int
+auto OrderTask::Private::holdersOf(const AdapterRequestKey &key) const -> int
 {
     int holders = 0;
     for (const auto &[id, book] : books) {
         const bool isOfService = book.description().service == std::get<0>(key);
-        const bool stays = !isGivingWay(moves, id, std::get<1>(key));
+        const bool stays = !isDraining(moves, id, std::get<1>(key));
         holders += isOfService && stays && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
     }
     return holders;
 }
 
 /// True if nothing more is to be done for it.
-auto OrderTask::Private::serveWish(const WishKey &key, Wish &wish) -> bool
+auto OrderTask::Private::serveAdapterRequest(const AdapterRequestKey &key, AdapterRequest &request) -> bool
 {
     const auto &[service, model, adapter] = key;
     if (adapter.empty() || !engines.contains(service)) {
         return false; // models are planned together
     }
     const int holders = holdersOf(key);
-    if (holders >= wish.copies) {
+    if (holders >= request.copies) {
         return true;
     }
     // One order at a time for it: while an adapter gives way on one runner, others would on the next ones.
-    const auto asked = books.find(wish.orderedOn);
-    if (asked != books.end() && asked->second.isAsked() && now() - wish.orderedAt < settings.answerTimeout) {
+    const auto asked = books.find(request.orderedOn);
+    if (asked != books.end() && asked->second.isAsked() && now() - request.orderedAt < settings.answerTimeout) {
         return false;
     }
     const auto spared = holders > 0 ? SparedForAnother : Duration();
     if (const auto planned = placeAdapter(input(service), model, adapter, uses, spared, now())) {
-        wish.orderedOn = planned->target;
-        wish.orderedAt = now();
+        request.orderedOn = planned->target;
+        request.orderedAt = now();
         give(service, *planned);
     }
     return false;
@@ -633,7 +633,7 @@
         .add("model", planned.order.model)
         .add("adapter", planned.order.adapter)
         .add("why", planned.reason)
-        .add("for", planned.makesRoomFor)
+        .add("for", planned.evictedFor)
         .add("source", planned.order.isLoad ? toString(planned.source) : "-")
         .add("work", planned.work)
         .add("copies", planned.copies)
@@ -677,11 +677,11 @@
         book->refused(now());
         break;
     }
-    tellHolding(*book);
+    publishResidency(*book);
     if (verdict == OrderVerdict::Started || verdict == OrderVerdict::Done) {
         planSoon();
     }
-    serveWishesSoon();
+    servePendingSoon();
 }
 
 auto OrderTask::Private::planSoon() -> void
@@ -735,7 +735,7 @@
     auto &book = found->second;
     d->newTargetAt = isNew ? d->now() : d->newTargetAt;
     book.seen(target, d->now());
-    d->tellHolding(book);
+    d->publishResidency(book);
 }
 
 auto OrderTask::targetGone(const TargetId &target) -> void
@@ -748,13 +748,13 @@
 
 auto OrderTask::remember(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
 {
-    d->wishes[{service, model, adapter}].at = d->now();
+    d->pending[{service, model, adapter}].at = d->now();
 }
 
 auto OrderTask::remembered() const -> std::vector<MissingArtifact>
 {
     std::vector<MissingArtifact> list;
-    for (const auto &[key, wish] : d->wishes) {
+    for (const auto &[key, request] : d->pending) {
         const auto &[service, model, adapter] = key;
         list.push_back({service, model, adapter});
     }
@@ -766,22 +766,22 @@
     for (auto &[id, book] : d->books) {
         const auto *held = book.description().model(model);
         const bool isHeld = held != nullptr && (adapter.empty() || held->hasAdapter(adapter));
-        if (isHeld && !isGivingWay(d->moves, id, model) && book.description().service == service) {
+        if (isHeld && !isDraining(d->moves, id, model) && book.description().service == service) {
             // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
             book.doubt(d->now());
-            d->tellHolding(book);
+            d->publishResidency(book);
         }
     }
     remember(service, model, adapter);
-    d->serveWishesSoon();
+    d->servePendingSoon();
 }
 
 auto OrderTask::overloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
 {
-    auto &wish = d->wishes[{service, model, adapter}];
-    wish.at = d->now();
-    wish.copies = 2;
-    d->serveWishesSoon();
+    auto &request = d->pending[{service, model, adapter}];
+    request.at = d->now();
+    request.copies = 2;
+    d->servePendingSoon();
 }
 
 auto OrderTask::modelAsked(const std::string &model) -> void
@@ -795,11 +795,11 @@
     d->uses[{target, model + "/" + adapter}] = d->now();
 }
 
-auto OrderTask::holdings() const -> std::vector<TargetDescription>
+auto OrderTask::residencies() const -> std::vector<TargetDescription>
 {
     std::vector<TargetDescription> list;
     for (const auto &[id, book] : d->books) {
-        list.push_back(d->holdingOf(book));
+        list.push_back(d->residencyOf(book));
     }
     return list;
 }
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -41,7 +41,7 @@
     std::function<std::map<CopyKey, int>()> streams; ///< under way at copies that give way, as all gateways have told
     std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy
     /// What a runner holds has changed; known here before its row says so.
-    std::function<void(const TargetDescription &target)> onHolding;
+    std::function<void(const TargetDescription &target)> onResidency;
     /// This gateway may give orders from now on: others are to hear it at once. What their requests wait for is told to it only then, and by
     /// the next digest some of these requests would have been refused.
     std::function<void()> onHolder;
@@ -57,7 +57,7 @@
     Duration answerTimeout = Duration::millis(250); ///< of an order or a report; an order is answered before it is carried out
     Duration settleTime = Duration::millis(1500); ///< after the last new target until models are planned: at a start their rows come in over seconds
     Duration demandKnownAfter = Duration::seconds(3); ///< of the first request that is counted: six of the forecast's buckets
-    Duration wishLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
+    Duration pendingLifetime = Duration::millis(1500); ///< a request that waits for an adapter is refused before that
 };
 
 // [SECTION] OrderTask
@@ -102,7 +102,7 @@
     auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
     auto modelAsked(const std::string &model) -> void; ///< requests for it have come, here or at another gateway
     /// What runners hold, as far as it is known here: for gateways that have just come up.
-    auto holdings() const -> std::vector<TargetDescription>;
+    auto residencies() const -> std::vector<TargetDescription>;
     /// No orders from here on: this process stops.
     auto stop() -> void;
 
--- a/tests/unit_copies.cpp
+++ b/tests/unit_copies.cpp
@@ -96,7 +96,7 @@
     hooks.ownStreams = [&own](const CopyKey &) {
         return own;
     };
-    hooks.tellHolder = [](const Wire::ControlFrame &) {
+    hooks.sendToHolder = [](const Wire::ControlFrame &) {
     };
     CopyUse use(hooks);
     use.setMoves({{TargetId("r1"), CopyMove {"m2", {"m1"}, TimePoint()}}});
@@ -127,7 +127,7 @@
     hooks.ownStreams = [](const CopyKey &) {
         return 4;
     };
-    hooks.tellHolder = [&told](const Wire::ControlFrame &frame) {
+    hooks.sendToHolder = [&told](const Wire::ControlFrame &frame) {
         for (const auto &copy : frame.copy_streams().copies()) {
             told.push_back(static_cast<int>(copy.streams()));
         }
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -117,7 +117,7 @@
     bench->firstToken(send, at(1.3));
     bench->ended(send, SendResult::Delivered, at(2));
     REQUIRE(bench->choose(request(7), at(3)).target == home);
-    REQUIRE(bench->choose(request(7), at(3)).unreadTokens < 200);
+    REQUIRE(bench->choose(request(7), at(3)).prefillTokens < 200);
 
     std::map<TargetId, int> sent;
     for (int i = 0; i < 200; ++i) {
@@ -470,11 +470,11 @@
     REQUIRE(bench->choose(next(), at(1.07)).target == TargetId("r1"));
     bench->merge({{TargetId("r1"), Duration::millis(200)}}, at(1.07));
     REQUIRE(bench->choose(next(), at(1.08)).target == TargetId("r0"));
-    const auto told = bench->takeSentReading();
+    const auto told = bench->takeSentPrefill();
     REQUIRE(told.size() == 1);
     REQUIRE(told.front().target == TargetId("r0"));
     REQUIRE(told.front().reading > Duration::millis(5));
-    REQUIRE(bench->takeSentReading().empty());
+    REQUIRE(bench->takeSentPrefill().empty());
 }
 
 TEST_CASE("a first step and the reading of a prompt are told apart")
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -192,7 +192,7 @@
     second.rowRead(bench.version(), bench.value(), at(4.1));
     REQUIRE(second.nextStep(at(4.1)) == LeaseStep::Write);
     bench.put(First.text() + " 7");
-    second.holderHeard(First, first.fence(), 1, bench.version(), at(4.1));
+    second.holderAnnounced(First, first.fence(), 1, bench.version(), at(4.1));
     REQUIRE(second.nextStep(at(4.1)) != LeaseStep::Write);
 }
 
@@ -207,7 +207,7 @@
     std::uint64_t sequence = 0;
     for (const double now : moments(2, 6, 0.2)) {
         bench.step(first, now);
-        second.holderHeard(First, first.fence(), ++sequence, first.version(), at(now));
+        second.holderAnnounced(First, first.fence(), ++sequence, first.version(), at(now));
         bench.step(second, now);
     }
     double taken = 0;
@@ -273,7 +273,7 @@
     bench.put(First.text() + " 1");
     OrderLease second(Second, {}, at(0));
     for (const double now : moments(0, 20, 0.2)) {
-        second.holderHeard(First, Fence(1), static_cast<std::uint64_t>(now * 5), bench.version(), at(now));
+        second.holderAnnounced(First, Fence(1), static_cast<std::uint64_t>(now * 5), bench.version(), at(now));
         bench.step(second, now);
         REQUIRE_FALSE(second.isHolder());
     }
@@ -608,7 +608,7 @@
     const auto unload = bench.wholePlan(100.3).orders;
     REQUIRE(unload.size() == 1);
     REQUIRE(unload.front().order == RunnerOrder {false, "m1", ""});
-    REQUIRE(unload.front().makesRoomFor == "m2");
+    REQUIRE(unload.front().evictedFor == "m2");
 }
 
 TEST_CASE("a move whose streams don't end, or of which gateways don't tell, goes on all the same")
