--- a/src/core/adapterplan.cpp
+++ b/src/core/adapterplan.cpp
@@ -60,7 +60,7 @@
         return PlannedOrder {free->description().incarnation.id, load, WeightSource::Memory, "", "asked-for", 0, 0};
     }
     if (eviction) {
-        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "makes-room", 0, 0};
+        return PlannedOrder {eviction->runner->description().incarnation.id, eviction->order, WeightSource::Memory, "", "evict", 0, 0};
     }
     return std::nullopt;
 }
--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -29,7 +29,7 @@
 struct PlannedModel {
     const ModelDeclaration *declared = nullptr;
     double work = 0; ///< runners that its requests keep busy
-    int usable = 0; ///< copies that serve now and don't give way
+    int usable = 0; ///< copies that serve now and don't drain
     TimePoint lastAsked;
     double missingSeconds = 0; ///< asked for without a copy
 };
@@ -38,7 +38,7 @@
 struct PlannedRunner {
     const RunnerBook *book = nullptr;
     const CopyMove *move = nullptr; ///< under way; null: none
-    std::vector<std::size_t> holds; ///< models that serve there now and don't give way
+    std::vector<std::size_t> holds; ///< models that serve there now and don't drain
     bool isTaken = false; ///< has an order of this round, or waits for one
 };
 
@@ -46,7 +46,7 @@
 struct Place {
     std::size_t runner = 0;
     WeightSource source = WeightSource::Store;
-    std::vector<std::size_t> goes; ///< models that make room there
+    std::vector<std::size_t> goes; ///< models evicted there
     double rank = 0; ///< lower first
 };
 
@@ -263,14 +263,14 @@
     const auto source = runner.book->sourceOf(move.comes);
     const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
     if (isAllowed && runner.book->mayOrder({true, move.comes, ""}, *m_input.engine, m_now)) {
-        load(number, *comes, source, "room-made");
+        load(number, *comes, source, "evicted");
         return;
     }
     runner.isTaken = true;
     unloadDrained(runner);
 }
 
-/// Against having the copies that give way back in use.
+/// Against using the draining replicas again.
 auto Round::isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool
 {
     const auto *book = m_runners[runner].book;
@@ -314,7 +314,7 @@
         const auto index = indexOf(name);
         const bool isNeeded = !index || (m_models[*index].usable == 0 && !runner.move->lastReplicas.contains(name));
         if (!isNeeded && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
-            order(runner, {false, name, ""}, WeightSource::Memory, "makes-room").evictedFor = runner.move->comes;
+            order(runner, {false, name, ""}, WeightSource::Memory, "evict").evictedFor = runner.move->comes;
             return;
         }
     }
@@ -323,11 +323,11 @@
 auto Round::isDrained(const PlannedRunner &runner, const std::string &model) const -> bool
 {
     const auto waited = m_now - runner.move->since;
-    const auto told = m_input.streams.find({idOf(runner), model});
-    if (told == m_input.streams.end()) {
+    const auto reported = m_input.streams.find({idOf(runner), model});
+    if (reported == m_input.streams.end()) {
         return waited >= m_options.reportWithin;
     }
-    return told->second == 0 || waited >= m_options.longestWait;
+    return reported->second == 0 || waited >= m_options.longestWait;
 }
 
 // [SECTION] Places
@@ -398,7 +398,7 @@
     return list;
 }
 
-/// A runner with time before a busy one, free memory before a copy that gives way, a quick load before a slow one.
+/// A runner with time before a busy one, free memory before an eviction, a quick load before a slow one.
 auto Round::placeOn(std::size_t number, std::size_t model) const -> std::optional<Place>
 {
     const auto &runner = m_runners[number];
@@ -419,7 +419,7 @@
     }
     const auto missing = m_models[model].declared->weights - runner.book->freeMemory(*m_input.engine, m_now);
     if (missing <= Bytes()) {
-        return std::nullopt; // there is room, but it takes no order now: it carries one out, or isn't known
+        return std::nullopt; // enough free memory, but it takes no order now
     }
     auto goes = chooseEvictions(number, model, missing);
     if (!goes) {
@@ -444,7 +444,7 @@
     return m_input.isDemandKnown && m_models[comes].work > 0 && (isMissing || !m_allFit);
 }
 
-/// The copies that are missed least, as many as are needed; nothing if the room can't be made.
+/// The replicas that are missed least, as many as are needed; nothing if they don't free enough memory.
 auto Round::chooseEvictions(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
 {
     if (m_models[comes].work <= 0 && !m_input.isDemandKnown) {
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -63,7 +63,7 @@
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
     PrefillQueue reads; ///< own sends without a first token
-    RecentPrefill recent; ///< of all entries, as far as they have told
+    RecentPrefill recent; ///< of all entries, as far as they have reported
     double slowness = 1; ///< observed over expected time to the first token
     TimePoint slownessSeen; ///< the last observation
 
@@ -135,7 +135,7 @@
     std::map<std::string, double> readMillis; ///< per token, by model
     std::map<std::string, double> stepMillis; ///< to the first token of a prompt that is hardly to be read, by model
     std::map<ServiceName, double> plainMillis;
-    std::map<TargetId, double> newPrefill; ///< milliseconds, not told to others yet
+    std::map<TargetId, double> newPrefill; ///< milliseconds, not reported yet
     RequestCost requestCost;
     std::vector<std::pair<TargetId, PromptChain>> newlyRead;
     std::uint64_t digests = 0;
@@ -300,10 +300,10 @@
     if (isEjectedHere(state, now)) {
         return true;
     }
-    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &told) {
-        const auto found = told.second.work.find(id);
-        const bool isFresh = now - told.second.at < options.workLifetime && told.second.at > state.succeededAt;
-        return isFresh && found != told.second.work.end() && found->second.isEjected;
+    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &report) {
+        const auto found = report.second.work.find(id);
+        const bool isFresh = now - report.second.at < options.workLifetime && report.second.at > state.succeededAt;
+        return isFresh && found != report.second.work.end() && found->second.isEjected;
     });
 }
 
@@ -311,9 +311,9 @@
 auto Dispatcher::Private::reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double
 {
     double worst = failuresOf(state, now);
-    for (const auto &[entry, told] : peerLoads) {
-        const auto found = told.work.find(id);
-        if (found != told.work.end() && now - told.at < options.workLifetime) {
+    for (const auto &[entry, report] : peerLoads) {
+        const auto found = report.work.find(id);
+        if (found != report.work.end() && now - report.at < options.workLifetime) {
             worst = std::max(worst, found->second.failures);
         }
     }
@@ -336,9 +336,9 @@
     Others sum;
     double age = 0;
     int tellers = 0;
-    for (const auto &[entry, told] : peerLoads) {
-        const auto found = told.work.find(target);
-        if (found == told.work.end() || now - told.at > options.workLifetime) {
+    for (const auto &[entry, report] : peerLoads) {
+        const auto found = report.work.find(target);
+        if (found == report.work.end() || now - report.at > options.workLifetime) {
             continue;
         }
         sum.running += found->second.running;
@@ -346,10 +346,10 @@
         for (std::size_t band = 0; band < UrgencyBands; ++band) {
             sum.unread.at(band) += toMillis(found->second.unread.at(band));
         }
-        age += toMillis(now - told.at);
+        age += toMillis(now - report.at);
         ++tellers;
     }
-    // One engine reads for all of them: since they told, it has read once as much as time has passed, not once for each.
+    // One engine reads for all of them: since their reports, it has read once as much as time has passed, not once for each.
     sum.ageMillis = tellers > 0 ? age / tellers : 0;
     double read = sum.ageMillis;
     for (auto &unread : sum.unread) {
@@ -469,7 +469,7 @@
 
 auto Dispatcher::Private::hasFreshReports(TimePoint now) const -> bool
 {
-    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &told) { return now - told.second.at < options.workLifetime; });
+    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &report) { return now - report.second.at < options.workLifetime; });
 }
 
 /// A plain request lasts for less than the age of what is known of the other entries' sends. If all chose the target that looked emptiest, they
@@ -747,15 +747,15 @@
 
 auto Dispatcher::merge(const WorkDigest &digest, TimePoint now) -> void
 {
-    auto &told = d->peerLoads[digest.entry];
-    if (digest.sequence <= told.sequence) {
+    auto &report = d->peerLoads[digest.entry];
+    if (digest.sequence <= report.sequence) {
         return;
     }
-    told.sequence = digest.sequence;
-    told.at = now;
-    told.work.clear();
+    report.sequence = digest.sequence;
+    report.at = now;
+    report.work.clear();
     for (const auto &work : digest.work) {
-        told.work[work.target] = work;
+        report.work[work.target] = work;
     }
     for (const auto &[target, chain] : digest.read) {
         const auto found = d->targets.find(target);
@@ -777,10 +777,10 @@
 
 auto Dispatcher::merge(const std::vector<SentPrefill> &sent, TimePoint now) -> void
 {
-    for (const auto &told : sent) {
-        const auto found = d->targets.find(told.target);
+    for (const auto &report : sent) {
+        const auto found = d->targets.find(report.target);
         if (found != d->targets.end()) {
-            found->second.recent.add(toMillis(told.reading), now);
+            found->second.recent.add(toMillis(report.reading), now);
         }
     }
 }
--- a/src/gateway/copyuse.cpp
+++ b/src/gateway/copyuse.cpp
@@ -14,12 +14,12 @@
 {
     std::map<CopyKey, int> result;
     for (const auto &copy : m_draining) {
-        const auto told = m_reported.find(copy);
+        const auto report = m_reported.find(copy);
         int sum = m_hooks.ownStreams(copy);
         const bool isWhole = std::all_of(peers.begin(), peers.end(), [&](const std::string &peer) {
-            const bool hasTold = told != m_reported.end() && told->second.contains(peer);
-            sum += hasTold ? told->second.at(peer) : 0;
-            return hasTold;
+            const bool hasReported = report != m_reported.end() && report->second.contains(peer);
+            sum += hasReported ? report->second.at(peer) : 0;
+            return hasReported;
         });
         if (isWhole) {
             result[copy] = sum;
@@ -73,16 +73,16 @@
             m_draining.emplace(target, model);
         }
     }
-    // What was told of an earlier move of the same copy says nothing of this one.
-    std::erase_if(m_reported, [&](const auto &told) { return !m_draining.contains(told.first); });
+    // What was reported of an earlier move of the same copy says nothing of this one.
+    std::erase_if(m_reported, [&](const auto &report) { return !m_draining.contains(report.first); });
 }
 
-auto CopyUse::heard(const std::string &peer, const Wire::CopyStreams &message) -> void
+auto CopyUse::streamsReported(const std::string &peer, const Wire::CopyStreams &message) -> void
 {
-    for (const auto &told : message.copies()) {
-        const CopyKey copy(TargetId(told.target()), told.model());
+    for (const auto &report : message.copies()) {
+        const CopyKey copy(TargetId(report.target()), report.model());
         if (m_draining.contains(copy)) {
-            m_reported[copy][peer] = static_cast<int>(told.streams());
+            m_reported[copy][peer] = static_cast<int>(report.streams());
         }
     }
 }
--- a/src/gateway/copyuse.h
+++ b/src/gateway/copyuse.h
@@ -1,7 +1,7 @@
-// Streams under way at copies of models that give way, over all gateways: such a copy is unloaded when its last stream has ended, and each gateway knows
+// Streams under way at draining replicas, over all gateways: such a replica is unloaded when its last stream has ended, and each gateway knows
 // only its own streams.
 //
-// Each gateway tells its number to the one that gives orders, at once when a copy is said to give way and with every digest until that is over.
+// Each gateway reports its number to the lease holder, at once when a replica begins to drain and with every digest until it is gone.
 //
 // Index of sections (search for [SECTION]):
 //   Hooks     what it needs
@@ -34,7 +34,7 @@
     explicit CopyUse(CopyUseHooks hooks);
 
     // Queries
-    /// Of all gateways; only copies of which each of `peers` has told.
+    /// Of all gateways; only copies of which each of `peers` has reported.
     auto streams(const std::set<std::string> &peers) const -> std::map<CopyKey, int>;
 
     // Commands: where another gateway gives orders
@@ -45,7 +45,7 @@
 
     // Commands: where this one does
     auto setMoves(const std::map<TargetId, CopyMove> &moves) -> void;
-    auto heard(const std::string &peer, const Wire::CopyStreams &message) -> void;
+    auto streamsReported(const std::string &peer, const Wire::CopyStreams &message) -> void;
 
 private:
     CopyUseHooks m_hooks;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -733,7 +733,7 @@
     } else if (frame.has_cell_load()) {
         loads->onSum(id, frame.cell_load());
     } else if (frame.has_copy_streams()) {
-        copyUse->heard(id, frame.copy_streams());
+        copyUse->streamsReported(id, frame.copy_streams());
         orders->planSoon();
     } else if (frame.has_holding()) {
         onResidencyReport(frame.holding());
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -11,7 +11,7 @@
 
 constexpr auto CheckPeriod = Duration::millis(300);
 
-struct Heard {
+struct PeerState {
     TimePoint at;
     bool isLive = false;
 };
@@ -26,7 +26,7 @@
     std::unique_ptr<PeerServer> server;
     std::unique_ptr<PeerLinks> links;
     std::set<PeerStreamPtr> incoming;
-    std::map<std::string, Heard> heard;
+    std::map<std::string, PeerState> states;
     std::map<std::string, TimePoint> reconnectedAt;
     Timer check;
 
@@ -97,7 +97,7 @@
     if (id.empty()) {
         return; // it hasn't said who it is
     }
-    auto &state = heard[id];
+    auto &state = states[id];
     state.at = loop.now();
     if (!state.isLive) {
         state.isLive = true;
@@ -109,7 +109,7 @@
 auto GatewayPeers::Private::checkSilent() -> void
 {
     const auto now = loop.now();
-    for (auto &[id, state] : heard) {
+    for (auto &[id, state] : states) {
         if (!state.isLive || now - state.at < settings.silentAfter) {
             continue;
         }
@@ -134,7 +134,7 @@
 auto GatewayPeers::live() const -> std::set<std::string>
 {
     std::set<std::string> ids;
-    for (const auto &[id, state] : d->heard) {
+    for (const auto &[id, state] : d->states) {
         if (state.isLive) {
             ids.insert(id);
         }
@@ -144,7 +144,7 @@
 
 auto GatewayPeers::liveCount() const -> int
 {
-    return static_cast<int>(std::count_if(d->heard.begin(), d->heard.end(), [](const auto &known) { return known.second.isLive; }));
+    return static_cast<int>(std::count_if(d->states.begin(), d->states.end(), [](const auto &known) { return known.second.isLive; }));
 }
 
 auto GatewayPeers::setHosts(const std::vector<ListedHost> &hosts) -> void
@@ -152,7 +152,7 @@
     auto others = hosts;
     std::erase_if(others, [&](const ListedHost &host) { return host.id == d->settings.id; });
     d->links->setHosts(others);
-    std::erase_if(d->heard, [&](const auto &known) {
+    std::erase_if(d->states, [&](const auto &known) {
         return std::none_of(others.begin(), others.end(), [&](const ListedHost &host) { return host.id == known.first; });
     });
 }
--- a/tests/unit_copies.cpp
+++ b/tests/unit_copies.cpp
@@ -106,13 +106,13 @@
     one->set_target("r1");
     one->set_model("m1");
     one->set_streams(3);
-    use.heard("b", told);
+    use.streamsReported("b", told);
     REQUIRE(use.streams({"b", "c"}).empty());
     one->set_streams(0);
-    use.heard("c", told);
+    use.streamsReported("c", told);
     REQUIRE(use.streams({"b", "c"}).at(copy) == 5);
     own = 0;
-    use.heard("b", told);
+    use.streamsReported("b", told);
     REQUIRE(use.streams({"b", "c"}).at(copy) == 0);
     // What was told of a move that is over says nothing of the next one.
     use.setMoves({});
