--- a/src/core/cellkeeper.h
+++ b/src/core/cellkeeper.h
@@ -28,7 +28,7 @@
 };
 
 struct CellKeeperOptions {
-    Duration silence = Duration::millis(700); ///< without a sum from the keeper, until the next one is chosen: seven of its periods
+    Duration silence = Duration::millis(700); ///< without a sum from the keeper, until the next one is chosen: fourteen of its periods
     Duration avoidFor = Duration::seconds(3); ///< a keeper that was silent
 };
 
--- a/src/gateway/digests.h
+++ b/src/gateway/digests.h
@@ -13,7 +13,7 @@
 namespace KingCup
 {
 
-/// The short names of targets in messages. Kept up to date with the targets: made anew for each message it cost more than all the rest of it.
+/// The short names of targets in messages, hashed once for each target.
 class TargetNames
 {
 public:
@@ -26,7 +26,7 @@
     std::unordered_map<std::uint32_t, TargetId> m_targets;
 };
 
-/// What is read leaves out targets that aren't in `names`.
+// Functions that read a message leave out targets that aren't in `names`.
 auto writeWork(const WorkDigest &work, Wire::GatewayDigest &message) -> void;
 auto workOf(const Wire::GatewayDigest &message, const TargetNames &names) -> WorkDigest;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -644,7 +644,7 @@
     peers->sendAll(frame);
 }
 
-/// Before the next period.
+/// Publishes this gateway's load before the next period.
 auto Gateway::Private::publishLoad() -> void
 {
     if (loads->isDirect()) {
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// A gateway that hasn't reported for this long isn't chosen to pass sums on in its zone: five of its reports.
+/// A gateway that hasn't reported for this long isn't chosen as a relay: ten of its reports.
 constexpr auto RelayReportsWithin = Duration::millis(500);
 
 auto hostOfStart(const EntryId &start) -> std::string
@@ -49,7 +49,7 @@
     auto tick() -> void;
     auto report() -> void;
     auto publish() -> void;
-    auto receivers() const -> std::set<std::string>;
+    auto relays() const -> std::set<std::string>;
     auto mergeSum(const CellLoad &cell) -> void;
 };
 
@@ -82,8 +82,8 @@
 
 // [SECTION] Keeping
 
-/// Gateways to which the sum goes from here: those of the own zone, and in other zones those that pass it on.
-auto LoadExchange::Private::receivers() const -> std::set<std::string>
+/// One gateway in each other zone.
+auto LoadExchange::Private::relays() const -> std::set<std::string>
 {
     std::set<std::string> reporting;
     for (const auto &start : sum.reportedWithin(RelayReportsWithin, parts.loop.now())) {
@@ -92,7 +92,7 @@
     return keeper.relays(reporting);
 }
 
-/// Whoever gets reports publishes their sum: gateways may disagree for a while about who keeps the view.
+/// A gateway that receives reports publishes their sum even if it has chosen another keeper: choices differ for a while after a loss.
 auto LoadExchange::Private::publish() -> void
 {
     const bool isKeeper = keeper.keeper() == settings.id;
@@ -105,7 +105,7 @@
         parts.peers.send(mate, frame);
     }
     frame.mutable_cell_load()->set_relay(true);
-    for (const auto &relay : receivers()) {
+    for (const auto &relay : relays()) {
         parts.peers.send(relay, frame);
     }
     parts.metrics.add("load_sums_published_total");
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -372,7 +372,7 @@
     return made;
 }
 
-/// What only the planning of models needs: worked out for each adapter that is waited for, it took a holder's whole processor time.
+/// With what only the planning of models needs; adapter requests, hundreds a second, do without.
 auto OrderTask::Private::planInput(const ServiceName &service) -> const CopyPlanInput &
 {
     input(service);
