--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -269,6 +269,7 @@
         peers->setHosts(hosts);
         peers->setSilentAfter(std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests));
         std::vector<CellMember> members;
+        members.reserve(hosts.size());
         for (const auto &host : hosts) {
             members.push_back({host.id, host.zone, host.processorShare});
         }
--- a/tests/unit_cellload.cpp
+++ b/tests/unit_cellload.cpp
@@ -22,7 +22,7 @@
     TargetWork made;
     made.target = TargetId(target);
     made.running = running;
-    made.tokens = running * 1000;
+    made.tokens = std::int64_t {1000} * running;
     made.unread.at(0) = Duration::millis(prefillMillis);
     return made;
 }
--- a/tests/unit_herd.cpp
+++ b/tests/unit_herd.cpp
@@ -137,13 +137,15 @@
     HerdResult result;
     std::exponential_distribution<double> gap(m_options.callsPerSecond);
     double nextView = 0;
-    for (double now = 0; now < seconds; now += gap(m_random)) {
+    double now = 0;
+    while (now < seconds) {
         endUntil(now);
         if (now >= nextView) {
             exchangeLoad(now);
             nextView = now + m_options.viewSeconds;
         }
         call(now, result);
+        now += gap(m_random);
     }
     return result;
 }
