load exchange: reuse the lease's host of a start

The name of a start was split by a second function of its own; the order lease's hostOf() serves both, as both name starts alike. No change of behaviour. unit_cellload, unit_herd and unit_orders pass, clang-tidy clean on the file; the whole check was not rerun.

--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -5,6 +5,8 @@
 //   LoadExchange   the public face
 #include "gateway/loadexchange.h"
 
+#include "core/orderlease.h"
+
 namespace KingCup
 {
 
@@ -16,9 +18,10 @@
 /// A gateway that hasn't reported for this long isn't chosen as a relay: ten of its reports.
 constexpr auto RelayReportsWithin = Duration::millis(500);
 
+/// Starts of gateways are named as holders of the order lease are.
 auto hostOfStart(const EntryId &start) -> std::string
 {
-    return start.text().substr(0, start.text().find('#'));
+    return hostOf(HolderName(start.text()));
 }
 
 } // namespace
