fakes: reset a proxied connection that lost bytes once its link passes data again

The proxy's "lose-down" dropped what arrived, and after "heal" the same connection carried the later bytes. Every event is its own HTTP chunk, so a hole of whole chunks leaves a valid stream without them. TCP never does that: it delivers in order, late, or resets.

Ruled out: the event reader and resume offsets (both count only whole events passed on), late frames of an abandoned attempt, the stand-in engine.

Change: a direction that has lost bytes never carries later ones; the connection is reset when the fault ends. The check in system_random stays as it is. Test: "a connection that has lost bytes carries none of the later ones", failing before (end 0 for 2, text not a prefix), passing after.

--- a/fakes/proxy.cpp
+++ b/fakes/proxy.cpp
@@ -45,6 +45,7 @@
     std::deque<Piece> queue;
     std::size_t queued = 0;
     double allowance = 0; // bytes that a slow link may still pass in this period
+    bool hasLost = false; // bytes have vanished: a byte stream has no holes, so nothing behind them may pass
 
     /// The next bytes that may be written now.
     auto take(Duration now, double bytesPerSecond) -> std::string
@@ -197,10 +198,18 @@
         kill(pair);
         return -1;
     }
-    if (swallows(side) || data.empty()) {
+    if (data.empty()) {
         return 0;
     }
     auto &pipe = pair.pipes[side];
+    if (swallows(side)) {
+        pipe.hasLost = true;
+        return 0;
+    }
+    if (pipe.hasLost) {
+        kill(pair);
+        return -1;
+    }
     pipe.queue.push_back(Piece {std::string(data), clock.now() + fault.delay});
     pipe.queued += data.size();
     setReading(pair);
@@ -362,8 +371,9 @@
 auto Link::setFault(const LinkFault &fault) -> void
 {
     d->fault = fault;
-    if (fault.cut) {
-        for (auto &[key, pair] : d->pairs) {
+    for (auto &[key, pair] : d->pairs) {
+        const bool isTorn = (pair->pipes[Near].hasLost && !d->swallows(Near)) || (pair->pipes[Far].hasLost && !d->swallows(Far));
+        if (fault.cut || isTorn) {
             d->kill(*pair);
         }
     }
--- a/fakes/proxy.h
+++ b/fakes/proxy.h
@@ -1,6 +1,7 @@
 // A fault-injecting TCP proxy: each link listens on a port and forwards to a target, and can be cut, frozen, delayed or made lossy.
 //
-// "Up" is from whoever connected to the target, "down" is back. Faults hold until heal.
+// "Up" is from whoever connected to the target, "down" is back. Faults hold until heal. A connection whose bytes were lost is reset when its link
+// passes data again.
 #pragma once
 
 #include "answers.h"
--- a/tests/system_fakes.cpp
+++ b/tests/system_fakes.cpp
@@ -126,3 +126,39 @@
     setMode("heal");
     REQUIRE(alone.debit(port, "healed").status == 201);
 }
+
+TEST_CASE("a connection that has lost bytes carries none of the later ones")
+{
+    // A byte stream has no holes. A link that swallowed some events of a stream and passed the next ones on made whole answers look torn.
+    Alone alone;
+    const int port = alone.cluster.admin("POST", "/links", {{"name", "l"}, {"target", "127.0.0.1:" + std::to_string(alone.enginePort())}})["port"];
+    const auto setMode = [&](const std::string &mode) {
+        alone.cluster.fault({{"part", "link"}, {"name", "l"}, {"mode", mode}});
+    };
+    REQUIRE(alone.order("sun@1", 40).status == 202);
+    alone.cluster.waitFor("the model is resident", [&] {
+        return alone.call(alone.enginePort(), {.path = "/status"}).body.find("sun@1") != std::string::npos
+            && alone.call(alone.enginePort(), {.method = "POST", .path = "/v1/completions", .body = R"({"model":"sun@1","prompt":"p","max_tokens":1})"}).status == 200;
+    });
+    constexpr int Tokens = 200;
+    HttpCall call {.server = Endpoint {"127.0.0.1", port}, .method = "POST", .path = "/v1/completions"};
+    call.body = Json {{"model", "sun@1"}, {"prompt", "p"}, {"max_tokens", Tokens}, {"stream", true}}.dump();
+    call.timeout = Duration::seconds(20);
+    HttpAnswer answer;
+    bool done = false;
+    startShortCall(alone.client, std::move(call), [&](const HttpAnswer &got) {
+        answer = got;
+        done = true;
+    });
+    alone.cluster.sleep(Duration::millis(500));
+    setMode("lose-down");
+    alone.cluster.sleep(Duration::millis(300));
+    setMode("heal");
+    REQUIRE(alone.cluster.loop().runUntil([&] { return done; }, Duration::seconds(20)));
+    CallRecord record;
+    record.body = answer.body;
+    const auto got = record.text();
+    CHECK(answer.end == CallEnd::Broken);
+    CHECK(!got.empty());
+    CHECK(expectedText("sun@1", "p", Tokens).compare(0, got.size(), got) == 0);
+}
