--- a/load/bench/planningbench.cpp
+++ b/load/bench/planningbench.cpp
@@ -83,11 +83,11 @@
         m_input.demand[burst].perSecond *= BurstFactor;
     }
 
-    auto settle(const Plan &wishes) -> void
+    auto settle(const Plan &surge) -> void
     {
         for (auto &runner : m_input.runners) {
             runner.residents.clear();
-            for (const auto *plan : {static_cast<const Plan *>(&m_input.floor), &wishes}) {
+            for (const auto *plan : {static_cast<const Plan *>(&m_input.floor), &surge}) {
                 for (const auto &artifact : plan->artifactsOn(runner.id)) {
                     runner.residents.push_back({artifact, m_set.artifacts.at(artifact).size});
                 }
@@ -122,16 +122,16 @@
     print("floor without change", {millis([&] { floor = planFloor(input, {}); })});
     SurgePlanner planner({});
     std::vector<double> times;
-    std::size_t wishes = 0;
+    std::size_t surge = 0;
     for (int round = 0; round < rounds; ++round) {
         cell.setDemand(round);
-        cell.settle(planner.wishes());
-        const auto before = planner.wishes().copies();
+        cell.settle(planner.surge());
+        const auto before = planner.surge().copies();
         times.push_back(millis([&] { planner.plan(input, input.floor, TimePoint() + Duration::seconds(round)); }));
-        wishes += planner.wishes().copies() - before;
+        surge += planner.surge().copies() - before;
     }
     print("surge round", times);
-    std::cout << "  surge copies " << planner.wishes().copies() << ", net additions " << wishes << "\n";
+    std::cout << "  surge copies " << planner.surge().copies() << ", net additions " << surge << "\n";
 }
 
 auto measureRouting() -> void
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,7 +1,7 @@
 // Index of sections (search for [SECTION]):
 //   Parts      the tasks and what they tell each other
 //   Control    what entries ask for
-//   Report     what entries are told
+//   Report     what entries receive
 //   Leaving    planned stops
 //   Pages      metrics and health
 #include "agent/agent.h"
@@ -88,8 +88,8 @@
     auto controlHooks() -> ControlHooks;
     auto onConfig(const Wire::ConfigSnapshot &config) -> void;
     auto onPlan(const Wire::FloorPlan &plan) -> void;
-    auto onSurge(const Wire::SurgeWish &wish) -> void;
-    auto onSuspects(const Wire::Suspects &told) -> void;
+    auto onSurge(const Wire::SurgeRequest &request) -> void;
+    auto onSuspects(const Wire::Suspects &message) -> void;
     auto onDrain(const std::string &reason) -> void;
     auto onCrash(std::uint64_t generation) -> void;
     auto hello() const -> Wire::Hello;
@@ -234,11 +234,11 @@
     hooks.onPlan = [this](const Wire::FloorPlan &plan) {
         onPlan(plan);
     };
-    hooks.onSurge = [this](const Wire::SurgeWish &wish) {
-        onSurge(wish);
+    hooks.onSurge = [this](const Wire::SurgeRequest &request) {
+        onSurge(request);
     };
-    hooks.onSuspects = [this](const Wire::Suspects &told) {
-        onSuspects(told);
+    hooks.onSuspects = [this](const Wire::Suspects &message) {
+        onSuspects(message);
     };
     hooks.onDrain = [this](const std::string &reason) {
         onDrain(reason);
@@ -297,21 +297,21 @@
     });
 }
 
-auto Agent::Private::onSurge(const Wire::SurgeWish &wish) -> void
+auto Agent::Private::onSurge(const Wire::SurgeRequest &request) -> void
 {
     if (!residency) {
         return;
     }
     std::vector<ArtifactName> artifacts;
-    for (const auto &name : wish.artifacts()) {
+    for (const auto &name : request.artifacts()) {
         artifacts.emplace_back(name);
     }
-    residency->surgeWished(wish.planner(), wish.sequence(), std::move(artifacts));
+    residency->surgeRequested(request.planner(), request.sequence(), std::move(artifacts));
 }
 
-auto Agent::Private::onSuspects(const Wire::Suspects &told) -> void
+auto Agent::Private::onSuspects(const Wire::Suspects &message) -> void
 {
-    suspects.merge(fromMessage(told), loop.now());
+    suspects.merge(fromMessage(message), loop.now());
 }
 
 auto Agent::Private::onDrain(const std::string &reason) -> void
--- a/src/agent/controlsessions.h
+++ b/src/agent/controlsessions.h
@@ -24,7 +24,7 @@
     std::function<Wire::Suspects()> suspects; ///< known here
     std::function<void(const Wire::ConfigSnapshot &config)> onConfig;
     std::function<void(const Wire::FloorPlan &plan)> onPlan;
-    std::function<void(const Wire::SurgeWish &wish)> onSurge;
+    std::function<void(const Wire::SurgeRequest &request)> onSurge;
     std::function<void(const Wire::Suspects &suspects)> onSuspects;
     std::function<void(const std::string &reason)> onDrain; ///< an empty reason undoes it
 };
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -430,7 +430,7 @@
     hooks.onChanged();
 }
 
-/// The whole answer is here. An engine that says that it has no such model, or no room, has not run the request.
+/// The whole answer is here. An engine that says that it has no such model, or no memory, has not run the request.
 auto RequestTasks::Private::finishRun(const TaskPtr &task) -> void
 {
     if (task->holdsHead) {
--- a/src/agent/residencytask.cpp
+++ b/src/agent/residencytask.cpp
@@ -44,10 +44,10 @@
     FloorPins pins;
     TimePoint startedAt;
     Timer stepTimer;
-    std::string planner; ///< whose surge wishes are followed
-    std::uint64_t wishSequence = 0;
-    TimePoint wishedAt;
-    std::vector<ArtifactName> wishes;
+    std::string planner; ///< whose surge copies are followed
+    std::uint64_t surgeSequence = 0;
+    TimePoint requestedAt;
+    std::vector<ArtifactName> surge;
     std::uint64_t generation = 0; ///< of the engine; 0 before the first status
     std::uint64_t crashReported = 0;
     int missedStatus = 0;
@@ -202,7 +202,7 @@
     }
 }
 
-/// Floor copies first, bases before their adapters, then the surge wishes in the planner's order.
+/// Floor copies first, bases before their adapters, then the surge copies in the planner's order.
 auto ResidencyTask::Private::wants() const -> std::vector<WantedArtifact>
 {
     std::vector<WantedArtifact> wanted;
@@ -220,8 +220,8 @@
             }
         }
     }
-    if (loop.now() - wishedAt < settings.wishLifetime) {
-        for (const auto &name : wishes) {
+    if (loop.now() - requestedAt < settings.surgeLifetime) {
+        for (const auto &name : surge) {
             add(name, false);
         }
     }
@@ -363,15 +363,15 @@
     }
 }
 
-auto ResidencyTask::surgeWished(const std::string &planner, std::uint64_t sequence, std::vector<ArtifactName> artifacts) -> void
+auto ResidencyTask::surgeRequested(const std::string &planner, std::uint64_t sequence, std::vector<ArtifactName> artifacts) -> void
 {
-    if (planner == d->planner && sequence <= d->wishSequence) {
+    if (planner == d->planner && sequence <= d->surgeSequence) {
         return;
     }
     d->planner = planner;
-    d->wishSequence = sequence;
-    d->wishedAt = d->loop.now();
-    d->wishes = std::move(artifacts);
+    d->surgeSequence = sequence;
+    d->requestedAt = d->loop.now();
+    d->surge = std::move(artifacts);
     d->step();
 }
 
--- a/src/agent/residencytask.h
+++ b/src/agent/residencytask.h
@@ -1,4 +1,4 @@
-// Keeps a runner's accelerator memory as the floor plan and the surge wishes want it. Owns the memory ledger: the only source of
+// Keeps a runner's accelerator memory as the floor plan and the surge copies want it. Owns the memory ledger: the only source of
 // orders to the engine.
 //
 // Index of sections (search for [SECTION]):
@@ -27,7 +27,7 @@
     Fence firstFence; ///< above that of every earlier agent of this slot
     std::string orderPrefix; ///< unique per start
     Duration stepPeriod = Duration::millis(250); ///< between looks at what is due, when nothing happens
-    Duration wishLifetime = Duration::seconds(15); ///< a planner that is silent for longer wishes nothing
+    Duration surgeLifetime = Duration::seconds(15); ///< a planner that is silent for longer requests nothing
 };
 
 struct ResidencyHooks {
@@ -57,8 +57,8 @@
     // Commands
     auto adopt(const Declarations &declarations) -> void;
     auto floorRowRead(RowSource source, RowVersion version, const FloorRow &row) -> void;
-    /// Replaces what this planner wished before; a lower sequence is ignored.
-    auto surgeWished(const std::string &planner, std::uint64_t sequence, std::vector<ArtifactName> artifacts) -> void;
+    /// Replaces this planner's last request; a lower sequence is ignored.
+    auto surgeRequested(const std::string &planner, std::uint64_t sequence, std::vector<ArtifactName> artifacts) -> void;
     /// A call to the engine broke: finds out whether the engine is gone, then says so.
     auto suspectCrash(std::function<void(bool hasCrashed)> done) -> void;
 
--- a/src/core/adapterplan.h
+++ b/src/core/adapterplan.h
@@ -1,5 +1,5 @@
 // On which runner an adapter is to be loaded. Adapters are small and loaded in milliseconds, but a runner has few places for them: they are loaded when
-// asked for, and the one that was not used for the longest time gives way. Pure.
+// asked for, and the least recently used one is evicted. Pure.
 #pragma once
 
 #include "core/copyplan.h"
@@ -11,7 +11,7 @@
 using AdapterUses = std::map<std::pair<TargetId, std::string>, TimePoint>;
 
 /// The next order that brings the adapter closer to being loaded somewhere; nothing if none can be given now.
-/// `spared`: one that was used within this time doesn't give way.
+/// `spared`: one that was used within this time isn't evicted.
 auto placeAdapter(const CopyPlanInput &input, const std::string &model, const std::string &adapter, const AdapterUses &uses, Duration spared, TimePoint now)
     -> std::optional<PlannedOrder>;
 
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -94,7 +94,7 @@
     return {};
 }
 
-auto AdmissionQueue::next(TimePoint now, const HasRoom &hasRoom) -> std::optional<RequestId>
+auto AdmissionQueue::next(TimePoint now, const HasCapacity &hasCapacity) -> std::optional<RequestId>
 {
     for (auto &[priority, ofClass] : m_classes) {
         ServiceQueue *best = nullptr;
@@ -107,7 +107,7 @@
             const Key *earliest = nullptr;
             for (const auto &[lane, ordered] : queue.lanes) {
                 const bool isEarlier = earliest == nullptr || *ordered.begin() < *earliest;
-                if (isEarlier && hasRoom(lane, priority)) {
+                if (isEarlier && hasCapacity(lane, priority)) {
                     earliest = &*ordered.begin();
                 }
             }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -1,4 +1,4 @@
-// Admission: requests that wait for room at a target, in the order that brings most of them home in time.
+// Admission: requests that wait for capacity at a target, in the order that brings most of them home in time.
 //
 // Priority classes go strictly one after the other, services share by weight within a class, and within a service the earliest
 // deadline goes first. A request that can't be in time behind those ahead of it is refused at once, while its caller can still try
@@ -72,7 +72,7 @@
 {
 public:
     /// Whether a request of that lane and priority could start now.
-    using HasRoom = std::function<bool(const LaneName &lane, Priority priority)>;
+    using HasCapacity = std::function<bool(const LaneName &lane, Priority priority)>;
 
     explicit AdmissionQueue(AdmissionOptions options = {});
 
@@ -85,8 +85,8 @@
     // Commands
     /// Queues the request, or says why not.
     auto offer(const WaitingRequest &request, TimePoint now) -> AdmissionAnswer;
-    /// Takes out the request that should start next, of those whose lane has room.
-    auto next(TimePoint now, const HasRoom &hasRoom) -> std::optional<RequestId>;
+    /// Takes out the request that should start next, of those whose lane has capacity.
+    auto next(TimePoint now, const HasCapacity &hasCapacity) -> std::optional<RequestId>;
     /// Takes out those that can't be in time any more; they were certainly not run.
     auto expire(TimePoint now) -> std::vector<RequestId>;
     auto remove(const RequestId &request) -> void; ///< the caller left
--- a/src/core/cellkeeper.h
+++ b/src/core/cellkeeper.h
@@ -48,7 +48,7 @@
     // Commands
     auto setMembers(const std::vector<CellMember> &members) -> void; ///< all registered gateways, this one included
     auto sumReceived(const std::string &keeper, TimePoint now) -> void;
-    /// `live`: gateways heard of lately. True if the keeper has changed.
+    /// `live`: gateways that are alive. True if the keeper has changed.
     auto choose(const std::set<std::string> &live, TimePoint now) -> bool;
 
 private:
--- a/src/core/configlog.h
+++ b/src/core/configlog.h
@@ -1,8 +1,8 @@
-// The configuration log: one operator's change becomes the next revision, or is told why not. Pure: results in, requests out.
+// The configuration log: one operator's change becomes the next revision, or gets the reason why not. Pure: results in, requests out.
 //
 // Rows: `config/head` holds the revision in force, `config/log/<revision>` each accepted change, `config/change/<change id>` the revision
 // that a change became. One transaction writes all three, expecting the head's version and the other two absent, so of racing
-// operators one wins. Whether a change whose answer was lost took effect is told by its change id, never guessed: the same transaction
+// operators one wins. Whether a change whose answer was lost took effect is known from its change id, never guessed: the same transaction
 // is sent again, and either commits, or its conflict proves that the first one took effect or never will.
 //
 // Index of sections (search for [SECTION]):
@@ -69,7 +69,7 @@
     Accepted, ///< is, or became, `revision`
     Unchanged, ///< the set in force, `revision`, is the same
     Conflict, ///< another change came first; `revision` is in force. This change has not and will not become one
-    Unavailable, ///< the store could not be asked; certainly not done by this ask. An earlier ask that was told Unknown stays unknown
+    Unavailable, ///< the store could not be asked; certainly not done by this ask. An earlier ask that got Unknown stays unknown
     Unknown, ///< may be in force, or come into force; ask again with the same change id
 };
 auto toString(CommitOutcome outcome) -> const char *;
@@ -115,7 +115,7 @@
     TimePoint m_deadline;
     std::vector<TableOp> m_ops; ///< of the transaction sent last
     bool m_resend = false; ///< the last answer to it was lost; to be sent again
-    bool m_uncertain = false; ///< some answer was lost, and no read has told since what became of it
+    bool m_uncertain = false; ///< some answer was lost, and no read has shown its outcome since
 };
 
 // [SECTION] Adoption
--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -62,7 +62,7 @@
     m_records.erase(fingerprint);
 }
 
-auto CrashRepeats::heard(std::uint64_t fingerprint, int breaks, TimePoint now) -> void
+auto CrashRepeats::reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> void
 {
     auto *known = record(fingerprint);
     if (known != nullptr && breaks > known->breaks) {
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -36,11 +36,11 @@
     auto isBarred(std::uint64_t fingerprint, TimePoint now) const -> bool;
     auto breaks(std::uint64_t fingerprint) const -> int;
 
-    /// The target broke off while it ran the request. True if that counts: other entries are to be told then.
+    /// The target broke off while it ran the request. True if that counts: other entries are to be notified then.
     auto brokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> bool;
     auto succeeded(std::uint64_t fingerprint) -> void;
     /// Another entry has counted that many.
-    auto heard(std::uint64_t fingerprint, int breaks, TimePoint now) -> void;
+    auto reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> void;
     auto expire(TimePoint now) -> void; ///< call every second or so
 
 private:
--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -59,11 +59,11 @@
         own.missedPerSecond = series.missedLevel * perSecond;
         add(own);
     }
-    for (const auto &[entry, heard] : m_heard) {
-        if (now - heard.at > m_options.digestLifetime) {
+    for (const auto &[entry, received] : m_received) {
+        if (now - received.at > m_options.digestLifetime) {
             continue;
         }
-        for (const auto &demand : heard.digest.rates) {
+        for (const auto &demand : received.digest.rates) {
             add(demand);
         }
     }
@@ -96,10 +96,10 @@
 
 auto DemandForecast::merge(const DemandDigest &digest, TimePoint now) -> void
 {
-    auto &heard = m_heard[digest.entry];
-    const bool isOld = digest.sequence < heard.digest.sequence && now - heard.at <= m_options.digestLifetime;
+    auto &received = m_received[digest.entry];
+    const bool isOld = digest.sequence < received.digest.sequence && now - received.at <= m_options.digestLifetime;
     if (!isOld) {
-        heard = Heard {digest, now};
+        received = Received {digest, now};
     }
 }
 
--- a/src/core/demand.h
+++ b/src/core/demand.h
@@ -74,7 +74,7 @@
         double missedLevel = 0;
         double serviceMicros = 0;
     };
-    struct Heard {
+    struct Received {
         DemandDigest digest;
         TimePoint at;
     };
@@ -84,7 +84,7 @@
 
     DemandOptions m_options;
     std::map<ArtifactName, Series> m_series;
-    std::map<EntryId, Heard> m_heard;
+    std::map<EntryId, Received> m_received;
     TimePoint m_bucketStart;
     bool m_isStarted = false;
 };
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -500,7 +500,7 @@
     DispatchChoice choice;
     choice.refusal = DispatchRefusal::NoTarget;
     std::vector<Estimate> estimates;
-    bool stays = false; // a copy of the model that doesn't give way, with its adapter or not
+    bool stays = false; // a copy of the model that isn't draining, with its adapter or not
     for (const auto &[id, state] : d->targets) {
         const auto &about = state.description;
         if (about.service != request.service || about.isLeaving) {
@@ -733,7 +733,7 @@
     for (const auto &[id, state] : d->targets) {
         const double failures = d->failuresOf(state, now);
         constexpr double WorthTelling = 0.05;
-        // Told on for a while after its time: who found out also tries whether it is well again.
+        // Passed on for a while after its time: who detected it also tries whether it is well again.
         const bool isEjected = d->isEjectedHere(state, now) || (state.strikes > 0 && now < state.ejectedUntil + d->options.workLifetime);
         if (state.running > 0 || failures > WorthTelling || isEjected) {
             TargetWork work {id, state.running, {}, state.tokens, failures, isEjected};
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -93,7 +93,7 @@
     bool isEjected = false; ///< requests don't get through to it
 };
 
-/// What one entry has given a target to read since it last told.
+/// Prefill that one entry has sent to a target since its last report.
 struct SentPrefill {
     TargetId target;
     Duration reading;
@@ -125,7 +125,7 @@
     int plainChoices = 2; ///< plain services: so many targets, drawn at random, are compared for each request
     std::uint64_t seed = 0; ///< of that draw; another one at each entry
     double learnRate = 0.1; ///< weight of one observation
-    double unknownShare = 0.4; ///< how likely a beginning that nobody told us of was read at the runner that ranks first for it
+    double unknownShare = 0.4; ///< how likely a prefix that nobody reported is cached at the runner that ranks first for it
     Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
     double failuresToAvoid = 0.5; ///< a target above this, and above the others, gets work only if nobody else can take it
     Duration firstEjection = Duration::millis(1000); ///< after a request didn't get through; then one is tried
@@ -174,11 +174,11 @@
     auto unreachable(const TargetId &target, TimePoint now) -> void;
 
     // Other entries
-    /// Also forgets what was read since the last call.
+    /// Also resets what was prefilled since the last call.
     auto takeDigest(const EntryId &self, TimePoint now) -> WorkDigest;
     auto merge(const WorkDigest &digest, TimePoint now) -> void;
     auto entryGone(const EntryId &entry) -> void;
-    /// Forgets what was sent since the last call. A digest is too old for this: what comes together comes within a few steps of an engine.
+    /// Resets what was sent since the last call. A digest is too old for this: what comes together comes within a few steps of an engine.
     auto takeSentPrefill() -> std::vector<SentPrefill>;
     auto merge(const std::vector<SentPrefill> &sent, TimePoint now) -> void;
 
--- a/src/core/floorplanning.cpp
+++ b/src/core/floorplanning.cpp
@@ -249,7 +249,7 @@
         if (isSomewhere) {
             return;
         }
-        // No copy of the base has room for it: a further copy of the base with this adapter alone.
+        // No copy of the base has a free slot for it: a further copy of the base with this adapter alone.
         const Bundle alone {bundle.base, {adapter}, bundle.service, sizeOf(bundle.base) + sizeOf(adapter), 0};
         if (!placeCopy(alone, 1.0, "adapter-with-own-base")) {
             m_result.unplaced.push_back(adapter);
@@ -280,7 +280,7 @@
             for (const auto &artifact : m_input.floor.artifactsOn(target)) {
                 if (!m_result.plan.contains(target, artifact)) {
                     const bool isGone = !m_slots.contains(target);
-                    m_result.decisions.push_back({PlacementKind::Drop, artifact, target, isGone ? "runner-gone" : "not-declared-or-no-room"});
+                    m_result.decisions.push_back({PlacementKind::Drop, artifact, target, isGone ? "runner-gone" : "not-declared-or-no-capacity"});
                 }
             }
         }
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -54,7 +54,7 @@
     case LedgerRefusal::OrderOutstanding:
         return "order-outstanding";
     case LedgerRefusal::NoRoom:
-        return "no-room";
+        return "no-memory";
     }
     return "none";
 }
@@ -100,7 +100,7 @@
 MemoryLedger::MemoryLedger(MemoryLedger &&) noexcept = default;
 auto MemoryLedger::operator=(MemoryLedger &&) noexcept -> MemoryLedger & = default;
 
-// Whether the status, asked for at `askedAt`, is the last word on an order.
+// Whether the status, asked for at `askedAt`, is the final state of an order.
 //
 // A status that shows its effect proves that it is done, because an order id takes effect once and nobody else gives orders. One that
 // doesn't show it proves nothing while the order may be on its way: taking it for "lost" would free memory that the late order then
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -133,7 +133,7 @@
     /// A new declaration of the engine. Holds for outstanding orders too.
     auto declare(Duration longestOrderDelay, double kvReserve) -> void;
 
-    // Orders and what comes back: call them before the bytes leave the process, or a crash in between forgets an order.
+    // Orders and what comes back: call them before the bytes leave the process, or a crash in between loses an order.
 
     /// The order to send, charged from now on; none if mayLoad() refuses.
     auto orderLoad(const ArtifactName &artifact, const ArtifactName &base, Bytes bytes, TimePoint now) -> std::optional<EngineOrder>;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -122,7 +122,7 @@
 auto Membership::believe(const std::vector<ListedHost> &hosts, TimePoint now) -> void
 {
     for (const auto &host : hosts) {
-        auto [place, isNew] = m_members.try_emplace(host.id, Member {.host = host, .lastHeard = now});
+        auto [place, isNew] = m_members.try_emplace(host.id, Member {.host = host, .lastSeen = now});
         auto &member = place->second;
         const bool moved = !isNew && member.host.endpoint != host.endpoint;
         const bool returned = !isNew && member.host.leaving && !host.leaving;
@@ -132,18 +132,18 @@
             member.state = MemberState::Leaving;
         } else if (moved || returned) {
             member.state = MemberState::Proposed;
-            member.lastHeard = now;
+            member.lastSeen = now;
         }
     }
 }
 
-auto Membership::heard(const std::string &id, TimePoint now) -> void
+auto Membership::seen(const std::string &id, TimePoint now) -> void
 {
     const auto found = m_members.find(id);
     if (found == m_members.end()) {
         return;
     }
-    found->second.lastHeard = now;
+    found->second.lastSeen = now;
     if (found->second.state != MemberState::Leaving) {
         found->second.state = MemberState::Live;
     }
@@ -176,7 +176,7 @@
 {
     for (auto place = m_members.begin(); place != m_members.end();) {
         auto &member = place->second;
-        const auto silent = now - member.lastHeard;
+        const auto silent = now - member.lastSeen;
         if (!member.isListed && silent > m_options.forgetAfter) {
             place = m_members.erase(place);
             continue;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -41,7 +41,7 @@
 // [SECTION] Membership
 
 enum class MemberState {
-    Proposed, ///< listed, never heard from
+    Proposed, ///< listed, never seen
     Live,
     Suspect, ///< silent for a while: gets no new work while others are there
     Dead, ///< silent for long
@@ -52,14 +52,14 @@
 struct Member {
     ListedHost host;
     MemberState state = MemberState::Proposed;
-    TimePoint lastHeard;
+    TimePoint lastSeen;
     bool isListed = true;
 };
 
 struct MembershipOptions {
     Duration suspectAfter = Duration::seconds(1.5); ///< three heartbeats missed
     Duration deadAfter = Duration::seconds(5);
-    Duration forgetAfter = Duration::seconds(300); ///< neither listed nor heard
+    Duration forgetAfter = Duration::seconds(300); ///< neither listed nor seen
     double trustedLoss = 0.5; ///< a list that drops this share or more of the members at once isn't believed...
     Duration distrustFor = Duration::seconds(60); ///< ...until it has said so for this long
 };
@@ -79,7 +79,7 @@
 
     // Commands
     auto listReceived(const std::vector<ListedHost> &hosts, TimePoint now) -> void;
-    auto heard(const std::string &id, TimePoint now) -> void; ///< a heartbeat or any message
+    auto seen(const std::string &id, TimePoint now) -> void; ///< a heartbeat or any message
     auto saidLeaving(const std::string &id) -> void;
     auto saidStaying(const std::string &id) -> void; ///< its drain was undone, or a new process took the place; the list's mark stands
     auto connectionLost(const std::string &id) -> void; ///< suspect at once
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -1,9 +1,9 @@
 // The lease of the one gateway that gives orders to runners: a row of the store that is changed under conditions, renewed while it is
-// held, and taken over when its holder is gone. Pure: what was read, written and heard goes in with a time; the next step comes out.
+// held, and taken over when its holder is gone. Pure: what was read, written and received goes in with a time; the next step comes out.
 //
 // Two holders must never give orders at once: runners of some deployments act on whatever order comes. So
 //   - a holder stops before its time is over, counted from before the write that renewed it left;
-//   - a successor takes the row only if it saw it unchanged for a whole lease, by its own clock, and heard nothing of the holder as long;
+//   - a successor takes the row only if it saw it unchanged for a whole lease, by its own clock, and received nothing from the holder as long;
 //   - but a gateway that has started again on the holder's own host knows that the holder has ended, as one host runs one gateway: it only
 //     waits until the last orders of before have arrived. When all gateways were killed at once, runners are without orders for a second in place of four.
 // No two clocks are compared. They must count the time that a host was suspended.
@@ -54,7 +54,7 @@
     Duration renewAfter = Duration::millis(1200); ///< two more tries fit into the rest of a lease of 3 s
     Duration retryAfter = Duration::millis(300); ///< between tries that failed
     Duration stagger = Duration::millis(400); ///< gateways that want the row spread their tries over this
-    Duration silence = Duration::seconds(1); ///< without word from the holder before the row is looked at: five of its digests
+    Duration silence = Duration::seconds(1); ///< without a digest of the holder before the row is looked at: five of its digests
 };
 
 // [SECTION] OrderLease
@@ -68,8 +68,8 @@
     auto mayOrder(TimePoint now) const -> bool;
     auto isHolder() const -> bool; ///< it wrote the row last, as far as it knows; mayOrder() says whether that still counts
     auto fence() const -> Fence; ///< of this tenure; 0: never held
-    auto holder() const -> const HolderName &; ///< as last heard or read; may be this gateway
-    auto lastHolderSequence() const -> std::uint64_t; ///< of the holder's digests that were heard
+    auto holder() const -> const HolderName &; ///< as last received or read; may be this gateway
+    auto lastHolderSequence() const -> std::uint64_t; ///< of the holder's digests that were received
     auto version() const -> RowVersion; ///< of the row, as last seen
     auto nextStep(TimePoint now) const -> LeaseStep;
 
@@ -88,10 +88,10 @@
     auto holderAnnounced(const HolderName &holder, Fence fence, std::uint64_t sequence, RowVersion version, TimePoint now) -> void;
     /// This gateway sends a digest with that number.
     auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
-    /// Another gateway says which of this gateway's digests it has heard last. A lease that is over isn't brought back by that: a gateway that
-    /// heard nothing for long enough may have begun to take the row, and goes on hearing digests meanwhile. Only the row tells then.
+    /// Another gateway says which of this gateway's digests it received last. A lease that is over isn't brought back by that: a gateway that
+    /// received nothing for long enough may have begun to take the row, and goes on receiving digests meanwhile. Only the row decides then.
     auto peerHears(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void;
-    /// Gateways that may want the lease: the extension needs the word of each.
+    /// Gateways that may want the lease: the extension needs the confirmation of each.
     auto setPeers(const std::set<EntryId> &peers) -> void;
 
 private:
@@ -123,7 +123,7 @@
     std::uint64_t m_holderSequence = 0;
     TimePoint m_holderSeenAt;
     std::map<std::uint64_t, TimePoint> m_digests; ///< own ones, when each left
-    std::map<EntryId, std::uint64_t> m_peers; ///< the last own digest that each has heard; 0: none
+    std::map<EntryId, std::uint64_t> m_peers; ///< the last own digest that each has received; 0: none
 };
 
 } // namespace KingCup
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -8,7 +8,7 @@
 //   Input          runners, demand, options
 //   Output         decisions with their reasons
 //   Floor          planFloor() says what should be; composeFloorRow() (core/floor.h) which part of it may be written now
-//   SurgePlanner   extra copies; keeps its wishes between rounds
+//   SurgePlanner   extra copies; keeps them between rounds
 #pragma once
 
 #include "core/declarations.h"
@@ -33,7 +33,7 @@
     bool isLoading = false; ///< ordered, not yet confirmed
 };
 
-/// A runner as last heard of.
+/// A runner as last reported.
 struct RunnerState {
     TargetId id;
     ZoneName zone;
@@ -59,7 +59,7 @@
     double secondCopyShare = 0.92; ///< of usable memory that second floor copies may fill; the rest is for surge copies
     double fullShare = 0.7; ///< of a runner's concurrency beyond which answers are taken to be late
     double bytesPerSecond = 3e9; ///< of one load that is alone
-    int roundsToConfirm = 2; ///< a wish must pay in this many rounds running
+    int roundsToConfirm = 2; ///< a surge copy must pay in this many rounds running
     double urgentFactor = 4.0; ///< or be worth this many times the move cost
     Duration floorPatience = Duration::seconds(30); ///< a runner may be down this long before its floor copies move
     int concurrencyIfUnknown = 32;
@@ -99,7 +99,7 @@
 // [SECTION] SurgePlanner
 
 struct SurgeResult {
-    Plan wishes; ///< beyond the floor, per target; replaces the last
+    Plan surge; ///< beyond the floor, per target; replaces the last
     std::vector<PlacementDecision> decisions; ///< what is new since the last round
 };
 
@@ -109,9 +109,9 @@
     explicit SurgePlanner(PlacementOptions options);
     ~SurgePlanner();
 
-    auto wishes() const -> const Plan &;
+    auto surge() const -> const Plan &;
     /// One round; call it about once a second. `wantedFloor` is planFloor()'s plan: its copies that the floor in force doesn't name yet
-    /// are wished for as well.
+    /// are requested as well.
     auto plan(const PlacementInput &input, const Plan &wantedFloor, TimePoint now) -> SurgeResult;
 
     struct Private;
--- a/src/core/placementmodel.cpp
+++ b/src/core/placementmodel.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-PlacementModel::PlacementModel(const PlacementInput &input, const Plan &wishes, const PlacementOptions &options)
+PlacementModel::PlacementModel(const PlacementInput &input, const Plan &surge, const PlacementOptions &options)
     : m_input(input)
     , m_options(options)
 {
@@ -22,7 +22,7 @@
     m_planned.resize(m_runners.size() * m_artifacts.size());
     m_resident.resize(m_planned.size());
     collectCopies(input.floor, false);
-    collectCopies(wishes, true);
+    collectCopies(surge, true);
     collectResidents();
     for (int round = 0; round < SpreadRounds; ++round) {
         for (ArtifactIndex artifact = 0; artifact < m_artifacts.size(); ++artifact) {
@@ -99,7 +99,7 @@
     }
     m_planned[cell(runner, artifact)] = true;
     m_runners[runner].used += m_artifacts[artifact].declared->size;
-    m_runners[runner].wished.push_back(artifact);
+    m_runners[runner].surge.push_back(artifact);
     m_artifacts[artifact].copies.push_back({runner, 0});
     m_artifacts[artifact].isLive = true;
     spread(artifact);
@@ -113,7 +113,7 @@
     auto &one = m_artifacts[artifact];
     m_planned[cell(runner, artifact)] = false;
     m_runners[runner].used -= one.declared->size;
-    std::erase(m_runners[runner].wished, artifact);
+    std::erase(m_runners[runner].surge, artifact);
     std::erase_if(one.copies, [&](const CopyLoad &copy) {
         if (copy.runner == runner) {
             m_runners[runner].busy -= copy.streams;
@@ -161,7 +161,7 @@
     }
 }
 
-auto PlacementModel::collectCopies(const Plan &plan, bool areWishes) -> void
+auto PlacementModel::collectCopies(const Plan &plan, bool isSurge) -> void
 {
     for (RunnerIndex runner = 0; runner < m_runners.size(); ++runner) {
         for (const auto &name : plan.artifactsOn(m_runners[runner].state->id)) {
@@ -173,8 +173,8 @@
             m_runners[runner].used += m_artifacts[artifact].declared->size;
             m_artifacts[artifact].copies.push_back({runner, 0});
             m_artifacts[artifact].isLive = true;
-            if (areWishes) {
-                m_runners[runner].wished.push_back(artifact);
+            if (isSurge) {
+                m_runners[runner].surge.push_back(artifact);
             }
         }
     }
@@ -202,16 +202,16 @@
 auto PlacementModel::spread(ArtifactIndex artifact) -> void
 {
     auto &one = m_artifacts[artifact];
-    double room = 0;
+    double spare = 0;
     for (auto &copy : one.copies) {
         auto &runner = m_runners[copy.runner];
         runner.busy -= copy.streams;
-        room += std::max(0.0, runner.capacity - runner.busy);
+        spare += std::max(0.0, runner.capacity - runner.busy);
     }
     for (auto &copy : one.copies) {
         auto &runner = m_runners[copy.runner];
         const double free = std::max(0.0, runner.capacity - runner.busy);
-        copy.streams = room > 0 ? one.streams * free / room : one.streams / static_cast<double>(one.copies.size());
+        copy.streams = spare > 0 ? one.streams * free / spare : one.streams / static_cast<double>(one.copies.size());
         runner.busy += copy.streams;
     }
 }
--- a/src/core/placementmodel.h
+++ b/src/core/placementmodel.h
@@ -27,7 +27,7 @@
     Bytes used; ///< by planned copies, and by what no plan names
     double capacity = 0; ///< requests at once
     double busy = 0; ///< requests running, by the forecast
-    std::vector<ArtifactIndex> wished; ///< surge copies
+    std::vector<ArtifactIndex> surge; ///< surge copies
 
     auto free() const -> Bytes
     {
@@ -54,19 +54,19 @@
 class PlacementModel
 {
 public:
-    PlacementModel(const PlacementInput &input, const Plan &wishes, const PlacementOptions &options);
+    PlacementModel(const PlacementInput &input, const Plan &surge, const PlacementOptions &options);
 
     // Queries
     auto runners() const -> const std::vector<ModelRunner> &;
     auto artifacts() const -> const std::vector<ModelArtifact> &;
     auto find(const ArtifactName &name) const -> ArtifactIndex; ///< NoIndex if it isn't declared
     auto find(const TargetId &id) const -> RunnerIndex; ///< NoIndex if it isn't usable
-    auto isOn(RunnerIndex runner, ArtifactIndex artifact) const -> bool; ///< planned there: floor or wish
+    auto isOn(RunnerIndex runner, ArtifactIndex artifact) const -> bool; ///< planned there: floor or surge
     auto isResident(RunnerIndex runner, ArtifactIndex artifact) const -> bool;
     /// Memory that a further copy takes on a runner: with the base if that isn't there. And the moves.
     auto sizeOn(RunnerIndex runner, ArtifactIndex artifact) const -> Bytes;
     auto movesOn(RunnerIndex runner, ArtifactIndex artifact) const -> int;
-    /// Requests a second that will be late for want of room, at what `fullShare` of each runner's capacity carries.
+    /// Requests a second that will be late for want of capacity, at what `fullShare` of each runner's capacity carries.
     auto lostPerSecond(ArtifactIndex artifact) const -> double;
 
     // Commands
@@ -76,7 +76,7 @@
 private:
     auto collectRunners() -> void;
     auto collectArtifacts() -> void;
-    auto collectCopies(const Plan &plan, bool areWishes) -> void;
+    auto collectCopies(const Plan &plan, bool isSurge) -> void;
     auto collectResidents() -> void;
     auto spread(ArtifactIndex artifact) -> void;
     auto cell(RunnerIndex runner, ArtifactIndex artifact) const -> std::size_t;
--- a/src/core/prefillqueue.h
+++ b/src/core/prefillqueue.h
@@ -2,7 +2,7 @@
 //
 // An engine takes up waiting prompts by their urgency, but it doesn't lay aside the one that it is reading: behind a prompt of forty thousand
 // tokens a short one waits for a second, however urgent it is. Counted with its own band only, the long one seemed not to be there, and short
-// urgent prompts went to just that runner and began late though nothing had foretold it.
+// urgent prompts went to just that runner and began late though no estimate predicted it.
 // So the prompt that is being read counts as the most urgent one, with what is left of it.
 #pragma once
 
--- a/src/core/requestcost.cpp
+++ b/src/core/requestcost.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-/// The plain mean of the first answers, then one that forgets.
+/// The plain mean of the first answers, then an exponentially weighted one.
 auto RequestCost::Mean::add(double seen, double rate) -> void
 {
     ++answers;
--- a/src/core/residency.cpp
+++ b/src/core/residency.cpp
@@ -52,7 +52,7 @@
             }
             continue;
         }
-        // Room is for the most urgent want that lacks it: later ones must not take what is being freed for it.
+        // Freed memory is for the most urgent want that lacks it: later ones must not take what is being freed for it.
         return makeRoom(want);
     }
     return std::nullopt;
@@ -97,7 +97,7 @@
     if (!victim) {
         return std::nullopt;
     }
-    return evict(victim->artifact, "room-for=" + want.name.text());
+    return evict(victim->artifact, "evicted-for=" + want.name.text());
 }
 
 auto Planner::isSettled(const WantedArtifact &want) const -> bool
--- a/src/core/residency.h
+++ b/src/core/residency.h
@@ -1,6 +1,6 @@
 // Which orders bring a runner from what it holds to what it should hold. Pure.
 //
-// Wants come in order of urgency, floor copies first. Artifacts that nobody wants stay until their room is needed, for loading them
+// Wants come in order of urgency, floor copies first. Artifacts that nobody wants stay until their memory is needed, for loading them
 // again would be a move. An adapter is ordered once its base is resident, and a base stays while an adapter on it is there.
 #pragma once
 
@@ -35,7 +35,7 @@
     ArtifactName artifact;
     ArtifactName base;
     Bytes bytes; ///< Load only
-    std::string reason; ///< for the log, e.g. "floor", "surge", "room-for=sun@2"
+    std::string reason; ///< for the log, e.g. "floor", "surge", "evicted-for=sun@2"
 };
 
 /// The order that should be given next, if any; ask again after giving it, for the ledger then charges it.
--- a/src/core/retry.h
+++ b/src/core/retry.h
@@ -1,4 +1,4 @@
-// What follows when an attempt has ended: another one, a resumed stream, or the word to the caller. And whether to hedge.
+// What follows when an attempt has ended: another one, a resumed stream, or the final answer to the caller. And whether to hedge.
 //
 // Index of sections (search for [SECTION]):
 //   RetryBudget   a token bucket per service, so that retries can't multiply an overload
--- a/src/core/reuselimit.h
+++ b/src/core/reuselimit.h
@@ -1,6 +1,6 @@
 // How long a kept connection may have been idle to get a request that must not run twice. Pure.
 //
-// A target may drop an idle connection without a word; the next request there is reset, and nobody knows whether it ran: if it must not run
+// A target may drop an idle connection without notice; the next request there is reset, and nobody knows whether it ran: if it must not run
 // twice, its caller gets a failure for a target that is sound. So such a request goes on a fresh connection unless the kept one was used of
 // late. Each fresh one costs the target a millisecond, a place of its few hundred, and a round trip before the request: held to three seconds,
 // four requests in ten opened one; held to eight, three in ten, with no more failures. Where targets drop connections sooner than that, one
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -123,7 +123,7 @@
     auto isEligible(const TargetState &state, const ServiceName &service, const std::vector<ArtifactName> &artifacts, TimePoint now) const -> bool;
     auto load(const TargetState &state) const -> int;
     auto limit(const TargetState &state) const -> int;
-    auto room(const TargetState &state, Priority priority, TimePoint now) const -> int;
+    auto capacity(const TargetState &state, Priority priority, TimePoint now) const -> int;
     auto isReadingTooMuch(const TargetState &state, Priority priority, TimePoint now) const -> bool;
     auto weight(const TargetState &state, TimePoint now) const -> double;
     auto serviceTime(const TargetState &state, Priority priority) const -> Duration;
@@ -180,7 +180,7 @@
     return unreadTokens(state, now) > (priority == Priority::Batch ? options.batchBacklog : options.standardBacklog);
 }
 
-auto Router::Private::room(const TargetState &state, Priority priority, TimePoint now) const -> int
+auto Router::Private::capacity(const TargetState &state, Priority priority, TimePoint now) const -> int
 {
     if (isReadingTooMuch(state, priority, now)) {
         return 0;
@@ -250,7 +250,7 @@
     std::vector<Candidate> result;
     std::size_t holding = 0;
     std::size_t notExcluded = 0;
-    std::size_t withRoom = 0;
+    std::size_t withCapacity = 0;
     Duration soonest = LongestEjection;
     for (auto &[id, state] : targets) {
         if (!isEligible(state, request.service, request.artifacts, now)) {
@@ -264,10 +264,10 @@
         Candidate candidate {.id = id, .state = &state, .weight = weight(state, now), .load = load(state), .expected = expected(state, request.priority, now)};
         soonest = std::min(soonest, candidate.expected);
         // The baselines know no limits: they send on whatever they have, as the common proxies do.
-        if (options.strategy == RoutingStrategy::Objective && room(state, request.priority, now) <= 0) {
+        if (options.strategy == RoutingStrategy::Objective && capacity(state, request.priority, now) <= 0) {
             continue;
         }
-        ++withRoom;
+        ++withCapacity;
         if (options.strategy == RoutingStrategy::Objective && now + candidate.expected * HopelessShare > request.deadline) {
             continue;
         }
@@ -276,11 +276,11 @@
     if (result.empty()) {
         refusal.refusal = holding == 0 ? RoutingRefusal::NoCopy
             : notExcluded == 0         ? RoutingRefusal::AllExcluded
-            : withRoom == 0            ? RoutingRefusal::Overloaded
+            : withCapacity == 0        ? RoutingRefusal::Overloaded
                                        : RoutingRefusal::TooLate;
         refusal.expected = holding == 0 || notExcluded == 0 ? RetrySoon : soonest;
         std::ostringstream reason;
-        reason << toString(refusal.refusal) << " holders=" << holding << " not-excluded=" << notExcluded << " with-room=" << withRoom;
+        reason << toString(refusal.refusal) << " holders=" << holding << " not-excluded=" << notExcluded << " with-capacity=" << withCapacity;
         refusal.reason = reason.str();
     }
     return result;
@@ -453,10 +453,10 @@
     return found == d->targets.end() ? 0 : d->weight(found->second, now);
 }
 
-auto Router::hasRoom(const TargetId &target, Priority priority, TimePoint now) const -> bool
+auto Router::hasCapacity(const TargetId &target, Priority priority, TimePoint now) const -> bool
 {
     const auto found = d->targets.find(target);
-    return found != d->targets.end() && d->room(found->second, priority, now) > 0;
+    return found != d->targets.end() && d->capacity(found->second, priority, now) > 0;
 }
 
 auto Router::choose(const RoutingRequest &request, TimePoint now) -> RoutingChoice
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -135,7 +135,7 @@
     auto inFlight(const TargetId &target) const -> int; ///< sent by this process and not ended
     auto lastReport(const TargetId &target) const -> std::optional<TargetLoad>;
     auto weight(const TargetId &target, TimePoint now) const -> double; ///< 0 (gets nothing) to 1 (its full share)
-    auto hasRoom(const TargetId &target, Priority priority, TimePoint now) const -> bool; ///< below its limit
+    auto hasCapacity(const TargetId &target, Priority priority, TimePoint now) const -> bool; ///< below its limit
 
     /// Chooses a target; the caller reports requestStarted() when it has sent the request. Not const: draws random numbers.
     auto choose(const RoutingRequest &request, TimePoint now) -> RoutingChoice;
--- a/src/core/rowmirror.h
+++ b/src/core/rowmirror.h
@@ -37,7 +37,7 @@
     auto take(const StoredRow &row) -> bool;
     auto put(StoredRow &into, const StoredRow &row) -> void;
 
-    std::map<std::string, StoredRow> m_rows; ///< removed ones too: an older word of them must not bring them back
+    std::map<std::string, StoredRow> m_rows; ///< removed ones too: an older message about them must not bring them back
     RowVersion m_version;
     std::uint64_t m_checksum = 0;
     bool m_isLoaded = false;
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -161,8 +161,8 @@
     if (!order.isLoad) {
         return held != nullptr && held->hasAdapter(order.adapter);
     }
-    const bool hasRoom = freeAdapterSlots(engine, now) > 0 && freeMemory(engine, now) >= declared->adapterWeights;
-    return held != nullptr && !holdsAdapter(order.model, order.adapter) && hasRoom && static_cast<int>(m_adapters.size()) < m_options.adaptersUnderWay;
+    const bool hasCapacity = freeAdapterSlots(engine, now) > 0 && freeMemory(engine, now) >= declared->adapterWeights;
+    return held != nullptr && !holdsAdapter(order.model, order.adapter) && hasCapacity && static_cast<int>(m_adapters.size()) < m_options.adaptersUnderWay;
 }
 
 auto RunnerBook::needsReport(TimePoint now) const -> bool
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -3,7 +3,7 @@
 // Every order names the number of orders that the runner must have taken before, and the runner refuses it otherwise, also when it comes
 // late. So an order that got no answer can only ever act on the very state that it was made for, and what is ordered next under the same
 // number excludes it. Two cases are left, in which a late load meets its number in another state: the number was counted wrong, or the
-// runner started again under its id and counts from 0. So a load without an answer is charged to the room as long as its number is still to
+// runner started again under its id and counts from 0. So a load without an answer is charged to the memory as long as its number is still to
 // come there and it can still come.
 //
 // Index of sections (search for [SECTION]):
@@ -70,7 +70,7 @@
     // Commands
     /// Adapters whose load should be done count as held. True if that changed anything.
     auto advance(TimePoint now) -> bool;
-    /// From its row. A new start forgets everything.
+    /// From its row. A new start resets everything.
     auto seen(const TargetDescription &description, TimePoint now) -> void;
     auto reportAsked(TimePoint now) -> void;
     auto reported(const RunnerReport &report, TimePoint now) -> void;
--- a/src/core/runonce.cpp
+++ b/src/core/runonce.cpp
@@ -94,7 +94,7 @@
     auto release(const std::string &row, KeyEntry &entry, TimePoint now) -> void;
     auto released(const std::string &row, KeyEntry &entry, TimePoint now) -> void;
     auto remember(const std::string &row, KeyEntry &entry) -> void;
-    auto forget(const std::string &row) -> void;
+    auto dropRow(const std::string &row) -> void;
     auto answered(const std::vector<std::string> &rows) -> void;
     auto committed(const std::string &row, RowVersion version, TimePoint now) -> void;
     auto conflicted(const std::string &row, TimePoint now) -> void;
@@ -142,7 +142,7 @@
     entry.waiting.clear();
 }
 
-// At its deadline a send is told the truth as far as it is known. "Not run" needs that no claim for it was ever sent: one whose answer
+// At its deadline a send gets the truth as far as it is known. "Not run" needs that no claim for it was ever sent: one whose answer
 // was lost may make this key's later sends unknown, and a claim that is someone else's may mean that the key has run.
 auto RunOnce::Private::answerExpired(const KeyEntry &entry, SendId send) -> void
 {
@@ -173,9 +173,9 @@
     const bool unsentClaim = entry.phase == Phase::Claiming && !entry.maybeWritten();
     if (unsentClaim) {
         queue.remove(row);
-        forget(row);
+        dropRow(row);
     } else if (entry.phase == Phase::Elsewhere && !entry.readSent) {
-        forget(row);
+        dropRow(row);
     }
 }
 
@@ -231,7 +231,7 @@
 auto RunOnce::Private::released(const std::string &row, KeyEntry &entry, TimePoint now) -> void
 {
     if (entry.waiting.empty()) {
-        forget(row);
+        dropRow(row);
         return;
     }
     startClaim(row, entry, RowVersion(), now);
@@ -250,7 +250,7 @@
     }
 }
 
-auto RunOnce::Private::forget(const std::string &row) -> void
+auto RunOnce::Private::dropRow(const std::string &row) -> void
 {
     keys.erase(row);
 }
@@ -309,7 +309,7 @@
     }
     answerNotRunAll(found->second, "store-unavailable");
     queue.remove(row);
-    forget(row);
+    dropRow(row);
 }
 
 auto RunOnce::Private::lost(const std::string &row) -> void
@@ -352,7 +352,7 @@
         return;
     }
     if (entry.waiting.empty()) {
-        forget(row);
+        dropRow(row);
         return;
     }
     if (!found) {
--- a/src/core/runonce.h
+++ b/src/core/runonce.h
@@ -6,7 +6,7 @@
 //
 // A write whose answer was lost may take effect later: reading "absent" would not prove that it never will. So the same claim, with the
 // same attempt id, is written again, if absent. Either that write takes effect, and the first can't any more, or the row is there, and
-// its attempt id says whose it is. Until one of the two is known the request is not run, and its caller is told "unknown".
+// its attempt id says whose it is. Until one of the two is known the request is not run, and its caller gets "unknown".
 //
 // "Not run" speaks of the send it answers: it was never forwarded, and this agent won't forward it.
 //
--- a/src/core/surgeplanning.cpp
+++ b/src/core/surgeplanning.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr auto LoadLifetime = Duration::seconds(60); ///< a wish not resident after this no longer counts as a load under way
+constexpr auto LoadLifetime = Duration::seconds(60); ///< a surge copy not resident after this no longer counts as a load under way
 constexpr double OnDemandFull = 1.0; ///< the baseline loads another copy where holders are this full
 constexpr double Tenths = 10;
 
@@ -79,10 +79,10 @@
 
 struct SurgePlanner::Private {
     PlacementOptions options;
-    Plan wishes;
+    Plan surge;
     std::map<ArtifactName, int> roundsWanted; ///< for how many rounds running a further copy has paid
     std::map<ArtifactName, TimePoint> lastAsked; ///< when each artifact was last asked for
-    std::map<CopyName, TimePoint> wishedAt;
+    std::map<CopyName, TimePoint> requestedAt;
     double tokens = 0; ///< loads that the weight store would take now
     TimePoint lastRound;
     bool isStarted = false;
@@ -91,8 +91,8 @@
 namespace
 {
 
-/// A wish that became part of the floor, or lost its declaration or its runner, is no wish any more. A runner that is down for a moment loses
-/// its surge copies with its memory, so they are wished for anew by their worth.
+/// A surge copy that became part of the floor, or lost its declaration or its runner, is no surge copy any more. A runner that is down for a moment loses
+/// its surge copies with its memory, so they are requested anew by their worth.
 auto prune(SurgePlanner::Private &lasting, const PlacementInput &input) -> void
 {
     std::set<TargetId> usable;
@@ -101,13 +101,13 @@
             usable.insert(runner.id);
         }
     }
-    const auto before = lasting.wishes;
+    const auto before = lasting.surge;
     for (const auto &target : before.targets()) {
         for (const auto &artifact : before.artifactsOn(target)) {
             const bool isOver = !usable.contains(target) || !input.declarations->artifacts.contains(artifact) || input.floor.contains(target, artifact);
             if (isOver) {
-                lasting.wishes.remove(target, artifact);
-                lasting.wishedAt.erase({target, artifact});
+                lasting.surge.remove(target, artifact);
+                lasting.requestedAt.erase({target, artifact});
             }
         }
     }
@@ -122,7 +122,7 @@
         , m_input(input)
         , m_policy(input.declarations->policy)
         , m_now(now)
-        , m_model(input, lasting.wishes, lasting.options)
+        , m_model(input, lasting.surge, lasting.options)
     {
         refillTokens();
         countLoadsUnderWay();
@@ -131,7 +131,7 @@
             loadOnDemand();
             return;
         }
-        wishForFloor(wantedFloor);
+        requestFloor(wantedFloor);
         if (lasting.options.strategy == PlacementStrategy::Objective) {
             standIn();
             improve();
@@ -140,7 +140,7 @@
 
     auto result() -> SurgeResult
     {
-        m_result.wishes = m_lasting.wishes;
+        m_result.surge = m_lasting.surge;
         return std::move(m_result);
     }
 
@@ -166,7 +166,7 @@
 
     auto countLoadsUnderWay() -> void
     {
-        for (const auto &[copy, at] : m_lasting.wishedAt) {
+        for (const auto &[copy, at] : m_lasting.requestedAt) {
             const auto runner = m_model.find(copy.target);
             const auto artifact = m_model.find(copy.artifact);
             const bool isResident = runner != NoIndex && artifact != NoIndex && m_model.isResident(runner, artifact);
@@ -189,41 +189,41 @@
         return m_lasting.tokens >= 1 && m_underWay < m_policy.parallelLoads;
     }
 
-    auto wish(RunnerIndex runner, ArtifactIndex artifact, const std::string &why) -> void
+    auto request(RunnerIndex runner, ArtifactIndex artifact, const std::string &why) -> void
     {
         if (m_model.isOn(runner, artifact)) {
             return;
         }
         const auto base = m_model.artifacts()[artifact].base;
         if (base != NoIndex) {
-            wish(runner, base, "base of " + nameOf(artifact).text());
+            request(runner, base, "base of " + nameOf(artifact).text());
         }
         if (!m_model.isResident(runner, artifact)) {
             m_lasting.tokens -= 1;
             ++m_underWay;
         }
         m_model.add(runner, artifact);
-        m_lasting.wishes.add(targetOf(runner), nameOf(artifact));
-        m_lasting.wishedAt[{targetOf(runner), nameOf(artifact)}] = m_now;
+        m_lasting.surge.add(targetOf(runner), nameOf(artifact));
+        m_lasting.requestedAt[{targetOf(runner), nameOf(artifact)}] = m_now;
         m_result.decisions.push_back({PlacementKind::Surge, nameOf(artifact), targetOf(runner), why});
     }
 
     auto drop(RunnerIndex runner, ArtifactIndex artifact, const std::string &why) -> void
     {
-        const auto wished = m_model.runners()[runner].wished;
-        for (const auto other : wished) {
+        const auto surge = m_model.runners()[runner].surge;
+        for (const auto other : surge) {
             if (m_model.artifacts()[other].base == artifact) {
                 drop(runner, other, "its base is dropped");
             }
         }
         m_model.drop(runner, artifact);
-        m_lasting.wishes.remove(targetOf(runner), nameOf(artifact));
-        m_lasting.wishedAt.erase({targetOf(runner), nameOf(artifact)});
+        m_lasting.surge.remove(targetOf(runner), nameOf(artifact));
+        m_lasting.requestedAt.erase({targetOf(runner), nameOf(artifact)});
         m_result.decisions.push_back({PlacementKind::Drop, nameOf(artifact), targetOf(runner), why});
     }
 
-    // A floor copy that the row in force doesn't name yet is loaded first as a wish; the row is written once it is resident.
-    auto wishForFloor(const Plan &wantedFloor) -> void
+    // A floor copy that the row in force doesn't name yet is loaded first as a surge copy; the row is written once it is resident.
+    auto requestFloor(const Plan &wantedFloor) -> void
     {
         if (m_input.floor.isEmpty()) {
             return;
@@ -234,7 +234,7 @@
                 const auto artifact = m_model.find(name);
                 const bool isMissing = runner != NoIndex && artifact != NoIndex && !m_model.isOn(runner, artifact);
                 if (isMissing && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
-                    wish(runner, artifact, "floor-copy before its row");
+                    request(runner, artifact, "floor-copy before its row");
                 }
             }
         }
@@ -252,7 +252,7 @@
             }
             const auto runner = roomiest(artifact);
             if (runner != NoIndex && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
-                wish(runner, artifact, "stand-in: no live copy");
+                request(runner, artifact, "stand-in: no live copy");
             }
         }
     }
@@ -277,12 +277,12 @@
     auto evictable(RunnerIndex runner) const -> std::vector<ArtifactIndex>
     {
         std::vector<std::pair<double, ArtifactIndex>> order;
-        const auto &wished = m_model.runners()[runner].wished;
-        for (const auto artifact : wished) {
+        const auto &surge = m_model.runners()[runner].surge;
+        for (const auto artifact : surge) {
             const auto &one = m_model.artifacts()[artifact];
-            const auto at = m_lasting.wishedAt.find({targetOf(runner), nameOf(artifact)});
-            const bool isFresh = at != m_lasting.wishedAt.end() && m_now - at->second < m_policy.horizon;
-            const bool isNeeded = std::any_of(wished.begin(), wished.end(), [&](ArtifactIndex other) { return m_model.artifacts()[other].base == artifact; });
+            const auto at = m_lasting.requestedAt.find({targetOf(runner), nameOf(artifact)});
+            const bool isFresh = at != m_lasting.requestedAt.end() && m_now - at->second < m_policy.horizon;
+            const bool isNeeded = std::any_of(surge.begin(), surge.end(), [&](ArtifactIndex other) { return m_model.artifacts()[other].base == artifact; });
             const bool isOnlyOne = one.copies.size() < 2;
             if (!isFresh && !isNeeded && !isOnlyOne && m_model.lostPerSecond(artifact) <= 0) {
                 order.emplace_back(one.streams / static_cast<double>(one.copies.size()), artifact);
@@ -300,7 +300,7 @@
     auto evictableBytes(RunnerIndex runner) const -> Bytes
     {
         Bytes sum;
-        if (!m_model.runners()[runner].wished.empty()) {
+        if (!m_model.runners()[runner].surge.empty()) {
             for (const auto artifact : evictable(runner)) {
                 sum += m_model.artifacts()[artifact].declared->size;
             }
@@ -317,7 +317,7 @@
             if (m_model.runners()[runner].free() >= needed) {
                 break;
             }
-            drop(runner, other, "room for a copy worth more");
+            drop(runner, other, "evicted for a copy worth more");
         }
         return true;
     }
@@ -403,7 +403,7 @@
         if (!mayLoad()) {
             m_result.decisions.push_back({PlacementKind::Wait, nameOf(artifact), targetOf(taken.runner), "weight store at its limit; " + why});
         } else if (makeRoom(taken.runner, m_model.sizeOn(taken.runner, artifact))) {
-            wish(taken.runner, artifact, why);
+            request(taken.runner, artifact, why);
         }
         return true;
     }
@@ -445,14 +445,14 @@
             }
             drop(least, oldest, "least recently used");
         }
-        wish(least, artifact, "asked for, and no copy has room");
+        request(least, artifact, "requested, and no copy has capacity");
     }
 
     auto leastRecentlyAsked(RunnerIndex runner, ArtifactIndex except) const -> ArtifactIndex
     {
         ArtifactIndex oldest = NoIndex;
         TimePoint since;
-        for (const auto artifact : m_model.runners()[runner].wished) {
+        for (const auto artifact : m_model.runners()[runner].surge) {
             const auto asked = m_lasting.lastAsked.find(nameOf(artifact));
             const auto at = asked == m_lasting.lastAsked.end() ? TimePoint() : asked->second;
             if (artifact != except && (oldest == NoIndex || at < since)) {
@@ -482,9 +482,9 @@
 
 SurgePlanner::~SurgePlanner() = default;
 
-auto SurgePlanner::wishes() const -> const Plan &
+auto SurgePlanner::surge() const -> const Plan &
 {
-    return d->wishes;
+    return d->surge;
 }
 
 auto SurgePlanner::plan(const PlacementInput &input, const Plan &wantedFloor, TimePoint now) -> SurgeResult
--- a/src/core/suspects.h
+++ b/src/core/suspects.h
@@ -27,7 +27,7 @@
     Duration quarantineFor = Duration::seconds(86400);
 };
 
-/// A suspected fingerprint and the crashes it was in flight at, as "TARGET#GENERATION". Without the crashes, one that is told by two processes
+/// A suspected fingerprint and the crashes it was in flight at, as "TARGET#GENERATION". Without the crashes, one that is reported by two processes
 /// would count as two and an innocent request would be quarantined.
 struct Suspicion {
     std::string fingerprint;
@@ -57,7 +57,7 @@
     auto completedAlone(const std::string &fingerprint, TimePoint now) -> void;
     /// Learns what another process knows. It never lengthens a record, so that two processes can't keep one alive between them.
     auto merge(const SuspectDigest &digest, TimePoint now) -> void;
-    auto expire(TimePoint now) -> void; ///< forgets what is over; call every second or so
+    auto expire(TimePoint now) -> void; ///< drops what is over; call every second or so
 
 private:
     struct Record {
--- a/src/core/targetview.h
+++ b/src/core/targetview.h
@@ -1,7 +1,7 @@
 // Which targets are there, by their rows in the store. Pure.
 //
 // A row that goes says that its target has left, and nothing new is sent there. But the store drops rows by their silence, and while it was
-// away itself, targets that are well could not be heard: their rows go, and come back within two seconds of its return. Believed at
+// away itself, healthy targets could not be seen: their rows go, and come back within two seconds of its return. Believed at
 // once, such a gap would leave callers without any target. So a row that goes during trouble, or soon after, is kept that long.
 #pragma once
 
--- a/src/entry/configtask.h
+++ b/src/entry/configtask.h
@@ -1,7 +1,7 @@
 // The configuration in an entry: commits operators' changes to the table, notices those of other entries, adopts only higher revisions.
 //
 // Index of sections (search for [SECTION]):
-//   Hooks   what the rest of the entry is told
+//   Hooks   what the rest of the entry is notified of
 //   Task    ConfigTask
 #pragma once
 
@@ -28,7 +28,7 @@
 struct ConfigSettings {
     std::string entry; ///< part of write ids
     Duration pollPeriod = Duration::seconds(1); ///< between looks at the table's head row
-    Duration commitTimeout = Duration::seconds(5); ///< after which an operator is told "unknown"
+    Duration commitTimeout = Duration::seconds(5); ///< after which an operator gets "unknown"
     std::size_t inlineLimit = 32768; ///< bytes; larger sets go to the object store, and their log row refers to them
 };
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -133,7 +133,7 @@
     auto acceptPeer(const PeerStreamPtr &stream) -> void;
     auto onPeerFrame(const PeerStreamPtr &stream, const Wire::ControlFrame &frame) -> void;
     auto onEntryFrame(const Wire::ControlFrame &frame) -> void;
-    auto onSuspects(const Wire::Suspects &told) -> void;
+    auto onSuspects(const Wire::Suspects &message) -> void;
     auto suspectsFrame() const -> Wire::ControlFrame;
     auto demandFrame() -> Wire::ControlFrame;
     auto onDemand(const Wire::DemandDigest &message) -> void;
@@ -155,8 +155,8 @@
             flows->pump();
         }
     };
-    hooks.onSuspects = [this](const Wire::Suspects &told) {
-        onSuspects(told);
+    hooks.onSuspects = [this](const Wire::Suspects &message) {
+        onSuspects(message);
     };
     hooks.onEntryFrame = [this](const Wire::ControlFrame &frame) {
         onEntryFrame(frame);
@@ -219,7 +219,7 @@
         fleet->sendAgents(planFrame(version.value(), plan));
         fleet->sendEntries(planFrame(version.value(), plan));
     };
-    hooks.wish = [this](const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts) {
+    hooks.surge = [this](const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts) {
         Wire::ControlFrame frame;
         frame.mutable_surge()->set_planner(settings.process.id + "-" + std::to_string(incarnation));
         frame.mutable_surge()->set_sequence(sequence);
@@ -437,10 +437,10 @@
     }
 }
 
-auto Entry::Private::onSuspects(const Wire::Suspects &told) -> void
+auto Entry::Private::onSuspects(const Wire::Suspects &message) -> void
 {
     const auto before = suspects.size();
-    suspects.merge(fromMessage(told), loop.now());
+    suspects.merge(fromMessage(message), loop.now());
     if (suspects.size() != before) {
         fleet->sendAgents(suspectsFrame());
         fleet->sendEntries(suspectsFrame());
--- a/src/entry/eventstream.h
+++ b/src/entry/eventstream.h
@@ -26,7 +26,7 @@
 
     /// Takes bytes as they come; returns the whole events that they complete, the end mark included.
     auto feed(std::string_view bytes) -> std::string;
-    /// Forgets a half event: its attempt broke. The next bytes are another attempt's.
+    /// Drops a half event: its attempt broke. The next bytes are another attempt's.
     auto beginAttempt() -> void;
 
 private:
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -47,7 +47,7 @@
     Wire::LoadReport report;
     bool hasReport = false;
     TimePoint usableAt; ///< when it was last usable
-    bool toldToDrain = false; ///< for the list's mark
+    bool drainSent = false; ///< for the list's mark
 };
 
 } // namespace
@@ -89,8 +89,8 @@
 {
     LinkHooks link;
     link.greeting = hooks.greeting;
-    link.onHeard = [this](const std::string &id) {
-        membership.heard(id, loop.now());
+    link.onReceived = [this](const std::string &id) {
+        membership.seen(id, loop.now());
     };
     link.onDown = [this](const std::string &id) {
         onDown(id);
@@ -123,7 +123,7 @@
         agent.incarnation = hello.incarnation();
         agent.sequence = 0;
         agent.hasReport = false;
-        agent.toldToDrain = false;
+        agent.drainSent = false;
     }
     LOG(INFO) << "target: connected id=" << id << " zone=" << agent.zone << " service=" << agent.service << " incarnation=" << agent.incarnation;
     router.targetUp(TargetId(id), agent.zone, serviceOf(id, agent), loop.now());
@@ -188,10 +188,10 @@
     for (auto &[id, agent] : known) {
         const auto member = membership.find(id);
         const bool isMarked = member && member->host.leaving;
-        if (isMarked == agent.toldToDrain || !agents->isConnected(id)) {
+        if (isMarked == agent.drainSent || !agents->isConnected(id)) {
             continue;
         }
-        agent.toldToDrain = isMarked;
+        agent.drainSent = isMarked;
         Wire::ControlFrame frame;
         frame.mutable_drain()->set_reason(isMarked ? "host-list" : "");
         agents->send(id, frame);
@@ -241,7 +241,7 @@
             shown.role = role;
             shown.zone = member.host.zone;
             shown.state = member.state;
-            shown.silentFor = d->loop.now() - member.lastHeard;
+            shown.silentFor = d->loop.now() - member.lastSeen;
             if (const auto agent = d->known.find(shown.id); agent != d->known.end()) {
                 shown.report = agent->second.report;
                 shown.revision = Revision(shown.report.revision());
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -42,8 +42,8 @@
     HostRole role = HostRole::Agent;
     ZoneName zone;
     MemberState state = MemberState::Proposed;
-    Duration silentFor; ///< since it was last heard, or first listed
-    Revision revision; ///< in force there; 0: not heard yet
+    Duration silentFor; ///< since it was last seen, or first listed
+    Revision revision; ///< in force there; 0: not reported yet
     Wire::LoadReport report; ///< agents
 };
 
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -13,11 +13,11 @@
 constexpr auto SurgeSubject = "surge";
 constexpr auto SoonDelay = Duration::millis(100); // a missing copy is planned for after this, not at the next regular round
 constexpr auto SettleTime = Duration::seconds(2); // without a further runner, before the first floor is planned
-constexpr auto WishRepeat = Duration::seconds(5); // well below the agents' ResidencySettings::wishLifetime
+constexpr auto SurgeRepeat = Duration::seconds(5); // well below the agents' ResidencySettings::surgeLifetime
 constexpr int RoundsPerRead = 3; // rounds between two reads of the floor's row by entries that don't plan it
 
-/// What a target was told last.
-struct ToldWishes {
+/// What a target was last sent.
+struct PublishedSurge {
     std::vector<ArtifactName> artifacts;
     TimePoint at;
 };
@@ -41,8 +41,8 @@
     bool writing = false;
     std::size_t runnersSeen = 0;
     TimePoint runnersSince;
-    std::uint64_t wishSequence = 0;
-    std::map<TargetId, ToldWishes> toldWishes;
+    std::uint64_t surgeSequence = 0;
+    std::map<TargetId, PublishedSurge> publishedSurge;
     int round = 0;
     Timer period;
     Timer soon;
@@ -63,7 +63,7 @@
     auto isFleetSettled() -> bool;
     auto writeFloor(const FloorRow &row) -> void;
     auto planSurge() -> void;
-    auto tellWishes(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void;
+    auto publishSurge(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void;
     auto input() const -> PlacementInput;
     auto note(const std::vector<PlacementDecision> &list) -> void;
     auto adoptFloor(RowVersion version, const std::string &text) -> void;
@@ -153,7 +153,7 @@
     auto result = planFloor(input(), settings.placement);
     wantedFloor = result.plan;
     for (const auto &artifact : result.unplaced) {
-        LOG_EVERY_N(ERROR, 60) << "placement: no runner has room artifact=" << artifact;
+        LOG_EVERY_N(ERROR, 60) << "placement: no runner has capacity artifact=" << artifact;
     }
     FloorInput floorInput;
     floorInput.current = floorRowOf(floor);
@@ -208,22 +208,22 @@
 {
     const auto result = surge.plan(input(), wantedFloor, loop.now());
     note(result.decisions);
-    ++wishSequence;
+    ++surgeSequence;
     for (const auto &runner : hooks.runners()) {
-        tellWishes(runner.id, result.wishes.artifactsOn(runner.id));
+        publishSurge(runner.id, result.surge.artifactsOn(runner.id));
     }
 }
 
-/// Only news, and now and then the same again: agents forget wishes that nobody repeats, and a message may have met a closed connection.
-auto Planner::Private::tellWishes(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void
+/// Only news, and now and then the same again: agents drop requests that are not repeated, and a message may have met a closed connection.
+auto Planner::Private::publishSurge(const TargetId &target, const std::vector<ArtifactName> &artifacts) -> void
 {
-    auto &told = toldWishes[target];
-    if (told.artifacts == artifacts && told.at > TimePoint() && loop.now() - told.at < WishRepeat) {
+    auto &published = publishedSurge[target];
+    if (published.artifacts == artifacts && published.at > TimePoint() && loop.now() - published.at < SurgeRepeat) {
         return;
     }
-    told.artifacts = artifacts;
-    told.at = loop.now();
-    hooks.wish(target, wishSequence, artifacts);
+    published.artifacts = artifacts;
+    published.at = loop.now();
+    hooks.surge(target, surgeSequence, artifacts);
 }
 
 Planner::Planner(EventLoop &loop, PlannerSettings settings, PlannerHooks hooks, DecisionLog &decisions)
--- a/src/entry/planner.h
+++ b/src/entry/planner.h
@@ -1,4 +1,4 @@
-// Plans where copies are kept. Every entry runs one; the floor is written and surge copies are wished for by the entry that ranks
+// Plans where copies are kept. Every entry runs one; the floor is written and surge copies are requested by the entry that ranks
 // first, without a lease: two planners at once waste effort but break nothing, since the floor's row changes by compare-and-set.
 //
 // Index of sections (search for [SECTION]):
@@ -27,12 +27,12 @@
 struct PlannerHooks {
     TableAccess table;
     std::function<bool(const std::string &subject)> ranksFirst; ///< among the live entries
-    std::function<std::vector<RunnerState>()> runners; ///< as last heard of
+    std::function<std::vector<RunnerState>()> runners; ///< as last reported
     std::function<std::map<TargetId, HolderReport>()> holderReports; ///< of the same
     std::function<std::vector<ArtifactDemand>()> demand; ///< forecast over the horizon
     std::function<std::vector<ArtifactName>()> retained; ///< old versions still in use
     std::function<void(RowVersion version, const std::string &plan)> onFloor; ///< a newer floor row was read
-    std::function<void(const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts)> wish; ///< surge copies of a target
+    std::function<void(const TargetId &target, std::uint64_t sequence, const std::vector<ArtifactName> &artifacts)> surge; ///< surge copies of a target
 };
 
 struct PlannerSettings {
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -3,7 +3,7 @@
 //   Arrival     reading, admission
 //   Attempts    choosing a target, sending
 //   Answers     what comes back
-//   Ending      retries and the last word
+//   Ending      retries and the final answer
 #include "entry/requestflows.h"
 
 #include "entry/eventstream.h"
@@ -38,7 +38,7 @@
     TimePoint sentAt;
     int attempts = 0;
     std::vector<TargetId> excluded;
-    bool mayHaveRun = false; // some attempt ended without a definite word
+    bool mayHaveRun = false; // some attempt ended without a definite answer
     bool runsAlone = false;
     bool isPaused = false;
     int status = 0;
@@ -107,7 +107,7 @@
     auto admit(const FlowPtr &flow) -> void;
     auto wait(const FlowPtr &flow) -> void;
     auto pump() -> void;
-    auto hasRoom(const LaneName &lane, Priority priority) const -> bool;
+    auto hasCapacity(const LaneName &lane, Priority priority) const -> bool;
     auto routingRequest(const Flow &flow) const -> RoutingRequest;
     auto tryNow(const FlowPtr &flow) -> bool;
     auto start(const FlowPtr &flow, const RoutingChoice &choice) -> void;
@@ -189,7 +189,7 @@
     }
 }
 
-auto RequestFlows::Private::hasRoom(const LaneName &lane, Priority priority) const -> bool
+auto RequestFlows::Private::hasCapacity(const LaneName &lane, Priority priority) const -> bool
 {
     const auto found = lanes.find(lane);
     if (found == lanes.end()) {
@@ -197,7 +197,7 @@
     }
     const auto &needs = found->second;
     const auto targets = needs.artifacts.empty() ? parts.router.instances(needs.service, now()) : parts.router.holders(needs.artifacts, now());
-    return std::any_of(targets.begin(), targets.end(), [&](const TargetId &target) { return parts.router.hasRoom(target, priority, now()); });
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetId &target) { return parts.router.hasCapacity(target, priority, now()); });
 }
 
 auto RequestFlows::Private::pump() -> void
@@ -211,7 +211,7 @@
         }
     }
     std::vector<FlowPtr> again;
-    while (const auto id = queue.next(now(), [this](const LaneName &lane, Priority priority) { return hasRoom(lane, priority); })) {
+    while (const auto id = queue.next(now(), [this](const LaneName &lane, Priority priority) { return hasCapacity(lane, priority); })) {
         const auto found = flows.find(*id);
         if (found == flows.end()) {
             continue;
@@ -221,7 +221,7 @@
         const auto flow = found->second;
         if (!tryNow(flow)) {
             again.push_back(flow);
-            break; // the router sees less room than the queue: no use in going on now
+            break; // the router sees less capacity than the queue: no use in going on now
         }
     }
     for (const auto &flow : again) {
@@ -250,13 +250,13 @@
     return routing;
 }
 
-/// False if there is no room now and the request should wait. Anything final is said to the caller here.
+/// False if there is no capacity now and the request should wait. Anything final is said to the caller here.
 auto RequestFlows::Private::tryNow(const FlowPtr &flow) -> bool
 {
     flow->runsAlone = parts.suspects.verdict(flow->request.fingerprint, now()) == Verdict::Alone;
     auto choice = parts.router.choose(routingRequest(*flow), now());
     if (choice.isRefused() && choice.refusal == RoutingRefusal::AllExcluded && !flow->mayHaveRun) {
-        flow->excluded.clear(); // they refused it; by now one may have room
+        flow->excluded.clear(); // they refused it; by now one may have capacity
         return false;
     }
     if (!choice.isRefused()) {
@@ -517,7 +517,7 @@
     finish(flow, CallerOutcome::Delivered, "ok");
 }
 
-/// The last word when there is no whole answer: problem details, or for a stream that has begun a final error event.
+/// The final answer when there is no whole answer: problem details, or for a stream that has begun a final error event.
 auto RequestFlows::Private::refuse(const FlowPtr &flow, const Problem &problem) -> void
 {
     if (flow->state == FlowState::Ended) {
--- a/src/entry/requestflows.h
+++ b/src/entry/requestflows.h
@@ -64,7 +64,7 @@
 
     auto adopt(const Declarations &declarations) -> void;
     auto handle(const std::shared_ptr<HttpExchange> &exchange) -> void; ///< a request under /v1/ or /services/
-    auto pump() -> void; ///< room or copies may have appeared
+    auto pump() -> void; ///< capacity or copies may have appeared
     auto setLeaving() -> void; ///< refuses what is new, as not run
     /// Gives up all that is open; returns how many that was.
     auto abandonAll() -> int;
--- a/src/entry/systemstatus.cpp
+++ b/src/entry/systemstatus.cpp
@@ -41,10 +41,10 @@
     return process;
 }
 
-/// How long a listed process that was never heard counts as one that will answer.
+/// How long a listed process that was never seen counts as one that will answer.
 constexpr auto ProposedPatience = Duration::seconds(10);
 
-/// A process that is gone doesn't hold up a change: it gets the newest revision when it is back. One that is listed but not heard yet does for a
+/// A process that is gone doesn't hold up a change: it gets the newest revision when it is back. One that is listed but not seen yet does for a
 /// while: an entry that has just started would otherwise report a change as in force everywhere because it knows nobody.
 auto countsForRevision(const FleetMember &member) -> bool
 {
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -19,7 +19,7 @@
 namespace KingCup
 {
 
-/// What a client is told to wait where nothing better is known: long enough for a change of membership to arrive.
+/// Retry-After of a client where nothing better is known: long enough for a change of membership to arrive.
 constexpr auto DefaultRetryAfter = Duration::millis(300);
 
 /// Statuses that promise that the request did not run.
@@ -129,7 +129,7 @@
     TimePoint m_sentAt;
     TargetId m_target; ///< of the send in flight
     int m_sends = 0;
-    int m_mayHaveRun = 0; ///< sends that weren't truthfully turned away
+    int m_mayHaveRun = 0; ///< sends that weren't truthfully rejected
     HttpHead m_head; ///< of the answer in flight
     AnswerTraits m_answer;
     std::string m_held; ///< its body, as far as it is kept until it is whole
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -12,7 +12,7 @@
 {
     parts.dispatcher.unreachable(target, parts.loop.now());
     if (const auto *about = parts.dispatcher.description(target)) {
-        parts.pool.forget(about->address);
+        parts.pool.closeIdle(about->address);
     }
 }
 
@@ -99,7 +99,7 @@
 
 auto Forwarder::crashRepeatReported(std::uint64_t fingerprint, int breaks) -> void
 {
-    d->crashes.heard(fingerprint, breaks, d->parts.loop.now());
+    d->crashes.reported(fingerprint, breaks, d->parts.loop.now());
 }
 
 auto Forwarder::pump() -> void
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -1,7 +1,7 @@
 // The way of each request through an entry that reaches targets directly: understood, routed, sent, sent again where that is safe, answered.
 //
-// What was sent without an answer may have run, so only two things lead to another send: the target's own word that it did not run the
-// request, or a request that may run more than once. Where neither holds and no answer came, the client is told 502 or 504, which
+// What was sent without an answer may have run, so only two things lead to another send: the target's own statement that it did not run the
+// request, or a request that may run more than once. Where neither holds and no answer came, the client gets 502 or 504, which
 // promise nothing; 503 is said only of a request that certainly did not run.
 //
 // Index of sections (search for [SECTION]):
@@ -55,7 +55,7 @@
     std::uint64_t seed = 1; ///< of random draws
     std::size_t streamBuffer = 256U << 10U; ///< bytes towards a client before its target is held back
     std::size_t heldAnswer = 1U << 20U; ///< bytes of a plain answer that are kept until it is whole; longer ones are passed on as they come
-    int mostSends = 4; ///< of one request, those that were turned away included
+    int mostSends = 4; ///< of one request, rejected ones included
 };
 
 // [SECTION] Forwarder
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,7 +41,7 @@
 constexpr auto LeaveCheckPeriod = Duration::millis(50);
 /// Before the limit, so that answers that are cut off are cut by us, and said so in the log.
 constexpr auto StopMargin = Duration::millis(500);
-/// Without word from the store for so long, what the declared traffic lacks may have been declared meanwhile.
+/// Without an answer of the store for so long, what the declared traffic lacks may have been declared meanwhile.
 constexpr auto CurrentWithin = Duration::seconds(2);
 /// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
 constexpr auto DigestPeriod = Duration::millis(200);
@@ -51,22 +51,22 @@
 constexpr auto LongestDigestPeriod = Duration::millis(1000);
 /// A peer is silent after this many of the longest periods between its digests.
 constexpr double SilentDigests = 3.5;
-/// A prompt that takes longer than this to be read is told of at once: within a period of digests others would send ten short ones behind it, and
-/// their first tokens would come late though nothing had foretold it.
+/// A prompt that takes longer than this to prefill is announced at once: within a period of digests others would send ten short ones behind it, and
+/// their first tokens would come late though no estimate predicted it.
 constexpr auto LongPrefill = Duration::millis(100);
-constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is told together
+constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is announced together
 /// Between two words to the others of what targets were given to read, for each gateway that hears it: a gateway hears some hundred of them a second,
 /// however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
-/// An adapter that is asked for on a second runner is there within some tens of milliseconds, or there is no room for it for a while.
+/// An adapter that is asked for on a second runner is there within some tens of milliseconds, or has no slot for a while.
 constexpr auto ReportOverloadedPeriod = Duration::millis(300);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
 constexpr auto TargetConnectTimeout = Duration::millis(150);
 constexpr auto DemandBucket = Duration::millis(500);
-/// Demand moves between models within four to nine seconds. What is no longer asked for must be noticed as soon: its copies take the room of those that
+/// Demand moves between models within four to nine seconds. What is no longer asked for must be noticed as soon: its copies take the slots of those that
 /// are. Nothing is lost by it, as a copy goes only when another model needs its place.
 constexpr double DemandRise = 0.4;
 constexpr double DemandFall = 0.3;
@@ -123,11 +123,11 @@
     std::uint64_t digests = 0;
     TimePoint digestSentAt;
     std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
-    std::map<std::string, int> askedFor; ///< requests by model since the last word to the gateway that gives orders; also those that found no copy
+    std::map<std::string, int> askedFor; ///< requests by model since the last report to the lease holder; also those that found no copy
     std::map<std::string, TimePoint> overloadedReported; ///< by "MODEL/ADAPTER"
-    std::map<TargetIncarnation, TimePoint> leavingAnnounced; ///< targets that leave or left, told to others for a while
+    std::map<TargetIncarnation, TimePoint> leavingAnnounced; ///< targets that leave or left, announced for a while
     std::map<TargetId, ReportedResidency> residencies;
-    Fence announcedFence; ///< of the holder of the order lease that was last told what requests wait for
+    Fence announcedFence; ///< of the lease holder that last received the pending requests
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
@@ -386,9 +386,9 @@
         dispatcher.targetSeen(target, loop.now());
         targetNames.add(target.incarnation.id);
         orders->targetSeen(target);
-        const auto told = residencies.find(target.incarnation.id);
-        if (!orders->mayOrder() && told != residencies.end() && told->second.incarnation == target.incarnation) {
-            dispatcher.targetHolds(target.incarnation.id, told->second.models); // newer than the row as long as somebody gives orders
+        const auto reported = residencies.find(target.incarnation.id);
+        if (!orders->mayOrder() && reported != residencies.end() && reported->second.incarnation == target.incarnation) {
+            dispatcher.targetHolds(target.incarnation.id, reported->second.models); // newer than the row as long as somebody gives orders
         }
         if (target.isLeaving) {
             leavingAnnounced.try_emplace(target.incarnation, loop.now());
@@ -397,7 +397,7 @@
     for (const auto &target : changes.gone) {
         log.line("targets", "gone").add("target", target.text()).add("settled", view.isSettled(loop.now()));
         if (const auto *about = dispatcher.description(target)) {
-            targetPool.forget(about->address);
+            targetPool.closeIdle(about->address);
             leavingAnnounced.try_emplace(about->incarnation, loop.now());
         }
         residencies.erase(target);
@@ -480,11 +480,11 @@
 
 auto Gateway::Private::onOverloaded(const MissingArtifact &adapter) -> void
 {
-    auto &toldAt = overloadedReported[adapter.model + "/" + adapter.adapter];
-    if (loop.now() - toldAt < ReportOverloadedPeriod) {
+    auto &reportedAt = overloadedReported[adapter.model + "/" + adapter.adapter];
+    if (loop.now() - reportedAt < ReportOverloadedPeriod) {
         return;
     }
-    toldAt = loop.now();
+    reportedAt = loop.now();
     log.line("routing", "adapter-overloaded").add("model", adapter.model).add("adapter", adapter.adapter);
     if (orders->mayOrder()) {
         orders->overloaded(adapter.service, adapter.model, adapter.adapter);
@@ -568,7 +568,7 @@
     loads = std::make_unique<LoadExchange>(LoadExchangeParts {loop, log, metrics, dispatcher, *peers, targetNames}, loadSettings);
 }
 
-/// Known here before the runner's row says so, and told to those who can't know it yet.
+/// Known here before the runner's row says so, and announced to those who can't know it yet.
 auto Gateway::Private::onResidency(const TargetDescription &target) -> void
 {
     dispatcher.targetHolds(target.incarnation.id, target.models);
@@ -585,10 +585,10 @@
     if (about == nullptr || about->incarnation.bornMillis != holding.born_ms() || orders->mayOrder()) {
         return;
     }
-    auto &told = residencies[target];
-    told = {about->incarnation, modelsOf(holding)};
-    dispatcher.targetHolds(target, told.models);
-    copyUse->held(target, told.models);
+    auto &reported = residencies[target];
+    reported = {about->incarnation, modelsOf(holding)};
+    dispatcher.targetHolds(target, reported.models);
+    copyUse->held(target, reported.models);
     forwarder->pump();
 }
 
@@ -597,8 +597,8 @@
     follower->advance();
     demand.advance(loop.now());
     apply(view.advance(loop.now()));
-    std::erase_if(overloadedReported, [&](const auto &told) { return loop.now() - told.second > ReportOverloadedPeriod; });
-    std::erase_if(leavingAnnounced, [&](const auto &told) { return loop.now() - told.second > Duration::seconds(5); });
+    std::erase_if(overloadedReported, [&](const auto &one) { return loop.now() - one.second > ReportOverloadedPeriod; });
+    std::erase_if(leavingAnnounced, [&](const auto &one) { return loop.now() - one.second > Duration::seconds(5); });
     if (isDigestDue()) {
         sendDigest();
     }
@@ -669,7 +669,7 @@
     });
 }
 
-/// Only the gateway that gives orders needs it. Told to all, the names of models were the larger part of what gateways tell each other.
+/// Only the gateway that gives orders needs it. Sent to all, the names of models would be the larger part of the traffic between gateways.
 auto Gateway::Private::sendDemand() -> void
 {
     Wire::ControlFrame frame;
@@ -806,7 +806,7 @@
     }
     leaveCheck.cancel();
     // Not before: until another gateway has waited a whole lease, nobody else loads adapters or models, and in a rolling restart the next holder would
-    // be told to leave as soon as it has begun.
+    // be drained as soon as it has begun.
     orders->stop();
     cutOff = forwarder->abandonAll();
     log.line("process", "stopped").add("cut-off", cutOff);
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -59,7 +59,7 @@
     linkHooks.onFrame = [this](const std::string &id, const Wire::ControlFrame &frame) {
         onFrame(id, frame);
     };
-    linkHooks.onHeard = [](const std::string & /*id*/) {
+    linkHooks.onReceived = [](const std::string & /*id*/) {
     };
     linkHooks.onDown = [this](const std::string &id) {
         log.line("peers", "link-down").add("peer", id);
@@ -101,7 +101,7 @@
     state.at = loop.now();
     if (!state.isLive) {
         state.isLive = true;
-        log.line("peers", "heard").add("peer", id);
+        log.line("peers", "connected").add("peer", id);
     }
     hooks.onFrame(id, frame);
 }
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -1,7 +1,7 @@
 // What gateways tell each other: several times a second what each does, at once what can't wait.
 //
 // Index of sections (search for [SECTION]):
-//   Hooks          what is heard
+//   Hooks          what is received
 //   GatewayPeers   the links
 #pragma once
 
@@ -22,7 +22,7 @@
 struct GatewayPeerHooks {
     std::function<void(const std::string &id, const Wire::ControlFrame &frame)> onFrame;
     std::function<std::vector<Wire::ControlFrame>()> greeting; ///< for a peer whose connection has come up
-    std::function<void(const std::string &id)> onSilent; ///< nothing was heard of it for a while
+    std::function<void(const std::string &id)> onSilent; ///< nothing was received of it for a while
 };
 
 struct GatewayPeerSettings {
@@ -43,7 +43,7 @@
     ~GatewayPeers();
 
     // Queries
-    auto live() const -> std::set<std::string>; ///< ids of those that were heard lately
+    auto live() const -> std::set<std::string>; ///< ids of those that are alive
 
     auto liveCount() const -> int;
 
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -32,12 +32,12 @@
 constexpr double SettlePatience = 4;
 /// A stream of some three hundred tokens takes about that long.
 constexpr auto AdapterActive = Duration::millis(2500);
-/// An adapter that was used within this time doesn't give way to a second copy of another one: its next request would wait for it to come back.
+/// An adapter that was used within this time isn't evicted for a second copy of another one: its next request would wait for it to come back.
 constexpr auto SparedForAnother = Duration::seconds(4);
 constexpr auto DemandLogPeriod = Duration::seconds(1);
 constexpr std::size_t MostLoggedModels = 12;
 constexpr auto InputLifetime = Duration::millis(100);
-/// Wishes of one moment are served together; much shorter than the loading of an adapter.
+/// Requests of one moment are served together; much shorter than the loading of an adapter.
 constexpr auto PendingDelay = Duration::millis(1);
 
 /// A call to a runner whose whole answer is wanted.
@@ -60,7 +60,7 @@
 
 /// A request waits for an adapter.
 struct AdapterRequest {
-    TimePoint at; ///< when it was last told
+    TimePoint at; ///< when it was last reported
     int copies = 1; ///< runners that are to hold it
     TargetId orderedOn; ///< a runner that has an order for it, answered or not; empty: none
     TimePoint orderedAt;
@@ -569,7 +569,7 @@
     if (holders >= request.copies) {
         return true;
     }
-    // One order at a time for it: while an adapter gives way on one runner, others would on the next ones.
+    // One order at a time for it: while an adapter is evicted on one runner, others would on the next ones.
     const auto asked = books.find(request.orderedOn);
     if (asked != books.end() && asked->second.isAsked() && now() - request.orderedAt < settings.answerTimeout) {
         return false;
@@ -767,7 +767,7 @@
         const auto *held = book.description().model(model);
         const bool isHeld = held != nullptr && (adapter.empty() || held->hasAdapter(adapter));
         if (isHeld && !isDraining(d->moves, id, model) && book.description().service == service) {
-            // Somebody was told otherwise by the runner itself, or hasn't heard of it yet.
+            // Another gateway got a different report from the runner itself, or none yet.
             book.doubt(d->now());
             d->publishResidency(book);
         }
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -38,11 +38,11 @@
     std::function<double(const TargetId &target)> load; ///< the share of its places that is taken
     std::function<bool(const TargetId &target)> isFailing; ///< requests don't get through to it
     std::function<void(const std::map<TargetId, CopyMove> &moves)> onMoves; ///< those under way have changed
-    std::function<std::map<CopyKey, int>()> streams; ///< under way at copies that give way, as all gateways have told
+    std::function<std::map<CopyKey, int>()> streams; ///< under way at draining replicas, as all gateways reported
     std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy
     /// What a runner holds has changed; known here before its row says so.
     std::function<void(const TargetDescription &target)> onResidency;
-    /// This gateway may give orders from now on: others are to hear it at once. What their requests wait for is told to it only then, and by
+    /// This gateway may give orders from now on: others are to be notified at once. What their requests wait for is sent to it only then, and by
     /// the next digest some of these requests would have been refused.
     std::function<void()> onHolder;
 };
@@ -85,13 +85,13 @@
 
     // Commands
     auto lease() -> OrderLease &; ///< for what other gateways say
-    /// Another gateway has told of its streams at copies that give way: one may have none any more.
+    /// Another gateway has reported its streams at draining replicas: one may have none any more.
     auto planSoon() -> void;
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
     auto targetSeen(const TargetDescription &target) -> void;
     auto targetGone(const TargetId &target) -> void;
-    /// A request waits for a model or an adapter, and another gateway gives orders, or none yet: kept in case that changes. A word sent to
-    /// nobody, or to a holder that was just lost, would leave the request without what it waits for until it is told again; the first
+    /// A request waits for a model or an adapter, and another gateway gives orders, or none yet: kept in case that changes. A report sent to
+    /// nobody, or to a holder that was just lost, would leave the request without what it waits for until it is sent again; the first
     /// requests of a start and those during a takeover were refused for that.
     auto remember(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     /// Likewise, and this gateway gives the orders.
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -1,4 +1,4 @@
-// What an entry that reaches targets directly has to be told of the deployment it runs in: how its requests, answers, rows and orders are
+// What an entry that reaches targets directly has to know of the deployment it runs in: how its requests, answers, rows and orders are
 // spelled. A deployment's adapter fills in the hooks; they translate and decide nothing.
 //
 // Index of sections (search for [SECTION]):
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -102,7 +102,7 @@
     auto isLoaded() const -> bool; ///< the table was read at least once
     auto isReached() const -> bool; ///< the last call was answered
     auto version() const -> RowVersion; ///< up to which changes are known
-    /// After an answer with changes, how long until the next call: what comes meanwhile is told together.
+    /// After an answer with changes, how long until the next call: what comes meanwhile is answered together.
     auto setPause(Duration pause) -> void;
     /// Reads the table anew, at once.
     auto reload() -> void;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -30,7 +30,7 @@
 
 /// What another gateway says of itself.
 struct Watcher {
-    TimePoint heardAt;
+    TimePoint receivedAt;
     TimePoint watchesSince; ///< and reaches the store
     bool isHealthy = false;
     std::array<std::uint64_t, TableCount> checksums {};
@@ -75,7 +75,7 @@
     }
     auto isTrusted(const Watcher &watcher) const -> bool
     {
-        return watcher.isHealthy && loop.now() - watcher.heardAt < settings.trustFor;
+        return watcher.isHealthy && loop.now() - watcher.receivedAt < settings.trustFor;
     }
     auto firstTrusted() const -> std::optional<std::string>;
     auto isAmongFirst() const -> bool;
@@ -174,7 +174,7 @@
     tables.at(index).watch = std::make_unique<TableWatch>(loop, store, log, Tables.at(index), options, std::move(watchHooks));
 }
 
-/// The store was away without a word: calls that waited there are never answered, and those for tables that hardly change would go on waiting
+/// The store was away without closing connections: calls that waited there are never answered, and those for tables that hardly change would go on waiting
 /// for twenty seconds. Callers would be served by old declarations as long. Targets' rows change all the time, so their watch tells first.
 auto StoreFollower::Private::renewOthers(std::size_t but) -> void
 {
@@ -335,7 +335,7 @@
 {
     auto &watcher = d->watchers[id];
     const bool wasTrusted = d->isTrusted(watcher);
-    watcher.heardAt = d->loop.now();
+    watcher.receivedAt = d->loop.now();
     watcher.isHealthy = digest.watches_store() && !digest.store_trouble();
     if (watcher.isHealthy && !wasTrusted) {
         watcher.watchesSince = d->loop.now();
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -54,12 +54,12 @@
     // Queries
     auto isLoaded(StoreTable table) const -> bool;
     auto isWatching() const -> bool; ///< by itself
-    auto isCurrent() const -> bool; ///< the store is reached, here or by a watcher that is heard
+    auto isCurrent() const -> bool; ///< the store is reached, here or by a watcher that is alive
 
     // Commands
     auto writeDigest(Wire::GatewayDigest &digest) const -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
-    auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and wishes for them
+    auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and requests for them
     auto advance() -> void; ///< call with each digest
 
     struct Private;
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -148,7 +148,7 @@
 namespace
 {
 
-/// Lowers this process's limit. Were libwebsockets told a limit of its own, it would look each descriptor up by going through the
+/// Lowers this process's limit. With a limit of its own, libwebsockets would look each descriptor up by going through the
 /// whole table, at every event: that was a third of an agent's processor time.
 auto limitDescriptors() -> void
 {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -39,7 +39,7 @@
     std::string method; ///< "GET", "POST", ...
     std::string path; ///< without the query; percent-encoded, so that it can be passed on
     std::string query; ///< "a=1&b=2", percent-encoded likewise
-    HttpHeaders headers; ///< those that the server was told to keep
+    HttpHeaders headers; ///< those that the server keeps
     std::string body;
     std::string peer; ///< the caller's IP number
 };
@@ -79,7 +79,7 @@
     TlsFiles tls;
     std::vector<std::string> keptHeaders; ///< lower-case names, beyond content-type, content-length and accept
     std::size_t maxBody = 8U << 20U; ///< bytes; larger requests get 413
-    int maxConnections = 4096; ///< further callers are turned away
+    int maxConnections = 4096; ///< further callers are rejected
     Duration tlsCheck = Duration::seconds(10); ///< between two looks whether the TLS files were renewed
     Duration headerTimeout = Duration::seconds(10); ///< between two pieces of a request, rounded up by libwebsockets; slower callers are cut off
 };
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -403,7 +403,7 @@
     return connection;
 }
 
-auto HttpPool::forget(const Endpoint &server) -> void
+auto HttpPool::closeIdle(const Endpoint &server) -> void
 {
     const auto found = d->connections.find(server);
     if (found == d->connections.end()) {
@@ -429,7 +429,7 @@
         servers.push_back(server);
     }
     for (const auto &server : servers) {
-        forget(server);
+        closeIdle(server);
     }
 }
 
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -93,7 +93,7 @@
     /// Never calls a hook before it has returned.
     auto start(PooledCall call) -> std::shared_ptr<PooledHandle>;
     /// Closes idle connections to a server that is gone, or whose connections can't be trusted any more.
-    auto forget(const Endpoint &server) -> void;
+    auto closeIdle(const Endpoint &server) -> void;
     auto setTcpOptions(const TcpOptions &tcp) -> void; ///< of connections to come
     auto forgetAll() -> void;
 
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -70,7 +70,7 @@
     auto feed(std::string_view bytes) -> std::size_t;
     /// The far side closed in order. True if that completes the message.
     auto feedEnd() -> bool;
-    /// Forgets the message, for the next one on the same connection.
+    /// Drops the message, for the next one on the same connection.
     auto reset() -> void;
     /// The answer to come is one to HEAD: it has no body, whatever its headers say.
     auto expectNoBody() -> void;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -266,7 +266,7 @@
     }
 
     static auto callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t length) -> int;
-    static auto forget(lws_vhost *vhost, void *self) -> void;
+    static auto onVhostGone(lws_vhost *vhost, void *self) -> void;
     auto onRequest(lws *wsi, const char *path) -> int;
     auto onBody(lws *wsi, std::string_view data) -> int;
     auto onBodyEnd(lws *wsi) -> int;
@@ -507,7 +507,7 @@
 }
 
 /// libwebsockets has let go of the virtual host.
-auto HttpServer::Private::forget(lws_vhost * /*vhost*/, void *self) -> void
+auto HttpServer::Private::onVhostGone(lws_vhost * /*vhost*/, void *self) -> void
 {
     delete static_cast<Private *>(self);
 }
@@ -521,7 +521,7 @@
     info.iface = d->options.listen.address.c_str();
     info.protocols = d->protocols.data();
     info.user = d.get();
-    info.finalize = &Private::forget;
+    info.finalize = &Private::onVhostGone;
     info.finalize_arg = d.get();
     info.timeout_secs = static_cast<unsigned>(d->options.headerTimeout.inSeconds());
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND | LWS_SERVER_OPTION_DISABLE_IPV6;
@@ -555,7 +555,7 @@
     for (lws *socket : open) {
         lws_set_timeout(socket, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
     }
-    // The port closes only when the loop comes round: a caller may still get in, and the callback must find its state until forget().
+    // The port closes only when the loop comes round: a caller may still get in, and the callback must find its state until onVhostGone().
     if (d->listener != nullptr) {
         lws_set_timeout(d->listener, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_SYNC);
     }
--- a/src/operator/operatorcodec.h
+++ b/src/operator/operatorcodec.h
@@ -26,7 +26,7 @@
 auto mergeChange(const OperatorProto::ChangeRequest &request, Declarations &set) -> Findings;
 
 /// Names every field and enumeration value of the message, at any depth, that this schema doesn't know. Protobuf keeps
-/// them without a word: an operator's change would be accepted without the part that a newer tool put in.
+/// them silently: an operator's change would be accepted without the part that a newer tool put in.
 auto unknownFields(const google::protobuf::Message &message) -> std::vector<std::string>;
 
 } // namespace KingCup
--- a/src/platform/platformcaller.h
+++ b/src/platform/platformcaller.h
@@ -53,7 +53,7 @@
 public:
     using Done = std::function<void(const PlatformAnswer &)>;
 
-    /// `name` stands in log lines. Of the client's calls in flight nothing is heard any more once this is destroyed.
+    /// `name` stands in log lines. Of the client's calls in flight no answer arrives once this is destroyed.
     PlatformCaller(EventLoop &loop, HttpClient &client, PlatformOptions options, std::string name);
     ~PlatformCaller();
     PlatformCaller(const PlatformCaller &) = delete;
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -84,10 +84,10 @@
 
     using WordSetter = std::function<void(DaemonSettings &, std::size_t)>;
     /// The words stand in the order of the enumeration's values; `fallback` is empty if the key must be given.
-    auto word(const std::string &key, const std::vector<std::string> &words, const std::string &fallback, const std::string &meaning, const WordSetter &set)
+    auto choice(const std::string &key, const std::vector<std::string> &words, const std::string &fallback, const std::string &meaning, const WordSetter &set)
         -> SpecBuilder &
     {
-        return add({m_section, key, "word", "", wordList(words), fallback, meaning}, [=](DaemonSettings &settings, const std::string &text) {
+        return add({m_section, key, "choice", "", wordList(words), fallback, meaning}, [=](DaemonSettings &settings, const std::string &text) {
             const auto parsed = parseWord(text, words);
             set(settings, parsed.value);
             return parsed.error;
@@ -135,11 +135,11 @@
 auto addProcess(SpecBuilder &table) -> void
 {
     table.section("process")
-        .word("role",
-              {"entry", "agent", "gateway"},
-              "",
-              "what this process is: entry on an entry host, agent in a target's slot, gateway on an entry host where targets have no agents",
-              [](Settings &s, std::size_t index) { s.process.role = static_cast<ProcessRole>(index); })
+        .choice("role",
+                {"entry", "agent", "gateway"},
+                "",
+                "what this process is: entry on an entry host, agent in a target's slot, gateway on an entry host where targets have no agents",
+                [](Settings &s, std::size_t index) { s.process.role = static_cast<ProcessRole>(index); })
         .name("id", "of the entry, or of the target that the agent stands beside", [](Settings &s, const std::string &text) { s.process.id = text; })
         .name("zone", "availability zone of this host", [](Settings &s, const std::string &text) { s.process.zone = ZoneName(text); })
         .path("operator-module",
@@ -174,11 +174,11 @@
 {
     table.section("target")
         .endpoint("engine", "agents: the engine of the runner, or the plain service's instance", [](Settings &s, const Endpoint &e) { s.target.engine = e; })
-        .word("kind",
-              {"runner", "plain"},
-              "runner",
-              "agents: an engine with an accelerator, or an instance of a plain service",
-              [](Settings &s, std::size_t index) { s.target.kind = static_cast<TargetKind>(index); })
+        .choice("kind",
+                {"runner", "plain"},
+                "runner",
+                "agents: an engine with an accelerator, or an instance of a plain service",
+                [](Settings &s, std::size_t index) { s.target.kind = static_cast<TargetKind>(index); })
         .name("service", "agents: the service that the target is for; default: as its declaration says", [](Settings &s, const std::string &text) {
             s.target.service = ServiceName(text);
         });
@@ -213,7 +213,7 @@
                  "",
                  {1, MostConnections},
                  4096,
-                 "callers' connections at once; further ones are turned away",
+                 "callers' connections at once; further ones are rejected",
                  [](Settings &s, std::int64_t n) { s.limits.maxConnections = static_cast<int>(n); })
         .integer("max-queue",
                  "",
@@ -247,16 +247,16 @@
 auto addPolicy(SpecBuilder &table) -> void
 {
     table.section("policy")
-        .word("placement",
-              {"objective", "static", "on-demand"},
-              "objective",
-              "how copies are planned; static and on-demand are baselines for measurements",
-              [](Settings &s, std::size_t index) { s.policy.placement = static_cast<PlacementPolicy>(index); })
-        .word("routing",
-              {"objective", "round-robin", "least-loaded"},
-              "objective",
-              "how a target is chosen; round-robin and least-loaded are baselines for measurements",
-              [](Settings &s, std::size_t index) { s.policy.routing = static_cast<RoutingPolicy>(index); });
+        .choice("placement",
+                {"objective", "static", "on-demand"},
+                "objective",
+                "how copies are planned; static and on-demand are baselines for measurements",
+                [](Settings &s, std::size_t index) { s.policy.placement = static_cast<PlacementPolicy>(index); })
+        .choice("routing",
+                {"objective", "round-robin", "least-loaded"},
+                "objective",
+                "how a target is chosen; round-robin and least-loaded are baselines for measurements",
+                [](Settings &s, std::size_t index) { s.policy.routing = static_cast<RoutingPolicy>(index); });
 }
 
 auto addLog(SpecBuilder &table) -> void
--- a/src/settings/declarationfile.cpp
+++ b/src/settings/declarationfile.cpp
@@ -82,7 +82,7 @@
         });
     }
 
-    auto word(const std::string &key, const std::vector<std::string> &words, const std::function<void(std::size_t)> &set) -> SectionReader &
+    auto choice(const std::string &key, const std::vector<std::string> &words, const std::function<void(std::size_t)> &set) -> SectionReader &
     {
         return text(key, [&](const std::string &given) {
             const auto parsed = parseWord(given, words);
@@ -207,8 +207,8 @@
     auto readService(SectionReader &reader, const std::string &name) -> void
     {
         Service service {.name = ServiceName(name), .place = reader.place()};
-        reader.word("kind", {"models", "plain"}, [&](std::size_t index) { service.kind = static_cast<ServiceKind>(index); })
-            .word("priority", {"interactive", "standard", "batch"}, [&](std::size_t index) { service.priority = static_cast<Priority>(index); })
+        reader.choice("kind", {"models", "plain"}, [&](std::size_t index) { service.kind = static_cast<ServiceKind>(index); })
+            .choice("priority", {"interactive", "standard", "batch"}, [&](std::size_t index) { service.priority = static_cast<Priority>(index); })
             .integer("time-budget-ms", 1, MostMillis, [&](std::int64_t n) { service.timeBudget = Duration::millis(n); })
             .decimal("share", 0, MostShare, [&](double number) { service.share = number; })
             .integer("claim-retention-s", 1, MostSeconds, [&](std::int64_t n) { service.claimRetention = Duration::seconds(static_cast<double>(n)); })
@@ -257,7 +257,7 @@
     {
         Target target {.id = TargetId(name), .place = reader.place()};
         reader.reference("service", [&](const std::string &text) { target.service = ServiceName(text); })
-            .word("fencing", {"checked", "ignored"}, [&](std::size_t index) { target.fencing = static_cast<FencingSupport>(index); })
+            .choice("fencing", {"checked", "ignored"}, [&](std::size_t index) { target.fencing = static_cast<FencingSupport>(index); })
             .integer("longest-order-delay-ms", 0, MostMillis, [&](std::int64_t n) { target.longestOrderDelay = Duration::millis(n); })
             .refuseOthers();
         insert(m_result.value.targets, target.id, target, reader.place(), "target " + name);
--- a/src/settings/inifile.cpp
+++ b/src/settings/inifile.cpp
@@ -16,7 +16,7 @@
 // A heading is followed by this key, so that inih reports sections without keys as well.
 constexpr auto SectionMark = "kingcup-section=";
 constexpr auto SectionMarkKey = "kingcup-section";
-// inih cuts the names of sections at this length without a word.
+// inih cuts the names of sections at this length silently.
 constexpr std::size_t LongestSectionName = 49;
 
 /// Feeds inih one line at a time: it names only the first faulty line of what it is given.
--- a/src/settings/valueparsers.cpp
+++ b/src/settings/valueparsers.cpp
@@ -56,8 +56,8 @@
 
 auto parseBool(const std::string &text) -> ParsedValue<bool>
 {
-    const auto word = parseWord(text, {"false", "true"});
-    return {word.value == 1, word.error};
+    const auto choice = parseWord(text, {"false", "true"});
+    return {choice.value == 1, choice.error};
 }
 
 auto parseEndpoint(const std::string &text) -> ParsedValue<Endpoint>
--- a/src/settings/valueparsers.h
+++ b/src/settings/valueparsers.h
@@ -26,7 +26,7 @@
 auto parseBool(const std::string &text) -> ParsedValue<bool>;
 /// IP:PORT with a port from 1 to 65535.
 auto parseEndpoint(const std::string &text) -> ParsedValue<Endpoint>;
-/// The index of the word in `words`.
+/// The index of `text` in `words`.
 auto parseWord(const std::string &text, const std::vector<std::string> &words) -> ParsedValue<std::size_t>;
 /// Letters, digits, '-', '_', '.' and '@'; 1 to 200 of them.
 auto parseName(const std::string &text) -> ParsedValue<std::string>;
--- a/src/wire/peerlinks.cpp
+++ b/src/wire/peerlinks.cpp
@@ -19,7 +19,7 @@
     std::string id;
     std::unique_ptr<PeerClient> client;
     PeerStreamPtr control;
-    TimePoint heardAt; ///< any message
+    TimePoint receivedAt; ///< any message
 };
 
 } // namespace
@@ -90,8 +90,8 @@
 
 auto PeerLinks::Private::onFrame(Link &link, const Wire::ControlFrame &frame) -> void
 {
-    link.heardAt = loop.now();
-    hooks.onHeard(link.id);
+    link.receivedAt = loop.now();
+    hooks.onReceived(link.id);
     if (frame.has_hello()) {
         // An address may have been given to another process: its messages must not count for the one we meant.
         if (frame.hello().id() != link.id || frame.hello().version() != Wire::PROTOCOL_VERSION_CURRENT) {
@@ -110,7 +110,7 @@
 auto PeerLinks::Private::pingSilent(Duration silence) -> void
 {
     for (const auto &[id, link] : links) {
-        if (link->control && loop.now() - link->heardAt > silence) {
+        if (link->control && loop.now() - link->receivedAt > silence) {
             link->control->send(pingFrame(++pings));
         }
     }
--- a/src/wire/peerlinks.h
+++ b/src/wire/peerlinks.h
@@ -23,7 +23,7 @@
 struct LinkHooks {
     std::function<void(const std::string &id, const Wire::Hello &hello)> onHello;
     std::function<void(const std::string &id, const Wire::ControlFrame &frame)> onFrame; ///< all but hello and pong
-    std::function<void(const std::string &id)> onHeard; ///< any message: it is alive
+    std::function<void(const std::string &id)> onReceived; ///< any message: it is alive
     std::function<void(const std::string &id)> onDown;
     std::function<std::vector<Wire::ControlFrame>()> greeting; ///< sent when a connection is up: hello, configuration, plan
 };
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -126,11 +126,15 @@
         self(user).m_detail.assign(text, length);
         return 0;
     }
-    static auto readBody(
-        nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *to, size_t room, std::uint32_t *flags, nghttp2_data_source *source, void * /*user*/)
-        -> ssize_t
+    static auto readBody(nghttp2_session * /*session*/,
+                         std::int32_t /*id*/,
+                         std::uint8_t *to,
+                         size_t capacity,
+                         std::uint32_t *flags,
+                         nghttp2_data_source *source,
+                         void * /*user*/) -> ssize_t
     {
-        return static_cast<SessionStream *>(source->ptr)->readBody(to, room, flags);
+        return static_cast<SessionStream *>(source->ptr)->readBody(to, capacity, flags);
     }
     static auto make() -> CallbacksPtr
     {
@@ -220,11 +224,11 @@
     return m_fault.empty();
 }
 
-auto PeerSession::fill(unsigned char *to, std::size_t room) -> std::size_t
+auto PeerSession::fill(unsigned char *to, std::size_t capacity) -> std::size_t
 {
     const auto keep = shared_from_this();
     std::size_t filled = 0;
-    while (filled < room) {
+    while (filled < capacity) {
         if (m_leftover.empty()) {
             const std::uint8_t *data = nullptr;
             const auto size = nghttp2_session_mem_send(m_session, &data);
@@ -233,7 +237,7 @@
             }
             m_leftover = {reinterpret_cast<const char *>(data), static_cast<std::size_t>(size)};
         }
-        const std::size_t size = std::min(m_leftover.size(), room - filled);
+        const std::size_t size = std::min(m_leftover.size(), capacity - filled);
         std::memcpy(to + filled, m_leftover.data(), size);
         m_leftover.remove_prefix(size);
         filled += size;
--- a/src/wire/session.h
+++ b/src/wire/session.h
@@ -43,7 +43,7 @@
     // For the session alone:
 
     /// Copies the next bytes of the body for nghttp2, or defers.
-    auto readBody(std::uint8_t *to, std::size_t room, std::uint32_t *flags) -> ssize_t;
+    auto readBody(std::uint8_t *to, std::size_t capacity, std::uint32_t *flags) -> ssize_t;
     auto onData(std::string_view bytes) -> void;
     auto onFarEnd() -> void;
     auto onClosed(std::uint32_t errorCode) -> void;
@@ -79,11 +79,11 @@
     bool m_onWire = false; // the far side may have seen the stream
     bool m_heard = false; // the far side answered something
     bool m_farFinished = false;
-    bool m_farFinishedTold = false;
+    bool m_farFinishedReported = false;
     bool m_paused = false;
     bool m_delivering = false; // a hook is running under deliver()
     bool m_closed = false; // m_end holds
-    bool m_endTold = false;
+    bool m_endReported = false;
     StreamEnd m_end = StreamEnd::Broken;
 };
 
@@ -111,8 +111,8 @@
 
     /// Takes what the socket received. False if the connection can't be read on; see fault().
     auto receive(std::string_view bytes) -> bool;
-    /// Copies what is to be sent, as much as there is room for; the number of bytes.
-    auto fill(unsigned char *to, std::size_t room) -> std::size_t;
+    /// Copies what is to be sent, as much as fits; the number of bytes.
+    auto fill(unsigned char *to, std::size_t capacity) -> std::size_t;
     /// Calls onDrained of the streams that fill() emptied.
     auto tellDrained() -> void;
     /// A new stream; null if the session takes no more.
--- a/src/wire/stream.cpp
+++ b/src/wire/stream.cpp
@@ -103,7 +103,7 @@
         return;
     }
     m_paused = false;
-    if (!m_delivering && !m_endTold) {
+    if (!m_delivering && !m_endReported) {
         // Not from within the caller's call: it may be in the middle of its own bookkeeping.
         m_loop.post([self = shared_from_this()] { self->deliver(); });
     }
@@ -135,9 +135,9 @@
     m_session->wantWrite();
 }
 
-auto SessionStream::readBody(std::uint8_t *to, std::size_t room, std::uint32_t *flags) -> ssize_t
+auto SessionStream::readBody(std::uint8_t *to, std::size_t capacity, std::uint32_t *flags) -> ssize_t
 {
-    const std::size_t size = std::min(room, pendingBytes());
+    const std::size_t size = std::min(capacity, pendingBytes());
     if (size == 0 && !m_finished) {
         m_deferred = true;
         return NGHTTP2_ERR_DEFERRED;
@@ -187,15 +187,15 @@
 /// Hands on what has arrived, in order: messages, the far side's finish, the end.
 auto SessionStream::deliver() -> void
 {
-    if (m_delivering || m_endTold) {
+    if (m_delivering || m_endReported) {
         return;
     }
     const auto keep = shared_from_this();
     m_delivering = true;
     takeMessages();
     consume();
-    if (!m_paused && m_farFinished && !m_farFinishedTold) {
-        m_farFinishedTold = true;
+    if (!m_paused && m_farFinished && !m_farFinishedReported) {
+        m_farFinishedReported = true;
         if (onFarFinished) {
             onFarFinished();
         }
@@ -268,7 +268,7 @@
 
 auto SessionStream::tellEnd() -> void
 {
-    m_endTold = true;
+    m_endReported = true;
     if (m_reader.bufferedBytes() > 0) {
         // The far side finished in the middle of a message. Taken for complete, the part would pass for a whole answer.
         m_end = m_end == StreamEnd::Complete ? StreamEnd::Broken : m_end;
--- a/src/wire/suspectsmessage.cpp
+++ b/src/wire/suspectsmessage.cpp
@@ -18,8 +18,8 @@
 auto fromMessage(const Wire::Suspects &message) -> SuspectDigest
 {
     SuspectDigest digest;
-    for (const auto &told : message.suspected()) {
-        digest.suspected.push_back(Suspicion {told.fingerprint(), {told.crashes().begin(), told.crashes().end()}});
+    for (const auto &one : message.suspected()) {
+        digest.suspected.push_back(Suspicion {one.fingerprint(), {one.crashes().begin(), one.crashes().end()}});
     }
     digest.quarantined.assign(message.quarantined().begin(), message.quarantined().end());
     return digest;
--- a/src/wire/tlschannel.cpp
+++ b/src/wire/tlschannel.cpp
@@ -111,9 +111,9 @@
     }
 }
 
-auto TlsChannel::take(unsigned char *to, std::size_t room) -> std::size_t
+auto TlsChannel::take(unsigned char *to, std::size_t capacity) -> std::size_t
 {
-    const int size = BIO_read(d->out, to, static_cast<int>(room));
+    const int size = BIO_read(d->out, to, static_cast<int>(capacity));
     return static_cast<std::size_t>(std::max(size, 0));
 }
 
--- a/src/wire/tlschannel.h
+++ b/src/wire/tlschannel.h
@@ -36,7 +36,7 @@
     auto receive(std::string_view encrypted, const std::function<bool(std::string_view plain)> &onPlain) -> bool;
     auto send(std::string_view plain) -> void;
     /// Moves encrypted bytes out; the number of bytes.
-    auto take(unsigned char *to, std::size_t room) -> std::size_t;
+    auto take(unsigned char *to, std::size_t capacity) -> std::size_t;
 
 private:
     struct Private;
--- a/tests/system_fakes.cpp
+++ b/tests/system_fakes.cpp
@@ -138,7 +138,8 @@
     REQUIRE(alone.order("sun@1", 40).status == 202);
     alone.cluster.waitFor("the model is resident", [&] {
         return alone.call(alone.enginePort(), {.path = "/status"}).body.find("sun@1") != std::string::npos
-            && alone.call(alone.enginePort(), {.method = "POST", .path = "/v1/completions", .body = R"({"model":"sun@1","prompt":"p","max_tokens":1})"}).status == 200;
+            && alone.call(alone.enginePort(), {.method = "POST", .path = "/v1/completions", .body = R"({"model":"sun@1","prompt":"p","max_tokens":1})"}).status
+            == 200;
     });
     constexpr int Tokens = 200;
     HttpCall call {.server = Endpoint {"127.0.0.1", port}, .method = "POST", .path = "/v1/completions"};
--- a/tests/unit_admission.cpp
+++ b/tests/unit_admission.cpp
@@ -29,7 +29,7 @@
             .serviceTime = Duration::millis(100)};
 }
 
-auto anyRoom(const LaneName &, Priority) -> bool
+auto anyCapacity(const LaneName &, Priority) -> bool
 {
     return true;
 }
@@ -44,9 +44,9 @@
     REQUIRE_FALSE(queue.offer(waiting("soon", Advisory, Priority::Standard, 5), at(0)).isRefused());
     REQUIRE_FALSE(queue.offer(waiting("now", Advisory, Priority::Interactive, 8), at(0)).isRefused());
     for (const auto *expected : {"now", "soon", "late", "batch"}) {
-        REQUIRE(queue.next(at(0), anyRoom) == RequestId(expected));
+        REQUIRE(queue.next(at(0), anyCapacity) == RequestId(expected));
     }
-    REQUIRE_FALSE(queue.next(at(0), anyRoom).has_value());
+    REQUIRE_FALSE(queue.next(at(0), anyCapacity).has_value());
     REQUIRE(queue.size() == 0);
 }
 
@@ -74,7 +74,7 @@
     }
     int steady = 0;
     for (int i = 0; i < 40; ++i) {
-        steady += queue.next(at(0), anyRoom)->text().starts_with("steady") ? 1 : 0;
+        steady += queue.next(at(0), anyCapacity)->text().starts_with("steady") ? 1 : 0;
     }
     REQUIRE(steady >= 19);
 }
@@ -89,7 +89,7 @@
     }
     int advisory = 0;
     for (int i = 0; i < 80; ++i) {
-        advisory += queue.next(at(0), anyRoom)->text().starts_with("a") ? 1 : 0;
+        advisory += queue.next(at(0), anyCapacity)->text().starts_with("a") ? 1 : 0;
     }
     REQUIRE(advisory >= 58);
     REQUIRE(advisory <= 62);
@@ -102,7 +102,7 @@
         queue.offer(waiting("q" + std::to_string(i), Advisory, Priority::Standard, 60), at(0));
     }
     for (int i = 0; i < 10; ++i) {
-        queue.next(at(i * 0.1), anyRoom);
+        queue.next(at(i * 0.1), anyCapacity);
     }
     const auto refused = queue.offer(waiting("hasty", Advisory, Priority::Standard, 3), at(1));
     REQUIRE(refused.refusal == AdmissionRefusal::TooLate);
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -380,8 +380,8 @@
         auto &entry = i == 2 ? there : here;
         REQUIRE_FALSE(entry.isBarred(request, at(i)));
         REQUIRE(entry.brokeOff(request, at(i), at(i + 0.2)));
-        here.heard(request, entry.breaks(request), at(i + 0.3));
-        there.heard(request, entry.breaks(request), at(i + 0.3));
+        here.reported(request, entry.breaks(request), at(i + 0.3));
+        there.reported(request, entry.breaks(request), at(i + 0.3));
     }
     REQUIRE(here.isBarred(request, at(4)));
     REQUIRE(there.isBarred(request, at(4)));
--- a/tests/unit_floor.cpp
+++ b/tests/unit_floor.cpp
@@ -74,7 +74,7 @@
 
 TEST_CASE("the last copy is never dropped, over seeds of two planners, pauses, restarts and a crash")
 {
-    // Two planners with changing wishes write the row from what they read some time ago, holders read rows late and out of order, restart,
+    // Two planners with changing surge plans write the row from what they read some time ago, holders read rows late and out of order, restart,
     // and one holder's engine crashes empty now and then while another copy is held. A model with no copy can't answer its callers.
     const auto seed = GENERATE(range(1, 301));
     std::mt19937_64 random(static_cast<std::uint64_t>(seed));
--- a/tests/unit_membership.cpp
+++ b/tests/unit_membership.cpp
@@ -29,7 +29,7 @@
 auto hearAll(Membership &membership, int count, TimePoint now) -> void
 {
     for (int i = 0; i < count; ++i) {
-        membership.heard("r" + std::to_string(i), now);
+        membership.seen("r" + std::to_string(i), now);
     }
 }
 
@@ -42,12 +42,12 @@
     REQUIRE(membership.live(HostRole::Agent).empty());
     hearAll(membership, 2, at(0));
     REQUIRE(membership.live(HostRole::Agent).size() == 2);
-    membership.heard("r1", at(1));
+    membership.seen("r1", at(1));
     membership.advance(at(2));
     REQUIRE(membership.find("r0")->state == MemberState::Suspect);
     membership.advance(at(6));
     REQUIRE(membership.find("r0")->state == MemberState::Dead);
-    membership.heard("r0", at(7));
+    membership.seen("r0", at(7));
     REQUIRE(membership.find("r0")->state == MemberState::Live);
 }
 
@@ -80,7 +80,7 @@
     auto hosts = agents(9);
     hosts[3].leaving = true;
     membership.listReceived(hosts, at(303));
-    membership.heard("r3", at(303));
+    membership.seen("r3", at(303));
     REQUIRE(membership.find("r3")->state == MemberState::Leaving);
 }
 
--- a/tests/unit_placement.cpp
+++ b/tests/unit_placement.cpp
@@ -42,11 +42,11 @@
 }
 
 /// Everything that the plan names is resident, as after a while without change.
-auto settle(PlacementInput &input, const Plan &wishes = {}) -> void
+auto settle(PlacementInput &input, const Plan &surge = {}) -> void
 {
     for (auto &one : input.runners) {
         one.residents.clear();
-        for (const auto &plan : {input.floor, wishes}) {
+        for (const auto &plan : {input.floor, surge}) {
             for (const auto &artifact : plan.artifactsOn(one.id)) {
                 one.residents.push_back({artifact, input.declarations->artifacts.at(artifact).size});
             }
@@ -144,7 +144,7 @@
     REQUIRE(wanted.holders(sun) == std::vector {TargetId("r2")});
 
     SurgePlanner planner({});
-    REQUIRE(planner.plan(input, wanted, at(0)).wishes.contains(TargetId("r2"), sun));
+    REQUIRE(planner.plan(input, wanted, at(0)).surge.contains(TargetId("r2"), sun));
     FloorInput step {.version = RowVersion(1), .declared = {sun}};
     step.current.holders[TargetId("r1")] = {sun};
     step.desired.holders[TargetId("r2")] = {sun};
@@ -169,14 +169,14 @@
     input.demand = {{sun, 60, Duration::seconds(1)}};
     SurgePlanner planner({});
     const auto result = planner.plan(input, input.floor, at(0));
-    REQUIRE(result.wishes.contains(TargetId("r2"), sun));
+    REQUIRE(result.surge.contains(TargetId("r2"), sun));
     REQUIRE_FALSE(result.decisions.at(0).reason.empty());
 
     set.policy.moveCost = 100000;
     SurgePlanner thrifty({});
     thrifty.plan(input, input.floor, at(0));
     thrifty.plan(input, input.floor, at(1));
-    REQUIRE(thrifty.plan(input, input.floor, at(2)).wishes.isEmpty());
+    REQUIRE(thrifty.plan(input, input.floor, at(2)).surge.isEmpty());
 }
 
 TEST_CASE("an adapter's surge copy brings its base along")
@@ -191,12 +191,12 @@
     settle(input);
     input.demand = {{austin, 80, Duration::seconds(1)}};
     SurgePlanner planner({});
-    const auto wishes = planner.plan(input, input.floor, at(0)).wishes;
-    REQUIRE(wishes.contains(TargetId("r2"), austin));
-    REQUIRE(wishes.contains(TargetId("r2"), sun));
+    const auto surge = planner.plan(input, input.floor, at(0)).surge;
+    REQUIRE(surge.contains(TargetId("r2"), austin));
+    REQUIRE(surge.contains(TargetId("r2"), sun));
 }
 
-TEST_CASE("surge wishes never overcommit and are steady under steady demand")
+TEST_CASE("surge copies never overcommit and are steady under steady demand")
 {
     const auto seed = GENERATE(range(1U, 16U));
     RandomDeployment random(seed);
@@ -212,17 +212,17 @@
     constexpr std::size_t Rounds = 300;
     for (std::size_t round = 0; round < Rounds; ++round) {
         settle(input, before);
-        const auto wishes = planner.plan(input, input.floor, at(static_cast<double>(round))).wishes;
+        const auto surge = planner.plan(input, input.floor, at(static_cast<double>(round))).surge;
         for (const auto &one : input.runners) {
             auto held = input.floor.artifactsOn(one.id);
-            for (const auto &artifact : wishes.artifactsOn(one.id)) {
+            for (const auto &artifact : surge.artifactsOn(one.id)) {
                 REQUIRE_FALSE(input.floor.contains(one.id, artifact));
                 held.push_back(artifact);
             }
             REQUIRE(memoryOf(random.set, held) <= Bytes::gigabytes(80 * 0.85));
         }
-        lastChange = wishes == before ? lastChange : round;
-        before = wishes;
+        lastChange = surge == before ? lastChange : round;
+        before = surge;
     }
     INFO("seed " << seed << " last change in round " << lastChange);
     REQUIRE(lastChange < Rounds / 2);
@@ -239,10 +239,10 @@
     input.floor.add(TargetId("r1"), sun);
     settle(input);
     SurgePlanner planner({});
-    REQUIRE(planner.plan(input, input.floor, at(0)).wishes.isEmpty());
+    REQUIRE(planner.plan(input, input.floor, at(0)).surge.isEmpty());
     input.runners[0].isUsable = false;
     input.runners[0].downFor = Duration::seconds(1);
-    REQUIRE(planner.plan(input, input.floor, at(1)).wishes.contains(TargetId("r2"), sun));
+    REQUIRE(planner.plan(input, input.floor, at(1)).surge.contains(TargetId("r2"), sun));
 }
 
 TEST_CASE("loads are metered to what the weight store takes")
@@ -259,8 +259,8 @@
         planner.plan(random.input, random.input.floor, at(round));
     }
     // Nothing was ever confirmed resident, so no more than the three may be under way; an adapter's copy may bring its base.
-    REQUIRE(planner.wishes().copies() > 0);
-    REQUIRE(planner.wishes().copies() <= 4);
+    REQUIRE(planner.surge().copies() > 0);
+    REQUIRE(planner.surge().copies() <= 4);
 }
 
 TEST_CASE("load on demand has no floor and drops the least recently used")
@@ -278,9 +278,9 @@
     for (int i = 0; i < 4; ++i) {
         input.demand = {{models[static_cast<std::size_t>(i)], 1, Duration::seconds(1)}};
         planner.plan(input, {}, at(i * 10));
-        settle(input, planner.wishes());
+        settle(input, planner.surge());
     }
-    REQUIRE(planner.wishes().artifactsOn(TargetId("r1")) == std::vector {models[2], models[3]});
+    REQUIRE(planner.surge().artifactsOn(TargetId("r1")) == std::vector {models[2], models[3]});
 }
 
 TEST_CASE("a plan survives its JSON form")
--- a/tests/unit_routing.cpp
+++ b/tests/unit_routing.cpp
@@ -199,13 +199,13 @@
     review.promptTokens = 4000;
     REQUIRE_FALSE(scene.send(review).isEmpty());
     REQUIRE(scene.router.choose(scene.request(), scene.now).refusal == RoutingRefusal::Overloaded);
-    REQUIRE_FALSE(scene.router.hasRoom(target(0), Priority::Standard, scene.now));
+    REQUIRE_FALSE(scene.router.hasCapacity(target(0), Priority::Standard, scene.now));
     auto advisory = scene.request();
     advisory.priority = Priority::Interactive;
     REQUIRE_FALSE(scene.router.choose(advisory, scene.now).isRefused());
     scene.now = at(0.8);
-    REQUIRE(scene.router.hasRoom(target(0), Priority::Standard, scene.now));
-    REQUIRE_FALSE(scene.router.hasRoom(target(0), Priority::Batch, scene.now));
+    REQUIRE(scene.router.hasCapacity(target(0), Priority::Standard, scene.now));
+    REQUIRE_FALSE(scene.router.hasCapacity(target(0), Priority::Batch, scene.now));
 }
 
 TEST_CASE("the same run-once key goes to the same target")
