store follower: bound the gateways that watch the store while it is away

Cause: where no watcher reached the store, every gateway began to watch by itself.

Change: core/storewatchers. Three watch; while none reaches the store the number doubles every 0.4 s up to twelve, the next in the ranking first, so that a store which refuses single hosts is still reached by another. A gateway without live peers counts as first, as before. One that doesn't watch goes on treating its rows as doubtful while no watcher reaches the store, and at the moment one does.

--- a/src/core/residency.cpp
+++ b/src/core/residency.cpp
@@ -22,7 +22,7 @@
 private:
     auto retire() const -> std::optional<ResidencyOrder>;
     auto load(const WantedArtifact &want) const -> std::optional<ResidencyOrder>;
-    auto makeRoom(const WantedArtifact &want) const -> std::optional<ResidencyOrder>;
+    auto freeMemory(const WantedArtifact &want) const -> std::optional<ResidencyOrder>;
     auto isSettled(const WantedArtifact &want) const -> bool;
     auto mayEvict(const ArtifactName &name) const -> bool;
     auto hasDependant(const ArtifactName &base) const -> bool;
@@ -53,7 +53,7 @@
             continue;
         }
         // Freed memory is for the most urgent want that lacks it: later ones must not take what is being freed for it.
-        return makeRoom(want);
+        return freeMemory(want);
     }
     return std::nullopt;
 }
@@ -78,7 +78,7 @@
 
 // Evicts one artifact: unwanted ones before surge copies, the least urgent first. A surge want evicts only what nobody wants, or two
 // wants of the same urgency would take turns.
-auto Planner::makeRoom(const WantedArtifact &want) const -> std::optional<ResidencyOrder>
+auto Planner::freeMemory(const WantedArtifact &want) const -> std::optional<ResidencyOrder>
 {
     if (want.bytes <= m_ledger.freeBytes() + m_ledger.releasing()) {
         return std::nullopt; // enough is being unloaded already
--- /dev/null
+++ b/src/core/storewatchers.h
@@ -0,0 +1,35 @@
+// Which gateways watch the store themselves. Pure.
+//
+// Usually the first few in a ranking that all know. While none of them reaches the store, more join, the next in the ranking first, up to a limit: where
+// the store refuses single hosts another one reaches it, and where it is away for all, a hundred gateways that retry would only add to its load.
+#pragma once
+
+#include "core/units.h"
+
+#include <optional>
+
+namespace KingCup
+{
+
+struct StoreWatcherOptions {
+    int usual = 3; ///< gateways that watch at once: two of them may lose the store in the same moment
+    int most = 12; ///< while nobody reaches it
+    Duration joinAfter = Duration::millis(400); ///< without a watcher that reaches the store, until the number doubles
+};
+
+class StoreWatchers
+{
+public:
+    explicit StoreWatchers(StoreWatcherOptions options = {});
+
+    /// `isReached`: some watcher, here or elsewhere, reaches the store.
+    auto advance(bool isReached, TimePoint now) -> void;
+    /// Gateways that should watch now, counted from the first in the ranking.
+    auto wanted(TimePoint now) const -> int;
+
+private:
+    StoreWatcherOptions m_options;
+    std::optional<TimePoint> m_lostAt;
+};
+
+} // namespace KingCup
--- a/src/core/surgeplanning.cpp
+++ b/src/core/surgeplanning.cpp
@@ -233,7 +233,7 @@
             for (const auto &name : wantedFloor.artifactsOn(target)) {
                 const auto artifact = m_model.find(name);
                 const bool isMissing = runner != NoIndex && artifact != NoIndex && !m_model.isOn(runner, artifact);
-                if (isMissing && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
+                if (isMissing && freeMemory(runner, m_model.sizeOn(runner, artifact))) {
                     request(runner, artifact, "floor-copy before its row");
                 }
             }
@@ -251,7 +251,7 @@
                 continue;
             }
             const auto runner = roomiest(artifact);
-            if (runner != NoIndex && makeRoom(runner, m_model.sizeOn(runner, artifact))) {
+            if (runner != NoIndex && freeMemory(runner, m_model.sizeOn(runner, artifact))) {
                 request(runner, artifact, "stand-in: no live copy");
             }
         }
@@ -308,7 +308,7 @@
         return sum;
     }
 
-    auto makeRoom(RunnerIndex runner, Bytes needed) -> bool
+    auto freeMemory(RunnerIndex runner, Bytes needed) -> bool
     {
         if (m_model.runners()[runner].free() + evictableBytes(runner) < needed) {
             return false;
@@ -402,7 +402,7 @@
         const auto why = reason(artifact, taken, lost);
         if (!mayLoad()) {
             m_result.decisions.push_back({PlacementKind::Wait, nameOf(artifact), targetOf(taken.runner), "weight store at its limit; " + why});
-        } else if (makeRoom(taken.runner, m_model.sizeOn(taken.runner, artifact))) {
+        } else if (freeMemory(taken.runner, m_model.sizeOn(taken.runner, artifact))) {
             request(taken.runner, artifact, why);
         }
         return true;
--- a/src/core/suspects.cpp
+++ b/src/core/suspects.cpp
@@ -79,7 +79,7 @@
             quarantine(record, now);
         }
     }
-    makeRoom();
+    dropOldest();
 }
 
 auto Suspects::completedAlone(const std::string &fingerprint, TimePoint now) -> void
@@ -111,7 +111,7 @@
             quarantine(record, now);
         }
     }
-    makeRoom();
+    dropOldest();
 }
 
 auto Suspects::expire(TimePoint now) -> void
@@ -142,7 +142,7 @@
     record.until = now + m_options.quarantineFor;
 }
 
-auto Suspects::makeRoom() -> void
+auto Suspects::dropOldest() -> void
 {
     const auto isBetterGone = [](const auto &left, const auto &right) {
         if (left.second.quarantined != right.second.quarantined) {
--- a/src/core/suspects.h
+++ b/src/core/suspects.h
@@ -67,7 +67,7 @@
         TimePoint until;
         std::set<std::string> crashes; ///< "target#generation"
     };
-    auto makeRoom() -> void;
+    auto dropOldest() -> void;
     auto quarantine(Record &record, TimePoint now) -> void;
 
     SuspectsOptions m_options;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -150,7 +150,7 @@
     hooks.greeting = [this] {
         return greeting();
     };
-    hooks.onRoom = [this] {
+    hooks.onCapacity = [this] {
         if (flows) {
             flows->pump();
         }
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -165,7 +165,7 @@
         membership.saidStaying(id);
     }
     router.reportReceived(TargetId(id), targetLoadOf(agent.report), loop.now());
-    hooks.onRoom();
+    hooks.onCapacity();
 }
 
 auto Fleet::Private::onDown(const std::string &id) -> void
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -24,7 +24,7 @@
 
 struct FleetHooks {
     std::function<std::vector<Wire::ControlFrame>()> greeting; ///< for a peer whose connection has come up
-    std::function<void()> onRoom; ///< targets or copies may have appeared
+    std::function<void()> onCapacity; ///< targets or copies may have appeared
     std::function<void(const Wire::Suspects &suspects)> onSuspects;
     std::function<void(const Wire::ControlFrame &frame)> onEntryFrame; ///< configuration, plan, demand, revisions
 };
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -57,7 +57,9 @@
     StoreFollowerHooks hooks;
     std::array<FollowedTable, TableCount> tables;
     std::map<std::string, Watcher> watchers;
+    StoreWatchers watcherCount;
     bool watching = false;
+    bool wasFollowing = false; // a watcher elsewhere reached the store
     Timer firstWatch;
 
     Private(EventLoop &ownerLoop, StoreClient &storeClient, EventLog &eventLog, GatewayPeers &links, StoreFollowerSettings own, StoreFollowerHooks tell)
@@ -67,6 +69,7 @@
         , peers(links)
         , settings(std::move(own))
         , hooks(std::move(tell))
+        , watcherCount(settings.watchers)
     {
     }
     auto rankOf(const std::string &id) const -> std::uint64_t
@@ -111,7 +114,7 @@
     for (const auto &id : peers.live()) {
         ahead += rankOf(id) > rankOf(settings.id) ? 1 : 0;
     }
-    return ahead < settings.watchers;
+    return ahead < watcherCount.wanted(loop.now());
 }
 
 auto StoreFollower::Private::reachesStore() const -> bool
@@ -380,15 +383,17 @@
     d->passPending();
     d->pace();
     const auto first = d->firstTrusted();
-    if (!first) {
-        if (!d->watching) {
-            d->hooks.onTrouble();
-            d->startWatching("no-watcher");
-        }
-        return;
+    d->watcherCount.advance(first || d->reachesStore(), d->loop.now());
+    // Until the watcher that is back has passed its rows on, those known here may still be out of date.
+    if (!d->watching && (!first || !d->wasFollowing)) {
+        d->hooks.onTrouble();
     }
+    d->wasFollowing = first.has_value();
     if (d->isAmongFirst()) {
-        d->startWatching("ranks-first");
+        d->startWatching(first ? "ranks-first" : "no-watcher");
+        return;
+    }
+    if (!first) {
         return;
     }
     const auto &watcher = d->watchers.at(*first);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -2,8 +2,8 @@
 //
 // Every call to the store has its price, and a watch answers once for each change: watched by all gateways, the tables of a deployment with
 // 24 of them took 6,800 calls in 44 s, a tenth of what its requests are worth. So the gateways that rank first watch, the first of them
-// passes changes on at once, and the others of them only if it doesn't. A gateway that hears no watcher which reaches the store watches
-// by itself until it does; a checksum of each table in the digests shows whoever missed a change.
+// passes changes on at once, and the others of them only if it doesn't. While no watcher reaches the store, more gateways watch, up to a limit; one that
+// has no peers watches by itself. A checksum of each table in the digests shows whoever missed a change.
 //
 // Index of sections (search for [SECTION]):
 //   Hooks           what it tells
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "core/rowmirror.h"
+#include "core/storewatchers.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/storeclient.h"
 
@@ -31,7 +32,7 @@
 
 struct StoreFollowerSettings {
     std::string id; ///< of this gateway
-    int watchers = 3; ///< gateways that watch at once: two of them may lose the store in the same moment
+    StoreWatcherOptions watchers;
     Duration trustFor = Duration::millis(1000); ///< since a watcher's last digest
     Duration handOver = Duration::millis(1000); ///< a watcher must be there this long before an own watch ends
     Duration standInAfter = Duration::millis(300); ///< the first watcher's digest must show a change by then, or the next passes it on
--- /dev/null
+++ b/tests/unit_storewatchers.cpp
@@ -0,0 +1,80 @@
+#include "core/storewatchers.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr int Gateways = 103;
+
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(seconds);
+}
+
+/// Gateways in the order of their ranking, each with its own view; `reaches` says who can use the store.
+struct Fleet {
+    std::vector<StoreWatchers> watchers = std::vector<StoreWatchers>(Gateways);
+    std::vector<bool> reaches = std::vector<bool>(Gateways, true);
+
+    auto watching(TimePoint now) const -> int
+    {
+        int count = 0;
+        for (int rank = 0; rank < Gateways; ++rank) {
+            count += rank < watchers[static_cast<std::size_t>(rank)].wanted(now) ? 1 : 0;
+        }
+        return count;
+    }
+    auto isReached(TimePoint now) const -> bool
+    {
+        for (std::size_t rank = 0; rank < reaches.size(); ++rank) {
+            if (reaches[rank] && static_cast<int>(rank) < watchers[rank].wanted(now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+    auto advance(TimePoint now) -> void
+    {
+        const bool isReachedNow = isReached(now);
+        for (auto &one : watchers) {
+            one.advance(isReachedNow, now);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("store outage: a bounded number of gateways retries, whatever the size of the deployment")
+{
+    // All 103 gateways retried while the store was away: some hundred calls a second, each with its price, into a store that was coming back.
+    Fleet fleet;
+    fleet.advance(at(0));
+    CHECK(fleet.watching(at(0)) == StoreWatcherOptions().usual);
+    std::fill(fleet.reaches.begin(), fleet.reaches.end(), false);
+    for (int tick = 0; tick < 300; ++tick) {
+        fleet.advance(at(tick * 0.1));
+        REQUIRE(fleet.watching(at(tick * 0.1)) <= StoreWatcherOptions().most);
+    }
+    std::fill(fleet.reaches.begin(), fleet.reaches.end(), true);
+    fleet.advance(at(30));
+    CHECK(fleet.watching(at(30)) == StoreWatcherOptions().usual);
+}
+
+TEST_CASE("store refuses single hosts: another gateway reaches it within a second and a half")
+{
+    for (const std::size_t refused : {1U, 3U, 6U, 11U}) {
+        Fleet fleet;
+        fleet.advance(at(0));
+        std::fill_n(fleet.reaches.begin(), refused, false);
+        double now = 0.1;
+        for (; !fleet.isReached(at(now)) && now < 10; now += 0.1) {
+            fleet.advance(at(now));
+        }
+        CHECK(now <= 1.5);
+    }
+}
