copy plan: evict nothing for a silent model where not all models fit

Ruled out: the metered store (loads began at once), the limit of draining runners (not reached).

Change: where the slots don't suffice for all, a model without requests is loaded into free memory only. Its first request makes it a missing model.

--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -447,7 +447,8 @@
 /// The replicas that are missed least, as many as are needed; nothing if they don't free enough memory.
 auto Round::chooseEvictions(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
 {
-    if (m_models[comes].work <= 0 && !m_input.isDemandKnown) {
+    // Where not all fit, a model without requests waits for free memory: the next model evicted for it would come back the same way.
+    if (m_models[comes].work <= 0 && (!m_input.isDemandKnown || !m_allFit)) {
         return std::nullopt;
     }
     const auto &runner = m_runners[number];
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -822,6 +822,12 @@
     {
         return !plan(now, isDemandKnown).begun.empty();
     }
+    /// Moves of one round that evict for a model without requests.
+    auto silentIncoming(double now) -> int
+    {
+        const auto made = plan(now, true);
+        return static_cast<int>(std::count_if(made.begun.begin(), made.begun.end(), [&](const BegunMove &one) { return !m_work.contains(one.move.comes); }));
+    }
     /// Loads and moves that one round begins.
     auto changes(double now) -> std::size_t
     {
@@ -933,6 +939,30 @@
     }
 }
 
+TEST_CASE("where not all models fit, an evicted silent model evicts no other in turn")
+{
+    // Load pattern: 111 slots, 120 models; nine without a replica are asked for, a few others are busy, the rest silent. Each silent model that was
+    // evicted came back in the same round in place of a busy model's replica: twice the loads, and fewer replicas where the requests were.
+    ScarceFleet fleet(37, 120);
+    constexpr int Busy = 8;
+    constexpr int Missing = 9;
+    for (int model = 1; model <= Busy; ++model) {
+        fleet.work(model, 0.5);
+    }
+    for (int i = 0; i < Missing; ++i) {
+        fleet.work(120 - i, 0.2);
+    }
+    for (int step = 0; step < 20; ++step) {
+        CHECK(fleet.silentIncoming(100 + step * 0.1) == 0);
+    }
+    for (int model = 1; model <= Busy; ++model) {
+        CHECK(fleet.isHeld(model));
+    }
+    for (int i = 0; i < Missing; ++i) {
+        CHECK(fleet.isHeld(120 - i));
+    }
+}
+
 TEST_CASE("models that are asked for and don't all fit take turns")
 {
     // Load pattern: four runners of three slots, eighteen models with the same steady demand.
