--- a/src/core/cellload.cpp
+++ b/src/core/cellload.cpp
@@ -52,7 +52,7 @@
     known.work.read.clear();
     m_read.insert(m_read.end(), report.work.read.begin(), report.work.read.end());
     for (const auto &sent : report.prefill) {
-        m_prefill[sent.target] = m_prefill[sent.target] + sent.reading;
+        m_prefill[sent.target] = m_prefill[sent.target] + sent.prefill;
     }
 }
 
@@ -70,7 +70,7 @@
         sum.running += work.running;
         sum.tokens += work.tokens;
         for (std::size_t band = 0; band < UrgencyBands; ++band) {
-            sum.unread.at(band) = sum.unread.at(band) + work.unread.at(band);
+            sum.pendingPrefill.at(band) = sum.pendingPrefill.at(band) + work.pendingPrefill.at(band);
         }
         target.nextFailures = std::max(target.nextFailures, std::min(sum.failures, work.failures));
         sum.failures = std::max(sum.failures, work.failures);
@@ -133,7 +133,7 @@
     while (!m_reports.empty() && m_reports.front().sequence <= upTo) {
         const auto &report = m_reports.front();
         for (const auto &sent : report.prefill) {
-            ownPrefill[sent.target] = report.sequence > m_lastIncluded ? ownPrefill[sent.target] + sent.reading : ownPrefill[sent.target];
+            ownPrefill[sent.target] = report.sequence > m_lastIncluded ? ownPrefill[sent.target] + sent.prefill : ownPrefill[sent.target];
         }
         if (report.sequence == upTo) {
             break;
@@ -151,7 +151,7 @@
             work.running = std::max(work.running - own->second.running, 0);
             work.tokens = std::max<std::int64_t>(work.tokens - own->second.tokens, 0);
             for (std::size_t band = 0; band < UrgencyBands; ++band) {
-                work.unread.at(band) = std::max(work.unread.at(band) - own->second.unread.at(band), Duration());
+                work.pendingPrefill.at(band) = std::max(work.pendingPrefill.at(band) - own->second.pendingPrefill.at(band), Duration());
             }
             work.failures = own->second.failures + SameFailures >= work.failures ? target.nextFailures : work.failures;
             work.isEjected = target.ejections > (own->second.isEjected ? 1 : 0);
@@ -160,7 +160,7 @@
     }
     for (const auto &sent : cell.prefill) {
         const auto own = ownPrefill.find(sent.target);
-        const auto rest = own == ownPrefill.end() ? sent.reading : sent.reading - own->second;
+        const auto rest = own == ownPrefill.end() ? sent.prefill : sent.prefill - own->second;
         if (rest > Duration()) {
             others.prefill.push_back({sent.target, rest});
         }
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -6,7 +6,6 @@
 #include "core/dispatch.h"
 
 #include "core/hashing.h"
-#include "core/prefillqueue.h"
 
 #include <algorithm>
 #include <cmath>
@@ -42,9 +41,7 @@
 
 constexpr double MicrosPerMilli = 1000;
 constexpr double MillisPerSecond = 1000;
-constexpr double MostSlowness = 10;
-constexpr double SlownessHalfLife = 3; // seconds; a runner that crashed or was disturbed is well again after a few
-constexpr double SlownessRate = 0.15; // weight of one observation: some ten requests tell a slow target from an unlucky one
+constexpr auto MostBacklogToLearn = Duration::millis(5); // beyond, a first token says little of its own prompt
 
 auto fromMillis(double millis) -> Duration
 {
@@ -64,26 +61,7 @@
     std::int64_t tokens = 0; ///< of those, the memory they may take
     PrefillQueue reads; ///< own sends without a first token
     RecentPrefill recent; ///< of all entries, as far as they have reported
-    double slowness = 1; ///< observed over expected time to the first token
-    TimePoint slownessSeen; ///< the last observation
-
-    /// Without observations a target counts as sound again after some seconds: it gets a request, and is seen anew.
-    auto slownessAt(TimePoint now) const -> double
-    {
-        const double halves = std::max((now - slownessSeen).inSeconds(), 0.0) / SlownessHalfLife;
-        return 1 + (slowness - 1) * std::exp2(-halves);
-    }
-    auto observeSlowness(double ratio, TimePoint now) -> void
-    {
-        slowness = slownessAt(now) + (std::clamp(ratio, 1.0, MostSlowness) - slownessAt(now)) * SlownessRate;
-        slownessSeen = now;
-    }
-    double failures = 0;
-    TimePoint failuresAt;
-    int strikes = 0; ///< requests in a row that didn't get through
-    TimePoint ejectedUntil;
-    SendId trial; ///< the one that is tried after an ejection; 0: none
-    TimePoint succeededAt;
+    TargetHealth health;
 };
 
 /// One send without an end.
@@ -104,12 +82,6 @@
     bool hasFirst = false;
 };
 
-struct PeerLoad {
-    std::uint64_t sequence = 0;
-    TimePoint at;
-    std::map<TargetId, TargetWork> work;
-};
-
 struct Estimate {
     TargetId target;
     const TargetState *state = nullptr;
@@ -131,9 +103,8 @@
     std::unordered_map<std::uint64_t, Send> sends;
     SendId lastSend;
     std::map<std::pair<TargetId, std::string>, int> runningByModel; ///< own sends without an end, by target and model
-    std::map<EntryId, PeerLoad> peerLoads;
-    std::map<std::string, double> readMillis; ///< per token, by model
-    std::map<std::string, double> stepMillis; ///< to the first token of a prompt that is hardly to be read, by model
+    PeerLoads peerLoads;
+    PrefillPace pace;
     std::map<ServiceName, double> plainMillis;
     std::map<TargetId, double> newPrefill; ///< milliseconds, not reported yet
     RequestCost requestCost;
@@ -145,52 +116,21 @@
         const auto found = engines.find(service);
         return found == engines.end() ? nullptr : &found->second;
     }
-    auto millisPerToken(const std::string &model) const -> double
-    {
-        const auto found = readMillis.find(model);
-        return found == readMillis.end() ? options.millisPerToken : found->second;
-    }
-    auto firstStepOf(const std::string &model) const -> double
-    {
-        const auto found = stepMillis.find(model);
-        return found == stepMillis.end() ? toMillis(options.firstStep) : found->second;
-    }
     auto plainTime(const ServiceName &service) const -> double
     {
         const auto found = plainMillis.find(service);
         return found == plainMillis.end() ? toMillis(options.plainTime) : found->second;
     }
-    auto failuresOf(const TargetState &state, TimePoint now) const -> double
-    {
-        const double halves = (now - state.failuresAt).inSeconds() / options.forgetFailures.inSeconds();
-        return state.failures * std::exp2(-std::max(halves, 0.0));
-    }
-    auto addResult(TargetState &state, double failed, TimePoint now) const -> void
-    {
-        constexpr double Weight = 0.3; // three failures in a row bring a sound target over the bound
-        state.failures = failuresOf(state, now) * (1 - Weight) + failed * Weight;
-        state.failuresAt = now;
-    }
-    struct Others {
-        int running = 0;
-        BandMillis unread {};
-        std::int64_t tokens = 0;
-        double ageMillis = 0; ///< of what is known
-    };
-    auto others(const TargetId &target, TimePoint now) const -> Others;
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
-    auto estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto estimateRunner(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const -> void;
     auto stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double;
-    auto slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double;
-    auto estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const -> void;
+    auto slotWait(const TargetState &state, const PeerWork &rest, int slots, UrgencyBand band) const -> double;
+    auto estimatePlain(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const -> void;
     auto reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
-    auto strike(TargetState &state, TimePoint now) const -> void;
     auto isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool;
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
-    auto learnPrefill(const Send &send, double took) -> void;
     auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
     auto drawPlain(std::vector<Estimate> &estimates, TimePoint now) const -> void;
-    auto hasFreshReports(TimePoint now) const -> bool;
     auto addRankPenalty(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
 };
 
@@ -198,6 +138,8 @@
     : d(std::make_unique<Private>())
 {
     d->options = std::move(options);
+    d->peerLoads = PeerLoads(d->options.workLifetime);
+    d->pace = PrefillPace(d->options.pace);
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -220,7 +162,7 @@
 auto Dispatcher::running(const TargetId &target, TimePoint now) const -> int
 {
     const auto found = d->targets.find(target);
-    return (found == d->targets.end() ? 0 : found->second.running) + d->others(target, now).running;
+    return (found == d->targets.end() ? 0 : found->second.running) + d->peerLoads.work(target, now).running;
 }
 
 auto Dispatcher::ownRunning(const TargetId &target, const std::string &model) const -> int
@@ -244,7 +186,7 @@
 auto Dispatcher::failures(const TargetId &target, TimePoint now) const -> double
 {
     const auto found = d->targets.find(target);
-    return found == d->targets.end() ? 0 : d->failuresOf(found->second, now);
+    return found == d->targets.end() ? 0 : found->second.health.failures(now);
 }
 
 auto Dispatcher::isEjected(const TargetId &target, TimePoint now) const -> bool
@@ -268,7 +210,7 @@
     auto &state = d->targets[target.incarnation.id];
     if (state.description.incarnation != target.incarnation) {
         state = TargetState();
-        state.failuresAt = now;
+        state.health = TargetHealth(d->options.health, now);
         const auto *engine = d->engineOf(target.service);
         state.cache.setCapacity(engine == nullptr ? 0 : engine->kvTokens);
     }
@@ -291,82 +233,29 @@
 /// By own experience: until its time is over, and then until the one request that is tried has come through.
 auto Dispatcher::Private::isEjectedHere(const TargetState &state, TimePoint now) const -> bool
 {
-    return state.strikes > 0 && (now < state.ejectedUntil || sends.contains(state.trial.value()));
+    return state.health.isEjected(now) || (state.health.isOnTrial() && sends.contains(state.health.trial().value()));
 }
 
 /// Others' experience counts as long as there is none here that is newer: with many entries each would otherwise lose some requests to find out.
 auto Dispatcher::Private::isEjected(const TargetId &id, const TargetState &state, TimePoint now) const -> bool
 {
-    if (isEjectedHere(state, now)) {
-        return true;
-    }
-    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &report) {
-        const auto found = report.second.work.find(id);
-        const bool isFresh = now - report.second.at < options.workLifetime && report.second.at > state.succeededAt;
-        return isFresh && found != report.second.work.end() && found->second.isEjected;
-    });
+    return isEjectedHere(state, now) || peerLoads.isEjected(id, state.health.succeededAt(), now);
 }
 
 /// Own experience and that of others, whichever is worse: a target that answers with errors would otherwise cost every entry some requests.
 auto Dispatcher::Private::reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double
 {
-    double worst = failuresOf(state, now);
-    for (const auto &[entry, report] : peerLoads) {
-        const auto found = report.work.find(id);
-        if (found != report.work.end() && now - report.at < options.workLifetime) {
-            worst = std::max(worst, found->second.failures);
-        }
-    }
-    return worst;
-}
-
-auto Dispatcher::Private::strike(TargetState &state, TimePoint now) const -> void
-{
-    if (now < state.ejectedUntil) {
-        return; // sent before it was known
-    }
-    state.ejectedUntil = now + std::min(options.firstEjection * std::exp2(state.strikes), options.longestEjection);
-    ++state.strikes;
+    return std::max(state.health.failures(now), peerLoads.worstFailures(id, now));
 }
 
 // [SECTION] Choosing
 
-auto Dispatcher::Private::others(const TargetId &target, TimePoint now) const -> Others
-{
-    Others sum;
-    double age = 0;
-    int tellers = 0;
-    for (const auto &[entry, report] : peerLoads) {
-        const auto found = report.work.find(target);
-        if (found == report.work.end() || now - report.at > options.workLifetime) {
-            continue;
-        }
-        sum.running += found->second.running;
-        sum.tokens += found->second.tokens;
-        for (std::size_t band = 0; band < UrgencyBands; ++band) {
-            sum.unread.at(band) += toMillis(found->second.unread.at(band));
-        }
-        age += toMillis(now - report.at);
-        ++tellers;
-    }
-    // One engine reads for all of them: since their reports, it has read once as much as time has passed, not once for each.
-    sum.ageMillis = tellers > 0 ? age / tellers : 0;
-    double read = sum.ageMillis;
-    for (auto &unread : sum.unread) {
-        const double done = std::min(read, unread);
-        unread -= done;
-        read -= done;
-    }
-    return sum;
-}
-
-/// Until a place in a full runner's batch is free for a request of that band: streams end one after the other, and those that wait and are as urgent go first.
-/// Taken for a second whoever asks, every request to a full runner seemed late, went behind all others, and all were late.
-auto Dispatcher::Private::slotWait(const TargetState &state, const Others &rest, int slots, UrgencyBand band) const -> double
+/// Until a slot in a full runner's batch is free for a request of that band: streams end one after the other, and those that wait and are as urgent go first.
+auto Dispatcher::Private::slotWait(const TargetState &state, const PeerWork &rest, int slots, UrgencyBand band) const -> double
 {
     const double eachMillis = std::max(requestCost.readingSeconds() * MillisPerSecond, 1.0);
     const auto waiting = [&](UrgencyBand upToBand) {
-        return state.reads.waiting(upToBand) + upTo(rest.unread, upToBand) / eachMillis;
+        return state.reads.waiting(upToBand) + upTo(rest.pendingPrefill, upToBand) / eachMillis;
     };
     const double streams = state.running + rest.running - waiting(UrgencyBand::Patient);
     const double lacking = waiting(band) + 1 - std::max(slots - streams, 0.0);
@@ -379,15 +268,15 @@
     return std::max(state.recent.within(pauseGoal, now) + read - toMillis(pauseGoal) * options.prefillShare, 0.0);
 }
 
-auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
+auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const
     -> void
 {
     const auto *engine = engineOf(request.service);
-    made.othersRead = upTo(rest.unread, UrgencyBand::Patient) > 0;
+    made.othersRead = upTo(rest.pendingPrefill, UrgencyBand::Patient) > 0;
     made.unread = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
     const auto own = state.reads.byBand(now);
     const auto before = [&](UrgencyBand band) {
-        return upTo(own, band) + upTo(rest.unread, band);
+        return upTo(own, band) + upTo(rest.pendingPrefill, band);
     };
     double backlog = before(request.band);
     const double patient = before(UrgencyBand::Patient) - backlog;
@@ -400,10 +289,10 @@
     }
     backlog += slotWait(state, rest, slots, request.band);
     const double patientWait = slotWait(state, rest, slots, UrgencyBand::Patient) - slotWait(state, rest, slots, request.band);
-    const double perToken = millisPerToken(request.model) * state.slownessAt(now);
+    const double perToken = pace.millisPerToken(request.model) * state.health.slowness(now);
     const double read = made.unread * perToken;
     made.backlog = fromMillis(backlog);
-    made.first = made.backlog + fromMillis(read + firstStepOf(request.model));
+    made.first = made.backlog + fromMillis(read + pace.firstStepMillis(request.model));
     made.ifPatient = made.first + fromMillis(patient + patientWait);
     made.cost = backlog + read + stallOf(state, read, request.pauseGoal, now);
     if (request.promptTokens >= options.deepPrompt && made.unread >= options.deepPrompt / 2) {
@@ -411,10 +300,10 @@
     }
 }
 
-auto Dispatcher::Private::estimatePlain(const DispatchRequest &request, const TargetState &state, const Others &rest, Estimate &made, TimePoint now) const
+auto Dispatcher::Private::estimatePlain(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const
     -> void
 {
-    const double time = plainTime(request.service) * state.slownessAt(now);
+    const double time = plainTime(request.service) * state.health.slowness(now);
     const double slots = std::max(state.description.slots, 1);
     // Calls that others had under way when they reported have ended one after the other since.
     const double before = state.running + rest.running * std::exp(-rest.ageMillis / std::max(time, 1.0));
@@ -430,7 +319,7 @@
     Estimate made;
     made.target = id;
     made.state = &state;
-    const auto rest = others(id, now);
+    const auto rest = peerLoads.work(id, now);
     if (request.model.empty()) {
         estimatePlain(request, state, rest, made, now);
     } else {
@@ -458,7 +347,7 @@
         return rendezvousScore(subject, made.target.text());
     };
     const auto first = std::max_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return score(a) < score(b); });
-    const double perToken = millisPerToken(request.model);
+    const double perToken = pace.millisPerToken(request.model);
     const int sharedTokens = request.promptTokens - request.prompt.back().tokens;
     for (auto &made : estimates) {
         const int unreadShared = std::clamp(made.unread - request.prompt.back().tokens, 0, sharedTokens);
@@ -467,11 +356,6 @@
     }
 }
 
-auto Dispatcher::Private::hasFreshReports(TimePoint now) const -> bool
-{
-    return std::any_of(peerLoads.begin(), peerLoads.end(), [&](const auto &report) { return now - report.second.at < options.workLifetime; });
-}
-
 /// A plain request lasts for less than the age of what is known of the other entries' sends. If all chose the target that looked emptiest, they
 /// would fill it together and leave the others idle; among two drawn at random, the better one spreads their requests.
 auto Dispatcher::Private::drawPlain(std::vector<Estimate> &estimates, TimePoint now) const -> void
@@ -541,7 +425,7 @@
         return std::tuple(d->isEjected(made.target, *made.state, now), isFailing, made.cost);
     };
     choice.candidates = static_cast<int>(estimates.size());
-    if (request.model.empty() && d->hasFreshReports(now)) {
+    if (request.model.empty() && d->peerLoads.hasFresh(now)) {
         d->drawPlain(estimates, now);
     }
     const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return rank(a) < rank(b); });
@@ -575,17 +459,17 @@
     send.expectedFirst = made.first;
     send.backlog = made.backlog;
     send.prefillTokens = made.unread;
-    send.slowness = state.slownessAt(now);
+    send.slowness = state.health.slowness(now);
     send.band = request.band;
     send.tokens = request.promptTokens + request.outputTokens;
     send.ownTokens = request.prompt.empty() ? request.promptTokens : request.prompt.back().tokens;
-    if (state.strikes > 0 && !d->isEjectedHere(state, now)) {
-        state.trial = d->lastSend;
+    if (state.health.isOnTrial() && !d->isEjectedHere(state, now)) {
+        state.health.beginTrial(d->lastSend);
     }
     ++state.running;
     state.tokens += send.tokens;
     if (!request.model.empty()) {
-        send.readMillis = made.unread * d->millisPerToken(request.model) * state.slownessAt(now);
+        send.readMillis = made.unread * d->pace.millisPerToken(request.model) * state.health.slowness(now);
         state.reads.add(d->lastSend, send.band, send.readMillis, !made.othersRead, now);
         state.recent.add(send.readMillis, now);
         d->newPrefill[target] += send.readMillis;
@@ -620,50 +504,23 @@
     }
     auto &state = target->second;
     state.reads.remove(id, now);
-    state.strikes = 0;
-    state.succeededAt = now;
+    state.health.succeed(now);
     const auto took = toMillis(now - send.at);
     if (send.model.empty()) {
         return;
     }
-    d->learnPrefill(send, took);
-    constexpr double LeastExpected = 20; // milliseconds; below, chance outweighs
-    state.observeSlowness(took / std::max(toMillis(send.expectedFirst) / send.slowness, LeastExpected), now);
-}
-
-/// How long one token takes where nothing else is read, and a first step: what is seen is mostly more than that, so observations below count much more than
-/// those above. The step is learnt from short prompts, the reading from the others: with a step taken to be longer than it is, reading seemed half as long
-/// as it was, and runners were given more prompts at once than their streams could bear.
-auto Dispatcher::Private::learnPrefill(const Send &send, double took) -> void
-{
-    constexpr int LeastTokens = 400; // below, the step's time outweighs reading
-    constexpr int FewTokens = 200; // below, reading hardly counts
-    if (send.backlog > Duration::millis(5)) {
-        return;
-    }
-    constexpr double LeastPerToken = 0.002;
-    constexpr double MostPerToken = 0.2;
-    constexpr double RateDown = 0.2;
-    constexpr double RateUp = 0.01;
-    constexpr double LeastStep = 2; // milliseconds; a round trip within a region
-    if (send.prefillTokens < FewTokens) {
-        auto &step = stepMillis.try_emplace(send.model, toMillis(options.firstStep)).first->second;
-        const double seen = std::max(took - send.prefillTokens * millisPerToken(send.model), LeastStep);
-        step += (seen - step) * (seen < step ? RateDown : RateUp);
-    }
-    if (send.prefillTokens < LeastTokens) {
-        return;
+    if (send.backlog <= MostBacklogToLearn) {
+        d->pace.observe(send.model, send.prefillTokens, took);
     }
-    auto &perToken = readMillis.try_emplace(send.model, options.millisPerToken).first->second;
-    const double observed = std::clamp((took - firstStepOf(send.model)) / send.prefillTokens, LeastPerToken, MostPerToken);
-    perToken += (observed - perToken) * (observed < perToken ? RateDown : RateUp);
+    constexpr double LeastExpected = 20; // milliseconds; below, chance outweighs
+    state.health.observeSlowness(took / std::max(toMillis(send.expectedFirst) / send.slowness, LeastExpected), now);
 }
 
 auto Dispatcher::Private::observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void
 {
     const auto *engine = engineOf(state.description.service);
     SeenAnswer answer;
-    answer.reading = fromMillis(send.ownTokens * millisPerToken(send.model));
+    answer.reading = fromMillis(send.ownTokens * pace.millisPerToken(send.model));
     answer.streaming = now - send.firstAt;
     answer.bytes = bytes;
     answer.slots = engine == nullptr ? state.description.slots : engine->slots;
@@ -693,14 +550,13 @@
         state.reads.remove(id, now);
     }
     if (result == SendResult::Delivered) {
-        state.strikes = 0;
-        state.succeededAt = now;
+        state.health.succeed(now);
     }
     if (result == SendResult::NoEntry) {
-        d->strike(state, now);
+        state.health.strike(now);
     }
     if (result == SendResult::Delivered || result == SendResult::Failed || result == SendResult::NoEntry) {
-        d->addResult(state, result == SendResult::Delivered ? 0 : 1, now);
+        state.health.observe(result != SendResult::Delivered, now);
     }
     if (result == SendResult::Delivered && !send.model.empty() && send.hasFirst) {
         d->observeCost(send, state, bytes, now);
@@ -709,7 +565,7 @@
         auto &time = d->plainMillis.try_emplace(state.description.service, toMillis(d->options.plainTime)).first->second;
         const double took = toMillis(now - send.at);
         time += (std::min(took, time * 4) - time) * d->options.learnRate;
-        state.observeSlowness(took / std::max(time, 1.0), now);
+        state.health.observeSlowness(took / std::max(time, 1.0), now);
     }
 }
 
@@ -717,7 +573,7 @@
 {
     const auto found = d->targets.find(target);
     if (found != d->targets.end()) {
-        d->strike(found->second, now);
+        found->second.health.strike(now);
     }
 }
 
@@ -731,14 +587,14 @@
     digest.read = std::move(d->newlyRead);
     d->newlyRead.clear();
     for (const auto &[id, state] : d->targets) {
-        const double failures = d->failuresOf(state, now);
+        const double failures = state.health.failures(now);
         constexpr double WorthTelling = 0.05;
         // Passed on for a while after its time: who detected it also tries whether it is well again.
-        const bool isEjected = d->isEjectedHere(state, now) || (state.strikes > 0 && now < state.ejectedUntil + d->options.workLifetime);
+        const bool isEjected = d->isEjectedHere(state, now) || state.health.wasEjected(now, d->options.workLifetime);
         if (state.running > 0 || failures > WorthTelling || isEjected) {
             TargetWork work {id, state.running, {}, state.tokens, failures, isEjected};
             const auto unread = state.reads.byBand(now);
-            std::transform(unread.begin(), unread.end(), work.unread.begin(), fromMillis);
+            std::transform(unread.begin(), unread.end(), work.pendingPrefill.begin(), fromMillis);
             digest.work.push_back(work);
         }
     }
@@ -747,16 +603,9 @@
 
 auto Dispatcher::merge(const WorkDigest &digest, TimePoint now) -> void
 {
-    auto &report = d->peerLoads[digest.entry];
-    if (digest.sequence <= report.sequence) {
+    if (!d->peerLoads.merge(digest, now)) {
         return;
     }
-    report.sequence = digest.sequence;
-    report.at = now;
-    report.work.clear();
-    for (const auto &work : digest.work) {
-        report.work[work.target] = work;
-    }
     for (const auto &[target, chain] : digest.read) {
         const auto found = d->targets.find(target);
         if (found != d->targets.end()) {
@@ -780,14 +629,14 @@
     for (const auto &report : sent) {
         const auto found = d->targets.find(report.target);
         if (found != d->targets.end()) {
-            found->second.recent.add(toMillis(report.reading), now);
+            found->second.recent.add(toMillis(report.prefill), now);
         }
     }
 }
 
 auto Dispatcher::entryGone(const EntryId &entry) -> void
 {
-    d->peerLoads.erase(entry);
+    d->peerLoads.entryGone(entry);
 }
 
 } // namespace KingCup
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -12,14 +12,16 @@
 // Index of sections (search for [SECTION]):
 //   Requests    what is to be sent
 //   Choices     a target or a refusal
-//   Digests     what entries tell each other
 //   Options     constants
 //   Dispatcher  the state and the decision
 #pragma once
 
 #include "core/ids.h"
+#include "core/peerloads.h"
+#include "core/prefillpace.h"
 #include "core/promptcache.h"
 #include "core/requestcost.h"
+#include "core/targethealth.h"
 #include "core/targetinfo.h"
 #include "core/traffic.h"
 #include "core/units.h"
@@ -81,31 +83,6 @@
     Cancelled, ///< by the client: says nothing about health
 };
 
-// [SECTION] Digests
-
-/// One entry's work at one target.
-struct TargetWork {
-    TargetId target;
-    int running = 0; ///< sends without an end
-    std::array<Duration, UrgencyBands> unread; ///< prompts still to be read, by its own estimate; by band
-    std::int64_t tokens = 0; ///< memory that its running requests may take
-    double failures = 0; ///< 0 (none) to 1 (all of late)
-    bool isEjected = false; ///< requests don't get through to it
-};
-
-/// Prefill that one entry has sent to a target since its last report.
-struct SentPrefill {
-    TargetId target;
-    Duration reading;
-};
-
-struct WorkDigest {
-    EntryId entry;
-    std::uint64_t sequence = 0; ///< a lower one than the last is ignored
-    std::vector<TargetWork> work;
-    std::vector<std::pair<TargetId, PromptChain>> read; ///< prompt beginnings that its sends made targets read since the last digest
-};
-
 // [SECTION] Options
 
 struct DispatchOptions {
@@ -114,8 +91,7 @@
     std::function<bool(const Endpoint &address)> isConnected; ///< a kept connection could be used; none: not known
     /// Added to targets without one: some round trips, and a place of the few hundred that a target has.
     Duration newConnection = Duration::millis(5);
-    double millisPerToken = 0.03; ///< reading a prompt, until it was observed; engines of the sizes in use do 20 to 200 tokens a ms
-    Duration firstStep = Duration::millis(15); ///< of an engine, beside reading
+    PrefillPaceOptions pace;
     Duration plainTime = Duration::millis(60); ///< of a plain service's request, until it was observed
     /// Tokens. While a prompt as long is read anew, each step of its runner takes so long that half a second passes between two events of every
     /// stream there; where few run, few are stalled.
@@ -126,10 +102,8 @@
     std::uint64_t seed = 0; ///< of that draw; another one at each entry
     double learnRate = 0.1; ///< weight of one observation
     double unknownShare = 0.4; ///< how likely a prefix that nobody reported is cached at the runner that ranks first for it
-    Duration forgetFailures = Duration::seconds(2); ///< half of a target's failures is forgotten after this
+    TargetHealthOptions health;
     double failuresToAvoid = 0.5; ///< a target above this, and above the others, gets work only if nobody else can take it
-    Duration firstEjection = Duration::millis(1000); ///< after a request didn't get through; then one is tried
-    Duration longestEjection = Duration::millis(4000); ///< doubled up to this with each that fails again; a crashed target is back within some seconds
     Duration workLifetime = Duration::seconds(2); ///< a digest that is older no longer counts
 };
 
--- /dev/null
+++ b/src/core/targethealth.cpp
@@ -0,0 +1,94 @@
+#include "core/targethealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr double MostSlowness = 10;
+constexpr double SlownessHalfLife = 3; // seconds; a runner that crashed or was disturbed is well again after a few
+constexpr double SlownessRate = 0.15; // weight of one observation: some ten requests tell a slow target from an unlucky one
+constexpr double FailureRate = 0.3; // likewise; three failures in a row bring a sound target over the bound
+
+} // namespace
+
+TargetHealth::TargetHealth(TargetHealthOptions options, TimePoint now)
+    : m_options(options)
+    , m_failuresAt(now)
+{
+}
+
+auto TargetHealth::failures(TimePoint now) const -> double
+{
+    const double halves = (now - m_failuresAt).inSeconds() / m_options.failureHalfLife.inSeconds();
+    return m_failures * std::exp2(-std::max(halves, 0.0));
+}
+
+auto TargetHealth::slowness(TimePoint now) const -> double
+{
+    const double halves = std::max((now - m_slownessAt).inSeconds(), 0.0) / SlownessHalfLife;
+    return 1 + (m_slowness - 1) * std::exp2(-halves);
+}
+
+auto TargetHealth::isEjected(TimePoint now) const -> bool
+{
+    return m_strikes > 0 && now < m_ejectedUntil;
+}
+
+auto TargetHealth::wasEjected(TimePoint now, Duration ago) const -> bool
+{
+    return m_strikes > 0 && now < m_ejectedUntil + ago;
+}
+
+auto TargetHealth::isOnTrial() const -> bool
+{
+    return m_strikes > 0;
+}
+
+auto TargetHealth::trial() const -> SendId
+{
+    return m_trial;
+}
+
+auto TargetHealth::succeededAt() const -> TimePoint
+{
+    return m_succeededAt;
+}
+
+auto TargetHealth::observeSlowness(double ratio, TimePoint now) -> void
+{
+    m_slowness = slowness(now) + (std::clamp(ratio, 1.0, MostSlowness) - slowness(now)) * SlownessRate;
+    m_slownessAt = now;
+}
+
+auto TargetHealth::observe(bool isFailure, TimePoint now) -> void
+{
+    m_failures = failures(now) * (1 - FailureRate) + (isFailure ? FailureRate : 0);
+    m_failuresAt = now;
+}
+
+auto TargetHealth::strike(TimePoint now) -> void
+{
+    if (now < m_ejectedUntil) {
+        return; // sent before it was known
+    }
+    m_ejectedUntil = now + std::min(m_options.firstEjection * std::exp2(m_strikes), m_options.longestEjection);
+    ++m_strikes;
+}
+
+auto TargetHealth::succeed(TimePoint now) -> void
+{
+    m_strikes = 0;
+    m_succeededAt = now;
+}
+
+auto TargetHealth::beginTrial(SendId send) -> void
+{
+    m_trial = send;
+}
+
+} // namespace KingCup
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -28,7 +28,7 @@
 {
     columns.add_target(shortName(one.target));
     columns.add_running(static_cast<std::uint32_t>(one.running));
-    for (const auto &unread : one.unread) {
+    for (const auto &unread : one.pendingPrefill) {
         columns.add_unread_ms(static_cast<std::uint32_t>(unread.inMillis()));
     }
     columns.add_tokens(static_cast<std::uint32_t>(one.tokens / TokenUnit));
@@ -49,7 +49,7 @@
     one.target = target;
     one.running = static_cast<int>(work.running(row));
     for (int band = 0; band < Bands; ++band) {
-        one.unread.at(static_cast<std::size_t>(band)) = Duration::millis(work.unread_ms(row * Bands + band));
+        one.pendingPrefill.at(static_cast<std::size_t>(band)) = Duration::millis(work.unread_ms(row * Bands + band));
     }
     one.tokens = work.tokens(row) * TokenUnit;
     one.failures = work.failures(row) / Percent;
@@ -199,7 +199,7 @@
 {
     for (const auto &one : sent) {
         message.add_target(shortName(one.target));
-        message.add_tenths_ms(static_cast<std::uint32_t>(one.reading.inMicros() / MicrosPerTenth));
+        message.add_tenths_ms(static_cast<std::uint32_t>(one.prefill.inMicros() / MicrosPerTenth));
     }
 }
 
--- a/tests/unit_cellload.cpp
+++ b/tests/unit_cellload.cpp
@@ -23,7 +23,7 @@
     made.target = TargetId(target);
     made.running = running;
     made.tokens = std::int64_t {1000} * running;
-    made.unread.at(0) = Duration::millis(prefillMillis);
+    made.pendingPrefill.at(0) = Duration::millis(prefillMillis);
     return made;
 }
 
@@ -93,7 +93,7 @@
     REQUIRE(cell.targets.size() == 2);
     CHECK(cell.targets[0].sum.running == 7);
     CHECK(cell.targets[0].sum.tokens == 7000);
-    CHECK(cell.targets[0].sum.unread.at(0) == Duration::millis(30));
+    CHECK(cell.targets[0].sum.pendingPrefill.at(0) == Duration::millis(30));
     CHECK(cell.targets[1].sum.running == 1);
     CHECK(cell.reported.at(EntryId("a")) == 2);
     CHECK(cell.reported.at(EntryId("b")) == 7);
@@ -109,7 +109,7 @@
     REQUIRE(cell.targets.size() == 1);
     CHECK(cell.targets[0].sum.running == 3);
     REQUIRE(cell.prefill.size() == 1);
-    CHECK(cell.prefill[0].reading == Duration::millis(10));
+    CHECK(cell.prefill[0].prefill == Duration::millis(10));
 }
 
 TEST_CASE("a silent gateway's load leaves the sum")
@@ -150,9 +150,9 @@
     sum.merge(report("b", 1, {work("r1", 10, 30)}, 7), at(0));
     const auto others = own.othersOf(sum.take(at(0.1)));
     CHECK(find(others.work.work, "r1").running == 10);
-    CHECK(find(others.work.work, "r1").unread.at(0) == Duration::millis(30));
+    CHECK(find(others.work.work, "r1").pendingPrefill.at(0) == Duration::millis(30));
     REQUIRE(others.prefill.size() == 1);
-    CHECK(others.prefill[0].reading == Duration::millis(7));
+    CHECK(others.prefill[0].prefill == Duration::millis(7));
     CHECK(others.work.entry == EntryId("k"));
 
     // The same report is included again: its prefill was already taken off.
@@ -160,7 +160,7 @@
     const auto next = own.othersOf(sum.take(at(0.2)));
     CHECK(find(next.work.work, "r1").running == 10);
     REQUIRE(next.prefill.size() == 1);
-    CHECK(next.prefill[0].reading == Duration::millis(7));
+    CHECK(next.prefill[0].prefill == Duration::millis(7));
 }
 
 TEST_CASE("a gateway's own failures and ejections don't come back as another's")
@@ -194,7 +194,7 @@
     sum.merge(report("b", 1, {work("r1", 4)}, 3), at(0));
     const auto others = own.othersOf(sum.take(at(0.1)));
     CHECK(find(others.work.work, "r1").running == 4);
-    CHECK(others.prefill[0].reading == Duration::millis(3));
+    CHECK(others.prefill[0].prefill == Duration::millis(3));
 }
 
 TEST_CASE("a sum arrives as it was sent")
@@ -214,11 +214,11 @@
     REQUIRE(cell.targets.size() == 1);
     CHECK(cell.targets[0].sum.running == 7);
     CHECK(cell.targets[0].sum.tokens == 6400);
-    CHECK(cell.targets[0].sum.unread.at(0) == Duration::millis(40));
+    CHECK(cell.targets[0].sum.pendingPrefill.at(0) == Duration::millis(40));
     CHECK(cell.targets[0].sum.failures == Approx(0.5));
     CHECK(cell.targets[0].ejections == 1);
     REQUIRE(cell.prefill.size() == 1);
-    CHECK(cell.prefill[0].reading == Duration::millis(25));
+    CHECK(cell.prefill[0].prefill == Duration::millis(25));
     REQUIRE(cell.read.size() == 1);
     CHECK(cell.read[0].second.tokens == 500);
     CHECK(cell.reported == std::map<EntryId, std::uint64_t> {{EntryId("a#1"), 12}});
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -200,7 +200,7 @@
     TargetWork work;
     work.target = home;
     work.running = 10;
-    work.unread.fill(Duration::seconds(1));
+    work.pendingPrefill.fill(Duration::seconds(1));
     digest.work = {work};
     bench->merge(digest, at(1));
     REQUIRE(bench->choose(request(5), at(1.1)).target != home);
@@ -473,7 +473,7 @@
     const auto told = bench->takeSentPrefill();
     REQUIRE(told.size() == 1);
     REQUIRE(told.front().target == TargetId("r0"));
-    REQUIRE(told.front().reading > Duration::millis(5));
+    REQUIRE(told.front().prefill > Duration::millis(5));
     REQUIRE(bench->takeSentPrefill().empty());
 }
 
