gateway: move demand reports and the directory of targets into tasks of their own

Cause: gateway.cpp (830 lines) held the state of four subjects.

Change, no behaviour: gateway/demandexchange (requests by model, uses of adapters, pending requests, reported to the lease holder) and gateway/targetdirectory (rows, residency reports, leaving targets). The gateway connects them. Unit tests and system_gateway pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,11 +8,10 @@
 //   Settings  read again
 #include "gateway/gateway.h"
 
-#include "core/demand.h"
 #include "core/hashing.h"
-#include "core/targetview.h"
 #include "gateway/callerserver.h"
 #include "gateway/copyuse.h"
+#include "gateway/demandexchange.h"
 #include "gateway/digests.h"
 #include "gateway/forwarder.h"
 #include "gateway/gatewaypeers.h"
@@ -20,6 +19,7 @@
 #include "gateway/ordertask.h"
 #include "gateway/registration.h"
 #include "gateway/storefollower.h"
+#include "gateway/targetdirectory.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
 #include "net/httpstatus.h"
@@ -59,17 +59,10 @@
 /// however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
-/// An adapter that is asked for on a second runner is there within some tens of milliseconds, or has no slot for a while.
-constexpr auto ReportOverloadedPeriod = Duration::millis(300);
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
 constexpr auto TargetConnectTimeout = Duration::millis(150);
-constexpr auto DemandBucket = Duration::millis(500);
-/// Demand moves between models within four to nine seconds. What is no longer asked for must be noticed as soon: its copies take the slots of those that
-/// are. Nothing is lost by it, as a copy goes only when another model needs its place.
-constexpr double DemandRise = 0.4;
-constexpr double DemandFall = 0.3;
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
 constexpr std::uint32_t MostBreaksReported = 16;
 
@@ -82,12 +75,6 @@
 
 // [SECTION] Parts
 
-/// What the gateway that gives orders says that one start of a runner holds.
-struct ReportedResidency {
-    TargetIncarnation incarnation;
-    std::vector<HeldModel> models;
-};
-
 struct Gateway::Private {
     EventLoop &loop;
     DaemonSettings settings;
@@ -100,14 +87,14 @@
     HttpPool storePool;
     ReuseLimit reuse;
     Dispatcher dispatcher;
-    TargetView view;
-    DemandForecast demand;
     StoreClient store;
     TargetNames targetNames;
     std::unique_ptr<GatewayPeers> peers;
     std::unique_ptr<LoadExchange> loads;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
+    std::unique_ptr<DemandExchange> demand;
+    std::unique_ptr<TargetDirectory> targets;
     std::unique_ptr<Forwarder> forwarder;
     std::unique_ptr<CallerServer> callers;
     std::unique_ptr<CallerServer> readyPage;
@@ -122,12 +109,6 @@
     Timer prefillTimer;
     std::uint64_t digests = 0;
     TimePoint digestSentAt;
-    std::map<std::string, std::pair<TargetId, std::string>> adapterUses; ///< since the last digest
-    std::map<std::string, int> askedFor; ///< requests by model since the last report to the lease holder; also those that found no copy
-    std::map<std::string, TimePoint> overloadedReported; ///< by "MODEL/ADAPTER"
-    std::map<TargetIncarnation, TimePoint> leavingAnnounced; ///< targets that leave or left, announced for a while
-    std::map<TargetId, ReportedResidency> residencies;
-    Fence announcedFence; ///< of the lease holder that last received the pending requests
     Timer leaveCheck;
     TimePoint leavingSince;
     bool isLeaving = false;
@@ -144,13 +125,13 @@
         , dispatcher({.zone = settings.process.zone,
                       .isConnected = [this](const Endpoint &address) { return targetPool.hasIdle(address, reuse.limit(loop.now())); },
                       .seed = incarnation ^ stableHash(settings.process.id)})
-        , demand({.bucket = DemandBucket, .rise = DemandRise, .fall = DemandFall})
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
     }
     auto build() -> void;
     auto buildPeers() -> void;
     auto buildOrders() -> void;
+    auto buildTargets() -> void;
     auto buildForwarder() -> void;
     auto buildPages() -> void;
     auto buildStore() -> void;
@@ -158,13 +139,7 @@
     auto onTrouble() -> void;
     auto adoptRows(const std::vector<StoredRow> &rows) -> void;
     auto adoptTraffic(const std::string &document) -> void;
-    auto doubtMassLoss(const std::vector<StoredRow> &rows) -> void;
-    auto onTargetRows(const std::vector<StoredRow> &rows) -> void;
-    auto apply(const TargetChanges &changes) -> void;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
-    auto onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
-    auto sendLoadRequest(const MissingArtifact &wanted, bool another) -> void;
-    auto onOverloaded(const MissingArtifact &adapter) -> void;
     auto onResidency(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     /// This start of this process, as digests and the order lease name it.
@@ -172,14 +147,11 @@
     {
         return HolderName(settings.process.id + "#" + std::to_string(incarnation));
     }
-    auto holderId() const -> std::string;
     auto everyPeriod() -> void;
     auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
     auto publishLoad() -> void;
     auto publishPrefillSoon() -> void;
-    auto sendDemand() -> void;
-    auto onDemand(const Wire::GatewayDemand &message) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onResidencyReport(const Wire::Holding &holding) -> void;
@@ -196,6 +168,7 @@
 {
     buildPeers();
     buildOrders();
+    buildTargets();
     buildForwarder();
     buildPages();
     buildStore();
@@ -210,7 +183,7 @@
         return dispatcher.ownRunning(copy.first, copy.second);
     };
     useHooks.sendToHolder = [this](const Wire::ControlFrame &frame) {
-        peers->send(holderId(), frame);
+        peers->send(demand->holderId(), frame);
     };
     copyUse = std::make_unique<CopyUse>(std::move(useHooks));
     OrderTaskHooks hooks;
@@ -246,6 +219,23 @@
     orderSettings.loadWindow = Duration::seconds(settings.gateway.loadWindowSeconds);
     orderSettings.loadOvershoot = settings.gateway.loadOvershoot;
     orders = std::make_unique<OrderTask>(OrderTaskParts {loop, protocol, targetPool, store, metrics, log}, orderSettings, std::move(hooks));
+    demand = std::make_unique<DemandExchange>(DemandExchangeParts {loop, log, *peers, *orders});
+}
+
+auto Gateway::Private::buildTargets() -> void
+{
+    TargetDirectoryHooks hooks;
+    hooks.onSeen = [this](const TargetDescription &target) {
+        orders->targetSeen(target);
+    };
+    hooks.onGone = [this](const TargetId &target) {
+        copyUse->targetGone(target);
+        orders->targetGone(target);
+    };
+    hooks.givesOrders = [this] {
+        return orders->mayOrder();
+    };
+    targets = std::make_unique<TargetDirectory>(TargetDirectoryParts {loop, log, protocol, targetPool, dispatcher, targetNames}, std::move(hooks));
 }
 
 // [SECTION] Store
@@ -253,7 +243,7 @@
 auto Gateway::Private::onTrouble() -> void
 {
     storeLostAt = loop.now();
-    view.trouble(loop.now());
+    targets->storeLost();
 }
 
 auto Gateway::Private::buildStore() -> void
@@ -305,7 +295,8 @@
         adoptRows(rows);
         break;
     case StoreTable::Targets:
-        onTargetRows(rows);
+        targets->takeRows(rows);
+        forwarder->pump();
         break;
     case StoreTable::Entries:
         registration->take(rows);
@@ -348,66 +339,6 @@
     forwarder->adopt(traffic);
 }
 
-auto Gateway::Private::doubtMassLoss(const std::vector<StoredRow> &rows) -> void
-{
-    const auto isKnown = [this](const StoredRow &row) {
-        return row.isRemoved && view.find(TargetId(row.key)) != nullptr;
-    };
-    const auto going = std::count_if(rows.begin(), rows.end(), isKnown);
-    if (view.rowsGo(static_cast<std::size_t>(going), loop.now())) {
-        log.line("targets", "mass-loss-doubted").add("removed", std::int64_t {going}).add("known", static_cast<std::uint64_t>(view.targets().size()));
-    }
-}
-
-auto Gateway::Private::onTargetRows(const std::vector<StoredRow> &rows) -> void
-{
-    doubtMassLoss(rows);
-    for (const auto &row : rows) {
-        const auto target = row.isRemoved ? std::nullopt : protocol.decodeTarget(row.key, row.value);
-        if (target) {
-            apply(view.row(*target, loop.now()));
-            continue;
-        }
-        log.line("targets", row.isRemoved ? "row-removed" : "row-unreadable").add("target", row.key).add("version", row.version.value());
-        apply(view.rowGone(TargetId(row.key), loop.now()));
-    }
-    forwarder->pump();
-}
-
-auto Gateway::Private::apply(const TargetChanges &changes) -> void
-{
-    for (const auto &target : changes.seen) {
-        log.line("targets", target.isLeaving ? "leaving" : "seen")
-            .add("target", target.incarnation.id.text())
-            .add("born", target.incarnation.bornMillis)
-            .add("service", target.service.text())
-            .add("address", toString(target.address))
-            .add("models", static_cast<int>(target.models.size()));
-        dispatcher.targetSeen(target, loop.now());
-        targetNames.add(target.incarnation.id);
-        orders->targetSeen(target);
-        const auto reported = residencies.find(target.incarnation.id);
-        if (!orders->mayOrder() && reported != residencies.end() && reported->second.incarnation == target.incarnation) {
-            dispatcher.targetHolds(target.incarnation.id, reported->second.models); // newer than the row as long as somebody gives orders
-        }
-        if (target.isLeaving) {
-            leavingAnnounced.try_emplace(target.incarnation, loop.now());
-        }
-    }
-    for (const auto &target : changes.gone) {
-        log.line("targets", "gone").add("target", target.text()).add("settled", view.isSettled(loop.now()));
-        if (const auto *about = dispatcher.description(target)) {
-            targetPool.closeIdle(about->address);
-            leavingAnnounced.try_emplace(about->incarnation, loop.now());
-        }
-        residencies.erase(target);
-        copyUse->targetGone(target);
-        dispatcher.targetGone(target);
-        targetNames.remove(target);
-        orders->targetGone(target);
-    }
-}
-
 // [SECTION] Requests
 
 auto Gateway::Private::buildForwarder() -> void
@@ -417,17 +348,17 @@
         return follower->isCurrent() || loop.now() - storeLostAt < CurrentWithin;
     };
     hooks.onMissing = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
-        onMissing(service, model, adapter);
+        demand->missing({service, model, adapter});
     };
     hooks.onOverloaded = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
-        onOverloaded({service, model, adapter});
+        demand->overloaded({service, model, adapter});
     };
     hooks.onMisdirected = [this](const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) {
         onMisdirected(target, found, model, adapter);
     };
     hooks.onRequest = [this](const DispatchRequest &request) {
         if (!request.model.empty()) {
-            ++askedFor[request.model];
+            demand->modelAsked(request.model);
         }
     };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send) {
@@ -438,8 +369,7 @@
             publishPrefillSoon();
         }
         if (!request.adapter.empty()) {
-            orders->adapterUsed(target, request.model, request.adapter);
-            adapterUses[target.text() + "/" + request.model + "/" + request.adapter] = {target, request.model + "/" + request.adapter};
+            demand->adapterUsed(target, request.model, request.adapter);
         }
     };
     hooks.onCrashRepeat = [this](std::uint64_t fingerprint, int breaks) {
@@ -456,54 +386,11 @@
     applyRetryBudget();
 }
 
-auto Gateway::Private::onMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
-{
-    if (orders->mayOrder()) {
-        orders->wanted(service, model, adapter);
-        return;
-    }
-    orders->remember(service, model, adapter);
-    sendLoadRequest({service, model, adapter}, false);
-}
-
-/// To the gateway that gives orders.
-auto Gateway::Private::sendLoadRequest(const MissingArtifact &wanted, bool another) -> void
-{
-    Wire::ControlFrame frame;
-    auto *message = frame.mutable_wanted();
-    message->set_service(wanted.service.text());
-    message->set_model(wanted.model);
-    message->set_adapter(wanted.adapter);
-    message->set_another(another);
-    peers->send(holderId(), frame);
-}
-
-auto Gateway::Private::onOverloaded(const MissingArtifact &adapter) -> void
-{
-    auto &reportedAt = overloadedReported[adapter.model + "/" + adapter.adapter];
-    if (loop.now() - reportedAt < ReportOverloadedPeriod) {
-        return;
-    }
-    reportedAt = loop.now();
-    log.line("routing", "adapter-overloaded").add("model", adapter.model).add("adapter", adapter.adapter);
-    if (orders->mayOrder()) {
-        orders->overloaded(adapter.service, adapter.model, adapter.adapter);
-        return;
-    }
-    sendLoadRequest(adapter, true);
-}
-
-/// The gateway that gives orders, as far as known.
-auto Gateway::Private::holderId() const -> std::string
-{
-    return hostOf(orders->lease().holder());
-}
-
 auto Gateway::Private::onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void
 {
     log.line("targets", "misdirected").add("target", target.text()).add("found", found.text()).add("model", model).add("adapter", adapter);
     if (!found.isEmpty() && found != target) {
-        apply(view.misdirected(target));
+        targets->misdirected(target);
         return;
     }
     const auto *about = dispatcher.description(target);
@@ -520,7 +407,7 @@
         std::erase_if(models, [&](const HeldModel &held) { return held.name == model; });
     }
     dispatcher.targetHolds(target, models);
-    onMissing(about->service, model, adapter);
+    demand->missing({about->service, model, adapter});
 }
 
 auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
@@ -529,11 +416,7 @@
     if (!traffic || found == traffic->services.end() || !found->second.engine) {
         return {};
     }
-    Duration loadTime;
-    for (const auto &model : found->second.engine->models()) {
-        loadTime = std::max(loadTime, model.loadTime);
-    }
-    return modelWork(demand.forecast(loop.now(), Duration()), demand.forecast(loop.now(), loadTime), dispatcher.requestCost());
+    return demand->work(*found->second.engine, dispatcher.requestCost());
 }
 
 // [SECTION] Peers
@@ -581,24 +464,18 @@
 auto Gateway::Private::onResidencyReport(const Wire::Holding &holding) -> void
 {
     const TargetId target(holding.target());
-    const auto *about = dispatcher.description(target);
-    if (about == nullptr || about->incarnation.bornMillis != holding.born_ms() || orders->mayOrder()) {
+    const auto models = modelsOf(holding);
+    if (orders->mayOrder() || !targets->reportedResidency(target, holding.born_ms(), models)) {
         return;
     }
-    auto &reported = residencies[target];
-    reported = {about->incarnation, modelsOf(holding)};
-    dispatcher.targetHolds(target, reported.models);
-    copyUse->held(target, reported.models);
+    copyUse->held(target, models);
     forwarder->pump();
 }
 
 auto Gateway::Private::everyPeriod() -> void
 {
     follower->advance();
-    demand.advance(loop.now());
-    apply(view.advance(loop.now()));
-    std::erase_if(overloadedReported, [&](const auto &one) { return loop.now() - one.second > ReportOverloadedPeriod; });
-    std::erase_if(leavingAnnounced, [&](const auto &one) { return loop.now() - one.second > Duration::seconds(5); });
+    targets->advance();
     if (isDigestDue()) {
         sendDigest();
     }
@@ -606,7 +483,7 @@
     if (!orders->mayOrder()) {
         copyUse->tell();
     }
-    sendDemand();
+    demand->advance();
 }
 
 /// All others depend on the digests of the lease holder and of the store's watchers, and miss them soon.
@@ -628,11 +505,7 @@
         digest->mutable_work(); // without rows: nothing under way
         writeWork(dispatcher.takeDigest(EntryId(settings.process.id), loop.now()), *digest);
     }
-    for (const auto &[target, at] : leavingAnnounced) {
-        auto *added = digest->add_leaving();
-        added->set_target(target.id.text());
-        added->set_born_ms(target.bornMillis);
-    }
+    targets->writeLeaving(*digest);
     auto &lease = orders->lease();
     if (orders->mayOrder()) {
         digest->set_lease_fence(lease.fence().value());
@@ -669,64 +542,14 @@
     });
 }
 
-/// Only the gateway that gives orders needs it. Sent to all, the names of models would be the larger part of the traffic between gateways.
-auto Gateway::Private::sendDemand() -> void
-{
-    Wire::ControlFrame frame;
-    auto *message = frame.mutable_gateway_demand();
-    const bool isHolder = orders->mayOrder();
-    for (const auto &[model, requests] : askedFor) {
-        if (isHolder) {
-            demand.arrived(ArtifactName(model), loop.now(), requests);
-            orders->modelAsked(model);
-            continue;
-        }
-        auto *added = message->add_asked();
-        added->set_model(model);
-        added->set_requests(static_cast<std::uint32_t>(requests));
-    }
-    for (const auto &[key, use] : adapterUses) {
-        auto *added = message->add_uses();
-        added->set_target(use.first.text());
-        added->set_adapter(use.second);
-    }
-    if (!isHolder && (message->asked_size() > 0 || message->uses_size() > 0)) {
-        peers->send(holderId(), frame);
-    }
-    askedFor.clear();
-    adapterUses.clear();
-}
-
-auto Gateway::Private::onDemand(const Wire::GatewayDemand &message) -> void
-{
-    for (const auto &asked : message.asked()) {
-        demand.arrived(ArtifactName(asked.model()), loop.now(), asked.requests());
-        orders->modelAsked(asked.model());
-    }
-    for (const auto &use : message.uses()) {
-        const auto slash = use.adapter().find('/');
-        orders->adapterUsed(TargetId(use.target()), use.adapter().substr(0, slash), use.adapter().substr(slash + 1));
-    }
-}
-
 auto Gateway::Private::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_gateway()) {
         onDigest(id, frame.gateway());
     } else if (frame.has_wanted()) {
-        const auto &wanted = frame.wanted();
-        const ServiceName service(wanted.service());
-        if (!orders->mayOrder()) {
-            // Its name stands in the lease's row before it may give orders, and others send to whom they read there: dropped, the first requests
-            // after a start were refused.
-            orders->remember(service, wanted.model(), wanted.adapter());
-        } else if (wanted.another()) {
-            orders->overloaded(service, wanted.model(), wanted.adapter());
-        } else {
-            orders->wanted(service, wanted.model(), wanted.adapter());
-        }
+        demand->onWanted(frame.wanted());
     } else if (frame.has_gateway_demand()) {
-        onDemand(frame.gateway_demand());
+        demand->onDemand(frame.gateway_demand());
     } else if (frame.has_sent_prefill()) {
         dispatcher.merge(prefillOf(frame.sent_prefill(), targetNames), loop.now());
     } else if (frame.has_gateway_load()) {
@@ -754,19 +577,13 @@
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
         lease.holderAnnounced(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
-        // By its fence, not by its name: that stands in the lease's row before it may give orders.
-        if (fence != announcedFence) {
-            announcedFence = fence;
-            for (const auto &missing : orders->remembered()) {
-                sendLoadRequest(missing, false);
-            }
-        }
+        demand->holderAnnounced(fence);
     }
     if (HolderName(digest.heard_holder()) == selfName()) {
         lease.peerHears(EntryId(id), digest.heard_sequence(), loop.now());
     }
     for (const auto &target : digest.leaving()) {
-        apply(view.saidLeaving({TargetId(target.target()), target.born_ms()}, loop.now()));
+        targets->reportedLeaving({TargetId(target.target()), target.born_ms()});
     }
     follower->onDigest(id, digest);
 }
--- /dev/null
+++ b/src/gateway/targetdirectory.cpp
@@ -0,0 +1,132 @@
+#include "gateway/targetdirectory.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+constexpr auto AnnounceLeavingFor = Duration::seconds(5);
+
+} // namespace
+
+TargetDirectory::TargetDirectory(TargetDirectoryParts parts, TargetDirectoryHooks hooks)
+    : m_parts(parts)
+    , m_hooks(std::move(hooks))
+{
+}
+
+auto TargetDirectory::writeLeaving(Wire::GatewayDigest &digest) const -> void
+{
+    for (const auto &[target, at] : m_leaving) {
+        auto *added = digest.add_leaving();
+        added->set_target(target.id.text());
+        added->set_born_ms(target.bornMillis);
+    }
+}
+
+auto TargetDirectory::takeRows(const std::vector<StoredRow> &rows) -> void
+{
+    doubtMassLoss(rows);
+    for (const auto &row : rows) {
+        const auto target = row.isRemoved ? std::nullopt : m_parts.protocol.decodeTarget(row.key, row.value);
+        if (target) {
+            apply(m_view.row(*target, m_parts.loop.now()));
+            continue;
+        }
+        m_parts.log.line("targets", row.isRemoved ? "row-removed" : "row-unreadable").add("target", row.key).add("version", row.version.value());
+        apply(m_view.rowGone(TargetId(row.key), m_parts.loop.now()));
+    }
+}
+
+auto TargetDirectory::doubtMassLoss(const std::vector<StoredRow> &rows) -> void
+{
+    const auto isKnown = [this](const StoredRow &row) {
+        return row.isRemoved && m_view.find(TargetId(row.key)) != nullptr;
+    };
+    const auto going = std::count_if(rows.begin(), rows.end(), isKnown);
+    if (m_view.rowsGo(static_cast<std::size_t>(going), m_parts.loop.now())) {
+        m_parts.log.line("targets", "mass-loss-doubted").add("removed", std::int64_t {going}).add("known", static_cast<std::uint64_t>(m_view.targets().size()));
+    }
+}
+
+auto TargetDirectory::storeLost() -> void
+{
+    m_view.trouble(m_parts.loop.now());
+}
+
+auto TargetDirectory::reportedLeaving(const TargetIncarnation &target) -> void
+{
+    apply(m_view.saidLeaving(target, m_parts.loop.now()));
+}
+
+auto TargetDirectory::misdirected(const TargetId &target) -> void
+{
+    apply(m_view.misdirected(target));
+}
+
+auto TargetDirectory::reportedResidency(const TargetId &target, std::uint64_t bornMillis, const std::vector<HeldModel> &models) -> bool
+{
+    const auto *about = m_parts.dispatcher.description(target);
+    if (about == nullptr || about->incarnation.bornMillis != bornMillis) {
+        return false;
+    }
+    m_residencies[target] = {about->incarnation, models};
+    m_parts.dispatcher.targetHolds(target, models);
+    return true;
+}
+
+auto TargetDirectory::advance() -> void
+{
+    const auto now = m_parts.loop.now();
+    apply(m_view.advance(now));
+    std::erase_if(m_leaving, [&](const auto &one) { return now - one.second > AnnounceLeavingFor; });
+}
+
+auto TargetDirectory::apply(const TargetChanges &changes) -> void
+{
+    for (const auto &target : changes.seen) {
+        onSeen(target);
+    }
+    for (const auto &target : changes.gone) {
+        onGone(target);
+    }
+}
+
+auto TargetDirectory::onSeen(const TargetDescription &target) -> void
+{
+    const auto &id = target.incarnation.id;
+    m_parts.log.line("targets", target.isLeaving ? "leaving" : "seen")
+        .add("target", id.text())
+        .add("born", target.incarnation.bornMillis)
+        .add("service", target.service.text())
+        .add("address", toString(target.address))
+        .add("models", static_cast<int>(target.models.size()));
+    m_parts.dispatcher.targetSeen(target, m_parts.loop.now());
+    m_parts.names.add(id);
+    m_hooks.onSeen(target);
+    const auto reported = m_residencies.find(id);
+    if (!m_hooks.givesOrders() && reported != m_residencies.end() && reported->second.incarnation == target.incarnation) {
+        m_parts.dispatcher.targetHolds(id, reported->second.models); // newer than the row as long as somebody gives orders
+    }
+    if (target.isLeaving) {
+        m_leaving.try_emplace(target.incarnation, m_parts.loop.now());
+    }
+}
+
+auto TargetDirectory::onGone(const TargetId &target) -> void
+{
+    m_parts.log.line("targets", "gone").add("target", target.text()).add("settled", m_view.isSettled(m_parts.loop.now()));
+    if (const auto *about = m_parts.dispatcher.description(target)) {
+        m_parts.pool.closeIdle(about->address);
+        m_leaving.try_emplace(about->incarnation, m_parts.loop.now());
+    }
+    m_residencies.erase(target);
+    m_parts.dispatcher.targetGone(target);
+    m_parts.names.remove(target);
+    m_hooks.onGone(target);
+}
+
+} // namespace KingCup
