--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -9,7 +9,8 @@
 //   Task      the public face
 #include "gateway/ordertask.h"
 
-#include "gateway/pooledcall.h"
+#include "core/demandhistory.h"
+#include "gateway/runnercalls.h"
 #include "net/httpstatus.h"
 
 #include <algorithm>
@@ -40,12 +41,6 @@
 /// Requests of one moment are served together; much shorter than the loading of an adapter.
 constexpr auto PendingDelay = Duration::millis(1);
 
-/// A call to a runner whose whole answer is wanted.
-struct RunnerCall : CollectedAnswer {
-    std::shared_ptr<PooledHandle> handle;
-    Timer timer;
-};
-
 auto textOf(const std::vector<HeldModel> &models) -> std::string
 {
     std::string text;
@@ -98,15 +93,14 @@
     OrderTaskSettings settings;
     OrderTaskHooks hooks;
     OrderLease lease;
+    RunnerCalls calls;
     std::map<ServiceName, EngineDeclaration> engines;
     std::map<ServiceName, LoadMeter> meters;
     std::map<TargetId, RunnerBook> books;
     std::map<AdapterRequestKey, AdapterRequest> pending;
     std::map<TargetId, CopyMove> moves; ///< under way
     AdapterUses uses;
-    std::map<std::string, TimePoint> lastAsked; ///< by model, within this tenure
-    std::map<ServiceName, std::map<std::string, TimePoint>> missingSince; ///< by model, since when it is asked for without a copy
-    std::optional<TimePoint> firstAskedAt; ///< within this tenure
+    DemandHistory asked;
     std::map<ServiceName, CopyPlanInput> inputs; ///< of this moment; what they point to lives in `books` and `engines`
     TimePoint inputsAt;
     Timer pendingTimer;
@@ -123,6 +117,8 @@
         , settings(std::move(taskSettings))
         , hooks(std::move(taskHooks))
         , lease(settings.self, settings.lease, parts.loop.now())
+        , calls(parts.loop, parts.pool, settings.answerTimeout)
+        , asked(settings.demandKnownAfter)
         , startedAt(parts.loop.now())
         , newTargetAt(startedAt)
     {
@@ -152,10 +148,6 @@
     auto servePending() -> void;
     auto holdersOf(const AdapterRequestKey &key) const -> int;
     auto serveAdapterRequest(const AdapterRequestKey &key, AdapterRequest &request) -> bool;
-    auto isDemandKnown() const -> bool
-    {
-        return firstAskedAt && now() - *firstAskedAt >= settings.demandKnownAfter;
-    }
     auto noteMissing(const ServiceName &service, const CopyPlanInput &made) -> void;
     auto addAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void;
     auto input(const ServiceName &service) -> const CopyPlanInput &;
@@ -165,7 +157,6 @@
     auto expectedTime(const ServiceName &service, const PlannedOrder &planned) const -> Duration;
     auto publishResidency(const RunnerBook &book) -> void;
     auto find(const TargetIncarnation &target) -> RunnerBook *;
-    auto call(const Endpoint &server, CallText text, const std::function<void(int status, const std::string &body)> &done) -> void;
 };
 
 auto OrderTask::Private::find(const TargetIncarnation &target) -> RunnerBook *
@@ -189,25 +180,6 @@
     hooks.onResidency(residencyOf(book));
 }
 
-/// `done` gets status 0 if there was no whole answer in time.
-auto OrderTask::Private::call(const Endpoint &server, CallText text, const std::function<void(int status, const std::string &body)> &done) -> void
-{
-    auto state = std::make_shared<RunnerCall>();
-    auto pooled = collectingCall(server, std::move(text), state);
-    pooled.onEnd = [state, done](const PooledEnd &end) {
-        state->timer.cancel();
-        state->handle = nullptr;
-        done(end.end == CallEnd::Complete ? state->status : 0, state->body);
-    };
-    state->timer = parts.loop.after(settings.answerTimeout, [state, done] {
-        if (const auto handle = std::exchange(state->handle, nullptr)) {
-            handle->cancel();
-        }
-        done(0, "");
-    });
-    state->handle = parts.pool.start(std::move(pooled));
-}
-
 // [SECTION] Lease
 
 auto OrderTask::Private::onTick() -> void
@@ -274,9 +246,7 @@
         for (auto &[id, book] : books) {
             book.takenOver(now());
         }
-        lastAsked.clear();
-        missingSince.clear();
-        firstAskedAt.reset();
+        asked.restart();
         for (auto &[service, meter] : meters) {
             meter.takenOver(now());
         }
@@ -306,18 +276,18 @@
 {
     book.reportAsked(now());
     const auto incarnation = book.description().incarnation;
-    call(book.description().address, parts.protocol.reportCall, [this, incarnation](int status, const std::string &body) {
-        auto *asked = find(incarnation);
-        if (asked == nullptr) {
+    calls.start(book.description().address, parts.protocol.reportCall, [this, incarnation](int status, const std::string &body) {
+        auto *runner = find(incarnation);
+        if (runner == nullptr) {
             return;
         }
         const auto report = status == HttpStatus::Ok ? parts.protocol.decodeReport(body) : std::nullopt;
         if (!report) {
             parts.log.line("orders", "no-report").add("target", incarnation.id.text()).add("status", status);
-            asked->reportFailed(now());
+            runner->reportFailed(now());
             return;
         }
-        asked->reported(*report, now());
+        runner->reported(*report, now());
         parts.log.line("orders", "report")
             .add("target", incarnation.id.text())
             .add("orders", report->ordersTaken)
@@ -327,7 +297,7 @@
             .add("kv", report->kvUsed)
             .add("holds", textOf(report->models))
             .add("under-way", static_cast<int>(report->adaptersUnderWay.size()));
-        publishResidency(*asked);
+        publishResidency(*runner);
         servePendingSoon();
     });
 }
@@ -378,9 +348,9 @@
     input(service);
     auto &made = inputs.at(service);
     noteMissing(service, made);
-    made.missingSince = missingSince[service];
-    made.lastAsked = lastAsked;
-    made.isDemandKnown = isDemandKnown();
+    made.missingSince = asked.missingSince(service);
+    made.lastAsked = asked.lastAsked();
+    made.isDemandKnown = asked.isKnown(now());
     made.streams = hooks.streams();
     made.likelyStreams = hooks.likelyStreams;
     return made;
@@ -396,13 +366,13 @@
         }
         there.insert(book->loading().value_or(""));
     }
-    auto &missing = missingSince[service];
-    std::erase_if(missing, [&](const auto &known) { return there.contains(known.first) || !made.work.contains(known.first); });
+    std::set<std::string> wanted;
     for (const auto &[model, work] : made.work) {
-        if (work.now > 0 && !there.contains(model)) {
-            missing.try_emplace(model, now());
+        if (work.now > 0) {
+            wanted.insert(model);
         }
     }
+    asked.noteMissing(service, wanted, there, now());
 }
 
 /// Adapters in use just now take their places for as long as their streams run: a model needs copies enough for them too.
@@ -432,15 +402,15 @@
     }
     demandLoggedAt = now();
     std::vector<std::pair<double, std::string>> ranked;
-    for (const auto &asked : made.work) {
-        const auto &work = asked.second;
+    for (const auto &one : made.work) {
+        const auto &work = one.second;
         const auto holds = [&](const RunnerBook *runner) {
-            return runner->description().model(asked.first) != nullptr;
+            return runner->description().model(one.first) != nullptr;
         };
         const auto copies = std::count_if(made.runners.begin(), made.runners.end(), holds);
         std::array<char, 64> text {};
         std::snprintf(text.data(), text.size(), ":%.2f>%.2f/%d", work.now, work.soon, static_cast<int>(copies));
-        ranked.emplace_back(std::max(work.now, work.soon), asked.first + text.data());
+        ranked.emplace_back(std::max(work.now, work.soon), one.first + text.data());
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::string list;
@@ -570,8 +540,8 @@
         return true;
     }
     // One order at a time for it: while an adapter is evicted on one runner, others would on the next ones.
-    const auto asked = books.find(request.orderedOn);
-    if (asked != books.end() && asked->second.isAsked() && now() - request.orderedAt < settings.answerTimeout) {
+    const auto ordered = books.find(request.orderedOn);
+    if (ordered != books.end() && ordered->second.isAsked() && now() - request.orderedAt < settings.answerTimeout) {
         return false;
     }
     const auto spared = holders > 0 ? SparedForAnother : Duration();
@@ -641,7 +611,7 @@
         .add("fence", lease.fence().value());
     book.ordered(planned.order, expectedTime(service, planned), now());
     const auto incarnation = about.incarnation;
-    call(about.address, parts.protocol.orderCall(text), [this, incarnation, order = planned.order](int status, const std::string & /*body*/) {
+    calls.start(about.address, parts.protocol.orderCall(text), [this, incarnation, order = planned.order](int status, const std::string & /*body*/) {
         const auto verdict = status == 0 ? OrderVerdict::Unclear : parts.protocol.readOrderAnswer(status);
         onOrderAnswer(incarnation, order, verdict, status);
     });
@@ -786,8 +756,7 @@
 
 auto OrderTask::modelAsked(const std::string &model) -> void
 {
-    d->lastAsked[model] = d->now();
-    d->firstAskedAt = d->firstAskedAt.value_or(d->now());
+    d->asked.modelAsked(model, d->now());
 }
 
 auto OrderTask::adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void
