all: prefill for what engines do with prompts, abort, report and publish for the rest

One concept a name: pending prefill, prefill tokens and milliseconds (for unread, reading, read), abort and abandon (for given up), report and publish (for tell), last_holder on the wire (for heard_holder, same field numbers), reportedLeaving, peerConfirmed. Headers of core/dispatch, core/prefillqueue and core/promptcache rewritten in those terms.

--- a/src/core/cellload.cpp
+++ b/src/core/cellload.cpp
@@ -49,8 +49,8 @@
         return;
     }
     known = {report.work, now};
-    known.work.read.clear();
-    m_read.insert(m_read.end(), report.work.read.begin(), report.work.read.end());
+    known.work.prefilled.clear();
+    m_read.insert(m_read.end(), report.work.prefilled.begin(), report.work.prefilled.end());
     for (const auto &sent : report.prefill) {
         m_prefill[sent.target] = m_prefill[sent.target] + sent.prefill;
     }
@@ -126,7 +126,7 @@
     GatewayLoad others;
     others.work.entry = cell.keeper;
     others.work.sequence = cell.sequence;
-    others.work.read = cell.read;
+    others.work.prefilled = cell.read;
     const auto included = cell.reported.find(m_self);
     const std::uint64_t upTo = included == cell.reported.end() ? 0 : included->second;
     std::map<TargetId, Duration> ownPrefill;
--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -80,7 +80,7 @@
     auto continueMoves() -> void;
     auto continueMove(std::size_t runner) -> void;
     auto isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool;
-    auto giveUp(std::size_t runner, std::size_t comes) -> void;
+    auto abort(std::size_t runner, std::size_t comes) -> void;
     auto unloadDrained(PlannedRunner &runner) -> void;
     auto isDrained(const PlannedRunner &runner, const std::string &model) const -> bool;
 
@@ -257,7 +257,7 @@
     const auto &move = *runner.move;
     const auto comes = indexOf(move.comes);
     if (!comes || !isStillWorthIt(number, *comes)) {
-        giveUp(number, comes.value_or(m_models.size()));
+        abort(number, comes.value_or(m_models.size()));
         return;
     }
     const auto source = runner.book->sourceOf(move.comes);
@@ -289,7 +289,7 @@
     return lost(before) - lost(m_spread) > m_options.abortGain;
 }
 
-auto Round::giveUp(std::size_t number, std::size_t comes) -> void
+auto Round::abort(std::size_t number, std::size_t comes) -> void
 {
     auto &runner = m_runners[number];
     if (comes < m_models.size()) {
@@ -302,7 +302,7 @@
         }
     }
     m_spread.settle();
-    m_plan.givenUp.push_back(idOf(runner));
+    m_plan.aborted.push_back(idOf(runner));
     runner.isTaken = true;
     --m_moves;
 }
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -118,7 +118,7 @@
 struct CopyPlan {
     std::vector<PlannedOrder> orders; ///< at most one for each runner
     std::vector<BegunMove> begun;
-    std::vector<TargetId> givenUp; ///< runners whose move saves nothing any more
+    std::vector<TargetId> aborted; ///< runners whose move saves nothing any more
 };
 
 /// `storeLoads`: loads from the weight store that may begin now.
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -59,7 +59,7 @@
     PromptCache cache;
     int running = 0; ///< own sends without an end
     std::int64_t tokens = 0; ///< of those, the memory they may take
-    PrefillQueue reads; ///< own sends without a first token
+    PrefillQueue prefillQueue; ///< own sends without a first token
     RecentPrefill recent; ///< of all entries, as far as they have reported
     TargetHealth health;
 };
@@ -73,7 +73,7 @@
     TimePoint firstAt; ///< its first token, once it has come
     Duration expectedFirst;
     Duration backlog;
-    double readMillis = 0; ///< expected for its own prompt
+    double prefillMillis = 0; ///< expected for its own prompt
     int ownTokens = 0; ///< of its prompt, those that no other request shares
     int prefillTokens = 0;
     UrgencyBand band = UrgencyBand::Usual;
@@ -88,8 +88,8 @@
     Duration first;
     Duration ifPatient;
     Duration backlog;
-    int unread = 0;
-    bool othersRead = false; ///< another entry's prompts are read there or wait
+    int prefillTokens = 0;
+    bool othersPrefill = false; ///< another entry has pending prefill there
     bool isDraining = false; ///< the copy there is to be unloaded
     double cost = 0; ///< milliseconds, with what only serves the choice
 };
@@ -108,7 +108,7 @@
     std::map<ServiceName, double> plainMillis;
     std::map<TargetId, double> newPrefill; ///< milliseconds, not reported yet
     RequestCost requestCost;
-    std::vector<std::pair<TargetId, PromptChain>> newlyRead;
+    std::vector<std::pair<TargetId, PromptChain>> newlyPrefilled;
     std::uint64_t digests = 0;
 
     auto engineOf(const ServiceName &service) const -> const EngineDeclaration *
@@ -123,7 +123,7 @@
     }
     auto estimate(const DispatchRequest &request, const TargetId &id, const TargetState &state, TimePoint now) const -> Estimate;
     auto estimateRunner(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const -> void;
-    auto stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double;
+    auto stallOf(const TargetState &state, double prefill, Duration pauseGoal, TimePoint now) const -> double;
     auto slotWait(const TargetState &state, const PeerWork &rest, int slots, UrgencyBand band) const -> double;
     auto estimatePlain(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const -> void;
     auto reportedFailures(const TargetId &id, const TargetState &state, TimePoint now) const -> double;
@@ -253,28 +253,28 @@
 /// Until a slot in a full runner's batch is free for a request of that band: streams end one after the other, and those that wait and are as urgent go first.
 auto Dispatcher::Private::slotWait(const TargetState &state, const PeerWork &rest, int slots, UrgencyBand band) const -> double
 {
-    const double eachMillis = std::max(requestCost.readingSeconds() * MillisPerSecond, 1.0);
+    const double eachMillis = std::max(requestCost.prefillSeconds() * MillisPerSecond, 1.0);
     const auto waiting = [&](UrgencyBand upToBand) {
-        return state.reads.waiting(upToBand) + upTo(rest.pendingPrefill, upToBand) / eachMillis;
+        return state.prefillQueue.waiting(upToBand) + upTo(rest.pendingPrefill, upToBand) / eachMillis;
     };
     const double streams = state.running + rest.running - waiting(UrgencyBand::Patient);
     const double lacking = waiting(band) + 1 - std::max(slots - streams, 0.0);
     return std::max(lacking, 0.0) * requestCost.slotSeconds() * MillisPerSecond;
 }
 
-/// What a prompt would make the runner read beyond what its streams bear between two events, in milliseconds.
-auto Dispatcher::Private::stallOf(const TargetState &state, double read, Duration pauseGoal, TimePoint now) const -> double
+/// Prefill beyond what the runner's streams bear between two events, in milliseconds.
+auto Dispatcher::Private::stallOf(const TargetState &state, double prefill, Duration pauseGoal, TimePoint now) const -> double
 {
-    return std::max(state.recent.within(pauseGoal, now) + read - toMillis(pauseGoal) * options.prefillShare, 0.0);
+    return std::max(state.recent.within(pauseGoal, now) + prefill - toMillis(pauseGoal) * options.prefillShare, 0.0);
 }
 
 auto Dispatcher::Private::estimateRunner(const DispatchRequest &request, const TargetState &state, const PeerWork &rest, Estimate &made, TimePoint now) const
     -> void
 {
     const auto *engine = engineOf(request.service);
-    made.othersRead = upTo(rest.pendingPrefill, UrgencyBand::Patient) > 0;
-    made.unread = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
-    const auto own = state.reads.byBand(now);
+    made.othersPrefill = upTo(rest.pendingPrefill, UrgencyBand::Patient) > 0;
+    made.prefillTokens = std::max(request.promptTokens - state.cache.cachedTokens(request.prompt), 0);
+    const auto own = state.prefillQueue.byBand(now);
     const auto before = [&](UrgencyBand band) {
         return upTo(own, band) + upTo(rest.pendingPrefill, band);
     };
@@ -282,7 +282,7 @@
     const double patient = before(UrgencyBand::Patient) - backlog;
     const auto inMemory = state.tokens + rest.tokens + request.promptTokens + request.outputTokens;
     const int slots = engine == nullptr ? state.description.slots : engine->slots;
-    // Without memory the request waits until others end, or has them thrown out and read anew.
+    // Without memory the request waits until others end, or has them thrown out and prefilled again.
     constexpr double FullMillis = 1000;
     if (engine != nullptr && inMemory > engine->kvTokens) {
         backlog += FullMillis * static_cast<double>(inMemory - engine->kvTokens) / std::max(engine->kvTokens, 1);
@@ -290,12 +290,12 @@
     backlog += slotWait(state, rest, slots, request.band);
     const double patientWait = slotWait(state, rest, slots, UrgencyBand::Patient) - slotWait(state, rest, slots, request.band);
     const double perToken = pace.millisPerToken(request.model) * state.health.slowness(now);
-    const double read = made.unread * perToken;
+    const double prefill = made.prefillTokens * perToken;
     made.backlog = fromMillis(backlog);
-    made.first = made.backlog + fromMillis(read + pace.firstStepMillis(request.model));
+    made.first = made.backlog + fromMillis(prefill + pace.firstStepMillis(request.model));
     made.ifPatient = made.first + fromMillis(patient + patientWait);
-    made.cost = backlog + read + stallOf(state, read, request.pauseGoal, now);
-    if (request.promptTokens >= options.deepPrompt && made.unread >= options.deepPrompt / 2) {
+    made.cost = backlog + prefill + stallOf(state, prefill, request.pauseGoal, now);
+    if (request.promptTokens >= options.deepPrompt && made.prefillTokens >= options.deepPrompt / 2) {
         made.cost += toMillis(options.stalledStream) * (state.running + rest.running);
     }
 }
@@ -335,7 +335,7 @@
     return made;
 }
 
-/// Where a prompt's shared beginning is to be read if nobody is known to have it: all entries rank the runners alike.
+/// Where a prompt's shared prefix is prefilled if no runner is known to have it cached: all entries rank the runners alike.
 auto Dispatcher::Private::addRankPenalty(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void
 {
     if (request.prompt.size() < 2) {
@@ -350,9 +350,9 @@
     const double perToken = pace.millisPerToken(request.model);
     const int sharedTokens = request.promptTokens - request.prompt.back().tokens;
     for (auto &made : estimates) {
-        const int unreadShared = std::clamp(made.unread - request.prompt.back().tokens, 0, sharedTokens);
+        const int sharedPrefill = std::clamp(made.prefillTokens - request.prompt.back().tokens, 0, sharedTokens);
         const bool isFirst = made.target == first->target;
-        made.cost -= isFirst ? options.unknownShare * unreadShared * perToken : 0;
+        made.cost -= isFirst ? options.unknownShare * sharedPrefill * perToken : 0;
     }
 }
 
@@ -436,7 +436,7 @@
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
     choice.backlog = best->backlog;
-    choice.prefillTokens = best->unread;
+    choice.prefillTokens = best->prefillTokens;
     return choice;
 }
 
@@ -458,7 +458,7 @@
     send.at = now;
     send.expectedFirst = made.first;
     send.backlog = made.backlog;
-    send.prefillTokens = made.unread;
+    send.prefillTokens = made.prefillTokens;
     send.slowness = state.health.slowness(now);
     send.band = request.band;
     send.tokens = request.promptTokens + request.outputTokens;
@@ -469,13 +469,13 @@
     ++state.running;
     state.tokens += send.tokens;
     if (!request.model.empty()) {
-        send.readMillis = made.unread * d->pace.millisPerToken(request.model) * state.health.slowness(now);
-        state.reads.add(d->lastSend, send.band, send.readMillis, !made.othersRead, now);
-        state.recent.add(send.readMillis, now);
-        d->newPrefill[target] += send.readMillis;
+        send.prefillMillis = made.prefillTokens * d->pace.millisPerToken(request.model) * state.health.slowness(now);
+        state.prefillQueue.add(d->lastSend, send.band, send.prefillMillis, !made.othersPrefill, now);
+        state.recent.add(send.prefillMillis, now);
+        d->newPrefill[target] += send.prefillMillis;
         state.cache.touch(request.prompt);
         for (const auto &chain : request.prompt) {
-            d->newlyRead.emplace_back(target, chain);
+            d->newlyPrefilled.emplace_back(target, chain);
         }
     }
     ++d->runningByModel[{target, send.model}];
@@ -486,7 +486,7 @@
 auto Dispatcher::prefillTime(SendId id) const -> Duration
 {
     const auto found = d->sends.find(id.value());
-    return found == d->sends.end() ? Duration() : fromMillis(found->second.readMillis);
+    return found == d->sends.end() ? Duration() : fromMillis(found->second.prefillMillis);
 }
 
 auto Dispatcher::firstToken(SendId id, TimePoint now) -> void
@@ -503,7 +503,7 @@
         return;
     }
     auto &state = target->second;
-    state.reads.remove(id, now);
+    state.prefillQueue.remove(id, now);
     state.health.succeed(now);
     const auto took = toMillis(now - send.at);
     if (send.model.empty()) {
@@ -520,7 +520,7 @@
 {
     const auto *engine = engineOf(state.description.service);
     SeenAnswer answer;
-    answer.reading = fromMillis(send.ownTokens * pace.millisPerToken(send.model));
+    answer.prefill = fromMillis(send.ownTokens * pace.millisPerToken(send.model));
     answer.streaming = now - send.firstAt;
     answer.bytes = bytes;
     answer.slots = engine == nullptr ? state.description.slots : engine->slots;
@@ -547,7 +547,7 @@
     --state.running;
     state.tokens -= send.tokens;
     if (!send.hasFirst && !send.model.empty()) {
-        state.reads.remove(id, now);
+        state.prefillQueue.remove(id, now);
     }
     if (result == SendResult::Delivered) {
         state.health.succeed(now);
@@ -584,17 +584,17 @@
     WorkDigest digest;
     digest.entry = self;
     digest.sequence = ++d->digests;
-    digest.read = std::move(d->newlyRead);
-    d->newlyRead.clear();
+    digest.prefilled = std::move(d->newlyPrefilled);
+    d->newlyPrefilled.clear();
     for (const auto &[id, state] : d->targets) {
         const double failures = state.health.failures(now);
-        constexpr double WorthTelling = 0.05;
+        constexpr double WorthReporting = 0.05;
         // Passed on for a while after its time: who detected it also tries whether it is well again.
         const bool isEjected = d->isEjectedHere(state, now) || state.health.wasEjected(now, d->options.workLifetime);
-        if (state.running > 0 || failures > WorthTelling || isEjected) {
+        if (state.running > 0 || failures > WorthReporting || isEjected) {
             TargetWork work {id, state.running, {}, state.tokens, failures, isEjected};
-            const auto unread = state.reads.byBand(now);
-            std::transform(unread.begin(), unread.end(), work.pendingPrefill.begin(), fromMillis);
+            const auto pending = state.prefillQueue.byBand(now);
+            std::transform(pending.begin(), pending.end(), work.pendingPrefill.begin(), fromMillis);
             digest.work.push_back(work);
         }
     }
@@ -606,7 +606,7 @@
     if (!d->peerLoads.merge(digest, now)) {
         return;
     }
-    for (const auto &[target, chain] : digest.read) {
+    for (const auto &[target, chain] : digest.prefilled) {
         const auto found = d->targets.find(target);
         if (found != d->targets.end()) {
             found->second.cache.touchOne(chain);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -1,13 +1,13 @@
 // Dispatch: which target gets a request, where entries reach targets directly. Pure: what targets say, what is sent and what comes back
 // go in with a time; a choice comes out.
 //
-// A runner's engine reads prompts one after another between the steps of its running streams, so the time to a request's first token is
-// what is yet to be read there, plus what of its own prompt the engine hasn't kept. Reports of engines are late and cost a call; but all
-// work goes through the entries, so what each has sent and not seen answered (its own sends, and the others' digests) tells the same
-// sooner. What that misses (another pace of a runner, failures) is learnt from the answers.
+// A runner's engine prefills prompts one after another between the steps of its running streams, so the time to a request's first token is the pending
+// prefill there, plus what of its own prompt isn't cached. Load reports of engines are late and cost a call; but all work goes through the entries, so
+// what each has sent without an answer yet (its own sends, and the others' digests) shows the same sooner. What that misses (another pace of a runner,
+// failures) is learnt from the answers.
 //
-// Requests with a common beginning of their prompts go where it was read before, as long as that runner isn't later than another that
-// would have to read it anew. Where nobody has read it yet, all entries rank the runners alike, so that they choose the same one.
+// Requests with a common prefix go where it is cached, as long as that runner isn't later than another that would have to prefill it again. Where it is
+// cached nowhere, all entries rank the runners alike, so that they choose the same one.
 //
 // Index of sections (search for [SECTION]):
 //   Requests    what is to be sent
@@ -93,15 +93,14 @@
     Duration newConnection = Duration::millis(5);
     PrefillPaceOptions pace;
     Duration plainTime = Duration::millis(60); ///< of a plain service's request, until it was observed
-    /// Tokens. While a prompt as long is read anew, each step of its runner takes so long that half a second passes between two events of every
-    /// stream there; where few run, few are stalled.
+    /// Tokens. During the prefill of a prompt as long, half a second passes between two events of every stream there; where few run, few are stalled.
     int deepPrompt = 18000;
     Duration stalledStream = Duration::millis(60); ///< that such a prompt may wait longer elsewhere, for each stream that it would stall
-    double prefillShare = 0.5; ///< of the longest pause aimed at, what a runner may read meanwhile: the rest is taken by the steps of its streams
+    double prefillShare = 0.5; ///< of the longest pause aimed at, for prefill: the rest is taken by the steps of the streams
     int plainChoices = 2; ///< plain services: so many targets, drawn at random, are compared for each request
     std::uint64_t seed = 0; ///< of that draw; another one at each entry
     double learnRate = 0.1; ///< weight of one observation
-    double unknownShare = 0.4; ///< how likely a prefix that nobody reported is cached at the runner that ranks first for it
+    double unknownShare = 0.4; ///< how likely an unreported prefix is cached at the runner that ranks first for it
     TargetHealthOptions health;
     double failuresToAvoid = 0.5; ///< a target above this, and above the others, gets work only if nobody else can take it
     Duration workLifetime = Duration::seconds(2); ///< a digest that is older no longer counts
@@ -125,7 +124,7 @@
     auto failures(const TargetId &target, TimePoint now) const -> double;
     auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< requests don't get through to it, here or at another entry
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
-    /// What a send that hasn't ended makes its runner read, where nothing else is read: without what was kept there when it was sent.
+    /// Prefill time of a send that hasn't ended, where nothing else is prefilled; without what was cached when it was sent.
     auto prefillTime(SendId send) const -> Duration;
 
     auto loadTime(const ServiceName &service, const std::string &model) const -> Duration; ///< from the weight store; 0: not declared
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -149,7 +149,7 @@
     }
 }
 
-auto Membership::saidLeaving(const std::string &id) -> void
+auto Membership::reportedLeaving(const std::string &id) -> void
 {
     if (const auto found = m_members.find(id); found != m_members.end()) {
         found->second.state = MemberState::Leaving;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -80,7 +80,7 @@
     // Commands
     auto listReceived(const std::vector<ListedHost> &hosts, TimePoint now) -> void;
     auto seen(const std::string &id, TimePoint now) -> void; ///< a heartbeat or any message
-    auto saidLeaving(const std::string &id) -> void;
+    auto reportedLeaving(const std::string &id) -> void;
     auto saidStaying(const std::string &id) -> void; ///< its drain was undone, or a new process took the place; the list's mark stands
     auto connectionLost(const std::string &id) -> void; ///< suspect at once
     auto advance(TimePoint now) -> void; ///< lets silence have its effect; call a few times a second
--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -244,7 +244,7 @@
     trim(m_digests);
 }
 
-auto OrderLease::peerHears(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void
+auto OrderLease::peerConfirmed(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void
 {
     if (m_holds && !mayOrder(now)) {
         return;
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -90,7 +90,7 @@
     auto digestSent(std::uint64_t sequence, TimePoint now) -> void;
     /// Another gateway says which of this gateway's digests it received last. A lease that is over isn't brought back by that: a gateway that
     /// received nothing for long enough may have begun to take the row, and goes on receiving digests meanwhile. Only the row decides then.
-    auto peerHears(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void;
+    auto peerConfirmed(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void;
     /// Gateways that may want the lease: the extension needs the confirmation of each.
     auto setPeers(const std::set<EntryId> &peers) -> void;
 
--- a/src/core/peerloads.h
+++ b/src/core/peerloads.h
@@ -44,7 +44,7 @@
     EntryId entry; ///< one start of a process: "ID#INCARNATION", or a bare id
     std::uint64_t sequence = 0; ///< a lower one than the last is ignored
     std::vector<TargetWork> work;
-    std::vector<std::pair<TargetId, PromptChain>> read; ///< prompt beginnings that its sends made targets prefill since the last digest
+    std::vector<std::pair<TargetId, PromptChain>> prefilled; ///< prompt beginnings that its sends made targets prefill since the last digest
 };
 
 // [SECTION] PeerLoads
--- a/src/core/prefillqueue.cpp
+++ b/src/core/prefillqueue.cpp
@@ -6,9 +6,9 @@
 namespace KingCup
 {
 
-auto upTo(const BandMillis &unread, UrgencyBand band) -> double
+auto upTo(const BandMillis &pending, UrgencyBand band) -> double
 {
-    return std::accumulate(unread.begin(), unread.begin() + static_cast<int>(band) + 1, 0.0);
+    return std::accumulate(pending.begin(), pending.begin() + static_cast<int>(band) + 1, 0.0);
 }
 
 /// One that takes longer than expected isn't done either: a tenth of it stays until its first token comes.
@@ -42,9 +42,9 @@
 auto PrefillQueue::remove(SendId send, TimePoint now) -> void
 {
     std::erase_if(m_reads, [&](const Read &read) { return read.send == send; });
-    const bool isReading = std::any_of(m_reads.begin(), m_reads.end(), [](const Read &read) { return read.since.has_value(); });
+    const bool isActive = std::any_of(m_reads.begin(), m_reads.end(), [](const Read &read) { return read.since.has_value(); });
     const auto next = std::min_element(m_reads.begin(), m_reads.end(), [](const Read &a, const Read &b) { return a.band < b.band; });
-    if (!isReading && next != m_reads.end()) {
+    if (!isActive && next != m_reads.end()) {
         next->since = now;
     }
 }
--- a/src/core/prefillqueue.h
+++ b/src/core/prefillqueue.h
@@ -1,9 +1,7 @@
-// The prompts that one target has yet to read, as the process that sent them counts them: what a request sent there now would wait for. Pure.
+// Pending prefill of one target, as the process that sent it counts it: what a request sent there now would wait for. Pure.
 //
-// An engine takes up waiting prompts by their urgency, but it doesn't lay aside the one that it is reading: behind a prompt of forty thousand
-// tokens a short one waits for a second, however urgent it is. Counted with its own band only, the long one seemed not to be there, and short
-// urgent prompts went to just that runner and began late though no estimate predicted it.
-// So the prompt that is being read counts as the most urgent one, with what is left of it.
+// An engine takes up waiting prompts by their urgency, but it doesn't interrupt the one in prefill: behind a prompt of forty thousand tokens a short one
+// waits for a second, however urgent it is. So what is left of the prompt in prefill counts with the most urgent band.
 #pragma once
 
 #include "core/ids.h"
@@ -17,24 +15,24 @@
 namespace KingCup
 {
 
-/// Milliseconds of reading, by band.
+/// Milliseconds of prefill, by band.
 using BandMillis = std::array<double, UrgencyBands>;
 
 /// Of the bands that go before or with `band`.
-auto upTo(const BandMillis &unread, UrgencyBand band) -> double;
+auto upTo(const BandMillis &pending, UrgencyBand band) -> double;
 
 class PrefillQueue
 {
 public:
     // Queries
-    /// What is left to be read. The prompt that is being read counts with the most urgent band.
+    /// The prompt in prefill counts with the most urgent band.
     auto byBand(TimePoint now) const -> BandMillis;
     auto waiting(UrgencyBand band) const -> int; ///< sends without a first token, of the bands that go before or with `band`
 
     // Commands
-    /// `millis`: what it takes where nothing else is read. `isNext`: as far as known, no other process's prompt is read there or waits.
+    /// `millis`: what it takes where nothing else is prefilled. `isNext`: as far as known, no other process has a prompt in prefill or waiting there.
     auto add(SendId send, UrgencyBand band, double millis, bool isNext, TimePoint now) -> void;
-    /// Read, or given up; the next one by urgency, then by age, is taken to be taken up.
+    /// Prefilled, or cancelled; the next one by urgency, then by age, counts as in prefill.
     auto remove(SendId send, TimePoint now) -> void;
 
 private:
@@ -42,16 +40,15 @@
         SendId send;
         UrgencyBand band = UrgencyBand::Usual;
         double millis = 0;
-        std::optional<TimePoint> since; ///< being read
+        std::optional<TimePoint> since; ///< in prefill
 
         auto left(TimePoint now) const -> double;
     };
     std::vector<Read> m_reads; ///< oldest first
 };
 
-/// What one target was given to read within the last moments, read by now or not. An engine reads prompts between the steps of its streams, and between
-/// two events of a stream lie several steps: a handful of prompts that come together stall every stream there for longer than is aimed at, each of
-/// them small and read at once. Sent where little was to be read of late, they come one by one everywhere.
+/// Prefill sent to one target within the last moments, done by now or not. An engine prefills between the steps of its streams, and between two events of a
+/// stream lie several steps: a handful of prompts that come together stall every stream there, though each of them is small.
 class RecentPrefill
 {
 public:
--- a/src/core/promptcache.h
+++ b/src/core/promptcache.h
@@ -1,4 +1,4 @@
-// What an engine probably still has of the prompts it has read. A guess that is made from our own sends and what other entries tell: the
+// What an engine probably still has cached of prompts. A guess from own sends and other entries' digests: the
 // engine keeps parts as long as its memory lasts and drops those that were used longest ago.
 //
 // A part helps only if all parts before it are kept too, so parts are known by the chain that leads to them.
@@ -15,7 +15,7 @@
 namespace KingCup
 {
 
-/// One part of a prompt. Requests that share a part, and all parts before it, can share what an engine has read of it.
+/// One part of a prompt. Requests that share a part, and all parts before it, can share what an engine has cached of it.
 struct PromptPart {
     std::uint64_t id = 0;
     int tokens = 0;
@@ -29,7 +29,7 @@
     int tokens = 0; ///< of its last part
 };
 
-/// The chains of a prompt, shortest first. `model` names model and adapter: what one has read is of no use to another.
+/// The chains of a prompt, shortest first. `model` names model and adapter: what one has cached is of no use to another.
 auto promptChains(const std::string &model, const std::vector<PromptPart> &parts) -> std::vector<PromptChain>;
 
 class PromptCache
@@ -44,7 +44,7 @@
     auto setCapacity(std::int64_t capacity) -> void;
     /// The engine reads this prompt: its parts are the last used now.
     auto touch(const std::vector<PromptChain> &chains) -> void;
-    /// Another entry had the engine read a part.
+    /// Another entry had the engine prefill a part.
     auto touchOne(const PromptChain &chain) -> void;
     auto clear() -> void;
 
--- a/src/core/requestcost.cpp
+++ b/src/core/requestcost.cpp
@@ -19,7 +19,7 @@
 RequestCost::RequestCost(RequestCostOptions options)
     : m_options(options)
     , m_all {options.unknownSeconds, options.priorAnswers}
-    , m_reading {options.unknownSeconds / 2, options.priorAnswers}
+    , m_prefill {options.unknownSeconds / 2, options.priorAnswers}
     , m_slot {options.unknownSeconds, options.priorAnswers}
 {
 }
@@ -45,7 +45,7 @@
 
 auto RequestCost::Model::seconds() const -> double
 {
-    return readingSeconds.value + bytes.value * secondsPerByte / slots;
+    return prefillSeconds.value + bytes.value * secondsPerByte / slots;
 }
 
 auto RequestCost::seconds(const std::string &model) const -> double
@@ -59,9 +59,9 @@
     return (found->second.seconds() * answers + all * m_options.priorAnswers) / (answers + m_options.priorAnswers);
 }
 
-auto RequestCost::readingSeconds() const -> double
+auto RequestCost::prefillSeconds() const -> double
 {
-    return m_reading.value;
+    return m_prefill.value;
 }
 
 auto RequestCost::slotSeconds() const -> double
@@ -73,11 +73,11 @@
 {
     auto &own = m_models[model];
     own.slots = std::max(answer.slots, 1);
-    own.readingSeconds.add(answer.reading.inSeconds(), m_options.learnRate);
+    own.prefillSeconds.add(answer.prefill.inSeconds(), m_options.learnRate);
     own.bytes.add(static_cast<double>(answer.bytes), m_options.learnRate);
     own.learnPace(answer);
     m_all.add(own.seconds(), m_options.learnRate);
-    m_reading.add(answer.reading.inSeconds(), m_options.learnRate);
+    m_prefill.add(answer.prefill.inSeconds(), m_options.learnRate);
     m_slot.add(answer.streaming.inSeconds() / own.slots, m_options.learnRate);
 }
 
--- a/src/core/requestcost.h
+++ b/src/core/requestcost.h
@@ -27,7 +27,7 @@
 
 /// One answer as it was seen.
 struct SeenAnswer {
-    Duration reading; ///< of its own part of the prompt, where nothing else is read
+    Duration prefill; ///< of its own part of the prompt, where nothing else is prefilled
     Duration streaming; ///< from its first bytes to its last
     std::size_t bytes = 0;
     int slots = 1; ///< streams that its runner has under way at once
@@ -40,7 +40,7 @@
 
     // Queries
     auto seconds(const std::string &model) const -> double; ///< of a runner, per request
-    auto readingSeconds() const -> double; ///< of one prompt, over all models
+    auto prefillSeconds() const -> double; ///< of one prompt, over all models
     auto slotSeconds() const -> double; ///< between two streams that end on a full runner, over all models, as answers took
 
     // Commands
@@ -54,7 +54,7 @@
         auto add(double seen, double rate) -> void;
     };
     struct Model {
-        Mean readingSeconds;
+        Mean prefillSeconds;
         Mean bytes;
         double secondsPerByte = 0; ///< of one stream among few; 0: not seen yet
         int slots = 1;
@@ -64,7 +64,7 @@
     };
     RequestCostOptions m_options;
     Mean m_all; ///< begins as if the unknown had been seen
-    Mean m_reading; ///< likewise
+    Mean m_prefill; ///< likewise
     Mean m_slot; ///< likewise
     std::map<std::string, Model> m_models;
 };
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -124,11 +124,11 @@
     auto load(const TargetState &state) const -> int;
     auto limit(const TargetState &state) const -> int;
     auto capacity(const TargetState &state, Priority priority, TimePoint now) const -> int;
-    auto isReadingTooMuch(const TargetState &state, Priority priority, TimePoint now) const -> bool;
+    auto hasTooMuchPrefill(const TargetState &state, Priority priority, TimePoint now) const -> bool;
     auto weight(const TargetState &state, TimePoint now) const -> double;
     auto serviceTime(const TargetState &state, Priority priority) const -> Duration;
     auto expected(const TargetState &state, Priority priority, TimePoint now) const -> Duration;
-    auto unreadTokens(const TargetState &state, TimePoint now) const -> double;
+    auto prefillTokens(const TargetState &state, TimePoint now) const -> double;
     auto candidates(const RoutingRequest &request, TimePoint now, RoutingChoice &refusal) -> std::vector<Candidate>;
     auto accept(const Candidate &candidate, std::size_t among, const std::string &why) const -> RoutingChoice;
     auto pick(const RoutingRequest &request, std::vector<Candidate> &list) -> RoutingChoice;
@@ -172,17 +172,17 @@
 
 /// Long prompts of lower classes go one at a time. Sent as they come they keep the engine reading for seconds, and every interactive request that
 /// meets them there has its first token late; kept in our queue they wait in order of deadline while interactive ones pass.
-auto Router::Private::isReadingTooMuch(const TargetState &state, Priority priority, TimePoint now) const -> bool
+auto Router::Private::hasTooMuchPrefill(const TargetState &state, Priority priority, TimePoint now) const -> bool
 {
     if (!options.countsPrompts || priority == Priority::Interactive) {
         return false;
     }
-    return unreadTokens(state, now) > (priority == Priority::Batch ? options.batchBacklog : options.standardBacklog);
+    return prefillTokens(state, now) > (priority == Priority::Batch ? options.batchBacklog : options.standardBacklog);
 }
 
 auto Router::Private::capacity(const TargetState &state, Priority priority, TimePoint now) const -> int
 {
-    if (isReadingTooMuch(state, priority, now)) {
+    if (hasTooMuchPrefill(state, priority, now)) {
         return 0;
     }
     auto most = static_cast<double>(limit(state));
@@ -224,7 +224,7 @@
     return state.load && state.load->serviceTime.inMicros() > 0 ? state.load->serviceTime : ServiceTimeIfUnknown;
 }
 
-auto Router::Private::unreadTokens(const TargetState &state, TimePoint now) const -> double
+auto Router::Private::prefillTokens(const TargetState &state, TimePoint now) const -> double
 {
     return std::max(0.0, state.promptTokens - (now - state.promptsAt).inSeconds() * options.promptTokensPerSecond);
 }
@@ -241,7 +241,7 @@
     const auto travel = state.zone == options.zone ? Duration() : options.zoneDistance;
     // An engine reads prompts one after the other. A short request behind a review of 4,000 tokens gets its first token a second later,
     // though the target runs few requests: load alone doesn't show it.
-    const auto reading = options.countsPrompts ? Duration::seconds(unreadTokens(state, now) / options.promptTokensPerSecond) : Duration();
+    const auto reading = options.countsPrompts ? Duration::seconds(prefillTokens(state, now) / options.promptTokensPerSecond) : Duration();
     return running + waiting + travel + reading;
 }
 
@@ -529,7 +529,7 @@
     }
     auto &state = found->second;
     state.sent[request.id] = Sent {now, request.priority};
-    state.promptTokens = d->unreadTokens(state, now) + request.promptTokens;
+    state.promptTokens = d->prefillTokens(state, now) + request.promptTokens;
     state.promptsAt = now;
 }
 
--- a/src/core/targetview.cpp
+++ b/src/core/targetview.cpp
@@ -65,7 +65,7 @@
     return {.seen = {}, .gone = {target}};
 }
 
-auto TargetView::saidLeaving(const TargetIncarnation &target, TimePoint /*now*/) -> TargetChanges
+auto TargetView::reportedLeaving(const TargetIncarnation &target, TimePoint /*now*/) -> TargetChanges
 {
     const auto found = m_targets.find(target.id);
     if (found == m_targets.end() || found->second.isLeaving || found->second.incarnation != target) {
--- a/src/core/targetview.h
+++ b/src/core/targetview.h
@@ -44,7 +44,7 @@
     /// The row is gone, or names no target any more.
     auto rowGone(const TargetId &target, TimePoint now) -> TargetChanges;
     /// Another gateway knows that it leaves. Another start under the same id is another target.
-    auto saidLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges;
+    auto reportedLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges;
     /// It isn't at its address any more, whatever its row says.
     auto misdirected(const TargetId &target) -> TargetChanges;
     auto advance(TimePoint now) -> TargetChanges; ///< call a few times a second
--- a/src/entry/fleet.cpp
+++ b/src/entry/fleet.cpp
@@ -160,7 +160,7 @@
     }
     agent.hasReport = true;
     if (report.leaving()) {
-        membership.saidLeaving(id);
+        membership.reportedLeaving(id);
     } else {
         membership.saidStaying(id);
     }
--- a/src/gateway/copyuse.cpp
+++ b/src/gateway/copyuse.cpp
@@ -41,7 +41,7 @@
         isNew = (held.isDraining && m_draining.emplace(target, held.name).second) || isNew;
     }
     if (isNew) {
-        tell();
+        report();
     }
 }
 
@@ -50,7 +50,7 @@
     std::erase_if(m_draining, [&](const CopyKey &copy) { return copy.first == target; });
 }
 
-auto CopyUse::tell() const -> void
+auto CopyUse::report() const -> void
 {
     if (m_draining.empty()) {
         return;
--- a/src/gateway/copyuse.h
+++ b/src/gateway/copyuse.h
@@ -41,7 +41,7 @@
     /// What a runner holds, as the one that gives orders has said.
     auto held(const TargetId &target, const std::vector<HeldModel> &models) -> void;
     auto targetGone(const TargetId &target) -> void;
-    auto tell() const -> void; ///< to be called regularly
+    auto report() const -> void; ///< to be called regularly
 
     // Commands: where this one does
     auto setMoves(const std::map<TargetId, CopyMove> &moves) -> void;
--- a/src/gateway/digests.cpp
+++ b/src/gateway/digests.cpp
@@ -115,7 +115,7 @@
     for (const auto &one : work.work) {
         writeColumns(one, *message.mutable_work());
     }
-    writeRead(work.read, *message.mutable_read());
+    writeRead(work.prefilled, *message.mutable_read());
 }
 
 auto workOf(const Wire::GatewayDigest &message, const TargetNames &names) -> WorkDigest
@@ -124,7 +124,7 @@
     digest.entry = EntryId(message.entry());
     digest.sequence = message.sequence();
     digest.work = workOf(message.work(), names);
-    digest.read = readOf(message.read(), names);
+    digest.prefilled = readOf(message.read(), names);
     return digest;
 }
 
@@ -137,7 +137,7 @@
     for (const auto &one : load.work.work) {
         writeColumns(one, *message->mutable_work());
     }
-    writeRead(load.work.read, *message->mutable_read());
+    writeRead(load.work.prefilled, *message->mutable_read());
     writePrefill(load.prefill, *message->mutable_prefill());
     return frame;
 }
@@ -148,7 +148,7 @@
     load.work.entry = EntryId(message.gateway());
     load.work.sequence = message.sequence();
     load.work.work = workOf(message.work(), names);
-    load.work.read = readOf(message.read(), names);
+    load.work.prefilled = readOf(message.read(), names);
     load.prefill = prefillOf(message.prefill(), names);
     return load;
 }
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -146,7 +146,7 @@
     }
     if (!m_passing && m_exchange->hasBegun()) {
         // The stream had begun at another target, and this one doesn't go on with it: its answer must not look like the stream's end.
-        giveUp(HttpStatus::BadGateway, "not-resumed");
+        abandon(HttpStatus::BadGateway, "not-resumed");
         return;
     }
     if (m_passing) {
@@ -171,7 +171,7 @@
 {
     // Of what may have run nobody must say that it didn't.
     if (promisesNotRun(m_head.status)) {
-        giveUp(HttpStatus::BadGateway, "target-failed");
+        abandon(HttpStatus::BadGateway, "target-failed");
         return;
     }
     const bool isDelivered = HttpStatus::isSuccess(m_head.status);
@@ -195,7 +195,7 @@
         sendAgain();
         return;
     }
-    giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "not-run");
+    abandon(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "not-run");
 }
 
 auto ForwardedRequest::onFailure(const PooledEnd &end) -> void
@@ -231,7 +231,7 @@
         sendAgain();
         return;
     }
-    giveUp(HttpStatus::BadGateway, "target-broke-off");
+    abandon(HttpStatus::BadGateway, "target-broke-off");
 }
 
 /// Made once, and only if it is asked for: it goes over the whole body, and waiting requests are looked at several times a second.
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -87,11 +87,11 @@
     m_waitTimer.cancel();
     if (isBarred()) {
         m_retryAfter = BarredRetryAfter;
-        giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
+        abandon(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
         return;
     }
     if (m_deadline - now() < LeastTime) {
-        giveUp(m_mayHaveRun > 0 ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "no-time-left");
+        abandon(m_mayHaveRun > 0 ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "no-time-left");
         return;
     }
     const auto choice = m_owner.parts.dispatcher.choose(m_request, now());
@@ -134,7 +134,7 @@
         .add("if-patient", choice.expectedIfPatient)
         .add("left", m_deadline - now());
     m_retryAfter = std::clamp(choice.backlog - m_route.goal * WaitShare, DefaultRetryAfter, LongestRetryAfter);
-    giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "too-late");
+    abandon(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "too-late");
     return false;
 }
 
@@ -159,7 +159,7 @@
     }
     const auto waitUntil = m_exchange->startedAt() + longestWait(refusal);
     if (refusal == DispatchRefusal::AllExcluded || now() >= waitUntil) {
-        giveUp(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
+        abandon(m_mayHaveRun > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
         return;
     }
     m_isWaiting = true;
@@ -276,7 +276,7 @@
 
 // [SECTION] Ending
 
-auto ForwardedRequest::giveUp(int status, const char *why) -> void
+auto ForwardedRequest::abandon(int status, const char *why) -> void
 {
     if (m_finished) {
         return;
@@ -296,7 +296,7 @@
 {
     const auto self = shared_from_this();
     const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
-    giveUp(wasSent ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "timeout");
+    abandon(wasSent ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "timeout");
 }
 
 auto ForwardedRequest::onGone() -> void
@@ -309,7 +309,7 @@
 {
     const auto self = shared_from_this();
     const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
-    giveUp(wasSent ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stopped");
+    abandon(wasSent ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stopped");
 }
 
 auto ForwardedRequest::lateness() const -> const char *
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -104,7 +104,7 @@
     auto sendAgain() -> void;
     auto closeSend(SendResult result) -> void;
     auto passWholeAnswer() -> void;
-    auto giveUp(int status, const char *why) -> void;
+    auto abandon(int status, const char *why) -> void;
     auto onTimeout() -> void;
     auto onGone() -> void;
     auto lateness() const -> const char *; ///< which aims of its route the answer missed: its first bytes, a pause, both, or none
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -481,7 +481,7 @@
     }
     forwarder->setEntries(peers->liveCount() + 1);
     if (!orders->mayOrder()) {
-        copyUse->tell();
+        copyUse->report();
     }
     demand->advance();
 }
@@ -511,8 +511,8 @@
         digest->set_lease_fence(lease.fence().value());
         digest->set_lease_version(lease.version().value());
     }
-    digest->set_heard_holder(lease.holder().text());
-    digest->set_heard_sequence(lease.lastHolderSequence());
+    digest->set_last_holder(lease.holder().text());
+    digest->set_last_holder_sequence(lease.lastHolderSequence());
     follower->writeDigest(*digest);
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
@@ -579,8 +579,8 @@
         lease.holderAnnounced(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
         demand->holderAnnounced(fence);
     }
-    if (HolderName(digest.heard_holder()) == selfName()) {
-        lease.peerHears(EntryId(id), digest.heard_sequence(), loop.now());
+    if (HolderName(digest.last_holder()) == selfName()) {
+        lease.peerConfirmed(EntryId(id), digest.last_holder_sequence(), loop.now());
     }
     for (const auto &target : digest.leaving()) {
         targets->reportedLeaving({TargetId(target.target()), target.born_ms()});
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -426,7 +426,7 @@
         const auto &made = planInput(service);
         logDemand(made);
         const auto plan = planCopies(made, settings.plan, meters[service].available(now()), now());
-        for (const auto &target : plan.givenUp) {
+        for (const auto &target : plan.aborted) {
             endMove(target, "nothing-gained");
         }
         for (const auto &begun : plan.begun) {
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -38,7 +38,7 @@
     {
     }
     auto take(const StoredRow &row) -> void;
-    auto tell() -> void;
+    auto publish() -> void;
     auto ensureOwnRow() -> void;
 };
 
@@ -64,7 +64,7 @@
     hosts[row.key] = host;
 }
 
-auto Registration::Private::tell() -> void
+auto Registration::Private::publish() -> void
 {
     std::vector<ListedHost> list;
     for (const auto &[id, host] : hosts) {
@@ -104,7 +104,7 @@
     for (const auto &row : rows) {
         d->take(row);
     }
-    d->tell();
+    d->publish();
 }
 
 } // namespace KingCup
--- a/src/gateway/targetdirectory.cpp
+++ b/src/gateway/targetdirectory.cpp
@@ -59,7 +59,7 @@
 
 auto TargetDirectory::reportedLeaving(const TargetIncarnation &target) -> void
 {
-    apply(m_view.saidLeaving(target, m_parts.loop.now()));
+    apply(m_view.reportedLeaving(target, m_parts.loop.now()));
 }
 
 auto TargetDirectory::misdirected(const TargetId &target) -> void
--- a/tests/unit_cellload.cpp
+++ b/tests/unit_cellload.cpp
@@ -125,7 +125,7 @@
 {
     CellLoadSum sum(EntryId("k"));
     auto load = report("a", 1, {work("r1", 1)}, 25);
-    load.work.read = {{TargetId("r1"), PromptChain {77, 500}}};
+    load.work.prefilled = {{TargetId("r1"), PromptChain {77, 500}}};
     sum.merge(load, at(0));
     const auto first = sum.take(at(0.1));
     const auto second = sum.take(at(0.2));
@@ -205,7 +205,7 @@
     busy.failures = 0.5;
     busy.isEjected = true;
     auto load = report("a#1", 12, {busy, work("gone", 1)}, 25);
-    load.work.read = {{TargetId("r1"), PromptChain {77, 500}}};
+    load.work.prefilled = {{TargetId("r1"), PromptChain {77, 500}}};
     const auto names = namesOf({"r1"});
     sum.merge(gatewayLoadOf(gatewayLoadFrame(load).gateway_load(), names), at(0));
     const auto cell = cellLoadOf(cellLoadFrame(sum.take(at(0.1))).cell_load(), EntryId("a#1"), names);
--- a/tests/unit_copies.cpp
+++ b/tests/unit_copies.cpp
@@ -137,9 +137,9 @@
     REQUIRE(told == std::vector<int> {4});
     use.held(TargetId("r1"), {{"m1", 0, {}, true}, {"m2", 0, {}}});
     REQUIRE(told.size() == 1);
-    use.tell();
+    use.report();
     REQUIRE(told.size() == 2);
     use.held(TargetId("r1"), {{"m1", 0, {}}, {"m2", 0, {}}});
-    use.tell();
+    use.report();
     REQUIRE(told.size() == 2);
 }
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -232,9 +232,9 @@
     std::uint64_t sequence = 0;
     const auto digest = [&](double now, bool isTwoHearing) {
         lease.digestSent(++sequence, at(now));
-        lease.peerHears(one, sequence, at(now));
+        lease.peerConfirmed(one, sequence, at(now));
         if (isTwoHearing) {
-            lease.peerHears(two, sequence, at(now));
+            lease.peerConfirmed(two, sequence, at(now));
         }
     };
     for (const double now : moments(1, 9, 0.2)) {
@@ -258,10 +258,10 @@
     const EntryId peer("gateway-b");
     first.setPeers({peer});
     first.digestSent(1, at(1));
-    first.peerHears(peer, 1, at(1));
+    first.peerConfirmed(peer, 1, at(1));
     REQUIRE(first.mayOrder(at(3)));
     first.digestSent(2, at(6));
-    first.peerHears(peer, 2, at(6.1));
+    first.peerConfirmed(peer, 2, at(6.1));
     REQUIRE_FALSE(first.mayOrder(at(6.2)));
     runUntil(bench, first, 6.2, 7); // the row is still its own: renewed, it is the holder again
     REQUIRE(first.mayOrder(at(7)));
@@ -602,7 +602,7 @@
     bench.input().streams[{TargetId("r2"), "m1"}] = 3;
     REQUIRE(bench.wholePlan(100.2).orders.empty());
     REQUIRE(bench.wholePlan(100.2).begun.empty());
-    REQUIRE(bench.wholePlan(100.2).givenUp.empty());
+    REQUIRE(bench.wholePlan(100.2).aborted.empty());
     // The last stream has ended.
     bench.input().streams[{TargetId("r2"), "m1"}] = 0;
     const auto unload = bench.wholePlan(100.3).orders;
@@ -630,9 +630,9 @@
     bench.input().moves[TargetId("r2")] = bench.wholePlan(100).begun.front().move;
     bench.input().streams[{TargetId("r2"), "m1"}] = 3;
     bench.work("m2", 0.9, 0.9);
-    REQUIRE(bench.wholePlan(100.5).givenUp.empty());
+    REQUIRE(bench.wholePlan(100.5).aborted.empty());
     bench.work("m2", 0.05, 0.05).work("m1", 2, 2);
-    REQUIRE(bench.wholePlan(101).givenUp == std::vector<TargetId> {TargetId("r2")});
+    REQUIRE(bench.wholePlan(101).aborted == std::vector<TargetId> {TargetId("r2")});
 }
 
 TEST_CASE("a runner that is loading gets no second load, though it has room and its last order is long ago")
--- a/tests/unit_targets.cpp
+++ b/tests/unit_targets.cpp
@@ -127,7 +127,7 @@
     TargetView view;
     view.row(target("r1"), at(0));
     view.trouble(at(1));
-    REQUIRE(view.saidLeaving({TargetId("r1"), 1}, at(1)).seen.size() == 1);
+    REQUIRE(view.reportedLeaving({TargetId("r1"), 1}, at(1)).seen.size() == 1);
     REQUIRE(view.rowGone(TargetId("r1"), at(2)).gone.size() == 1);
 }
 
@@ -136,7 +136,7 @@
     // Under the same id a new process is up; word of its predecessor's leaving is still on its way. Believed, a sound target gets nothing.
     TargetView view;
     view.row(target("r1", 2), at(0));
-    REQUIRE(view.saidLeaving({TargetId("r1"), 1}, at(1)).seen.empty());
+    REQUIRE(view.reportedLeaving({TargetId("r1"), 1}, at(1)).seen.empty());
     REQUIRE_FALSE(view.find(TargetId("r1"))->isLeaving);
 }
 
