order lease: name candidates in the row; only they are needed while the store is away

While the store is away the holder may go on as long as every registered gateway confirms its digests. Of 103 gateways one is always gone, restarting or stalled, and the row of one that is gone for good stays.

Ruled out: the digests' period (0.8 s at this size, well within the 2.7 s), the store's answers (it was away).

Change: the holder names up to four candidates in the lease's row, from the gateways that are alive, large hosts first and one a zone. Without the store it needs the confirmation of these only (of all that an unanswered write may have named), and not for longer than 12 s since its last write. A gateway that is no candidate by the row it is about to replace waits 12 s for an unchanged row in place of 3 s. Peers that don't know of candidates (an earlier version) are needed like them. Rows without candidates mean what they meant.

Tests: six in unit_orders, among them the two holders never at once with a third gateway that alone reaches the store.

--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -3,7 +3,8 @@
 #include "core/hashing.h"
 
 #include <algorithm>
-#include <charconv>
+#include <sstream>
+#include <tuple>
 
 namespace KingCup
 {
@@ -20,13 +21,36 @@
     return most * (static_cast<double>(stableHash(self.text()) % Steps) / Steps);
 }
 
-auto trim(std::map<std::uint64_t, TimePoint> &moments) -> void
+template<typename Value>
+auto trim(std::map<std::uint64_t, Value> &byNumber) -> void
 {
-    while (moments.size() > MostRemembered) {
-        moments.erase(moments.begin());
+    while (byNumber.size() > MostRemembered) {
+        byNumber.erase(byNumber.begin());
     }
 }
 
+/// The row: "SELF NUMBER CANDIDATE,CANDIDATE", the last part only where there are candidates.
+struct LeaseRow {
+    HolderName writer;
+    std::uint64_t number = 0;
+    std::set<std::string> candidates;
+};
+
+auto readLeaseRow(const std::string &value) -> LeaseRow
+{
+    std::istringstream parts(value);
+    std::string writer;
+    std::string candidates;
+    LeaseRow row;
+    parts >> writer >> row.number >> candidates;
+    row.writer = HolderName(writer);
+    std::istringstream names(candidates);
+    for (std::string name; std::getline(names, name, ',');) {
+        row.candidates.insert(name);
+    }
+    return row;
+}
+
 } // namespace
 
 auto hostOf(const HolderName &holder) -> std::string
@@ -34,6 +58,28 @@
     return holder.text().substr(0, holder.text().rfind('#'));
 }
 
+auto chooseLeaseCandidates(std::vector<LeaseMember> alive, std::size_t most) -> std::vector<EntryId>
+{
+    const auto isBefore = [](const LeaseMember &a, const LeaseMember &b) {
+        const auto rank = [](const LeaseMember &member) {
+            return std::tuple(-member.processorShare, rendezvousScore("lease", member.id.text()), member.id);
+        };
+        return rank(a) < rank(b);
+    };
+    std::sort(alive.begin(), alive.end(), isBefore);
+    std::vector<EntryId> chosen;
+    std::set<ZoneName> zones;
+    for (const bool isNewZone : {true, false}) {
+        for (const auto &member : alive) {
+            const bool isChosen = std::find(chosen.begin(), chosen.end(), member.id) != chosen.end();
+            if (chosen.size() < most && !isChosen && (!isNewZone || zones.insert(member.zone).second)) {
+                chosen.push_back(member.id);
+            }
+        }
+    }
+    return chosen;
+}
+
 OrderLease::OrderLease(HolderName self, OrderLeaseOptions options, TimePoint startedAt)
     : m_self(std::move(self))
     , m_options(options)
@@ -73,11 +119,13 @@
     return m_version;
 }
 
-auto OrderLease::peersUntil() const -> std::optional<TimePoint>
+/// When the oldest digest left that one of these gateways has confirmed last; none if one has confirmed none.
+auto OrderLease::confirmedUntil(const std::set<EntryId> &needed) const -> std::optional<TimePoint>
 {
     std::optional<TimePoint> until;
-    for (const auto &[peer, sequence] : m_peers) {
-        const auto sent = m_digests.find(sequence);
+    for (const auto &peer : needed) {
+        const auto known = m_peers.find(peer);
+        const auto sent = known == m_peers.end() ? m_digests.end() : m_digests.find(known->second);
         if (sent == m_digests.end()) {
             return std::nullopt;
         }
@@ -86,10 +134,32 @@
     return until;
 }
 
+/// Candidates by the row, whichever of the writes since the last certain one it shows; none if all gateways are.
+auto OrderLease::needed() const -> std::optional<std::set<EntryId>>
+{
+    auto all = m_ignoreCandidates;
+    for (auto write = m_writes.lower_bound(m_effectiveWrite); write != m_writes.end(); ++write) {
+        const auto &candidates = write->second.candidates;
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        all.insert(candidates.begin(), candidates.end());
+    }
+    return all;
+}
+
 auto OrderLease::validUntil() const -> TimePoint
 {
-    const auto byPeers = peersUntil();
-    const auto from = byPeers ? std::max(m_renewedAt, *byPeers) : m_renewedAt;
+    auto from = m_renewedAt;
+    std::set<EntryId> everyone;
+    for (const auto &[peer, sequence] : m_peers) {
+        everyone.insert(peer);
+    }
+    from = std::max(from, confirmedUntil(everyone).value_or(from));
+    if (const auto some = needed()) {
+        const auto latest = m_renewedAt + m_options.longWait - m_options.duration;
+        from = std::max(from, std::min(confirmedUntil(*some).value_or(from), latest));
+    }
     return from + m_options.duration - m_options.margin;
 }
 
@@ -118,7 +188,11 @@
 
 auto OrderLease::valueOf(std::uint64_t number) const -> std::string
 {
-    return m_self.text() + " " + std::to_string(number);
+    auto value = m_self.text() + " " + std::to_string(number);
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        value += (i == 0 ? " " : ",") + m_candidates[i].text();
+    }
+    return value;
 }
 
 auto OrderLease::rowRead(RowVersion version, const std::string &value, TimePoint now) -> void
@@ -130,15 +204,11 @@
         m_version = version;
         m_seenSince = now;
     }
-    const auto blank = value.rfind(' ');
-    const auto writer = HolderName(value.substr(0, blank));
-    if (writer == m_self) {
+    const auto row = readLeaseRow(value);
+    m_isCandidate = row.candidates.empty() || row.candidates.contains(hostOf(m_self));
+    if (row.writer == m_self) {
         // A write of ours whose answer was lost has taken effect; its time counts from when it left.
-        std::uint64_t number = 0;
-        if (blank != std::string::npos) {
-            std::from_chars(value.data() + blank + 1, value.data() + value.size(), number);
-        }
-        const auto sent = m_writes.find(number);
+        const auto sent = m_writes.find(row.number);
         if (sent == m_writes.end()) {
             lose();
             return;
@@ -148,7 +218,8 @@
         }
         m_holds = true;
         m_holder = m_self;
-        m_renewedAt = std::max(m_renewedAt, sent->second);
+        m_renewedAt = std::max(m_renewedAt, sent->second.sentAt);
+        m_effectiveWrite = std::max(m_effectiveWrite, row.number);
         return;
     }
     if (m_holds) {
@@ -157,11 +228,11 @@
     if (version == RowVersion()) {
         return; // nobody has it: write
     }
-    m_holder = writer;
+    m_holder = row.writer;
     const auto until = waitUntil();
     if (now < until) {
         m_mustRead = true; // once more at the end, to see whether it is still the same
-        m_nextTry = until;
+        m_nextTry = std::min(until, now + m_options.duration); // a newer row may name this gateway a candidate
     }
 }
 
@@ -171,13 +242,14 @@
     if (hostOf(m_holder) == hostOf(m_self)) {
         return m_startedAt + m_options.margin;
     }
-    return std::max(m_seenSince, m_holderSeenAt) + m_options.duration;
+    const auto asCandidate = std::max(m_seenSince, m_holderSeenAt) + m_options.duration;
+    return m_isCandidate ? asCandidate : std::max(asCandidate, m_seenSince + m_options.longWait);
 }
 
 auto OrderLease::writeStarted(TimePoint now) -> LeaseWrite
 {
     m_underWay = true;
-    m_writes[++m_lastWrite] = now;
+    m_writes[++m_lastWrite] = {now, m_candidates};
     trim(m_writes);
     return {m_version, valueOf(m_lastWrite)};
 }
@@ -187,7 +259,8 @@
     m_underWay = false;
     m_version = version;
     m_seenSince = now;
-    m_renewedAt = std::max(m_renewedAt, m_writes[m_lastWrite]);
+    m_renewedAt = std::max(m_renewedAt, m_writes[m_lastWrite].sentAt);
+    m_effectiveWrite = m_lastWrite;
     if (!m_holds) {
         // The fence stays for the tenure: orders of one holder with different numbers could overtake each other.
         m_holds = true;
@@ -255,9 +328,20 @@
     }
 }
 
+auto OrderLease::setCandidates(std::vector<EntryId> candidates) -> void
+{
+    m_candidates = std::move(candidates);
+}
+
+auto OrderLease::peerIgnoresCandidates(const EntryId &peer) -> void
+{
+    m_ignoreCandidates.insert(peer);
+}
+
 auto OrderLease::setPeers(const std::set<EntryId> &peers) -> void
 {
     std::erase_if(m_peers, [&](const auto &known) { return !peers.contains(known.first); });
+    std::erase_if(m_ignoreCandidates, [&](const auto &known) { return !peers.contains(known); });
     for (const auto &peer : peers) {
         m_peers.try_emplace(peer, 0);
     }
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -8,11 +8,14 @@
 //     waits until the last orders of before have arrived. When all gateways were killed at once, runners are without orders for a second in place of four.
 // No two clocks are compared. They must count the time that a host was suspended.
 //
-// The second condition lets a holder go on while the store is away: as long as every other gateway that it knows of has lately said that
-// it hears the holder, none of them can have begun to count. A store that is away for seconds would otherwise leave every request
-// waiting that needs an adapter loaded.
+// The second condition lets a holder go on while the store is away: as long as every gateway that may succeed it has lately confirmed its digests, none of
+// them can have begun to count. A store that is away for seconds would otherwise leave every request waiting that needs an adapter loaded.
+//
+// Of a hundred gateways one is always restarting or gone. So the holder names a few candidates in the row, chosen from those that are alive, and needs the
+// confirmation of these only. Any other gateway waits much longer for an unchanged row, and the holder doesn't rely on the candidates alone for as long.
 //
 // Index of sections (search for [SECTION]):
+//   Candidates   who may succeed a holder soon
 //   Steps        what the owner is to do
 //   OrderLease   the state
 #pragma once
@@ -25,10 +28,22 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace KingCup
 {
 
+// [SECTION] Candidates
+
+struct LeaseMember {
+    EntryId id;
+    ZoneName zone;
+    double processorShare = 1; ///< cores of its host that are its own
+};
+
+/// Gateways with much processor time first, one of each availability zone before a second one. All gateways rank them alike.
+auto chooseLeaseCandidates(std::vector<LeaseMember> alive, std::size_t most) -> std::vector<EntryId>;
+
 // [SECTION] Steps
 
 /// One start of a gateway: "ID#INCARNATION".
@@ -54,6 +69,7 @@
     Duration renewAfter = Duration::millis(1200); ///< two more tries fit into the rest of a lease of 3 s
     Duration retryAfter = Duration::millis(300); ///< between tries that failed
     Duration stagger = Duration::millis(400); ///< gateways that want the row spread their tries over this
+    Duration longWait = Duration::seconds(12); ///< for an unchanged row, of a gateway that is no candidate; four times the duration
     Duration silence = Duration::seconds(1); ///< without a digest of the holder before the row is looked at: five of its digests
 };
 
@@ -91,16 +107,21 @@
     /// Another gateway says which of this gateway's digests it received last. A lease that is over isn't brought back by that: a gateway that
     /// received nothing for long enough may have begun to take the row, and goes on receiving digests meanwhile. Only the row decides then.
     auto peerConfirmed(const EntryId &peer, std::uint64_t sequence, TimePoint now) -> void;
-    /// Gateways that may want the lease: the extension needs the confirmation of each.
+    /// All other gateways. Where the row names no candidates, the extension needs the confirmation of each.
     auto setPeers(const std::set<EntryId> &peers) -> void;
+    /// Other gateways that the next write of the row names.
+    auto setCandidates(std::vector<EntryId> candidates) -> void;
+    /// This gateway doesn't know of candidates and takes the row as if it were one.
+    auto peerIgnoresCandidates(const EntryId &peer) -> void;
 
 private:
     struct Write {
-        std::uint64_t number = 0;
         TimePoint sentAt;
+        std::vector<EntryId> candidates; ///< none: each gateway is one
     };
     auto validUntil() const -> TimePoint;
-    auto peersUntil() const -> std::optional<TimePoint>;
+    auto confirmedUntil(const std::set<EntryId> &needed) const -> std::optional<TimePoint>;
+    auto needed() const -> std::optional<std::set<EntryId>>;
     auto waitUntil() const -> TimePoint;
     auto lose() -> void;
     auto valueOf(std::uint64_t number) const -> std::string;
@@ -117,8 +138,12 @@
     bool m_underWay = false;
     TimePoint m_nextTry;
     TimePoint m_renewedAt; ///< when the last write that took effect left
-    std::map<std::uint64_t, TimePoint> m_writes; ///< by number, when each left
+    std::map<std::uint64_t, Write> m_writes; ///< by number
     std::uint64_t m_lastWrite = 0;
+    std::uint64_t m_effectiveWrite = 0; ///< the last one that is known to have taken effect
+    std::vector<EntryId> m_candidates; ///< for the next write
+    std::set<EntryId> m_ignoreCandidates; ///< peers
+    bool m_isCandidate = true; ///< by the row as last read
     HolderName m_holder;
     std::uint64_t m_holderSequence = 0;
     TimePoint m_holderSeenAt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,6 +59,8 @@
 /// however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
+/// Few of them die in the seconds that the store may be away, and one is left if two zones are lost.
+constexpr std::size_t MostLeaseCandidates = 4;
 /// The settings file may change without a signal; reading it takes less than a millisecond.
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// Some forty round trips within a region. The system sends a lost opening packet again only after a second: trying elsewhere is quicker.
@@ -103,6 +105,7 @@
     std::unique_ptr<StoreFollower> follower;
     std::shared_ptr<const Traffic> traffic;
     TimePoint storeLostAt;
+    std::vector<ListedHost> gateways; ///< registered, this one included
     Timer settingsTimer;
     Timer digestTimer;
     Timer longPrefillTimer;
@@ -148,6 +151,7 @@
         return HolderName(settings.process.id + "#" + std::to_string(incarnation));
     }
     auto everyPeriod() -> void;
+    auto chooseCandidates() -> void;
     auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
     auto publishLoad() -> void;
@@ -256,6 +260,7 @@
     self.processorShare = settings.gateway.processorShare;
     RegistrationHooks registrationHooks;
     registrationHooks.onGateways = [this](const std::vector<ListedHost> &hosts) {
+        gateways = hosts;
         peers->setHosts(hosts);
         peers->setSilentAfter(std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests));
         std::vector<CellMember> members;
@@ -476,6 +481,9 @@
 {
     follower->advance();
     targets->advance();
+    if (orders->lease().isHolder()) {
+        chooseCandidates();
+    }
     if (isDigestDue()) {
         sendDigest();
     }
@@ -486,6 +494,19 @@
     demand->advance();
 }
 
+/// Who may succeed this gateway as lease holder.
+auto Gateway::Private::chooseCandidates() -> void
+{
+    const auto live = peers->live();
+    std::vector<LeaseMember> alive;
+    for (const auto &host : gateways) {
+        if (live.contains(host.id)) {
+            alive.push_back({EntryId(host.id), host.zone, host.processorShare});
+        }
+    }
+    orders->lease().setCandidates(chooseLeaseCandidates(std::move(alive), MostLeaseCandidates));
+}
+
 /// All others depend on the digests of the lease holder and of the store's watchers, and miss them soon.
 auto Gateway::Private::isDigestDue() const -> bool
 {
@@ -511,6 +532,7 @@
         digest->set_lease_fence(lease.fence().value());
         digest->set_lease_version(lease.version().value());
     }
+    digest->set_reads_lease_candidates(true);
     digest->set_last_holder(lease.holder().text());
     digest->set_last_holder_sequence(lease.lastHolderSequence());
     follower->writeDigest(*digest);
@@ -579,6 +601,9 @@
         lease.holderAnnounced(HolderName(digest.entry()), fence, digest.sequence(), RowVersion(digest.lease_version()), loop.now());
         demand->holderAnnounced(fence);
     }
+    if (!digest.reads_lease_candidates()) {
+        lease.peerIgnoresCandidates(EntryId(id));
+    }
     if (HolderName(digest.last_holder()) == selfName()) {
         lease.peerConfirmed(EntryId(id), digest.last_holder_sequence(), loop.now());
     }
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -248,6 +248,123 @@
     REQUIRE_FALSE(lease.mayOrder(at(13)));
 }
 
+namespace
+{
+
+const EntryId Candidate("gateway-b");
+const EntryId Bystander("gateway-c");
+
+/// A holder whose row names gateway-b as the only candidate.
+struct CandidateBench {
+    LeaseBench bench;
+    OrderLease holder {First, {}, at(0)};
+    std::uint64_t sequence = 0;
+
+    CandidateBench()
+    {
+        holder.setPeers({Candidate, Bystander});
+        holder.setCandidates({Candidate});
+        runUntil(bench, holder, 0, 1);
+    }
+    auto digest(double now, bool isConfirmed = true) -> void
+    {
+        holder.digestSent(++sequence, at(now));
+        if (isConfirmed) {
+            holder.peerConfirmed(Candidate, sequence, at(now));
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("while the store is away the holder goes on though a gateway that is no candidate is gone")
+{
+    // Of a hundred gateways one is always gone or starting again: needing the confirmation of each, holders lost the lease in each outage of the store.
+    CandidateBench all;
+    for (const double now : moments(1, 9, 0.2)) {
+        all.digest(now);
+        REQUIRE(all.holder.mayOrder(at(now)));
+    }
+    for (const double now : moments(9, 12, 0.2)) {
+        all.digest(now, false); // the candidate may have begun to count
+    }
+    REQUIRE_FALSE(all.holder.mayOrder(at(12)));
+}
+
+TEST_CASE("a gateway that is no candidate and reaches the store alone takes the lease only after the holder has stopped")
+{
+    // The candidates confirm the holder's digests, the store refuses the holder, and a third gateway hears nothing of it but reaches the store.
+    CandidateBench all;
+    OrderLease bystander(HolderName("gateway-c#1"), {}, at(1));
+    double taken = 0;
+    double stopped = 0;
+    for (const double now : moments(1, 40, 0.05)) {
+        all.digest(now);
+        all.bench.step(bystander, now);
+        REQUIRE_FALSE((all.holder.mayOrder(at(now)) && bystander.mayOrder(at(now))));
+        stopped = stopped == 0 && !all.holder.mayOrder(at(now)) ? now : stopped;
+        taken = taken == 0 && bystander.mayOrder(at(now)) ? now : taken;
+    }
+    CHECK(stopped > 9);
+    CHECK(taken > stopped);
+    CHECK(taken < 20);
+}
+
+TEST_CASE("a candidate that hears nothing takes the lease after one duration, and a dead holder's row is taken though all candidates died")
+{
+    CandidateBench all;
+    OrderLease candidate(HolderName("gateway-b#1"), {}, at(1));
+    LeaseBench copy = all.bench;
+    for (const double now : moments(1, 6, 0.1)) {
+        copy.step(candidate, now);
+        REQUIRE_FALSE((all.holder.mayOrder(at(now)) && candidate.mayOrder(at(now))));
+    }
+    CHECK(candidate.mayOrder(at(6)));
+    OrderLease bystander(HolderName("gateway-c#1"), {}, at(1));
+    runUntil(all.bench, bystander, 1, 12);
+    CHECK_FALSE(bystander.isHolder());
+    runUntil(all.bench, bystander, 12, 17);
+    CHECK(bystander.mayOrder(at(17)));
+}
+
+TEST_CASE("a write without an answer may have named other candidates: those are needed too")
+{
+    CandidateBench all;
+    all.holder.setCandidates({Bystander});
+    const auto write = all.holder.writeStarted(at(2.5));
+    all.bench.put(write.value);
+    all.holder.writeUnclear(at(3));
+    for (const double now : moments(3, 8, 0.2)) {
+        all.digest(now); // only the former candidate confirms
+    }
+    CHECK_FALSE(all.holder.mayOrder(at(8)));
+}
+
+TEST_CASE("a peer that ignores candidates is needed like one")
+{
+    CandidateBench all;
+    all.holder.peerIgnoresCandidates(Bystander);
+    for (const double now : moments(1, 8, 0.2)) {
+        all.digest(now);
+    }
+    CHECK_FALSE(all.holder.mayOrder(at(8)));
+}
+
+TEST_CASE("lease candidates: much processor time first, one of each availability zone before a second one")
+{
+    const auto member = [](const std::string &id, const std::string &zone, double share) {
+        return LeaseMember {EntryId(id), ZoneName(zone), share};
+    };
+    const std::vector<LeaseMember> alive {
+        member("a1", "a", 0.5), member("a2", "a", 0.5), member("a3", "a", 0.09), member("b1", "b", 0.09), member("c1", "c", 0.5)};
+    const auto chosen = chooseLeaseCandidates(alive, 4);
+    REQUIRE(chosen.size() == 4);
+    const std::set<EntryId> all(chosen.begin(), chosen.end());
+    CHECK(all == std::set<EntryId> {EntryId("a1"), EntryId("a2"), EntryId("b1"), EntryId("c1")});
+    CHECK(chooseLeaseCandidates(alive, 4) == chosen);
+    CHECK(chooseLeaseCandidates({}, 4).empty());
+}
+
 TEST_CASE("a lease that was over is not brought back by the others' word")
 {
     // The holder's host is frozen for longer than a lease. A successor has begun to write the row when the holder, thawed, sends its next digest;
