--- a/src/core/copyplan.cpp
+++ b/src/core/copyplan.cpp
@@ -1,7 +1,7 @@
 // Index of sections (search for [SECTION]):
 //   Round   the state of one round
 //   Moves   those under way
-//   Places  for one more copy
+//   Slots   for one more replica
 //   Plan    the public face
 #include "core/copyplan.h"
 
@@ -18,9 +18,9 @@
 namespace
 {
 
-/// Models looked at closely for one more copy, and places for each: the spread of work is worked out for every pair.
+/// Models looked at closely for one more replica, and slots for each: the spread of work is worked out for every pair.
 constexpr std::size_t MostCandidates = 4;
-constexpr std::size_t MostPlaces = 4;
+constexpr std::size_t MostSlots = 4;
 /// Added to a runner's load for each step from memory to disk to the store: a tenth of its time is lost sooner than a slow load is made up for.
 constexpr double SourceCost = 0.1;
 constexpr double NoGain = -std::numeric_limits<double>::infinity();
@@ -43,10 +43,10 @@
 };
 
 /// Where one more copy of a model could go.
-struct Place {
+struct Slot {
     std::size_t runner = 0;
     WeightSource source = WeightSource::Store;
-    std::vector<std::size_t> goes; ///< models evicted there
+    std::vector<std::size_t> evicted; ///< models evicted there
     double rank = 0; ///< lower first
 };
 
@@ -65,7 +65,7 @@
 private:
     struct Choice {
         std::size_t model = 0;
-        Place place;
+        Slot slot;
         double gain = NoGain;
     };
     auto slots() const -> double;
@@ -79,21 +79,21 @@
 
     auto continueMoves() -> void;
     auto continueMove(std::size_t runner) -> void;
-    auto isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool;
-    auto abort(std::size_t runner, std::size_t comes) -> void;
+    auto isStillWorthIt(std::size_t runner, std::size_t incoming) const -> bool;
+    auto abort(std::size_t runner, std::size_t incoming) -> void;
     auto unloadDrained(PlannedRunner &runner) -> void;
     auto isDrained(const PlannedRunner &runner, const std::string &model) const -> bool;
 
     auto addWhereItGains() -> void;
     auto candidates() const -> std::vector<std::size_t>;
     auto hopedFor(std::size_t model, double least) const -> double;
-    auto places(std::size_t model) const -> std::vector<Place>;
-    auto placeOn(std::size_t runner, std::size_t model) const -> std::optional<Place>;
-    auto mayEvictLast(std::size_t comes) const -> bool;
-    auto chooseEvictions(std::size_t runner, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
+    auto slotsFor(std::size_t model) const -> std::vector<Slot>;
+    auto slotOn(std::size_t runner, std::size_t model) const -> std::optional<Slot>;
+    auto mayEvictLast(std::size_t incoming) const -> bool;
+    auto chooseEvictions(std::size_t runner, std::size_t incoming, Bytes missing) const -> std::optional<std::vector<std::size_t>>;
     auto streamsAt(std::size_t runner, std::size_t model) const -> double;
     auto weightsThere(const PlannedRunner &runner, std::size_t model) const -> Bytes;
-    auto gainOf(std::size_t model, const Place &place, double lostNow) const -> double;
+    auto gainOf(std::size_t model, const Slot &slot, double lostNow) const -> double;
     auto carryOut(const Choice &choice) -> void;
     auto load(std::size_t runner, std::size_t model, WeightSource source, const char *why) -> void;
     auto order(PlannedRunner &runner, const RunnerOrder &what, WeightSource source, const char *why) -> PlannedOrder &;
@@ -150,7 +150,7 @@
     const auto found = m_input.work.find(model.name);
     const auto none = ModelWork();
     const auto &asked = found == m_input.work.end() ? none : found->second;
-    // A runner whose places for adapters are all taken refuses as many as one whose time is.
+    // A runner whose adapter slots are all in use refuses as many as one whose time is.
     const double slots = std::max(m_input.engine->adapterSlots, 1);
     return std::max({asked.now, asked.soon, asked.activeAdapters / slots * m_options.adapterFill});
 }
@@ -193,7 +193,7 @@
             m_spread.add(*index, number);
         }
     }
-    for (const auto &coming : {book.loading(), runner.move != nullptr ? std::optional(runner.move->comes) : std::nullopt}) {
+    for (const auto &coming : {book.loading(), runner.move != nullptr ? std::optional(runner.move->incoming) : std::nullopt}) {
         if (const auto index = coming ? indexOf(*coming) : std::nullopt) {
             m_spread.add(*index, number);
         }
@@ -255,15 +255,15 @@
 {
     auto &runner = m_runners[number];
     const auto &move = *runner.move;
-    const auto comes = indexOf(move.comes);
-    if (!comes || !isStillWorthIt(number, *comes)) {
-        abort(number, comes.value_or(m_models.size()));
+    const auto incoming = indexOf(move.incoming);
+    if (!incoming || !isStillWorthIt(number, *incoming)) {
+        abort(number, incoming.value_or(m_models.size()));
         return;
     }
-    const auto source = runner.book->sourceOf(move.comes);
+    const auto source = runner.book->sourceOf(move.incoming);
     const bool isAllowed = source != WeightSource::Store || m_storeLoads > 0;
-    if (isAllowed && runner.book->mayOrder({true, move.comes, ""}, *m_input.engine, m_now)) {
-        load(number, *comes, source, "evicted");
+    if (isAllowed && runner.book->mayOrder({true, move.incoming, ""}, *m_input.engine, m_now)) {
+        load(number, *incoming, source, "evicted");
         return;
     }
     runner.isTaken = true;
@@ -271,17 +271,17 @@
 }
 
 /// Against using the draining replicas again.
-auto Round::isStillWorthIt(std::size_t runner, std::size_t comes) const -> bool
+auto Round::isStillWorthIt(std::size_t runner, std::size_t incoming) const -> bool
 {
     const auto *book = m_runners[runner].book;
-    if (book->loading() == nameOf(comes)) {
+    if (book->loading() == nameOf(incoming)) {
         return true;
     }
     auto before = m_spread;
-    before.remove(comes, runner);
+    before.remove(incoming, runner);
     for (const auto &held : book->description().models) {
         const auto index = indexOf(held.name);
-        if (index && m_runners[runner].move->goes.contains(held.name)) {
+        if (index && m_runners[runner].move->evicted.contains(held.name)) {
             before.add(*index, runner);
         }
     }
@@ -289,15 +289,15 @@
     return lost(before) - lost(m_spread) > m_options.abortGain;
 }
 
-auto Round::abort(std::size_t number, std::size_t comes) -> void
+auto Round::abort(std::size_t number, std::size_t incoming) -> void
 {
     auto &runner = m_runners[number];
-    if (comes < m_models.size()) {
-        m_spread.remove(comes, number);
+    if (incoming < m_models.size()) {
+        m_spread.remove(incoming, number);
     }
     for (const auto &held : runner.book->description().models) {
         const auto index = indexOf(held.name);
-        if (index && runner.move->goes.contains(held.name)) {
+        if (index && runner.move->evicted.contains(held.name)) {
             m_spread.add(*index, number);
         }
     }
@@ -310,11 +310,11 @@
 /// One at a time: a runner carries out one order after the other.
 auto Round::unloadDrained(PlannedRunner &runner) -> void
 {
-    for (const auto &name : runner.move->goes) {
+    for (const auto &name : runner.move->evicted) {
         const auto index = indexOf(name);
         const bool isNeeded = !index || (m_models[*index].usable == 0 && !runner.move->lastReplicas.contains(name));
         if (!isNeeded && isDrained(runner, name) && runner.book->mayOrder({false, name, ""}, *m_input.engine, m_now)) {
-            order(runner, {false, name, ""}, WeightSource::Memory, "evict").evictedFor = runner.move->comes;
+            order(runner, {false, name, ""}, WeightSource::Memory, "evict").evictedFor = runner.move->incoming;
             return;
         }
     }
@@ -330,19 +330,19 @@
     return reported->second == 0 || waited >= m_options.longestWait;
 }
 
-// [SECTION] Places
+// [SECTION] Slots
 
-/// The copy that saves the most comes first, as long as one is worth it.
+/// The replica that saves the most comes first, as long as one is worth it.
 auto Round::addWhereItGains() -> void
 {
     for (int changes = 0; changes < m_options.mostChanges; ++changes) {
         Choice best;
         const double lostNow = lost(m_spread);
         for (const auto model : candidates()) {
-            for (const auto &place : places(model)) {
-                const double gain = gainOf(model, place, lostNow);
+            for (const auto &slot : slotsFor(model)) {
+                const double gain = gainOf(model, slot, lostNow);
                 if (gain > best.gain) {
-                    best = {model, place, gain};
+                    best = {model, slot, gain};
                 }
             }
         }
@@ -385,21 +385,21 @@
     return loss.lost(level) - loss.lost(level - moved) + loss.lost(least) - loss.lost(least + moved);
 }
 
-auto Round::places(std::size_t model) const -> std::vector<Place>
+auto Round::slotsFor(std::size_t model) const -> std::vector<Slot>
 {
-    std::vector<Place> list;
+    std::vector<Slot> list;
     for (std::size_t runner = 0; runner < m_runners.size(); ++runner) {
-        if (auto place = placeOn(runner, model)) {
-            list.push_back(std::move(*place));
+        if (auto slot = slotOn(runner, model)) {
+            list.push_back(std::move(*slot));
         }
     }
-    std::sort(list.begin(), list.end(), [](const Place &a, const Place &b) { return a.rank < b.rank; });
-    list.resize(std::min(list.size(), MostPlaces));
+    std::sort(list.begin(), list.end(), [](const Slot &a, const Slot &b) { return a.rank < b.rank; });
+    list.resize(std::min(list.size(), MostSlots));
     return list;
 }
 
 /// A runner with time before a busy one, free memory before an eviction, a quick load before a slow one.
-auto Round::placeOn(std::size_t number, std::size_t model) const -> std::optional<Place>
+auto Round::slotOn(std::size_t number, std::size_t model) const -> std::optional<Slot>
 {
     const auto &runner = m_runners[number];
     const auto source = runner.book->sourceOf(nameOf(model));
@@ -407,10 +407,10 @@
     if (runner.isTaken || !isAllowed || m_spread.holds(model, number)) {
         return std::nullopt;
     }
-    Place place {.runner = number, .source = source};
-    place.rank = m_spread.load(number) + SourceCost * static_cast<int>(source);
+    Slot slot {.runner = number, .source = source};
+    slot.rank = m_spread.load(number) + SourceCost * static_cast<int>(source);
     if (runner.book->mayOrder({true, nameOf(model), ""}, *m_input.engine, m_now)) {
-        return place;
+        return slot;
     }
     const bool isResting = m_now - runner.book->modelOrderedAt() < m_options.restTime;
     const bool isTooMuch = static_cast<double>(m_moves) >= m_options.mostDraining * static_cast<double>(m_runners.size());
@@ -421,15 +421,15 @@
     if (missing <= Bytes()) {
         return std::nullopt; // enough free memory, but it takes no order now
     }
-    auto goes = chooseEvictions(number, model, missing);
-    if (!goes) {
+    auto evicted = chooseEvictions(number, model, missing);
+    if (!evicted) {
         return std::nullopt;
     }
-    for (const auto victim : *goes) {
-        place.rank += SourceCost + m_spread.share(victim, number) + m_options.streamCost * streamsAt(number, victim);
+    for (const auto victim : *evicted) {
+        slot.rank += SourceCost + m_spread.share(victim, number) + m_options.streamCost * streamsAt(number, victim);
     }
-    place.goes = std::move(*goes);
-    return place;
+    slot.evicted = std::move(*evicted);
+    return slot;
 }
 
 auto Round::streamsAt(std::size_t runner, std::size_t model) const -> double
@@ -438,23 +438,23 @@
 }
 
 /// Whether another model's only copy may be evicted for this one: then the gain decides.
-auto Round::mayEvictLast(std::size_t comes) const -> bool
+auto Round::mayEvictLast(std::size_t incoming) const -> bool
 {
-    const bool isMissing = m_spread.copies(comes) == 0;
-    return m_input.isDemandKnown && m_models[comes].work > 0 && (isMissing || !m_allFit);
+    const bool isMissing = m_spread.copies(incoming) == 0;
+    return m_input.isDemandKnown && m_models[incoming].work > 0 && (isMissing || !m_allFit);
 }
 
 /// The replicas that are missed least, as many as are needed; nothing if they don't free enough memory.
-auto Round::chooseEvictions(std::size_t number, std::size_t comes, Bytes missing) const -> std::optional<std::vector<std::size_t>>
+auto Round::chooseEvictions(std::size_t number, std::size_t incoming, Bytes missing) const -> std::optional<std::vector<std::size_t>>
 {
     // Where not all fit, a model without requests waits for free memory: the next model evicted for it would come back the same way.
-    if (m_models[comes].work <= 0 && (!m_input.isDemandKnown || !m_allFit)) {
+    if (m_models[incoming].work <= 0 && (!m_input.isDemandKnown || !m_allFit)) {
         return std::nullopt;
     }
     const auto &runner = m_runners[number];
     std::vector<std::size_t> mayGo;
     for (const auto model : runner.holds) {
-        const bool isNeeded = m_models[model].usable < 2 && !mayEvictLast(comes);
+        const bool isNeeded = m_models[model].usable < 2 && !mayEvictLast(incoming);
         if (!isNeeded && m_spread.holds(model, number) && runner.book->mayOrder({false, nameOf(model), ""}, *m_input.engine, m_now)) {
             mayGo.push_back(model);
         }
@@ -468,26 +468,26 @@
         return harm(a) < harm(b);
     };
     std::sort(mayGo.begin(), mayGo.end(), isMissedLess);
-    std::vector<std::size_t> goes;
+    std::vector<std::size_t> evicted;
     for (const auto model : mayGo) {
         if (missing <= Bytes()) {
             break;
         }
-        goes.push_back(model);
+        evicted.push_back(model);
         missing -= weightsThere(runner, model);
     }
     if (missing > Bytes()) {
         return std::nullopt;
     }
     // What turned out not to be needed stays, the most missed first.
-    for (std::size_t i = goes.size(); i > 0; --i) {
-        const auto size = weightsThere(runner, goes[i - 1]);
+    for (std::size_t i = evicted.size(); i > 0; --i) {
+        const auto size = weightsThere(runner, evicted[i - 1]);
         if (missing + size <= Bytes()) {
             missing += size;
-            goes.erase(goes.begin() + static_cast<std::ptrdiff_t>(i - 1));
+            evicted.erase(evicted.begin() + static_cast<std::ptrdiff_t>(i - 1));
         }
     }
-    return goes;
+    return evicted;
 }
 
 /// With its adapters there.
@@ -500,37 +500,37 @@
 }
 
 /// Work that is no longer late or lost, less what the change must bring at least.
-auto Round::gainOf(std::size_t model, const Place &place, double lostNow) const -> double
+auto Round::gainOf(std::size_t model, const Slot &slot, double lostNow) const -> double
 {
     auto after = m_spread;
-    after.add(model, place.runner);
-    for (const auto victim : place.goes) {
-        after.remove(victim, place.runner);
+    after.add(model, slot.runner);
+    for (const auto victim : slot.evicted) {
+        after.remove(victim, slot.runner);
     }
     after.settle();
-    const double least = place.goes.empty() ? m_options.leastGain : m_options.swapCost;
+    const double least = slot.evicted.empty() ? m_options.leastGain : m_options.swapCost;
     return lostNow - lost(after) - least;
 }
 
 auto Round::carryOut(const Choice &choice) -> void
 {
     const char *why = m_spread.copies(choice.model) == 0 ? "no-copy" : "busy";
-    const auto &place = choice.place;
-    if (place.goes.empty()) {
-        load(place.runner, choice.model, place.source, why);
+    const auto &slot = choice.slot;
+    if (slot.evicted.empty()) {
+        load(slot.runner, choice.model, slot.source, why);
         return;
     }
-    auto &runner = m_runners[place.runner];
-    CopyMove move {.comes = nameOf(choice.model), .since = m_now};
-    for (const auto victim : place.goes) {
-        move.goes.insert(nameOf(victim));
+    auto &runner = m_runners[slot.runner];
+    CopyMove move {.incoming = nameOf(choice.model), .since = m_now};
+    for (const auto victim : slot.evicted) {
+        move.evicted.insert(nameOf(victim));
         if (m_models[victim].usable < 2) {
             move.lastReplicas.insert(nameOf(victim));
         }
-        m_spread.remove(victim, place.runner);
+        m_spread.remove(victim, slot.runner);
         --m_models[victim].usable;
     }
-    m_spread.add(choice.model, place.runner);
+    m_spread.add(choice.model, slot.runner);
     m_spread.settle();
     runner.isTaken = true;
     ++m_moves;
@@ -544,7 +544,7 @@
 auto isDraining(const std::map<TargetId, CopyMove> &moves, const TargetId &target, const std::string &model) -> bool
 {
     const auto found = moves.find(target);
-    return found != moves.end() && found->second.goes.contains(model);
+    return found != moves.end() && found->second.evicted.contains(model);
 }
 
 auto CopyPlanInput::isDraining(const TargetId &target, const std::string &model) const -> bool
--- a/src/core/copyplan.h
+++ b/src/core/copyplan.h
@@ -47,10 +47,10 @@
 
 /// On one runner: an incoming model, and the replicas that are evicted for it.
 struct CopyMove {
-    std::string comes;
-    std::set<std::string> goes; ///< get no new requests
+    std::string incoming;
+    std::set<std::string> evicted; ///< get no new requests
     TimePoint since;
-    std::set<std::string> lastReplicas; ///< of `goes`, those that were their model's only replica when the move began
+    std::set<std::string> lastReplicas; ///< of `evicted`, those that were their model's only replica when the move began
 };
 
 /// Whether a replica is evicted for another model there.
@@ -63,7 +63,7 @@
     const EngineDeclaration *engine = nullptr;
     std::vector<const RunnerBook *> runners; ///< those that are up; leaving ones too
     std::map<std::string, ModelWork> work; ///< by model
-    std::map<TargetId, double> load; ///< of each runner: the share of its places that is taken
+    std::map<TargetId, double> load; ///< of each runner: the share of its slots in use
     std::set<TargetId> failing; ///< runners that don't answer: what they hold is of no use now
     std::map<TargetId, CopyMove> moves; ///< under way
     bool isDemandKnown = true; ///< arrivals have been counted for long enough that a model without any is a silent one
--- a/src/gateway/copyuse.cpp
+++ b/src/gateway/copyuse.cpp
@@ -69,7 +69,7 @@
 {
     m_draining.clear();
     for (const auto &[target, move] : moves) {
-        for (const auto &model : move.goes) {
+        for (const auto &model : move.evicted) {
             m_draining.emplace(target, model);
         }
     }
--- a/src/gateway/demandexchange.cpp
+++ b/src/gateway/demandexchange.cpp
@@ -136,8 +136,7 @@
     const ServiceName service(message.service());
     auto &orders = m_parts.orders;
     if (!orders.mayOrder()) {
-        // Its name stands in the lease's row before it may give orders, and others send to whom they read there: dropped, the first requests
-        // after a start were refused.
+        // Others send to the holder by the lease's row, where its name stands before it may give orders.
         orders.remember(service, message.model(), message.adapter());
     } else if (message.another()) {
         orders.overloaded(service, message.model(), message.adapter());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 // Index of sections (search for [SECTION]):
-//   Parts     the tasks and what they tell each other
+//   Parts     the tasks and how they are connected
 //   Store     declarations, targets and gateways
-//   Requests  what the forwarder tells
+//   Requests  hooks of the forwarder
 //   Peers     digests to and from other gateways
 //   Pages     readiness and metrics
 //   Leaving   planned stops
@@ -43,7 +43,7 @@
 constexpr auto StopMargin = Duration::millis(500);
 /// Without an answer of the store for so long, what the declared traffic lacks may have been declared meanwhile.
 constexpr auto CurrentWithin = Duration::seconds(2);
-/// A runner's own reading of a prompt takes some tens of milliseconds: older news of its work would mislead the choice of the next target.
+/// A prompt's prefill takes some tens of milliseconds: older reports would mislead the choice of the next target.
 constexpr auto DigestPeriod = Duration::millis(200);
 /// Where many gateways exchange digests: between two of them, for each gateway that receives them, and at most. Some hundred a second reach a gateway,
 /// however many there are.
@@ -55,8 +55,7 @@
 /// their first tokens would come late though no estimate predicted it.
 constexpr auto LongPrefill = Duration::millis(100);
 constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is announced together
-/// Between two words to the others of what targets were given to read, for each gateway that hears it: a gateway hears some hundred of them a second,
-/// however many there are.
+/// Between two messages on sent prefill, for each gateway that receives them: some hundred a second reach a gateway, however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
 /// Few of them die in the seconds that the store may be away, and one is left if two zones are lost.
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -443,14 +443,14 @@
 
 auto OrderTask::Private::beginMove(const BegunMove &begun) -> void
 {
-    std::string goes;
-    for (const auto &model : begun.move.goes) {
-        goes += (goes.empty() ? "" : ",") + model;
+    std::string evicted;
+    for (const auto &model : begun.move.evicted) {
+        evicted += (evicted.empty() ? "" : ",") + model;
     }
     parts.log.line("orders", "move-begun")
         .add("target", begun.target.text())
-        .add("comes", begun.move.comes)
-        .add("goes", goes)
+        .add("incoming", begun.move.incoming)
+        .add("evicted", evicted)
         .add("why", begun.reason)
         .add("gain", begun.gain);
     moves[begun.target] = begun.move;
@@ -469,7 +469,7 @@
     }
     parts.log.line("orders", "move-ended")
         .add("target", target.text())
-        .add("comes", found->second.comes)
+        .add("incoming", found->second.incoming)
         .add("why", why)
         .add("after", now() - found->second.since);
     moves.erase(found);
@@ -488,7 +488,7 @@
         const auto book = books.find(target);
         if (book == books.end() || book->second.description().isLeaving || hooks.isFailing(target)) {
             ended.emplace_back(target, "runner-lost");
-        } else if (book->second.description().model(move.comes) != nullptr || book->second.loading() == move.comes) {
+        } else if (book->second.description().model(move.incoming) != nullptr || book->second.loading() == move.incoming) {
             ended.emplace_back(target, "done");
         }
     }
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -35,15 +35,14 @@
 
 struct OrderTaskHooks {
     std::function<std::map<std::string, ModelWork>(const ServiceName &service)> work; ///< by model
-    std::function<double(const TargetId &target)> load; ///< the share of its places that is taken
+    std::function<double(const TargetId &target)> load; ///< the share of its slots in use
     std::function<bool(const TargetId &target)> isFailing; ///< requests don't get through to it
     std::function<void(const std::map<TargetId, CopyMove> &moves)> onMoves; ///< those under way have changed
     std::function<std::map<CopyKey, int>()> streams; ///< under way at draining replicas, as all gateways reported
     std::function<double(const CopyKey &copy)> likelyStreams; ///< under way at any copy
     /// What a runner holds has changed; known here before its row says so.
     std::function<void(const TargetDescription &target)> onResidency;
-    /// This gateway may give orders from now on: others are to be notified at once. What their requests wait for is sent to it only then, and by
-    /// the next digest some of these requests would have been refused.
+    /// This gateway may give orders from now on: others are to be notified at once, as they send their pending requests only then.
     std::function<void()> onHolder;
 };
 
@@ -90,14 +89,11 @@
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void;
     auto targetSeen(const TargetDescription &target) -> void;
     auto targetGone(const TargetId &target) -> void;
-    /// A request waits for a model or an adapter, and another gateway gives orders, or none yet: kept in case that changes. A report sent to
-    /// nobody, or to a holder that was just lost, would leave the request without what it waits for until it is sent again; the first
-    /// requests of a start and those during a takeover were refused for that.
+    /// A request waits for a model or an adapter, and another gateway gives orders, or none yet: kept for the next holder.
     auto remember(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     /// Likewise, and this gateway gives the orders.
     auto wanted(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
-    /// The only runner with an adapter is too busy to answer a request for it in time. An adapter is loaded within milliseconds, and half of the
-    /// streams name one: bound to one runner, they were late there while the model's other copies had time.
+    /// The only runner with an adapter is too busy to answer a request for it in time: it is loaded on a second one.
     auto overloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
     auto modelAsked(const std::string &model) -> void; ///< requests for it have come, here or at another gateway
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,12 +1,11 @@
 // Follows the store's tables, in a few gateways by watching it and in the others by what those pass on.
 //
-// Every call to the store has its price, and a watch answers once for each change: watched by all gateways, the tables of a deployment with
-// 24 of them took 6,800 calls in 44 s, a tenth of what its requests are worth. So the gateways that rank first watch, the first of them
+// Calls to the store are metered, and a watch answers once for each change. So only the gateways that rank first watch, the first of them
 // passes changes on at once, and the others of them only if it doesn't. While no watcher reaches the store, more gateways watch, up to a limit; one that
 // has no peers watches by itself. A checksum of each table in the digests shows whoever missed a change.
 //
 // Index of sections (search for [SECTION]):
-//   Hooks           what it tells
+//   Hooks           changes, trouble
 //   StoreFollower   the task
 #pragma once
 
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -149,7 +149,7 @@
 {
 
 /// Lowers this process's limit. With a limit of its own, libwebsockets would look each descriptor up by going through the
-/// whole table, at every event: that was a third of an agent's processor time.
+/// whole table, at every event.
 auto limitDescriptors() -> void
 {
     rlimit limit {};
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -647,8 +647,8 @@
     const auto plan = bench.wholePlan();
     REQUIRE_FALSE(plan.begun.empty());
     for (const auto &begun : plan.begun) {
-        REQUIRE(begun.move.comes == "m1");
-        REQUIRE(begun.move.goes.size() == 1);
+        REQUIRE(begun.move.incoming == "m1");
+        REQUIRE(begun.move.evicted.size() == 1);
     }
 }
 
@@ -701,7 +701,7 @@
     REQUIRE(loadsOf(bench.plan(), "m1") == 1);
 }
 
-TEST_CASE("a move first leaves the copy that gives way to its streams, then unloads it, then loads what comes")
+TEST_CASE("a move first leaves the evicted replica to its streams, then unloads it, then loads the incoming model")
 {
     // Load pattern: demand has moved from m1 to m2 while streams of m1 run on for seconds. Unloaded at once, m1 would keep its runner from every other order
     // until its last stream has ended; and the room, free at last, went to whatever was first to ask for it.
@@ -710,8 +710,8 @@
     const auto begun = bench.wholePlan(100).begun;
     REQUIRE(begun.size() == 1);
     REQUIRE(begun.front().target == TargetId("r2"));
-    REQUIRE(begun.front().move.comes == "m2");
-    REQUIRE(begun.front().move.goes == std::set<std::string> {"m1"});
+    REQUIRE(begun.front().move.incoming == "m2");
+    REQUIRE(begun.front().move.evicted == std::set<std::string> {"m1"});
     bench.input().moves[TargetId("r2")] = begun.front().move;
 
     // Nothing is known yet, or streams run: no order, and no second move for the same want.
@@ -728,7 +728,7 @@
     REQUIRE(unload.front().evictedFor == "m2");
 }
 
-TEST_CASE("a move whose streams don't end, or of which gateways don't tell, goes on all the same")
+TEST_CASE("a move whose streams don't end, or of which gateways don't report, goes on all the same")
 {
     PlanBench bench(declaredEngine(3));
     bench.add("r1", {{"m1", 0, {}}, {"m2", 0, {}}}).add("r2", {{"m1", 0, {}}, {"m3", 0, {}}}).work("m2", 2, 2);
@@ -943,7 +943,7 @@
     auto silentIncoming(double now) -> int
     {
         const auto made = plan(now, true);
-        return static_cast<int>(std::count_if(made.begun.begin(), made.begun.end(), [&](const BegunMove &one) { return !m_work.contains(one.move.comes); }));
+        return static_cast<int>(std::count_if(made.begun.begin(), made.begun.end(), [&](const BegunMove &one) { return !m_work.contains(one.move.incoming); }));
     }
     /// Loads and moves that one round begins.
     auto changes(double now) -> std::size_t
@@ -998,10 +998,10 @@
     auto plan = planCopies(input, CopyPlanOptions(), 4, at(now));
     for (const auto &begun : plan.begun) {
         auto &held = m_held[begun.target.text()];
-        for (const auto &model : begun.move.goes) {
+        for (const auto &model : begun.move.evicted) {
             held.erase(model);
         }
-        held.insert(begun.move.comes);
+        held.insert(begun.move.incoming);
     }
     for (const auto &planned : plan.orders) {
         m_held[planned.target.text()].insert(planned.order.model);
