store follower: a starting gateway has the tables from its peers where many are registered

Change: a gateway reads the gateways' rows first. Up to 40 registered ones, or if it ranks among the first twelve, it reads the rest as before; else it asks peers whose digests show that they have the tables, and reads the store after 1.5 s without them.

Test: unit_storewatchers "a mass restart".

--- a/src/core/storewatchers.cpp
+++ b/src/core/storewatchers.cpp
@@ -30,4 +30,9 @@
     return std::min(count, std::max(m_options.most, m_options.usual));
 }
 
+auto StoreWatchers::sourceAtStart(int registered, int ahead) const -> TableSource
+{
+    return registered <= m_options.mostReading || ahead < m_options.most ? TableSource::Store : TableSource::Peers;
+}
+
 } // namespace KingCup
--- a/src/core/storewatchers.h
+++ b/src/core/storewatchers.h
@@ -11,9 +11,16 @@
 namespace KingCup
 {
 
+/// Where a starting gateway gets the store's tables from.
+enum class TableSource {
+    Store,
+    Peers, ///< gateways that have them: whole tables are large, and a hundred gateways may start at once
+};
+
 struct StoreWatcherOptions {
     int usual = 3; ///< gateways that watch at once: two of them may lose the store in the same moment
     int most = 12; ///< while nobody reaches it
+    int mostReading = 40; ///< registered gateways up to which each reads the tables by itself
     Duration joinAfter = Duration::millis(400); ///< without a watcher that reaches the store, until the number doubles
 };
 
@@ -26,6 +33,8 @@
     auto advance(bool isReached, TimePoint now) -> void;
     /// Gateways that should watch now, counted from the first in the ranking.
     auto wanted(TimePoint now) const -> int;
+    /// Of a gateway with so many others `ahead` in the ranking, by the rows of `registered` gateways.
+    auto sourceAtStart(int registered, int ahead) const -> TableSource;
 
 private:
     StoreWatcherOptions m_options;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::array Tables {StoreTable::Operators, StoreTable::Targets, StoreTable::Entries};
 constexpr std::size_t TableCount = Tables.size();
+constexpr std::size_t GatewaysTable = 2; ///< in `Tables`
 
 auto nameOf(std::size_t index) -> const char *
 {
@@ -40,6 +41,7 @@
 struct FollowedTable {
     RowMirror mirror;
     std::unique_ptr<TableWatch> watch; ///< while this gateway watches
+    TimePoint askedAt; ///< a peer, at a start
     std::optional<TimePoint> differsSince; ///< from a watcher's
     std::vector<std::pair<TimePoint, StoredRow>> toPass; ///< if the first watcher doesn't; with when they came
 };
@@ -60,7 +62,10 @@
     StoreWatchers watcherCount;
     bool watching = false;
     bool wasFollowing = false; // a watcher elsewhere reached the store
+    bool isStarting = true; // tables are still to come
+    bool asksPeers = false; // for them
     Timer firstWatch;
+    Timer startLimit;
 
     Private(EventLoop &ownerLoop, StoreClient &storeClient, EventLog &eventLog, GatewayPeers &links, StoreFollowerSettings own, StoreFollowerHooks tell)
         : loop(ownerLoop)
@@ -84,6 +89,14 @@
     auto isAmongFirst() const -> bool;
     auto isFirst() const -> bool;
     auto reachesStore() const -> bool;
+    auto start() -> void;
+    auto chooseSource() -> void;
+    auto askPeer(const std::string &id, const Wire::GatewayDigest &digest) -> void;
+    auto endStart() -> void;
+    auto areAllLoaded() const -> bool
+    {
+        return std::all_of(tables.begin(), tables.end(), [](const FollowedTable &table) { return table.mirror.isLoaded(); });
+    }
     auto startWatching(const char *why) -> void;
     auto stopWatching() -> void;
     auto watch(std::size_t index) -> void;
@@ -128,6 +141,62 @@
     return reachesStore() && (!other || rankOf(settings.id) > rankOf(*other));
 }
 
+// [SECTION] Start
+
+/// Only the gateways' rows at first: how many they are says from where the other tables are to come.
+auto StoreFollower::Private::start() -> void
+{
+    startLimit = loop.after(settings.askPeersFor, [this] {
+        if (!areAllLoaded()) {
+            endStart();
+            startWatching("not-loaded");
+        }
+    });
+    watch(GatewaysTable);
+}
+
+auto StoreFollower::Private::chooseSource() -> void
+{
+    int registered = 0;
+    int ahead = 0;
+    for (const auto &row : tables.at(GatewaysTable).mirror.rows()) {
+        registered += row.isRemoved ? 0 : 1;
+        ahead += !row.isRemoved && rankOf(row.key) > rankOf(settings.id) ? 1 : 0;
+    }
+    if (watcherCount.sourceAtStart(registered, ahead) == TableSource::Store) {
+        endStart();
+        startWatching("start");
+        return;
+    }
+    asksPeers = true;
+    tables.at(GatewaysTable).watch.reset();
+    log.line("store", "asking-peers").add("gateways", registered);
+}
+
+auto StoreFollower::Private::askPeer(const std::string &id, const Wire::GatewayDigest &digest) -> void
+{
+    for (std::size_t i = 0; i < TableCount; ++i) {
+        auto &table = tables.at(i);
+        const bool hasIt = static_cast<int>(i) < digest.tables_size() && digest.tables(static_cast<int>(i)) != 0;
+        if (hasIt && !table.mirror.isLoaded() && loop.now() - table.askedAt >= settings.askAgain) {
+            table.askedAt = loop.now();
+            Wire::ControlFrame frame;
+            frame.mutable_store_wanted()->set_table(static_cast<std::uint32_t>(i));
+            peers.send(id, frame);
+        }
+    }
+}
+
+auto StoreFollower::Private::endStart() -> void
+{
+    if (asksPeers) {
+        log.line("store", "asked-peers").add("loaded", areAllLoaded());
+    }
+    isStarting = false;
+    asksPeers = false;
+    startLimit.cancel();
+}
+
 // [SECTION] Watching
 
 auto StoreFollower::Private::startWatching(const char *why) -> void
@@ -138,7 +207,9 @@
     watching = true;
     log.line("store", "watching").add("why", why);
     for (std::size_t i = 0; i < TableCount; ++i) {
-        watch(i);
+        if (!tables.at(i).watch) {
+            watch(i);
+        }
     }
 }
 
@@ -192,6 +263,9 @@
 {
     auto &table = tables.at(index);
     hooks.onRows(Tables.at(index), news);
+    if (isStarting && !asksPeers && index == GatewaysTable) {
+        firstWatch = loop.after(Duration::micros(1), [this] { chooseSource(); }); // not from within the watch, which may end by that
+    }
     if (news.empty()) {
         return;
     }
@@ -299,7 +373,7 @@
     : d(std::make_unique<Private>(loop, store, log, peers, std::move(settings), std::move(hooks)))
 {
     // Not from within the constructor: the hooks belong to an owner that is still being built.
-    d->firstWatch = loop.after(Duration::micros(1), [this] { d->startWatching("start"); });
+    d->firstWatch = loop.after(Duration::micros(1), [this] { d->start(); });
 }
 
 StoreFollower::~StoreFollower() = default;
@@ -349,6 +423,9 @@
     for (int i = 0; i < std::min(digest.versions_size(), static_cast<int>(TableCount)); ++i) {
         watcher.versions.at(static_cast<std::size_t>(i)) = RowVersion(digest.versions(i));
     }
+    if (d->asksPeers) {
+        d->askPeer(id, digest);
+    }
     if (watcher.isHealthy && d->firstTrusted() == id && !d->isFirst()) {
         d->compare(id, watcher);
     }
@@ -376,12 +453,18 @@
     auto &mirror = d->tables.at(index).mirror;
     const auto news = message->whole() ? mirror.takeTable(rows, RowVersion(message->up_to())) : mirror.takeChanges(rows);
     d->hooks.onRows(Tables.at(index), news);
+    if (d->asksPeers && d->areAllLoaded()) {
+        d->endStart();
+    }
 }
 
 auto StoreFollower::advance() -> void
 {
     d->passPending();
     d->pace();
+    if (d->isStarting) {
+        return;
+    }
     const auto first = d->firstTrusted();
     d->watcherCount.advance(first || d->reachesStore(), d->loop.now());
     // Until the watcher that is back has passed its rows on, those known here may still be out of date.
@@ -398,8 +481,7 @@
     }
     const auto &watcher = d->watchers.at(*first);
     const bool hasBeenThere = d->loop.now() - watcher.watchesSince >= d->settings.handOver;
-    const bool isLoaded = std::all_of(d->tables.begin(), d->tables.end(), [](const FollowedTable &table) { return table.mirror.isLoaded(); });
-    if (hasBeenThere && isLoaded) {
+    if (hasBeenThere && d->areAllLoaded()) {
         d->stopWatching();
     }
 }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -2,7 +2,8 @@
 //
 // Calls to the store are metered, and a watch answers once for each change. So only the gateways that rank first watch, the first of them
 // passes changes on at once, and the others of them only if it doesn't. While no watcher reaches the store, more gateways watch, up to a limit; one that
-// has no peers watches by itself. A checksum of each table in the digests shows whoever missed a change.
+// has no peers watches by itself. Where many gateways are registered, one that starts reads only their rows, and has the other tables from a peer.
+// A checksum of each table in the digests shows whoever missed a change.
 //
 // Index of sections (search for [SECTION]):
 //   Hooks           changes, trouble
@@ -38,6 +39,8 @@
     Duration targetsWait = Duration::millis(1500); ///< of one call for targets: their heartbeats come each second or so, so silence for longer is the store's
     Duration gatherFor = Duration::millis(100); ///< the first watcher waits this long after a change of targets before it watches on
     Duration gatherBehind = Duration::millis(700); ///< and the others, which only stand in
+    Duration askPeersFor = Duration::millis(1500); ///< at a start, for tables; then the store is read
+    Duration askAgain = Duration::millis(500); ///< another peer for the same table
     Duration repairAfter = Duration::millis(600); ///< a table that differs from a watcher's for so long is asked for whole
 };
 
--- a/tests/unit_storewatchers.cpp
+++ b/tests/unit_storewatchers.cpp
@@ -78,3 +78,17 @@
         CHECK(now <= 1.5);
     }
 }
+
+TEST_CASE("a mass restart: of many gateways a few read the store's tables, the others have them from those")
+{
+    // 301 gateways that started at once read 2,998 targets' rows each: the store's bytes cost more than anything else, and nobody served for 8 s.
+    const StoreWatchers watchers;
+    int reading = 0;
+    for (int ahead = 0; ahead < 301; ++ahead) {
+        reading += watchers.sourceAtStart(301, ahead) == TableSource::Store ? 1 : 0;
+    }
+    CHECK(reading == StoreWatcherOptions().most);
+    for (int ahead = 0; ahead < 30; ++ahead) {
+        CHECK(watchers.sourceAtStart(30, ahead) == TableSource::Store);
+    }
+}
