--- a/src/core/orderlease.cpp
+++ b/src/core/orderlease.cpp
@@ -119,19 +119,39 @@
     return m_version;
 }
 
-/// When the oldest digest left that one of these gateways has confirmed last; none if one has confirmed none.
-auto OrderLease::confirmedUntil(const std::set<EntryId> &needed) const -> std::optional<TimePoint>
+/// When the digest left that this peer has confirmed last; none if there is none.
+auto OrderLease::confirmedAt(const EntryId &peer) const -> std::optional<TimePoint>
 {
-    std::optional<TimePoint> until;
-    for (const auto &peer : needed) {
-        const auto known = m_peers.find(peer);
-        const auto sent = known == m_peers.end() ? m_digests.end() : m_digests.find(known->second);
+    const auto known = m_peers.find(peer);
+    const auto sent = known == m_peers.end() ? m_digests.end() : m_digests.find(known->second);
+    return sent == m_digests.end() ? std::nullopt : std::optional(sent->second);
+}
+
+auto OrderLease::confirmedByAll() const -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> oldest;
+    for (const auto &[peer, sequence] : m_peers) {
+        const auto sent = m_digests.find(sequence);
         if (sent == m_digests.end()) {
             return std::nullopt;
         }
-        until = std::min(until.value_or(sent->second), sent->second);
+        oldest = std::min(oldest.value_or(sent->second), sent->second);
     }
-    return until;
+    return oldest;
+}
+
+auto OrderLease::confirmedByCandidates() const -> std::optional<TimePoint>
+{
+    const auto candidates = needed();
+    std::optional<TimePoint> oldest;
+    for (const auto &peer : candidates.value_or(std::set<EntryId>())) {
+        const auto confirmed = confirmedAt(peer);
+        if (!confirmed) {
+            return std::nullopt;
+        }
+        oldest = std::min(oldest.value_or(*confirmed), *confirmed);
+    }
+    return oldest;
 }
 
 /// Candidates by the row, whichever of the writes since the last certain one it shows; none if all gateways are.
@@ -150,16 +170,9 @@
 
 auto OrderLease::validUntil() const -> TimePoint
 {
-    auto from = m_renewedAt;
-    std::set<EntryId> everyone;
-    for (const auto &[peer, sequence] : m_peers) {
-        everyone.insert(peer);
-    }
-    from = std::max(from, confirmedUntil(everyone).value_or(from));
-    if (const auto some = needed()) {
-        const auto latest = m_renewedAt + m_options.longWait - m_options.duration;
-        from = std::max(from, std::min(confirmedUntil(*some).value_or(from), latest));
-    }
+    const auto latestByCandidates = m_renewedAt + m_options.longWait - m_options.duration;
+    const auto byCandidates = std::min(confirmedByCandidates().value_or(m_renewedAt), latestByCandidates);
+    const auto from = std::max({m_renewedAt, confirmedByAll().value_or(m_renewedAt), byCandidates});
     return from + m_options.duration - m_options.margin;
 }
 
--- a/src/core/orderlease.h
+++ b/src/core/orderlease.h
@@ -120,7 +120,9 @@
         std::vector<EntryId> candidates; ///< none: each gateway is one
     };
     auto validUntil() const -> TimePoint;
-    auto confirmedUntil(const std::set<EntryId> &needed) const -> std::optional<TimePoint>;
+    auto confirmedAt(const EntryId &peer) const -> std::optional<TimePoint>;
+    auto confirmedByAll() const -> std::optional<TimePoint>; ///< when the oldest of the digests left that each has confirmed last
+    auto confirmedByCandidates() const -> std::optional<TimePoint>; ///< likewise; none also if all gateways are candidates
     auto needed() const -> std::optional<std::set<EntryId>>;
     auto waitUntil() const -> TimePoint;
     auto lose() -> void;
