--- a/model/orderlease.pml
+++ b/model/orderlease.pml
@@ -6,7 +6,9 @@
  * that is frozen is one that takes no step while time goes on; that may happen at any point. Writes take effect late, or never, and their
  * answers may be lost. Digests between gateways may be lost. An order takes up to MARGIN to arrive. One gateway may start again under its id.
  *
- * The first gateway holds the lease at the start, renewed at time 0; the second wants it.
+ * The first gateway holds the lease at the start, renewed at time 0; the second wants it. Both are candidates by the row. A gateway that is none waits from
+ * when it saw the row, and the holder then relies on the candidates for as long since its last write, less the margin: the same relation with a longer
+ * LEASE. Candidates themselves aren't modelled; tests/unit_orders.cpp plays a holder, a candidate and a third gateway.
  *
  * What must hold: an order never arrives after one of a holder with a higher fence.
  *
