store follower: pass on only tables that are loaded

Cause: a gateway that starts may ask a peer that has itself just started again; an empty table, taken for the whole one, would leave it without targets.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -435,6 +435,10 @@
 {
     if (frame.has_store_wanted() && frame.store_wanted().table() < TableCount) {
         const auto index = frame.store_wanted().table();
+        if (!d->tables.at(index).mirror.isLoaded()) {
+            d->log.line("store", "wanted-not-loaded").add("peer", id).add("table", nameOf(index));
+            return;
+        }
         d->peers.send(id, d->rowsFrame(index, d->tables.at(index).mirror.rows(), true));
     }
     if (!frame.has_rows() || frame.rows().table() >= TableCount) {
