store follower: ignore the choice of a source once the start is over; one function requests a table

Cause, by reading: the choice where tables come from is a timer of its own. If the start's limit fires in the same turn of the loop, before it, the gateway watches by itself and the choice then drops the watch of the gateways' table: it would report a lost store for good. Not seen in a run; no test, as nothing plays the follower without a store. And the request for a table was written twice.

Checked: unit tests, system_gateway, clang-tidy of the file.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -92,6 +92,7 @@
     auto start() -> void;
     auto chooseSource() -> void;
     auto askPeer(const std::string &id, const Wire::GatewayDigest &digest) -> void;
+    auto requestTable(std::size_t index, const std::string &peer) const -> void;
     auto endStart() -> void;
     auto areAllLoaded() const -> bool
     {
@@ -157,6 +158,9 @@
 
 auto StoreFollower::Private::chooseSource() -> void
 {
+    if (!isStarting) {
+        return; // the limit of the start came in the same turn of the loop
+    }
     int registered = 0;
     int ahead = 0;
     for (const auto &row : tables.at(GatewaysTable).mirror.rows()) {
@@ -180,13 +184,18 @@
         const bool hasIt = static_cast<int>(i) < digest.tables_size() && digest.tables(static_cast<int>(i)) != 0;
         if (hasIt && !table.mirror.isLoaded() && loop.now() - table.askedAt >= settings.askAgain) {
             table.askedAt = loop.now();
-            Wire::ControlFrame frame;
-            frame.mutable_store_wanted()->set_table(static_cast<std::uint32_t>(i));
-            peers.send(id, frame);
+            requestTable(i, id);
         }
     }
 }
 
+auto StoreFollower::Private::requestTable(std::size_t index, const std::string &peer) const -> void
+{
+    Wire::ControlFrame frame;
+    frame.mutable_store_wanted()->set_table(static_cast<std::uint32_t>(index));
+    peers.send(peer, frame);
+}
+
 auto StoreFollower::Private::endStart() -> void
 {
     if (asksPeers) {
@@ -361,9 +370,7 @@
             table.watch->reload();
             continue;
         }
-        Wire::ControlFrame frame;
-        frame.mutable_store_wanted()->set_table(static_cast<std::uint32_t>(i));
-        peers.send(id, frame);
+        requestTable(i, id);
     }
 }
 
