--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -161,6 +161,8 @@
 {
     return {{"runs", m_runs},
             {"bodies", m_bodies},
+            {"accounts", m_accounts},
+            {"keysSeen", m_keysSeen},
             {"overfull", m_overfull},
             {"cancelled", m_cancelled},
             {"orderers", m_orderers},
@@ -226,6 +228,13 @@
     }
     ++m_runs[attempt];
     m_bodies[attempt] = body;
+    for (const auto &header : head.headers) {
+        if (isSameHeaderName(header.name, "Tenant")) {
+            auto &accounts = m_accounts[attempt];
+            accounts += (accounts.empty() ? "" : ",") + header.value;
+        }
+        m_keysSeen += isSameHeaderName(header.name, "Authorization") ? 1 : 0;
+    }
     if (!m_poison.empty() && body == m_poison) {
         crash(Duration::millis(300), false);
         return;
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -103,6 +103,8 @@
     // The truth.
     std::map<std::string, int> m_runs; ///< by attempt, over all its lives
     std::map<std::string, std::string> m_bodies; ///< by attempt
+    std::map<std::string, std::string> m_accounts; ///< by attempt: each account that the request names, joined by commas
+    std::uint64_t m_keysSeen = 0; ///< requests that came with a client's key
     std::uint64_t m_overfull = 0; ///< orders to load more than there is room for
     std::uint64_t m_cancelled = 0; ///< runs whose caller left
     std::map<std::string, std::string> m_orderers; ///< holder and fence, by holder
--- a/fakes/platformsite.cpp
+++ b/fakes/platformsite.cpp
@@ -80,20 +80,27 @@
                        {"loads_per_s", 20}};
     Json resumable = route("tell", "/tell/", "streaming", "llm", m_timeoutMillis);
     resumable["resumable"] = true;
+    Json open = route("open", "/open/", "idempotent", "ledger", m_timeoutMillis);
+    open["anonymous"] = true;
     Json routes = Json::array({route("chat", "/chat/", "streaming", "llm", m_timeoutMillis),
                                resumable,
                                route("read", "/read/", "idempotent", "ledger", m_timeoutMillis),
+                               open,
                                route("write", "/write/", "non_idempotent", "ledger", m_timeoutMillis)});
     if (m_hasExtraRoute) {
         routes.push_back(route("extra", "/extra/", "idempotent", "ledger", m_timeoutMillis));
     }
-    return {{"version", m_version},
-            {"routes", routes},
-            {"services",
-             Json::array({{{"name", "llm"}, {"health_path", "/healthz"}, {"max_conns", 100}, {"engine", engine}},
-                          {{"name", "ledger"}, {"health_path", "/healthz"}, {"max_conns", 100}}})},
-            {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 5000}}},
-            {"a-field-from-the-future", {{"nested", true}}}};
+    Json whole {{"version", m_version},
+                {"routes", routes},
+                {"services",
+                 Json::array({{{"name", "llm"}, {"health_path", "/healthz"}, {"max_conns", 100}, {"engine", engine}},
+                              {{"name", "ledger"}, {"health_path", "/healthz"}, {"max_conns", 100}}})},
+                {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 5000}}},
+                {"a-field-from-the-future", {{"nested", true}}}};
+    if (!m_accounts.is_null()) {
+        whole["tenants"] = m_accounts;
+    }
+    return whole;
 }
 
 auto PlatformSite::writeTraffic() -> void
@@ -142,6 +149,7 @@
     if (part == "operator") {
         const auto change = command.value("change", std::string());
         m_hasExtraRoute = change == "add-route" || (change != "drop-route" && m_hasExtraRoute);
+        m_accounts = change == "accounts" ? command.value("accounts", Json()) : m_accounts;
         m_timeoutMillis = change == "timeout" ? command.value("ms", m_timeoutMillis) : m_timeoutMillis;
         writeTraffic();
         return true;
--- a/fakes/platformsite.h
+++ b/fakes/platformsite.h
@@ -25,6 +25,7 @@
     auto ports() const -> Json;
     auto truth() const -> Json;
     /// {"part":"store",...}, {"part":"runner","id":ID,...} (no id: all), {"part":"operator","change":"add-route"|"drop-route"|"timeout","ms":N},
+    /// {"part":"operator","change":"accounts","accounts":[...]} as the document spells them; null: none are declared,
     /// {"part":"row","key":K,"value":V} writes any row of runners.
     auto command(const Json &command) -> bool;
 
@@ -39,6 +40,7 @@
     std::uint64_t m_version = 0;
     bool m_hasExtraRoute = false;
     int m_timeoutMillis = 3000;
+    Json m_accounts; ///< null: none are declared
 };
 
 } // namespace KingCup
--- /dev/null
+++ b/src/core/freshness.cpp
@@ -0,0 +1,43 @@
+#include "core/freshness.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Versions that this process hasn't received yet; more than a few are on their way only if it receives nothing.
+constexpr std::size_t MostProofs = 16;
+
+} // namespace
+
+auto Freshness::provenAt(RowVersion known) const -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> latest;
+    for (const auto &proof : m_proofs) {
+        if (proof.version <= known) {
+            latest = proof.asOf;
+        }
+    }
+    return latest;
+}
+
+auto Freshness::add(const FreshnessProof &proof) -> void
+{
+    const auto isBetter = [](const FreshnessProof &a, const FreshnessProof &b) {
+        return a.version <= b.version && a.asOf >= b.asOf;
+    };
+    if (std::any_of(m_proofs.begin(), m_proofs.end(), [&](const FreshnessProof &known) { return isBetter(known, proof); })) {
+        return;
+    }
+    std::erase_if(m_proofs, [&](const FreshnessProof &known) { return isBetter(proof, known); });
+    const auto place = std::find_if(m_proofs.begin(), m_proofs.end(), [&](const FreshnessProof &known) { return known.version > proof.version; });
+    m_proofs.insert(place, proof);
+    if (m_proofs.size() > MostProofs) {
+        m_proofs.erase(m_proofs.begin() + 1); // the first is the one that may hold already
+    }
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/sharedusage.cpp
@@ -0,0 +1,229 @@
+#include "core/sharedusage.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace KingCup
+{
+
+auto shortAccountName(const AccountName &account) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(stableHash(account.text()));
+}
+
+SharedUsage::SharedUsage(TimePoint startedAt, SharedUsageOptions options)
+    : m_options(options)
+    , m_startedAt(startedAt)
+{
+}
+
+auto SharedUsage::share() const -> double
+{
+    return m_share;
+}
+
+auto SharedUsage::isUrgent(const Bucket &bucket) const -> bool
+{
+    const double unreported = std::abs(bucket.used - bucket.reported);
+    const bool isNearlyUsedUp = unreported > 0 && bucket.level < bucket.limit.burst * m_options.tightShare;
+    return isNearlyUsedUp || unreported >= bucket.limit.burst * m_options.unreportedShare / static_cast<double>(m_peers.size() + 1);
+}
+
+auto SharedUsage::isReportUrgent(const AccountName &account) const -> bool
+{
+    const auto found = m_buckets.find(shortAccountName(account));
+    return found != m_buckets.end() && isUrgent(found->second);
+}
+
+auto SharedUsage::isSettled(TimePoint now) const -> bool
+{
+    return now - m_startedAt >= m_options.learnFor;
+}
+
+auto SharedUsage::setSilentAfter(Duration span) -> void
+{
+    m_options.silentAfter = span;
+}
+
+auto SharedUsage::refill(Bucket &bucket, TimePoint now) const -> void
+{
+    const double most = bucket.limit.burst * m_share;
+    const double added = bucket.limit.perSecond * m_share * (now - bucket.refilledAt).inSeconds();
+    bucket.level = std::min(bucket.level + std::max(added, 0.0), std::max(most, 0.0));
+    bucket.refilledAt = now;
+}
+
+auto SharedUsage::refillAll(TimePoint now) -> void
+{
+    for (auto &[name, bucket] : m_buckets) {
+        refill(bucket, now);
+    }
+}
+
+/// Accounts that no gateway with knowledge has reported are unused. Where there is no such gateway all have started at once, and none knows.
+auto SharedUsage::learn(TimePoint now) -> void
+{
+    if (m_isSettled || !isSettled(now)) {
+        return;
+    }
+    m_isSettled = true;
+    for (auto &[name, bucket] : m_buckets) {
+        if (!bucket.isLearnt) {
+            bucket.isLearnt = true;
+            bucket.level += m_hasSettledPeer ? bucket.limit.burst : m_options.firstAllowance;
+            refill(bucket, now);
+        }
+    }
+}
+
+auto SharedUsage::noteSilent(TimePoint now) -> void
+{
+    int silent = 0;
+    bool isChanged = std::erase_if(m_peers, [&](const auto &known) { return now - known.second.seenAt > m_options.rememberFor; }) > 0;
+    for (auto &[id, peer] : m_peers) {
+        const bool isSilent = now - peer.seenAt > m_options.silentAfter;
+        isChanged = isChanged || isSilent != peer.isSilent;
+        peer.isSilent = isSilent;
+        silent += isSilent ? 1 : 0;
+    }
+    const double share = 1 - static_cast<double>(silent) / static_cast<double>(m_peers.size() + 1);
+    if (isChanged || share != m_share) {
+        // A lower share holds since the silence began, a higher one only from now on.
+        if (share > m_share) {
+            refillAll(now);
+        }
+        m_share = share;
+    }
+}
+
+auto SharedUsage::setAccounts(const std::vector<ClientAccount> &accounts, TimePoint now) -> void
+{
+    std::map<std::uint32_t, Bucket> buckets;
+    for (const auto &account : accounts) {
+        if (!account.limit.isLimited()) {
+            continue;
+        }
+        const auto name = shortAccountName(account.name);
+        const auto known = m_buckets.find(name);
+        auto &bucket = buckets[name];
+        if (known != m_buckets.end()) {
+            bucket = known->second;
+            refill(bucket, now);
+        } else {
+            bucket.refilledAt = now;
+            bucket.isLearnt = m_isSettled;
+            bucket.level = m_isSettled ? account.limit.burst : 0;
+        }
+        bucket.limit = account.limit;
+        bucket.level = std::min(bucket.level, account.limit.burst);
+    }
+    m_buckets = std::move(buckets);
+}
+
+auto SharedUsage::admit(const AccountName &account, double cost, TimePoint now) -> UsageVerdict
+{
+    const auto found = m_buckets.find(shortAccountName(account));
+    if (found == m_buckets.end()) {
+        return {.isAdmitted = true};
+    }
+    noteSilent(now);
+    learn(now);
+    auto &bucket = found->second;
+    refill(bucket, now);
+    UsageVerdict verdict;
+    verdict.level = bucket.level;
+    // A request that is larger than a full bucket would never be admitted otherwise.
+    const double needed = std::min(cost, bucket.limit.burst * m_share);
+    verdict.isAdmitted = bucket.level >= needed;
+    if (verdict.isAdmitted) {
+        bucket.level -= cost;
+        bucket.used += cost;
+    } else {
+        verdict.availableIn = Duration::seconds((needed - bucket.level) / (bucket.limit.perSecond * m_share));
+    }
+    return verdict;
+}
+
+auto SharedUsage::giveBack(const AccountName &account, double cost, TimePoint now) -> void
+{
+    const auto found = m_buckets.find(shortAccountName(account));
+    if (found == m_buckets.end()) {
+        return;
+    }
+    auto &bucket = found->second;
+    bucket.level += cost;
+    bucket.used -= cost;
+    refill(bucket, now);
+}
+
+auto SharedUsage::takeReport(TimePoint now) -> std::vector<AccountUsage>
+{
+    noteSilent(now);
+    learn(now);
+    std::vector<AccountUsage> report;
+    for (auto &[name, bucket] : m_buckets) {
+        const bool isLate = bucket.used != bucket.reported && now - bucket.reportedAt >= m_options.reportWithin;
+        if (!isLate && !isUrgent(bucket)) {
+            continue;
+        }
+        refill(bucket, now);
+        bucket.reported = bucket.used;
+        bucket.reportedAt = now;
+        report.push_back({name, static_cast<std::int64_t>(bucket.used), static_cast<std::int64_t>(bucket.level)});
+    }
+    return report;
+}
+
+auto SharedUsage::merge(const UsageReport &report, TimePoint now) -> void
+{
+    noteSilent(now);
+    const auto [found, isNew] = m_peers.try_emplace(report.gateway);
+    auto &peer = found->second;
+    if (peer.isSilent) {
+        // Its share was left to it: what it has used meanwhile isn't charged.
+        refillAll(now);
+        peer.used.clear();
+        peer.countsFromStart = false;
+    }
+    if (peer.start != report.start) {
+        peer.used.clear();
+        peer.countsFromStart = m_isSettled || !peer.start.isEmpty();
+        peer.start = report.start;
+    }
+    peer.seenAt = now;
+    m_hasSettledPeer = m_hasSettledPeer || report.isSettled;
+    for (const auto &usage : report.accounts) {
+        mergeAccount(peer, usage, report.isSettled);
+    }
+}
+
+auto SharedUsage::mergeAccount(Peer &peer, const AccountUsage &usage, bool isSettledPeer) -> void
+{
+    const auto [before, isFirst] = peer.used.try_emplace(usage.account, peer.countsFromStart ? 0 : usage.used);
+    const auto news = usage.used - std::exchange(before->second, usage.used);
+    const auto found = m_buckets.find(usage.account);
+    if (found == m_buckets.end()) {
+        return;
+    }
+    auto &bucket = found->second;
+    if (!bucket.isLearnt && isSettledPeer) {
+        bucket.isLearnt = true;
+        bucket.level = static_cast<double>(usage.level);
+        return;
+    }
+    bucket.level -= static_cast<double>(news);
+}
+
+auto SharedUsage::setGateways(const std::vector<std::string> &others, TimePoint now) -> void
+{
+    for (const auto &id : others) {
+        if (m_registered.insert(id).second) {
+            m_peers.try_emplace(id, Peer {.start = {}, .seenAt = now - m_options.silentAfter, .isSilent = false, .countsFromStart = false, .used = {}});
+        }
+    }
+}
+
+} // namespace KingCup
--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -64,17 +64,42 @@
     }
 }
 
+namespace
+{
+
+constexpr double PatientGoal = 2; ///< times the shortest goal of the same priority
+
+auto bandOf(int priority, Duration goal, Duration shortestGoal) -> UrgencyBand
+{
+    const int later = goal >= shortestGoal * PatientGoal ? 1 : 0;
+    return static_cast<UrgencyBand>(std::clamp(priority + later, 0, static_cast<int>(UrgencyBands) - 1));
+}
+
+} // namespace
+
+auto bandOf(const Route &route, int priority) -> UrgencyBand
+{
+    return bandOf(priority, route.goal, route.shortestGoal);
+}
+
 auto assignBands(Traffic &traffic) -> void
 {
-    constexpr double PatientGoal = 2; // times the shortest goal of the same priority
     std::map<int, Duration> shortest;
+    std::map<ServiceName, Duration> shortestOfService;
     for (const auto &route : traffic.routes) {
         const auto [found, isNew] = shortest.try_emplace(route.priority, route.goal);
         found->second = std::min(found->second, route.goal);
+        for (const auto &part : route.services) {
+            const auto [service, isNewService] = shortestOfService.try_emplace(part.service, route.goal);
+            service->second = std::min(service->second, route.goal);
+        }
     }
     for (auto &route : traffic.routes) {
-        const int later = route.goal >= shortest[route.priority] * PatientGoal ? 1 : 0;
-        route.band = static_cast<UrgencyBand>(std::clamp(route.priority + later, 0, static_cast<int>(UrgencyBands) - 1));
+        route.shortestGoal = route.goal;
+        for (const auto &part : route.services) {
+            route.shortestGoal = std::min(route.shortestGoal, shortestOfService[part.service]);
+        }
+        route.band = bandOf(route.priority, route.goal, shortest[route.priority]);
     }
 }
 
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -9,6 +9,7 @@
 //   Finding    the route of a request
 #pragma once
 
+#include "core/accounts.h"
 #include "core/ids.h"
 #include "core/units.h"
 
@@ -53,8 +54,10 @@
     Duration callersLeave; ///< streams: callers give up when nothing has come for so long, also before the first event; 0: not known
     int priority = 0; ///< 0 is the most urgent
     UrgencyBand band = UrgencyBand::Usual; ///< from priority and goal; see assignBands()
+    Duration shortestGoal; ///< of all routes to the same services; see assignBands()
     int attempts = 1; ///< targets that one try of a client may run on
     bool isResumable = false; ///< streams: may go on at another target after the last event
+    bool isAnonymous = false; ///< needs no key, where accounts are declared
 
     auto mayRepeat() const -> bool; ///< a request that may have run may be sent again
 };
@@ -116,10 +119,14 @@
     std::vector<Route> routes;
     std::map<ServiceName, ServiceDeclaration> services;
     CallerLimits limits;
+    bool hasAccounts = false; ///< requests need a key; there may be no account that has one
+    AccountTable accounts;
 };
 
 /// Sorts the routes into bands: by priority, and where one route of a priority has several times the goal of another, it can wait for it.
 auto assignBands(Traffic &traffic) -> void;
+/// The band of a route's requests for an account whose priority replaces the route's; after assignBands().
+auto bandOf(const Route &route, int priority) -> UrgencyBand;
 
 // [SECTION] Finding
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -65,6 +65,14 @@
     m_request.pauseGoal = m_route.pauseGoal;
 }
 
+auto ForwardedRequest::setGrant(AccountGrant grant) -> void
+{
+    if (grant.priority) {
+        m_request.band = bandOf(m_route, *grant.priority);
+    }
+    m_grant = std::move(grant);
+}
+
 auto ForwardedRequest::start() -> void
 {
     const auto budget = m_traits.patience ? std::min(*m_traits.patience, m_route.timeout) : m_route.timeout;
@@ -94,6 +102,9 @@
         abandon(m_mayHaveRun > 0 ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "no-time-left");
         return;
     }
+    if (!isStillGranted()) {
+        return;
+    }
     const auto choice = m_owner.parts.dispatcher.choose(m_request, now());
     if (choice.target.isEmpty()) {
         waitOrRefuse(choice.refusal);
@@ -110,6 +121,26 @@
     send(choice);
 }
 
+/// Checked before each send: the key may have been revoked while the request waited or ran elsewhere, or this host was suspended.
+auto ForwardedRequest::isStillGranted() -> bool
+{
+    if (!m_grant) {
+        return true;
+    }
+    const auto refusal = m_owner.parts.access.confirm(*m_grant, now());
+    if (refusal == AccessRefusal::None) {
+        return true;
+    }
+    const int status = refusal == AccessRefusal::KeyUnknown ? HttpStatus::Unauthorized : HttpStatus::Unavailable;
+    abandon(m_mayHaveRun > 0 ? HttpStatus::BadGateway : status, toString(refusal));
+    return false;
+}
+
+auto ForwardedRequest::certainlyDidNotRun() const -> bool
+{
+    return m_mayHaveRun == 0 && !(m_call && m_call->wasSent());
+}
+
 /// On time if it can be; else after everything that still can, as long as it is answered at all. With all of them in one queue, a
 /// runner that is asked for half more than it can do would soon answer every request late, and its streams would stall behind the reading.
 auto ForwardedRequest::admit(const DispatchChoice &choice) -> bool
@@ -189,6 +220,8 @@
     traits.target = choice.target;
     traits.urgency = static_cast<int>(m_request.band) * UrgencyStep + (m_isDemoted ? DemotedStep : 0);
     traits.lastEventId = m_events ? m_events->lastId() : std::string();
+    traits.hasAccounts = m_owner.traffic->hasAccounts;
+    traits.account = m_grant ? m_grant->account : AccountName();
     m_owner.parts.protocol.rewriteRequest(headers, traits);
     return headers;
 }
@@ -208,6 +241,7 @@
     m_owner.parts.log.line("routing", "chosen")
         .add("id", m_traits.attempt.text())
         .add("route", m_route.name)
+        .add("account", m_grant ? m_grant->account.text() : "-")
         .add("target", choice.target.text())
         .add("model", m_request.model)
         .add("adapter", m_request.adapter)
@@ -295,8 +329,7 @@
 auto ForwardedRequest::onTimeout() -> void
 {
     const auto self = shared_from_this();
-    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
-    abandon(wasSent ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "timeout");
+    abandon(certainlyDidNotRun() ? HttpStatus::Unavailable : HttpStatus::GatewayTimeout, "timeout");
 }
 
 auto ForwardedRequest::onGone() -> void
@@ -308,8 +341,7 @@
 auto ForwardedRequest::abandon() -> void
 {
     const auto self = shared_from_this();
-    const bool wasSent = m_mayHaveRun > 0 || (m_call && m_call->wasSent());
-    abandon(wasSent ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stopped");
+    abandon(certainlyDidNotRun() ? HttpStatus::Unavailable : HttpStatus::BadGateway, "stopped");
 }
 
 auto ForwardedRequest::lateness() const -> const char *
@@ -335,6 +367,9 @@
     m_silenceTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
+    if (m_grant && certainlyDidNotRun()) {
+        m_owner.parts.access.giveBack(*m_grant, now());
+    }
     if (m_call) {
         const auto call = std::exchange(m_call, nullptr);
         call->cancel();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -60,6 +60,10 @@
     /// Requests don't get through to the target: kept connections to it are as dead.
     auto noteUnreachable(const TargetId &target) -> void;
     auto answer(const CallerExchangePtr &exchange, const RequestTraits &traits, int status, std::optional<Duration> retryAfter, const char *why) -> void;
+    /// Answers the request if its account may not run it.
+    auto admit(const CallerExchangePtr &exchange, const RequestTraits &traits) -> std::optional<AccountGrant>;
+    auto reject(const CallerExchangePtr &exchange, const RequestTraits &traits, const AccessDecision &decision) -> void;
+    auto countAccount(const std::string &what, const AccountName &account, double amount) -> void;
 };
 
 // [SECTION] ForwardedRequest
@@ -70,6 +74,8 @@
 public:
     ForwardedRequest(Forwarder::Private &owner, CallerExchangePtr exchange, RequestTraits traits, Route route, ServiceName service);
 
+    auto setGrant(AccountGrant grant) -> void; ///< before start(); without one the request is nobody's
+
     auto start() -> void;
     auto isWaiting() const -> bool
     {
@@ -80,6 +86,8 @@
 
 private:
     auto attempt() -> void;
+    auto isStillGranted() -> bool;
+    auto certainlyDidNotRun() const -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
     auto longestWait(DispatchRefusal refusal) const -> Duration;
     auto waitOrRefuse(DispatchRefusal refusal) -> void;
@@ -119,6 +127,7 @@
     RequestTraits m_traits;
     Route m_route;
     DispatchRequest m_request;
+    std::optional<AccountGrant> m_grant;
     TimePoint m_deadline; ///< the final answer is due
     Timer m_deadlineTimer;
     Timer m_waitTimer;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -8,6 +8,17 @@
 namespace KingCup
 {
 
+namespace
+{
+
+/// Beyond so many accounts they are counted together: each is a series of its own for whoever scrapes.
+constexpr std::size_t MostAccountsShown = 128;
+/// Below, a client would come back before other gateways' use has been reported.
+constexpr auto LeastLimitRetryAfter = Duration::millis(200);
+constexpr double MostLimitSpread = 2;
+
+} // namespace
+
 auto Forwarder::Private::noteUnreachable(const TargetId &target) -> void
 {
     parts.dispatcher.unreachable(target, parts.loop.now());
@@ -27,7 +38,56 @@
         .add("path", exchange->head().target)
         .add("traffic", traffic ? traffic->version.value() : 0);
     parts.metrics.add("requests_total{outcome=\"" + std::string(why) + "\"}");
-    exchange->respond(status, parts.protocol.ownAnswerHeaders(traits.attempt, retryAfter), "");
+    auto headers = parts.protocol.ownAnswerHeaders(traits.attempt, retryAfter);
+    if (status == HttpStatus::Unauthorized) {
+        headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    exchange->respond(status, std::move(headers), "");
+}
+
+auto Forwarder::Private::countAccount(const std::string &what, const AccountName &account, double amount) -> void
+{
+    const bool isShown = traffic->accounts.accounts().size() <= MostAccountsShown;
+    parts.metrics.add(what + "{account=\"" + (isShown ? account.text() : "all") + "\"}", amount);
+}
+
+auto Forwarder::Private::admit(const CallerExchangePtr &exchange, const RequestTraits &traits) -> std::optional<AccountGrant>
+{
+    const auto tokens = static_cast<std::int64_t>(traits.promptTokens) + traits.mostOutputTokens;
+    auto decision = parts.access.decide(traits.authorization, tokens, parts.loop.now());
+    if (!decision.grant) {
+        reject(exchange, traits, decision);
+        return std::nullopt;
+    }
+    hooks.onAdmitted(decision.grant->account);
+    countAccount("account_admitted_total", decision.grant->account, decision.grant->cost);
+    return std::move(decision.grant);
+}
+
+auto Forwarder::Private::reject(const CallerExchangePtr &exchange, const RequestTraits &traits, const AccessDecision &decision) -> void
+{
+    parts.log.line("accounts", "rejected")
+        .add("id", traits.attempt.text())
+        .add("why", toString(decision.refusal))
+        .add("key", decision.key ? decision.key->fingerprint() : "-")
+        .add("account", decision.account.isEmpty() ? "-" : decision.account.text())
+        .add("cost", decision.cost)
+        .add("level", decision.level)
+        .add("available-in", decision.availableIn)
+        .add("proof-age", decision.proofAge.value_or(Duration::millis(-1)));
+    std::optional<Duration> retryAfter;
+    int status = HttpStatus::Unauthorized;
+    if (decision.refusal == AccessRefusal::DeclarationsUnproven) {
+        status = HttpStatus::Unavailable;
+        retryAfter = DefaultRetryAfter;
+    } else if (decision.refusal == AccessRefusal::OverLimit) {
+        status = HttpStatus::TooManyRequests;
+        // Callers that come back in the same moment would find the limit used up by the first of them.
+        const double spread = std::uniform_real_distribution<double>(1, MostLimitSpread)(random);
+        retryAfter = std::max(decision.availableIn, LeastLimitRetryAfter) * spread;
+        countAccount("account_over_limit_total", decision.account, 1);
+    }
+    answer(exchange, traits, status, retryAfter, toString(decision.refusal));
 }
 
 // [SECTION] Forwarder
@@ -91,8 +151,18 @@
                   "no-route");
         return;
     }
+    std::optional<AccountGrant> grant;
+    if (d->traffic->hasAccounts && !route->isAnonymous) {
+        grant = d->admit(exchange, traits);
+        if (!grant) {
+            return;
+        }
+    }
     const auto service = pickService(*route, std::uniform_real_distribution<double>(0, 1)(d->random));
     auto flow = std::make_shared<ForwardedRequest>(*d, exchange, traits, *route, service);
+    if (grant) {
+        flow->setGrant(std::move(*grant));
+    }
     d->flows.insert(flow);
     flow->start();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -9,6 +9,7 @@
 //   Forwarder  the requests in flight
 #pragma once
 
+#include "core/accountaccess.h"
 #include "core/dispatch.h"
 #include "core/reuselimit.h"
 #include "core/sharedretrybudget.h"
@@ -35,6 +36,7 @@
     HttpPool &pool;
     Dispatcher &dispatcher;
     ReuseLimit &reuse;
+    AccountAccess &access;
     Metrics &metrics;
     EventLog &log;
 };
@@ -47,6 +49,7 @@
     /// The only target with the adapter is too busy.
     std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter)> onOverloaded;
     std::function<void(const DispatchRequest &request)> onRequest; ///< once for each
+    std::function<void(const AccountName &account)> onAdmitted; ///< charged to it
     std::function<void(const TargetId &target, const DispatchRequest &request, SendId send)> onSent;
     std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat; ///< other gateways are to know it
 };
--- /dev/null
+++ b/src/gateway/freshnesstask.cpp
@@ -0,0 +1,185 @@
+// Index of sections (search for [SECTION]):
+//   State           when it was asked for
+//   Store           own reads
+//   Peers           requests and replies
+//   FreshnessTask   the public face
+#include "gateway/freshnesstask.h"
+
+#include <algorithm>
+#include <random>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// A proof is renewed at this share of its lifetime, so that several tries fit before it ends.
+constexpr double RenewAt = 0.2;
+/// Between two tries, of the lifetime.
+constexpr double TryPeriod = 0.06;
+/// Asked at once where the usual gateway didn't answer.
+constexpr std::size_t PeersAtOnce = 3;
+
+} // namespace
+
+// [SECTION] State
+
+struct FreshnessTask::Private {
+    FreshnessParts parts;
+    FreshnessSettings settings;
+    std::minstd_rand random;
+    Timer timer;
+    bool isReading = false;
+    TimePoint askedAt; ///< a peer, for the last time
+    bool wasProven = true;
+
+    Private(FreshnessParts taskParts, FreshnessSettings taskSettings)
+        : parts(taskParts)
+        , settings(std::move(taskSettings))
+        , random(static_cast<std::minstd_rand::result_type>(settings.seed))
+    {
+    }
+    auto restartTimer() -> void;
+    auto tick() -> void;
+    auto noteProof() -> void;
+    auto readStore() -> void;
+    auto onRead(const StoreAnswer &answer, TimePoint readAt) -> void;
+    auto askPeers(bool isUrgent) -> void;
+    auto chooseFrom(std::vector<std::string> ids, std::size_t most) -> std::vector<std::string>;
+};
+
+auto FreshnessTask::Private::restartTimer() -> void
+{
+    timer.cancel();
+    if (settings.proofLifetime > Duration()) {
+        timer = parts.loop.every(settings.proofLifetime * TryPeriod, [this] { tick(); });
+    }
+}
+
+auto FreshnessTask::Private::tick() -> void
+{
+    noteProof();
+    const auto age = parts.access.proofAge(parts.loop.now());
+    if (age && *age < settings.proofLifetime * RenewAt) {
+        return;
+    }
+    if (parts.follower.isWatching()) {
+        readStore();
+    }
+    // An own read that isn't answered by the next try may never be.
+    const bool isUrgent = !age || *age > settings.proofLifetime * (RenewAt + TryPeriod * 2);
+    if (!parts.follower.isWatching() || isUrgent) {
+        askPeers(isUrgent);
+    }
+}
+
+auto FreshnessTask::Private::noteProof() -> void
+{
+    const auto age = parts.access.proofAge(parts.loop.now());
+    const bool isProven = age && *age <= settings.proofLifetime;
+    parts.metrics.set("declarations_proof_age_seconds", age.value_or(Duration()).inSeconds());
+    if (std::exchange(wasProven, isProven) != isProven) {
+        parts.log.line("accounts", isProven ? "declarations-proven" : "declarations-unproven")
+            .add("version", parts.access.knownVersion().value())
+            .add("age", age.value_or(Duration()));
+    }
+}
+
+// [SECTION] Store
+
+auto FreshnessTask::Private::readStore() -> void
+{
+    if (isReading) {
+        return;
+    }
+    isReading = true;
+    parts.store.read(StoreTable::Operators, settings.row, [this, readAt = parts.loop.now()](const StoreAnswer &answer) {
+        isReading = false;
+        onRead(answer, readAt);
+    });
+}
+
+auto FreshnessTask::Private::onRead(const StoreAnswer &answer, TimePoint readAt) -> void
+{
+    const auto &rows = answer.page.rows;
+    if (answer.end != StoreEnd::Done || rows.empty() || rows.front().key != settings.row) {
+        return;
+    }
+    parts.access.addProof({rows.front().version, readAt});
+    if (rows.front().version > parts.access.knownVersion()) {
+        parts.log.line("accounts", "declarations-changed").add("version", rows.front().version.value());
+        parts.follower.receive(StoreTable::Operators, rows);
+    }
+}
+
+// [SECTION] Peers
+
+auto FreshnessTask::Private::chooseFrom(std::vector<std::string> ids, std::size_t most) -> std::vector<std::string>
+{
+    std::shuffle(ids.begin(), ids.end(), random);
+    ids.resize(std::min(ids.size(), most));
+    return ids;
+}
+
+auto FreshnessTask::Private::askPeers(bool isUrgent) -> void
+{
+    auto chosen = chooseFrom(parts.follower.trustedWatchers(), 1);
+    if (chosen.empty() || isUrgent) {
+        const auto live = parts.peers.live();
+        const auto others = chooseFrom({live.begin(), live.end()}, PeersAtOnce);
+        chosen.insert(chosen.end(), others.begin(), others.end());
+    }
+    Wire::ControlFrame frame;
+    frame.mutable_freshness_request()->set_asked_us(static_cast<std::uint64_t>(parts.loop.now().inMicros()));
+    for (const auto &id : chosen) {
+        parts.peers.send(id, frame);
+    }
+}
+
+// [SECTION] FreshnessTask
+
+FreshnessTask::FreshnessTask(FreshnessParts parts, FreshnessSettings settings)
+    : d(std::make_unique<Private>(parts, std::move(settings)))
+{
+    d->restartTimer();
+}
+
+FreshnessTask::~FreshnessTask() = default;
+
+auto FreshnessTask::setProofLifetime(Duration lifetime) -> void
+{
+    if (lifetime != d->settings.proofLifetime) {
+        d->settings.proofLifetime = lifetime;
+        d->restartTimer();
+    }
+}
+
+auto FreshnessTask::onRequest(const std::string &from, const Wire::FreshnessRequest &request) -> void
+{
+    const auto age = d->parts.access.proofAge(d->parts.loop.now());
+    if (!age) {
+        return;
+    }
+    Wire::ControlFrame frame;
+    auto *reply = frame.mutable_freshness_reply();
+    reply->set_asked_us(request.asked_us());
+    reply->set_row_version(d->parts.access.knownVersion().value());
+    reply->set_age_us(static_cast<std::uint64_t>(std::max<std::int64_t>(age->inMicros(), 0)));
+    d->parts.peers.send(from, frame);
+}
+
+auto FreshnessTask::onReply(const std::string &from, const Wire::FreshnessReply &reply) -> void
+{
+    const auto now = d->parts.loop.now();
+    const auto askedAt = TimePoint::fromMicros(static_cast<std::int64_t>(reply.asked_us()));
+    const auto age = Duration::micros(static_cast<std::int64_t>(reply.age_us()));
+    const bool isReadable = askedAt <= now && age >= Duration() && age <= d->settings.proofLifetime;
+    if (!isReadable) {
+        d->parts.log.line("accounts", "proof-ignored").add("peer", from).add("age", age);
+        return;
+    }
+    d->parts.access.addProof({RowVersion(reply.row_version()), askedAt - age});
+}
+
+} // namespace KingCup
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "gateway/demandexchange.h"
 #include "gateway/digests.h"
 #include "gateway/forwarder.h"
+#include "gateway/freshnesstask.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/loadexchange.h"
 #include "gateway/ordertask.h"
@@ -51,12 +52,16 @@
 constexpr auto LongestDigestPeriod = Duration::millis(1000);
 /// A peer is silent after this many of the longest periods between its digests.
 constexpr double SilentDigests = 3.5;
+/// A peer's share of the accounts' limits is left to it after so many periods.
+constexpr double MissedUsageReports = 3;
 /// A prompt that takes longer than this to prefill is announced at once: within a period of digests others would send ten short ones behind it, and
 /// their first tokens would come late though no estimate predicted it.
 constexpr auto LongPrefill = Duration::millis(100);
 constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is announced together
 /// Between two messages on sent prefill, for each gateway that receives them: some hundred a second reach a gateway, however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
+/// Between two messages on accounts that are nearly used up, likewise.
+constexpr auto UsagePeriodPerPeer = Duration::micros(250);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
 /// Few of them die in the seconds that the store may be away, and one is left if two zones are lost.
 constexpr std::size_t MostLeaseCandidates = 4;
@@ -67,6 +72,9 @@
 /// No gateway counts a request further than its being barred; what is above comes from a mistake, and must not stay the highest for ever.
 constexpr std::uint32_t MostBreaksReported = 16;
 
+/// Of the bound within which a revoked key must be out of force: the rest is for what the estimate of a proof's age may miss.
+constexpr double ProofShare = 0.9;
+
 auto digestPeriod(int gateways) -> Duration
 {
     return std::clamp(DigestPeriodPerPeer * gateways, DigestPeriod, LongestDigestPeriod);
@@ -88,6 +96,7 @@
     HttpPool storePool;
     ReuseLimit reuse;
     Dispatcher dispatcher;
+    AccountAccess access;
     StoreClient store;
     TargetNames targetNames;
     std::unique_ptr<GatewayPeers> peers;
@@ -102,6 +111,7 @@
     std::unique_ptr<CallerServer> metricsPage;
     std::unique_ptr<Registration> registration;
     std::unique_ptr<StoreFollower> follower;
+    std::unique_ptr<FreshnessTask> freshness;
     std::shared_ptr<const Traffic> traffic;
     TimePoint storeLostAt;
     std::vector<ListedHost> gateways; ///< registered, this one included
@@ -109,6 +119,7 @@
     Timer digestTimer;
     Timer longPrefillTimer;
     Timer prefillTimer;
+    Timer usageTimer;
     std::uint64_t digests = 0;
     TimePoint digestSentAt;
     Timer leaveCheck;
@@ -127,9 +138,15 @@
         , dispatcher({.zone = settings.process.zone,
                       .isConnected = [this](const Endpoint &address) { return targetPool.hasIdle(address, reuse.limit(loop.now())); },
                       .seed = incarnation ^ stableHash(settings.process.id)})
+        , access(loop.now(), {.proofLifetime = proofLifetime()})
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
     }
+    /// How old a proof may be by which keyed requests are served.
+    auto proofLifetime() const -> Duration
+    {
+        return settings.gateway.revocationLimit * ProofShare;
+    }
     auto build() -> void;
     auto buildPeers() -> void;
     auto buildOrders() -> void;
@@ -140,7 +157,8 @@
     auto onRows(StoreTable table, const std::vector<StoredRow> &rows) -> void;
     auto onTrouble() -> void;
     auto adoptRows(const std::vector<StoredRow> &rows) -> void;
-    auto adoptTraffic(const std::string &document) -> void;
+    /// False if the document can't be read: what it revokes isn't known.
+    auto adoptTraffic(const std::string &document) -> bool;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onResidency(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
@@ -154,7 +172,10 @@
     auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
     auto publishLoad() -> void;
+    auto writeUsage(Wire::AccountUsage &message) -> void;
+    auto mergeUsage(const std::string &id, const std::string &start, const Wire::AccountUsage &message) -> void;
     auto publishPrefillSoon() -> void;
+    auto publishUsageSoon() -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onResidencyReport(const Wire::Holding &holding) -> void;
@@ -261,7 +282,9 @@
     registrationHooks.onGateways = [this](const std::vector<ListedHost> &hosts) {
         gateways = hosts;
         peers->setHosts(hosts);
-        peers->setSilentAfter(std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests));
+        const auto silentAfter = std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests);
+        peers->setSilentAfter(silentAfter);
+        access.usage().setSilentAfter(digestPeriod(static_cast<int>(hosts.size())) * MissedUsageReports);
         std::vector<CellMember> members;
         members.reserve(hosts.size());
         for (const auto &host : hosts) {
@@ -269,11 +292,14 @@
         }
         loads->setMembers(members);
         std::set<EntryId> others;
+        std::vector<std::string> otherHosts;
         for (const auto &host : hosts) {
             if (host.id != settings.process.id) {
                 others.insert(EntryId(host.id));
+                otherHosts.push_back(host.id);
             }
         }
+        access.usage().setGateways(otherHosts, loop.now());
         orders->lease().setPeers(others);
     };
     registration = std::make_unique<Registration>(loop, store, log, self, std::move(registrationHooks));
@@ -290,6 +316,11 @@
     store.onTrouble = [this] {
         onTrouble();
     };
+    FreshnessSettings freshnessSettings;
+    freshnessSettings.row = protocol.store.trafficKey;
+    freshnessSettings.proofLifetime = proofLifetime();
+    freshnessSettings.seed = incarnation ^ stableHash(settings.process.id);
+    freshness = std::make_unique<FreshnessTask>(FreshnessParts {loop, log, metrics, *peers, store, *follower, access}, freshnessSettings);
 }
 
 auto Gateway::Private::onRows(StoreTable table, const std::vector<StoredRow> &rows) -> void
@@ -314,12 +345,14 @@
 {
     for (const auto &row : rows) {
         if (row.key == protocol.store.trafficKey && !row.isRemoved) {
-            adoptTraffic(row.value);
+            if (adoptTraffic(row.value)) {
+                access.rowReceived(row.version);
+            }
         }
     }
 }
 
-auto Gateway::Private::adoptTraffic(const std::string &document) -> void
+auto Gateway::Private::adoptTraffic(const std::string &document) -> bool
 {
     auto decoded = protocol.decodeTraffic(document);
     for (const auto &finding : decoded.findings) {
@@ -327,11 +360,14 @@
     }
     // Never back: an answer that was under way while a newer one came must not undo it.
     if (decoded.value.version <= (traffic ? traffic->version : TrafficVersion())) {
-        return;
+        return decoded.value.version > TrafficVersion();
     }
     assignBands(decoded.value);
     traffic = std::make_shared<const Traffic>(std::move(decoded.value));
-    log.line("config", "adopted").add("version", traffic->version.value()).add("routes", static_cast<int>(traffic->routes.size()));
+    log.line("config", "adopted")
+        .add("version", traffic->version.value())
+        .add("routes", static_cast<int>(traffic->routes.size()))
+        .add("accounts", static_cast<int>(traffic->accounts.accounts().size()));
     metrics.set("traffic_version", static_cast<double>(traffic->version.value()));
     for (const auto &[name, service] : traffic->services) {
         if (service.engine) {
@@ -340,7 +376,9 @@
         }
     }
     callers->setLimits(traffic->limits);
+    access.adopt(traffic, loop.now());
     forwarder->adopt(traffic);
+    return true;
 }
 
 // [SECTION] Requests
@@ -365,6 +403,11 @@
             demand->modelAsked(request.model);
         }
     };
+    hooks.onAdmitted = [this](const AccountName &account) {
+        if (access.usage().isReportUrgent(account)) {
+            publishUsageSoon();
+        }
+    };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send) {
         if (dispatcher.prefillTime(send) >= LongPrefill && !longPrefillTimer.isActive()) {
             longPrefillTimer = loop.after(LongPrefillDelay, [this] { publishLoad(); });
@@ -386,7 +429,7 @@
     ForwarderOptions options;
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
-    forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, metrics, log}, options, std::move(hooks));
+    forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, metrics, log}, options, std::move(hooks));
     applyRetryBudget();
 }
 
@@ -535,10 +578,35 @@
     digest->set_last_holder(lease.holder().text());
     digest->set_last_holder_sequence(lease.lastHolderSequence());
     follower->writeDigest(*digest);
+    writeUsage(*digest->mutable_usage());
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
 }
 
+auto Gateway::Private::writeUsage(Wire::AccountUsage &message) -> void
+{
+    auto &usage = access.usage();
+    for (const auto &account : usage.takeReport(loop.now())) {
+        message.add_account(account.account);
+        message.add_used(account.used);
+        message.add_level(account.level);
+    }
+    message.set_is_settled(usage.isSettled(loop.now()));
+}
+
+auto Gateway::Private::mergeUsage(const std::string &id, const std::string &start, const Wire::AccountUsage &message) -> void
+{
+    UsageReport report;
+    report.gateway = id;
+    report.start = EntryId(start);
+    report.isSettled = message.is_settled();
+    const int rows = std::min({message.account_size(), message.used_size(), message.level_size()});
+    for (int i = 0; i < rows; ++i) {
+        report.accounts.push_back({message.account(i), message.used(i), message.level(i)});
+    }
+    access.usage().merge(report, loop.now());
+}
+
 /// Publishes this gateway's load before the next period.
 auto Gateway::Private::publishLoad() -> void
 {
@@ -563,6 +631,21 @@
     });
 }
 
+/// What is left of an account that is nearly used up is admitted by whichever gateway is asked first: with an old view of it, all would admit it.
+auto Gateway::Private::publishUsageSoon() -> void
+{
+    if (usageTimer.isActive()) {
+        return;
+    }
+    usageTimer = loop.after(UsagePeriodPerPeer * peers->liveCount(), [this] {
+        Wire::ControlFrame frame;
+        auto *usage = frame.mutable_account_usage();
+        usage->set_start(selfName().text());
+        writeUsage(*usage);
+        peers->sendAll(frame);
+    });
+}
+
 auto Gateway::Private::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_gateway()) {
@@ -584,6 +667,12 @@
         onResidencyReport(frame.holding());
     } else if (frame.has_crash_repeat()) {
         forwarder->crashRepeatReported(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MostBreaksReported)));
+    } else if (frame.has_account_usage()) {
+        mergeUsage(id, frame.account_usage().start(), frame.account_usage());
+    } else if (frame.has_freshness_request()) {
+        freshness->onRequest(id, frame.freshness_request());
+    } else if (frame.has_freshness_reply()) {
+        freshness->onReply(id, frame.freshness_reply());
     } else {
         follower->onFrame(id, frame);
     }
@@ -594,6 +683,7 @@
     if (digest.has_work()) {
         dispatcher.merge(workOf(digest, targetNames), loop.now());
     }
+    mergeUsage(id, digest.entry(), digest.usage());
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
@@ -678,6 +768,8 @@
     settings.gateway = read.value.gateway;
     settings.platform.store = read.value.platform.store;
     store.setServer(settings.platform.store);
+    access.setProofLifetime(proofLifetime());
+    freshness->setProofLifetime(proofLifetime());
     applyRetryBudget();
 }
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -9,6 +9,7 @@
 //   Protocol   all of it
 #pragma once
 
+#include "core/accounts.h"
 #include "core/finding.h"
 #include "core/ids.h"
 #include "core/promptcache.h"
@@ -40,6 +41,7 @@
     int mostOutputTokens = 0;
     std::vector<PromptPart> promptParts; ///< in the prompt's order; the last is the request's or its session's own
     std::string lastEventId; ///< a stream that is to go on after this event; empty: from its start
+    std::optional<std::string> authorization; ///< how the request presents its key; empty: in more than one way
 };
 
 /// What the entry adds for the target.
@@ -48,6 +50,8 @@
     TargetId target; ///< any other target at that address must refuse
     std::optional<int> urgency; ///< 0 to 9, 0 first
     std::string lastEventId; ///< replaces the client's; empty: none
+    bool hasAccounts = false; ///< keys, and the account's name, are between the client and this entry
+    AccountName account; ///< on whose behalf the request runs; empty: nobody's
 };
 
 // [SECTION] Answers
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -405,6 +405,26 @@
     return d->reachesStore() || d->firstTrusted().has_value();
 }
 
+auto StoreFollower::trustedWatchers() const -> std::vector<std::string>
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, watcher] : d->watchers) {
+        if (d->isTrusted(watcher)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+auto StoreFollower::receive(StoreTable table, const std::vector<StoredRow> &rows) -> void
+{
+    for (std::size_t i = 0; i < TableCount; ++i) {
+        if (Tables.at(i) == table) {
+            d->takeOwn(i, d->tables.at(i).mirror.takeChanges(rows));
+        }
+    }
+}
+
 auto StoreFollower::writeDigest(Wire::GatewayDigest &digest) const -> void
 {
     digest.set_watches_store(d->watching);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -58,12 +58,15 @@
     auto isLoaded(StoreTable table) const -> bool;
     auto isWatching() const -> bool; ///< by itself
     auto isCurrent() const -> bool; ///< the store is reached, here or by a watcher that is alive
+    auto trustedWatchers() const -> std::vector<std::string>; ///< other gateways that reach the store
 
     // Commands
     auto writeDigest(Wire::GatewayDigest &digest) const -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and requests for them
     auto advance() -> void; ///< call with each digest
+    /// Rows that were read by other means than the watch, as if that had brought them.
+    auto receive(StoreTable table, const std::vector<StoredRow> &rows) -> void;
 
     struct Private;
 
--- a/src/net/httpstatus.h
+++ b/src/net/httpstatus.h
@@ -8,6 +8,7 @@
 constexpr int Accepted = 202;
 constexpr int NoContent = 204;
 constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int RequestTimeout = 408;
 constexpr int Conflict = 409;
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -368,9 +368,18 @@
               "1",
               "factor on the loads that the weight store allows in that span",
               [](Settings &s, double n) { s.gateway.loadOvershoot = n; })
-        .real("processor-share", "", {0, MostProcessorShare}, "1", "cores of the host that are this process's own", [](Settings &s, double n) {
-            s.gateway.processorShare = n;
-        });
+        .real("processor-share",
+              "",
+              {0, MostProcessorShare},
+              "1",
+              "cores of the host that are this process's own",
+              [](Settings &s, double n) { s.gateway.processorShare = n; })
+        .integer("revocation-limit-ms",
+                 "ms",
+                 {0, HourInMillis},
+                 0,
+                 "a revoked key is out of force so soon, also on a gateway that is cut off from the store; 0: on those that reach it only",
+                 [](Settings &s, std::int64_t n) { s.gateway.revocationLimit = Duration::millis(n); });
 }
 
 auto specs() -> const std::vector<SettingSpec> &
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -64,6 +64,7 @@
     int loadWindowSeconds = 0; ///< over which loads from the weight store are counted
     double loadOvershoot = 0; ///< factor on the loads allowed in that window
     double processorShare = 0; ///< cores of the host that are this process's own
+    Duration revocationLimit; ///< within which a revoked key must be out of force on every gateway, also on one that is cut off; 0: no limit
 
     auto operator==(const GatewaySettings &) const -> bool = default;
 };
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -146,7 +146,7 @@
     std::ostringstream text;
     text << "[process]\nrole = gateway\nid = " << id << "\nzone = north\n[listen]\ncallers = 127.0.0.1:" << own.callers << "\nready = 127.0.0.1:" << own.ready
          << "\npeers = 127.0.0.1:" << own.peers << "\nmetrics = 127.0.0.1:" << own.metrics << "\n[platform]\nstore = 127.0.0.1:" << own.store
-         << "\n[gateway]\nlease-ms = 1500\nstop-limit-s = 6\n";
+         << "\n[gateway]\nlease-ms = 1500\nstop-limit-s = 6\nrevocation-limit-ms = " << options.revocationMillis << "\n";
     folder.write(id + ".ini", text.str());
 }
 
@@ -328,6 +328,16 @@
     return Json::parse(d->ask(d->adminPort, "GET", "/platform", "")->body);
 }
 
+auto Site::accountOf(const std::string &attempt) -> std::string
+{
+    std::string found;
+    const auto all = truth();
+    for (const auto &[id, target] : all["runners"].items()) {
+        found += target["accounts"].value(attempt, std::string());
+    }
+    return found;
+}
+
 auto Site::runsOf(const std::string &attempt) -> int
 {
     return truth()["runs"].value(attempt, 0);
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -30,6 +30,7 @@
     int runners = 3;
     int instances = 2;
     int models = 3;
+    int revocationMillis = 0; ///< within which a revoked key is out of force; 0: no limit
     bool unreadLog = false; ///< the gateways' output is a pipe, which nobody reads until readLog()
 };
 
@@ -100,6 +101,7 @@
     auto link(const std::string &name, const std::string &mode) -> void; ///< a fault of a link, or "heal"
     auto truth() -> Json;
     auto runsOf(const std::string &attempt) -> int;
+    auto accountOf(const std::string &attempt) -> std::string; ///< that the targets were given; empty: none
 
     struct Private;
 
--- /dev/null
+++ b/tests/system_accounts.cpp
@@ -0,0 +1,155 @@
+// Gateways as real processes: keys of client accounts, and what a gateway may still serve that is cut off from the store or from everything.
+#include "tests/harness_gateways.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr int RevocationMillis = 1500;
+
+auto account(const std::string &name, const std::vector<std::string> &keys, double perSecond = 0, double burst = 0) -> Json
+{
+    return {{"name", name}, {"keys", keys}, {"unit", "token_count"}, {"plain_tokens", 100}, {"rate_per_s", perSecond}, {"burst", burst}};
+}
+
+auto declare(Site &site, const std::vector<Json> &accounts) -> void
+{
+    site.platform({{"part", "operator"}, {"change", "accounts"}, {"accounts", Json(accounts)}});
+}
+
+auto read(const std::string &key, const std::string &attempt = "") -> Ask
+{
+    return {.path = "/read/x", .attempt = attempt, .headers = {{"Authorization", "Bearer " + key}}};
+}
+
+auto waitUntilServed(Site &site, int gateway, const std::string &key) -> void
+{
+    site.waitFor("the account at gateway " + std::to_string(gateway), [&] { return site.call(gateway, read(key))->status == 200; });
+}
+
+} // namespace
+
+TEST_CASE("a key names the account that the target is given, and is never passed on itself")
+{
+    // Guards against requests that run under a name of the caller's choice, and against keys that leak to targets.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    declare(site, {account("asha", {"k-asha"}), account("bilal", {"k-bilal"})});
+    waitUntilServed(site, 1, "k-asha");
+    const auto attempt = site.freshAttempt();
+    auto ask = read("k-bilal", attempt);
+    ask.headers.push_back({"tenant", "asha"});
+    ask.headers.push_back({"TENANT", "somebody"});
+    CHECK(site.call(1, ask)->status == 200);
+    CHECK(site.accountOf(attempt) == "bilal");
+    for (const auto &[id, target] : site.truth()["runners"].items()) {
+        CHECK(target["keysSeen"] == 0);
+    }
+    const auto anonymous = site.freshAttempt();
+    CHECK(site.call(1, {.path = "/open/x", .attempt = anonymous, .headers = {{"Tenant", "asha"}}})->status == 200);
+    CHECK(site.accountOf(anonymous).empty());
+}
+
+TEST_CASE("a missing, malformed or unknown key is answered 401 and runs nothing")
+{
+    // Guards against keys that are guessed or left out.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1, .revocationMillis = RevocationMillis});
+    declare(site, {account("asha", {"k-asha"})});
+    waitUntilServed(site, 1, "k-asha");
+    const std::vector<HttpHeaders> presented {
+        {},
+        {{"Authorization", "Bearer"}},
+        {{"Authorization", "Basic k-asha"}},
+        {{"Authorization", "Bearer k-asha k-asha"}},
+        {{"Authorization", "Bearer k-other"}},
+        {{"Authorization", "Bearer k-asha"}, {"authorization", "Bearer k-asha"}},
+    };
+    for (const auto &headers : presented) {
+        const auto attempt = site.freshAttempt();
+        const auto reply = site.call(1, {.path = "/read/x", .attempt = attempt, .headers = headers});
+        INFO((headers.empty() ? "no key" : headers.front().value));
+        CHECK(reply->status == 401);
+        CHECK(site.runsOf(attempt) == 0);
+    }
+}
+
+TEST_CASE("a revoked key is out of force on every gateway, also on one that the store rejects")
+{
+    // Guards against a gateway that goes on serving by old declarations because it can't read new ones itself.
+    Site site({.gateways = 2, .runners = 1, .instances = 1, .models = 1, .revocationMillis = RevocationMillis});
+    declare(site, {account("asha", {"k-old", "k-new"})});
+    waitUntilServed(site, 1, "k-old");
+    waitUntilServed(site, 2, "k-old");
+    site.link("store:gw-2", "freeze");
+    site.sleep(Duration::millis(2 * RevocationMillis));
+    CHECK(site.call(2, read("k-old"))->status == 200); // its peer proves for it
+    declare(site, {account("asha", {"k-new"})});
+    site.sleep(Duration::millis(RevocationMillis));
+    for (int gateway = 1; gateway <= 2; ++gateway) {
+        CHECK(site.call(gateway, read("k-old"))->status == 401);
+        CHECK(site.call(gateway, read("k-new"))->status == 200);
+    }
+}
+
+TEST_CASE("a gateway that is cut off from everything rejects keyed requests, and serves them again afterwards")
+{
+    // Guards against a revoked key that works for as long as a gateway doesn't learn of the revocation.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1, .revocationMillis = RevocationMillis});
+    declare(site, {account("asha", {"k-asha"})});
+    waitUntilServed(site, 1, "k-asha");
+    site.link("store:gw-1", "freeze");
+    site.sleep(Duration::millis(RevocationMillis));
+    const auto attempt = site.freshAttempt();
+    const auto reply = site.call(1, read("k-asha", attempt));
+    CHECK(reply->status == 503);
+    CHECK_FALSE(reply->header("Retry-After").empty());
+    CHECK(site.runsOf(attempt) == 0);
+    CHECK(site.call(1, {.path = "/open/x"})->status == 200);
+    site.link("store:gw-1", "heal");
+    waitUntilServed(site, 1, "k-asha");
+}
+
+TEST_CASE("a gateway that was suspended rejects keyed requests until its declarations are proven again")
+{
+    // Guards against requests that are read after a long pause and run by what was in force before it.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1, .revocationMillis = RevocationMillis});
+    declare(site, {account("asha", {"k-asha"})});
+    waitUntilServed(site, 1, "k-asha");
+    site.link("store:gw-1", "freeze");
+    site.process("gw-1").send(SIGSTOP);
+    site.sleep(Duration::millis(RevocationMillis));
+    const auto attempt = site.freshAttempt();
+    const auto reply = site.begin(1, read("k-asha", attempt));
+    site.sleep(Duration::millis(100));
+    site.process("gw-1").send(SIGCONT);
+    site.waitFor("the answer", [&] { return reply->done; });
+    CHECK(reply->status == 503);
+    CHECK(site.runsOf(attempt) == 0);
+}
+
+TEST_CASE("an account over its limit is answered 429 with the time at which it has enough again")
+{
+    // Guards against limits that each gateway applies by itself: two of them would allow twice as much.
+    Site site({.gateways = 2, .runners = 1, .instances = 1, .models = 1});
+    declare(site, {account("asha", {"k-asha"}), account("bilal", {"k-bilal"}, 200, 1000)});
+    waitUntilServed(site, 1, "k-asha");
+    waitUntilServed(site, 2, "k-asha");
+    site.sleep(Duration::millis(6500)); // until what the account may use has been learnt and filled up
+    int served = 0;
+    int rejected = 0;
+    for (int i = 0; i < 30; ++i) {
+        const auto reply = site.call(1 + i % 2, read("k-bilal"));
+        served += reply->status == 200 ? 1 : 0;
+        if (reply->status == 429) {
+            ++rejected;
+            CHECK(std::stod(reply->header("Retry-After")) > 0);
+        }
+        CHECK(site.call(1 + i % 2, read("k-asha"))->status == 200);
+    }
+    CHECK(served >= 10);
+    CHECK(served <= 18); // a burst of 10, what the rate adds in the meantime, and what one gateway hasn't reported yet
+    CHECK(served + rejected == 30);
+}
