gateway: exchange of accounts' use as a task of its own, log of accounts' changes, proofs wherever accounts are declared

Proofs are now sought wherever accounts are declared, and only there. system_accounts "an account over its limit" was seen to fail (503 for 401). - A peer's proof for a newer version than is known here asks that peer for the declarations: rows that were passed on may have been lost with a connection.

--- a/src/core/sharedusage.h
+++ b/src/core/sharedusage.h
@@ -4,7 +4,7 @@
 // all buckets show the same, but for the last report period: what an account can use beyond its limit is what it sends in that time, and the
 // bucket's debt makes up for it. Nobody owns an account, so nothing has to be handed over when a gateway fails.
 //
-// A gateway that isn't heard of may be cut off from this one and go on. Its equal share of each limit is left to it, and it, who hears of nobody, keeps to
+// A silent gateway may be cut off from this one and still serve. Its equal share of each limit is left to it, and a gateway whose peers are all silent keeps to
 // just that. So the limits hold on both sides of a cut, and a gateway that wakes after a pause can't spend what the others have used meanwhile.
 //
 // Index of sections (search for [SECTION]):
@@ -69,7 +69,7 @@
     explicit SharedUsage(TimePoint startedAt, SharedUsageOptions options = {});
 
     // Queries
-    auto share() const -> double; ///< of each limit, that this gateway may use together with those that it hears of
+    auto share() const -> double; ///< of each limit, that this gateway may use together with those that report to it
     auto isReportUrgent(const AccountName &account) const -> bool; ///< what was charged here must be known to the others before the next period
     auto isSettled(TimePoint now) const -> bool;
 
@@ -85,7 +85,7 @@
 
     // Commands: other gateways
     auto merge(const UsageReport &report, TimePoint now) -> void; ///< also without accounts: the gateway is there
-    /// Hosts of the other gateways, as registered. One that this gateway never hears of counts as silent, for as long as it would be remembered.
+    /// Hosts of the other gateways, as registered. One that never reports counts as silent, for as long as it would be remembered.
     auto setGateways(const std::vector<std::string> &others, TimePoint now) -> void;
 
 private:
--- a/src/gateway/freshnesstask.cpp
+++ b/src/gateway/freshnesstask.cpp
@@ -30,6 +30,7 @@
     FreshnessSettings settings;
     std::minstd_rand random;
     Timer timer;
+    bool isActive = false;
     bool isReading = false;
     TimePoint askedAt; ///< a peer, for the last time
     bool wasProven = true;
@@ -52,7 +53,7 @@
 auto FreshnessTask::Private::restartTimer() -> void
 {
     timer.cancel();
-    if (settings.proofLifetime > Duration()) {
+    if (isActive) {
         timer = parts.loop.every(settings.proofLifetime * TryPeriod, [this] { tick(); });
     }
 }
@@ -142,7 +143,6 @@
 FreshnessTask::FreshnessTask(FreshnessParts parts, FreshnessSettings settings)
     : d(std::make_unique<Private>(parts, std::move(settings)))
 {
-    d->restartTimer();
 }
 
 FreshnessTask::~FreshnessTask() = default;
@@ -155,6 +155,18 @@
     }
 }
 
+auto FreshnessTask::setActive(bool isActive) -> void
+{
+    if (isActive == d->isActive) {
+        return;
+    }
+    d->isActive = isActive;
+    d->restartTimer();
+    if (isActive) {
+        d->tick();
+    }
+}
+
 auto FreshnessTask::onRequest(const std::string &from, const Wire::FreshnessRequest &request) -> void
 {
     const auto age = d->parts.access.proofAge(d->parts.loop.now());
@@ -179,7 +191,13 @@
         d->parts.log.line("accounts", "proof-ignored").add("peer", from).add("age", age);
         return;
     }
-    d->parts.access.addProof({RowVersion(reply.row_version()), askedAt - age});
+    const RowVersion version(reply.row_version());
+    d->parts.access.addProof({version, askedAt - age});
+    if (version > d->parts.access.knownVersion()) {
+        // Rows that were passed on may have been lost with a connection.
+        d->parts.log.line("accounts", "declarations-behind").add("peer", from).add("version", version.value());
+        d->parts.follower.requestFrom(from, StoreTable::Operators);
+    }
 }
 
 } // namespace KingCup
--- a/src/gateway/freshnesstask.h
+++ b/src/gateway/freshnesstask.h
@@ -33,7 +33,7 @@
 
 struct FreshnessSettings {
     std::string row; ///< key of the declarations' row
-    Duration proofLifetime; ///< 0: no proof is needed, none is sought
+    Duration proofLifetime; ///< for as long a proof is of use
     std::uint64_t seed = 1; ///< of the choice of peers
 };
 
@@ -48,6 +48,8 @@
     auto operator=(const FreshnessTask &) -> FreshnessTask & = delete;
 
     auto setProofLifetime(Duration lifetime) -> void;
+    /// Proofs are sought only where accounts are declared.
+    auto setActive(bool isActive) -> void;
     auto onRequest(const std::string &from, const Wire::FreshnessRequest &request) -> void;
     auto onReply(const std::string &from, const Wire::FreshnessReply &reply) -> void;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gateway.h"
 
 #include "core/hashing.h"
+#include "gateway/accountlog.h"
 #include "gateway/callerserver.h"
 #include "gateway/copyuse.h"
 #include "gateway/demandexchange.h"
@@ -21,6 +22,7 @@
 #include "gateway/registration.h"
 #include "gateway/storefollower.h"
 #include "gateway/targetdirectory.h"
+#include "gateway/usageexchange.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
 #include "net/httpstatus.h"
@@ -52,16 +54,12 @@
 constexpr auto LongestDigestPeriod = Duration::millis(1000);
 /// A peer is silent after this many of the longest periods between its digests.
 constexpr double SilentDigests = 3.5;
-/// A peer's share of the accounts' limits is left to it after so many periods.
-constexpr double MissedUsageReports = 3;
 /// A prompt that takes longer than this to prefill is announced at once: within a period of digests others would send ten short ones behind it, and
 /// their first tokens would come late though no estimate predicted it.
 constexpr auto LongPrefill = Duration::millis(100);
 constexpr auto LongPrefillDelay = Duration::millis(5); ///< what comes together is announced together
 /// Between two messages on sent prefill, for each gateway that receives them: some hundred a second reach a gateway, however many there are.
 constexpr auto PrefillPeriodPerPeer = Duration::millis(8);
-/// Between two messages on accounts that are nearly used up, likewise.
-constexpr auto UsagePeriodPerPeer = Duration::micros(250);
 constexpr auto LongestPrefillPeriod = Duration::millis(200);
 /// Few of them die in the seconds that the store may be away, and one is left if two zones are lost.
 constexpr std::size_t MostLeaseCandidates = 4;
@@ -74,6 +72,8 @@
 
 /// Of the bound within which a revoked key must be out of force: the rest is for what the estimate of a proof's age may miss.
 constexpr double ProofShare = 0.9;
+/// Without such a bound.
+constexpr auto UsualProofLifetime = Duration::millis(4500);
 
 auto digestPeriod(int gateways) -> Duration
 {
@@ -101,6 +101,7 @@
     TargetNames targetNames;
     std::unique_ptr<GatewayPeers> peers;
     std::unique_ptr<LoadExchange> loads;
+    std::unique_ptr<UsageExchange> usage;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<DemandExchange> demand;
@@ -119,7 +120,6 @@
     Timer digestTimer;
     Timer longPrefillTimer;
     Timer prefillTimer;
-    Timer usageTimer;
     std::uint64_t digests = 0;
     TimePoint digestSentAt;
     Timer leaveCheck;
@@ -142,11 +142,16 @@
         , store(loop, storePool, protocol.store, {.server = settings.platform.store})
     {
     }
-    /// How old a proof may be by which keyed requests are served.
+    /// How old a proof may be by which keyed requests are served; 0: none is needed.
     auto proofLifetime() const -> Duration
     {
         return settings.gateway.revocationLimit * ProofShare;
     }
+    /// Where none is needed for that, an unknown key is still distinguished from one that was added just now.
+    auto usefulProofLifetime() const -> Duration
+    {
+        return proofLifetime() > Duration() ? proofLifetime() : UsualProofLifetime;
+    }
     auto build() -> void;
     auto buildPeers() -> void;
     auto buildOrders() -> void;
@@ -172,10 +177,7 @@
     auto isDigestDue() const -> bool;
     auto sendDigest() -> void;
     auto publishLoad() -> void;
-    auto writeUsage(Wire::AccountUsage &message) -> void;
-    auto mergeUsage(const std::string &id, const std::string &start, const Wire::AccountUsage &message) -> void;
     auto publishPrefillSoon() -> void;
-    auto publishUsageSoon() -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void;
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onResidencyReport(const Wire::Holding &holding) -> void;
@@ -284,7 +286,6 @@
         peers->setHosts(hosts);
         const auto silentAfter = std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests);
         peers->setSilentAfter(silentAfter);
-        access.usage().setSilentAfter(digestPeriod(static_cast<int>(hosts.size())) * MissedUsageReports);
         std::vector<CellMember> members;
         members.reserve(hosts.size());
         for (const auto &host : hosts) {
@@ -299,7 +300,7 @@
                 otherHosts.push_back(host.id);
             }
         }
-        access.usage().setGateways(otherHosts, loop.now());
+        usage->setGateways(otherHosts, digestPeriod(static_cast<int>(hosts.size())));
         orders->lease().setPeers(others);
     };
     registration = std::make_unique<Registration>(loop, store, log, self, std::move(registrationHooks));
@@ -318,7 +319,7 @@
     };
     FreshnessSettings freshnessSettings;
     freshnessSettings.row = protocol.store.trafficKey;
-    freshnessSettings.proofLifetime = proofLifetime();
+    freshnessSettings.proofLifetime = usefulProofLifetime();
     freshnessSettings.seed = incarnation ^ stableHash(settings.process.id);
     freshness = std::make_unique<FreshnessTask>(FreshnessParts {loop, log, metrics, *peers, store, *follower, access}, freshnessSettings);
 }
@@ -363,6 +364,7 @@
         return decoded.value.version > TrafficVersion();
     }
     assignBands(decoded.value);
+    logAccountChanges(log, traffic ? traffic->accounts : AccountTable(), decoded.value.accounts);
     traffic = std::make_shared<const Traffic>(std::move(decoded.value));
     log.line("config", "adopted")
         .add("version", traffic->version.value())
@@ -377,6 +379,7 @@
     }
     callers->setLimits(traffic->limits);
     access.adopt(traffic, loop.now());
+    freshness->setActive(traffic->hasAccounts);
     forwarder->adopt(traffic);
     return true;
 }
@@ -404,9 +407,7 @@
         }
     };
     hooks.onAdmitted = [this](const AccountName &account) {
-        if (access.usage().isReportUrgent(account)) {
-            publishUsageSoon();
-        }
+        usage->charged(account);
     };
     hooks.onSent = [this](const TargetId &target, const DispatchRequest &request, SendId send) {
         if (dispatcher.prefillTime(send) >= LongPrefill && !longPrefillTimer.isActive()) {
@@ -496,6 +497,7 @@
     loadSettings.id = settings.process.id;
     loadSettings.self = EntryId(selfName().text());
     loads = std::make_unique<LoadExchange>(LoadExchangeParts {loop, log, metrics, dispatcher, *peers, targetNames}, loadSettings);
+    usage = std::make_unique<UsageExchange>(UsageExchangeParts {loop, *peers, access.usage()}, selfName().text());
 }
 
 /// Known here before the runner's row says so, and announced to those who can't know it yet.
@@ -578,35 +580,11 @@
     digest->set_last_holder(lease.holder().text());
     digest->set_last_holder_sequence(lease.lastHolderSequence());
     follower->writeDigest(*digest);
-    writeUsage(*digest->mutable_usage());
+    usage->write(*digest->mutable_usage());
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
 }
 
-auto Gateway::Private::writeUsage(Wire::AccountUsage &message) -> void
-{
-    auto &usage = access.usage();
-    for (const auto &account : usage.takeReport(loop.now())) {
-        message.add_account(account.account);
-        message.add_used(account.used);
-        message.add_level(account.level);
-    }
-    message.set_is_settled(usage.isSettled(loop.now()));
-}
-
-auto Gateway::Private::mergeUsage(const std::string &id, const std::string &start, const Wire::AccountUsage &message) -> void
-{
-    UsageReport report;
-    report.gateway = id;
-    report.start = EntryId(start);
-    report.isSettled = message.is_settled();
-    const int rows = std::min({message.account_size(), message.used_size(), message.level_size()});
-    for (int i = 0; i < rows; ++i) {
-        report.accounts.push_back({message.account(i), message.used(i), message.level(i)});
-    }
-    access.usage().merge(report, loop.now());
-}
-
 /// Publishes this gateway's load before the next period.
 auto Gateway::Private::publishLoad() -> void
 {
@@ -631,21 +609,6 @@
     });
 }
 
-/// What is left of an account that is nearly used up is admitted by whichever gateway is asked first: with an old view of it, all would admit it.
-auto Gateway::Private::publishUsageSoon() -> void
-{
-    if (usageTimer.isActive()) {
-        return;
-    }
-    usageTimer = loop.after(UsagePeriodPerPeer * peers->liveCount(), [this] {
-        Wire::ControlFrame frame;
-        auto *usage = frame.mutable_account_usage();
-        usage->set_start(selfName().text());
-        writeUsage(*usage);
-        peers->sendAll(frame);
-    });
-}
-
 auto Gateway::Private::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_gateway()) {
@@ -668,7 +631,7 @@
     } else if (frame.has_crash_repeat()) {
         forwarder->crashRepeatReported(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MostBreaksReported)));
     } else if (frame.has_account_usage()) {
-        mergeUsage(id, frame.account_usage().start(), frame.account_usage());
+        usage->merge(id, frame.account_usage().start(), frame.account_usage());
     } else if (frame.has_freshness_request()) {
         freshness->onRequest(id, frame.freshness_request());
     } else if (frame.has_freshness_reply()) {
@@ -683,7 +646,7 @@
     if (digest.has_work()) {
         dispatcher.merge(workOf(digest, targetNames), loop.now());
     }
-    mergeUsage(id, digest.entry(), digest.usage());
+    usage->merge(id, digest.entry(), digest.usage());
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
@@ -769,7 +732,7 @@
     settings.platform.store = read.value.platform.store;
     store.setServer(settings.platform.store);
     access.setProofLifetime(proofLifetime());
-    freshness->setProofLifetime(proofLifetime());
+    freshness->setProofLifetime(usefulProofLifetime());
     applyRetryBudget();
 }
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -416,6 +416,15 @@
     return ids;
 }
 
+auto StoreFollower::requestFrom(const std::string &peer, StoreTable table) const -> void
+{
+    for (std::size_t i = 0; i < TableCount; ++i) {
+        if (Tables.at(i) == table) {
+            d->requestTable(i, peer);
+        }
+    }
+}
+
 auto StoreFollower::receive(StoreTable table, const std::vector<StoredRow> &rows) -> void
 {
     for (std::size_t i = 0; i < TableCount; ++i) {
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -65,6 +65,7 @@
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and requests for them
     auto advance() -> void; ///< call with each digest
+    auto requestFrom(const std::string &peer, StoreTable table) const -> void; ///< whole, as that gateway knows it
     /// Rows that were read by other means than the watch, as if that had brought them.
     auto receive(StoreTable table, const std::vector<StoredRow> &rows) -> void;
 
--- /dev/null
+++ b/src/gateway/usageexchange.cpp
@@ -0,0 +1,70 @@
+#include "gateway/usageexchange.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+namespace
+{
+
+/// Between two urgent reports, for each gateway that receives them: some hundred a second reach a gateway, however many there are.
+constexpr auto UrgentPeriodPerPeer = Duration::micros(250);
+/// A peer's share of the limits is left to it after so many digests were missed.
+constexpr double MissedDigests = 3;
+
+} // namespace
+
+UsageExchange::UsageExchange(UsageExchangeParts parts, std::string self)
+    : m_parts(parts)
+    , m_self(std::move(self))
+{
+}
+
+auto UsageExchange::setGateways(const std::vector<std::string> &others, Duration digestPeriod) -> void
+{
+    m_parts.usage.setSilentAfter(digestPeriod * MissedDigests);
+    m_parts.usage.setGateways(others, m_parts.loop.now());
+}
+
+auto UsageExchange::charged(const AccountName &account) -> void
+{
+    if (m_parts.usage.isReportUrgent(account)) {
+        publishSoon();
+    }
+}
+
+auto UsageExchange::publishSoon() -> void
+{
+    if (m_timer.isActive()) {
+        return;
+    }
+    m_timer = m_parts.loop.after(UrgentPeriodPerPeer * m_parts.peers.liveCount(), [this] {
+        Wire::ControlFrame frame;
+        frame.mutable_account_usage()->set_start(m_self);
+        write(*frame.mutable_account_usage());
+        m_parts.peers.sendAll(frame);
+    });
+}
+
+auto UsageExchange::write(Wire::AccountUsage &message) -> void
+{
+    for (const auto &account : m_parts.usage.takeReport(m_parts.loop.now())) {
+        message.add_account(account.account);
+        message.add_used(account.used);
+        message.add_level(account.level);
+    }
+    message.set_is_settled(m_parts.usage.isSettled(m_parts.loop.now()));
+}
+
+auto UsageExchange::merge(const std::string &id, const std::string &start, const Wire::AccountUsage &message) -> void
+{
+    UsageReport report {id, EntryId(start), message.is_settled(), {}};
+    const int rows = std::min({message.account_size(), message.used_size(), message.level_size()});
+    for (int i = 0; i < rows; ++i) {
+        report.accounts.push_back({message.account(i), message.used(i), message.level(i)});
+    }
+    m_parts.usage.merge(report, m_parts.loop.now());
+}
+
+} // namespace KingCup
--- a/tests/system_accounts.cpp
+++ b/tests/system_accounts.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr int RevocationMillis = 1500;
+constexpr auto RevocationLimit = Duration::millis(RevocationMillis);
 
 auto account(const std::string &name, const std::vector<std::string> &keys, double perSecond = 0, double burst = 0) -> Json
 {
@@ -84,10 +85,10 @@
     waitUntilServed(site, 1, "k-old");
     waitUntilServed(site, 2, "k-old");
     site.link("store:gw-2", "freeze");
-    site.sleep(Duration::millis(2 * RevocationMillis));
+    site.sleep(RevocationLimit * 2);
     CHECK(site.call(2, read("k-old"))->status == 200); // its peer proves for it
     declare(site, {account("asha", {"k-new"})});
-    site.sleep(Duration::millis(RevocationMillis));
+    site.sleep(RevocationLimit);
     for (int gateway = 1; gateway <= 2; ++gateway) {
         CHECK(site.call(gateway, read("k-old"))->status == 401);
         CHECK(site.call(gateway, read("k-new"))->status == 200);
@@ -101,7 +102,7 @@
     declare(site, {account("asha", {"k-asha"})});
     waitUntilServed(site, 1, "k-asha");
     site.link("store:gw-1", "freeze");
-    site.sleep(Duration::millis(RevocationMillis));
+    site.sleep(RevocationLimit);
     const auto attempt = site.freshAttempt();
     const auto reply = site.call(1, read("k-asha", attempt));
     CHECK(reply->status == 503);
@@ -120,7 +121,7 @@
     waitUntilServed(site, 1, "k-asha");
     site.link("store:gw-1", "freeze");
     site.process("gw-1").send(SIGSTOP);
-    site.sleep(Duration::millis(RevocationMillis));
+    site.sleep(RevocationLimit);
     const auto attempt = site.freshAttempt();
     const auto reply = site.begin(1, read("k-asha", attempt));
     site.sleep(Duration::millis(100));
@@ -152,4 +153,5 @@
     CHECK(served >= 10);
     CHECK(served <= 18); // a burst of 10, what the rate adds in the meantime, and what one gateway hasn't reported yet
     CHECK(served + rejected == 30);
+    CHECK(site.call(1, read("k-other"))->status == 401); // also where revocation has no limit
 }
--- a/tests/unit_sharedusage.cpp
+++ b/tests/unit_sharedusage.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <random>
@@ -76,7 +77,9 @@
         constexpr double Tick = 0.002;
         std::poisson_distribution<int> small(tokensPerSecond * 0.2 / Small * Tick);
         std::poisson_distribution<int> large(tokensPerSecond * 0.8 / Large * Tick);
-        for (double now = from; now < to; now += Tick) {
+        const int ticks = static_cast<int>(std::lround((to - from) / Tick));
+        for (int tick = 0; tick < ticks; ++tick) {
+            const double now = from + tick * Tick;
             for (int i = tokensPerSecond > 0 ? small(m_random) : 0; i > 0; --i) {
                 ask(now, Small);
             }
@@ -134,7 +137,7 @@
         EntryId start;
         double pausedUntil = 0;
         double reportedAt = -100;
-        bool isCut = false; ///< neither hears the others nor is heard
+        bool isCut = false; ///< neither sends reports nor receives any
     };
     static auto name(int gateway) -> std::string
     {
@@ -164,8 +167,8 @@
             gateway.reportedAt = now;
             UsageReport report {name(static_cast<int>(i)), gateway.start, gateway.usage->isSettled(at(now)), gateway.usage->takeReport(at(now))};
             for (std::size_t other = 0; other < m_gateways.size(); ++other) {
-                const bool isHeard = !gateway.isCut && !m_gateways[other].isCut && now >= m_gateways[other].pausedUntil;
-                if (other != i && isHeard) {
+                const bool isConnected = !gateway.isCut && !m_gateways[other].isCut && now >= m_gateways[other].pausedUntil;
+                if (other != i && isConnected) {
                     m_gateways[other].usage->merge(report, at(now));
                 }
             }
@@ -211,7 +214,7 @@
 
 TEST_CASE("gateways that are cut off from the others keep to their share of the limit")
 {
-    // Guards against a cut that doubles every limit, since neither side hears of the other's use.
+    // Guards against a cut that doubles every limit, since neither side knows the other's use.
     UsageFleet fleet({});
     fleet.step(0, 3, Rate * 0.5);
     for (int gateway = 0; gateway < 8; ++gateway) {
