gateway, shared usage: drop dead state; one look-up of a followed table

Cause, by reading the whole change: a flag that decided nothing, two unused bindings, a moment that was never set, and the same search for a table three times. Behaviour stays as it is.

Checked: all 59 tests, formatter, and the linter on the four files. Left: shortAccountName() in core/sharedusage and shortName() in gateway/digests hash alike; SharedUsage::share() has no caller.

--- a/src/core/sharedusage.cpp
+++ b/src/core/sharedusage.cpp
@@ -82,21 +82,17 @@
 auto SharedUsage::noteSilent(TimePoint now) -> void
 {
     int silent = 0;
-    bool isChanged = std::erase_if(m_peers, [&](const auto &known) { return now - known.second.seenAt > m_options.rememberFor; }) > 0;
+    std::erase_if(m_peers, [&](const auto &known) { return now - known.second.seenAt > m_options.rememberFor; });
     for (auto &[id, peer] : m_peers) {
-        const bool isSilent = now - peer.seenAt > m_options.silentAfter;
-        isChanged = isChanged || isSilent != peer.isSilent;
-        peer.isSilent = isSilent;
-        silent += isSilent ? 1 : 0;
+        peer.isSilent = now - peer.seenAt > m_options.silentAfter;
+        silent += peer.isSilent ? 1 : 0;
     }
     const double share = 1 - static_cast<double>(silent) / static_cast<double>(m_peers.size() + 1);
-    if (isChanged || share != m_share) {
-        // A lower share holds since the silence began, a higher one only from now on.
-        if (share > m_share) {
-            refillAll(now);
-        }
-        m_share = share;
+    // A lower share holds since the silence began, a higher one only from now on.
+    if (share > m_share) {
+        refillAll(now);
     }
+    m_share = share;
 }
 
 auto SharedUsage::setAccounts(const std::vector<ClientAccount> &accounts, TimePoint now) -> void
@@ -180,8 +176,7 @@
 auto SharedUsage::merge(const UsageReport &report, TimePoint now) -> void
 {
     noteSilent(now);
-    const auto [found, isNew] = m_peers.try_emplace(report.gateway);
-    auto &peer = found->second;
+    auto &peer = m_peers[report.gateway];
     if (peer.isSilent) {
         // Its share was left to it: what it has used meanwhile isn't charged.
         refillAll(now);
@@ -202,8 +197,8 @@
 
 auto SharedUsage::mergeAccount(Peer &peer, const AccountUsage &usage, bool isSettledPeer) -> void
 {
-    const auto [before, isFirst] = peer.used.try_emplace(usage.account, peer.countsFromStart ? 0 : usage.used);
-    const auto news = usage.used - std::exchange(before->second, usage.used);
+    auto &before = peer.used.try_emplace(usage.account, peer.countsFromStart ? 0 : usage.used).first->second;
+    const auto news = usage.used - std::exchange(before, usage.used);
     const auto found = m_buckets.find(usage.account);
     if (found == m_buckets.end()) {
         return;
--- a/src/gateway/freshnesstask.cpp
+++ b/src/gateway/freshnesstask.cpp
@@ -32,7 +32,6 @@
     Timer timer;
     bool isActive = false;
     bool isReading = false;
-    TimePoint askedAt; ///< a peer, for the last time
     bool wasProven = true;
 
     Private(FreshnessParts taskParts, FreshnessSettings taskSettings)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -284,8 +284,7 @@
     registrationHooks.onGateways = [this](const std::vector<ListedHost> &hosts) {
         gateways = hosts;
         peers->setHosts(hosts);
-        const auto silentAfter = std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests);
-        peers->setSilentAfter(silentAfter);
+        peers->setSilentAfter(std::max(GatewayPeerSettings().silentAfter, digestPeriod(static_cast<int>(hosts.size())) * SilentDigests));
         std::vector<CellMember> members;
         members.reserve(hosts.size());
         for (const auto &host : hosts) {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -29,6 +29,13 @@
     return Names.at(index);
 }
 
+/// In `Tables`; nothing: the table isn't followed.
+auto indexOf(StoreTable table) -> std::optional<std::size_t>
+{
+    const auto *found = std::find(Tables.begin(), Tables.end(), table);
+    return found == Tables.end() ? std::nullopt : std::optional(static_cast<std::size_t>(found - Tables.begin()));
+}
+
 /// What another gateway says of itself.
 struct Watcher {
     TimePoint receivedAt;
@@ -387,12 +394,8 @@
 
 auto StoreFollower::isLoaded(StoreTable table) const -> bool
 {
-    for (std::size_t i = 0; i < TableCount; ++i) {
-        if (Tables.at(i) == table) {
-            return d->tables.at(i).mirror.isLoaded();
-        }
-    }
-    return false;
+    const auto index = indexOf(table);
+    return index && d->tables.at(*index).mirror.isLoaded();
 }
 
 auto StoreFollower::isWatching() const -> bool
@@ -418,19 +421,15 @@
 
 auto StoreFollower::requestFrom(const std::string &peer, StoreTable table) const -> void
 {
-    for (std::size_t i = 0; i < TableCount; ++i) {
-        if (Tables.at(i) == table) {
-            d->requestTable(i, peer);
-        }
+    if (const auto index = indexOf(table)) {
+        d->requestTable(*index, peer);
     }
 }
 
 auto StoreFollower::receive(StoreTable table, const std::vector<StoredRow> &rows) -> void
 {
-    for (std::size_t i = 0; i < TableCount; ++i) {
-        if (Tables.at(i) == table) {
-            d->takeOwn(i, d->tables.at(i).mirror.takeChanges(rows));
-        }
+    if (const auto index = indexOf(table)) {
+        d->takeOwn(*index, d->tables.at(*index).mirror.takeChanges(rows));
     }
 }
 
