gateway: decode and log the request limits that targets announce

Observability for an incident: targets got more requests than they had announced to take, and no log line said what their answers announced. So the logs could not tell a limit that was never read from one that was read and not applied, or that another answer had ended.

The gateway logs each change (targets limit-announced, limit-ended, limit-malformed) and counts it. Nothing is decided by it yet.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -436,6 +436,7 @@
     choice.isLastResort = d->isEjected(best->target, *best->state, now);
     choice.refusal = DispatchRefusal::None;
     choice.target = best->target;
+    choice.incarnation = best->state->description.incarnation;
     choice.address = best->state->description.address;
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -65,6 +65,7 @@
 
 struct DispatchChoice {
     TargetId target; ///< empty if refused
+    TargetIncarnation incarnation; ///< of `target`
     DispatchRefusal refusal = DispatchRefusal::None;
     Endpoint address;
     Duration expectedFirst; ///< expected time until the first token, or until a plain service's answer
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -23,6 +23,9 @@
     m_hasHead = true;
     m_head = head;
     m_answer = answer;
+    if (answer.target.isEmpty() || answer.target == m_target) {
+        m_owner.hooks.onAnswer(m_incarnation, answer, m_sentAt);
+    }
     if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream) {
         beginForwarding();
     }
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -235,6 +235,7 @@
 {
     ++m_sends;
     m_target = choice.target;
+    m_incarnation = choice.incarnation;
     m_hasHead = false;
     m_isForwarding = false;
     m_bufferedBody.clear();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -138,6 +138,7 @@
     bool m_hasSend = false;
     TimePoint m_sentAt;
     TargetId m_target; ///< of the latest send
+    TargetIncarnation m_incarnation; ///< of m_target
     int m_sends = 0;
     int m_possibleRuns = 0; ///< ended sends whose request may have run
     HttpHead m_head; ///< of the latest answer
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -53,6 +53,8 @@
     std::function<void(const DispatchRequest &request)> onRequest; ///< called once for each request
     std::function<void(const AccountName &account)> onAdmitted; ///< a request was charged to the account
     std::function<void(const TargetId &target, const DispatchRequest &request, SendId send)> onSent;
+    /// An answer has arrived whose metadata also describes the target itself. `sentAt`: when the request was sent.
+    std::function<void(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt)> onAnswer;
     /// A target broke off while it ran this request, and the break was counted: the other gateways must learn of it.
     std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 //   Settings  reloads
 #include "gateway/gateway.h"
 
+#include "core/announcedlimits.h"
 #include "core/hashing.h"
 #include "gateway/accountlog.h"
 #include "gateway/callerserver.h"
@@ -97,6 +98,7 @@
     HttpPool storePool;
     ReuseLimit reuse;
     Dispatcher dispatcher;
+    AnnouncedLimits announcedLimits;
     AccountAccess access;
     StoreClient store;
     TargetNames targetNames;
@@ -167,6 +169,7 @@
     /// False if the document can't be decoded: the keys that it revokes aren't known.
     auto adoptTraffic(const std::string &document) -> bool;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
+    auto onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void;
     auto onResidency(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     /// Name of this incarnation of the process in digests and in the order lease.
@@ -421,6 +424,9 @@
             demand->adapterUsed(target, request.model, request.adapter);
         }
     };
+    hooks.onAnswer = [this](const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) {
+        onAnswer(target, answer, sentAt);
+    };
     hooks.onCrashRepeat = [this](std::uint64_t fingerprint, int breaks) {
         log.line("crashes", "counted").add("request", fingerprint).add("breaks", breaks);
         Wire::ControlFrame frame;
@@ -459,6 +465,22 @@
     demand->artifactMissing({description->service, model, adapter});
 }
 
+auto Gateway::Private::onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void
+{
+    if (answer.isRequestLimitMalformed) {
+        log.line("targets", "limit-malformed").add("target", target.id.text());
+        return;
+    }
+    if (!announcedLimits.answerReceived(target, answer.requestLimit, sentAt, loop.now())) {
+        return;
+    }
+    log.line("targets", answer.requestLimit ? "limit-announced" : "limit-ended")
+        .add("target", target.id.text())
+        .add("born", target.startedAtMillis)
+        .add("per-second", answer.requestLimit.value_or(0));
+    metrics.add(answer.requestLimit ? "target_limits_announced_total" : "target_limits_ended_total");
+}
+
 auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
 {
     const auto found = traffic ? traffic->services.find(service) : std::map<ServiceName, ServiceDeclaration>::const_iterator();
@@ -526,6 +548,7 @@
 {
     follower->advance();
     targets->advance();
+    announcedLimits.expire(loop.now());
     if (orders->lease().isHolder()) {
         chooseCandidates();
     }
--- a/tests/fuzz_platform.cpp
+++ b/tests/fuzz_platform.cpp
@@ -138,7 +138,8 @@
                                          {"Last-Event-Id", "17"},
                                          {"Server-Stamp", "x"},
                                          {"Not-Executed", "1"},
-                                         {"Instance-Id", "r1"}};
+                                         {"Instance-Id", "r1"},
+                                         {"Server-Limit", "2.5"}};
     for (int round = 0; round < Rounds; ++round) {
         auto head = example;
         for (const auto &[name, value] : known) {
@@ -147,6 +148,7 @@
         const auto traits = Platform::readRequest(head);
         REQUIRE((traits.promptTokens >= 0 && traits.maxOutputTokens >= 0));
         REQUIRE_FALSE(traits.timeBudget.value_or(Duration()) < Duration());
-        Platform::readAnswer(head);
+        const auto answer = Platform::readAnswer(head);
+        REQUIRE_FALSE(answer.requestLimit.value_or(0) < 0);
     }
 }
