--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -109,6 +109,7 @@
     m_acceptedOrders = 0;
     m_busy = false;
     m_running = 0;
+    m_requestLimit.clear();
     m_server.setAccepting(false);
     m_server.closeAll();
     heartbeat();
@@ -134,6 +135,10 @@
         m_crashBody = command.value("body", std::string());
         return true;
     }
+    if (mode == "request-limit") {
+        m_requestLimit = command.value("perSecond", std::string());
+        return true;
+    }
     if (mode == "drain") {
         m_draining = true;
         ++m_epoch;
@@ -161,7 +166,8 @@
 
 auto PlatformRunner::truth() const -> Json
 {
-    return {{"runs", m_runs},
+    return {{"arrivals", m_arrivals},
+            {"runs", m_runs},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
             {"keysSeen", m_keysSeen},
@@ -184,7 +190,9 @@
         return;
     }
     if (head.target == "/report") {
-        connection->answer(Status::Ok, {{"Content-Type", "application/json"}}, report().dump());
+        auto headers = announcements();
+        headers.push_back({"Content-Type", "application/json"});
+        connection->answer(Status::Ok, headers, report().dump());
     } else if (head.target == "/order") {
         if (text(head, "Expect-Instance") != m_id) {
             refuse(connection, "", Misdirected);
@@ -196,9 +204,20 @@
     }
 }
 
+auto PlatformRunner::announcements() const -> HttpHeaders
+{
+    HttpHeaders headers;
+    if (!m_requestLimit.empty()) {
+        headers.push_back({"Server-Limit", m_requestLimit});
+    }
+    return headers;
+}
+
 auto PlatformRunner::refuse(const RawConnectionPtr &connection, const std::string &attempt, int status) -> void
 {
-    HttpHeaders headers {{"Not-Executed", "1"}, {"Instance-Id", m_id}};
+    auto headers = announcements();
+    headers.push_back({"Not-Executed", "1"});
+    headers.push_back({"Instance-Id", m_id});
     if (!attempt.empty()) {
         headers.push_back({"Attempt-Id", attempt});
     }
@@ -209,6 +228,7 @@
 
 auto PlatformRunner::run(const RawConnectionPtr &connection, const HttpHead &head, const std::string &body) -> void
 {
+    m_arrivals.push_back(m_clock.now().inMillis());
     const auto attempt = text(head, "Attempt-Id");
     const auto expected = text(head, "Expect-Instance");
     const auto model = text(head, "Model");
@@ -265,7 +285,9 @@
 {
     connection->onClientClosed = nullptr;
     --m_running;
-    HttpHeaders headers {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}};
+    auto headers = announcements();
+    headers.push_back({"Attempt-Id", attempt});
+    headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
     if (m_mode == "lose-answers") {
         connection->close();
     } else if (m_mode == "truncate") {
@@ -307,9 +329,12 @@
     const auto comma = std::min(usage.find(','), usage.size());
     const int last = static_cast<int>(numberOr(usage.substr(std::min(comma + 1, usage.size())), 3));
     const int first = static_cast<int>(numberOr(text(head, "Last-Event-Id"), 0)) + 1;
-    connection->write(answerHead(
-        Status::Ok,
-        {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Type", "text/event-stream"}, {"Transfer-Encoding", "chunked"}}));
+    auto headers = announcements();
+    headers.push_back({"Attempt-Id", attempt});
+    headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
+    headers.push_back({"Content-Type", "text/event-stream"});
+    headers.push_back({"Transfer-Encoding", "chunked"});
+    connection->write(answerHead(Status::Ok, headers));
     sendEvent(connection, attempt, first, last);
 }
 
@@ -394,7 +419,7 @@
         m_clock.after(LateOrderDelay, [this, order] { applyOrder(order); });
         return;
     }
-    connection->answer(applyOrder(order), {}, "");
+    connection->answer(applyOrder(order), announcements(), "");
 }
 
 auto PlatformRunner::applyOrder(const Order &order) -> int
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -50,7 +50,8 @@
     auto port() const -> int;
     auto truth() const -> Json;
     /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
-    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well". False if the mode is unknown.
+    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well"; {"mode":"request-limit","perSecond":TEXT}
+    /// announces a limit in all answers from now on, or none if TEXT is empty. False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -69,6 +70,7 @@
     auto runStream(const RawConnectionPtr &connection, const HttpHead &head, const std::string &attempt) -> void;
     auto sendEvent(const RawConnectionPtr &connection, const std::string &attempt, int number, int last) -> void;
     auto finish(const RawConnectionPtr &connection, const std::string &attempt, int status, const std::string &body) -> void;
+    auto announcements() const -> HttpHeaders; ///< headers of every answer that say something about the runner itself
     auto refuse(const RawConnectionPtr &connection, const std::string &attempt, int status) -> void;
     auto receiveOrder(const RawConnectionPtr &connection, const std::string &body) -> void;
     auto applyOrder(const Order &order) -> int;
@@ -92,6 +94,7 @@
     bool m_draining = false;
     bool m_listed = true;
     std::string m_mode = "well";
+    std::string m_requestLimit; ///< announced in every answer of this start; empty: none
     std::string m_crashBody; ///< a request with this body crashes the runner
     std::map<std::string, LoadedModel> m_loadedModels;
     bool m_busy = false;
@@ -101,6 +104,7 @@
     Duration m_lastHeartbeat;
 
     // Ground truth, reported by truth().
+    std::vector<std::int64_t> m_arrivals; ///< milliseconds of the site's clock at which requests arrived, rejected ones included
     std::map<std::string, int> m_runs; ///< by attempt, over all starts
     std::map<std::string, std::string> m_bodies; ///< by attempt
     std::map<std::string, std::string> m_accounts; ///< by attempt: the accounts named in the request's headers, joined by commas
