gateway: keep to the request limits of targets, over all gateways together

What callers and targets saw: a runner that had announced to take 1 request a second from all gateways together got 13 within 4 s (11 are allowed), as many as before the announcement.

Evidence: the rate of sends doesn't change when the limit is announced, all of them are first sends, one gateway sends two within 65 ms; and system_targetlimits shows the same on stand-ins, 331 calls in 4 s where 17 are allowed. The class of fault: what a target's answer says about the target itself was dropped, only what it says about its request was read.

Fix: a request is sent to a target with a limit only with a permit (core/requestpermits). One gateway, the same for all by rendezvous hashing among the live ones, issues them at the announced rate. The dispatcher passes over targets without a permit on every way to a target: first sends, resends, streams, resumed streams. A request that another target can take goes there unless the permit comes within 15 ms; one that only this target can take waits for one and a half times the time between two permits, at most half of its time, or is refused at once if too many wait. Changes of a limit are passed on at once and to gateways that connect later; of two notices the one with the more recent answer counts (core/announcedlimits). Limits belong to one start of a target.

Why it holds: in any 4 s the arbiter issues at most 4 times the rate and a burst of half a second, and an unused permit lives for a second. Equal shares and buckets charged with each other's reports were ruled out: with a hundred gateways the first gives all of them a send at the same moment, the second one for each between two reports.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -30,6 +30,8 @@
         return "adapter-missing";
     case DispatchRefusal::AllExcluded:
         return "all-excluded";
+    case DispatchRefusal::OverLimit:
+        return "over-limit";
     }
     return "?";
 }
@@ -410,7 +412,7 @@
             }
         }
         if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
-            choice.refusal = DispatchRefusal::AllExcluded;
+            choice.refusal = std::max(choice.refusal, DispatchRefusal::AllExcluded);
             continue;
         }
         estimates.push_back(d->estimate(request, id, state, now));
@@ -428,11 +430,32 @@
         const bool isFailing = d->highestFailures(estimate.target, *estimate.state, now) > d->options.failureThreshold;
         return std::tuple(d->isEjected(estimate.target, *estimate.state, now), isFailing, estimate.cost);
     };
+    const auto isBetter = [&](const Estimate &a, const Estimate &b) {
+        return rank(a) < rank(b);
+    };
+    std::vector<Estimate> overLimit;
+    if (d->options.maySend) {
+        const auto mayTake = [&](const Estimate &estimate) {
+            return d->options.maySend(estimate.state->description.incarnation);
+        };
+        const auto firstOver = std::stable_partition(estimates.begin(), estimates.end(), mayTake);
+        overLimit.assign(firstOver, estimates.end());
+        estimates.erase(firstOver, estimates.end());
+    }
+    const auto bestOver = std::min_element(overLimit.begin(), overLimit.end(), isBetter);
+    if (estimates.empty()) {
+        choice.refusal = DispatchRefusal::OverLimit;
+        choice.overLimit = bestOver->state->description.incarnation;
+        return choice;
+    }
     choice.candidates = static_cast<int>(estimates.size());
     if (request.model.empty() && d->peerLoads.hasFresh(now)) {
         d->sampleCandidates(estimates, now);
     }
-    const auto best = std::min_element(estimates.begin(), estimates.end(), [&](const Estimate &a, const Estimate &b) { return rank(a) < rank(b); });
+    const auto best = std::min_element(estimates.begin(), estimates.end(), isBetter);
+    if (bestOver != overLimit.end() && isBetter(*bestOver, *best)) {
+        choice.overLimit = bestOver->state->description.incarnation;
+    }
     choice.isLastResort = d->isEjected(best->target, *best->state, now);
     choice.refusal = DispatchRefusal::None;
     choice.target = best->target;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -60,6 +60,7 @@
     NotHeld, ///< no runner of the service has a replica of the model
     AdapterMissing, ///< runners have a replica of the model, but none that may take the request has the adapter loaded
     AllExcluded, ///< every target that could take the request is excluded
+    OverLimit, ///< every target that could take the request has a request limit and takes none now
 };
 auto toString(DispatchRefusal refusal) -> const char *;
 
@@ -73,6 +74,7 @@
     Duration backlog; ///< part of expectedFirst that is spent waiting for other requests
     int prefillTokens = 0; ///< uncached tokens of the prompt
     int candidates = 0; ///< targets that could take the request
+    TargetIncarnation overLimit; ///< would be a better choice, or the only one, but its request limit allows no request now; no id: none
     bool isLastResort = false; ///< the target is ejected, and so is every other one that could take the request
 };
 
@@ -90,6 +92,7 @@
 struct DispatchOptions {
     ZoneName zone; ///< this process's own
     Duration otherZonePenalty = Duration::millis(4); ///< added to the cost of targets in other zones: the round trip, and the price of traffic between zones
+    std::function<bool(const TargetIncarnation &target)> maySend; ///< whether the target's request limit allows a request now; null: no target has one
     std::function<bool(const Endpoint &address)> isConnected; ///< whether an idle connection can be reused; null: unknown
     /// Added to the cost of targets without a reusable connection: some round trips, and one of the few hundred connections that a target accepts.
     Duration newConnectionPenalty = Duration::millis(5);
--- /dev/null
+++ b/src/core/requestpermits.h
@@ -0,0 +1,139 @@
+// Permits for requests to targets that have announced a request limit (core/announcedlimits.h), so that all gateways together keep to it. No I/O.
+//
+// For each such target one gateway, the arbiter, issues permits at the announced rate, and every gateway sends a request to the target only with a permit. All
+// gateways find the same arbiter by rendezvous hashing among those that are live, so nothing has to be agreed on or handed over: an arbiter that takes over
+// starts without permits to issue. Fixed shares wouldn't do: with a hundred gateways and a limit of one request a second, each gateway could send one request
+// every hundred seconds, and all of them at the same moment.
+//
+// If another target can take the request, the arbiter grants a permit at once or not at all: the request goes to the other target then. If none can, the
+// request waits, and the arbiter grants the permit as soon as the rate allows. Requests that wait get their permits before all others; the latest ask is served
+// first, since where more requests wait than the target accepts, those that have waited longest are about to give up.
+//
+// A gateway that has fallen silent may be partitioned from this one and have an arbiter of its own. Its equal share of the rate isn't issued here.
+//
+// Index of sections (search for [SECTION]):
+//   Options          rates and lifetimes
+//   Messages         what gateways send each other
+//   RequestPermits   the permits of one gateway, and those that it issues as arbiter
+#pragma once
+
+#include "core/targetinfo.h"
+#include "core/units.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Options
+
+struct RequestPermitOptions {
+    /// A target that accepts fewer requests still gets this many a second: only an answer can show that its limit has ended.
+    double minPerSecond = 0.2;
+    Duration burst = Duration::millis(500); ///< permits that may be issued, or held unused, at once, as time at the target's rate; at least one permit
+    Duration permitLifetime = Duration::millis(1000); ///< of an unused permit
+    Duration replyTimeout = Duration::millis(50); ///< an arbiter that doesn't reply to an ask within this time isn't asked again before `askPeriod` is over
+    Duration askPeriod = Duration::millis(300); ///< between two asks for requests that wait
+    Duration askLifetime = Duration::millis(400); ///< the arbiter drops the ask of a gateway that doesn't repeat it for this long: its requests have gone
+    Duration idleLifetime = Duration::seconds(600); ///< what is known of a target that no request has wanted for this long is dropped
+};
+
+// [SECTION] Messages
+
+/// Asks the arbiter of a target for one permit.
+struct PermitAsk {
+    TargetIncarnation target;
+    double perSecond = 0; ///< the target's limit, as known to the asking gateway
+    bool isWaiting = false; ///< a request waits for the target, because no other one can take it
+};
+
+struct PermitReply {
+    TargetIncarnation target;
+    bool isGranted = false; ///< one permit
+    Duration availableIn; ///< if not granted: until the arbiter can issue the next one
+};
+
+/// Messages to one other gateway.
+struct PermitMessages {
+    std::vector<PermitAsk> asks;
+    std::vector<PermitReply> replies;
+};
+
+// [SECTION] RequestPermits
+
+enum class PermitState {
+    Held, ///< a request may be sent
+    Pending, ///< the arbiter was asked and hasn't replied yet
+    Denied, ///< none can be had now
+};
+
+class RequestPermits
+{
+public:
+    /// `self`: id of this gateway.
+    explicit RequestPermits(std::string self, RequestPermitOptions options = {});
+
+    // Queries
+    auto has(const TargetIncarnation &target, TimePoint now) const -> bool; ///< a permit for the target is held
+    auto arbiter(const TargetIncarnation &target) const -> std::string; ///< the gateway that issues permits for the target
+    auto nextIssue(TimePoint now) const -> std::optional<Duration>; ///< until a gateway whose requests wait can get a permit; nothing: none is pending
+
+    // Commands: this gateway's requests
+    /// A request would use the target, which has this limit. Asks for a permit unless one is held. `isWaiting`: no other target can take the request.
+    auto wanted(const TargetIncarnation &target, double perSecond, bool isWaiting, TimePoint now) -> PermitState;
+    auto used(const TargetIncarnation &target, TimePoint now) -> void; ///< a request was sent to the target
+    auto drop(const TargetIncarnation &target) -> void; ///< its limit has ended
+
+    // Commands: other gateways
+    /// `live`: the other gateways that are live; `silent`: number of those that have fallen silent recently.
+    auto setGateways(std::set<std::string> live, int silent) -> void;
+    auto asked(const std::string &gateway, const PermitAsk &ask, TimePoint now) -> void;
+    auto replied(const PermitReply &reply, TimePoint now) -> void;
+    auto issue(TimePoint now) -> int; ///< issues the permits that are due to gateways whose requests wait; returns their number
+    auto takeMessages() -> std::map<std::string, PermitMessages>; ///< by receiver
+
+private:
+    /// Permits that this gateway holds or has asked for.
+    struct Holding {
+        std::deque<TimePoint> unused; ///< when each expires, the earliest first
+        double perSecond = 0;
+        TimePoint wantedAt;
+        std::optional<TimePoint> askedAt; ///< of the first ask without a reply
+        std::optional<TimePoint> askedWaitingAt; ///< of the last ask for a request that waits, until it is granted
+        TimePoint deniedUntil;
+    };
+    struct PendingAsk {
+        std::string gateway;
+        TimePoint at;
+    };
+    /// Permits that this gateway issues for one target.
+    struct Bucket {
+        double perSecond = 0;
+        double level = 0;
+        TimePoint refilledAt;
+        TimePoint askedAt; ///< of the last ask
+        std::vector<PendingAsk> waiting; ///< gateways whose requests wait, by the time of their last ask
+    };
+    auto burst(double perSecond) const -> double;
+    auto rate(const Bucket &bucket) const -> double;
+    auto refill(Bucket &bucket, TimePoint now) const -> void;
+    auto untilNext(const Bucket &bucket, TimePoint now) const -> Duration;
+    auto ask(const PermitAsk &ask, TimePoint now) -> void;
+    auto reply(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void;
+    auto issueFrom(const TargetIncarnation &target, Bucket &bucket, TimePoint now) -> int;
+
+    std::string m_self;
+    RequestPermitOptions m_options;
+    std::set<std::string> m_live; ///< other gateways
+    int m_silent = 0;
+    std::map<TargetIncarnation, Holding> m_holdings;
+    std::map<TargetIncarnation, Bucket> m_buckets;
+    std::map<std::string, PermitMessages> m_messages;
+};
+
+} // namespace KingCup
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -18,7 +18,11 @@
 /// Requests for a model that no target holds wait for up to this multiple of its load time: another replica is evicted first, and concurrent loads
 /// share the weight store.
 constexpr double LoadWaitFactor = 1.3;
-/// Upper limit of that wait, as a share of the request's time budget: a client that is refused then still has time to retry.
+/// Requests that only a target over its request limit can take wait for up to this multiple of the time between two of its permits.
+constexpr double PermitWaitFactor = 1.5;
+/// How long a request waits for the reply to its ask for a permit before it goes to another target: some round trips between zones.
+constexpr auto PermitReplyTime = Duration::millis(15);
+/// Upper limit of both waits, as a share of the request's time budget: a client that is refused then still has time to retry.
 constexpr double MaxWaitBudgetShare = 0.5;
 /// Period at which a waiting request asks the lease holder for its model again: the last message may have been lost, or there was no holder yet.
 constexpr auto LoadRequestPeriod = Duration::millis(300);
@@ -108,9 +112,17 @@
     if (!isStillGranted()) {
         return;
     }
-    const auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    if (!choice.overLimit.id.isEmpty()) {
+        const auto permit = m_owner.parts.limits.wanted(choice.overLimit, choice.target.isEmpty());
+        if (permit == PermitState::Held) {
+            choice = m_owner.parts.dispatcher.choose(m_request, now());
+        } else if (permit == PermitState::Pending && !choice.target.isEmpty() && awaitReply()) {
+            return;
+        }
+    }
     if (choice.target.isEmpty()) {
-        waitOrRefuse(choice.refusal);
+        waitOrRefuse(choice);
         return;
     }
     if (choice.isLastResort && now() - m_connectFailedAt < ConnectRetryDelay) {
@@ -173,28 +185,32 @@
     return false;
 }
 
-/// How long a request waits for a target, counted from its start. A model that no target holds is being loaded: its callers are better served late
-/// than not at all.
-auto ForwardedRequest::maxWait(DispatchRefusal refusal) const -> Duration
+/// How long a request waits for a target, counted from its start. A model that no target holds is being loaded, and a target over its request limit takes the
+/// next request soon: callers are better served late than not at all.
+auto ForwardedRequest::maxWait(const DispatchChoice &choice) const -> Duration
 {
     const auto goalWait = m_route.goal * MaxWaitGoalShare;
-    if (refusal != DispatchRefusal::NotHeld) {
-        return goalWait;
+    auto wait = Duration();
+    if (choice.refusal == DispatchRefusal::NotHeld) {
+        wait = m_owner.parts.dispatcher.loadTime(m_request.service, m_request.model) * LoadWaitFactor;
+    } else if (choice.refusal == DispatchRefusal::OverLimit) {
+        wait = m_owner.permitInterval(choice.overLimit) * PermitWaitFactor;
     }
-    const auto load = m_owner.parts.dispatcher.loadTime(m_request.service, m_request.model) * LoadWaitFactor;
     const auto left = (m_deadline - m_exchange->startedAt()) * MaxWaitBudgetShare;
-    return std::max(goalWait, std::min(load, left));
+    return std::max(goalWait, std::min(wait, left));
 }
 
-auto ForwardedRequest::waitOrRefuse(DispatchRefusal refusal) -> void
+auto ForwardedRequest::waitOrRefuse(const DispatchChoice &choice) -> void
 {
+    const auto refusal = choice.refusal;
     const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
     if (isMissing && now() - m_loadRequestedAt >= LoadRequestPeriod) {
         m_loadRequestedAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
     }
-    const auto waitUntil = m_exchange->startedAt() + maxWait(refusal);
-    if (refusal == DispatchRefusal::AllExcluded || now() >= waitUntil) {
+    const auto waitUntil = m_exchange->startedAt() + maxWait(choice);
+    const bool isHopeless = refusal == DispatchRefusal::AllExcluded || (refusal == DispatchRefusal::OverLimit && !joinPermitQueue(choice.overLimit, waitUntil));
+    if (isHopeless || now() >= waitUntil) {
         abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
         return;
     }
@@ -202,6 +218,48 @@
     m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), LoadRequestPeriod), [this] { attempt(); });
 }
 
+/// Lets the request wait until the arbiter of its best target has replied. False if it has waited long enough.
+auto ForwardedRequest::awaitReply() -> bool
+{
+    m_replyDueAt = m_replyDueAt.value_or(now() + PermitReplyTime);
+    if (now() >= *m_replyDueAt) {
+        return false;
+    }
+    m_isWaiting = true;
+    m_waitTimer = m_owner.parts.loop.after(*m_replyDueAt - now(), [this] { attempt(); });
+    return true;
+}
+
+/// Lets the request wait for a permit of the target. False if it can't get one in time: too many wait already.
+auto ForwardedRequest::joinPermitQueue(const TargetIncarnation &target, TimePoint waitUntil) -> bool
+{
+    if (m_permitTarget == target) {
+        return true;
+    }
+    leavePermitQueue();
+    auto &waiting = m_owner.permitQueues[target];
+    const auto expected = m_owner.permitInterval(target) * (waiting + 1);
+    m_retryAfter = std::clamp(expected, DefaultRetryAfter, MaxRetryAfter);
+    if (waiting > 0 && now() + expected > waitUntil) {
+        return false;
+    }
+    ++waiting;
+    m_permitTarget = target;
+    return true;
+}
+
+auto ForwardedRequest::leavePermitQueue() -> void
+{
+    if (!m_permitTarget) {
+        return;
+    }
+    const auto found = m_owner.permitQueues.find(*m_permitTarget);
+    if (found != m_owner.permitQueues.end() && --found->second <= 0) {
+        m_owner.permitQueues.erase(found);
+    }
+    m_permitTarget.reset();
+}
+
 auto ForwardedRequest::tryAgain() -> void
 {
     if (m_isWaiting) {
@@ -231,21 +289,10 @@
     return headers;
 }
 
-auto ForwardedRequest::send(const DispatchChoice &choice) -> void
+auto ForwardedRequest::logChoice(const DispatchChoice &choice) -> void
 {
-    ++m_sends;
-    m_target = choice.target;
-    m_incarnation = choice.incarnation;
-    m_hasHead = false;
-    m_isForwarding = false;
-    m_bufferedBody.clear();
-    m_answerBytes = 0;
-    m_sentAt = now();
-    m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
-    m_hasSend = true;
-    m_owner.hooks.onSent(choice.target, m_request, m_send);
-    m_owner.parts.log.line("routing", "chosen")
-        .add("id", m_traits.attempt.text())
+    auto line = m_owner.parts.log.line("routing", "chosen");
+    line.add("id", m_traits.attempt.text())
         .add("route", m_route.name)
         .add("account", m_grant ? m_grant->account.text() : "-")
         .add("target", choice.target.text())
@@ -260,6 +307,27 @@
         .add("candidates", choice.candidates)
         .add("last-resort", choice.isLastResort)
         .add("left", m_deadline - now());
+    if (const auto limit = m_owner.parts.limits.perSecond(choice.incarnation)) {
+        line.add("limit", *limit);
+    }
+}
+
+auto ForwardedRequest::send(const DispatchChoice &choice) -> void
+{
+    leavePermitQueue();
+    ++m_sends;
+    m_target = choice.target;
+    m_incarnation = choice.incarnation;
+    m_hasHead = false;
+    m_isForwarding = false;
+    m_bufferedBody.clear();
+    m_answerBytes = 0;
+    m_sentAt = now();
+    m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
+    m_hasSend = true;
+    m_owner.parts.limits.sent(choice.incarnation);
+    m_owner.hooks.onSent(choice.target, m_request, m_send);
+    logChoice(choice);
     PooledCall call;
     call.server = choice.address;
     call.method = m_exchange->head().method;
@@ -370,6 +438,7 @@
     m_finished = true;
     m_isWaiting = false;
     m_deadlineTimer.cancel();
+    leavePermitQueue();
     m_waitTimer.cancel();
     m_unackedTimer.cancel();
     m_exchange->onGone = nullptr;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -10,6 +10,8 @@
 #include "core/eventcursor.h"
 #include "gateway/forwarder.h"
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -38,6 +40,7 @@
     std::map<ServiceName, SharedRetryBudget> budgets;
     SharedRetryBudgetOptions budgetOptions;
     CrashRepeats crashes;
+    std::map<TargetIncarnation, int> permitQueues; ///< requests that wait for a permit, by target
     int gatewayCount = 1;
     std::mt19937_64 random;
     std::unordered_set<std::shared_ptr<ForwardedRequest>> requests;
@@ -57,6 +60,11 @@
         }
         return found->second;
     }
+    /// Mean time between two permits of a target with a request limit.
+    auto permitInterval(const TargetIncarnation &target) const -> Duration
+    {
+        return Duration::seconds(1 / std::max(parts.limits.perSecond(target).value_or(1), RequestPermitOptions().minPerSecond));
+    }
     /// Reports to the dispatcher that requests don't reach the target, and closes the idle connections to it, which are broken as well.
     auto markUnreachable(const TargetId &target) -> void;
     /// Answers a request that isn't forwarded, and logs why.
@@ -82,6 +90,10 @@
     {
         return m_isWaiting;
     }
+    auto startedAt() const -> TimePoint
+    {
+        return m_exchange->startedAt();
+    }
     auto tryAgain() -> void;
     auto abandon() -> void;
 
@@ -90,8 +102,12 @@
     auto isStillGranted() -> bool;
     auto certainlyDidNotRun() const -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
-    auto maxWait(DispatchRefusal refusal) const -> Duration;
-    auto waitOrRefuse(DispatchRefusal refusal) -> void;
+    auto maxWait(const DispatchChoice &choice) const -> Duration;
+    auto waitOrRefuse(const DispatchChoice &choice) -> void;
+    auto joinPermitQueue(const TargetIncarnation &target, TimePoint waitUntil) -> bool;
+    auto leavePermitQueue() -> void;
+    auto awaitReply() -> bool;
+    auto logChoice(const DispatchChoice &choice) -> void;
     auto send(const DispatchChoice &choice) -> void;
     auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
     auto checkUnacknowledged(std::size_t unackedBefore) -> void;
@@ -154,6 +170,8 @@
     Duration m_pauseEndedAfter; ///< from the request's first byte to the end of the longest pause
     TimePoint m_lastBytesAt;
     bool m_isWaiting = false;
+    std::optional<TimePoint> m_replyDueAt; ///< until when it waits for an arbiter's reply, once it has asked
+    std::optional<TargetIncarnation> m_permitTarget; ///< the target whose permit this request waits for
     TimePoint m_loadRequestedAt;
     TimePoint m_connectFailedAt;
     bool m_isDemoted = false; ///< expected to miss its goal: runs after all requests that can still meet theirs
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -3,6 +3,8 @@
 #include "gateway/forwardedrequest.h"
 #include "net/httpstatus.h"
 
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace KingCup
@@ -175,8 +177,10 @@
 auto Forwarder::retryWaiting() -> void
 {
     d->crashes.expire(d->parts.loop.now());
-    const std::vector<std::shared_ptr<ForwardedRequest>> all(d->requests.begin(), d->requests.end());
-    for (const auto &request : all) {
+    std::vector<std::shared_ptr<ForwardedRequest>> waiting;
+    std::copy_if(d->requests.begin(), d->requests.end(), std::back_inserter(waiting), [](const auto &request) { return request->isWaiting(); });
+    std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) { return a->startedAt() < b->startedAt(); });
+    for (const auto &request : waiting) {
         request->tryAgain();
     }
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "core/sharedretrybudget.h"
 #include "core/traffic.h"
 #include "gateway/callerserver.h"
+#include "gateway/limitexchange.h"
 #include "gateway/protocol.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
@@ -37,6 +38,7 @@
     Dispatcher &dispatcher;
     ReuseLimit &reuse;
     AccountAccess &access;
+    LimitExchange &limits;
     Metrics &metrics;
     EventLog &log;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,7 +8,6 @@
 //   Settings  reloads
 #include "gateway/gateway.h"
 
-#include "core/announcedlimits.h"
 #include "core/hashing.h"
 #include "gateway/accountlog.h"
 #include "gateway/callerserver.h"
@@ -18,6 +17,7 @@
 #include "gateway/forwarder.h"
 #include "gateway/freshnesstask.h"
 #include "gateway/gatewaypeers.h"
+#include "gateway/limitexchange.h"
 #include "gateway/loadexchange.h"
 #include "gateway/ordertask.h"
 #include "gateway/registration.h"
@@ -98,13 +98,13 @@
     HttpPool storePool;
     ReuseLimit reuse;
     Dispatcher dispatcher;
-    AnnouncedLimits announcedLimits;
     AccountAccess access;
     StoreClient store;
     TargetNames targetNames;
     std::unique_ptr<GatewayPeers> peers;
     std::unique_ptr<LoadExchange> loads;
     std::unique_ptr<UsageExchange> usage;
+    std::unique_ptr<LimitExchange> limits;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<DemandExchange> demand;
@@ -139,6 +139,7 @@
         , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout}})
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone,
+                      .maySend = [this](const TargetIncarnation &target) { return limits->maySend(target); },
                       .isConnected = [this](const Endpoint &address) { return targetPool.hasIdle(address, reuse.limit(loop.now())); },
                       .seed = incarnation ^ stableHash(settings.process.id)})
         , access(loop.now(), {.proofLifetime = proofLifetime()})
@@ -437,7 +438,8 @@
     ForwarderOptions options;
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
-    forwarder = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, metrics, log}, options, std::move(hooks));
+    forwarder
+        = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, *limits, metrics, log}, options, std::move(hooks));
     applyRetryBudget();
 }
 
@@ -468,17 +470,10 @@
 auto Gateway::Private::onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void
 {
     if (answer.isRequestLimitMalformed) {
-        log.line("targets", "limit-malformed").add("target", target.id.text());
+        log.line("targets", "limit-malformed").add("target", target.id.text()).add("source", "answer");
         return;
     }
-    if (!announcedLimits.answerReceived(target, answer.requestLimit, sentAt, loop.now())) {
-        return;
-    }
-    log.line("targets", answer.requestLimit ? "limit-announced" : "limit-ended")
-        .add("target", target.id.text())
-        .add("born", target.startedAtMillis)
-        .add("per-second", answer.requestLimit.value_or(0));
-    metrics.add(answer.requestLimit ? "target_limits_announced_total" : "target_limits_ended_total");
+    limits->answerReceived(target, answer.requestLimit, sentAt);
 }
 
 auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
@@ -510,6 +505,9 @@
                 frames.push_back(residencyFrame(target));
             }
         }
+        if (const auto known = limits ? limits->greeting() : std::nullopt) {
+            frames.push_back(*known);
+        }
         return frames;
     };
     hooks.onSilent = [this](const std::string &id) {
@@ -521,6 +519,11 @@
     loadSettings.self = EntryId(selfName().text());
     loads = std::make_unique<LoadExchange>(LoadExchangeParts {loop, log, metrics, dispatcher, *peers, targetNames}, loadSettings);
     usage = std::make_unique<UsageExchange>(UsageExchangeParts {loop, *peers, access.usage()}, selfName().text());
+    LimitExchangeHooks limitHooks;
+    limitHooks.onPermit = [this] {
+        forwarder->retryWaiting();
+    };
+    limits = std::make_unique<LimitExchange>(LimitExchangeParts {loop, log, metrics, *peers}, settings.process.id, std::move(limitHooks));
 }
 
 /// Applies a change of a runner's models at once, before its row in the store shows it, and announces it to the other gateways.
@@ -548,7 +551,7 @@
 {
     follower->advance();
     targets->advance();
-    announcedLimits.expire(loop.now());
+    limits->advance();
     if (orders->lease().isHolder()) {
         chooseCandidates();
     }
@@ -657,6 +660,8 @@
         forwarder->crashRepeatReported(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MaxReportedBreaks)));
     } else if (frame.has_account_usage()) {
         usage->merge(id, frame.account_usage().start(), frame.account_usage());
+    } else if (frame.has_target_limits()) {
+        limits->onMessage(id, frame.target_limits());
     } else if (frame.has_freshness_request()) {
         freshness->onRequest(id, frame.freshness_request());
     } else if (frame.has_freshness_reply()) {
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -148,6 +148,14 @@
     return static_cast<int>(std::count_if(d->states.begin(), d->states.end(), [](const auto &state) { return state.second.isLive; }));
 }
 
+auto GatewayPeers::silentCount(Duration within) const -> int
+{
+    const auto isRecent = [&](const auto &state) {
+        return !state.second.isLive && d->loop.now() - state.second.receivedAt < within;
+    };
+    return static_cast<int>(std::count_if(d->states.begin(), d->states.end(), isRecent));
+}
+
 auto GatewayPeers::setHosts(const std::vector<ListedHost> &hosts) -> void
 {
     auto others = hosts;
--- a/tests/unit_announcedlimits.cpp
+++ b/tests/unit_announcedlimits.cpp
@@ -85,3 +85,30 @@
     limits.expire(at(11));
     CHECK_FALSE(limits.perSecond(target()));
 }
+
+TEST_CASE("of two gateways' notices, the one with the more recent answer counts, whichever arrives first")
+{
+    // Guards against a notice that is late and brings back a limit which the target has ended.
+    AnnouncedLimits limits;
+    CHECK(limits.noticeReceived({target(), 3, Duration::seconds(2)}, at(10)));
+    CHECK(limits.perSecond(target()) == 3.0);
+    CHECK(limits.noticeReceived({target(), std::nullopt, Duration::seconds(1)}, at(10)));
+    CHECK_FALSE(limits.noticeReceived({target(), 3, Duration::millis(1500)}, at(10)));
+    CHECK_FALSE(limits.perSecond(target()));
+    CHECK(limits.noticeReceived({target(), 2, Duration()}, at(10)));
+    CHECK(limits.perSecond(target()) == 2.0);
+}
+
+TEST_CASE("a gateway that is notified of a limit ends it by its own later answer, and notifies the others")
+{
+    AnnouncedLimits limits;
+    limits.noticeReceived({target(), 3, Duration::seconds(1)}, at(10));
+    CHECK_FALSE(limits.answerReceived(target(), std::nullopt, at(8.5), at(10.5))); // sent before the answer that showed the limit
+    CHECK(limits.answerReceived(target(), std::nullopt, at(9.5), at(10.5)));
+    const auto notices = limits.notices(at(11));
+    REQUIRE(notices.size() == 1);
+    CHECK_FALSE(notices[0].perSecond);
+    CHECK(notices[0].age == Duration::millis(500));
+    limits.expire(at(30));
+    CHECK(limits.notices(at(30)).empty());
+}
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -25,7 +25,9 @@
 {
 public:
     explicit DispatchFixture(int runners, const std::string &zone = "z1")
-        : m_dispatcher(DispatchOptions {.zone = ZoneName(zone)})
+        : m_dispatcher(DispatchOptions {.zone = ZoneName(zone), .maySend = [this](const TargetIncarnation &target) {
+                                            return !overLimit.contains(target.id);
+                                        }})
     {
         EngineDeclaration engine;
         engine.slots = 16;
@@ -57,6 +59,8 @@
         return &m_dispatcher;
     }
 
+    std::set<TargetId> overLimit; ///< targets whose request limit allows no request
+
 private:
     Dispatcher m_dispatcher;
 };
@@ -519,3 +523,39 @@
     fixture->ended(second, SendResult::Cancelled, at(3));
     CHECK(fixture->ownRunning(TargetId("r0"), "m1") == 0);
 }
+
+TEST_CASE("a target whose request limit allows no request is passed over, and named if it would be the better choice")
+{
+    // Guards against a target that gets more requests than it has announced to take, and against one that is never asked for again.
+    DispatchFixture fixture(2);
+    const auto shared = request(77);
+    const auto first = fixture->choose(shared, at(1)).target;
+    fixture->sent(shared, first, at(1));
+    const auto again = request(77);
+    REQUIRE(fixture->choose(again, at(3)).target == first);
+    fixture.overLimit = {first};
+    const auto other = fixture->choose(again, at(3));
+    CHECK(other.refusal == DispatchRefusal::None);
+    CHECK(other.target != first);
+    CHECK(other.overLimit.id == first);
+    fixture.overLimit = {other.target};
+    CHECK(fixture->choose(again, at(3)).overLimit.id.isEmpty());
+}
+
+TEST_CASE("if every target that could take a request is over its limit, the request can wait for the best of them")
+{
+    DispatchFixture fixture(2);
+    fixture.overLimit = {TargetId("r0"), TargetId("r1")};
+    auto one = request();
+    auto choice = fixture->choose(one, at(1));
+    CHECK(choice.target.isEmpty());
+    CHECK(choice.refusal == DispatchRefusal::OverLimit);
+    CHECK_FALSE(choice.overLimit.id.isEmpty());
+    // One that was tried already leaves the other to wait for.
+    one.excluded = {TargetId("r0")};
+    choice = fixture->choose(one, at(1));
+    CHECK(choice.refusal == DispatchRefusal::OverLimit);
+    CHECK(choice.overLimit.id == TargetId("r1"));
+    one.excluded = {TargetId("r0"), TargetId("r1")};
+    CHECK(fixture->choose(one, at(1)).refusal == DispatchRefusal::AllExcluded);
+}
