gateway: decode and log the Retry-After of targets that reject requests

Observability for an incident: targets that had asked a gateway to send nothing for some seconds got requests from it, and the lines on rejections showed their status only. So a time that was never read could not be told from one that was read and lost.

Nothing is decided by it yet. unit_targetpauses and fuzz_platform pass.

--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -190,7 +190,11 @@
 auto ForwardedRequest::onNotRun() -> void
 {
     closeSend(SendResult::Rejected);
-    m_owner.parts.log.line("attempt", "not-run").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", m_head.status);
+    m_owner.parts.log.line("attempt", "not-run")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("status", m_head.status)
+        .add("retry-after", m_answer.retryAfter.value_or(Duration()));
     if (m_answer.isMisdirected) {
         m_owner.hooks.onMisdirected(m_target, m_answer.target, m_request.model, m_request.adapter);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -473,6 +473,9 @@
 
 auto Gateway::Private::onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void
 {
+    if (answer.isRetryAfterMalformed) {
+        log.line("targets", "retry-after-malformed").add("target", target.id.text());
+    }
     if (answer.isRequestLimitMalformed) {
         log.line("targets", "limit-malformed").add("target", target.id.text()).add("source", "answer");
         return;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -68,6 +68,9 @@
     TargetId target; ///< the target that answered; empty: not given
     std::optional<double> requestLimit; ///< requests a second that the target accepts from all gateways together; nothing: no limit, or malformed
     bool isRequestLimitMalformed = false;
+    std::optional<Duration>
+        retryAfter; ///< a target that rejects a request asks this gateway to send it nothing for this long; nothing: it doesn't, or malformed
+    bool isRetryAfterMalformed = false;
 };
 
 // [SECTION] Store
--- a/tests/fuzz_platform.cpp
+++ b/tests/fuzz_platform.cpp
@@ -130,6 +130,7 @@
     HttpHead example;
     example.method = "POST";
     example.target = "/c/x";
+    example.status = 503;
     const std::vector<HttpHeader> known {{"Attempt-Id", "t1"},
                                          {"Deadline-Ms", "900"},
                                          {"Model", "m1/a2"},
@@ -139,7 +140,8 @@
                                          {"Server-Stamp", "x"},
                                          {"Not-Executed", "1"},
                                          {"Instance-Id", "r1"},
-                                         {"Server-Limit", "2.5"}};
+                                         {"Server-Limit", "2.5"},
+                                         {"Retry-After", "3"}};
     for (int round = 0; round < Rounds; ++round) {
         auto head = example;
         for (const auto &[name, value] : known) {
@@ -150,5 +152,6 @@
         REQUIRE_FALSE(traits.timeBudget.value_or(Duration()) < Duration());
         const auto answer = Platform::readAnswer(head);
         REQUIRE_FALSE(answer.requestLimit.value_or(0) < 0);
+        REQUIRE_FALSE(answer.retryAfter.value_or(Duration()) < Duration());
     }
 }
--- /dev/null
+++ b/tests/unit_targetpauses.cpp
@@ -0,0 +1,40 @@
+// Targets that reject a request and ask a gateway to send nothing for some time: how that is read.
+#include "platform/protocol.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+auto answerWith(int status, const HttpHeaders &headers) -> AnswerTraits
+{
+    HttpHead head;
+    head.status = status;
+    head.headers = headers;
+    return Platform::readAnswer(head);
+}
+
+} // namespace
+
+TEST_CASE("the time for which a rejecting target asks to be left alone is read as a decimal number of seconds")
+{
+    CHECK_FALSE(answerWith(503, {}).retryAfter);
+    CHECK(answerWith(503, {{"Retry-After", "3"}}).retryAfter == Duration::seconds(3));
+    CHECK(answerWith(429, {{"retry-after", "0.25"}}).retryAfter == Duration::millis(250));
+    CHECK(answerWith(503, {{"Retry-After", "1e300"}}).retryAfter == Duration::seconds(24 * 3600));
+    for (const auto *value : {"", "soon", "-1", "nan", "Thu, 03 Dec 2026 16:00:00 GMT"}) {
+        const auto answer = answerWith(503, {{"Retry-After", value}});
+        INFO("value \"" << value << "\"");
+        CHECK_FALSE(answer.retryAfter);
+        CHECK(answer.isRetryAfterMalformed);
+    }
+}
+
+TEST_CASE("Retry-After of an answer that isn't a rejection says nothing about the target")
+{
+    // Guards against a target that gets no requests because of a header that an application behind it has set.
+    CHECK_FALSE(answerWith(200, {{"Retry-After", "3"}}).retryAfter);
+    CHECK_FALSE(answerWith(301, {{"Retry-After", "soon"}}).isRetryAfterMalformed);
+}
