--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -86,7 +86,7 @@
                   {"state", m_draining ? "draining" : "ready"},
                   {"cold_left_ms", 0},
                   {"born", m_startedAtMillis},
-                  {"sequence", m_starts}};
+                  {"sequence", m_starts + m_touches}};
         if (m_settings.isRunner) {
             row["models"] = models();
         }
@@ -109,6 +109,7 @@
     m_acceptedOrders = 0;
     m_busy = false;
     m_running = 0;
+    m_mode = m_mode == "reject" ? "well" : m_mode;
     m_requestLimit.clear();
     m_server.setAccepting(false);
     m_server.closeAll();
@@ -125,7 +126,8 @@
 
 auto PlatformRunner::command(const Json &command) -> bool
 {
-    static const std::set<std::string> Modes {"well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark"};
+    static const std::set<std::string> Modes {
+        "well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark", "reject"};
     const auto mode = command.value("mode", std::string());
     if (mode == "crash") {
         crash(Duration::millis(command.value("downMs", 300)), command.value("sameId", false));
@@ -139,6 +141,10 @@
         m_requestLimit = command.value("perSecond", std::string());
         return true;
     }
+    if (mode == "touch") {
+        ++m_touches;
+        return true;
+    }
     if (mode == "drain") {
         m_draining = true;
         ++m_epoch;
@@ -160,6 +166,7 @@
         return false;
     }
     m_mode = mode;
+    m_retryAfter = command.value("retryAfter", std::string());
     m_server.setUnresponsive(mode == "dark");
     return true;
 }
@@ -175,6 +182,8 @@
             {"cancelled", m_cancelled},
             {"orderers", m_fenceByHolder},
             {"orderLog", m_orderLog},
+            {"orderArrivals", m_orderArrivals},
+            {"now", m_clock.now().inMillis()},
             {"running", m_running},
             {"holds", models()},
             {"connections", m_server.connections()},
@@ -189,7 +198,9 @@
         connection->close();
         return;
     }
-    if (head.target == "/report") {
+    if (m_mode == "reject" && head.target == "/report") {
+        refuse(connection, "", Status::Unavailable);
+    } else if (head.target == "/report") {
         auto headers = announcements();
         headers.push_back({"Content-Type", "application/json"});
         connection->answer(Status::Ok, headers, report().dump());
@@ -218,6 +229,9 @@
     auto headers = announcements();
     headers.push_back({"Not-Executed", "1"});
     headers.push_back({"Instance-Id", m_id});
+    if (m_mode == "reject" && !m_retryAfter.empty()) {
+        headers.push_back({"Retry-After", m_retryAfter});
+    }
     if (!attempt.empty()) {
         headers.push_back({"Attempt-Id", attempt});
     }
@@ -244,7 +258,7 @@
         refuse(connection, attempt, Misdirected);
         return;
     }
-    if (m_running >= m_settings.slots) {
+    if (m_running >= m_settings.slots || m_mode == "reject") {
         refuse(connection, attempt, Status::Unavailable);
         return;
     }
@@ -411,6 +425,7 @@
         parsed.value("operation", "") == "load", parsed.value("model", ""), parsed.value("adapter", ""), parsed.value("expected_revision", 0ULL)};
     const auto holder = parsed.value("holder", "");
     m_fenceByHolder[holder] = std::to_string(parsed.value("fencing_token", 0ULL));
+    m_orderArrivals.push_back(m_clock.now().inMillis());
     m_orderLog.push_back(std::to_string(m_clock.now().inMillis()) + " " + holder + " " + parsed.value("operation", "") + " " + order.model + "/"
                          + order.adapter);
     if (m_mode == "late-orders") {
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -51,7 +51,8 @@
     auto truth() const -> Json;
     /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
     /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well"; {"mode":"request-limit","perSecond":TEXT}
-    /// announces a limit in all answers from now on, or none if TEXT is empty. False if the mode is unknown.
+    /// announces a limit in all answers from now on, or none if TEXT is empty; {"mode":"reject","retryAfter":TEXT} rejects all requests and reports;
+    /// "touch" rewrites the row. False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -95,6 +96,8 @@
     bool m_listed = true;
     std::string m_mode = "well";
     std::string m_requestLimit; ///< announced in every answer of this start; empty: none
+    std::string m_retryAfter; ///< in mode "reject"; empty: not given
+    int m_touches = 0; ///< counted in the row
     std::string m_crashBody; ///< a request with this body crashes the runner
     std::map<std::string, LoadedModel> m_loadedModels;
     bool m_busy = false;
@@ -112,6 +115,7 @@
     std::uint64_t m_overcommits = 0; ///< orders to load beyond the free memory or adapter slots
     std::uint64_t m_cancelled = 0; ///< runs whose caller closed the connection
     std::map<std::string, std::string> m_fenceByHolder; ///< fencing token of the last order, by lease holder
+    std::vector<std::int64_t> m_orderArrivals; ///< milliseconds of the site's clock
     std::vector<std::string> m_orderLog;
     int m_maxConnections = 0;
 };
