gateway: send nothing to a target for the time that it asks for when it rejects a request

What callers saw: for the eight seconds in which five of 18 runners rejected everything, 4 to 11 requests a second were refused. What targets saw: a runner that had rejected a request with a Retry-After of 3 s got 4 and 5 more in that time from the same gateway, 85 of all in five seconds.

A rejection excluded the target for that request alone; with nothing running it was the cheapest choice for the next one. Evidence: sends resume within milliseconds, as first sends and as later ones, with no change of the target's row between; and system_targetpauses shows the same on stand-ins: 165 requests in a pause of 3 s, 80 of 232 callers served although the other target was idle. The class of fault is that of the request limits: what an answer says about the target itself was dropped.

Fix: core/targetpauses keeps the end of each pause by incarnation, never shortened, apart from the target's row, and the dispatcher passes over paused targets on every way to a target. Orders and report calls keep to it too (their answers are read as well): the lease holder had ordered an adapter onto a runner that had asked it for rest.

Why it holds: there is no other way to a target than the dispatcher's choice and the runner books, and both ask for the pause at each send. Requests that left before the rejection arrive within a round trip.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -30,6 +30,8 @@
         return "adapter-missing";
     case DispatchRefusal::AllExcluded:
         return "all-excluded";
+    case DispatchRefusal::Paused:
+        return "paused";
     case DispatchRefusal::OverLimit:
         return "over-limit";
     }
@@ -106,6 +108,7 @@
     SendId lastSend;
     std::map<std::pair<TargetId, std::string>, int> runningByModel; ///< own sends that haven't ended, by target and model
     PeerLoads peerLoads;
+    TargetPauses pauses;
     PrefillPace pace;
     std::map<ServiceName, double> plainServiceMillis;
     std::map<TargetId, double> newPrefill; ///< milliseconds of prefill sent and not reported to other gateways yet
@@ -197,6 +200,11 @@
     return found != d->targets.end() && d->isEjected(target, found->second, now);
 }
 
+auto Dispatcher::pausedUntil(const TargetIncarnation &target, TimePoint now) const -> std::optional<TimePoint>
+{
+    return d->pauses.until(target, now);
+}
+
 auto Dispatcher::adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void
 {
     d->engines[service] = engine;
@@ -396,6 +404,7 @@
         if (description.service != request.service || description.isLeaving) {
             continue;
         }
+        const auto pausedUntil = d->pauses.until(description.incarnation, now);
         bool isDraining = false;
         if (!request.model.empty()) {
             const auto *held = description.model(request.model);
@@ -405,7 +414,7 @@
             }
             isDraining = held->isDraining;
             const bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-            hasStayingReplica = hasStayingReplica || (!isDraining && !isExcluded && !d->isEjected(id, state, now));
+            hasStayingReplica = hasStayingReplica || (!isDraining && !isExcluded && !pausedUntil && !d->isEjected(id, state, now));
             if (!request.adapter.empty() && !held->hasAdapter(request.adapter)) {
                 choice.refusal = std::max(choice.refusal, DispatchRefusal::AdapterMissing);
                 continue;
@@ -415,6 +424,11 @@
             choice.refusal = std::max(choice.refusal, DispatchRefusal::AllExcluded);
             continue;
         }
+        if (pausedUntil) {
+            choice.refusal = std::max(choice.refusal, DispatchRefusal::Paused);
+            choice.pausedUntil = std::min(choice.pausedUntil.value_or(*pausedUntil), *pausedUntil);
+            continue;
+        }
         estimates.push_back(d->estimate(request, id, state, now));
         estimates.back().isDraining = isDraining;
     }
@@ -422,6 +436,7 @@
         // A replica that stays can load the adapter within milliseconds. Requests sent to the draining replica could keep it from ever being unloaded.
         choice.refusal = DispatchRefusal::AdapterMissing;
     }
+    choice.canLoadAdapter = hasStayingReplica && !request.adapter.empty();
     if (estimates.empty()) {
         return choice;
     }
@@ -597,6 +612,16 @@
     }
 }
 
+auto Dispatcher::askedToPause(const TargetIncarnation &target, Duration span, TimePoint now) -> void
+{
+    d->pauses.pause(target, span, now);
+}
+
+auto Dispatcher::expirePauses(TimePoint now) -> void
+{
+    d->pauses.expire(now);
+}
+
 auto Dispatcher::unreachable(const TargetId &target, TimePoint now) -> void
 {
     const auto found = d->targets.find(target);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -24,6 +24,7 @@
 #include "core/requestcost.h"
 #include "core/targethealth.h"
 #include "core/targetinfo.h"
+#include "core/targetpauses.h"
 #include "core/traffic.h"
 #include "core/units.h"
 
@@ -60,6 +61,7 @@
     NotHeld, ///< no runner of the service has a replica of the model
     AdapterMissing, ///< runners have a replica of the model, but none that may take the request has the adapter loaded
     AllExcluded, ///< every target that could take the request is excluded
+    Paused, ///< every target that could take the request has asked this gateway to send nothing for some time
     OverLimit, ///< every target that could take the request has a request limit and takes none now
 };
 auto toString(DispatchRefusal refusal) -> const char *;
@@ -74,6 +76,8 @@
     Duration backlog; ///< part of expectedFirst that is spent waiting for other requests
     int prefillTokens = 0; ///< uncached tokens of the prompt
     int candidates = 0; ///< targets that could take the request
+    std::optional<TimePoint> pausedUntil; ///< if refused because of it: when the first target that could take the request takes requests again
+    bool canLoadAdapter = false; ///< if refused: a runner that may take the request has the model and could load the adapter
     TargetIncarnation overLimit; ///< would be a better choice, or the only one, but its request limit allows no request now; no id: none
     bool isLastResort = false; ///< the target is ejected, and so is every other one that could take the request
 };
@@ -129,6 +133,8 @@
     auto ownRunning(const TargetId &target, const std::string &model) const -> int; ///< this gateway's requests in flight for one model
     auto failures(const TargetId &target, TimePoint now) const -> double; ///< recent share of failed sends at this gateway, 0 (none) to 1 (all)
     auto isEjected(const TargetId &target, TimePoint now) const -> bool; ///< by this gateway, or as reported by another one
+    /// End of the time for which the target has asked this gateway to send nothing; nothing: none.
+    auto pausedUntil(const TargetIncarnation &target, TimePoint now) const -> std::optional<TimePoint>;
     /// The target with the lowest estimated cost; ejected and failing targets only if no other can take the request.
     auto choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice;
     /// Expected prefill time of a send that hasn't ended, if nothing else is prefilled. Excludes the part of the prompt that was cached at the time of the
@@ -151,6 +157,9 @@
     auto firstToken(SendId send, TimePoint now) -> void;
     /// `bytes`: length of the answer.
     auto ended(SendId send, SendResult result, TimePoint now, std::size_t bytes = 0) -> void;
+    /// The target has rejected a request and asked this gateway to send nothing for `span`.
+    auto askedToPause(const TargetIncarnation &target, Duration span, TimePoint now) -> void;
+    auto expirePauses(TimePoint now) -> void; ///< call from time to time
     /// A connection was not accepted, or sent data isn't acknowledged. Ejects the target.
     auto unreachable(const TargetId &target, TimePoint now) -> void;
 
--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -149,7 +149,7 @@
 
 auto RunnerBook::mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool
 {
-    if (!m_isKnown || isCallPending() || m_description.isLeaving || isBusy(now)) {
+    if (!m_isKnown || isCallPending() || m_description.isLeaving || now < m_pausedUntil || isBusy(now)) {
         return false;
     }
     const auto *held = m_description.model(order.model);
@@ -168,9 +168,14 @@
         && static_cast<int>(m_adapterLoads.size()) < m_options.maxPendingAdapterLoads;
 }
 
+auto RunnerBook::pause(TimePoint until) -> void
+{
+    m_pausedUntil = std::max(m_pausedUntil, until);
+}
+
 auto RunnerBook::needsReport(TimePoint now) const -> bool
 {
-    if (m_isReportPending || m_unacknowledged || now < m_nextReportAt) {
+    if (m_isReportPending || m_unacknowledged || now < std::max(m_nextReportAt, m_pausedUntil)) {
         return false;
     }
     return !m_isKnown || (m_modelOrder && isBusy(now) && now >= m_modelOrder->doneAt);
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -87,6 +87,7 @@
     /// are some hundred milliseconds old. In all other cases a report is needed. For an adapter, for example, the free slots known here may be wrong, and the
     /// next load would exceed them.
     auto refusedAsBusy(TimePoint now) -> void;
+    auto pause(TimePoint until) -> void; ///< the runner has asked to be sent nothing until then: it gets no orders and no report calls
     auto unanswered(TimePoint now) -> void; ///< the order got no answer and may still take effect
     /// The known state may be wrong, for example because the answer to a request showed that the runner is in another state: a report is needed.
     auto invalidate(TimePoint now) -> void;
@@ -123,6 +124,7 @@
     TimePoint m_acceptedAt; ///< when the last order was accepted
     TimePoint m_modelOrderedAt; ///< when the last order on a model was accepted
     TimePoint m_reportRequestedAt;
+    TimePoint m_pausedUntil;
     TimePoint m_nextReportAt; ///< no report is requested before this time
 };
 
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -198,7 +198,10 @@
     if (m_answer.isMisdirected) {
         m_owner.hooks.onMisdirected(m_target, m_answer.target, m_request.model, m_request.adapter);
     }
-    m_request.excluded.push_back(m_target);
+    // A target that takes requests again later isn't excluded: if it is the only one, the request may wait for it.
+    if (m_answer.isMisdirected || m_answer.retryAfter.value_or(Duration()) == Duration()) {
+        m_request.excluded.push_back(m_target);
+    }
     if (maySendAgain()) {
         sendAgain();
         return;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -208,17 +208,39 @@
         m_loadRequestedAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
     }
-    if (refusal == DispatchRefusal::OverLimit && !m_request.adapter.empty()) {
+    const bool isUnavailable = refusal == DispatchRefusal::Paused || refusal == DispatchRefusal::OverLimit;
+    if (isUnavailable && !m_request.adapter.empty()) {
         m_owner.hooks.onOverloaded(m_request.service, m_request.model, m_request.adapter);
     }
+    if (refusal == DispatchRefusal::Paused) {
+        m_retryAfter = std::max(*choice.pausedUntil - now(), DefaultRetryAfter);
+    }
     const auto waitUntil = m_exchange->startedAt() + maxWait(choice);
-    const bool isHopeless = refusal == DispatchRefusal::AllExcluded || (refusal == DispatchRefusal::OverLimit && !joinPermitQueue(choice.overLimit, waitUntil));
-    if (isHopeless || now() >= waitUntil) {
+    if (isHopeless(choice, waitUntil) || now() >= waitUntil) {
         abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, toString(refusal));
         return;
     }
+    auto wait = std::min(waitUntil - now(), LoadRequestPeriod);
+    if (refusal == DispatchRefusal::Paused) {
+        wait = std::min(wait, *choice.pausedUntil - now());
+    }
     m_isWaiting = true;
-    m_waitTimer = m_owner.parts.loop.after(std::min(waitUntil - now(), LoadRequestPeriod), [this] { attempt(); });
+    m_waitTimer = m_owner.parts.loop.after(wait, [this] { attempt(); });
+}
+
+/// Whether no target can take the request before `waitUntil`, as far as known now.
+auto ForwardedRequest::isHopeless(const DispatchChoice &choice, TimePoint waitUntil) -> bool
+{
+    switch (choice.refusal) {
+    case DispatchRefusal::AllExcluded:
+        return true;
+    case DispatchRefusal::Paused:
+        return !choice.canLoadAdapter && *choice.pausedUntil >= waitUntil;
+    case DispatchRefusal::OverLimit:
+        return !joinPermitQueue(choice.overLimit, waitUntil) && !choice.canLoadAdapter;
+    default:
+        return false;
+    }
 }
 
 /// Lets the request wait until the arbiter of its best target has replied. False if it has waited long enough.
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -104,6 +104,7 @@
     auto admit(const DispatchChoice &choice) -> bool;
     auto maxWait(const DispatchChoice &choice) const -> Duration;
     auto waitOrRefuse(const DispatchChoice &choice) -> void;
+    auto isHopeless(const DispatchChoice &choice, TimePoint waitUntil) -> bool;
     auto joinPermitQueue(const TargetIncarnation &target, TimePoint waitUntil) -> bool;
     auto leavePermitQueue() -> void;
     auto awaitReply() -> bool;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -170,7 +170,7 @@
     /// False if the document can't be decoded: the keys that it revokes aren't known.
     auto adoptTraffic(const std::string &document) -> bool;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
-    auto onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void;
+    auto onAnswer(const TargetIncarnation &target, const AnswerTraits &answer) -> void;
     auto onResidency(const TargetDescription &target) -> void;
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     /// Name of this incarnation of the process in digests and in the order lease.
@@ -233,6 +233,12 @@
     hooks.isFailing = [this](const TargetId &target) {
         return dispatcher.isEjected(target, loop.now());
     };
+    hooks.pausedUntil = [this](const TargetIncarnation &target) {
+        return dispatcher.pausedUntil(target, loop.now());
+    };
+    hooks.onAnswer = [this](const TargetIncarnation &target, const AnswerTraits &answer) {
+        onAnswer(target, answer);
+    };
     hooks.onResidency = [this](const TargetDescription &target) {
         onResidency(target);
     };
@@ -430,7 +436,10 @@
         }
     };
     hooks.onAnswer = [this](const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) {
-        onAnswer(target, answer, sentAt);
+        onAnswer(target, answer);
+        if (!answer.isRequestLimitMalformed) {
+            limits->answerReceived(target, answer.requestLimit, sentAt);
+        }
     };
     hooks.onCrashRepeat = [this](std::uint64_t fingerprint, int breaks) {
         log.line("crashes", "counted").add("request", fingerprint).add("breaks", breaks);
@@ -471,16 +480,21 @@
     demand->artifactMissing({description->service, model, adapter});
 }
 
-auto Gateway::Private::onAnswer(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) -> void
+/// Applies what an answer to a request or a call says about the target itself.
+auto Gateway::Private::onAnswer(const TargetIncarnation &target, const AnswerTraits &answer) -> void
 {
+    if (answer.isRequestLimitMalformed) {
+        log.line("targets", "limit-malformed").add("target", target.id.text()).add("source", "answer");
+    }
     if (answer.isRetryAfterMalformed) {
         log.line("targets", "retry-after-malformed").add("target", target.id.text());
     }
-    if (answer.isRequestLimitMalformed) {
-        log.line("targets", "limit-malformed").add("target", target.id.text()).add("source", "answer");
-        return;
+    if (answer.retryAfter) {
+        dispatcher.askedToPause(target, *answer.retryAfter, loop.now());
+        orders->targetPaused(target);
+        log.line("targets", "paused").add("target", target.id.text()).add("born", target.startedAtMillis).add("for", *answer.retryAfter);
+        metrics.add("target_pauses_total");
     }
-    limits->answerReceived(target, answer.requestLimit, sentAt);
 }
 
 auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
@@ -559,6 +573,7 @@
     follower->advance();
     targets->advance();
     limits->advance();
+    dispatcher.expirePauses(loop.now());
     if (orders->lease().isHolder()) {
         chooseCandidates();
     }
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -137,6 +137,7 @@
     auto noteLeaseChange() -> void;
     auto requestReports() -> void;
     auto requestReport(RunnerBook &book) -> void;
+    auto noteAnswer(const TargetIncarnation &target, const CollectedAnswer &answer) -> void;
     auto advanceBooks() -> void;
     auto logDemand(const CopyPlanInput &currentInput) -> void;
     auto residencyOf(const RunnerBook &book) const -> TargetDescription;
@@ -273,18 +274,28 @@
     }
 }
 
+/// Passes on what an answer says about the runner itself, unless another target gave it.
+auto OrderTask::Private::noteAnswer(const TargetIncarnation &target, const CollectedAnswer &answer) -> void
+{
+    const auto traits = parts.protocol.readAnswer(answer.head);
+    if (answer.status != 0 && (traits.target.isEmpty() || traits.target == target.id)) {
+        hooks.onAnswer(target, traits);
+    }
+}
+
 auto OrderTask::Private::requestReport(RunnerBook &book) -> void
 {
     book.reportRequested(now());
     const auto incarnation = book.description().incarnation;
-    calls.start(book.description().address, parts.protocol.reportCall, [this, incarnation](int status, const std::string &body) {
+    calls.start(book.description().address, parts.protocol.reportCall, [this, incarnation](const CollectedAnswer &answer) {
+        noteAnswer(incarnation, answer);
         auto *runner = find(incarnation);
         if (runner == nullptr) {
             return;
         }
-        const auto report = status == HttpStatus::Ok ? parts.protocol.decodeReport(body) : std::nullopt;
+        const auto report = answer.status == HttpStatus::Ok ? parts.protocol.decodeReport(answer.body) : std::nullopt;
         if (!report) {
-            parts.log.line("orders", "no-report").add("target", incarnation.id.text()).add("status", status);
+            parts.log.line("orders", "no-report").add("target", incarnation.id.text()).add("status", answer.status);
             runner->reportFailed(now());
             return;
         }
@@ -616,9 +627,10 @@
         .add("fence", lease.fence().value());
     book.ordered(planned.order, expectedTime(service, planned), now());
     const auto incarnation = description.incarnation;
-    calls.start(description.address, parts.protocol.orderCall(request), [this, incarnation, order = planned.order](int status, const std::string & /*body*/) {
-        const auto verdict = status == 0 ? OrderVerdict::Unclear : parts.protocol.readOrderAnswer(status);
-        onOrderAnswer(incarnation, order, verdict, status);
+    calls.start(description.address, parts.protocol.orderCall(request), [this, incarnation, order = planned.order](const CollectedAnswer &answer) {
+        noteAnswer(incarnation, answer);
+        const auto verdict = answer.status == 0 ? OrderVerdict::Unclear : parts.protocol.readOrderAnswer(answer.status);
+        onOrderAnswer(incarnation, order, verdict, answer.status);
     });
 }
 
@@ -710,9 +722,19 @@
     auto &book = found->second;
     d->newTargetAt = isNew ? d->now() : d->newTargetAt;
     book.descriptionReceived(target, d->now());
+    targetPaused(target.incarnation);
     d->publishResidency(book);
 }
 
+auto OrderTask::targetPaused(const TargetIncarnation &target) -> void
+{
+    const auto until = d->hooks.pausedUntil(target);
+    auto *book = until ? d->find(target) : nullptr;
+    if (book != nullptr) {
+        book->pause(*until);
+    }
+}
+
 auto OrderTask::targetGone(const TargetId &target) -> void
 {
     d->planInputs.clear();
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -20,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace KingCup
@@ -44,6 +45,8 @@
     std::function<void(const std::map<TargetId, CopyMove> &moves)> onMoves; ///< the moves in progress have changed
     std::function<std::map<CopyKey, int>()> drainingStreams; ///< streams in flight at each draining replica, summed over all gateways
     std::function<double(const CopyKey &copy)> estimatedStreams; ///< streams in flight at a replica over all gateways, estimated from this gateway's streams
+    std::function<std::optional<TimePoint>(const TargetIncarnation &target)> pausedUntil; ///< the runner has asked this gateway to send nothing until then
+    std::function<void(const TargetIncarnation &target, const AnswerTraits &answer)> onAnswer; ///< a runner's answer to an order or a report call has arrived
     /// The models or adapters that a runner holds have changed. The runner's row in the store shows it only later.
     std::function<void(const TargetDescription &target)> onResidency;
     /// This gateway may give orders from now on. The other gateways must learn of it at once: only then do they send this one the artifacts that
@@ -99,6 +102,7 @@
     auto adoptEngine(const ServiceName &service, const EngineDeclaration &engine) -> void; ///< new or changed declaration of a service's runners
     auto targetSeen(const TargetDescription &target) -> void;
     auto targetGone(const TargetId &target) -> void;
+    auto targetPaused(const TargetIncarnation &target) -> void; ///< it has asked this gateway to send nothing for some time
     /// Keeps a missing artifact for the next lease holder. For gateways that may not give orders.
     auto addPending(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     /// A request waits for a model or an adapter: orders it to be loaded. For the lease holder.
--- a/src/gateway/pooledcall.cpp
+++ b/src/gateway/pooledcall.cpp
@@ -14,6 +14,7 @@
     call.body = std::move(text.body);
     call.onHead = [into](const HttpHead &head) {
         into->status = head.status;
+        into->head = head;
         return AnswerVerdict::Accept;
     };
     call.onBody = [into](std::string_view bytes) {
--- a/src/gateway/pooledcall.h
+++ b/src/gateway/pooledcall.h
@@ -13,6 +13,7 @@
 /// Status and body received so far.
 struct CollectedAnswer {
     int status = 0;
+    HttpHead head;
     std::string body;
 };
 
--- a/src/gateway/runnercalls.cpp
+++ b/src/gateway/runnercalls.cpp
@@ -1,7 +1,5 @@
 #include "gateway/runnercalls.h"
 
-#include "gateway/pooledcall.h"
-
 #include <memory>
 #include <utility>
 
@@ -32,13 +30,13 @@
     pooled.onEnd = [state, done](const PooledEnd &end) {
         state->timer.cancel();
         state->handle = nullptr;
-        done(end.end == CallEnd::Complete ? state->status : 0, state->body);
+        done(end.end == CallEnd::Complete ? *state : CollectedAnswer());
     };
     state->timer = m_loop.after(m_timeout, [state, done] {
         if (const auto handle = std::exchange(state->handle, nullptr)) {
             handle->cancel();
         }
-        done(0, "");
+        done({});
     });
     state->handle = m_pool.start(std::move(pooled));
 }
--- a/src/gateway/runnercalls.h
+++ b/src/gateway/runnercalls.h
@@ -3,6 +3,7 @@
 
 #include "core/endpoint.h"
 #include "core/units.h"
+#include "gateway/pooledcall.h"
 #include "gateway/protocol.h"
 #include "net/eventloop.h"
 #include "net/httppool.h"
@@ -16,8 +17,8 @@
 class RunnerCalls
 {
 public:
-    /// `status`: 0 if no complete answer arrived in time.
-    using Done = std::function<void(int status, const std::string &body)>;
+    /// `answer.status`: 0 if no complete answer arrived in time.
+    using Done = std::function<void(const CollectedAnswer &answer)>;
 
     RunnerCalls(EventLoop &loop, HttpPool &pool, Duration timeout);
 
--- a/tests/system_targetpauses.cpp
+++ b/tests/system_targetpauses.cpp
@@ -141,8 +141,14 @@
 {
     Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
     reject(site, "p1", "0.4");
-    REQUIRE(site.call(1, Read)->status == 200); // rejected once, and sent again to the same target when its time is over
-    CHECK(times(site, "p1").size() >= 2);
+    const auto reply = site.begin(1, Read);
+    site.sleep(Duration::millis(150));
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "well"}});
+    site.waitFor("the answer", [&] { return reply->done; });
+    CHECK(reply->status == 200); // rejected once, and sent again to the same target when its time is over
+    const auto arrived = times(site, "p1");
+    REQUIRE(arrived.size() == 2);
+    CHECK(arrived[1] - arrived[0] >= 390);
 }
 
 TEST_CASE("a target that restarts under its id takes requests although its former start has asked to be sent nothing")
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -559,3 +559,40 @@
     one.excluded = {TargetId("r0"), TargetId("r1")};
     CHECK(fixture->choose(one, at(1)).refusal == DispatchRefusal::AllExcluded);
 }
+
+TEST_CASE("a target that has asked to be sent nothing is passed over until its time is over, whatever its row says")
+{
+    // Guards against a target that rejects everything and looks idle for that reason, and against a pause that is lost with the target's state.
+    DispatchFixture fixture(2);
+    const auto shared = request(78);
+    const auto first = fixture->choose(shared, at(1)).target;
+    fixture->sent(shared, first, at(1));
+    fixture->askedToPause({first, 1}, Duration::seconds(3), at(2));
+    const auto again = request(78);
+    CHECK(fixture->choose(again, at(2)).target != first);
+    fixture->targetGone(first);
+    fixture.add(first.text(), "z1");
+    fixture->sent(shared, first, at(4.5));
+    CHECK(fixture->choose(again, at(4.9)).target != first);
+    CHECK(fixture->choose(again, at(5)).target == first);
+}
+
+TEST_CASE("if every target that could take a request has asked to be sent nothing, the refusal says when the first one takes requests again")
+{
+    DispatchFixture fixture(2);
+    fixture->askedToPause({TargetId("r0"), 1}, Duration::seconds(3), at(1));
+    fixture->askedToPause({TargetId("r1"), 1}, Duration::seconds(2), at(1));
+    auto choice = fixture->choose(request(), at(1));
+    CHECK(choice.refusal == DispatchRefusal::Paused);
+    CHECK(choice.pausedUntil == at(3));
+    // The only runner with the adapter is paused: another one that has the model could load it.
+    fixture.add("r2", "z1", {{"m1", 0, {"a1"}}});
+    fixture->askedToPause({TargetId("r2"), 1}, Duration::seconds(3), at(3));
+    auto adapted = request();
+    adapted.adapter = "a1";
+    choice = fixture->choose(adapted, at(4));
+    CHECK(choice.refusal == DispatchRefusal::Paused);
+    CHECK(choice.canLoadAdapter);
+    adapted.excluded = {TargetId("r0"), TargetId("r1")};
+    CHECK_FALSE(fixture->choose(adapted, at(4)).canLoadAdapter);
+}
--- a/tests/unit_orders.cpp
+++ b/tests/unit_orders.cpp
@@ -526,6 +526,22 @@
     REQUIRE(book.needsReport(at(1.2)));
 }
 
+TEST_CASE("a runner that has asked to be sent nothing gets no order and no report call until its time is over")
+{
+    const auto engine = declaredEngine(3);
+    auto book = knownBook(description("r1", {}));
+    book.pause(at(3));
+    book.pause(at(2));
+    REQUIRE_FALSE(book.mayOrder(load("m1"), engine, at(2.5)));
+    book.invalidate(at(1));
+    REQUIRE_FALSE(book.needsReport(at(2.5)));
+    REQUIRE(book.needsReport(at(3.5)));
+    // A restart begins without a pause.
+    book.pause(at(30));
+    book.descriptionReceived(description("r1", {}, 2), at(4));
+    REQUIRE(book.needsReport(at(5)));
+}
+
 TEST_CASE("a runner gets no order while it executes one or while it is leaving")
 {
     const auto engine = declaredEngine(3);
--- a/tests/unit_targetpauses.cpp
+++ b/tests/unit_targetpauses.cpp
@@ -1,4 +1,5 @@
-// Targets that reject a request and ask a gateway to send nothing for some time: how that is read.
+// Targets that reject a request and ask a gateway to send nothing for some time: how that is read and kept.
+#include "core/targetpauses.h"
 #include "platform/protocol.h"
 
 #include <catch2/catch.hpp>
@@ -8,6 +9,11 @@
 namespace
 {
 
+auto at(double seconds) -> TimePoint
+{
+    return TimePoint() + Duration::seconds(100 + seconds);
+}
+
 auto answerWith(int status, const HttpHeaders &headers) -> AnswerTraits
 {
     HttpHead head;
@@ -38,3 +44,20 @@
     CHECK_FALSE(answerWith(200, {{"Retry-After", "3"}}).retryAfter);
     CHECK_FALSE(answerWith(301, {{"Retry-After", "soon"}}).isRetryAfterMalformed);
 }
+
+TEST_CASE("a pause is never shortened, and belongs to one start of a target")
+{
+    // Guards against a later rejection with a shorter time that ends the first one's, and against a restart that has to wait for its predecessor's time.
+    TargetPauses pauses;
+    const TargetIncarnation first {TargetId("t1"), 1};
+    const TargetIncarnation second {TargetId("t1"), 2};
+    pauses.pause(first, Duration::seconds(3), at(0));
+    pauses.pause(first, Duration::seconds(1), at(1));
+    CHECK(pauses.until(first, at(2.9)) == at(3));
+    CHECK_FALSE(pauses.until(first, at(3)));
+    CHECK_FALSE(pauses.until(second, at(1)));
+    pauses.pause(first, Duration::seconds(2), at(2.5));
+    CHECK(pauses.until(first, at(4)) == at(4.5));
+    pauses.expire(at(5));
+    CHECK_FALSE(pauses.until(first, at(4)));
+}
