--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -111,6 +111,7 @@
     m_running = 0;
     m_mode = m_mode == "reject" ? "well" : m_mode;
     m_requestLimit.clear();
+    m_announcesLeaving = false;
     m_server.setAccepting(false);
     m_server.closeAll();
     heartbeat();
@@ -141,6 +142,10 @@
         m_requestLimit = command.value("perSecond", std::string());
         return true;
     }
+    if (mode == "announce-leaving") {
+        m_announcesLeaving = true;
+        return true;
+    }
     if (mode == "touch") {
         ++m_touches;
         return true;
@@ -221,6 +226,9 @@
     if (!m_requestLimit.empty()) {
         headers.push_back({"Server-Limit", m_requestLimit});
     }
+    if (m_announcesLeaving || m_draining) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
     return headers;
 }
 
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -52,7 +52,8 @@
     /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
     /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well"; {"mode":"request-limit","perSecond":TEXT}
     /// announces a limit in all answers from now on, or none if TEXT is empty; {"mode":"reject","retryAfter":TEXT} rejects all requests and reports;
-    /// "touch" rewrites the row. False if the mode is unknown.
+    /// "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row says nothing of it. False if the
+    /// mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -98,6 +99,7 @@
     std::string m_requestLimit; ///< announced in every answer of this start; empty: none
     std::string m_retryAfter; ///< in mode "reject"; empty: not given
     int m_touches = 0; ///< counted in the row
+    bool m_announcesLeaving = false;
     std::string m_crashBody; ///< a request with this body crashes the runner
     std::map<std::string, LoadedModel> m_loadedModels;
     bool m_busy = false;
