gateway: send no new requests to a target that announces in its answers that it leaves

What targets saw on stand-ins: a target that said in each answer that it leaves, while its row still said ready, got every further request: 99 in 1.5 s.

Fix: the announcement is decoded and applied at once, from answers to requests, orders and report calls. It holds for that start of the target: an older state of its row, or the row's loss and return, doesn't undo it (core/targetview keeps it by incarnation, also before the row is known). Digests pass it on, marked as the target's own announcement; a report of another gateway that a target is gone by its row is still replaced by the next row, as a runner whose row was missing for a moment must not lose its requests for minutes. Requests that run there go on.

--- a/src/core/targetview.cpp
+++ b/src/core/targetview.cpp
@@ -36,8 +36,10 @@
 auto TargetView::rowReceived(const TargetDescription &description, TimePoint /*now*/) -> TargetChanges
 {
     m_missing.erase(description.incarnation.id);
-    m_targets[description.incarnation.id] = description;
-    return {.seen = {description}, .gone = {}};
+    auto &known = m_targets[description.incarnation.id];
+    known = description;
+    known.isLeaving = known.isLeaving || m_announced.contains(description.incarnation);
+    return {.seen = {known}, .gone = {}};
 }
 
 auto TargetView::detectMassRemoval(std::size_t count, TimePoint now) -> bool
@@ -65,6 +67,12 @@
     return {.seen = {}, .gone = {target}};
 }
 
+auto TargetView::announcedLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges
+{
+    m_announced[target] = now;
+    return reportedLeaving(target, now);
+}
+
 auto TargetView::reportedLeaving(const TargetIncarnation &target, TimePoint /*now*/) -> TargetChanges
 {
     const auto found = m_targets.find(target.id);
@@ -84,6 +92,7 @@
 auto TargetView::advance(TimePoint now) -> TargetChanges
 {
     TargetChanges changes;
+    std::erase_if(m_announced, [&](const auto &announced) { return now - announced.second > m_options.announcedLifetime; });
     if (isSettled(now)) {
         for (const auto &target : m_missing) {
             m_targets.erase(target);
--- a/src/core/targetview.h
+++ b/src/core/targetview.h
@@ -5,6 +5,9 @@
 // return within two seconds of the store's recovery. If these removals took effect at once, requests would have no target. So the
 // removal of a row while the store is unreachable, or within `settleTime` afterwards, is deferred, unless the target had announced
 // that it is leaving.
+//
+// A target also says in its answers that it is leaving, possibly before its row does. From then on it counts as leaving until it starts again, whatever its row
+// says: rows arrive late and out of order.
 #pragma once
 
 #include "core/targetinfo.h"
@@ -19,6 +22,7 @@
 
 struct TargetViewOptions {
     Duration settleTime = Duration::millis(2300); ///< deferral after the store was unreachable: rows return within two seconds, and have to arrive here
+    Duration announcedLifetime = Duration::seconds(600); ///< an announcement that a target is leaving is kept for this long; the target has ended by then
     double maxLossShare = 0.5; ///< see detectMassRemoval(); the loss of one zone of three or more removes a smaller share
 };
 
@@ -47,7 +51,10 @@
     auto detectMassRemoval(std::size_t count, TimePoint now) -> bool;
     /// The row was removed, or no longer describes a target.
     auto rowRemoved(const TargetId &target, TimePoint now) -> TargetChanges;
-    /// Another gateway reported that the target is leaving. Ignored for another incarnation under the same id.
+    /// The target has announced in an answer, here or at another gateway, that it is leaving. Holds for this incarnation, also if its row is received only
+    /// later.
+    auto announcedLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges;
+    /// Another gateway reported that the target is leaving or gone by its row. Ignored for another incarnation under the same id; a later row replaces it.
     auto reportedLeaving(const TargetIncarnation &target, TimePoint now) -> TargetChanges;
     /// Another process answers at the target's address. Removes the target even though its row still exists.
     auto misdirected(const TargetId &target) -> TargetChanges;
@@ -57,6 +64,7 @@
     TargetViewOptions m_options;
     std::map<TargetId, TargetDescription> m_targets;
     std::set<TargetId> m_missing; ///< known targets whose rows were removed before isSettled(): their removal is deferred
+    std::map<TargetIncarnation, TimePoint> m_announced; ///< targets that have announced to leave, with the time of the last announcement
     TimePoint m_unreachableAt; ///< when the store was last unreachable
     bool m_wasUnreachable = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -489,6 +489,9 @@
     if (answer.isRetryAfterMalformed) {
         log.line("targets", "retry-after-malformed").add("target", target.id.text());
     }
+    if (answer.isLeaving) {
+        targets->announcedLeaving(target);
+    }
     if (answer.retryAfter) {
         dispatcher.askedToPause(target, *answer.retryAfter, loop.now());
         orders->targetPaused(target);
@@ -712,7 +715,7 @@
         lease.peerConfirmed(EntryId(id), digest.last_holder_sequence(), loop.now());
     }
     for (const auto &target : digest.leaving()) {
-        targets->reportedLeaving({TargetId(target.target()), target.born_ms()});
+        targets->reportedLeaving({TargetId(target.target()), target.born_ms()}, target.announced());
     }
     follower->onDigest(id, digest);
 }
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -66,6 +66,7 @@
     bool isMisdirected = false; ///< another target has this address, or the target lacks the model or adapter that the request needs
     bool isEncoded = false; ///< the body has a content encoding, although a plain one was requested
     TargetId target; ///< the target that answered; empty: not given
+    bool isLeaving = false; ///< the target takes no new requests, whatever its row says
     std::optional<double> requestLimit; ///< requests a second that the target accepts from all gateways together; nothing: no limit, or malformed
     bool isRequestLimitMalformed = false;
     std::optional<Duration>
--- a/src/gateway/targetdirectory.cpp
+++ b/src/gateway/targetdirectory.cpp
@@ -21,10 +21,11 @@
 
 auto TargetDirectory::writeLeaving(Wire::GatewayDigest &digest) const -> void
 {
-    for (const auto &[target, at] : m_leaving) {
+    for (const auto &[target, leaving] : m_leaving) {
         auto *added = digest.add_leaving();
         added->set_target(target.id.text());
         added->set_born_ms(target.startedAtMillis);
+        added->set_announced(leaving.isAnnounced);
     }
 }
 
@@ -60,9 +61,17 @@
     m_view.storeUnreachable(m_parts.loop.now());
 }
 
-auto TargetDirectory::reportedLeaving(const TargetIncarnation &target) -> void
+auto TargetDirectory::announcedLeaving(const TargetIncarnation &target) -> void
 {
-    apply(m_view.reportedLeaving(target, m_parts.loop.now()));
+    const auto now = m_parts.loop.now();
+    m_leaving.try_emplace(target, Leaving {now, true}).first->second.isAnnounced = true;
+    apply(m_view.announcedLeaving(target, now));
+}
+
+auto TargetDirectory::reportedLeaving(const TargetIncarnation &target, bool isAnnounced) -> void
+{
+    const auto now = m_parts.loop.now();
+    apply(isAnnounced ? m_view.announcedLeaving(target, now) : m_view.reportedLeaving(target, now));
 }
 
 auto TargetDirectory::misdirected(const TargetId &target) -> void
@@ -85,7 +94,7 @@
 {
     const auto now = m_parts.loop.now();
     apply(m_view.advance(now));
-    std::erase_if(m_leaving, [&](const auto &entry) { return now - entry.second > LeavingAnnounceTime; });
+    std::erase_if(m_leaving, [&](const auto &entry) { return now - entry.second.since > LeavingAnnounceTime; });
 }
 
 auto TargetDirectory::apply(const TargetChanges &changes) -> void
@@ -115,7 +124,7 @@
         m_parts.dispatcher.targetHolds(id, reported->second.models); // while another gateway gives orders, its report is newer than the row
     }
     if (target.isLeaving) {
-        m_leaving.try_emplace(target.incarnation, m_parts.loop.now());
+        m_leaving.try_emplace(target.incarnation, Leaving {m_parts.loop.now()});
     }
 }
 
@@ -124,7 +133,7 @@
     m_parts.log.line("targets", "gone").add("target", target.text()).add("settled", m_view.isSettled(m_parts.loop.now()));
     if (const auto *description = m_parts.dispatcher.description(target)) {
         m_parts.pool.closeIdle(description->address);
-        m_leaving.try_emplace(description->incarnation, m_parts.loop.now());
+        m_leaving.try_emplace(description->incarnation, Leaving {m_parts.loop.now()});
     }
     m_residencies.erase(target);
     m_parts.dispatcher.targetGone(target);
--- a/src/gateway/targetdirectory.h
+++ b/src/gateway/targetdirectory.h
@@ -51,7 +51,9 @@
     // Commands
     auto applyRows(const std::vector<StoredRow> &rows) -> void;
     auto storeUnreachable() -> void; ///< the store is unreachable or has just become reachable again: known rows may be out of date
-    auto reportedLeaving(const TargetIncarnation &target) -> void; ///< another gateway reported that the target is leaving
+    auto announcedLeaving(const TargetIncarnation &target) -> void; ///< the target has announced in an answer that it is leaving
+    /// Another gateway reported that the target is leaving; `isAnnounced`: by an answer of the target, else by its row.
+    auto reportedLeaving(const TargetIncarnation &target, bool isAnnounced) -> void;
     /// Another target answers at the address of this one.
     auto misdirected(const TargetId &target) -> void;
     /// The lease holder reported what a runner holds, which is newer than the runner's row. False if the report is about another incarnation.
@@ -64,6 +66,10 @@
         TargetIncarnation incarnation;
         std::vector<ResidentModel> models;
     };
+    struct Leaving {
+        TimePoint since;
+        bool isAnnounced = false; ///< by an answer of the target
+    };
     auto checkMassRemoval(const std::vector<StoredRow> &rows) -> void;
     auto apply(const TargetChanges &changes) -> void;
     auto onSeen(const TargetDescription &target) -> void;
@@ -72,7 +78,7 @@
     TargetDirectoryParts m_parts;
     TargetDirectoryHooks m_hooks;
     TargetView m_view;
-    std::map<TargetIncarnation, TimePoint> m_leaving; ///< targets that digests name as leaving, with the time since when
+    std::map<TargetIncarnation, Leaving> m_leaving; ///< targets that digests name as leaving
     std::map<TargetId, ReportedResidency> m_residencies;
 };
 
--- a/tests/unit_targetpauses.cpp
+++ b/tests/unit_targetanswers.cpp
@@ -1,4 +1,4 @@
-// Targets that reject a request and ask a gateway to send nothing for some time: how that is read and kept.
+// What targets say about themselves in answers: that they leave, or that a gateway is to send nothing for some time. How that is read and kept.
 #include "core/targetpauses.h"
 #include "platform/protocol.h"
 
@@ -38,6 +38,15 @@
     }
 }
 
+TEST_CASE("an answer says that its target is leaving by a single value")
+{
+    CHECK(answerWith(200, {{"server-leaving", "1"}}).isLeaving);
+    CHECK(answerWith(503, {{"Server-Leaving", "1"}}).isLeaving);
+    CHECK_FALSE(answerWith(200, {}).isLeaving);
+    CHECK_FALSE(answerWith(200, {{"Server-Leaving", "0"}}).isLeaving);
+    CHECK_FALSE(answerWith(200, {{"Server-Leaving", ""}}).isLeaving);
+}
+
 TEST_CASE("Retry-After of an answer that isn't a rejection says nothing about the target")
 {
     // Guards against a target that gets no requests because of a header that an application behind it has set.
--- a/tests/unit_targets.cpp
+++ b/tests/unit_targets.cpp
@@ -132,6 +132,30 @@
     REQUIRE(view.rowRemoved(TargetId("r1"), at(2)).gone.size() == 1);
 }
 
+TEST_CASE("a target that announced in an answer that it is leaving stays so whatever its row says, also if the row arrives only later")
+{
+    // Guards against requests to a leaving target because an older state of its row arrives after its answer.
+    TargetView view;
+    view.rowReceived(target("t1"), at(1));
+    REQUIRE(view.announcedLeaving(target("t1").incarnation, at(2)).seen.size() == 1);
+    REQUIRE(view.rowReceived(target("t1"), at(3)).seen.front().isLeaving);
+    view.rowRemoved(TargetId("t1"), at(4));
+    REQUIRE(view.rowReceived(target("t1"), at(5)).seen.front().isLeaving);
+    REQUIRE(view.announcedLeaving(target("t2").incarnation, at(5)).seen.empty());
+    REQUIRE(view.rowReceived(target("t2"), at(6)).seen.front().isLeaving);
+    // Its next start takes requests.
+    REQUIRE_FALSE(view.rowReceived(target("t1", 2), at(7)).seen.front().isLeaving);
+}
+
+TEST_CASE("a target that another gateway took for gone is used again when its row is back")
+{
+    // Guards against a healthy target that gets no requests for minutes because its row had been missing for a moment.
+    TargetView view;
+    view.rowReceived(target("t1"), at(1));
+    REQUIRE(view.reportedLeaving(target("t1").incarnation, at(2)).seen.front().isLeaving);
+    REQUIRE_FALSE(view.rowReceived(target("t1"), at(3)).seen.front().isLeaving);
+}
+
 TEST_CASE("a report that a target is leaving doesn't apply to its next incarnation")
 {
     // A new process runs under the same id when the report about its predecessor arrives. If the report applied, a healthy target would get no requests.
