--- a/tests/system_targetleaving.cpp
+++ b/tests/system_targetleaving.cpp
@@ -107,12 +107,12 @@
 TEST_CASE("a stream that runs at a target which announces to leave is not cut off")
 {
     Site site({.gateways = 1, .runners = 2, .instances = 1, .models = 1});
-    const auto long_ = site.begin(1, {.path = "/chat/x", .method = "POST", .model = "m1", .events = 150, .body = "prompt"});
-    site.waitFor("some events", [&] { return long_->events().size() >= 3; });
+    const auto running = site.begin(1, {.path = "/chat/x", .method = "POST", .model = "m1", .events = 150, .body = "prompt"});
+    site.waitFor("some events", [&] { return running->events().size() >= 3; });
     announceLeaving(site, "r1");
     announceLeaving(site, "r2");
     load(site, {1}, Stream, Duration::millis(300));
-    site.waitFor("the end", [&] { return long_->done; });
-    CHECK(long_->isWhole());
-    CHECK(long_->events().size() == 150);
+    site.waitFor("the end", [&] { return running->done; });
+    CHECK(running->isWhole());
+    CHECK(running->events().size() == 150);
 }
