agent: forward nothing to a target for the time that it asks for when it rejects a request

The same cause as at gateways, looked for on the other way to a target: the agent dropped the Retry-After of an engine that answers 503 or 429, and started the next request of its queue with each rejection. So a queue of requests was rejected within milliseconds by a target that wanted none.

Until the time is over the agent starts nothing; what arrives meanwhile is refused as not run with the time that is left, so that the entry can send it to another target, and what waits in the queue is started afterwards.

unit_requesttasks, two cases, failed before (retry_after_us 0; the queued request was forwarded at once) and pass now. Entries still choose such a target until its agent refuses: one hop more, no load on the target. Engines in this deployment announce neither limits nor leaving: their protocol has no such fields.

--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -7,6 +7,7 @@
 
 #include "core/concurrencylimit.h"
 #include "net/httpstatus.h"
+#include "settings/valueparsers.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -21,6 +22,8 @@
 
 constexpr std::size_t TailBytes = 64; // bytes at the end of a stream that are searched for the end mark
 constexpr auto EndMark = "data: [DONE]";
+constexpr double MaxPauseSeconds = 24 * 3600; // longer times that a target asks for are ignored as errors
+constexpr auto PauseTimerMargin = Duration::millis(1); // a timer that fires early would leave the queue standing still
 constexpr double MeanSampleWeight = 0.1; // weight of a new sample in the moving average of service times
 
 } // namespace
@@ -109,6 +112,8 @@
     bool isolated = false; // a suspect is running alone
     bool leaving = false;
     double meanServiceMicros = 0;
+    TimePoint pausedUntil; // the target has asked to be sent nothing until then
+    Timer pauseTimer;
 
     Private(EventLoop &ownerLoop, HttpClient &httpClient, RequestSettings taskSettings, RequestHooks taskHooks)
         : loop(ownerLoop)
@@ -122,6 +127,8 @@
     auto onOpen(const TaskPtr &task) -> void;
     auto onStreamEnd(const TaskPtr &task) -> void;
     auto reasonToRefuse(const RequestTask &task) const -> Wire::End;
+    auto pauseLeft() const -> Duration;
+    auto pauseIfAsked(const RequestTask &task) -> void;
     auto claim(const TaskPtr &task) -> void;
     auto onVerdict(const TaskPtr &task, const ClaimVerdict &verdict) -> void;
     auto answerFromRecord(const TaskPtr &task, const RunRecord &record) -> void;
@@ -185,12 +192,40 @@
     if (task.open.budget_us() <= 0) {
         return notRunEnd("too-late", "no time is left");
     }
+    if (pauseLeft() > Duration()) {
+        return notRunEnd("overloaded", "the target takes no requests for some time", pauseLeft());
+    }
     if (queue.size() >= settings.maxQueue) {
         return notRunEnd("overloaded", "too many requests wait at the target", Duration::micros(static_cast<std::int64_t>(meanServiceMicros)));
     }
     return {};
 }
 
+auto RequestTasks::Private::pauseLeft() const -> Duration
+{
+    return std::max(pausedUntil - loop.now(), Duration());
+}
+
+/// A target that rejects a request may name the time, in seconds, for which it wants no others.
+auto RequestTasks::Private::pauseIfAsked(const RequestTask &task) -> void
+{
+    const auto text = headerValue(task.headers, "retry-after");
+    if (text.empty()) {
+        return;
+    }
+    const auto seconds = parseDecimal(text, 0, MaxPauseSeconds);
+    if (!seconds.error.empty()) {
+        LOG(WARNING) << "target: ignored a retry-after that is no number of seconds up to " << MaxPauseSeconds << ": " << text;
+        return;
+    }
+    pausedUntil = std::max(pausedUntil, loop.now() + Duration::seconds(seconds.value));
+    LOG(INFO) << "target: takes no requests for " << pauseLeft();
+    pauseTimer = loop.after(pauseLeft() + PauseTimerMargin, [this] {
+        startQueued();
+        hooks.onChanged();
+    });
+}
+
 auto RequestTasks::Private::onOpen(const TaskPtr &task) -> void
 {
     task->arrivedAt = loop.now();
@@ -279,7 +314,7 @@
 /// A suspect runs alone: if the target crashes, only this request can have been the cause.
 auto RequestTasks::Private::mayStart(const RequestTask &task) const -> bool
 {
-    if (isolated) {
+    if (isolated || pauseLeft() > Duration()) {
         return false;
     }
     return task.open.alone() ? running == 0 : running < limit.limit();
@@ -437,7 +472,10 @@
         const bool isMissing = task->status == HttpStatus::NotFound && task->bufferedBody.find("not-resident") != std::string::npos;
         if (isMissing || task->status != HttpStatus::NotFound) {
             reportRunEnd(task, RunOutcome::NotRun);
-            end(task, notRunEnd(isMissing ? "not-resident" : "overloaded", "the engine refused it"));
+            if (!isMissing) {
+                pauseIfAsked(*task);
+            }
+            end(task, notRunEnd(isMissing ? "not-resident" : "overloaded", "the engine refused it", isMissing ? Duration() : pauseLeft()));
             return;
         }
         sendHead(task);
--- a/tests/unit_requesttasks.cpp
+++ b/tests/unit_requesttasks.cpp
@@ -145,3 +145,41 @@
     fixture.calls.front()->abort();
     REQUIRE(fixture.await([&] { return endOf(*stream).outcome() == Wire::OUTCOME_UNKNOWN; }));
 }
+
+TEST_CASE("a target that rejects a request and asks to be sent nothing gets no request until then")
+{
+    // Guards against a target that gets the queue's next request with each rejection, and the whole queue within milliseconds.
+    TasksFixture fixture;
+    const auto rejected = fixture.send("rejected");
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 1; }));
+    fixture.calls[0]->respond(503, {{"retry-after", "0.4"}}, "");
+    REQUIRE(fixture.await([&] { return endOf(*rejected).outcome() == Wire::OUTCOME_NOT_RUN; }));
+    REQUIRE(endOf(*rejected).retry_after_us() > Duration::millis(300).inMicros());
+    // A request that arrives meanwhile is refused at once, so that it can go to another target.
+    const auto refused = fixture.send("refused");
+    REQUIRE(endOf(*refused).code() == "overloaded");
+    REQUIRE(endOf(*refused).outcome() == Wire::OUTCOME_NOT_RUN);
+    REQUIRE(endOf(*refused).retry_after_us() > 0);
+    fixture.loop.runUntil([] { return false; }, Duration::millis(450));
+    REQUIRE(fixture.calls.size() == 1);
+    const auto next = fixture.send("next");
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 2; }));
+    fixture.calls[1]->respond(200, {}, "whole");
+    REQUIRE(fixture.await([&] { return endOf(*next).outcome() == Wire::OUTCOME_DELIVERED; }));
+}
+
+TEST_CASE("requests that wait in the queue are sent when the time for which the target asked is over")
+{
+    // Guards against a queue that stands still after a rejection.
+    TasksFixture fixture;
+    const auto suspect = fixture.send("suspect", true); // runs alone: the next one waits
+    const auto queued = fixture.send("queued");
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 1; }));
+    fixture.calls[0]->respond(429, {{"retry-after", "0.3"}}, "");
+    REQUIRE(fixture.await([&] { return endOf(*suspect).outcome() == Wire::OUTCOME_NOT_RUN; }));
+    fixture.loop.runUntil([] { return false; }, Duration::millis(150));
+    REQUIRE(fixture.calls.size() == 1);
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 2; }));
+    fixture.calls[1]->respond(200, {}, "whole");
+    REQUIRE(fixture.await([&] { return endOf(*queued).outcome() == Wire::OUTCOME_DELIVERED; }));
+}
