gateway: a rejection that doesn't repeat a target's request limit doesn't end it

Found by reading, with a test on stand-ins: a limited target that rejects a request without repeating its limit counted as one without a limit, and got all requests until its next complete answer: 167 in 4 s where 17 are allowed. Whether targets repeat the limit in rejections isn't stated; only a signed answer, of a run, now shows that a limit has ended. system_targetlimits has the case; it failed before.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -140,6 +140,7 @@
     }
     if (mode == "request-limit") {
         m_requestLimit = command.value("perSecond", std::string());
+        m_limitsOnlyInRuns = command.value("onlyRuns", false);
         return true;
     }
     if (mode == "announce-leaving") {
@@ -235,6 +236,9 @@
 auto PlatformRunner::refuse(const RawConnectionPtr &connection, const std::string &attempt, int status) -> void
 {
     auto headers = announcements();
+    if (m_limitsOnlyInRuns) {
+        std::erase_if(headers, [](const HttpHeader &header) { return header.name == "Server-Limit"; });
+    }
     headers.push_back({"Not-Executed", "1"});
     headers.push_back({"Instance-Id", m_id});
     if (m_mode == "reject" && !m_retryAfter.empty()) {
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -51,9 +51,9 @@
     auto truth() const -> Json;
     /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
     /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well"; {"mode":"request-limit","perSecond":TEXT}
-    /// announces a limit in all answers from now on, or none if TEXT is empty; {"mode":"reject","retryAfter":TEXT} rejects all requests and reports;
-    /// "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row says nothing of it. False if the
-    /// mode is unknown.
+    /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
+    /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
+    /// says nothing of it. False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -97,6 +97,7 @@
     bool m_listed = true;
     std::string m_mode = "well";
     std::string m_requestLimit; ///< announced in every answer of this start; empty: none
+    bool m_limitsOnlyInRuns = false; ///< rejections don't announce the limit
     std::string m_retryAfter; ///< in mode "reject"; empty: not given
     int m_touches = 0; ///< counted in the row
     bool m_announcesLeaving = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -437,7 +437,8 @@
     };
     hooks.onAnswer = [this](const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt) {
         onAnswer(target, answer);
-        if (!answer.isRequestLimitMalformed) {
+        // A rejection need not repeat the limit: only an answer of a run shows that it has ended.
+        if (answer.requestLimit || (answer.isSigned && !answer.isRequestLimitMalformed)) {
             limits->answerReceived(target, answer.requestLimit, sentAt);
         }
     };
--- a/tests/system_targetlimits.cpp
+++ b/tests/system_targetlimits.cpp
@@ -130,6 +130,20 @@
     }
 }
 
+TEST_CASE("a rejection that doesn't repeat the target's limit doesn't end it")
+{
+    // Guards against a limited target that gets all requests as soon as it rejects one.
+    Site site({.gateways = 3, .runners = 1, .instances = 2, .models = 1});
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "request-limit"}, {"perSecond", "2"}, {"onlyRuns", true}});
+    load(site, 3, Read, NoticeTime);
+    const auto before = arrivals(site, "p1").size();
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "reject"}});
+    load(site, 3, Read, Duration::seconds(3));
+    site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "well"}});
+    load(site, 3, Read, Duration::seconds(2));
+    CHECK(maxInWindow(arrivals(site, "p1"), before) <= allowed(2));
+}
+
 TEST_CASE("a target takes all requests again once it announces no limit any more")
 {
     // Guards against a limit that outlives its announcement.
