request permits: a gateway has one ask for a target in flight at a time

Found by reading: each request that wanted a limited target asked by itself, and each reply made all that waited for one ask again, so that n requests at one moment could cause some n times n messages within the 15 ms that they wait. Requests that want the target at the same time now share one ask; the next one follows the reply. unit_requestpermits has the case; it counted five asks before.

--- a/src/core/requestpermits.cpp
+++ b/src/core/requestpermits.cpp
@@ -67,7 +67,10 @@
     if (now < holding.deniedUntil) {
         return PermitState::Denied;
     }
-    holding.askedAt = holding.askedAt.value_or(now);
+    if (holding.askedAt) {
+        return PermitState::Pending;
+    }
+    holding.askedAt = now;
     ask({target, perSecond, false}, now);
     if (has(target, now)) {
         return PermitState::Held;
--- a/src/core/requestpermits.h
+++ b/src/core/requestpermits.h
@@ -103,7 +103,7 @@
         std::deque<TimePoint> unused; ///< when each expires, the earliest first
         double perSecond = 0;
         TimePoint wantedAt;
-        std::optional<TimePoint> askedAt; ///< of the first ask without a reply
+        std::optional<TimePoint> askedAt; ///< of the ask that the arbiter hasn't replied to
         std::optional<TimePoint> askedWaitingAt; ///< of the last ask for a request that waits, until it is granted
         TimePoint deniedUntil;
     };
--- a/tests/unit_requestpermits.cpp
+++ b/tests/unit_requestpermits.cpp
@@ -404,6 +404,21 @@
     CHECK_FALSE(permits.has(remote, at(0.83)));
 }
 
+TEST_CASE("requests that want the target at the same time share one ask")
+{
+    // Guards against replies that make every waiting request ask again.
+    RequestPermits permits("gw-1");
+    permits.setGateways({"gw-0"}, 0);
+    TargetIncarnation remote = target();
+    while (permits.arbiter(remote) != "gw-0") {
+        ++remote.startedAtMillis;
+    }
+    for (int i = 0; i < 5; ++i) {
+        CHECK(permits.wanted(remote, 1, false, at(0.001 * i)) == PermitState::Pending);
+    }
+    CHECK(permits.takeMessages()["gw-0"].asks.size() == 1);
+}
+
 TEST_CASE("an arbiter that doesn't reply isn't asked for each request")
 {
     // Guards against requests that all wait for a reply which doesn't come.
