forwarded request: move what concerns waiting into a file of its own

How long a request waits, for what, and when that is hopeless now stands in forwardedwait.cpp; the dispatcher's separation of targets over their limit is a function. Behaviour is the same.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -137,6 +137,7 @@
     auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
     auto sampleCandidates(std::vector<Estimate> &estimates, TimePoint now) const -> void;
     auto applyRankBonus(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
+    auto takeOverLimit(std::vector<Estimate> &estimates) const -> std::vector<Estimate>;
 };
 
 Dispatcher::Dispatcher(DispatchOptions options)
@@ -393,6 +394,21 @@
     estimates = std::move(healthy);
 }
 
+/// Removes the targets whose request limit allows no request now, and returns them.
+auto Dispatcher::Private::takeOverLimit(std::vector<Estimate> &estimates) const -> std::vector<Estimate>
+{
+    if (!options.maySend) {
+        return {};
+    }
+    const auto mayTake = [&](const Estimate &estimate) {
+        return options.maySend(estimate.state->description.incarnation);
+    };
+    const auto first = std::stable_partition(estimates.begin(), estimates.end(), mayTake);
+    std::vector<Estimate> overLimit(first, estimates.end());
+    estimates.erase(first, estimates.end());
+    return overLimit;
+}
+
 auto Dispatcher::choose(const DispatchRequest &request, TimePoint now) const -> DispatchChoice
 {
     DispatchChoice choice;
@@ -448,15 +464,7 @@
     const auto isBetter = [&](const Estimate &a, const Estimate &b) {
         return rank(a) < rank(b);
     };
-    std::vector<Estimate> overLimit;
-    if (d->options.maySend) {
-        const auto mayTake = [&](const Estimate &estimate) {
-            return d->options.maySend(estimate.state->description.incarnation);
-        };
-        const auto firstOver = std::stable_partition(estimates.begin(), estimates.end(), mayTake);
-        overLimit.assign(firstOver, estimates.end());
-        estimates.erase(firstOver, estimates.end());
-    }
+    const auto overLimit = d->takeOverLimit(estimates);
     const auto bestOver = std::min_element(overLimit.begin(), overLimit.end(), isBetter);
     if (estimates.empty()) {
         choice.refusal = DispatchRefusal::OverLimit;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -24,6 +24,12 @@
 /// Retry-After where no better estimate is known: long enough for a change of membership to arrive.
 constexpr auto DefaultRetryAfter = Duration::millis(300);
 
+/// Maximum Retry-After of requests that are refused because of overload. An overload of a few seconds is over by then, and a longer one won't end soon.
+/// Clients come back within a third of the time that they have left.
+constexpr auto MaxRetryAfter = Duration::millis(1500);
+/// Requests that no target can take wait no longer than this share of their goal. Then they are refused, while the client still has time to retry.
+constexpr double MaxWaitGoalShare = 0.6;
+
 /// Whether a client may conclude from the status that its request did not run.
 auto promisesNotRun(int status) -> bool;
 
@@ -104,7 +110,7 @@
     auto admit(const DispatchChoice &choice) -> bool;
     auto maxWait(const DispatchChoice &choice) const -> Duration;
     auto waitOrRefuse(const DispatchChoice &choice) -> void;
-    auto isHopeless(const DispatchChoice &choice, TimePoint waitUntil) -> bool;
+    auto isWorthWaiting(const DispatchChoice &choice, TimePoint waitUntil) -> bool;
     auto joinPermitQueue(const TargetIncarnation &target, TimePoint waitUntil) -> bool;
     auto leavePermitQueue() -> void;
     auto awaitReply() -> bool;
