order task: a target whose address belongs to another one is gone

The row of a former runner was left in the store, its address was another runner's. The holder's plan chose the former one, since it looked empty; the runner refused each order as meant for another target and named itself, and the holder asked for a report and gave the same order again, every 200 ms.

Requests already take such an answer as the end of the target; orders dropped it, the same class as the announcements of targets. Now the order's answer removes the target as a request's does. system_gateway has the case without random faults; it failed before (no model within 8 s).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -239,6 +239,9 @@
     hooks.onAnswer = [this](const TargetIncarnation &target, const AnswerTraits &answer) {
         onAnswer(target, answer);
     };
+    hooks.onReplaced = [this](const TargetId &target, const TargetId &found) {
+        onMisdirected(target, found, "", "");
+    };
     hooks.onResidency = [this](const TargetDescription &target) {
         onResidency(target);
     };
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -274,12 +274,17 @@
     }
 }
 
-/// Passes on what an answer says about the runner itself, unless another target gave it.
+/// Passes on what an answer says about the runner itself, or that another target has its address now.
 auto OrderTask::Private::noteAnswer(const TargetIncarnation &target, const CollectedAnswer &answer) -> void
 {
+    if (answer.status == 0) {
+        return;
+    }
     const auto traits = parts.protocol.readAnswer(answer.head);
-    if (answer.status != 0 && (traits.target.isEmpty() || traits.target == target.id)) {
+    if (traits.target.isEmpty() || traits.target == target.id) {
         hooks.onAnswer(target, traits);
+    } else if (traits.isMisdirected) {
+        hooks.onReplaced(target.id, traits.target);
     }
 }
 
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -47,6 +47,8 @@
     std::function<double(const CopyKey &copy)> estimatedStreams; ///< streams in flight at a replica over all gateways, estimated from this gateway's streams
     std::function<std::optional<TimePoint>(const TargetIncarnation &target)> pausedUntil; ///< the runner has asked this gateway to send nothing until then
     std::function<void(const TargetIncarnation &target, const AnswerTraits &answer)> onAnswer; ///< a runner's answer to an order or a report call has arrived
+    /// Another target, `found`, answered an order at the address of `target`.
+    std::function<void(const TargetId &target, const TargetId &found)> onReplaced;
     /// The models or adapters that a runner holds have changed. The runner's row in the store shows it only later.
     std::function<void(const TargetDescription &target)> onResidency;
     /// This gateway may give orders from now on. The other gateways must learn of it at once: only then do they send this one the artifacts that
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -268,6 +268,18 @@
     CHECK(site.truth()["overfull"] == 0);
 }
 
+TEST_CASE("a row whose address belongs to another target by now doesn't keep a model from being loaded")
+{
+    // Guards against a lease holder that sends the same order again and again to a target that is gone, while the runner at its address could load the model.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 2});
+    REQUIRE(site.stream(1, "m1")->isWhole());
+    auto row = Json::parse(site.truth()["store"]["rows"]["servers"]["r1"]["value"].get<std::string>());
+    row["models"] = Json::array();
+    site.platform({{"part", "row"}, {"key", "a-former-runner"}, {"value", row.dump()}});
+    site.waitFor(
+        "the model", [&] { return site.stream(1, "m2")->isWhole(); }, Duration::seconds(8));
+}
+
 TEST_CASE("orders that are unanswered and carried out late never exceed a runner's memory")
 {
     // Runners leave orders unanswered and carry them out later. A runner that is ordered to load more than fits crashes, with all its streams.
