--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -3,6 +3,7 @@
 #include "net/wallclock.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace KingCup
 {
@@ -53,6 +54,7 @@
     ++m_starts;
     m_up = true;
     m_startedAtMillis = wallMillis();
+    record("start");
     m_server.setAccepting(true);
     heartbeat();
 }
@@ -141,10 +143,12 @@
     if (mode == "request-limit") {
         m_requestLimit = command.value("perSecond", std::string());
         m_limitsOnlyInRuns = command.value("onlyRuns", false);
+        record("limit", {{"perSecond", std::atof(m_requestLimit.c_str())}, {"isSet", !m_requestLimit.empty()}});
         return true;
     }
     if (mode == "announce-leaving") {
         m_announcesLeaving = true;
+        record("leaving");
         return true;
     }
     if (mode == "touch") {
@@ -179,7 +183,8 @@
 
 auto PlatformRunner::truth() const -> Json
 {
-    return {{"arrivals", m_arrivals},
+    return {{"events", m_events},
+            {"arrivals", m_arrivals},
             {"runs", m_runs},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
@@ -221,6 +226,13 @@
     }
 }
 
+auto PlatformRunner::record(const char *what, Json details) -> void
+{
+    details["at"] = m_clock.now().inMillis();
+    details["what"] = what;
+    m_events.push_back(std::move(details));
+}
+
 auto PlatformRunner::announcements() const -> HttpHeaders
 {
     HttpHeaders headers;
@@ -270,7 +282,9 @@
         refuse(connection, attempt, Misdirected);
         return;
     }
+    record("request", {{"attempt", attempt}});
     if (m_running >= m_settings.slots || m_mode == "reject") {
+        record("rejected", {{"attempt", attempt}, {"seconds", m_mode == "reject" ? std::atof(m_retryAfter.c_str()) : 0.0}});
         refuse(connection, attempt, Status::Unavailable);
         return;
     }
@@ -311,6 +325,7 @@
 {
     connection->onClientClosed = nullptr;
     --m_running;
+    record("answered", {{"attempt", attempt}});
     auto headers = announcements();
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
@@ -355,6 +370,7 @@
     const auto comma = std::min(usage.find(','), usage.size());
     const int last = static_cast<int>(numberOr(usage.substr(std::min(comma + 1, usage.size())), 3));
     const int first = static_cast<int>(numberOr(text(head, "Last-Event-Id"), 0)) + 1;
+    record("answered", {{"attempt", attempt}});
     auto headers = announcements();
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -72,6 +72,8 @@
     auto runStream(const RawConnectionPtr &connection, const HttpHead &head, const std::string &attempt) -> void;
     auto sendEvent(const RawConnectionPtr &connection, const std::string &attempt, int number, int last) -> void;
     auto finish(const RawConnectionPtr &connection, const std::string &attempt, int status, const std::string &body) -> void;
+    /// Adds an event with its time: "start", "request", "answered", "rejected" (with the attempt), "limit", "leaving".
+    auto record(const char *what, Json details = Json::object()) -> void;
     auto announcements() const -> HttpHeaders; ///< headers of every answer that say something about the runner itself
     auto refuse(const RawConnectionPtr &connection, const std::string &attempt, int status) -> void;
     auto receiveOrder(const RawConnectionPtr &connection, const std::string &body) -> void;
@@ -110,6 +112,7 @@
     Duration m_lastHeartbeat;
 
     // Ground truth, reported by truth().
+    Json m_events = Json::array(); ///< what concerns the runner's own announcements, see record()
     std::vector<std::int64_t> m_arrivals; ///< milliseconds of the site's clock at which requests arrived, rejected ones included
     std::map<std::string, int> m_runs; ///< by attempt, over all starts
     std::map<std::string, std::string> m_bodies; ///< by attempt
