request permits: call a message that wants a permit a query

Ask was the everyday word for it, next to reply. Behaviour is the same; unit_requestpermits, system_targetlimits and system_targetrandom pass.

--- a/src/core/requestpermits.cpp
+++ b/src/core/requestpermits.cpp
@@ -54,37 +54,37 @@
         return PermitState::Held;
     }
     if (isWaiting) {
-        if (!holding.askedWaitingAt || now - *holding.askedWaitingAt >= m_options.askPeriod) {
-            holding.askedWaitingAt = now;
-            ask({target, perSecond, true}, now);
+        if (!holding.waitingQueryAt || now - *holding.waitingQueryAt >= m_options.queryPeriod) {
+            holding.waitingQueryAt = now;
+            sendQuery({target, perSecond, true}, now);
         }
         return has(target, now) ? PermitState::Held : PermitState::Pending;
     }
-    if (holding.askedAt && now - *holding.askedAt > m_options.replyTimeout) {
-        holding.deniedUntil = *holding.askedAt + m_options.askPeriod;
-        holding.askedAt.reset();
+    if (holding.queriedAt && now - *holding.queriedAt > m_options.replyTimeout) {
+        holding.deniedUntil = *holding.queriedAt + m_options.queryPeriod;
+        holding.queriedAt.reset();
     }
     if (now < holding.deniedUntil) {
         return PermitState::Denied;
     }
-    if (holding.askedAt) {
+    if (holding.queriedAt) {
         return PermitState::Pending;
     }
-    holding.askedAt = now;
-    ask({target, perSecond, false}, now);
+    holding.queriedAt = now;
+    sendQuery({target, perSecond, false}, now);
     if (has(target, now)) {
         return PermitState::Held;
     }
-    return holding.askedAt ? PermitState::Pending : PermitState::Denied;
+    return holding.queriedAt ? PermitState::Pending : PermitState::Denied;
 }
 
-auto RequestPermits::ask(const PermitAsk &ask, TimePoint now) -> void
+auto RequestPermits::sendQuery(const PermitQuery &query, TimePoint now) -> void
 {
-    const auto to = arbiter(ask.target);
+    const auto to = arbiter(query.target);
     if (to == m_self) {
-        asked(m_self, ask, now);
+        queryReceived(m_self, query, now);
     } else {
-        m_messages[to].asks.push_back(ask);
+        m_messages[to].queries.push_back(query);
     }
 }
 
@@ -116,15 +116,15 @@
         return;
     }
     auto &holding = found->second;
-    holding.askedAt.reset();
+    holding.queriedAt.reset();
     if (!reply.isGranted) {
         holding.deniedUntil = now + reply.availableIn;
         return;
     }
-    holding.askedWaitingAt.reset();
+    holding.waitingQueryAt.reset();
     holding.unused.push_back(now + m_options.permitLifetime);
     if (static_cast<double>(holding.unused.size()) > burst(holding.perSecond)) {
-        holding.unused.pop_front(); // a repeated ask was granted twice
+        holding.unused.pop_front(); // a repeated query was granted twice
     }
 }
 
@@ -161,24 +161,24 @@
     return std::max(Duration::seconds(lacking / rate(bucket)) - (now - bucket.refilledAt), Duration());
 }
 
-auto RequestPermits::asked(const std::string &gateway, const PermitAsk &ask, TimePoint now) -> void
+auto RequestPermits::queryReceived(const std::string &gateway, const PermitQuery &query, TimePoint now) -> void
 {
-    auto &bucket = m_buckets.try_emplace(ask.target, Bucket {.refilledAt = now}).first->second;
-    bucket.perSecond = ask.perSecond;
-    bucket.askedAt = now;
-    issueFrom(ask.target, bucket, now);
-    if (!ask.isWaiting) {
+    auto &bucket = m_buckets.try_emplace(query.target, Bucket {.refilledAt = now}).first->second;
+    bucket.perSecond = query.perSecond;
+    bucket.queriedAt = now;
+    issueFrom(query.target, bucket, now);
+    if (!query.isWaiting) {
         const bool isGranted = bucket.waiting.empty() && bucket.level >= 1;
         bucket.level -= isGranted ? 1 : 0;
-        reply(gateway, {ask.target, isGranted, isGranted ? Duration() : untilNext(bucket, now)}, now);
+        reply(gateway, {query.target, isGranted, isGranted ? Duration() : untilNext(bucket, now)}, now);
         return;
     }
-    const auto known = std::find_if(bucket.waiting.begin(), bucket.waiting.end(), [&](const PendingAsk &pending) { return pending.gateway == gateway; });
+    const auto known = std::find_if(bucket.waiting.begin(), bucket.waiting.end(), [&](const WaitingGateway &pending) { return pending.gateway == gateway; });
     if (known != bucket.waiting.end()) {
         bucket.waiting.erase(known);
     }
     bucket.waiting.push_back({gateway, now});
-    issueFrom(ask.target, bucket, now);
+    issueFrom(query.target, bucket, now);
 }
 
 auto RequestPermits::reply(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void
@@ -193,7 +193,7 @@
 auto RequestPermits::issueFrom(const TargetIncarnation &target, Bucket &bucket, TimePoint now) -> int
 {
     refill(bucket, now);
-    std::erase_if(bucket.waiting, [&](const PendingAsk &pending) { return now - pending.at > m_options.askLifetime; });
+    std::erase_if(bucket.waiting, [&](const WaitingGateway &pending) { return now - pending.at > m_options.queryLifetime; });
     int issued = 0;
     while (bucket.level >= 1 && !bucket.waiting.empty()) {
         const auto gateway = std::move(bucket.waiting.back().gateway);
@@ -211,7 +211,7 @@
     for (auto &[target, bucket] : m_buckets) {
         issued += issueFrom(target, bucket, now);
     }
-    std::erase_if(m_buckets, [&](const auto &bucket) { return now - bucket.second.askedAt > m_options.idleLifetime; });
+    std::erase_if(m_buckets, [&](const auto &bucket) { return now - bucket.second.queriedAt > m_options.idleLifetime; });
     std::erase_if(m_holdings, [&](const auto &holding) { return now - holding.second.wantedAt > m_options.idleLifetime; });
     return issued;
 }
--- a/src/core/requestpermits.h
+++ b/src/core/requestpermits.h
@@ -6,8 +6,8 @@
 // every hundred seconds, and all of them at the same moment.
 //
 // If another target can take the request, the arbiter grants a permit at once or not at all: the request goes to the other target then. If none can, the
-// request waits, and the arbiter grants the permit as soon as the rate allows. Requests that wait get their permits before all others; the latest ask is served
-// first, since where more requests wait than the target accepts, those that have waited longest are about to give up.
+// request waits, and the arbiter grants the permit as soon as the rate allows. Requests that wait get their permits before all others; the latest query is
+// served first, since where more requests wait than the target accepts, those that have waited longest are about to give up.
 //
 // A gateway that has fallen silent may be partitioned from this one and have an arbiter of its own. Its equal share of the rate isn't issued here.
 //
@@ -37,18 +37,18 @@
     double minPerSecond = 0.2;
     Duration burst = Duration::millis(500); ///< permits that may be issued, or held unused, at once, as time at the target's rate; at least one permit
     Duration permitLifetime = Duration::millis(1000); ///< of an unused permit
-    Duration replyTimeout = Duration::millis(50); ///< an arbiter that doesn't reply to an ask within this time isn't asked again before `askPeriod` is over
-    Duration askPeriod = Duration::millis(300); ///< between two asks for requests that wait
-    Duration askLifetime = Duration::millis(400); ///< the arbiter drops the ask of a gateway that doesn't repeat it for this long: its requests have gone
+    Duration replyTimeout = Duration::millis(50); ///< an arbiter that doesn't reply to a query within this time gets no other one before `queryPeriod` is over
+    Duration queryPeriod = Duration::millis(300); ///< between two queries for requests that wait
+    Duration queryLifetime = Duration::millis(400); ///< the arbiter drops the query of a gateway that doesn't repeat it for this long: its requests have gone
     Duration idleLifetime = Duration::seconds(600); ///< what is known of a target that no request has wanted for this long is dropped
 };
 
 // [SECTION] Messages
 
 /// Asks the arbiter of a target for one permit.
-struct PermitAsk {
+struct PermitQuery {
     TargetIncarnation target;
-    double perSecond = 0; ///< the target's limit, as known to the asking gateway
+    double perSecond = 0; ///< the target's limit, as known to the gateway that sends the query
     bool isWaiting = false; ///< a request waits for the target, because no other one can take it
 };
 
@@ -60,7 +60,7 @@
 
 /// Messages to one other gateway.
 struct PermitMessages {
-    std::vector<PermitAsk> asks;
+    std::vector<PermitQuery> queries;
     std::vector<PermitReply> replies;
 };
 
@@ -68,7 +68,7 @@
 
 enum class PermitState {
     Held, ///< a request may be sent
-    Pending, ///< the arbiter was asked and hasn't replied yet
+    Pending, ///< the arbiter hasn't replied to a query yet
     Denied, ///< none can be had now
 };
 
@@ -92,22 +92,22 @@
     // Commands: other gateways
     /// `live`: the other gateways that are live; `silent`: number of those that have fallen silent recently.
     auto setGateways(std::set<std::string> live, int silent) -> void;
-    auto asked(const std::string &gateway, const PermitAsk &ask, TimePoint now) -> void;
+    auto queryReceived(const std::string &gateway, const PermitQuery &query, TimePoint now) -> void;
     auto replied(const PermitReply &reply, TimePoint now) -> void;
     auto issue(TimePoint now) -> int; ///< issues the permits that are due to gateways whose requests wait; returns their number
     auto takeMessages() -> std::map<std::string, PermitMessages>; ///< by receiver
 
 private:
-    /// Permits that this gateway holds or has asked for.
+    /// Permits that this gateway holds, and its queries for more.
     struct Holding {
         std::deque<TimePoint> unused; ///< when each expires, the earliest first
         double perSecond = 0;
         TimePoint wantedAt;
-        std::optional<TimePoint> askedAt; ///< of the ask that the arbiter hasn't replied to
-        std::optional<TimePoint> askedWaitingAt; ///< of the last ask for a request that waits, until it is granted
+        std::optional<TimePoint> queriedAt; ///< of the query that the arbiter hasn't replied to
+        std::optional<TimePoint> waitingQueryAt; ///< of the last query for a request that waits, until it is granted
         TimePoint deniedUntil;
     };
-    struct PendingAsk {
+    struct WaitingGateway {
         std::string gateway;
         TimePoint at;
     };
@@ -116,14 +116,14 @@
         double perSecond = 0;
         double level = 0;
         TimePoint refilledAt;
-        TimePoint askedAt; ///< of the last ask
-        std::vector<PendingAsk> waiting; ///< gateways whose requests wait, by the time of their last ask
+        TimePoint queriedAt; ///< of the last query
+        std::vector<WaitingGateway> waiting; ///< gateways whose requests wait, by the time of their last query
     };
     auto burst(double perSecond) const -> double;
     auto rate(const Bucket &bucket) const -> double;
     auto refill(Bucket &bucket, TimePoint now) const -> void;
     auto untilNext(const Bucket &bucket, TimePoint now) const -> Duration;
-    auto ask(const PermitAsk &ask, TimePoint now) -> void;
+    auto sendQuery(const PermitQuery &query, TimePoint now) -> void;
     auto reply(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void;
     auto issueFrom(const TargetIncarnation &target, Bucket &bucket, TimePoint now) -> int;
 
--- a/src/gateway/forwardedwait.cpp
+++ b/src/gateway/forwardedwait.cpp
@@ -16,7 +16,7 @@
 constexpr double LoadWaitFactor = 1.3;
 /// Requests that only a target over its request limit can take wait for up to this multiple of the time between two of its permits.
 constexpr double PermitWaitFactor = 1.5;
-/// How long a request waits for the reply to its ask for a permit before it goes to another target: some round trips between zones.
+/// How long a request waits for the reply to the query for a permit before it goes to another target: some round trips between zones.
 constexpr auto PermitReplyTime = Duration::millis(15);
 /// Upper limit of both waits, as a share of the request's time budget: a client that is refused then still has time to retry.
 constexpr double MaxWaitBudgetShare = 0.5;
--- a/src/gateway/limitexchange.cpp
+++ b/src/gateway/limitexchange.cpp
@@ -13,7 +13,7 @@
 constexpr auto SilentShareTime = Duration::seconds(30);
 /// Shortest wait for the next permit, so that rounding can't make the timer fire in a loop.
 constexpr auto MinIssueDelay = Duration::millis(1);
-/// A gateway asks again after this time, whatever the arbiter has replied: the target's limit may have been raised.
+/// A gateway sends another query after this time, whatever the arbiter has replied: the target's limit may have been raised.
 constexpr auto MaxDenial = Duration::seconds(2);
 constexpr std::uint64_t MaxMicros = INT64_MAX;
 
@@ -145,11 +145,11 @@
             logChange(targetOf(notice), id.c_str());
         }
     }
-    for (const auto &ask : message.asks()) {
-        // The arbiter may know a later limit than the gateway that asks.
-        const double limit = m_limits.perSecond(targetOf(ask)).value_or(ask.per_second());
+    for (const auto &query : message.queries()) {
+        // The arbiter may know a later limit than the gateway that sent the query.
+        const double limit = m_limits.perSecond(targetOf(query)).value_or(query.per_second());
         if (isValidRate(limit)) {
-            m_permits.asked(id, {targetOf(ask), limit, ask.waiting()}, now);
+            m_permits.queryReceived(id, {targetOf(query), limit, query.waiting()}, now);
         }
     }
     for (const auto &reply : message.replies()) {
@@ -178,11 +178,11 @@
     for (const auto &[to, messages] : m_permits.takeMessages()) {
         Wire::ControlFrame frame;
         auto *limits = frame.mutable_target_limits();
-        for (const auto &ask : messages.asks) {
-            auto *added = limits->add_asks();
-            writeTarget(ask.target, *added);
-            added->set_per_second(ask.perSecond);
-            added->set_waiting(ask.isWaiting);
+        for (const auto &query : messages.queries) {
+            auto *added = limits->add_queries();
+            writeTarget(query.target, *added);
+            added->set_per_second(query.perSecond);
+            added->set_waiting(query.isWaiting);
         }
         for (const auto &reply : messages.replies) {
             auto *added = limits->add_replies();
--- a/src/gateway/limitexchange.h
+++ b/src/gateway/limitexchange.h
@@ -1,5 +1,5 @@
 // Enforces the request limits that targets announce over all gateways together (core/announcedlimits.h, core/requestpermits.h): notifies the other gateways of
-// limits, asks them for permits, and issues permits to them.
+// limits, queries their arbiters for permits, and issues permits to other gateways.
 //
 // Index of sections (search for [SECTION]):
 //   Parts           dependencies, settings and callbacks
--- a/tests/unit_requestpermits.cpp
+++ b/tests/unit_requestpermits.cpp
@@ -125,7 +125,7 @@
     struct Waiting {
         bool isWaiting = false;
         double until = 0;
-        double askedAt = 0;
+        double queriedAt = 0;
     };
     struct Gateway {
         std::unique_ptr<RequestPermits> permits;
@@ -191,7 +191,7 @@
         if (state == PermitState::Held) {
             send(one, now);
         } else if (isWaiting || state == PermitState::Pending) {
-            one.waiting.push_back({.isWaiting = isWaiting, .until = now + (isWaiting ? 1 : 0.015), .askedAt = now});
+            one.waiting.push_back({.isWaiting = isWaiting, .until = now + (isWaiting ? 1 : 0.015), .queriedAt = now});
         }
     }
     auto send(Gateway &gateway, double now) -> void
@@ -208,8 +208,8 @@
             send(gateway, now);
         }
         for (auto &waiting : gateway.waiting) {
-            if (waiting.isWaiting && now - waiting.askedAt >= RetryPeriod) {
-                waiting.askedAt = now;
+            if (waiting.isWaiting && now - waiting.queriedAt >= RetryPeriod) {
+                waiting.queriedAt = now;
                 gateway.permits->wanted(target(), m_options.limit, true, at(now));
             }
         }
@@ -233,8 +233,8 @@
                 continue;
             }
             auto &permits = *m_gateways[message.to].permits;
-            for (const auto &ask : message.messages.asks) {
-                permits.asked(name(static_cast<int>(message.from)), ask, at(now));
+            for (const auto &query : message.messages.queries) {
+                permits.queryReceived(name(static_cast<int>(message.from)), query, at(now));
             }
             for (const auto &reply : message.messages.replies) {
                 permits.replied(reply, at(now));
@@ -343,7 +343,7 @@
 
 TEST_CASE("lost and slow messages cost throughput, never the limit")
 {
-    // Guards against asks that are repeated because an answer is late, and are then granted twice.
+    // Guards against queries that are repeated because an answer is late, and are then granted twice.
     PermitFleet fleet({.limit = 3, .messageSeconds = 0.6, .lossShare = 0.2});
     fleet.step(0, 24, 60, true);
     INFO(fleet.maxInWindow() << " of " << fleet.allowed());
@@ -351,7 +351,7 @@
     CHECK(fleet.sent(2, 24) >= 0.4 * 22 * 3);
 }
 
-TEST_CASE("a target that announces to take nothing is still asked now and then whether that holds")
+TEST_CASE("a target that announces to take nothing still gets a request now and then that shows whether that holds")
 {
     // Guards against a limit of 0 that lasts for ever, as only an answer can show its end.
     PermitFleet fleet({.gateways = 4, .limit = 0});
@@ -364,25 +364,25 @@
 {
     // Guards against a target's few permits that go to requests which another target could take.
     RequestPermits arbiter("gw-0");
-    arbiter.asked("gw-1", {target(), 1, true}, at(0));
-    arbiter.asked("gw-1", {target(), 1, true}, at(0.3));
-    arbiter.asked("gw-2", {target(), 1, false}, at(0.5));
+    arbiter.queryReceived("gw-1", {target(), 1, true}, at(0));
+    arbiter.queryReceived("gw-1", {target(), 1, true}, at(0.3));
+    arbiter.queryReceived("gw-2", {target(), 1, false}, at(0.5));
     auto messages = arbiter.takeMessages();
     REQUIRE(messages["gw-2"].replies.size() == 1);
     CHECK_FALSE(messages["gw-2"].replies[0].isGranted);
     CHECK(messages["gw-2"].replies[0].availableIn == Duration::millis(1500));
     CHECK_FALSE(messages.contains("gw-1"));
     CHECK(arbiter.nextIssue(at(0.5)) == Duration::millis(500));
-    arbiter.asked("gw-1", {target(), 1, true}, at(0.7));
+    arbiter.queryReceived("gw-1", {target(), 1, true}, at(0.7));
     CHECK(arbiter.issue(at(1)) == 1);
     messages = arbiter.takeMessages();
     REQUIRE(messages["gw-1"].replies.size() == 1);
     CHECK(messages["gw-1"].replies[0].isGranted);
 }
 
-TEST_CASE("a gateway that was denied a permit asks again only when the arbiter can have one")
+TEST_CASE("a gateway that was denied a permit sends another query only when the arbiter can have one")
 {
-    // Guards against an ask for each request while a target is over its limit.
+    // Guards against a query for each request while a target is over its limit.
     RequestPermits permits("gw-1");
     permits.setGateways({"gw-0"}, 0);
     const TargetIncarnation remote = [&] {
@@ -395,18 +395,18 @@
     CHECK(permits.wanted(remote, 1, false, at(0)) == PermitState::Pending);
     permits.replied({remote, false, Duration::millis(700)}, at(0.01));
     CHECK(permits.wanted(remote, 1, false, at(0.6)) == PermitState::Denied);
-    CHECK(permits.takeMessages()["gw-0"].asks.size() == 1);
+    CHECK(permits.takeMessages()["gw-0"].queries.size() == 1);
     CHECK(permits.wanted(remote, 1, false, at(0.8)) == PermitState::Pending);
-    CHECK(permits.takeMessages()["gw-0"].asks.size() == 1);
+    CHECK(permits.takeMessages()["gw-0"].queries.size() == 1);
     permits.replied({remote, true, Duration()}, at(0.81));
     CHECK(permits.wanted(remote, 1, false, at(0.82)) == PermitState::Held);
     permits.used(remote, at(0.82));
     CHECK_FALSE(permits.has(remote, at(0.83)));
 }
 
-TEST_CASE("requests that want the target at the same time share one ask")
+TEST_CASE("requests that want the target at the same time share one query")
 {
-    // Guards against replies that make every waiting request ask again.
+    // Guards against replies that make every waiting request send another query.
     RequestPermits permits("gw-1");
     permits.setGateways({"gw-0"}, 0);
     TargetIncarnation remote = target();
@@ -416,10 +416,10 @@
     for (int i = 0; i < 5; ++i) {
         CHECK(permits.wanted(remote, 1, false, at(0.001 * i)) == PermitState::Pending);
     }
-    CHECK(permits.takeMessages()["gw-0"].asks.size() == 1);
+    CHECK(permits.takeMessages()["gw-0"].queries.size() == 1);
 }
 
-TEST_CASE("an arbiter that doesn't reply isn't asked for each request")
+TEST_CASE("an arbiter that doesn't reply gets no query for each request")
 {
     // Guards against requests that all wait for a reply which doesn't come.
     RequestPermits permits("gw-1");
@@ -434,7 +434,7 @@
     CHECK(permits.wanted(remote, 1, false, at(0.31)) == PermitState::Pending);
 }
 
-TEST_CASE("an unused permit expires, and an ask that isn't repeated is dropped")
+TEST_CASE("an unused permit expires, and a query that isn't repeated is dropped")
 {
     // Guards against permits that are hoarded, and against permits for gateways whose requests have gone long ago.
     RequestPermits permits("gw-0");
@@ -444,7 +444,7 @@
     CHECK(permits.has(target(), at(1.9)));
     CHECK_FALSE(permits.has(target(), at(2.1)));
     CHECK_FALSE(permits.has(target(2), at(1.9)));
-    permits.asked("gw-1", {target(), 1, true}, at(1.2));
+    permits.queryReceived("gw-1", {target(), 1, true}, at(1.2));
     CHECK(permits.issue(at(2.05)) == 0);
     CHECK_FALSE(permits.nextIssue(at(2.05)));
 }
