store follower: move the decisions into core, without I/O

The follower's choice of watchers, forwarding, repair and start, and the watch of one table, needed an event loop, HTTP and peer connections, so nothing but system tests with a handful of gateways could play them. core/tablefollower and core/tablewatch are state machines: answers, messages and the time go in, calls and messages come out through hooks. gateway/storefollower makes the calls and writes the log. Outcomes, pages and table names of the store move to core/storetable.

--- /dev/null
+++ b/src/core/storetable.cpp
@@ -0,0 +1,46 @@
+#include "core/storetable.h"
+
+#include <algorithm>
+
+namespace KingCup
+{
+
+auto toString(StoreTable table) -> const char *
+{
+    switch (table) {
+    case StoreTable::Declarations:
+        return "declarations";
+    case StoreTable::Targets:
+        return "targets";
+    case StoreTable::Gateways:
+        return "gateways";
+    case StoreTable::Leases:
+        return "leases";
+    }
+    return "?";
+}
+
+auto followedIndex(StoreTable table) -> std::optional<std::size_t>
+{
+    const auto *found = std::find(FollowedTables.begin(), FollowedTables.end(), table);
+    return found == FollowedTables.end() ? std::nullopt : std::optional(static_cast<std::size_t>(found - FollowedTables.begin()));
+}
+
+auto toString(StoreOutcome outcome) -> const char *
+{
+    switch (outcome) {
+    case StoreOutcome::Done:
+        return "done";
+    case StoreOutcome::Conflict:
+        return "conflict";
+    case StoreOutcome::HistoryLost:
+        return "history-lost";
+    case StoreOutcome::Refused:
+        return "refused";
+    case StoreOutcome::Unclear:
+        return "unclear";
+    }
+    return "?";
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/storetable.h
@@ -0,0 +1,58 @@
+// The tables of the deployment's store that gateways use, and the answers of calls to the store. Plain data, no I/O.
+//
+// Index of sections (search for [SECTION]):
+//   Tables    which tables there are
+//   Answers   outcomes and contents of calls
+#pragma once
+
+#include "core/ids.h"
+#include "core/rowmirror.h"
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Tables
+
+enum class StoreTable {
+    Declarations, ///< the operators' declarations; read only
+    Targets, ///< one row for each target; read only
+    Gateways, ///< written by gateways: one row for each
+    Leases, ///< written by gateways; not followed: only a gateway that wants a lease reads it
+};
+auto toString(StoreTable table) -> const char *;
+
+/// The tables of which each gateway keeps a copy. Messages between gateways identify a table by its index here.
+constexpr std::array FollowedTables {StoreTable::Declarations, StoreTable::Targets, StoreTable::Gateways};
+constexpr std::size_t FollowedTableCount = FollowedTables.size();
+/// Index in `FollowedTables`; nothing: the table isn't followed.
+auto followedIndex(StoreTable table) -> std::optional<std::size_t>;
+
+// [SECTION] Answers
+
+enum class StoreOutcome {
+    Done,
+    Conflict, ///< a row had another version than expected: nothing was changed
+    HistoryLost, ///< a watch asked for changes that the store no longer keeps: read the whole table again
+    Refused, ///< certainly without effect
+    Unclear, ///< no readable answer: a change may have been made, or may still be made
+};
+auto toString(StoreOutcome outcome) -> const char *;
+
+struct StorePage {
+    std::vector<StoredRow> rows;
+    bool hasMore = false; ///< for reads: the table has rows after the last one of this page
+    RowVersion upTo; ///< the store's newest version as of this answer
+};
+
+struct StoreAnswer {
+    StoreOutcome outcome = StoreOutcome::Unclear;
+    StorePage page; ///< of reads and watches
+    RowVersion version; ///< for changes: the version of the rows written
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/src/core/tablefollower.h
@@ -0,0 +1,166 @@
+// Keeps local copies of the store's tables up to date. A few gateways watch the store and forward the changes to the others. No I/O: calls to the store and
+// messages to other gateways go out through hooks; answers, messages and the time come in.
+//
+// Calls to the store are metered, and a watch answers once for each change. So only the gateways that rank first by rendezvous hashing watch. The first of them
+// forwards changes at once; the other watchers forward a change only if the first doesn't. While no watcher reaches the store, more gateways watch, up to a
+// limit; a gateway without peers watches by itself. Where many gateways are registered, a starting gateway reads only the gateways' rows and gets the other
+// tables from a peer. Digests carry a checksum of each table, by which a gateway detects that it has missed a change.
+//
+// Index of sections (search for [SECTION]):
+//   Messages        what gateways send each other
+//   Settings        time limits
+//   Hooks           calls, messages and results
+//   TableFollower   the state machine
+#pragma once
+
+#include "core/storetable.h"
+#include "core/storewatchers.h"
+#include "core/tablewatch.h"
+#include "core/units.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Messages
+
+/// The part of a gateway's digest that concerns the store.
+struct FollowerDigest {
+    bool isWatching = false;
+    bool hasTrouble = false; ///< it watches, and doesn't reach the store
+    std::array<std::uint64_t, FollowedTableCount> checksums {}; ///< by table; 0: it hasn't loaded the table
+    std::array<RowVersion, FollowedTableCount> versions; ///< by table: of the newest change that it knows
+};
+
+/// Rows that one gateway forwards to others.
+struct TableRows {
+    std::size_t table = 0; ///< index in FollowedTables
+    bool isWhole = false; ///< all rows as of `upTo`; else only changed rows
+    RowVersion upTo;
+    std::vector<StoredRow> rows;
+};
+
+// [SECTION] Settings
+
+struct TableFollowerSettings {
+    std::string id; ///< of this gateway
+    StoreWatcherOptions watchers;
+    Duration watcherTimeout = Duration::millis(1000); ///< a watcher without a digest for this long no longer counts as live
+    Duration handoverDelay = Duration::millis(1000); ///< the first watcher must be live for this long before this gateway stops its own watch
+    Duration fallbackDelay = Duration::millis(300); ///< the first watcher's digest must show a change by then, or the other watchers forward it
+    /// Longest wait of a watch call for targets. Their heartbeats come about once a second, so a longer silence means that the store is unreachable.
+    Duration targetsPollTimeout = Duration::millis(1500);
+    Duration batchDelay = Duration::millis(100); ///< the first watcher waits this long after a change of targets before its next watch call
+    Duration standbyBatchDelay = Duration::millis(700); ///< the same for the other watchers, which only back up the first
+    Duration peerLoadTimeout = Duration::millis(1500); ///< at start-up, tables that no peer has sent within this time are read from the store
+    Duration peerRetryDelay = Duration::millis(500); ///< at start-up, a table that hasn't arrived within this time is requested again, from any peer
+    Duration repairDelay = Duration::millis(600); ///< a table whose checksum differs from the first watcher's for this long is fetched whole
+    std::uint64_t seed = 1; ///< of the jitter of retries
+};
+
+// [SECTION] Hooks
+
+/// A decision, for the log.
+struct FollowerEvent {
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+struct TableFollowerHooks {
+    std::function<std::set<std::string>()> livePeers; ///< ids of the other gateways that aren't silent
+    std::function<void(const TableRows &rows)> sendAll;
+    std::function<void(const std::string &peer, const TableRows &rows)> send;
+    std::function<void(const std::string &peer, std::size_t table)> request; ///< requests a whole table
+    /// Start calls to the store; their answers go to answered().
+    std::function<void(std::size_t table, StoreCallId call, const std::string &from)> read;
+    std::function<void(std::size_t table, StoreCallId call, RowVersion after, Duration wait)> watch;
+    std::function<void(StoreTable table, const std::vector<StoredRow> &rows)> onRows; ///< rows that were changed or removed; the first time all rows
+    /// This gateway doesn't watch the store, and no other watcher is live, or one is live again: known rows may be out of date.
+    std::function<void()> onUnreachable;
+    std::function<void(const FollowerEvent &event)> onEvent;
+};
+
+// [SECTION] TableFollower
+
+class TableFollower
+{
+public:
+    TableFollower(TableFollowerSettings settings, TableFollowerHooks hooks);
+
+    // Queries
+    auto isLoaded(StoreTable table) const -> bool;
+    auto isWatching() const -> bool; ///< this gateway watches the store itself
+    auto isCurrent(TimePoint now) const -> bool; ///< this gateway or a live watcher reaches the store
+    auto liveWatchers(TimePoint now) const -> std::vector<std::string>; ///< other gateways that watch and reach the store
+    auto digest() const -> FollowerDigest;
+    auto nextCallAt() const -> std::optional<TimePoint>; ///< call advanceCalls() then
+
+    // Commands
+    auto start(TimePoint now) -> void;
+    auto digestReceived(const std::string &peer, const FollowerDigest &digest, TimePoint now) -> void;
+    auto rowsReceived(const std::string &peer, const TableRows &rows, TimePoint now) -> void;
+    auto tableRequested(const std::string &peer, std::size_t table) -> void; ///< the peer requests the whole table
+    auto answered(std::size_t table, StoreCallId call, const StoreAnswer &answer, TimePoint now) -> void;
+    auto advance(TimePoint now) -> void; ///< call a few times a second
+    auto advanceCalls(TimePoint now) -> void; ///< makes the calls that are due
+    /// Applies rows that were read other than by the watch, and forwards them like changes from the watch.
+    auto mergeRows(StoreTable table, const std::vector<StoredRow> &rows, TimePoint now) -> void;
+
+private:
+    /// State of another gateway, from its digests.
+    struct Watcher {
+        TimePoint receivedAt;
+        TimePoint liveSince; ///< see isLive()
+        bool isHealthy = false; ///< it watches the store and reaches it, by its last digest
+        FollowerDigest digest;
+    };
+    struct FollowedTable {
+        RowMirror mirror;
+        std::optional<TableWatch> watch; ///< set in the constructor
+        TimePoint requestedAt; ///< when it was last requested from a peer, at start-up
+        std::optional<TimePoint> differsSince; ///< since when its checksum differs from the first live watcher's
+        /// Changes from this gateway's watch that the first watcher should forward, with their time of arrival.
+        std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
+    };
+    auto isLive(const Watcher &watcher, TimePoint now) const -> bool;
+    auto firstLiveWatcher(TimePoint now) const -> std::optional<std::string>;
+    auto isRankedToWatch(TimePoint now) const -> bool;
+    auto isFirst(TimePoint now) const -> bool;
+    auto reachesStore() const -> bool;
+    auto areAllLoaded() const -> bool;
+    auto buildWatch(std::size_t index) -> void;
+    auto chooseSource() -> void;
+    auto requestMissingTables(const std::string &id, const FollowerDigest &digest, TimePoint now) -> void;
+    auto finishStart() -> void;
+    auto startWatching(const char *why) -> void;
+    auto stopWatching(TimePoint now) -> void;
+    auto renewOtherWatches(std::size_t except) -> void;
+    auto applyOwnRows(std::size_t index, std::vector<StoredRow> changed) -> void;
+    auto forwardRows(std::size_t index, const std::vector<StoredRow> &rows) -> void;
+    auto forwardOverdue(TimePoint now) -> void;
+    auto updatePause(TimePoint now) -> void;
+    auto compareChecksums(const std::string &id, const Watcher &watcher, TimePoint now) -> void;
+    auto note(std::string name, std::vector<std::pair<std::string, std::string>> fields) const -> void;
+
+    TableFollowerSettings m_settings;
+    TableFollowerHooks m_hooks;
+    std::array<FollowedTable, FollowedTableCount> m_tables;
+    std::map<std::string, Watcher> m_watchers;
+    StoreWatchers m_storeWatchers;
+    TimePoint m_now; ///< of the current event, for the hooks of the watches
+    std::optional<TimePoint> m_startDeadline; ///< at start-up, tables that aren't loaded by then are read from the store
+    bool m_isWatching = false;
+    bool m_hadLiveWatcher = false; ///< another gateway was a live watcher at the last advance()
+    bool m_isStarting = true; ///< the source of the tables hasn't been chosen, or not all tables have arrived
+    bool m_isLoadingFromPeers = false; ///< at start-up, tables are requested from peers
+};
+
+} // namespace KingCup
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -329,8 +329,9 @@
     hooks.onUnreachable = [this] {
         onStoreUnreachable();
     };
-    StoreFollowerSettings followerSettings;
+    TableFollowerSettings followerSettings;
     followerSettings.id = settings.process.id;
+    followerSettings.seed = incarnation ^ stableHash(settings.process.id);
     follower = std::make_unique<StoreFollower>(loop, store, log, *peers, followerSettings, std::move(hooks));
     store.onUnreachable = [this] {
         onStoreUnreachable();
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -5,7 +5,7 @@
 // Index of sections (search for [SECTION]):
 //   Requests   metadata of requests, from clients and to targets
 //   Answers    metadata of targets' answers
-//   Store      tables, reads, watches and conditional changes
+//   Store      reads, watches and conditional changes
 //   Orders     load and unload orders to runners
 //   Protocol   all functions that an adapter provides
 #pragma once
@@ -14,7 +14,7 @@
 #include "core/finding.h"
 #include "core/ids.h"
 #include "core/promptcache.h"
-#include "core/rowmirror.h"
+#include "core/storetable.h"
 #include "core/targetinfo.h"
 #include "core/traffic.h"
 #include "core/units.h"
@@ -76,12 +76,6 @@
 
 // [SECTION] Store
 
-struct StorePage {
-    std::vector<StoredRow> rows;
-    bool hasMore = false; ///< for reads: the table has rows after the last one of this page
-    RowVersion upTo; ///< the store's newest version as of this answer
-};
-
 /// A conditional change of one row: applied only if the row still has the expected version (0: only if the row doesn't exist).
 struct StoreChange {
     std::string key;
@@ -97,14 +91,6 @@
     std::string body;
 };
 
-/// The tables of the store that a gateway uses.
-enum class StoreTable {
-    Declarations, ///< the operators' declarations; read only
-    Targets, ///< one row for each target; read only
-    Gateways, ///< written by gateways: one row for each
-    Leases, ///< written by gateways; not watched: only a gateway that wants a lease reads it
-};
-
 struct StoreFormat {
     std::function<EncodedCall(StoreTable table, const std::string &from)> readCall; ///< reads rows with keys from `from` on
     std::function<EncodedCall(StoreTable table, RowVersion after, Duration wait)> watchCall;
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -3,6 +3,7 @@
 
 #include "core/membership.h"
 #include "gateway/storeclient.h"
+#include "net/eventlog.h"
 
 #include <functional>
 #include <memory>
