store follower: log by which way rows came, and what was held back, forwarded and requested

A log showed when a gateway adopted declarations, but not by which way they had come, whether a watcher forwarded or held back a change, or whether a request for a whole table left: over a connection that doesn't exist it was dropped without a line. So the three hypotheses of the late declarations couldn't be told apart. New lines store rows, held, held-dropped, forwarded, requested and sent-table, the row's version in config adopted, a line for messages that are dropped because too much is pending, and counters of rows by table and source. No decision is changed.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -30,8 +30,45 @@
     return toString(FollowedTables.at(index));
 }
 
+auto newestOf(const std::vector<StoredRow> &rows) -> RowVersion
+{
+    RowVersion newest;
+    for (const auto &row : rows) {
+        newest = std::max(newest, row.version);
+    }
+    return newest;
+}
+
+auto textOf(RowVersion version) -> std::string
+{
+    return std::to_string(version.value());
+}
+
+/// Targets' rows change hundreds of times a second: their changes get no log line each.
+auto isLogged(std::size_t index, RowSource source) -> bool
+{
+    return index != TargetsTable || source == RowSource::Read || source == RowSource::PeerTable;
+}
+
 } // namespace
 
+auto toString(RowSource source) -> const char *
+{
+    switch (source) {
+    case RowSource::Watch:
+        return "watch";
+    case RowSource::Read:
+        return "read";
+    case RowSource::Proof:
+        return "proof";
+    case RowSource::Forwarded:
+        return "forwarded";
+    case RowSource::PeerTable:
+        return "peer-table";
+    }
+    return "?";
+}
+
 // [SECTION] State
 
 auto TableFollower::isLive(const Watcher &watcher, TimePoint now) const -> bool
@@ -117,7 +154,7 @@
         auto &table = m_tables.at(i);
         if (digest.checksums.at(i) != 0 && !table.mirror.isLoaded() && now - table.requestedAt >= m_settings.peerRetryDelay) {
             table.requestedAt = now;
-            m_hooks.request(id, i);
+            requestTable(i, id, "start");
         }
     }
 }
@@ -171,10 +208,10 @@
         m_hooks.watch(index, call, after, wait);
     };
     hooks.onTable = [this, index](const std::vector<StoredRow> &rows, RowVersion upTo) {
-        applyOwnRows(index, m_tables.at(index).mirror.applySnapshot(rows, upTo));
+        applyOwnRows(index, m_tables.at(index).mirror.applySnapshot(rows, upTo), RowSource::Read);
     };
     hooks.onChanges = [this, index](const std::vector<StoredRow> &rows) {
-        applyOwnRows(index, m_tables.at(index).mirror.applyChanges(rows));
+        applyOwnRows(index, m_tables.at(index).mirror.applyChanges(rows), RowSource::Watch);
     };
     hooks.onFailed = [this, index](StoreOutcome why) {
         const auto version = std::to_string(m_tables.at(index).watch->version().value());
@@ -206,10 +243,22 @@
     }
 }
 
-auto TableFollower::applyOwnRows(std::size_t index, std::vector<StoredRow> changed) -> void
+auto TableFollower::applyRows(std::size_t index, const std::vector<StoredRow> &changed, RowSource source, const std::string &peer) -> void
 {
-    auto &table = m_tables.at(index);
-    m_hooks.onRows(FollowedTables.at(index), changed);
+    if (!changed.empty() && isLogged(index, source)) {
+        note("rows",
+             {{"table", nameOf(index)},
+              {"source", toString(source)},
+              {"peer", peer},
+              {"rows", std::to_string(changed.size())},
+              {"version", textOf(newestOf(changed))}});
+    }
+    m_hooks.onRows(FollowedTables.at(index), changed, source);
+}
+
+auto TableFollower::applyOwnRows(std::size_t index, std::vector<StoredRow> changed, RowSource source) -> void
+{
+    applyRows(index, changed, source, "-");
     if (m_isStarting && !m_isLoadingFromPeers && index == GatewaysTable) {
         chooseSource();
     }
@@ -220,8 +269,19 @@
         forwardRows(index, changed);
         return;
     }
-    for (auto &row : changed) {
-        table.unforwarded.emplace_back(m_now, std::move(row));
+    holdRows(index, std::move(changed));
+}
+
+/// Leaves changes to the first watcher, unless it turns out that it doesn't forward them.
+auto TableFollower::holdRows(std::size_t index, std::vector<StoredRow> rows) -> void
+{
+    if (isLogged(index, RowSource::Watch)) {
+        const auto first = firstLiveWatcher(m_now);
+        const auto *reached = reachesStore() ? "yes" : "no";
+        note("held", {{"table", nameOf(index)}, {"version", textOf(newestOf(rows))}, {"first", first.value_or("-")}, {"reached", reached}});
+    }
+    for (auto &row : rows) {
+        m_tables.at(index).unforwarded.emplace_back(m_now, std::move(row));
     }
 }
 
@@ -229,9 +289,21 @@
 
 auto TableFollower::forwardRows(std::size_t index, const std::vector<StoredRow> &rows) -> void
 {
-    if (!m_hooks.livePeers().empty()) {
-        m_hooks.sendAll({index, false, m_tables.at(index).mirror.version(), rows});
+    const auto receivers = m_hooks.livePeers().size();
+    if (receivers == 0) {
+        return;
     }
+    if (isLogged(index, RowSource::Watch)) {
+        note("forwarded",
+             {{"table", nameOf(index)}, {"version", textOf(newestOf(rows))}, {"rows", std::to_string(rows.size())}, {"to", std::to_string(receivers)}});
+    }
+    m_hooks.sendAll({index, false, m_tables.at(index).mirror.version(), rows});
+}
+
+auto TableFollower::requestTable(std::size_t index, const std::string &peer, const char *why) -> void
+{
+    const bool isSent = m_hooks.request(peer, index);
+    note("requested", {{"table", nameOf(index)}, {"peer", peer}, {"why", why}, {"sent", isSent ? "yes" : "no-connection"}});
 }
 
 /// Forwards changes that the first watcher should have forwarded: it may have lost the store without having noticed. A change is overdue if the first watcher's
@@ -242,7 +314,10 @@
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         auto &unforwarded = m_tables.at(i).unforwarded;
         const auto known = first ? m_watchers.at(*first).digest.versions.at(i) : RowVersion();
-        std::erase_if(unforwarded, [&](const auto &row) { return row.second.version <= known; });
+        const auto dropped = std::erase_if(unforwarded, [&](const auto &row) { return row.second.version <= known; });
+        if (dropped > 0 && isLogged(i, RowSource::Watch)) {
+            note("held-dropped", {{"table", nameOf(i)}, {"rows", std::to_string(dropped)}, {"known-to", first.value_or("-")}, {"version", textOf(known)}});
+        }
         std::vector<StoredRow> due;
         for (const auto &[since, row] : unforwarded) {
             if (now - since >= m_settings.fallbackDelay) {
@@ -283,12 +358,13 @@
             continue;
         }
         table.differsSince = now;
-        note("differs", {{"table", nameOf(i)}, {"watcher", id}});
+        note("differs",
+             {{"table", nameOf(i)}, {"watcher", id}, {"version", textOf(table.mirror.version())}, {"watcher-version", textOf(watcher.digest.versions.at(i))}});
         if (m_isWatching) {
             table.watch->reload();
             continue;
         }
-        m_hooks.request(id, i);
+        requestTable(i, id, "differs");
     }
 }
 
@@ -380,7 +456,7 @@
 {
     m_now = now;
     if (const auto index = followedIndex(table)) {
-        applyOwnRows(*index, m_tables.at(*index).mirror.applyChanges(rows));
+        applyOwnRows(*index, m_tables.at(*index).mirror.applyChanges(rows), RowSource::Proof);
     }
 }
 
@@ -410,15 +486,23 @@
         note("wanted-not-loaded", {{"peer", peer}, {"table", nameOf(table)}});
         return;
     }
+    note("sent-table", {{"table", nameOf(table)}, {"peer", peer}, {"version", textOf(mirror.version())}});
     m_hooks.send(peer, {table, true, mirror.version(), mirror.rows()});
 }
 
-auto TableFollower::rowsReceived(const std::string & /*peer*/, const TableRows &rows, TimePoint now) -> void
+auto TableFollower::requestFrom(const std::string &peer, StoreTable table) -> void
+{
+    if (const auto index = followedIndex(table)) {
+        requestTable(*index, peer, "proof");
+    }
+}
+
+auto TableFollower::rowsReceived(const std::string &peer, const TableRows &rows, TimePoint now) -> void
 {
     m_now = now;
     auto &mirror = m_tables.at(rows.table).mirror;
     const auto changed = rows.isWhole ? mirror.applySnapshot(rows.rows, rows.upTo) : mirror.applyChanges(rows.rows);
-    m_hooks.onRows(FollowedTables.at(rows.table), changed);
+    applyRows(rows.table, changed, rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded, peer);
     if (m_isLoadingFromPeers && areAllLoaded()) {
         finishStart();
     }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -74,15 +74,27 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/// The way by which rows reached this gateway.
+enum class RowSource {
+    Watch, ///< an answer to this gateway's own watch call
+    Read, ///< this gateway's own read of the whole table
+    Proof, ///< this gateway's own read of single rows, other than by the watch
+    Forwarded, ///< changes that another gateway forwarded
+    PeerTable, ///< another gateway's whole table, on request
+};
+auto toString(RowSource source) -> const char *;
+
 struct TableFollowerHooks {
     std::function<std::set<std::string>()> livePeers; ///< ids of the other gateways that aren't silent
     std::function<void(const TableRows &rows)> sendAll;
     std::function<void(const std::string &peer, const TableRows &rows)> send;
-    std::function<void(const std::string &peer, std::size_t table)> request; ///< requests a whole table
+    /// Requests a whole table. False: there is no connection to that gateway, so nothing was sent.
+    std::function<bool(const std::string &peer, std::size_t table)> request;
     /// Start calls to the store; their answers go to answered().
     std::function<void(std::size_t table, StoreCallId call, const std::string &from)> read;
     std::function<void(std::size_t table, StoreCallId call, RowVersion after, Duration wait)> watch;
-    std::function<void(StoreTable table, const std::vector<StoredRow> &rows)> onRows; ///< rows that were changed or removed; the first time all rows
+    /// Rows that were changed or removed; the first time all rows.
+    std::function<void(StoreTable table, const std::vector<StoredRow> &rows, RowSource source)> onRows;
     /// This gateway doesn't watch the store, and no other watcher is live, or one is live again: known rows may be out of date.
     std::function<void()> onUnreachable;
     std::function<void(const FollowerEvent &event)> onEvent;
@@ -108,6 +120,7 @@
     auto digestReceived(const std::string &peer, const FollowerDigest &digest, TimePoint now) -> void;
     auto rowsReceived(const std::string &peer, const TableRows &rows, TimePoint now) -> void;
     auto tableRequested(const std::string &peer, std::size_t table) -> void; ///< the peer requests the whole table
+    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< requests the whole table, as that gateway knows it
     auto answered(std::size_t table, StoreCallId call, const StoreAnswer &answer, TimePoint now) -> void;
     auto advance(TimePoint now) -> void; ///< call a few times a second
     auto advanceCalls(TimePoint now) -> void; ///< makes the calls that are due
@@ -143,7 +156,10 @@
     auto startWatching(const char *why) -> void;
     auto stopWatching(TimePoint now) -> void;
     auto renewOtherWatches(std::size_t except) -> void;
-    auto applyOwnRows(std::size_t index, std::vector<StoredRow> changed) -> void;
+    auto applyOwnRows(std::size_t index, std::vector<StoredRow> changed, RowSource source) -> void;
+    auto applyRows(std::size_t index, const std::vector<StoredRow> &changed, RowSource source, const std::string &peer) -> void;
+    auto holdRows(std::size_t index, std::vector<StoredRow> rows) -> void;
+    auto requestTable(std::size_t index, const std::string &peer, const char *why) -> void;
     auto forwardRows(std::size_t index, const std::vector<StoredRow> &rows) -> void;
     auto forwardOverdue(TimePoint now) -> void;
     auto updatePause(TimePoint now) -> void;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,7 +168,7 @@
     auto onStoreUnreachable() -> void;
     auto applyDeclarationRows(const std::vector<StoredRow> &rows) -> void;
     /// False if the document can't be decoded: the keys that it revokes aren't known.
-    auto adoptTraffic(const std::string &document) -> bool;
+    auto adoptTraffic(const StoredRow &row) -> bool;
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onAnswer(const TargetIncarnation &target, const AnswerTraits &answer) -> void;
     auto onResidency(const TargetDescription &target) -> void;
@@ -332,7 +332,7 @@
     TableFollowerSettings followerSettings;
     followerSettings.id = settings.process.id;
     followerSettings.seed = incarnation ^ stableHash(settings.process.id);
-    follower = std::make_unique<StoreFollower>(loop, store, log, *peers, followerSettings, std::move(hooks));
+    follower = std::make_unique<StoreFollower>(StoreFollowerParts {loop, store, log, metrics, *peers}, followerSettings, std::move(hooks));
     store.onUnreachable = [this] {
         onStoreUnreachable();
     };
@@ -365,21 +365,22 @@
 {
     for (const auto &row : rows) {
         if (row.key == protocol.store.trafficKey && !row.isRemoved) {
-            if (adoptTraffic(row.value)) {
+            if (adoptTraffic(row)) {
                 access.rowReceived(row.version);
             }
         }
     }
 }
 
-auto Gateway::Private::adoptTraffic(const std::string &document) -> bool
+auto Gateway::Private::adoptTraffic(const StoredRow &row) -> bool
 {
-    auto decoded = protocol.decodeTraffic(document);
+    auto decoded = protocol.decodeTraffic(row.value);
     for (const auto &finding : decoded.findings) {
-        log.line("config", "finding").add("what", toString(finding));
+        log.line("config", "finding").add("what", toString(finding)).add("row", row.version.value());
     }
     // Versions only go up: a late answer must not replace a newer document that has come in the meantime.
     if (decoded.value.version <= (traffic ? traffic->version : TrafficVersion())) {
+        log.line("config", "not-newer").add("version", decoded.value.version.value()).add("row", row.version.value());
         return decoded.value.version > TrafficVersion();
     }
     assignBands(decoded.value);
@@ -387,6 +388,7 @@
     traffic = std::make_shared<const Traffic>(std::move(decoded.value));
     log.line("config", "adopted")
         .add("version", traffic->version.value())
+        .add("row", row.version.value())
         .add("routes", static_cast<int>(traffic->routes.size()))
         .add("accounts", static_cast<int>(traffic->accounts.accounts().size()));
     metrics.set("traffic_version", static_cast<double>(traffic->version.value()));
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -176,9 +176,9 @@
     d->links->sendAll(frame);
 }
 
-auto GatewayPeers::send(const std::string &id, const Wire::ControlFrame &frame) -> void
+auto GatewayPeers::send(const std::string &id, const Wire::ControlFrame &frame) -> bool
 {
-    d->links->send(id, frame);
+    return d->links->send(id, frame);
 }
 
 } // namespace KingCup
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -53,7 +53,7 @@
     auto setHosts(const std::vector<ListedHost> &hosts) -> void;
     auto setSilentAfter(Duration span) -> void;
     auto sendAll(const Wire::ControlFrame &frame) -> void;
-    auto send(const std::string &id, const Wire::ControlFrame &frame) -> void;
+    auto send(const std::string &id, const Wire::ControlFrame &frame) -> bool; ///< false: there is no connection, or too much is pending on it
 
     struct Private;
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -9,26 +9,15 @@
 {
 
 struct StoreFollower::Private {
-    EventLoop &loop;
-    StoreClient &store;
-    EventLog &log;
-    GatewayPeers &peers;
+    StoreFollowerParts parts;
     StoreFollowerHooks hooks;
     TableFollower follower;
     Timer callTimer;
     std::optional<TimePoint> callsAt; // when `callTimer` expires
     Timer startTimer;
 
-    Private(EventLoop &ownerLoop,
-            StoreClient &storeClient,
-            EventLog &eventLog,
-            GatewayPeers &gatewayPeers,
-            TableFollowerSettings settings,
-            StoreFollowerHooks followerHooks)
-        : loop(ownerLoop)
-        , store(storeClient)
-        , log(eventLog)
-        , peers(gatewayPeers)
+    Private(StoreFollowerParts followerParts, TableFollowerSettings settings, StoreFollowerHooks followerHooks)
+        : parts(followerParts)
         , hooks(std::move(followerHooks))
         , follower(std::move(settings), followerHooksOf())
     {
@@ -38,7 +27,7 @@
     {
         return [this, table, call, alive = std::weak_ptr(lifetime)](const StoreAnswer &answer) {
             if (alive.lock()) {
-                follower.answered(table, call, answer, loop.now());
+                follower.answered(table, call, answer, parts.loop.now());
                 scheduleCalls();
             }
         };
@@ -93,31 +82,36 @@
 {
     TableFollowerHooks result;
     result.livePeers = [this] {
-        return peers.live();
+        return parts.peers.live();
     };
     result.sendAll = [this](const TableRows &rows) {
-        peers.sendAll(rowsFrame(rows));
+        parts.peers.sendAll(rowsFrame(rows));
     };
     result.send = [this](const std::string &peer, const TableRows &rows) {
-        peers.send(peer, rowsFrame(rows));
+        parts.peers.send(peer, rowsFrame(rows));
     };
     result.request = [this](const std::string &peer, std::size_t table) {
-        peers.send(peer, requestFrame(table));
+        parts.metrics.add("store_tables_requested_total");
+        return parts.peers.send(peer, requestFrame(table));
     };
     result.read = [this](std::size_t table, StoreCallId call, const std::string &from) {
-        store.read(FollowedTables.at(table), from, onAnswer(table, call));
+        parts.store.read(FollowedTables.at(table), from, onAnswer(table, call));
     };
     result.watch = [this](std::size_t table, StoreCallId call, RowVersion after, Duration wait) {
-        store.watch(FollowedTables.at(table), after, wait, onAnswer(table, call));
+        parts.store.watch(FollowedTables.at(table), after, wait, onAnswer(table, call));
     };
-    result.onRows = [this](StoreTable table, const std::vector<StoredRow> &rows) {
+    result.onRows = [this](StoreTable table, const std::vector<StoredRow> &rows, RowSource source) {
+        if (!rows.empty()) {
+            parts.metrics.add(std::string("store_rows_total{table=\"") + toString(table) + "\",source=\"" + toString(source) + "\"}",
+                              static_cast<double>(rows.size()));
+        }
         hooks.onRows(table, rows);
     };
     result.onUnreachable = [this] {
         hooks.onUnreachable();
     };
     result.onEvent = [this](const FollowerEvent &event) {
-        auto line = log.line("store", event.name);
+        auto line = parts.log.line("store", event.name);
         for (const auto &[key, value] : event.fields) {
             line.add(key, value);
         }
@@ -134,20 +128,20 @@
     callsAt = next;
     callTimer.cancel();
     if (next) {
-        callTimer = loop.after(std::max(*next - loop.now(), Duration()), [this] {
+        callTimer = parts.loop.after(std::max(*next - parts.loop.now(), Duration()), [this] {
             callsAt.reset();
-            follower.advanceCalls(loop.now());
+            follower.advanceCalls(parts.loop.now());
             scheduleCalls();
         });
     }
 }
 
-StoreFollower::StoreFollower(EventLoop &loop, StoreClient &store, EventLog &log, GatewayPeers &peers, TableFollowerSettings settings, StoreFollowerHooks hooks)
-    : d(std::make_unique<Private>(loop, store, log, peers, std::move(settings), std::move(hooks)))
+StoreFollower::StoreFollower(StoreFollowerParts parts, TableFollowerSettings settings, StoreFollowerHooks hooks)
+    : d(std::make_unique<Private>(parts, std::move(settings), std::move(hooks)))
 {
     // Deferred: the owner, to which the hooks belong, is still under construction.
-    d->startTimer = loop.after(Duration::micros(1), [this] {
-        d->follower.start(d->loop.now());
+    d->startTimer = parts.loop.after(Duration::micros(1), [this] {
+        d->follower.start(d->parts.loop.now());
         d->scheduleCalls();
     });
 }
@@ -166,24 +160,22 @@
 
 auto StoreFollower::isCurrent() const -> bool
 {
-    return d->follower.isCurrent(d->loop.now());
+    return d->follower.isCurrent(d->parts.loop.now());
 }
 
 auto StoreFollower::liveWatchers() const -> std::vector<std::string>
 {
-    return d->follower.liveWatchers(d->loop.now());
+    return d->follower.liveWatchers(d->parts.loop.now());
 }
 
-auto StoreFollower::requestFrom(const std::string &peer, StoreTable table) const -> void
+auto StoreFollower::requestFrom(const std::string &peer, StoreTable table) -> void
 {
-    if (const auto index = followedIndex(table)) {
-        d->peers.send(peer, requestFrame(*index));
-    }
+    d->follower.requestFrom(peer, table);
 }
 
 auto StoreFollower::mergeRows(StoreTable table, const std::vector<StoredRow> &rows) -> void
 {
-    d->follower.mergeRows(table, rows, d->loop.now());
+    d->follower.mergeRows(table, rows, d->parts.loop.now());
 }
 
 auto StoreFollower::writeDigest(Wire::GatewayDigest &digest) const -> void
@@ -208,7 +200,7 @@
     for (int i = 0; i < std::min(digest.versions_size(), static_cast<int>(FollowedTableCount)); ++i) {
         received.versions.at(static_cast<std::size_t>(i)) = RowVersion(digest.versions(i));
     }
-    d->follower.digestReceived(id, received, d->loop.now());
+    d->follower.digestReceived(id, received, d->parts.loop.now());
     d->scheduleCalls();
 }
 
@@ -222,16 +214,16 @@
     }
     auto message = unpackRows(frame.rows());
     if (!message) {
-        d->log.line("peers", "rows-unreadable").add("peer", id).add("table", toString(FollowedTables.at(frame.rows().table())));
+        d->parts.log.line("peers", "rows-unreadable").add("peer", id).add("table", toString(FollowedTables.at(frame.rows().table())));
         return;
     }
     message->set_table(frame.rows().table());
-    d->follower.rowsReceived(id, rowsOf(*message), d->loop.now());
+    d->follower.rowsReceived(id, rowsOf(*message), d->parts.loop.now());
 }
 
 auto StoreFollower::advance() -> void
 {
-    d->follower.advance(d->loop.now());
+    d->follower.advance(d->parts.loop.now());
     d->scheduleCalls();
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,13 +1,14 @@
 // Connects core/tablefollower.h with the store and the other gateways: makes its calls, sends and receives its messages, and writes its decisions to the log.
 //
 // Index of sections (search for [SECTION]):
-//   Hooks           callbacks and settings
+//   Parts           dependencies and callbacks
 //   StoreFollower   the task
 #pragma once
 
 #include "core/tablefollower.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/storeclient.h"
+#include "net/metrics.h"
 
 #include <functional>
 #include <memory>
@@ -17,7 +18,15 @@
 namespace KingCup
 {
 
-// [SECTION] Hooks
+// [SECTION] Parts
+
+struct StoreFollowerParts {
+    EventLoop &loop;
+    StoreClient &store;
+    EventLog &log;
+    Metrics &metrics;
+    GatewayPeers &peers;
+};
 
 struct StoreFollowerHooks {
     std::function<void(StoreTable table, const std::vector<StoredRow> &rows)> onRows; ///< rows that were changed or removed; the first time all rows
@@ -30,7 +39,7 @@
 class StoreFollower
 {
 public:
-    StoreFollower(EventLoop &loop, StoreClient &store, EventLog &log, GatewayPeers &peers, TableFollowerSettings settings, StoreFollowerHooks hooks);
+    StoreFollower(StoreFollowerParts parts, TableFollowerSettings settings, StoreFollowerHooks hooks);
     ~StoreFollower();
     StoreFollower(const StoreFollower &) = delete;
     auto operator=(const StoreFollower &) -> StoreFollower & = delete;
@@ -46,7 +55,7 @@
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and requests for tables
     auto advance() -> void; ///< call a few times a second
-    auto requestFrom(const std::string &peer, StoreTable table) const -> void; ///< the whole table, as that gateway knows it
+    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< the whole table, as that gateway knows it
     /// Applies rows that were read other than by the watch, and forwards them like changes from the watch.
     auto mergeRows(StoreTable table, const std::vector<StoredRow> &rows) -> void;
 
--- a/src/wire/peerlinks.cpp
+++ b/src/wire/peerlinks.cpp
@@ -21,6 +21,7 @@
     std::unique_ptr<PeerClient> client;
     PeerStreamPtr control;
     TimePoint receivedAt; ///< last time that any message was received
+    std::uint64_t dropped = 0; ///< frames dropped since too much is pending
 };
 
 } // namespace
@@ -160,12 +161,24 @@
     return link == nullptr || !link->control ? nullptr : link->client->open(RequestPath);
 }
 
-auto PeerLinks::send(const std::string &id, const Wire::ControlFrame &frame) -> void
+auto PeerLinks::send(const std::string &id, const Wire::ControlFrame &frame) -> bool
 {
     auto *link = d->find(id);
-    if (link != nullptr && link->control && link->control->pendingBytes() < MaxPendingBytes) {
-        link->control->send(frame);
+    if (link == nullptr || !link->control) {
+        return false;
     }
+    if (link->control->pendingBytes() >= MaxPendingBytes) {
+        if (link->dropped++ == 0) {
+            LOG(WARNING) << d->part << ": messages are dropped id=" << id << " pending-bytes=" << link->control->pendingBytes();
+        }
+        return false;
+    }
+    if (link->dropped > 0) {
+        LOG(WARNING) << d->part << ": messages are sent again id=" << id << " dropped=" << link->dropped;
+        link->dropped = 0;
+    }
+    link->control->send(frame);
+    return true;
 }
 
 auto PeerLinks::sendAll(const Wire::ControlFrame &frame) -> void
--- a/src/wire/peerlinks.h
+++ b/src/wire/peerlinks.h
@@ -48,7 +48,8 @@
     auto setHosts(const std::vector<ListedHost> &hosts) -> void;
     /// Opens a new request stream; null while not connected.
     auto open(const std::string &id) -> PeerStreamPtr;
-    auto send(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< on the control stream; the frame is dropped while not connected
+    /// On the control stream. False: the frame was dropped, as there is no connection or too much is pending on it.
+    auto send(const std::string &id, const Wire::ControlFrame &frame) -> bool;
     auto sendAll(const Wire::ControlFrame &frame) -> void;
     auto reconnect(const std::string &id) -> void; ///< for a peer that is connected but no longer answers
 
