tests: copies of the store's tables on a hundred gateways, failing

A simulated store, hosts and connections in virtual time play core/tablefollower: starts of 103 gateways, a store that drops its history while declarations change, hand-overs between watchers.

- A change that the watchers find by reading the table whole is held by each of them for another one and dropped, since the other one knows it.

The case of a hand-over passes.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -79,13 +79,13 @@
 /// The other live watcher that ranks first. It forwards changes, unless this gateway itself reaches the store and ranks before it.
 auto TableFollower::firstLiveWatcher(TimePoint now) const -> std::optional<std::string>
 {
-    std::optional<std::string> first;
-    for (const auto &[id, watcher] : m_watchers) {
-        if (isLive(watcher, now) && (!first || rankOf(id) > rankOf(*first))) {
-            first = id;
+    const std::pair<const std::string, Watcher> *first = nullptr;
+    for (const auto &entry : m_watchers) {
+        if (isLive(entry.second, now) && (first == nullptr || entry.second.rank > first->second.rank)) {
+            first = &entry;
         }
     }
-    return first;
+    return first == nullptr ? std::nullopt : std::optional(first->first);
 }
 
 auto TableFollower::isRankedToWatch(TimePoint now) const -> bool
@@ -464,6 +464,7 @@
 {
     m_now = now;
     auto &watcher = m_watchers[peer];
+    watcher.rank = rankOf(peer);
     const bool wasLive = isLive(watcher, now);
     watcher.receivedAt = now;
     watcher.isHealthy = digest.isWatching && !digest.hasTrouble;
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -130,6 +130,7 @@
 private:
     /// State of another gateway, from its digests.
     struct Watcher {
+        std::uint64_t rank = 0;
         TimePoint receivedAt;
         TimePoint liveSince; ///< see isLive()
         bool isHealthy = false; ///< it watches the store and reaches it, by its last digest
--- /dev/null
+++ b/tests/unit_tablefollower.cpp
@@ -0,0 +1,102 @@
+// Copies of the store's tables on many gateways: what each way by which a table reaches a gateway guarantees, beside a store, hosts and connections that fail.
+#include "tests/sim_tablefleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// Time after its acknowledgement within which a change of the declarations must be in force on each gateway of the largest site.
+constexpr double InForceSeconds = 4;
+constexpr double StartSeconds = 10; ///< until a fleet has started and settled
+
+/// The store answers no watches for a second, in which the declarations change, and then drops its history and breaks the watches. Returns the time of the
+/// change.
+auto loseHistoryAround(SimTableFleet &fleet, const std::string &value) -> TimePoint
+{
+    fleet.store.areWatchesMuted = true;
+    fleet.run(0.3);
+    const auto changedAt = fleet.clock.now();
+    fleet.declare(value);
+    fleet.run(0.7);
+    fleet.store.areWatchesMuted = false;
+    fleet.store.dropHistory();
+    return changedAt;
+}
+
+auto incomplete(const SimTableFleet &fleet) -> int
+{
+    return static_cast<int>(std::count_if(fleet.gateways.begin(), fleet.gateways.end(), [&](const auto &gateway) {
+        return gateway->isRunning && gateway->registered.size() != fleet.store.rows(StoreTable::Gateways).size();
+    }));
+}
+
+} // namespace
+
+TEST_CASE("each start of a hundred gateways ends with every gateway knowing all others")
+{
+    // Guards against gateways that can't repair their copy of the gateways' rows, since the row of the only gateway that they would request it from is missing.
+    for (const std::uint64_t seed : {1, 3, 5, 12, 14, 19, 20}) {
+        SimTableFleet fleet({.seed = seed});
+        fleet.startAll();
+        fleet.run(4);
+        CAPTURE(seed);
+        CHECK(incomplete(fleet) == 0);
+    }
+}
+
+TEST_CASE("a change that watchers find by reading a table whole is in force on a hundred gateways in time")
+{
+    // Guards against a change that each watcher leaves to another one, on gateways that can't repair their tables.
+    for (const std::uint64_t seed : {1, 5, 20, 38, 49}) {
+        SimTableFleet fleet({.seed = seed});
+        fleet.startAll();
+        fleet.run(StartSeconds);
+        const auto changedAt = loseHistoryAround(fleet, "2");
+        fleet.run(InForceSeconds);
+        CAPTURE(seed);
+        CHECK(fleet.adoptionSeconds("2", changedAt) <= InForceSeconds);
+    }
+}
+
+TEST_CASE("a change that watchers find by reading a table whole is forwarded, and no gateway has to request the table")
+{
+    // Guards against a change that counts as forwarded as soon as another watcher knows it.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SimTableFleet fleet({.gateways = 12, .seed = seed});
+        fleet.startAll();
+        fleet.run(StartSeconds);
+        const auto requested = fleet.eventCount("requested");
+        const auto changedAt = loseHistoryAround(fleet, "2");
+        fleet.run(InForceSeconds);
+        CAPTURE(seed);
+        CHECK(fleet.adoptionSeconds("2", changedAt) <= InForceSeconds);
+        CHECK(fleet.eventCount("requested") == requested);
+    }
+}
+
+TEST_CASE("a change during a hand-over between watchers is forwarded, and no gateway has to request the table")
+{
+    // Guards against a change that the former first watcher leaves to the new one, which leaves it to the former.
+    for (int step = 0; step < 60; ++step) {
+        SimTableFleet fleet({.gateways = 12, .targets = 20, .seed = 1});
+        fleet.startAll();
+        fleet.run(StartSeconds);
+        auto &first = fleet.highestRanked();
+        fleet.stop(first);
+        fleet.run(3);
+        fleet.start(first);
+        fleet.run(0.025 * step);
+        const auto requested = fleet.eventCount("requested");
+        const auto changedAt = fleet.clock.now();
+        fleet.declare("2");
+        fleet.run(2);
+        CAPTURE(step);
+        CHECK(fleet.adoptionSeconds("2", changedAt) <= InForceSeconds);
+        CHECK(fleet.eventCount("requested") == requested);
+    }
+}
