store follower: a change counts as forwarded only once it was forwarded

Callers on up to a hundred gateways were served by outdated declarations for a second, and where the repair failed too, for good.

Cause: the second and third watcher held each change that they found, and dropped it once the first watcher's digest showed that it knows the change. When the store drops its history, all watchers read their tables whole. While one of its three watches isn't answered yet, no watcher counts as the first, so each of them held the change; then each saw that another one knew it and dropped it.

Now a digest says up to which version its sender's changes were forwarded, and only that ends another watcher's hold. A watcher that reaches a table and has no live watcher before it forwards that table's changes at once, whatever its other watches do. Where nothing shows that a change was forwarded, the second watcher does so after 0.3 s, the third one after 0.6 s, and a gateway that stops watching keeps what it holds. Rows that a watcher got as a peer's whole table count as not forwarded. The first contents of a table aren't held.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -102,10 +102,17 @@
     return m_isWatching && std::all_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->isReached(); });
 }
 
+/// Number of the other live watchers that rank before this gateway.
+auto TableFollower::watchersAhead(TimePoint now) const -> int
+{
+    const auto ownRank = rankOf(m_settings.id);
+    return static_cast<int>(
+        std::count_if(m_watchers.begin(), m_watchers.end(), [&](const auto &entry) { return isLive(entry.second, now) && entry.second.rank > ownRank; }));
+}
+
 auto TableFollower::isFirst(TimePoint now) const -> bool
 {
-    const auto other = firstLiveWatcher(now);
-    return reachesStore() && (!other || rankOf(m_settings.id) > rankOf(*other));
+    return reachesStore() && watchersAhead(now) == 0;
 }
 
 auto TableFollower::areAllLoaded() const -> bool
@@ -194,7 +201,6 @@
     note("following", {{"watcher", firstLiveWatcher(now).value_or("-")}});
     for (auto &table : m_tables) {
         table.watch->stop();
-        table.unforwarded.clear();
     }
 }
 
@@ -208,7 +214,14 @@
         m_hooks.watch(index, call, after, wait);
     };
     hooks.onTable = [this, index](const std::vector<StoredRow> &rows, RowVersion upTo) {
-        applyOwnRows(index, m_tables.at(index).mirror.applySnapshot(rows, upTo), RowSource::Read);
+        auto &mirror = m_tables.at(index).mirror;
+        const bool wasLoaded = mirror.isLoaded();
+        const auto changed = mirror.applySnapshot(rows, upTo);
+        if (wasLoaded) {
+            applyOwnRows(index, changed, RowSource::Read);
+        } else {
+            loadedFromStore(index, changed);
+        }
     };
     hooks.onChanges = [this, index](const std::vector<StoredRow> &rows) {
         applyOwnRows(index, m_tables.at(index).mirror.applyChanges(rows), RowSource::Watch);
@@ -256,39 +269,68 @@
     m_hooks.onRows(FollowedTables.at(index), changed, source);
 }
 
-auto TableFollower::applyOwnRows(std::size_t index, std::vector<StoredRow> changed, RowSource source) -> void
+/// The first contents of a table. What of them is news to other gateways isn't known, so nothing is forwarded.
+auto TableFollower::loadedFromStore(std::size_t index, const std::vector<StoredRow> &rows) -> void
 {
-    applyRows(index, changed, source, "-");
+    applyRows(index, rows, RowSource::Read, "-");
     if (m_isStarting && !m_isLoadingFromPeers && index == GatewaysTable) {
         chooseSource();
     }
-    if (changed.empty()) {
-        return;
+}
+
+auto TableFollower::applyOwnRows(std::size_t index, const std::vector<StoredRow> &changed, RowSource source) -> void
+{
+    applyRows(index, changed, source, "-");
+    if (!changed.empty()) {
+        holdRows(index, changed);
     }
-    if (isFirst(m_now)) {
-        forwardRows(index, changed);
-        return;
+}
+
+// [SECTION] Forwarding
+
+/// Forwards changes at once if this gateway is the first watcher that reaches this table, whatever the state of its other watches; otherwise leaves them to
+/// the first one, unless it turns out that it doesn't forward them.
+auto TableFollower::holdRows(std::size_t index, const std::vector<StoredRow> &rows) -> void
+{
+    auto &table = m_tables.at(index);
+    for (const auto &row : rows) {
+        table.unforwarded.emplace_back(m_now, row);
+    }
+    if (table.watch->isReached() && watchersAhead(m_now) == 0) {
+        forwardHeld(index);
+    } else if (isLogged(index, RowSource::Watch)) {
+        note("held", {{"table", nameOf(index)}, {"version", textOf(newestOf(rows))}, {"first", firstLiveWatcher(m_now).value_or("-")}});
     }
-    holdRows(index, std::move(changed));
 }
 
-/// Leaves changes to the first watcher, unless it turns out that it doesn't forward them.
-auto TableFollower::holdRows(std::size_t index, std::vector<StoredRow> rows) -> void
+/// See FollowerDigest::forwarded.
+auto TableFollower::forwardedTo(std::size_t index) const -> RowVersion
 {
-    if (isLogged(index, RowSource::Watch)) {
-        const auto first = firstLiveWatcher(m_now);
-        const auto *reached = reachesStore() ? "yes" : "no";
-        note("held", {{"table", nameOf(index)}, {"version", textOf(newestOf(rows))}, {"first", first.value_or("-")}, {"reached", reached}});
+    const auto &table = m_tables.at(index);
+    if (!m_isWatching) {
+        return RowVersion();
     }
-    for (auto &row : rows) {
-        m_tables.at(index).unforwarded.emplace_back(m_now, std::move(row));
+    auto upTo = table.watch->version().value();
+    for (const auto &[since, row] : table.unforwarded) {
+        upTo = std::min(upTo, row.version.value() - 1);
     }
+    return RowVersion(upTo);
 }
 
-// [SECTION] Forwarding
+auto TableFollower::isForwardedByOther(std::size_t index, RowVersion version, TimePoint now) const -> bool
+{
+    return std::any_of(m_watchers.begin(), m_watchers.end(), [&](const auto &entry) {
+        return isLive(entry.second, now) && entry.second.digest.forwarded.at(index) >= version;
+    });
+}
 
-auto TableFollower::forwardRows(std::size_t index, const std::vector<StoredRow> &rows) -> void
+auto TableFollower::forwardHeld(std::size_t index) -> void
 {
+    std::vector<StoredRow> rows;
+    for (auto &[since, row] : m_tables.at(index).unforwarded) {
+        rows.push_back(std::move(row));
+    }
+    m_tables.at(index).unforwarded.clear();
     const auto receivers = m_hooks.livePeers().size();
     if (receivers == 0) {
         return;
@@ -300,41 +342,34 @@
     m_hooks.sendAll({index, false, m_tables.at(index).mirror.version(), rows});
 }
 
-auto TableFollower::requestTable(std::size_t index, const std::string &peer, const char *why) -> void
-{
-    const bool isSent = m_hooks.request(peer, index);
-    note("requested", {{"table", nameOf(index)}, {"peer", peer}, {"why", why}, {"sent", isSent ? "yes" : "no-connection"}});
-}
-
-/// Forwards changes that the first watcher should have forwarded: it may have lost the store without having noticed. A change is overdue if the first watcher's
-/// digests don't show its version after `fallbackDelay`.
+/// Forwards the changes that should have been forwarded by now: the first watcher may have lost the store without having noticed.
 auto TableFollower::forwardOverdue(TimePoint now) -> void
 {
-    const auto first = firstLiveWatcher(now);
+    const int ahead = watchersAhead(now);
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         auto &unforwarded = m_tables.at(i).unforwarded;
-        const auto known = first ? m_watchers.at(*first).digest.versions.at(i) : RowVersion();
-        const auto dropped = std::erase_if(unforwarded, [&](const auto &row) { return row.second.version <= known; });
+        const auto dropped = std::erase_if(unforwarded, [&](const auto &row) { return isForwardedByOther(i, row.second.version, now); });
         if (dropped > 0 && isLogged(i, RowSource::Watch)) {
-            note("held-dropped", {{"table", nameOf(i)}, {"rows", std::to_string(dropped)}, {"known-to", first.value_or("-")}, {"version", textOf(known)}});
-        }
-        std::vector<StoredRow> due;
-        for (const auto &[since, row] : unforwarded) {
-            if (now - since >= m_settings.fallbackDelay) {
-                due.push_back(row);
-            }
+            note("held-dropped", {{"table", nameOf(i)}, {"rows", std::to_string(dropped)}});
         }
-        if (due.empty()) {
+        if (unforwarded.empty() || now - unforwarded.front().first < m_settings.fallbackDelay * ahead) {
             continue;
         }
-        unforwarded.clear();
-        if (isRankedToWatch(now)) {
-            note("stands-in", {{"table", nameOf(i)}, {"for", first.value_or("-")}, {"rows", std::to_string(due.size())}});
-            forwardRows(i, due);
-        }
+        note("stands-in",
+             {{"table", nameOf(i)},
+              {"for", firstLiveWatcher(now).value_or("-")},
+              {"rows", std::to_string(unforwarded.size())},
+              {"ahead", std::to_string(ahead)}});
+        forwardHeld(i);
     }
 }
 
+auto TableFollower::requestTable(std::size_t index, const std::string &peer, const char *why) -> void
+{
+    const bool isSent = m_hooks.request(peer, index);
+    note("requested", {{"table", nameOf(index)}, {"peer", peer}, {"why", why}, {"sent", isSent ? "yes" : "no-connection"}});
+}
+
 /// Sets the pause between watch calls for targets. Their rows change all the time, and batched changes take a fraction of the calls. Changes of declarations
 /// are never delayed.
 auto TableFollower::updatePause(TimePoint now) -> void
@@ -416,6 +451,7 @@
         const auto &mirror = m_tables.at(i).mirror;
         digest.checksums.at(i) = mirror.isLoaded() ? mirror.checksum() : 0;
         digest.versions.at(i) = mirror.version();
+        digest.forwarded.at(i) = forwardedTo(i);
     }
     return digest;
 }
@@ -502,8 +538,12 @@
 {
     m_now = now;
     auto &mirror = m_tables.at(rows.table).mirror;
+    const bool wasLoaded = mirror.isLoaded();
     const auto changed = rows.isWhole ? mirror.applySnapshot(rows.rows, rows.upTo) : mirror.applyChanges(rows.rows);
     applyRows(rows.table, changed, rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded, peer);
+    if (m_isWatching && rows.isWhole && wasLoaded && !changed.empty()) {
+        holdRows(rows.table, changed); // the peer may not have forwarded them yet
+    }
     if (m_isLoadingFromPeers && areAllLoaded()) {
         finishStart();
     }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -2,7 +2,8 @@
 // messages to other gateways go out through hooks; answers, messages and the time come in.
 //
 // Calls to the store are metered, and a watch answers once for each change. So only the gateways that rank first by rendezvous hashing watch. The first of them
-// forwards changes at once; the other watchers forward a change only if the first doesn't. While no watcher reaches the store, more gateways watch, up to a
+// forwards changes at once; the other watchers hold a change until a digest shows that it was forwarded, and otherwise forward it one after another. That a
+// watcher knows a change doesn't show that it was forwarded: each may have found it by itself and left it to another one. While no watcher reaches the store, more gateways watch, up to a
 // limit; a gateway without peers watches by itself. Where many gateways are registered, a starting gateway reads only the gateways' rows and gets the other
 // tables from a peer. Digests carry a checksum of each table, by which a gateway detects that it has missed a change.
 //
@@ -38,6 +39,8 @@
     bool hasTrouble = false; ///< it watches, and doesn't reach the store
     std::array<std::uint64_t, FollowedTableCount> checksums {}; ///< by table; 0: it hasn't loaded the table
     std::array<RowVersion, FollowedTableCount> versions; ///< by table: of the newest change that it knows
+    /// By table: all changes up to this version that it found in the store were forwarded, by it or by another gateway. 0: it doesn't watch.
+    std::array<RowVersion, FollowedTableCount> forwarded;
 };
 
 /// Rows that one gateway forwards to others.
@@ -55,7 +58,8 @@
     StoreWatcherOptions watchers;
     Duration watcherTimeout = Duration::millis(1000); ///< a watcher without a digest for this long no longer counts as live
     Duration handoverDelay = Duration::millis(1000); ///< the first watcher must be live for this long before this gateway stops its own watch
-    Duration fallbackDelay = Duration::millis(300); ///< the first watcher's digest must show a change by then, or the other watchers forward it
+    /// If no digest shows by then that a change was forwarded, the second watcher forwards it; the third one after twice this time, and so on.
+    Duration fallbackDelay = Duration::millis(300);
     /// Longest wait of a watch call for targets. Their heartbeats come about once a second, so a longer silence means that the store is unreachable.
     Duration targetsPollTimeout = Duration::millis(1500);
     Duration batchDelay = Duration::millis(100); ///< the first watcher waits this long after a change of targets before its next watch call
@@ -141,12 +145,13 @@
         std::optional<TableWatch> watch; ///< set in the constructor
         TimePoint requestedAt; ///< when it was last requested from a peer, at start-up
         std::optional<TimePoint> differsSince; ///< since when its checksum differs from the first live watcher's
-        /// Changes from this gateway's watch that the first watcher should forward, with their time of arrival.
+        /// Changes that this gateway found in the store, and that haven't been forwarded as far as it knows, with their time of arrival.
         std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
     };
     auto isLive(const Watcher &watcher, TimePoint now) const -> bool;
     auto firstLiveWatcher(TimePoint now) const -> std::optional<std::string>;
     auto isRankedToWatch(TimePoint now) const -> bool;
+    auto watchersAhead(TimePoint now) const -> int;
     auto isFirst(TimePoint now) const -> bool;
     auto reachesStore() const -> bool;
     auto areAllLoaded() const -> bool;
@@ -157,11 +162,14 @@
     auto startWatching(const char *why) -> void;
     auto stopWatching(TimePoint now) -> void;
     auto renewOtherWatches(std::size_t except) -> void;
-    auto applyOwnRows(std::size_t index, std::vector<StoredRow> changed, RowSource source) -> void;
+    auto loadedFromStore(std::size_t index, const std::vector<StoredRow> &rows) -> void;
+    auto applyOwnRows(std::size_t index, const std::vector<StoredRow> &changed, RowSource source) -> void;
     auto applyRows(std::size_t index, const std::vector<StoredRow> &changed, RowSource source, const std::string &peer) -> void;
-    auto holdRows(std::size_t index, std::vector<StoredRow> rows) -> void;
+    auto holdRows(std::size_t index, const std::vector<StoredRow> &rows) -> void;
+    auto forwardedTo(std::size_t index) const -> RowVersion;
+    auto isForwardedByOther(std::size_t index, RowVersion version, TimePoint now) const -> bool;
+    auto forwardHeld(std::size_t index) -> void;
     auto requestTable(std::size_t index, const std::string &peer, const char *why) -> void;
-    auto forwardRows(std::size_t index, const std::vector<StoredRow> &rows) -> void;
     auto forwardOverdue(TimePoint now) -> void;
     auto updatePause(TimePoint now) -> void;
     auto compareChecksums(const std::string &id, const Watcher &watcher, TimePoint now) -> void;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -186,6 +186,9 @@
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         digest.add_tables(own.checksums.at(i));
         digest.add_versions(own.versions.at(i).value());
+        if (own.isWatching) {
+            digest.add_forwarded(own.forwarded.at(i).value());
+        }
     }
 }
 
@@ -200,6 +203,9 @@
     for (int i = 0; i < std::min(digest.versions_size(), static_cast<int>(FollowedTableCount)); ++i) {
         received.versions.at(static_cast<std::size_t>(i)) = RowVersion(digest.versions(i));
     }
+    for (int i = 0; i < std::min(digest.forwarded_size(), static_cast<int>(FollowedTableCount)); ++i) {
+        received.forwarded.at(static_cast<std::size_t>(i)) = RowVersion(digest.forwarded(i));
+    }
     d->follower.digestReceived(id, received, d->parts.loop.now());
     d->scheduleCalls();
 }
