row mirror: a copy that missed a change doesn't claim to be complete up to its newest row

A gateway that sends its whole copy of a table said that it is as of the version of its newest row. A copy that has missed an older change isn't: rows that it lacks looked removed to the receiver, and stayed so until they changed again. For targets that is their next heartbeat; a gateway's row changes only when the gateway restarts, and until then the receiver had no connection to it. Found by reading while the repair of tables was traced; unit_tablefollower has the case, which failed before (the row of the lost change was removed).

A copy now keeps the version up to which it is complete: by a whole table, by its own watch, or by forwarded rows that follow the version up to which it was complete.

--- a/src/core/rowmirror.cpp
+++ b/src/core/rowmirror.cpp
@@ -13,9 +13,9 @@
     return m_isLoaded;
 }
 
-auto RowMirror::version() const -> RowVersion
+auto RowMirror::completeTo() const -> RowVersion
 {
-    return m_version;
+    return m_completeTo;
 }
 
 auto RowMirror::rows() const -> std::vector<StoredRow>
@@ -29,6 +29,22 @@
     return list;
 }
 
+auto RowMirror::knowsRemovalsSince(RowVersion version) const -> bool
+{
+    return m_isLoaded && version >= m_snapshotVersion;
+}
+
+auto RowMirror::changesSince(RowVersion version) const -> std::vector<StoredRow>
+{
+    std::vector<StoredRow> changes;
+    for (const auto &[key, row] : m_rows) {
+        if (row.version > version) {
+            changes.push_back(row);
+        }
+    }
+    return changes;
+}
+
 namespace
 {
 
@@ -57,7 +73,6 @@
         return false;
     }
     replaceRow(known, row);
-    m_version = std::max(m_version, row.version);
     return true;
 }
 
@@ -69,7 +84,8 @@
     for (const auto &row : rows) {
         present.insert(row.key);
     }
-    m_version = std::max(m_version, upTo);
+    m_completeTo = std::max(m_completeTo, upTo);
+    m_snapshotVersion = std::max(m_snapshotVersion, upTo);
     for (auto &[key, row] : m_rows) {
         if (row.isRemoved || row.version > upTo || present.contains(key)) {
             continue;
@@ -92,4 +108,13 @@
     return changed;
 }
 
+auto RowMirror::markComplete(RowVersion after, RowVersion upTo) -> bool
+{
+    if (!m_isLoaded || after > m_completeTo) {
+        return false;
+    }
+    m_completeTo = std::max(m_completeTo, upTo);
+    return true;
+}
+
 } // namespace KingCup
--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -223,8 +223,13 @@
             loadedFromStore(index, changed);
         }
     };
-    hooks.onChanges = [this, index](const std::vector<StoredRow> &rows) {
-        applyOwnRows(index, m_tables.at(index).mirror.applyChanges(rows), RowSource::Watch);
+    hooks.onChanges = [this, index](const std::vector<StoredRow> &rows, RowVersion after, RowVersion upTo) {
+        auto &mirror = m_tables.at(index).mirror;
+        const auto changed = mirror.applyChanges(rows);
+        mirror.markComplete(after, upTo);
+        if (!changed.empty()) {
+            applyOwnRows(index, changed, RowSource::Watch);
+        }
     };
     hooks.onFailed = [this, index](StoreOutcome why) {
         const auto version = std::to_string(m_tables.at(index).watch->version().value());
@@ -324,22 +329,26 @@
     });
 }
 
+/// Forwards all changes since the last ones that are known to have been forwarded, so that the receivers notice if they lack earlier ones.
 auto TableFollower::forwardHeld(std::size_t index) -> void
 {
-    std::vector<StoredRow> rows;
-    for (auto &[since, row] : m_tables.at(index).unforwarded) {
-        rows.push_back(std::move(row));
-    }
-    m_tables.at(index).unforwarded.clear();
+    auto &table = m_tables.at(index);
+    const auto after = forwardedTo(index);
+    table.unforwarded.clear();
     const auto receivers = m_hooks.livePeers().size();
     if (receivers == 0) {
         return;
     }
+    const TableRows rows {.table = index, .after = after, .upTo = table.mirror.completeTo(), .rows = table.mirror.changesSince(after)};
     if (isLogged(index, RowSource::Watch)) {
         note("forwarded",
-             {{"table", nameOf(index)}, {"version", textOf(newestOf(rows))}, {"rows", std::to_string(rows.size())}, {"to", std::to_string(receivers)}});
+             {{"table", nameOf(index)},
+              {"version", textOf(newestOf(rows.rows))},
+              {"rows", std::to_string(rows.rows.size())},
+              {"after", textOf(after)},
+              {"to", std::to_string(receivers)}});
     }
-    m_hooks.sendAll({index, false, m_tables.at(index).mirror.version(), rows});
+    m_hooks.sendAll(rows);
 }
 
 /// Forwards the changes that should have been forwarded by now: the first watcher may have lost the store without having noticed.
@@ -394,7 +403,10 @@
         }
         table.differsSince = now;
         note("differs",
-             {{"table", nameOf(i)}, {"watcher", id}, {"version", textOf(table.mirror.version())}, {"watcher-version", textOf(watcher.digest.versions.at(i))}});
+             {{"table", nameOf(i)},
+              {"watcher", id},
+              {"version", textOf(table.mirror.completeTo())},
+              {"watcher-version", textOf(watcher.digest.versions.at(i))}});
         if (m_isWatching) {
             table.watch->reload();
             continue;
@@ -450,7 +462,7 @@
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         const auto &mirror = m_tables.at(i).mirror;
         digest.checksums.at(i) = mirror.isLoaded() ? mirror.checksum() : 0;
-        digest.versions.at(i) = mirror.version();
+        digest.versions.at(i) = mirror.completeTo();
         digest.forwarded.at(i) = forwardedTo(i);
     }
     return digest;
@@ -523,8 +535,8 @@
         note("wanted-not-loaded", {{"peer", peer}, {"table", nameOf(table)}});
         return;
     }
-    note("sent-table", {{"table", nameOf(table)}, {"peer", peer}, {"version", textOf(mirror.version())}});
-    m_hooks.send(peer, {table, true, mirror.version(), mirror.rows()});
+    note("sent-table", {{"table", nameOf(table)}, {"peer", peer}, {"version", textOf(mirror.completeTo())}});
+    m_hooks.send(peer, {.table = table, .isWhole = true, .upTo = mirror.completeTo(), .rows = mirror.rows()});
 }
 
 auto TableFollower::requestFrom(const std::string &peer, StoreTable table) -> void
@@ -540,6 +552,9 @@
     auto &mirror = m_tables.at(rows.table).mirror;
     const bool wasLoaded = mirror.isLoaded();
     const auto changed = rows.isWhole ? mirror.applySnapshot(rows.rows, rows.upTo) : mirror.applyChanges(rows.rows);
+    if (!rows.isWhole) {
+        mirror.markComplete(rows.after.value_or(mirror.completeTo()), rows.upTo);
+    }
     applyRows(rows.table, changed, rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded, peer);
     if (m_isWatching && rows.isWhole && wasLoaded && !changed.empty()) {
         holdRows(rows.table, changed); // the peer may not have forwarded them yet
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -3,9 +3,9 @@
 //
 // Calls to the store are metered, and a watch answers once for each change. So only the gateways that rank first by rendezvous hashing watch. The first of them
 // forwards changes at once; the other watchers hold a change until a digest shows that it was forwarded, and otherwise forward it one after another. That a
-// watcher knows a change doesn't show that it was forwarded: each may have found it by itself and left it to another one. While no watcher reaches the store, more gateways watch, up to a
-// limit; a gateway without peers watches by itself. Where many gateways are registered, a starting gateway reads only the gateways' rows and gets the other
-// tables from a peer. Digests carry a checksum of each table, by which a gateway detects that it has missed a change.
+// watcher knows a change doesn't show that it was forwarded: each may have found it by itself and left it to another one. While no watcher reaches the store,
+// more gateways watch, up to a limit; a gateway without peers watches by itself. Where many gateways are registered, a starting gateway reads only the
+// gateways' rows and gets the other tables from a peer. Digests carry a checksum of each table, by which a gateway detects that it has missed a change.
 //
 // Index of sections (search for [SECTION]):
 //   Messages        what gateways send each other
@@ -38,7 +38,7 @@
     bool isWatching = false;
     bool hasTrouble = false; ///< it watches, and doesn't reach the store
     std::array<std::uint64_t, FollowedTableCount> checksums {}; ///< by table; 0: it hasn't loaded the table
-    std::array<RowVersion, FollowedTableCount> versions; ///< by table: of the newest change that it knows
+    std::array<RowVersion, FollowedTableCount> versions; ///< by table: it knows all changes up to this version
     /// By table: all changes up to this version that it found in the store were forwarded, by it or by another gateway. 0: it doesn't watch.
     std::array<RowVersion, FollowedTableCount> forwarded;
 };
@@ -46,7 +46,8 @@
 /// Rows that one gateway forwards to others.
 struct TableRows {
     std::size_t table = 0; ///< index in FollowedTables
-    bool isWhole = false; ///< all rows as of `upTo`; else only changed rows
+    bool isWhole = false; ///< all rows as of `upTo`; else all changes after `after` up to `upTo`
+    std::optional<RowVersion> after; ///< not given by gateways of earlier releases
     RowVersion upTo;
     std::vector<StoredRow> rows;
 };
--- a/src/core/tablewatch.cpp
+++ b/src/core/tablewatch.cpp
@@ -148,15 +148,14 @@
         return;
     }
     setReached(true);
+    const auto after = m_version;
     m_version = std::max(m_version, answer.page.upTo);
     if (answer.page.rows.empty() || m_pause == Duration()) {
         watch();
     } else {
         m_nextCallAt = now + m_pause;
     }
-    if (!answer.page.rows.empty()) {
-        m_hooks.onChanges(answer.page.rows);
-    }
+    m_hooks.onChanges(answer.page.rows, after, m_version);
 }
 
 auto TableWatch::setReached(bool reached) -> void
--- a/src/core/tablewatch.h
+++ b/src/core/tablewatch.h
@@ -29,7 +29,7 @@
     std::function<void(StoreCallId call, RowVersion after, Duration wait)> watch; ///< starts a watch call
     /// The whole table. Rows that aren't in it don't exist; some may be newer than `upTo`.
     std::function<void(const std::vector<StoredRow> &rows, RowVersion upTo)> onTable;
-    std::function<void(const std::vector<StoredRow> &rows)> onChanges;
+    std::function<void(const std::vector<StoredRow> &rows, RowVersion after, RowVersion upTo)> onChanges; ///< all changes after `after` up to `upTo`
     /// The store answers again, or no longer answers.
     std::function<void(bool isReached)> onReachabilityChanged;
     std::function<void(StoreOutcome why)> onFailed; ///< the first failed call after a successful one; also a watch whose history is lost
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -46,6 +46,9 @@
     message.set_table(static_cast<std::uint32_t>(rows.table));
     message.set_whole(rows.isWhole);
     message.set_up_to(rows.upTo.value());
+    if (rows.after) {
+        message.set_after(rows.after->value());
+    }
     for (const auto &row : rows.rows) {
         auto *added = message.add_rows();
         added->set_key(row.key);
@@ -63,6 +66,9 @@
     rows.table = message.table();
     rows.isWhole = message.whole();
     rows.upTo = RowVersion(message.up_to());
+    if (message.has_after()) {
+        rows.after = RowVersion(message.after());
+    }
     for (const auto &row : message.rows()) {
         rows.rows.push_back({row.key(), RowVersion(row.version()), row.value(), row.removed()});
     }
--- a/tests/unit_tablefollower.cpp
+++ b/tests/unit_tablefollower.cpp
@@ -100,3 +100,15 @@
         CHECK(fleet.eventCount("requested") == requested);
     }
 }
+
+TEST_CASE("a whole table from a gateway that has missed a change removes no row")
+{
+    // Guards against a copy that claims to be complete up to its newest row, so that rows which it has missed look removed to the receiver.
+    RowMirror behind;
+    behind.applySnapshot({{"a", RowVersion(1), "1", false}}, RowVersion(1));
+    behind.applyChanges({{"c", RowVersion(3), "3", false}}); // the change to version 2, the row "b", was lost
+    RowMirror mirror;
+    mirror.applySnapshot({{"a", RowVersion(1), "1", false}, {"b", RowVersion(2), "2", false}}, RowVersion(2));
+    CHECK(mirror.applySnapshot(behind.rows(), behind.completeTo()).size() == 1);
+    CHECK(mirror.rows().size() == 3);
+}
