store follower: missed changes are requested from any gateway that has them

Cause: a gateway noticed by the first watcher's checksum that it had missed a change, and requested the table from that watcher only. It sends over a connection that it opens to each gateway whose row it knows. A gateway that starts while others register reads some of the rows, gets no forwarded ones until it is registered itself, and may lack just the row of that watcher.

Now a gateway compares the version up to which its copy is complete with that of every digest, and with the version that forwarded rows follow. A copy that stays behind for 0.6 s (0.1 s after a gap) requests the changes since its own version from a random live gateway that has them and to which it is connected, after 0.5 s without an answer from another one, and after three such requests it reads the table from the store, once. A watcher also renews its own watch. Where versions are equal and checksums differ from the first watcher's, the whole table is requested as before. A gateway that starts asks for its tables in the same way. Reading with a hundred gateways behind at once is spread over all that have the change.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -2,7 +2,8 @@
 //   State        ranking and liveness of the watchers
 //   Start        where the tables are loaded from at start-up
 //   Watching     starting and stopping this gateway's own watches
-//   Forwarding   forwarding of rows to other gateways, comparison of checksums
+//   Forwarding   forwarding of rows to other gateways
+//   Repair       changes that were missed
 //   Follower     public interface
 #include "core/tablefollower.h"
 
@@ -71,7 +72,7 @@
 
 // [SECTION] State
 
-auto TableFollower::isLive(const Watcher &watcher, TimePoint now) const -> bool
+auto TableFollower::isLive(const Peer &watcher, TimePoint now) const -> bool
 {
     return watcher.isHealthy && now - watcher.receivedAt < m_settings.watcherTimeout;
 }
@@ -79,13 +80,16 @@
 /// The other live watcher that ranks first. It forwards changes, unless this gateway itself reaches the store and ranks before it.
 auto TableFollower::firstLiveWatcher(TimePoint now) const -> std::optional<std::string>
 {
-    const std::pair<const std::string, Watcher> *first = nullptr;
-    for (const auto &entry : m_watchers) {
-        if (isLive(entry.second, now) && (first == nullptr || entry.second.rank > first->second.rank)) {
-            first = &entry;
+    const Peer *first = nullptr;
+    std::optional<std::string> firstId;
+    for (const auto &id : m_watcherIds) {
+        const auto &watcher = m_peers.at(id);
+        if (isLive(watcher, now) && (first == nullptr || watcher.rank > first->rank)) {
+            first = &watcher;
+            firstId = id;
         }
     }
-    return first == nullptr ? std::nullopt : std::optional(first->first);
+    return firstId;
 }
 
 auto TableFollower::isRankedToWatch(TimePoint now) const -> bool
@@ -106,8 +110,10 @@
 auto TableFollower::watchersAhead(TimePoint now) const -> int
 {
     const auto ownRank = rankOf(m_settings.id);
-    return static_cast<int>(
-        std::count_if(m_watchers.begin(), m_watchers.end(), [&](const auto &entry) { return isLive(entry.second, now) && entry.second.rank > ownRank; }));
+    return static_cast<int>(std::count_if(m_watcherIds.begin(), m_watcherIds.end(), [&](const std::string &id) {
+        const auto &watcher = m_peers.at(id);
+        return isLive(watcher, now) && watcher.rank > ownRank;
+    }));
 }
 
 auto TableFollower::isFirst(TimePoint now) const -> bool
@@ -155,17 +161,6 @@
     note("asking-peers", {{"gateways", std::to_string(registered)}});
 }
 
-auto TableFollower::requestMissingTables(const std::string &id, const FollowerDigest &digest, TimePoint now) -> void
-{
-    for (std::size_t i = 0; i < FollowedTableCount; ++i) {
-        auto &table = m_tables.at(i);
-        if (digest.checksums.at(i) != 0 && !table.mirror.isLoaded() && now - table.requestedAt >= m_settings.peerRetryDelay) {
-            table.requestedAt = now;
-            requestTable(i, id, "start");
-        }
-    }
-}
-
 auto TableFollower::finishStart() -> void
 {
     if (m_isLoadingFromPeers) {
@@ -186,6 +181,7 @@
     m_isWatching = true;
     note("watching", {{"why", why}});
     for (auto &table : m_tables) {
+        table.isReadOnce = false;
         if (!table.watch->isRunning()) {
             table.watch->start();
         }
@@ -222,6 +218,9 @@
         } else {
             loadedFromStore(index, changed);
         }
+        if (std::exchange(m_tables.at(index).isReadOnce, false)) {
+            m_tables.at(index).watch->stop();
+        }
     };
     hooks.onChanges = [this, index](const std::vector<StoredRow> &rows, RowVersion after, RowVersion upTo) {
         auto &mirror = m_tables.at(index).mirror;
@@ -324,8 +323,9 @@
 
 auto TableFollower::isForwardedByOther(std::size_t index, RowVersion version, TimePoint now) const -> bool
 {
-    return std::any_of(m_watchers.begin(), m_watchers.end(), [&](const auto &entry) {
-        return isLive(entry.second, now) && entry.second.digest.forwarded.at(index) >= version;
+    return std::any_of(m_watcherIds.begin(), m_watcherIds.end(), [&](const std::string &id) {
+        const auto &watcher = m_peers.at(id);
+        return isLive(watcher, now) && watcher.digest.forwarded.at(index) >= version;
     });
 }
 
@@ -373,12 +373,6 @@
     }
 }
 
-auto TableFollower::requestTable(std::size_t index, const std::string &peer, const char *why) -> void
-{
-    const bool isSent = m_hooks.request(peer, index);
-    note("requested", {{"table", nameOf(index)}, {"peer", peer}, {"why", why}, {"sent", isSent ? "yes" : "no-connection"}});
-}
-
 /// Sets the pause between watch calls for targets. Their rows change all the time, and batched changes take a fraction of the calls. Changes of declarations
 /// are never delayed.
 auto TableFollower::updatePause(TimePoint now) -> void
@@ -386,41 +380,153 @@
     m_tables.at(TargetsTable).watch->setPause(isFirst(now) ? m_settings.batchDelay : m_settings.standbyBatchDelay);
 }
 
-/// Compares this gateway's tables with those of the first live watcher. A lasting difference means that a change was missed here: fetches the table again.
-auto TableFollower::compareChecksums(const std::string &id, const Watcher &watcher, TimePoint now) -> void
+// [SECTION] Repair
+
+/// Compares this gateway's copy of a table with that of the sender of a digest.
+auto TableFollower::compare(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void
 {
-    for (std::size_t i = 0; i < FollowedTableCount; ++i) {
-        auto &table = m_tables.at(i);
-        const auto checksum = watcher.digest.checksums.at(i);
-        const bool isSame = checksum == 0 || (table.mirror.isLoaded() && checksum == table.mirror.checksum());
-        if (isSame) {
-            table.differsSince.reset();
-            continue;
+    auto &table = m_tables.at(index);
+    const auto checksum = peer.digest.checksums.at(index);
+    const auto version = peer.digest.versions.at(index);
+    if (checksum == 0 || !table.mirror.isLoaded()) {
+        return;
+    }
+    if (checksum == table.mirror.checksum()) {
+        table.differsSince.reset();
+        table.mirror.markComplete(table.mirror.completeTo(), version); // the same rows
+        return;
+    }
+    if (version > table.mirror.completeTo()) {
+        startRepair(index, {.dueAt = now + m_settings.repairDelay, .target = version}, id);
+    } else if (version == table.mirror.completeTo()) {
+        detectDifference(index, id, peer, now);
+    }
+}
+
+/// A copy that differs from the first live watcher's though both are complete up to the same version: one of them has a row that no longer exists.
+auto TableFollower::detectDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void
+{
+    auto &table = m_tables.at(index);
+    if (!peer.isHealthy || firstLiveWatcher(now) != id || isFirst(now)) {
+        return;
+    }
+    table.differsSince = table.differsSince.value_or(now);
+    if (now - *table.differsSince >= m_settings.repairDelay) {
+        table.differsSince.reset();
+        note("differs", {{"table", nameOf(index)}, {"watcher", id}, {"version", textOf(table.mirror.completeTo())}});
+        startRepair(index, {.dueAt = now, .target = table.mirror.completeTo(), .isWhole = true}, id);
+    }
+}
+
+auto TableFollower::startRepair(std::size_t index, const Repair &repair, const std::string &seenAt) -> void
+{
+    auto &known = m_tables.at(index).repair;
+    if (known && (known->isWhole || !repair.isWhole)) {
+        known->dueAt = std::min(known->dueAt, repair.dueAt);
+        return;
+    }
+    if (isLogged(index, RowSource::Watch)) {
+        note("behind",
+             {{"table", nameOf(index)}, {"version", textOf(m_tables.at(index).mirror.completeTo())}, {"seen", textOf(repair.target)}, {"seen-at", seenAt}});
+    }
+    known = repair;
+}
+
+/// Requests what is missing once it is due, and again from another gateway if it doesn't arrive.
+auto TableFollower::advanceRepair(std::size_t index, TimePoint now) -> void
+{
+    auto &table = m_tables.at(index);
+    if (!table.mirror.isLoaded() && m_isLoadingFromPeers && !table.repair) {
+        table.repair = Repair {.dueAt = now};
+    }
+    if (!table.repair) {
+        return;
+    }
+    auto &repair = *table.repair;
+    if (table.mirror.isLoaded() && !repair.isWhole && table.mirror.completeTo() >= repair.target) {
+        endRepair(index);
+        return;
+    }
+    if (now < repair.dueAt || (repair.requestedAt && now - *repair.requestedAt < m_settings.requestTimeout)) {
+        return;
+    }
+    repair.unanswered += repair.requestedAt ? 1 : 0;
+    if (m_isWatching && !table.watch->isReading()) {
+        table.watch->renew(); // a watch call that is still pending may never be answered
+    }
+    if (repair.unanswered >= m_settings.maxUnansweredRequests) {
+        repair.unanswered = 0;
+        repair.requestedAt = now;
+        readOnce(index);
+        return;
+    }
+    const char *why = !table.mirror.isLoaded() ? "start" : repair.isWhole ? "differs" : "behind";
+    for (const auto &source : sourcesOf(index)) {
+        if (request(index, source, why)) {
+            repair.requestedAt = now;
+            repair.requestedFrom = source;
+            return;
         }
-        table.differsSince = table.differsSince.value_or(now);
-        if (now - *table.differsSince < m_settings.repairDelay) {
+    }
+}
+
+auto TableFollower::endRepair(std::size_t index) -> void
+{
+    auto &table = m_tables.at(index);
+    table.repair.reset();
+    if (std::exchange(table.isReadOnce, false)) {
+        table.watch->stop();
+    }
+}
+
+/// Live gateways that have what is missing here, in random order; the one that was asked last comes last.
+auto TableFollower::sourcesOf(std::size_t index) -> std::vector<std::string>
+{
+    const auto &table = m_tables.at(index);
+    std::vector<std::string> sources;
+    for (const auto &id : m_hooks.livePeers()) {
+        const auto found = m_peers.find(id);
+        if (found == m_peers.end()) {
             continue;
         }
-        table.differsSince = now;
-        note("differs",
-             {{"table", nameOf(i)},
-              {"watcher", id},
-              {"version", textOf(table.mirror.completeTo())},
-              {"watcher-version", textOf(watcher.digest.versions.at(i))}});
-        if (m_isWatching) {
-            table.watch->reload();
-            continue;
+        const auto checksum = found->second.digest.checksums.at(index);
+        if (checksum != 0 && checksum != table.mirror.checksum() && found->second.digest.versions.at(index) >= table.repair->target) {
+            sources.push_back(id);
         }
-        requestTable(i, id, "differs");
+    }
+    std::shuffle(sources.begin(), sources.end(), m_random);
+    std::stable_partition(sources.begin(), sources.end(), [&](const std::string &id) { return id != table.repair->requestedFrom; });
+    return sources;
+}
+
+/// Reads the table from the store, once, although this gateway doesn't watch it.
+auto TableFollower::readOnce(std::size_t index) -> void
+{
+    auto &table = m_tables.at(index);
+    if (!table.watch->isRunning()) {
+        note("reads-once", {{"table", nameOf(index)}});
+        table.isReadOnce = true;
+        table.watch->start();
     }
 }
 
+auto TableFollower::request(std::size_t index, const std::string &peer, const char *why) -> bool
+{
+    const auto &table = m_tables.at(index);
+    const bool isWhole = !table.mirror.isLoaded() || (table.repair && table.repair->isWhole);
+    const auto after = isWhole ? RowVersion() : table.mirror.completeTo();
+    const bool isSent = m_hooks.request(peer, index, after);
+    note("requested", {{"table", nameOf(index)}, {"peer", peer}, {"why", why}, {"after", textOf(after)}, {"sent", isSent ? "yes" : "no-connection"}});
+    return isSent;
+}
+
 // [SECTION] Follower
 
 TableFollower::TableFollower(TableFollowerSettings settings, TableFollowerHooks hooks)
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_storeWatchers(m_settings.watchers)
+    , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
 {
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         buildWatch(i);
@@ -446,8 +552,8 @@
 auto TableFollower::liveWatchers(TimePoint now) const -> std::vector<std::string>
 {
     std::vector<std::string> ids;
-    for (const auto &[id, watcher] : m_watchers) {
-        if (isLive(watcher, now)) {
+    for (const auto &id : m_watcherIds) {
+        if (isLive(m_peers.at(id), now)) {
             ids.push_back(id);
         }
     }
@@ -511,54 +617,73 @@
 auto TableFollower::digestReceived(const std::string &peer, const FollowerDigest &digest, TimePoint now) -> void
 {
     m_now = now;
-    auto &watcher = m_watchers[peer];
-    watcher.rank = rankOf(peer);
-    const bool wasLive = isLive(watcher, now);
-    watcher.receivedAt = now;
-    watcher.isHealthy = digest.isWatching && !digest.hasTrouble;
-    if (watcher.isHealthy && !wasLive) {
-        watcher.liveSince = now;
-    }
-    watcher.digest = digest;
-    if (m_isLoadingFromPeers) {
-        requestMissingTables(peer, digest, now);
+    auto &sender = m_peers[peer];
+    const bool wasLive = isLive(sender, now);
+    sender.rank = rankOf(peer);
+    sender.receivedAt = now;
+    sender.isHealthy = digest.isWatching && !digest.hasTrouble;
+    if (sender.isHealthy && !wasLive) {
+        sender.liveSince = now;
+    }
+    sender.digest = digest;
+    if (digest.isWatching) {
+        m_watcherIds.insert(peer);
+    } else {
+        m_watcherIds.erase(peer);
     }
-    if (watcher.isHealthy && firstLiveWatcher(now) == peer && !isFirst(now)) {
-        compareChecksums(peer, watcher, now);
+    for (std::size_t i = 0; i < FollowedTableCount; ++i) {
+        compare(i, peer, sender, now);
+        advanceRepair(i, now);
     }
 }
 
-auto TableFollower::tableRequested(const std::string &peer, std::size_t table) -> void
+auto TableFollower::tableRequested(const std::string &peer, std::size_t table, RowVersion after) -> void
 {
     const auto &mirror = m_tables.at(table).mirror;
     if (!mirror.isLoaded()) {
         note("wanted-not-loaded", {{"peer", peer}, {"table", nameOf(table)}});
         return;
     }
-    note("sent-table", {{"table", nameOf(table)}, {"peer", peer}, {"version", textOf(mirror.completeTo())}});
-    m_hooks.send(peer, {.table = table, .isWhole = true, .upTo = mirror.completeTo(), .rows = mirror.rows()});
+    TableRows rows {.table = table, .upTo = mirror.completeTo()};
+    if (after > RowVersion() && mirror.knowsRemovalsSince(after)) {
+        rows.after = after;
+        rows.rows = mirror.changesSince(after);
+    } else {
+        rows.isWhole = true;
+        rows.rows = mirror.rows();
+    }
+    note("sent-table",
+         {{"table", nameOf(table)},
+          {"peer", peer},
+          {"version", textOf(rows.upTo)},
+          {"rows", std::to_string(rows.rows.size())},
+          {"whole", rows.isWhole ? "yes" : "no"}});
+    m_hooks.send(peer, rows);
 }
 
 auto TableFollower::requestFrom(const std::string &peer, StoreTable table) -> void
 {
     if (const auto index = followedIndex(table)) {
-        requestTable(*index, peer, "proof");
+        request(*index, peer, "proof");
     }
 }
 
 auto TableFollower::rowsReceived(const std::string &peer, const TableRows &rows, TimePoint now) -> void
 {
     m_now = now;
-    auto &mirror = m_tables.at(rows.table).mirror;
-    const bool wasLoaded = mirror.isLoaded();
-    const auto changed = rows.isWhole ? mirror.applySnapshot(rows.rows, rows.upTo) : mirror.applyChanges(rows.rows);
-    if (!rows.isWhole) {
-        mirror.markComplete(rows.after.value_or(mirror.completeTo()), rows.upTo);
+    auto &table = m_tables.at(rows.table);
+    const bool wasLoaded = table.mirror.isLoaded();
+    const auto changed = rows.isWhole ? table.mirror.applySnapshot(rows.rows, rows.upTo) : table.mirror.applyChanges(rows.rows);
+    if (rows.isWhole) {
+        endRepair(rows.table);
+    } else if (!table.mirror.markComplete(rows.after.value_or(table.mirror.completeTo()), rows.upTo) && wasLoaded) {
+        startRepair(rows.table, {.dueAt = now + m_settings.gapDelay, .target = rows.upTo}, peer);
     }
     applyRows(rows.table, changed, rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded, peer);
     if (m_isWatching && rows.isWhole && wasLoaded && !changed.empty()) {
         holdRows(rows.table, changed); // the peer may not have forwarded them yet
     }
+    advanceRepair(rows.table, now);
     if (m_isLoadingFromPeers && areAllLoaded()) {
         finishStart();
     }
@@ -569,6 +694,9 @@
     m_now = now;
     forwardOverdue(now);
     updatePause(now);
+    for (std::size_t i = 0; i < FollowedTableCount; ++i) {
+        advanceRepair(i, now);
+    }
     if (m_isStarting) {
         return;
     }
@@ -586,7 +714,7 @@
     if (!first) {
         return;
     }
-    const auto &watcher = m_watchers.at(*first);
+    const auto &watcher = m_peers.at(*first);
     const bool isStable = now - watcher.liveSince >= m_settings.handoverDelay;
     if (isStable && areAllLoaded()) {
         stopWatching(now);
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -5,7 +5,12 @@
 // forwards changes at once; the other watchers hold a change until a digest shows that it was forwarded, and otherwise forward it one after another. That a
 // watcher knows a change doesn't show that it was forwarded: each may have found it by itself and left it to another one. While no watcher reaches the store,
 // more gateways watch, up to a limit; a gateway without peers watches by itself. Where many gateways are registered, a starting gateway reads only the
-// gateways' rows and gets the other tables from a peer. Digests carry a checksum of each table, by which a gateway detects that it has missed a change.
+// gateways' rows and gets the other tables from a peer.
+//
+// A digest says up to which version its sender's copy of each table is complete. A gateway whose copy stays behind has missed a message. It requests the
+// changes from any gateway that has them and to which it is connected: it may have no connection to the watchers, as their rows may be among those that it
+// lacks, and a hundred gateways that miss the same message mustn't all request it from one. If nobody answers, it reads the table from the store. Digests also
+// carry checksums, which show a difference that the versions don't.
 //
 // Index of sections (search for [SECTION]):
 //   Messages        what gateways send each other
@@ -23,6 +28,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -66,9 +72,11 @@
     Duration batchDelay = Duration::millis(100); ///< the first watcher waits this long after a change of targets before its next watch call
     Duration standbyBatchDelay = Duration::millis(700); ///< the same for the other watchers, which only back up the first
     Duration peerLoadTimeout = Duration::millis(1500); ///< at start-up, tables that no peer has sent within this time are read from the store
-    Duration peerRetryDelay = Duration::millis(500); ///< at start-up, a table that hasn't arrived within this time is requested again, from any peer
-    Duration repairDelay = Duration::millis(600); ///< a table whose checksum differs from the first watcher's for this long is fetched whole
-    std::uint64_t seed = 1; ///< of the jitter of retries
+    Duration repairDelay = Duration::millis(600); ///< a copy that stays behind another gateway's for this long has missed changes: they are requested
+    Duration gapDelay = Duration::millis(100); ///< the same if rows arrive that follow later than those known here
+    Duration requestTimeout = Duration::millis(500); ///< changes that haven't arrived this long after a request are requested from another gateway
+    int maxUnansweredRequests = 3; ///< after this many requests without an answer, the table is read from the store
+    std::uint64_t seed = 1; ///< of the jitter of retries, and of the choice of gateways
 };
 
 // [SECTION] Hooks
@@ -85,7 +93,7 @@
     Read, ///< this gateway's own read of the whole table
     Proof, ///< this gateway's own read of single rows, other than by the watch
     Forwarded, ///< changes that another gateway forwarded
-    PeerTable, ///< another gateway's whole table, on request
+    PeerTable, ///< another gateway's whole copy, on request
 };
 auto toString(RowSource source) -> const char *;
 
@@ -93,8 +101,8 @@
     std::function<std::set<std::string>()> livePeers; ///< ids of the other gateways that aren't silent
     std::function<void(const TableRows &rows)> sendAll;
     std::function<void(const std::string &peer, const TableRows &rows)> send;
-    /// Requests a whole table. False: there is no connection to that gateway, so nothing was sent.
-    std::function<bool(const std::string &peer, std::size_t table)> request;
+    /// Requests the changes of a table after the version; 0: the whole table. False: there is no connection to that gateway, so nothing was sent.
+    std::function<bool(const std::string &peer, std::size_t table, RowVersion after)> request;
     /// Start calls to the store; their answers go to answered().
     std::function<void(std::size_t table, StoreCallId call, const std::string &from)> read;
     std::function<void(std::size_t table, StoreCallId call, RowVersion after, Duration wait)> watch;
@@ -124,8 +132,8 @@
     auto start(TimePoint now) -> void;
     auto digestReceived(const std::string &peer, const FollowerDigest &digest, TimePoint now) -> void;
     auto rowsReceived(const std::string &peer, const TableRows &rows, TimePoint now) -> void;
-    auto tableRequested(const std::string &peer, std::size_t table) -> void; ///< the peer requests the whole table
-    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< requests the whole table, as that gateway knows it
+    auto tableRequested(const std::string &peer, std::size_t table, RowVersion after) -> void; ///< see TableFollowerHooks::request
+    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< requests the changes that the gateway knows and this one doesn't
     auto answered(std::size_t table, StoreCallId call, const StoreAnswer &answer, TimePoint now) -> void;
     auto advance(TimePoint now) -> void; ///< call a few times a second
     auto advanceCalls(TimePoint now) -> void; ///< makes the calls that are due
@@ -134,22 +142,32 @@
 
 private:
     /// State of another gateway, from its digests.
-    struct Watcher {
+    struct Peer {
         std::uint64_t rank = 0;
         TimePoint receivedAt;
         TimePoint liveSince; ///< see isLive()
         bool isHealthy = false; ///< it watches the store and reaches it, by its last digest
         FollowerDigest digest;
     };
+    /// Changes that this gateway lacks.
+    struct Repair {
+        TimePoint dueAt; ///< of the first request: until then, the changes may be on their way
+        RowVersion target; ///< done when the copy is complete up to this version
+        bool isWhole = false; ///< the copy differs although it is complete by its version
+        std::optional<TimePoint> requestedAt;
+        std::string requestedFrom;
+        int unanswered = 0; ///< requests without an answer
+    };
     struct FollowedTable {
         RowMirror mirror;
         std::optional<TableWatch> watch; ///< set in the constructor
-        TimePoint requestedAt; ///< when it was last requested from a peer, at start-up
-        std::optional<TimePoint> differsSince; ///< since when its checksum differs from the first live watcher's
+        std::optional<Repair> repair;
+        bool isReadOnce = false; ///< the watch only reads the table, since no other gateway has answered
+        std::optional<TimePoint> differsSince; ///< since when its checksum differs from the first live watcher's, though not its version
         /// Changes that this gateway found in the store, and that haven't been forwarded as far as it knows, with their time of arrival.
         std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
     };
-    auto isLive(const Watcher &watcher, TimePoint now) const -> bool;
+    auto isLive(const Peer &watcher, TimePoint now) const -> bool;
     auto firstLiveWatcher(TimePoint now) const -> std::optional<std::string>;
     auto isRankedToWatch(TimePoint now) const -> bool;
     auto watchersAhead(TimePoint now) const -> int;
@@ -158,7 +176,6 @@
     auto areAllLoaded() const -> bool;
     auto buildWatch(std::size_t index) -> void;
     auto chooseSource() -> void;
-    auto requestMissingTables(const std::string &id, const FollowerDigest &digest, TimePoint now) -> void;
     auto finishStart() -> void;
     auto startWatching(const char *why) -> void;
     auto stopWatching(TimePoint now) -> void;
@@ -170,17 +187,25 @@
     auto forwardedTo(std::size_t index) const -> RowVersion;
     auto isForwardedByOther(std::size_t index, RowVersion version, TimePoint now) const -> bool;
     auto forwardHeld(std::size_t index) -> void;
-    auto requestTable(std::size_t index, const std::string &peer, const char *why) -> void;
+    auto request(std::size_t index, const std::string &peer, const char *why) -> bool;
     auto forwardOverdue(TimePoint now) -> void;
     auto updatePause(TimePoint now) -> void;
-    auto compareChecksums(const std::string &id, const Watcher &watcher, TimePoint now) -> void;
+    auto compare(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
+    auto detectDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
+    auto startRepair(std::size_t index, const Repair &repair, const std::string &seenAt) -> void;
+    auto advanceRepair(std::size_t index, TimePoint now) -> void;
+    auto endRepair(std::size_t index) -> void;
+    auto sourcesOf(std::size_t index) -> std::vector<std::string>;
+    auto readOnce(std::size_t index) -> void;
     auto note(std::string name, std::vector<std::pair<std::string, std::string>> fields) const -> void;
 
     TableFollowerSettings m_settings;
     TableFollowerHooks m_hooks;
     std::array<FollowedTable, FollowedTableCount> m_tables;
-    std::map<std::string, Watcher> m_watchers;
+    std::map<std::string, Peer> m_peers;
+    std::set<std::string> m_watcherIds; ///< of the peers that watch, by their last digest
     StoreWatchers m_storeWatchers;
+    std::minstd_rand m_random;
     TimePoint m_now; ///< of the current event, for the hooks of the watches
     std::optional<TimePoint> m_startDeadline; ///< at start-up, tables that aren't loaded by then are read from the store
     bool m_isWatching = false;
--- a/src/core/tablewatch.cpp
+++ b/src/core/tablewatch.cpp
@@ -24,6 +24,11 @@
     return m_isLoaded;
 }
 
+auto TableWatch::isReading() const -> bool
+{
+    return m_isCalling && m_isReading;
+}
+
 auto TableWatch::isReached() const -> bool
 {
     return m_isReached;
--- a/src/core/tablewatch.h
+++ b/src/core/tablewatch.h
@@ -53,6 +53,7 @@
     // Queries
     auto isRunning() const -> bool;
     auto isLoaded() const -> bool; ///< the whole table was read; false again when a later read of it has failed
+    auto isReading() const -> bool; ///< the whole table is being read
     auto isReached() const -> bool; ///< the last call was answered
     auto version() const -> RowVersion; ///< the store's version up to which changes are known
     auto nextCallAt() const -> std::optional<TimePoint>; ///< call advance() then
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -75,10 +75,11 @@
     return rows;
 }
 
-auto requestFrame(std::size_t table) -> Wire::ControlFrame
+auto requestFrame(std::size_t table, RowVersion after) -> Wire::ControlFrame
 {
     Wire::ControlFrame frame;
     frame.mutable_store_wanted()->set_table(static_cast<std::uint32_t>(table));
+    frame.mutable_store_wanted()->set_after(after.value());
     return frame;
 }
 
@@ -96,9 +97,9 @@
     result.send = [this](const std::string &peer, const TableRows &rows) {
         parts.peers.send(peer, rowsFrame(rows));
     };
-    result.request = [this](const std::string &peer, std::size_t table) {
+    result.request = [this](const std::string &peer, std::size_t table, RowVersion after) {
         parts.metrics.add("store_tables_requested_total");
-        return parts.peers.send(peer, requestFrame(table));
+        return parts.peers.send(peer, requestFrame(table, after));
     };
     result.read = [this](std::size_t table, StoreCallId call, const std::string &from) {
         parts.store.read(FollowedTables.at(table), from, onAnswer(table, call));
@@ -219,7 +220,7 @@
 auto StoreFollower::onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void
 {
     if (frame.has_store_wanted() && frame.store_wanted().table() < FollowedTableCount) {
-        d->follower.tableRequested(id, frame.store_wanted().table());
+        d->follower.tableRequested(id, frame.store_wanted().table(), RowVersion(frame.store_wanted().after()));
     }
     if (!frame.has_rows() || frame.rows().table() >= FollowedTableCount) {
         return;
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -55,7 +55,7 @@
     auto onDigest(const std::string &id, const Wire::GatewayDigest &digest) -> void;
     auto onFrame(const std::string &id, const Wire::ControlFrame &frame) -> void; ///< rows, and requests for tables
     auto advance() -> void; ///< call a few times a second
-    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< the whole table, as that gateway knows it
+    auto requestFrom(const std::string &peer, StoreTable table) -> void; ///< requests the changes that the gateway knows and this one doesn't
     /// Applies rows that were read other than by the watch, and forwards them like changes from the watch.
     auto mergeRows(StoreTable table, const std::vector<StoredRow> &rows) -> void;
 
--- a/tests/sim_tablefleet.h
+++ b/tests/sim_tablefleet.h
@@ -528,10 +528,10 @@
         hooks.send = [this, &gateway](const std::string &peer, const TableRows &rows) {
             transmitRows(gateway, peer, pack(gateway, rows));
         };
-        hooks.request = [this, &gateway](const std::string &peer, std::size_t table) {
-            return transmit(gateway, peer, 50, costs.receive, [id = gateway.id, table](Gateway &receiver) {
+        hooks.request = [this, &gateway](const std::string &peer, std::size_t table, RowVersion after) {
+            return transmit(gateway, peer, 50, costs.receive, [id = gateway.id, table, after](Gateway &receiver) {
                 receiver.requestsReceived += 1;
-                receiver.follower->tableRequested(id, table);
+                receiver.follower->tableRequested(id, table, after);
             });
         };
         hooks.read = [this, &gateway](std::size_t table, StoreCallId call, const std::string &from) {
