fakes: runners crash on a request silently or after the head of the answer, and answer health checks

Gateways that count the targets which a request crashes were only tested with crashes that reset the connection at once. A runner's connections can now stay open without an answer, as after a crash that the network doesn't report, the head of an answer can come first, and the time until the next start and its id are set. The moments of such runs are part of the ground truth. Health checks are answered with the runner's id.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -15,6 +15,7 @@
 constexpr int ServerError = 500;
 constexpr double AdapterMegabytes = 50;
 constexpr auto AdapterLoadTime = Duration::millis(5);
+constexpr auto HealthPath = "/healthz";
 constexpr auto LateOrderDelay = Duration::millis(800);
 
 auto text(const HttpHead &head, const char *name) -> std::string
@@ -103,7 +104,12 @@
     }
 }
 
-auto PlatformRunner::crash(Duration down, bool sameId) -> void
+auto PlatformRunner::crashOf(const Json &command) -> Crash
+{
+    return {Duration::millis(command.value("downMs", 300)), command.value("sameId", false), command.value("silent", false), command.value("afterHead", false)};
+}
+
+auto PlatformRunner::crash(const Crash &how) -> void
 {
     ++m_epoch;
     m_up = false;
@@ -115,11 +121,15 @@
     m_requestLimit.clear();
     m_announcesLeaving = false;
     m_server.setAccepting(false);
-    m_server.closeAll();
+    if (how.isSilent) {
+        m_server.abandonAll();
+    } else {
+        m_server.closeAll();
+    }
     heartbeat();
-    m_clock.after(down, [this, sameId, old = m_id] {
+    m_clock.after(how.down, [this, keepsId = how.keepsId, old = m_id] {
         ++m_epoch;
-        if (!sameId) {
+        if (!keepsId) {
             m_id = m_settings.id + "-" + std::to_string(m_starts + 1);
             m_store.remove("servers", old);
         }
@@ -133,11 +143,12 @@
         "well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark", "reject"};
     const auto mode = command.value("mode", std::string());
     if (mode == "crash") {
-        crash(Duration::millis(command.value("downMs", 300)), command.value("sameId", false));
+        crash(crashOf(command));
         return true;
     }
     if (mode == "crash-on") {
         m_crashBody = command.value("body", std::string());
+        m_crashOnBody = crashOf(command);
         return true;
     }
     if (mode == "request-limit") {
@@ -186,6 +197,7 @@
     return {{"events", m_events},
             {"arrivals", m_arrivals},
             {"runs", m_runs},
+            {"deadlyRuns", m_deadlyRuns},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
             {"keysSeen", m_keysSeen},
@@ -215,6 +227,8 @@
         auto headers = announcements();
         headers.push_back({"Content-Type", "application/json"});
         connection->answer(Status::Ok, headers, report().dump());
+    } else if (head.target == HealthPath) {
+        connection->answer(m_draining || m_mode == "errors" ? Status::Unavailable : Status::Ok, {{"Instance-Id", m_id}}, "");
     } else if (head.target == "/order") {
         if (text(head, "Expect-Instance") != m_id) {
             refuse(connection, "", Misdirected);
@@ -298,7 +312,12 @@
         m_keysSeen += isSameHeaderName(header.name, "Authorization") ? 1 : 0;
     }
     if (!m_crashBody.empty() && body == m_crashBody) {
-        crash(Duration::millis(300), false);
+        m_deadlyRuns.push_back(m_clock.now().inMillis());
+        if (m_crashOnBody.isAfterHead) {
+            connection->write(answerHead(Status::Ok, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Length", "1000"}})
+                              + "partial");
+        }
+        crash(m_crashOnBody);
         return;
     }
     ++m_running;
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -49,8 +49,9 @@
     auto id() const -> const std::string &;
     auto port() const -> int;
     auto truth() const -> Json;
-    /// {"mode":"crash","downMs":N,"sameId":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
-    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "crash-on" with "body", "well"; {"mode":"request-limit","perSecond":TEXT}
+    /// {"mode":"crash","downMs":N,"sameId":B,"silent":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
+    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "well"; {"mode":"crash-on","body":TEXT} with the options of "crash", and
+    /// "afterHead":true if the crash comes after the head of the answer: a request with this body crashes the runner; {"mode":"request-limit","perSecond":TEXT}
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
     /// says nothing of it. False if the mode is unknown.
@@ -82,7 +83,14 @@
     auto models() const -> Json;
     auto heartbeat() -> void;
     auto start() -> void;
-    auto crash(Duration down, bool sameId) -> void;
+    struct Crash {
+        Duration down;
+        bool keepsId = false; ///< starts again under the same id
+        bool isSilent = false; ///< connections stay open, without an answer
+        bool isAfterHead = false; ///< the head of the answer is sent first
+    };
+    static auto crashOf(const Json &command) -> Crash;
+    auto crash(const Crash &how) -> void;
     auto usedMegabytes() const -> double;
     auto usedAdapterSlots() const -> std::size_t;
 
@@ -104,6 +112,7 @@
     int m_touches = 0; ///< counted in the row
     bool m_announcesLeaving = false;
     std::string m_crashBody; ///< a request with this body crashes the runner
+    Crash m_crashOnBody; ///< how
     std::map<std::string, LoadedModel> m_loadedModels;
     bool m_busy = false;
     std::uint64_t m_acceptedOrders = 0;
@@ -115,6 +124,7 @@
     Json m_events = Json::array(); ///< what concerns the runner's own announcements, see record()
     std::vector<std::int64_t> m_arrivals; ///< milliseconds of the site's clock at which requests arrived, rejected ones included
     std::map<std::string, int> m_runs; ///< by attempt, over all starts
+    Json m_deadlyRuns = Json::array(); ///< milliseconds of the site's clock at which a request with m_crashBody crashed the runner
     std::map<std::string, std::string> m_bodies; ///< by attempt
     std::map<std::string, std::string> m_accounts; ///< by attempt: the accounts named in the request's headers, joined by commas
     std::uint64_t m_keysSeen = 0; ///< requests that carried a client's key (Authorization header)
--- a/fakes/platformwire.cpp
+++ b/fakes/platformwire.cpp
@@ -86,6 +86,17 @@
     }
 }
 
+auto RawServer::abandonAll() -> void
+{
+    for (const auto &connection : m_connections) {
+        connection->m_stream->pauseReading();
+        connection->m_server = nullptr;
+        connection->onClientClosed = nullptr;
+        m_abandoned.insert(connection);
+    }
+    m_connections.clear();
+}
+
 auto RawServer::accept(std::unique_ptr<TcpStream> stream) -> void
 {
     if (!m_accepting) {
--- a/fakes/platformwire.h
+++ b/fakes/platformwire.h
@@ -47,6 +47,8 @@
     /// While on, nothing is read, as if the host had no power; but this machine's operating system still acknowledges received bytes.
     auto setUnresponsive(bool on) -> void;
     auto closeAll() -> void;
+    /// Leaves the connections open without reading from them or answering on them, as after a crash that the network doesn't report.
+    auto abandonAll() -> void;
 
 private:
     friend class RawConnection;
@@ -58,6 +60,7 @@
     Handler m_handler;
     TcpListener m_listener;
     std::set<RawConnectionPtr> m_connections;
+    std::set<RawConnectionPtr> m_abandoned; ///< see abandonAll()
     bool m_accepting = true;
     bool m_unresponsive = false;
 };
