--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -15,6 +15,21 @@
     return stableHash(text);
 }
 
+auto toString(BreakVerdict verdict) -> const char *
+{
+    switch (verdict) {
+    case BreakVerdict::Counted:
+        return "counted";
+    case BreakVerdict::SentBefore:
+        return "sent-before";
+    case BreakVerdict::TooSoon:
+        return "too-soon";
+    case BreakVerdict::NoRecord:
+        return "no-record";
+    }
+    return "";
+}
+
 CrashRepeats::CrashRepeats(CrashRepeatOptions options)
     : m_options(options)
 {
@@ -46,33 +61,49 @@
     return m_records.size() < m_options.maxRecords ? &m_records[fingerprint] : nullptr;
 }
 
-auto CrashRepeats::targetBrokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> bool
+auto CrashRepeats::targetBrokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> BreakVerdict
 {
     auto *known = findOrAdd(fingerprint);
-    const bool isNext = known != nullptr && (known->breaks == 0 || (sentAt > known->lastAt && now - known->lastAt >= m_options.minInterval));
-    if (isNext) {
-        ++known->breaks;
-        known->lastAt = now;
+    if (known == nullptr) {
+        return BreakVerdict::NoRecord;
+    }
+    if (known->breaks > 0 && sentAt <= known->lastAt) {
+        return BreakVerdict::SentBefore;
+    }
+    if (known->breaks > 0 && now - known->lastAt < m_options.minInterval) {
+        return BreakVerdict::TooSoon;
     }
-    return isNext;
+    ++known->breaks;
+    known->lastAt = now;
+    return BreakVerdict::Counted;
 }
 
-auto CrashRepeats::succeeded(std::uint64_t fingerprint) -> void
+auto CrashRepeats::succeeded(std::uint64_t fingerprint) -> bool
 {
-    m_records.erase(fingerprint);
+    return m_records.erase(fingerprint) > 0;
 }
 
-auto CrashRepeats::reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> void
+auto CrashRepeats::reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> bool
 {
     auto *known = findOrAdd(fingerprint);
-    if (known != nullptr && breaks > known->breaks) {
-        *known = {breaks, now};
+    if (known == nullptr || breaks <= known->breaks) {
+        return false;
     }
+    *known = {breaks, now};
+    return true;
 }
 
-auto CrashRepeats::expire(TimePoint now) -> void
+auto CrashRepeats::expire(TimePoint now) -> std::vector<std::uint64_t>
 {
-    std::erase_if(m_records, [&](const auto &known) { return now - known.second.lastAt >= m_options.lifetime; });
+    std::vector<std::uint64_t> dropped;
+    std::erase_if(m_records, [&](const auto &known) {
+        const bool isOver = now - known.second.lastAt >= m_options.lifetime;
+        if (isOver) {
+            dropped.push_back(known.first);
+        }
+        return isOver;
+    });
+    return dropped;
 }
 
 } // namespace KingCup
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace KingCup
 {
@@ -29,6 +30,15 @@
 /// A fingerprint that is equal for requests with the same host, path and body.
 auto requestFingerprint(std::string_view host, std::string_view path, std::string_view body) -> std::uint64_t;
 
+/// Whether the end of a run counts, and why not.
+enum class BreakVerdict {
+    Counted,
+    SentBefore, ///< the run began before the last break that counts
+    TooSoon, ///< after the last break that counts
+    NoRecord, ///< too many requests are recorded
+};
+auto toString(BreakVerdict verdict) -> const char *;
+
 class CrashRepeats
 {
 public:
@@ -38,12 +48,12 @@
     auto isBarred(std::uint64_t fingerprint, TimePoint now) const -> bool; ///< the request must not be sent to a target
     auto breaks(std::uint64_t fingerprint) const -> int; ///< number of breaks counted so far
 
-    /// The target broke off while it ran the request. Returns whether the break counts; if so, the other gateways must be notified.
-    auto targetBrokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> bool;
-    auto succeeded(std::uint64_t fingerprint) -> void; ///< the request ran without a break: drops its record
+    /// The target broke off while it ran the request. If the break counts, the other gateways must be notified.
+    auto targetBrokeOff(std::uint64_t fingerprint, TimePoint sentAt, TimePoint now) -> BreakVerdict;
+    auto succeeded(std::uint64_t fingerprint) -> bool; ///< the request ran without a break: drops its record; false: there is none
     /// Another gateway has counted this many breaks.
-    auto reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> void;
-    auto expire(TimePoint now) -> void; ///< drops records after their lifetime; call about once a second
+    auto reported(std::uint64_t fingerprint, int breaks, TimePoint now) -> bool; ///< false: no more than known here
+    auto expire(TimePoint now) -> std::vector<std::uint64_t>; ///< drops records after their lifetime and returns them; call about once a second
 
 private:
     struct Record {
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -260,18 +260,36 @@
     return !m_owner.crashes.isEmpty() && m_owner.crashes.isBarred(fingerprint(), now());
 }
 
+/// A line for each end of a run without a complete answer: only the ends that `verdict` names as counted lead to the rejection of the request.
+auto ForwardedRequest::logRunEnd(const char *how, const char *verdict) -> void
+{
+    const auto request = fingerprint();
+    m_owner.parts.log.line("crashes", "run-ended")
+        .add("request", request)
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("born", m_incarnation.startedAtMillis)
+        .add("after", now() - m_sentAt)
+        .add("how", how)
+        .add("head", m_hasHead)
+        .add("verdict", verdict)
+        .add("breaks", m_owner.crashes.breaks(request));
+}
+
 auto ForwardedRequest::recordBreak() -> void
 {
     const auto request = fingerprint();
-    if (m_owner.crashes.targetBrokeOff(request, m_sentAt, now())) {
+    const auto verdict = m_owner.crashes.targetBrokeOff(request, m_sentAt, now());
+    logRunEnd("broken", toString(verdict));
+    if (verdict == BreakVerdict::Counted) {
         m_owner.hooks.onCrashRepeat(request, m_owner.crashes.breaks(request));
     }
 }
 
 auto ForwardedRequest::recordSuccess() -> void
 {
-    if (!m_owner.crashes.isEmpty()) {
-        m_owner.crashes.succeeded(fingerprint());
+    if (!m_owner.crashes.isEmpty() && m_owner.crashes.succeeded(fingerprint())) {
+        m_owner.parts.log.line("crashes", "cleared").add("request", fingerprint()).add("id", m_traits.attempt.text()).add("why", "succeeded");
     }
 }
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -85,6 +85,10 @@
     m_isWaiting = false;
     m_waitTimer.cancel();
     if (isBarred()) {
+        m_owner.parts.log.line("crashes", "rejected")
+            .add("request", fingerprint())
+            .add("id", m_traits.attempt.text())
+            .add("breaks", m_owner.crashes.breaks(fingerprint()));
         m_retryAfter = BarredRetryAfter;
         abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
         return;
@@ -279,6 +283,7 @@
         return;
     }
     std::exchange(m_call, nullptr)->cancel();
+    logRunEnd("unacknowledged", "not-counted");
     ++m_possibleRuns;
     closeSend(SendResult::NoAnswer);
     m_request.excluded.push_back(m_target);
@@ -350,6 +355,9 @@
     }
     if (m_call) {
         const auto call = std::exchange(m_call, nullptr);
+        if (call->wasSent()) {
+            logRunEnd(outcome, "not-counted");
+        }
         call->cancel();
     }
     closeSend(SendResult::Cancelled);
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -123,6 +123,7 @@
     auto recordProgress() -> void;
     auto fingerprint() -> std::uint64_t;
     auto isBarred() -> bool;
+    auto logRunEnd(const char *how, const char *verdict) -> void;
     auto recordBreak() -> void;
     auto recordSuccess() -> void;
     auto onEnd(const PooledEnd &end) -> void;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -87,7 +87,7 @@
     /// Tries waiting requests again. Call it when targets, or the models that they hold, have changed.
     auto retryWaiting() -> void;
     /// Another gateway has counted `breaks` targets that broke off while they ran the request.
-    auto crashRepeatReported(std::uint64_t fingerprint, int breaks) -> void;
+    auto crashRepeatReported(const std::string &gateway, std::uint64_t fingerprint, int breaks) -> void;
     /// Ends all open requests; returns how many were cut off.
     auto abandonAll() -> int;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -689,7 +689,7 @@
     } else if (frame.has_holding()) {
         onResidencyReport(frame.holding());
     } else if (frame.has_crash_repeat()) {
-        forwarder->crashRepeatReported(frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MaxReportedBreaks)));
+        forwarder->crashRepeatReported(id, frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MaxReportedBreaks)));
     } else if (frame.has_account_usage()) {
         usage->merge(id, frame.account_usage().start(), frame.account_usage());
     } else if (frame.has_target_limits()) {
--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -383,7 +383,7 @@
     for (int i = 1; i <= 3; ++i) {
         auto &entry = i == 2 ? there : here;
         REQUIRE_FALSE(entry.isBarred(request, at(i)));
-        REQUIRE(entry.targetBrokeOff(request, at(i), at(i + 0.2)));
+        REQUIRE(entry.targetBrokeOff(request, at(i), at(i + 0.2)) == BreakVerdict::Counted);
         here.reported(request, entry.breaks(request), at(i + 0.3));
         there.reported(request, entry.breaks(request), at(i + 0.3));
     }
