tests: requests that crash their targets, at 4 to 450 gateways and with real processes, failing

unit_crashrepeats plays gateways, targets and messages in virtual time: crashes seen as a reset, as silence or after the head of the answer; copies that overlap, burst or come slowly; gateways that start, freeze, lose messages or their peers; a zone lost at once; requests that are only in flight at crashes of others. The bounds are the promised ones: at most three copies that clients send later than 3 s after the third crash run, and an innocent request is served again some seconds after outages.

--- /dev/null
+++ b/tests/sim_crashfleet.h
@@ -0,0 +1,437 @@
+// Gateways that forward requests to targets in virtual time, where some requests crash each target that runs them. Gateways start, freeze, end, lose messages
+// and lose their peers; targets crash by themselves too and start again.
+#pragma once
+
+#include "tests/sim_crashnode.h"
+#include "tests/sim_table.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCup
+{
+
+/// How a gateway sees that a target has crashed while it ran a request.
+enum class SimCrashSight { Reset, Silence, HeadThenReset, HeadThenSilence, Any };
+
+struct SimCrashOptions {
+    int gateways = 4;
+    int targets = 4;
+    int zones = 4;
+    std::uint64_t seed = 1;
+    SimCrashSight sight = SimCrashSight::Reset;
+    bool keepsIds = false; ///< targets start again under their ids
+    Duration minDown = Duration::millis(2000); ///< of a crashed target
+    Duration maxDown = Duration::millis(4000);
+    Duration crashAfter = Duration::millis(100); ///< from the begin of a run to the crash that it causes
+    Duration clientTimeout = Duration::millis(1500);
+    double messageLoss = 0; ///< share of the messages between gateways that are lost
+};
+
+/// Requests with odd numbers crash their targets.
+class SimCrashFleet
+{
+public:
+    explicit SimCrashFleet(SimCrashOptions options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        for (int i = 0; i < options.targets; ++i) {
+            m_targets.push_back({"t" + std::to_string(i), 1, true, i % options.zones, {}});
+        }
+        m_gateways.resize(static_cast<std::size_t>(options.gateways));
+        for (int i = 0; i < options.gateways; ++i) {
+            startGateway(i);
+        }
+        tick();
+    }
+
+    SimClock clock;
+
+    auto send(int gateway, std::uint64_t request) -> void
+    {
+        attempt({request, clock.now(), gateway, ++m_lastClient}, clock.now());
+    }
+    auto crashTarget(std::size_t index) -> void
+    {
+        auto &target = m_targets[index];
+        if (!target.isUp) {
+            return;
+        }
+        target.isUp = false;
+        const auto inFlight = std::move(target.inFlight);
+        target.inFlight.clear();
+        for (const auto &run : inFlight) {
+            const auto sight = m_options.sight == SimCrashSight::Any ? static_cast<SimCrashSight>(m_random() % 4) : m_options.sight;
+            if (sight == SimCrashSight::HeadThenReset || sight == SimCrashSight::HeadThenSilence) {
+                atGateway(run, Duration::micros(500), [run](SimCrashNode &node, TimePoint now) { node.received(run.id, now); });
+            }
+            if (sight == SimCrashSight::Reset || sight == SimCrashSight::HeadThenReset) {
+                endRun(run, Duration::millis(1), [run](SimCrashNode &node, TimePoint now) { node.broke(run.id, now); });
+            }
+        }
+        clock.after(between(m_options.minDown, m_options.maxDown), [this, index] {
+            auto &restarted = m_targets[index];
+            ++restarted.starts;
+            restarted.isUp = true;
+        });
+    }
+    auto crashZone(int zone) -> void
+    {
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            if (m_targets[i].zone == zone) {
+                crashTarget(i);
+            }
+        }
+    }
+    auto killGateway(int index, Duration down) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(index)];
+        ++gateway.epoch;
+        gateway.node.reset();
+        gateway.disturbedUntil = clock.now() + down;
+        clock.after(down, [this, index] { startGateway(index); });
+    }
+    auto freezeGateway(int index, Duration span) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(index)];
+        gateway.frozenUntil = clock.now() + span;
+        gateway.disturbedUntil = gateway.frozenUntil;
+    }
+    /// The gateway neither receives messages of other gateways nor reaches them.
+    auto cutFromPeers(int index, Duration span) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(index)];
+        gateway.cutUntil = clock.now() + span;
+        gateway.disturbedUntil = gateway.cutUntil;
+        clock.after(span, [this, index] { connect(index); });
+    }
+
+    /// Runs of the request that gateways in touch sent later than `span` after its third crash, for copies that its client sent later than that.
+    auto lateRuns(std::uint64_t request, Duration span) const -> int
+    {
+        const auto found = m_histories.find(request);
+        if (found == m_histories.end() || found->second.crashes.size() < 3) {
+            return 0;
+        }
+        const auto limit = found->second.crashes[2] + span;
+        const auto &runs = found->second.runs;
+        return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) { return run.isInTouch && run.clientSentAt > limit; }));
+    }
+    auto crashes(std::uint64_t request) const -> std::size_t
+    {
+        const auto found = m_histories.find(request);
+        return found == m_histories.end() ? 0 : found->second.crashes.size();
+    }
+    auto served(std::uint64_t request) const -> int
+    {
+        const auto found = m_histories.find(request);
+        return found == m_histories.end() ? 0 : found->second.served;
+    }
+    auto rejected(std::uint64_t request) const -> int
+    {
+        const auto found = m_histories.find(request);
+        return found == m_histories.end() ? 0 : found->second.rejected;
+    }
+    auto lastServedAt(std::uint64_t request) const -> TimePoint
+    {
+        return m_histories.at(request).lastServedAt;
+    }
+    auto random() -> std::mt19937_64 &
+    {
+        return m_random;
+    }
+    auto between(Duration least, Duration most) -> Duration
+    {
+        return Duration::micros(std::uniform_int_distribution<std::int64_t>(least.inMicros(), most.inMicros())(m_random));
+    }
+
+private:
+    static constexpr auto TickPeriod = Duration::millis(100);
+    static constexpr auto ChecksumPeriod = Duration::millis(1000);
+    static constexpr auto InTouchAfter = Duration::seconds(3);
+    static constexpr auto SettleTime = Duration::millis(300); ///< until gateways know that a target is down
+    static constexpr auto WaitStep = Duration::millis(20);
+    static constexpr auto MaxWait = Duration::millis(200);
+
+    struct Client {
+        std::uint64_t request = 0;
+        TimePoint sentAt;
+        int gateway = 0;
+        std::uint64_t id = 0;
+    };
+    struct InFlight {
+        SendId id;
+        Client client;
+        std::uint64_t epoch = 0; ///< of the gateway
+    };
+    struct Target {
+        std::string id;
+        std::uint64_t starts = 1;
+        bool isUp = true;
+        int zone = 0;
+        std::vector<InFlight> inFlight;
+    };
+    struct Gateway {
+        std::unique_ptr<SimCrashNode> node;
+        std::uint64_t epoch = 0;
+        std::set<SendId> open; ///< runs that haven't ended for the gateway
+        TimePoint frozenUntil;
+        TimePoint cutUntil;
+        TimePoint disturbedUntil;
+        TimePoint nextChecksumAt;
+    };
+    struct Run {
+        TimePoint clientSentAt;
+        bool isInTouch = false;
+    };
+    struct History {
+        std::vector<TimePoint> crashes; ///< that the request caused
+        std::vector<Run> runs;
+        int served = 0;
+        int rejected = 0;
+        TimePoint lastServedAt;
+    };
+
+    static auto idOf(int gateway) -> std::string
+    {
+        return "gw-" + std::to_string(gateway);
+    }
+    auto incarnation(const Target &target) const -> TargetIncarnation
+    {
+        return {TargetId(m_options.keepsIds ? target.id : target.id + "-" + std::to_string(target.starts)), target.starts};
+    }
+    auto isCut(const Gateway &gateway) const -> bool
+    {
+        return clock.now() < gateway.cutUntil;
+    }
+    auto isInTouch(const Gateway &gateway) const -> bool
+    {
+        return clock.now() >= gateway.disturbedUntil + InTouchAfter;
+    }
+
+    auto startGateway(int index) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(index)];
+        ++gateway.epoch;
+        gateway.open.clear();
+        gateway.disturbedUntil = clock.now();
+        gateway.nextChecksumAt = clock.now() + between(Duration(), ChecksumPeriod);
+        SimCrashHooks hooks;
+        hooks.sendAll = [this, index](const SimCrashMessage &message) {
+            for (int i = 0; i < m_options.gateways; ++i) {
+                if (i != index) {
+                    deliver(index, i, message);
+                }
+            }
+        };
+        hooks.send = [this, index](const std::string &to, const SimCrashMessage &message) {
+            for (int i = 0; i < m_options.gateways; ++i) {
+                if (idOf(i) == to) {
+                    deliver(index, i, message);
+                }
+            }
+        };
+        hooks.check = [this, index, epoch = gateway.epoch](const TargetIncarnation &target, std::function<void(SimTargetSign)> done) {
+            check(index, epoch, target, std::move(done));
+        };
+        gateway.node = std::make_unique<SimCrashNode>(idOf(index), std::move(hooks));
+        connect(index);
+    }
+    /// The peers' connections to the gateway are established: they greet it, and it greets them.
+    auto connect(int index) -> void
+    {
+        for (int i = 0; i < m_options.gateways; ++i) {
+            if (i == index || !m_gateways[static_cast<std::size_t>(i)].node) {
+                continue;
+            }
+            for (const auto &[from, to] : {std::pair(index, i), std::pair(i, index)}) {
+                if (!m_gateways[static_cast<std::size_t>(from)].node) {
+                    continue;
+                }
+                if (const auto message = m_gateways[static_cast<std::size_t>(from)].node->greeting(clock.now())) {
+                    deliver(from, to, *message);
+                }
+            }
+        }
+    }
+    auto deliver(int from, int to, const SimCrashMessage &message) -> void
+    {
+        const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.messageLoss;
+        if (isLost || isCut(m_gateways[static_cast<std::size_t>(from)])) {
+            return;
+        }
+        clock.after(between(Duration::millis(1), Duration::millis(25)), [this, from, to, message] { arrive(from, to, message); });
+    }
+    auto arrive(int from, int to, const SimCrashMessage &message) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(to)];
+        if (!gateway.node || isCut(gateway)) {
+            return;
+        }
+        if (clock.now() < gateway.frozenUntil) {
+            clock.at(gateway.frozenUntil, [this, from, to, message] { arrive(from, to, message); });
+            return;
+        }
+        gateway.node->receive(idOf(from), message, clock.now());
+    }
+    /// Calls the function at the gateway of a run, unless the gateway has ended; once it has thawed if it is frozen.
+    auto atGateway(const InFlight &run, Duration delay, const std::function<void(SimCrashNode &node, TimePoint now)> &action) -> void
+    {
+        clock.after(delay, [this, run, action] {
+            auto &gateway = m_gateways[static_cast<std::size_t>(run.client.gateway)];
+            if (!gateway.node || gateway.epoch != run.epoch) {
+                return;
+            }
+            if (clock.now() < gateway.frozenUntil) {
+                atGateway(run, gateway.frozenUntil - clock.now(), action);
+                return;
+            }
+            action(*gateway.node, clock.now());
+        });
+    }
+    auto endRun(const InFlight &run, Duration delay, const std::function<void(SimCrashNode &node, TimePoint now)> &action) -> void
+    {
+        atGateway(run, delay, [this, run, action](SimCrashNode &node, TimePoint now) {
+            if (m_gateways[static_cast<std::size_t>(run.client.gateway)].open.erase(run.id) > 0) {
+                action(node, now);
+            }
+        });
+    }
+    auto check(int index, std::uint64_t epoch, const TargetIncarnation &wanted, std::function<void(SimTargetSign)> done) -> void
+    {
+        constexpr auto RoundTrip = Duration::millis(2);
+        constexpr auto ConnectTimeout = Duration::millis(150);
+        auto sign = SimTargetSign::NoConnection;
+        for (const auto &target : m_targets) {
+            if (!wanted.id.text().starts_with(target.id + "-") && wanted.id.text() != target.id) {
+                continue;
+            }
+            if (target.isUp) {
+                sign = incarnation(target).id == wanted.id ? SimTargetSign::Alive : SimTargetSign::Replaced;
+            }
+        }
+        const InFlight caller {SendId(), {0, {}, index, 0}, epoch};
+        atGateway(caller, sign == SimTargetSign::NoConnection ? ConnectTimeout : RoundTrip, [done, sign](SimCrashNode &, TimePoint) { done(sign); });
+    }
+
+    auto attempt(const Client &client, TimePoint since) -> void
+    {
+        auto &gateway = m_gateways[static_cast<std::size_t>(client.gateway)];
+        auto &history = m_histories[client.request];
+        if (!gateway.node) {
+            return;
+        }
+        if (clock.now() < gateway.frozenUntil) {
+            clock.at(gateway.frozenUntil, [this, client] { attempt(client, clock.now()); });
+            return;
+        }
+        const auto left = client.sentAt + m_options.clientTimeout - clock.now();
+        if (left <= Duration()) {
+            return;
+        }
+        std::vector<std::size_t> up;
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            if (m_targets[i].isUp) {
+                up.push_back(i);
+            }
+        }
+        if (up.empty()) {
+            clock.after(WaitStep, [this, client] { attempt(client, clock.now()); });
+            return;
+        }
+        const auto decision = gateway.node->decide(client.request, clock.now());
+        if (decision == SimDecision::Reject || (decision == SimDecision::Wait && clock.now() - since > MaxWait)) {
+            ++history.rejected;
+            return;
+        }
+        if (decision == SimDecision::Wait) {
+            clock.after(WaitStep, [this, client, since] { attempt(client, since); });
+            return;
+        }
+        const auto index = up[m_random() % up.size()];
+        auto &target = m_targets[index];
+        const InFlight run {SendId(++m_lastSend), client, gateway.epoch};
+        gateway.open.insert(run.id);
+        gateway.node->sent(run.id, client.request, incarnation(target), clock.now());
+        target.inFlight.push_back(run);
+        history.runs.push_back({client.sentAt, isInTouch(gateway)});
+        const bool isDeadly = client.request % 2 == 1;
+        clock.after(isDeadly ? m_options.crashAfter : between(Duration::millis(30), Duration::millis(120)),
+                    [this, index, run, starts = target.starts, isDeadly] { onRunTime(index, run, starts, isDeadly); });
+        endRun(run, left, [run](SimCrashNode &node, TimePoint now) { node.gaveUp(run.id, now); });
+    }
+    auto onRunTime(std::size_t index, const InFlight &run, std::uint64_t starts, bool isDeadly) -> void
+    {
+        auto &target = m_targets[index];
+        if (!target.isUp || target.starts != starts) {
+            return;
+        }
+        auto &history = m_histories[run.client.request];
+        if (isDeadly) {
+            history.crashes.push_back(clock.now());
+            crashTarget(index);
+            return;
+        }
+        std::erase_if(target.inFlight, [&](const InFlight &other) { return other.id == run.id; });
+        endRun(run, Duration::millis(1), [this, run](SimCrashNode &node, TimePoint now) {
+            node.succeeded(run.id, now);
+            auto &served = m_histories[run.client.request];
+            ++served.served;
+            served.lastServedAt = now;
+        });
+    }
+    auto tick() -> void
+    {
+        std::set<std::string> all;
+        for (int i = 0; i < m_options.gateways; ++i) {
+            const auto &gateway = m_gateways[static_cast<std::size_t>(i)];
+            if (gateway.node && !isCut(gateway)) {
+                all.insert(idOf(i));
+            }
+        }
+        for (int i = 0; i < m_options.gateways; ++i) {
+            auto &gateway = m_gateways[static_cast<std::size_t>(i)];
+            if (!gateway.node || clock.now() < gateway.frozenUntil) {
+                continue;
+            }
+            auto peers = isCut(gateway) ? std::set<std::string>() : all;
+            peers.erase(idOf(i));
+            gateway.node->setPeers(peers);
+            gateway.node->advance(clock.now());
+            if (clock.now() >= gateway.nextChecksumAt && !isCut(gateway)) {
+                gateway.nextChecksumAt = clock.now() + ChecksumPeriod;
+                sendChecksum(i);
+            }
+        }
+        clock.after(TickPeriod, [this] { tick(); });
+    }
+    auto sendChecksum(int index) -> void
+    {
+        const auto checksum = m_gateways[static_cast<std::size_t>(index)].node->checksum(clock.now());
+        for (int i = 0; i < m_options.gateways; ++i) {
+            auto &other = m_gateways[static_cast<std::size_t>(i)];
+            const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.messageLoss;
+            if (i != index && other.node && !isCut(other) && clock.now() >= other.frozenUntil && !isLost) {
+                other.node->checksumReceived(idOf(index), checksum, clock.now());
+            }
+        }
+    }
+
+    SimCrashOptions m_options;
+    std::mt19937_64 m_random;
+    std::vector<Target> m_targets;
+    std::vector<Gateway> m_gateways;
+    std::map<std::uint64_t, History> m_histories;
+    std::uint64_t m_lastSend = 0;
+    std::uint64_t m_lastClient = 0;
+};
+
+} // namespace KingCup
--- /dev/null
+++ b/tests/system_crashing.cpp
@@ -0,0 +1,185 @@
+// System tests of gateways as real processes on fakes of the users' platform: requests that crash each target that runs them, and requests that are only in
+// flight when targets crash.
+#include "tests/harness_gateways.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <string>
+#include <vector>
+
+using namespace KingCup;
+
+namespace
+{
+
+/// Time after the third crash within which every gateway knows of it.
+constexpr auto NoticeTime = Duration::seconds(3);
+/// Runs that may begin later than NoticeTime after the third crash.
+constexpr std::size_t MaxLateRuns = 3;
+const std::vector<std::string> Instances {"p1", "p2", "p3"};
+
+struct Repeats {
+    std::string method = "POST";
+    Duration interval;
+    int count = 0;
+    std::string body = "deadly";
+};
+
+auto crashOnBody(Site &site, bool isSilent, bool isAfterHead = false) -> void
+{
+    for (const auto &id : Instances) {
+        site.platform(
+            {{"part", "runner"}, {"id", id}, {"mode", "crash-on"}, {"body", "deadly"}, {"downMs", 300}, {"silent", isSilent}, {"afterHead", isAfterHead}});
+    }
+}
+
+/// Sends the request to the gateways in turn, each time with a new id, whether or not the earlier ones were answered.
+auto repeat(Site &site, int gateways, const Repeats &repeats) -> std::vector<ReplyPtr>
+{
+    std::vector<ReplyPtr> replies;
+    for (int i = 0; i < repeats.count; ++i) {
+        RequestOptions request {.path = "/write/debit", .method = repeats.method, .timeBudgetMillis = 1500, .body = repeats.body};
+        if (repeats.method == "GET") {
+            request.path = "/read/x";
+        }
+        replies.push_back(site.begin(1 + i % gateways, request));
+        site.sleep(repeats.interval);
+    }
+    site.waitFor("the answers", [&] { return std::all_of(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->done; }); });
+    return replies;
+}
+
+/// When runs crashed an instance, in order.
+auto crashes(Site &site) -> std::vector<Duration>
+{
+    std::vector<Duration> moments;
+    const auto truth = site.truth();
+    for (const auto &[id, runner] : truth["runners"].items()) {
+        for (const auto &at : runner["deadlyRuns"]) {
+            moments.push_back(Duration::millis(at.get<std::int64_t>()));
+        }
+    }
+    std::sort(moments.begin(), moments.end());
+    return moments;
+}
+
+auto lateRuns(const std::vector<Duration> &crashes) -> std::size_t
+{
+    constexpr std::size_t Third = 2;
+    if (crashes.size() <= Third) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](Duration at) { return at > crashes[Third] + NoticeTime; }));
+}
+
+auto statuses(const std::vector<ReplyPtr> &replies) -> std::string
+{
+    std::string text;
+    for (const auto &reply : replies) {
+        text += std::to_string(reply->status) + " ";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a repeated request that crashes its targets is rejected everywhere, however the crashes and the copies come")
+{
+    // Guards against crashes that don't count: without an answer until the time limit, after the head of the answer, or in quick succession.
+    struct Case {
+        const char *name;
+        Repeats repeats;
+        bool isSilent;
+        bool isAfterHead;
+    };
+    const auto play = GENERATE(values<Case>({
+        {"reset, each second", {.method = "POST", .interval = Duration::millis(1000), .count = 10}, false, false},
+        {"silent, each second", {.method = "POST", .interval = Duration::millis(1000), .count = 10}, true, false},
+        {"silent, five a second", {.method = "POST", .interval = Duration::millis(200), .count = 40}, true, false},
+        {"reset, five a second", {.method = "POST", .interval = Duration::millis(200), .count = 40}, false, false},
+        {"reset, five a second, repeatable", {.method = "GET", .interval = Duration::millis(200), .count = 40}, false, false},
+        {"reset after the head, five a second", {.method = "POST", .interval = Duration::millis(200), .count = 40}, false, true},
+        {"silent after the head, each half second", {.method = "POST", .interval = Duration::millis(500), .count = 16}, true, true},
+    }));
+    Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
+    crashOnBody(site, play.isSilent, play.isAfterHead);
+    const auto replies = repeat(site, 4, play.repeats);
+    const auto moments = crashes(site);
+    INFO(play.name << ": " << moments.size() << " crashes, answers " << statuses(replies));
+    CHECK(moments.size() >= 3);
+    CHECK(lateRuns(moments) <= MaxLateRuns);
+    CHECK(replies.back()->status == 503);
+    CHECK(site.call(1, {.path = "/read/y"})->status == 200);
+}
+
+TEST_CASE("gateways that start again learn which requests are rejected because they crash targets")
+{
+    // Guards against a count of crashes that ends with the process that has counted them.
+    Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
+    crashOnBody(site, false);
+    repeat(site, 4, {.interval = Duration::millis(1000), .count = 6});
+    const auto before = crashes(site).size();
+    for (const auto *id : {"gw-1", "gw-2"}) {
+        site.process(id).send(SIGKILL);
+        site.waitForExit(id);
+        site.start(id);
+    }
+    site.waitFor("the gateways", [&] { return site.isReady(1) && site.isReady(2); });
+    site.sleep(NoticeTime);
+    const auto replies = repeat(site, 2, {.interval = Duration::millis(500), .count = 8});
+    INFO("before " << before << ", in all " << crashes(site).size() << ", answers " << statuses(replies));
+    CHECK(crashes(site).size() - before <= MaxLateRuns);
+}
+
+TEST_CASE("a request that many callers send is served while the targets that run it crash for other reasons")
+{
+    // Guards against rejecting a request because it was in flight when targets crashed.
+    const std::string method = GENERATE("POST", "GET");
+    Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
+    std::vector<ReplyPtr> replies;
+    for (int i = 0; i < 240; ++i) {
+        if (i % 48 == 24) {
+            site.platform({{"part", "runner"}, {"id", Instances[static_cast<std::size_t>(i / 48) % 3]}, {"mode", "crash"}, {"downMs", 300}});
+        }
+        const bool isWrite = method == "POST";
+        replies.push_back(site.begin(1 + i % 4, {.path = isWrite ? "/write/debit" : "/read/x", .method = method, .body = "popular"}));
+        site.sleep(Duration::millis(30));
+    }
+    site.waitFor("the answers", [&] { return std::all_of(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->done; }); });
+    const auto served = std::count_if(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->status == 200; });
+    const auto rejected = std::count_if(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->status == 503; });
+    INFO("served " << served << ", rejected " << rejected << ", answers " << statuses(replies));
+    CHECK(served >= 230); // five crashes cut off the copies in flight there
+    CHECK(rejected <= 5);
+}
+
+TEST_CASE("a request whose copies were in flight at outages of all targets is served again some seconds later")
+{
+    // Guards against rejecting an innocent request for minutes: from the crashes alone it can't be told from one that causes them.
+    Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
+    for (int outage = 0; outage < 5; ++outage) {
+        std::vector<ReplyPtr> replies;
+        for (int i = 0; i < 8; ++i) {
+            replies.push_back(site.begin(1 + i % 4, {.path = "/write/debit", .method = "POST", .timeBudgetMillis = 1500, .body = "unlucky"}));
+        }
+        site.sleep(Duration::millis(6));
+        site.platform({{"part", "runner"}, {"mode", "crash"}, {"downMs", 800}});
+        site.sleep(Duration::millis(1500));
+    }
+    std::string answers;
+    const auto isServed = [&] {
+        const auto reply = site.call(1 + static_cast<int>(answers.size()) % 4, {.path = "/write/debit", .method = "POST", .body = "unlucky"});
+        answers += std::to_string(reply->status) + " ";
+        site.sleep(Duration::millis(300));
+        return reply->status == 200;
+    };
+    site.waitFor("an answer of the repeated request", isServed, Duration::seconds(20));
+    for (int gateway = 1; gateway <= 4; ++gateway) {
+        site.waitFor(
+            "an answer at each gateway",
+            [&] { return site.call(gateway, {.path = "/write/debit", .method = "POST", .body = "unlucky"})->status == 200; },
+            Duration::seconds(3));
+    }
+}
