crash watch: count the ends of targets, not broken connections, and keep the counts at all gateways

Cause: what a request does to targets was learned from broken connections alone. A crash that resets no connection was never counted (the run ended at its time limit), and since a broken connection can have many causes, ends counted only 0.9 s after the last one and for copies sent after it, so that copies that overlap or burst crashed many targets for one count. A count was sent to the other gateways once, and lost with the process or the message. Class: a conclusion about a remote process drawn from one process's view of one connection, and shared without repair.

Now a run without a complete answer stays unresolved until its target is found to have ended or to live (core/runwatch): a health check over a new connection after each break and after a second of silence, or an answer to a later request. What ended counts once for each request that was in flight there, identified by the target's start. Records are whole, merged by union, sent to a gateway that connects and to one whose checksum in its digest differs. A success withdraws one end, an answer of the target withdraws its end. Three ends reject the request; as an innocent one in flight at outages looks the same, it is run again two times, after 5 and 10 s, and once more at once if the ends came within a second, by a grant of one gateway. A success of such a probe clears it everywhere. The account is part of a request's identity.

--- a/src/core/hashing.cpp
+++ b/src/core/hashing.cpp
@@ -19,4 +19,18 @@
     return XXH64(member.data(), member.size(), stableHash(subject));
 }
 
+auto rendezvousFirst(std::string_view subject, const std::string &self, const std::set<std::string> &others) -> std::string
+{
+    const auto *best = &self;
+    auto bestScore = rendezvousScore(subject, self);
+    for (const auto &member : others) {
+        const auto score = rendezvousScore(subject, member);
+        if (score > bestScore) {
+            best = &member;
+            bestScore = score;
+        }
+    }
+    return *best;
+}
+
 } // namespace KingCup
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace KingCup
@@ -13,5 +15,7 @@
 /// Rendezvous (highest random weight) hashing: the score of one member for one subject. The member with the highest score ranks first. When a member
 /// goes away, only the subjects that it ranked first for move to others.
 auto rendezvousScore(std::string_view subject, std::string_view member) -> std::uint64_t;
+/// The member that ranks first for the subject, among `self` and `others`.
+auto rendezvousFirst(std::string_view subject, const std::string &self, const std::set<std::string> &others) -> std::string;
 
 } // namespace KingCup
--- a/src/core/requestpermits.cpp
+++ b/src/core/requestpermits.cpp
@@ -32,17 +32,7 @@
 
 auto RequestPermits::arbiter(const TargetIncarnation &target) const -> std::string
 {
-    const auto subject = target.id.text() + "#" + std::to_string(target.startedAtMillis);
-    const auto *best = &m_self;
-    auto bestScore = rendezvousScore(subject, m_self);
-    for (const auto &gateway : m_live) {
-        const auto score = rendezvousScore(subject, gateway);
-        if (score > bestScore) {
-            best = &gateway;
-            bestScore = score;
-        }
-    }
-    return *best;
+    return rendezvousFirst(target.id.text() + "#" + std::to_string(target.startedAtMillis), m_self, m_live);
 }
 
 auto RequestPermits::wanted(const TargetIncarnation &target, double perSecond, bool isWaiting, TimePoint now) -> PermitState
--- /dev/null
+++ b/src/core/runwatch.cpp
@@ -0,0 +1,272 @@
+#include "core/runwatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCup
+{
+
+auto toString(TargetSign sign) -> const char *
+{
+    switch (sign) {
+    case TargetSign::Alive:
+        return "alive";
+    case TargetSign::Replaced:
+        return "replaced";
+    case TargetSign::Refused:
+        return "refused";
+    case TargetSign::Unconnected:
+        return "unconnected";
+    case TargetSign::Unanswered:
+        return "unanswered";
+    }
+    return "";
+}
+
+auto toString(RunEnd end) -> const char *
+{
+    switch (end) {
+    case RunEnd::TargetEnded:
+        return "target-ended";
+    case RunEnd::TargetLeft:
+        return "target-left";
+    case RunEnd::TargetLives:
+        return "target-lives";
+    case RunEnd::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+RunWatch::RunWatch(RunWatchOptions options)
+    : m_options(options)
+{
+}
+
+auto RunWatch::isIdle() const -> bool
+{
+    return m_targets.empty();
+}
+
+auto RunWatch::find(SendId run) -> Targets::iterator
+{
+    const auto found = m_runs.find(run.value());
+    return found == m_runs.end() ? m_targets.end() : m_targets.find(found->second);
+}
+
+// [SECTION] Runs
+
+auto RunWatch::sent(SendId run, const WatchedTarget &target, Fingerprint fingerprint, TimePoint now) -> void
+{
+    auto [found, isNew] = m_targets.try_emplace(target.incarnation);
+    auto &state = found->second;
+    if (isNew) {
+        state.service = target.service;
+        state.address = target.address;
+        state.heardAt = now;
+    }
+    state.open[run] = {now, std::move(fingerprint)};
+    m_runs[run.value()] = target.incarnation;
+}
+
+auto RunWatch::received(SendId run, TimePoint now) -> void
+{
+    const auto target = find(run);
+    if (target != m_targets.end()) {
+        target->second.heardAt = now;
+        showsLife(target, now - m_options.readDelay);
+    }
+}
+
+auto RunWatch::answered(SendId run, TimePoint now) -> void
+{
+    const auto target = find(run);
+    if (target == m_targets.end()) {
+        return;
+    }
+    const auto open = target->second.open.extract(run);
+    m_runs.erase(run.value());
+    target->second.heardAt = now;
+    showsLife(target, open.empty() ? TimePoint() : open.mapped().sentAt);
+    dropIfIdle(target);
+}
+
+auto RunWatch::notSent(SendId run) -> void
+{
+    const auto target = find(run);
+    if (target == m_targets.end()) {
+        return;
+    }
+    target->second.open.erase(run);
+    m_runs.erase(run.value());
+    dropIfIdle(target);
+}
+
+auto RunWatch::broke(SendId run, TimePoint now) -> void
+{
+    end(run, true, now);
+}
+
+auto RunWatch::abandoned(SendId run, TimePoint now) -> void
+{
+    end(run, false, now);
+}
+
+auto RunWatch::end(SendId run, bool isBroken, TimePoint now) -> void
+{
+    const auto target = find(run);
+    if (target == m_targets.end()) {
+        return;
+    }
+    auto &state = target->second;
+    const auto open = state.open.extract(run);
+    m_runs.erase(run.value());
+    if (!open.empty() && m_ended < m_options.maxEnded) {
+        state.ended.push_back({run, open.mapped().fingerprint(), open.mapped().sentAt, now});
+        ++m_ended;
+    }
+    state.isSuspected = state.isSuspected || isBroken;
+    dropIfIdle(target);
+}
+
+// [SECTION] Targets
+
+auto RunWatch::targetLeaving(const TargetIncarnation &target) -> void
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        found->second.isLeaving = true;
+    }
+}
+
+auto RunWatch::addressTaken(const Endpoint &address, const TargetIncarnation &target) -> void
+{
+    for (auto entry = m_targets.begin(); entry != m_targets.end();) {
+        const auto known = entry++;
+        if (known->second.address != address) {
+            continue;
+        }
+        if (known->first.id == target.id && known->first.startedAtMillis < target.startedAtMillis) {
+            hasEnded(known); // a check couldn't tell the two starts apart
+        } else if (known->first.id != target.id) {
+            known->second.isSuspected = true; // rows may arrive late and out of order, so that it is checked
+        }
+    }
+}
+
+auto RunWatch::replaced(const TargetIncarnation &target) -> void
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        hasEnded(found);
+    }
+}
+
+auto RunWatch::isCheckDue(const Target &target, TimePoint now) const -> bool
+{
+    if (target.isBeingChecked || now < target.nextCheckAt) {
+        return false;
+    }
+    return target.isSuspected || now - target.heardAt >= m_options.maxSilence;
+}
+
+auto RunWatch::checksDue(TimePoint now) -> std::vector<WatchedTarget>
+{
+    std::vector<WatchedTarget> due;
+    for (auto &[incarnation, target] : m_targets) {
+        if (isCheckDue(target, now)) {
+            target.isBeingChecked = true;
+            due.push_back({incarnation, target.service, target.address});
+        }
+    }
+    return due;
+}
+
+auto RunWatch::checked(const TargetIncarnation &target, TargetSign sign, TimePoint startedAt, TimePoint now) -> void
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end()) {
+        return;
+    }
+    auto &state = found->second;
+    state.isBeingChecked = false;
+    state.nextCheckAt = now + m_options.checkPeriod;
+    state.unconnected = sign == TargetSign::Unconnected ? state.unconnected + 1 : 0;
+    state.unanswered = sign == TargetSign::Unanswered ? state.unanswered + 1 : 0;
+    if (sign == TargetSign::Alive) {
+        state.heardAt = now;
+        showsLife(found, startedAt);
+        dropIfIdle(found);
+        return;
+    }
+    const bool isOver = sign == TargetSign::Replaced || sign == TargetSign::Refused || state.unconnected >= m_options.unconnectedChecks
+        || state.unanswered >= m_options.unansweredChecks;
+    if (isOver) {
+        hasEnded(found);
+    } else {
+        state.isSuspected = true;
+    }
+}
+
+/// The target has answered what was sent at `sentAt`: runs that ended before didn't end it.
+auto RunWatch::showsLife(Targets::iterator target, TimePoint sentAt) -> void
+{
+    auto &state = target->second;
+    std::erase_if(state.ended, [&](const EndedRun &run) {
+        if (run.endedAt > sentAt) {
+            return false;
+        }
+        m_verdicts.push_back({run.run, run.request, target->first, RunEnd::TargetLives});
+        --m_ended;
+        return true;
+    });
+    if (state.ended.empty()) {
+        state.isSuspected = false;
+        state.unconnected = 0;
+        state.unanswered = 0;
+    }
+}
+
+auto RunWatch::hasEnded(Targets::iterator target) -> void
+{
+    auto &state = target->second;
+    const auto end = state.isLeaving ? RunEnd::TargetLeft : RunEnd::TargetEnded;
+    for (const auto &run : state.ended) {
+        m_verdicts.push_back({run.run, run.request, target->first, end});
+    }
+    for (const auto &[run, open] : state.open) {
+        m_verdicts.push_back({run, open.fingerprint(), target->first, end});
+        m_runs.erase(run.value());
+    }
+    m_ended -= state.ended.size();
+    m_targets.erase(target);
+}
+
+auto RunWatch::dropIfIdle(Targets::iterator target) -> void
+{
+    if (target->second.open.empty() && target->second.ended.empty()) {
+        m_targets.erase(target);
+    }
+}
+
+// [SECTION] Results
+
+auto RunWatch::takeVerdicts(TimePoint now) -> std::vector<RunVerdict>
+{
+    for (auto target = m_targets.begin(); target != m_targets.end();) {
+        std::erase_if(target->second.ended, [&](const EndedRun &run) {
+            if (now - run.endedAt < m_options.maxUnresolved) {
+                return false;
+            }
+            m_verdicts.push_back({run.run, run.request, target->first, RunEnd::Unknown});
+            --m_ended;
+            return true;
+        });
+        const auto next = std::next(target);
+        dropIfIdle(target);
+        target = next;
+    }
+    return std::exchange(m_verdicts, {});
+}
+
+} // namespace KingCup
--- /dev/null
+++ b/src/gateway/crashwatch.h
@@ -0,0 +1,102 @@
+// Rejects requests that crash the targets that run them: finds out which runs ended with their target (core/runwatch.h), and counts these ends over all
+// gateways (core/crashrepeats.h).
+//
+// Index of sections (search for [SECTION]):
+//   Parts        dependencies and callbacks
+//   CrashWatch   the task
+#pragma once
+
+#include "core/crashrepeats.h"
+#include "core/runwatch.h"
+#include "gateway/gatewaypeers.h"
+#include "gateway/protocol.h"
+#include "net/eventlog.h"
+#include "net/httppool.h"
+#include "net/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace KingCup
+{
+
+// [SECTION] Parts
+
+struct CrashWatchParts {
+    EventLoop &loop;
+    EventLog &log;
+    Metrics &metrics;
+    const Protocol &protocol;
+    HttpPool &pool;
+    GatewayPeers &peers;
+};
+
+struct CrashWatchHooks {
+    /// Path of the health check of a service's targets; empty: none is declared.
+    std::function<std::string(const ServiceName &service)> healthPath;
+    std::function<void()> onProbeReply; ///< requests that wait for a probe can go on
+};
+
+// [SECTION] CrashWatch
+
+class CrashWatch
+{
+public:
+    /// `self`: id of this gateway; `seed` must differ between gateways.
+    CrashWatch(CrashWatchParts parts, std::string self, std::uint64_t seed, CrashWatchHooks hooks);
+    ~CrashWatch();
+    CrashWatch(const CrashWatch &) = delete;
+    auto operator=(const CrashWatch &) -> CrashWatch & = delete;
+
+    // Queries
+    auto isEmpty() const -> bool; ///< no request can be rejected, so fingerprints needn't be computed
+    auto isBarred(std::uint64_t request) const -> bool; ///< must not be sent to a target, except as a probe
+    auto mayBeProbed(std::uint64_t request) const -> bool; ///< the request may be granted a probe now
+    auto isBeingProbed(std::uint64_t request) const -> bool; ///< waiting for the result of a probe may be worthwhile
+    auto retryAfter(std::uint64_t request) const -> Duration; ///< until it may be sent again; see CrashRepeats
+
+    // Commands: this gateway's requests
+    auto requestProbe(std::uint64_t request) -> ProbeState;
+    auto rejected(std::uint64_t request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it is barred
+    auto sent(SendId run, const WatchedTarget &target, RunWatch::Fingerprint fingerprint) -> void;
+    auto received(SendId run) -> void; ///< a part of the answer
+    auto answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void; ///< completely, also with a rejection
+    auto succeeded(std::uint64_t request, bool wasProbe) -> void; ///< a run of the request was answered with success
+    auto notSent(SendId run) -> void; ///< nothing of the request has reached the target
+    auto broke(SendId run) -> void; ///< the connection ended before the complete answer
+    auto abandoned(SendId run) -> void; ///< by its caller, or at its time limit
+
+    // Commands: targets
+    auto targetReplaced(const TargetIncarnation &target) -> void; ///< another target answers at its address
+    auto targetSeen(const TargetDescription &target) -> void; ///< its row is new or has changed
+    auto advance() -> void; ///< call a few times a second
+
+    // Commands: other gateways
+    auto greeting() const -> std::optional<Wire::ControlFrame>; ///< for a gateway that has just connected; nothing: no end is known
+    auto onMessage(const std::string &id, const Wire::CrashReport &message) -> void;
+    auto checksum() const -> std::uint64_t; ///< for digests
+    auto onChecksum(const std::string &id, std::uint64_t checksum) -> void;
+
+private:
+    struct Check;
+    auto startCheck(const WatchedTarget &target) -> void;
+    auto finishCheck(const TargetIncarnation &target, TargetSign sign) -> void;
+    auto runChecks() -> void;
+    auto applyVerdicts() -> void;
+    auto flush() -> void;
+    auto now() const -> TimePoint
+    {
+        return m_parts.loop.now();
+    }
+
+    CrashWatchParts m_parts;
+    CrashWatchHooks m_hooks;
+    RunWatch m_runs;
+    CrashRepeats m_crashes;
+    std::map<TargetIncarnation, std::shared_ptr<Check>> m_checks; ///< in progress
+};
+
+} // namespace KingCup
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -20,6 +20,7 @@
         m_owner.parts.log.line("answer", "untrusted").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", head.status);
         return AnswerVerdict::Refuse;
     }
+    m_owner.parts.crashes.received(m_send);
     m_hasHead = true;
     m_head = head;
     m_answer = answer;
@@ -50,6 +51,7 @@
     }
     m_owner.parts.dispatcher.firstToken(m_send, now());
     m_answerBytes += bytes.size();
+    m_owner.parts.crashes.received(m_send);
     recordProgress();
     if (!m_isForwarding) {
         m_bufferedBody.append(bytes);
@@ -137,6 +139,12 @@
 /// Called when the answer is complete.
 auto ForwardedRequest::onAnswer() -> void
 {
+    if (m_answer.isMisdirected && !m_answer.target.isEmpty() && m_answer.target != m_target) {
+        m_owner.parts.crashes.notSent(m_send);
+        m_owner.parts.crashes.targetReplaced(m_incarnation);
+    } else {
+        m_owner.parts.crashes.answered(m_send, m_incarnation, m_sentAt);
+    }
     if (m_answer.isNotRun) {
         onNotRun();
         return;
@@ -213,6 +221,12 @@
 {
     const bool neverSent = end.end == CallEnd::NotSent;
     const bool hadNoAnswer = !m_hasHead && !end.wasReused;
+    if (neverSent) {
+        m_owner.parts.crashes.notSent(m_send);
+    } else {
+        logRunEnd("broken");
+        m_owner.parts.crashes.broke(m_send);
+    }
     closeSend(neverSent ? SendResult::Rejected : hadNoAnswer ? SendResult::NoAnswer : SendResult::Failed);
     m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
         .add("id", m_traits.attempt.text())
@@ -233,7 +247,6 @@
     }
     m_request.excluded.push_back(m_target);
     ++m_possibleRuns;
-    recordBreak();
     if (m_events) {
         m_events->dropPartial();
     }
@@ -250,46 +263,35 @@
 {
     if (!m_fingerprint) {
         const auto &head = m_exchange->head();
-        m_fingerprint = requestFingerprint(findHeader(head.headers, "host").value_or(std::string_view()), head.target, m_exchange->body());
+        const auto host = findHeader(head.headers, "host").value_or(std::string_view());
+        m_fingerprint = requestFingerprint(host, head.target, m_grant ? m_grant->account.text() : std::string_view(), m_exchange->body());
     }
     return *m_fingerprint;
 }
 
 auto ForwardedRequest::isBarred() -> bool
 {
-    return !m_owner.crashes.isEmpty() && m_owner.crashes.isBarred(fingerprint(), now());
+    return !m_owner.parts.crashes.isEmpty() && m_owner.parts.crashes.isBarred(fingerprint());
 }
 
-/// A line for each end of a run without a complete answer: only the ends that `verdict` names as counted lead to the rejection of the request.
-auto ForwardedRequest::logRunEnd(const char *how, const char *verdict) -> void
+/// The line connects the client's id with the lines on the request's fingerprint, of which "run-resolved" says whether the end counted.
+auto ForwardedRequest::logRunEnd(const char *how) -> void
 {
-    const auto request = fingerprint();
     m_owner.parts.log.line("crashes", "run-ended")
-        .add("request", request)
+        .add("request", fingerprint())
         .add("id", m_traits.attempt.text())
+        .add("send", m_send.value())
         .add("target", m_target.text())
         .add("born", m_incarnation.startedAtMillis)
         .add("after", now() - m_sentAt)
         .add("how", how)
-        .add("head", m_hasHead)
-        .add("verdict", verdict)
-        .add("breaks", m_owner.crashes.breaks(request));
-}
-
-auto ForwardedRequest::recordBreak() -> void
-{
-    const auto request = fingerprint();
-    const auto verdict = m_owner.crashes.targetBrokeOff(request, m_sentAt, now());
-    logRunEnd("broken", toString(verdict));
-    if (verdict == BreakVerdict::Counted) {
-        m_owner.hooks.onCrashRepeat(request, m_owner.crashes.breaks(request));
-    }
+        .add("head", m_hasHead);
 }
 
 auto ForwardedRequest::recordSuccess() -> void
 {
-    if (!m_owner.crashes.isEmpty() && m_owner.crashes.succeeded(fingerprint())) {
-        m_owner.parts.log.line("crashes", "cleared").add("request", fingerprint()).add("id", m_traits.attempt.text()).add("why", "succeeded");
+    if (!m_owner.parts.crashes.isEmpty()) {
+        m_owner.parts.crashes.succeeded(fingerprint(), m_isProbe);
     }
 }
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -27,8 +27,9 @@
 constexpr double OverloadBacklogShare = 0.25;
 /// Time that a stream of about a hundred tokens takes after its first token. With less time left before the deadline, it would be cut off.
 constexpr auto MinStreamTime = Duration::millis(600);
-/// Retry-After of a request that crashes targets: the record of these crashes has expired by then.
-constexpr auto BarredRetryAfter = CrashRepeatOptions().lifetime;
+/// A copy of a request that crashes targets waits this long at most for the result of a probe: an outage is over with the first success.
+constexpr auto MaxProbeWait = Duration::millis(600);
+constexpr auto ProbePollPeriod = Duration::millis(50);
 /// A request with less time left isn't sent: the quickest answers take about as long.
 constexpr auto MinSendTime = Duration::millis(10);
 
@@ -84,13 +85,7 @@
     const auto self = shared_from_this();
     m_isWaiting = false;
     m_waitTimer.cancel();
-    if (isBarred()) {
-        m_owner.parts.log.line("crashes", "rejected")
-            .add("request", fingerprint())
-            .add("id", m_traits.attempt.text())
-            .add("breaks", m_owner.crashes.breaks(fingerprint()));
-        m_retryAfter = BarredRetryAfter;
-        abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
+    if (isBarred() && !mayBecomeProbe()) {
         return;
     }
     if (m_deadline - now() < MinSendTime) {
@@ -121,9 +116,56 @@
     if (!m_request.model.empty() && !admit(choice)) {
         return;
     }
+    if (isBarred() && !becomeProbe()) {
+        return;
+    }
     send(choice);
 }
 
+/// Whether a request that crashes targets may still be sent as a probe. Otherwise it waits for the result of another probe, or is rejected.
+auto ForwardedRequest::mayBecomeProbe() -> bool
+{
+    if (m_isProbe || m_owner.parts.crashes.mayBeProbed(fingerprint())) {
+        return true;
+    }
+    awaitProbe();
+    return false;
+}
+
+/// Asks for a probe when a target has been chosen: a probe that can't be sent would be lost.
+auto ForwardedRequest::becomeProbe() -> bool
+{
+    if (m_isProbe) {
+        return true;
+    }
+    switch (m_owner.parts.crashes.requestProbe(fingerprint())) {
+    case ProbeState::Granted:
+        m_isProbe = true;
+        return true;
+    case ProbeState::Pending:
+        m_isWaiting = true;
+        m_waitTimer = m_owner.parts.loop.after(ProbePollPeriod, [this] { attempt(); });
+        return false;
+    case ProbeState::Denied:
+        break;
+    }
+    awaitProbe();
+    return false;
+}
+
+auto ForwardedRequest::awaitProbe() -> void
+{
+    m_probeAwaitedUntil = m_probeAwaitedUntil.value_or(now() + MaxProbeWait);
+    if (m_owner.parts.crashes.isBeingProbed(fingerprint()) && now() < *m_probeAwaitedUntil) {
+        m_isWaiting = true;
+        m_waitTimer = m_owner.parts.loop.after(ProbePollPeriod, [this] { attempt(); });
+        return;
+    }
+    m_owner.parts.crashes.rejected(fingerprint(), m_traits.attempt);
+    m_retryAfter = m_owner.parts.crashes.retryAfter(fingerprint());
+    abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
+}
+
 /// Checked before each send: the key may have been revoked while the request waited or ran on another target, or while this host was suspended.
 auto ForwardedRequest::isStillGranted() -> bool
 {
@@ -231,6 +273,7 @@
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
+    m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return fingerprint(); });
     m_owner.parts.limits.sent(choice.incarnation);
     m_owner.hooks.onSent(choice.target, m_request, m_send);
     logChoice(choice);
@@ -283,7 +326,8 @@
         return;
     }
     std::exchange(m_call, nullptr)->cancel();
-    logRunEnd("unacknowledged", "not-counted");
+    logRunEnd("unacknowledged");
+    m_owner.parts.crashes.abandoned(m_send);
     ++m_possibleRuns;
     closeSend(SendResult::NoAnswer);
     m_request.excluded.push_back(m_target);
@@ -356,7 +400,10 @@
     if (m_call) {
         const auto call = std::exchange(m_call, nullptr);
         if (call->wasSent()) {
-            logRunEnd(outcome, "not-counted");
+            logRunEnd(outcome);
+            m_owner.parts.crashes.abandoned(m_send);
+        } else {
+            m_owner.parts.crashes.notSent(m_send);
         }
         call->cancel();
     }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -6,7 +6,6 @@
 //   ForwardedRequest  one request
 #pragma once
 
-#include "core/crashrepeats.h"
 #include "core/eventcursor.h"
 #include "gateway/forwarder.h"
 
@@ -45,7 +44,6 @@
     RouteTable routes;
     std::map<ServiceName, SharedRetryBudget> budgets;
     SharedRetryBudgetOptions budgetOptions;
-    CrashRepeats crashes;
     std::map<TargetIncarnation, int> permitQueues; ///< requests that wait for a permit, by target
     int gatewayCount = 1;
     std::mt19937_64 random;
@@ -123,8 +121,10 @@
     auto recordProgress() -> void;
     auto fingerprint() -> std::uint64_t;
     auto isBarred() -> bool;
-    auto logRunEnd(const char *how, const char *verdict) -> void;
-    auto recordBreak() -> void;
+    auto mayBecomeProbe() -> bool;
+    auto becomeProbe() -> bool;
+    auto awaitProbe() -> void;
+    auto logRunEnd(const char *how) -> void;
     auto recordSuccess() -> void;
     auto onEnd(const PooledEnd &end) -> void;
     auto onAnswer() -> void;
@@ -185,6 +185,8 @@
     bool m_isDemoted = false; ///< expected to miss its goal: runs after all requests that can still meet theirs
     Duration m_retryAfter = DefaultRetryAfter;
     std::optional<std::uint64_t> m_fingerprint;
+    bool m_isProbe = false; ///< may run although it is barred
+    std::optional<TimePoint> m_probeAwaitedUntil; ///< until when it waits for the result of another probe, once it has begun to
     bool m_finished = false;
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -169,17 +169,8 @@
     request->start();
 }
 
-auto Forwarder::crashRepeatReported(const std::string &gateway, std::uint64_t fingerprint, int breaks) -> void
-{
-    const bool isNews = d->crashes.reported(fingerprint, breaks, d->parts.loop.now());
-    d->parts.log.line("crashes", "reported").add("request", fingerprint).add("source", gateway).add("breaks", breaks).add("news", isNews);
-}
-
 auto Forwarder::retryWaiting() -> void
 {
-    for (const auto request : d->crashes.expire(d->parts.loop.now())) {
-        d->parts.log.line("crashes", "expired").add("request", request);
-    }
     std::vector<std::shared_ptr<ForwardedRequest>> waiting;
     std::copy_if(d->requests.begin(), d->requests.end(), std::back_inserter(waiting), [](const auto &request) { return request->isWaiting(); });
     std::sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) { return a->startedAt() < b->startedAt(); });
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "core/sharedretrybudget.h"
 #include "core/traffic.h"
 #include "gateway/callerserver.h"
+#include "gateway/crashwatch.h"
 #include "gateway/limitexchange.h"
 #include "gateway/protocol.h"
 #include "net/eventlog.h"
@@ -39,6 +40,7 @@
     ReuseLimit &reuse;
     AccountAccess &access;
     LimitExchange &limits;
+    CrashWatch &crashes;
     Metrics &metrics;
     EventLog &log;
 };
@@ -57,8 +59,6 @@
     std::function<void(const TargetId &target, const DispatchRequest &request, SendId send)> onSent;
     /// An answer has arrived whose metadata also describes the target itself. `sentAt`: when the request was sent.
     std::function<void(const TargetIncarnation &target, const AnswerTraits &answer, TimePoint sentAt)> onAnswer;
-    /// A target broke off while it ran this request, and the break was counted: the other gateways must learn of it.
-    std::function<void(std::uint64_t fingerprint, int breaks)> onCrashRepeat;
 };
 
 struct ForwarderOptions {
@@ -86,8 +86,6 @@
     auto handle(const CallerExchangePtr &exchange) -> void;
     /// Tries waiting requests again. Call it when targets, or the models that they hold, have changed.
     auto retryWaiting() -> void;
-    /// Another gateway has counted `breaks` targets that broke off while they ran the request.
-    auto crashRepeatReported(const std::string &gateway, std::uint64_t fingerprint, int breaks) -> void;
     /// Ends all open requests; returns how many were cut off.
     auto abandonAll() -> int;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "gateway/accountlog.h"
 #include "gateway/callerserver.h"
 #include "gateway/copyuse.h"
+#include "gateway/crashwatch.h"
 #include "gateway/demandexchange.h"
 #include "gateway/digests.h"
 #include "gateway/forwarder.h"
@@ -68,9 +69,6 @@
 constexpr auto SettingsPeriod = Duration::seconds(5);
 /// About forty round trips within a region. The kernel retransmits a lost SYN only after a second: trying another target is quicker.
 constexpr auto TargetConnectTimeout = Duration::millis(150);
-/// Upper limit for the break counts that peers report. Gateways stop counting once a request is barred, so a higher count is an error; it must not stay the
-/// maximum for ever.
-constexpr std::uint32_t MaxReportedBreaks = 16;
 
 /// Lifetime of a proof, as a share of the time limit for key revocations. The rest covers the error of the estimate of a proof's age.
 constexpr double ProofLifetimeShare = 0.9;
@@ -105,6 +103,7 @@
     std::unique_ptr<LoadExchange> loads;
     std::unique_ptr<UsageExchange> usage;
     std::unique_ptr<LimitExchange> limits;
+    std::unique_ptr<CrashWatch> crashes;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<DemandExchange> demand;
@@ -271,6 +270,7 @@
 {
     TargetDirectoryHooks hooks;
     hooks.onSeen = [this](const TargetDescription &target) {
+        crashes->targetSeen(target);
         orders->targetSeen(target);
     };
     hooks.onGone = [this](const TargetId &target) {
@@ -448,18 +448,11 @@
             limits->answerReceived(target, answer.requestLimit, sentAt);
         }
     };
-    hooks.onCrashRepeat = [this](std::uint64_t fingerprint, int breaks) {
-        log.line("crashes", "counted").add("request", fingerprint).add("breaks", breaks);
-        Wire::ControlFrame frame;
-        frame.mutable_crash_repeat()->set_request(fingerprint);
-        frame.mutable_crash_repeat()->set_breaks(static_cast<std::uint32_t>(breaks));
-        peers->sendAll(frame);
-    };
     ForwarderOptions options;
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
-    forwarder
-        = std::make_unique<Forwarder>(ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, *limits, metrics, log}, options, std::move(hooks));
+    forwarder = std::make_unique<Forwarder>(
+        ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, *limits, *crashes, metrics, log}, options, std::move(hooks));
     applyRetryBudget();
 }
 
@@ -539,6 +532,9 @@
         if (const auto known = limits ? limits->greeting() : std::nullopt) {
             frames.push_back(*known);
         }
+        if (const auto known = crashes ? crashes->greeting() : std::nullopt) {
+            frames.push_back(*known);
+        }
         return frames;
     };
     hooks.onSilent = [this](const std::string &id) {
@@ -555,6 +551,18 @@
         forwarder->retryWaiting();
     };
     limits = std::make_unique<LimitExchange>(LimitExchangeParts {loop, log, metrics, *peers}, settings.process.id, std::move(limitHooks));
+    CrashWatchHooks crashHooks;
+    crashHooks.healthPath = [this](const ServiceName &service) {
+        const auto found = traffic ? traffic->services.find(service) : std::map<ServiceName, ServiceDeclaration>::const_iterator();
+        return traffic && found != traffic->services.end() ? found->second.healthPath : std::string();
+    };
+    crashHooks.onProbeReply = [this] {
+        forwarder->retryWaiting();
+    };
+    crashes = std::make_unique<CrashWatch>(CrashWatchParts {loop, log, metrics, protocol, targetPool, *peers},
+                                           settings.process.id,
+                                           incarnation ^ stableHash(settings.process.id),
+                                           std::move(crashHooks));
 }
 
 /// Applies a change of a runner's models at once, before its row in the store shows it, and announces it to the other gateways.
@@ -583,6 +591,7 @@
     follower->advance();
     targets->advance();
     limits->advance();
+    crashes->advance();
     dispatcher.expirePauses(loop.now());
     if (orders->lease().isHolder()) {
         chooseCandidates();
@@ -640,6 +649,7 @@
     digest->set_last_holder_sequence(lease.lastHolderSequence());
     follower->writeDigest(*digest);
     usage->writeReport(*digest->mutable_usage());
+    digest->set_crash_checksum(crashes->checksum());
     lease.digestSent(digests, loop.now());
     peers->sendAll(frame);
 }
@@ -688,8 +698,8 @@
         orders->planSoon();
     } else if (frame.has_holding()) {
         onResidencyReport(frame.holding());
-    } else if (frame.has_crash_repeat()) {
-        forwarder->crashRepeatReported(id, frame.crash_repeat().request(), static_cast<int>(std::min(frame.crash_repeat().breaks(), MaxReportedBreaks)));
+    } else if (frame.has_crash_report()) {
+        crashes->onMessage(id, frame.crash_report());
     } else if (frame.has_account_usage()) {
         usage->merge(id, frame.account_usage().start(), frame.account_usage());
     } else if (frame.has_target_limits()) {
@@ -709,6 +719,9 @@
         dispatcher.merge(workOf(digest, targetNames), loop.now());
     }
     usage->merge(id, digest.entry(), digest.usage());
+    if (digest.has_crash_checksum()) {
+        crashes->onChecksum(id, digest.crash_checksum());
+    }
     auto &lease = orders->lease();
     if (digest.lease_fence() > 0) {
         const Fence fence(digest.lease_fence());
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -138,6 +138,8 @@
     std::function<std::optional<TargetDescription>(const std::string &key, const std::string &document)> decodeTarget;
 
     EncodedCall reportCall; ///< requests a runner's report
+    /// Requests the health of a target at its service's health path; any other target at that address must refuse.
+    std::function<EncodedCall(const std::string &path, const TargetId &target)> healthCall;
     std::function<std::optional<RunnerReport>(const std::string &body)> decodeReport;
     std::function<EncodedCall(const OrderRequest &order)> orderCall;
     std::function<OrderVerdict(int status)> readOrderAnswer;
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -1,8 +1,13 @@
-// Many gateways that forward repeated requests which crash their targets, in virtual time (tests/sim_crashfleet.h).
+// Requests that crash the targets which run them: what one gateway concludes, and many gateways in virtual time (tests/sim_crashfleet.h).
+//
+// Index of sections (search for [SECTION]):
+//   One gateway
+//   Many gateways
 #include "tests/sim_crashfleet.h"
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,8 +50,281 @@
 
 const std::vector<Copies> AllCopies {{Duration::millis(1000), 1}, {Duration::millis(200), 1}, {Duration::millis(2000), 6}, {Duration::millis(4000), 1}};
 
+auto target(int number) -> TargetIncarnation
+{
+    return {TargetId("t" + std::to_string(number)), 1};
+}
+
+auto watched(const TargetIncarnation &incarnation) -> WatchedTarget
+{
+    return {incarnation, ServiceName("s"), {"10.0.0.1", 80}};
+}
+
+/// Delivers all messages between two gateways "a" and "b".
+auto exchange(CrashRepeats &a, CrashRepeats &b, TimePoint now) -> void
+{
+    for (int round = 0; round < 3; ++round) {
+        b.received("a", a.takeBroadcast(now), now);
+        a.received("b", b.takeBroadcast(now), now);
+        for (const auto &[to, message] : a.takeMessages(now)) {
+            b.received("a", message, now);
+        }
+        for (const auto &[to, message] : b.takeMessages(now)) {
+            a.received("b", message, now);
+        }
+    }
+}
+
+auto onlyVerdict(RunWatch &runs, TimePoint now) -> std::optional<RunEnd>
+{
+    const auto verdicts = runs.takeVerdicts(now);
+    return verdicts.size() == 1 ? std::optional(verdicts.front().end) : std::nullopt;
+}
+
 } // namespace
 
+// [SECTION] One gateway
+
+TEST_CASE("a request that crashes one target after another is barred after the third, at other gateways too")
+{
+    // Guards against a repeated request that takes down every target of a small service, so that all other callers are refused.
+    CrashRepeats here("a");
+    CrashRepeats there("b");
+    here.setGateways({"b"});
+    there.setGateways({"a"});
+    const auto request = requestFingerprint("host", "/chat", "", "the same");
+    for (int i = 1; i <= 3; ++i) {
+        auto &gateway = i == 2 ? there : here;
+        REQUIRE_FALSE(gateway.isBarred(request));
+        REQUIRE(gateway.targetEnded(request, target(i), at(i + 0.2)));
+        exchange(here, there, at(i + 0.3));
+    }
+    CHECK(here.isBarred(request));
+    CHECK(there.isBarred(request));
+    CHECK_FALSE(here.isBarred(requestFingerprint("host", "/chat", "", "another")));
+    CHECK_FALSE(here.isBarred(requestFingerprint("host", "/chat", "another account", "the same")));
+    here.expire(at(200));
+    CHECK(here.isEmpty());
+}
+
+TEST_CASE("a target's end counts once for a request, however many copies and gateways saw it")
+{
+    // Guards against rejecting a request because one target was down, or because several gateways report one end.
+    CrashRepeats here("a");
+    CrashRepeats there("b");
+    for (int i = 0; i < 20; ++i) {
+        here.targetEnded(1, target(1), at(1 + i * 0.03));
+        there.targetEnded(1, target(1), at(1 + i * 0.03));
+        exchange(here, there, at(1 + i * 0.03));
+    }
+    CHECK(here.ends(1) == 1);
+    CHECK(there.ends(1) == 1);
+    CHECK(here.succeeded(1, false, at(2)));
+    exchange(here, there, at(2));
+    CHECK(here.ends(1) == 0);
+    CHECK(there.ends(1) == 0);
+}
+
+TEST_CASE("after many targets have failed at once, the first copy of a request is run at once, and its success clears the request everywhere")
+{
+    // Guards against rejecting an innocent request after an outage.
+    CrashRepeats here("a");
+    CrashRepeats there("b");
+    here.setGateways({"b"});
+    there.setGateways({"a"});
+    for (int i = 0; i < 10; ++i) {
+        here.targetEnded(1, target(i), at(1));
+    }
+    exchange(here, there, at(1));
+    REQUIRE(here.isBarred(1));
+    auto &asking = here.arbiter(1) == "a" ? there : here;
+    REQUIRE(asking.requestProbe(1, at(1.1)) == ProbeState::Pending);
+    exchange(here, there, at(1.1));
+    REQUIRE(asking.requestProbe(1, at(1.11)) == ProbeState::Granted);
+    CHECK(asking.requestProbe(1, at(1.12)) != ProbeState::Granted);
+    CHECK(asking.isBeingProbed(1, at(1.2)));
+    exchange(here, there, at(1.2));
+    asking.succeeded(1, true, at(1.3));
+    exchange(here, there, at(1.3));
+    CHECK_FALSE(here.isBarred(1));
+    CHECK_FALSE(there.isBarred(1));
+}
+
+TEST_CASE("a request that goes on crashing targets gets at most three probes in all, however long its client repeats it")
+{
+    // Guards against a record that expires while the request is still repeated, and against more probes than promised.
+    const bool isAtOnce = GENERATE(true, false);
+    CrashRepeats gateway("a");
+    for (int i = 0; i < 3; ++i) {
+        gateway.targetEnded(1, target(i), at(isAtOnce ? 3 : 1 + i));
+    }
+    CHECK(gateway.mayBeProbed(1, at(3.1)) == isAtOnce);
+    int probes = 0;
+    for (double second = 3.5; second < 1200; second += 0.5) {
+        REQUIRE(gateway.isBarred(1));
+        if (gateway.mayBeProbed(1, at(second)) && gateway.requestProbe(1, at(second)) == ProbeState::Granted) {
+            gateway.targetEnded(1, target(100 + probes), at(second + 0.1));
+            ++probes;
+        }
+        gateway.used(1, at(second));
+        gateway.expire(at(second));
+    }
+    CHECK(probes == (isAtOnce ? 3 : 2));
+}
+
+TEST_CASE("an end is withdrawn if its target answers what was sent after it")
+{
+    // Guards against rejecting requests because a gateway was cut off from targets that run.
+    CrashRepeats gateway("a");
+    for (int i = 0; i < 3; ++i) {
+        gateway.targetEnded(1, target(i), at(5));
+    }
+    CHECK(gateway.targetAnswered(target(0), at(4), at(6)).empty());
+    CHECK(gateway.isBarred(1));
+    CHECK(gateway.targetAnswered(target(0), at(5.5), at(6)).size() == 1);
+    CHECK_FALSE(gateway.isBarred(1));
+}
+
+TEST_CASE("a gateway that lacks records or withdrawals is sent them by others that see its checksum")
+{
+    // Guards against messages that are sent once and lost.
+    CrashRepeats here("a");
+    CrashRepeats there("b");
+    here.setGateways({"b"});
+    there.setGateways({"a"});
+    for (int i = 0; i < 3; ++i) {
+        here.targetEnded(1, target(i), at(1));
+    }
+    here.takeBroadcast(at(1)); // lost
+    here.checksumReceived("b", there.checksum(), at(2));
+    exchange(here, there, at(2));
+    CHECK(there.isBarred(1));
+    CHECK(here.checksum() == there.checksum());
+    here.succeeded(1, true, at(3));
+    here.takeBroadcast(at(3)); // lost
+    here.checksumReceived("b", there.checksum(), at(4));
+    exchange(here, there, at(4));
+    CHECK_FALSE(there.isBarred(1));
+}
+
+TEST_CASE("the number of records is limited, and those that reject requests are kept")
+{
+    // Guards against an outage with thousands of requests in flight that displaces what is known of a request that crashes targets.
+    CrashRepeats gateway("a", {.maxRecords = 100});
+    for (int i = 0; i < 3; ++i) {
+        gateway.targetEnded(1, target(i), at(1));
+    }
+    for (std::uint64_t request = 2; request < 2000; ++request) {
+        gateway.targetEnded(request, target(9), at(2 + static_cast<double>(request) * 0.001));
+    }
+    CHECK(gateway.isBarred(1));
+    CHECK(gateway.ends(1999) == 1);
+}
+
+TEST_CASE("a run that ends without an answer counts if its target has ended, and not if the target lives")
+{
+    // Guards against counting a reset connection, a slow run or a caller that leaves, and against not counting a crash that is seen as one of these.
+    RunWatch runs;
+    const auto sign = GENERATE(TargetSign::Alive, TargetSign::Replaced, TargetSign::Refused);
+    const bool isBroken = GENERATE(true, false);
+    runs.sent(
+        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+    if (isBroken) {
+        runs.broke(SendId(1), at(1.5));
+        REQUIRE(runs.checksDue(at(1.5)).size() == 1);
+    } else {
+        runs.abandoned(SendId(1), at(1.5));
+        REQUIRE(runs.checksDue(at(1.6)).empty());
+        REQUIRE(runs.checksDue(at(2.1)).size() == 1);
+    }
+    CHECK(runs.checksDue(at(2.2)).empty()); // one is in progress
+    CHECK_FALSE(onlyVerdict(runs, at(2.2)));
+    runs.checked(target(1), sign, at(2.1), at(2.2));
+    CHECK(onlyVerdict(runs, at(2.2)) == (sign == TargetSign::Alive ? RunEnd::TargetLives : RunEnd::TargetEnded));
+    CHECK(runs.isIdle());
+}
+
+TEST_CASE("requests that are still open when their target is found to have ended count at once")
+{
+    // Guards against crashes that are known only at the time limit of the request, seconds later.
+    RunWatch runs;
+    runs.sent(
+        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+    runs.received(SendId(1), at(1.2));
+    CHECK(runs.checksDue(at(2.1)).empty());
+    REQUIRE(runs.checksDue(at(2.2)).size() == 1);
+    runs.checked(target(1), TargetSign::Unconnected, at(2.2), at(2.35)); // a packet may have been lost
+    CHECK_FALSE(onlyVerdict(runs, at(2.35)));
+    REQUIRE(runs.checksDue(at(2.6)).size() == 1);
+    runs.checked(target(1), TargetSign::Unconnected, at(2.6), at(2.75));
+    CHECK(onlyVerdict(runs, at(2.75)) == RunEnd::TargetEnded);
+    runs.broke(SendId(1), at(5)); // counted already
+    CHECK(runs.takeVerdicts(at(20)).empty());
+}
+
+TEST_CASE("answers show that a target lives only if they were sent after the end of the run")
+{
+    // Guards against data of a crashed target that is read after the break of another connection.
+    RunWatch runs;
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        runs.sent(
+            SendId(i), watched(target(1)), [i] { return i; }, at(1));
+    }
+    runs.broke(SendId(1), at(2));
+    runs.answered(SendId(2), at(2.01));
+    CHECK(runs.takeVerdicts(at(2.01)).empty());
+    runs.received(SendId(3), at(2.1));
+    CHECK(runs.takeVerdicts(at(2.1)).empty());
+    runs.received(SendId(3), at(2.3));
+    CHECK(onlyVerdict(runs, at(2.3)) == RunEnd::TargetLives);
+    runs.sent(
+        SendId(4), watched(target(1)), [] { return std::uint64_t {4}; }, at(3));
+    runs.broke(SendId(3), at(3.5));
+    runs.sent(
+        SendId(5), watched(target(1)), [] { return std::uint64_t {5}; }, at(3.6));
+    runs.answered(SendId(4), at(3.7));
+    CHECK(runs.takeVerdicts(at(3.7)).empty());
+    runs.answered(SendId(5), at(3.8));
+    CHECK(onlyVerdict(runs, at(3.8)) == RunEnd::TargetLives);
+}
+
+TEST_CASE("the end of a target that had announced to leave doesn't count, and one that never answers a check does")
+{
+    // Guards against rejecting requests because targets are replaced in turn, and against targets that accept connections without running.
+    RunWatch runs;
+    runs.sent(
+        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+    runs.targetLeaving(target(1));
+    runs.broke(SendId(1), at(2));
+    runs.checked(target(1), TargetSign::Refused, at(2), at(2));
+    CHECK(onlyVerdict(runs, at(2)) == RunEnd::TargetLeft);
+    runs.sent(
+        SendId(2), watched(target(2)), [] { return std::uint64_t {7}; }, at(3));
+    runs.broke(SendId(2), at(3.1));
+    double second = 3.1;
+    for (int check = 0; check < 5; ++check, second += 0.7) {
+        REQUIRE(runs.checksDue(at(second)).size() == 1);
+        CHECK_FALSE(onlyVerdict(runs, at(second)));
+        runs.checked(target(2), TargetSign::Unanswered, at(second), at(second + 0.4));
+    }
+    CHECK(onlyVerdict(runs, at(second)) == RunEnd::TargetEnded);
+}
+
+TEST_CASE("a target whose address another one takes is checked, and a later start under the same id ends the earlier one")
+{
+    // Guards against a restart that is quicker than a check.
+    RunWatch runs;
+    runs.sent(
+        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+    runs.addressTaken({"10.0.0.1", 80}, {TargetId("other"), 9});
+    REQUIRE(runs.checksDue(at(1.1)).size() == 1);
+    runs.checked(target(1), TargetSign::Alive, at(1.1), at(1.2));
+    runs.addressTaken({"10.0.0.1", 80}, {TargetId("t1"), 2});
+    CHECK(onlyVerdict(runs, at(1.3)) == RunEnd::TargetEnded);
+}
+
+// [SECTION] Many gateways
+
 TEST_CASE("a request that crashes its targets is rejected by all gateways within the promised retries, however its crashes are seen and its copies come")
 {
     // Guards against crashes that don't count: those seen as silence, and those of copies that overlap or follow quickly.
