run watch: rename the outcome of a run, and pass what the linter found in the new tests

The linter found a loop with a floating-point counter, two parameters and a container without a reserved size in the tests; their assertions are unchanged.

--- a/src/core/runwatch.cpp
+++ b/src/core/runwatch.cpp
@@ -23,16 +23,16 @@
     return "";
 }
 
-auto toString(RunEnd end) -> const char *
+auto toString(RunOutcome end) -> const char *
 {
     switch (end) {
-    case RunEnd::TargetEnded:
+    case RunOutcome::TargetEnded:
         return "target-ended";
-    case RunEnd::TargetLeft:
+    case RunOutcome::TargetLeft:
         return "target-left";
-    case RunEnd::TargetLives:
+    case RunOutcome::TargetLives:
         return "target-lives";
-    case RunEnd::Unknown:
+    case RunOutcome::Unknown:
         return "unknown";
     }
     return "";
@@ -216,7 +216,7 @@
         if (run.endedAt > sentAt) {
             return false;
         }
-        m_verdicts.push_back({run.run, run.request, target->first, RunEnd::TargetLives});
+        m_verdicts.push_back({run.run, run.request, target->first, RunOutcome::TargetLives});
         --m_ended;
         return true;
     });
@@ -230,7 +230,7 @@
 auto RunWatch::hasEnded(Targets::iterator target) -> void
 {
     auto &state = target->second;
-    const auto end = state.isLeaving ? RunEnd::TargetLeft : RunEnd::TargetEnded;
+    const auto end = state.isLeaving ? RunOutcome::TargetLeft : RunOutcome::TargetEnded;
     for (const auto &run : state.ended) {
         m_verdicts.push_back({run.run, run.request, target->first, end});
     }
@@ -258,7 +258,7 @@
             if (now - run.endedAt < m_options.maxUnresolved) {
                 return false;
             }
-            m_verdicts.push_back({run.run, run.request, target->first, RunEnd::Unknown});
+            m_verdicts.push_back({run.run, run.request, target->first, RunOutcome::Unknown});
             --m_ended;
             return true;
         });
--- a/src/core/runwatch.h
+++ b/src/core/runwatch.h
@@ -58,19 +58,19 @@
 };
 auto toString(TargetSign sign) -> const char *;
 
-enum class RunEnd {
+enum class RunOutcome {
     TargetEnded, ///< while it ran the request
     TargetLeft, ///< as announced
     TargetLives,
     Unknown, ///< neither could be found out in time
 };
-auto toString(RunEnd end) -> const char *;
+auto toString(RunOutcome end) -> const char *;
 
 struct RunVerdict {
     SendId run;
     std::uint64_t request = 0; ///< its fingerprint
     TargetIncarnation target;
-    RunEnd end = RunEnd::Unknown;
+    RunOutcome end = RunOutcome::Unknown;
 };
 
 // [SECTION] RunWatch
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -234,7 +234,7 @@
 auto CrashWatch::applyVerdicts() -> void
 {
     for (const auto &verdict : m_runs.takeVerdicts(now())) {
-        const bool isCounted = verdict.end == RunEnd::TargetEnded && m_crashes.targetEnded(verdict.request, verdict.target, now());
+        const bool isCounted = verdict.end == RunOutcome::TargetEnded && m_crashes.targetEnded(verdict.request, verdict.target, now());
         m_parts.log.line("crashes", "run-resolved")
             .add("request", verdict.request)
             .add("send", verdict.run.value())
--- a/tests/sim_crashfleet.h
+++ b/tests/sim_crashfleet.h
@@ -244,8 +244,8 @@
                 }
             }
         };
-        hooks.check = [this, index, epoch = gateway.epoch](const TargetIncarnation &target, std::function<void(SimTargetSign, TimePoint)> done) {
-            check(index, epoch, target, std::move(done));
+        hooks.check = [this, index, epoch = gateway.epoch](const TargetIncarnation &target, const std::function<void(SimTargetSign, TimePoint)> &done) {
+            check(index, epoch, target, done);
         };
         const InFlight caller {SendId(), {0, {}, index, 0}, gateway.epoch};
         hooks.readStore = [this, caller](const std::function<void(const SimCrashMessage &, TimePoint)> &done) {
@@ -329,7 +329,7 @@
             }
         });
     }
-    auto check(int index, std::uint64_t epoch, const TargetIncarnation &wanted, std::function<void(SimTargetSign, TimePoint)> done) -> void
+    auto check(int index, std::uint64_t epoch, const TargetIncarnation &wanted, const std::function<void(SimTargetSign, TimePoint)> &done) -> void
     {
         constexpr auto RoundTrip = Duration::millis(2);
         constexpr auto ConnectTimeout = Duration::millis(150);
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -37,7 +37,7 @@
 class SimCrashNode
 {
 public:
-    SimCrashNode(std::string id, TimePoint now, SimCrashHooks hooks)
+    SimCrashNode(const std::string &id, TimePoint now, SimCrashHooks hooks)
         : m_hooks(std::move(hooks))
         , m_crashes(id, {.seed = stableHash(id)})
         , m_archive(id, now)
@@ -117,7 +117,7 @@
             });
         }
         for (const auto &verdict : m_runs.takeVerdicts(now)) {
-            if (verdict.end == RunEnd::TargetEnded) {
+            if (verdict.end == RunOutcome::TargetEnded) {
                 m_crashes.targetEnded(verdict.request, verdict.target, now);
             }
         }
--- a/tests/system_crashing.cpp
+++ b/tests/system_crashing.cpp
@@ -183,8 +183,10 @@
     // Guards against rejecting an innocent request for minutes: from the crashes alone it can't be told from one that causes them.
     Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
     for (int outage = 0; outage < 5; ++outage) {
+        constexpr int Copies = 8;
         std::vector<ReplyPtr> replies;
-        for (int i = 0; i < 8; ++i) {
+        replies.reserve(Copies);
+        for (int i = 0; i < Copies; ++i) {
             replies.push_back(site.begin(1 + i % 4, {.path = "/write/debit", .method = "POST", .timeBudgetMillis = 1500, .body = "unlucky"}));
         }
         site.sleep(Duration::millis(6));
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -76,7 +76,7 @@
     }
 }
 
-auto onlyVerdict(RunWatch &runs, TimePoint now) -> std::optional<RunEnd>
+auto onlyVerdict(RunWatch &runs, TimePoint now) -> std::optional<RunOutcome>
 {
     const auto verdicts = runs.takeVerdicts(now);
     return verdicts.size() == 1 ? std::optional(verdicts.front().end) : std::nullopt;
@@ -161,7 +161,8 @@
     }
     CHECK(gateway.mayBeProbed(1, at(3.1)) == isAtOnce);
     int probes = 0;
-    for (double second = 3.5; second < 1200; second += 0.5) {
+    for (int halfSeconds = 7; halfSeconds < 2400; ++halfSeconds) {
+        const double second = halfSeconds * 0.5;
         REQUIRE(gateway.isBarred(1));
         if (gateway.mayBeProbed(1, at(second)) && gateway.requestProbe(1, at(second)) == ProbeState::Granted) {
             gateway.targetEnded(1, target(100 + probes), at(second + 0.1));
@@ -241,7 +242,7 @@
     CHECK(runs.checksDue(at(2.2)).empty()); // one is in progress
     CHECK_FALSE(onlyVerdict(runs, at(2.2)));
     runs.checked(target(1), sign, at(2.1), at(2.2));
-    CHECK(onlyVerdict(runs, at(2.2)) == (sign == TargetSign::Alive ? RunEnd::TargetLives : RunEnd::TargetEnded));
+    CHECK(onlyVerdict(runs, at(2.2)) == (sign == TargetSign::Alive ? RunOutcome::TargetLives : RunOutcome::TargetEnded));
     CHECK(runs.isIdle());
 }
 
@@ -258,7 +259,7 @@
     CHECK_FALSE(onlyVerdict(runs, at(2.35)));
     REQUIRE(runs.checksDue(at(2.6)).size() == 1);
     runs.checked(target(1), TargetSign::Unconnected, at(2.6), at(2.75));
-    CHECK(onlyVerdict(runs, at(2.75)) == RunEnd::TargetEnded);
+    CHECK(onlyVerdict(runs, at(2.75)) == RunOutcome::TargetEnded);
     runs.broke(SendId(1), at(5)); // counted already
     CHECK(runs.takeVerdicts(at(20)).empty());
 }
@@ -277,7 +278,7 @@
     runs.received(SendId(3), at(2.1));
     CHECK(runs.takeVerdicts(at(2.1)).empty());
     runs.received(SendId(3), at(2.3));
-    CHECK(onlyVerdict(runs, at(2.3)) == RunEnd::TargetLives);
+    CHECK(onlyVerdict(runs, at(2.3)) == RunOutcome::TargetLives);
     runs.sent(
         SendId(4), watched(target(1)), [] { return std::uint64_t {4}; }, at(3));
     runs.broke(SendId(3), at(3.5));
@@ -286,7 +287,7 @@
     runs.answered(SendId(4), at(3.7));
     CHECK(runs.takeVerdicts(at(3.7)).empty());
     runs.answered(SendId(5), at(3.8));
-    CHECK(onlyVerdict(runs, at(3.8)) == RunEnd::TargetLives);
+    CHECK(onlyVerdict(runs, at(3.8)) == RunOutcome::TargetLives);
 }
 
 TEST_CASE("the end of a target that had announced to leave doesn't count, and one that never answers a check does")
@@ -298,7 +299,7 @@
     runs.targetLeaving(target(1));
     runs.broke(SendId(1), at(2));
     runs.checked(target(1), TargetSign::Refused, at(2), at(2));
-    CHECK(onlyVerdict(runs, at(2)) == RunEnd::TargetLeft);
+    CHECK(onlyVerdict(runs, at(2)) == RunOutcome::TargetLeft);
     runs.sent(
         SendId(2), watched(target(2)), [] { return std::uint64_t {7}; }, at(3));
     runs.broke(SendId(2), at(3.1));
@@ -308,7 +309,7 @@
         CHECK_FALSE(onlyVerdict(runs, at(second)));
         runs.checked(target(2), TargetSign::Unanswered, at(second), at(second + 0.4));
     }
-    CHECK(onlyVerdict(runs, at(second)) == RunEnd::TargetEnded);
+    CHECK(onlyVerdict(runs, at(second)) == RunOutcome::TargetEnded);
 }
 
 TEST_CASE("a target whose address another one takes is checked, and a later start under the same id ends the earlier one")
@@ -321,7 +322,7 @@
     REQUIRE(runs.checksDue(at(1.1)).size() == 1);
     runs.checked(target(1), TargetSign::Alive, at(1.1), at(1.2));
     runs.addressTaken({"10.0.0.1", 80}, {TargetId("t1"), 2});
-    CHECK(onlyVerdict(runs, at(1.3)) == RunEnd::TargetEnded);
+    CHECK(onlyVerdict(runs, at(1.3)) == RunOutcome::TargetEnded);
 }
 
 TEST_CASE("only the first gateway uses the store's copy of the records, and writes it when they have changed")
