tests: wait for the first connection's end before the idle one is opened

unit_callerserver failed now and then on a busy machine: connections() was 1 after closeIdle(). The wait for connections() == 1 was met by the first call's connection, which the server drops a moment after its caller sees the close; closeIdle() then closed that one alone, and the idle one was accepted afterwards. The server is right, the test was wrong.

The test now requires that no connection is left before it opens the idle one, and that the idle one has been accepted. It is stricter: both waits must succeed.

--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -125,8 +125,10 @@
     const auto answer = fixture.call("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(countOccurrences(answer.text, "Connection: close") == 1);
     CHECK(answer.isClosed);
+    // The caller sees the close before the server has dropped the connection, which must not be taken for the next one.
+    REQUIRE(fixture.loop.runUntil([&] { return fixture.server.connections() == 0; }, TestTimeout));
     auto idle = rawCall(fixture.server.port(), "", RawAfter::Read);
-    fixture.loop.runUntil([&] { return fixture.server.connections() == 1; }, TestTimeout);
+    REQUIRE(fixture.loop.runUntil([&] { return fixture.server.connections() == 1; }, TestTimeout));
     fixture.server.closeIdle();
     CHECK(fixture.server.connections() == 0);
     fixture.server.stopListening();
