gateway, core: remove repetitions and needless work of the crash watch

No decision changes; tests keep their assertions (two calls lose an unused parameter).

- gateway: the look-up of a declared service stood twice; declaredService() serves both.
- crash records: whether an event is an end that counts, and whether a record rejects its request, are each written once.
- run watch: a row of a target no longer causes a pass over all watched targets while no run is unresolved; the time of a send that nobody read is gone.
- crash watch: an answer sends messages only if it withdrew something.

Left: gateway/runnercalls makes calls with a time limit too, but doesn't say how a call ended, which the check of a target needs. Giving it that would serve both.

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -51,8 +51,12 @@
 
 auto CrashRepeats::endsOf(const Record &record) const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if(record.events.begin(), record.events.end(), [](const auto &event) { return !event.second.isProbe && !event.second.isWithdrawn; }));
+    return static_cast<std::size_t>(std::count_if(record.events.begin(), record.events.end(), [](const auto &event) { return event.second.isCountedEnd(); }));
+}
+
+auto CrashRepeats::rejects(const Record &record) const -> bool
+{
+    return endsOf(record) >= m_options.endsToBar;
 }
 
 /// Records that reject a request or did so. They must be the same at all gateways, so that a withdrawal reaches all.
@@ -71,18 +75,12 @@
 auto CrashRepeats::isBarred(std::uint64_t request) const -> bool
 {
     const auto found = m_records.find(request);
-    return found != m_records.end() && endsOf(found->second) >= m_options.endsToBar;
+    return found != m_records.end() && rejects(found->second);
 }
 
-auto CrashRepeats::barred() const -> std::vector<std::uint64_t>
+auto CrashRepeats::barredCount() const -> std::size_t
 {
-    std::vector<std::uint64_t> list;
-    for (const auto &[request, record] : m_records) {
-        if (endsOf(record) >= m_options.endsToBar) {
-            list.push_back(request);
-        }
-    }
-    return list;
+    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [this](const auto &entry) { return rejects(entry.second); }));
 }
 
 auto CrashRepeats::findOrAdd(std::uint64_t request, TimePoint now) -> Record &
@@ -92,7 +90,7 @@
         return found->second;
     }
     if (m_records.size() >= m_options.maxRecords) {
-        makeSpace(now);
+        makeSpace();
     }
     auto &added = m_records[request];
     added.usedAt = now;
@@ -100,11 +98,11 @@
 }
 
 /// Drops half of the records that reject nothing: this is called seldom, and costs a pass over all records.
-auto CrashRepeats::makeSpace(TimePoint now) -> void
+auto CrashRepeats::makeSpace() -> void
 {
     std::vector<TimePoint> times;
     for (const auto &[request, record] : m_records) {
-        if (endsOf(record) < m_options.endsToBar) {
+        if (!rejects(record)) {
             times.push_back(record.usedAt);
         }
     }
@@ -113,9 +111,9 @@
     }
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    const auto limit = std::min(*middle, now);
+    const auto limit = *middle;
     m_checksum.reset();
-    std::erase_if(m_records, [&](const auto &entry) { return entry.second.usedAt <= limit && endsOf(entry.second) < m_options.endsToBar; });
+    std::erase_if(m_records, [&](const auto &entry) { return entry.second.usedAt <= limit && !rejects(entry.second); });
 }
 
 auto CrashRepeats::trim(Record &record) const -> void
@@ -156,7 +154,7 @@
         }
     } else {
         const auto rank = [](const auto &event) {
-            return std::pair(event.second.isProbe || event.second.isWithdrawn, event.second.at);
+            return std::pair(!event.second.isCountedEnd(), event.second.at);
         };
         std::min_element(events.begin(), events.end(), [&](const auto &left, const auto &right) { return rank(left) < rank(right); })->second.isWithdrawn
             = true;
@@ -167,7 +165,7 @@
     return true;
 }
 
-auto CrashRepeats::targetAnswered(const TargetIncarnation &target, TimePoint sentAt, TimePoint /*now*/) -> std::vector<std::uint64_t>
+auto CrashRepeats::targetAnswered(const TargetIncarnation &target, TimePoint sentAt) -> std::vector<std::uint64_t>
 {
     if (m_endedTargets.empty()) {
         return {};
@@ -200,21 +198,23 @@
 auto CrashRepeats::expire(TimePoint now) -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> dropped;
-    std::erase_if(m_records, [&](const auto &entry) {
+    const auto erased = std::erase_if(m_records, [&](const auto &entry) {
         const auto &record = entry.second;
         const bool isCleared = endsOf(record) == 0 && !isNotable(record);
         const bool isOver = now - record.usedAt >= (isCleared ? m_options.withdrawnLifetime : m_options.lifetime);
-        if (isOver && endsOf(record) >= m_options.endsToBar) {
+        if (isOver && rejects(record)) {
             dropped.push_back(entry.first);
         }
         return isOver;
     });
-    m_checksum.reset();
+    if (erased > 0) {
+        m_checksum.reset();
+    }
     std::erase_if(m_queries, [&](const auto &query) { return !m_records.contains(query.first); });
     m_endedTargets.clear();
     for (const auto &[request, record] : m_records) {
         for (const auto &[id, event] : record.events) {
-            if (!event.isProbe && !event.isWithdrawn) {
+            if (event.isCountedEnd()) {
                 m_endedTargets.insert(id);
             }
         }
@@ -248,7 +248,7 @@
 {
     std::vector<TimePoint> ends;
     for (const auto &[id, event] : record.events) {
-        if (!event.isProbe && !event.isWithdrawn) {
+        if (event.isCountedEnd()) {
             ends.push_back(event.at);
         }
     }
@@ -277,7 +277,7 @@
 auto CrashRepeats::grant(std::uint64_t request, TimePoint now) -> bool
 {
     const auto found = m_records.find(request);
-    if (found == m_records.end() || endsOf(found->second) < m_options.endsToBar) {
+    if (found == m_records.end() || !rejects(found->second)) {
         return true;
     }
     const auto due = probeDueAt(found->second);
@@ -384,7 +384,7 @@
         const auto [known, isNew] = record.events.try_emplace(event.id, Event {event.isProbe, event.isWithdrawn, now - std::max(event.age, Duration()), now});
         isChanged = isChanged || isNew || (event.isWithdrawn && !known->second.isWithdrawn);
         known->second.isWithdrawn = known->second.isWithdrawn || event.isWithdrawn;
-        if (!event.isProbe && !known->second.isWithdrawn) {
+        if (known->second.isCountedEnd()) {
             m_endedTargets.insert(event.id);
         }
     }
@@ -510,7 +510,7 @@
     return message;
 }
 
-auto CrashRepeats::takeMessages(TimePoint /*now*/) -> std::map<std::string, CrashMessage>
+auto CrashRepeats::takeMessages() -> std::map<std::string, CrashMessage>
 {
     return std::exchange(m_messages, {});
 }
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -123,14 +123,14 @@
     /// Until a probe of the request may be granted, or, if no further one will be, until its record expires unless it is used.
     auto retryAfter(std::uint64_t request, TimePoint now) const -> Duration;
     auto arbiter(std::uint64_t request) const -> std::string; ///< the gateway that grants its probes
-    auto barred() const -> std::vector<std::uint64_t>;
+    auto barredCount() const -> std::size_t;
     auto checksum() const -> std::uint64_t; ///< of the records with `endsToBar` ends or more, also withdrawn ones
 
     // Commands: this gateway's requests
     auto targetEnded(std::uint64_t request, const TargetIncarnation &target, TimePoint now) -> bool; ///< false: this end was counted already
     auto succeeded(std::uint64_t request, bool wasProbe, TimePoint now) -> bool; ///< true: ends were withdrawn
     /// The target has answered a request that was sent at `sentAt`: ends that were counted before are withdrawn. Returns the requests concerned.
-    auto targetAnswered(const TargetIncarnation &target, TimePoint sentAt, TimePoint now) -> std::vector<std::uint64_t>;
+    auto targetAnswered(const TargetIncarnation &target, TimePoint sentAt) -> std::vector<std::uint64_t>;
     auto used(std::uint64_t request, TimePoint now) -> void; ///< a client has sent the request and it is rejected: its record is kept
     auto mayBeProbed(std::uint64_t request, TimePoint now) const -> bool; ///< asking the arbiter may be worthwhile
     auto isBeingProbed(std::uint64_t request, TimePoint now) const -> bool; ///< a probe may succeed any moment
@@ -145,7 +145,7 @@
     auto notable(TimePoint now) const -> std::vector<CrashRecord>; ///< the records that checksum() covers
     auto greeting(TimePoint now) const -> CrashMessage; ///< for a gateway that has just connected
     auto takeBroadcast(TimePoint now) -> CrashMessage; ///< records that have changed, for all gateways
-    auto takeMessages(TimePoint now) -> std::map<std::string, CrashMessage>; ///< by receiver
+    auto takeMessages() -> std::map<std::string, CrashMessage>; ///< by receiver
 
     auto expire(TimePoint now) -> std::vector<std::uint64_t>; ///< drops records after their lifetime; call about once a second
 
@@ -155,6 +155,11 @@
         bool isWithdrawn = false;
         TimePoint at;
         TimePoint knownAt; ///< when this gateway learned of it
+
+        auto isCountedEnd() const -> bool
+        {
+            return !isProbe && !isWithdrawn;
+        }
     };
     struct Record {
         std::map<std::uint64_t, Event> events;
@@ -167,6 +172,7 @@
     };
     using Records = std::unordered_map<std::uint64_t, Record>;
     auto endsOf(const Record &record) const -> std::size_t;
+    auto rejects(const Record &record) const -> bool;
     auto isNotable(const Record &record) const -> bool;
     auto looksLikeOutage(const Record &record) const -> bool;
     auto probeDueAt(const Record &record) const -> std::optional<TimePoint>;
@@ -174,7 +180,7 @@
     auto exported(std::uint64_t request, const Record &record, TimePoint now) const -> CrashRecord;
     auto findOrAdd(std::uint64_t request, TimePoint now) -> Record &;
     auto merge(const CrashRecord &received, TimePoint now) -> std::optional<CrashChange>;
-    auto makeSpace(TimePoint now) -> void;
+    auto makeSpace() -> void;
     auto trim(Record &record) const -> void;
 
     std::string m_self;
--- a/src/core/runwatch.cpp
+++ b/src/core/runwatch.cpp
@@ -122,7 +122,7 @@
     const auto open = state.open.extract(run);
     m_runs.erase(run.value());
     if (!open.empty() && m_ended < m_options.maxEnded) {
-        state.ended.push_back({run, open.mapped().fingerprint(), open.mapped().sentAt, now});
+        state.ended.push_back({run, open.mapped().fingerprint(), now});
         ++m_ended;
     }
     state.isSuspected = state.isSuspected || isBroken;
@@ -253,6 +253,9 @@
 
 auto RunWatch::takeVerdicts(TimePoint now) -> std::vector<RunVerdict>
 {
+    if (m_ended == 0) {
+        return std::exchange(m_verdicts, {});
+    }
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         std::erase_if(target->second.ended, [&](const EndedRun &run) {
             if (now - run.endedAt < m_options.maxUnresolved) {
--- a/src/core/runwatch.h
+++ b/src/core/runwatch.h
@@ -112,7 +112,6 @@
     struct EndedRun {
         SendId run;
         std::uint64_t request = 0;
-        TimePoint sentAt;
         TimePoint endedAt;
     };
     struct Target {
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -114,7 +114,8 @@
 auto CrashWatch::answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void
 {
     m_runs.answered(run, now());
-    for (const auto request : m_crashes.targetAnswered(target, sentAt, now())) {
+    const auto withdrawn = m_crashes.targetAnswered(target, sentAt);
+    for (const auto request : withdrawn) {
         m_parts.log.line("crashes", "withdrawn")
             .add("request", request)
             .add("why", "target-lives")
@@ -122,7 +123,9 @@
             .add("born", target.startedAtMillis)
             .add("ends", m_crashes.ends(request));
     }
-    flush();
+    if (!withdrawn.empty()) {
+        flush();
+    }
 }
 
 auto CrashWatch::notSent(SendId run) -> void
@@ -169,7 +172,7 @@
         m_parts.log.line("crashes", "expired").add("request", request);
     }
     useArchive();
-    m_parts.metrics.set("rejected_crashing_requests", static_cast<double>(m_crashes.barred().size()));
+    m_parts.metrics.set("rejected_crashing_requests", static_cast<double>(m_crashes.barredCount()));
 }
 
 auto CrashWatch::runChecks() -> void
@@ -360,7 +363,7 @@
         writeMessage(broadcast, *frame.mutable_crash_report());
         m_parts.peers.sendAll(frame);
     }
-    for (const auto &[to, message] : m_crashes.takeMessages(now())) {
+    for (const auto &[to, message] : m_crashes.takeMessages()) {
         Wire::ControlFrame frame;
         writeMessage(message, *frame.mutable_crash_report());
         m_parts.peers.send(to, frame);
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -109,8 +109,7 @@
         return;
     }
     if (choice.isLastResort && now() - m_connectFailedAt < ConnectRetryDelay) {
-        m_isWaiting = true;
-        m_waitTimer = m_owner.parts.loop.after(ConnectRetryDelay, [this] { attempt(); });
+        tryAgainAfter(ConnectRetryDelay);
         return;
     }
     if (!m_request.model.empty() && !admit(choice)) {
@@ -143,8 +142,7 @@
         m_isProbe = true;
         return true;
     case ProbeState::Pending:
-        m_isWaiting = true;
-        m_waitTimer = m_owner.parts.loop.after(ProbePollPeriod, [this] { attempt(); });
+        tryAgainAfter(ProbePollPeriod);
         return false;
     case ProbeState::Denied:
         break;
@@ -157,8 +155,7 @@
 {
     m_probeAwaitedUntil = m_probeAwaitedUntil.value_or(now() + MaxProbeWait);
     if (m_owner.parts.crashes.isBeingProbed(fingerprint()) && now() < *m_probeAwaitedUntil) {
-        m_isWaiting = true;
-        m_waitTimer = m_owner.parts.loop.after(ProbePollPeriod, [this] { attempt(); });
+        tryAgainAfter(ProbePollPeriod);
         return;
     }
     m_owner.parts.crashes.rejected(fingerprint(), m_traits.attempt);
@@ -166,6 +163,12 @@
     abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
 }
 
+auto ForwardedRequest::tryAgainAfter(Duration delay) -> void
+{
+    m_isWaiting = true;
+    m_waitTimer = m_owner.parts.loop.after(delay, [this] { attempt(); });
+}
+
 /// Checked before each send: the key may have been revoked while the request waited or ran on another target, or while this host was suspended.
 auto ForwardedRequest::isStillGranted() -> bool
 {
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -103,6 +103,7 @@
 
 private:
     auto attempt() -> void;
+    auto tryAgainAfter(Duration delay) -> void; ///< unless tryAgain() is called sooner
     auto isStillGranted() -> bool;
     auto certainlyDidNotRun() const -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
--- a/src/gateway/forwardedwait.cpp
+++ b/src/gateway/forwardedwait.cpp
@@ -64,8 +64,7 @@
     if (refusal == DispatchRefusal::Paused) {
         wait = std::min(wait, *choice.pausedUntil - now());
     }
-    m_isWaiting = true;
-    m_waitTimer = m_owner.parts.loop.after(wait, [this] { attempt(); });
+    tryAgainAfter(wait);
 }
 
 /// Whether a target may take the request before `waitUntil`, as far as known now. If that needs a permit, the request joins those that wait for one.
@@ -90,8 +89,7 @@
     if (now() >= *m_replyDueAt) {
         return false;
     }
-    m_isWaiting = true;
-    m_waitTimer = m_owner.parts.loop.after(*m_replyDueAt - now(), [this] { attempt(); });
+    tryAgainAfter(*m_replyDueAt - now());
     return true;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,6 +171,7 @@
     auto onMisdirected(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) -> void;
     auto onAnswer(const TargetIncarnation &target, const AnswerTraits &answer) -> void;
     auto onResidency(const TargetDescription &target) -> void;
+    auto declaredService(const ServiceName &service) const -> const ServiceDeclaration *; ///< null: not declared
     auto work(const ServiceName &service) const -> std::map<std::string, ModelWork>;
     /// Name of this incarnation of the process in digests and in the order lease.
     auto selfName() const -> HolderName
@@ -501,13 +502,22 @@
     }
 }
 
+auto Gateway::Private::declaredService(const ServiceName &service) const -> const ServiceDeclaration *
+{
+    if (!traffic) {
+        return nullptr;
+    }
+    const auto found = traffic->services.find(service);
+    return found == traffic->services.end() ? nullptr : &found->second;
+}
+
 auto Gateway::Private::work(const ServiceName &service) const -> std::map<std::string, ModelWork>
 {
-    const auto found = traffic ? traffic->services.find(service) : std::map<ServiceName, ServiceDeclaration>::const_iterator();
-    if (!traffic || found == traffic->services.end() || !found->second.engine) {
+    const auto *declared = declaredService(service);
+    if (declared == nullptr || !declared->engine) {
         return {};
     }
-    return demand->work(*found->second.engine, dispatcher.requestCost());
+    return demand->work(*declared->engine, dispatcher.requestCost());
 }
 
 // [SECTION] Peers
@@ -554,8 +564,8 @@
     limits = std::make_unique<LimitExchange>(LimitExchangeParts {loop, log, metrics, *peers}, settings.process.id, std::move(limitHooks));
     CrashWatchHooks crashHooks;
     crashHooks.healthPath = [this](const ServiceName &service) {
-        const auto found = traffic ? traffic->services.find(service) : std::map<ServiceName, ServiceDeclaration>::const_iterator();
-        return traffic && found != traffic->services.end() ? found->second.healthPath : std::string();
+        const auto *declared = declaredService(service);
+        return declared == nullptr ? std::string() : declared->healthPath;
     };
     crashHooks.onProbeReply = [this] {
         forwarder->retryWaiting();
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -79,7 +79,7 @@
         const auto ended = m_open[run];
         m_open.erase(run);
         m_runs.answered(run, now);
-        m_crashes.targetAnswered(ended.target, ended.sentAt, now);
+        m_crashes.targetAnswered(ended.target, ended.sentAt);
         m_crashes.succeeded(ended.request, ended.isProbe, now);
         advance(now);
     }
@@ -173,7 +173,7 @@
         if (!broadcast.isEmpty()) {
             m_hooks.sendAll(broadcast);
         }
-        for (const auto &[to, message] : m_crashes.takeMessages(now)) {
+        for (const auto &[to, message] : m_crashes.takeMessages()) {
             m_hooks.send(to, message);
         }
     }
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -67,10 +67,10 @@
     for (int round = 0; round < 3; ++round) {
         b.received("a", a.takeBroadcast(now), now);
         a.received("b", b.takeBroadcast(now), now);
-        for (const auto &[to, message] : a.takeMessages(now)) {
+        for (const auto &[to, message] : a.takeMessages()) {
             b.received("a", message, now);
         }
-        for (const auto &[to, message] : b.takeMessages(now)) {
+        for (const auto &[to, message] : b.takeMessages()) {
             a.received("b", message, now);
         }
     }
@@ -181,9 +181,9 @@
     for (int i = 0; i < 3; ++i) {
         gateway.targetEnded(1, target(i), at(5));
     }
-    CHECK(gateway.targetAnswered(target(0), at(4), at(6)).empty());
+    CHECK(gateway.targetAnswered(target(0), at(4)).empty());
     CHECK(gateway.isBarred(1));
-    CHECK(gateway.targetAnswered(target(0), at(5.5), at(6)).size() == 1);
+    CHECK(gateway.targetAnswered(target(0), at(5.5)).size() == 1);
     CHECK_FALSE(gateway.isBarred(1));
 }
 
