forwarder: log how the answer to a stream was framed and ended, and at which software version

The record of a broken stream can't tell whether its answer ended with the connection, in order or by a reset, or inside an event; an answer that was taken for complete got no line about its end at all. 'request answered' of streams, and 'attempt broken' of all requests, now name the framing, the end of the connection, the complete events, whether the answer ended inside one, and the software versions of the target that began the stream and of the last one.

HttpHead states the framing of a body instead of a flag for chunks.

--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -483,6 +483,7 @@
     choice.refusal = DispatchRefusal::None;
     choice.target = best->target;
     choice.incarnation = best->state->description.incarnation;
+    choice.softwareVersion = best->state->description.softwareVersion;
     choice.address = best->state->description.address;
     choice.expectedFirst = best->first;
     choice.expectedIfPatient = best->ifPatient;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -69,6 +69,7 @@
 struct DispatchChoice {
     TargetId target; ///< empty if refused
     TargetIncarnation incarnation; ///< of `target`
+    std::string softwareVersion; ///< of `target`
     DispatchRefusal refusal = DispatchRefusal::None;
     Endpoint address;
     Duration expectedFirst; ///< expected time until the first token, or until a plain service's answer
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -27,12 +27,23 @@
     if (answer.target.isEmpty() || answer.target == m_target) {
         m_owner.hooks.onAnswer(m_incarnation, answer, m_sentAt);
     }
+    if (isEventStream()) {
+        m_boundary.emplace();
+    }
     if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream) {
         beginForwarding();
     }
     return AnswerVerdict::Accept;
 }
 
+auto ForwardedRequest::isEventStream() const -> bool
+{
+    constexpr std::string_view EventStreamType = "text/event-stream";
+    const auto type = findHeader(m_head.headers, "content-type");
+    const bool isStreamType = type ? isSameHeaderName(type->substr(0, EventStreamType.size()), EventStreamType) : m_route.kind == RouteKind::Stream;
+    return HttpStatus::isSuccess(m_head.status) && isStreamType;
+}
+
 /// Status and headers go to the client only with the first bytes of the body: if the stream breaks before these, the request can still be resent to another
 /// target.
 auto ForwardedRequest::beginForwarding() -> void
@@ -53,6 +64,9 @@
     m_answerBytes += bytes.size();
     m_owner.parts.crashes.received(m_send);
     recordProgress();
+    if (m_boundary) {
+        m_boundary->feed(bytes);
+    }
     if (!m_isForwarding) {
         m_bufferedBody.append(bytes);
         const bool isTooLong = m_bufferedBody.size() > m_owner.options.maxBufferedAnswer;
@@ -115,6 +129,9 @@
             }
         };
     }
+    if (!m_beganAtVersion) {
+        m_beganAtVersion = m_softwareVersion;
+    }
     m_forwardedBytes += bytes.size();
     m_exchange->write(bytes);
     if (m_exchange->pendingBytes() > m_owner.options.streamBuffer && m_call) {
@@ -126,6 +143,7 @@
 {
     const auto self = shared_from_this();
     m_call = nullptr;
+    m_connectionEnd = end.connection;
     if (m_finished) {
         return;
     }
@@ -228,14 +246,16 @@
         m_owner.parts.crashes.broke(m_send);
     }
     closeSend(neverSent ? SendResult::Rejected : hadNoAnswer ? SendResult::NoAnswer : SendResult::Failed);
-    m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
-        .add("id", m_traits.attempt.text())
-        .add("target", m_target.text())
-        .add("after", now() - m_sentAt)
-        .add("reused", end.wasReused)
-        .add("connection", toString(end.connection))
-        .add("head", m_hasHead)
-        .add("passed", static_cast<std::uint64_t>(m_forwardedBytes));
+    {
+        auto line = m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken");
+        line.add("id", m_traits.attempt.text())
+            .add("target", m_target.text())
+            .add("after", now() - m_sentAt)
+            .add("reused", end.wasReused)
+            .add("head", m_hasHead)
+            .add("passed", static_cast<std::uint64_t>(m_forwardedBytes));
+        addAnswerEnd(line);
+    }
     if (neverSent) {
         m_connectFailedAt = now();
         m_owner.markUnreachable(m_target);
@@ -288,6 +308,17 @@
         .add("head", m_hasHead);
 }
 
+/// How the latest answer was framed and ended.
+auto ForwardedRequest::addAnswerEnd(LogLine &line) const -> void
+{
+    line.add("framing", m_hasHead ? toString(m_head.framing) : "-")
+        .add("connection", m_connectionEnd ? toString(*m_connectionEnd) : "open")
+        .add("events", m_boundary ? m_boundary->events() : 0)
+        .add("inside-event", m_boundary && !m_boundary->isBetweenEvents())
+        .add("version", m_softwareVersion)
+        .add("began-at-version", m_beganAtVersion.value_or("-"));
+}
+
 auto ForwardedRequest::recordSuccess() -> void
 {
     if (!m_owner.parts.crashes.isEmpty()) {
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -247,6 +247,7 @@
         .add("route", m_route.name)
         .add("account", m_grant ? m_grant->account.text() : "-")
         .add("target", choice.target.text())
+        .add("version", choice.softwareVersion)
         .add("model", m_request.model)
         .add("adapter", m_request.adapter)
         .add("send", m_sends)
@@ -269,7 +270,10 @@
     ++m_sends;
     m_target = choice.target;
     m_incarnation = choice.incarnation;
+    m_softwareVersion = choice.softwareVersion;
     m_hasHead = false;
+    m_boundary.reset();
+    m_connectionEnd.reset();
     m_isForwarding = false;
     m_bufferedBody.clear();
     m_answerBytes = 0;
@@ -412,8 +416,8 @@
     }
     closeSend(SendResult::Cancelled);
     const auto took = now() - m_exchange->startedAt();
-    m_owner.parts.log.line("request", "answered")
-        .add("id", m_traits.attempt.text())
+    auto line = m_owner.parts.log.line("request", "answered");
+    line.add("id", m_traits.attempt.text())
         .add("status", status)
         .add("outcome", outcome)
         .add("target", m_target.text())
@@ -424,6 +428,9 @@
         .add("pause-ended", m_pauseEndedAfter)
         .add("late", lateness())
         .add("took", took);
+    if (m_route.kind == RouteKind::Stream) {
+        addAnswerEnd(line);
+    }
     m_owner.parts.metrics.add("requests_total{outcome=\"" + std::string(outcome) + "\"}");
     m_owner.parts.metrics.observe("request_seconds", took.inSeconds());
     m_owner.requests.erase(shared_from_this());
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -6,6 +6,7 @@
 //   ForwardedRequest  one request
 #pragma once
 
+#include "core/eventboundary.h"
 #include "core/eventcursor.h"
 #include "gateway/forwarder.h"
 
@@ -126,11 +127,13 @@
     auto becomeProbe() -> bool;
     auto awaitProbe() -> void;
     auto logRunEnd(const char *how) -> void;
+    auto addAnswerEnd(LogLine &line) const -> void;
     auto recordSuccess() -> void;
     auto onEnd(const PooledEnd &end) -> void;
     auto onAnswer() -> void;
     auto onFailure(const PooledEnd &end) -> void;
     auto onNotRun() -> void;
+    auto isEventStream() const -> bool;
     auto beginForwarding() -> void;
     auto forwardBytes(std::string_view bytes) -> void;
     auto mayRunAgain() -> bool;
@@ -169,6 +172,10 @@
     HttpHead m_head; ///< of the latest answer
     AnswerTraits m_answer;
     std::string m_bufferedBody; ///< body of the latest answer, if it is kept until it is complete
+    std::string m_softwareVersion; ///< of m_target
+    std::optional<std::string> m_beganAtVersion; ///< software version of the target whose bytes came first to the client
+    std::optional<EventBoundary> m_boundary; ///< of the latest answer, if it is a stream of events
+    std::optional<TcpEnd> m_connectionEnd; ///< how the latest answer's connection ended; nothing: the target didn't end it
     bool m_hasHead = false;
     bool m_isForwarding = false; ///< the body goes to the client as it arrives
     std::optional<EventCursor> m_events; ///< set for a stream that another target may resume
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -72,7 +72,7 @@
     auto onHead() -> void;
     auto onClosed(TcpEnd how) -> void;
     auto onAnswered(bool noBytesFollow) -> void;
-    auto finish(CallEnd end, TcpEnd how) -> void;
+    auto finish(CallEnd end, std::optional<TcpEnd> how) -> void;
     auto prepareReader() -> void;
 
     HttpPool::Private *m_pool; ///< null once the connection was removed from the pool
@@ -245,7 +245,7 @@
         }
         bytes.remove_prefix(std::min(used, bytes.size()));
         if (m_reader.fault() != HttpFault::None || (m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse)) {
-            finish(CallEnd::Broken, TcpEnd::Reset);
+            finish(CallEnd::Broken, std::nullopt);
             return;
         }
         if (!m_reader.isComplete()) {
@@ -259,7 +259,7 @@
         if (!isInterim) {
             ++m_pool->counts.strayAnswers;
             if (++m_skipped > m_pool->options.maxSkipped || !m_reader.head().keepsConnection) {
-                finish(CallEnd::Broken, TcpEnd::Reset);
+                finish(CallEnd::Broken, std::nullopt);
                 return;
             }
         }
@@ -278,7 +278,7 @@
         ++m_pool->counts.strayAnswers;
     }
     if (!isReusable) {
-        finish(CallEnd::Complete, TcpEnd::Closed);
+        finish(CallEnd::Complete, std::nullopt);
         return;
     }
     const auto now = m_loop.now();
@@ -294,7 +294,7 @@
     list.push_back(self);
     const auto call = std::exchange(m_call, nullptr);
     if (call->onEnd) {
-        call->onEnd({CallEnd::Complete, true, m_calls > 1, TcpEnd::Closed, m_idleBefore});
+        call->onEnd({CallEnd::Complete, true, m_calls > 1, std::nullopt, m_idleBefore});
     }
 }
 
@@ -314,7 +314,7 @@
     finish(neverSent ? CallEnd::NotSent : CallEnd::Broken, how);
 }
 
-auto PoolConnection::finish(CallEnd end, TcpEnd how) -> void
+auto PoolConnection::finish(CallEnd end, std::optional<TcpEnd> how) -> void
 {
     const auto self = shared_from_this();
     m_wasSent = end != CallEnd::NotSent;
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace KingCup
@@ -32,7 +33,7 @@
     CallEnd end = CallEnd::Broken;
     bool wasSent = false; ///< at least a part was sent: the server may have executed the call
     bool wasReused = false; ///< the connection had served another call before
-    TcpEnd connection = TcpEnd::Closed; ///< how the connection ended, if it did
+    std::optional<TcpEnd> connection; ///< how the remote side ended the connection; nothing: it didn't
     Duration idleBefore; ///< how long a reused connection was idle before this call
 };
 
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -52,6 +52,21 @@
 
 } // namespace
 
+auto toString(BodyFraming framing) -> const char *
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::Connection:
+        return "connection";
+    }
+    return "?";
+}
+
 auto isSameHeaderName(std::string_view a, std::string_view b) -> bool
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
@@ -104,6 +119,7 @@
     auto onName(std::string_view text) -> int;
     auto onValue(std::string_view text) -> int;
     auto onHeadDone() -> int;
+    auto framing() const -> BodyFraming;
     static auto settings() -> const http_parser_settings &;
     static auto from(http_parser *parser) -> Private &
     {
@@ -134,6 +150,24 @@
     return count(text.size());
 }
 
+auto HttpReader::Private::framing() const -> BodyFraming
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    constexpr int FirstFinal = 200;
+    const bool isAnswer = kind == Kind::Answer;
+    if (isAnswer && (noBody || head.status < FirstFinal || head.status == NoContent || head.status == NotModified)) {
+        return BodyFraming::None;
+    }
+    if ((parser.flags & F_CHUNKED) != 0) {
+        return BodyFraming::Chunked;
+    }
+    if (head.length) {
+        return BodyFraming::Length;
+    }
+    return isAnswer ? BodyFraming::Connection : BodyFraming::None;
+}
+
 /// The return value tells http-parser what to do: 0 to go on, 1 to skip the body, any other value to fail.
 auto HttpReader::Private::onHeadDone() -> int
 {
@@ -151,10 +185,10 @@
     } else {
         head.status = static_cast<int>(parser.status_code);
     }
-    head.isChunked = (parser.flags & F_CHUNKED) != 0;
     if ((parser.flags & F_CONTENTLENGTH) != 0) {
         head.length = parser.content_length;
     }
+    head.framing = framing();
     head.keepsConnection = http_should_keep_alive(&parser) != 0;
     headDone = true;
     if (owner->onHead) {
@@ -237,12 +271,7 @@
 
 auto HttpReader::endsWithConnection() const -> bool
 {
-    constexpr int NoContent = 204;
-    constexpr int NotModified = 304;
-    constexpr int FirstFinal = 200;
-    const auto &head = d->head;
-    const bool hasBody = head.status >= FirstFinal && head.status != NoContent && head.status != NotModified && !d->noBody;
-    return d->headDone && d->kind == Kind::Answer && hasBody && !head.isChunked && !head.length;
+    return d->headDone && d->head.framing == BodyFraming::Connection;
 }
 
 auto HttpReader::feed(std::string_view bytes) -> std::size_t
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -22,6 +22,15 @@
 
 // [SECTION] Heads
 
+/// How the end of a message's body is marked.
+enum class BodyFraming {
+    None, ///< there is no body
+    Length, ///< by Content-Length
+    Chunked, ///< by the last chunk
+    Connection, ///< answers: by the end of the connection, if the server closes it in order
+};
+auto toString(BodyFraming framing) -> const char *;
+
 /// The start line and headers of a request or an answer. Header names keep the case in which they were sent.
 struct HttpHead {
     std::string method; ///< requests: "GET", "POST", ...
@@ -29,7 +38,7 @@
     int status = 0; ///< answers
     HttpHeaders headers;
     std::optional<std::uint64_t> length; ///< Content-Length, if present
-    bool isChunked = false;
+    BodyFraming framing = BodyFraming::None;
     bool keepsConnection = false; ///< whether the connection stays open after the message, by HTTP version and Connection header
 };
 
@@ -63,7 +72,7 @@
     auto isComplete() const -> bool; ///< the whole message was parsed; further bytes are left alone
     auto fault() const -> HttpFault;
     auto head() const -> const HttpHead &;
-    auto endsWithConnection() const -> bool; ///< an answer without a length: complete when the server closes the connection in order
+    auto endsWithConnection() const -> bool; ///< the head was received, and the body is framed by BodyFraming::Connection
 
     // Commands
     /// Parses up to the end of the message and returns the number of bytes consumed. If not all were, the message is complete or has a fault.
--- a/tests/unit_httpreader.cpp
+++ b/tests/unit_httpreader.cpp
@@ -52,7 +52,7 @@
     const auto read = feedAll(reader, "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nLate: 1\r\n\r\n", 4);
     REQUIRE(reader.isComplete());
     CHECK(read.body == "abcde");
-    CHECK(reader.head().isChunked);
+    CHECK(reader.head().framing == BodyFraming::Chunked);
     CHECK_FALSE(findHeader(reader.head().headers, "Late"));
 }
 
