tests: how each framing and end of a target's answer reaches the caller, failing

Callers took streams of crashed targets for complete. The test compares what callers of HTTP/1.0 and 1.1 see of resumable and other streams and of plain answers.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -84,12 +84,14 @@
         Json row {{"service", m_settings.service},
                   {"address", "127.0.0.1:" + std::to_string(port())},
                   {"zone", m_settings.zone},
-                  {"version", "v1"},
                   {"slots", m_settings.slots},
                   {"state", m_draining ? "draining" : "ready"},
                   {"cold_left_ms", 0},
                   {"born", m_startedAtMillis},
                   {"sequence", m_starts + m_touches}};
+        if (!m_softwareVersion.empty()) {
+            row["version"] = m_softwareVersion;
+        }
         if (m_settings.isRunner) {
             row["models"] = models();
         }
@@ -106,7 +108,12 @@
 
 auto PlatformRunner::crashOf(const Json &command) -> Crash
 {
-    return {Duration::millis(command.value("downMs", 300)), command.value("sameId", false), command.value("silent", false), command.value("afterHead", false)};
+    Crash crash {
+        Duration::millis(command.value("downMs", 300)), command.value("sameId", false), command.value("silent", false), command.value("afterHead", false)};
+    if (command.contains("version")) {
+        crash.softwareVersion = command["version"].get<std::string>();
+    }
+    return crash;
 }
 
 auto PlatformRunner::crash(const Crash &how) -> void
@@ -127,8 +134,9 @@
         m_server.closeAll();
     }
     heartbeat();
-    m_clock.after(how.down, [this, keepsId = how.keepsId, old = m_id] {
+    m_clock.after(how.down, [this, keepsId = how.keepsId, version = how.softwareVersion, old = m_id] {
         ++m_epoch;
+        m_softwareVersion = version.value_or(m_softwareVersion);
         if (!keepsId) {
             m_id = m_settings.id + "-" + std::to_string(m_starts + 1);
             m_store.remove("servers", old);
@@ -140,7 +148,7 @@
 auto PlatformRunner::command(const Json &command) -> bool
 {
     static const std::set<std::string> Modes {
-        "well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark", "reject"};
+        "well", "errors", "reset", "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "dark", "reject", "answer-as"};
     const auto mode = command.value("mode", std::string());
     if (mode == "crash") {
         crash(crashOf(command));
@@ -157,6 +165,10 @@
         record("limit", {{"perSecond", std::atof(m_requestLimit.c_str())}, {"isSet", !m_requestLimit.empty()}});
         return true;
     }
+    if (mode == "version") {
+        m_softwareVersion = command.value("version", std::string());
+        return true;
+    }
     if (mode == "announce-leaving") {
         m_announcesLeaving = true;
         record("leaving");
@@ -188,6 +200,7 @@
     }
     m_mode = mode;
     m_retryAfter = command.value("retryAfter", std::string());
+    m_answerForm = answerFormOf(command);
     m_server.setUnresponsive(mode == "dark");
     return true;
 }
@@ -197,6 +210,7 @@
     return {{"events", m_events},
             {"arrivals", m_arrivals},
             {"runs", m_runs},
+            {"versions", m_versionsByAttempt},
             {"deadlyRuns", m_deadlyRuns},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
@@ -303,6 +317,7 @@
         return;
     }
     ++m_runs[attempt];
+    m_versionsByAttempt[attempt].push_back(m_softwareVersion);
     m_bodies[attempt] = body;
     for (const auto &header : head.headers) {
         if (isSameHeaderName(header.name, "Tenant")) {
@@ -348,7 +363,9 @@
     auto headers = announcements();
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
-    if (m_mode == "lose-answers") {
+    if (m_mode == "answer-as") {
+        answerInForm(connection, headers, body, m_answerForm.cut == "none" ? body : body.substr(0, body.size() / 2));
+    } else if (m_mode == "lose-answers") {
         connection->close();
     } else if (m_mode == "truncate") {
         headers.push_back({"Content-Length", std::to_string(body.size())});
@@ -394,11 +411,71 @@
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
     headers.push_back({"Content-Type", "text/event-stream"});
+    if (m_mode == "answer-as") {
+        --m_running;
+        connection->onClientClosed = nullptr;
+        std::string whole;
+        std::string sent;
+        for (int number = first; number <= last; ++number) {
+            const auto event = eventText(attempt, number);
+            const int sentBefore = number - first;
+            const bool isCut = sentBefore == m_answerForm.events && m_answerForm.cut != "none";
+            whole += event;
+            if (m_answerForm.events < 0 || sentBefore < m_answerForm.events) {
+                sent += event;
+            } else if (isCut) {
+                sent += event.substr(0, m_answerForm.cut == "inside" ? event.size() / 2 : event.size() - m_answerForm.lineEnd.size());
+            }
+        }
+        answerInForm(connection, headers, whole, sent);
+        return;
+    }
     headers.push_back({"Transfer-Encoding", "chunked"});
     connection->write(answerHead(Status::Ok, headers));
     sendEvent(connection, attempt, first, last);
 }
 
+auto PlatformRunner::answerFormOf(const Json &command) -> AnswerForm
+{
+    AnswerForm form;
+    form.framing = command.value("framing", form.framing);
+    form.lineEnd = command.value("lineEnd", form.lineEnd);
+    form.events = command.value("events", form.events);
+    form.cut = command.value("cut", form.cut);
+    form.end = command.value("end", form.end);
+    return form;
+}
+
+/// The data names the software version, so that tests see which targets a stream came from.
+auto PlatformRunner::eventText(const std::string &attempt, int number) const -> std::string
+{
+    const std::string lineEnd = m_mode == "answer-as" ? m_answerForm.lineEnd : "\n";
+    const auto version = m_softwareVersion.empty() ? "" : m_softwareVersion + " ";
+    return "id: " + std::to_string(number) + lineEnd + "data: " + attempt + " " + version + std::to_string(number) + lineEnd + lineEnd;
+}
+
+auto PlatformRunner::answerInForm(const RawConnectionPtr &connection, HttpHeaders headers, const std::string &text, const std::string &sent) -> void
+{
+    const auto &form = m_answerForm;
+    if (form.framing == "chunked") {
+        headers.push_back({"Transfer-Encoding", "chunked"});
+    } else if (form.framing == "length") {
+        headers.push_back({"Content-Length", std::to_string(form.end == "complete" ? sent.size() : text.size())});
+    } else {
+        headers.push_back({"Connection", "close"});
+    }
+    connection->write(answerHead(Status::Ok, headers) + (form.framing == "chunked" && !sent.empty() ? chunk(sent) : sent));
+    m_clock.after(m_settings.eventTime, [connection, form] {
+        if (form.end == "reset") {
+            connection->reset();
+        } else if (form.end == "close" || (form.end == "complete" && form.framing == "connection")) {
+            connection->close();
+        } else if (form.end == "complete" && form.framing == "chunked") {
+            connection->write(LastChunk);
+        }
+    });
+}
+
 auto PlatformRunner::sendEvent(const RawConnectionPtr &connection, const std::string &attempt, int number, int last) -> void
 {
     if (!connection->isOpen()) {
@@ -410,7 +487,7 @@
         connection->write(LastChunk);
         return;
     }
-    const auto event = "id: " + std::to_string(number) + "\ndata: " + attempt + " " + std::to_string(number) + "\n\n";
+    const auto event = eventText(attempt, number);
     if (m_mode == "truncate" && number == 2) {
         connection->onClientClosed = nullptr;
         --m_running;
--- a/fakes/platformwire.cpp
+++ b/fakes/platformwire.cpp
@@ -39,6 +39,14 @@
     }
 }
 
+auto RawConnection::reset() -> void
+{
+    if (m_stream) {
+        m_stream->setResetOnClose(true);
+    }
+    close();
+}
+
 RawServer::RawServer(EventLoop &loop, int port, Handler handler)
     : m_loop(loop)
     , m_handler(std::move(handler))
--- a/fakes/platformwire.h
+++ b/fakes/platformwire.h
@@ -19,7 +19,8 @@
     auto isOpen() const -> bool;
     auto write(std::string_view bytes) -> void;
     auto answer(int status, HttpHeaders headers, std::string_view body) -> void; ///< writes a complete answer with its content length
-    auto close() -> void;
+    auto close() -> void; ///< in order
+    auto reset() -> void;
 
     std::function<void()> onClientClosed; ///< the connection has ended and not by close(); set anew by the handler of each request
 
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -89,6 +89,7 @@
     bool ended = false;
     bool sent = false;
     bool writingDone = false; // finishWriting() was called
+    bool resetsOnClose = false;
     Timer connectTimer;
 
     auto start(EventLoop &loop, int descriptor) -> bool;
@@ -238,7 +239,7 @@
     d->owner = nullptr;
     d->ended = true;
     d->connectTimer.cancel();
-    if (d->polled->descriptor() >= 0) {
+    if (d->polled->descriptor() >= 0 && !d->resetsOnClose) {
         shutdown(d->polled->descriptor(), SHUT_RDWR); // ends the connection at once: the loop closes the descriptor a little later
     }
     d->polled->release();
@@ -350,6 +351,12 @@
     }
 }
 
+auto TcpStream::setResetOnClose(bool on) -> void
+{
+    d->resetsOnClose = on;
+    setOption(d->polled->descriptor(), SOL_SOCKET, SO_LINGER, linger {on ? 1 : 0, 0});
+}
+
 // [SECTION] TcpListener
 
 struct TcpListener::Private : std::enable_shared_from_this<TcpListener::Private> {
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -67,6 +67,10 @@
     /// Shuts down sending once the pending bytes are sent; bytes of the remote side can still be received.
     auto finishWriting() -> void;
 
+    /// While on, the connection is reset when the stream is destroyed or the process ends, and the remote side can't take it for closed in order. Bytes that it
+    /// hasn't acknowledged by then may be lost.
+    auto setResetOnClose(bool on) -> void;
+
     std::function<void()> onConnected; ///< only for streams made by connect()
     std::function<void(std::string_view bytes)> onData;
     std::function<void(TcpEnd end)> onEnd; ///< once, unless the stream is destroyed before; the stream can't be used any more
--- a/tests/rawcaller.h
+++ b/tests/rawcaller.h
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <future>
 #include <string>
 #include <sys/socket.h>
@@ -20,6 +21,7 @@
 struct RawAnswer {
     std::string text;
     bool isClosed = false; ///< by the server
+    bool isReset = false; ///< closed by a reset, not in order
 };
 
 /// Sends `bytes` to a port of the loopback address and collects the answer.
@@ -46,7 +48,8 @@
             while (after == RawAfter::Read && (size = recv(socketFd, buffer.data(), buffer.size(), 0)) > 0) {
                 answer.text.append(buffer.data(), static_cast<std::size_t>(size));
             }
-            answer.isClosed = size == 0 || (size < 0 && errno == ECONNRESET);
+            answer.isReset = size < 0 && errno == ECONNRESET;
+            answer.isClosed = size == 0 || answer.isReset;
         }
         ::close(socketFd);
         return answer;
