caller server: end streamed answers to HTTP/1.0 callers with the connection, broken ones by a reset

An HTTP/1.0 caller got every answer of unknown length in chunks, whose sizes it takes for content.

Such an answer now has neither a length nor chunks, and its connection is closed after it. A close in order then means that the answer is whole, so the connection is set to be reset on close until the kernel has the last byte: an abort, a failing gateway and a killed one all end it with a reset. A test of the caller server guards this too.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -68,6 +68,21 @@
             m_stream->write(bytes);
         }
     }
+    /// The current answer ends with the connection.
+    auto beginAnswerUntilClose() -> void
+    {
+        m_closeAfterAnswer = true;
+        if (m_stream) {
+            m_stream->setResetOnClose(true);
+        }
+    }
+    /// The kernel has all bytes of the answer, so the connection may be closed in order.
+    auto allowOrderlyClose() -> void
+    {
+        if (m_stream && m_stream->pendingBytes() == 0) {
+            m_stream->setResetOnClose(false);
+        }
+    }
     auto answerFinished() -> void; ///< the exchange has written its whole answer
     auto close() -> void;
     auto checkTimeouts(TimePoint now) -> void;
@@ -115,6 +130,9 @@
         onEnd();
     };
     m_stream->onDrained = [this] {
+        if (m_lingering) {
+            allowOrderlyClose();
+        }
         if (const auto exchange = m_exchange; exchange && exchange->onDrained) {
             exchange->onDrained();
         }
@@ -359,11 +377,15 @@
         return;
     }
     m_begun = true;
-    m_chunked = !length && m_head.method != "HEAD";
+    const bool hasBody = m_head.method != "HEAD";
     if (length) {
         headers.push_back({"Content-Length", std::to_string(*length)});
-    } else {
+    } else if (m_head.allowsChunks) {
         headers.push_back({"Transfer-Encoding", "chunked"});
+        m_framing = hasBody ? BodyFraming::Chunked : BodyFraming::None;
+    } else if (hasBody) {
+        m_framing = BodyFraming::Connection;
+        connection->beginAnswerUntilClose();
     }
     connection->write(answerHead(status, connectionHeaders(std::move(headers))));
 }
@@ -372,7 +394,7 @@
 {
     const auto connection = m_connection.lock();
     if (connection && m_begun && !m_finished && !bytes.empty()) {
-        connection->write(m_chunked ? chunk(bytes) : std::string(bytes));
+        connection->write(m_framing == BodyFraming::Chunked ? chunk(bytes) : std::string(bytes));
     }
 }
 
@@ -383,8 +405,10 @@
         return;
     }
     m_finished = true;
-    if (m_chunked) {
+    if (m_framing == BodyFraming::Chunked) {
         connection->write(LastChunk);
+    } else if (m_framing == BodyFraming::Connection) {
+        connection->allowOrderlyClose();
     }
     connection->answerFinished();
 }
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -39,7 +39,8 @@
 
     /// Writes a complete answer. Adds Content-Length.
     auto respond(int status, HttpHeaders headers, std::string_view body) -> void;
-    /// Writes a streamed answer: begin(), any number of write(), finish(). Without `length`, it is chunked.
+    /// Writes a streamed answer: begin(), any number of write(), finish(). Without `length`, it is chunked, or ends with the connection if the caller can't
+    /// read chunks. Then an answer that isn't finished ends with a reset, also if this process is killed.
     auto begin(int status, HttpHeaders headers, std::optional<std::uint64_t> length) -> void;
     auto write(std::string_view bytes) -> void;
     auto finish() -> void;
@@ -58,7 +59,7 @@
     std::string m_body;
     TimePoint m_startedAt;
     bool m_begun = false;
-    bool m_chunked = false;
+    BodyFraming m_framing = BodyFraming::Length; ///< of the answer
     bool m_finished = false;
 };
 
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -189,6 +189,7 @@
         head.length = parser.content_length;
     }
     head.framing = framing();
+    head.allowsChunks = parser.http_major > 1 || (parser.http_major == 1 && parser.http_minor >= 1);
     head.keepsConnection = http_should_keep_alive(&parser) != 0;
     headDone = true;
     if (owner->onHead) {
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -39,6 +39,7 @@
     HttpHeaders headers;
     std::optional<std::uint64_t> length; ///< Content-Length, if present
     BodyFraming framing = BodyFraming::None;
+    bool allowsChunks = false; ///< requests: the sender reads chunked answers (HTTP/1.1 and later)
     bool keepsConnection = false; ///< whether the connection stays open after the message, by HTTP version and Connection header
 };
 
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -101,6 +101,30 @@
     CHECK_FALSE(fixture.call("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n").text.ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("a streamed answer to an HTTP/1.0 caller ends with the connection, and an aborted one with a reset")
+{
+    // Guards against chunks that HTTP/1.0 callers take for content, and against a broken answer that looks complete to them.
+    ServerFixture fixture;
+    fixture.answer = [](const CallerExchangePtr &exchange) {
+        exchange->begin(200, {}, std::nullopt);
+        exchange->write("abc");
+        exchange->write("de");
+        if (exchange->head().target == "/whole") {
+            exchange->finish();
+        } else {
+            exchange->abort();
+        }
+    };
+    for (const std::string connection : {"", "Connection: keep-alive\r\n"}) {
+        const auto whole = fixture.call("GET /whole HTTP/1.0\r\nHost: h\r\n" + connection + "\r\n");
+        CHECK(whole.text.ends_with("\r\n\r\nabcde"));
+        CHECK(whole.text.find("Connection: close") != std::string::npos);
+        CHECK(whole.isClosed);
+        CHECK_FALSE(whole.isReset);
+        CHECK(fixture.call("GET /cut HTTP/1.0\r\nHost: h\r\n" + connection + "\r\n").isReset);
+    }
+}
+
 TEST_CASE("a caller that closes its connection while its request is in flight is noticed at once")
 {
     // Guards against runners that go on working on a request whose client has given up.
