forwarder: a stream that ends inside an event is broken off, whatever its framing says

Two callers got streams of crashed runners framed as complete, with a part of the last event, and took them for whole.

Cause: whether an answer is whole was decided by its framing alone. An answer without a length and chunks ends with its connection, and the operating system of a target whose process crashes closes that in order. Only resumable streams were cut into events and so had their last event checked; others were passed through as bytes. A resumable stream that ended inside an event was aborted at once, though another target could have gone on.

Evidence: the record (status 200, run 'crashed', end at the caller 4 and 6 ms later), and the matrix of system_answerends: on the route that may not be resumed each cut inside an event was whole at the caller, on the resumable one none.

Now the forwarder follows the events of each stream of events with EventBoundary. An answer that is complete by its framing but ends inside an event, or ends with its connection without any event, takes the way of every broken answer: resend or resume where the route allows it, else 502 or an aborted answer; the target's run counts as unresolved. No length is stated to the caller of a stream, since the abort must come before it is reached. EventCursor uses the same boundary, so it knows CR as a line end, passes comments on without waiting for the next event and doesn't rescan its buffer. Answers of another type on a route for streams are passed on unchanged.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -410,7 +410,7 @@
     auto headers = announcements();
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
-    headers.push_back({"Content-Type", "text/event-stream"});
+    headers.push_back({"Content-Type", m_mode == "answer-as" ? m_answerForm.contentType : "text/event-stream"});
     if (m_mode == "answer-as") {
         --m_running;
         connection->onClientClosed = nullptr;
@@ -443,6 +443,7 @@
     form.events = command.value("events", form.events);
     form.cut = command.value("cut", form.cut);
     form.end = command.value("end", form.end);
+    form.contentType = command.value("contentType", form.contentType);
     return form;
 }
 
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -82,6 +82,7 @@
         std::string cut = "none"; ///< what follows them: "inside": a part of the next event or, of a plain answer, half of it; "line-ends": an event without
                                   ///< its second line end
         std::string end = "complete"; ///< "complete": by the rules of its framing, as if nothing were missing; "close", "reset"; "silence": it doesn't end
+        std::string contentType = "text/event-stream"; ///< of a stream
     };
     static auto answerFormOf(const Json &command) -> AnswerForm;
     auto eventText(const std::string &attempt, int number) const -> std::string;
--- a/src/core/eventcursor.cpp
+++ b/src/core/eventcursor.cpp
@@ -1,29 +1,10 @@
 #include "core/eventcursor.h"
 
-namespace KingCup
-{
-
-namespace
-{
+#include <algorithm>
+#include <utility>
 
-/// The position after the blank line that ends the first event; npos if that event is incomplete.
-auto eventEnd(std::string_view text) -> std::size_t
+namespace KingCup
 {
-    for (std::size_t i = 0; i + 1 < text.size(); ++i) {
-        if (text[i] != '\n') {
-            continue;
-        }
-        if (text[i + 1] == '\n') {
-            return i + 2;
-        }
-        if (text[i + 1] == '\r' && i + 2 < text.size() && text[i + 2] == '\n') {
-            return i + 3;
-        }
-    }
-    return std::string_view::npos;
-}
-
-} // namespace
 
 EventCursor::EventCursor(std::function<void(std::string_view raw)> onEvent, std::size_t maxEvent)
     : m_onEvent(std::move(onEvent))
@@ -48,22 +29,22 @@
 
 auto EventCursor::feed(std::string_view bytes) -> void
 {
-    if (m_isTooLong) {
-        return;
-    }
-    m_buffer.append(bytes);
-    std::size_t begin = 0;
-    for (auto size = eventEnd(m_buffer); size != std::string_view::npos; size = eventEnd(std::string_view(m_buffer).substr(begin))) {
-        handleEvent(std::string_view(m_buffer).substr(begin, size));
-        begin += size;
+    while (!bytes.empty() && !m_isTooLong) {
+        const auto read = m_boundary.advance(bytes);
+        m_buffer.append(bytes.substr(0, read));
+        bytes.remove_prefix(read);
+        if (m_boundary.isBetweenEvents()) {
+            handleEvent(std::exchange(m_buffer, {}));
+        }
+        m_isTooLong = m_buffer.size() > m_maxEvent;
     }
-    m_buffer.erase(0, begin);
-    m_isTooLong = m_buffer.size() > m_maxEvent;
 }
 
 auto EventCursor::dropPartial() -> void
 {
     m_buffer.clear();
+    m_boundary = EventBoundary();
+    m_isTooLong = false;
 }
 
 auto EventCursor::handleEvent(std::string_view raw) -> void
@@ -71,7 +52,7 @@
     constexpr std::string_view Key = "id:";
     std::string_view lines = raw;
     while (!lines.empty()) {
-        const auto end = std::min(lines.find('\n'), lines.size());
+        const auto end = std::min(lines.find_first_of("\r\n"), lines.size());
         auto line = lines.substr(0, end);
         lines.remove_prefix(std::min(end + 1, lines.size()));
         if (!line.starts_with(Key)) {
@@ -81,7 +62,7 @@
         while (!line.empty() && line.front() == ' ') {
             line.remove_prefix(1);
         }
-        while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) {
+        while (!line.empty() && line.back() == ' ') {
             line.remove_suffix(1);
         }
         m_lastId = std::string(line);
--- a/src/core/eventcursor.h
+++ b/src/core/eventcursor.h
@@ -1,7 +1,9 @@
-// Splits a byte stream of server-sent events into whole events and remembers the last event id. Bytes may arrive in pieces of any size. An event that was
-// cut off must not be passed to a caller whose stream is resumed at another target. No I/O.
+// Splits a byte stream of server-sent events at the positions between two events and remembers the last event id. Bytes may arrive in pieces of any size. An
+// event that was cut off must not be passed to a caller whose stream is resumed at another target. No I/O.
 #pragma once
 
+#include "core/eventboundary.h"
+
 #include <functional>
 #include <string>
 #include <string_view>
@@ -12,7 +14,7 @@
 class EventCursor
 {
 public:
-    /// `onEvent` is called with each whole event, including the blank line at its end.
+    /// `onEvent` is called with each whole event, including the blank line at its end, and with complete lines between two events.
     explicit EventCursor(std::function<void(std::string_view raw)> onEvent, std::size_t maxEvent = 1U << 20U);
 
     auto lastId() const -> const std::string &; ///< id of the last whole event that had one; empty if no event had an id
@@ -20,13 +22,14 @@
     auto isTooLong() const -> bool; ///< an incomplete event has more than maxEvent bytes; further bytes are ignored
 
     auto feed(std::string_view bytes) -> void;
-    auto dropPartial() -> void;
+    auto dropPartial() -> void; ///< the next bytes begin a new stream
 
 private:
     auto handleEvent(std::string_view raw) -> void;
 
     std::function<void(std::string_view raw)> m_onEvent;
     std::size_t m_maxEvent;
+    EventBoundary m_boundary;
     std::string m_buffer;
     std::string m_lastId;
     bool m_isTooLong = false;
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -30,7 +30,8 @@
     if (isEventStream()) {
         m_boundary.emplace();
     }
-    if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream) {
+    // A begun stream is continued by events alone.
+    if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream && (m_boundary || !m_exchange->hasBegun())) {
         beginForwarding();
     }
     return AnswerVerdict::Accept;
@@ -44,12 +45,27 @@
     return HttpStatus::isSuccess(m_head.status) && isStreamType;
 }
 
+/// Whether an answer that is complete by its framing is incomplete by its content. A target that ends in the middle of a stream may have its connection
+/// closed in order by the operating system, or its answer completed by a proxy in between.
+auto ForwardedRequest::isBrokenOff() const -> bool
+{
+    if (!m_boundary) {
+        return false;
+    }
+    // Without events, nothing distinguishes an empty stream from one whose target ended before the first event, unless the framing states the end.
+    const bool mayLackAll = m_boundary->events() == 0 && m_head.framing == BodyFraming::Connection;
+    const bool lacksBytes = m_events && m_events->hasPartial(); // of an event that was too long to be kept
+    return !m_boundary->isBetweenEvents() || lacksBytes || mayLackAll;
+}
+
 /// Status and headers go to the client only with the first bytes of the body: if the stream breaks before these, the request can still be resent to another
 /// target.
 auto ForwardedRequest::beginForwarding() -> void
 {
     m_isForwarding = true;
-    if (m_route.isResumable && !m_events) {
+    if (!m_boundary) {
+        m_events.reset();
+    } else if (m_route.isResumable && !m_events) {
         m_events.emplace([this](std::string_view raw) { forwardBytes(raw); });
     }
 }
@@ -122,7 +138,8 @@
         return;
     }
     if (!m_exchange->hasBegun()) {
-        m_exchange->begin(m_head.status, answerHeaders(m_head), m_events ? std::nullopt : m_head.length);
+        // A stream that turns out to be broken off must not have reached a stated length.
+        m_exchange->begin(m_head.status, answerHeaders(m_head), m_boundary ? std::nullopt : m_head.length);
         m_exchange->onDrained = [this] {
             if (m_call) {
                 m_call->resume();
@@ -147,7 +164,7 @@
     if (m_finished) {
         return;
     }
-    if (end.end == CallEnd::Complete) {
+    if (end.end == CallEnd::Complete && !isBrokenOff()) {
         onAnswer();
     } else {
         onFailure(end);
@@ -180,12 +197,6 @@
         return;
     }
     if (m_isForwarding) {
-        if (m_events && m_events->hasPartial()) {
-            m_events->dropPartial();
-            finish(m_head.status, "cut");
-            m_exchange->abort();
-            return;
-        }
         if (!m_exchange->hasBegun()) {
             m_exchange->begin(m_head.status, answerHeaders(m_head), std::nullopt);
         }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -134,6 +134,7 @@
     auto onFailure(const PooledEnd &end) -> void;
     auto onNotRun() -> void;
     auto isEventStream() const -> bool;
+    auto isBrokenOff() const -> bool;
     auto beginForwarding() -> void;
     auto forwardBytes(std::string_view bytes) -> void;
     auto mayRunAgain() -> bool;
--- a/tests/system_answerends.cpp
+++ b/tests/system_answerends.cpp
@@ -171,6 +171,26 @@
     }
 }
 
+TEST_CASE("an answer on a route for streams that isn't a stream of events is passed on unchanged")
+{
+    // Guards against a document that is cut at its last blank line, or taken for broken off because it has none.
+    Site site({.gateways = 1, .runners = 1, .instances = 1, .models = 1});
+    for (const std::string framing : {"connection", "chunked", "length"}) {
+        const Form form {framing, "complete", "\n", 3, "inside"};
+        auto command = form.command();
+        command["contentType"] = "application/json";
+        restore(site);
+        site.platform(command);
+        for (auto &caller : callAll(site, {"/chat/", "/tell/"})) {
+            const auto answer = received(caller.answer.get());
+            INFO(command.dump() << " HTTP/" << caller.httpVersion << " " << caller.path << "\n" << answer.text);
+            CHECK(answer.isWhole);
+            CHECK(eventCount(answer.body, "\n") == 3);
+            CHECK_FALSE(answer.body.ends_with("\n"));
+        }
+    }
+}
+
 TEST_CASE("a resumable stream that ends inside an event goes on at another target")
 {
     // Guards against a stream whose answer looks complete and that is broken off although another target could resume it.
