agent: a streamed answer is whole only with its complete last event

The entry checks the events again, so callers didn't see it; but the run counted as answered and the engine wasn't checked for a crash.

The agent now reads the events as the entry does. The test failed before in three of its five cases.

--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -6,6 +6,7 @@
 #include "agent/requesttasks.h"
 
 #include "core/concurrencylimit.h"
+#include "core/eventstream.h"
 #include "net/httpstatus.h"
 #include "settings/valueparsers.h"
 
@@ -20,8 +21,6 @@
 namespace
 {
 
-constexpr std::size_t TailBytes = 64; // bytes at the end of a stream that are searched for the end mark
-constexpr auto EndMark = "data: [DONE]";
 constexpr double MaxPauseSeconds = 24 * 3600; // longer times that a target asks for are ignored as errors
 constexpr auto PauseTimerMargin = Duration::millis(1); // a timer that fires early would leave the queue standing still
 constexpr double MeanSampleWeight = 0.1; // weight of a new sample in the moving average of service times
@@ -51,7 +50,7 @@
     int runningAtStart = 0;
     int status = 0;
     HttpHeaders headers;
-    std::string tail; // the answer's last bytes
+    EventStreamReader events {nullptr}; // of a streamed answer
     std::string bufferedBody; // the answer so far, if recordsAnswer or withholdsHead
     std::size_t bytes = 0;
     bool recordsAnswer = false; // run once: the whole answer is kept for the claim's record
@@ -414,9 +413,8 @@
 auto RequestTasks::Private::onData(const TaskPtr &task, std::string_view data) -> void
 {
     task->bytes += data.size();
-    task->tail.append(data.size() > TailBytes ? data.substr(data.size() - TailBytes) : data);
-    if (task->tail.size() > TailBytes) {
-        task->tail.erase(0, task->tail.size() - TailBytes);
+    if (task->isStream) {
+        task->events.feed(data);
     }
     if (task->recordsAnswer || task->withholdsHead) {
         task->bufferedBody.append(data);
@@ -440,7 +438,7 @@
     }
     task->call = nullptr;
     const auto took = loop.now() - task->startedAt;
-    const bool isWhole = task->isStream ? task->tail.find(EndMark) != std::string::npos : how == CallEnd::Complete;
+    const bool isWhole = task->isStream ? task->events.isDone() : how == CallEnd::Complete;
     if (isWhole) {
         limit.observeService(took, task->runningAtStart);
         meanServiceMicros += MeanSampleWeight * (static_cast<double>(took.inMicros()) - meanServiceMicros);
--- a/tests/unit_requesttasks.cpp
+++ b/tests/unit_requesttasks.cpp
@@ -146,6 +146,27 @@
     REQUIRE(fixture.await([&] { return endOf(*stream).outcome() == Wire::OUTCOME_UNKNOWN; }));
 }
 
+TEST_CASE("a stream is delivered only with its complete last event")
+{
+    // Guards against a run that counts as answered although its engine ended inside the event that marks the end of the stream.
+    TasksFixture fixture;
+    const auto outcomeOf = [&](const std::string &text) {
+        const auto count = fixture.calls.size();
+        const auto stream = fixture.send("stream " + std::to_string(count));
+        REQUIRE(fixture.await([&] { return fixture.calls.size() > count; }));
+        fixture.calls.back()->begin(200, {{"content-type", "text/event-stream"}});
+        fixture.calls.back()->write(text);
+        fixture.calls.back()->finish();
+        REQUIRE(fixture.await([&] { return endOf(*stream).outcome() != Wire::OUTCOME_UNSET; }));
+        return endOf(*stream).outcome();
+    };
+    CHECK(outcomeOf("data: a\n\ndata: [DONE]\n\n") == Wire::OUTCOME_DELIVERED);
+    CHECK(outcomeOf("data: a\r\n\r\ndata: [DONE]\r\n\r\n") == Wire::OUTCOME_DELIVERED);
+    CHECK(outcomeOf("data: a\n\ndata: [DONE]\n") == Wire::OUTCOME_UNKNOWN);
+    CHECK(outcomeOf("data: a\n\ndata: [DONE]") == Wire::OUTCOME_UNKNOWN);
+    CHECK(outcomeOf("data: [DONE] is the mark of an end\n\n") == Wire::OUTCOME_UNKNOWN);
+}
+
 TEST_CASE("a target that rejects a request and asks to be sent nothing gets no request until then")
 {
     // Guards against a target that gets the queue's next request with each rejection, and the whole queue within milliseconds.
