--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -110,6 +110,7 @@
 {
     Crash crash {
         Duration::millis(command.value("downMs", 300)), command.value("sameId", false), command.value("silent", false), command.value("afterHead", false)};
+    crash.keepsModels = command.value("keepsModels", false);
     if (command.contains("version")) {
         crash.softwareVersion = command["version"].get<std::string>();
     }
@@ -120,7 +121,9 @@
 {
     ++m_epoch;
     m_up = false;
-    m_loadedModels.clear();
+    if (!how.keepsModels) {
+        m_loadedModels.clear();
+    }
     m_acceptedOrders = 0;
     m_busy = false;
     m_running = 0;
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -56,7 +56,8 @@
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
     /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm, until "well". {"mode":"version","version":V} states the software
-    /// version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start. False if the mode is unknown.
+    /// version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels". False if the mode is
+    /// unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -105,6 +106,7 @@
         bool isSilent = false; ///< connections stay open, without an answer
         bool isAfterHead = false; ///< the head of the answer is sent first
         std::optional<std::string> softwareVersion; ///< of the next start
+        bool keepsModels = false; ///< the next start holds what this one held
     };
     static auto crashOf(const Json &command) -> Crash;
     auto crash(const Crash &how) -> void;
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -291,7 +291,7 @@
     if (!request.model.empty()) {
         call.headers.push_back({"Model", request.model});
         call.headers.push_back({"Token-Usage", "100," + std::to_string(request.events)});
-        call.headers.push_back({"Prompt-Prefix", "ab:60,cd:40"});
+        call.headers.push_back({"Prompt-Prefix", request.prompt});
     }
     call.headers.insert(call.headers.end(), request.headers.begin(), request.headers.end());
     call.body = request.body;
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -59,6 +59,7 @@
     std::string model; ///< "m1" or "m1/a2"; empty: none
     int events = 3; ///< number of events of a stream
     int timeBudgetMillis = 3000;
+    std::string prompt = "ab:60,cd:40"; ///< the prompt's parts
     std::string body;
     std::string host = "site.example";
     HttpHeaders headers; ///< additional ones
