gateway: streams go on only at the software version that began them

Callers got streams with events from runners of two software versions of one service, which don't fit together: within one answer, and when a client took a stream up at the same or at another gateway.

Cause: the targets of a service counted as alike wherever a request is sent. A target's software version was decoded from its row and used nowhere, and the id in 'Resumes', which names the attempt that began a stream, wasn't read; a taken-up stream was routed like a new one.

Now each stream is pinned to the service and software version of the target that brought its first event; a target that doesn't state its version is like no other. Where a stream began that a client takes up: - A row of the store names the versions of a service at which streams may have begun (core/versionregister). Gateways begin streams at a version only once the row names it, so a read that begins after the client came tells all that are possible; if that is one, the stream began there. - With several, each gateway writes where its streams began into rows of its own (core/streamorigins), 8 bytes a stream, below 1 KB/s at 50 streams a second. - A gateway that doesn't know a stream reads the row, asks the others, and reads the rows of those that are gone (core/originlookups). What nobody knows is refused with 503: no beginning is guessed, whether a gateway is in touch or not.

--- a/fakes/platformstore.cpp
+++ b/fakes/platformstore.cpp
@@ -165,12 +165,16 @@
     constexpr std::size_t PageRows = 3; // small, so that tests see more than one page
     const auto table = queryValue(query, "table");
     const auto from = queryValue(query, "from");
+    const auto to = queryValue(query, "to");
     Json rows = Json::array();
     bool more = false;
     for (const auto &[key, row] : m_tables[table]) {
         if (key < from) {
             continue;
         }
+        if (!to.empty() && key >= to) {
+            break;
+        }
         if (rows.size() == PageRows) {
             more = true;
             break;
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -24,6 +24,8 @@
         return "none";
     case DispatchRefusal::NoTarget:
         return "no-target";
+    case DispatchRefusal::OtherVersion:
+        return "other-version";
     case DispatchRefusal::NotHeld:
         return "not-held";
     case DispatchRefusal::AdapterMissing:
@@ -136,6 +138,7 @@
     auto isEjectedHere(const TargetState &state, TimePoint now) const -> bool;
     auto observeCost(const Send &send, const TargetState &state, std::size_t bytes, TimePoint now) -> void;
     auto sampleCandidates(std::vector<Estimate> &estimates, TimePoint now) const -> void;
+    auto mayTake(const DispatchRequest &request, const TargetDescription &target) const -> bool;
     auto applyRankBonus(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void;
     auto takeOverLimit(std::vector<Estimate> &estimates) const -> std::vector<Estimate>;
 };
@@ -349,6 +352,15 @@
     return estimate;
 }
 
+/// Whether the target's software version may serve the request.
+auto Dispatcher::Private::mayTake(const DispatchRequest &request, const TargetDescription &target) const -> bool
+{
+    if (request.softwareVersion) {
+        return !target.softwareVersion.isEmpty() && target.softwareVersion == *request.softwareVersion;
+    }
+    return !request.isStream || !options.mayBegin || options.mayBegin(request.service, target.softwareVersion);
+}
+
 /// Lowers the cost of the runner that ranks first for the prompt's shared prefix. All gateways compute the same ranking, so they choose the same runner for a
 /// prefix that isn't known to be cached anywhere.
 auto Dispatcher::Private::applyRankBonus(const DispatchRequest &request, std::vector<Estimate> &estimates) const -> void
@@ -420,6 +432,10 @@
         if (description.service != request.service || description.isLeaving) {
             continue;
         }
+        if (!d->mayTake(request, description)) {
+            choice.refusal = std::max(choice.refusal, DispatchRefusal::OtherVersion);
+            continue;
+        }
         const auto pausedUntil = d->pauses.until(description.incarnation, now);
         bool isDraining = false;
         if (!request.model.empty()) {
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -50,6 +50,9 @@
     int outputTokens = 0; ///< upper limit
     UrgencyBand band = UrgencyBand::Normal;
     Duration pauseGoal; ///< streams: the longest pause between events that is still on time; 0: no goal
+    bool isStream = false; ///< a stream is to begin; only at a software version that DispatchOptions::mayBegin allows
+    /// A stream is to go on, which must be at the version that began it. Targets that don't state their version count as different from all others.
+    std::optional<SoftwareVersion> softwareVersion;
     std::vector<TargetId> excluded; ///< already tried, or known to refuse the request
 };
 
@@ -58,6 +61,7 @@
 enum class DispatchRefusal {
     None,
     NoTarget, ///< no target of the service is known, or all are leaving
+    OtherVersion, ///< no target runs the software version at which the stream must go on, or one at which streams may begin
     NotHeld, ///< no runner of the service has a replica of the model
     AdapterMissing, ///< runners have a replica of the model, but none that may take the request has the adapter loaded
     AllExcluded, ///< every target that could take the request is excluded
@@ -69,7 +73,7 @@
 struct DispatchChoice {
     TargetId target; ///< empty if refused
     TargetIncarnation incarnation; ///< of `target`
-    std::string softwareVersion; ///< of `target`
+    SoftwareVersion softwareVersion; ///< of `target`
     DispatchRefusal refusal = DispatchRefusal::None;
     Endpoint address;
     Duration expectedFirst; ///< expected time until the first token, or until a plain service's answer
@@ -98,6 +102,8 @@
     ZoneName zone; ///< this process's own
     Duration otherZonePenalty = Duration::millis(4); ///< added to the cost of targets in other zones: the round trip, and the price of traffic between zones
     std::function<bool(const TargetIncarnation &target)> maySend; ///< whether the target's request limit allows a request now; null: no target has one
+    /// Whether streams may begin at a software version of a service; null: at each.
+    std::function<bool(const ServiceName &service, const SoftwareVersion &version)> mayBegin;
     std::function<bool(const Endpoint &address)> isConnected; ///< whether an idle connection can be reused; null: unknown
     /// Added to the cost of targets without a reusable connection: some round trips, and one of the few hundred connections that a target accepts.
     Duration newConnectionPenalty = Duration::millis(5);
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -86,6 +86,7 @@
 using ArtifactName = StrongName<struct ArtifactNameTag>; ///< a model version or an adapter: what can be resident on a target
 using TargetId = StrongName<struct TargetIdTag>; ///< a back end: a runner (on an accelerator) or a plain service's instance
 using EntryId = StrongName<struct EntryIdTag>; ///< an entry or gateway process
+using SoftwareVersion = StrongName<struct SoftwareVersionTag>; ///< of the software that a target runs, not of a model's weights; empty: not stated
 using ZoneName = StrongName<struct ZoneNameTag>; ///< an availability zone, e.g. "round-rock"
 using RequestId = StrongName<struct RequestIdTag>; ///< one request of a caller; unique, assigned by the entry process
 using RequestKey = StrongName<struct RequestKeyTag>; ///< the caller's Idempotency-Key
--- a/src/core/storetable.cpp
+++ b/src/core/storetable.cpp
@@ -18,6 +18,10 @@
         return "leases";
     case StoreTable::Crashes:
         return "crashes";
+    case StoreTable::Versions:
+        return "versions";
+    case StoreTable::Origins:
+        return "origins";
     }
     return "?";
 }
--- a/src/core/storetable.h
+++ b/src/core/storetable.h
@@ -24,6 +24,8 @@
     Gateways, ///< written by gateways: one row for each
     Leases, ///< written by gateways; not followed: only a gateway that wants a lease reads it
     Crashes, ///< written by gateways; not followed: one row with the crash records that all of them have in common
+    Versions, ///< written by gateways; not followed: for each service the software versions at which streams may have begun
+    Origins, ///< written by gateways; not followed: where streams began, several rows for each gateway
 };
 auto toString(StoreTable table) -> const char *;
 
--- /dev/null
+++ b/src/core/streamorigins.h
@@ -0,0 +1,97 @@
+// Where streams began: the service and the software version of the target that brought each stream's first event. A gateway records its own streams, and
+// writes the records into the store while the service has several versions, so that they outlive it.
+//
+// A record is needed until its stream has ended whole, or until its client can't take it up any more. Only then needed ones are written: in batches, into a
+// ring of rows of which each is replaced when its records have become useless. No I/O.
+//
+// Index of sections (search for [SECTION]):
+//   Records         origins, their keys and a batch of them
+//   StreamOrigins   the records of one gateway
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace KingCup
+{
+
+// [SECTION] Records
+
+/// Identifies a stream: hash of the id of the client's attempt that brought its first event.
+using StreamKey = StrongNumber<struct StreamKeyTag>;
+auto streamKey(const AttemptId &attempt) -> StreamKey;
+
+struct StreamOrigin {
+    ServiceName service;
+    SoftwareVersion softwareVersion;
+
+    auto operator<=>(const StreamOrigin &) const = default;
+};
+
+using OriginRecords = std::vector<std::pair<StreamKey, StreamOrigin>>;
+
+/// Records to be written into one row, which replace what it held.
+struct OriginBatch {
+    int row = 0; ///< 0 to StreamOriginOptions::rows - 1
+    OriginRecords records;
+};
+
+struct StreamOriginOptions {
+    Duration memory = Duration::seconds(30); ///< a record is kept for this long after its stream has broken off: longer than clients retry
+    /// A batch of n records is followed by a pause of `pausePerBatch` and n times `pausePerRecord`: the writes stay below one kilobyte a second.
+    Duration pausePerBatch = Duration::millis(400);
+    Duration pausePerRecord = Duration::micros(10700);
+    Duration retryPeriod = Duration::millis(300); ///< after a batch that couldn't be written
+    int rows = 64; ///< of the ring
+    std::size_t maxBatch = 4000; ///< records; fills half of the largest row that the store takes
+    std::size_t maxRecords = 50000; ///< the oldest records of ended streams are dropped beyond that
+};
+
+// [SECTION] StreamOrigins
+
+class StreamOrigins
+{
+public:
+    explicit StreamOrigins(StreamOriginOptions options = {});
+
+    // Queries
+    auto find(StreamKey stream) const -> std::optional<StreamOrigin>;
+    auto size() const -> std::size_t;
+
+    // Commands
+    auto began(StreamKey stream, const StreamOrigin &origin, TimePoint now) -> void; ///< here, or a stream that was taken up here
+    auto ended(StreamKey stream, bool isWhole, TimePoint now) -> void;
+    auto restored(const OriginRecords &records, TimePoint now) -> void; ///< written by an earlier process of this host, or learned from elsewhere
+    auto expire(TimePoint now) -> void;
+
+    // Batches
+    /// The next batch to write, if one is due. `isMixed` tells of which services records are needed.
+    auto takeBatch(const std::function<bool(const ServiceName &service)> &isMixed, TimePoint now) -> std::optional<OriginBatch>;
+    auto batchWritten(bool isDone, TimePoint now) -> void;
+
+private:
+    struct Record {
+        StreamOrigin origin;
+        int open = 0; ///< answers that are in progress
+        std::optional<TimePoint> brokeAt; ///< not open: when it was last broken off
+        std::optional<int> row; ///< that holds it
+    };
+    using Records = std::unordered_map<std::uint64_t, Record>;
+
+    StreamOriginOptions m_options;
+    Records m_records;
+    std::optional<OriginBatch> m_batch; ///< being written
+    int m_nextRow = 0;
+    TimePoint m_notBefore;
+};
+
+} // namespace KingCup
--- a/src/core/targetinfo.h
+++ b/src/core/targetinfo.h
@@ -45,7 +45,7 @@
     ServiceName service;
     Endpoint address;
     ZoneName zone;
-    std::string softwareVersion;
+    SoftwareVersion softwareVersion;
     int slots = 0; ///< concurrent requests
     bool isLeaving = false; ///< takes no new work
     std::optional<Duration> terminatesIn; ///< set if the target leaves at short notice: requests that still run after this time are cut off
--- a/src/core/targetview.cpp
+++ b/src/core/targetview.cpp
@@ -37,7 +37,12 @@
 {
     m_missing.erase(description.incarnation.id);
     auto &known = m_targets[description.incarnation.id];
+    const bool isSameStart = known.incarnation == description.incarnation;
+    const auto knownVersion = known.softwareVersion;
     known = description;
+    if (isSameStart && known.softwareVersion.isEmpty()) {
+        known.softwareVersion = knownVersion; // a running process keeps its software
+    }
     known.isLeaving = known.isLeaving || m_announced.contains(description.incarnation);
     return {.seen = {known}, .gone = {}};
 }
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -388,7 +388,7 @@
 
 auto CrashWatch::readArchive() -> void
 {
-    m_parts.store.read(StoreTable::Crashes, ArchiveKey, [this](const StoreAnswer &answer) {
+    m_parts.store.read(StoreTable::Crashes, {ArchiveKey, ""}, [this](const StoreAnswer &answer) {
         const bool isDone = answer.outcome == StoreOutcome::Done;
         const auto row = std::find_if(answer.page.rows.begin(), answer.page.rows.end(), [](const StoredRow &each) { return each.key == ArchiveKey; });
         const bool hasRow = isDone && row != answer.page.rows.end();
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -148,6 +148,11 @@
     }
     if (!m_beganAtVersion) {
         m_beganAtVersion = m_softwareVersion;
+        m_request.softwareVersion = m_softwareVersion;
+    }
+    if (m_stream && !m_isRecorded) {
+        m_isRecorded = true;
+        m_owner.parts.origins.began(*m_stream, {m_request.service, *m_beganAtVersion});
     }
     m_forwardedBytes += bytes.size();
     m_exchange->write(bytes);
@@ -201,7 +206,7 @@
             m_exchange->begin(m_head.status, answerHeaders(m_head), std::nullopt);
         }
         recordSuccess();
-        finish(m_head.status, "delivered");
+        finish(m_head.status, DeliveredOutcome);
         m_exchange->finish();
         return;
     }
@@ -219,7 +224,7 @@
     if (isDelivered) {
         recordSuccess();
     }
-    finish(m_head.status, isDelivered ? "delivered" : "target-failed");
+    finish(m_head.status, isDelivered ? DeliveredOutcome : "target-failed");
     m_exchange->respond(m_head.status, answerHeaders(m_head), m_bufferedBody);
 }
 
@@ -326,8 +331,8 @@
         .add("connection", m_connectionEnd ? toString(*m_connectionEnd) : "open")
         .add("events", m_boundary ? m_boundary->events() : 0)
         .add("inside-event", m_boundary && !m_boundary->isBetweenEvents())
-        .add("version", m_softwareVersion)
-        .add("began-at-version", m_beganAtVersion.value_or("-"));
+        .add("version", m_softwareVersion.text())
+        .add("began-at-version", m_beganAtVersion ? m_beganAtVersion->text() : "-");
 }
 
 auto ForwardedRequest::recordSuccess() -> void
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -73,6 +73,73 @@
         onGone();
     };
     m_deadlineTimer = m_owner.parts.loop.after(m_deadline - now(), [this] { onTimeout(); });
+    if (m_route.kind != RouteKind::Stream) {
+        begin();
+        return;
+    }
+    if (!m_traits.lastEventId.empty()) {
+        findOrigin();
+        return;
+    }
+    m_request.isStream = true;
+    if (m_route.isResumable) {
+        m_stream = streamKey(m_traits.attempt);
+    }
+    begin();
+}
+
+/// The client takes a stream up: it goes on only at the software version that began it.
+auto ForwardedRequest::findOrigin() -> void
+{
+    const auto stream = m_traits.resumes.isEmpty() ? StreamKey() : streamKey(m_traits.resumes);
+    if (stream != StreamKey()) {
+        m_stream = stream;
+    }
+    if (const auto known = m_owner.parts.origins.find(stream)) {
+        m_owner.parts.log.line("origins", "known")
+            .add("id", m_traits.attempt.text())
+            .add("resumes", m_traits.resumes.text())
+            .add("service", known->service.text())
+            .add("version", known->softwareVersion.text());
+        goOnAt(*known);
+        return;
+    }
+    const auto onlyService = m_route.services.size() == 1 ? m_request.service : ServiceName();
+    m_lookup = m_owner.parts.origins.lookUp(stream, onlyService, [this](const LookupResult &result) {
+        const auto self = shared_from_this();
+        m_lookup.reset();
+        m_owner.parts.log.line("origins", "looked-up")
+            .add("id", m_traits.attempt.text())
+            .add("resumes", m_traits.resumes.text())
+            .add("source", toString(result.source))
+            .add("service", result.origin ? result.origin->service.text() : "-")
+            .add("version", result.origin ? result.origin->softwareVersion.text() : "-")
+            .add("took", result.took);
+        if (result.origin) {
+            goOnAt(*result.origin);
+        } else {
+            abandon(HttpStatus::Unavailable, "origin-unknown");
+        }
+    });
+}
+
+auto ForwardedRequest::goOnAt(const StreamOrigin &origin) -> void
+{
+    const auto isOrigin = [&](const WeightedService &service) {
+        return service.service == origin.service;
+    };
+    if (std::none_of(m_route.services.begin(), m_route.services.end(), isOrigin)) {
+        abandon(HttpStatus::Unavailable, "origin-not-routed");
+        return;
+    }
+    m_request.service = origin.service;
+    m_request.softwareVersion = origin.softwareVersion;
+    m_beganAtVersion = origin.softwareVersion;
+    begin();
+}
+
+auto ForwardedRequest::begin() -> void
+{
     m_owner.budget(m_request.service).requestSent(now());
     m_owner.hooks.onRequest(m_request);
     attempt();
@@ -247,7 +314,7 @@
         .add("route", m_route.name)
         .add("account", m_grant ? m_grant->account.text() : "-")
         .add("target", choice.target.text())
-        .add("version", choice.softwareVersion)
+        .add("version", choice.softwareVersion.text())
         .add("model", m_request.model)
         .add("adapter", m_request.adapter)
         .add("send", m_sends)
@@ -401,6 +468,12 @@
     m_unackedTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
+    if (m_lookup) {
+        m_owner.parts.origins.cancel(*std::exchange(m_lookup, std::nullopt));
+    }
+    if (m_isRecorded) {
+        m_owner.parts.origins.ended(*m_stream, std::string_view(outcome) == DeliveredOutcome);
+    }
     if (m_grant && certainlyDidNotRun()) {
         m_owner.parts.access.refund(*m_grant, now());
     }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -30,6 +30,9 @@
 /// Requests that no target can take wait no longer than this share of their goal. Then they are refused, while the client still has time to retry.
 constexpr double MaxWaitGoalShare = 0.6;
 
+/// Outcome of a request whose answer was passed on whole.
+constexpr auto DeliveredOutcome = "delivered";
+
 /// Whether a client may conclude from the status that its request did not run.
 auto promisesNotRun(int status) -> bool;
 
@@ -103,6 +106,9 @@
     auto abandon() -> void;
 
 private:
+    auto findOrigin() -> void;
+    auto goOnAt(const StreamOrigin &origin) -> void;
+    auto begin() -> void;
     auto attempt() -> void;
     auto tryAgainAfter(Duration delay) -> void; ///< unless tryAgain() is called sooner
     auto isStillGranted() -> bool;
@@ -173,8 +179,11 @@
     HttpHead m_head; ///< of the latest answer
     AnswerTraits m_answer;
     std::string m_bufferedBody; ///< body of the latest answer, if it is kept until it is complete
-    std::string m_softwareVersion; ///< of m_target
-    std::optional<std::string> m_beganAtVersion; ///< software version of the target whose bytes came first to the client
+    SoftwareVersion m_softwareVersion; ///< of m_target
+    std::optional<SoftwareVersion> m_beganAtVersion; ///< software version of the target whose bytes came first to the client
+    std::optional<StreamKey> m_stream; ///< set if the stream may be taken up by its client, so that its beginning must be known
+    std::optional<LookupId> m_lookup; ///< of where a stream began that the client takes up
+    bool m_isRecorded = false; ///< OriginTask::began() was called
     std::optional<EventBoundary> m_boundary; ///< of the latest answer, if it is a stream of events
     std::optional<TcpEnd> m_connectionEnd; ///< how the latest answer's connection ended; nothing: the target didn't end it
     bool m_hasHead = false;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -17,6 +17,7 @@
 #include "gateway/callerserver.h"
 #include "gateway/crashwatch.h"
 #include "gateway/limitexchange.h"
+#include "gateway/origintask.h"
 #include "gateway/protocol.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
@@ -41,6 +42,7 @@
     AccountAccess &access;
     LimitExchange &limits;
     CrashWatch &crashes;
+    OriginTask &origins;
     Metrics &metrics;
     EventLog &log;
 };
--- a/src/gateway/freshnesstask.cpp
+++ b/src/gateway/freshnesstask.cpp
@@ -94,7 +94,7 @@
         return;
     }
     isReading = true;
-    parts.store.read(StoreTable::Declarations, settings.declarationsKey, [this, readAt = parts.loop.now()](const StoreAnswer &answer) {
+    parts.store.read(StoreTable::Declarations, {settings.declarationsKey, ""}, [this, readAt = parts.loop.now()](const StoreAnswer &answer) {
         isReading = false;
         onRead(answer, readAt);
     });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
 #include "gateway/limitexchange.h"
 #include "gateway/loadexchange.h"
 #include "gateway/ordertask.h"
+#include "gateway/origintask.h"
 #include "gateway/registration.h"
 #include "gateway/storefollower.h"
 #include "gateway/targetdirectory.h"
@@ -33,6 +34,7 @@
 
 #include <algorithm>
 #include <glog/logging.h>
+#include <set>
 
 namespace KingCup
 {
@@ -104,6 +106,7 @@
     std::unique_ptr<UsageExchange> usage;
     std::unique_ptr<LimitExchange> limits;
     std::unique_ptr<CrashWatch> crashes;
+    std::unique_ptr<OriginTask> origins;
     std::unique_ptr<CopyUse> copyUse;
     std::unique_ptr<OrderTask> orders;
     std::unique_ptr<DemandExchange> demand;
@@ -139,6 +142,7 @@
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone,
                       .maySend = [this](const TargetIncarnation &target) { return limits->maySend(target); },
+                      .mayBegin = [this](const ServiceName &service, const SoftwareVersion &version) { return origins->mayBegin(service, version); },
                       .isConnected = [this](const Endpoint &address) { return targetPool.hasIdle(address, reuse.limit(loop.now())); },
                       .seed = incarnation ^ stableHash(settings.process.id)})
         , access(loop.now(), {.proofLifetime = proofLifetime()})
@@ -272,10 +276,12 @@
     TargetDirectoryHooks hooks;
     hooks.onSeen = [this](const TargetDescription &target) {
         crashes->targetSeen(target);
+        origins->targetSeen(target);
         orders->targetSeen(target);
     };
     hooks.onGone = [this](const TargetId &target) {
         copyUse->targetGone(target);
+        origins->targetGone(target);
         orders->targetGone(target);
     };
     hooks.givesOrders = [this] {
@@ -319,6 +325,7 @@
                 otherHosts.push_back(host.id);
             }
         }
+        origins->setGateways(std::set<std::string>(otherHosts.begin(), otherHosts.end()));
         usage->setGateways(otherHosts, digestPeriod(static_cast<int>(hosts.size())));
         orders->lease().setPeers(others);
     };
@@ -359,6 +366,8 @@
         break;
     case StoreTable::Leases:
     case StoreTable::Crashes:
+    case StoreTable::Versions:
+    case StoreTable::Origins:
         break; // the follower doesn't watch these tables
     }
 }
@@ -400,6 +409,15 @@
             orders->adoptEngine(name, *service.engine);
         }
     }
+    std::set<ServiceName> streamServices;
+    for (const auto &route : traffic->routes) {
+        if (route.kind == RouteKind::Stream) {
+            for (const auto &service : route.services) {
+                streamServices.insert(service.service);
+            }
+        }
+    }
+    origins->setStreamServices(streamServices);
     callers->setLimits(traffic->limits);
     access.adopt(traffic, loop.now());
     freshness->setActive(traffic->hasAccounts);
@@ -454,7 +472,7 @@
     options.seed = wallMillis();
     options.streamBuffer = settings.limits.streamBuffer;
     forwarder = std::make_unique<Forwarder>(
-        ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, *limits, *crashes, metrics, log}, options, std::move(hooks));
+        ForwarderParts {loop, protocol, targetPool, dispatcher, reuse, access, *limits, *crashes, *origins, metrics, log}, options, std::move(hooks));
     applyRetryBudget();
 }
 
@@ -546,6 +564,10 @@
         if (const auto known = crashes ? crashes->greeting() : std::nullopt) {
             frames.push_back(*known);
         }
+        if (origins) {
+            const auto known = origins->greeting();
+            frames.insert(frames.end(), known.begin(), known.end());
+        }
         return frames;
     };
     hooks.onSilent = [this](const std::string &id) {
@@ -574,6 +596,14 @@
                                            settings.process.id,
                                            incarnation ^ stableHash(settings.process.id),
                                            std::move(crashHooks));
+    OriginHooks originHooks;
+    originHooks.onVersionsNamed = [this] {
+        forwarder->retryWaiting();
+    };
+    originHooks.removesVersions = [this] {
+        return orders && orders->mayOrder();
+    };
+    origins = std::make_unique<OriginTask>(OriginParts {loop, log, metrics, *peers, store}, settings.process.id, std::move(originHooks));
 }
 
 /// Applies a change of a runner's models at once, before its row in the store shows it, and announces it to the other gateways.
@@ -603,6 +633,7 @@
     targets->advance();
     limits->advance();
     crashes->advance();
+    origins->advance();
     dispatcher.expirePauses(loop.now());
     if (orders->lease().isHolder()) {
         chooseCandidates();
@@ -711,6 +742,12 @@
         onResidencyReport(frame.holding());
     } else if (frame.has_crash_report()) {
         crashes->onMessage(id, frame.crash_report());
+    } else if (frame.has_origin_query()) {
+        origins->onQuery(id, frame.origin_query());
+    } else if (frame.has_origin_reply()) {
+        origins->onReply(id, frame.origin_reply());
+    } else if (frame.has_version_row()) {
+        origins->onVersionRow(id, frame.version_row());
     } else if (frame.has_account_usage()) {
         usage->merge(id, frame.account_usage().start(), frame.account_usage());
     } else if (frame.has_target_limits()) {
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -209,7 +209,7 @@
     const auto step = lease.nextStep(now());
     if (step == LeaseStep::Read) {
         lease.readStarted(now());
-        parts.store.read(StoreTable::Leases, LeaseKey, [this](const StoreAnswer &answer) {
+        parts.store.read(StoreTable::Leases, {LeaseKey, ""}, [this](const StoreAnswer &answer) {
             if (answer.outcome != StoreOutcome::Done) {
                 lease.readFailed(now());
                 return;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -43,6 +43,7 @@
     int maxOutputTokens = 0;
     std::vector<PromptPart> promptParts; ///< in the prompt's order; the last belongs to this request or its session alone
     std::string lastEventId; ///< the stream is to resume after this event; empty: from its start
+    AttemptId resumes; ///< the client's attempt that brought the first event of the stream that is to resume; empty: not given
     std::optional<std::string> authorization; ///< the header with the client's key; an empty text: the header occurs more than once
 };
 
@@ -91,8 +92,14 @@
     std::string body;
 };
 
+/// A range of keys, in ascending order of their bytes.
+struct KeyRange {
+    std::string from; ///< the first key; empty: from the table's first row on
+    std::string to; ///< the first key that isn't part of it; empty: up to the table's last row
+};
+
 struct StoreFormat {
-    std::function<EncodedCall(StoreTable table, const std::string &from)> readCall; ///< reads rows with keys from `from` on
+    std::function<EncodedCall(StoreTable table, const KeyRange &keys)> readCall;
     std::function<EncodedCall(StoreTable table, RowVersion after, Duration wait)> watchCall;
     std::function<EncodedCall(StoreTable table, const std::vector<StoreChange> &changes)> changeCall;
     std::function<std::optional<StorePage>(const std::string &body)> decodePage; ///< nothing: unreadable
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -166,9 +166,9 @@
 
 } // namespace
 
-auto StoreClient::read(StoreTable table, const std::string &from, Done done) -> void
+auto StoreClient::read(StoreTable table, const KeyRange &keys, Done done) -> void
 {
-    d->call(d->format.readCall(table, from), d->options.timeout, pageDecoder(d->format), std::move(done));
+    d->call(d->format.readCall(table, keys), d->options.timeout, pageDecoder(d->format), std::move(done));
 }
 
 auto StoreClient::watch(StoreTable table, RowVersion after, Duration wait, Done done) -> void
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -36,8 +36,8 @@
     std::function<void()> onUnreachable;
 
     auto setServer(const Endpoint &server) -> void;
-    /// One page of a table, from key `from` on.
-    auto read(StoreTable table, const std::string &from, Done done) -> void;
+    /// One page of the rows in a range of keys of a table.
+    auto read(StoreTable table, const KeyRange &keys, Done done) -> void;
     /// Long poll: answers as soon as a row of the table has a newer version than `after`, or when `wait` has passed.
     auto watch(StoreTable table, RowVersion after, Duration wait, Done done) -> void;
     /// Makes all changes or none.
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -102,7 +102,7 @@
         return parts.peers.send(peer, requestFrame(table, after));
     };
     result.read = [this](std::size_t table, StoreCallId call, const std::string &from) {
-        parts.store.read(FollowedTables.at(table), from, onAnswer(table, call));
+        parts.store.read(FollowedTables.at(table), {from, ""}, onAnswer(table, call));
     };
     result.watch = [this](std::size_t table, StoreCallId call, RowVersion after, Duration wait) {
         parts.store.watch(FollowedTables.at(table), after, wait, onAnswer(table, call));
