orders: load a missing adapter at the software version that a stream must go on at

A client took up a stream with an adapter whose runner had crashed, and got 503 until it gave up: the adapter was loaded again on any runner with its model, and once it was held at one of another software version nothing more was loaded for the stream.

A missing artifact now names the software version of the runners that could serve the request, if it must be a certain one: only those count as holders, and the adapter is loaded on one of them. Models are still placed by demand alone.

The test failed before (503 at the version v2, the adapter held at v1).

--- a/src/gateway/demandexchange.cpp
+++ b/src/gateway/demandexchange.cpp
@@ -55,10 +55,10 @@
 auto DemandExchange::artifactMissing(const MissingArtifact &artifact) -> void
 {
     if (m_parts.orders.mayOrder()) {
-        m_parts.orders.artifactMissing(artifact.service, artifact.model, artifact.adapter);
+        m_parts.orders.artifactMissing(artifact);
         return;
     }
-    m_parts.orders.addPending(artifact.service, artifact.model, artifact.adapter);
+    m_parts.orders.addPending(artifact);
     sendWanted(artifact, false);
 }
 
@@ -86,6 +86,7 @@
     message->set_model(artifact.model);
     message->set_adapter(artifact.adapter);
     message->set_another(forSecondCopy);
+    message->set_version(artifact.softwareVersion.text());
     m_parts.peers.send(holderId(), frame);
 }
 
@@ -135,15 +136,15 @@
 
 auto DemandExchange::onWanted(const Wire::Wanted &message) -> void
 {
-    const ServiceName service(message.service());
+    const MissingArtifact artifact {ServiceName(message.service()), message.model(), message.adapter(), SoftwareVersion(message.version())};
     auto &orders = m_parts.orders;
     if (!orders.mayOrder()) {
         // Other gateways learn of a new lease holder from the lease's row, which names it before it may give orders. So they may send it artifacts too early.
-        orders.addPending(service, message.model(), message.adapter());
+        orders.addPending(artifact);
     } else if (message.another()) {
-        orders.adapterOverloaded(service, message.model(), message.adapter());
+        orders.adapterOverloaded(artifact.service, artifact.model, artifact.adapter);
     } else {
-        orders.artifactMissing(service, message.model(), message.adapter());
+        orders.artifactMissing(artifact);
     }
 }
 
--- a/src/gateway/forwardedwait.cpp
+++ b/src/gateway/forwardedwait.cpp
@@ -46,7 +46,7 @@
     const bool isMissing = refusal == DispatchRefusal::NotHeld || refusal == DispatchRefusal::AdapterMissing;
     if (isMissing && now() - m_loadRequestedAt >= LoadRequestPeriod) {
         m_loadRequestedAt = now();
-        m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter);
+        m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter, m_request.softwareVersion.value_or(SoftwareVersion()));
     }
     const bool isUnavailable = refusal == DispatchRefusal::Paused || refusal == DispatchRefusal::OverLimit;
     if (isUnavailable && !m_request.adapter.empty()) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -49,8 +49,8 @@
 
 struct ForwarderHooks {
     std::function<bool()> areDeclarationsCurrent; ///< the declared traffic was confirmed recently: a route that it lacks doesn't exist
-    /// No target holds the model, or none that holds it has the adapter.
-    std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter)> onMissing;
+    /// No target holds the model, or none that holds it has the adapter. `version`: looked for at targets of this software version only; empty: at all.
+    std::function<void(const ServiceName &service, const std::string &model, const std::string &adapter, const SoftwareVersion &version)> onMissing;
     /// A target refused a request because another target has its address now, or because it lacks the model or adapter. `found` is the target that
     /// answered; empty if the answer doesn't name it.
     std::function<void(const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter)> onMisdirected;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -433,11 +433,11 @@
     hooks.areDeclarationsCurrent = [this] {
         return follower->isCurrent() || loop.now() - storeUnreachableAt < CurrentAfterStoreLoss;
     };
-    hooks.onMissing = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
-        demand->artifactMissing({service, model, adapter});
+    hooks.onMissing = [this](const ServiceName &service, const std::string &model, const std::string &adapter, const SoftwareVersion &version) {
+        demand->artifactMissing({service, model, adapter, version});
     };
     hooks.onOverloaded = [this](const ServiceName &service, const std::string &model, const std::string &adapter) {
-        demand->adapterOverloaded({service, model, adapter});
+        demand->adapterOverloaded({service, model, adapter, {}});
     };
     hooks.onMisdirected = [this](const TargetId &target, const TargetId &found, const std::string &model, const std::string &adapter) {
         onMisdirected(target, found, model, adapter);
@@ -497,7 +497,7 @@
         std::erase_if(models, [&](const ResidentModel &resident) { return resident.name == model; });
     }
     dispatcher.targetHolds(target, models);
-    demand->artifactMissing({description->service, model, adapter});
+    demand->artifactMissing({description->service, model, adapter, {}});
 }
 
 /// Applies what an answer to a request or a call says about the target itself.
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -62,8 +62,6 @@
     TimePoint orderedAt;
 };
 
-using AdapterRequestKey = std::tuple<ServiceName, std::string, std::string>;
-
 } // namespace
 
 auto toString(OrderVerdict verdict) -> const char *
@@ -98,7 +96,7 @@
     std::map<ServiceName, EngineDeclaration> engines;
     std::map<ServiceName, LoadMeter> loadMeters;
     std::map<TargetId, RunnerBook> books;
-    std::map<AdapterRequestKey, AdapterRequest> pending;
+    std::map<MissingArtifact, AdapterRequest> pending;
     std::map<TargetId, CopyMove> moves; ///< in progress
     AdapterUses adapterUses;
     DemandHistory demandHistory;
@@ -148,8 +146,8 @@
     auto planSoon() -> void; ///< at the next tick, if moves are in progress
     auto servePendingSoon() -> void;
     auto servePending() -> void;
-    auto countRunnersWith(const AdapterRequestKey &key) const -> int;
-    auto serveAdapterRequest(const AdapterRequestKey &key, AdapterRequest &request) -> bool;
+    auto countRunnersWith(const MissingArtifact &artifact) const -> int;
+    auto serveAdapterRequest(const MissingArtifact &artifact, AdapterRequest &request) -> bool;
     auto noteMissingModels(const ServiceName &service, const CopyPlanInput &currentInput) -> void;
     auto addActiveAdapters(const ServiceName &service, std::map<std::string, ModelWork> &work) const -> void;
     auto input(const ServiceName &service) -> const CopyPlanInput &;
@@ -405,9 +403,9 @@
             active.insert(place.second);
         }
     }
-    for (const auto &[key, request] : pending) {
-        if (std::get<0>(key) == service && !std::get<2>(key).empty()) {
-            active.insert(std::get<1>(key) + "/" + std::get<2>(key));
+    for (const auto &[artifact, request] : pending) {
+        if (artifact.service == service && !artifact.adapter.empty()) {
+            active.insert(artifact.model + "/" + artifact.adapter);
         }
     }
     for (const auto &name : active) {
@@ -538,25 +536,35 @@
 }
 
 /// Number of runners that hold the adapter or are loading it, except those whose replica of its model is draining.
-auto OrderTask::Private::countRunnersWith(const AdapterRequestKey &key) const -> int
+namespace
+{
+
+/// Whether a target of the description could serve the request for which the artifact is missing.
+auto isSuitable(const MissingArtifact &artifact, const TargetDescription &target) -> bool
+{
+    return target.service == artifact.service && (artifact.softwareVersion.isEmpty() || target.softwareVersion == artifact.softwareVersion);
+}
+
+} // namespace
+
+auto OrderTask::Private::countRunnersWith(const MissingArtifact &artifact) const -> int
 {
     int holders = 0;
     for (const auto &[id, book] : books) {
-        const bool isOfService = book.description().service == std::get<0>(key);
-        const bool stays = !isDraining(moves, id, std::get<1>(key));
-        holders += isOfService && stays && book.holdsAdapter(std::get<1>(key), std::get<2>(key)) ? 1 : 0;
+        const bool stays = !isDraining(moves, id, artifact.model);
+        holders += isSuitable(artifact, book.description()) && stays && book.holdsAdapter(artifact.model, artifact.adapter) ? 1 : 0;
     }
     return holders;
 }
 
 /// Orders the adapter on a runner if too few hold it. Returns true if enough runners hold it or are loading it, so that the request is complete.
-auto OrderTask::Private::serveAdapterRequest(const AdapterRequestKey &key, AdapterRequest &request) -> bool
+auto OrderTask::Private::serveAdapterRequest(const MissingArtifact &artifact, AdapterRequest &request) -> bool
 {
-    const auto &[service, model, adapter] = key;
-    if (adapter.empty() || !engines.contains(service)) {
+    const auto &service = artifact.service;
+    if (artifact.adapter.empty() || !engines.contains(service)) {
         return false; // models are loaded by planModels()
     }
-    const int copies = countRunnersWith(key);
+    const int copies = countRunnersWith(artifact);
     if (copies >= request.copies) {
         return true;
     }
@@ -566,7 +574,9 @@
         return false;
     }
     const auto protectedFor = copies > 0 ? RecentUseProtection : Duration();
-    if (const auto planned = placeAdapter(input(service), model, adapter, adapterUses, protectedFor, now())) {
+    auto suitable = input(service);
+    std::erase_if(suitable.runners, [&](const RunnerBook *runner) { return !isSuitable(artifact, runner->description()); });
+    if (const auto planned = placeAdapter(suitable, artifact.model, artifact.adapter, adapterUses, protectedFor, now())) {
         request.orderedOn = planned->target;
         request.orderedAt = now();
         sendOrder(service, *planned);
@@ -748,39 +758,38 @@
     std::erase_if(d->adapterUses, [&](const auto &use) { return use.first.first == target; });
 }
 
-auto OrderTask::addPending(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
+auto OrderTask::addPending(const MissingArtifact &artifact) -> void
 {
-    d->pending[{service, model, adapter}].at = d->now();
+    d->pending[artifact].at = d->now();
 }
 
 auto OrderTask::pendingArtifacts() const -> std::vector<MissingArtifact>
 {
     std::vector<MissingArtifact> list;
-    for (const auto &[key, request] : d->pending) {
-        const auto &[service, model, adapter] = key;
-        list.push_back({service, model, adapter});
+    for (const auto &[artifact, request] : d->pending) {
+        list.push_back(artifact);
     }
     return list;
 }
 
-auto OrderTask::artifactMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
+auto OrderTask::artifactMissing(const MissingArtifact &artifact) -> void
 {
     for (auto &[id, book] : d->books) {
-        const auto *held = book.description().model(model);
-        const bool isHeld = held != nullptr && (adapter.empty() || held->hasAdapter(adapter));
-        if (isHeld && !isDraining(d->moves, id, model) && book.description().service == service) {
+        const auto *held = book.description().model(artifact.model);
+        const bool isHeld = held != nullptr && (artifact.adapter.empty() || held->hasAdapter(artifact.adapter));
+        if (isHeld && !isDraining(d->moves, id, artifact.model) && isSuitable(artifact, book.description())) {
             // The requesting gateway found that the runner doesn't hold it, or hasn't received the runner's residency yet.
             book.invalidate(d->now());
             d->publishResidency(book);
         }
     }
-    addPending(service, model, adapter);
+    addPending(artifact);
     d->servePendingSoon();
 }
 
 auto OrderTask::adapterOverloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void
 {
-    auto &request = d->pending[{service, model, adapter}];
+    auto &request = d->pending[{service, model, adapter, {}}];
     request.at = d->now();
     request.copies = 2;
     d->servePendingSoon();
--- a/src/gateway/ordertask.h
+++ b/src/gateway/ordertask.h
@@ -80,6 +80,9 @@
     ServiceName service;
     std::string model;
     std::string adapter; ///< empty: the model itself
+    SoftwareVersion softwareVersion; ///< of the runners on which it is missing; empty: it is missing on all
+
+    auto operator<=>(const MissingArtifact &) const = default;
 };
 
 class OrderTask
@@ -106,9 +109,9 @@
     auto targetGone(const TargetId &target) -> void;
     auto targetPaused(const TargetIncarnation &target) -> void; ///< it has asked this gateway to send nothing for some time
     /// Keeps a missing artifact for the next lease holder. For gateways that may not give orders.
-    auto addPending(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
+    auto addPending(const MissingArtifact &artifact) -> void;
     /// A request waits for a model or an adapter: orders it to be loaded. For the lease holder.
-    auto artifactMissing(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
+    auto artifactMissing(const MissingArtifact &artifact) -> void;
     /// The only runner with an adapter is too busy to answer a request for it in time: orders the adapter to be loaded on a second runner.
     auto adapterOverloaded(const ServiceName &service, const std::string &model, const std::string &adapter) -> void;
     auto adapterUsed(const TargetId &target, const std::string &model, const std::string &adapter) -> void;
--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -186,6 +186,28 @@
     }
 }
 
+TEST_CASE("a stream with an adapter goes on at a target of its software version that doesn't hold the adapter yet")
+{
+    // Guards against streams that are given up because their adapter is loaded again at another software version.
+    VersionSite site({"v2", "v1", "v1", "v2"}, 1);
+    auto options = streamOptions(site, 0);
+    options.model = "m1/a1";
+    const auto begun = site.begin(1, options);
+    site.waitFor("some events", [&] { return begun->events().size() >= 3; });
+    const auto target = begun->header("Server-Stamp").substr(std::string("stamp-").size(), 2); // of "stamp-r1-2-ATTEMPT"
+    site.platform({{"part", "runner"}, {"id", target}, {"mode", "crash"}, {"downMs", 20000}});
+    site.waitFor("the end", [&] { return begun->done; });
+    const auto cut = VersionSite::cutStream(options.attempt, begun);
+    site.sleep(Duration::millis(800)); // until the target's row has lapsed
+    auto again = streamOptions(site, 1);
+    again.model = options.model;
+    again.headers = {{"Last-Event-Id", cut.lastEventId}, {"Resumes", cut.attempt}};
+    const auto reply = site.call(1, again);
+    INFO(target << " at " << cut.version << ", status " << reply->status);
+    CHECK(reply->isWhole());
+    CHECK(versionsIn(reply->events()) == std::set<std::string> {cut.version});
+}
+
 TEST_CASE("with a single software version, all streams that clients take up go on")
 {
     // Guards against streams that are lost for want of a record that isn't needed.
