--- a/tests/sim_originfleet.h
+++ b/tests/sim_originfleet.h
@@ -243,13 +243,13 @@
                 });
         }
     }
-    auto readVersions(Gateway &gateway, std::function<void(const std::optional<std::pair<RowVersion, VersionSet>> &row)> done) -> void
+    auto readVersions(Gateway &gateway, const std::function<void(const std::optional<std::pair<RowVersion, VersionSet>> &row)> &done) -> void
     {
         auto row = std::make_shared<std::pair<RowVersion, VersionSet>>();
         call(
             gateway, [this, row] { *row = m_versionRow; }, [row, done](bool isDone) { done(isDone ? std::optional(*row) : std::nullopt); });
     }
-    auto readRecords(Gateway &gateway, const std::string &host, std::function<void(bool isDone, const OriginRecords &records)> done) -> void
+    auto readRecords(Gateway &gateway, const std::string &host, const std::function<void(bool isDone, const OriginRecords &records)> &done) -> void
     {
         auto records = std::make_shared<OriginRecords>();
         call(
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -41,6 +41,19 @@
     }
 };
 
+/// A streamed answer, which is finished only for the target "/whole".
+auto answerInPieces(const CallerExchangePtr &exchange) -> void
+{
+    exchange->begin(200, {}, std::nullopt);
+    exchange->write("abc");
+    exchange->write("de");
+    if (exchange->head().target == "/whole") {
+        exchange->finish();
+    } else {
+        exchange->abort();
+    }
+}
+
 } // namespace
 
 TEST_CASE("requests on one connection are answered one after the other")
@@ -87,16 +100,7 @@
 TEST_CASE("a streamed answer is chunked, and an aborted one has no last chunk")
 {
     ServerFixture fixture;
-    fixture.answer = [](const CallerExchangePtr &exchange) {
-        exchange->begin(200, {}, std::nullopt);
-        exchange->write("abc");
-        exchange->write("de");
-        if (exchange->head().target == "/whole") {
-            exchange->finish();
-        } else {
-            exchange->abort();
-        }
-    };
+    fixture.answer = &answerInPieces;
     CHECK(fixture.call("GET /whole HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").text.ends_with("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"));
     CHECK_FALSE(fixture.call("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n").text.ends_with("0\r\n\r\n"));
 }
@@ -105,16 +109,7 @@
 {
     // Guards against chunks that HTTP/1.0 callers take for content, and against a broken answer that looks complete to them.
     ServerFixture fixture;
-    fixture.answer = [](const CallerExchangePtr &exchange) {
-        exchange->begin(200, {}, std::nullopt);
-        exchange->write("abc");
-        exchange->write("de");
-        if (exchange->head().target == "/whole") {
-            exchange->finish();
-        } else {
-            exchange->abort();
-        }
-    };
+    fixture.answer = &answerInPieces;
     for (const std::string connection : {"", "Connection: keep-alive\r\n"}) {
         const auto whole = fixture.call("GET /whole HTTP/1.0\r\nHost: h\r\n" + connection + "\r\n");
         CHECK(whole.text.ends_with("\r\n\r\nabcde"));
