--- a/tests/unit_dispatch.cpp
+++ b/tests/unit_dispatch.cpp
@@ -557,3 +557,44 @@
     adapted.excluded = {TargetId("r0"), TargetId("r1")};
     CHECK_FALSE(fixture->choose(adapted, at(4)).canLoadAdapter);
 }
+
+TEST_CASE("a stream goes on only at a target of its software version, and begins only at versions that allow it")
+{
+    // Guards against targets of a service that count as alike although their software versions differ.
+    const SoftwareVersion v1("v1");
+    const SoftwareVersion v2("v2");
+    SoftwareVersion allowed = v1;
+    DispatchOptions options;
+    options.mayBegin = [&](const ServiceName & /*service*/, const SoftwareVersion &version) {
+        return version == allowed;
+    };
+    Dispatcher dispatcher(options);
+    const std::map<std::string, SoftwareVersion> targets {{"a", v1}, {"b", v2}, {"c", SoftwareVersion()}};
+    for (const auto &[id, version] : targets) {
+        TargetDescription target;
+        target.incarnation = {TargetId(id), 1};
+        target.service = ServiceName("s");
+        target.address = {"127.0.0.1", 9000};
+        target.softwareVersion = version;
+        target.slots = 4;
+        dispatcher.targetSeen(target, at(0));
+    }
+    DispatchRequest request;
+    request.service = ServiceName("s");
+    request.softwareVersion = v2;
+    CHECK(dispatcher.choose(request, at(1)).target == TargetId("b"));
+    request.excluded = {TargetId("b")};
+    CHECK(dispatcher.choose(request, at(1)).refusal == DispatchRefusal::AllExcluded);
+    request.excluded.clear();
+    request.softwareVersion = SoftwareVersion("v3");
+    CHECK(dispatcher.choose(request, at(1)).refusal == DispatchRefusal::OtherVersion);
+    request.softwareVersion = SoftwareVersion(); // not stated: like no other target, not even one that states none
+    CHECK(dispatcher.choose(request, at(1)).refusal == DispatchRefusal::OtherVersion);
+    request.softwareVersion.reset();
+    request.isStream = true;
+    CHECK(dispatcher.choose(request, at(1)).target == TargetId("a"));
+    allowed = SoftwareVersion("v4");
+    CHECK(dispatcher.choose(request, at(1)).refusal == DispatchRefusal::OtherVersion);
+    request.isStream = false;
+    CHECK(dispatcher.choose(request, at(1)).refusal == DispatchRefusal::None);
+}
--- a/tests/unit_targetanswers.cpp
+++ b/tests/unit_targetanswers.cpp
@@ -70,3 +70,13 @@
     pauses.expire(at(5));
     CHECK_FALSE(pauses.until(first, at(4)));
 }
+
+TEST_CASE("the attempt that began a stream is read from the request that takes it up")
+{
+    HttpHead head;
+    head.headers = {{"Last-Event-Id", "7"}, {"resumes", "first"}, {"Attempt-Id", "third"}};
+    const auto request = Platform::readRequest(head);
+    CHECK(request.resumes == AttemptId("first"));
+    CHECK(request.lastEventId == "7");
+    CHECK(Platform::readRequest(HttpHead()).resumes.isEmpty());
+}
--- a/tests/unit_targets.cpp
+++ b/tests/unit_targets.cpp
@@ -212,6 +212,17 @@
     REQUIRE(traffic.routes[0].band <= traffic.routes[1].band);
 }
 
+TEST_CASE("a row that lacks the software version keeps that of the same start, and of no other")
+{
+    // Guards against streams that can't go on because one row left a field out, and against a version that outlives its process.
+    TargetView view;
+    auto described = target("a", 1);
+    described.softwareVersion = SoftwareVersion("v1");
+    view.rowReceived(described, at(0));
+    CHECK(view.rowReceived(target("a", 1), at(1)).seen.front().softwareVersion == SoftwareVersion("v1"));
+    CHECK(view.rowReceived(target("a", 2), at(2)).seen.front().softwareVersion.isEmpty());
+}
+
 TEST_CASE("events are passed on whole with their ids, however their bytes are split")
 {
     const std::string stream = "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: cut";
