--- a/tests/unit_streamorigins.cpp
+++ b/tests/unit_streamorigins.cpp
@@ -80,11 +80,13 @@
     StreamOrigins origins;
     std::map<int, OriginRecords> rows;
     origins.began(StreamKey(7), AtV2, at(0));
-    writeFor(origins, 100, 0, rows);
     const auto holds = [](const auto &row) {
         return std::any_of(row.second.begin(), row.second.end(), [](const auto &record) { return record.first == StreamKey(7); });
     };
-    CHECK(std::count_if(rows.begin(), rows.end(), holds) >= 1);
+    for (int second = 0; second < 100; ++second) {
+        writeFor(origins, 1, second, rows);
+        REQUIRE(std::any_of(rows.begin(), rows.end(), holds)); // also right after its row was replaced
+    }
     CHECK(rows.size() == 64);
     origins.ended(StreamKey(7), true, at(100));
     writeFor(origins, 70, 101, rows);
