forwarder: read each stream's events once, and keep its software version once

Of a resumable stream every byte was read twice: by the cursor that cuts it into events, and by a second boundary beside it. The cursor's own boundary serves now; only streams that are passed through have one of the request's own. The version that began a stream was kept beside the request's pinned one, which is set at the same two places. The log line of a broken attempt needs no scope of its own. No change in behaviour.

--- a/src/core/eventcursor.cpp
+++ b/src/core/eventcursor.cpp
@@ -17,6 +17,11 @@
     return m_lastId;
 }
 
+auto EventCursor::boundary() const -> const EventBoundary &
+{
+    return m_boundary;
+}
+
 auto EventCursor::hasPartial() const -> bool
 {
     return !m_buffer.empty();
--- a/src/core/eventcursor.h
+++ b/src/core/eventcursor.h
@@ -18,6 +18,7 @@
     explicit EventCursor(std::function<void(std::string_view raw)> onEvent, std::size_t maxEvent = 1U << 20U);
 
     auto lastId() const -> const std::string &; ///< id of the last whole event that had one; empty if no event had an id
+    auto boundary() const -> const EventBoundary &; ///< where the bytes since the beginning of this stream, or since dropPartial(), have led
     auto hasPartial() const -> bool; ///< there are buffered bytes of an incomplete event
     auto isTooLong() const -> bool; ///< an incomplete event has more than maxEvent bytes; further bytes are ignored
 
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -27,11 +27,9 @@
     if (answer.target.isEmpty() || answer.target == m_target) {
         m_owner.hooks.onAnswer(m_incarnation, answer, m_sentAt);
     }
-    if (isEventStream()) {
-        m_boundary.emplace();
-    }
+    m_isEventStream = isEventStream();
     // A begun stream is continued by events alone.
-    if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream && (m_boundary || !m_exchange->hasBegun())) {
+    if (HttpStatus::isSuccess(head.status) && m_route.kind == RouteKind::Stream && (m_isEventStream || !m_exchange->hasBegun())) {
         beginForwarding();
     }
     return AnswerVerdict::Accept;
@@ -45,17 +43,21 @@
     return HttpStatus::isSuccess(m_head.status) && isStreamType;
 }
 
+auto ForwardedRequest::boundary() const -> const EventBoundary &
+{
+    return m_events ? m_events->boundary() : m_boundary;
+}
+
 /// Whether an answer that is complete by its framing is incomplete by its content. A target that ends in the middle of a stream may have its connection
 /// closed in order by the operating system, or its answer completed by a proxy in between.
 auto ForwardedRequest::isBrokenOff() const -> bool
 {
-    if (!m_boundary) {
+    if (!m_isEventStream) {
         return false;
     }
     // Without events, nothing distinguishes an empty stream from one whose target ended before the first event, unless the framing states the end.
-    const bool mayLackAll = m_boundary->events() == 0 && m_head.framing == BodyFraming::Connection;
-    const bool lacksBytes = m_events && m_events->hasPartial(); // of an event that was too long to be kept
-    return !m_boundary->isBetweenEvents() || lacksBytes || mayLackAll;
+    const bool mayLackAll = boundary().events() == 0 && m_head.framing == BodyFraming::Connection;
+    return !boundary().isBetweenEvents() || mayLackAll;
 }
 
 /// Status and headers go to the client only with the first bytes of the body: if the stream breaks before these, the request can still be resent to another
@@ -63,7 +65,7 @@
 auto ForwardedRequest::beginForwarding() -> void
 {
     m_isForwarding = true;
-    if (!m_boundary) {
+    if (!m_isEventStream) {
         m_events.reset();
     } else if (m_route.isResumable && !m_events) {
         m_events.emplace([this](std::string_view raw) { forwardBytes(raw); });
@@ -80,8 +82,8 @@
     m_answerBytes += bytes.size();
     m_owner.parts.crashes.received(m_send);
     recordProgress();
-    if (m_boundary) {
-        m_boundary->feed(bytes);
+    if (m_isEventStream && !m_events) {
+        m_boundary.feed(bytes);
     }
     if (!m_isForwarding) {
         m_bufferedBody.append(bytes);
@@ -139,20 +141,19 @@
     }
     if (!m_exchange->hasBegun()) {
         // A stream that turns out to be broken off must not have reached a stated length.
-        m_exchange->begin(m_head.status, answerHeaders(m_head), m_boundary ? std::nullopt : m_head.length);
+        m_exchange->begin(m_head.status, answerHeaders(m_head), m_isEventStream ? std::nullopt : m_head.length);
         m_exchange->onDrained = [this] {
             if (m_call) {
                 m_call->resume();
             }
         };
     }
-    if (!m_beganAtVersion) {
-        m_beganAtVersion = m_softwareVersion;
+    if (!m_request.softwareVersion) {
         m_request.softwareVersion = m_softwareVersion;
     }
     if (m_stream && !m_isRecorded) {
         m_isRecorded = true;
-        m_owner.parts.origins.began(*m_stream, {m_request.service, *m_beganAtVersion});
+        m_owner.parts.origins.began(*m_stream, {m_request.service, *m_request.softwareVersion});
     }
     m_forwardedBytes += bytes.size();
     m_exchange->write(bytes);
@@ -262,16 +263,13 @@
         m_owner.parts.crashes.broke(m_send);
     }
     closeSend(neverSent ? SendResult::Rejected : hadNoAnswer ? SendResult::NoAnswer : SendResult::Failed);
-    {
-        auto line = m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken");
-        line.add("id", m_traits.attempt.text())
-            .add("target", m_target.text())
-            .add("after", now() - m_sentAt)
-            .add("reused", end.wasReused)
-            .add("head", m_hasHead)
-            .add("passed", static_cast<std::uint64_t>(m_forwardedBytes));
-        addAnswerEnd(line);
-    }
+    addAnswerEnd(m_owner.parts.log.line("attempt", neverSent ? "not-connected" : "broken")
+                     .add("id", m_traits.attempt.text())
+                     .add("target", m_target.text())
+                     .add("after", now() - m_sentAt)
+                     .add("reused", end.wasReused)
+                     .add("head", m_hasHead)
+                     .add("passed", static_cast<std::uint64_t>(m_forwardedBytes)));
     if (neverSent) {
         m_connectFailedAt = now();
         m_owner.markUnreachable(m_target);
@@ -329,10 +327,10 @@
 {
     line.add("framing", m_hasHead ? toString(m_head.framing) : "-")
         .add("connection", m_connectionEnd ? toString(*m_connectionEnd) : "open")
-        .add("events", m_boundary ? m_boundary->events() : 0)
-        .add("inside-event", m_boundary && !m_boundary->isBetweenEvents())
+        .add("events", m_isEventStream ? boundary().events() : 0)
+        .add("inside-event", m_isEventStream && !boundary().isBetweenEvents())
         .add("version", m_softwareVersion.text())
-        .add("began-at-version", m_beganAtVersion ? m_beganAtVersion->text() : "-");
+        .add("began-at-version", m_request.softwareVersion ? m_request.softwareVersion->text() : "-");
 }
 
 auto ForwardedRequest::recordSuccess() -> void
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -134,7 +134,6 @@
     }
     m_request.service = origin.service;
     m_request.softwareVersion = origin.softwareVersion;
-    m_beganAtVersion = origin.softwareVersion;
     begin();
 }
 
@@ -339,7 +338,8 @@
     m_incarnation = choice.incarnation;
     m_softwareVersion = choice.softwareVersion;
     m_hasHead = false;
-    m_boundary.reset();
+    m_isEventStream = false;
+    m_boundary = EventBoundary();
     m_connectionEnd.reset();
     m_isForwarding = false;
     m_bufferedBody.clear();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -140,6 +140,7 @@
     auto onFailure(const PooledEnd &end) -> void;
     auto onNotRun() -> void;
     auto isEventStream() const -> bool;
+    auto boundary() const -> const EventBoundary &; ///< of the latest answer, if it is a stream of events
     auto isBrokenOff() const -> bool;
     auto beginForwarding() -> void;
     auto forwardBytes(std::string_view bytes) -> void;
@@ -180,11 +181,11 @@
     AnswerTraits m_answer;
     std::string m_bufferedBody; ///< body of the latest answer, if it is kept until it is complete
     SoftwareVersion m_softwareVersion; ///< of m_target
-    std::optional<SoftwareVersion> m_beganAtVersion; ///< software version of the target whose bytes came first to the client
     std::optional<StreamKey> m_stream; ///< set if the stream may be taken up by its client, so that its beginning must be known
     std::optional<LookupId> m_lookup; ///< of where a stream began that the client takes up
     bool m_isRecorded = false; ///< OriginTask::began() was called
-    std::optional<EventBoundary> m_boundary; ///< of the latest answer, if it is a stream of events
+    bool m_isEventStream = false; ///< the latest answer is a stream of events
+    EventBoundary m_boundary; ///< of the latest answer, unless m_events follows it
     std::optional<TcpEnd> m_connectionEnd; ///< how the latest answer's connection ended; nothing: the target didn't end it
     bool m_hasHead = false;
     bool m_isForwarding = false; ///< the body goes to the client as it arrives
