origin task: use one lookup of a row in a page, as the lease and the crash records do

The same search stood in three tasks; StorePage::find() serves them. Further pages are read from the last key and a NUL on, as the table watch reads them, instead of a suffix that relied on the keys' length, and the row of versions as the other single rows are. A target's service and version are a StreamOrigin, which the task had declared again; a replaced target takes the way of one that is gone. StreamOrigins::began() loses a time that it didn't use.

--- a/src/core/storetable.cpp
+++ b/src/core/storetable.cpp
@@ -49,4 +49,10 @@
     return "?";
 }
 
+auto StorePage::find(std::string_view key) const -> const StoredRow *
+{
+    const auto found = std::find_if(rows.begin(), rows.end(), [&](const StoredRow &row) { return row.key == key; });
+    return found == rows.end() ? nullptr : &*found;
+}
+
 } // namespace KingCup
--- a/src/core/storetable.h
+++ b/src/core/storetable.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace KingCup
@@ -50,6 +51,8 @@
     std::vector<StoredRow> rows;
     bool hasMore = false; ///< for reads: the table has rows after the last one of this page
     RowVersion upTo; ///< the store's newest version as of this answer
+
+    auto find(std::string_view key) const -> const StoredRow *; ///< null: the page doesn't have the row
 };
 
 struct StoreAnswer {
--- a/src/core/streamorigins.cpp
+++ b/src/core/streamorigins.cpp
@@ -29,7 +29,7 @@
     return m_records.size();
 }
 
-auto StreamOrigins::began(StreamKey stream, const StreamOrigin &origin, TimePoint /*now*/) -> void
+auto StreamOrigins::began(StreamKey stream, const StreamOrigin &origin) -> void
 {
     // The first record stands: a stream has one beginning.
     auto &record = m_records.try_emplace(stream.value(), Record {origin}).first->second;
--- a/src/core/streamorigins.h
+++ b/src/core/streamorigins.h
@@ -68,7 +68,7 @@
     auto size() const -> std::size_t;
 
     // Commands
-    auto began(StreamKey stream, const StreamOrigin &origin, TimePoint now) -> void; ///< here, or a stream that was taken up here
+    auto began(StreamKey stream, const StreamOrigin &origin) -> void; ///< here, or a stream that was taken up here
     auto ended(StreamKey stream, bool isWhole, TimePoint now) -> void;
     auto restored(const OriginRecords &records, TimePoint now) -> void; ///< written by an earlier process of this host, or learned from elsewhere
     auto expire(TimePoint now) -> void;
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -390,8 +390,8 @@
 {
     m_parts.store.read(StoreTable::Crashes, {ArchiveKey, ""}, [this](const StoreAnswer &answer) {
         const bool isDone = answer.outcome == StoreOutcome::Done;
-        const auto row = std::find_if(answer.page.rows.begin(), answer.page.rows.end(), [](const StoredRow &each) { return each.key == ArchiveKey; });
-        const bool hasRow = isDone && row != answer.page.rows.end();
+        const auto *row = answer.page.find(ArchiveKey);
+        const bool hasRow = isDone && row != nullptr;
         Wire::CrashReport report;
         if (hasRow && !report.ParseFromString(row->value)) {
             m_parts.log.line("crashes", "archive-unreadable").add("bytes", static_cast<std::uint64_t>(row->value.size()));
--- a/src/gateway/ordertask.cpp
+++ b/src/gateway/ordertask.cpp
@@ -212,12 +212,8 @@
                 lease.readFailed(now());
                 return;
             }
-            const auto isLease = [](const StoredRow &row) {
-                return row.key == LeaseKey;
-            };
-            const auto found = std::find_if(answer.page.rows.begin(), answer.page.rows.end(), isLease);
-            const bool isThere = found != answer.page.rows.end();
-            lease.rowRead(isThere ? found->version : RowVersion(), isThere ? found->value : "", now());
+            const auto *row = answer.page.find(LeaseKey);
+            lease.rowRead(row == nullptr ? RowVersion() : row->version, row == nullptr ? "" : row->value, now());
         });
     } else if (step == LeaseStep::Write) {
         const auto write = lease.writeStarted(now());
--- a/src/gateway/origintask.cpp
+++ b/src/gateway/origintask.cpp
@@ -113,14 +113,13 @@
 
 auto OriginTask::targetSeen(const TargetDescription &target) -> void
 {
-    const auto [found, isNew] = m_targets.try_emplace(target.incarnation.id, Target {target.service, target.softwareVersion});
-    if (!isNew && found->second.service == target.service && found->second.softwareVersion == target.softwareVersion) {
+    const StreamOrigin origin {target.service, target.softwareVersion};
+    const auto known = m_targets.find(target.incarnation.id);
+    if (known != m_targets.end() && known->second == origin) {
         return;
     }
-    if (!isNew) {
-        targetGone(target.incarnation.id);
-        m_targets.emplace(target.incarnation.id, Target {target.service, target.softwareVersion});
-    }
+    targetGone(target.incarnation.id);
+    m_targets.emplace(target.incarnation.id, origin);
     if (m_targetCounts[target.service][target.softwareVersion]++ == 0) {
         updatePresent(target.service);
     }
@@ -188,16 +187,14 @@
 
 auto OriginTask::readVersions(const ServiceName &service, std::function<void(const std::optional<std::pair<RowVersion, VersionSet>> &row)> done) -> void
 {
-    const KeyRange keys {service.text(), service.text() + "!"};
-    m_parts.store.read(StoreTable::Versions, keys, [this, service, done = std::move(done)](const StoreAnswer &answer) {
+    m_parts.store.read(StoreTable::Versions, {service.text(), ""}, [this, service, done = std::move(done)](const StoreAnswer &answer) {
         if (answer.outcome != StoreOutcome::Done) {
             m_parts.log.line("versions", "unread").add("service", service.text()).add("outcome", toString(answer.outcome));
             done(std::nullopt);
             return;
         }
-        const auto &rows = answer.page.rows;
-        const auto found = std::find_if(rows.begin(), rows.end(), [&](const StoredRow &row) { return row.key == service.text(); });
-        if (found == rows.end()) {
+        const auto *found = answer.page.find(service.text());
+        if (found == nullptr) {
             done(std::pair(RowVersion(), VersionSet()));
             return;
         }
@@ -258,7 +255,7 @@
 
 auto OriginTask::began(StreamKey stream, const StreamOrigin &origin) -> void
 {
-    m_origins.began(stream, origin, now());
+    m_origins.began(stream, origin);
     if (m_register.isMixed(origin.service) && !m_batchTimer.isActive()) {
         m_batchTimer = m_parts.loop.after(BatchDelay, [this] { writeBatch(); });
     }
@@ -313,8 +310,7 @@
         }
         const bool isDone = answer.outcome == StoreOutcome::Done;
         if (isDone && answer.page.hasMore && !answer.page.rows.empty()) {
-            const auto next = answer.page.rows.back().key + "0"; // sorts before the key of the next row, which has as many digits
-            readRecords(host, {next, keys.to}, std::move(records), std::move(done));
+            readRecords(host, {answer.page.rows.back().key + '\0', keys.to}, std::move(records), std::move(done));
             return;
         }
         m_parts.log.line("origins", "read")
--- a/src/gateway/origintask.h
+++ b/src/gateway/origintask.h
@@ -74,10 +74,6 @@
     auto onVersionRow(const std::string &id, const Wire::VersionRow &row) -> void;
 
 private:
-    struct Target {
-        ServiceName service;
-        SoftwareVersion softwareVersion;
-    };
     auto updatePresent(const ServiceName &service) -> void;
     auto callRegister() -> void;
     auto readVersions(const ServiceName &service, std::function<void(const std::optional<std::pair<RowVersion, VersionSet>> &row)> done) -> void;
@@ -107,7 +103,7 @@
     std::set<std::string> m_gateways; ///< all other registered ones
     std::map<std::string, TimePoint> m_lastLive; ///< when other gateways were last live, if they were since this process has started
     TimePoint m_startedAt;
-    std::map<TargetId, Target> m_targets;
+    std::map<TargetId, StreamOrigin> m_targets; ///< origin of the streams that begin there
     std::map<ServiceName, std::map<SoftwareVersion, int>> m_targetCounts;
     bool m_isRestored = false; ///< the records of this host's last process were read
     bool m_isRestoring = false;
--- a/tests/sim_originfleet.h
+++ b/tests/sim_originfleet.h
@@ -305,7 +305,7 @@
         const StreamKey stream(m_random() | 1U);
         const StreamOrigin origin {m_service, usable[m_random() % usable.size()]};
         m_truth[stream] = origin;
-        gateway.origins.began(stream, origin, m_now);
+        gateway.origins.began(stream, origin);
         gateway.open.insert(stream);
         const bool breaks = uniform(0, 1) < m_options.breakShare;
         after(uniform(0.3, 4), [this, &gateway, stream, breaks, epoch = gateway.epoch] {
--- a/tests/unit_streamorigins.cpp
+++ b/tests/unit_streamorigins.cpp
@@ -28,7 +28,7 @@
 auto writeFor(StreamOrigins &origins, int seconds, int from, std::map<int, OriginRecords> &rows) -> void
 {
     for (int second = from; second < from + seconds; ++second) {
-        origins.began(StreamKey(static_cast<std::uint64_t>(1000 + second)), AtV1, at(second));
+        origins.began(StreamKey(static_cast<std::uint64_t>(1000 + second)), AtV1);
         if (const auto batch = origins.takeBatch(isMixed, at(second))) {
             rows[batch->row] = batch->records;
             origins.batchWritten(true, at(second));
@@ -58,8 +58,8 @@
 {
     StreamOrigins origins;
     const StreamKey stream = streamKey(AttemptId("a"));
-    origins.began(stream, AtV1, at(0));
-    origins.began(stream, AtV2, at(1)); // taken up here: it has one beginning
+    origins.began(stream, AtV1);
+    origins.began(stream, AtV2); // taken up here: it has one beginning
     CHECK(origins.find(stream) == AtV1);
     origins.ended(stream, false, at(2));
     origins.expire(at(100));
@@ -69,7 +69,7 @@
     CHECK(origins.find(stream) == AtV1);
     origins.expire(at(131));
     CHECK_FALSE(origins.find(stream));
-    origins.began(stream, AtV1, at(200));
+    origins.began(stream, AtV1);
     origins.ended(stream, true, at(201));
     CHECK_FALSE(origins.find(stream));
 }
@@ -79,7 +79,7 @@
     // Guards against a long stream whose record is overwritten by those of later ones.
     StreamOrigins origins;
     std::map<int, OriginRecords> rows;
-    origins.began(StreamKey(7), AtV2, at(0));
+    origins.began(StreamKey(7), AtV2);
     const auto holds = [](const auto &row) {
         return std::any_of(row.second.begin(), row.second.end(), [](const auto &record) { return record.first == StreamKey(7); });
     };
@@ -96,7 +96,7 @@
 TEST_CASE("a batch that couldn't be written is written again, and nothing is written while a service has one version")
 {
     StreamOrigins origins;
-    origins.began(StreamKey(7), AtV1, at(0));
+    origins.began(StreamKey(7), AtV1);
     CHECK_FALSE(origins.takeBatch([](const ServiceName & /*service*/) { return false; }, at(0)));
     REQUIRE(origins.takeBatch(isMixed, at(0)));
     CHECK_FALSE(origins.takeBatch(isMixed, at(5))); // one at a time
@@ -113,7 +113,7 @@
 {
     StreamOrigins origins({.maxRecords = 10});
     for (std::uint64_t i = 1; i <= 30; ++i) {
-        origins.began(StreamKey(i), AtV1, at(0));
+        origins.began(StreamKey(i), AtV1);
         if (i % 2 == 0) {
             origins.ended(StreamKey(i), false, at(static_cast<double>(i) / 100));
         }
