--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -124,6 +124,19 @@
     return found == routes->second.end() ? nullptr : &*found;
 }
 
+auto streamServices(const Traffic &traffic) -> std::set<ServiceName>
+{
+    std::set<ServiceName> services;
+    for (const auto &route : traffic.routes) {
+        for (const auto &weighted : route.services) {
+            if (route.kind == RouteKind::Stream) {
+                services.insert(weighted.service);
+            }
+        }
+    }
+    return services;
+}
+
 auto pickService(const Route &route, double draw) -> ServiceName
 {
     if (route.services.empty()) {
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -146,6 +147,8 @@
     std::map<std::string, std::vector<Route>, std::less<>> m_hosts; ///< routes with longer prefixes first
 };
 
+/// The services that routes for streams go to.
+auto streamServices(const Traffic &traffic) -> std::set<ServiceName>;
 /// Picks a service of the route at random by weight; `draw` is a random number, uniform in [0, 1).
 auto pickService(const Route &route, double draw) -> ServiceName;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -409,15 +409,7 @@
             orders->adoptEngine(name, *service.engine);
         }
     }
-    std::set<ServiceName> streamServices;
-    for (const auto &route : traffic->routes) {
-        if (route.kind == RouteKind::Stream) {
-            for (const auto &service : route.services) {
-                streamServices.insert(service.service);
-            }
-        }
-    }
-    origins->setStreamServices(streamServices);
+    origins->setStreamServices(streamServices(*traffic));
     callers->setLimits(traffic->limits);
     access.adopt(traffic, loop.now());
     freshness->setActive(traffic->hasAccounts);
