--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <numeric>
 
 namespace KingCup
 {
@@ -367,7 +368,7 @@
     headers.push_back({"Attempt-Id", attempt});
     headers.push_back({"Server-Stamp", "stamp-" + m_id + "-" + attempt});
     if (m_mode == "answer-as") {
-        answerInForm(connection, headers, body, m_answerForm.cut == "none" ? body : body.substr(0, body.size() / 2));
+        answerInForm(m_clock, connection, m_answerForm, headers, body, m_answerForm.sentPart(body), m_settings.eventTime);
     } else if (m_mode == "lose-answers") {
         connection->close();
     } else if (m_mode == "truncate") {
@@ -417,20 +418,12 @@
     if (m_mode == "answer-as") {
         --m_running;
         connection->onClientClosed = nullptr;
-        std::string whole;
-        std::string sent;
+        std::vector<std::string> events;
         for (int number = first; number <= last; ++number) {
-            const auto event = eventText(attempt, number);
-            const int sentBefore = number - first;
-            const bool isCut = sentBefore == m_answerForm.events && m_answerForm.cut != "none";
-            whole += event;
-            if (m_answerForm.events < 0 || sentBefore < m_answerForm.events) {
-                sent += event;
-            } else if (isCut) {
-                sent += event.substr(0, m_answerForm.cut == "inside" ? event.size() / 2 : event.size() - m_answerForm.lineEnd.size());
-            }
+            events.push_back(eventText(attempt, number));
         }
-        answerInForm(connection, headers, whole, sent);
+        const auto whole = std::accumulate(events.begin(), events.end(), std::string());
+        answerInForm(m_clock, connection, m_answerForm, headers, whole, m_answerForm.sentPart(events), m_settings.eventTime);
         return;
     }
     headers.push_back({"Transfer-Encoding", "chunked"});
@@ -438,18 +431,6 @@
     sendEvent(connection, attempt, first, last);
 }
 
-auto PlatformRunner::answerFormOf(const Json &command) -> AnswerForm
-{
-    AnswerForm form;
-    form.framing = command.value("framing", form.framing);
-    form.lineEnd = command.value("lineEnd", form.lineEnd);
-    form.events = command.value("events", form.events);
-    form.cut = command.value("cut", form.cut);
-    form.end = command.value("end", form.end);
-    form.contentType = command.value("contentType", form.contentType);
-    return form;
-}
-
 /// The data names the software version, so that tests see which targets a stream came from.
 auto PlatformRunner::eventText(const std::string &attempt, int number) const -> std::string
 {
@@ -458,28 +439,6 @@
     return "id: " + std::to_string(number) + lineEnd + "data: " + attempt + " " + version + std::to_string(number) + lineEnd + lineEnd;
 }
 
-auto PlatformRunner::answerInForm(const RawConnectionPtr &connection, HttpHeaders headers, const std::string &text, const std::string &sent) -> void
-{
-    const auto &form = m_answerForm;
-    if (form.framing == "chunked") {
-        headers.push_back({"Transfer-Encoding", "chunked"});
-    } else if (form.framing == "length") {
-        headers.push_back({"Content-Length", std::to_string(form.end == "complete" ? sent.size() : text.size())});
-    } else {
-        headers.push_back({"Connection", "close"});
-    }
-    connection->write(answerHead(Status::Ok, headers) + (form.framing == "chunked" && !sent.empty() ? chunk(sent) : sent));
-    m_clock.after(m_settings.eventTime, [connection, form] {
-        if (form.end == "reset") {
-            connection->reset();
-        } else if (form.end == "close" || (form.end == "complete" && form.framing == "connection")) {
-            connection->close();
-        } else if (form.end == "complete" && form.framing == "chunked") {
-            connection->write(LastChunk);
-        }
-    });
-}
-
 auto PlatformRunner::sendEvent(const RawConnectionPtr &connection, const std::string &attempt, int number, int last) -> void
 {
     if (!connection->isOpen()) {
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -2,6 +2,7 @@
 // truth for tests, and misbehaves on command.
 #pragma once
 
+#include "answerform.h"
 #include "answers.h"
 #include "platformstore.h"
 #include "platformwire.h"
@@ -55,9 +56,9 @@
     /// "afterHead":true if the crash comes after the head of the answer: a request with this body crashes the runner; {"mode":"request-limit","perSecond":TEXT}
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
-    /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm, until "well". {"mode":"version","version":V} states the software
-    /// version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels". False if the mode is
-    /// unknown.
+    /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm (answerform.h), until "well". {"mode":"version","version":V} states
+    /// the software version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels". False if
+    /// the mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -75,20 +76,7 @@
     auto runPlain(const RawConnectionPtr &connection, const std::string &attempt) -> void;
     auto runStream(const RawConnectionPtr &connection, const HttpHead &head, const std::string &attempt) -> void;
     auto sendEvent(const RawConnectionPtr &connection, const std::string &attempt, int number, int last) -> void;
-    /// How an answer is framed and where and how it ends.
-    struct AnswerForm {
-        std::string framing = "chunked"; ///< "chunked", "length", or "connection": ends with its connection
-        std::string lineEnd = "\n"; ///< of events
-        int events = -1; ///< complete events of a stream that are sent; -1: all
-        std::string cut = "none"; ///< what follows them: "inside": a part of the next event or, of a plain answer, half of it; "line-ends": an event without
-                                  ///< its second line end
-        std::string end = "complete"; ///< "complete": by the rules of its framing, as if nothing were missing; "close", "reset"; "silence": it doesn't end
-        std::string contentType = "text/event-stream"; ///< of a stream
-    };
-    static auto answerFormOf(const Json &command) -> AnswerForm;
     auto eventText(const std::string &attempt, int number) const -> std::string;
-    /// Answers with `text`, of which `sent` is sent, in the form of m_answerForm.
-    auto answerInForm(const RawConnectionPtr &connection, HttpHeaders headers, const std::string &text, const std::string &sent) -> void;
     auto finish(const RawConnectionPtr &connection, const std::string &attempt, int status, const std::string &body) -> void;
     /// Adds an event with its time: "start", "request", "answered", "rejected" (with the attempt), "limit", "leaving".
     auto record(const char *what, Json details = Json::object()) -> void;
