crash watch: log the prompt's parts, copies in flight, and which events each report adds

The logs couldn't tell whether several copies of a request ended with one target, where the copies of other gateways ran, or why a copy was sent on although its request was known to have ended targets. New: parts and copies in 'run-ended', a line 'copy-sent' with its reason for each send of a request that has ends, and in 'reported' the events that the message added, by target or by the gateway that may run a probe. Reports carry these names (field 'where'); nothing is decided by them.

unit_crashrepeats and system_crashing pass unchanged (5,409 and 386 assertions).

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -131,7 +131,7 @@
     auto &record = findOrAdd(request, now);
     record.usedAt = now;
     const auto id = eventId(target);
-    if (!record.events.try_emplace(id, Event {.at = now, .knownAt = now}).second) {
+    if (!record.events.try_emplace(id, Event {.at = now, .knownAt = now, .where = target.id.text()}).second) {
         return false;
     }
     trim(record);
@@ -274,7 +274,7 @@
     return rendezvousFirst(std::to_string(request), m_self, m_live);
 }
 
-auto CrashRepeats::grant(std::uint64_t request, TimePoint now) -> bool
+auto CrashRepeats::grant(std::uint64_t request, const std::string &gateway, TimePoint now) -> bool
 {
     const auto found = m_records.find(request);
     if (found == m_records.end() || !rejects(found->second)) {
@@ -285,7 +285,7 @@
         return false;
     }
     const auto id = stableHash(m_self + "#" + std::to_string(request) + "#" + std::to_string(++m_grants) + "#" + std::to_string(now.inMicros()));
-    found->second.events[id] = Event {.isProbe = true, .at = now, .knownAt = now};
+    found->second.events[id] = Event {.isProbe = true, .at = now, .knownAt = now, .where = gateway};
     trim(found->second);
     m_changed.insert(request);
     m_checksum.reset();
@@ -343,7 +343,7 @@
     }
     const auto judge = arbiter(request);
     if (judge == m_self) {
-        return grant(request, now) ? ProbeState::Granted : ProbeState::Denied;
+        return grant(request, m_self, now) ? ProbeState::Granted : ProbeState::Denied;
     }
     if (query.sentAt != TimePoint() && now - query.sentAt < m_options.replyTimeout + m_options.retryDenied) {
         return ProbeState::Denied; // the arbiter hasn't replied
@@ -366,7 +366,7 @@
 {
     CrashRecord result {request, now - record.usedAt, {}};
     for (const auto &[id, event] : record.events) {
-        result.events.push_back({id, event.isProbe, event.isWithdrawn, now - event.at});
+        result.events.push_back({id, event.isProbe, event.isWithdrawn, now - event.at, event.where});
     }
     return result;
 }
@@ -380,8 +380,13 @@
     const auto endsBefore = endsOf(record);
     record.usedAt = std::max(record.usedAt, now - std::max(received.unusedFor, Duration()));
     bool isChanged = false;
+    std::vector<CrashEvent> added;
     for (const auto &event : received.events) {
-        const auto [known, isNew] = record.events.try_emplace(event.id, Event {event.isProbe, event.isWithdrawn, now - std::max(event.age, Duration()), now});
+        const auto [known, isNew]
+            = record.events.try_emplace(event.id, Event {event.isProbe, event.isWithdrawn, now - std::max(event.age, Duration()), now, event.where});
+        if (isNew) {
+            added.push_back(event);
+        }
         isChanged = isChanged || isNew || (event.isWithdrawn && !known->second.isWithdrawn);
         known->second.isWithdrawn = known->second.isWithdrawn || event.isWithdrawn;
         if (known->second.isCountedEnd()) {
@@ -394,7 +399,7 @@
     }
     m_checksum.reset();
     const auto ends = endsOf(record);
-    return CrashChange {received.request, static_cast<int>(ends), ends >= m_options.endsToBar, ends == 0 && endsBefore > 0};
+    return CrashChange {received.request, static_cast<int>(ends), ends >= m_options.endsToBar, ends == 0 && endsBefore > 0, std::move(added)};
 }
 
 auto CrashRepeats::received(const std::string &gateway, const CrashMessage &message, TimePoint now) -> std::vector<CrashChange>
@@ -406,7 +411,7 @@
         }
     }
     for (const auto request : message.queries) {
-        const bool isGranted = grant(request, now);
+        const bool isGranted = grant(request, gateway, now);
         auto &reply = m_messages[gateway];
         reply.replies.push_back({request, isGranted});
         const auto found = m_records.find(request);
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -67,6 +67,7 @@
     bool isProbe = false;
     bool isWithdrawn = false;
     Duration age;
+    std::string where; ///< the target that ended, or the gateway that may run the probe; for logs
 };
 
 struct CrashRecord {
@@ -108,6 +109,7 @@
     int ends = 0; ///< not withdrawn
     bool isBarred = false;
     bool isCleared = false; ///< no end is left
+    std::vector<CrashEvent> added; ///< events that were not known before
 };
 
 class CrashRepeats
@@ -155,6 +157,7 @@
         bool isWithdrawn = false;
         TimePoint at;
         TimePoint knownAt; ///< when this gateway learned of it
+        std::string where;
 
         auto isCountedEnd() const -> bool
         {
@@ -176,7 +179,7 @@
     auto isNotable(const Record &record) const -> bool;
     auto looksLikeOutage(const Record &record) const -> bool;
     auto probeDueAt(const Record &record) const -> std::optional<TimePoint>;
-    auto grant(std::uint64_t request, TimePoint now) -> bool;
+    auto grant(std::uint64_t request, const std::string &gateway, TimePoint now) -> bool;
     auto exported(std::uint64_t request, const Record &record, TimePoint now) const -> CrashRecord;
     auto findOrAdd(std::uint64_t request, TimePoint now) -> Record &;
     auto merge(const CrashRecord &received, TimePoint now) -> std::optional<CrashChange>;
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -44,6 +44,7 @@
             addedEvent->set_probe(event.isProbe);
             addedEvent->set_withdrawn(event.isWithdrawn);
             addedEvent->set_age_ms(millis(event.age));
+            addedEvent->set_where(event.where);
         }
     }
     for (const auto request : message.queries) {
@@ -62,7 +63,7 @@
     for (const auto &record : report.records()) {
         CrashRecord read {record.request(), age(record.unused_ms()), {}};
         for (const auto &event : record.events()) {
-            read.events.push_back({event.id(), event.probe(), event.withdrawn(), age(event.age_ms())});
+            read.events.push_back({event.id(), event.probe(), event.withdrawn(), age(event.age_ms()), event.where()});
         }
         message.records.push_back(std::move(read));
     }
@@ -73,6 +74,21 @@
     return message;
 }
 
+/// Ends as "target" and probes as "probe@gateway", each with its age in milliseconds.
+auto eventList(const std::vector<CrashEvent> &events) -> std::string
+{
+    std::string text;
+    for (const auto &event : events) {
+        text.append(text.empty() ? "" : ",")
+            .append(event.isProbe ? "probe@" : "")
+            .append(event.where)
+            .append(event.isWithdrawn ? "-withdrawn" : "")
+            .append(":")
+            .append(std::to_string(millis(event.age)));
+    }
+    return text;
+}
+
 } // namespace
 
 struct CrashWatch::Check {
@@ -299,6 +315,22 @@
         .add("retry-after", retryAfter(request));
 }
 
+auto CrashWatch::logSend(std::uint64_t request, const AttemptId &attempt, SendId run, const TargetIncarnation &target, bool isProbe) -> void
+{
+    const int ends = m_crashes.ends(request);
+    if (ends == 0) {
+        return;
+    }
+    m_parts.log.line("crashes", "copy-sent")
+        .add("request", request)
+        .add("id", attempt.text())
+        .add("send", run.value())
+        .add("target", target.id.text())
+        .add("born", target.startedAtMillis)
+        .add("why", isProbe ? "probe" : "below-limit")
+        .add("ends", ends);
+}
+
 auto CrashWatch::succeeded(std::uint64_t request, bool wasProbe) -> void
 {
     if (m_crashes.succeeded(request, wasProbe, now())) {
@@ -339,6 +371,7 @@
     m_parts.log.line("crashes", "reported")
         .add("request", change.request)
         .add("source", source)
+        .add("added", eventList(change.added))
         .add("ends", change.ends)
         .add("barred", change.isBarred)
         .add("cleared", change.isCleared);
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -65,6 +65,8 @@
     // Commands: this gateway's requests
     auto requestProbe(std::uint64_t request) -> ProbeState;
     auto rejected(std::uint64_t request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it is barred
+    /// Logs why a request that was in flight at ends of targets is sent nevertheless.
+    auto logSend(std::uint64_t request, const AttemptId &attempt, SendId run, const TargetIncarnation &target, bool isProbe) -> void;
     auto sent(SendId run, const WatchedTarget &target, RunWatch::Fingerprint fingerprint) -> void;
     auto received(SendId run) -> void; ///< a part of the answer
     auto answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void; ///< completely, also with a rejection
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -4,6 +4,8 @@
 #include "net/httpstatus.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace KingCup
 {
@@ -292,6 +294,21 @@
     abandon(HttpStatus::BadGateway, "target-broke-off");
 }
 
+namespace
+{
+
+constexpr std::size_t MaxLoggedParts = 16;
+
+auto hexadecimal(std::uint64_t value) -> std::string
+{
+    constexpr int Base = 16;
+    std::array<char, 2 * sizeof(value)> digits {};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, Base);
+    return {digits.data(), end.ptr};
+}
+
+} // namespace
+
 /// The fingerprint is computed once and only on demand: this hashes the whole body, and waiting requests are checked several times a second.
 auto ForwardedRequest::fingerprint() -> std::uint64_t
 {
@@ -319,7 +336,33 @@
         .add("born", m_incarnation.startedAtMillis)
         .add("after", now() - m_sentAt)
         .add("how", how)
-        .add("head", m_hasHead);
+        .add("head", m_hasHead)
+        .add("parts", sharedParts())
+        .add("copies", copiesInFlight());
+}
+
+/// The ids of the prompt's parts that other requests may share, in the prompt's order.
+auto ForwardedRequest::sharedParts() const -> std::string
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < std::min(m_traits.promptParts.size(), MaxLoggedParts + 1); ++i) {
+        text.append(text.empty() ? "" : "+").append(hexadecimal(m_traits.promptParts[i].id));
+    }
+    return text;
+}
+
+/// The targets where this gateway's other copies of the request are in flight.
+auto ForwardedRequest::copiesInFlight() -> std::string
+{
+    std::string text;
+    for (const auto &other : m_owner.requests) {
+        const bool isCopy = other.get() != this && other->m_call && other->m_exchange->head().target == m_exchange->head().target
+            && other->m_exchange->body().size() == m_exchange->body().size() && other->fingerprint() == fingerprint();
+        if (isCopy) {
+            text.append(text.empty() ? "" : ",").append(other->m_target.text());
+        }
+    }
+    return text;
 }
 
 /// How the latest answer was framed and ended.
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -348,6 +348,9 @@
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
     m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return fingerprint(); });
+    if (!m_owner.parts.crashes.isEmpty()) {
+        m_owner.parts.crashes.logSend(fingerprint(), m_traits.attempt, m_send, choice.incarnation, m_isProbe);
+    }
     m_owner.parts.limits.sent(choice.incarnation);
     m_owner.hooks.onSent(choice.target, m_request, m_send);
     logChoice(choice);
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -133,6 +133,8 @@
     auto becomeProbe() -> bool;
     auto awaitProbe() -> void;
     auto logRunEnd(const char *how) -> void;
+    auto sharedParts() const -> std::string;
+    auto copiesInFlight() -> std::string;
     auto addAnswerEnd(LogLine &line) const -> void;
     auto recordSuccess() -> void;
     auto onEnd(const PooledEnd &end) -> void;
