tests: copies in flight at once of a request that crashes its targets, failing

Bursts of one to six copies within 80 ms, at one gateway or many, on one target or several, some sent again at once, seen as resets, silence or after the head; 4 to 450 gateways in virtual time, also beside gateways that end, freeze, lose messages or peers and zones that are lost; and 4 real gateways on fakes. Counted by runs (copies in flight at a crash count one each) and by targets.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -111,6 +111,7 @@
 {
     Crash crash {
         Duration::millis(command.value("downMs", 300)), command.value("sameId", false), command.value("silent", false), command.value("afterHead", false)};
+    crash.delay = Duration::millis(command.value("afterMs", 0));
     crash.keepsModels = command.value("keepsModels", false);
     if (command.contains("version")) {
         crash.softwareVersion = command["version"].get<std::string>();
@@ -120,6 +121,9 @@
 
 auto PlatformRunner::crash(const Crash &how) -> void
 {
+    for (; m_deadlyInFlight > 0; --m_deadlyInFlight) {
+        m_deadlyEnds.push_back(m_clock.now().inMillis());
+    }
     ++m_epoch;
     m_up = false;
     if (!how.keepsModels) {
@@ -215,7 +219,9 @@
             {"arrivals", m_arrivals},
             {"runs", m_runs},
             {"versions", m_versionsByAttempt},
+            {"deadlyArrivals", m_deadlyArrivals},
             {"deadlyRuns", m_deadlyRuns},
+            {"deadlyEnds", m_deadlyEnds},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
             {"keysSeen", m_keysSeen},
@@ -299,6 +305,10 @@
 auto PlatformRunner::run(const RawConnectionPtr &connection, const HttpHead &head, const std::string &body) -> void
 {
     m_arrivals.push_back(m_clock.now().inMillis());
+    const bool isDeadly = !m_crashBody.empty() && body == m_crashBody;
+    if (isDeadly) {
+        m_deadlyArrivals.push_back(m_clock.now().inMillis());
+    }
     const auto attempt = text(head, "Attempt-Id");
     const auto expected = text(head, "Expect-Instance");
     const auto model = text(head, "Model");
@@ -330,13 +340,8 @@
         }
         m_keysSeen += isSameHeaderName(header.name, "Authorization") ? 1 : 0;
     }
-    if (!m_crashBody.empty() && body == m_crashBody) {
-        m_deadlyRuns.push_back(m_clock.now().inMillis());
-        if (m_crashOnBody.isAfterHead) {
-            connection->write(answerHead(Status::Ok, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Length", "1000"}})
-                              + "partial");
-        }
-        crash(m_crashOnBody);
+    if (isDeadly) {
+        runDeadly(connection, attempt);
         return;
     }
     ++m_running;
@@ -359,6 +364,26 @@
     });
 }
 
+auto PlatformRunner::runDeadly(const RawConnectionPtr &connection, const std::string &attempt) -> void
+{
+    ++m_deadlyInFlight;
+    if (m_crashOnBody.isAfterHead) {
+        connection->write(answerHead(Status::Ok, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Length", "1000"}})
+                          + "partial");
+    }
+    const auto crashNow = [this, epoch = m_epoch] {
+        if (epoch == m_epoch) {
+            m_deadlyRuns.push_back(m_clock.now().inMillis());
+            crash(m_crashOnBody);
+        }
+    };
+    if (m_crashOnBody.delay > Duration()) {
+        m_clock.after(m_crashOnBody.delay, crashNow);
+    } else {
+        crashNow();
+    }
+}
+
 auto PlatformRunner::finish(const RawConnectionPtr &connection, const std::string &attempt, int status, const std::string &body) -> void
 {
     connection->onClientClosed = nullptr;
--- a/tests/sim_crashfleet.h
+++ b/tests/sim_crashfleet.h
@@ -33,6 +33,7 @@
     Duration crashAfter = Duration::millis(100); ///< from the begin of a run to the crash that it causes
     Duration clientTimeout = Duration::millis(1500);
     double messageLoss = 0; ///< share of the messages between gateways that are lost
+    bool hasAffinity = false; ///< all copies of a request go to the same target while it is up; else to any
 };
 
 /// Requests with odd numbers crash their targets.
@@ -69,6 +70,9 @@
         const auto inFlight = std::move(target.inFlight);
         target.inFlight.clear();
         for (const auto &run : inFlight) {
+            if (isDeadly(run.client.request)) {
+                m_histories[run.client.request].ends.push_back(clock.now());
+            }
             const auto sight = m_options.sight == SimCrashSight::Any ? static_cast<SimCrashSight>(m_random() % 4) : m_options.sight;
             if (sight == SimCrashSight::HeadThenReset || sight == SimCrashSight::HeadThenSilence) {
                 atGateway(run, Duration::micros(500), [run](SimCrashNode &node, TimePoint now) { node.received(run.id, now); });
@@ -115,16 +119,23 @@
         clock.after(span, [this, index] { connect(index); });
     }
 
-    /// Runs of the request that gateways in touch sent later than `span` after its third crash, for copies that its client sent later than that.
+    /// Runs of the request that gateways in touch sent later than `span` after the end of its third run. Copies that end together with one target are as many
+    /// ends, so that this is never less than a count that starts at the third target.
     auto lateRuns(std::uint64_t request, Duration span) const -> int
     {
         const auto found = m_histories.find(request);
-        if (found == m_histories.end() || found->second.crashes.size() < 3) {
-            return 0;
-        }
-        const auto limit = found->second.crashes[2] + span;
-        const auto &runs = found->second.runs;
-        return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) { return run.isInTouch && run.clientSentAt > limit; }));
+        return found == m_histories.end() ? 0 : runsAfterThird(found->second.runs, found->second.ends, span);
+    }
+    /// The same, later than `span` after the third target that the request has crashed.
+    auto lateRunsByTargets(std::uint64_t request, Duration span) const -> int
+    {
+        const auto found = m_histories.find(request);
+        return found == m_histories.end() ? 0 : runsAfterThird(found->second.runs, found->second.crashes, span);
+    }
+    auto ends(std::uint64_t request) const -> std::size_t
+    {
+        const auto found = m_histories.find(request);
+        return found == m_histories.end() ? 0 : found->second.ends.size();
     }
     auto crashes(std::uint64_t request) const -> std::size_t
     {
@@ -191,17 +202,31 @@
         TimePoint nextChecksumAt;
     };
     struct Run {
-        TimePoint clientSentAt;
+        TimePoint sentAt;
         bool isInTouch = false;
     };
     struct History {
         std::vector<TimePoint> crashes; ///< that the request caused
+        std::vector<TimePoint> ends; ///< of its runs that were in flight when a target crashed, for requests that crash targets
         std::vector<Run> runs;
         int served = 0;
         int rejected = 0;
         TimePoint lastServedAt;
     };
 
+    static auto isDeadly(std::uint64_t request) -> bool
+    {
+        return request % 2 == 1;
+    }
+    static auto runsAfterThird(const std::vector<Run> &runs, const std::vector<TimePoint> &ends, Duration span) -> int
+    {
+        constexpr std::size_t Third = 2;
+        if (ends.size() <= Third) {
+            return 0;
+        }
+        const auto limit = ends[Third] + span;
+        return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) { return run.isInTouch && run.sentAt > limit; }));
+    }
     static auto idOf(int gateway) -> std::string
     {
         return "gw-" + std::to_string(gateway);
@@ -380,26 +405,33 @@
             clock.after(WaitStep, [this, client, since] { attempt(client, since); });
             return;
         }
-        const auto index = up[m_random() % up.size()];
+        const auto index = m_options.hasAffinity ? preferred(client.request, up) : up[m_random() % up.size()];
         auto &target = m_targets[index];
         const InFlight run {SendId(++m_lastSend), client, gateway.epoch};
         gateway.open.insert(run.id);
         gateway.node->sent(run.id, client.request, incarnation(target), {target.id, 1}, clock.now());
         target.inFlight.push_back(run);
-        history.runs.push_back({client.sentAt, isInTouch(gateway)});
-        const bool isDeadly = client.request % 2 == 1;
-        clock.after(isDeadly ? m_options.crashAfter : between(Duration::millis(30), Duration::millis(120)),
-                    [this, index, run, starts = target.starts, isDeadly] { onRunTime(index, run, starts, isDeadly); });
+        history.runs.push_back({clock.now(), isInTouch(gateway)});
+        clock.after(isDeadly(client.request) ? m_options.crashAfter : between(Duration::millis(30), Duration::millis(120)),
+                    [this, index, run, starts = target.starts] { onRunTime(index, run, starts); });
         endRun(run, left, [run](SimCrashNode &node, TimePoint now) { node.gaveUp(run.id, now); });
     }
-    auto onRunTime(std::size_t index, const InFlight &run, std::uint64_t starts, bool isDeadly) -> void
+    /// Among the targets that are up, the one that ranks first for the request.
+    auto preferred(std::uint64_t request, const std::vector<std::size_t> &up) const -> std::size_t
+    {
+        const auto rank = [&](std::size_t index) {
+            return rendezvousScore(std::to_string(request), m_targets[index].id);
+        };
+        return *std::max_element(up.begin(), up.end(), [&](std::size_t left, std::size_t right) { return rank(left) < rank(right); });
+    }
+    auto onRunTime(std::size_t index, const InFlight &run, std::uint64_t starts) -> void
     {
         auto &target = m_targets[index];
         if (!target.isUp || target.starts != starts) {
             return;
         }
         auto &history = m_histories[run.client.request];
-        if (isDeadly) {
+        if (isDeadly(run.client.request)) {
             history.crashes.push_back(clock.now());
             crashTarget(index);
             return;
--- a/tests/system_crashing.cpp
+++ b/tests/system_crashing.cpp
@@ -1,6 +1,6 @@
 // System tests of gateways as real processes on fakes of the users' platform: requests that crash each target that runs them, and requests that are only in
 // flight when targets crash.
-#include "tests/harness_gateways.h"
+#include "tests/harness_crashes.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,10 +14,6 @@
 namespace
 {
 
-/// Time after the third crash within which every gateway knows of it.
-constexpr auto NoticeTime = Duration::seconds(3);
-/// Runs that may begin later than NoticeTime after the third crash.
-constexpr std::size_t MaxLateRuns = 3;
 const std::vector<std::string> Instances {"p1", "p2", "p3"};
 
 struct Repeats {
@@ -47,42 +43,10 @@
         replies.push_back(site.begin(1 + i % gateways, request));
         site.sleep(repeats.interval);
     }
-    site.waitFor("the answers", [&] { return std::all_of(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->done; }); });
+    waitForAnswers(site, replies);
     return replies;
 }
 
-/// When runs crashed an instance, in order.
-auto crashes(Site &site) -> std::vector<Duration>
-{
-    std::vector<Duration> moments;
-    const auto truth = site.truth();
-    for (const auto &[id, runner] : truth["runners"].items()) {
-        for (const auto &at : runner["deadlyRuns"]) {
-            moments.push_back(Duration::millis(at.get<std::int64_t>()));
-        }
-    }
-    std::sort(moments.begin(), moments.end());
-    return moments;
-}
-
-auto lateRuns(const std::vector<Duration> &crashes) -> std::size_t
-{
-    constexpr std::size_t Third = 2;
-    if (crashes.size() <= Third) {
-        return 0;
-    }
-    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](Duration at) { return at > crashes[Third] + NoticeTime; }));
-}
-
-auto statuses(const std::vector<ReplyPtr> &replies) -> std::string
-{
-    std::string text;
-    for (const auto &reply : replies) {
-        text += std::to_string(reply->status) + " ";
-    }
-    return text;
-}
-
 } // namespace
 
 TEST_CASE("a repeated request that crashes its targets is rejected everywhere, however the crashes and the copies come")
@@ -106,10 +70,10 @@
     Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
     crashOnBody(site, play.isSilent, play.isAfterHead);
     const auto replies = repeat(site, 4, play.repeats);
-    const auto moments = crashes(site);
+    const auto moments = crashMoments(site, CrashRecord::TargetCrash);
     INFO(play.name << ": " << moments.size() << " crashes, answers " << statuses(replies));
     CHECK(moments.size() >= 3);
-    CHECK(lateRuns(moments) <= MaxLateRuns);
+    CHECK(lateMoments(moments, moments) <= MaxLateRuns);
     constexpr std::ptrdiff_t Last = 5;
     CHECK(std::count_if(replies.end() - Last, replies.end(), [](const ReplyPtr &reply) { return reply->status == 503; }) >= Last - 1); // one may be a probe
     CHECK(site.call(1, {.path = "/read/y"})->status == 200);
@@ -121,7 +85,7 @@
     Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
     crashOnBody(site, false);
     repeat(site, 4, {.interval = Duration::millis(1000), .count = 6});
-    const auto before = crashes(site).size();
+    const auto before = crashMoments(site, CrashRecord::TargetCrash).size();
     for (const auto *id : {"gw-1", "gw-2"}) {
         site.process(id).send(SIGKILL);
         site.waitForExit(id);
@@ -130,8 +94,8 @@
     site.waitFor("the gateways", [&] { return site.isReady(1) && site.isReady(2); });
     site.sleep(NoticeTime);
     const auto replies = repeat(site, 2, {.interval = Duration::millis(500), .count = 8});
-    INFO("before " << before << ", in all " << crashes(site).size() << ", answers " << statuses(replies));
-    CHECK(crashes(site).size() - before <= MaxLateRuns);
+    INFO("before " << before << ", in all " << crashMoments(site, CrashRecord::TargetCrash).size() << ", answers " << statuses(replies));
+    CHECK(crashMoments(site, CrashRecord::TargetCrash).size() - before <= MaxLateRuns);
 }
 
 TEST_CASE("gateways that have all ended at once know after their start which requests are rejected")
@@ -140,7 +104,7 @@
     Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
     crashOnBody(site, false);
     repeat(site, 4, {.interval = Duration::millis(1000), .count = 5});
-    const auto before = crashes(site).size();
+    const auto before = crashMoments(site, CrashRecord::TargetCrash).size();
     const std::vector<std::string> gateways {"gw-1", "gw-2", "gw-3", "gw-4"};
     for (const auto &id : gateways) {
         site.process(id).send(SIGKILL);
@@ -152,8 +116,8 @@
     site.waitFor("the gateways", [&] { return site.isReady(1) && site.isReady(2) && site.isReady(3) && site.isReady(4); });
     site.sleep(NoticeTime);
     const auto replies = repeat(site, 4, {.interval = Duration::millis(500), .count = 12});
-    INFO("before " << before << ", in all " << crashes(site).size() << ", answers " << statuses(replies));
-    CHECK(crashes(site).size() - before <= 2); // the probes
+    INFO("before " << before << ", in all " << crashMoments(site, CrashRecord::TargetCrash).size() << ", answers " << statuses(replies));
+    CHECK(crashMoments(site, CrashRecord::TargetCrash).size() - before <= 2); // the probes
 }
 
 TEST_CASE("a request that many callers send is served while the targets that run it crash for other reasons")
@@ -170,7 +134,7 @@
         replies.push_back(site.begin(1 + i % 4, {.path = isWrite ? "/write/debit" : "/read/x", .method = method, .body = "popular"}));
         site.sleep(Duration::millis(30));
     }
-    site.waitFor("the answers", [&] { return std::all_of(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->done; }); });
+    waitForAnswers(site, replies);
     const auto served = std::count_if(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->status == 200; });
     const auto rejected = std::count_if(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->status == 503; });
     INFO("served " << served << ", rejected " << rejected << ", answers " << statuses(replies));
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -3,7 +3,7 @@
 // Index of sections (search for [SECTION]):
 //   One gateway
 //   Many gateways
-#include "tests/sim_crashfleet.h"
+#include "tests/sim_crashload.h"
 
 #include <catch2/catch.hpp>
 
@@ -17,38 +17,6 @@
 namespace
 {
 
-constexpr std::uint64_t Deadly = 1;
-constexpr std::uint64_t Popular = 2;
-/// Within this time after the third crash every gateway rejects the request; after it at most MaxLateRuns copies run.
-constexpr auto NoticeTime = Duration::seconds(3);
-constexpr int MaxLateRuns = 3;
-
-auto at(double seconds) -> TimePoint
-{
-    return TimePoint::fromMicros(1'000'000) + Duration::seconds(seconds);
-}
-
-struct Copies {
-    Duration interval;
-    int together = 1; ///< copies sent at once, each to another gateway
-};
-
-/// Sends copies of a request to random gateways until `until`.
-auto repeat(SimCrashFleet &fleet, int gateways, std::uint64_t request, Copies copies, TimePoint until) -> void
-{
-    for (int i = 0; i < copies.together; ++i) {
-        fleet.send(static_cast<int>(fleet.random()() % static_cast<std::uint64_t>(gateways)), request);
-    }
-    if (fleet.clock.now() + copies.interval < until) {
-        fleet.clock.after(copies.interval, [&fleet, gateways, request, copies, until] { repeat(fleet, gateways, request, copies, until); });
-    }
-}
-
-auto targetsFor(int gateways) -> int
-{
-    return gateways <= 4 ? 4 : gateways / 2;
-}
-
 const std::vector<Copies> AllCopies {{Duration::millis(1000), 1}, {Duration::millis(200), 1}, {Duration::millis(2000), 6}, {Duration::millis(4000), 1}};
 
 auto target(int number) -> TargetIncarnation
@@ -397,26 +365,7 @@
         fleet.clock.runUntil(at(4));
         repeat(fleet, gateways, Deadly, {Duration::millis(static_cast<std::int64_t>(150 + random() % 1500)), 1 + static_cast<int>(random() % 3)}, at(34));
         repeat(fleet, gateways, Popular, {Duration::millis(100), 1}, at(34));
-        for (int i = 0; i < 3 + gateways / 20; ++i) {
-            const auto when = at(5) + fleet.between(Duration(), Duration::seconds(20));
-            const auto kind = random() % 4;
-            const auto index = static_cast<int>(random() % static_cast<std::uint64_t>(gateways));
-            fleet.clock.at(when, [&fleet, kind, index] {
-                switch (kind) {
-                case 0:
-                    fleet.killGateway(index, Duration::millis(700));
-                    break;
-                case 1:
-                    fleet.freezeGateway(index, Duration::millis(2500));
-                    break;
-                case 2:
-                    fleet.cutFromPeers(index, Duration::seconds(4));
-                    break;
-                default:
-                    fleet.crashZone(index % 4);
-                }
-            });
-        }
+        disturb(fleet, gateways);
         fleet.clock.runUntil(at(36));
         INFO(gateways << " gateways, seed " << seed << ": " << fleet.crashes(Deadly) << " crashes");
         CHECK(fleet.lateRuns(Deadly, NoticeTime) <= MaxLateRuns);
