crash watch: run a request one copy at a time from its first end on, and count its runs

What callers saw: a request that crashes its targets was sent on too often. Clients that don't wait sent several copies within 100 ms, at one gateway and at several; prompt affinity sent them to one target; all ended with it and counted once. With 4 real gateways 9 runs ended with 4 targets, 6 of them sent later than 3 s after the third run had ended.

Cause: the limit bound the request's targets and not its runs, and below the limit nothing bound how many copies were in flight. A count of runs alone would come too late: the copies of a burst are all sent before the first of them is counted.

Now an end holds the runs that were in flight there, and from the first end on the request runs only by a grant of its arbiter, one copy at a time over all gateways. A success clears it everywhere, so an innocent request that was in flight at a crash costs its next copy one round trip. A granted run that breaks isn't sent again.

Why it works: late runs need grants, grants need the arbiter's record, and from three runs on a record has three grants.

The earlier check that a barred request isn't resent within one attempt is now part of the grant.

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -7,6 +7,8 @@
 #include "core/hashing.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace KingCup
@@ -27,6 +29,21 @@
     return records.empty() && queries.empty() && replies.empty();
 }
 
+auto toString(ProbeObstacle obstacle) -> const char *
+{
+    switch (obstacle) {
+    case ProbeObstacle::None:
+        return "none";
+    case ProbeObstacle::InProgress:
+        return "in-progress";
+    case ProbeObstacle::NotDue:
+        return "not-due";
+    case ProbeObstacle::Exhausted:
+        return "exhausted";
+    }
+    return "";
+}
+
 auto requestFingerprint(std::string_view host, std::string_view path, std::string_view account, std::string_view body) -> std::uint64_t
 {
     // The body's hash is used instead of the body, which may have megabytes.
@@ -54,16 +71,46 @@
     return static_cast<std::size_t>(std::count_if(record.events.begin(), record.events.end(), [](const auto &event) { return event.second.isCountedEnd(); }));
 }
 
+auto CrashRepeats::runsOf(const Record &record) const -> std::size_t
+{
+    return std::accumulate(record.events.begin(), record.events.end(), std::size_t {0}, [](std::size_t sum, const auto &event) {
+        return sum + (event.second.isCountedEnd() ? event.second.runs.size() : 0);
+    });
+}
+
 auto CrashRepeats::rejects(const Record &record) const -> bool
 {
     return endsOf(record) >= m_options.endsToBar;
 }
 
-/// Records that reject a request or did so. They must be the same at all gateways, so that a withdrawal reaches all.
+/// Records that have reached the limit or had reached it. They must be the same at all gateways, so that a withdrawal reaches all.
 auto CrashRepeats::isNotable(const Record &record) const -> bool
 {
-    const auto ends = std::count_if(record.events.begin(), record.events.end(), [](const auto &event) { return !event.second.isProbe; });
-    return static_cast<std::size_t>(ends) >= m_options.endsToBar;
+    std::size_t runs = 0;
+    for (const auto &[id, event] : record.events) {
+        runs += event.runs.size();
+    }
+    return runs >= m_options.endsToBar;
+}
+
+/// When the number of runs that ended with their targets reached the limit; nothing: it hasn't.
+auto CrashRepeats::limitReachedAt(const Record &record) const -> std::optional<TimePoint>
+{
+    std::vector<std::pair<TimePoint, std::size_t>> ends;
+    for (const auto &[id, event] : record.events) {
+        if (event.isCountedEnd()) {
+            ends.emplace_back(event.at, event.runs.size());
+        }
+    }
+    std::sort(ends.begin(), ends.end());
+    std::size_t runs = 0;
+    for (const auto &[at, count] : ends) {
+        runs += count;
+        if (runs >= m_options.endsToBar) {
+            return at;
+        }
+    }
+    return std::nullopt;
 }
 
 auto CrashRepeats::ends(std::uint64_t request) const -> int
@@ -72,6 +119,18 @@
     return found == m_records.end() ? 0 : static_cast<int>(endsOf(found->second));
 }
 
+auto CrashRepeats::runs(std::uint64_t request) const -> int
+{
+    const auto found = m_records.find(request);
+    return found == m_records.end() ? 0 : static_cast<int>(runsOf(found->second));
+}
+
+auto CrashRepeats::needsGrant(std::uint64_t request) const -> bool
+{
+    const auto found = m_records.find(request);
+    return found != m_records.end() && endsOf(found->second) > 0;
+}
+
 auto CrashRepeats::isBarred(std::uint64_t request) const -> bool
 {
     const auto found = m_records.find(request);
@@ -97,12 +156,15 @@
     return added;
 }
 
-/// Drops half of the records that reject nothing: this is called seldom, and costs a pass over all records.
+/// Drops half of the records below the limit: this is called seldom, and costs a pass over all records.
 auto CrashRepeats::makeSpace() -> void
 {
+    const auto isKept = [this](const Record &record) {
+        return runsOf(record) >= m_options.endsToBar;
+    };
     std::vector<TimePoint> times;
     for (const auto &[request, record] : m_records) {
-        if (!rejects(record)) {
+        if (!isKept(record)) {
             times.push_back(record.usedAt);
         }
     }
@@ -113,7 +175,7 @@
     std::nth_element(times.begin(), middle, times.end());
     const auto limit = *middle;
     m_checksum.reset();
-    std::erase_if(m_records, [&](const auto &entry) { return entry.second.usedAt <= limit && !rejects(entry.second); });
+    std::erase_if(m_records, [&](const auto &entry) { return entry.second.usedAt <= limit && !isKept(entry.second); });
 }
 
 auto CrashRepeats::trim(Record &record) const -> void
@@ -126,19 +188,34 @@
     }
 }
 
-auto CrashRepeats::targetEnded(std::uint64_t request, const TargetIncarnation &target, TimePoint now) -> bool
+/// More runs at one target than the limit change nothing. All gateways keep the same ones of them, so that their checksums agree.
+auto CrashRepeats::addRuns(Event &event, const std::vector<std::uint64_t> &runs) const -> bool
+{
+    const auto before = event.runs;
+    event.runs.insert(runs.begin(), runs.end());
+    while (event.runs.size() > m_options.endsToBar) {
+        event.runs.erase(std::prev(event.runs.end()));
+    }
+    return event.runs != before;
+}
+
+auto CrashRepeats::targetEnded(std::uint64_t request, const TargetIncarnation &target, SendId run, TimePoint now) -> bool
 {
     auto &record = findOrAdd(request, now);
     record.usedAt = now;
     const auto id = eventId(target);
-    if (!record.events.try_emplace(id, Event {.at = now, .knownAt = now, .where = target.id.text()}).second) {
+    auto [event, isNew] = record.events.try_emplace(id, Event {.at = now, .knownAt = now, .where = target.id.text()});
+    const auto runId = stableHash(m_self + "#" + std::to_string(m_options.seed) + "#" + std::to_string(run.value()));
+    if (!addRuns(event->second, {runId})) {
         return false;
     }
     trim(record);
-    m_endedTargets.insert(id);
+    if (isNew) {
+        m_endedTargets.insert(id);
+    }
     m_changed.insert(request);
     m_checksum.reset();
-    return true;
+    return !event->second.isWithdrawn;
 }
 
 auto CrashRepeats::succeeded(std::uint64_t request, bool wasProbe, TimePoint now) -> bool
@@ -201,16 +278,22 @@
     const auto erased = std::erase_if(m_records, [&](const auto &entry) {
         const auto &record = entry.second;
         const bool isCleared = endsOf(record) == 0 && !isNotable(record);
-        const bool isOver = now - record.usedAt >= (isCleared ? m_options.withdrawnLifetime : m_options.lifetime);
-        if (isOver && rejects(record)) {
+        const bool isUnused = now - record.usedAt >= (isCleared ? m_options.withdrawnLifetime : m_options.lifetime);
+        if (isUnused && rejects(record)) {
             dropped.push_back(entry.first);
         }
-        return isOver;
+        return isUnused;
     });
     if (erased > 0) {
         m_checksum.reset();
     }
     std::erase_if(m_queries, [&](const auto &query) { return !m_records.contains(query.first); });
+    for (auto &[request, query] : m_queries) {
+        if (query.grantedAt && now - *query.grantedAt >= m_options.grantLifetime) {
+            query.grantedAt.reset();
+            probeReturned(request);
+        }
+    }
     m_endedTargets.clear();
     for (const auto &[request, record] : m_records) {
         for (const auto &[id, event] : record.events) {
@@ -227,14 +310,18 @@
 /// When the next probe may be granted; nothing: no further one will be.
 auto CrashRepeats::probeDueAt(const Record &record) const -> std::optional<TimePoint>
 {
-    std::size_t probes = 0;
+    const auto limitAt = limitReachedAt(record);
+    std::size_t probes = 0; // since the limit was reached, or in all
     TimePoint last;
     for (const auto &[id, event] : record.events) {
         if (!event.isWithdrawn) {
-            probes += event.isProbe ? 1 : 0;
+            probes += event.isProbe && (!limitAt || event.at >= *limitAt) ? 1 : 0;
             last = std::max(last, event.at);
         }
     }
+    if (!limitAt) {
+        return probes == 0 ? last : last + m_options.earlyProbeDelay;
+    }
     if (looksLikeOutage(record)) {
         if (probes == 0) {
             return last;
@@ -244,6 +331,24 @@
     return probes < m_options.probeDelays.size() ? std::optional(last + m_options.probeDelays[probes]) : std::nullopt;
 }
 
+auto CrashRepeats::obstacleOf(const Record &record, TimePoint now) const -> ProbeObstacle
+{
+    const auto due = probeDueAt(record);
+    if (!due) {
+        return ProbeObstacle::Exhausted;
+    }
+    const bool isInProgress = std::any_of(record.events.begin(), record.events.end(), [&](const auto &event) {
+        return event.second.isProbeInProgress() && now - event.second.at < m_options.maxProbeRun;
+    });
+    return isInProgress ? ProbeObstacle::InProgress : now < *due ? ProbeObstacle::NotDue : ProbeObstacle::None;
+}
+
+auto CrashRepeats::obstacle(std::uint64_t request, TimePoint now) const -> ProbeObstacle
+{
+    const auto found = m_records.find(request);
+    return found == m_records.end() ? ProbeObstacle::None : obstacleOf(found->second, now);
+}
+
 auto CrashRepeats::looksLikeOutage(const Record &record) const -> bool
 {
     std::vector<TimePoint> ends;
@@ -253,7 +358,7 @@
         }
     }
     if (ends.size() < m_options.endsToBar) {
-        return false;
+        return true;
     }
     std::sort(ends.begin(), ends.end());
     return ends[m_options.endsToBar - 1] - ends.front() <= m_options.outageSpan;
@@ -277,11 +382,10 @@
 auto CrashRepeats::grant(std::uint64_t request, const std::string &gateway, TimePoint now) -> bool
 {
     const auto found = m_records.find(request);
-    if (found == m_records.end() || !rejects(found->second)) {
+    if (found == m_records.end() || endsOf(found->second) == 0) {
         return true;
     }
-    const auto due = probeDueAt(found->second);
-    if (!due || now < *due) {
+    if (obstacleOf(found->second, now) != ProbeObstacle::None) {
         return false;
     }
     const auto id = stableHash(m_self + "#" + std::to_string(request) + "#" + std::to_string(++m_grants) + "#" + std::to_string(now.inMicros()));
@@ -296,7 +400,7 @@
 {
     const auto found = m_records.find(request);
     return found != m_records.end() && std::any_of(found->second.events.begin(), found->second.events.end(), [&](const auto &event) {
-               return event.second.isProbe && !event.second.isWithdrawn && now - event.second.at < m_options.probeTime;
+               return event.second.isProbeInProgress() && now - event.second.at < m_options.probeTime;
            });
 }
 
@@ -317,8 +421,32 @@
     if (found == m_records.end()) {
         return false;
     }
-    const auto due = probeDueAt(found->second);
-    return due && now >= *due;
+    return obstacleOf(found->second, now) == ProbeObstacle::None;
+}
+
+auto CrashRepeats::endProbes(std::uint64_t request, bool wasSent) -> void
+{
+    const auto found = m_records.find(request);
+    if (found == m_records.end()) {
+        return;
+    }
+    for (auto &[id, event] : found->second.events) {
+        if (event.isProbeInProgress() && event.where == m_self) {
+            (wasSent ? event.isOver : event.isWithdrawn) = true;
+            m_changed.insert(request);
+            m_checksum.reset();
+        }
+    }
+}
+
+auto CrashRepeats::probeEnded(std::uint64_t request) -> void
+{
+    endProbes(request, true);
+}
+
+auto CrashRepeats::probeReturned(std::uint64_t request) -> void
+{
+    endProbes(request, false);
 }
 
 auto CrashRepeats::requestProbe(std::uint64_t request, TimePoint now) -> ProbeState
@@ -330,6 +458,7 @@
         if (isValid) {
             return ProbeState::Granted;
         }
+        probeReturned(request);
     }
     if (now < query.deniedUntil) {
         return ProbeState::Denied;
@@ -346,7 +475,8 @@
         return grant(request, m_self, now) ? ProbeState::Granted : ProbeState::Denied;
     }
     if (query.sentAt != TimePoint() && now - query.sentAt < m_options.replyTimeout + m_options.retryDenied) {
-        return ProbeState::Denied; // the arbiter hasn't replied
+        // The arbiter hasn't replied, it may have ended. Below the limit, one run more does less harm than rejecting every request that was in flight.
+        return !limitReachedAt(found->second) && grant(request, m_self, now) ? ProbeState::Granted : ProbeState::Denied;
     }
     query.sentAt = now;
     auto &message = m_messages[judge];
@@ -366,7 +496,7 @@
 {
     CrashRecord result {request, now - record.usedAt, {}};
     for (const auto &[id, event] : record.events) {
-        result.events.push_back({id, event.isProbe, event.isWithdrawn, now - event.at, event.where});
+        result.events.push_back({id, event.isProbe, event.isWithdrawn, now - event.at, event.where, {event.runs.begin(), event.runs.end()}, event.isOver});
     }
     return result;
 }
@@ -382,13 +512,17 @@
     bool isChanged = false;
     std::vector<CrashEvent> added;
     for (const auto &event : received.events) {
-        const auto [known, isNew]
-            = record.events.try_emplace(event.id, Event {event.isProbe, event.isWithdrawn, now - std::max(event.age, Duration()), now, event.where});
+        auto [known, isNew] = record.events.try_emplace(
+            event.id, Event {.isProbe = event.isProbe, .at = now - std::max(event.age, Duration()), .knownAt = now, .where = event.where});
         if (isNew) {
             added.push_back(event);
         }
-        isChanged = isChanged || isNew || (event.isWithdrawn && !known->second.isWithdrawn);
+        if (!event.isProbe) {
+            isChanged = addRuns(known->second, event.runs.empty() ? std::vector {event.id} : event.runs) || isChanged;
+        }
+        isChanged = isChanged || isNew || (event.isWithdrawn && !known->second.isWithdrawn) || (event.isOver && !known->second.isOver);
         known->second.isWithdrawn = known->second.isWithdrawn || event.isWithdrawn;
+        known->second.isOver = known->second.isOver || event.isOver;
         if (known->second.isCountedEnd()) {
             m_endedTargets.insert(event.id);
         }
@@ -399,7 +533,8 @@
     }
     m_checksum.reset();
     const auto ends = endsOf(record);
-    return CrashChange {received.request, static_cast<int>(ends), ends >= m_options.endsToBar, ends == 0 && endsBefore > 0, std::move(added)};
+    return CrashChange {
+        received.request, static_cast<int>(ends), static_cast<int>(runsOf(record)), ends >= m_options.endsToBar, ends == 0 && endsBefore > 0, std::move(added)};
 }
 
 auto CrashRepeats::received(const std::string &gateway, const CrashMessage &message, TimePoint now) -> std::vector<CrashChange>
@@ -453,7 +588,10 @@
             continue;
         }
         for (const auto &[id, event] : record.events) {
-            const auto text = std::to_string(request) + "#" + std::to_string(id) + (event.isWithdrawn ? "-" : "+");
+            auto text = std::to_string(request) + "#" + std::to_string(id) + (event.isWithdrawn ? "-" : "+");
+            for (const auto run : event.runs) {
+                text += "#" + std::to_string(run);
+            }
             sum ^= stableHash(text);
         }
     }
--- a/src/core/runwatch.cpp
+++ b/src/core/runwatch.cpp
@@ -45,7 +45,7 @@
 
 auto RunWatch::isIdle() const -> bool
 {
-    return m_targets.empty();
+    return m_targets.empty() && m_lost.empty();
 }
 
 auto RunWatch::find(SendId run) -> Targets::iterator
@@ -80,6 +80,7 @@
 
 auto RunWatch::answered(SendId run, TimePoint now) -> void
 {
+    m_lost.erase(run);
     const auto target = find(run);
     if (target == m_targets.end()) {
         return;
@@ -93,6 +94,7 @@
 
 auto RunWatch::notSent(SendId run) -> void
 {
+    m_lost.erase(run);
     const auto target = find(run);
     if (target == m_targets.end()) {
         return;
@@ -114,6 +116,7 @@
 
 auto RunWatch::end(SendId run, bool isBroken, TimePoint now) -> void
 {
+    countLost(run);
     const auto target = find(run);
     if (target == m_targets.end()) {
         return;
@@ -147,7 +150,7 @@
             continue;
         }
         if (known->first.id == target.id && known->first.startedAtMillis < target.startedAtMillis) {
-            hasEnded(known); // a check couldn't tell the two starts apart
+            hasEnded(known, false); // a check couldn't tell the two starts apart
         } else if (known->first.id != target.id) {
             known->second.isSuspected = true; // rows may arrive late and out of order, so that it is checked
         }
@@ -158,7 +161,7 @@
 {
     const auto found = m_targets.find(target);
     if (found != m_targets.end()) {
-        hasEnded(found);
+        hasEnded(found, true);
     }
 }
 
@@ -202,7 +205,7 @@
     const bool isOver = sign == TargetSign::Replaced || sign == TargetSign::Refused || state.unconnected >= m_options.unconnectedChecks
         || state.unanswered >= m_options.unansweredChecks;
     if (isOver) {
-        hasEnded(found);
+        hasEnded(found, sign == TargetSign::Replaced);
     } else {
         state.isSuspected = true;
     }
@@ -227,21 +230,32 @@
     }
 }
 
-auto RunWatch::hasEnded(Targets::iterator target) -> void
+auto RunWatch::hasEnded(Targets::iterator target, bool isReplaced) -> void
 {
     auto &state = target->second;
     const auto end = state.isLeaving ? RunOutcome::TargetLeft : RunOutcome::TargetEnded;
     for (const auto &run : state.ended) {
         m_verdicts.push_back({run.run, run.request, target->first, end});
     }
-    for (const auto &[run, open] : state.open) {
-        m_verdicts.push_back({run, open.fingerprint(), target->first, end});
+    for (auto &[run, open] : state.open) {
         m_runs.erase(run.value());
+        m_lost[run] = {target->first, std::move(open), end, std::nullopt};
+        if (!isReplaced) {
+            countLost(run);
+        }
     }
     m_ended -= state.ended.size();
     m_targets.erase(target);
 }
 
+auto RunWatch::countLost(SendId run) -> void
+{
+    const auto lost = m_lost.extract(run);
+    if (!lost.empty()) {
+        m_verdicts.push_back({run, lost.mapped().run.fingerprint(), lost.mapped().target, lost.mapped().end});
+    }
+}
+
 auto RunWatch::dropIfIdle(Targets::iterator target) -> void
 {
     if (target->second.open.empty() && target->second.ended.empty()) {
@@ -253,6 +267,15 @@
 
 auto RunWatch::takeVerdicts(TimePoint now) -> std::vector<RunVerdict>
 {
+    for (auto lost = m_lost.begin(); lost != m_lost.end();) {
+        const auto run = lost->first;
+        lost->second.countsAt = lost->second.countsAt.value_or(now + m_options.refusalTime);
+        const bool isCounted = now >= *lost->second.countsAt;
+        ++lost;
+        if (isCounted) {
+            countLost(run);
+        }
+    }
     if (m_ended == 0) {
         return std::exchange(m_verdicts, {});
     }
--- a/src/core/runwatch.h
+++ b/src/core/runwatch.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +37,8 @@
     int unansweredChecks = 5; ///< checks in a row without an answer after which a target counts as ended
     /// Bytes that arrive this much later than a run broke off were sent after it: data on other connections may be read somewhat later than the break.
     Duration readDelay = Duration::millis(250);
+    /// If another target has the address, runs that were sent after the change are refused there. Open ones count only if this doesn't happen within this time.
+    Duration refusalTime = Duration::millis(250);
     Duration maxUnresolved = Duration::seconds(10); ///< a run that is unresolved for longer than this after its end isn't counted
     std::size_t maxEnded = 4096; ///< maximum number of unresolved runs that have ended; further ones aren't counted
 };
@@ -109,6 +112,13 @@
         TimePoint sentAt;
         Fingerprint fingerprint;
     };
+    /// An open run whose target has been replaced.
+    struct LostRun {
+        TargetIncarnation target;
+        OpenRun run;
+        RunOutcome end = RunOutcome::Unknown;
+        std::optional<TimePoint> countsAt; ///< set by the next takeVerdicts()
+    };
     struct EndedRun {
         SendId run;
         std::uint64_t request = 0;
@@ -131,13 +141,15 @@
     auto find(SendId run) -> Targets::iterator;
     auto end(SendId run, bool isBroken, TimePoint now) -> void;
     auto showsLife(Targets::iterator target, TimePoint sentAt) -> void;
-    auto hasEnded(Targets::iterator target) -> void;
+    auto hasEnded(Targets::iterator target, bool isReplaced) -> void;
+    auto countLost(SendId run) -> void;
     auto dropIfIdle(Targets::iterator target) -> void;
     auto isCheckDue(const Target &target, TimePoint now) const -> bool;
 
     RunWatchOptions m_options;
     Targets m_targets;
     std::unordered_map<std::uint64_t, TargetIncarnation> m_runs; ///< target of each open run, by the number of its send
+    std::map<SendId, LostRun> m_lost;
     std::size_t m_ended = 0; ///< unresolved runs that have ended
     std::vector<RunVerdict> m_verdicts;
 };
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -45,6 +45,10 @@
             addedEvent->set_withdrawn(event.isWithdrawn);
             addedEvent->set_age_ms(millis(event.age));
             addedEvent->set_where(event.where);
+            for (const auto run : event.runs) {
+                addedEvent->add_runs(run);
+            }
+            addedEvent->set_over(event.isOver);
         }
     }
     for (const auto request : message.queries) {
@@ -63,7 +67,8 @@
     for (const auto &record : report.records()) {
         CrashRecord read {record.request(), age(record.unused_ms()), {}};
         for (const auto &event : record.events()) {
-            read.events.push_back({event.id(), event.probe(), event.withdrawn(), age(event.age_ms()), event.where()});
+            read.events.push_back(
+                {event.id(), event.probe(), event.withdrawn(), age(event.age_ms()), event.where(), {event.runs().begin(), event.runs().end()}, event.over()});
         }
         message.records.push_back(std::move(read));
     }
@@ -74,7 +79,7 @@
     return message;
 }
 
-/// Ends as "target" and probes as "probe@gateway", each with its age in milliseconds.
+/// Ends as "target*runs" and probes as "probe@gateway", each with its age in milliseconds.
 auto eventList(const std::vector<CrashEvent> &events) -> std::string
 {
     std::string text;
@@ -82,6 +87,7 @@
         text.append(text.empty() ? "" : ",")
             .append(event.isProbe ? "probe@" : "")
             .append(event.where)
+            .append(event.isProbe ? "" : "*" + std::to_string(event.runs.size()))
             .append(event.isWithdrawn ? "-withdrawn" : "")
             .append(":")
             .append(std::to_string(millis(event.age)));
@@ -130,6 +136,7 @@
 auto CrashWatch::answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void
 {
     m_runs.answered(run, now());
+    endProbe(run);
     const auto withdrawn = m_crashes.targetAnswered(target, sentAt);
     for (const auto request : withdrawn) {
         m_parts.log.line("crashes", "withdrawn")
@@ -139,14 +146,13 @@
             .add("born", target.startedAtMillis)
             .add("ends", m_crashes.ends(request));
     }
-    if (!withdrawn.empty()) {
-        flush();
-    }
+    flush();
 }
 
 auto CrashWatch::notSent(SendId run) -> void
 {
     m_runs.notSent(run);
+    m_probes.erase(run);
 }
 
 auto CrashWatch::broke(SendId run) -> void
@@ -253,7 +259,8 @@
 auto CrashWatch::applyVerdicts() -> void
 {
     for (const auto &verdict : m_runs.takeVerdicts(now())) {
-        const bool isCounted = verdict.end == RunOutcome::TargetEnded && m_crashes.targetEnded(verdict.request, verdict.target, now());
+        const bool isCounted = verdict.end == RunOutcome::TargetEnded && m_crashes.targetEnded(verdict.request, verdict.target, verdict.run, now());
+        endProbe(verdict.run);
         m_parts.log.line("crashes", "run-resolved")
             .add("request", verdict.request)
             .add("send", verdict.run.value())
@@ -262,11 +269,20 @@
             .add("end", toString(verdict.end))
             .add("counted", isCounted)
             .add("ends", m_crashes.ends(verdict.request))
+            .add("runs", m_crashes.runs(verdict.request))
             .add("barred", m_crashes.isBarred(verdict.request));
     }
     flush();
 }
 
+auto CrashWatch::endProbe(SendId run) -> void
+{
+    const auto probe = m_probes.extract(run);
+    if (!probe.empty()) {
+        m_crashes.probeEnded(probe.mapped());
+    }
+}
+
 // [SECTION] Requests
 
 auto CrashWatch::isEmpty() const -> bool
@@ -274,9 +290,9 @@
     return m_crashes.isEmpty();
 }
 
-auto CrashWatch::isBarred(std::uint64_t request) const -> bool
+auto CrashWatch::needsGrant(std::uint64_t request) const -> bool
 {
-    return m_crashes.isBarred(request);
+    return m_crashes.needsGrant(request);
 }
 
 auto CrashWatch::mayBeProbed(std::uint64_t request) const -> bool
@@ -298,13 +314,20 @@
 {
     const auto state = m_crashes.requestProbe(request, now());
     if (state == ProbeState::Granted) {
-        m_parts.log.line("crashes", "probe").add("request", request).add("ends", m_crashes.ends(request)).add("arbiter", m_crashes.arbiter(request));
+        m_parts.log.line("crashes", "probe-granted").add("request", request).add("ends", m_crashes.ends(request)).add("arbiter", m_crashes.arbiter(request));
         m_parts.metrics.add("crashing_request_probes_total");
     }
     flush();
     return state;
 }
 
+auto CrashWatch::probeReturned(std::uint64_t request) -> void
+{
+    m_crashes.probeReturned(request);
+    m_parts.log.line("crashes", "probe-returned").add("request", request);
+    flush();
+}
+
 auto CrashWatch::rejected(std::uint64_t request, const AttemptId &attempt) -> void
 {
     m_crashes.used(request, now());
@@ -312,23 +335,23 @@
         .add("request", request)
         .add("id", attempt.text())
         .add("ends", m_crashes.ends(request))
+        .add("runs", m_crashes.runs(request))
+        .add("probe", toString(m_crashes.obstacle(request, now())))
+        .add("arbiter", m_crashes.arbiter(request))
         .add("retry-after", retryAfter(request));
 }
 
-auto CrashWatch::logSend(std::uint64_t request, const AttemptId &attempt, SendId run, const TargetIncarnation &target, bool isProbe) -> void
+auto CrashWatch::sentProbe(SendId run, std::uint64_t request, const AttemptId &attempt, const TargetIncarnation &target) -> void
 {
-    const int ends = m_crashes.ends(request);
-    if (ends == 0) {
-        return;
-    }
-    m_parts.log.line("crashes", "copy-sent")
+    m_probes[run] = request;
+    m_parts.log.line("crashes", "probe-sent")
         .add("request", request)
         .add("id", attempt.text())
         .add("send", run.value())
         .add("target", target.id.text())
         .add("born", target.startedAtMillis)
-        .add("why", isProbe ? "probe" : "below-limit")
-        .add("ends", ends);
+        .add("ends", m_crashes.ends(request))
+        .add("runs", m_crashes.runs(request));
 }
 
 auto CrashWatch::succeeded(std::uint64_t request, bool wasProbe) -> void
@@ -373,6 +396,7 @@
         .add("source", source)
         .add("added", eventList(change.added))
         .add("ends", change.ends)
+        .add("runs", change.runs)
         .add("barred", change.isBarred)
         .add("cleared", change.isCleared);
 }
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -57,17 +57,17 @@
 
     // Queries
     auto isEmpty() const -> bool; ///< no request can be rejected, so fingerprints needn't be computed
-    auto isBarred(std::uint64_t request) const -> bool; ///< must not be sent to a target, except as a probe
+    auto needsGrant(std::uint64_t request) const -> bool; ///< must not be sent to a target, except as a probe
     auto mayBeProbed(std::uint64_t request) const -> bool; ///< the request may be granted a probe now
     auto isBeingProbed(std::uint64_t request) const -> bool; ///< waiting for the result of a probe may be worthwhile
     auto retryAfter(std::uint64_t request) const -> Duration; ///< until it may be sent again; see CrashRepeats
 
     // Commands: this gateway's requests
-    auto requestProbe(std::uint64_t request) -> ProbeState;
-    auto rejected(std::uint64_t request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it is barred
-    /// Logs why a request that was in flight at ends of targets is sent nevertheless.
-    auto logSend(std::uint64_t request, const AttemptId &attempt, SendId run, const TargetIncarnation &target, bool isProbe) -> void;
+    auto requestProbe(std::uint64_t request) -> ProbeState; ///< if granted, call sentProbe() or probeReturned()
+    auto probeReturned(std::uint64_t request) -> void; ///< a granted probe wasn't sent
+    auto rejected(std::uint64_t request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it needs a grant
     auto sent(SendId run, const WatchedTarget &target, RunWatch::Fingerprint fingerprint) -> void;
+    auto sentProbe(SendId run, std::uint64_t request, const AttemptId &attempt, const TargetIncarnation &target) -> void; ///< after sent()
     auto received(SendId run) -> void; ///< a part of the answer
     auto answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void; ///< completely, also with a rejection
     auto succeeded(std::uint64_t request, bool wasProbe) -> void; ///< a run of the request was answered with success
@@ -92,6 +92,7 @@
     auto finishCheck(const TargetIncarnation &target, TargetSign sign) -> void;
     auto runChecks() -> void;
     auto applyVerdicts() -> void;
+    auto endProbe(SendId run) -> void;
     auto flush() -> void;
     auto logChange(const CrashChange &change, const std::string &source) -> void;
     auto useArchive() -> void;
@@ -109,6 +110,7 @@
     CrashArchive m_archive;
     std::set<std::string> m_live; ///< the other gateways that are live
     std::map<TargetIncarnation, std::shared_ptr<Check>> m_checks; ///< in progress
+    std::map<SendId, std::uint64_t> m_probes; ///< the requests of this gateway's probes, until their runs are resolved
 };
 
 } // namespace KingCup
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -260,6 +260,7 @@
     const bool hadNoAnswer = !m_hasHead && !end.wasReused;
     if (neverSent) {
         m_owner.parts.crashes.notSent(m_send);
+        m_hasGrant = m_isProbe;
     } else {
         logRunEnd("broken");
         m_owner.parts.crashes.broke(m_send);
@@ -320,9 +321,9 @@
     return *m_fingerprint;
 }
 
-auto ForwardedRequest::isBarred() -> bool
+auto ForwardedRequest::needsGrant() -> bool
 {
-    return !m_owner.parts.crashes.isEmpty() && m_owner.parts.crashes.isBarred(fingerprint());
+    return !m_owner.parts.crashes.isEmpty() && m_owner.parts.crashes.needsGrant(fingerprint());
 }
 
 /// The line connects the client's id with the lines on the request's fingerprint, of which "run-resolved" says whether the end counted.
@@ -383,9 +384,9 @@
     }
 }
 
-auto ForwardedRequest::mayRunAgain() -> bool
+auto ForwardedRequest::mayRunAgain() const -> bool
 {
-    return m_route.mayRepeat() && m_possibleRuns < m_route.attempts && !isBarred();
+    return m_route.mayRepeat() && m_possibleRuns < m_route.attempts && !m_isProbe;
 }
 
 auto ForwardedRequest::maySendAgain() const -> bool
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -151,7 +151,7 @@
     const auto self = shared_from_this();
     m_isWaiting = false;
     m_waitTimer.cancel();
-    if (isBarred() && !mayBecomeProbe()) {
+    if (needsGrant() && !mayBecomeProbe()) {
         return;
     }
     if (m_deadline - now() < MinSendTime) {
@@ -181,16 +181,16 @@
     if (!m_request.model.empty() && !admit(choice)) {
         return;
     }
-    if (isBarred() && !becomeProbe()) {
+    if (needsGrant() && !becomeProbe()) {
         return;
     }
     send(choice);
 }
 
-/// Whether a request that crashes targets may still be sent as a probe. Otherwise it waits for the result of another probe, or is rejected.
+/// Whether a request that may crash targets can be sent as a probe. Otherwise it waits for the result of another probe, or is rejected.
 auto ForwardedRequest::mayBecomeProbe() -> bool
 {
-    if (m_isProbe || m_owner.parts.crashes.mayBeProbed(fingerprint())) {
+    if (m_hasGrant || m_owner.parts.crashes.mayBeProbed(fingerprint())) {
         return true;
     }
     awaitProbe();
@@ -200,12 +200,12 @@
 /// Asks for a probe when a target has been chosen: a probe that can't be sent would be lost.
 auto ForwardedRequest::becomeProbe() -> bool
 {
-    if (m_isProbe) {
+    if (m_hasGrant) {
         return true;
     }
     switch (m_owner.parts.crashes.requestProbe(fingerprint())) {
     case ProbeState::Granted:
-        m_isProbe = true;
+        m_hasGrant = true;
         return true;
     case ProbeState::Pending:
         tryAgainAfter(ProbePollPeriod);
@@ -348,8 +348,9 @@
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
     m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return fingerprint(); });
-    if (!m_owner.parts.crashes.isEmpty()) {
-        m_owner.parts.crashes.logSend(fingerprint(), m_traits.attempt, m_send, choice.incarnation, m_isProbe);
+    m_isProbe = std::exchange(m_hasGrant, false);
+    if (m_isProbe) {
+        m_owner.parts.crashes.sentProbe(m_send, fingerprint(), m_traits.attempt, choice.incarnation);
     }
     m_owner.parts.limits.sent(choice.incarnation);
     m_owner.hooks.onSent(choice.target, m_request, m_send);
@@ -471,6 +472,9 @@
     m_unackedTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
+    if (std::exchange(m_hasGrant, false)) {
+        m_owner.parts.crashes.probeReturned(fingerprint());
+    }
     if (m_lookup) {
         m_owner.parts.origins.cancel(*std::exchange(m_lookup, std::nullopt));
     }
@@ -487,6 +491,9 @@
             m_owner.parts.crashes.abandoned(m_send);
         } else {
             m_owner.parts.crashes.notSent(m_send);
+            if (m_isProbe) {
+                m_owner.parts.crashes.probeReturned(fingerprint());
+            }
         }
         call->cancel();
     }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -128,7 +128,7 @@
     auto onBody(std::string_view bytes) -> void;
     auto recordProgress() -> void;
     auto fingerprint() -> std::uint64_t;
-    auto isBarred() -> bool;
+    auto needsGrant() -> bool; ///< it was in flight at ends of targets, and may run only as a probe
     auto mayBecomeProbe() -> bool;
     auto becomeProbe() -> bool;
     auto awaitProbe() -> void;
@@ -146,7 +146,7 @@
     auto isBrokenOff() const -> bool;
     auto beginForwarding() -> void;
     auto forwardBytes(std::string_view bytes) -> void;
-    auto mayRunAgain() -> bool;
+    auto mayRunAgain() const -> bool;
     auto maySendAgain() const -> bool;
     auto sendAgain() -> void;
     auto closeSend(SendResult result) -> void;
@@ -206,7 +206,8 @@
     bool m_isDemoted = false; ///< expected to miss its goal: runs after all requests that can still meet theirs
     Duration m_retryAfter = DefaultRetryAfter;
     std::optional<std::uint64_t> m_fingerprint;
-    bool m_isProbe = false; ///< may run although it is barred
+    bool m_hasGrant = false; ///< of a probe that isn't sent yet
+    bool m_isProbe = false; ///< the latest send is a probe
     std::optional<TimePoint> m_probeAwaitedUntil; ///< until when it waits for the result of another probe, once it has begun to
     bool m_finished = false;
 };
--- a/tests/sim_crashload.h
+++ b/tests/sim_crashload.h
@@ -1,4 +1,5 @@
-// Copies of requests and disturbances for the simulated gateways of sim_crashfleet.h.
+// For tests of requests that crash their targets: copies of requests and disturbances for the simulated gateways of sim_crashfleet.h, and what two gateways
+// exchange.
 #pragma once
 
 #include "tests/sim_crashfleet.h"
@@ -26,6 +27,32 @@
     return gateways <= 4 ? 4 : gateways / 2;
 }
 
+inline auto target(int number) -> TargetIncarnation
+{
+    return {TargetId("t" + std::to_string(number)), 1};
+}
+
+inline auto freshRun() -> SendId
+{
+    static std::uint64_t last = 0;
+    return SendId(++last);
+}
+
+/// Delivers all messages between two gateways "a" and "b".
+inline auto exchange(CrashRepeats &a, CrashRepeats &b, TimePoint now) -> void
+{
+    for (int round = 0; round < 3; ++round) {
+        b.received("a", a.takeBroadcast(now), now);
+        a.received("b", b.takeBroadcast(now), now);
+        for (const auto &[to, message] : a.takeMessages()) {
+            b.received("a", message, now);
+        }
+        for (const auto &[to, message] : b.takeMessages()) {
+            a.received("b", message, now);
+        }
+    }
+}
+
 struct Copies {
     Duration interval;
     int together = 1; ///< copies sent at once, each to another gateway
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -46,7 +46,7 @@
 
     auto decide(std::uint64_t request, TimePoint now) -> SimDecision
     {
-        if (!m_crashes.isBarred(request)) {
+        if (!m_crashes.needsGrant(request)) {
             return SimDecision::Run;
         }
         auto state = ProbeState::Denied;
@@ -66,7 +66,11 @@
     }
     auto sent(SendId run, std::uint64_t request, const TargetIncarnation &target, const Endpoint &address, TimePoint now) -> void
     {
-        m_open[run] = {request, target, now, std::exchange(m_isProbeNext, false)};
+        const bool isProbe = std::exchange(m_isProbeNext, false);
+        m_open[run] = {request, target, now, isProbe};
+        if (isProbe) {
+            m_probes[run] = request;
+        }
         m_runs.sent(
             run, {target, ServiceName("s"), address}, [request] { return request; }, now);
     }
@@ -79,6 +83,7 @@
         const auto ended = m_open[run];
         m_open.erase(run);
         m_runs.answered(run, now);
+        endProbe(run);
         m_crashes.targetAnswered(ended.target, ended.sentAt);
         m_crashes.succeeded(ended.request, ended.isProbe, now);
         advance(now);
@@ -118,8 +123,9 @@
         }
         for (const auto &verdict : m_runs.takeVerdicts(now)) {
             if (verdict.end == RunOutcome::TargetEnded) {
-                m_crashes.targetEnded(verdict.request, verdict.target, now);
+                m_crashes.targetEnded(verdict.request, verdict.target, verdict.run, now);
             }
+            endProbe(verdict.run);
         }
         m_crashes.expire(now);
         useArchive(now);
@@ -147,6 +153,13 @@
         TimePoint sentAt;
         bool isProbe = false;
     };
+    auto endProbe(SendId run) -> void
+    {
+        const auto probe = m_probes.extract(run);
+        if (!probe.empty()) {
+            m_crashes.probeEnded(probe.mapped());
+        }
+    }
     auto useArchive(TimePoint now) -> void
     {
         const auto checksum = m_crashes.checksum();
@@ -183,6 +196,7 @@
     CrashRepeats m_crashes;
     CrashArchive m_archive;
     std::map<SendId, Open> m_open;
+    std::map<SendId, std::uint64_t> m_probes;
     bool m_isProbeNext = false;
 };
 
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -19,31 +19,11 @@
 
 const std::vector<Copies> AllCopies {{Duration::millis(1000), 1}, {Duration::millis(200), 1}, {Duration::millis(2000), 6}, {Duration::millis(4000), 1}};
 
-auto target(int number) -> TargetIncarnation
-{
-    return {TargetId("t" + std::to_string(number)), 1};
-}
-
 auto watched(const TargetIncarnation &incarnation) -> WatchedTarget
 {
     return {incarnation, ServiceName("s"), {"10.0.0.1", 80}};
 }
 
-/// Delivers all messages between two gateways "a" and "b".
-auto exchange(CrashRepeats &a, CrashRepeats &b, TimePoint now) -> void
-{
-    for (int round = 0; round < 3; ++round) {
-        b.received("a", a.takeBroadcast(now), now);
-        a.received("b", b.takeBroadcast(now), now);
-        for (const auto &[to, message] : a.takeMessages()) {
-            b.received("a", message, now);
-        }
-        for (const auto &[to, message] : b.takeMessages()) {
-            a.received("b", message, now);
-        }
-    }
-}
-
 auto onlyVerdict(RunWatch &runs, TimePoint now) -> std::optional<RunOutcome>
 {
     const auto verdicts = runs.takeVerdicts(now);
@@ -65,7 +45,7 @@
     for (int i = 1; i <= 3; ++i) {
         auto &gateway = i == 2 ? there : here;
         REQUIRE_FALSE(gateway.isBarred(request));
-        REQUIRE(gateway.targetEnded(request, target(i), at(i + 0.2)));
+        REQUIRE(gateway.targetEnded(request, target(i), freshRun(), at(i + 0.2)));
         exchange(here, there, at(i + 0.3));
     }
     CHECK(here.isBarred(request));
@@ -82,8 +62,8 @@
     CrashRepeats here("a");
     CrashRepeats there("b");
     for (int i = 0; i < 20; ++i) {
-        here.targetEnded(1, target(1), at(1 + i * 0.03));
-        there.targetEnded(1, target(1), at(1 + i * 0.03));
+        here.targetEnded(1, target(1), freshRun(), at(1 + i * 0.03));
+        there.targetEnded(1, target(1), freshRun(), at(1 + i * 0.03));
         exchange(here, there, at(1 + i * 0.03));
     }
     CHECK(here.ends(1) == 1);
@@ -102,7 +82,7 @@
     here.setGateways({"b"});
     there.setGateways({"a"});
     for (int i = 0; i < 10; ++i) {
-        here.targetEnded(1, target(i), at(1));
+        here.targetEnded(1, target(i), freshRun(), at(1));
     }
     exchange(here, there, at(1));
     REQUIRE(here.isBarred(1));
@@ -125,7 +105,7 @@
     const bool isAtOnce = GENERATE(true, false);
     CrashRepeats gateway("a");
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), at(isAtOnce ? 3 : 1 + i));
+        gateway.targetEnded(1, target(i), freshRun(), at(isAtOnce ? 3 : 1 + i));
     }
     CHECK(gateway.mayBeProbed(1, at(3.1)) == isAtOnce);
     int probes = 0;
@@ -133,7 +113,7 @@
         const double second = halfSeconds * 0.5;
         REQUIRE(gateway.isBarred(1));
         if (gateway.mayBeProbed(1, at(second)) && gateway.requestProbe(1, at(second)) == ProbeState::Granted) {
-            gateway.targetEnded(1, target(100 + probes), at(second + 0.1));
+            gateway.targetEnded(1, target(100 + probes), freshRun(), at(second + 0.1));
             ++probes;
         }
         gateway.used(1, at(second));
@@ -147,7 +127,7 @@
     // Guards against rejecting requests because a gateway was cut off from targets that run.
     CrashRepeats gateway("a");
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), at(5));
+        gateway.targetEnded(1, target(i), freshRun(), at(5));
     }
     CHECK(gateway.targetAnswered(target(0), at(4)).empty());
     CHECK(gateway.isBarred(1));
@@ -163,7 +143,7 @@
     here.setGateways({"b"});
     there.setGateways({"a"});
     for (int i = 0; i < 3; ++i) {
-        here.targetEnded(1, target(i), at(1));
+        here.targetEnded(1, target(i), freshRun(), at(1));
     }
     here.takeBroadcast(at(1)); // lost
     here.checksumReceived("b", there.checksum(), at(2));
@@ -182,10 +162,10 @@
     // Guards against an outage with thousands of requests in flight that displaces what is known of a request that crashes targets.
     CrashRepeats gateway("a", {.maxRecords = 100});
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), at(1));
+        gateway.targetEnded(1, target(i), freshRun(), at(1));
     }
     for (std::uint64_t request = 2; request < 2000; ++request) {
-        gateway.targetEnded(request, target(9), at(2 + static_cast<double>(request) * 0.001));
+        gateway.targetEnded(request, target(9), freshRun(), at(2 + static_cast<double>(request) * 0.001));
     }
     CHECK(gateway.isBarred(1));
     CHECK(gateway.ends(1999) == 1);
