tests: hold targets' random limits from the first answer that announces them

The check counted the 1.5 s of notice from the command to the fake.

The notice now starts with the first answer that carries the limit, rejections included where they announce it. The bound itself is unchanged, and limits that gateways have been told bind as before. The fake records whether a limit is announced in runs only.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -170,7 +170,7 @@
     if (mode == "request-limit") {
         m_requestLimit = command.value("perSecond", std::string());
         m_limitsOnlyInRuns = command.value("onlyRuns", false);
-        record("limit", {{"perSecond", std::atof(m_requestLimit.c_str())}, {"isSet", !m_requestLimit.empty()}});
+        record("limit", {{"perSecond", std::atof(m_requestLimit.c_str())}, {"isSet", !m_requestLimit.empty()}, {"onlyRuns", m_limitsOnlyInRuns}});
         return true;
     }
     if (mode == "version") {
--- a/tests/system_targetrandom.cpp
+++ b/tests/system_targetrandom.cpp
@@ -24,7 +24,7 @@
 const std::vector<std::string> Targets {"p1", "p2", "r1", "r2"};
 constexpr auto RunDuration = Duration::seconds(16);
 constexpr std::int64_t WindowMillis = 4000;
-constexpr std::int64_t LimitNoticeMillis = 1500; ///< from an announced limit until it binds
+constexpr std::int64_t LimitNoticeMillis = 1500; ///< from the first answer that announces a limit until it binds
 constexpr std::int64_t PauseGraceMillis = 500; ///< from a rejection until the pause binds
 constexpr std::int64_t LeavingNoticeMillis = 1000; ///< from the first answer that announces it
 constexpr std::int64_t ExcuseMillis = 3500; ///< a gateway that was disturbed isn't bound for this long afterwards
@@ -40,6 +40,8 @@
         std::int64_t from = 0;
         std::int64_t to = INT64_MAX;
         double perSecond = 0;
+        bool isOnlyInRuns = false; ///< rejections don't announce it
+        std::optional<std::int64_t> announcedAt; ///< first answer with it: a target that rejects all requests, or is sent none, announces nothing
     };
     struct Pause {
         std::int64_t at = 0;
@@ -74,6 +76,9 @@
             continue;
         }
         auto &start = starts.back();
+        if (!start.limits.empty() && (what == "answered" || (what == "rejected" && !start.limits.back().isOnlyInRuns))) {
+            start.limits.back().announcedAt = start.limits.back().announcedAt.value_or(at);
+        }
         if (what == "request") {
             start.arrivals.push_back({at, gatewayOf(event)});
         } else if (what == "limit") {
@@ -81,7 +86,7 @@
                 start.limits.back().to = std::min(start.limits.back().to, at);
             }
             if (event["isSet"].get<bool>()) {
-                start.limits.push_back({.from = at, .perSecond = event["perSecond"].get<double>()});
+                start.limits.push_back({.from = at, .perSecond = event["perSecond"].get<double>(), .isOnlyInRuns = event["onlyRuns"].get<bool>()});
             }
         } else if (what == "rejected" && event["seconds"].get<double>() > 0) {
             start.pauses.push_back({at, at + static_cast<std::int64_t>(event["seconds"].get<double>() * 1000), gatewayOf(event)});
@@ -246,7 +251,7 @@
         for (const auto &limit : start.limits) {
             std::vector<std::int64_t> times;
             for (const auto &arrival : start.arrivals) {
-                const bool isBound = arrival.at >= limit.from + LimitNoticeMillis && arrival.at < limit.to;
+                const bool isBound = limit.announcedAt && arrival.at >= *limit.announcedAt + LimitNoticeMillis && arrival.at < limit.to;
                 if (isBound && !isExcused(arrival.gateway, limit.from, arrival.at)) {
                     times.push_back(arrival.at);
                 }
