--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -121,8 +121,9 @@
 
 auto PlatformRunner::crash(const Crash &how) -> void
 {
-    for (; m_deadlyInFlight > 0; --m_deadlyInFlight) {
-        m_deadlyEnds.push_back(m_clock.now().inMillis());
+    for (auto &[key, runs] : m_deadly) {
+        runs.ends.insert(runs.ends.end(), static_cast<std::size_t>(runs.inFlight), m_clock.now().inMillis());
+        runs.inFlight = 0;
     }
     ++m_epoch;
     m_up = false;
@@ -164,6 +165,7 @@
     }
     if (mode == "crash-on") {
         m_crashBody = command.value("body", std::string());
+        m_crashParts = command.value("parts", std::set<std::string>());
         m_crashOnBody = crashOf(command);
         return true;
     }
@@ -215,13 +217,15 @@
 
 auto PlatformRunner::truth() const -> Json
 {
+    Json deadly = Json::object();
+    for (const auto &[key, runs] : m_deadly) {
+        deadly[key] = {{"arrivals", runs.arrivals}, {"crashes", runs.crashes}, {"ends", runs.ends}};
+    }
     return {{"events", m_events},
             {"arrivals", m_arrivals},
             {"runs", m_runs},
             {"versions", m_versionsByAttempt},
-            {"deadlyArrivals", m_deadlyArrivals},
-            {"deadlyRuns", m_deadlyRuns},
-            {"deadlyEnds", m_deadlyEnds},
+            {"deadly", deadly},
             {"bodies", m_bodies},
             {"accounts", m_accounts},
             {"keysSeen", m_keysSeen},
@@ -305,9 +309,9 @@
 auto PlatformRunner::run(const RawConnectionPtr &connection, const HttpHead &head, const std::string &body) -> void
 {
     m_arrivals.push_back(m_clock.now().inMillis());
-    const bool isDeadly = !m_crashBody.empty() && body == m_crashBody;
-    if (isDeadly) {
-        m_deadlyArrivals.push_back(m_clock.now().inMillis());
+    const auto deadly = deadlyKey(head, body);
+    if (!deadly.empty()) {
+        m_deadly[deadly].arrivals.push_back(m_clock.now().inMillis());
     }
     const auto attempt = text(head, "Attempt-Id");
     const auto expected = text(head, "Expect-Instance");
@@ -340,8 +344,8 @@
         }
         m_keysSeen += isSameHeaderName(header.name, "Authorization") ? 1 : 0;
     }
-    if (isDeadly) {
-        runDeadly(connection, attempt);
+    if (!deadly.empty()) {
+        runDeadly(connection, attempt, deadly);
         return;
     }
     ++m_running;
@@ -364,16 +368,35 @@
     });
 }
 
-auto PlatformRunner::runDeadly(const RawConnectionPtr &connection, const std::string &attempt) -> void
+/// What in the request crashes the runner: the part of its prompt, or "body"; empty: nothing.
+auto PlatformRunner::deadlyKey(const HttpHead &head, const std::string &body) const -> std::string
+{
+    if (!m_crashBody.empty() && body == m_crashBody) {
+        return "body";
+    }
+    // "ID:TOKENS,ID:TOKENS,...": the text after the last comma is the last part.
+    const auto prompt = text(head, "Prompt-Prefix");
+    std::size_t begin = 0;
+    for (auto comma = prompt.find(','); comma != std::string::npos; comma = prompt.find(',', begin)) {
+        auto part = prompt.substr(begin, prompt.find(':', begin) - begin);
+        if (m_crashParts.contains(part)) {
+            return part;
+        }
+        begin = comma + 1;
+    }
+    return "";
+}
+
+auto PlatformRunner::runDeadly(const RawConnectionPtr &connection, const std::string &attempt, const std::string &key) -> void
 {
-    ++m_deadlyInFlight;
+    ++m_deadly[key].inFlight;
     if (m_crashOnBody.isAfterHead) {
         connection->write(answerHead(Status::Ok, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp-" + m_id + "-" + attempt}, {"Content-Length", "1000"}})
                           + "partial");
     }
-    const auto crashNow = [this, epoch = m_epoch] {
+    const auto crashNow = [this, key, epoch = m_epoch] {
         if (epoch == m_epoch) {
-            m_deadlyRuns.push_back(m_clock.now().inMillis());
+            m_deadly[key].crashes.push_back(m_clock.now().inMillis());
             crash(m_crashOnBody);
         }
     };
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -52,9 +52,9 @@
     auto port() const -> int;
     auto truth() const -> Json;
     /// {"mode":"crash","downMs":N,"sameId":B,"silent":B}, "drain", "leave" (its row is removed, it goes on serving), "return", "dark", "errors", "reset",
-    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "well"; {"mode":"crash-on","body":TEXT} with the options of "crash": a request
-    /// with this body crashes the runner "afterMs" (0) after it has begun to run it, with "afterHead":true after the head of the answer;
-    /// {"mode":"request-limit","perSecond":TEXT}
+    /// "truncate", "extra", "stray", "unframed", "lose-answers", "late-orders", "well"; {"mode":"crash-on","body":TEXT,"parts":[ID,...]} with the options of
+    /// "crash": a request with this body, or with one of these parts in its prompt and not as the last one, crashes the runner "afterMs" (0) after it has
+    /// begun to run it, with "afterHead":true after the head of the answer; {"mode":"request-limit","perSecond":TEXT}
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
     /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm (answerform.h), until "well". {"mode":"version","version":V} states
@@ -98,9 +98,17 @@
         std::optional<std::string> softwareVersion; ///< of the next start
         bool keepsModels = false; ///< the next start holds what this one held
     };
+    /// Requests that crash the runner: moments in milliseconds of the site's clock.
+    struct DeadlyRuns {
+        std::vector<std::int64_t> arrivals; ///< they reached the runner, rejected ones included
+        std::vector<std::int64_t> crashes; ///< one of them crashed the runner
+        std::vector<std::int64_t> ends; ///< their runs ended in a crash: one for each that was in flight
+        int inFlight = 0;
+    };
     static auto crashOf(const Json &command) -> Crash;
     auto crash(const Crash &how) -> void;
-    auto runDeadly(const RawConnectionPtr &connection, const std::string &attempt) -> void;
+    auto deadlyKey(const HttpHead &head, const std::string &body) const -> std::string;
+    auto runDeadly(const RawConnectionPtr &connection, const std::string &attempt, const std::string &key) -> void;
     auto usedMegabytes() const -> double;
     auto usedAdapterSlots() const -> std::size_t;
 
@@ -125,6 +133,7 @@
     int m_touches = 0; ///< counted in the row
     bool m_announcesLeaving = false;
     std::string m_crashBody; ///< a request with this body crashes the runner
+    std::set<std::string> m_crashParts; ///< so does one with such a part in its prompt, but for the last one
     Crash m_crashOnBody; ///< how
     std::map<std::string, LoadedModel> m_loadedModels;
     bool m_busy = false;
@@ -137,11 +146,7 @@
     Json m_events = Json::array(); ///< what concerns the runner's own announcements, see record()
     std::vector<std::int64_t> m_arrivals; ///< milliseconds of the site's clock at which requests arrived, rejected ones included
     std::map<std::string, int> m_runs; ///< by attempt, over all starts
-    // Of requests with m_crashBody, each in milliseconds of the site's clock:
-    Json m_deadlyArrivals = Json::array(); ///< when they reached the runner, rejected ones included
-    Json m_deadlyRuns = Json::array(); ///< when one of them crashed the runner
-    Json m_deadlyEnds = Json::array(); ///< when their runs ended in a crash: one for each that was in flight
-    int m_deadlyInFlight = 0;
+    std::map<std::string, DeadlyRuns> m_deadly; ///< by deadly part of the prompt, or "body"
     std::map<std::string, std::string> m_bodies; ///< by attempt
     std::map<std::string, std::string> m_accounts; ///< by attempt: the accounts named in the request's headers, joined by commas
     std::uint64_t m_keysSeen = 0; ///< requests that carried a client's key (Authorization header)
--- a/tests/harness_crashes.cpp
+++ b/tests/harness_crashes.cpp
@@ -12,23 +12,26 @@
 {
     switch (what) {
     case CrashRecord::Arrival:
-        return "deadlyArrivals";
+        return "arrivals";
     case CrashRecord::RunEnd:
-        return "deadlyEnds";
+        return "ends";
     case CrashRecord::TargetCrash:
         break;
     }
-    return "deadlyRuns";
+    return "crashes";
 }
 
 } // namespace
 
-auto crashMoments(Site &site, CrashRecord what) -> std::vector<Duration>
+auto crashMoments(Site &site, CrashRecord what, const std::string &cause) -> std::vector<Duration>
 {
     std::vector<Duration> moments;
     const auto truth = site.truth();
     for (const auto &[id, runner] : truth["runners"].items()) {
-        for (const auto &at : runner[keyOf(what)]) {
+        if (!runner["deadly"].contains(cause)) {
+            continue;
+        }
+        for (const auto &at : runner["deadly"][cause][keyOf(what)]) {
             moments.push_back(Duration::millis(at.get<std::int64_t>()));
         }
     }
@@ -36,13 +39,12 @@
     return moments;
 }
 
-auto lateMoments(const std::vector<Duration> &moments, const std::vector<Duration> &ends) -> std::size_t
+auto lateMoments(const std::vector<Duration> &moments, const std::vector<Duration> &ends, std::size_t number) -> std::size_t
 {
-    constexpr std::size_t Third = 2;
-    if (ends.size() <= Third) {
+    if (ends.size() < number) {
         return 0;
     }
-    return static_cast<std::size_t>(std::count_if(moments.begin(), moments.end(), [&](Duration at) { return at > ends[Third] + NoticeTime; }));
+    return static_cast<std::size_t>(std::count_if(moments.begin(), moments.end(), [&](Duration at) { return at > ends[number - 1] + NoticeTime; }));
 }
 
 auto statuses(const std::vector<ReplyPtr> &replies) -> std::string
--- a/tests/harness_crashes.h
+++ b/tests/harness_crashes.h
@@ -22,10 +22,10 @@
     TargetCrash,
 };
 
-/// The moments of all targets, in order, since the start of the fakes.
-auto crashMoments(Site &site, CrashRecord what) -> std::vector<Duration>;
-/// The `moments` later than NoticeTime after the third of the `ends`.
-auto lateMoments(const std::vector<Duration> &moments, const std::vector<Duration> &ends) -> std::size_t;
+/// The moments of all targets, in order, since the start of the fakes. `cause`: the deadly part of the requests' prompts, or "body".
+auto crashMoments(Site &site, CrashRecord what, const std::string &cause = "body") -> std::vector<Duration>;
+/// The `moments` later than NoticeTime after the third of the `ends`, or another number of them.
+auto lateMoments(const std::vector<Duration> &moments, const std::vector<Duration> &ends, std::size_t number = 3) -> std::size_t;
 auto statuses(const std::vector<ReplyPtr> &replies) -> std::string;
 auto waitForAnswers(Site &site, const std::vector<ReplyPtr> &replies) -> void;
 
--- a/tests/sim_crashfleet.h
+++ b/tests/sim_crashfleet.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -34,9 +35,17 @@
     Duration clientTimeout = Duration::millis(1500);
     double messageLoss = 0; ///< share of the messages between gateways that are lost
     bool hasAffinity = false; ///< all copies of a request go to the same target while it is up; else to any
+    std::set<std::uint64_t> deadlyParts {}; ///< requests with one of them crash their targets
 };
 
-/// Requests with odd numbers crash their targets.
+/// What became of the requests of a group.
+struct SimGroup {
+    int sent = 0;
+    int begun = 0; ///< a target began to run them; none is sent again
+    int served = 0;
+};
+
+/// Requests with odd numbers crash their targets, and those with a deadly part in their prompts.
 class SimCrashFleet
 {
 public:
@@ -58,8 +67,50 @@
 
     auto send(int gateway, std::uint64_t request) -> void
     {
+        send(gateway, SimRequest {request});
+    }
+    auto send(int gateway, const SimRequest &request) -> void
+    {
+        m_sentPerSecond[request.group][second()].sent += 1;
         attempt({request, clock.now(), gateway, ++m_lastClient}, clock.now());
     }
+    /// The requests of a group that were sent between two moments, in whole seconds.
+    auto group(int group, TimePoint from, TimePoint to) const -> SimGroup
+    {
+        SimGroup sum;
+        const auto found = m_sentPerSecond.find(group);
+        if (found == m_sentPerSecond.end()) {
+            return sum;
+        }
+        for (const auto &[sentIn, counts] : found->second) {
+            if (sentIn >= secondOf(from) && sentIn < secondOf(to)) {
+                sum.sent += counts.sent;
+                sum.begun += counts.begun;
+                sum.served += counts.served;
+            }
+        }
+        return sum;
+    }
+    /// Runs of requests with the part that gateways in touch sent later than `span` after the end of the fifth run, or the fifth target, that they crashed.
+    auto lateRunsOfPart(std::uint64_t part, Duration span, bool isByTargets) const -> int
+    {
+        const auto found = m_parts.find(part);
+        return found == m_parts.end() ? 0 : runsAfter(found->second.runs, isByTargets ? found->second.crashes : found->second.ends, Fifth, span);
+    }
+    auto partEnds(std::uint64_t part) const -> std::size_t
+    {
+        const auto found = m_parts.find(part);
+        return found == m_parts.end() ? 0 : found->second.ends.size();
+    }
+    /// When the fifth target crashed by requests with the part, or the last one if there were fewer; nothing: there was none.
+    auto fifthCrash(std::uint64_t part) const -> std::optional<TimePoint>
+    {
+        const auto found = m_parts.find(part);
+        if (found == m_parts.end() || found->second.crashes.empty()) {
+            return std::nullopt;
+        }
+        return found->second.crashes[std::min(Fifth, found->second.crashes.size() - 1)];
+    }
     auto crashTarget(std::size_t index) -> void
     {
         auto &target = m_targets[index];
@@ -70,9 +121,7 @@
         const auto inFlight = std::move(target.inFlight);
         target.inFlight.clear();
         for (const auto &run : inFlight) {
-            if (isDeadly(run.client.request)) {
-                m_histories[run.client.request].ends.push_back(clock.now());
-            }
+            eachHistory(run.client.request, [this](History &history) { history.ends.push_back(clock.now()); });
             const auto sight = m_options.sight == SimCrashSight::Any ? static_cast<SimCrashSight>(m_random() % 4) : m_options.sight;
             if (sight == SimCrashSight::HeadThenReset || sight == SimCrashSight::HeadThenSilence) {
                 atGateway(run, Duration::micros(500), [run](SimCrashNode &node, TimePoint now) { node.received(run.id, now); });
@@ -124,13 +173,13 @@
     auto lateRuns(std::uint64_t request, Duration span) const -> int
     {
         const auto found = m_histories.find(request);
-        return found == m_histories.end() ? 0 : runsAfterThird(found->second.runs, found->second.ends, span);
+        return found == m_histories.end() ? 0 : runsAfter(found->second.runs, found->second.ends, Third, span);
     }
     /// The same, later than `span` after the third target that the request has crashed.
     auto lateRunsByTargets(std::uint64_t request, Duration span) const -> int
     {
         const auto found = m_histories.find(request);
-        return found == m_histories.end() ? 0 : runsAfterThird(found->second.runs, found->second.crashes, span);
+        return found == m_histories.end() ? 0 : runsAfter(found->second.runs, found->second.crashes, Third, span);
     }
     auto ends(std::uint64_t request) const -> std::size_t
     {
@@ -173,8 +222,12 @@
     static constexpr auto WaitStep = Duration::millis(20);
     static constexpr auto MaxWait = Duration::millis(600);
 
+    /// Index of the third or fifth end in a list.
+    static constexpr std::size_t Third = 2;
+    static constexpr std::size_t Fifth = 4;
+
     struct Client {
-        std::uint64_t request = 0;
+        SimRequest request;
         TimePoint sentAt;
         int gateway = 0;
         std::uint64_t id = 0;
@@ -205,28 +258,51 @@
         TimePoint sentAt;
         bool isInTouch = false;
     };
+    /// Of a request, or of all requests with one deadly part.
     struct History {
-        std::vector<TimePoint> crashes; ///< that the request caused
-        std::vector<TimePoint> ends; ///< of its runs that were in flight when a target crashed, for requests that crash targets
+        std::vector<TimePoint> crashes; ///< that it caused
+        std::vector<TimePoint> ends; ///< of its runs that were in flight when a target crashed, if it crashes targets
         std::vector<Run> runs;
         int served = 0;
         int rejected = 0;
         TimePoint lastServedAt;
     };
 
-    static auto isDeadly(std::uint64_t request) -> bool
+    auto isDeadly(const SimRequest &request) const -> bool
     {
-        return request % 2 == 1;
+        return request.id % 2 == 1
+            || std::any_of(request.parts.begin(), request.parts.end(), [this](std::uint64_t part) { return m_options.deadlyParts.contains(part); });
     }
-    static auto runsAfterThird(const std::vector<Run> &runs, const std::vector<TimePoint> &ends, Duration span) -> int
+    /// Calls the function for the history of the request if that crashes its targets, and of each deadly part in its prompt.
+    template<typename Action>
+    auto eachHistory(const SimRequest &request, const Action &action) -> void
     {
-        constexpr std::size_t Third = 2;
-        if (ends.size() <= Third) {
+        if (request.id % 2 == 1) {
+            action(m_histories[request.id]);
+        }
+        for (const auto part : request.parts) {
+            if (m_options.deadlyParts.contains(part)) {
+                action(m_parts[part]);
+            }
+        }
+    }
+    static auto runsAfter(const std::vector<Run> &runs, const std::vector<TimePoint> &ends, std::size_t number, Duration span) -> int
+    {
+        if (ends.size() <= number) {
             return 0;
         }
-        const auto limit = ends[Third] + span;
+        const auto limit = ends[number] + span;
         return static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) { return run.isInTouch && run.sentAt > limit; }));
     }
+    static auto secondOf(TimePoint at) -> std::int64_t
+    {
+        constexpr std::int64_t MicrosPerSecond = 1'000'000;
+        return at.inMicros() / MicrosPerSecond;
+    }
+    auto second() const -> std::int64_t
+    {
+        return secondOf(clock.now());
+    }
     static auto idOf(int gateway) -> std::string
     {
         return "gw-" + std::to_string(gateway);
@@ -272,7 +348,7 @@
         hooks.check = [this, index, epoch = gateway.epoch](const TargetIncarnation &target, const std::function<void(SimTargetSign, TimePoint)> &done) {
             check(index, epoch, target, done);
         };
-        const InFlight caller {SendId(), {0, {}, index, 0}, gateway.epoch};
+        const InFlight caller {SendId(), {{}, {}, index, 0}, gateway.epoch};
         hooks.readStore = [this, caller](const std::function<void(const SimCrashMessage &, TimePoint)> &done) {
             atGateway(caller, StoreTime, [this, done](SimCrashNode &, TimePoint now) { done(m_stored, now); });
         };
@@ -367,14 +443,13 @@
                 sign = incarnation(target).id == wanted.id ? SimTargetSign::Alive : SimTargetSign::Replaced;
             }
         }
-        const InFlight caller {SendId(), {0, {}, index, 0}, epoch};
+        const InFlight caller {SendId(), {{}, {}, index, 0}, epoch};
         atGateway(caller, sign == SimTargetSign::Unconnected ? ConnectTimeout : RoundTrip, [done, sign](SimCrashNode &, TimePoint now) { done(sign, now); });
     }
 
     auto attempt(const Client &client, TimePoint since) -> void
     {
         auto &gateway = m_gateways[static_cast<std::size_t>(client.gateway)];
-        auto &history = m_histories[client.request];
         if (!gateway.node) {
             return;
         }
@@ -398,22 +473,32 @@
         }
         const auto decision = gateway.node->decide(client.request, clock.now());
         if (decision == SimDecision::Reject || (decision == SimDecision::Wait && clock.now() - since > MaxWait)) {
-            ++history.rejected;
+            if (client.request.parts.empty()) {
+                ++m_histories[client.request.id].rejected;
+            }
             return;
         }
         if (decision == SimDecision::Wait) {
             clock.after(WaitStep, [this, client, since] { attempt(client, since); });
             return;
         }
-        const auto index = m_options.hasAffinity ? preferred(client.request, up) : up[m_random() % up.size()];
+        const auto index = m_options.hasAffinity ? preferred(client.request.id, up) : up[m_random() % up.size()];
         auto &target = m_targets[index];
         const InFlight run {SendId(++m_lastSend), client, gateway.epoch};
         gateway.open.insert(run.id);
         gateway.node->sent(run.id, client.request, incarnation(target), {target.id, 1}, clock.now());
         target.inFlight.push_back(run);
-        history.runs.push_back({clock.now(), isInTouch(gateway)});
-        clock.after(isDeadly(client.request) ? m_options.crashAfter : between(Duration::millis(30), Duration::millis(120)),
-                    [this, index, run, starts = target.starts] { onRunTime(index, run, starts); });
+        eachHistory(client.request, [&](History &history) { history.runs.push_back({clock.now(), isInTouch(gateway)}); });
+        m_sentPerSecond[client.request.group][secondOf(client.sentAt)].begun += 1;
+        if (isDeadly(client.request)) {
+            clock.after(m_options.crashAfter, [this, index, run, starts = target.starts] { onRunTime(index, run, starts); });
+        } else if (client.request.parts.empty()) {
+            clock.after(between(Duration::millis(30), Duration::millis(120)), [this, index, run, starts = target.starts] { onRunTime(index, run, starts); });
+        } else {
+            const auto duration = between(Duration::millis(200), Duration::millis(1500));
+            clock.after(between(Duration::millis(30), Duration::millis(120)),
+                        [this, index, run, starts = target.starts, until = clock.now() + duration] { write(index, run, starts, until); });
+        }
         endRun(run, left, [run](SimCrashNode &node, TimePoint now) { node.gaveUp(run.id, now); });
     }
     /// Among the targets that are up, the one that ranks first for the request.
@@ -430,20 +515,36 @@
         if (!target.isUp || target.starts != starts) {
             return;
         }
-        auto &history = m_histories[run.client.request];
         if (isDeadly(run.client.request)) {
-            history.crashes.push_back(clock.now());
+            eachHistory(run.client.request, [this](History &history) { history.crashes.push_back(clock.now()); });
             crashTarget(index);
             return;
         }
         std::erase_if(target.inFlight, [&](const InFlight &other) { return other.id == run.id; });
         endRun(run, Duration::millis(1), [this, run](SimCrashNode &node, TimePoint now) {
             node.succeeded(run.id, now);
-            auto &served = m_histories[run.client.request];
-            ++served.served;
-            served.lastServedAt = now;
+            m_sentPerSecond[run.client.request.group][secondOf(run.client.sentAt)].served += 1;
+            if (run.client.request.parts.empty()) {
+                auto &served = m_histories[run.client.request.id];
+                ++served.served;
+                served.lastServedAt = now;
+            }
         });
     }
+    /// The target writes a part of the answer, and the next one later, until `until`.
+    auto write(std::size_t index, const InFlight &run, std::uint64_t starts, TimePoint until) -> void
+    {
+        const auto &target = m_targets[index];
+        if (!target.isUp || target.starts != starts) {
+            return;
+        }
+        if (clock.now() >= until) {
+            onRunTime(index, run, starts);
+            return;
+        }
+        atGateway(run, Duration::millis(1), [run](SimCrashNode &node, TimePoint now) { node.received(run.id, now); });
+        clock.after(Duration::millis(200), [this, index, run, starts, until] { write(index, run, starts, until); });
+    }
     auto tick() -> void
     {
         std::set<std::string> all;
@@ -492,7 +593,9 @@
     std::mt19937_64 m_random;
     std::vector<Target> m_targets;
     std::vector<Gateway> m_gateways;
-    std::map<std::uint64_t, History> m_histories;
+    std::map<std::uint64_t, History> m_histories; ///< by request
+    std::map<std::uint64_t, History> m_parts; ///< by deadly part
+    std::map<int, std::map<std::int64_t, SimGroup>> m_sentPerSecond; ///< by group and second
     std::set<std::string> m_all; ///< live gateways that aren't cut off
     std::uint64_t m_peersVersion = 0;
     SimCrashMessage m_stored; ///< the store's copy of the records
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -15,6 +15,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace KingCup
 {
@@ -34,6 +36,12 @@
 
 enum class SimDecision { Run, Wait, Reject };
 
+struct SimRequest {
+    std::uint64_t id = 0; ///< its fingerprint
+    std::vector<std::uint64_t> parts {}; ///< of its prompt, without the last one, which is the request's own
+    int group = 0; ///< requests that are counted together; 0: none
+};
+
 class SimCrashNode
 {
 public:
@@ -44,8 +52,9 @@
     {
     }
 
-    auto decide(std::uint64_t request, TimePoint now) -> SimDecision
+    auto decide(const SimRequest &requested, TimePoint now) -> SimDecision
     {
+        const auto request = requested.id;
         if (!m_crashes.needsGrant(request)) {
             return SimDecision::Run;
         }
@@ -64,8 +73,9 @@
         m_crashes.used(request, now);
         return SimDecision::Reject;
     }
-    auto sent(SendId run, std::uint64_t request, const TargetIncarnation &target, const Endpoint &address, TimePoint now) -> void
+    auto sent(SendId run, const SimRequest &requested, const TargetIncarnation &target, const Endpoint &address, TimePoint now) -> void
     {
+        const auto request = requested.id;
         const bool isProbe = std::exchange(m_isProbeNext, false);
         m_open[run] = {request, target, now, isProbe};
         if (isProbe) {
