--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -1,27 +1,32 @@
-// Detects requests that crash each target that runs them and are repeated by their clients, over all gateways together. Their repeats would otherwise crash all
-// targets of a service one after the other.
+// Finds what crashes each target that runs it, over all gateways together: requests that their clients repeat, and parts of prompts that come in requests which
+// are otherwise all different. Requests with it would crash all targets of a service one after the other.
 //
-// Each gateway keeps a record for each request that was in flight when a target ended (core/runwatch.h). A record is the set of these targets' ends, each
-// identified by the target's start, with the runs that were in flight there: copies of a request that end together with one target are several runs, and two
-// gateways report each their own. An end is withdrawn if its target turns out to run, and one end with each run that succeeds.
+// Each gateway keeps a history (core/crashhistory.h) for each suspect: requests that were in flight when a target ended (core/runwatch.h), and the prompt parts
+// that other requests may share of those that had just begun to be answered. Each run that succeeds withdraws one end of its request and all ends of its parts:
+// what crashes targets crashes each of them. Parts that have succeeded within the last moments aren't suspected at all, so that the parts which many requests
+// share stay free. An end is also withdrawn if its target turns out to run.
 //
-// From its first end on a request is run only by a grant, one run at a time over all gateways: copies that clients send at once would otherwise all be in
-// flight before the first of them is counted. A granted run is a probe. It tells a request that crashes targets from one that was in flight when they crashed
-// for another reason, which by the ends alone can't be distinguished: a probe that succeeds clears the record. One gateway, the arbiter, grants the probes of a
-// request. All gateways find it by rendezvous hashing among those that are live. Before the limit of ends is reached, a probe is granted soon; then there are
-// two or three more in all, with growing delays, whatever the number of copies.
+// From its first end on a suspect runs only by a grant, one run at a time over all gateways: requests that clients send at once would otherwise all be in
+// flight before the first of them is counted. A granted run is a probe. One that succeeds clears all suspects of its request, at all gateways; one that crashes
+// its target adds an end to each. Below the limit of ends, a probe is granted soon; then there are two or three more in all, with growing delays. If the ends
+// may be explained by another suspect, which requests with the deadly part have in common too, a request with only one of the two is granted a probe at once:
+// its result tells them apart. One gateway, the arbiter, grants all probes. All gateways find it by rendezvous hashing among those that are live.
 //
-// Records are sent whole to all gateways whenever they change and to a gateway that connects, and are merged by union; a withdrawal outlives what it withdraws.
-// So messages may be lost, repeated and reordered. Digests carry a checksum of the records that matter; a gateway whose checksum differs is sent these records.
+// Histories are sent whole to all gateways when an end or a probe is added or a probe has ended, and to a gateway that connects. What a gateway concludes from
+// other runs of its own it keeps for itself: all gateways with such runs conclude the same. Digests carry a checksum of the histories that matter; a gateway
+// whose checksum differs is sent these histories.
 //
-// Load pattern: a client repeats one request, at any gateway, several times a second or every few seconds, and each run takes a target down for some seconds.
+// Load pattern: a client repeats one request, at any gateway, several times a second or every few seconds, or clients send some requests a second with one part
+// in common, beside many with the parts in front of it; and each run takes a target down for some seconds.
 //
 // Index of sections (search for [SECTION]):
 //   Options       counts and times
 //   Messages      what gateways send each other
-//   CrashRepeats  the records of one gateway
+//   CrashRepeats  the histories of one gateway
 #pragma once
 
+#include "core/crashhistory.h"
+#include "core/crashsubjects.h"
 #include "core/ids.h"
 #include "core/targetinfo.h"
 #include "core/units.h"
@@ -32,7 +37,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -43,55 +47,43 @@
 // [SECTION] Options
 
 struct CrashRepeatOptions {
-    /// Runs, and targets, whose ends make a request one that crashes targets; the smallest number that two unrelated crashes don't reach.
-    std::size_t endsToBar = 3;
-    Duration earlyProbeDelay = Duration::millis(1000); ///< below the limit: time before a further probe, since the last end or probe; the first has no delay
-    /// From the limit on: time before each probe, since the last end or probe. Fewer targets than the limit, or ends within `outageSpan`, suggest an outage,
-    /// after which callers mustn't wait: then there is one probe more, at once. Three further runs are promised at most.
-    std::vector<Duration> probeDelays {Duration::seconds(5), Duration::seconds(10)};
-    Duration outageSpan = Duration::millis(1000); ///< between the first end and the one that led to the rejection
-    Duration probeTime = Duration::millis(500); ///< after the grant of a probe, other copies wait this long for its result
-    Duration maxProbeRun = Duration::seconds(3); ///< after its grant, the next probe isn't delayed any more by one whose end isn't reported
+    CrashLimits limits;
+    Duration soundTime = Duration::millis(1000); ///< a part isn't suspected of an end up to this long after a run with it has succeeded
+    Duration probeTime = Duration::millis(500); ///< after the grant of a probe, other requests wait this long for its result
     Duration replyTimeout = Duration::millis(150); ///< an arbiter that doesn't reply within this time grants no probe
     Duration grantLifetime = Duration::millis(1000); ///< of a granted probe that isn't used, which is then returned
     Duration retryDenied = Duration::millis(500); ///< after a denial, until the arbiter is asked again
-    Duration lifetime = Duration::seconds(120); ///< of a record that no request has used
-    Duration withdrawnLifetime = Duration::seconds(5); ///< of a record whose ends are all withdrawn; longer than messages are under way
+    Duration lifetime = Duration::seconds(120); ///< of a history that no request has used
+    Duration withdrawnLifetime = Duration::seconds(5); ///< of a history whose ends are all withdrawn; longer than messages are under way
     Duration pushPeriod = Duration::millis(500); ///< minimum time between two transfers to a gateway whose checksum differs
-    double pushesPerDigest = 4; ///< expected number of gateways that send their records to one whose checksum differs
-    std::size_t maxRecords = 4096; ///< beyond it, those that were used longest ago and don't reject anything are dropped
-    std::size_t maxEvents = 32; ///< per record; beyond it, the oldest withdrawn ones are dropped
-    std::size_t maxPushed = 64; ///< records per transfer
+    double pushesPerDigest = 4; ///< expected number of gateways that send their histories to one whose checksum differs
+    std::size_t maxRecords = 4096; ///< beyond it, those below the limit that were used longest ago are dropped
+    std::size_t maxPushed = 64; ///< histories per transfer
     std::uint64_t seed = 0; ///< of the choice of transfers; different at each gateway
 };
 
 // [SECTION] Messages
 
-/// The end of a target while it ran the request, or a probe.
-struct CrashEvent {
-    std::uint64_t id = 0; ///< the same at all gateways
-    bool isProbe = false;
-    bool isWithdrawn = false; ///< the target didn't end, or not by the request; a probe: it wasn't run
-    Duration age;
-    std::string where; ///< the target that ended, or the gateway that may run the probe
-    std::vector<std::uint64_t> runs; ///< ids of the runs in flight at the end, CrashRepeatOptions::endsToBar at most; empty: one
-    bool isOver = false; ///< the probe's run has ended
-};
-
 struct CrashRecord {
-    std::uint64_t request = 0; ///< its fingerprint
-    Duration unusedFor; ///< since a client last sent the request
+    CrashSubject subject;
+    Duration unusedFor; ///< since a client last sent a request with it
     std::vector<CrashEvent> events;
 };
 
+/// The sender would like to run the request once as a probe.
+struct ProbeQuery {
+    CrashSubjects subjects;
+};
+
 struct ProbeReply {
-    std::uint64_t request = 0;
+    std::uint64_t request = 0; ///< fingerprint
     bool isGranted = false;
+    std::uint64_t probe = 0; ///< its event id; 0 if the request needs no grant
 };
 
 struct CrashMessage {
     std::vector<CrashRecord> records;
-    std::vector<std::uint64_t> queries; ///< requests, also in `records`, for which the sender asks for a probe
+    std::vector<ProbeQuery> queries; ///< what is known of their suspects is in `records`
     std::vector<ProbeReply> replies;
 
     auto isEmpty() const -> bool;
@@ -99,30 +91,29 @@
 
 // [SECTION] CrashRepeats
 
-/// A fingerprint that is equal for requests of the same account with the same host, path and body. `account`: empty if it has none.
-auto requestFingerprint(std::string_view host, std::string_view path, std::string_view account, std::string_view body) -> std::uint64_t;
-
 enum class ProbeState {
     Granted, ///< the request may be sent once
     Pending, ///< the arbiter hasn't replied yet
     Denied, ///< the request must be rejected
 };
 
-/// Why no probe of a request can be granted now.
-enum class ProbeObstacle {
-    None,
-    InProgress, ///< another copy is being run
-    NotDue, ///< too soon after the last end or probe
-    Exhausted, ///< all probes have been run
+struct ProbeAnswer {
+    ProbeState state = ProbeState::Denied;
+    std::uint64_t probe = 0; ///< if granted: for probeEnded() and probeReturned()
 };
-auto toString(ProbeObstacle obstacle) -> const char *;
 
-/// The checksum of a gateway that has these records alone.
+/// The suspect that decides about a request.
+struct CrashVerdict {
+    CrashSubject subject;
+    ProbeObstacle obstacle = ProbeObstacle::None;
+};
+
+/// The checksum of a gateway that has these histories alone.
 auto checksumOf(const std::vector<CrashRecord> &records, TimePoint now) -> std::uint64_t;
 
-/// What became known of a record from a message, for the log.
+/// What became known of a suspect from a message, for the log.
 struct CrashChange {
-    std::uint64_t request = 0;
+    CrashSubject subject;
     int ends = 0; ///< targets, not withdrawn
     int runs = 0; ///< that ended with these targets
     bool isBarred = false;
@@ -136,102 +127,92 @@
     /// `self`: id of this gateway.
     explicit CrashRepeats(std::string self, CrashRepeatOptions options = {});
 
-    // Queries
-    auto isEmpty() const -> bool; ///< there is no record, so fingerprints needn't be computed
-    auto needsGrant(std::uint64_t request) const -> bool; ///< must not be sent to a target, except as a probe
-    auto isBarred(std::uint64_t request) const -> bool; ///< counts as one that crashes its targets
-    auto ends(std::uint64_t request) const -> int; ///< targets whose ends aren't withdrawn
-    auto runs(std::uint64_t request) const -> int; ///< runs that ended with these targets; at each target at most CrashRepeatOptions::endsToBar count
-    /// Until a probe of the request may be granted, or, if no further one will be, until its record expires unless it is used.
-    auto retryAfter(std::uint64_t request, TimePoint now) const -> Duration;
-    auto obstacle(std::uint64_t request, TimePoint now) const -> ProbeObstacle;
-    auto arbiter(std::uint64_t request) const -> std::string; ///< the gateway that grants its probes
-    auto barredCount() const -> std::size_t;
-    auto checksum() const -> std::uint64_t; ///< of the records with `endsToBar` ends or more, also withdrawn ones
+    // Queries: suspects
+    auto isEmpty() const -> bool; ///< there is no history, so fingerprints needn't be computed
+    auto isBarred(const CrashSubject &subject) const -> bool; ///< counts as one that crashes its targets
+    auto ends(const CrashSubject &subject) const -> int; ///< targets whose ends aren't withdrawn
+    auto runs(const CrashSubject &subject) const -> int; ///< runs that ended with these targets; at each target at most CrashLimits::endsToBar count
+    auto barredCount(bool isOfParts) const -> std::size_t; ///< of parts, or of requests
+
+    // Queries: requests
+    auto needsGrant(const CrashSubjects &request) const -> bool; ///< must not be sent to a target, except as a probe
+    auto verdict(const CrashSubjects &request, TimePoint now) const -> CrashVerdict; ///< by the suspect with the weightiest obstacle
+    /// Until a probe of the request may be granted, or, if no further one will be, until its history expires unless it is used.
+    auto retryAfter(const CrashSubjects &request, TimePoint now) const -> Duration;
+    auto mayBeProbed(const CrashSubjects &request, TimePoint now) const -> bool; ///< asking the arbiter may be worthwhile
+    auto isBeingProbed(const CrashSubjects &request, TimePoint now) const -> bool; ///< a probe of a suspect may succeed any moment
+    /// Targets where probes of other requests are being run: what ends with them together can't be distinguished.
+    auto probedTargets(TimePoint now) const -> std::vector<TargetId>;
+    auto arbiter() const -> std::string; ///< the gateway that grants probes
+    auto checksum() const -> std::uint64_t; ///< of the histories that have reached the limit or had reached it
 
     // Commands: this gateway's requests
-    /// `run`: of this gateway, in flight at the target. False: the run doesn't count.
-    auto targetEnded(std::uint64_t request, const TargetIncarnation &target, SendId run, TimePoint now) -> bool;
-    auto succeeded(std::uint64_t request, bool wasProbe, TimePoint now) -> bool; ///< true: ends were withdrawn
-    /// The target has answered a request that was sent at `sentAt`: ends that were counted before are withdrawn. Returns the requests concerned.
-    auto targetAnswered(const TargetIncarnation &target, TimePoint sentAt) -> std::vector<std::uint64_t>;
-    auto used(std::uint64_t request, TimePoint now) -> void; ///< a client has sent the request and it is rejected: its record is kept
-    auto mayBeProbed(std::uint64_t request, TimePoint now) const -> bool; ///< asking the arbiter may be worthwhile
-    auto isBeingProbed(std::uint64_t request, TimePoint now) const -> bool; ///< a probe may succeed any moment
-    auto requestProbe(std::uint64_t request, TimePoint now) -> ProbeState; ///< a granted probe is used up: the request is sent now
-    auto probeEnded(std::uint64_t request) -> void; ///< the run of this gateway's probe has ended, or its target has
-    auto probeReturned(std::uint64_t request) -> void; ///< this gateway's probe wasn't sent
+    /// `run`: of this gateway, in flight at the target. `endedAt`: a lower bound; the end may become known much later. Returns the suspects for which it
+    /// counts.
+    auto targetEnded(const CrashSubjects &request, const TargetIncarnation &target, SendId run, TimePoint endedAt, TimePoint now) -> std::vector<CrashSubject>;
+    auto succeeded(const CrashSubjects &request, bool wasProbe, TimePoint now) -> std::vector<CrashSubject>; ///< those of which ends were withdrawn
+    /// A target has been writing an answer to a request with these parts for some time. Returns those of which ends were withdrawn.
+    auto partsSound(const std::vector<CrashSubject> &parts, bool wasProbe, TimePoint now) -> std::vector<CrashSubject>;
+    /// The target has answered a request that was sent at `sentAt`: ends that were counted before are withdrawn. Returns the suspects concerned.
+    auto targetAnswered(const TargetIncarnation &target, TimePoint sentAt) -> std::vector<CrashSubject>;
+    auto used(const CrashSubjects &request, TimePoint now) -> void; ///< a client has sent the request and it is rejected: its histories are kept
+    auto requestProbe(const CrashSubjects &request, TimePoint now) -> ProbeAnswer; ///< a granted probe is used up: the request is sent now
+    auto probeSent(const CrashSubjects &request, std::uint64_t probe, const TargetIncarnation &target) -> void;
+    auto probeEnded(const CrashSubjects &request, std::uint64_t probe) -> void; ///< the run of this gateway's probe has ended, or its target has
+    auto probeReturned(const CrashSubjects &request, std::uint64_t probe) -> void; ///< this gateway's probe wasn't sent
 
     // Commands: other gateways
     auto setGateways(std::set<std::string> live) -> void; ///< the other gateways that are live
     auto received(const std::string &gateway, const CrashMessage &message, TimePoint now) -> std::vector<CrashChange>;
-    /// Records from the store's copy, which go to all other gateways too.
+    /// Histories from the store's copy, which go to all other gateways too.
     auto restored(const std::vector<CrashRecord> &records, TimePoint now) -> std::vector<CrashChange>;
     auto checksumReceived(const std::string &gateway, std::uint64_t checksum, TimePoint now) -> void;
-    auto notable(TimePoint now) const -> std::vector<CrashRecord>; ///< the records that checksum() covers
+    auto notable(TimePoint now) const -> std::vector<CrashRecord>; ///< the histories that checksum() covers, those with most ends first
     auto greeting(TimePoint now) const -> CrashMessage; ///< for a gateway that has just connected
-    auto takeBroadcast(TimePoint now) -> CrashMessage; ///< records that have changed, for all gateways
+    auto takeBroadcast(TimePoint now) -> CrashMessage; ///< histories that have changed, for all gateways
     auto takeMessages() -> std::map<std::string, CrashMessage>; ///< by receiver
 
-    auto expire(TimePoint now) -> std::vector<std::uint64_t>; ///< drops records after their lifetime; call about once a second
+    auto expire(TimePoint now) -> std::vector<CrashSubject>; ///< drops histories after their lifetime; call about once a second
 
 private:
-    struct Event {
-        bool isProbe = false;
-        bool isWithdrawn = false;
-        bool isOver = false;
-        TimePoint at;
-        TimePoint knownAt; ///< when this gateway learned of it
-        std::string where;
-        std::set<std::uint64_t> runs;
-
-        auto isCountedEnd() const -> bool
-        {
-            return !isProbe && !isWithdrawn;
-        }
-        auto isProbeInProgress() const -> bool
-        {
-            return isProbe && !isWithdrawn && !isOver;
-        }
-    };
-    struct Record {
-        std::map<std::uint64_t, Event> events;
-        TimePoint usedAt;
-    };
     struct Query {
         TimePoint sentAt;
         std::optional<TimePoint> grantedAt;
+        std::uint64_t probe = 0;
+        CrashSubjects request;
         TimePoint deniedUntil;
     };
-    using Records = std::unordered_map<std::uint64_t, Record>;
-    auto endsOf(const Record &record) const -> std::size_t;
-    auto runsOf(const Record &record) const -> std::size_t;
-    auto rejects(const Record &record) const -> bool;
-    auto isNotable(const Record &record) const -> bool;
-    auto limitReachedAt(const Record &record) const -> std::optional<TimePoint>;
-    auto looksLikeOutage(const Record &record) const -> bool;
-    auto probeDueAt(const Record &record) const -> std::optional<TimePoint>;
-    auto obstacleOf(const Record &record, TimePoint now) const -> ProbeObstacle;
-    auto addRuns(Event &event, const std::vector<std::uint64_t> &runs) const -> bool;
-    auto endProbes(std::uint64_t request, bool wasSent) -> void;
-    auto grant(std::uint64_t request, const std::string &gateway, TimePoint now) -> bool;
-    auto exported(std::uint64_t request, const Record &record, TimePoint now) const -> CrashRecord;
-    auto findOrAdd(std::uint64_t request, TimePoint now) -> Record &;
+    using Histories = std::unordered_map<CrashSubject, CrashHistory>;
+    auto find(const CrashSubject &subject) const -> const CrashHistory *;
+    auto suspects(const CrashSubjects &request) const -> std::vector<CrashSubject>;
+    auto isNotable(const CrashHistory &history) const -> bool;
+    auto doubtful() const -> const std::vector<CrashSubject> &;
+    auto contextOf(const CrashSubject &subject, const CrashHistory &history, const CrashSubjects &request) const -> ProbeContext;
+    auto hasReachedLimit(const CrashSubjects &request) const -> bool;
+    auto soundUntil(const CrashSubject &subject) const -> std::optional<TimePoint>;
+    auto grant(const CrashSubjects &request, const std::string &gateway, TimePoint now) -> std::optional<std::uint64_t>;
+    auto endProbe(const CrashSubjects &request, std::uint64_t probe, bool wasSent) -> void;
+    auto exported(const CrashSubject &subject, const CrashHistory &history, TimePoint now) const -> CrashRecord;
+    auto findOrAdd(const CrashSubject &subject, TimePoint now) -> CrashHistory &;
     auto merge(const CrashRecord &received, TimePoint now) -> std::optional<CrashChange>;
+    auto changed(const CrashSubject &subject) -> void; ///< and is sent to all gateways
+    auto changedHere() -> void; ///< a history has changed, and the other gateways are left to find out
     auto makeSpace() -> void;
-    auto trim(Record &record) const -> void;
 
     std::string m_self;
     CrashRepeatOptions m_options;
     std::mt19937_64 m_random;
     std::set<std::string> m_live; ///< other gateways
-    Records m_records;
-    std::unordered_map<std::uint64_t, Query> m_queries; ///< of this gateway to arbiters
+    Histories m_histories;
+    std::unordered_map<CrashSubject, TimePoint> m_soundParts; ///< when a run with the part last succeeded at this gateway
+    TimePoint m_soundPartsExpireAt;
+    std::unordered_map<std::uint64_t, Query> m_queries; ///< of this gateway to the arbiter, by the request's fingerprint
     std::unordered_set<std::uint64_t> m_endedTargets; ///< ids of ends that aren't withdrawn; may hold some that are
     std::map<std::string, TimePoint> m_pushedAt;
     std::uint64_t m_grants = 0;
-    std::set<std::uint64_t> m_changed;
-    mutable std::optional<std::uint64_t> m_checksum; ///< computed when it is needed
+    std::set<CrashSubject> m_changed;
+    mutable std::optional<std::uint64_t> m_checksum; ///< computed when it is needed, as the next one
+    mutable std::optional<std::vector<CrashSubject>> m_doubtful; ///< suspects that may explain the ends of others
     std::map<std::string, CrashMessage> m_messages;
 };
 
--- a/src/core/runwatch.cpp
+++ b/src/core/runwatch.cpp
@@ -56,7 +56,7 @@
 
 // [SECTION] Runs
 
-auto RunWatch::sent(SendId run, const WatchedTarget &target, Fingerprint fingerprint, TimePoint now) -> void
+auto RunWatch::sent(SendId run, const WatchedTarget &target, Subjects subjects, TimePoint now) -> void
 {
     auto [found, isNew] = m_targets.try_emplace(target.incarnation);
     auto &state = found->second;
@@ -65,17 +65,30 @@
         state.address = target.address;
         state.heardAt = now;
     }
-    state.open[run] = {now, std::move(fingerprint)};
+    state.open[run] = {.sentAt = now, .subjects = std::move(subjects)};
     m_runs[run.value()] = target.incarnation;
 }
 
-auto RunWatch::received(SendId run, TimePoint now) -> void
+auto RunWatch::OpenRun::suspects() const -> CrashSubjects
+{
+    auto all = subjects();
+    if (isSound) {
+        all.parts.clear();
+    }
+    return all;
+}
+
+auto RunWatch::received(SendId run, TimePoint now) -> bool
 {
     const auto target = find(run);
-    if (target != m_targets.end()) {
-        target->second.heardAt = now;
-        showsLife(target, now - m_options.readDelay);
+    if (target == m_targets.end()) {
+        return false;
     }
+    target->second.heardAt = now;
+    showsLife(target, now - m_options.readDelay);
+    auto &open = target->second.open.at(run);
+    open.answeredSince = open.answeredSince.value_or(now);
+    return !std::exchange(open.isSound, open.isSound || now - *open.answeredSince >= m_options.soundAfter) && open.isSound;
 }
 
 auto RunWatch::answered(SendId run, TimePoint now) -> void
@@ -125,7 +138,7 @@
     const auto open = state.open.extract(run);
     m_runs.erase(run.value());
     if (!open.empty() && m_ended < m_options.maxEnded) {
-        state.ended.push_back({run, open.mapped().fingerprint(), now});
+        state.ended.push_back({run, open.mapped().suspects(), now});
         ++m_ended;
     }
     state.isSuspected = state.isSuspected || isBroken;
@@ -219,7 +232,7 @@
         if (run.endedAt > sentAt) {
             return false;
         }
-        m_verdicts.push_back({run.run, run.request, target->first, RunOutcome::TargetLives});
+        m_verdicts.push_back({run.run, run.subjects, target->first, RunOutcome::TargetLives, state.heardAt});
         --m_ended;
         return true;
     });
@@ -235,11 +248,11 @@
     auto &state = target->second;
     const auto end = state.isLeaving ? RunOutcome::TargetLeft : RunOutcome::TargetEnded;
     for (const auto &run : state.ended) {
-        m_verdicts.push_back({run.run, run.request, target->first, end});
+        m_verdicts.push_back({run.run, run.subjects, target->first, end, state.heardAt});
     }
     for (auto &[run, open] : state.open) {
         m_runs.erase(run.value());
-        m_lost[run] = {target->first, std::move(open), end, std::nullopt};
+        m_lost[run] = {target->first, std::move(open), end, state.heardAt, std::nullopt};
         if (!isReplaced) {
             countLost(run);
         }
@@ -252,7 +265,7 @@
 {
     const auto lost = m_lost.extract(run);
     if (!lost.empty()) {
-        m_verdicts.push_back({run, lost.mapped().run.fingerprint(), lost.mapped().target, lost.mapped().end});
+        m_verdicts.push_back({run, lost.mapped().run.suspects(), lost.mapped().target, lost.mapped().end, lost.mapped().lastSign});
     }
 }
 
@@ -284,7 +297,7 @@
             if (now - run.endedAt < m_options.maxUnresolved) {
                 return false;
             }
-            m_verdicts.push_back({run.run, run.request, target->first, RunOutcome::Unknown});
+            m_verdicts.push_back({run.run, run.subjects, target->first, RunOutcome::Unknown, target->second.heardAt});
             --m_ended;
             return true;
         });
--- a/src/core/runwatch.h
+++ b/src/core/runwatch.h
@@ -12,6 +12,7 @@
 //   RunWatch   the runs
 #pragma once
 
+#include "core/crashsubjects.h"
 #include "core/endpoint.h"
 #include "core/ids.h"
 #include "core/targetinfo.h"
@@ -39,6 +40,8 @@
     Duration readDelay = Duration::millis(250);
     /// If another target has the address, runs that were sent after the change are refused there. Open ones count only if this doesn't happen within this time.
     Duration refusalTime = Duration::millis(250);
+    /// A run whose answer has been written for this long hasn't been ended by a part of its prompt: such parts crash targets when they begin to answer.
+    Duration soundAfter = Duration::millis(1000);
     Duration maxUnresolved = Duration::seconds(10); ///< a run that is unresolved for longer than this after its end isn't counted
     std::size_t maxEnded = 4096; ///< maximum number of unresolved runs that have ended; further ones aren't counted
 };
@@ -71,9 +74,10 @@
 
 struct RunVerdict {
     SendId run;
-    std::uint64_t request = 0; ///< its fingerprint
+    CrashSubjects subjects; ///< without parts if the answer had been written for RunWatchOptions::soundAfter
     TargetIncarnation target;
     RunOutcome end = RunOutcome::Unknown;
+    TimePoint lastSign; ///< the target's last sign of life: it ended later than that
 };
 
 // [SECTION] RunWatch
@@ -81,16 +85,17 @@
 class RunWatch
 {
 public:
-    using Fingerprint = std::function<std::uint64_t()>;
+    using Subjects = std::function<CrashSubjects()>;
 
     explicit RunWatch(RunWatchOptions options = {});
 
     auto isIdle() const -> bool; ///< no run is open or unresolved
 
     // Commands: runs
-    /// `fingerprint` is called only if the run's end has to be found out, at the latest when the run ends.
-    auto sent(SendId run, const WatchedTarget &target, Fingerprint fingerprint, TimePoint now) -> void;
-    auto received(SendId run, TimePoint now) -> void; ///< a part of the answer
+    /// `subjects` is called only if the run's end has to be found out, at the latest when the run ends.
+    auto sent(SendId run, const WatchedTarget &target, Subjects subjects, TimePoint now) -> void;
+    /// A part of the answer. True once, when the answer has been written for RunWatchOptions::soundAfter.
+    auto received(SendId run, TimePoint now) -> bool;
     auto answered(SendId run, TimePoint now) -> void; ///< completely, also with a rejection
     auto notSent(SendId run) -> void; ///< nothing of the request has reached the target
     auto broke(SendId run, TimePoint now) -> void; ///< the connection ended before the complete answer
@@ -110,18 +115,23 @@
 private:
     struct OpenRun {
         TimePoint sentAt;
-        Fingerprint fingerprint;
+        Subjects subjects;
+        std::optional<TimePoint> answeredSince;
+        bool isSound = false; ///< its answer has been written for RunWatchOptions::soundAfter
+
+        auto suspects() const -> CrashSubjects;
     };
     /// An open run whose target has been replaced.
     struct LostRun {
         TargetIncarnation target;
         OpenRun run;
         RunOutcome end = RunOutcome::Unknown;
+        TimePoint lastSign;
         std::optional<TimePoint> countsAt; ///< set by the next takeVerdicts()
     };
     struct EndedRun {
         SendId run;
-        std::uint64_t request = 0;
+        CrashSubjects subjects;
         TimePoint endedAt;
     };
     struct Target {
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -5,6 +5,7 @@
 //   Archive    the store's copy of the records
 #include "gateway/crashwatch.h"
 
+#include "gateway/crashmessages.h"
 #include "gateway/pooledcall.h"
 
 #include <algorithm>
@@ -20,64 +21,7 @@
 /// A connection that fails sooner was refused: one that gets no reply at all takes the whole connect timeout.
 constexpr auto RefusedWithin = Duration::millis(100);
 constexpr auto ArchiveKey = "records";
-constexpr std::uint64_t MaxAgeMillis = 24ULL * 3600 * 1000;
-
-auto age(std::uint64_t millis) -> Duration
-{
-    return Duration::millis(static_cast<std::int64_t>(std::min(millis, MaxAgeMillis)));
-}
-
-auto millis(Duration span) -> std::uint64_t
-{
-    return static_cast<std::uint64_t>(std::max(span.inMillis(), std::int64_t {0}));
-}
-
-auto writeMessage(const CrashMessage &message, Wire::CrashReport &report) -> void
-{
-    for (const auto &record : message.records) {
-        auto *added = report.add_records();
-        added->set_request(record.request);
-        added->set_unused_ms(millis(record.unusedFor));
-        for (const auto &event : record.events) {
-            auto *addedEvent = added->add_events();
-            addedEvent->set_id(event.id);
-            addedEvent->set_probe(event.isProbe);
-            addedEvent->set_withdrawn(event.isWithdrawn);
-            addedEvent->set_age_ms(millis(event.age));
-            addedEvent->set_where(event.where);
-            for (const auto run : event.runs) {
-                addedEvent->add_runs(run);
-            }
-            addedEvent->set_over(event.isOver);
-        }
-    }
-    for (const auto request : message.queries) {
-        report.add_queries(request);
-    }
-    for (const auto &reply : message.replies) {
-        auto *added = report.add_replies();
-        added->set_request(reply.request);
-        added->set_granted(reply.isGranted);
-    }
-}
-
-auto messageOf(const Wire::CrashReport &report) -> CrashMessage
-{
-    CrashMessage message;
-    for (const auto &record : report.records()) {
-        CrashRecord read {record.request(), age(record.unused_ms()), {}};
-        for (const auto &event : record.events()) {
-            read.events.push_back(
-                {event.id(), event.probe(), event.withdrawn(), age(event.age_ms()), event.where(), {event.runs().begin(), event.runs().end()}, event.over()});
-        }
-        message.records.push_back(std::move(read));
-    }
-    message.queries.assign(report.queries().begin(), report.queries().end());
-    for (const auto &reply : report.replies()) {
-        message.replies.push_back({reply.request(), reply.granted()});
-    }
-    return message;
-}
+constexpr std::size_t MaxArchiveBytes = 32U << 10U; ///< the store's rows hold twice as much in all known deployments
 
 /// Ends as "target*runs" and probes as "probe@gateway", each with its age in milliseconds.
 auto eventList(const std::vector<CrashEvent> &events) -> std::string
@@ -90,7 +34,24 @@
             .append(event.isProbe ? "" : "*" + std::to_string(event.runs.size()))
             .append(event.isWithdrawn ? "-withdrawn" : "")
             .append(":")
-            .append(std::to_string(millis(event.age)));
+            .append(std::to_string(event.age.inMillis()));
+    }
+    return text;
+}
+
+/// Suspects with their counts, as "request:FINGERPRINT=ENDS/RUNS,part:ID=ENDS/RUNS"; those without ends are left out.
+auto countList(const std::vector<CrashSubject> &subjects, const CrashRepeats &crashes) -> std::string
+{
+    std::string text;
+    for (const auto &subject : subjects) {
+        if (crashes.ends(subject) > 0) {
+            text.append(text.empty() ? "" : ",")
+                .append(toString(subject))
+                .append("=")
+                .append(std::to_string(crashes.ends(subject)))
+                .append("/")
+                .append(std::to_string(crashes.runs(subject)));
+        }
     }
     return text;
 }
@@ -123,32 +84,34 @@
 
 // [SECTION] Runs
 
-auto CrashWatch::sent(SendId run, const WatchedTarget &target, RunWatch::Fingerprint fingerprint) -> void
+auto CrashWatch::sent(SendId run, const WatchedTarget &target, RunWatch::Subjects subjects) -> void
 {
-    m_runs.sent(run, target, std::move(fingerprint), now());
+    m_runs.sent(run, target, std::move(subjects), now());
 }
 
-auto CrashWatch::received(SendId run) -> void
+auto CrashWatch::received(SendId run, const std::vector<CrashSubject> &parts) -> void
 {
-    m_runs.received(run, now());
+    if (m_runs.received(run, now())) {
+        logWithdrawn(m_crashes.partsSound(parts, m_probes.contains(run), now()), "answered-for-some-time");
+        flush();
+    }
 }
 
 auto CrashWatch::answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void
 {
     m_runs.answered(run, now());
     endProbe(run);
-    const auto withdrawn = m_crashes.targetAnswered(target, sentAt);
-    for (const auto request : withdrawn) {
-        m_parts.log.line("crashes", "withdrawn")
-            .add("request", request)
-            .add("why", "target-lives")
-            .add("target", target.id.text())
-            .add("born", target.startedAtMillis)
-            .add("ends", m_crashes.ends(request));
-    }
+    logWithdrawn(m_crashes.targetAnswered(target, sentAt), "target-lives");
     flush();
 }
 
+auto CrashWatch::logWithdrawn(const std::vector<CrashSubject> &subjects, const char *why) -> void
+{
+    for (const auto &subject : subjects) {
+        m_parts.log.line("crashes", "withdrawn").add("suspect", toString(subject)).add("why", why).add("ends", m_crashes.ends(subject));
+    }
+}
+
 auto CrashWatch::notSent(SendId run) -> void
 {
     m_runs.notSent(run);
@@ -190,11 +153,12 @@
         m_crashes.setGateways(m_live);
         m_archive.setGateways(m_live, now());
     }
-    for (const auto request : m_crashes.expire(now())) {
-        m_parts.log.line("crashes", "expired").add("request", request);
+    for (const auto &subject : m_crashes.expire(now())) {
+        m_parts.log.line("crashes", "expired").add("suspect", toString(subject));
     }
     useArchive();
-    m_parts.metrics.set("rejected_crashing_requests", static_cast<double>(m_crashes.barredCount()));
+    m_parts.metrics.set("rejected_crashing_requests", static_cast<double>(m_crashes.barredCount(false)));
+    m_parts.metrics.set("rejected_crashing_prompt_parts", static_cast<double>(m_crashes.barredCount(true)));
 }
 
 auto CrashWatch::runChecks() -> void
@@ -259,18 +223,18 @@
 auto CrashWatch::applyVerdicts() -> void
 {
     for (const auto &verdict : m_runs.takeVerdicts(now())) {
-        const bool isCounted = verdict.end == RunOutcome::TargetEnded && m_crashes.targetEnded(verdict.request, verdict.target, verdict.run, now());
+        std::vector<CrashSubject> counted;
+        if (verdict.end == RunOutcome::TargetEnded) {
+            counted = m_crashes.targetEnded(verdict.subjects, verdict.target, verdict.run, verdict.lastSign, now());
+        }
         endProbe(verdict.run);
         m_parts.log.line("crashes", "run-resolved")
-            .add("request", verdict.request)
+            .add("request", verdict.subjects.request.value)
             .add("send", verdict.run.value())
             .add("target", verdict.target.id.text())
             .add("born", verdict.target.startedAtMillis)
             .add("end", toString(verdict.end))
-            .add("counted", isCounted)
-            .add("ends", m_crashes.ends(verdict.request))
-            .add("runs", m_crashes.runs(verdict.request))
-            .add("barred", m_crashes.isBarred(verdict.request));
+            .add("counted", countList(counted, m_crashes));
     }
     flush();
 }
@@ -279,7 +243,7 @@
 {
     const auto probe = m_probes.extract(run);
     if (!probe.empty()) {
-        m_crashes.probeEnded(probe.mapped());
+        m_crashes.probeEnded(probe.mapped().request, probe.mapped().id);
     }
 }
 
@@ -290,79 +254,89 @@
     return m_crashes.isEmpty();
 }
 
-auto CrashWatch::needsGrant(std::uint64_t request) const -> bool
+auto CrashWatch::needsGrant(const CrashSubjects &request) const -> bool
 {
     return m_crashes.needsGrant(request);
 }
 
-auto CrashWatch::mayBeProbed(std::uint64_t request) const -> bool
+auto CrashWatch::mayBeProbed(const CrashSubjects &request) const -> bool
 {
     return m_crashes.mayBeProbed(request, now());
 }
 
-auto CrashWatch::isBeingProbed(std::uint64_t request) const -> bool
+auto CrashWatch::isBeingProbed(const CrashSubjects &request) const -> bool
 {
     return m_crashes.isBeingProbed(request, now());
 }
 
-auto CrashWatch::retryAfter(std::uint64_t request) const -> Duration
+auto CrashWatch::probedTargets() const -> std::vector<TargetId>
+{
+    return m_crashes.probedTargets(now());
+}
+
+auto CrashWatch::retryAfter(const CrashSubjects &request) const -> Duration
 {
     return m_crashes.retryAfter(request, now());
 }
 
-auto CrashWatch::requestProbe(std::uint64_t request) -> ProbeState
+auto CrashWatch::requestProbe(const CrashSubjects &request) -> ProbeAnswer
 {
-    const auto state = m_crashes.requestProbe(request, now());
-    if (state == ProbeState::Granted) {
-        m_parts.log.line("crashes", "probe-granted").add("request", request).add("ends", m_crashes.ends(request)).add("arbiter", m_crashes.arbiter(request));
+    const auto answer = m_crashes.requestProbe(request, now());
+    if (answer.state == ProbeState::Granted) {
+        m_parts.log.line("crashes", "probe-granted")
+            .add("request", request.request.value)
+            .add("probe", answer.probe)
+            .add("suspects", countList(request.all(), m_crashes))
+            .add("arbiter", m_crashes.arbiter());
         m_parts.metrics.add("crashing_request_probes_total");
     }
     flush();
-    return state;
+    return answer;
 }
 
-auto CrashWatch::probeReturned(std::uint64_t request) -> void
+auto CrashWatch::probeReturned(const CrashSubjects &request, std::uint64_t probe) -> void
 {
-    m_crashes.probeReturned(request);
-    m_parts.log.line("crashes", "probe-returned").add("request", request);
+    m_crashes.probeReturned(request, probe);
+    m_parts.log.line("crashes", "probe-returned").add("request", request.request.value).add("probe", probe);
     flush();
 }
 
-auto CrashWatch::rejected(std::uint64_t request, const AttemptId &attempt) -> void
+auto CrashWatch::rejected(const CrashSubjects &request, const AttemptId &attempt) -> void
 {
     m_crashes.used(request, now());
+    const auto verdict = m_crashes.verdict(request, now());
     m_parts.log.line("crashes", "rejected")
-        .add("request", request)
+        .add("request", request.request.value)
         .add("id", attempt.text())
-        .add("ends", m_crashes.ends(request))
-        .add("runs", m_crashes.runs(request))
-        .add("probe", toString(m_crashes.obstacle(request, now())))
-        .add("arbiter", m_crashes.arbiter(request))
+        .add("suspects", countList(request.all(), m_crashes))
+        .add("because-of", toString(verdict.subject))
+        .add("probe", toString(verdict.obstacle))
+        .add("arbiter", m_crashes.arbiter())
         .add("retry-after", retryAfter(request));
 }
 
-auto CrashWatch::sentProbe(SendId run, std::uint64_t request, const AttemptId &attempt, const TargetIncarnation &target) -> void
+auto CrashWatch::sentProbe(SendId run, const CrashSubjects &request, std::uint64_t probe, const AttemptId &attempt, const TargetIncarnation &target) -> void
 {
-    m_probes[run] = request;
+    m_probes[run] = {request, probe};
+    m_crashes.probeSent(request, probe, target);
+    flush();
     m_parts.log.line("crashes", "probe-sent")
-        .add("request", request)
+        .add("request", request.request.value)
+        .add("probe", probe)
         .add("id", attempt.text())
         .add("send", run.value())
         .add("target", target.id.text())
-        .add("born", target.startedAtMillis)
-        .add("ends", m_crashes.ends(request))
-        .add("runs", m_crashes.runs(request));
+        .add("born", target.startedAtMillis);
 }
 
-auto CrashWatch::succeeded(std::uint64_t request, bool wasProbe) -> void
+auto CrashWatch::succeeded(const std::vector<CrashSubject> &parts, const RunWatch::Subjects &subjects, bool wasProbe) -> void
 {
-    if (m_crashes.succeeded(request, wasProbe, now())) {
-        m_parts.log.line("crashes", "withdrawn")
-            .add("request", request)
-            .add("why", wasProbe ? "probe-succeeded" : "succeeded")
-            .add("ends", m_crashes.ends(request));
-        flush();
+    if (m_crashes.isEmpty()) {
+        m_crashes.partsSound(parts, wasProbe, now());
+        return;
     }
+    logWithdrawn(m_crashes.succeeded(subjects(), wasProbe, now()), wasProbe ? "probe-succeeded" : "succeeded");
+    flush();
 }
 
 // [SECTION] Messages
@@ -392,7 +366,7 @@
 auto CrashWatch::logChange(const CrashChange &change, const std::string &source) -> void
 {
     m_parts.log.line("crashes", "reported")
-        .add("request", change.request)
+        .add("suspect", toString(change.subject))
         .add("source", source)
         .add("added", eventList(change.added))
         .add("ends", change.ends)
@@ -473,6 +447,9 @@
         message.records = m_crashes.notable(now());
         Wire::CrashReport report;
         writeMessage(message, report);
+        while (report.ByteSizeLong() > MaxArchiveBytes) {
+            report.mutable_records()->RemoveLast();
+        }
         value = report.SerializeAsString();
     }
     m_parts.store.change(StoreTable::Crashes, {{ArchiveKey, std::nullopt, value}}, [this, checksum](const StoreAnswer &answer) {
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -57,20 +57,23 @@
 
     // Queries
     auto isEmpty() const -> bool; ///< no request can be rejected, so fingerprints needn't be computed
-    auto needsGrant(std::uint64_t request) const -> bool; ///< must not be sent to a target, except as a probe
-    auto mayBeProbed(std::uint64_t request) const -> bool; ///< the request may be granted a probe now
-    auto isBeingProbed(std::uint64_t request) const -> bool; ///< waiting for the result of a probe may be worthwhile
-    auto retryAfter(std::uint64_t request) const -> Duration; ///< until it may be sent again; see CrashRepeats
+    auto needsGrant(const CrashSubjects &request) const -> bool; ///< must not be sent to a target, except as a probe
+    auto mayBeProbed(const CrashSubjects &request) const -> bool; ///< the request may be granted a probe now
+    auto isBeingProbed(const CrashSubjects &request) const -> bool; ///< waiting for the result of a probe may be worthwhile
+    auto probedTargets() const -> std::vector<TargetId>; ///< see CrashRepeats
+    auto retryAfter(const CrashSubjects &request) const -> Duration; ///< until it may be sent again; see CrashRepeats
 
     // Commands: this gateway's requests
-    auto requestProbe(std::uint64_t request) -> ProbeState; ///< if granted, call sentProbe() or probeReturned()
-    auto probeReturned(std::uint64_t request) -> void; ///< a granted probe wasn't sent
-    auto rejected(std::uint64_t request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it needs a grant
-    auto sent(SendId run, const WatchedTarget &target, RunWatch::Fingerprint fingerprint) -> void;
-    auto sentProbe(SendId run, std::uint64_t request, const AttemptId &attempt, const TargetIncarnation &target) -> void; ///< after sent()
-    auto received(SendId run) -> void; ///< a part of the answer
+    auto requestProbe(const CrashSubjects &request) -> ProbeAnswer; ///< if granted, call sentProbe() or probeReturned()
+    auto probeReturned(const CrashSubjects &request, std::uint64_t probe) -> void; ///< a granted probe wasn't sent
+    auto rejected(const CrashSubjects &request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it needs a grant
+    auto sent(SendId run, const WatchedTarget &target, RunWatch::Subjects subjects) -> void;
+    /// Call after sent().
+    auto sentProbe(SendId run, const CrashSubjects &request, std::uint64_t probe, const AttemptId &attempt, const TargetIncarnation &target) -> void;
+    auto received(SendId run, const std::vector<CrashSubject> &parts) -> void; ///< a piece of the answer to a request with these parts
     auto answered(SendId run, const TargetIncarnation &target, TimePoint sentAt) -> void; ///< completely, also with a rejection
-    auto succeeded(std::uint64_t request, bool wasProbe) -> void; ///< a run of the request was answered with success
+    /// A request with these parts was answered with success. `subjects` is called only if something is suspected.
+    auto succeeded(const std::vector<CrashSubject> &parts, const RunWatch::Subjects &subjects, bool wasProbe) -> void;
     auto notSent(SendId run) -> void; ///< nothing of the request has reached the target
     auto broke(SendId run) -> void; ///< the connection ended before the complete answer
     auto abandoned(SendId run) -> void; ///< by its caller, or at its time limit
@@ -93,6 +96,7 @@
     auto runChecks() -> void;
     auto applyVerdicts() -> void;
     auto endProbe(SendId run) -> void;
+    auto logWithdrawn(const std::vector<CrashSubject> &subjects, const char *why) -> void;
     auto flush() -> void;
     auto logChange(const CrashChange &change, const std::string &source) -> void;
     auto useArchive() -> void;
@@ -110,7 +114,11 @@
     CrashArchive m_archive;
     std::set<std::string> m_live; ///< the other gateways that are live
     std::map<TargetIncarnation, std::shared_ptr<Check>> m_checks; ///< in progress
-    std::map<SendId, std::uint64_t> m_probes; ///< the requests of this gateway's probes, until their runs are resolved
+    struct Probe {
+        CrashSubjects request;
+        std::uint64_t id = 0;
+    };
+    std::map<SendId, Probe> m_probes; ///< of this gateway, until their runs are resolved
 };
 
 } // namespace KingCup
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -4,8 +4,6 @@
 #include "net/httpstatus.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace KingCup
 {
@@ -22,7 +20,7 @@
         m_owner.parts.log.line("answer", "untrusted").add("id", m_traits.attempt.text()).add("target", m_target.text()).add("status", head.status);
         return AnswerVerdict::Refuse;
     }
-    m_owner.parts.crashes.received(m_send);
+    m_owner.parts.crashes.received(m_send, m_sharedParts);
     m_hasHead = true;
     m_head = head;
     m_answer = answer;
@@ -82,7 +80,7 @@
     }
     m_owner.parts.dispatcher.firstToken(m_send, now());
     m_answerBytes += bytes.size();
-    m_owner.parts.crashes.received(m_send);
+    m_owner.parts.crashes.received(m_send, m_sharedParts);
     recordProgress();
     if (m_isEventStream && !m_events) {
         m_boundary.feed(bytes);
@@ -260,7 +258,7 @@
     const bool hadNoAnswer = !m_hasHead && !end.wasReused;
     if (neverSent) {
         m_owner.parts.crashes.notSent(m_send);
-        m_hasGrant = m_isProbe;
+        m_grantedProbe = m_isProbe ? std::optional(m_probe) : std::nullopt;
     } else {
         logRunEnd("broken");
         m_owner.parts.crashes.broke(m_send);
@@ -300,37 +298,30 @@
 
 constexpr std::size_t MaxLoggedParts = 16;
 
-auto hexadecimal(std::uint64_t value) -> std::string
-{
-    constexpr int Base = 16;
-    std::array<char, 2 * sizeof(value)> digits {};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, Base);
-    return {digits.data(), end.ptr};
-}
-
 } // namespace
 
-/// The fingerprint is computed once and only on demand: this hashes the whole body, and waiting requests are checked several times a second.
-auto ForwardedRequest::fingerprint() -> std::uint64_t
+/// The request's fingerprint is computed once and only on demand: this hashes the whole body, and waiting requests are checked several times a second.
+auto ForwardedRequest::subjects() -> const CrashSubjects &
 {
-    if (!m_fingerprint) {
+    if (!m_subjects) {
         const auto &head = m_exchange->head();
         const auto host = findHeader(head.headers, "host").value_or(std::string_view());
-        m_fingerprint = requestFingerprint(host, head.target, m_grant ? m_grant->account.text() : std::string_view(), m_exchange->body());
+        const auto account = m_grant ? std::string_view(m_grant->account.text()) : std::string_view();
+        m_subjects = CrashSubjects {requestSubject(requestFingerprint(host, head.target, account, m_exchange->body())), m_sharedParts};
     }
-    return *m_fingerprint;
+    return *m_subjects;
 }
 
 auto ForwardedRequest::needsGrant() -> bool
 {
-    return !m_owner.parts.crashes.isEmpty() && m_owner.parts.crashes.needsGrant(fingerprint());
+    return !m_owner.parts.crashes.isEmpty() && m_owner.parts.crashes.needsGrant(subjects());
 }
 
 /// The line connects the client's id with the lines on the request's fingerprint, of which "run-resolved" says whether the end counted.
 auto ForwardedRequest::logRunEnd(const char *how) -> void
 {
     m_owner.parts.log.line("crashes", "run-ended")
-        .add("request", fingerprint())
+        .add("request", subjects().request.value)
         .add("id", m_traits.attempt.text())
         .add("send", m_send.value())
         .add("target", m_target.text())
@@ -338,16 +329,16 @@
         .add("after", now() - m_sentAt)
         .add("how", how)
         .add("head", m_hasHead)
-        .add("parts", sharedParts())
+        .add("parts", partList())
         .add("copies", copiesInFlight());
 }
 
 /// The ids of the prompt's parts that other requests may share, in the prompt's order.
-auto ForwardedRequest::sharedParts() const -> std::string
+auto ForwardedRequest::partList() const -> std::string
 {
     std::string text;
-    for (std::size_t i = 0; i + 1 < std::min(m_traits.promptParts.size(), MaxLoggedParts + 1); ++i) {
-        text.append(text.empty() ? "" : "+").append(hexadecimal(m_traits.promptParts[i].id));
+    for (std::size_t i = 0; i < std::min(m_sharedParts.size(), MaxLoggedParts); ++i) {
+        text.append(text.empty() ? "" : ",").append(toString(m_sharedParts[i]));
     }
     return text;
 }
@@ -358,7 +349,7 @@
     std::string text;
     for (const auto &other : m_owner.requests) {
         const bool isCopy = other.get() != this && other->m_call && other->m_exchange->head().target == m_exchange->head().target
-            && other->m_exchange->body().size() == m_exchange->body().size() && other->fingerprint() == fingerprint();
+            && other->m_exchange->body().size() == m_exchange->body().size() && other->subjects().request == subjects().request;
         if (isCopy) {
             text.append(text.empty() ? "" : ",").append(other->m_target.text());
         }
@@ -379,9 +370,8 @@
 
 auto ForwardedRequest::recordSuccess() -> void
 {
-    if (!m_owner.parts.crashes.isEmpty()) {
-        m_owner.parts.crashes.succeeded(fingerprint(), m_isProbe);
-    }
+    m_owner.parts.crashes.succeeded(
+        m_sharedParts, [this] { return subjects(); }, m_isProbe);
 }
 
 auto ForwardedRequest::mayRunAgain() const -> bool
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -51,6 +51,7 @@
     m_request.model = m_traits.model;
     m_request.adapter = m_traits.adapter;
     m_request.prompt = promptChains(m_traits.model + "/" + m_traits.adapter, m_traits.promptParts);
+    m_sharedParts = sharedParts(m_traits.promptParts);
     m_request.promptTokens = m_traits.promptTokens;
     m_request.outputTokens = m_traits.maxOutputTokens;
     m_request.band = m_route.band;
@@ -161,11 +162,11 @@
     if (!isStillGranted()) {
         return;
     }
-    auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    auto choice = choose();
     if (!choice.overLimit.id.isEmpty()) {
         const auto permit = m_owner.parts.limits.wanted(choice.overLimit, choice.target.isEmpty());
         if (permit == PermitState::Held) {
-            choice = m_owner.parts.dispatcher.choose(m_request, now());
+            choice = choose();
         } else if (permit == PermitState::Pending && !choice.target.isEmpty() && awaitReply()) {
             return;
         }
@@ -187,10 +188,24 @@
     send(choice);
 }
 
+/// A probe goes to a target where no other one runs, if it can: if both ended with it, nothing would be known of either.
+auto ForwardedRequest::choose() -> DispatchChoice
+{
+    auto choice = m_owner.parts.dispatcher.choose(m_request, now());
+    const auto probed = needsGrant() ? m_owner.parts.crashes.probedTargets() : std::vector<TargetId>();
+    if (std::find(probed.begin(), probed.end(), choice.target) == probed.end()) {
+        return choice;
+    }
+    auto request = m_request;
+    request.excluded.insert(request.excluded.end(), probed.begin(), probed.end());
+    auto other = m_owner.parts.dispatcher.choose(request, now());
+    return other.target.isEmpty() ? choice : other;
+}
+
 /// Whether a request that may crash targets can be sent as a probe. Otherwise it waits for the result of another probe, or is rejected.
 auto ForwardedRequest::mayBecomeProbe() -> bool
 {
-    if (m_hasGrant || m_owner.parts.crashes.mayBeProbed(fingerprint())) {
+    if (m_grantedProbe || m_owner.parts.crashes.mayBeProbed(subjects())) {
         return true;
     }
     awaitProbe();
@@ -200,12 +215,13 @@
 /// Asks for a probe when a target has been chosen: a probe that can't be sent would be lost.
 auto ForwardedRequest::becomeProbe() -> bool
 {
-    if (m_hasGrant) {
+    if (m_grantedProbe) {
         return true;
     }
-    switch (m_owner.parts.crashes.requestProbe(fingerprint())) {
+    const auto answer = m_owner.parts.crashes.requestProbe(subjects());
+    switch (answer.state) {
     case ProbeState::Granted:
-        m_hasGrant = true;
+        m_grantedProbe = answer.probe;
         return true;
     case ProbeState::Pending:
         tryAgainAfter(ProbePollPeriod);
@@ -220,12 +236,12 @@
 auto ForwardedRequest::awaitProbe() -> void
 {
     m_probeAwaitedUntil = m_probeAwaitedUntil.value_or(now() + MaxProbeWait);
-    if (m_owner.parts.crashes.isBeingProbed(fingerprint()) && now() < *m_probeAwaitedUntil) {
+    if (m_owner.parts.crashes.isBeingProbed(subjects()) && now() < *m_probeAwaitedUntil) {
         tryAgainAfter(ProbePollPeriod);
         return;
     }
-    m_owner.parts.crashes.rejected(fingerprint(), m_traits.attempt);
-    m_retryAfter = m_owner.parts.crashes.retryAfter(fingerprint());
+    m_owner.parts.crashes.rejected(subjects(), m_traits.attempt);
+    m_retryAfter = m_owner.parts.crashes.retryAfter(subjects());
     abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "takes-targets-down");
 }
 
@@ -347,10 +363,11 @@
     m_sentAt = now();
     m_send = m_owner.parts.dispatcher.sent(m_request, choice.target, now());
     m_hasSend = true;
-    m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return fingerprint(); });
-    m_isProbe = std::exchange(m_hasGrant, false);
+    m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return subjects(); });
+    m_isProbe = m_grantedProbe.has_value();
     if (m_isProbe) {
-        m_owner.parts.crashes.sentProbe(m_send, fingerprint(), m_traits.attempt, choice.incarnation);
+        m_probe = *std::exchange(m_grantedProbe, std::nullopt);
+        m_owner.parts.crashes.sentProbe(m_send, subjects(), m_probe, m_traits.attempt, choice.incarnation);
     }
     m_owner.parts.limits.sent(choice.incarnation);
     m_owner.hooks.onSent(choice.target, m_request, m_send);
@@ -472,8 +489,8 @@
     m_unackedTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
-    if (std::exchange(m_hasGrant, false)) {
-        m_owner.parts.crashes.probeReturned(fingerprint());
+    if (m_grantedProbe) {
+        m_owner.parts.crashes.probeReturned(subjects(), *std::exchange(m_grantedProbe, std::nullopt));
     }
     if (m_lookup) {
         m_owner.parts.origins.cancel(*std::exchange(m_lookup, std::nullopt));
@@ -492,7 +509,7 @@
         } else {
             m_owner.parts.crashes.notSent(m_send);
             if (m_isProbe) {
-                m_owner.parts.crashes.probeReturned(fingerprint());
+                m_owner.parts.crashes.probeReturned(subjects(), m_probe);
             }
         }
         call->cancel();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -127,13 +127,14 @@
     auto onHead(const HttpHead &head) -> AnswerVerdict;
     auto onBody(std::string_view bytes) -> void;
     auto recordProgress() -> void;
-    auto fingerprint() -> std::uint64_t;
+    auto subjects() -> const CrashSubjects &; ///< what may make the request crash its targets
     auto needsGrant() -> bool; ///< it was in flight at ends of targets, and may run only as a probe
+    auto choose() -> DispatchChoice;
     auto mayBecomeProbe() -> bool;
     auto becomeProbe() -> bool;
     auto awaitProbe() -> void;
     auto logRunEnd(const char *how) -> void;
-    auto sharedParts() const -> std::string;
+    auto partList() const -> std::string;
     auto copiesInFlight() -> std::string;
     auto addAnswerEnd(LogLine &line) const -> void;
     auto recordSuccess() -> void;
@@ -205,8 +206,10 @@
     TimePoint m_connectFailedAt;
     bool m_isDemoted = false; ///< expected to miss its goal: runs after all requests that can still meet theirs
     Duration m_retryAfter = DefaultRetryAfter;
-    std::optional<std::uint64_t> m_fingerprint;
-    bool m_hasGrant = false; ///< of a probe that isn't sent yet
+    std::optional<CrashSubjects> m_subjects;
+    std::vector<CrashSubject> m_sharedParts; ///< of the prompt
+    std::optional<std::uint64_t> m_grantedProbe; ///< that isn't sent yet
+    std::uint64_t m_probe = 0; ///< if the latest send is one
     bool m_isProbe = false; ///< the latest send is a probe
     std::optional<TimePoint> m_probeAwaitedUntil; ///< until when it waits for the result of another probe, once it has begun to
     bool m_finished = false;
--- a/tests/sim_crashfleet.h
+++ b/tests/sim_crashfleet.h
@@ -49,7 +49,7 @@
 class SimCrashFleet
 {
 public:
-    explicit SimCrashFleet(SimCrashOptions options)
+    explicit SimCrashFleet(const SimCrashOptions &options)
         : m_options(options)
         , m_random(options.seed)
     {
@@ -482,6 +482,9 @@
             clock.after(WaitStep, [this, client, since] { attempt(client, since); });
             return;
         }
+        if (std::any_of(up.begin(), up.end(), [&](std::size_t i) { return !gateway.node->avoids(incarnation(m_targets[i]), clock.now()); })) {
+            std::erase_if(up, [&](std::size_t i) { return gateway.node->avoids(incarnation(m_targets[i]), clock.now()); });
+        }
         const auto index = m_options.hasAffinity ? preferred(client.request.id, up) : up[m_random() % up.size()];
         auto &target = m_targets[index];
         const InFlight run {SendId(++m_lastSend), client, gateway.epoch};
--- a/tests/sim_crashload.h
+++ b/tests/sim_crashload.h
@@ -13,6 +13,12 @@
 
 inline constexpr std::uint64_t Deadly = 1;
 inline constexpr std::uint64_t Popular = 2;
+
+/// A request without a prompt.
+inline auto plain(std::uint64_t fingerprint) -> CrashSubjects
+{
+    return {requestSubject(fingerprint), {}};
+}
 /// Within this time after the third crash every gateway rejects the request; after it at most MaxLateRuns copies run.
 inline constexpr auto NoticeTime = Duration::seconds(3);
 inline constexpr int MaxLateRuns = 3;
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -9,8 +9,10 @@
 #include "core/targetinfo.h"
 #include "core/units.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,41 +54,52 @@
     {
     }
 
-    auto decide(const SimRequest &requested, TimePoint now) -> SimDecision
+    auto decide(const SimRequest &request, TimePoint now) -> SimDecision
     {
-        const auto request = requested.id;
-        if (!m_crashes.needsGrant(request)) {
+        const auto subjects = subjectsOf(request);
+        if (!m_crashes.needsGrant(subjects)) {
             return SimDecision::Run;
         }
-        auto state = ProbeState::Denied;
-        if (m_crashes.mayBeProbed(request, now)) {
-            state = m_crashes.requestProbe(request, now);
+        ProbeAnswer answer;
+        if (m_crashes.mayBeProbed(subjects, now)) {
+            answer = m_crashes.requestProbe(subjects, now);
             flush(now);
         }
-        if (state == ProbeState::Granted) {
-            m_isProbeNext = true;
+        if (answer.state == ProbeState::Granted) {
+            m_nextProbe = answer.probe;
             return SimDecision::Run;
         }
-        if (state == ProbeState::Pending || m_crashes.isBeingProbed(request, now)) {
+        if (answer.state == ProbeState::Pending || m_crashes.isBeingProbed(subjects, now)) {
             return SimDecision::Wait;
         }
-        m_crashes.used(request, now);
+        m_crashes.used(subjects, now);
         return SimDecision::Reject;
     }
-    auto sent(SendId run, const SimRequest &requested, const TargetIncarnation &target, const Endpoint &address, TimePoint now) -> void
+    auto sent(SendId run, const SimRequest &request, const TargetIncarnation &target, const Endpoint &address, TimePoint now) -> void
     {
-        const auto request = requested.id;
-        const bool isProbe = std::exchange(m_isProbeNext, false);
-        m_open[run] = {request, target, now, isProbe};
-        if (isProbe) {
-            m_probes[run] = request;
+        auto subjects = subjectsOf(request);
+        m_open[run] = {subjects, target, now, m_nextProbe.has_value()};
+        if (m_nextProbe) {
+            m_probes[run] = {subjects, *std::exchange(m_nextProbe, std::nullopt)};
+            m_crashes.probeSent(subjects, m_probes[run].id, target);
+            flush(now);
         }
         m_runs.sent(
-            run, {target, ServiceName("s"), address}, [request] { return request; }, now);
+            run, {target, ServiceName("s"), address}, [subjects] { return subjects; }, now);
+    }
+    /// Whether the request that is to be sent next had better go to another target.
+    auto avoids(const TargetIncarnation &target, TimePoint now) const -> bool
+    {
+        const auto probed = m_nextProbe ? m_crashes.probedTargets(now) : std::vector<TargetId>();
+        return std::find(probed.begin(), probed.end(), target.id) != probed.end();
     }
     auto received(SendId run, TimePoint now) -> void
     {
-        m_runs.received(run, now);
+        const auto open = m_open.find(run);
+        if (m_runs.received(run, now) && open != m_open.end()) {
+            m_crashes.partsSound(open->second.subjects.parts, open->second.isProbe, now);
+            flush(now);
+        }
     }
     auto succeeded(SendId run, TimePoint now) -> void
     {
@@ -95,7 +108,7 @@
         m_runs.answered(run, now);
         endProbe(run);
         m_crashes.targetAnswered(ended.target, ended.sentAt);
-        m_crashes.succeeded(ended.request, ended.isProbe, now);
+        m_crashes.succeeded(ended.subjects, ended.isProbe, now);
         advance(now);
     }
     auto broke(SendId run, TimePoint now) -> void
@@ -133,7 +146,7 @@
         }
         for (const auto &verdict : m_runs.takeVerdicts(now)) {
             if (verdict.end == RunOutcome::TargetEnded) {
-                m_crashes.targetEnded(verdict.request, verdict.target, verdict.run, now);
+                m_crashes.targetEnded(verdict.subjects, verdict.target, verdict.run, verdict.lastSign, now);
             }
             endProbe(verdict.run);
         }
@@ -157,17 +170,29 @@
     }
 
 private:
+    struct Probe {
+        CrashSubjects subjects;
+        std::uint64_t id = 0;
+    };
     struct Open {
-        std::uint64_t request = 0;
+        CrashSubjects subjects;
         TargetIncarnation target;
         TimePoint sentAt;
         bool isProbe = false;
     };
+    static auto subjectsOf(const SimRequest &request) -> CrashSubjects
+    {
+        CrashSubjects subjects {requestSubject(request.id), {}};
+        std::transform(request.parts.begin(), request.parts.end(), std::back_inserter(subjects.parts), [](std::uint64_t part) {
+            return CrashSubject {true, part};
+        });
+        return subjects;
+    }
     auto endProbe(SendId run) -> void
     {
         const auto probe = m_probes.extract(run);
         if (!probe.empty()) {
-            m_crashes.probeEnded(probe.mapped());
+            m_crashes.probeEnded(probe.mapped().subjects, probe.mapped().id);
         }
     }
     auto useArchive(TimePoint now) -> void
@@ -206,8 +231,8 @@
     CrashRepeats m_crashes;
     CrashArchive m_archive;
     std::map<SendId, Open> m_open;
-    std::map<SendId, std::uint64_t> m_probes;
-    bool m_isProbeNext = false;
+    std::map<SendId, Probe> m_probes;
+    std::optional<std::uint64_t> m_nextProbe;
 };
 
 } // namespace KingCup
--- a/tests/unit_crashcopies.cpp
+++ b/tests/unit_crashcopies.cpp
@@ -8,7 +8,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <optional>
 #include <string>
 
 using namespace KingCup;
@@ -26,22 +26,26 @@
         here.setGateways({"b"});
         there.setGateways({"a"});
     }
-    /// Whether the gateway may send the request now, after the messages that it takes to find out.
-    auto mayRun(CrashRepeats &gateway, std::uint64_t request, TimePoint now) -> bool
+    /// The probe that the gateway may send now, after the messages that it takes to find out; 0: the request needs none; nothing: it must not be sent.
+    auto probe(CrashRepeats &gateway, const CrashSubjects &request, TimePoint now) -> std::optional<std::uint64_t>
     {
         if (!gateway.needsGrant(request)) {
-            return true;
+            return 0;
         }
         if (!gateway.mayBeProbed(request, now)) {
-            return false;
+            return std::nullopt;
         }
-        auto state = gateway.requestProbe(request, now);
+        auto answer = gateway.requestProbe(request, now);
         exchange(here, there, now);
-        if (state == ProbeState::Pending) {
-            state = gateway.requestProbe(request, now);
+        if (answer.state == ProbeState::Pending) {
+            answer = gateway.requestProbe(request, now);
         }
         exchange(here, there, now);
-        return state == ProbeState::Granted;
+        return answer.state == ProbeState::Granted ? std::optional(answer.probe) : std::nullopt;
+    }
+    auto mayRun(CrashRepeats &gateway, const CrashSubjects &request, TimePoint now) -> bool
+    {
+        return probe(gateway, request, now).has_value();
     }
 };
 
@@ -54,43 +58,44 @@
     // Guards against copies that are all in flight before the first of them is counted.
     Pair gateways;
     auto &[here, there] = gateways;
-    CHECK(gateways.mayRun(here, Deadly, at(1)));
-    CHECK(gateways.mayRun(there, Deadly, at(1)));
-    here.targetEnded(Deadly, target(1), freshRun(), at(2));
+    CHECK(gateways.mayRun(here, plain(Deadly), at(1)));
+    CHECK(gateways.mayRun(there, plain(Deadly), at(1)));
+    here.targetEnded(plain(Deadly), target(1), freshRun(), at(2), at(2));
     exchange(here, there, at(2));
     const bool isHere = GENERATE(true, false);
     auto &first = isHere ? here : there;
     auto &second = isHere ? there : here;
-    REQUIRE(gateways.mayRun(first, Deadly, at(2.1)));
-    CHECK_FALSE(gateways.mayRun(first, Deadly, at(2.11)));
-    CHECK_FALSE(gateways.mayRun(second, Deadly, at(2.11)));
-    CHECK(second.obstacle(Deadly, at(2.11)) == ProbeObstacle::InProgress);
+    const auto probe = gateways.probe(first, plain(Deadly), at(2.1));
+    REQUIRE(probe.value_or(0) != 0);
+    CHECK_FALSE(gateways.mayRun(first, plain(Deadly), at(2.11)));
+    CHECK_FALSE(gateways.mayRun(second, plain(Deadly), at(2.11)));
+    CHECK(second.verdict(plain(Deadly), at(2.11)).obstacle == ProbeObstacle::InProgress);
     SECTION("a success sets all others free")
     {
-        first.probeEnded(Deadly);
-        first.succeeded(Deadly, true, at(2.2));
+        first.probeEnded(plain(Deadly), *probe);
+        first.succeeded(plain(Deadly), true, at(2.2));
         exchange(here, there, at(2.2));
-        CHECK(gateways.mayRun(first, Deadly, at(2.21)));
-        CHECK(gateways.mayRun(second, Deadly, at(2.21)));
+        CHECK(gateways.mayRun(first, plain(Deadly), at(2.21)));
+        CHECK(gateways.mayRun(second, plain(Deadly), at(2.21)));
     }
     SECTION("another crash delays the next one")
     {
-        first.probeEnded(Deadly);
-        first.targetEnded(Deadly, target(2), freshRun(), at(2.2));
+        first.probeEnded(plain(Deadly), *probe);
+        first.targetEnded(plain(Deadly), target(2), freshRun(), at(2.2), at(2.2));
         exchange(here, there, at(2.2));
-        CHECK_FALSE(gateways.mayRun(second, Deadly, at(2.8)));
-        CHECK(second.obstacle(Deadly, at(2.8)) == ProbeObstacle::NotDue);
-        CHECK(gateways.mayRun(second, Deadly, at(3.3)));
+        CHECK_FALSE(gateways.mayRun(second, plain(Deadly), at(2.8)));
+        CHECK(second.verdict(plain(Deadly), at(2.8)).obstacle == ProbeObstacle::NotDue);
+        CHECK(gateways.mayRun(second, plain(Deadly), at(3.3)));
     }
     SECTION("one that isn't sent is returned")
     {
-        first.probeReturned(Deadly);
+        first.probeReturned(plain(Deadly), *probe);
         exchange(here, there, at(2.2));
-        CHECK(gateways.mayRun(second, Deadly, at(2.8)));
+        CHECK(gateways.mayRun(second, plain(Deadly), at(2.8)));
     }
     SECTION("one whose gateway has ended doesn't block the others for good")
     {
-        CHECK(gateways.mayRun(second, Deadly, at(5.2)));
+        CHECK(gateways.mayRun(second, plain(Deadly), at(5.2)));
     }
 }
 
@@ -99,16 +104,16 @@
     // Guards against an innocent request that is rejected because the copy that was to be run was given up by its client.
     Pair gateways;
     auto &[here, there] = gateways;
-    here.targetEnded(Deadly, target(1), freshRun(), at(2));
+    here.targetEnded(plain(Deadly), target(1), freshRun(), at(2), at(2));
     exchange(here, there, at(2));
-    auto &asking = here.arbiter(Deadly) == "a" ? there : here;
-    REQUIRE(asking.requestProbe(Deadly, at(2.1)) == ProbeState::Pending);
+    auto &asking = here.arbiter() == "a" ? there : here;
+    REQUIRE(asking.requestProbe(plain(Deadly), at(2.1)).state == ProbeState::Pending);
     exchange(here, there, at(2.1));
-    CHECK(here.obstacle(Deadly, at(3)) == ProbeObstacle::InProgress);
+    CHECK(here.verdict(plain(Deadly), at(3)).obstacle == ProbeObstacle::InProgress);
     asking.expire(at(3.2));
     exchange(here, there, at(3.2));
-    CHECK(here.obstacle(Deadly, at(3.3)) == ProbeObstacle::None);
-    CHECK(there.obstacle(Deadly, at(3.3)) == ProbeObstacle::None);
+    CHECK(here.verdict(plain(Deadly), at(3.3)).obstacle == ProbeObstacle::None);
+    CHECK(there.verdict(plain(Deadly), at(3.3)).obstacle == ProbeObstacle::None);
 }
 
 TEST_CASE("after three runs that ended with one target, a request that goes on crashing targets gets at most three probes")
@@ -116,25 +121,26 @@
     // Guards against a limit that counts targets only: three copies in flight at one crash are the three runs after which no more than three are promised.
     CrashRepeats gateway("a");
     for (int i = 0; i < 5; ++i) {
-        gateway.targetEnded(Deadly, target(1), freshRun(), at(1));
+        gateway.targetEnded(plain(Deadly), target(1), freshRun(), at(1), at(1));
     }
-    CHECK(gateway.ends(Deadly) == 1);
-    CHECK(gateway.runs(Deadly) == 3); // more change nothing
-    CHECK_FALSE(gateway.isBarred(Deadly));
+    CHECK(gateway.ends(requestSubject(Deadly)) == 1);
+    CHECK(gateway.runs(requestSubject(Deadly)) == 3); // more change nothing
+    CHECK_FALSE(gateway.isBarred(requestSubject(Deadly)));
     int probes = 0;
     for (int tenths = 11; tenths < 3000; ++tenths) {
         const double second = tenths * 0.1;
-        if (gateway.mayBeProbed(Deadly, at(second)) && gateway.requestProbe(Deadly, at(second)) == ProbeState::Granted) {
+        const auto answer = gateway.mayBeProbed(plain(Deadly), at(second)) ? gateway.requestProbe(plain(Deadly), at(second)) : ProbeAnswer();
+        if (answer.state == ProbeState::Granted) {
             ++probes;
-            gateway.probeEnded(Deadly);
-            gateway.targetEnded(Deadly, target(1 + probes), freshRun(), at(second + 0.05));
+            gateway.probeEnded(plain(Deadly), answer.probe);
+            gateway.targetEnded(plain(Deadly), target(1 + probes), freshRun(), at(second + 0.05), at(second + 0.05));
         }
-        gateway.used(Deadly, at(second));
+        gateway.used(plain(Deadly), at(second));
         gateway.expire(at(second));
     }
     CHECK(probes >= 1);
     CHECK(probes <= MaxLateRuns);
-    CHECK(gateway.obstacle(Deadly, at(300)) == ProbeObstacle::Exhausted);
+    CHECK(gateway.verdict(plain(Deadly), at(300)).obstacle == ProbeObstacle::Exhausted);
 }
 
 TEST_CASE("gateways that know different runs of one end agree once they have exchanged them")
@@ -143,31 +149,32 @@
     Pair gateways;
     auto &[here, there] = gateways;
     for (int i = 0; i < 4; ++i) {
-        here.targetEnded(Deadly, target(1), freshRun(), at(1));
-        there.targetEnded(Deadly, target(1), freshRun(), at(1));
+        here.targetEnded(plain(Deadly), target(1), freshRun(), at(1), at(1));
+        there.targetEnded(plain(Deadly), target(1), freshRun(), at(1), at(1));
     }
     exchange(here, there, at(1));
     CHECK(here.checksum() == there.checksum());
-    CHECK(here.runs(Deadly) == 3);
+    CHECK(here.runs(requestSubject(Deadly)) == 3);
 }
 
 TEST_CASE("an arbiter that doesn't reply delays copies below the limit for a moment, and grants nothing from the limit on")
 {
     // Guards against requests that were in flight at a crash and are all rejected because the gateway that grants their probes has ended.
     CrashRepeats gateway("a");
-    std::uint64_t request = 1;
-    gateway.setGateways({"b"});
-    while (gateway.arbiter(request) != "b") {
-        ++request;
-    }
+    std::string other = "b";
+    do {
+        other += "b";
+        gateway.setGateways({other});
+    } while (gateway.arbiter() != other);
+    constexpr std::uint64_t Request = 1;
     const bool isAtLimit = GENERATE(false, true);
     for (int i = 0; i < (isAtLimit ? 3 : 1); ++i) {
-        gateway.targetEnded(request, target(i), freshRun(), at(1));
+        gateway.targetEnded(plain(Request), target(i), freshRun(), at(1), at(1));
     }
-    REQUIRE(gateway.requestProbe(request, at(2)) == ProbeState::Pending);
-    CHECK(gateway.requestProbe(request, at(2.1)) == ProbeState::Pending);
-    CHECK((gateway.requestProbe(request, at(2.2)) == ProbeState::Granted) == !isAtLimit);
-    CHECK(gateway.requestProbe(request, at(2.21)) != ProbeState::Granted);
+    REQUIRE(gateway.requestProbe(plain(Request), at(2)).state == ProbeState::Pending);
+    CHECK(gateway.requestProbe(plain(Request), at(2.1)).state == ProbeState::Pending);
+    CHECK((gateway.requestProbe(plain(Request), at(2.2)).state == ProbeState::Granted) == !isAtLimit);
+    CHECK(gateway.requestProbe(plain(Request), at(2.21)).state != ProbeState::Granted);
 }
 
 TEST_CASE("runs that reach the target which has replaced theirs, and are refused there, don't count")
@@ -176,7 +183,7 @@
     RunWatch runs;
     for (std::uint64_t i = 1; i <= 3; ++i) {
         runs.sent(
-            SendId(i), {target(1), ServiceName("s"), {"10.0.0.1", 80}}, [i] { return i; }, at(1));
+            SendId(i), {target(1), ServiceName("s"), {"10.0.0.1", 80}}, [i] { return plain(i); }, at(1));
     }
     runs.answered(SendId(1), at(1.1)); // refused: another target has the address
     runs.replaced(target(1));
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -44,14 +44,14 @@
     const auto request = requestFingerprint("host", "/chat", "", "the same");
     for (int i = 1; i <= 3; ++i) {
         auto &gateway = i == 2 ? there : here;
-        REQUIRE_FALSE(gateway.isBarred(request));
-        REQUIRE(gateway.targetEnded(request, target(i), freshRun(), at(i + 0.2)));
+        REQUIRE_FALSE(gateway.isBarred(requestSubject(request)));
+        REQUIRE(gateway.targetEnded(plain(request), target(i), freshRun(), at(i + 0.2), at(i + 0.2)).size() == 1);
         exchange(here, there, at(i + 0.3));
     }
-    CHECK(here.isBarred(request));
-    CHECK(there.isBarred(request));
-    CHECK_FALSE(here.isBarred(requestFingerprint("host", "/chat", "", "another")));
-    CHECK_FALSE(here.isBarred(requestFingerprint("host", "/chat", "another account", "the same")));
+    CHECK(here.isBarred(requestSubject(request)));
+    CHECK(there.isBarred(requestSubject(request)));
+    CHECK_FALSE(here.isBarred(requestSubject(requestFingerprint("host", "/chat", "", "another"))));
+    CHECK_FALSE(here.isBarred(requestSubject(requestFingerprint("host", "/chat", "another account", "the same"))));
     here.expire(at(200));
     CHECK(here.isEmpty());
 }
@@ -62,16 +62,16 @@
     CrashRepeats here("a");
     CrashRepeats there("b");
     for (int i = 0; i < 20; ++i) {
-        here.targetEnded(1, target(1), freshRun(), at(1 + i * 0.03));
-        there.targetEnded(1, target(1), freshRun(), at(1 + i * 0.03));
+        here.targetEnded(plain(1), target(1), freshRun(), at(1 + i * 0.03), at(1 + i * 0.03));
+        there.targetEnded(plain(1), target(1), freshRun(), at(1 + i * 0.03), at(1 + i * 0.03));
         exchange(here, there, at(1 + i * 0.03));
     }
-    CHECK(here.ends(1) == 1);
-    CHECK(there.ends(1) == 1);
-    CHECK(here.succeeded(1, false, at(2)));
+    CHECK(here.ends(requestSubject(1)) == 1);
+    CHECK(there.ends(requestSubject(1)) == 1);
+    CHECK(here.succeeded(plain(1), false, at(2)).size() == 1);
     exchange(here, there, at(2));
-    CHECK(here.ends(1) == 0);
-    CHECK(there.ends(1) == 0);
+    CHECK(here.ends(requestSubject(1)) == 0);
+    CHECK(there.ends(requestSubject(1)) == 0);
 }
 
 TEST_CASE("after many targets have failed at once, the first copy of a request is run at once, and its success clears the request everywhere")
@@ -82,21 +82,21 @@
     here.setGateways({"b"});
     there.setGateways({"a"});
     for (int i = 0; i < 10; ++i) {
-        here.targetEnded(1, target(i), freshRun(), at(1));
+        here.targetEnded(plain(1), target(i), freshRun(), at(1), at(1));
     }
     exchange(here, there, at(1));
-    REQUIRE(here.isBarred(1));
-    auto &asking = here.arbiter(1) == "a" ? there : here;
-    REQUIRE(asking.requestProbe(1, at(1.1)) == ProbeState::Pending);
+    REQUIRE(here.isBarred(requestSubject(1)));
+    auto &asking = here.arbiter() == "a" ? there : here;
+    REQUIRE(asking.requestProbe(plain(1), at(1.1)).state == ProbeState::Pending);
     exchange(here, there, at(1.1));
-    REQUIRE(asking.requestProbe(1, at(1.11)) == ProbeState::Granted);
-    CHECK(asking.requestProbe(1, at(1.12)) != ProbeState::Granted);
-    CHECK(asking.isBeingProbed(1, at(1.2)));
+    REQUIRE(asking.requestProbe(plain(1), at(1.11)).state == ProbeState::Granted);
+    CHECK(asking.requestProbe(plain(1), at(1.12)).state != ProbeState::Granted);
+    CHECK(asking.isBeingProbed(plain(1), at(1.2)));
     exchange(here, there, at(1.2));
-    asking.succeeded(1, true, at(1.3));
+    asking.succeeded(plain(1), true, at(1.3));
     exchange(here, there, at(1.3));
-    CHECK_FALSE(here.isBarred(1));
-    CHECK_FALSE(there.isBarred(1));
+    CHECK_FALSE(here.isBarred(requestSubject(1)));
+    CHECK_FALSE(there.isBarred(requestSubject(1)));
 }
 
 TEST_CASE("a request that goes on crashing targets gets at most three probes in all, however long its client repeats it")
@@ -105,18 +105,18 @@
     const bool isAtOnce = GENERATE(true, false);
     CrashRepeats gateway("a");
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), freshRun(), at(isAtOnce ? 3 : 1 + i));
+        gateway.targetEnded(plain(1), target(i), freshRun(), at(isAtOnce ? 3 : 1 + i), at(isAtOnce ? 3 : 1 + i));
     }
-    CHECK(gateway.mayBeProbed(1, at(3.1)) == isAtOnce);
+    CHECK(gateway.mayBeProbed(plain(1), at(3.1)) == isAtOnce);
     int probes = 0;
     for (int halfSeconds = 7; halfSeconds < 2400; ++halfSeconds) {
         const double second = halfSeconds * 0.5;
-        REQUIRE(gateway.isBarred(1));
-        if (gateway.mayBeProbed(1, at(second)) && gateway.requestProbe(1, at(second)) == ProbeState::Granted) {
-            gateway.targetEnded(1, target(100 + probes), freshRun(), at(second + 0.1));
+        REQUIRE(gateway.isBarred(requestSubject(1)));
+        if (gateway.mayBeProbed(plain(1), at(second)) && gateway.requestProbe(plain(1), at(second)).state == ProbeState::Granted) {
+            gateway.targetEnded(plain(1), target(100 + probes), freshRun(), at(second + 0.1), at(second + 0.1));
             ++probes;
         }
-        gateway.used(1, at(second));
+        gateway.used(plain(1), at(second));
         gateway.expire(at(second));
     }
     CHECK(probes == (isAtOnce ? 3 : 2));
@@ -127,12 +127,12 @@
     // Guards against rejecting requests because a gateway was cut off from targets that run.
     CrashRepeats gateway("a");
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), freshRun(), at(5));
+        gateway.targetEnded(plain(1), target(i), freshRun(), at(5), at(5));
     }
     CHECK(gateway.targetAnswered(target(0), at(4)).empty());
-    CHECK(gateway.isBarred(1));
+    CHECK(gateway.isBarred(requestSubject(1)));
     CHECK(gateway.targetAnswered(target(0), at(5.5)).size() == 1);
-    CHECK_FALSE(gateway.isBarred(1));
+    CHECK_FALSE(gateway.isBarred(requestSubject(1)));
 }
 
 TEST_CASE("a gateway that lacks records or withdrawals is sent them by others that see its checksum")
@@ -143,18 +143,18 @@
     here.setGateways({"b"});
     there.setGateways({"a"});
     for (int i = 0; i < 3; ++i) {
-        here.targetEnded(1, target(i), freshRun(), at(1));
+        here.targetEnded(plain(1), target(i), freshRun(), at(1), at(1));
     }
     here.takeBroadcast(at(1)); // lost
     here.checksumReceived("b", there.checksum(), at(2));
     exchange(here, there, at(2));
-    CHECK(there.isBarred(1));
+    CHECK(there.isBarred(requestSubject(1)));
     CHECK(here.checksum() == there.checksum());
-    here.succeeded(1, true, at(3));
+    here.succeeded(plain(1), true, at(3));
     here.takeBroadcast(at(3)); // lost
     here.checksumReceived("b", there.checksum(), at(4));
     exchange(here, there, at(4));
-    CHECK_FALSE(there.isBarred(1));
+    CHECK_FALSE(there.isBarred(requestSubject(1)));
 }
 
 TEST_CASE("the number of records is limited, and those that reject requests are kept")
@@ -162,13 +162,13 @@
     // Guards against an outage with thousands of requests in flight that displaces what is known of a request that crashes targets.
     CrashRepeats gateway("a", {.maxRecords = 100});
     for (int i = 0; i < 3; ++i) {
-        gateway.targetEnded(1, target(i), freshRun(), at(1));
+        gateway.targetEnded(plain(1), target(i), freshRun(), at(1), at(1));
     }
     for (std::uint64_t request = 2; request < 2000; ++request) {
-        gateway.targetEnded(request, target(9), freshRun(), at(2 + static_cast<double>(request) * 0.001));
+        gateway.targetEnded(plain(request), target(9), freshRun(), at(2 + static_cast<double>(request) * 0.001), at(2 + static_cast<double>(request) * 0.001));
     }
-    CHECK(gateway.isBarred(1));
-    CHECK(gateway.ends(1999) == 1);
+    CHECK(gateway.isBarred(requestSubject(1)));
+    CHECK(gateway.ends(requestSubject(1999)) == 1);
 }
 
 TEST_CASE("a run that ends without an answer counts if its target has ended, and not if the target lives")
@@ -178,7 +178,7 @@
     const auto sign = GENERATE(TargetSign::Alive, TargetSign::Replaced, TargetSign::Refused);
     const bool isBroken = GENERATE(true, false);
     runs.sent(
-        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+        SendId(1), watched(target(1)), [] { return plain(7); }, at(1));
     if (isBroken) {
         runs.broke(SendId(1), at(1.5));
         REQUIRE(runs.checksDue(at(1.5)).size() == 1);
@@ -199,7 +199,7 @@
     // Guards against crashes that are known only at the time limit of the request, seconds later.
     RunWatch runs;
     runs.sent(
-        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+        SendId(1), watched(target(1)), [] { return plain(7); }, at(1));
     runs.received(SendId(1), at(1.2));
     CHECK(runs.checksDue(at(2.1)).empty());
     REQUIRE(runs.checksDue(at(2.2)).size() == 1);
@@ -218,7 +218,7 @@
     RunWatch runs;
     for (std::uint64_t i = 1; i <= 3; ++i) {
         runs.sent(
-            SendId(i), watched(target(1)), [i] { return i; }, at(1));
+            SendId(i), watched(target(1)), [i] { return plain(i); }, at(1));
     }
     runs.broke(SendId(1), at(2));
     runs.answered(SendId(2), at(2.01));
@@ -228,10 +228,10 @@
     runs.received(SendId(3), at(2.3));
     CHECK(onlyVerdict(runs, at(2.3)) == RunOutcome::TargetLives);
     runs.sent(
-        SendId(4), watched(target(1)), [] { return std::uint64_t {4}; }, at(3));
+        SendId(4), watched(target(1)), [] { return plain(4); }, at(3));
     runs.broke(SendId(3), at(3.5));
     runs.sent(
-        SendId(5), watched(target(1)), [] { return std::uint64_t {5}; }, at(3.6));
+        SendId(5), watched(target(1)), [] { return plain(5); }, at(3.6));
     runs.answered(SendId(4), at(3.7));
     CHECK(runs.takeVerdicts(at(3.7)).empty());
     runs.answered(SendId(5), at(3.8));
@@ -243,13 +243,13 @@
     // Guards against rejecting requests because targets are replaced in turn, and against targets that accept connections without running.
     RunWatch runs;
     runs.sent(
-        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+        SendId(1), watched(target(1)), [] { return plain(7); }, at(1));
     runs.targetLeaving(target(1));
     runs.broke(SendId(1), at(2));
     runs.checked(target(1), TargetSign::Refused, at(2), at(2));
     CHECK(onlyVerdict(runs, at(2)) == RunOutcome::TargetLeft);
     runs.sent(
-        SendId(2), watched(target(2)), [] { return std::uint64_t {7}; }, at(3));
+        SendId(2), watched(target(2)), [] { return plain(7); }, at(3));
     runs.broke(SendId(2), at(3.1));
     double second = 3.1;
     for (int check = 0; check < 5; ++check, second += 0.7) {
@@ -265,7 +265,7 @@
     // Guards against a restart that is quicker than a check.
     RunWatch runs;
     runs.sent(
-        SendId(1), watched(target(1)), [] { return std::uint64_t {7}; }, at(1));
+        SendId(1), watched(target(1)), [] { return plain(7); }, at(1));
     runs.addressTaken({"10.0.0.1", 80}, {TargetId("other"), 9});
     REQUIRE(runs.checksDue(at(1.1)).size() == 1);
     runs.checked(target(1), TargetSign::Alive, at(1.1), at(1.2));
