--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -295,6 +295,9 @@
     }
     call.headers.insert(call.headers.end(), request.headers.begin(), request.headers.end());
     call.body = request.body;
+    if (request.isNewConnection) {
+        call.maxIdleTime = Duration();
+    }
     return d->start(std::move(call));
 }
 
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -63,6 +63,7 @@
     std::string body;
     std::string host = "site.example";
     HttpHeaders headers; ///< additional ones
+    bool isNewConnection = false; ///< no idle connection is reused
 };
 
 // [SECTION] Site
