--- a/src/core/crashhistory.h
+++ b/src/core/crashhistory.h
@@ -38,7 +38,7 @@
     /// From the limit on: time before each probe, since the last end or probe. Fewer targets than the limit, or ends within `outageSpan`, suggest an outage,
     /// after which callers mustn't wait: then there is one probe more, at once. Three further runs are promised at most.
     std::vector<Duration> probeDelays {Duration::seconds(5), Duration::seconds(10)};
-    /// Within this time after the limit was reached, probes that told nothing (ProbeContext::inVain) don't count: the promise holds for later runs only.
+    /// Within this time after the limit was reached, probes without a result (ProbeContext::inVain) don't count: the promise holds for later runs only.
     Duration noticeTime = Duration::seconds(2);
     Duration outageSpan = Duration::millis(1000); ///< between the first end and the one that led to the rejection
     Duration maxProbeRun = Duration::seconds(3); ///< after its grant, the next probe isn't delayed any more by one whose end isn't reported
@@ -59,7 +59,7 @@
 struct ProbeContext {
     bool hasRival = false;
     bool isAlone = false; ///< the request has no other suspect that may explain ends: its result tells this one from its rivals
-    bool isIsolated = false; ///< a probe of such a request has told it from its rivals, or all of them have been run in vain
+    bool isIsolated = false; ///< a probe of such a request has distinguished it from its rivals, or all of them have been run in vain
     std::size_t inVain = 0; ///< such probes that ended with a target where a rival was in flight too, which tells nothing
 };
 
