event log: write ids with 64 bits without a sign

What was seen: the lines 'run-ended' and 'run-resolved' named a request's fingerprint by a negative number where the list of suspects in the same lines has the positive one, so a search for a request found half of its lines.

--- a/src/net/eventlog.cpp
+++ b/src/net/eventlog.cpp
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <poll.h>
+#include <string>
 #include <unistd.h>
 
 namespace KingCup
@@ -75,9 +75,7 @@
 
 auto LogLine::add(std::string_view key, std::int64_t value) -> LogLine &
 {
-    std::array<char, 24> text {};
-    const auto written = std::to_chars(text.data(), text.data() + text.size(), value);
-    return add(key, std::string_view(text.data(), static_cast<std::size_t>(written.ptr - text.data())));
+    return add(key, std::string_view(std::to_string(value)));
 }
 
 auto LogLine::add(std::string_view key, int value) -> LogLine &
@@ -87,7 +85,7 @@
 
 auto LogLine::add(std::string_view key, std::uint64_t value) -> LogLine &
 {
-    return add(key, static_cast<std::int64_t>(value));
+    return add(key, std::string_view(std::to_string(value)));
 }
 
 auto LogLine::add(std::string_view key, double value) -> LogLine &
