forwarder: load an adapter elsewhere when its only target has ended

What callers saw: 502 (all-excluded) for up to 0.8 s after the only target with an adapter had ended, until its row lapsed.

Cause: a request that had been refused there had no target left and was given up at once, as if no other one could ever take it. Targets that pause or are over their limit were treated otherwise: the adapter is requested at another target with the model, and the request waits for it within its goal. The same now holds for targets that the request has excluded, if another one has the model and stays.

--- a/src/gateway/forwardedwait.cpp
+++ b/src/gateway/forwardedwait.cpp
@@ -48,7 +48,8 @@
         m_loadRequestedAt = now();
         m_owner.hooks.onMissing(m_request.service, m_request.model, m_request.adapter, m_request.softwareVersion.value_or(SoftwareVersion()));
     }
-    const bool isUnavailable = refusal == DispatchRefusal::Paused || refusal == DispatchRefusal::OverLimit;
+    const bool isUnavailable
+        = refusal == DispatchRefusal::Paused || refusal == DispatchRefusal::OverLimit || (refusal == DispatchRefusal::AllExcluded && choice.canLoadAdapter);
     if (isUnavailable && !m_request.adapter.empty()) {
         m_owner.hooks.onOverloaded(m_request.service, m_request.model, m_request.adapter);
     }
@@ -72,7 +73,7 @@
 {
     switch (choice.refusal) {
     case DispatchRefusal::AllExcluded:
-        return false;
+        return choice.canLoadAdapter;
     case DispatchRefusal::Paused:
         return choice.canLoadAdapter || *choice.pausedUntil < waitUntil;
     case DispatchRefusal::OverLimit:
