crash watch: a granted probe that can't be sent is returned after a moment

Callers saw targets crash together: several runs of a request that crashes its targets were in flight at once, though each had a grant. Cause: a request kept its grant while its target refused connections, for as long as its caller waited. The arbiter takes a probe for over after three seconds and grants the next one, so grants gathered at several gateways and were all used when the target was back. Change: the grant goes back to CrashRepeats with its time. It can be used until one second after it was given, and is returned then. A probe that another target at the address rejects has ended; it counted as in progress for three seconds before.

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -448,26 +448,36 @@
     endProbe(request, probe, false);
 }
 
+auto CrashRepeats::probeUnsent(const CrashSubjects &request, const ProbeAnswer &granted, TimePoint now) -> void
+{
+    auto &query = m_queries[request.request.value];
+    if (query.grantedAt || now - granted.grantedAt >= m_options.grantLifetime) {
+        probeReturned(request, granted.probe);
+        return;
+    }
+    query.request = request;
+    query.probe = granted.probe;
+    query.grantedAt = granted.grantedAt;
+}
+
 auto CrashRepeats::requestProbe(const CrashSubjects &request, TimePoint now) -> ProbeAnswer
 {
     auto &query = m_queries[request.request.value];
-    if (query.grantedAt) {
-        const bool isValid = now - *query.grantedAt < m_options.grantLifetime;
-        query.grantedAt.reset();
-        if (isValid) {
-            return {ProbeState::Granted, query.probe};
+    if (const auto grantedAt = std::exchange(query.grantedAt, std::nullopt)) {
+        if (now - *grantedAt < m_options.grantLifetime) {
+            return {ProbeState::Granted, query.probe, *grantedAt};
         }
         probeReturned(request, query.probe);
     }
     if (now < query.deniedUntil) {
-        return {ProbeState::Denied};
+        return {};
     }
     if (now - query.sentAt < m_options.replyTimeout) {
-        return {ProbeState::Pending};
+        return {.state = ProbeState::Pending};
     }
     const auto grantHere = [&]() -> ProbeAnswer {
         const auto probe = grant(request, m_self, now);
-        return probe ? ProbeAnswer {ProbeState::Granted, *probe} : ProbeAnswer {ProbeState::Denied};
+        return probe ? ProbeAnswer {ProbeState::Granted, *probe, now} : ProbeAnswer();
     };
     const auto judge = arbiter();
     if (judge == m_self) {
@@ -475,7 +485,7 @@
     }
     if (query.sentAt != TimePoint() && now - query.sentAt < m_options.replyTimeout + m_options.retryDenied) {
         // The arbiter hasn't replied, it may have ended. Below the limit, one run more does less harm than rejecting every request that was in flight.
-        return hasReachedLimit(request) ? ProbeAnswer {ProbeState::Denied} : grantHere();
+        return hasReachedLimit(request) ? ProbeAnswer() : grantHere();
     }
     query.sentAt = now;
     query.request = request;
@@ -484,7 +494,7 @@
         message.records.push_back(exported(subject, *find(subject), now));
     }
     message.queries.push_back({request});
-    return {ProbeState::Pending};
+    return {.state = ProbeState::Pending};
 }
 
 } // namespace KingCup
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -58,7 +58,9 @@
     Duration announceTime = Duration::millis(200);
     Duration probeTime = Duration::millis(500); ///< after the grant of a probe, other requests wait this long for its result
     Duration replyTimeout = Duration::millis(150); ///< an arbiter that doesn't reply within this time grants no probe
-    Duration grantLifetime = Duration::millis(1000); ///< of a granted probe that isn't used, which is then returned
+    /// Of a granted probe that isn't sent, which is then returned. Shorter than CrashLimits::maxProbeRun: else the arbiter would grant further ones while
+    /// requests wait with theirs for a target that is down, and all would be sent when it is back.
+    Duration grantLifetime = Duration::millis(1000);
     Duration retryDenied = Duration::millis(500); ///< after a denial, until the arbiter is asked again
     Duration lifetime = Duration::seconds(120); ///< of a history that no request has used
     Duration withdrawnLifetime = Duration::seconds(5); ///< of a history whose ends are all withdrawn; longer than messages are under way
@@ -110,7 +112,8 @@
 
 struct ProbeAnswer {
     ProbeState state = ProbeState::Denied;
-    std::uint64_t probe = 0; ///< if granted: for probeEnded() and probeReturned()
+    std::uint64_t probe = 0; ///< if granted: for probeEnded(), probeUnsent() and probeReturned()
+    TimePoint grantedAt; ///< for probeUnsent()
 };
 
 /// The suspect that decides about a request.
@@ -169,6 +172,9 @@
     auto probeSent(const CrashSubjects &request, std::uint64_t probe, const TargetIncarnation &target) -> void;
     auto probeEnded(const CrashSubjects &request, std::uint64_t probe) -> void; ///< the run of this gateway's probe has ended, or its target has
     auto probeReturned(const CrashSubjects &request, std::uint64_t probe) -> void; ///< this gateway's probe wasn't sent
+    /// This gateway's probe wasn't sent, but may be soon: the next requestProbe() for the request gets it again, until CrashRepeatOptions::grantLifetime after
+    /// its grant.
+    auto probeUnsent(const CrashSubjects &request, const ProbeAnswer &granted, TimePoint now) -> void;
 
     // Commands: other gateways
     auto setGateways(std::set<std::string> live) -> void; ///< the other gateways that are live
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -115,8 +115,10 @@
     m_runs.abandoned(run, now());
 }
 
-auto CrashWatch::targetReplaced(const TargetIncarnation &target) -> void
+auto CrashWatch::misdirected(SendId run, const TargetIncarnation &target) -> void
 {
+    m_runs.notSent(run);
+    endProbe(run);
     m_runs.replaced(target);
     applyVerdicts();
 }
@@ -294,6 +296,16 @@
     flush();
 }
 
+auto CrashWatch::probeUnsent(const CrashSubjects &request, const ProbeAnswer &granted) -> void
+{
+    m_crashes.probeUnsent(request, granted, now());
+    m_parts.log.line("crashes", "probe-unsent")
+        .add("request", request.request.value)
+        .add("probe", granted.probe)
+        .add("granted-before", now() - granted.grantedAt);
+    flush();
+}
+
 auto CrashWatch::rejected(const CrashSubjects &request, const AttemptId &attempt) -> void
 {
     m_crashes.used(request, now());
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -67,8 +67,9 @@
     auto retryAfter(const CrashSubjects &request) const -> Duration; ///< until it may be sent again; see CrashRepeats
 
     // Commands: this gateway's requests
-    auto requestProbe(const CrashSubjects &request) -> ProbeAnswer; ///< if granted, call sentProbe() or probeReturned()
+    auto requestProbe(const CrashSubjects &request) -> ProbeAnswer; ///< if granted, call sentProbe()
     auto probeReturned(const CrashSubjects &request, std::uint64_t probe) -> void; ///< a granted probe wasn't sent
+    auto probeUnsent(const CrashSubjects &request, const ProbeAnswer &granted) -> void; ///< the same, but it may be sent soon; see CrashRepeats
     auto rejected(const CrashSubjects &request, const AttemptId &attempt) -> void; ///< a client's request was rejected because it needs a grant
     auto sent(SendId run, const WatchedTarget &target, RunWatch::Subjects subjects) -> void;
     /// Call after sent().
@@ -78,11 +79,11 @@
     /// A request with these parts was answered with success. `subjects` is called only if something is suspected.
     auto succeeded(const std::vector<CrashSubject> &parts, const RunWatch::Subjects &subjects, bool wasProbe) -> void;
     auto notSent(SendId run) -> void; ///< nothing of the request has reached the target
+    auto misdirected(SendId run, const TargetIncarnation &target) -> void; ///< another target answers at its address, and hasn't run the request
     auto broke(SendId run) -> void; ///< the connection ended before the complete answer
     auto abandoned(SendId run) -> void; ///< by its caller, or at its time limit
 
     // Commands: targets
-    auto targetReplaced(const TargetIncarnation &target) -> void; ///< another target answers at its address
     auto targetSeen(const TargetDescription &target) -> void; ///< its row is new or has changed
     auto advance() -> void; ///< call a few times a second
 
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -200,8 +200,7 @@
 auto ForwardedRequest::onAnswer() -> void
 {
     if (m_answer.isMisdirected && !m_answer.target.isEmpty() && m_answer.target != m_target) {
-        m_owner.parts.crashes.notSent(m_send);
-        m_owner.parts.crashes.targetReplaced(m_incarnation);
+        m_owner.parts.crashes.misdirected(m_send, m_incarnation);
     } else {
         m_owner.parts.crashes.answered(m_send, m_incarnation, m_sentAt);
     }
@@ -282,7 +281,9 @@
     const bool hadNoAnswer = !m_hasHead && !end.wasReused;
     if (neverSent) {
         m_owner.parts.crashes.notSent(m_send);
-        m_grantedProbe = m_isProbe ? std::optional(m_probe) : std::nullopt;
+        if (m_isProbe) {
+            m_owner.parts.crashes.probeUnsent(subjects(), m_probe);
+        }
     } else {
         logRunEnd("broken");
         m_owner.parts.crashes.broke(m_send);
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -201,10 +201,11 @@
     if (!m_request.model.empty() && !admit(choice)) {
         return;
     }
-    if (needsGrant() && !becomeProbe()) {
+    const bool isProbe = needsGrant();
+    if (isProbe && !becomeProbe()) {
         return;
     }
-    send(choice);
+    send(choice, isProbe);
 }
 
 /// A probe goes to a target where no other one runs, if it can: if both ended with it, nothing would be known of either.
@@ -224,7 +225,7 @@
 /// Whether a request that may crash targets can be sent as a probe. Otherwise it waits for the result of another probe, or is rejected.
 auto ForwardedRequest::mayBecomeProbe() -> bool
 {
-    if (m_grantedProbe || m_owner.parts.crashes.mayBeProbed(subjects())) {
+    if (m_owner.parts.crashes.mayBeProbed(subjects())) {
         return true;
     }
     awaitProbe();
@@ -234,13 +235,9 @@
 /// Asks for a probe when a target has been chosen: a probe that can't be sent would be lost.
 auto ForwardedRequest::becomeProbe() -> bool
 {
-    if (m_grantedProbe) {
-        return true;
-    }
-    const auto answer = m_owner.parts.crashes.requestProbe(subjects());
-    switch (answer.state) {
+    m_probe = m_owner.parts.crashes.requestProbe(subjects());
+    switch (m_probe.state) {
     case ProbeState::Granted:
-        m_grantedProbe = answer.probe;
         return true;
     case ProbeState::Pending:
         tryAgainAfter(ProbePollPeriod);
@@ -369,7 +366,7 @@
     }
 }
 
-auto ForwardedRequest::send(const DispatchChoice &choice) -> void
+auto ForwardedRequest::send(const DispatchChoice &choice, bool isProbe) -> void
 {
     leavePermitQueue();
     ++m_sends;
@@ -395,10 +392,9 @@
     }
     leaveSlotQueue();
     m_owner.parts.crashes.sent(m_send, {choice.incarnation, m_request.service, choice.address}, [this] { return subjects(); });
-    m_isProbe = m_grantedProbe.has_value();
+    m_isProbe = isProbe;
     if (m_isProbe) {
-        m_probe = *std::exchange(m_grantedProbe, std::nullopt);
-        m_owner.parts.crashes.sentProbe(m_send, subjects(), m_probe, m_traits.attempt, choice.incarnation);
+        m_owner.parts.crashes.sentProbe(m_send, subjects(), m_probe.probe, m_traits.attempt, choice.incarnation);
     }
     m_owner.parts.limits.sent(choice.incarnation);
     m_owner.hooks.onSent(choice.target, m_request, m_send);
@@ -521,9 +517,6 @@
     m_unackedTimer.cancel();
     m_exchange->onGone = nullptr;
     m_exchange->onDrained = nullptr;
-    if (m_grantedProbe) {
-        m_owner.parts.crashes.probeReturned(subjects(), *std::exchange(m_grantedProbe, std::nullopt));
-    }
     if (m_lookup) {
         m_owner.parts.origins.cancel(*std::exchange(m_lookup, std::nullopt));
     }
@@ -541,7 +534,7 @@
         } else {
             m_owner.parts.crashes.notSent(m_send);
             if (m_isProbe) {
-                m_owner.parts.crashes.probeReturned(subjects(), m_probe);
+                m_owner.parts.crashes.probeReturned(subjects(), m_probe.probe);
             }
         }
         call->cancel();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -132,7 +132,7 @@
     auto ownBand() const -> UrgencyBand; ///< before a demotion
     auto latestStart(Duration ownTime) const -> TimePoint;
     auto logChoice(const DispatchChoice &choice) -> void;
-    auto send(const DispatchChoice &choice) -> void;
+    auto send(const DispatchChoice &choice, bool isProbe) -> void;
     auto requestHeaders(const DispatchChoice &choice) const -> HttpHeaders;
     auto checkUnacknowledged(std::size_t unackedBefore) -> void;
     auto onHead(const HttpHead &head) -> AnswerVerdict;
@@ -225,8 +225,7 @@
     Duration m_retryAfter = DefaultRetryAfter;
     std::optional<CrashSubjects> m_subjects;
     std::vector<CrashSubject> m_sharedParts; ///< of the prompt
-    std::optional<std::uint64_t> m_grantedProbe; ///< that isn't sent yet
-    std::uint64_t m_probe = 0; ///< if the latest send is one
+    ProbeAnswer m_probe; ///< granted for the latest send or the next one
     bool m_isProbe = false; ///< the latest send is a probe
     std::optional<TimePoint> m_probeAwaitedUntil; ///< until when it waits for the result of another probe, once it has begun to
     bool m_finished = false;
--- a/tests/sim_crashfleet.h
+++ b/tests/sim_crashfleet.h
@@ -502,7 +502,6 @@
         }
         const auto left = client.sentAt + m_options.clientTimeout - clock.now();
         if (left <= Duration()) {
-            gateway.node->finished(client.id, clock.now());
             return;
         }
         std::vector<std::size_t> up;
@@ -515,9 +514,8 @@
             clock.after(WaitStep, [this, client] { attempt(client, clock.now()); });
             return;
         }
-        const auto decision = gateway.node->decide(client.request, client.id, clock.now());
+        const auto decision = gateway.node->decide(client.request, clock.now());
         if (decision == SimDecision::Reject || (decision == SimDecision::Wait && clock.now() - since > MaxWait)) {
-            gateway.node->finished(client.id, clock.now());
             if (client.request.parts.empty()) {
                 ++m_histories[client.request.id].rejected;
             }
@@ -570,7 +568,7 @@
         const auto index = m_random() % m_targets.size();
         const auto &target = m_targets[index];
         if (!target.isUp) {
-            gateway.node->refused(client.request, client.id);
+            gateway.node->refused(client.request, clock.now());
             clock.after(ConnectRetryDelay, [this, client, since] { attempt(client, since); });
             return;
         }
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -56,14 +56,9 @@
         useArchive(now);
     }
 
-    /// `client`: the request's number, by which it keeps a granted probe that couldn't be sent.
-    auto decide(const SimRequest &request, std::uint64_t client, TimePoint now) -> SimDecision
+    auto decide(const SimRequest &request, TimePoint now) -> SimDecision
     {
         const auto subjects = subjectsOf(request);
-        if (const auto kept = m_kept.extract(client); !kept.empty()) {
-            m_nextProbe = kept.mapped().id;
-            return SimDecision::Run;
-        }
         if (m_archive.isStarting(now)) {
             return SimDecision::Wait;
         }
@@ -76,7 +71,7 @@
             flush(now);
         }
         if (answer.state == ProbeState::Granted) {
-            m_nextProbe = answer.probe;
+            m_nextProbe = answer;
             return SimDecision::Run;
         }
         if (answer.state == ProbeState::Pending || m_crashes.isBeingProbed(subjects, now)) {
@@ -90,7 +85,7 @@
         auto subjects = subjectsOf(request);
         m_open[run] = {subjects, target, now, m_nextProbe.has_value()};
         if (m_nextProbe) {
-            m_probes[run] = {subjects, *std::exchange(m_nextProbe, std::nullopt)};
+            m_probes[run] = {subjects, std::exchange(m_nextProbe, std::nullopt)->probe};
             m_crashes.probeSent(subjects, m_probes[run].id, target);
             flush(now);
         }
@@ -98,17 +93,10 @@
             run, {target, ServiceName("s"), address}, [subjects] { return subjects; }, now);
     }
     /// The target refused the connection: the request that decide() let run hasn't been sent.
-    auto refused(const SimRequest &request, std::uint64_t client) -> void
+    auto refused(const SimRequest &request, TimePoint now) -> void
     {
-        if (m_nextProbe) {
-            m_kept[client] = {subjectsOf(request), *std::exchange(m_nextProbe, std::nullopt)};
-        }
-    }
-    /// A request that may not have been sent has ended.
-    auto finished(std::uint64_t client, TimePoint now) -> void
-    {
-        if (const auto kept = m_kept.extract(client); !kept.empty()) {
-            m_crashes.probeReturned(kept.mapped().subjects, kept.mapped().id);
+        if (const auto granted = std::exchange(m_nextProbe, std::nullopt)) {
+            m_crashes.probeUnsent(subjectsOf(request), *granted, now);
             flush(now);
         }
     }
@@ -117,8 +105,8 @@
     {
         m_open.erase(run);
         m_runs.notSent(run);
+        endProbe(run);
         m_runs.replaced(target);
-        m_probes.erase(run);
         advance(now);
     }
     /// Whether the request that is to be sent next had better go to another target.
@@ -283,8 +271,7 @@
     int m_reportCount = 0;
     std::map<SendId, Open> m_open;
     std::map<SendId, Probe> m_probes;
-    std::map<std::uint64_t, Probe> m_kept; ///< granted and not sent, by client
-    std::optional<std::uint64_t> m_nextProbe;
+    std::optional<ProbeAnswer> m_nextProbe;
 };
 
 } // namespace KingCup
--- a/tests/unit_crashcopies.cpp
+++ b/tests/unit_crashcopies.cpp
@@ -116,6 +116,40 @@
     CHECK(there.verdict(plain(Deadly), at(3.3)).obstacle == ProbeObstacle::None);
 }
 
+TEST_CASE("a granted probe whose target refuses the connection can be sent later, but only for a moment")
+{
+    // Guards against requests that keep grants while they wait for a target that is down: the arbiter grants others meanwhile, and all run when it is back.
+    Pair gateways;
+    auto &[here, there] = gateways;
+    here.targetEnded(plain(Deadly), target(1), freshRun(), at(2), at(2));
+    exchange(here, there, at(2));
+    const bool isArbiter = GENERATE(true, false);
+    auto &asking = (here.arbiter() == "a") == isArbiter ? here : there;
+    const auto request = [&](TimePoint now) {
+        auto answer = asking.requestProbe(plain(Deadly), now);
+        exchange(here, there, now);
+        return answer.state == ProbeState::Pending ? asking.requestProbe(plain(Deadly), now) : answer;
+    };
+    const auto granted = request(at(2.1));
+    REQUIRE(granted.state == ProbeState::Granted);
+    asking.probeUnsent(plain(Deadly), granted, at(2.2));
+    const auto again = request(at(2.9));
+    REQUIRE(again.state == ProbeState::Granted);
+    CHECK(again.probe == granted.probe);
+    asking.probeUnsent(plain(Deadly), again, at(2.95));
+    CHECK(there.verdict(plain(Deadly), at(3)).obstacle == ProbeObstacle::InProgress);
+    asking.expire(at(3.2));
+    exchange(here, there, at(3.2));
+    CHECK(here.verdict(plain(Deadly), at(3.3)).obstacle == ProbeObstacle::None);
+    CHECK(there.verdict(plain(Deadly), at(3.3)).obstacle == ProbeObstacle::None);
+    const auto next = request(at(3.3));
+    REQUIRE(next.state == ProbeState::Granted);
+    CHECK(next.probe != granted.probe);
+    asking.probeUnsent(plain(Deadly), next, at(4.4)); // too late to be kept
+    exchange(here, there, at(4.4));
+    CHECK(here.verdict(plain(Deadly), at(4.5)).obstacle == ProbeObstacle::None);
+}
+
 TEST_CASE("after three runs that ended with one target, a request that goes on crashing targets gets at most three probes")
 {
     // Guards against a limit that counts targets only: three copies in flight at one crash are the three runs after which no more than three are promised.
