forwarder: look whether the caller has closed its connection before a request is sent

Cause: a close was seen only when the caller's connection was read again. A gateway that is behind reads a request, sends it, and reads the close with the next event of that connection; after a stall, timers send requests that waited before any connection is read. Change: the state of the caller's connection (POLLRDHUP) is checked when a request has been read, before it is sent, and when a new connection to its target is established. That is one system call more each. Requests in the kernel's buffers of the target's connection can't be recalled. A request whose caller has closed before it was read doesn't reach the handler any more. A test in unit_callerserver relied on that order; it now closes after the handler has been called, and checks besides that the close is seen before it is read.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -90,6 +90,10 @@
     {
         return m_unreadBytes;
     }
+    auto hasCallerLeft() const -> bool
+    {
+        return !m_stream || m_stream->hasPeerClosed();
+    }
     auto mayReadRequest() const -> bool
     {
         return !m_exchange && pendingBytes() <= MaxUnsentBytes;
@@ -252,6 +256,11 @@
 
 auto CallerConnection::dispatch() -> void
 {
+    if (hasCallerLeft()) {
+        ++m_server->counts.departed;
+        close();
+        return;
+    }
     m_closeAfterAnswer = !m_reader.head().keepsConnection;
     m_exchange = std::make_shared<CallerExchange>(weak_from_this(), m_reader.head(), std::move(m_body), m_requestStartedAt);
     ++m_server->openExchanges;
@@ -392,6 +401,12 @@
     return m_startedAt;
 }
 
+auto CallerExchange::hasCallerLeft() const -> bool
+{
+    const auto connection = m_connection.lock();
+    return !connection || connection->hasCallerLeft();
+}
+
 auto CallerExchange::isOpen() const -> bool
 {
     return !m_finished && !m_connection.expired();
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -33,6 +33,8 @@
     auto head() const -> const HttpHead &;
     auto body() const -> const std::string &;
     auto startedAt() const -> TimePoint; ///< when the request's first byte was read
+    /// The caller has closed its connection, also if that is still to be read after other bytes or other connections.
+    auto hasCallerLeft() const -> bool;
     auto isOpen() const -> bool; ///< the caller is connected and its answer isn't finished
     auto hasBegun() const -> bool; ///< the answer's status line was written
     auto pendingBytes() const -> std::size_t; ///< written, and not yet accepted by the socket
@@ -70,6 +72,7 @@
 struct CallerServerCounts {
     std::uint64_t accepted = 0; ///< connections accepted
     std::uint64_t dropped = 0; ///< connections closed because callers together didn't read as much as setMaxUnsent() allows to be held
+    std::uint64_t departed = 0; ///< requests dropped without calling the handler because their callers had closed the connection
     std::uint64_t malformed = 0; ///< requests that were malformed, too large or too slow; answered without calling the handler
 };
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -201,6 +201,9 @@
     if (!m_request.model.empty() && !admit(choice)) {
         return;
     }
+    if (endIfCallerLeft()) {
+        return;
+    }
     const bool isProbe = needsGrant();
     if (isProbe && !becomeProbe()) {
         return;
@@ -409,6 +412,9 @@
     if (choice.isLastResort) {
         call.maxIdleTime = Duration(); // 0 forces a new connection: if the target is down, connecting fails, and the request certainly wasn't sent
     }
+    call.onConnected = [this] {
+        endIfCallerLeft();
+    };
     call.onHead = [this](const HttpHead &head) {
         return onHead(head);
     };
@@ -480,6 +486,20 @@
     abandon(certainlyDidNotRun() ? HttpStatus::Unavailable : HttpStatus::GatewayTimeout, "timeout");
 }
 
+/// A close that waits behind other input is read later than the request could be sent: timers run before any input, and connections in turn.
+auto ForwardedRequest::endIfCallerLeft() -> bool
+{
+    if (!m_exchange->hasCallerLeft()) {
+        return false;
+    }
+    const auto self = shared_from_this();
+    const auto exchange = m_exchange;
+    m_owner.parts.metrics.add("callers_left_before_send_total");
+    finish(0, "caller-left-before-send");
+    exchange->abort();
+    return true;
+}
+
 auto ForwardedRequest::onGone() -> void
 {
     const auto self = shared_from_this();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -167,6 +167,7 @@
     auto abandon(int status, const char *why) -> void;
     auto onTimeout() -> void;
     auto onGone() -> void;
+    auto endIfCallerLeft() -> bool; ///< true if it has ended the request
     auto lateness() const -> const char *; ///< which goals of the route the answer missed: "first" bytes, "pause", "both", or "no"
     auto finish(int status, const char *outcome) -> void;
     auto now() const -> TimePoint
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -157,6 +157,13 @@
     prepareReader();
     if (!m_stream) {
         m_stream = TcpStream::connect(m_loop, m_server, m_pool->options.tcp);
+        m_stream->onConnected = [this] {
+            const auto self = shared_from_this(); // the hook may cancel the call
+            const auto current = m_call;
+            if (current && current->onConnected) {
+                current->onConnected();
+            }
+        };
         m_stream->onData = [this](std::string_view bytes) {
             onData(bytes);
         };
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -45,6 +45,8 @@
     std::string body;
     Duration maxIdleTime = Duration::seconds(60); ///< a connection that was idle for longer isn't reused; 0: always connect anew
 
+    /// A new connection is established, and the call isn't sent yet: it may still be cancelled without having reached the server.
+    std::function<void()> onConnected;
     std::function<AnswerVerdict(const HttpHead &head)> onHead; ///< not set: every answer is accepted
     std::function<void(std::string_view bytes)> onBody;
     std::function<void(const PooledEnd &end)> onEnd; ///< exactly once, unless cancelled; no hook is called after it
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -319,6 +320,12 @@
     return queued - std::min(unsent, queued);
 }
 
+auto TcpStream::hasPeerClosed() const -> bool
+{
+    pollfd state {d->polled->descriptor(), POLLRDHUP, 0};
+    return state.fd < 0 || (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
 auto TcpStream::peer() const -> std::string
 {
     sockaddr_in address {};
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -61,6 +61,8 @@
     auto undeliveredBytes() const -> std::size_t; ///< written, not yet acknowledged by the remote side's TCP stack
     /// Of these, the bytes that were sent. 0 if the remote side has acknowledged all that it has space for, which a slow reader does too.
     auto unackedBytes() const -> std::size_t;
+    /// The remote side has closed the connection or its sending side, or has reset it, even if bytes that it sent before are still to be read.
+    auto hasPeerClosed() const -> bool;
     auto peer() const -> std::string; ///< the remote side's IP address; empty if unknown
 
     auto write(std::string_view bytes) -> void;
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -131,11 +131,24 @@
             left = true;
         };
     };
-    auto gone = rawCall(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", RawAfter::Close);
+    auto caller = std::make_unique<SlowReader>(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(fixture.loop.runUntil([&] { return !fixture.seen.empty(); }, Duration::seconds(2)));
+    CHECK_FALSE(fixture.seen.at(0)->hasCallerLeft());
+    caller.reset();
+    CHECK(fixture.seen.at(0)->hasCallerLeft()); // before the close is read
     CHECK(fixture.loop.runUntil([&] { return left; }, Duration::seconds(2)));
     CHECK_FALSE(fixture.seen.at(0)->isOpen());
     fixture.seen.at(0)->respond(200, {}, "too late"); // does nothing
-    gone.get();
+}
+
+TEST_CASE("a request whose caller has closed the connection before it is read doesn't reach the handler")
+{
+    // Guards against work for callers that have left while the process was busy.
+    ServerFixture fixture;
+    rawCall(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", RawAfter::Close).get();
+    CHECK(fixture.loop.runUntil([&] { return fixture.server.counts().departed == 1; }, Duration::seconds(2)));
+    CHECK(fixture.seen.empty());
+    CHECK(fixture.server.connections() == 0);
 }
 
 TEST_CASE("a leaving process closes each connection after its answer, and idle ones on request")
