net, forwarder: bound what a target may send that is no answer

Targets may send such bytes without end, until the connection is closed. Callers waited for their time limit, or got such bytes until then, and a gateway kept them in memory: heads with a reason phrase, blanks or interim answers without end, chunk lines, extensions and trailers, late answers to other requests, events without an end, bodies of rejections, and bodies of health checks, reports and store answers. Cause: only names and values of headers were counted. Change: HttpReader counts the bytes since the last progress; the pool limits interim answers, skipped bodies and the bodies of the gateway's own calls; the forwarder breaks off an event of more than 1 MB and a dropped body of more than 8 MB. The connection is closed, the request counts as run, and the target as failing, so that it is ejected like one that breaks off. A plain body without end is still passed on until the route's time limit, with bounded memory, and then cut off; it doesn't count against the target, as a long body doesn't look different.

--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -22,6 +22,7 @@
 constexpr auto RefusedWithin = Duration::millis(100);
 /// After its start, until a gateway has found the other ones.
 constexpr auto ArbitrationDelay = Duration::millis(1500);
+constexpr std::size_t MaxHealthBody = 64U << 10U;
 constexpr auto ArchiveKey = "records";
 constexpr std::size_t MaxArchiveBytes = 32U << 10U; ///< the store's rows hold twice as much in all known deployments
 
@@ -171,7 +172,7 @@
         check->timeout = m_parts.loop.after(CheckTimeout, [this, incarnation] { finishCheck(incarnation, TargetSign::Unanswered); });
         return;
     }
-    auto call = collectingCall(target.address, m_parts.protocol.healthCall(path, incarnation.id), check->answer);
+    auto call = collectingCall(target.address, m_parts.protocol.healthCall(path, incarnation.id), check->answer, MaxHealthBody);
     call.maxIdleTime = Duration();
     call.onEnd = [this, incarnation, check](const PooledEnd &end) {
         check->call = nullptr;
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -68,7 +68,7 @@
     if (!m_isEventStream) {
         m_events.reset();
     } else if (m_route.isResumable && !m_events) {
-        m_events.emplace([this](std::string_view raw) { forwardBytes(raw); });
+        m_events.emplace([this](std::string_view raw) { forwardBytes(raw); }, m_owner.options.maxEvent);
     }
 }
 
@@ -83,11 +83,20 @@
     m_owner.parts.crashes.received(m_send, m_sharedParts);
     recordProgress();
     if (m_isEventStream && !m_events) {
+        const auto before = m_boundary.events();
         m_boundary.feed(bytes);
+        m_eventBytes = m_boundary.isBetweenEvents() || m_boundary.events() > before ? 0 : m_eventBytes + bytes.size();
+        if (m_eventBytes > m_owner.options.maxEvent) {
+            breakOff("event-too-long");
+            return;
+        }
     }
     if (!m_isForwarding) {
         // The client gets nothing of an answer by which the request hasn't run, or that doesn't resume a begun stream, however long it is.
         if (m_answer.isNotRun || promisesNotRun(m_head.status) || m_exchange->hasBegun()) {
+            if (m_answerBytes > m_owner.options.maxDroppedBody) {
+                breakOff("dropped-body-too-long");
+            }
             return;
         }
         m_bufferedBody.append(bytes);
@@ -104,9 +113,29 @@
     } else {
         forwardBytes(bytes);
     }
+    if (m_events && m_events->isTooLong()) {
+        breakOff("event-too-long");
+        return;
+    }
     reportEvents();
 }
 
+/// The target goes on sending what is no answer. The request may have run, whatever the head of the answer says.
+auto ForwardedRequest::breakOff(const char *why) -> void
+{
+    if (m_finished || !m_call) {
+        return;
+    }
+    m_owner.parts.log.line("answer", "broken-off")
+        .add("id", m_traits.attempt.text())
+        .add("target", m_target.text())
+        .add("why", why)
+        .add("bytes", static_cast<std::uint64_t>(m_answerBytes));
+    m_owner.parts.metrics.add("answers_broken_off_total");
+    std::exchange(m_call, nullptr)->cancel();
+    onFailure({CallEnd::Broken, true, false, std::nullopt, Duration()});
+}
+
 /// Reports the events that the last piece of the body completed. The boundary counts from the beginning of the answer.
 auto ForwardedRequest::reportEvents() -> void
 {
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -150,6 +150,7 @@
     auto copiesInFlight() -> std::string;
     auto addAnswerEnd(LogLine &line) const -> void;
     auto recordSuccess() -> void;
+    auto breakOff(const char *why) -> void;
     auto onEnd(const PooledEnd &end) -> void;
     auto onAnswer() -> void;
     auto onFailure(const PooledEnd &end) -> void;
@@ -201,6 +202,7 @@
     std::optional<LookupId> m_lookup; ///< of where a stream began that the client takes up
     bool m_isRecorded = false; ///< OriginTask::began() was called
     bool m_isEventStream = false; ///< the latest answer is a stream of events
+    std::size_t m_eventBytes = 0; ///< of the event that m_boundary is in
     EventBoundary m_boundary; ///< of the latest answer, unless m_events follows it
     std::optional<TcpEnd> m_connectionEnd; ///< how the latest answer's connection ended; nothing: the target didn't end it
     bool m_hasHead = false;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -68,6 +68,8 @@
 struct ForwarderOptions {
     std::uint64_t seed = 1; ///< of the random number generator
     std::size_t streamBuffer = 256U << 10U; ///< bytes pending towards a client above which reading from its target is paused
+    std::size_t maxEvent = 1U << 20U; ///< bytes of an event; a stream with a longer one is broken off, as what the target sends aren't events
+    std::size_t maxDroppedBody = 8U << 20U; ///< bytes of an answer of which the client gets nothing; a longer one is broken off
     std::size_t maxBufferedAnswer = 1U << 20U; ///< bytes of an answer kept until it is complete; longer ones are forwarded as they arrive
     int maxSends = 4; ///< per request, including sends that the target rejected
 };
--- a/src/gateway/pooledcall.cpp
+++ b/src/gateway/pooledcall.cpp
@@ -3,9 +3,10 @@
 namespace KingCup
 {
 
-auto collectingCall(const Endpoint &server, EncodedCall text, const std::shared_ptr<CollectedAnswer> &into) -> PooledCall
+auto collectingCall(const Endpoint &server, EncodedCall text, const std::shared_ptr<CollectedAnswer> &into, std::size_t maxBody) -> PooledCall
 {
     PooledCall call;
+    call.maxBody = maxBody;
     call.server = server;
     call.method = std::move(text.method);
     call.target = std::move(text.target);
--- a/src/gateway/pooledcall.h
+++ b/src/gateway/pooledcall.h
@@ -4,6 +4,7 @@
 #include "gateway/protocol.h"
 #include "net/httppool.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -17,7 +18,10 @@
     std::string body;
 };
 
-/// Builds a call that collects its answer in `into`. The caller sets onEnd.
-auto collectingCall(const Endpoint &server, EncodedCall text, const std::shared_ptr<CollectedAnswer> &into) -> PooledCall;
+inline constexpr std::size_t MaxCollectedBody = 16U << 20U; ///< the store's largest answers, with space for their encoding
+
+/// Builds a call that collects its answer in `into`; a body of more than `maxBody` bytes ends it as Broken. The caller sets onEnd.
+auto collectingCall(const Endpoint &server, EncodedCall text, const std::shared_ptr<CollectedAnswer> &into, std::size_t maxBody = MaxCollectedBody)
+    -> PooledCall;
 
 } // namespace KingCup
--- a/src/gateway/runnercalls.cpp
+++ b/src/gateway/runnercalls.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t MaxReportBody = 1U << 20U; ///< a report lists some hundred models, adapters and runs
+
 struct RunnerCall : CollectedAnswer {
     std::shared_ptr<PooledHandle> handle;
     Timer timer;
@@ -26,7 +28,7 @@
 auto RunnerCalls::start(const Endpoint &runner, EncodedCall text, const Done &done) -> void
 {
     auto state = std::make_shared<RunnerCall>();
-    auto pooled = collectingCall(runner, std::move(text), state);
+    auto pooled = collectingCall(runner, std::move(text), state, MaxReportBody);
     pooled.onEnd = [state, done](const PooledEnd &end) {
         state->timer.cancel();
         state->handle = nullptr;
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -70,6 +70,7 @@
 private:
     auto onData(std::string_view bytes) -> void;
     auto onHead() -> void;
+    auto isBodyTooLong() const -> bool;
     auto onClosed(TcpEnd how) -> void;
     auto onAnswered(bool noBytesFollow) -> void;
     auto finish(CallEnd end, std::optional<TcpEnd> how) -> void;
@@ -85,6 +86,8 @@
     bool m_busy = false;
     int m_calls = 0; ///< calls started on this connection
     int m_skipped = 0; ///< late answers skipped during this call
+    int m_interim = 0; ///< interim answers during this call
+    std::size_t m_bodyBytes = 0; ///< of the answer that is being read
     bool m_wasSent = false;
     TimePoint m_idleSince;
     Duration m_idleBefore; ///< idle time before the current call
@@ -132,12 +135,14 @@
 {
     m_reader.reset();
     m_verdict = AnswerVerdict::Accept;
+    m_bodyBytes = 0;
     m_reader.onHead = [this] {
         onHead();
     };
     m_reader.onBody = [this](std::string_view bytes) {
         const auto call = m_call;
-        if (m_verdict == AnswerVerdict::Accept && call && call->onBody) {
+        m_bodyBytes += bytes.size();
+        if (m_verdict == AnswerVerdict::Accept && call && call->onBody && !isBodyTooLong()) {
             call->onBody(bytes);
         }
     };
@@ -153,6 +158,7 @@
     m_idleBefore = m_calls > 0 ? m_loop.now() - m_idleSince : Duration();
     ++m_calls;
     m_skipped = 0;
+    m_interim = 0;
     m_wasSent = false;
     prepareReader();
     if (!m_stream) {
@@ -236,6 +242,14 @@
     m_verdict = call && call->onHead ? call->onHead(head) : AnswerVerdict::Accept;
 }
 
+auto PoolConnection::isBodyTooLong() const -> bool
+{
+    if (!m_call || m_pool == nullptr) {
+        return false;
+    }
+    return m_bodyBytes > (m_verdict == AnswerVerdict::Skip ? m_pool->options.maxSkippedBody : m_call->maxBody);
+}
+
 auto PoolConnection::onData(std::string_view bytes) -> void
 {
     const auto self = shared_from_this(); // a hook may cancel the call
@@ -251,7 +265,7 @@
             return;
         }
         bytes.remove_prefix(std::min(used, bytes.size()));
-        if (m_reader.fault() != HttpFault::None || (m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse)) {
+        if (m_reader.fault() != HttpFault::None || isBodyTooLong() || (m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse)) {
             finish(CallEnd::Broken, std::nullopt);
             return;
         }
@@ -263,6 +277,10 @@
             return;
         }
         const bool isInterim = m_reader.head().status < FirstFinalStatus;
+        if (isInterim && ++m_interim > m_pool->options.maxInterim) {
+            finish(CallEnd::Broken, std::nullopt);
+            return;
+        }
         if (!isInterim) {
             ++m_pool->counts.strayAnswers;
             if (++m_skipped > m_pool->options.maxSkipped || !m_reader.head().keepsConnection) {
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -13,6 +13,7 @@
 #include "net/tcpstream.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,7 @@
 
     /// A new connection is established, and the call isn't sent yet: it may still be cancelled without having reached the server.
     std::function<void()> onConnected;
+    std::size_t maxBody = std::numeric_limits<std::size_t>::max(); ///< bytes; a longer body ends the call as Broken
     std::function<AnswerVerdict(const HttpHead &head)> onHead; ///< not set: every answer is accepted
     std::function<void(std::string_view bytes)> onBody;
     std::function<void(const PooledEnd &end)> onEnd; ///< exactly once, unless cancelled; no hook is called after it
@@ -73,6 +75,8 @@
     Duration idleTimeout = Duration::seconds(60); ///< an idle connection is closed after this
     Duration idleTimeoutMargin = Duration::millis(1000); ///< closed this long before the server's own idle timeout (Keep-Alive, whole seconds)
     int maxSkipped = 2; ///< late answers skipped during one call; a further one closes the connection
+    std::size_t maxSkippedBody = 1U << 20U; ///< bytes of their bodies; a longer one closes the connection
+    int maxInterim = 16; ///< interim answers (1xx) during one call; a further one closes the connection
 };
 
 struct HttpPoolCounts {
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+/// Limit of the bytes that make up a head, a chunk line or trailers, as a multiple of the limit of a head's names and values. Separators may be longer than
+/// these, but must end: a reason phrase, blanks, chunk extensions or empty lines could go on until the connection is closed.
+constexpr std::size_t FramingFactor = 4;
+
 auto lower(char c) -> char
 {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -87,6 +91,8 @@
     http_parser parser {};
     HttpHead head;
     std::size_t headBytes = 0;
+    std::size_t framingBytes = 0; // since the last progress, which is a whole head, bytes of the body, or a whole chunk line
+    bool hasProgressed = false; // in this call of feed()
     bool begun = false;
     bool headDone = false;
     bool complete = false;
@@ -188,6 +194,7 @@
     if ((parser.flags & F_CONTENTLENGTH) != 0) {
         head.length = parser.content_length;
     }
+    hasProgressed = true;
     head.framing = framing();
     head.allowsChunks = parser.http_major > 1 || (parser.http_major == 1 && parser.http_minor >= 1);
     head.keepsConnection = http_should_keep_alive(&parser) != 0;
@@ -221,11 +228,16 @@
             return from(parser).onHeadDone();
         };
         made.on_body = [](http_parser *parser, const char *at, size_t length) {
+            from(parser).hasProgressed = true;
             if (from(parser).owner->onBody) {
                 from(parser).owner->onBody({at, length});
             }
             return 0;
         };
+        made.on_chunk_header = [](http_parser *parser) {
+            from(parser).hasProgressed = true;
+            return 0;
+        };
         made.on_message_complete = [](http_parser *parser) {
             from(parser).complete = true;
             http_parser_pause(parser, 1);
@@ -280,7 +292,12 @@
     if (d->complete || d->fault != HttpFault::None) {
         return 0;
     }
+    d->hasProgressed = false;
     const auto used = http_parser_execute(&d->parser, &Private::settings(), bytes.data(), bytes.size());
+    d->framingBytes = d->hasProgressed ? 0 : d->framingBytes + used;
+    if (d->framingBytes > d->headLimit * FramingFactor && d->fault == HttpFault::None) {
+        d->fault = HttpFault::TooLarge;
+    }
     const auto error = HTTP_PARSER_ERRNO(&d->parser);
     if (error != HPE_OK && error != HPE_PAUSED && d->fault == HttpFault::None) {
         d->fault = HttpFault::Malformed;
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -52,7 +52,7 @@
 
 enum class HttpFault {
     None,
-    TooLarge, ///< the head is longer than the limit
+    TooLarge, ///< the head, a chunk line or the trailers are longer than the limit
     Malformed, ///< not HTTP, or ambiguous framing (for example both Content-Length and chunked)
 };
 
--- a/tests/forwarder_fixture.h
+++ b/tests/forwarder_fixture.h
@@ -52,6 +52,8 @@
                          }}};
     std::vector<Run> runs; ///< requests that reached a target
     Answer answer;
+    /// Answers on the connection itself; false: `answer` does. May be empty.
+    std::function<bool(ScriptedConnection &connection, const std::string &target, const std::string &attempt)> writeAnswer;
     std::map<std::string, std::unique_ptr<ScriptedServer>> targets;
     std::unique_ptr<Forwarder> forwarder;
     std::unique_ptr<CallerServer> server;
@@ -84,13 +86,19 @@
         const auto checked = Platform::decodeTraffic(
             R"({"version":1,"services":[{"name":"s"}],"routes":[)"
             R"({"name":"write","host":"h","prefix":"/write/","service":"s","route_kind":"non_idempotent","timeout_ms":2000,"goal_ms":500,"attempts":3},)"
-            R"({"name":"read","host":"h","prefix":"/read/","service":"s","route_kind":"idempotent","timeout_ms":2000,"goal_ms":500,"attempts":3}]})");
+            R"({"name":"read","host":"h","prefix":"/read/","service":"s","route_kind":"idempotent","timeout_ms":2000,"goal_ms":500,"attempts":3},)"
+            R"({"name":"chat","host":"h","prefix":"/chat/","service":"s","route_kind":"streaming","timeout_ms":2000,"goal_ms":500,"attempts":1},)"
+            R"({"name":"tell","host":"h","prefix":"/tell/","service":"s","route_kind":"streaming","resumable":true,"timeout_ms":2000,"goal_ms":500,)"
+            R"("attempts":1}]})");
         REQUIRE(checked.isValid());
         forwarder->adopt(std::make_shared<Traffic>(checked.value));
         for (const auto *id : {"p1", "p2"}) {
             targets[id] = std::make_unique<ScriptedServer>(loop, [this, id](ScriptedConnection &connection, const HttpHead &head, const std::string &) {
                 runs.push_back({id, head.target});
-                connection.stream->write(answer(id, std::string(findHeader(head.headers, "Attempt-Id").value_or(""))));
+                const auto attempt = std::string(findHeader(head.headers, "Attempt-Id").value_or(""));
+                if (!writeAnswer || !writeAnswer(connection, id, attempt)) {
+                    connection.stream->write(answer(id, attempt));
+                }
             });
             TargetDescription description;
             description.incarnation = {TargetId(id), 1};
