--- a/tests/unit_crashcopies.cpp
+++ b/tests/unit_crashcopies.cpp
@@ -127,7 +127,7 @@
     auto &asking = (here.arbiter() == "a") == isArbiter ? here : there;
     const auto request = [&](TimePoint now) {
         auto answer = asking.requestProbe(plain(Deadly), now);
-        exchange(here, there, now);
+        exchange(gateways.here, gateways.there, now);
         return answer.state == ProbeState::Pending ? asking.requestProbe(plain(Deadly), now) : answer;
     };
     const auto granted = request(at(2.1));
--- a/tests/unit_endlessanswers.cpp
+++ b/tests/unit_endlessanswers.cpp
@@ -178,7 +178,7 @@
 {
     // Guards against a target that keeps a request until its time limit with a rejection.
     for (const auto &head : {Rejected + "\r\n", std::string("HTTP/1.1 503 X\r\nAttempt-Id: %\r\n\r\n")}) {
-        EndlessFixture fixture({"rejection", head, Piece + Piece + Piece + Piece});
+        EndlessFixture fixture({"rejection", head, std::string(65536, 'x')});
         CHECK(fixture.callEndless("/write/x") == 502);
         CHECK(fixture.runs.size() == 1);
         CHECK(fixture.senders.at(0)->bytes < 32U << 20U);
