--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -678,6 +678,7 @@
         copyUse->report();
     }
     demand->advance();
+    metrics.set("callers_left_before_read", static_cast<double>(callers->counts().departed));
 }
 
 /// Chooses the gateways that may succeed this one as lease holder.
