event boundary: count the bytes of the open event there, for both readers of streams

The length of an event without an end was kept three times: as the size of EventCursor's buffer with a flag, and by the forwarder, which also took the bytes after the last event of a piece for none. EventBoundary follows every stream, so it counts them; the cursor and the forwarder ask it, and the flag and the forwarder's counter are gone.

--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -8,11 +8,11 @@
 //
 // From its first end on a suspect runs only by a grant, one run at a time over all gateways: requests that clients send at once would otherwise all be in
 // flight before the first of them is counted. A granted run is a probe. One that succeeds clears all suspects of its request, at all gateways; one that crashes
-// its target adds an end to each. Below the limit of ends, a probe is granted soon; then there are two or three more in all, with growing delays. If the ends
-// may be explained by another suspect, which requests with the deadly part have in common too, a request with only one of the two is granted a probe at once:
-// its result tells them apart. While many other targets end, several probes of a suspect below the limit run at once: the outage explains its ends better than
-// the suspect, and requests needn't wait for one another. One gateway, the arbiter, grants all probes. All gateways find it by rendezvous hashing among those
-// that are live.
+// its target adds an end to each. Below the limit of ends, a probe is granted soon; then there are two or three more, with growing delays. CrashLimits also
+// bounds all probes since the last success. If the ends may be explained by another suspect, which requests with the deadly part have in common too, a request
+// with only one of the two is granted a probe at once: its result tells them apart. While many other targets end, several probes of a suspect below the limit
+// run at once: the outage explains its ends better than the suspect, and requests needn't wait for one another. One gateway, the arbiter, grants all probes.
+// All gateways find it by rendezvous hashing among those that are live.
 //
 // Histories are sent whole to all gateways when an end or a probe is added or a probe has ended, and to a gateway that connects. Digests carry a checksum of
 // the histories that matter; a gateway whose checksum differs is sent these histories.
--- a/src/core/eventboundary.cpp
+++ b/src/core/eventboundary.cpp
@@ -13,6 +13,11 @@
     return m_events;
 }
 
+auto EventBoundary::openBytes() const -> std::size_t
+{
+    return m_openBytes;
+}
+
 auto EventBoundary::endLine() -> void
 {
     if (!m_isLineEmpty) {
@@ -63,9 +68,11 @@
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         if (read(bytes[i]) && isBetweenEvents()) {
+            m_openBytes = 0;
             return i + 1;
         }
     }
+    m_openBytes += bytes.size();
     return bytes.size();
 }
 
--- a/src/core/eventboundary.h
+++ b/src/core/eventboundary.h
@@ -14,6 +14,7 @@
 public:
     auto isBetweenEvents() const -> bool; ///< also before the first event, and after a complete line that is a comment
     auto events() const -> std::uint64_t; ///< complete events so far
+    auto openBytes() const -> std::size_t; ///< read since the last position between two events
 
     /// Reads up to the next position between two events, or all bytes if there is none; returns how many bytes were read.
     auto advance(std::string_view bytes) -> std::size_t;
@@ -24,6 +25,7 @@
     auto endLine() -> void;
 
     std::uint64_t m_events = 0;
+    std::size_t m_openBytes = 0;
     bool m_hasFields = false; ///< lines of an event were read, and the blank line at its end is missing
     bool m_isLineEmpty = true;
     bool m_isComment = false; ///< the current line is one
--- a/src/core/eventcursor.cpp
+++ b/src/core/eventcursor.cpp
@@ -29,19 +29,18 @@
 
 auto EventCursor::isTooLong() const -> bool
 {
-    return m_isTooLong;
+    return m_boundary.openBytes() > m_maxEvent;
 }
 
 auto EventCursor::feed(std::string_view bytes) -> void
 {
-    while (!bytes.empty() && !m_isTooLong) {
+    while (!bytes.empty() && !isTooLong()) {
         const auto read = m_boundary.advance(bytes);
         m_buffer.append(bytes.substr(0, read));
         bytes.remove_prefix(read);
         if (m_boundary.isBetweenEvents()) {
             handleEvent(std::exchange(m_buffer, {}));
         }
-        m_isTooLong = m_buffer.size() > m_maxEvent;
     }
 }
 
@@ -49,7 +48,6 @@
 {
     m_buffer.clear();
     m_boundary = EventBoundary();
-    m_isTooLong = false;
 }
 
 auto EventCursor::handleEvent(std::string_view raw) -> void
--- a/src/core/eventcursor.h
+++ b/src/core/eventcursor.h
@@ -33,7 +33,6 @@
     EventBoundary m_boundary;
     std::string m_buffer;
     std::string m_lastId;
-    bool m_isTooLong = false;
 };
 
 } // namespace KingCup
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -83,10 +83,8 @@
     m_owner.parts.crashes.received(m_send, m_sharedParts);
     recordProgress();
     if (m_isEventStream && !m_events) {
-        const auto before = m_boundary.events();
         m_boundary.feed(bytes);
-        m_eventBytes = m_boundary.isBetweenEvents() || m_boundary.events() > before ? 0 : m_eventBytes + bytes.size();
-        if (m_eventBytes > m_owner.options.maxEvent) {
+        if (m_boundary.openBytes() > m_owner.options.maxEvent) {
             breakOff("event-too-long");
             return;
         }
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -379,7 +379,6 @@
     m_hasHead = false;
     m_isEventStream = false;
     m_boundary = EventBoundary();
-    m_eventBytes = 0;
     m_connectionEnd.reset();
     m_isForwarding = false;
     m_bufferedBody.clear();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -202,7 +202,6 @@
     std::optional<LookupId> m_lookup; ///< of where a stream began that the client takes up
     bool m_isRecorded = false; ///< OriginTask::began() was called
     bool m_isEventStream = false; ///< the latest answer is a stream of events
-    std::size_t m_eventBytes = 0; ///< of the event that m_boundary is in
     EventBoundary m_boundary; ///< of the latest answer, unless m_events follows it
     std::optional<TcpEnd> m_connectionEnd; ///< how the latest answer's connection ended; nothing: the target didn't end it
     bool m_hasHead = false;
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -277,11 +277,12 @@
             return;
         }
         const bool isInterim = m_reader.head().status < FirstFinalStatus;
-        if (isInterim && ++m_interim > m_pool->options.maxInterim) {
-            finish(CallEnd::Broken, std::nullopt);
-            return;
-        }
-        if (!isInterim) {
+        if (isInterim) {
+            if (++m_interim > m_pool->options.maxInterim) {
+                finish(CallEnd::Broken, std::nullopt);
+                return;
+            }
+        } else {
             ++m_pool->counts.strayAnswers;
             if (++m_skipped > m_pool->options.maxSkipped || !m_reader.head().keepsConnection) {
                 finish(CallEnd::Broken, std::nullopt);
