--- a/review/rig.h
+++ b/review/rig.h
@@ -756,6 +756,10 @@
     void start()
     {
         m_pid = fork();
+        if (m_pid < 0) {
+            std::perror("fork");
+            std::exit(2);
+        }
         if (m_pid == 0) {
             const int log = open((m_folder + "/" + name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
@@ -775,13 +779,15 @@
     }
     void signal(int number) const
     {
-        kill(m_pid, number);
+        if (m_pid > 0) { // -1 would address all processes
+            kill(m_pid, number);
+        }
     }
     /// Waits for the end; the wait status, or nothing after `ms`.
     auto waitEnd(std::int64_t ms) -> std::optional<int>
     {
         const auto until = nowMs() + ms;
-        while (nowMs() < until) {
+        while (m_pid > 0 && nowMs() < until) {
             int status = 0;
             if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
                 forget();
