review: the steady clients of the scripts aren't in step any more

In a run of case 1 in a clean clone the gateway ended by itself, but all twelve clients were between two requests at that moment, and no request was lost: the rule held. The clients start at different times and pause for different lengths now, and case 1 has sixteen.

--- a/review/rig.cpp
+++ b/review/rig.cpp
@@ -49,6 +49,7 @@
 private:
     void run(int port, int number, int gapMs)
     {
+        sleepMs(number * 31 % 200); // so that the clients aren't in step
         int fd = -1;
         std::unique_ptr<Reader> reader;
         for (int i = 0; !m_stop; ++i) {
@@ -70,7 +71,7 @@
                 close(fd);
                 fd = -1;
             }
-            sleepMs(gapMs);
+            sleepMs(gapMs + (number + i) % 7);
         }
         if (fd >= 0) {
             close(fd);
@@ -482,7 +483,7 @@
     if (!waitReady({&first, &second})) {
         return CouldNotRun;
     }
-    SteadyClients clients(record, {&first}, 12, 20);
+    SteadyClients clients(record, {&first}, 16, 5);
     sleepMs(4000);
     std::optional<int> ended;
     const auto until = nowMs() + MaxMs;
