table follower: log and measure copies that stay different from a watcher's

A gateway that served by an outdated configuration left no trace if its copy counted as complete, or if its repair made no attempt. The new line store still-differs shows both, once a second: the versions of both copies, by which way and when this one's version came, and the state of the repair. kingcup_store_copy_differs_seconds{table} is its metric. No decision changes; unit_tablefollower passes.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -66,6 +66,8 @@
         return "forwarded";
     case RowSource::PeerTable:
         return "peer-table";
+    case RowSource::EqualCopy:
+        return "equal-copy";
     }
     return "?";
 }
@@ -212,7 +214,9 @@
     hooks.onTable = [this, index](const std::vector<StoredRow> &rows, RowVersion upTo) {
         auto &mirror = m_tables.at(index).mirror;
         const bool wasLoaded = mirror.isLoaded();
+        const auto before = mirror.completeTo();
         const auto changed = mirror.applySnapshot(rows, upTo);
+        recordVersion(index, before, RowSource::Read, "-");
         if (wasLoaded) {
             applyOwnRows(index, changed, RowSource::Read);
         } else {
@@ -224,8 +228,10 @@
     };
     hooks.onChanges = [this, index](const std::vector<StoredRow> &rows, RowVersion after, RowVersion upTo) {
         auto &mirror = m_tables.at(index).mirror;
+        const auto before = mirror.completeTo();
         const auto changed = mirror.applyChanges(rows);
         mirror.markComplete(after, upTo);
+        recordVersion(index, before, RowSource::Watch, "-");
         if (!changed.empty()) {
             applyOwnRows(index, changed, RowSource::Watch);
         }
@@ -391,9 +397,12 @@
     if (checksum == 0 || !table.mirror.isLoaded()) {
         return;
     }
+    recordComparison(index, checksum == table.mirror.checksum(), id, peer, now);
     if (checksum == table.mirror.checksum()) {
         table.differsSince.reset();
-        table.mirror.markComplete(table.mirror.completeTo(), version); // the same rows
+        const auto before = table.mirror.completeTo();
+        table.mirror.markComplete(before, version); // the same rows
+        recordVersion(index, before, RowSource::EqualCopy, id);
         return;
     }
     if (version > table.mirror.completeTo()) {
@@ -418,6 +427,54 @@
     }
 }
 
+auto TableFollower::recordVersion(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void
+{
+    auto &table = m_tables.at(index);
+    if (table.mirror.completeTo() > before) {
+        table.versionSource = source;
+        table.versionPeer = peer;
+        table.versionAt = m_now;
+    }
+}
+
+/// Targets' copies differ from each other most of the time, as their rows change all the time.
+auto TableFollower::recordComparison(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void
+{
+    auto &table = m_tables.at(index);
+    if (index == TargetsTable || !isLive(peer, now)) {
+        return;
+    }
+    if (isEqual) {
+        table.unequalSince.reset();
+        return;
+    }
+    table.unequalSince = table.unequalSince.value_or(now);
+    if (now - std::max(*table.unequalSince, table.differenceLoggedAt) >= m_settings.differenceLogPeriod) {
+        table.differenceLoggedAt = now;
+        logDifference(index, id, peer, now);
+    }
+}
+
+/// Shows whether a copy that stays outdated counts as complete, or has a repair that doesn't end.
+auto TableFollower::logDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void
+{
+    const auto &table = m_tables.at(index);
+    const auto &repair = table.repair;
+    note("still-differs",
+         {{"table", nameOf(index)},
+          {"for-ms", std::to_string((now - *table.unequalSince).inMillis())},
+          {"version", textOf(table.mirror.completeTo())},
+          {"source", toString(table.versionSource)},
+          {"from", table.versionPeer},
+          {"age-ms", std::to_string((now - table.versionAt).inMillis())},
+          {"watcher", id},
+          {"watcher-version", textOf(peer.digest.versions.at(index))},
+          {"repair", !repair ? "none" : repair->isWhole ? "whole" : "changes"},
+          {"target", repair ? textOf(repair->target) : "-"},
+          {"requested-from", repair && repair->requestedAt ? repair->requestedFrom : "-"},
+          {"unanswered", repair ? std::to_string(repair->unanswered) : "-"}});
+}
+
 auto TableFollower::startRepair(std::size_t index, const Repair &repair, const std::string &seenAt) -> void
 {
     auto &known = m_tables.at(index).repair;
@@ -574,6 +631,13 @@
     return digest;
 }
 
+auto TableFollower::differsFor(StoreTable table, TimePoint now) const -> Duration
+{
+    const auto index = followedIndex(table);
+    const auto since = index ? m_tables.at(*index).unequalSince : std::nullopt;
+    return since ? now - *since : Duration();
+}
+
 auto TableFollower::nextCallAt() const -> std::optional<TimePoint>
 {
     auto next = m_startDeadline;
@@ -673,13 +737,16 @@
     m_now = now;
     auto &table = m_tables.at(rows.table);
     const bool wasLoaded = table.mirror.isLoaded();
+    const auto before = table.mirror.completeTo();
+    const auto source = rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded;
     const auto changed = rows.isWhole ? table.mirror.applySnapshot(rows.rows, rows.upTo) : table.mirror.applyChanges(rows.rows);
     if (rows.isWhole) {
         endRepair(rows.table);
-    } else if (!table.mirror.markComplete(rows.after.value_or(table.mirror.completeTo()), rows.upTo) && wasLoaded) {
+    } else if (!table.mirror.markComplete(rows.after.value_or(before), rows.upTo) && wasLoaded) {
         startRepair(rows.table, {.dueAt = now + m_settings.gapDelay, .target = rows.upTo}, peer);
     }
-    applyRows(rows.table, changed, rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded, peer);
+    recordVersion(rows.table, before, source, peer);
+    applyRows(rows.table, changed, source, peer);
     if (m_isWatching && rows.isWhole && wasLoaded && !changed.empty()) {
         holdRows(rows.table, changed); // the peer may not have forwarded them yet
     }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -76,6 +76,7 @@
     Duration gapDelay = Duration::millis(100); ///< the same if rows arrive that follow later than those known here
     Duration requestTimeout = Duration::millis(500); ///< changes that haven't arrived this long after a request are requested from another gateway
     int maxUnansweredRequests = 3; ///< after this many requests without an answer, the table is read from the store
+    Duration differenceLogPeriod = Duration::seconds(1); ///< a copy that differs from a live watcher's is logged after this time, and again each time it passes
     std::uint64_t seed = 1; ///< of the jitter of retries, and of the choice of gateways
 };
 
@@ -94,6 +95,7 @@
     Proof, ///< this gateway's own read of single rows, other than by the watch
     Forwarded, ///< changes that another gateway forwarded
     PeerTable, ///< another gateway's whole copy, on request
+    EqualCopy, ///< no rows: another gateway's copy has the same ones and is complete up to a later version
 };
 auto toString(RowSource source) -> const char *;
 
@@ -126,6 +128,8 @@
     auto isCurrent(TimePoint now) const -> bool; ///< this gateway or a live watcher reaches the store
     auto liveWatchers(TimePoint now) const -> std::vector<std::string>; ///< other gateways that watch and reach the store
     auto digest() const -> FollowerDigest;
+    /// How long this gateway's copy has differed from that of a live watcher. Always 0 for targets, whose rows change all the time.
+    auto differsFor(StoreTable table, TimePoint now) const -> Duration;
     auto nextCallAt() const -> std::optional<TimePoint>; ///< call advanceCalls() then
 
     // Commands
@@ -164,6 +168,12 @@
         std::optional<Repair> repair;
         bool isReadOnce = false; ///< the watch only reads the table, since no other gateway has answered
         std::optional<TimePoint> differsSince; ///< since when its checksum differs from the first live watcher's, though not its version
+        std::optional<TimePoint> unequalSince; ///< since when it differs from a live watcher's, whatever the versions
+        TimePoint differenceLoggedAt;
+        /// By which way and when the version came up to which the copy is complete.
+        RowSource versionSource = RowSource::Read;
+        std::string versionPeer = "-";
+        TimePoint versionAt;
         /// Changes that this gateway found in the store, and that haven't been forwarded as far as it knows, with their time of arrival.
         std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
     };
@@ -192,6 +202,9 @@
     auto updatePause(TimePoint now) -> void;
     auto compare(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
     auto detectDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
+    auto recordVersion(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void;
+    auto recordComparison(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void;
+    auto logDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
     auto startRepair(std::size_t index, const Repair &repair, const std::string &seenAt) -> void;
     auto advanceRepair(std::size_t index, TimePoint now) -> void;
     auto endRepair(std::size_t index) -> void;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -238,6 +238,10 @@
 {
     d->follower.advance(d->parts.loop.now());
     d->scheduleCalls();
+    for (const auto table : FollowedTables) {
+        d->parts.metrics.set(std::string("store_copy_differs_seconds{table=\"") + toString(table) + "\"}",
+                             d->follower.differsFor(table, d->parts.loop.now()).inSeconds());
+    }
 }
 
 } // namespace KingCup
