table follower: don't take a gateway's word that it follows the store, or that its copy is complete

Cause, a class: what a gateway says of itself was taken for proof. - A watcher that the store silently stops answering said for up to 2.5 s that all was well; only then did others begin to watch. Now a watcher counts as live only while new versions of the targets' rows arrive (core/storeprogress); otherwise others watch at once, and keep doing so until the lost ones are back. - That all watchers are gone was reported as a failure of the store, which defers the removal of targets. Now a copy that differs from the live watchers' for 1.5 s is replaced, and such attempts count.

--- a/src/core/storewatchers.cpp
+++ b/src/core/storewatchers.cpp
@@ -10,12 +10,12 @@
 {
 }
 
-auto StoreWatchers::advance(bool isStoreReachable, TimePoint now) -> void
+auto StoreWatchers::advance(bool isStoreReachable, TimePoint since) -> void
 {
     if (isStoreReachable) {
         m_unreachableSince.reset();
     } else if (!m_unreachableSince) {
-        m_unreachableSince = now;
+        m_unreachableSince = since;
     }
 }
 
--- a/src/core/storewatchers.h
+++ b/src/core/storewatchers.h
@@ -30,8 +30,8 @@
 public:
     explicit StoreWatchers(StoreWatcherOptions options = {});
 
-    /// Updates the state; call periodically. `isStoreReachable`: some watcher, this gateway or another, reaches the store.
-    auto advance(bool isStoreReachable, TimePoint now) -> void;
+    /// Updates the state; call periodically. `isStoreReachable`: some watcher, this gateway or another, reaches the store. `since`: if not, since when.
+    auto advance(bool isStoreReachable, TimePoint since) -> void;
     /// The number of gateways that should watch now, counted from the first of the ranking.
     auto desiredWatchers(TimePoint now) const -> int;
     /// The source for a gateway that starts: `registered` gateways have rows in the store, `ahead` of them come before this one in the ranking.
--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -76,7 +76,34 @@
 
 auto TableFollower::isLive(const Peer &watcher, TimePoint now) const -> bool
 {
-    return watcher.isHealthy && now - watcher.receivedAt < m_settings.watcherTimeout;
+    return watcher.isHealthy && now - watcher.receivedAt < m_settings.watcherTimeout && !isLeftBehind(watcher);
+}
+
+/// No new version has arrived from the watcher since all watchers stopped sending any, and it hasn't begun to watch since then.
+auto TableFollower::isLeftBehind(const Peer &watcher) const -> bool
+{
+    const auto stalledAt = m_progress.stalledAt();
+    const bool isBehind = stalledAt > RowVersion() && watcher.digest.versions.at(TargetsTable) <= stalledAt;
+    return isBehind && watcher.healthChangedAt <= m_progress.stalledSince();
+}
+
+/// A watcher that has to be replaced.
+auto TableFollower::isLost(const std::string &id, TimePoint now) const -> bool
+{
+    if (!m_watcherIds.contains(id)) {
+        return false;
+    }
+    const auto &watcher = m_peers.at(id);
+    const bool isUnhealthy = !watcher.isHealthy && now - watcher.healthChangedAt >= m_settings.watchers.doubleAfter;
+    return isUnhealthy || isLeftBehind(watcher) || now - watcher.receivedAt >= m_settings.watcherTimeout;
+}
+
+auto TableFollower::hasStoreFailed(TimePoint now) const -> bool
+{
+    return std::any_of(m_watcherIds.begin(), m_watcherIds.end(), [&](const std::string &id) {
+        const auto &watcher = m_peers.at(id);
+        return watcher.digest.hasFailed && now - watcher.receivedAt < m_settings.watcherTimeout;
+    });
 }
 
 /// The other live watcher that ranks first. It forwards changes, unless this gateway itself reaches the store and ranks before it.
@@ -96,9 +123,11 @@
 
 auto TableFollower::isRankedToWatch(TimePoint now) const -> bool
 {
+    // While nobody reaches the store, lost watchers keep their ranks: the number of those that try is limited.
+    const bool areLostReplaced = reachesStore() || firstLiveWatcher(now);
     int ahead = 0;
     for (const auto &id : m_hooks.livePeers()) {
-        ahead += rankOf(id) > rankOf(m_settings.id) ? 1 : 0;
+        ahead += rankOf(id) > rankOf(m_settings.id) && !(areLostReplaced && isLost(id, now)) ? 1 : 0;
     }
     return ahead < m_storeWatchers.desiredWatchers(now);
 }
@@ -181,6 +210,7 @@
         return;
     }
     m_isWatching = true;
+    m_watchingSince = m_now;
     note("watching", {{"why", why}});
     for (auto &table : m_tables) {
         table.isReadOnce = false;
@@ -216,22 +246,26 @@
         const bool wasLoaded = mirror.isLoaded();
         const auto before = mirror.completeTo();
         const auto changed = mirror.applySnapshot(rows, upTo);
-        recordVersion(index, before, RowSource::Read, "-");
+        copyAdvanced(index, before, RowSource::Read, "-");
+        if (index == TargetsTable) {
+            m_progress.storeRead(mirror.completeTo(), m_now);
+        }
         if (wasLoaded) {
             applyOwnRows(index, changed, RowSource::Read);
         } else {
             loadedFromStore(index, changed);
         }
-        if (std::exchange(m_tables.at(index).isReadOnce, false)) {
-            m_tables.at(index).watch->stop();
-        }
+        endRepair(index);
     };
     hooks.onChanges = [this, index](const std::vector<StoredRow> &rows, RowVersion after, RowVersion upTo) {
         auto &mirror = m_tables.at(index).mirror;
         const auto before = mirror.completeTo();
         const auto changed = mirror.applyChanges(rows);
         mirror.markComplete(after, upTo);
-        recordVersion(index, before, RowSource::Watch, "-");
+        copyAdvanced(index, before, RowSource::Watch, "-");
+        if (index == TargetsTable) {
+            m_progress.storeRead(mirror.completeTo(), m_now);
+        }
         if (!changed.empty()) {
             applyOwnRows(index, changed, RowSource::Watch);
         }
@@ -397,12 +431,12 @@
     if (checksum == 0 || !table.mirror.isLoaded()) {
         return;
     }
-    recordComparison(index, checksum == table.mirror.checksum(), id, peer, now);
+    trackDifference(index, checksum == table.mirror.checksum(), id, peer, now);
     if (checksum == table.mirror.checksum()) {
         table.differsSince.reset();
         const auto before = table.mirror.completeTo();
         table.mirror.markComplete(before, version); // the same rows
-        recordVersion(index, before, RowSource::EqualCopy, id);
+        copyAdvanced(index, before, RowSource::EqualCopy, id);
         return;
     }
     if (version > table.mirror.completeTo()) {
@@ -427,7 +461,7 @@
     }
 }
 
-auto TableFollower::recordVersion(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void
+auto TableFollower::copyAdvanced(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void
 {
     auto &table = m_tables.at(index);
     if (table.mirror.completeTo() > before) {
@@ -435,10 +469,13 @@
         table.versionPeer = peer;
         table.versionAt = m_now;
     }
+    if (index == TargetsTable) {
+        m_progress.versionSeen(table.mirror.completeTo(), m_now);
+    }
 }
 
 /// Targets' copies differ from each other most of the time, as their rows change all the time.
-auto TableFollower::recordComparison(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void
+auto TableFollower::trackDifference(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void
 {
     auto &table = m_tables.at(index);
     if (index == TargetsTable || !isLive(peer, now)) {
@@ -449,6 +486,9 @@
         return;
     }
     table.unequalSince = table.unequalSince.value_or(now);
+    if (!table.repair && !isFirst(now) && now - *table.unequalSince >= m_settings.maxDifference) {
+        startRepair(index, {.dueAt = now, .isWhole = true}, id);
+    }
     if (now - std::max(*table.unequalSince, table.differenceLoggedAt) >= m_settings.differenceLogPeriod) {
         table.differenceLoggedAt = now;
         logDifference(index, id, peer, now);
@@ -469,7 +509,10 @@
           {"age-ms", std::to_string((now - table.versionAt).inMillis())},
           {"watcher", id},
           {"watcher-version", textOf(peer.digest.versions.at(index))},
-          {"repair", !repair ? "none" : repair->isWhole ? "whole" : "changes"},
+          {"repair",
+           !repair               ? "none"
+               : repair->isWhole ? "whole"
+                                 : "changes"},
           {"target", repair ? textOf(repair->target) : "-"},
           {"requested-from", repair && repair->requestedAt ? repair->requestedFrom : "-"},
           {"unanswered", repair ? std::to_string(repair->unanswered) : "-"}});
@@ -518,12 +561,13 @@
         return;
     }
     const char *why = !table.mirror.isLoaded() ? "start" : repair.isWhole ? "differs" : "behind";
-    for (const auto &source : sourcesOf(index)) {
-        if (request(index, source, why)) {
-            repair.requestedAt = now;
-            repair.requestedFrom = source;
-            return;
-        }
+    const auto sources = sourcesOf(index);
+    const auto requested = std::find_if(sources.begin(), sources.end(), [&](const std::string &source) { return request(index, source, why); });
+    if (requested != sources.end()) {
+        repair.requestedFrom = *requested;
+    }
+    if (requested != sources.end() || table.mirror.isLoaded()) {
+        repair.requestedAt = now; // an attempt without any connected source counts like one without an answer
     }
 }
 
@@ -531,12 +575,13 @@
 {
     auto &table = m_tables.at(index);
     table.repair.reset();
+    table.unequalSince.reset();
     if (std::exchange(table.isReadOnce, false)) {
         table.watch->stop();
     }
 }
 
-/// Live gateways that have what is missing here, in random order; the one that was asked last comes last.
+/// Live gateways that have changes which are missing here, in random order: first those that have all of them, and last the one that was asked last.
 auto TableFollower::sourcesOf(std::size_t index) -> std::vector<std::string>
 {
     const auto &table = m_tables.at(index);
@@ -547,11 +592,15 @@
             continue;
         }
         const auto checksum = found->second.digest.checksums.at(index);
-        if (checksum != 0 && checksum != table.mirror.checksum() && found->second.digest.versions.at(index) >= table.repair->target) {
+        const bool isDifferent = checksum != 0 && checksum != table.mirror.checksum();
+        const bool isAhead = !table.mirror.isLoaded() || found->second.digest.versions.at(index) > table.mirror.completeTo();
+        if (isDifferent && (isAhead || table.repair->isWhole)) {
             sources.push_back(id);
         }
     }
     std::shuffle(sources.begin(), sources.end(), m_random);
+    std::stable_partition(
+        sources.begin(), sources.end(), [&](const std::string &id) { return m_peers.at(id).digest.versions.at(index) >= table.repair->target; });
     std::stable_partition(sources.begin(), sources.end(), [&](const std::string &id) { return id != table.repair->requestedFrom; });
     return sources;
 }
@@ -583,6 +632,7 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_storeWatchers(m_settings.watchers)
+    , m_progress(m_settings.progress)
     , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
 {
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
@@ -622,6 +672,7 @@
     FollowerDigest digest;
     digest.isWatching = m_isWatching;
     digest.hasTrouble = m_isWatching && !reachesStore();
+    digest.hasFailed = m_isWatching && std::any_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->hasFailed(); });
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         const auto &mirror = m_tables.at(i).mirror;
         digest.checksums.at(i) = mirror.isLoaded() ? mirror.checksum() : 0;
@@ -685,11 +736,18 @@
     const bool wasLive = isLive(sender, now);
     sender.rank = rankOf(peer);
     sender.receivedAt = now;
-    sender.isHealthy = digest.isWatching && !digest.hasTrouble;
-    if (sender.isHealthy && !wasLive) {
+    sender.digest = digest;
+    const bool isHealthy = digest.isWatching && !digest.hasTrouble;
+    if (std::exchange(sender.isHealthy, isHealthy) != isHealthy) {
+        sender.healthChangedAt = now;
+        if (isHealthy) {
+            m_progress.storeRead(digest.versions.at(TargetsTable), now);
+        }
+    }
+    m_progress.versionSeen(digest.versions.at(TargetsTable), now);
+    if (isLive(sender, now) && !wasLive) {
         sender.liveSince = now;
     }
-    sender.digest = digest;
     if (digest.isWatching) {
         m_watcherIds.insert(peer);
     } else {
@@ -741,11 +799,13 @@
     const auto source = rows.isWhole ? RowSource::PeerTable : RowSource::Forwarded;
     const auto changed = rows.isWhole ? table.mirror.applySnapshot(rows.rows, rows.upTo) : table.mirror.applyChanges(rows.rows);
     if (rows.isWhole) {
-        endRepair(rows.table);
+        if (table.repair && (table.repair->isWhole || table.mirror.completeTo() >= table.repair->target)) {
+            endRepair(rows.table);
+        }
     } else if (!table.mirror.markComplete(rows.after.value_or(before), rows.upTo) && wasLoaded) {
         startRepair(rows.table, {.dueAt = now + m_settings.gapDelay, .target = rows.upTo}, peer);
     }
-    recordVersion(rows.table, before, source, peer);
+    copyAdvanced(rows.table, before, source, peer);
     applyRows(rows.table, changed, source, peer);
     if (m_isWatching && rows.isWhole && wasLoaded && !changed.empty()) {
         holdRows(rows.table, changed); // the peer may not have forwarded them yet
@@ -756,6 +816,20 @@
     }
 }
 
+/// Also reports when a live watcher has just come back: until it has forwarded its rows, those known here may be out of date.
+auto TableFollower::reportReachability(bool hasLiveWatcher, TimePoint now) -> void
+{
+    m_hasStoreFailed = m_hasStoreFailed || (!hasLiveWatcher && hasStoreFailed(now));
+    if (!m_isWatching && (!hasLiveWatcher || !m_hadLiveWatcher)) {
+        m_hooks.onUnreachable();
+        if (m_hasStoreFailed) {
+            m_hooks.onStoreFailing();
+        }
+    }
+    m_hasStoreFailed = m_hasStoreFailed && !hasLiveWatcher;
+    m_hadLiveWatcher = hasLiveWatcher;
+}
+
 auto TableFollower::advance(TimePoint now) -> void
 {
     m_now = now;
@@ -767,13 +841,14 @@
     if (m_isStarting) {
         return;
     }
-    const auto first = firstLiveWatcher(now);
-    m_storeWatchers.advance(first || reachesStore(), now);
-    // Also called when a live watcher has just come back: until it has forwarded its rows, those known here may be out of date.
-    if (!m_isWatching && (!first || !m_hadLiveWatcher)) {
-        m_hooks.onUnreachable();
+    if (m_progress.advance(now)) {
+        note("stalled", {{"version", textOf(m_progress.stalledAt())}, {"watchers", std::to_string(m_watcherIds.size())}});
     }
-    m_hadLiveWatcher = first.has_value();
+    const auto first = firstLiveWatcher(now);
+    // The first gateways that replace lost watchers needn't wait: nothing has arrived for longer than that already.
+    const auto unreachableSince = m_progress.isStalled(now) ? m_progress.stalledSince() - m_settings.watchers.doubleAfter : now;
+    m_storeWatchers.advance(first || reachesStore(), unreachableSince);
+    reportReachability(first.has_value(), now);
     if (isRankedToWatch(now)) {
         startWatching(first ? "ranks-first" : "no-watcher");
         return;
@@ -782,7 +857,7 @@
         return;
     }
     const auto &watcher = m_peers.at(*first);
-    const bool isStable = now - watcher.liveSince >= m_settings.handoverDelay;
+    const bool isStable = now - std::max(watcher.liveSince, m_watchingSince) >= m_settings.handoverDelay;
     if (isStable && areAllLoaded()) {
         stopWatching(now);
     }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -19,6 +19,7 @@
 //   TableFollower   the state machine
 #pragma once
 
+#include "core/storeprogress.h"
 #include "core/storetable.h"
 #include "core/storewatchers.h"
 #include "core/tablewatch.h"
@@ -43,6 +44,7 @@
 struct FollowerDigest {
     bool isWatching = false;
     bool hasTrouble = false; ///< it watches, and doesn't reach the store
+    bool hasFailed = false; ///< its last call to the store has failed; not set by one that has begun to watch and has no answer yet
     std::array<std::uint64_t, FollowedTableCount> checksums {}; ///< by table; 0: it hasn't loaded the table
     std::array<RowVersion, FollowedTableCount> versions; ///< by table: it knows all changes up to this version
     /// By table: all changes up to this version that it found in the store were forwarded, by it or by another gateway. 0: it doesn't watch.
@@ -63,8 +65,10 @@
 struct TableFollowerSettings {
     std::string id; ///< of this gateway
     StoreWatcherOptions watchers;
+    StoreProgressOptions progress;
     Duration watcherTimeout = Duration::millis(1000); ///< a watcher without a digest for this long no longer counts as live
-    Duration handoverDelay = Duration::millis(1000); ///< the first watcher must be live for this long before this gateway stops its own watch
+    /// The first watcher must be live for this long before this gateway stops its own watch. Its own watch must run for this long too, so that digests show it.
+    Duration handoverDelay = Duration::millis(1000);
     /// If no digest shows by then that a change was forwarded, the second watcher forwards it; the third one after twice this time, and so on.
     Duration fallbackDelay = Duration::millis(300);
     /// Longest wait of a watch call for targets. Their heartbeats come about once a second, so a longer silence means that the store is unreachable.
@@ -76,6 +80,7 @@
     Duration gapDelay = Duration::millis(100); ///< the same if rows arrive that follow later than those known here
     Duration requestTimeout = Duration::millis(500); ///< changes that haven't arrived this long after a request are requested from another gateway
     int maxUnansweredRequests = 3; ///< after this many requests without an answer, the table is read from the store
+    Duration maxDifference = Duration::millis(1500); ///< a copy that differs from the live watchers' for this long is replaced; see TableFollower::differsFor()
     Duration differenceLogPeriod = Duration::seconds(1); ///< a copy that differs from a live watcher's is logged after this time, and again each time it passes
     std::uint64_t seed = 1; ///< of the jitter of retries, and of the choice of gateways
 };
@@ -112,6 +117,8 @@
     std::function<void(StoreTable table, const std::vector<StoredRow> &rows, RowSource source)> onRows;
     /// This gateway doesn't watch the store, and no other watcher is live, or one is live again: known rows may be out of date.
     std::function<void()> onUnreachable;
+    /// The same, and calls of watchers to the store fail or have failed: it may remove rows of targets that can't renew them.
+    std::function<void()> onStoreFailing;
     std::function<void(const FollowerEvent &event)> onEvent;
 };
 
@@ -151,6 +158,7 @@
         TimePoint receivedAt;
         TimePoint liveSince; ///< see isLive()
         bool isHealthy = false; ///< it watches the store and reaches it, by its last digest
+        TimePoint healthChangedAt;
         FollowerDigest digest;
     };
     /// Changes that this gateway lacks.
@@ -178,6 +186,11 @@
         std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
     };
     auto isLive(const Peer &watcher, TimePoint now) const -> bool;
+    auto isLeftBehind(const Peer &watcher) const -> bool;
+    auto isLost(const std::string &id, TimePoint now) const -> bool;
+    auto hasStoreFailed(TimePoint now) const -> bool;
+    auto reportReachability(bool hasLiveWatcher, TimePoint now) -> void;
+    auto copyAdvanced(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void;
     auto firstLiveWatcher(TimePoint now) const -> std::optional<std::string>;
     auto isRankedToWatch(TimePoint now) const -> bool;
     auto watchersAhead(TimePoint now) const -> int;
@@ -202,8 +215,7 @@
     auto updatePause(TimePoint now) -> void;
     auto compare(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
     auto detectDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
-    auto recordVersion(std::size_t index, RowVersion before, RowSource source, const std::string &peer) -> void;
-    auto recordComparison(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void;
+    auto trackDifference(std::size_t index, bool isEqual, const std::string &id, const Peer &peer, TimePoint now) -> void;
     auto logDifference(std::size_t index, const std::string &id, const Peer &peer, TimePoint now) -> void;
     auto startRepair(std::size_t index, const Repair &repair, const std::string &seenAt) -> void;
     auto advanceRepair(std::size_t index, TimePoint now) -> void;
@@ -218,11 +230,14 @@
     std::map<std::string, Peer> m_peers;
     std::set<std::string> m_watcherIds; ///< of the peers that watch, by their last digest
     StoreWatchers m_storeWatchers;
+    StoreProgress m_progress; ///< of the targets' table
     std::minstd_rand m_random;
     TimePoint m_now; ///< of the current event, for the hooks of the watches
     std::optional<TimePoint> m_startDeadline; ///< at start-up, tables that aren't loaded by then are read from the store
+    TimePoint m_watchingSince;
     bool m_isWatching = false;
     bool m_hadLiveWatcher = false; ///< another gateway was a live watcher at the last advance()
+    bool m_hasStoreFailed = false; ///< calls of watchers have failed since a watcher was live
     bool m_isStarting = true; ///< the source of the tables hasn't been chosen, or not all tables have arrived
     bool m_isLoadingFromPeers = false; ///< at start-up, tables are requested from peers
 };
--- a/src/core/tablewatch.cpp
+++ b/src/core/tablewatch.cpp
@@ -34,6 +34,11 @@
     return m_isReached;
 }
 
+auto TableWatch::hasFailed() const -> bool
+{
+    return m_hasFailed;
+}
+
 auto TableWatch::version() const -> RowVersion
 {
     return m_version;
@@ -57,6 +62,7 @@
     m_isRetry = false;
     m_isLoaded = false;
     m_isReached = false;
+    m_hasFailed = false;
     m_nextCallAt.reset();
     m_pageRows.clear();
     m_version = RowVersion();
@@ -167,6 +173,7 @@
 {
     if (reached) {
         m_backoff.reset();
+        m_hasFailed = false;
     }
     if (m_isReached != reached) {
         m_isReached = reached;
@@ -180,6 +187,7 @@
         m_hooks.onFailed(why);
     }
     setReached(false);
+    m_hasFailed = true;
     m_isRetry = true;
     m_nextCallAt = now + m_backoff.next(m_random);
 }
--- a/src/core/tablewatch.h
+++ b/src/core/tablewatch.h
@@ -55,6 +55,7 @@
     auto isLoaded() const -> bool; ///< the whole table was read; false again when a later read of it has failed
     auto isReading() const -> bool; ///< the whole table is being read
     auto isReached() const -> bool; ///< the last call was answered
+    auto hasFailed() const -> bool; ///< the last call that ended has failed; false after a start
     auto version() const -> RowVersion; ///< the store's version up to which changes are known
     auto nextCallAt() const -> std::optional<TimePoint>; ///< call advance() then
 
@@ -96,6 +97,7 @@
     bool m_isReading = false; ///< the last call reads a page
     bool m_isLoaded = false;
     bool m_isReached = false;
+    bool m_hasFailed = false;
 };
 
 } // namespace KingCup
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -361,7 +361,10 @@
         onRows(table, rows);
     };
     hooks.onUnreachable = [this] {
-        onStoreUnreachable();
+        storeUnreachableAt = loop.now();
+    };
+    hooks.onStoreFailing = [this] {
+        targets->storeUnreachable();
     };
     TableFollowerSettings followerSettings;
     followerSettings.id = settings.process.id;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -117,6 +117,9 @@
     result.onUnreachable = [this] {
         hooks.onUnreachable();
     };
+    result.onStoreFailing = [this] {
+        hooks.onStoreFailing();
+    };
     result.onEvent = [this](const FollowerEvent &event) {
         auto line = parts.log.line("store", event.name);
         for (const auto &[key, value] : event.fields) {
@@ -190,6 +193,7 @@
     const auto own = d->follower.digest();
     digest.set_watches_store(own.isWatching);
     digest.set_store_trouble(own.hasTrouble);
+    digest.set_store_failed(own.hasFailed);
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         digest.add_tables(own.checksums.at(i));
         digest.add_versions(own.versions.at(i).value());
@@ -204,6 +208,7 @@
     FollowerDigest received;
     received.isWatching = digest.watches_store();
     received.hasTrouble = digest.store_trouble();
+    received.hasFailed = digest.has_store_failed() ? digest.store_failed() : digest.store_trouble();
     for (int i = 0; i < std::min(digest.tables_size(), static_cast<int>(FollowedTableCount)); ++i) {
         received.checksums.at(static_cast<std::size_t>(i)) = digest.tables(i);
     }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -32,6 +32,7 @@
     std::function<void(StoreTable table, const std::vector<StoredRow> &rows)> onRows; ///< rows that were changed or removed; the first time all rows
     /// This gateway doesn't watch the store, and no other watcher is live, or one is live again: known rows may be out of date.
     std::function<void()> onUnreachable;
+    std::function<void()> onStoreFailing; ///< the same, and calls of watchers to the store fail or have failed
 };
 
 // [SECTION] StoreFollower
--- a/tests/sim_tablefleet.h
+++ b/tests/sim_tablefleet.h
@@ -250,6 +250,7 @@
         std::map<std::string, int> eventCounts;
         double sentBytes = 0;
         int requestsReceived = 0; ///< of whole tables
+        int failureReports = 0; ///< times that the follower reported that the store fails
     };
 
     explicit SimTableFleet(SimFleetOptions options)
@@ -359,6 +360,18 @@
         };
         return **std::max_element(gateways.begin(), gateways.end(), [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
     }
+    /// Gateways by their rank for watching the store, the first one first.
+    auto ranked() const -> std::vector<Gateway *>
+    {
+        std::vector<Gateway *> result;
+        for (const auto &gateway : gateways) {
+            result.push_back(gateway.get());
+        }
+        std::sort(result.begin(), result.end(), [](const Gateway *a, const Gateway *b) {
+            return rendezvousScore("store-watchers", a->id) > rendezvousScore("store-watchers", b->id);
+        });
+        return result;
+    }
     auto known(const Gateway &gateway) const -> std::string
     {
         const auto found = gateway.declarations.find("config");
@@ -549,6 +562,9 @@
         };
         hooks.onUnreachable = [] {
         };
+        hooks.onStoreFailing = [&gateway] {
+            gateway.failureReports += 1;
+        };
         hooks.onEvent = [this, &gateway](const FollowerEvent &event) {
             std::string text = event.name;
             for (const auto &[key, value] : event.fields) {
--- a/tests/unit_tablefollower.cpp
+++ b/tests/unit_tablefollower.cpp
@@ -112,3 +112,81 @@
     CHECK(mirror.applySnapshot(behind.rows(), behind.completeTo()).size() == 1);
     CHECK(mirror.rows().size() == 3);
 }
+
+TEST_CASE("a copy that counts as complete and isn't is repaired")
+{
+    // Guards against a gateway that serves by outdated rows for good: only a higher version in a digest started a repair, and the version of a copy is what
+    // others say of it. Rows of gateways of earlier releases don't say which changes they follow.
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        SimTableFleet fleet({.seed = seed});
+        fleet.startAll();
+        fleet.run(StartSeconds);
+        auto &misled = *fleet.ranked().at(50);
+        fleet.isCut = [&](const std::string &, const std::string &to) {
+            return to == misled.id;
+        };
+        const auto changedAt = fleet.clock.now();
+        fleet.declare("2");
+        fleet.run(0.5);
+        const TableRows claim {.table = 0, .after = misled.follower->digest().versions.at(0), .upTo = fleet.store.version(), .rows = {}};
+        misled.follower->rowsReceived(fleet.highestRanked().id, claim, fleet.clock.now());
+        fleet.isCut = [](const std::string &, const std::string &) {
+            return false;
+        };
+        fleet.run(InForceSeconds - 0.5);
+        CAPTURE(seed);
+        CHECK(fleet.adoptionSeconds("2", changedAt) <= InForceSeconds);
+    }
+}
+
+TEST_CASE("a gateway without a connection to any gateway that has a change reads it from the store")
+{
+    // Guards against a repair that never makes an attempt, and so never comes to reading the store.
+    SimTableFleet fleet({.seed = 1});
+    fleet.startAll();
+    fleet.run(StartSeconds);
+    auto &unconnected = *fleet.ranked().at(50);
+    unconnected.connectedAt.clear();
+    fleet.isCut = [&](const std::string &, const std::string &to) {
+        return to == unconnected.id;
+    };
+    const auto changedAt = fleet.clock.now();
+    fleet.declare("2");
+    fleet.run(0.5);
+    fleet.isCut = [](const std::string &, const std::string &) {
+        return false;
+    };
+    fleet.run(InForceSeconds - 0.5);
+    CHECK(fleet.adoptionSeconds("2", changedAt) <= InForceSeconds);
+}
+
+TEST_CASE("a gateway that is behind gets the change from others if the only one with its newest known version is gone")
+{
+    // Guards against a repair that waits for a version which no live gateway has, while others have the change.
+    SimTableFleet fleet({.seed = 1});
+    fleet.startAll();
+    fleet.run(StartSeconds);
+    auto &behind = *fleet.ranked().at(50);
+    auto &gone = *fleet.ranked().at(60);
+    fleet.isCut = [&](const std::string &from, const std::string &to) {
+        return to == behind.id && from != gone.id;
+    };
+    fleet.isCutFromStore = [&](const std::string &id) {
+        return id == behind.id;
+    };
+    const auto changedAt = fleet.clock.now();
+    fleet.declare("2");
+    fleet.run(0.3);
+    auto newest = gone.follower->digest();
+    newest.versions.at(0) = RowVersion(fleet.store.version().value() + 1000);
+    behind.follower->digestReceived(gone.id, newest, fleet.clock.now());
+    fleet.stop(gone);
+    fleet.isCut = [](const std::string &, const std::string &) {
+        return false;
+    };
+    fleet.run(InForceSeconds - 0.3);
+    const auto isBehind = [&](const SimTableFleet::Gateway &gateway) {
+        return gateway.id == behind.id;
+    };
+    CHECK(fleet.adoptionSeconds("2", changedAt, isBehind) <= InForceSeconds);
+}
