runner book: an unload counts as done for adapters only when the runner has shown it

Cause: the book dropped a model with its adapters, or an adapter that is in use, when the unload was accepted, and counted its memory and slots as free at once or 20 ms later. The runner keeps them until the last request has ended.

A report is requested 300 ms after such an unload if no later order has shown that it has ended.

--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -105,7 +105,17 @@
     for (const auto &held : m_description.models) {
         used += held.adapters.size();
     }
-    return engine.adapterSlots - static_cast<int>(used);
+    return engine.adapterSlots - static_cast<int>(used) - m_pendingUnloadSlots;
+}
+
+auto RunnerBook::memoryOfPendingUnload(const EngineDeclaration &engine) const -> Bytes
+{
+    const auto *declared = m_pendingUnload ? engine.model(m_pendingUnload->model) : nullptr;
+    if (declared == nullptr) {
+        return {};
+    }
+    const auto adapters = Bytes(declared->adapterWeights.count() * m_pendingUnloadSlots);
+    return m_pendingUnload->adapter.empty() ? declared->weights + adapters : adapters;
 }
 
 auto RunnerBook::modelOrderedAt() const -> TimePoint
@@ -161,9 +171,9 @@
         return order.isLoad ? held == nullptr && freeMemory(engine, now) >= declared->weights : held != nullptr;
     }
     if (!order.isLoad) {
-        return held != nullptr && held->hasAdapter(order.adapter);
+        return held != nullptr && held->hasAdapter(order.adapter) && !m_pendingUnload;
     }
-    const bool hasCapacity = freeAdapterSlots(engine, now) > 0 && freeMemory(engine, now) >= declared->adapterWeights;
+    const bool hasCapacity = freeAdapterSlots(engine, now) > 0 && freeMemory(engine, now) - memoryOfPendingUnload(engine) >= declared->adapterWeights;
     return held != nullptr && !holdsAdapter(order.model, order.adapter) && hasCapacity
         && static_cast<int>(m_adapterLoads.size()) < m_options.maxPendingAdapterLoads;
 }
@@ -178,7 +188,8 @@
     if (m_isReportPending || m_unacknowledged || now < std::max(m_nextReportAt, m_pausedUntil)) {
         return false;
     }
-    return !m_isKnown || (m_modelOrder && isBusy(now) && now >= m_modelOrder->doneAt);
+    const bool isUnloadLate = m_pendingUnload && now - m_acceptedAt >= m_options.unloadReportDelay;
+    return !m_isKnown || isUnloadLate || (m_modelOrder && isBusy(now) && now >= m_modelOrder->doneAt);
 }
 
 auto RunnerBook::advance(TimePoint now) -> bool
@@ -250,6 +261,8 @@
     }
     m_isKnown = true;
     m_isBusyReported = report.isBusy;
+    m_pendingUnload.reset(); // the report lists what the runner still holds
+    m_pendingUnloadSlots = 0;
     if (!report.isBusy) {
         m_modelOrder.reset();
         return;
@@ -284,6 +297,15 @@
     pending.doneAt = now + pending.expected;
     m_acceptedAt = now;
     m_busyRefusals = 0;
+    if (pending.order.adapter.empty()) {
+        m_pendingUnload.reset(); // the runner carries out one order on a model at a time
+        m_pendingUnloadSlots = 0;
+    }
+    if (!isDone && !pending.order.isLoad) {
+        const auto *held = m_description.model(pending.order.model);
+        m_pendingUnload = pending.order;
+        m_pendingUnloadSlots = !pending.order.adapter.empty() ? 1 : held == nullptr ? 0 : static_cast<int>(held->adapters.size());
+    }
     if (isDone || !pending.order.isLoad) {
         apply(pending.order);
     }
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -7,6 +7,9 @@
 // another state: the count known here was wrong, or the runner was restarted under the same id and counts from 0. Therefore the memory of a load without an
 // answer stays charged while the runner's order count is below the load's expected count and the load may still arrive.
 //
+// An unload ends only when the last request with what is unloaded has ended. A runner refuses a model's load until then, so one may be sent early. It may
+// accept an adapter's load, which would find neither memory nor a slot: for adapters, an unload counts as done only when the runner has shown that it is.
+//
 // Index of sections (search for [SECTION]):
 //   Orders       loads and unloads, options
 //   RunnerBook   the state of one runner
@@ -44,6 +47,7 @@
     Duration maxOrderDelay = Duration::seconds(13); ///< an order without an answer takes effect within this time or never
     Duration adapterLoadTime = Duration::millis(12); ///< time from the acceptance of an adapter's load until the adapter is usable
     int maxPendingAdapterLoads = 4; ///< limit on one runner's accepted adapter loads that aren't done yet
+    Duration unloadReportDelay = Duration::millis(300); ///< a report is requested if the runner hasn't shown by then that an unload is done
     Duration unloadTime = Duration::millis(20); ///< duration of an unload that no request delays; the runner refuses orders that arrive before its end
 };
 
@@ -67,7 +71,7 @@
     auto loading() const -> std::optional<std::string>; ///< the model being loaded
     auto mayOrder(const RunnerOrder &order, const EngineDeclaration &engine, TimePoint now) const -> bool; ///< whether the order should be executable now
     auto holdsAdapter(std::string_view model, std::string_view adapter) const -> bool; ///< whether the adapter is loaded or its load was accepted
-    auto needsReport(TimePoint now) const -> bool; ///< whether to request a report now: the state isn't known, or an order on a model should be done by now
+    auto needsReport(TimePoint now) const -> bool; ///< whether to request a report now: the state isn't known, or an order should be done by now
 
     // Commands
     /// Counts accepted adapter loads as done once their expected time has passed. Returns whether anything changed.
@@ -106,6 +110,7 @@
         std::uint64_t expected = 0;
         TimePoint until; ///< the load takes no effect after this
     };
+    auto memoryOfPendingUnload(const EngineDeclaration &engine) const -> Bytes;
     auto isCharged(const UnansweredLoad &late, TimePoint now) const -> bool;
     auto apply(const RunnerOrder &order) -> void;
     auto model(std::string_view name) -> ResidentModel *;
@@ -121,6 +126,8 @@
     bool m_isBusyReported = false; ///< the last report since the last accepted order on a model said that the runner is busy
     int m_busyRefusals = 0; ///< number of loads refused during an unload, since the last accepted order
     std::vector<UnansweredLoad> m_unansweredLoads;
+    std::optional<RunnerOrder> m_pendingUnload; ///< accepted, and not known to be done
+    int m_pendingUnloadSlots = 0; ///< adapter slots that it frees
     TimePoint m_acceptedAt; ///< when the last order was accepted
     TimePoint m_modelOrderedAt; ///< when the last order on a model was accepted
     TimePoint m_reportRequestedAt;
--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -180,6 +180,7 @@
     VersionSite site(isReplaced ? std::vector<std::string> {"v1", "v1", "v1", "v1"} : std::vector<std::string> {"v1", "v1", "v2", "v2"});
     const auto begun = site.beginStreams(1);
     std::vector<CutStream> streams;
+    streams.reserve(begun.size());
     for (const auto &[attempt, reply] : begun) {
         streams.push_back(VersionSite::cutStream(attempt, reply));
     }
