--- a/src/core/runnerbook.cpp
+++ b/src/core/runnerbook.cpp
@@ -105,17 +105,17 @@
     for (const auto &held : m_description.models) {
         used += held.adapters.size();
     }
-    return engine.adapterSlots - static_cast<int>(used) - m_pendingUnloadSlots;
+    return engine.adapterSlots - static_cast<int>(used) - (m_pendingUnload ? m_pendingUnload->adapterSlots : 0);
 }
 
 auto RunnerBook::memoryOfPendingUnload(const EngineDeclaration &engine) const -> Bytes
 {
-    const auto *declared = m_pendingUnload ? engine.model(m_pendingUnload->model) : nullptr;
+    const auto *declared = m_pendingUnload ? engine.model(m_pendingUnload->order.model) : nullptr;
     if (declared == nullptr) {
         return {};
     }
-    const auto adapters = Bytes(declared->adapterWeights.count() * m_pendingUnloadSlots);
-    return m_pendingUnload->adapter.empty() ? declared->weights + adapters : adapters;
+    const auto adapters = Bytes(declared->adapterWeights.count() * m_pendingUnload->adapterSlots);
+    return m_pendingUnload->order.adapter.empty() ? declared->weights + adapters : adapters;
 }
 
 auto RunnerBook::modelOrderedAt() const -> TimePoint
@@ -262,7 +262,6 @@
     m_isKnown = true;
     m_isBusyReported = report.isBusy;
     m_pendingUnload.reset(); // the report lists what the runner still holds
-    m_pendingUnloadSlots = 0;
     if (!report.isBusy) {
         m_modelOrder.reset();
         return;
@@ -299,12 +298,11 @@
     m_busyRefusals = 0;
     if (pending.order.adapter.empty()) {
         m_pendingUnload.reset(); // the runner carries out one order on a model at a time
-        m_pendingUnloadSlots = 0;
     }
     if (!isDone && !pending.order.isLoad) {
         const auto *held = m_description.model(pending.order.model);
-        m_pendingUnload = pending.order;
-        m_pendingUnloadSlots = !pending.order.adapter.empty() ? 1 : held == nullptr ? 0 : static_cast<int>(held->adapters.size());
+        const int slots = !pending.order.adapter.empty() ? 1 : held == nullptr ? 0 : static_cast<int>(held->adapters.size());
+        m_pendingUnload = PendingUnload {pending.order, slots};
     }
     if (isDone || !pending.order.isLoad) {
         apply(pending.order);
--- a/src/core/runnerbook.h
+++ b/src/core/runnerbook.h
@@ -110,6 +110,11 @@
         std::uint64_t expected = 0;
         TimePoint until; ///< the load takes no effect after this
     };
+    /// An accepted unload that isn't known to be done.
+    struct PendingUnload {
+        RunnerOrder order;
+        int adapterSlots = 0; ///< that it frees
+    };
     auto memoryOfPendingUnload(const EngineDeclaration &engine) const -> Bytes;
     auto isCharged(const UnansweredLoad &late, TimePoint now) const -> bool;
     auto apply(const RunnerOrder &order) -> void;
@@ -126,8 +131,7 @@
     bool m_isBusyReported = false; ///< the last report since the last accepted order on a model said that the runner is busy
     int m_busyRefusals = 0; ///< number of loads refused during an unload, since the last accepted order
     std::vector<UnansweredLoad> m_unansweredLoads;
-    std::optional<RunnerOrder> m_pendingUnload; ///< accepted, and not known to be done
-    int m_pendingUnloadSlots = 0; ///< adapter slots that it frees
+    std::optional<PendingUnload> m_pendingUnload;
     TimePoint m_acceptedAt; ///< when the last order was accepted
     TimePoint m_modelOrderedAt; ///< when the last order on a model was accepted
     TimePoint m_reportRequestedAt;
--- a/tests/unit_tablefollower.cpp
+++ b/tests/unit_tablefollower.cpp
@@ -115,8 +115,8 @@
 
 TEST_CASE("a copy that counts as complete and isn't is repaired")
 {
-    // Guards against a gateway that serves by outdated rows for good: only a higher version in a digest started a repair, and the version of a copy is what
-    // others say of it. Rows of gateways of earlier releases don't say which changes they follow.
+    // Guards against a gateway that serves by outdated rows because its copy's version is too high: the version of a copy is what others say of it. Rows of
+    // gateways of earlier releases don't say which changes they follow.
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
         SimTableFleet fleet({.seed = seed});
         fleet.startAll();
