table follower: watchers say how long ago the store answered them, and all gateways take turns while nobody reaches it

Cause: the store silently stops answering a third of the hosts, among them the three that watch it. Twelve gateways at most tried, always the same: if the store refused just these, nobody followed it.

Change: a watcher's call for targets' rows waits 0.4 s, and its digests say how old the store's last answer is (store_age_ms). At 1.1 s it doesn't count as live. While nobody reaches the store, the gateways take turns, six at a time. Forwarded changes follow the last change, not the last answer, which receivers needn't know. core/storeprogress goes.

--- a/src/core/rowmirror.cpp
+++ b/src/core/rowmirror.cpp
@@ -45,6 +45,17 @@
     return changes;
 }
 
+auto RowMirror::lastChange(RowVersion upTo) const -> RowVersion
+{
+    RowVersion last;
+    for (const auto &[key, row] : m_rows) {
+        if (row.version <= upTo) {
+            last = std::max(last, row.version);
+        }
+    }
+    return last;
+}
+
 namespace
 {
 
--- a/src/core/rowmirror.h
+++ b/src/core/rowmirror.h
@@ -31,6 +31,7 @@
     auto checksum() const -> std::uint64_t; ///< checksum over keys and versions of the existing rows: equal for mirrors with the same rows
     auto rows() const -> std::vector<StoredRow>; ///< existing rows, ordered by key
     auto changesSince(RowVersion version) const -> std::vector<StoredRow>; ///< the known rows that were changed or removed after the version
+    auto lastChange(RowVersion upTo) const -> RowVersion; ///< version of the newest known change that isn't later than `upTo`; 0: there is none
     /// False: since that version, rows may have been created and removed that this copy never knew.
     auto knowsRemovalsSince(RowVersion version) const -> bool;
 
--- a/src/core/storewatchers.cpp
+++ b/src/core/storewatchers.cpp
@@ -1,6 +1,7 @@
 #include "core/storewatchers.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace KingCup
 {
@@ -31,6 +32,31 @@
     return std::min(count, std::max(m_options.maxCount, m_options.baseCount));
 }
 
+/// When the number of watchers has doubled up to the limit.
+auto StoreWatchers::fullSince() const -> std::optional<TimePoint>
+{
+    if (!m_unreachableSince) {
+        return std::nullopt;
+    }
+    auto at = *m_unreachableSince;
+    for (int count = m_options.baseCount; count < m_options.maxCount; count *= 2) {
+        at = at + m_options.doubleAfter;
+    }
+    return at;
+}
+
+auto StoreWatchers::isDesired(int ahead, int gateways, TimePoint now) const -> bool
+{
+    const auto full = fullSince();
+    if (!full || now < *full || gateways <= m_options.maxCount) {
+        return ahead < desiredWatchers(now);
+    }
+    const auto turns = static_cast<std::int64_t>((now - *full).inSeconds() / m_options.turn.inSeconds());
+    const auto size = std::max(1, m_options.maxCount / 2);
+    const auto first = (turns + 1) * size % gateways; // the first `size` gateways have been trying since the limit was reached
+    return (ahead + gateways - first) % gateways < size;
+}
+
 auto StoreWatchers::initialSource(int registered, int ahead) const -> TableSource
 {
     return registered <= m_options.maxDirectReaders || ahead < m_options.maxCount ? TableSource::Store : TableSource::Peers;
--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -76,15 +76,7 @@
 
 auto TableFollower::isLive(const Peer &watcher, TimePoint now) const -> bool
 {
-    return watcher.isHealthy && now - watcher.receivedAt < m_settings.watcherTimeout && !isLeftBehind(watcher);
-}
-
-/// No new version has arrived from the watcher since all watchers stopped sending any, and it hasn't begun to watch since then.
-auto TableFollower::isLeftBehind(const Peer &watcher) const -> bool
-{
-    const auto stalledAt = m_progress.stalledAt();
-    const bool isBehind = stalledAt > RowVersion() && watcher.digest.versions.at(TargetsTable) <= stalledAt;
-    return isBehind && watcher.healthChangedAt <= m_progress.stalledSince();
+    return watcher.isHealthy && now - watcher.provenAt < m_settings.maxProofAge;
 }
 
 /// A watcher that has to be replaced.
@@ -95,14 +87,23 @@
     }
     const auto &watcher = m_peers.at(id);
     const bool isUnhealthy = !watcher.isHealthy && now - watcher.healthChangedAt >= m_settings.watchers.doubleAfter;
-    return isUnhealthy || isLeftBehind(watcher) || now - watcher.receivedAt >= m_settings.watcherTimeout;
+    return isUnhealthy || now - watcher.provenAt >= m_settings.maxProofAge;
+}
+
+/// When the store last answered any watcher, as far as is known.
+auto TableFollower::newestProof() const -> TimePoint
+{
+    auto newest = m_isWatching ? m_provenAt : TimePoint();
+    for (const auto &id : m_watcherIds) {
+        newest = std::max(newest, m_peers.at(id).provenAt);
+    }
+    return newest;
 }
 
 auto TableFollower::hasStoreFailed(TimePoint now) const -> bool
 {
-    return std::any_of(m_watcherIds.begin(), m_watcherIds.end(), [&](const std::string &id) {
-        const auto &watcher = m_peers.at(id);
-        return watcher.digest.hasFailed && now - watcher.receivedAt < m_settings.watcherTimeout;
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) {
+        return peer.second.digest.hasFailed && now - peer.second.receivedAt < m_settings.maxProofAge;
     });
 }
 
@@ -124,17 +125,19 @@
 auto TableFollower::isRankedToWatch(TimePoint now) const -> bool
 {
     // While nobody reaches the store, lost watchers keep their ranks: the number of those that try is limited.
-    const bool areLostReplaced = reachesStore() || firstLiveWatcher(now);
+    const bool areLostReplaced = reachesStore(now) || firstLiveWatcher(now);
+    const auto peers = m_hooks.livePeers();
     int ahead = 0;
-    for (const auto &id : m_hooks.livePeers()) {
+    for (const auto &id : peers) {
         ahead += rankOf(id) > rankOf(m_settings.id) && !(areLostReplaced && isLost(id, now)) ? 1 : 0;
     }
-    return ahead < m_storeWatchers.desiredWatchers(now);
+    return m_storeWatchers.isDesired(ahead, static_cast<int>(peers.size()) + 1, now);
 }
 
-auto TableFollower::reachesStore() const -> bool
+auto TableFollower::reachesStore(TimePoint now) const -> bool
 {
-    return m_isWatching && std::all_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->isReached(); });
+    return m_isWatching && now - m_provenAt < m_settings.maxProofAge
+        && std::all_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->isReached(); });
 }
 
 /// Number of the other live watchers that rank before this gateway.
@@ -149,7 +152,7 @@
 
 auto TableFollower::isFirst(TimePoint now) const -> bool
 {
-    return reachesStore() && watchersAhead(now) == 0;
+    return reachesStore(now) && watchersAhead(now) == 0;
 }
 
 auto TableFollower::areAllLoaded() const -> bool
@@ -211,6 +214,8 @@
     }
     m_isWatching = true;
     m_watchingSince = m_now;
+    m_provenAt = TimePoint();
+    m_failedAt.reset();
     note("watching", {{"why", why}});
     for (auto &table : m_tables) {
         table.isReadOnce = false;
@@ -248,7 +253,7 @@
         const auto changed = mirror.applySnapshot(rows, upTo);
         copyAdvanced(index, before, RowSource::Read, "-");
         if (index == TargetsTable) {
-            m_progress.storeRead(mirror.completeTo(), m_now);
+            m_provenAt = m_now;
         }
         if (wasLoaded) {
             applyOwnRows(index, changed, RowSource::Read);
@@ -264,7 +269,7 @@
         mirror.markComplete(after, upTo);
         copyAdvanced(index, before, RowSource::Watch, "-");
         if (index == TargetsTable) {
-            m_progress.storeRead(mirror.completeTo(), m_now);
+            m_provenAt = m_now;
         }
         if (!changed.empty()) {
             applyOwnRows(index, changed, RowSource::Watch);
@@ -369,11 +374,12 @@
     });
 }
 
-/// Forwards all changes since the last ones that are known to have been forwarded, so that the receivers notice if they lack earlier ones.
+/// Forwards all changes since the last ones that are known to have been forwarded, so that the receivers notice if they lack earlier ones. Receivers needn't
+/// know that the store answered since then without a change: they would take that for a change that they lack.
 auto TableFollower::forwardHeld(std::size_t index) -> void
 {
     auto &table = m_tables.at(index);
-    const auto after = forwardedTo(index);
+    const auto after = table.mirror.lastChange(forwardedTo(index));
     table.unforwarded.clear();
     const auto receivers = m_hooks.livePeers().size();
     if (receivers == 0) {
@@ -469,9 +475,6 @@
         table.versionPeer = peer;
         table.versionAt = m_now;
     }
-    if (index == TargetsTable) {
-        m_progress.versionSeen(table.mirror.completeTo(), m_now);
-    }
 }
 
 /// Targets' copies differ from each other most of the time, as their rows change all the time.
@@ -632,7 +635,6 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_storeWatchers(m_settings.watchers)
-    , m_progress(m_settings.progress)
     , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
 {
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
@@ -653,7 +655,7 @@
 
 auto TableFollower::isCurrent(TimePoint now) const -> bool
 {
-    return reachesStore() || firstLiveWatcher(now).has_value();
+    return reachesStore(now) || firstLiveWatcher(now).has_value();
 }
 
 auto TableFollower::liveWatchers(TimePoint now) const -> std::vector<std::string>
@@ -667,12 +669,14 @@
     return ids;
 }
 
-auto TableFollower::digest() const -> FollowerDigest
+auto TableFollower::digest(TimePoint now) const -> FollowerDigest
 {
     FollowerDigest digest;
     digest.isWatching = m_isWatching;
-    digest.hasTrouble = m_isWatching && !reachesStore();
-    digest.hasFailed = m_isWatching && std::any_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->hasFailed(); });
+    digest.hasTrouble = m_isWatching && !reachesStore(now);
+    digest.storeAge = m_isWatching ? std::optional(now - m_provenAt) : std::nullopt;
+    digest.hasFailed = m_isWatching ? std::any_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->hasFailed(); })
+                                    : m_failedAt && now - *m_failedAt < m_settings.failureMemory;
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         const auto &mirror = m_tables.at(i).mirror;
         digest.checksums.at(i) = mirror.isLoaded() ? mirror.checksum() : 0;
@@ -736,15 +740,12 @@
     const bool wasLive = isLive(sender, now);
     sender.rank = rankOf(peer);
     sender.receivedAt = now;
+    sender.provenAt = now - digest.storeAge.value_or(Duration());
     sender.digest = digest;
     const bool isHealthy = digest.isWatching && !digest.hasTrouble;
     if (std::exchange(sender.isHealthy, isHealthy) != isHealthy) {
         sender.healthChangedAt = now;
-        if (isHealthy) {
-            m_progress.storeRead(digest.versions.at(TargetsTable), now);
-        }
     }
-    m_progress.versionSeen(digest.versions.at(TargetsTable), now);
     if (isLive(sender, now) && !wasLive) {
         sender.liveSince = now;
     }
@@ -830,6 +831,26 @@
     m_hadLiveWatcher = hasLiveWatcher;
 }
 
+auto TableFollower::updateFollowed(bool isFollowed, TimePoint now) -> void
+{
+    const auto provenAt = newestProof();
+    if (std::exchange(m_wasFollowed, isFollowed) && !isFollowed) {
+        note("not-followed", {{"proof-age-ms", std::to_string((now - provenAt).inMillis())}, {"watchers", std::to_string(m_watcherIds.size())}});
+    }
+    // The first gateways that replace silent watchers needn't wait: the store has answered nobody for longer than that already.
+    const bool isSilent = now - provenAt >= m_settings.maxProofAge;
+    m_storeWatchers.advance(isFollowed, isSilent ? now - m_settings.watchers.doubleAfter : now);
+}
+
+/// Stops watches that the store hasn't answered, as it is the turn of other gateways.
+auto TableFollower::endTurn() -> void
+{
+    if (m_isWatching && std::none_of(m_tables.begin(), m_tables.end(), [](const FollowedTable &table) { return table.watch->isReached(); })) {
+        m_failedAt = m_now;
+        stopWatching(m_now);
+    }
+}
+
 auto TableFollower::advance(TimePoint now) -> void
 {
     m_now = now;
@@ -841,19 +862,15 @@
     if (m_isStarting) {
         return;
     }
-    if (m_progress.advance(now)) {
-        note("stalled", {{"version", textOf(m_progress.stalledAt())}, {"watchers", std::to_string(m_watcherIds.size())}});
-    }
     const auto first = firstLiveWatcher(now);
-    // The first gateways that replace lost watchers needn't wait: nothing has arrived for longer than that already.
-    const auto unreachableSince = m_progress.isStalled(now) ? m_progress.stalledSince() - m_settings.watchers.doubleAfter : now;
-    m_storeWatchers.advance(first || reachesStore(), unreachableSince);
+    updateFollowed(first || reachesStore(now), now);
     reportReachability(first.has_value(), now);
     if (isRankedToWatch(now)) {
         startWatching(first ? "ranks-first" : "no-watcher");
         return;
     }
     if (!first) {
+        endTurn();
         return;
     }
     const auto &watcher = m_peers.at(*first);
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -19,7 +19,6 @@
 //   TableFollower   the state machine
 #pragma once
 
-#include "core/storeprogress.h"
 #include "core/storetable.h"
 #include "core/storewatchers.h"
 #include "core/tablewatch.h"
@@ -44,7 +43,9 @@
 struct FollowerDigest {
     bool isWatching = false;
     bool hasTrouble = false; ///< it watches, and doesn't reach the store
-    bool hasFailed = false; ///< its last call to the store has failed; not set by one that has begun to watch and has no answer yet
+    bool hasFailed = false; ///< its last call to the store has failed, recently; not set by one that has begun to watch and has no answer yet
+    /// Time since the store last showed that the sender's copy of the targets' rows is complete; none: it doesn't watch, or it is of an earlier release.
+    std::optional<Duration> storeAge;
     std::array<std::uint64_t, FollowedTableCount> checksums {}; ///< by table; 0: it hasn't loaded the table
     std::array<RowVersion, FollowedTableCount> versions; ///< by table: it knows all changes up to this version
     /// By table: all changes up to this version that it found in the store were forwarded, by it or by another gateway. 0: it doesn't watch.
@@ -65,16 +66,17 @@
 struct TableFollowerSettings {
     std::string id; ///< of this gateway
     StoreWatcherOptions watchers;
-    StoreProgressOptions progress;
-    Duration watcherTimeout = Duration::millis(1000); ///< a watcher without a digest for this long no longer counts as live
+    /// A watcher no longer counts as live if the store's last answer to it is older than this, or its last digest. Such answers come every targetsPollTimeout,
+    /// after a pause of standbyBatchDelay at most; digests of watchers every 200 ms; small hosts are late by as much.
+    Duration maxProofAge = Duration::millis(1100);
     /// The first watcher must be live for this long before this gateway stops its own watch. Its own watch must run for this long too, so that digests show it.
     Duration handoverDelay = Duration::millis(1000);
     /// If no digest shows by then that a change was forwarded, the second watcher forwards it; the third one after twice this time, and so on.
     Duration fallbackDelay = Duration::millis(300);
-    /// Longest wait of a watch call for targets. Their heartbeats come about once a second, so a longer silence means that the store is unreachable.
-    Duration targetsPollTimeout = Duration::millis(1500);
+    Duration targetsPollTimeout = Duration::millis(400); ///< longest wait of a watch call for targets: each answer shows that the store is reachable
+    Duration failureMemory = Duration::seconds(3); ///< how long a gateway that doesn't watch any more says that the store hasn't answered it
     Duration batchDelay = Duration::millis(100); ///< the first watcher waits this long after a change of targets before its next watch call
-    Duration standbyBatchDelay = Duration::millis(700); ///< the same for the other watchers, which only back up the first
+    Duration standbyBatchDelay = Duration::millis(300); ///< the same for the other watchers, which only back up the first
     Duration peerLoadTimeout = Duration::millis(1500); ///< at start-up, tables that no peer has sent within this time are read from the store
     Duration repairDelay = Duration::millis(600); ///< a copy that stays behind another gateway's for this long has missed changes: they are requested
     Duration gapDelay = Duration::millis(100); ///< the same if rows arrive that follow later than those known here
@@ -134,7 +136,7 @@
     auto isWatching() const -> bool; ///< this gateway watches the store itself
     auto isCurrent(TimePoint now) const -> bool; ///< this gateway or a live watcher reaches the store
     auto liveWatchers(TimePoint now) const -> std::vector<std::string>; ///< other gateways that watch and reach the store
-    auto digest() const -> FollowerDigest;
+    auto digest(TimePoint now) const -> FollowerDigest;
     /// How long this gateway's copy has differed from that of a live watcher. Always 0 for targets, whose rows change all the time.
     auto differsFor(StoreTable table, TimePoint now) const -> Duration;
     auto nextCallAt() const -> std::optional<TimePoint>; ///< call advanceCalls() then
@@ -156,6 +158,7 @@
     struct Peer {
         std::uint64_t rank = 0;
         TimePoint receivedAt;
+        TimePoint provenAt; ///< the store last answered it at this time; of earlier releases: its last digest arrived
         TimePoint liveSince; ///< see isLive()
         bool isHealthy = false; ///< it watches the store and reaches it, by its last digest
         TimePoint healthChangedAt;
@@ -186,7 +189,6 @@
         std::vector<std::pair<TimePoint, StoredRow>> unforwarded;
     };
     auto isLive(const Peer &watcher, TimePoint now) const -> bool;
-    auto isLeftBehind(const Peer &watcher) const -> bool;
     auto isLost(const std::string &id, TimePoint now) const -> bool;
     auto hasStoreFailed(TimePoint now) const -> bool;
     auto reportReachability(bool hasLiveWatcher, TimePoint now) -> void;
@@ -195,7 +197,10 @@
     auto isRankedToWatch(TimePoint now) const -> bool;
     auto watchersAhead(TimePoint now) const -> int;
     auto isFirst(TimePoint now) const -> bool;
-    auto reachesStore() const -> bool;
+    auto reachesStore(TimePoint now) const -> bool;
+    auto newestProof() const -> TimePoint;
+    auto updateFollowed(bool isFollowed, TimePoint now) -> void;
+    auto endTurn() -> void;
     auto areAllLoaded() const -> bool;
     auto buildWatch(std::size_t index) -> void;
     auto chooseSource() -> void;
@@ -230,12 +235,14 @@
     std::map<std::string, Peer> m_peers;
     std::set<std::string> m_watcherIds; ///< of the peers that watch, by their last digest
     StoreWatchers m_storeWatchers;
-    StoreProgress m_progress; ///< of the targets' table
     std::minstd_rand m_random;
     TimePoint m_now; ///< of the current event, for the hooks of the watches
     std::optional<TimePoint> m_startDeadline; ///< at start-up, tables that aren't loaded by then are read from the store
     TimePoint m_watchingSince;
+    std::optional<TimePoint> m_failedAt; ///< this gateway stopped watching at this time, and the store hadn't answered it
+    TimePoint m_provenAt; ///< the store last answered this gateway's own watch of the targets
     bool m_isWatching = false;
+    bool m_wasFollowed = false; ///< this gateway or another one reached the store at the last advance()
     bool m_hadLiveWatcher = false; ///< another gateway was a live watcher at the last advance()
     bool m_hasStoreFailed = false; ///< calls of watchers have failed since a watcher was live
     bool m_isStarting = true; ///< the source of the tables hasn't been chosen, or not all tables have arrived
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -3,6 +3,7 @@
 #include "wire/packedrows.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 namespace KingCup
@@ -190,10 +191,13 @@
 
 auto StoreFollower::writeDigest(Wire::GatewayDigest &digest) const -> void
 {
-    const auto own = d->follower.digest();
+    const auto own = d->follower.digest(d->parts.loop.now());
     digest.set_watches_store(own.isWatching);
     digest.set_store_trouble(own.hasTrouble);
     digest.set_store_failed(own.hasFailed);
+    if (own.storeAge) {
+        digest.set_store_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(own.storeAge->inMillis(), 0, std::numeric_limits<std::uint32_t>::max())));
+    }
     for (std::size_t i = 0; i < FollowedTableCount; ++i) {
         digest.add_tables(own.checksums.at(i));
         digest.add_versions(own.versions.at(i).value());
@@ -209,6 +213,9 @@
     received.isWatching = digest.watches_store();
     received.hasTrouble = digest.store_trouble();
     received.hasFailed = digest.has_store_failed() ? digest.store_failed() : digest.store_trouble();
+    if (digest.has_store_age_ms()) {
+        received.storeAge = Duration::millis(digest.store_age_ms());
+    }
     for (int i = 0; i < std::min(digest.tables_size(), static_cast<int>(FollowedTableCount)); ++i) {
         received.checksums.at(static_cast<std::size_t>(i)) = digest.tables(i);
     }
--- a/tests/sim_tablefleet.h
+++ b/tests/sim_tablefleet.h
@@ -281,6 +281,7 @@
     SimCosts costs;
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::map<std::string, Gateway *> byId;
+    std::set<std::string> ofEarlierRelease; ///< gateways whose digests don't say how long ago the store answered them
     std::set<std::string> silentTargets; ///< write no heartbeats
     std::function<bool(const std::string &from, const std::string &to)> isCut = [](const std::string &, const std::string &) {
         return false;
@@ -646,7 +647,10 @@
             return;
         }
         gateway.digestSentAt = clock.now();
-        const auto digest = gateway.follower->digest();
+        auto digest = gateway.follower->digest(clock.now());
+        if (ofEarlierRelease.contains(gateway.id)) {
+            digest.storeAge.reset();
+        }
         for (const auto &[id, row] : gateway.registered) {
             transmit(gateway, id, DigestBytes, costs.receive, [this, digest, sender = gateway.id](Gateway &receiver) {
                 receiver.follower->digestReceived(sender, digest, clock.now());
--- a/tests/unit_lostwatchers.cpp
+++ b/tests/unit_lostwatchers.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr double StartSeconds = 10; ///< until a fleet has started and settled
+constexpr double SeldomChanged = 60; ///< heartbeat period of targets whose rows hardly ever change
 constexpr int Watchers = StoreWatcherOptions().baseCount;
 
 /// Shapes of fleets, and the time within which a change of the declarations, or of a target's row, must be known to all gateways there.
@@ -23,9 +24,12 @@
 auto shapes() -> std::vector<Shape>
 {
     return {{{.gateways = 6, .targets = 22}, 2},
+            {{.gateways = 6, .targets = 22, .heartbeatSeconds = SeldomChanged}, 2},
             {{.gateways = 8, .targets = 8}, 2},
             {{.gateways = 27, .targets = 60}, 3},
-            {{.gateways = 103, .targets = 187}, 4, 1}};
+            {{.gateways = 31, .targets = 60, .heartbeatSeconds = SeldomChanged}, 3},
+            {{.gateways = 103, .targets = 187}, 4, 1},
+            {{.gateways = 103, .targets = 187, .heartbeatSeconds = SeldomChanged}, 4, 1}};
 }
 
 auto idsOf(const std::vector<SimTableFleet::Gateway *> &ranked) -> std::set<std::string>
@@ -100,6 +104,30 @@
     }
 }
 
+TEST_CASE("watchers of an earlier release are followed, and replaced once they report that the store is out of reach")
+{
+    // Guards against gateways that take each other for lost while two releases serve together.
+    SimTableFleet fleet({.gateways = 27, .targets = 60, .heartbeatSeconds = SeldomChanged, .seed = 1});
+    const auto watchers = idsOf(fleet.ranked());
+    fleet.ofEarlierRelease = watchers;
+    fleet.startAll();
+    fleet.run(StartSeconds);
+    for (int tick = 0; tick < 50; ++tick) {
+        fleet.run(0.2);
+        REQUIRE(fleet.watching().size() == Watchers);
+    }
+    fleet.isCutFromStore = [&](const std::string &id) {
+        return watchers.contains(id);
+    };
+    const auto changedAt = fleet.clock.now();
+    fleet.declare("2");
+    fleet.run(6);
+    const auto isOther = [&](const SimTableFleet::Gateway &gateway) {
+        return !watchers.contains(gateway.id);
+    };
+    CHECK(fleet.adoptionSeconds("2", changedAt, isOther) <= 4);
+}
+
 TEST_CASE("a store in which nothing changes needs no more watchers than usual")
 {
     // Guards against a quiet store that is taken for lost watchers: each gateway would watch it, and each watcher would forward every change.
@@ -173,3 +201,96 @@
         }
     }
 }
+
+namespace
+{
+
+/// Draws disruptions of single gateways, mostly of those that watch the store, for one fleet.
+class DrawnDisruptions
+{
+public:
+    DrawnDisruptions(SimTableFleet &fleet, std::uint64_t seed)
+        : m_fleet(fleet)
+        , m_random(seed)
+    {
+        m_fleet.isCutFromStore = [this](const std::string &id) {
+            return m_cut.contains(id);
+        };
+    }
+
+    /// Gateways that nothing has been done to.
+    auto isCalm(const SimTableFleet::Gateway &gateway) const -> bool
+    {
+        return !m_disturbed.contains(gateway.id);
+    }
+    /// Disturbs up to half of the gateways, within 0.6 s.
+    auto strike() -> void
+    {
+        auto chosen = m_fleet.ranked();
+        if (draw(0, 3) == 0) {
+            std::shuffle(chosen.begin(), chosen.end(), m_random);
+        }
+        chosen.resize(static_cast<std::size_t>(draw(1, static_cast<int>(chosen.size()) / 2)));
+        const auto kind = draw(0, 4);
+        for (auto *gateway : chosen) {
+            m_disturbed.insert(gateway->id);
+            m_fleet.clock.after(Duration::millis(draw(0, 600)), [this, gateway, kind = kind == 4 ? draw(0, 3) : kind] { disturb(*gateway, kind); });
+        }
+    }
+    auto draw(int least, int most) -> int
+    {
+        return std::uniform_int_distribution<int>(least, most)(m_random);
+    }
+
+private:
+    auto disturb(SimTableFleet::Gateway &gateway, int kind) -> void
+    {
+        switch (kind) {
+        case 0:
+            m_cut.insert(gateway.id);
+            break;
+        case 1:
+            m_fleet.stop(gateway);
+            break;
+        case 2:
+            m_fleet.freeze(gateway);
+            break;
+        default:
+            m_fleet.store.refusedHosts.insert(gateway.id);
+        }
+    }
+
+    SimTableFleet &m_fleet;
+    std::mt19937_64 m_random;
+    std::set<std::string> m_cut;
+    std::set<std::string> m_disturbed;
+};
+
+} // namespace
+
+TEST_CASE("whatever happens to the watchers, a change is in force in time on the gateways to which nothing has happened")
+{
+    // Guards against sums of timers: drawn cuts from the store, ends, stand-stills and refusals of up to half of the gateways, and a change around that time.
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto isSmall = random() % 3 != 0;
+        SimFleetOptions options {.gateways = isSmall ? 4 + static_cast<int>(random() % 9) : 20 + static_cast<int>(random() % 12), .seed = seed};
+        options.targets = options.gateways * 2;
+        options.heartbeatSeconds = random() % 2 == 0 ? SeldomChanged : 1.2;
+        const double inForceSeconds = isSmall ? 2 : 3;
+        SimTableFleet fleet(options);
+        DrawnDisruptions disruptions(fleet, seed);
+        fleet.startAll();
+        fleet.run(StartSeconds + disruptions.draw(0, 1000) * 1e-3);
+        disruptions.strike();
+        fleet.run(disruptions.draw(0, 1500) * 1e-3);
+        const auto changedAt = fleet.clock.now();
+        fleet.declare("2");
+        fleet.run(6);
+        const auto isCalm = [&](const SimTableFleet::Gateway &gateway) {
+            return disruptions.isCalm(gateway);
+        };
+        CAPTURE(seed, options.gateways, options.heartbeatSeconds);
+        CHECK(fleet.adoptionSeconds("2", changedAt, isCalm) <= inForceSeconds);
+    }
+}
--- a/tests/unit_storewatchers.cpp
+++ b/tests/unit_storewatchers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 #include <vector>
 
 using namespace KingCup;
@@ -80,6 +81,32 @@
     }
 }
 
+TEST_CASE("the store refuses the hosts of all gateways that rank first: the others try in turn")
+{
+    // Guards against a deployment that never finds out which of its gateways reach the store, since always the same ones try.
+    for (const int refused : {12, 40, 90}) {
+        StoreWatchers watchers;
+        watchers.advance(true, at(0));
+        watchers.advance(false, at(1));
+        std::set<int> tried;
+        int atOnce = 0;
+        double now = 1;
+        for (; (tried.empty() || *tried.rbegin() < refused) && now < 20; now += 0.1) {
+            int trying = 0;
+            for (int ahead = 0; ahead < Gateways; ++ahead) {
+                if (watchers.isDesired(ahead, Gateways, at(now))) {
+                    tried.insert(ahead);
+                    ++trying;
+                }
+            }
+            atOnce = std::max(atOnce, trying);
+        }
+        CAPTURE(refused);
+        CHECK(atOnce <= StoreWatcherOptions().maxCount);
+        CHECK(now <= 2 + 0.4 * refused / 6.0 + 0.2);
+    }
+}
+
 TEST_CASE("mass restart: of many gateways a few read the store's tables, the others get them from those")
 {
     // When 301 gateways started at the same time and each read the rows of 2,998 targets, the bytes read cost more than anything else, and no gateway served
--- a/tests/unit_tablefollower.cpp
+++ b/tests/unit_tablefollower.cpp
@@ -128,7 +128,7 @@
         const auto changedAt = fleet.clock.now();
         fleet.declare("2");
         fleet.run(0.5);
-        const TableRows claim {.table = 0, .after = misled.follower->digest().versions.at(0), .upTo = fleet.store.version(), .rows = {}};
+        const TableRows claim {.table = 0, .after = misled.follower->digest(fleet.clock.now()).versions.at(0), .upTo = fleet.store.version(), .rows = {}};
         misled.follower->rowsReceived(fleet.highestRanked().id, claim, fleet.clock.now());
         fleet.isCut = [](const std::string &, const std::string &) {
             return false;
@@ -177,7 +177,7 @@
     const auto changedAt = fleet.clock.now();
     fleet.declare("2");
     fleet.run(0.3);
-    auto newest = gone.follower->digest();
+    auto newest = gone.follower->digest(fleet.clock.now());
     newest.versions.at(0) = RowVersion(fleet.store.version().value() + 1000);
     behind.follower->digestReceived(gone.id, newest, fleet.clock.now());
     fleet.stop(gone);
