request permits: all arbiters of a target together issue its rate once, and permits count from their query

Cause: each gateway finds a target's arbiter among the gateways that it takes for live. Where views differ (a slow, frozen or partly cut-off host) there were several arbiters, and each issued the whole rate. And permits were used whenever they came, so those of an arbiter that lags behind by seconds were used beside its successor's.

Change: a gateway that asks another arbiter tells the first of the ranking, which then doesn't issue its share; a gateway that is asked though others rank before it issues only the shares of those that ask it. Permits count for a second from their query, and only from the current arbiter.

--- a/src/core/requestpermits.cpp
+++ b/src/core/requestpermits.cpp
@@ -30,9 +30,19 @@
     return found != m_holdings.end() && !found->second.unused.empty() && now < found->second.unused.back();
 }
 
+namespace
+{
+
+auto rankingKey(const TargetIncarnation &target) -> std::string
+{
+    return target.id.text() + "#" + std::to_string(target.startedAtMillis);
+}
+
+} // namespace
+
 auto RequestPermits::arbiter(const TargetIncarnation &target) const -> std::string
 {
-    return rendezvousFirst(target.id.text() + "#" + std::to_string(target.startedAtMillis), m_self, m_live);
+    return rendezvousFirst(rankingKey(target), m_self, m_live);
 }
 
 auto RequestPermits::wanted(const TargetIncarnation &target, double perSecond, bool isWaiting, TimePoint now) -> PermitState
@@ -46,7 +56,7 @@
     if (isWaiting) {
         if (!holding.waitingQueryAt || now - *holding.waitingQueryAt >= m_options.queryPeriod) {
             holding.waitingQueryAt = now;
-            sendQuery({target, perSecond, true}, now);
+            sendQuery({target, perSecond, true, now}, now);
         }
         return has(target, now) ? PermitState::Held : PermitState::Pending;
     }
@@ -61,7 +71,7 @@
         return PermitState::Pending;
     }
     holding.queriedAt = now;
-    sendQuery({target, perSecond, false}, now);
+    sendQuery({target, perSecond, false, now}, now);
     if (has(target, now)) {
         return PermitState::Held;
     }
@@ -71,6 +81,12 @@
 auto RequestPermits::sendQuery(const PermitQuery &query, TimePoint now) -> void
 {
     const auto to = arbiter(query.target);
+    const auto key = rankingKey(query.target);
+    for (const auto &id : m_silent) {
+        if (rendezvousScore(key, id) > rendezvousScore(key, to)) {
+            m_messages[id].elsewhere.push_back(query.target);
+        }
+    }
     if (to == m_self) {
         queryReceived(m_self, query, now);
     } else {
@@ -99,10 +115,11 @@
     m_buckets.erase(target);
 }
 
-auto RequestPermits::replied(const PermitReply &reply, TimePoint now) -> void
+auto RequestPermits::replied(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void
 {
     const auto found = m_holdings.find(reply.target);
-    if (found == m_holdings.end()) {
+    const auto expiresAt = reply.queriedAt.value_or(now) + m_options.permitLifetime;
+    if (found == m_holdings.end() || now >= expiresAt || gateway != arbiter(reply.target)) {
         return;
     }
     auto &holding = found->second;
@@ -112,7 +129,7 @@
         return;
     }
     holding.waitingQueryAt.reset();
-    holding.unused.push_back(now + m_options.permitLifetime);
+    holding.unused.insert(std::upper_bound(holding.unused.begin(), holding.unused.end(), expiresAt), expiresAt);
     if (static_cast<double>(holding.unused.size()) > burst(holding.perSecond)) {
         holding.unused.pop_front(); // a repeated query was granted twice
     }
@@ -125,16 +142,30 @@
 
 // [SECTION] Issuing
 
-auto RequestPermits::setGateways(std::set<std::string> live, int silent) -> void
+auto RequestPermits::setGateways(std::set<std::string> live, std::set<std::string> silent) -> void
 {
+    m_changes += live != m_live || silent != m_silent ? 1 : 0;
     m_live = std::move(live);
-    m_silent = silent;
+    m_silent = std::move(silent);
+}
+
+auto RequestPermits::bucketOf(const TargetIncarnation &target, TimePoint now) -> Bucket &
+{
+    auto &bucket = m_buckets.try_emplace(target, Bucket {.refilledAt = now}).first->second;
+    if (bucket.rankedFor != m_changes) {
+        auto others = m_live;
+        others.insert(m_silent.begin(), m_silent.end());
+        bucket.isFirst = rendezvousFirst(rankingKey(target), m_self, others) == m_self;
+        bucket.rankedFor = m_changes;
+    }
+    return bucket;
 }
 
 auto RequestPermits::rate(const Bucket &bucket) const -> double
 {
     const double reporting = static_cast<double>(m_live.size()) + 1;
-    return std::max(bucket.perSecond, m_options.minPerSecond) * reporting / (reporting + m_silent);
+    const auto shares = bucket.isFirst ? reporting - static_cast<double>(bucket.elsewhere.size()) : static_cast<double>(bucket.askers.size());
+    return std::max(bucket.perSecond, m_options.minPerSecond) * std::max(shares, 1.0) / (reporting + static_cast<double>(m_silent.size()));
 }
 
 auto RequestPermits::refill(Bucket &bucket, TimePoint now) const -> void
@@ -153,28 +184,38 @@
 
 auto RequestPermits::queryReceived(const std::string &gateway, const PermitQuery &query, TimePoint now) -> void
 {
-    auto &bucket = m_buckets.try_emplace(query.target, Bucket {.refilledAt = now}).first->second;
+    auto &bucket = bucketOf(query.target, now);
+    refill(bucket, now);
     bucket.perSecond = query.perSecond;
+    bucket.askers[gateway] = now;
     bucket.queriedAt = now;
     issueFrom(query.target, bucket, now);
     if (!query.isWaiting) {
         const bool isGranted = bucket.waiting.empty() && bucket.level >= 1;
         bucket.level -= isGranted ? 1 : 0;
-        reply(gateway, {query.target, isGranted, isGranted ? Duration() : untilNext(bucket, now)}, now);
+        reply(gateway, {query.target, isGranted, isGranted ? Duration() : untilNext(bucket, now), query.at}, now);
         return;
     }
     const auto known = std::find_if(bucket.waiting.begin(), bucket.waiting.end(), [&](const WaitingGateway &pending) { return pending.gateway == gateway; });
     if (known != bucket.waiting.end()) {
         bucket.waiting.erase(known);
     }
-    bucket.waiting.push_back({gateway, now});
+    bucket.waiting.push_back({gateway, now, query.at});
     issueFrom(query.target, bucket, now);
 }
 
+auto RequestPermits::queriedElsewhere(const std::string &gateway, const TargetIncarnation &target, TimePoint now) -> void
+{
+    auto &bucket = bucketOf(target, now);
+    refill(bucket, now);
+    bucket.queriedAt = now;
+    bucket.elsewhere[gateway] = now;
+}
+
 auto RequestPermits::reply(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void
 {
     if (gateway == m_self) {
-        replied(reply, now);
+        replied(m_self, reply, now);
     } else {
         m_messages[gateway].replies.push_back(reply);
     }
@@ -186,11 +227,11 @@
     std::erase_if(bucket.waiting, [&](const WaitingGateway &pending) { return now - pending.at > m_options.queryLifetime; });
     int issued = 0;
     while (bucket.level >= 1 && !bucket.waiting.empty()) {
-        const auto gateway = std::move(bucket.waiting.back().gateway);
+        const auto next = std::move(bucket.waiting.back());
         bucket.waiting.pop_back();
         bucket.level -= 1;
         ++issued;
-        reply(gateway, {target, true, Duration()}, now);
+        reply(next.gateway, {target, true, Duration(), next.queriedAt}, now);
     }
     return issued;
 }
@@ -198,8 +239,13 @@
 auto RequestPermits::issue(TimePoint now) -> int
 {
     int issued = 0;
+    const auto isOver = [&](const auto &entry) {
+        return now - entry.second > m_options.shareLifetime;
+    };
     for (auto &[target, bucket] : m_buckets) {
-        issued += issueFrom(target, bucket, now);
+        issued += issueFrom(target, bucketOf(target, now), now);
+        std::erase_if(bucket.askers, isOver);
+        std::erase_if(bucket.elsewhere, isOver);
     }
     std::erase_if(m_buckets, [&](const auto &bucket) { return now - bucket.second.queriedAt > m_options.idleLifetime; });
     std::erase_if(m_holdings, [&](const auto &holding) { return now - holding.second.wantedAt > m_options.idleLifetime; });
--- a/src/core/requestpermits.h
+++ b/src/core/requestpermits.h
@@ -9,7 +9,12 @@
 // request waits, and the arbiter grants the permit as soon as the rate allows. Requests that wait get their permits before all others; the latest query is
 // served first, since where more requests wait than the target accepts, those that have waited longest are about to give up.
 //
-// A gateway that has fallen silent may be partitioned from this one and have an arbiter of its own. Its equal share of the rate isn't issued here.
+// Gateways that take different ones for live have different arbiters, which must not issue the whole rate each. Each gateway has an equal share of the rate:
+// - A gateway that has fallen silent may be partitioned from this one and have an arbiter of its own. Its share isn't issued here.
+// - A gateway that takes the first of the ranking for silent asks the next one, and tells the first so, which may be able to hear it: its share isn't issued
+//   there.
+// - A gateway that is asked though others rank before it issues only the shares of those that ask it.
+// A permit is good for a short time after its query and from the gateway's current arbiter only: one that lags behind replies to queries of long ago.
 //
 // Index of sections (search for [SECTION]):
 //   Options          rates and lifetimes
@@ -36,7 +41,8 @@
     /// A target that accepts fewer requests still gets this many a second: only an answer can show that its limit has ended.
     double minPerSecond = 0.2;
     Duration burst = Duration::millis(500); ///< permits that may be issued, or held unused, at once, as time at the target's rate; at least one permit
-    Duration permitLifetime = Duration::millis(1000); ///< of an unused permit
+    Duration permitLifetime = Duration::millis(1000); ///< of an unused permit, from the query for it
+    Duration shareLifetime = Duration::seconds(3); ///< how long a query counts its sender among those that ask this gateway, or another one
     Duration replyTimeout = Duration::millis(50); ///< an arbiter that doesn't reply to a query within this time gets no other one before `queryPeriod` is over
     Duration queryPeriod = Duration::millis(300); ///< between two queries for requests that wait
     Duration queryLifetime = Duration::millis(400); ///< the arbiter drops the query of a gateway that doesn't repeat it for this long: its requests have gone
@@ -50,18 +56,21 @@
     TargetIncarnation target;
     double perSecond = 0; ///< the target's limit, as known to the gateway that sends the query
     bool isWaiting = false; ///< a request waits for the target, because no other one can take it
+    std::optional<TimePoint> at; ///< when it was sent, by the sender's clock; nothing: sent by an earlier release
 };
 
 struct PermitReply {
     TargetIncarnation target;
     bool isGranted = false; ///< one permit
     Duration availableIn; ///< if not granted: until the arbiter can issue the next one
+    std::optional<TimePoint> queriedAt; ///< of the last query of the gateway, by its clock; nothing: sent by an earlier release
 };
 
 /// Messages to one other gateway.
 struct PermitMessages {
     std::vector<PermitQuery> queries;
     std::vector<PermitReply> replies;
+    std::vector<TargetIncarnation> elsewhere; ///< another arbiter was queried for these, as the receiver seems to be silent
 };
 
 // [SECTION] RequestPermits
@@ -90,10 +99,11 @@
     auto drop(const TargetIncarnation &target) -> void; ///< its limit has ended
 
     // Commands: other gateways
-    /// `live`: the other gateways that are live; `silent`: number of those that have fallen silent recently.
-    auto setGateways(std::set<std::string> live, int silent) -> void;
+    /// `live`: the other gateways that are live; `silent`: those that have fallen silent recently.
+    auto setGateways(std::set<std::string> live, std::set<std::string> silent) -> void;
     auto queryReceived(const std::string &gateway, const PermitQuery &query, TimePoint now) -> void;
-    auto replied(const PermitReply &reply, TimePoint now) -> void;
+    auto queriedElsewhere(const std::string &gateway, const TargetIncarnation &target, TimePoint now) -> void; ///< see PermitMessages
+    auto replied(const std::string &gateway, const PermitReply &reply, TimePoint now) -> void;
     auto issue(TimePoint now) -> int; ///< issues the permits that are due to gateways whose requests wait; returns their number
     auto takeMessages() -> std::map<std::string, PermitMessages>; ///< by receiver
 
@@ -110,6 +120,7 @@
     struct WaitingGateway {
         std::string gateway;
         TimePoint at;
+        std::optional<TimePoint> queriedAt; ///< by its clock
     };
     /// Permits that this gateway issues for one target.
     struct Bucket {
@@ -118,7 +129,12 @@
         TimePoint refilledAt;
         TimePoint queriedAt; ///< of the last query
         std::vector<WaitingGateway> waiting; ///< gateways whose requests wait, by the time of their last query
+        std::map<std::string, TimePoint> askers; ///< gateways, this one included, with the time of their last query
+        std::map<std::string, TimePoint> elsewhere; ///< gateways that have queried another arbiter, with the time of the last notice
+        bool isFirst = false; ///< this gateway ranks first among the live and the silent ones
+        int rankedFor = -1; ///< the value of m_changes for which `isFirst` was determined
     };
+    auto bucketOf(const TargetIncarnation &target, TimePoint now) -> Bucket &;
     auto burst(double perSecond) const -> double;
     auto rate(const Bucket &bucket) const -> double;
     auto refill(Bucket &bucket, TimePoint now) const -> void;
@@ -130,7 +146,8 @@
     std::string m_self;
     RequestPermitOptions m_options;
     std::set<std::string> m_live; ///< other gateways
-    int m_silent = 0;
+    std::set<std::string> m_silent;
+    int m_changes = 0; ///< of the live and silent gateways
     std::map<TargetIncarnation, Holding> m_holdings;
     std::map<TargetIncarnation, Bucket> m_buckets;
     std::map<std::string, PermitMessages> m_messages;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -148,12 +148,15 @@
     return static_cast<int>(std::count_if(d->states.begin(), d->states.end(), [](const auto &state) { return state.second.isLive; }));
 }
 
-auto GatewayPeers::silentCount(Duration within) const -> int
+auto GatewayPeers::silent(Duration within) const -> std::set<std::string>
 {
-    const auto isRecent = [&](const auto &state) {
-        return !state.second.isLive && d->loop.now() - state.second.receivedAt < within;
-    };
-    return static_cast<int>(std::count_if(d->states.begin(), d->states.end(), isRecent));
+    std::set<std::string> ids;
+    for (const auto &[id, state] : d->states) {
+        if (!state.isLive && d->loop.now() - state.receivedAt < within) {
+            ids.insert(id);
+        }
+    }
+    return ids;
 }
 
 auto GatewayPeers::setHosts(const std::vector<ListedHost> &hosts) -> void
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -46,7 +46,7 @@
     auto live() const -> std::set<std::string>; ///< ids of the other gateways that aren't silent
 
     auto liveCount() const -> int;
-    auto silentCount(Duration within) const -> int; ///< gateways that have fallen silent, with a message within that time
+    auto silent(Duration within) const -> std::set<std::string>; ///< ids of gateways that have fallen silent, with a message within that time
 
     // Commands
     /// All registered gateways, this one included.
--- a/src/gateway/limitexchange.cpp
+++ b/src/gateway/limitexchange.cpp
@@ -39,6 +39,24 @@
     added->set_age_ms(static_cast<std::uint64_t>(std::max(notice.age.inMillis(), std::int64_t {0})));
 }
 
+/// When a query was sent, by its sender's clock.
+template<typename Message>
+auto senderTime(const Message &message) -> std::optional<TimePoint>
+{
+    if (!message.has_queried_at_us()) {
+        return std::nullopt;
+    }
+    return TimePoint() + Duration::micros(static_cast<std::int64_t>(std::min(message.queried_at_us(), MaxMicros / 2)));
+}
+
+template<typename Message>
+auto writeTime(const std::optional<TimePoint> &time, Message &message) -> void
+{
+    if (time) {
+        message.set_queried_at_us(static_cast<std::uint64_t>(std::max((*time - TimePoint()).inMicros(), std::int64_t {0})));
+    }
+}
+
 auto isValidRate(double perSecond) -> bool
 {
     return std::isfinite(perSecond) && perSecond >= 0;
@@ -114,7 +132,7 @@
 auto LimitExchange::advance() -> void
 {
     m_limits.expire(m_parts.loop.now());
-    m_permits.setGateways(m_parts.peers.live(), m_parts.peers.silentCount(SilentShareTime));
+    m_permits.setGateways(m_parts.peers.live(), m_parts.peers.silent(SilentShareTime));
     issueDue();
 }
 
@@ -149,12 +167,15 @@
         // The arbiter may know a later limit than the gateway that sent the query.
         const double limit = m_limits.perSecond(targetOf(query)).value_or(query.per_second());
         if (isValidRate(limit)) {
-            m_permits.queryReceived(id, {targetOf(query), limit, query.waiting()}, now);
+            m_permits.queryReceived(id, {targetOf(query), limit, query.waiting(), senderTime(query)}, now);
         }
     }
     for (const auto &reply : message.replies()) {
         const auto availableIn = std::min(Duration::micros(static_cast<std::int64_t>(std::min(reply.available_in_us(), MaxMicros))), MaxDenial);
-        m_permits.replied({targetOf(reply), reply.granted(), availableIn}, now);
+        m_permits.replied(id, {targetOf(reply), reply.granted(), availableIn, senderTime(reply)}, now);
+    }
+    for (const auto &target : message.elsewhere()) {
+        m_permits.queriedElsewhere(id, targetOf(target), now);
     }
     flush();
     if (message.replies_size() > 0) {
@@ -183,12 +204,17 @@
             writeTarget(query.target, *added);
             added->set_per_second(query.perSecond);
             added->set_waiting(query.isWaiting);
+            writeTime(query.at, *added);
         }
         for (const auto &reply : messages.replies) {
             auto *added = limits->add_replies();
             writeTarget(reply.target, *added);
             added->set_granted(reply.isGranted);
             added->set_available_in_us(static_cast<std::uint64_t>(std::max(reply.availableIn.inMicros(), std::int64_t {0})));
+            writeTime(reply.queriedAt, *added);
+        }
+        for (const auto &target : messages.elsewhere) {
+            writeTarget(target, *limits->add_elsewhere());
         }
         m_parts.peers.send(to, frame);
     }
