net: no callback of the event library reaches an owner that was destroyed when its connection ended

Cause: libwebsockets reports a closed descriptor and calls back once more for the same connection. The pointer to the owner was cleared only where the owner gave up the connection, not where libwebsockets reported the end; the owner may have been destroyed by then. Class: a callback into an object whose lifetime has ended. Links between gateways and the HTTP client had the same gap (a failed connect before the handshake).

Change: net/lwsowner.h is the one place that reads the pointer, and it clears it as soon as an end is reported. Timers and posted tasks hold weak pointers or are cancelled by their owners (read, no change).

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 // Implements the client of net/http.h. Each call opens a new connection.
 #include "net/http.h"
 #include "net/lwsheaders.h"
+#include "net/lwsowner.h"
 #include "net/tls.h"
 
 #include <algorithm>
@@ -217,11 +218,10 @@
 
 auto HttpClient::Private::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, size_t length) -> int
 {
-    auto *call = wsi == nullptr ? nullptr : static_cast<Call *>(lws_get_opaque_user_data(wsi));
-    if (call == nullptr) {
+    const auto call = lwsOwner<Call>(wsi, reason);
+    if (!call) {
         return 0;
     }
-    const auto keep = call->shared_from_this();
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
         call->wsi = wsi;
--- a/src/net/polled.cpp
+++ b/src/net/polled.cpp
@@ -1,5 +1,7 @@
 #include "net/polled.h"
 
+#include "net/lwsowner.h"
+
 #include <array>
 #include <glog/logging.h>
 #include <libwebsockets.h>
@@ -39,11 +41,10 @@
 
 auto PolledDescriptor::Callbacks::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/, size_t /*length*/) -> int
 {
-    auto *found = wsi == nullptr ? nullptr : static_cast<PolledDescriptor *>(lws_get_opaque_user_data(wsi));
-    if (found == nullptr) {
+    const auto self = lwsOwner<PolledDescriptor>(wsi, reason);
+    if (!self) {
         return 0;
     }
-    const auto self = found->shared_from_this();
     switch (reason) {
     case LWS_CALLBACK_RAW_RX_FILE:
         self->onReadable();
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -1,5 +1,7 @@
 #include "wire/connection.h"
 
+#include "net/lwsowner.h"
+
 #include <array>
 #include <glog/logging.h>
 
@@ -190,11 +192,10 @@
 
 auto PeerConnection::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in, size_t length) -> int
 {
-    auto *found = wsi == nullptr ? nullptr : static_cast<PeerConnection *>(lws_get_opaque_user_data(wsi));
-    if (found == nullptr) {
+    const auto self = lwsOwner<PeerConnection>(wsi, reason);
+    if (!self) {
         return 0;
     }
-    const auto self = found->shared_from_this();
     switch (reason) {
     case LWS_CALLBACK_RAW_CONNECTED:
     case LWS_CALLBACK_RAW_ADOPT:
