gateway: a planned stop waits until clients that read slowly have their answers

Cause: an exchange counted as ended once its answer was written into the connection's own buffer, and a stop dropped up to 1 MB for each connection. Class: work that counts as done when it has been handed to a buffer.

Change: a stop also waits for connections whose answers the callers' hosts haven't acknowledged in full (the kernel's send queue counts), within the stop limit. The line `process stopped` says how many weren't (`undelivered`), and they count as cut off.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -82,6 +82,10 @@
     {
         return m_stream ? m_stream->pendingBytes() : 0;
     }
+    auto isUndelivered() const -> bool
+    {
+        return m_stream && !m_exchange && m_stream->undeliveredBytes() > 0;
+    }
     auto lastReadAt() const -> TimePoint ///< when the caller was last seen to read, while bytes of its answer are unsent
     {
         return m_readAt;
@@ -580,6 +584,12 @@
     return d->openExchanges;
 }
 
+auto CallerServer::undeliveredAnswers() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(d->connections.begin(), d->connections.end(), [](const auto &connection) { return connection->isUndelivered(); }));
+}
+
 auto CallerServer::counts() const -> const CallerServerCounts &
 {
     return d->counts;
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -91,6 +91,7 @@
     auto connections() const -> std::size_t;
     auto openExchanges() const -> std::size_t;
     auto counts() const -> const CallerServerCounts &;
+    auto undeliveredAnswers() const -> std::size_t; ///< connections whose exchange is over, and whose callers' hosts haven't acknowledged all of the answer
     auto unsentBytes() const -> std::size_t; ///< of all answers together, not yet accepted by the sockets
 
     auto setLimits(const CallerLimits &limits) -> void;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -859,7 +859,7 @@
         callers->closeIdle();
     }
     const bool isLate = sinceLeave > settings.gateway.stopLimit - StopMargin;
-    const bool isDone = sinceLeave > BalancerNoticeTime && callers->openExchanges() == 0;
+    const bool isDone = sinceLeave > BalancerNoticeTime && callers->openExchanges() == 0 && callers->undeliveredAnswers() == 0;
     if (!isLate && !isDone) {
         return;
     }
@@ -867,8 +867,9 @@
     // The lease is kept until here: after a release, no gateway loads adapters or models until the next holder has waited a whole lease, and in a
     // rolling restart that holder would itself be stopped soon after it has begun to give orders.
     orders->stop();
-    cutOff = forwarder->abandonAll();
-    log.line("process", "stopped").add("cut-off", cutOff);
+    const auto undelivered = static_cast<int>(callers->undeliveredAnswers());
+    cutOff = forwarder->abandonAll() + undelivered;
+    log.line("process", "stopped").add("cut-off", cutOff).add("undelivered", undelivered);
     log.flush();
     loop.stop();
 }
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -210,6 +210,32 @@
     }
 }
 
+TEST_CASE("an answer counts as undelivered until its client's host has all of it")
+{
+    // Guards against a planned stop that drops answers which slow clients are still reading.
+    for (const std::string connection : {"", "Connection: close\r\n"}) {
+        INFO(connection);
+        ServerFixture fixture;
+        fixture.answer = [](const CallerExchangePtr &exchange) {
+            exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
+        };
+        SlowReader reader(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n" + connection + "\r\n");
+        REQUIRE(fixture.loop.runUntil([&] { return fixture.server.undeliveredAnswers() == 1; }, TestTimeout));
+        CHECK(fixture.server.openExchanges() == 0);
+        while (reader.received <= LargeAnswer / 2 && !reader.isReset && !reader.isClosed) {
+            wait(fixture.loop, Duration::millis(1));
+            reader.read(1U << 20U);
+        }
+        CHECK(fixture.server.undeliveredAnswers() == 1);
+        for (int i = 0; i < 20000 && reader.received <= LargeAnswer && !reader.isReset && !reader.isClosed; ++i) {
+            wait(fixture.loop, Duration::millis(1));
+            reader.read(1U << 20U);
+        }
+        CHECK(reader.received > LargeAnswer);
+        CHECK(fixture.loop.runUntil([&] { return fixture.server.undeliveredAnswers() == 0; }, TestTimeout));
+    }
+}
+
 TEST_CASE("a client that pauses for some seconds while it reads gets its whole answer")
 {
     // Guards against a connection that is taken for silent because its client has no space in its receive buffer.
