target view: removals of most targets are doubted only after an interruption of the store's answers

Cause: so many removals at once were taken for those of an outage, whatever was known of the store. Class: a guess from the look of the data where there is evidence. Digests say now how long ago the store answered the watchers, so each gateway knows for how long it has been followed without an interruption; a process that stood still notices when the next answer comes.

Change: the doubt needs an interruption that isn't over for 2.3 s (settleTime). The existing test of a store that removes most rows passes a time since the outage and is as strict as before. Other guesses of an outage: core/crashhistory takes many ends of targets within a short time for one that no request caused; not changed.

New cases in unit_targets and unit_lostwatchers (outages of 5 s with and without a frozen gateway).

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -100,6 +100,14 @@
     return newest;
 }
 
+/// Called before each new proof.
+auto TableFollower::noteInterruption(TimePoint now) -> void
+{
+    if (now - newestProof() >= m_settings.maxProofAge) {
+        m_unfollowedAt = now;
+    }
+}
+
 auto TableFollower::hasStoreFailed(TimePoint now) const -> bool
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) {
@@ -173,6 +181,7 @@
 auto TableFollower::start(TimePoint now) -> void
 {
     m_now = now;
+    m_unfollowedAt = now;
     m_startDeadline = now + m_settings.peerLoadTimeout;
     m_tables.at(GatewaysTable).watch->start();
 }
@@ -253,6 +262,7 @@
         const auto changed = mirror.applySnapshot(rows, upTo);
         copyAdvanced(index, before, RowSource::Read, "-");
         if (index == TargetsTable) {
+            noteInterruption(m_now);
             m_provenAt = m_now;
         }
         if (wasLoaded) {
@@ -269,6 +279,7 @@
         mirror.markComplete(after, upTo);
         copyAdvanced(index, before, RowSource::Watch, "-");
         if (index == TargetsTable) {
+            noteInterruption(m_now);
             m_provenAt = m_now;
         }
         if (!changed.empty()) {
@@ -658,6 +669,11 @@
     return reachesStore(now) || firstLiveWatcher(now).has_value();
 }
 
+auto TableFollower::followedFor(TimePoint now) const -> Duration
+{
+    return now - newestProof() >= m_settings.maxProofAge ? Duration() : now - m_unfollowedAt;
+}
+
 auto TableFollower::liveWatchers(TimePoint now) const -> std::vector<std::string>
 {
     std::vector<std::string> ids;
@@ -736,6 +752,7 @@
 auto TableFollower::digestReceived(const std::string &peer, const FollowerDigest &digest, TimePoint now) -> void
 {
     m_now = now;
+    noteInterruption(now);
     auto &sender = m_peers[peer];
     const bool wasLive = isLive(sender, now);
     sender.rank = rankOf(peer);
@@ -834,6 +851,9 @@
 auto TableFollower::updateFollowed(bool isFollowed, TimePoint now) -> void
 {
     const auto provenAt = newestProof();
+    if (!isFollowed) {
+        m_unfollowedAt = now;
+    }
     if (std::exchange(m_wasFollowed, isFollowed) && !isFollowed) {
         note("not-followed", {{"proof-age-ms", std::to_string((now - provenAt).inMillis())}, {"watchers", std::to_string(m_watcherIds.size())}});
     }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -135,6 +135,9 @@
     auto isLoaded(StoreTable table) const -> bool;
     auto isWatching() const -> bool; ///< this gateway watches the store itself
     auto isCurrent(TimePoint now) const -> bool; ///< this gateway or a live watcher reaches the store
+    /// How long the store is known to have answered this gateway or a watcher without an interruption. An outage that isn't over for longer may have removed
+    /// rows of targets that couldn't renew them.
+    auto followedFor(TimePoint now) const -> Duration;
     auto liveWatchers(TimePoint now) const -> std::vector<std::string>; ///< other gateways that watch and reach the store
     auto digest(TimePoint now) const -> FollowerDigest;
     /// How long this gateway's copy has differed from that of a live watcher. Always 0 for targets, whose rows change all the time.
@@ -199,6 +202,7 @@
     auto isFirst(TimePoint now) const -> bool;
     auto reachesStore(TimePoint now) const -> bool;
     auto newestProof() const -> TimePoint;
+    auto noteInterruption(TimePoint now) -> void;
     auto updateFollowed(bool isFollowed, TimePoint now) -> void;
     auto endTurn() -> void;
     auto areAllLoaded() const -> bool;
@@ -242,6 +246,7 @@
     std::optional<TimePoint> m_failedAt; ///< this gateway stopped watching at this time, and the store hadn't answered it
     TimePoint m_provenAt; ///< the store last answered this gateway's own watch of the targets
     bool m_isWatching = false;
+    TimePoint m_unfollowedAt; ///< when it was last unknown whether the store answers anybody
     bool m_wasFollowed = false; ///< this gateway or another one reached the store at the last advance()
     bool m_hadLiveWatcher = false; ///< another gateway was a live watcher at the last advance()
     bool m_hasStoreFailed = false; ///< calls of watchers have failed since a watcher was live
--- a/src/core/targetview.cpp
+++ b/src/core/targetview.cpp
@@ -47,9 +47,10 @@
     return {.seen = {known}, .gone = {}};
 }
 
-auto TargetView::detectMassRemoval(std::size_t count, TimePoint now) -> bool
+auto TargetView::detectMassRemoval(std::size_t count, Duration followedFor, TimePoint now) -> bool
 {
-    const bool isTooMany = count > 1 && static_cast<double>(count) > m_options.maxLossShare * static_cast<double>(m_targets.size());
+    const bool isTooMany
+        = followedFor < m_options.settleTime && count > 1 && static_cast<double>(count) > m_options.maxLossShare * static_cast<double>(m_targets.size());
     if (isTooMany) {
         storeUnreachable(now);
     }
--- a/src/core/targetview.h
+++ b/src/core/targetview.h
@@ -23,7 +23,7 @@
 struct TargetViewOptions {
     Duration settleTime = Duration::millis(2300); ///< deferral after the store was unreachable: rows return within two seconds, and have to arrive here
     Duration announcedLifetime = Duration::seconds(600); ///< an announcement that a target is leaving is kept for this long; the target has ended by then
-    double maxLossShare = 0.5; ///< see detectMassRemoval(); the loss of one zone of three or more removes a smaller share
+    double maxLossShare = 0.5; ///< see detectMassRemoval(); an outage of the store removes more, the loss of one zone of three a smaller share
 };
 
 struct TargetChanges {
@@ -44,11 +44,11 @@
     auto storeUnreachable(TimePoint now) -> void;
     /// A new or changed row.
     auto rowReceived(const TargetDescription &description, TimePoint now) -> TargetChanges;
-    /// The rows of `count` known targets are about to be removed at once. If that is more than one target and more than `maxLossShare` of all, the store is
-    /// taken to have been unreachable, and true is returned: most targets don't leave at the same time, but a store that was unavailable removes all rows that
-    /// weren't renewed, and they return within two seconds. Without this check, a gateway that didn't notice the outage would refuse every caller for that
-    /// time.
-    auto detectMassRemoval(std::size_t count, TimePoint now) -> bool;
+    /// The rows of `count` known targets are about to be removed at once. `followedFor`: how long the store is known to have answered without an interruption.
+    /// If that is less than `settleTime`, and `count` is more than one and more than `maxLossShare` of all, an outage is taken to be the reason, and true is
+    /// returned: a store that was unavailable removes all rows that weren't renewed, and they return within two seconds. Without this check, a gateway that
+    /// knows too little of the outage would refuse every caller for that time. While the store answers, targets have left, however many they are.
+    auto detectMassRemoval(std::size_t count, Duration followedFor, TimePoint now) -> bool;
     /// The row was removed, or no longer describes a target.
     auto rowRemoved(const TargetId &target, TimePoint now) -> TargetChanges;
     /// The target has announced in an answer, here or at another gateway, that it is leaving. Holds for this incarnation, also if its row is received only
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -309,6 +309,9 @@
         origins->targetGone(target);
         orders->targetGone(target);
     };
+    hooks.storeFollowedFor = [this] {
+        return follower->followedFor();
+    };
     hooks.givesOrders = [this] {
         return orders->mayOrder();
     };
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -169,6 +169,11 @@
     return d->follower.isWatching();
 }
 
+auto StoreFollower::followedFor() const -> Duration
+{
+    return d->follower.followedFor(d->parts.loop.now());
+}
+
 auto StoreFollower::isCurrent() const -> bool
 {
     return d->follower.isCurrent(d->parts.loop.now());
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -48,6 +48,7 @@
     // Queries
     auto isLoaded(StoreTable table) const -> bool;
     auto isWatching() const -> bool; ///< this gateway watches the store itself
+    auto followedFor() const -> Duration; ///< see TableFollower
     auto isCurrent() const -> bool; ///< this gateway or a live watcher reaches the store
     auto liveWatchers() const -> std::vector<std::string>; ///< other gateways that watch and reach the store
 
--- a/src/gateway/targetdirectory.cpp
+++ b/src/gateway/targetdirectory.cpp
@@ -57,8 +57,10 @@
         return row.isRemoved && m_view.find(TargetId(row.key)) != nullptr;
     };
     const auto removed = std::count_if(rows.begin(), rows.end(), isKnown);
-    if (m_view.detectMassRemoval(static_cast<std::size_t>(removed), m_parts.loop.now())) {
+    const auto followedFor = m_hooks.storeFollowedFor();
+    if (m_view.detectMassRemoval(static_cast<std::size_t>(removed), followedFor, m_parts.loop.now())) {
         m_parts.log.line("targets", "mass-loss-doubted")
+            .add("store-followed-for", followedFor)
             .add("removed", std::int64_t {removed})
             .add("known", static_cast<std::uint64_t>(m_view.targets().size()));
     }
--- a/src/gateway/targetdirectory.h
+++ b/src/gateway/targetdirectory.h
@@ -34,6 +34,7 @@
 struct TargetDirectoryHooks {
     std::function<void(const TargetDescription &target)> onSeen; ///< new, changed or restarted
     std::function<void(const TargetId &target)> onGone;
+    std::function<Duration()> storeFollowedFor; ///< how long the store is known to have answered without an interruption
     std::function<bool()> givesOrders; ///< this gateway holds the order lease: its own runner books then determine what runners hold
 };
 
--- a/tests/sim_tablefleet.h
+++ b/tests/sim_tablefleet.h
@@ -250,6 +250,7 @@
         std::map<std::string, int> eventCounts;
         double sentBytes = 0;
         int requestsReceived = 0; ///< of whole tables
+        std::vector<Duration> followedAtRemovals; ///< TableFollower::followedFor() when a target's row was removed
         int failureReports = 0; ///< times that the follower reported that the store fails
     };
 
@@ -581,6 +582,9 @@
         auto &known = table == StoreTable::Declarations ? gateway.declarations : table == StoreTable::Targets ? gateway.targets : gateway.registered;
         for (const auto &row : rows) {
             if (row.isRemoved) {
+                if (table == StoreTable::Targets) {
+                    gateway.followedAtRemovals.push_back(gateway.follower->followedFor(clock.now()));
+                }
                 known.erase(row.key);
                 continue;
             }
--- a/tests/unit_lostwatchers.cpp
+++ b/tests/unit_lostwatchers.cpp
@@ -178,6 +178,48 @@
     }
 }
 
+TEST_CASE("removals after an outage are told from those of targets that left, also by a gateway that stood still meanwhile")
+{
+    // Guards against a gateway that believes the removal of rows which their targets couldn't renew, and against one that doubts all others.
+    constexpr double SettleSeconds = 2.3; // TargetViewOptions::settleTime
+    for (const bool isFrozen : {false, true}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            SimTableFleet fleet({.gateways = 6, .targets = 22, .seed = seed});
+            fleet.startAll();
+            fleet.run(StartSeconds);
+            fleet.silentTargets.insert("t-0");
+            fleet.store.remove(StoreTable::Targets, "t-0");
+            fleet.run(1);
+            for (auto &gateway : fleet.gateways) {
+                REQUIRE(gateway->followedAtRemovals.size() == 1);
+                CHECK(gateway->followedAtRemovals.front() >= Duration::seconds(SettleSeconds));
+                gateway->followedAtRemovals.clear();
+            }
+            fleet.store.isSilent = true;
+            if (isFrozen) {
+                fleet.freeze(fleet.highestRanked());
+            }
+            fleet.run(5);
+            for (int i = 1; i < 22; ++i) {
+                fleet.silentTargets.insert("t-" + std::to_string(i));
+                fleet.store.remove(StoreTable::Targets, "t-" + std::to_string(i));
+            }
+            fleet.store.isSilent = false;
+            if (isFrozen) {
+                fleet.thaw(fleet.highestRanked());
+            }
+            fleet.run(4);
+            for (const auto &gateway : fleet.gateways) {
+                CAPTURE(seed, isFrozen, gateway->id);
+                CHECK(gateway->targets.empty());
+                for (const auto followed : gateway->followedAtRemovals) {
+                    CHECK(followed < Duration::seconds(SettleSeconds));
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("a store that is unavailable to all is retried by a limited number of gateways, and is reported as failing")
 {
     // Guards against replacing lost watchers without a limit, and against believing removals of rows that their targets couldn't renew.
--- a/tests/unit_targetentries.cpp
+++ b/tests/unit_targetentries.cpp
@@ -58,6 +58,7 @@
     TargetDirectory directory {{loop, log, protocol, pool, dispatcher, names},
                                {[](const auto &) {},
                                 [](const auto &) {},
+                                [] { return Duration(); },
                                 [] {
                                     return false;
                                 }}};
--- a/tests/unit_targets.cpp
+++ b/tests/unit_targets.cpp
@@ -99,17 +99,30 @@
     for (int i = 0; i < 6; ++i) {
         view.rowReceived(target("r" + std::to_string(i)), at(0));
     }
-    REQUIRE_FALSE(view.detectMassRemoval(0, at(1)));
-    REQUIRE_FALSE(view.detectMassRemoval(3, at(1)));
+    const auto sinceOutage = Duration::seconds(2);
+    REQUIRE_FALSE(view.detectMassRemoval(0, sinceOutage, at(1)));
+    REQUIRE_FALSE(view.detectMassRemoval(3, sinceOutage, at(1)));
     REQUIRE(view.isSettled(at(1)));
-    REQUIRE(view.detectMassRemoval(4, at(2)));
+    REQUIRE(view.detectMassRemoval(4, sinceOutage, at(2)));
     REQUIRE(view.rowRemoved(TargetId("r0"), at(2)).gone.empty());
     REQUIRE(view.find(TargetId("r0")) != nullptr);
     REQUIRE(view.advance(at(5)).gone.size() == 1);
 
     TargetView single; // the only target may be removed
     single.rowReceived(target("r0"), at(0));
-    REQUIRE_FALSE(single.detectMassRemoval(1, at(1)));
+    REQUIRE_FALSE(single.detectMassRemoval(1, sinceOutage, at(1)));
+}
+
+TEST_CASE("targets that leave while the store answers are gone at once, however many they are")
+{
+    // Guards against requests that are sent to most targets for seconds after they have left, since so many at once look like an outage.
+    TargetView view;
+    for (int i = 0; i < 3; ++i) {
+        view.rowReceived(target("r" + std::to_string(i)), at(0));
+    }
+    REQUIRE_FALSE(view.detectMassRemoval(2, Duration::seconds(60), at(100)));
+    REQUIRE(view.rowRemoved(TargetId("r0"), at(100)).gone.size() == 1);
+    REQUIRE(view.rowRemoved(TargetId("r1"), at(100)).gone.size() == 1);
 }
 
 TEST_CASE("a target whose row returns after the store was unreachable stays")
