--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -178,6 +178,20 @@
     loop.runUntil([] { return false; }, span);
 }
 
+/// Reads until the client has more than these bytes, or its connection has ended.
+auto readBeyond(EventLoop &loop, SlowReader &reader, std::size_t bytes) -> void
+{
+    for (int i = 0; i < 20000 && reader.received <= bytes && !reader.isReset && !reader.isClosed; ++i) {
+        wait(loop, Duration::millis(1));
+        reader.read(1U << 20U);
+    }
+}
+
+auto answerLarge(const CallerExchangePtr &exchange) -> void
+{
+    exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
+}
+
 } // namespace
 
 TEST_CASE("a client that reads slowly gets its whole answer, although that takes longer than the idle timeout")
@@ -186,9 +200,7 @@
     for (const std::string connection : {"", "Connection: close\r\n"}) {
         INFO(connection);
         ServerFixture fixture;
-        fixture.answer = [](const CallerExchangePtr &exchange) {
-            exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-        };
+        fixture.answer = &answerLarge;
         SlowReader reader(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n" + connection + "\r\n");
         for (int i = 0; i < 30; ++i) { // for 3 s; the idle timeout is 0.7 s
             wait(fixture.loop, Duration::millis(100));
@@ -200,10 +212,7 @@
                 }
             }
         }
-        for (int i = 0; i < 20000 && reader.received <= LargeAnswer && !reader.isReset && !reader.isClosed; ++i) {
-            wait(fixture.loop, Duration::millis(1));
-            reader.read(1U << 20U);
-        }
+        readBeyond(fixture.loop, reader, LargeAnswer);
         CHECK(reader.received > LargeAnswer);
         CHECK_FALSE(reader.isReset);
         CHECK_FALSE((reader.isClosed && reader.received <= LargeAnswer));
@@ -216,21 +225,13 @@
     for (const std::string connection : {"", "Connection: close\r\n"}) {
         INFO(connection);
         ServerFixture fixture;
-        fixture.answer = [](const CallerExchangePtr &exchange) {
-            exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-        };
+        fixture.answer = &answerLarge;
         SlowReader reader(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n" + connection + "\r\n");
         REQUIRE(fixture.loop.runUntil([&] { return fixture.server.undeliveredAnswers() == 1; }, TestTimeout));
         CHECK(fixture.server.openExchanges() == 0);
-        while (reader.received <= LargeAnswer / 2 && !reader.isReset && !reader.isClosed) {
-            wait(fixture.loop, Duration::millis(1));
-            reader.read(1U << 20U);
-        }
+        readBeyond(fixture.loop, reader, LargeAnswer / 2);
         CHECK(fixture.server.undeliveredAnswers() == 1);
-        for (int i = 0; i < 20000 && reader.received <= LargeAnswer && !reader.isReset && !reader.isClosed; ++i) {
-            wait(fixture.loop, Duration::millis(1));
-            reader.read(1U << 20U);
-        }
+        readBeyond(fixture.loop, reader, LargeAnswer);
         CHECK(reader.received > LargeAnswer);
         CHECK(fixture.loop.runUntil([&] { return fixture.server.undeliveredAnswers() == 0; }, TestTimeout));
     }
@@ -243,15 +244,10 @@
     CallerLimits limits;
     limits.idleTimeout = Duration::seconds(15);
     fixture.server.setLimits(limits);
-    fixture.answer = [](const CallerExchangePtr &exchange) {
-        exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-    };
+    fixture.answer = &answerLarge;
     SlowReader reader(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     wait(fixture.loop, Duration::millis(4000));
-    for (int i = 0; i < 20000 && reader.received <= LargeAnswer && !reader.isReset && !reader.isClosed; ++i) {
-        wait(fixture.loop, Duration::millis(1));
-        reader.read(1U << 20U);
-    }
+    readBeyond(fixture.loop, reader, LargeAnswer);
     CHECK(reader.received > LargeAnswer);
     CHECK_FALSE(reader.isReset);
 }
@@ -261,9 +257,7 @@
     // Guards against memory that is held for a client that has stopped reading.
     for (const std::string connection : {"", "Connection: close\r\n"}) {
         ServerFixture fixture;
-        fixture.answer = [](const CallerExchangePtr &exchange) {
-            exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-        };
+        fixture.answer = &answerLarge;
         const SlowReader reader(fixture.server.port(), "GET / HTTP/1.1\r\nHost: h\r\n" + connection + "\r\n");
         REQUIRE(fixture.loop.runUntil([&] { return fixture.server.connections() == 1; }, TestTimeout));
         CHECK(fixture.loop.runUntil([&] { return fixture.server.connections() == 0; }, Duration::seconds(12)));
@@ -274,9 +268,7 @@
 {
     // Guards against answers that pile up for a client that sends requests and reads nothing.
     ServerFixture fixture;
-    fixture.answer = [](const CallerExchangePtr &exchange) {
-        exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-    };
+    fixture.answer = &answerLarge;
     std::string requests;
     for (int i = 0; i < 20; ++i) {
         requests += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -296,9 +288,7 @@
 {
     // Guards against memory that grows with the number of clients that don't read.
     ServerFixture fixture;
-    fixture.answer = [](const CallerExchangePtr &exchange) {
-        exchange->respond(200, {}, std::string(LargeAnswer, 'x'));
-    };
+    fixture.answer = &answerLarge;
     constexpr std::size_t MaxUnsent = 2 * LargeAnswer;
     fixture.server.setMaxUnsent(MaxUnsent);
     constexpr std::size_t IdleReaders = 10;
