crash watch: copies wait for a probe that is due instead of being rejected while the arbiter starts or stands still

What callers saw: 503 for all copies of a popular request for some 0.3 s after a single target had crashed, soon after all gateways had started.

Cause: three copies in flight at one target reach the limit of runs. From then on the arbiter alone grants probes, and it grants none in its first 1.5 s; nor does it reply while it stands still. Copies were rejected as if a probe had been refused for a reason, and a denial held for 0.5 s more.

Change: if nothing prevents a probe but the arbiter's grant, copies wait for it up to the 0.6 s that they wait for a probe's result. No probe is granted more than before.

--- a/src/core/crashrepeats.cpp
+++ b/src/core/crashrepeats.cpp
@@ -386,10 +386,11 @@
     return id;
 }
 
-auto CrashRepeats::isBeingProbed(const CrashSubjects &request, TimePoint now) const -> bool
+auto CrashRepeats::isProbeExpected(const CrashSubjects &request, TimePoint now) const -> bool
 {
     const auto list = suspects(request);
-    return std::any_of(list.begin(), list.end(), [&](const CrashSubject &subject) { return find(subject)->isBeingProbed(m_options.probeTime, now); });
+    return verdict(request, now).obstacle == ProbeObstacle::None
+        || std::any_of(list.begin(), list.end(), [&](const CrashSubject &subject) { return find(subject)->isBeingProbed(m_options.probeTime, now); });
 }
 
 auto CrashRepeats::mayBeProbed(const CrashSubjects &request, TimePoint now) const -> bool
--- a/src/core/crashrepeats.h
+++ b/src/core/crashrepeats.h
@@ -152,7 +152,9 @@
     /// Until a probe of the request may be granted, or, if no further one will be, until its history expires unless it is used.
     auto retryAfter(const CrashSubjects &request, TimePoint now) const -> Duration;
     auto mayBeProbed(const CrashSubjects &request, TimePoint now) const -> bool; ///< asking the arbiter may be worthwhile
-    auto isBeingProbed(const CrashSubjects &request, TimePoint now) const -> bool; ///< a probe of a suspect may succeed any moment
+    /// Waiting may be worthwhile: a probe of a suspect may succeed any moment, or one is due and the arbiter hasn't granted it yet. It may not have replied, or
+    /// have just started.
+    auto isProbeExpected(const CrashSubjects &request, TimePoint now) const -> bool;
     /// Targets where probes of other requests are being run: what ends with them together can't be distinguished.
     auto probedTargets(TimePoint now) const -> std::vector<TargetId>;
     auto arbiter() const -> std::string; ///< the gateway that grants probes
--- a/src/gateway/crashwatch.cpp
+++ b/src/gateway/crashwatch.cpp
@@ -260,9 +260,9 @@
     return m_crashes.mayBeProbed(request, now());
 }
 
-auto CrashWatch::isBeingProbed(const CrashSubjects &request) const -> bool
+auto CrashWatch::isProbeExpected(const CrashSubjects &request) const -> bool
 {
-    return m_crashes.isBeingProbed(request, now());
+    return m_crashes.isProbeExpected(request, now());
 }
 
 auto CrashWatch::probedTargets() const -> std::vector<TargetId>
--- a/src/gateway/crashwatch.h
+++ b/src/gateway/crashwatch.h
@@ -62,7 +62,7 @@
     auto isEmpty() const -> bool; ///< no request can be rejected, so fingerprints needn't be computed
     auto needsGrant(const CrashSubjects &request) const -> bool; ///< must not be sent to a target, except as a probe
     auto mayBeProbed(const CrashSubjects &request) const -> bool; ///< the request may be granted a probe now
-    auto isBeingProbed(const CrashSubjects &request) const -> bool; ///< waiting for the result of a probe may be worthwhile
+    auto isProbeExpected(const CrashSubjects &request) const -> bool; ///< waiting for a probe or its result may be worthwhile
     auto probedTargets() const -> std::vector<TargetId>; ///< see CrashRepeats
     auto retryAfter(const CrashSubjects &request) const -> Duration; ///< until it may be sent again; see CrashRepeats
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -25,7 +25,7 @@
 constexpr int DemotedStep = 2;
 /// Share of a route's goal. If the backlog at the only target with an adapter takes longer, the adapter is requested on another target.
 constexpr double OverloadBacklogShare = 0.25;
-/// A copy of a request that crashes targets waits this long at most for the result of a probe: an outage is over with the first success.
+/// A copy of a request that crashes targets waits this long at most for a probe and its result: an outage is over with the first success.
 constexpr auto MaxProbeWait = Duration::millis(600);
 constexpr auto ProbePollPeriod = Duration::millis(50);
 /// Until the store's copy of the crash records has been read after a start; requests also go on when it has been.
@@ -255,7 +255,7 @@
 auto ForwardedRequest::awaitProbe() -> void
 {
     m_probeAwaitedUntil = m_probeAwaitedUntil.value_or(now() + MaxProbeWait);
-    if (m_owner.parts.crashes.isBeingProbed(subjects()) && now() < *m_probeAwaitedUntil) {
+    if (m_owner.parts.crashes.isProbeExpected(subjects()) && now() < *m_probeAwaitedUntil) {
         tryAgainAfter(ProbePollPeriod);
         return;
     }
--- a/tests/sim_crashnode.h
+++ b/tests/sim_crashnode.h
@@ -74,7 +74,7 @@
             m_nextProbe = answer;
             return SimDecision::Run;
         }
-        if (answer.state == ProbeState::Pending || m_crashes.isBeingProbed(subjects, now)) {
+        if (answer.state == ProbeState::Pending || m_crashes.isProbeExpected(subjects, now)) {
             return SimDecision::Wait;
         }
         m_crashes.used(subjects, now);
--- a/tests/system_crashing.cpp
+++ b/tests/system_crashing.cpp
@@ -142,6 +142,31 @@
     CHECK(rejected <= 5);
 }
 
+TEST_CASE("a request of which many copies were in flight at a crash soon after the gateways' start isn't rejected")
+{
+    // Guards against rejecting a request because the gateway that grants its probes has just started.
+    Site site({.gateways = 4, .runners = 1, .instances = 3, .models = 1});
+    const auto copy = [&site](int i) {
+        return site.begin(1 + i % 4, {.path = "/write/debit", .method = "POST", .body = "popular"});
+    };
+    std::vector<ReplyPtr> replies;
+    for (int i = 0; i < 35; ++i) {
+        if (i == 7) {
+            for (int k = 0; k < 24; ++k) {
+                replies.push_back(copy(k));
+            }
+            site.sleep(Duration::millis(8));
+            site.platform({{"part", "runner"}, {"id", "p1"}, {"mode", "crash"}, {"downMs", 300}});
+        }
+        replies.push_back(copy(i));
+        site.sleep(Duration::millis(100)); // most of the time no copy is in flight whose success would clear the request
+    }
+    waitForAnswers(site, replies);
+    const auto rejected = std::count_if(replies.begin(), replies.end(), [](const ReplyPtr &reply) { return reply->status == 503; });
+    INFO("rejected " << rejected << ", answers " << statuses(replies));
+    CHECK(rejected == 0);
+}
+
 TEST_CASE("a request whose copies were in flight at outages of all targets is served again some seconds later")
 {
     // Guards against rejecting an innocent request for minutes: from the crashes alone it can't be told from one that causes them.
--- a/tests/unit_crashrepeats.cpp
+++ b/tests/unit_crashrepeats.cpp
@@ -91,7 +91,7 @@
     exchange(here, there, at(1.1));
     REQUIRE(asking.requestProbe(plain(1), at(1.11)).state == ProbeState::Granted);
     CHECK(asking.requestProbe(plain(1), at(1.12)).state != ProbeState::Granted);
-    CHECK(asking.isBeingProbed(plain(1), at(1.2)));
+    CHECK(asking.isProbeExpected(plain(1), at(1.2)));
     exchange(here, there, at(1.2));
     asking.succeeded(plain(1), true, at(1.3));
     exchange(here, there, at(1.3));
@@ -391,6 +391,43 @@
     }
 }
 
+TEST_CASE("copies of a request in flight when their target crashes don't get it rejected while gateways start or stand still")
+{
+    // Guards against rejecting a request because the gateway that grants probes has just started or doesn't reply.
+    const int gateways = GENERATE(4, 33, 103);
+    const bool isAtStart = GENERATE(true, false);
+    for (int seed = 1; seed <= 12; ++seed) {
+        SimCrashFleet fleet({.gateways = gateways,
+                             .targets = 3,
+                             .zones = 3,
+                             .seed = static_cast<std::uint64_t>(seed),
+                             .sight = SimCrashSight::Reset,
+                             .minDown = Duration::millis(300),
+                             .maxDown = Duration::millis(300)});
+        const auto crashAt = at(isAtStart ? 0.6 : 4) + fleet.between(Duration(), Duration::millis(500));
+        fleet.clock.at(crashAt - Duration::millis(10), [&fleet, gateways] {
+            for (int i = 0; i < 12; ++i) {
+                fleet.send(i % gateways, Popular);
+            }
+        });
+        fleet.clock.at(crashAt, [&fleet] { fleet.crashZone(0); });
+        if (!isAtStart) {
+            fleet.clock.at(crashAt + Duration::millis(200), [&fleet, gateways] {
+                for (int i = 0; i < gateways; i += 2) {
+                    fleet.freezeGateway(i, Duration::millis(500));
+                }
+            });
+        }
+        fleet.clock.runUntil(crashAt + Duration::millis(10));
+        repeat(fleet, gateways, Popular, {Duration::millis(30), 1}, crashAt + Duration::seconds(6));
+        fleet.clock.runUntil(crashAt + Duration::seconds(7));
+        INFO(gateways << " gateways, seed " << seed << ", at the start " << isAtStart << ": served " << fleet.served(Popular) << ", rejected "
+                      << fleet.rejected(Popular));
+        CHECK(fleet.served(Popular) >= 190); // of 212; the others were in flight at the crash
+        CHECK(fleet.rejected(Popular) == 0);
+    }
+}
+
 TEST_CASE("a request in flight at repeated outages of all targets is served again within some seconds after them")
 {
     // Guards against rejecting an innocent request for minutes: from the crashes alone it can't be told from one that causes them.
