origins: a lookup of a taken-up stream includes the rows that this gateway's last process wrote

Cause: a lookup asks the other gateways and reads their rows. The gateway's own row is read some time after the start, and lookups neither waited for it nor looked again. Most clients come back to the gateway that they had, whose row it is. Class: what a process has written itself isn't looked for where it has written it.

Change: until the own rows have been read, a lookup includes them, and a lookup starts that read.

--- a/src/gateway/origintask.cpp
+++ b/src/gateway/origintask.cpp
@@ -340,6 +340,8 @@
         m_isRestoring = false;
         m_isRestored = isDone;
         m_origins.restored(records, now());
+        m_lookups.recordsRead(m_host, records, now());
+        runLookups();
     });
 }
 
@@ -379,7 +381,11 @@
 auto OriginTask::lookUp(StreamKey stream, const ServiceName &service, OnFound onFound) -> LookupId
 {
     const auto live = m_parts.peers.live();
-    m_lookups.setGateways(live, goneGateways(live));
+    auto gone = goneGateways(live);
+    if (!m_isRestored) {
+        gone.insert(m_host); // the streams of this host's last process
+    }
+    m_lookups.setGateways(live, gone);
     const auto id = m_lookups.start(stream, service, now());
     m_onFound[id] = std::move(onFound);
     if (!m_lookupTimer.isActive()) {
@@ -415,6 +421,10 @@
             query.mutable_origin_query()->add_streams(step.stream.value());
             break;
         case LookupStepKind::ReadRecords:
+            if (step.host == m_host && !m_isRestored) {
+                restore();
+                break;
+            }
             readRecords(step.host, [this, host = step.host](bool /*isDone*/, const OriginRecords &records) {
                 m_lookups.recordsRead(host, records, now());
                 runLookups();
--- a/tests/sim_originfleet.h
+++ b/tests/sim_originfleet.h
@@ -349,6 +349,9 @@
                 (other.isUp && !other.isCutFromPeers && !gateway.isCutFromPeers ? live : gone).insert(other.host);
             }
         }
+        if (!gateway.isRestored) {
+            gone.insert(gateway.host);
+        }
         gateway.lookups.setGateways(live, gone);
         const auto id = gateway.lookups.start(stream, m_service, m_now);
         gateway.waiting[id] = stream;
--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -172,6 +172,28 @@
     }
 }
 
+TEST_CASE("streams go on at the gateway that began them as soon as it serves again after all gateways were killed at once")
+{
+    // Guards against streams that are refused by the gateway whose own records of them are in the store, until it has read these.
+    VersionSite site(MixedVersions);
+    const auto begun = site.beginStreams(1);
+    site.sleep(Duration::millis(200)); // until their records are in the store
+    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
+        site.process(id).send(SIGKILL);
+    }
+    std::vector<CutStream> streams;
+    for (const auto &[attempt, reply] : begun) {
+        streams.push_back(VersionSite::cutStream(attempt, reply));
+        reply->handle->cancel();
+    }
+    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
+        site.waitForExit(id);
+        site.start(id);
+    }
+    site.waitFor("gateway 1", [&] { return site.isReady(1); });
+    CHECK(site.takeUpAll(1, streams) == Streams);
+}
+
 TEST_CASE("after all gateways were killed at once, no stream goes on at another version, though the targets of its own have just left")
 {
     // Guards against an answer that is joined from two software versions: gateways that have just started know neither the streams nor the version that left.
