origins, table follower, system_softwareversions: one place for what stood twice

What was wrong: nothing that callers saw. The own rows of a gateway that has just started were added to a lookup beside the function that says whose rows to read; a proof by the own watch was noted in two equal blocks; three tests killed and started all gateways with the same loops.

Change: goneGateways() includes the last process of this host, storeAnswered() notes a proof, and the tests call killAll() and startAll(). No behaviour and no check changes.

--- a/src/core/tablefollower.cpp
+++ b/src/core/tablefollower.cpp
@@ -100,6 +100,15 @@
     return newest;
 }
 
+/// This gateway's own watch was answered.
+auto TableFollower::storeAnswered(std::size_t index) -> void
+{
+    if (index == TargetsTable) {
+        noteInterruption(m_now);
+        m_provenAt = m_now;
+    }
+}
+
 /// Called before each new proof.
 auto TableFollower::noteInterruption(TimePoint now) -> void
 {
@@ -261,10 +270,7 @@
         const auto before = mirror.completeTo();
         const auto changed = mirror.applySnapshot(rows, upTo);
         copyAdvanced(index, before, RowSource::Read, "-");
-        if (index == TargetsTable) {
-            noteInterruption(m_now);
-            m_provenAt = m_now;
-        }
+        storeAnswered(index);
         if (wasLoaded) {
             applyOwnRows(index, changed, RowSource::Read);
         } else {
@@ -278,10 +284,7 @@
         const auto changed = mirror.applyChanges(rows);
         mirror.markComplete(after, upTo);
         copyAdvanced(index, before, RowSource::Watch, "-");
-        if (index == TargetsTable) {
-            noteInterruption(m_now);
-            m_provenAt = m_now;
-        }
+        storeAnswered(index);
         if (!changed.empty()) {
             applyOwnRows(index, changed, RowSource::Watch);
         }
--- a/src/core/tablefollower.h
+++ b/src/core/tablefollower.h
@@ -202,6 +202,7 @@
     auto isFirst(TimePoint now) const -> bool;
     auto reachesStore(TimePoint now) const -> bool;
     auto newestProof() const -> TimePoint;
+    auto storeAnswered(std::size_t index) -> void;
     auto noteInterruption(TimePoint now) -> void;
     auto updateFollowed(bool isFollowed, TimePoint now) -> void;
     auto endTurn() -> void;
--- a/src/gateway/origintask.cpp
+++ b/src/gateway/origintask.cpp
@@ -365,7 +365,8 @@
     m_gateways = others;
 }
 
-/// The gateways that aren't live and may have begun streams that haven't ended. A process that has just started doesn't know which were live.
+/// The gateways that aren't live and may have begun streams that haven't ended: also this host's last process, until its records have been read. A process that
+/// has just started doesn't know which were live.
 auto OriginTask::goneGateways(const std::set<std::string> &live) const -> std::set<std::string>
 {
     const bool knowsAll = now() - m_startedAt > GoneMemory;
@@ -375,17 +376,16 @@
             gone.insert(host);
         }
     }
+    if (!m_isRestored) {
+        gone.insert(m_host);
+    }
     return gone;
 }
 
 auto OriginTask::lookUp(StreamKey stream, const ServiceName &service, OnFound onFound) -> LookupId
 {
     const auto live = m_parts.peers.live();
-    auto gone = goneGateways(live);
-    if (!m_isRestored) {
-        gone.insert(m_host); // the streams of this host's last process
-    }
-    m_lookups.setGateways(live, gone);
+    m_lookups.setGateways(live, goneGateways(live));
     const auto id = m_lookups.start(stream, service, now());
     m_onFound[id] = std::move(onFound);
     if (!m_lookupTimer.isActive()) {
--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -2,6 +2,7 @@
 #include "tests/harness_gateways.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <set>
@@ -13,6 +14,7 @@
 
 constexpr int Events = 100; ///< of a whole stream: takes a second
 constexpr int Streams = 24;
+constexpr std::array Gateways {"gw-1", "gw-2", "gw-3"};
 
 /// A stream that its client has left, or that was cut off, after some events.
 struct CutStream {
@@ -79,6 +81,19 @@
         options.headers = {{"Last-Event-Id", stream.lastEventId}, {"Resumes", stream.attempt}};
         return begin(gateway, options);
     }
+    auto killAll() -> void
+    {
+        for (const auto *id : Gateways) {
+            process(id).send(SIGKILL);
+        }
+    }
+    auto startAll() -> void
+    {
+        for (const auto *id : Gateways) {
+            waitForExit(id);
+            start(id);
+        }
+    }
     /// Takes all streams up at a gateway. Returns how many went on to their end, and checks that each did so at the version that began it.
     /// `refusals`: the statuses with which it may be refused.
     auto takeUpAll(int gateway, const std::vector<CutStream> &streams, const std::set<int> &refusals = {503}) -> int
@@ -160,10 +175,7 @@
         for (const auto *id : {"gw-2", "gw-3"}) {
             site.process(id).send(SIGKILL);
         }
-        for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
-            site.waitForExit(id);
-            site.start(id);
-        }
+        site.startAll();
         site.waitFor("gateway 2", [&] { return site.isReady(2); });
     }
     CHECK(site.takeUpAll(2, streams) >= Streams / 2);
@@ -178,18 +190,13 @@
     VersionSite site(MixedVersions);
     const auto begun = site.beginStreams(1);
     site.sleep(Duration::millis(200)); // until their records are in the store
-    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
-        site.process(id).send(SIGKILL);
-    }
+    site.killAll();
     std::vector<CutStream> streams;
     for (const auto &[attempt, reply] : begun) {
         streams.push_back(VersionSite::cutStream(attempt, reply));
         reply->handle->cancel();
     }
-    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
-        site.waitForExit(id);
-        site.start(id);
-    }
+    site.startAll();
     site.waitFor("gateway 1", [&] { return site.isReady(1); });
     CHECK(site.takeUpAll(1, streams) == Streams);
 }
@@ -216,16 +223,11 @@
         }
     }
     site.sleep(Duration::millis(GENERATE(50, 1500))); // before and after the gateways know of it
-    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
-        site.process(id).send(SIGKILL);
-    }
+    site.killAll();
     for (const auto &[attempt, reply] : begun) {
         reply->handle->cancel();
     }
-    for (const auto *id : {"gw-1", "gw-2", "gw-3"}) {
-        site.waitForExit(id);
-        site.start(id);
-    }
+    site.startAll();
     site.waitFor("gateway 2", [&] { return site.isReady(2); });
     const auto ofNewer = std::count_if(streams.begin(), streams.end(), [](const CutStream &stream) { return stream.version == "v2"; });
     const int goneOn = site.takeUpAll(2, streams, {502, 503}); // 502: the target was known until its connection broke
