tests: streams are taken up at a gateway that was out of step while a version joined

Tried at real processes: gateway 2 stands still, is cut off from the store, or from the store and the others; three of four targets are replaced at their addresses by ones of v2 with new ids; the gateway that began the streams is killed or lives; 24 streams are taken up at gateway 2, those of the first case from its sockets' queues when it goes on.

Why it can't happen: a lookup relies on the row of versions only if the read began after the client's request was read (OriginLookups::versionsRead; the clock isn't cached), gateways begin streams at a version only once the row names it, and each request names the target that it is meant for, so that a new target at an old address answers 421.

--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -312,3 +312,60 @@
     CHECK(site.takeUpAll(1, streams) == 0);
     CHECK(site.takeUpAll(2, streams) == 0);
 }
+
+TEST_CASE("streams that began at a version that joined while a gateway was out of step never go on there at another version")
+{
+    // Guards against a gateway that takes streams for ones of the only version that it knows of: it stood still, or was cut off from the store, while targets
+    // of a new version joined at the addresses of old ones and streams began there.
+    const std::string fault = GENERATE(as<std::string> {}, "stands still", "is cut off from the store", "is cut off from the store and the others");
+    const bool isOriginKilled = GENERATE(false, true);
+    INFO("gateway 2 " << fault << ", the gateway that began the streams is " << (isOriginKilled ? "killed" : "live"));
+    VersionSite site({"v1", "v1", "v1", "v1"});
+    for (int gateway : {1, 2, 3}) {
+        REQUIRE(site.stream(gateway, "m1")->isWhole());
+    }
+    if (fault == "stands still") {
+        site.process("gw-2").send(SIGSTOP);
+    } else {
+        site.link("store:gw-2", "freeze");
+    }
+    for (const auto *runner : {"r2", "r3", "r4"}) {
+        site.restartAt(runner, "v2", false);
+    }
+    site.sleep(Duration::millis(1500)); // streams begin at the new version once the store's row names it
+    const auto begun = site.beginStreams(1);
+    if (isOriginKilled) {
+        site.sleep(Duration::millis(200)); // until their records are in the store
+        site.process("gw-1").send(SIGKILL);
+    }
+    std::vector<CutStream> streams;
+    for (const auto &[attempt, reply] : begun) {
+        streams.push_back(VersionSite::cutStream(attempt, reply));
+        reply->handle->cancel();
+    }
+    const auto ofNewer = std::count_if(streams.begin(), streams.end(), [](const CutStream &stream) { return stream.version == "v2"; });
+    CHECK(ofNewer >= Streams / 2);
+    if (fault == "is cut off from the store and the others") {
+        // The others don't answer it; the one that began the streams may be gone.
+        for (const std::string id : {"gw-1", "gw-3"}) {
+            if (id != "gw-1" || !isOriginKilled) {
+                site.process(id).send(SIGSTOP);
+            }
+        }
+    }
+    if (fault == "stands still") {
+        // The requests wait in its sockets when it goes on, before it has heard of anything else.
+        const auto resume = site.loop().after(Duration::millis(150), [&site] { site.process("gw-2").send(SIGCONT); });
+        CHECK(site.takeUpAll(2, streams) >= Streams / 2);
+    } else {
+        site.takeUpAll(2, streams);
+        site.link("store:gw-2", "heal");
+        site.sleep(Duration::millis(300));
+        site.takeUpAll(2, streams);
+    }
+    for (const std::string id : {"gw-1", "gw-3"}) {
+        if (id != "gw-1" || !isOriginKilled) {
+            site.process(id).send(SIGCONT);
+        }
+    }
+}
