store rows: one row that can't be read ends no gateway and hides no other row

What callers saw: a row of another writer whose value isn't a text and is nested some 50,000 deep ended each gateway that read it, at each start again, with all requests in flight.

Cause: decodeRow() serialized such a value again, and nlohmann::json copies and serializes by recursion; decodePage() parsed the page as one text, which the library refuses for one number or byte.

Change: core/jsontext splits objects and arrays at their outermost level by quotes and brackets, without recursion and without looking at values, and parses texts up to 1,024 levels only. Pages are split into rows and rows into members; a value that can't be read leaves its row empty, so that its version and key count and readers log `row-unreadable` once a version. Rows without a readable key or version are skipped, logged (`store rows-skipped`) and counted. All parsers of src/net and src/core have the limit.

Why this fixes it: no foreign text is copied or serialized deeper than 1,024 levels (20,000 fit the stack), and what a row holds can't change where the next one begins.

--- a/fakes/platformsite.cpp
+++ b/fakes/platformsite.cpp
@@ -143,7 +143,10 @@
         return m_store.setMode(command.value("mode", std::string()));
     }
     if (part == "row") {
-        m_store.put("servers", command.value("key", std::string()), command.value("value", std::string()));
+        const auto put = command.value("asWritten", false) ? &PlatformStore::putAsWritten : &PlatformStore::put;
+        const auto bytes = command.value("bytes", std::vector<int>()); // a value that isn't UTF-8
+        const auto value = bytes.empty() ? command.value("value", std::string()) : std::string(bytes.begin(), bytes.end());
+        (m_store.*put)(command.value("table", std::string("servers")), command.value("key", std::string()), value);
         return true;
     }
     if (part == "operator") {
--- a/fakes/platformstore.cpp
+++ b/fakes/platformstore.cpp
@@ -30,6 +30,12 @@
 constexpr int Gone = 410;
 constexpr auto MaxPollTimeout = Duration::seconds(30);
 
+/// Stands in a page for a value that is inserted as written.
+auto placeholder(const std::string &table, const std::string &key) -> std::string
+{
+    return "value of " + table + "/" + key;
+}
+
 } // namespace
 
 PlatformStore::PlatformStore(SimClock &clock, int port)
@@ -98,9 +104,17 @@
 
 auto PlatformStore::put(const std::string &table, const std::string &key, const std::string &value) -> void
 {
-    auto &row = m_tables[table][key];
-    row.value = value;
-    row.version = ++m_version;
+    putRow(table, key, {value, "", ++m_version});
+}
+
+auto PlatformStore::putAsWritten(const std::string &table, const std::string &key, const std::string &value) -> void
+{
+    putRow(table, key, {"", value, ++m_version});
+}
+
+auto PlatformStore::putRow(const std::string &table, const std::string &key, Row row) -> void
+{
+    m_tables[table][key] = std::move(row);
     recordChange(table, key, false);
     answerWatches();
 }
@@ -122,7 +136,8 @@
 auto PlatformStore::rowJson(const std::string &table, const std::string &key) const -> Json
 {
     const auto &row = m_tables.at(table).at(key);
-    return {{"table", table}, {"part", ""}, {"key", key}, {"value", base64(row.value)}, {"ver", row.version}};
+    const auto value = row.written.empty() ? base64(row.value) : placeholder(table, key);
+    return {{"table", table}, {"part", ""}, {"key", key}, {"value", value}, {"ver", row.version}};
 }
 
 auto PlatformStore::answer(const RawConnectionPtr &connection, int status, Json body) -> void
@@ -133,7 +148,16 @@
     }
     body["ver"] = m_version;
     body["now_ms"] = m_clock.now().inMillis();
-    connection->answer(status, {{"Content-Type", "application/json"}}, body.dump());
+    auto text = body.dump();
+    for (const auto &[table, rows] : m_tables) {
+        for (const auto &[key, row] : rows) {
+            const auto quoted = '"' + placeholder(table, key) + '"';
+            if (const auto at = row.written.empty() ? std::string::npos : text.find(quoted); at != std::string::npos) {
+                text.replace(at, quoted.size(), row.written);
+            }
+        }
+    }
+    connection->answer(status, {{"Content-Type", "application/json"}}, text);
 }
 
 auto PlatformStore::handle(const RawConnectionPtr &connection, const HttpHead &head, const std::string &body) -> void
@@ -261,7 +285,7 @@
     }
     ++m_version;
     for (const auto &write : parsed.value("writes", Json::array())) {
-        m_tables[write["table"]][write["key"]] = {unbase64(write["value"]), m_version};
+        m_tables[write["table"]][write["key"]] = {unbase64(write["value"]), "", m_version};
         recordChange(write["table"], write["key"], false);
     }
     for (const auto &removal : parsed.value("remove", Json::array())) {
--- a/fakes/platformstore.h
+++ b/fakes/platformstore.h
@@ -27,6 +27,8 @@
     auto put(const std::string &table, const std::string &key, const std::string &value) -> void;
     auto remove(const std::string &table, const std::string &key) -> void;
     auto isDown() const -> bool;
+    /// A row of another writer, whose value stands in answers just as given, also if that is no JSON.
+    auto putAsWritten(const std::string &table, const std::string &key, const std::string &value) -> void;
     /// {"mode":"up"|"busy"|"reset"|"silent"|"swallow"|"lose-answers"|"forget-history"}: "busy" answers 503, "reset" closes connections, "silent" neither reads
     /// nor answers; "swallow" accepts calls and drops them, as well as pending watches: their connections stay open and are never answered; "lose-answers"
     /// performs the call and closes the connection; "forget-history" drops the change history and closes the watches. False if the mode is unknown.
@@ -35,6 +37,7 @@
 private:
     struct Row {
         std::string value;
+        std::string written; ///< the value as it stands in answers, which may be no JSON; empty: `value` in base64
         std::uint64_t version = 0;
     };
     struct Change {
@@ -53,6 +56,7 @@
     auto read(const RawConnectionPtr &connection, const std::string &query) -> void;
     auto watch(const RawConnectionPtr &connection, const std::string &query) -> void;
     auto transact(const RawConnectionPtr &connection, const std::string &body) -> void;
+    auto putRow(const std::string &table, const std::string &key, Row row) -> void;
     auto recordChange(const std::string &table, const std::string &key, bool removed) -> void;
     auto answerWatches() -> void;
     auto changesAfter(const std::string &table, std::uint64_t after) const -> Json;
--- a/src/core/claimrow.cpp
+++ b/src/core/claimrow.cpp
@@ -1,5 +1,7 @@
 #include "core/runonce.h"
 
+#include "core/jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -110,7 +112,7 @@
 auto parseClaimRow(const std::string &value) -> std::optional<ClaimRow>
 {
     try {
-        const auto json = Json::parse(value);
+        const auto json = parseJson(value);
         const auto state = stateFromName(json.at("state").get<std::string>());
         if (!state) {
             return std::nullopt;
--- a/src/core/configlog.cpp
+++ b/src/core/configlog.cpp
@@ -1,5 +1,7 @@
 #include "core/configlog.h"
 
+#include "core/jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -44,7 +46,7 @@
 auto parseConfigHead(const std::string &value) -> std::optional<ConfigHead>
 {
     try {
-        const auto json = Json::parse(value);
+        const auto json = parseJson(value);
         return ConfigHead {.revision = Revision(json.at("revision").get<std::uint64_t>()),
                            .change = ChangeId(json.at("change").get<std::string>()),
                            .digest = json.at("digest").get<std::string>()};
@@ -61,7 +63,7 @@
 auto parseConfigLogEntry(const std::string &value) -> std::optional<ConfigLogEntry>
 {
     try {
-        const auto json = Json::parse(value);
+        const auto json = parseJson(value);
         return ConfigLogEntry {.revision = Revision(json.at("revision").get<std::uint64_t>()),
                                .change = ChangeId(json.at("change").get<std::string>()),
                                .author = json.at("author").get<std::string>(),
@@ -74,7 +76,7 @@
 auto parseConfigChangeRevision(const std::string &value) -> std::optional<Revision>
 {
     try {
-        return Revision(Json::parse(value).at("revision").get<std::uint64_t>());
+        return Revision(parseJson(value).at("revision").get<std::uint64_t>());
     } catch (const Json::exception &) {
         return std::nullopt;
     }
--- a/src/core/declarationcodec.cpp
+++ b/src/core/declarationcodec.cpp
@@ -1,5 +1,7 @@
 #include "core/declarationcodec.h"
 
+#include "core/jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 namespace KingCup
@@ -222,6 +224,9 @@
 
 auto declarationsFromJson(const std::string &text) -> Result<Declarations>
 {
+    if (const auto at = findExcessiveNesting(text)) {
+        return Error {ErrorCode::InvalidInput, "declarations: nested too deeply at byte " + std::to_string(*at)};
+    }
     try {
         const auto json = Json::parse(text);
         Declarations set;
--- a/src/core/plan.cpp
+++ b/src/core/plan.cpp
@@ -1,5 +1,7 @@
 #include "core/plan.h"
 
+#include "core/jsontext.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -89,7 +91,7 @@
 
 auto planFromJson(const std::string &text) -> Result<Plan>
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseJson(text);
     if (!json.is_object() || !json.contains("targets") || !json["targets"].is_object()) {
         return Error {ErrorCode::InvalidInput, "a plan must be a JSON object with an object \"targets\""};
     }
--- a/src/core/storetable.h
+++ b/src/core/storetable.h
@@ -50,6 +50,7 @@
 
 struct StorePage {
     std::vector<StoredRow> rows;
+    std::size_t skippedRows = 0; ///< rows without a readable key or version, which `rows` lacks
     bool hasMore = false; ///< for reads: the table has rows after the last one of this page
     RowVersion upTo; ///< the store's newest version as of this answer
 
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -2,6 +2,7 @@
 
 #include "net/json.h"
 
+#include <algorithm>
 #include <map>
 
 namespace KingCup
@@ -10,6 +11,7 @@
 namespace
 {
 
+constexpr double MaxProcessors = 1024; ///< a row that names more is read as this many
 constexpr auto WriteRetryDelay = Duration::millis(500); ///< the row is written again if the watch hasn't shown it this long after the last write
 
 auto encodeRow(const RegistrationSettings &settings) -> std::string
@@ -60,7 +62,7 @@
     host.role = HostRole::Entry;
     host.zone = ZoneName(textOf(member(parsed, "zone")));
     host.endpoint = endpoint;
-    host.processorShare = numberOf(member(parsed, "processor"), host.processorShare);
+    host.processorShare = std::clamp(numberOf(member(parsed, "processor"), host.processorShare), 0.0, MaxProcessors);
     hosts[row.key] = host;
 }
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -28,11 +28,13 @@
     {
         return [this, table, call, alive = std::weak_ptr(lifetime)](const StoreAnswer &answer) {
             if (alive.lock()) {
+                noteSkippedRows(table, answer.page);
                 follower.answered(table, call, answer, parts.loop.now());
                 scheduleCalls();
             }
         };
     }
+    auto noteSkippedRows(std::size_t table, const StorePage &page) -> void;
     auto scheduleCalls() -> void;
     std::shared_ptr<int> lifetime = std::make_shared<int>(0); // store calls may be answered after the destruction
 };
@@ -130,6 +132,16 @@
     return result;
 }
 
+auto StoreFollower::Private::noteSkippedRows(std::size_t table, const StorePage &page) -> void
+{
+    if (page.skippedRows == 0) {
+        return;
+    }
+    const auto *name = toString(FollowedTables.at(table));
+    parts.metrics.add(std::string("store_rows_skipped_total{table=\"") + name + "\"}", static_cast<double>(page.skippedRows));
+    parts.log.line("store", "rows-skipped").add("table", name).add("rows", static_cast<std::uint64_t>(page.skippedRows)).add("version", page.upTo.value());
+}
+
 auto StoreFollower::Private::scheduleCalls() -> void
 {
     const auto next = follower.nextCallAt();
--- a/src/net/json.h
+++ b/src/net/json.h
@@ -1,6 +1,8 @@
 // Reads JSON of other services without exceptions: an invalid answer must not terminate the process.
 #pragma once
 
+#include "core/jsontext.h"
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,12 +10,6 @@
 namespace KingCup
 {
 
-/// The parsed text; is_discarded() is true if it isn't JSON.
-inline auto parseJson(const std::string &text) -> nlohmann::json
-{
-    return nlohmann::json::parse(text, nullptr, false);
-}
-
 /// A member of an object; null if there is none or `object` isn't one.
 inline auto member(const nlohmann::json &object, const char *name) -> const nlohmann::json &
 {
--- a/tests/fuzz_platform.cpp
+++ b/tests/fuzz_platform.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 
 using namespace KingCup;
 
@@ -29,11 +30,24 @@
 const std::string Report = R"({"born":5,"models":[{"name":"m1","version":2,"adapters":["a1"]}],"pending":["m1/a2@3"],"busy":true,"sequence":4,)"
                            R"("waiting":1,"running":2,"kv_used":300,"kv_total":90000,"available":{"in_memory":["m1"],"on_disk":[]}})";
 
-const MutatorOptions Mutations {
-    .maxEdits = 4,
-    .maxPieceLength = 12,
-    .dictionary = {"null", "-1", "1e308", "-1e308", "99999999999999999999", "[]", "{}", "\"\"", "true", "[[[[[[[[", "\xff\xfe", std::string(1, '\0'), "0.5"},
-    .replacesValues = true};
+const MutatorOptions Mutations {.maxEdits = 4,
+                                .maxPieceLength = 12,
+                                .dictionary = {"null",
+                                               "-1",
+                                               "1e308",
+                                               "-1e308",
+                                               "99999999999999999999",
+                                               "[]",
+                                               "{}",
+                                               "\"\"",
+                                               "true",
+                                               "[[[[[[[[",
+                                               "\xff\xfe",
+                                               std::string(1, '\0'),
+                                               "0.5",
+                                               "1e400",
+                                               std::string(2000, '[')},
+                                .replacesValues = true};
 
 /// The text with random mutations, which depend on the round only.
 auto mutated(int round, const std::string &text) -> std::string
@@ -116,13 +130,66 @@
 TEST_CASE("mutated pages and answers of the store are read or refused")
 {
     const auto format = Platform::makeStoreFormat();
-    const std::string page = R"({"rows":[{"key":"a","version":3,"value":"x"},{"key":"b","version":4,"deleted":true}],"version":9,"more":false})";
+    const std::string page = R"({"rows":[{"key":"a","ver":3,"value":"e30="},{"key":"b","ver":4,"tombstone":true}],"ver":9,"has_more":false})";
+    int read = 0;
     for (int round = 0; round < Rounds; ++round) {
         const auto bytes = mutated(round, page);
         const auto decoded = format.decodePage(bytes);
+        read += decoded ? 1 : 0;
         REQUIRE((!decoded || decoded->rows.size() < 100));
         format.decodeChangeVersion(bytes);
     }
+    REQUIRE(read > Rounds / 20);
+}
+
+TEST_CASE("rows beside one with any value are read")
+{
+    // Guards against one entry of another writer that hides all others, or ends each process that reads it.
+    const auto format = Platform::makeStoreFormat();
+    std::mt19937 random(7);
+    const auto oddValue = [&]() -> std::string {
+        constexpr std::size_t MaxDepth = 1000000;
+        const auto depth = std::size_t {1} << (random() % 20U);
+        const auto levels = std::min(depth + random() % depth, MaxDepth);
+        switch (random() % 5) {
+        case 0:
+            return std::string(levels, '[') + std::string(levels, ']');
+        case 1: {
+            std::string text;
+            for (std::size_t i = 0; i < levels; ++i) {
+                text += "{\"a\":";
+            }
+            return text + "1" + std::string(levels, '}');
+        }
+        case 2:
+            return (random() % 2 == 0 ? "-" : "") + std::to_string(random()) + "e" + std::to_string(random() % 100000);
+        case 3: {
+            std::string text = "\"";
+            for (unsigned i = random() % 20; i > 0; --i) {
+                const auto byte = static_cast<char>(random());
+                text += byte == '"' || byte == '\\' ? '?' : byte;
+            }
+            return text + "\"";
+        }
+        default:
+            return std::string(1 + random() % 400, '9');
+        }
+    };
+    for (int round = 0; round < Rounds / 10; ++round) {
+        const auto odd = oddValue();
+        const auto bytes
+            = R"({"rows":[{"key":"a","ver":3,"value":"e30="},{"key":"odd","ver":4,"value":)" + odd + R"(},{"key":"b","ver":5,"value":"e30="}],"ver":9})";
+        const auto decoded = format.decodePage(bytes);
+        INFO("round " << round << " " << odd.substr(0, 60));
+        REQUIRE(decoded);
+        REQUIRE(decoded->rows.size() == 3);
+        REQUIRE(decoded->rows.front().value == "{}");
+        REQUIRE(decoded->rows.back().value == "{}");
+        REQUIRE_FALSE(Platform::decodeTarget("odd", decoded->rows[1].value));
+        REQUIRE_FALSE(Platform::decodeTarget("odd", odd));
+        Platform::decodeReport(odd);
+        REQUIRE_FALSE(Platform::decodeTraffic(odd).isValid());
+    }
 }
 
 TEST_CASE("request heads with mutated values are read without negative numbers")
--- /dev/null
+++ b/tests/system_oddentries.cpp
@@ -0,0 +1,84 @@
+// Entries that other programs write in a form that can't be read, at real processes of each role: none of them ends a process or hides the other entries.
+#include "tests/harness_cluster.h"
+#include "tests/harness_gateways.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr std::size_t Depth = 60000;
+
+auto nested(std::size_t depth) -> std::string
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+auto targetRow(const std::string &address, const std::string &slots, const std::string &more = "") -> std::string
+{
+    return R"({"service":"ledger","address":")" + address + R"(","zone":"north","state":"ready","sequence":1,"born":7,"slots":)" + slots + more + "}";
+}
+
+} // namespace
+
+TEST_CASE("odd rows of another writer end no gateway, and each gateway goes on following the store")
+{
+    // Guards against a row that ends each gateway that reads it, or that makes the page unreadable in which it stands.
+    Site site({.gateways = 2, .runners = 1, .instances = 2, .models = 1});
+    const std::vector<Json> odd {
+        {{"asWritten", true}, {"value", nested(Depth)}},
+        {{"asWritten", true}, {"value", R"({"a":)" + nested(Depth) + "}"}},
+        {{"asWritten", true}, {"value", "1e400"}},
+        {{"asWritten", true}, {"value", "{\"slots\":1e400}"}},
+        {{"asWritten", true}, {"value", "99999999999999999999999999"}},
+        {{"asWritten", true}, {"bytes", {'"', 0xff, '"'}}},
+        {{"value", nested(Depth)}},
+        {{"value", R"({"peers":)" + nested(Depth) + "}"}},
+        {{"value", targetRow("127.0.0.1:1", "1e400")}},
+        {{"value", targetRow("127.0.0.1:1", "18446744073709551615")}},
+        {{"value", targetRow("127.0.0.1:1", "4", R"(,"models":)" + nested(Depth))}},
+        {{"value", targetRow("127.0.0.1:70000", "64")}},
+        {{"value", targetRow("127.0.0.1:-1", "64")}},
+        {{"value", targetRow("127.0.0.1:0", "64")}},
+        {{"value", targetRow("1.2.3.400:90", "64")}},
+        {{"value", targetRow("host:90", "64")}},
+        {{"value", R"({"peers":"127.0.0.1:70000","zone":"north","processor":1e400})"}},
+        {{"value", R"({"peers":"127.0.0.1:1","zone":"north","processor":1e308})"}},
+    };
+    const auto isRunning = [&](const std::string &id) {
+        return !site.process(id).exitCode().has_value();
+    };
+    for (const std::string table : {"servers", "kingcup-entries"}) {
+        for (std::size_t i = 0; i < odd.size(); ++i) {
+            auto command = odd[i];
+            command["part"] = "row";
+            command["table"] = table;
+            command["key"] = "odd-" + std::to_string(i);
+            site.platform(command);
+            const auto change = i % 2 == 0 ? "add-route" : "drop-route";
+            site.platform({{"part", "operator"}, {"change", change}});
+            for (int gateway : {1, 2}) {
+                INFO("table " << table << " row " << i << " gateway " << gateway);
+                site.waitFor(
+                    change, [&] { return (site.call(gateway, {.path = "/extra/x"})->status == 200) == (i % 2 == 0); }, Duration::seconds(2));
+                CHECK(site.call(gateway, {.path = "/read/x"})->status == 200);
+                CHECK(site.stream(gateway, "m1")->isWhole());
+            }
+            REQUIRE(isRunning("gw-1"));
+            REQUIRE(isRunning("gw-2"));
+        }
+    }
+    // A gateway that starts reads all of them in one page.
+    for (const std::string id : {"gw-1", "gw-2"}) {
+        site.process(id).send(SIGKILL);
+        site.waitForExit(id);
+        site.start(id);
+        site.waitFor(id + " is ready", [&] { return site.isReady(id == "gw-1" ? 1 : 2); });
+        for (int i = 0; i < 20; ++i) {
+            CHECK(site.call(id == "gw-1" ? 1 : 2, {.path = "/read/x"})->status == 200);
+        }
+    }
+}
