host list, table: one odd entry hides no other, and an unreadable answer isn't empty

What callers saw: entries and agents that started, or waited for a new host, saw none of the hosts as long as the list held one entry with a number that no double holds or a byte that isn't UTF-8: the list counted as malformed. A table's answer that was no JSON, or held one such row, was read as a list without rows, so that a claim, a declaration or a plan seemed to be absent.

Cause: both were parsed as one text; rowsOf() didn't tell "no list" from "no rows".

Change: both are split into entries with core/jsontext, as the store's pages are. A row whose value can't be read is returned with an empty value; an answer without a list of rows is a failed read, which callers of the table retry or report.

Evidence: system_oddentries with real entries and agents (new mode "odd" of the host list); unit_platform has both cases.

--- a/fakes/hostlist.cpp
+++ b/fakes/hostlist.cpp
@@ -70,7 +70,7 @@
 
 auto HostList::setMode(const std::string &mode) -> bool
 {
-    if (mode != "ok" && mode != "freeze" && mode != "empty" && mode != "wrong" && mode != "refuse") {
+    if (mode != "ok" && mode != "freeze" && mode != "empty" && mode != "wrong" && mode != "odd" && mode != "refuse") {
         return false;
     }
     m_frozen = visible();
@@ -98,7 +98,13 @@
         const auto state = m_mode == "wrong" ? "leaving" : host.state;
         list.push_back({{"id", id}, {"role", host.role}, {"zone", host.zone}, {"address", host.address}, {"state", state}});
     }
-    answerJson(exchange, Status::Ok, {{"hosts", list}});
+    auto text = Json {{"hosts", list}}.dump();
+    if (m_mode == "odd") {
+        constexpr std::size_t Depth = 60000;
+        const auto nested = std::string(Depth, '[') + std::string(Depth, ']');
+        text.insert(text.find('[') + 1, R"({"id":"odd-1","address":)" + nested + R"(},{"id":"odd-2","load":1e400},{"id":"odd-3)" + "\xff" + R"("},)");
+    }
+    exchange->respond(Status::Ok, {{"content-type", "application/json"}}, text);
 }
 
 } // namespace KingCup
--- a/fakes/hostlist.h
+++ b/fakes/hostlist.h
@@ -29,7 +29,8 @@
     auto set(const Host &host) -> void;
     auto remove(const std::string &id) -> void;
     /// Modes: "ok", "freeze" (keeps answering the present list), "empty", "wrong" (every second host is missing, the others are listed as leaving),
-    /// "refuse" (503). False if unknown.
+    /// "odd" (holds three entries that can't be read: nested 60,000 deep, with a number that no double holds, with an invalid byte), "refuse" (503).
+    /// False if unknown.
     auto setMode(const std::string &mode) -> bool;
 
 private:
--- a/src/platform/hostlistclient.cpp
+++ b/src/platform/hostlistclient.cpp
@@ -28,14 +28,14 @@
 /// None if the body isn't a host list; it must not be read as an empty one.
 auto hostsOf(const std::string &body) -> std::optional<std::vector<ListedHost>>
 {
-    const auto json = parseJson(body);
-    const auto &list = member(json, "hosts");
-    if (!list.is_array()) {
+    const auto members = splitJsonObject(body);
+    const auto list = members ? splitJsonArray(findJsonMember(*members, "hosts")) : std::nullopt;
+    if (!list) {
         return std::nullopt;
     }
     std::vector<ListedHost> hosts;
-    for (const auto &entry : list) {
-        auto host = hostOf(entry);
+    for (const auto &entry : *list) {
+        auto host = hostOf(parseJson(entry));
         if (host.id.empty() || host.endpoint.port == 0) {
             LOG(WARNING) << "platform: ignored a host without id or address id=" << host.id;
             continue;
--- a/src/platform/tableclient.cpp
+++ b/src/platform/tableclient.cpp
@@ -34,13 +34,33 @@
     return json;
 }
 
-auto rowsOf(const nlohmann::json &json) -> std::vector<TableRow>
+/// None if the answer isn't a list of rows: it must not be read as an empty one. A row without a readable key is left out; one whose value can't be read is
+/// kept with an empty value, so that it doesn't count as missing.
+auto pageOf(const std::string &body) -> std::optional<TablePage>
 {
-    std::vector<TableRow> rows;
-    for (const auto &row : member(json, "rows")) {
-        rows.push_back({textOf(member(row, "key")), RowVersion(unsignedOf(member(row, "version"))), textOf(member(row, "value"))});
+    const auto members = splitJsonObject(body);
+    const auto list = members ? splitJsonArray(findJsonMember(*members, "rows")) : std::nullopt;
+    if (!list) {
+        return std::nullopt;
     }
-    return rows;
+    TablePage page;
+    page.more = boolOf(parseJson(findJsonMember(*members, "more")));
+    for (const auto &entry : *list) {
+        const auto fields = splitJsonObject(entry).value_or(std::vector<JsonMember>());
+        const auto key = textOf(parseJson(findJsonMember(fields, "key")));
+        if (key.empty()) {
+            LOG(WARNING) << "platform: ignored a row without a readable key bytes=" << entry.size();
+            continue;
+        }
+        page.rows.push_back({key, RowVersion(unsignedOf(parseJson(findJsonMember(fields, "version")))), textOf(parseJson(findJsonMember(fields, "value")))});
+    }
+    return page;
+}
+
+auto unreadable(const PlatformAnswer &answer) -> Error
+{
+    LOG(ERROR) << "platform: unreadable list of rows bytes=" << answer.body.size();
+    return {ErrorCode::Unknown, "unreadable list of rows"};
 }
 
 auto isGood(const PlatformAnswer &answer) -> bool
@@ -120,10 +140,12 @@
 {
     const nlohmann::json body {{"keys", keys}};
     m_caller.callWithRetries(postCall("/table/read", body), deadline, [done = std::move(done)](const PlatformAnswer &answer) {
-        if (isGood(answer)) {
-            done(rowsOf(parseJson(answer.body)));
-        } else {
+        if (!isGood(answer)) {
             done(errorOf(answer));
+        } else if (auto page = pageOf(answer.body)) {
+            done(std::move(page->rows));
+        } else {
+            done(unreadable(answer));
         }
     });
 }
@@ -133,11 +155,12 @@
     HttpCall call;
     call.path = "/table/scan?prefix=" + encodeQueryValue(scan.prefix) + "&after=" + encodeQueryValue(scan.after) + "&limit=" + std::to_string(scan.limit);
     m_caller.callWithRetries(std::move(call), deadline, [done = std::move(done)](const PlatformAnswer &answer) {
-        if (isGood(answer)) {
-            const auto json = parseJson(answer.body);
-            done(TablePage {rowsOf(json), boolOf(member(json, "more"))});
-        } else {
+        if (!isGood(answer)) {
             done(errorOf(answer));
+        } else if (auto page = pageOf(answer.body)) {
+            done(std::move(*page));
+        } else {
+            done(unreadable(answer));
         }
     });
 }
--- a/tests/system_oddentries.cpp
+++ b/tests/system_oddentries.cpp
@@ -82,3 +82,24 @@
         }
     }
 }
+
+TEST_CASE("odd entries of the host list end no entry or agent, and hide no other host")
+{
+    // Guards against processes that see none of the hosts because of one entry, and don't learn of new ones.
+    Cluster cluster({.entries = 2, .runners = 2, .ledgers = 1});
+    cluster.bringUp();
+    cluster.fault({{"part", "hosts"}, {"mode", "odd"}});
+    cluster.sleep(Duration::seconds(2));
+    // Processes that start now know the others only from this list.
+    cluster.kill("entry-2");
+    cluster.start("entry-2");
+    cluster.kill("runner-1");
+    cluster.start("runner-1");
+    cluster.waitFor("entry-2 serves", [&] { return cluster.complete(2, "sun", "hello", 2)->outcome() == "delivered"; });
+    CHECK(cluster.debit(2, "odd-hosts", "asha", 1)->outcome() == "delivered");
+    for (const auto *id : {"entry-1", "entry-2", "runner-1", "runner-2", "ledger-1"}) {
+        INFO(id);
+        CHECK_FALSE(cluster.process(id).exitCode().has_value());
+    }
+    checkInvariants(cluster);
+}
--- a/tests/unit_platform.cpp
+++ b/tests/unit_platform.cpp
@@ -154,6 +154,28 @@
     REQUIRE(failed.error().code == ErrorCode::Unavailable);
 }
 
+TEST_CASE("rows beside one that can't be read are returned, and an answer that is no list of rows isn't taken for an empty one")
+{
+    // Guards against a claim or a declaration that seems to be absent because of a proxy's error page, or of one row of another writer.
+    Platform platform;
+    const auto table = makeTableClient(platform.loop, platform.client, platform.options());
+    const auto nested = std::string(1000000, '[') + std::string(1000000, ']');
+    for (const auto &odd :
+         {R"({"key":"odd","value":)" + nested + "}", std::string(R"({"key":"odd","value":1e400})"), std::string("{\"key\":\"odd\",\"value\":\"\xff\"}")}) {
+        platform.always(200, R"({"rows":[{"key":"a","version":1,"value":"x"},)" + odd + R"(,{"key":"k","version":5,"value":"text"}],"more":false})");
+        const auto rows = platform.read(*table, Duration::seconds(1));
+        REQUIRE(rows);
+        REQUIRE(rows.value().size() == 3);
+        CHECK(rows.value().at(1).value.empty());
+        CHECK(rows.value().at(2).value == "text");
+    }
+    for (const auto *body : {"", "<html>", "{}", R"({"rows":7})", R"({"rows":[)"}) {
+        INFO(body);
+        platform.always(200, body);
+        CHECK_FALSE(platform.read(*table, Duration::seconds(1)));
+    }
+}
+
 TEST_CASE("a scan encodes its query, and its page says whether there are more rows")
 {
     Platform platform;
@@ -265,7 +287,16 @@
     REQUIRE(list.hosts()[0].endpoint.port == 9103);
     REQUIRE(list.hosts()[0].leaving);
 
+    // Guards against a process that learns of no other host because of one entry.
+    platform.always(200,
+                    R"({"hosts":[{"id":"odd","zone":)" + std::string(60000, '[') + std::string(60000, ']') + "},{\"id\":\"\xff\"},{\"id\":1e400}"
+                        + R"(,{"id":"r2","role":"agent","zone":"dha","address":"127.0.0.1:9104","state":"live"}]})");
+    REQUIRE(platform.loop.runUntil([&] { return list.hosts()[0].id == "r2"; }, Limit));
+    REQUIRE(list.hosts().size() == 1);
+
     platform.always(200, "<html>");
+    REQUIRE(platform.loop.runUntil([&] { return list.age() > Duration::millis(50); }, Limit));
+    lists = 2;
     const auto asked = platform.requests.size();
     REQUIRE(platform.loop.runUntil([&] { return platform.requests.size() > asked + 3; }, Limit));
     REQUIRE(lists == 2);
