entry: a deeply nested completion is rejected and no longer ends the process

What callers saw: one completion request with a member nested 60,000 deep (120 KB) ended the entry that read it, with all requests in flight. A client that repeats took one entry after the other.

Cause: readModel() parsed the body, replaced "model" and serialized it again; nlohmann::json serializes by recursion, a stack frame for each level.

Change: the body is checked for its nesting (1,024 levels; 400 `json-too-deep`) and its syntax, split at its outermost level, and passed on as the caller wrote it but for the value of each "model". Nothing of it is built or serialized. The hash of the prompt's beginning, by which requests with the same prompt go to the same target, is taken from the text as written, so entries of the version before may prefer other targets for prompts with escapes; fingerprints of completions differ from theirs too, and only count crashes of one request during a release.

--- a/src/entry/callerrequest.cpp
+++ b/src/entry/callerrequest.cpp
@@ -1,6 +1,7 @@
 #include "entry/callerrequest.h"
 
 #include "core/hashing.h"
+#include "core/jsontext.h"
 
 #include <algorithm>
 #include <charconv>
@@ -38,15 +39,30 @@
     return {BadRequest, code, detail};
 }
 
-/// The beginning of the prompt: of the first message of a chat, otherwise of the prompt's text.
-auto promptBeginning(const json &body) -> std::string
+/// The beginning of the prompt as written: of the first message of a chat, otherwise of the prompt's text.
+auto promptBeginning(const std::vector<JsonMember> &body) -> std::string_view
 {
-    if (const auto messages = body.find("messages"); messages != body.end() && messages->is_array() && !messages->empty()) {
-        const auto &first = messages->front();
-        return first.is_object() ? first.value("content", json()).dump().substr(0, PrefixChars) : "";
+    if (const auto messages = splitJsonArray(findJsonMember(body, "messages")); messages && !messages->empty()) {
+        const auto first = splitJsonObject(messages->front());
+        return first ? findJsonMember(*first, "content").substr(0, PrefixChars) : std::string_view();
     }
-    const auto prompt = body.find("prompt");
-    return prompt == body.end() ? "" : prompt->dump().substr(0, PrefixChars);
+    return findJsonMember(body, "prompt").substr(0, PrefixChars);
+}
+
+/// The body as the caller wrote it, with the value of each member "model" replaced.
+auto withModel(const std::string &body, const std::vector<JsonMember> &members, const std::string &model) -> std::string
+{
+    const auto value = json(model).dump();
+    std::string result;
+    std::size_t copied = 0;
+    for (const auto &member : members) {
+        if (member.name == "model") {
+            const auto at = static_cast<std::size_t>(member.value.data() - body.data());
+            result += body.substr(copied, at - copied) + value;
+            copied = at + member.value.size();
+        }
+    }
+    return result + body.substr(copied);
 }
 
 /// Reads time budget, priority and idempotency key, which are the same for models and plain services.
@@ -106,14 +122,18 @@
     if (http.method != "POST") {
         return Problem {MethodNotAllowed, "method-not-allowed", "completions are asked for with POST"};
     }
-    auto body = json::parse(http.body, nullptr, false);
-    if (body.is_discarded()) {
+    if (const auto at = findExcessiveNesting(http.body)) {
+        return badRequest("json-too-deep", "the body is nested deeper than " + std::to_string(MaxJsonDepth) + " levels at byte " + std::to_string(*at));
+    }
+    if (!json::accept(http.body)) {
         return badRequest("invalid-json", "the body isn't JSON in UTF-8");
     }
-    if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
+    const auto members = splitJsonObject(http.body);
+    const auto model = members ? parseJson(findJsonMember(*members, "model")) : json();
+    if (!model.is_string()) {
         return badRequest("no-model", "the body names no model");
     }
-    const auto name = body["model"].get<std::string>();
+    const auto name = model.get<std::string>();
     auto resolved = resolveModel(declarations, name);
     const auto service = resolved ? declarations.services.find(resolved->service) : declarations.services.end();
     if (!resolved || service == declarations.services.end()) {
@@ -132,10 +152,9 @@
     request.method = http.method;
     request.path = http.path;
     request.headers = {{"content-type", "application/json"}};
-    request.wantsStream = body.value("stream", json(false)) == json(true);
-    request.prefixHash = hexHash(request.artifacts.back().text() + promptBeginning(body));
-    body["model"] = request.artifacts.back().text();
-    request.body = body.dump();
+    request.wantsStream = findJsonMember(*members, "stream") == "true";
+    request.prefixHash = hexHash(request.artifacts.back().text() + std::string(promptBeginning(*members)));
+    request.body = withModel(http.body, *members, request.artifacts.back().text());
     return std::nullopt;
 }
 
--- a/tests/fuzz_callerrequest.cpp
+++ b/tests/fuzz_callerrequest.cpp
@@ -63,6 +63,8 @@
                                            R"({"model":"sun@1","messages":[{"role":"user","content":"hi"}]})",
                                            R"({"model":["sun"],"prompt":{"a":[]},"stream":"yes","max_tokens":-1e99})",
                                            R"([[[[[[{"model":null}]]]]]])",
+                                           R"({"model":"sun","prompt":)" + std::string(1U << (random() % 20U), '['),
+                                           R"({"model":"sun","x":1e400,"prompt":[1,{"a":2}]})",
                                            "minutes=5",
                                            ""}));
     for (const auto &name : callerHeaderNames()) {
--- a/tests/system_oddentries.cpp
+++ b/tests/system_oddentries.cpp
@@ -83,6 +83,31 @@
     }
 }
 
+TEST_CASE("a deeply nested or invalid completion gets an error, and the entry's other requests end well")
+{
+    // Guards against a caller that ends an entry, with all its requests, by one body.
+    Cluster cluster({.entries = 1, .runners = 2, .ledgers = 1});
+    cluster.bringUp();
+    const auto stream = cluster.beginCompletion(1, "sun", "goes on", 60);
+    const auto post = [&](const std::string &body) {
+        return cluster.call(1, {.method = "POST", .path = "/v1/completions", .headers = {{"content-type", "application/json"}}, .body = body});
+    };
+    for (const auto *field : {"x", "prompt", "messages", "stop"}) {
+        for (const std::size_t depth : {std::size_t {2000}, Depth, std::size_t {1000000}}) {
+            const auto answer = post(R"({"model":"sun",")" + std::string(field) + "\":" + nested(depth) + "}");
+            INFO(field << " " << depth);
+            CHECK(answer->status == 400);
+            CHECK(answer->json().value("code", "") == "json-too-deep");
+        }
+    }
+    CHECK(post(R"({"model":"sun","x":1e400})")->status == 400);
+    CHECK(post("{\"model\":\"sun\",\"x\":\"\xff\"}")->status == 400);
+    cluster.waitFor("the stream ends", [&] { return stream->done; });
+    CHECK(stream->isWholeStream());
+    CHECK(stream->outcome() == "delivered");
+    CHECK_FALSE(cluster.process("entry-1").exitCode().has_value());
+}
+
 TEST_CASE("odd entries of the host list end no entry or agent, and hide no other host")
 {
     // Guards against processes that see none of the hosts because of one entry, and don't learn of new ones.
--- a/tests/unit_jsontext.cpp
+++ b/tests/unit_jsontext.cpp
@@ -2,6 +2,7 @@
 #include "core/jsontext.h"
 #include "core/plan.h"
 #include "core/runonce.h"
+#include "entry/callerrequest.h"
 #include "platform/protocol.h"
 
 #include <catch2/catch.hpp>
@@ -113,3 +114,41 @@
         CHECK_FALSE(Platform::decodeTarget("r1", row(slots)));
     }
 }
+
+TEST_CASE("a completion is passed on as its caller wrote it, with the model's version in place of its name")
+{
+    Declarations declarations;
+    Service service;
+    service.name = ServiceName("advisory");
+    declarations.services[service.name] = service;
+    Artifact version;
+    version.name = ArtifactName("sun@1");
+    version.service = service.name;
+    version.size = Bytes(1);
+    declarations.artifacts[version.name] = version;
+    declarations.models["sun"] = Model {"sun", service.name, version.name, {version.name}, {}};
+    const auto read = [&](const std::string &body) {
+        HttpRequest http;
+        http.method = "POST";
+        http.path = "/v1/completions";
+        http.body = body;
+        return readCallerRequest(http, RequestId("r"), declarations, {});
+    };
+    const auto bodyOf = [&](const std::string &body) {
+        const auto result = read(body);
+        return std::holds_alternative<CallerRequest>(result) ? std::get<CallerRequest>(result).body : std::get<Problem>(result).code;
+    };
+    CHECK(bodyOf(R"({"z":1.50, "model" : "sun","prompt":"\u0041"})") == R"({"z":1.50, "model" : "sun@1","prompt":"\u0041"})");
+    CHECK(bodyOf(R"({"model":"no such","mod\u0065l":"sun"})") == R"({"model":"sun@1","mod\u0065l":"sun@1"})");
+    CHECK(bodyOf(R"({"model":"sun","x":1e400})") == "invalid-json");
+    CHECK(bodyOf("{\"model\":\"sun\",\"x\":\"\xff\"}") == "invalid-json");
+    CHECK(bodyOf(R"({"model":"sun","x":)" + nested(MaxJsonDepth - 1) + "}").size() > MaxJsonDepth);
+    // Guards against an entry that ends while it serializes such a body again.
+    for (const std::size_t depth : {MaxJsonDepth, std::size_t {20000}, std::size_t {60000}, std::size_t {1000000}}) {
+        for (const auto *field : {"x", "prompt", "messages", "model", "stream"}) {
+            CHECK(bodyOf(R"({"model":"sun",")" + std::string(field) + "\":" + nested(depth) + "}") == "json-too-deep");
+        }
+    }
+    CHECK(std::get<CallerRequest>(read(R"({"model":"sun","stream": true })")).wantsStream);
+    CHECK_FALSE(std::get<CallerRequest>(read(R"({"model":"sun","stream":"true"})")).wantsStream);
+}
