tests: answers that end within their head, at real gateways, entries and agents

Not tried: callers with TLS, where the same code writes the answers.

The fakes' runner can end an answer within its head, and the proxy has a mode "cut-answer".

--- a/fakes/answerform.cpp
+++ b/fakes/answerform.cpp
@@ -2,10 +2,34 @@
 
 #include <algorithm>
 #include <numeric>
+#include <optional>
 
 namespace KingCup
 {
 
+namespace
+{
+
+constexpr auto InterimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+
+/// The beginning of the head where the form ends the answer within it; nothing if it is sent whole.
+auto cutHead(const AnswerForm &form, const std::string &head) -> std::optional<std::string>
+{
+    if (form.headBytes >= 0) {
+        return head.substr(0, std::min(static_cast<std::size_t>(form.headBytes), head.size() - 1));
+    }
+    if (form.headLines < 0) {
+        return std::nullopt;
+    }
+    std::size_t end = 0;
+    for (int i = 0; i < form.headLines && end + 2 < head.size(); ++i) {
+        end = head.find("\r\n", end) + 2;
+    }
+    return head.substr(0, std::min(end, head.size() - 2));
+}
+
+} // namespace
+
 auto AnswerForm::sentPart(const std::string &body) const -> std::string
 {
     return cut == "none" ? body : body.substr(0, body.size() / 2);
@@ -30,6 +54,9 @@
     form.events = command.value("events", form.events);
     form.cut = command.value("cut", form.cut);
     form.end = command.value("end", form.end);
+    form.headBytes = command.value("headBytes", form.headBytes);
+    form.headLines = command.value("headLines", form.headLines);
+    form.hasInterimAnswer = command.value("interim", form.hasInterimAnswer);
     form.contentType = command.value("contentType", form.contentType);
     return form;
 }
@@ -49,7 +76,9 @@
     } else {
         headers.push_back({"Connection", "close"});
     }
-    connection->write(answerHead(Status::Ok, headers) + (form.framing == "chunked" && !sent.empty() ? chunk(sent) : sent));
+    const auto head = answerHead(Status::Ok, headers);
+    const auto body = form.framing == "chunked" && !sent.empty() ? chunk(sent) : sent;
+    connection->write((form.hasInterimAnswer ? InterimAnswer : "") + cutHead(form, head).value_or(head + body));
     clock.after(endsAfter, [connection, form] {
         if (form.end == "reset") {
             connection->reset();
--- a/fakes/answerform.h
+++ b/fakes/answerform.h
@@ -18,6 +18,9 @@
     std::string cut = "none"; ///< what follows them: "inside": a part of the next event or, of a plain answer, half of it; "line-ends": an event without its
                               ///< second line end
     std::string end = "complete"; ///< "complete": by the rules of its framing, as if nothing were missing; "close", "reset"; "silence": it doesn't end
+    int headBytes = -1; ///< the answer ends after this many bytes of its head, at the latest before its last one; -1: the whole head is sent
+    int headLines = -1; ///< the answer ends after this many lines of its head, at the latest before its blank line; -1: the whole head is sent
+    bool hasInterimAnswer = false; ///< an interim answer comes first
     std::string contentType = "text/event-stream"; ///< of a stream
 
     auto sentPart(const std::string &body) const -> std::string; ///< what is sent of a plain answer
--- a/fakes/proxy.cpp
+++ b/fakes/proxy.cpp
@@ -210,8 +210,13 @@
         abort(pair);
         return -1;
     }
+    const bool isCut = side == TargetSide && fault.answerBytes >= 0;
+    data = isCut ? data.substr(0, static_cast<std::size_t>(fault.answerBytes)) : data;
     pipe.queue.push_back(Piece {std::string(data), clock.now() + fault.delay});
     pipe.queued += data.size();
+    if (isCut) {
+        return -1; // closes the target's side; the client's is closed once it has this piece
+    }
     setReading(pair);
     if (fault.delay > Duration()) {
         clock.after(fault.delay, [this] { wakeUpAll(); });
@@ -415,6 +420,8 @@
         fault.bytesPerSecond = command.value("bytesPerSecond", 100.0);
     } else if (mode == "drop-answer") {
         fault.dropAnswers = command.value("count", 1);
+    } else if (mode == "cut-answer") {
+        fault.answerBytes = command.value("bytes", 0);
     } else {
         return std::nullopt;
     }
--- a/fakes/proxy.h
+++ b/fakes/proxy.h
@@ -21,6 +21,7 @@
     bool frozen = false; ///< connections stay up, nothing passes
     bool loseUp = false; ///< bytes towards the target are dropped
     bool loseDown = false; ///< bytes from the target are dropped
+    int answerBytes = -1; ///< of each piece that the target sends, this many bytes are passed on, and the connection is closed; -1: no limit
     int dropAnswers = 0; ///< how many more times the target's next bytes are dropped and their connection is closed
     Duration delay; ///< of all data, in each direction
     double bytesPerSecond = 0; ///< of each connection in each direction; 0: no limit
@@ -55,7 +56,7 @@
 
     /// Adds a link, or replaces the link of that name. Returns its port.
     auto add(const std::string &name, int listenPort, const Endpoint &target) -> int;
-    /// {"name":N,"mode":"cut"|"freeze"|"delay"|"lose-up"|"lose-down"|"drip"|"drop-answer"|"heal","ms":N,"bytesPerSecond":N,"count":N}.
+    /// {"name":N,"mode":"cut"|"freeze"|"delay"|"lose-up"|"lose-down"|"drip"|"drop-answer"|"cut-answer"|"heal","ms":N,"bytesPerSecond":N,"count":N,"bytes":N}.
     /// Modes are combined until "heal". An empty name means every link. False if the mode or link is unknown.
     auto command(const Json &command) -> bool;
     auto ports() const -> Json;
