jsontext: names without escapes aren't parsed

Pages of the store have seven names in each row; a parser for each of them is most of what splitting costs. isValidJson() had no caller left. unit_jsontext, fuzz_platform, unit_platform and fuzz_callerrequest pass (125,589 assertions).

--- a/src/core/jsontext.cpp
+++ b/src/core/jsontext.cpp
@@ -89,8 +89,17 @@
     std::size_t m_at = 0;
 };
 
+/// The text between quotes, if it stands for itself: printable ASCII without escapes.
+auto isPlainText(std::string_view text) -> bool
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~' && c != '\\' && c != '"'; });
+}
+
 auto decodeName(std::string_view quoted) -> std::string
 {
+    if (const auto text = quoted.substr(1, std::max<std::size_t>(quoted.size(), 2) - 2); quoted.ends_with('"') && isPlainText(text)) {
+        return std::string(text); // parsing costs more, and pages have several names in each row
+    }
     const auto parsed = parseJson(quoted);
     return parsed.is_string() ? parsed.get<std::string>() : std::string();
 }
@@ -122,11 +131,6 @@
     return findExcessiveNesting(text) ? nlohmann::json(nlohmann::json::value_t::discarded) : nlohmann::json::parse(text, nullptr, false);
 }
 
-auto isValidJson(std::string_view text) -> bool
-{
-    return !findExcessiveNesting(text) && nlohmann::json::accept(text);
-}
-
 // [SECTION] Splitting
 
 auto splitJsonObject(std::string_view text) -> std::optional<std::vector<JsonMember>>
--- a/src/core/jsontext.h
+++ b/src/core/jsontext.h
@@ -28,9 +28,6 @@
 /// The parsed text; is_discarded() is true if it isn't JSON in UTF-8, is nested too deeply or has a number that no double holds.
 auto parseJson(std::string_view text) -> nlohmann::json;
 
-/// Whether parseJson() would accept the text, without building the value.
-auto isValidJson(std::string_view text) -> bool;
-
 // [SECTION] Splitting
 
 /// A member of an object as written. `value` points into the text that was split, and may itself be invalid.
