tests: odd values in the rows that gateways keep in the store for themselves

Related path of the odd entries: another program overwrites each row of the gateways' own tables (versions, origins, leases, crash records, entries) with six values, as many as stand there, at two real gateways that serve. Nothing ends and both go on serving: protobuf refuses or reads such values without recursion of its own.

--- a/tests/system_oddentries.cpp
+++ b/tests/system_oddentries.cpp
@@ -47,6 +47,8 @@
         {{"value", targetRow("host:90", "64")}},
         {{"value", R"({"peers":"127.0.0.1:70000","zone":"north","processor":1e400})"}},
         {{"value", R"({"peers":"127.0.0.1:1","zone":"north","processor":1e308})"}},
+        {{"value", R"({"peers":"host:90","zone":"north","processor":-1})"}},
+        {{"value", R"({"peers":"1.2.3.400:90","zone":7})"}},
     };
     const auto isRunning = [&](const std::string &id) {
         return !site.process(id).exitCode().has_value();
@@ -83,6 +85,45 @@
     }
 }
 
+TEST_CASE("odd values in the gateways' own rows end no gateway")
+{
+    // Guards against a gateway that ends, or stops serving, when another program overwrites a row that gateways keep in the store for themselves.
+    Site site({.gateways = 2, .runners = 2, .instances = 1, .models = 1});
+    REQUIRE(site.stream(1, "m1")->isWhole());
+    const std::vector<Json> odd {
+        {{"asWritten", true}, {"value", nested(Depth)}},
+        {{"asWritten", true}, {"value", "1e400"}},
+        {{"value", nested(Depth)}},
+        {{"value", ""}},
+        {{"value", std::string(100000, 'x')}},
+        {{"value", std::string("\x0a\x7f\x0a\x7f\x12\x01\x00", 7)}},
+    };
+    const auto rows = site.truth()["store"]["rows"];
+    REQUIRE(rows.is_object());
+    int overwritten = 0;
+    for (const auto &value : odd) {
+        for (const auto &[table, keys] : rows.items()) {
+            if (!table.starts_with("kingcup-")) {
+                continue;
+            }
+            for (const auto &[key, row] : keys.items()) {
+                auto command = value;
+                command.update({{"part", "row"}, {"table", table}, {"key", key}});
+                site.platform(command);
+                ++overwritten;
+            }
+        }
+        site.sleep(Duration::millis(700));
+        for (const int gateway : {1, 2}) {
+            INFO("gateway " << gateway << " value " << value.dump().substr(0, 60));
+            CHECK(site.call(gateway, {.path = "/read/x"})->status == 200);
+            site.waitFor("a stream", [&] { return site.stream(gateway, "m1")->isWhole(); });
+            REQUIRE_FALSE(site.process("gw-" + std::to_string(gateway)).exitCode().has_value());
+        }
+    }
+    CHECK(overwritten >= 3 * static_cast<int>(odd.size()));
+}
+
 TEST_CASE("a deeply nested or invalid completion gets an error, and the entry's other requests end well")
 {
     // Guards against a caller that ends an entry, with all its requests, by one body.
