tests: crowds of clients that don't behave, at real gateways, entries and agents

The crowds and bounds are fixed here, before the product changes: peak memory below that of the smallest host (120 MB; 256 MB for entries and agents), open descriptors within their limit, an ordinary request answered beside the crowd and after it. Nothing depends on the machine's speed.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -175,6 +175,10 @@
         record("limit", {{"perSecond", std::atof(m_requestLimit.c_str())}, {"isSet", !m_requestLimit.empty()}, {"onlyRuns", m_limitsOnlyInRuns}});
         return true;
     }
+    if (mode == "answer-bytes") {
+        m_answerBytes = command.value("bytes", std::size_t {0});
+        return true;
+    }
     if (mode == "version") {
         m_softwareVersion = command.value("version", std::string());
         return true;
@@ -444,7 +448,9 @@
     if (m_mode == "errors") {
         finish(connection, attempt, ServerError, "error");
     } else {
-        finish(connection, attempt, Status::Ok, "done by " + m_id + " for " + attempt);
+        auto body = "done by " + m_id + " for " + attempt;
+        body.resize(std::max(body.size(), m_answerBytes), '.');
+        finish(connection, attempt, Status::Ok, body);
     }
 }
 
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -58,8 +58,8 @@
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
     /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm (answerform.h), until "well". {"mode":"version","version":V} states
-    /// the software version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels". False if
-    /// the mode is unknown.
+    /// the software version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels".
+    /// {"mode":"answer-bytes","bytes":N} pads plain answers to N bytes. False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
 private:
@@ -125,6 +125,7 @@
     bool m_listed = true;
     std::string m_mode = "well";
     std::string m_requestLimit; ///< announced in every answer of this start; empty: none
+    std::size_t m_answerBytes = 0; ///< least length of plain answers
     bool m_limitsOnlyInRuns = false; ///< rejections don't announce the limit
     std::string m_retryAfter; ///< in mode "reject"; empty: not given
     AnswerForm m_answerForm; ///< in mode "answer-as"
--- a/fakes/platformsite.cpp
+++ b/fakes/platformsite.cpp
@@ -95,7 +95,7 @@
                 {"services",
                  Json::array({{{"name", "llm"}, {"health_path", "/healthz"}, {"max_conns", 100}, {"engine", engine}},
                               {{"name", "ledger"}, {"health_path", "/healthz"}, {"max_conns", 100}}})},
-                {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 5000}}},
+                {"limits", m_limits},
                 {"a-field-from-the-future", {{"nested", true}}}};
     if (!m_accounts.is_null()) {
         whole["tenants"] = m_accounts;
@@ -153,6 +153,9 @@
         const auto change = command.value("change", std::string());
         m_hasExtraRoute = change == "add-route" || (change != "drop-route" && m_hasExtraRoute);
         m_accounts = change == "accounts" ? command.value("accounts", Json()) : m_accounts;
+        if (change == "limits") {
+            m_limits.update(command.value("limits", Json::object()));
+        }
         m_timeoutMillis = change == "timeout" ? command.value("ms", m_timeoutMillis) : m_timeoutMillis;
         writeTraffic();
         return true;
--- a/fakes/platformsite.h
+++ b/fakes/platformsite.h
@@ -26,6 +26,7 @@
     auto truth() const -> Json;
     /// {"part":"store",...}, {"part":"runner","id":ID,...} (no id: all), {"part":"operator","change":"add-route"|"drop-route"|"timeout","ms":N},
     /// {"part":"operator","change":"accounts","accounts":[...]} in the document's format; null: none are declared,
+    /// {"part":"operator","change":"limits","limits":{...}} replaces limits of callers, in the document's format,
     /// {"part":"row","key":K,"value":V} writes any row of runners.
     auto command(const Json &command) -> bool;
 
@@ -41,6 +42,7 @@
     bool m_hasExtraRoute = false;
     int m_timeoutMillis = 3000;
     Json m_accounts; ///< null: none are declared
+    Json m_limits {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 5000}};
 };
 
 } // namespace KingCup
--- a/tests/harness_cluster.cpp
+++ b/tests/harness_cluster.cpp
@@ -208,7 +208,8 @@
 
 auto Cluster::Private::launch(const std::string &id) -> void
 {
-    processes[id] = std::make_unique<ChildProcess>(commands.at(id), folder.path() + "/" + id + ".log");
+    const int maxDescriptors = id == "fakes" ? 0 : options.maxDescriptors;
+    processes[id] = std::make_unique<ChildProcess>(commands.at(id), folder.path() + "/" + id + ".log", std::vector<std::string>(), maxDescriptors);
 }
 
 /// The port of the engine or plain service that an agent serves.
--- a/tests/harness_cluster.h
+++ b/tests/harness_cluster.h
@@ -37,6 +37,7 @@
     bool proxiesTargets = false; ///< agents reach their targets through the proxy: a crashed engine then looks like a broken connection, not like a closed port
     std::vector<std::string> fakes; ///< additional arguments of kingcup-fakes; they replace defaults of the same name
     std::string settings; ///< additional INI text for the settings of every entry and agent
+    int maxDescriptors = 0; ///< limit on open files of each entry and agent; 0: that of the test
 };
 
 // [SECTION] Call
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -234,7 +234,10 @@
         d->unread[id] = ::open(log.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC); // O_RDWR: open() doesn't wait for a writer
         REQUIRE(d->unread[id] >= 0);
     }
-    d->processes[id] = std::make_unique<ChildProcess>(std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)}, log);
+    d->processes[id] = std::make_unique<ChildProcess>(std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)},
+                                                         log,
+                                                         std::vector<std::string>(),
+                                                         d->options.maxDescriptors);
 }
 
 auto Site::waitForExit(const std::string &id, Duration limit) -> int
--- a/tests/harness_process.cpp
+++ b/tests/harness_process.cpp
@@ -8,11 +8,13 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <netinet/in.h>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
 #include <sys/file.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -74,7 +76,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(std::vector<std::string> arguments, std::string logFile, const std::vector<std::string> &environment)
+ChildProcess::ChildProcess(std::vector<std::string> arguments, std::string logFile, const std::vector<std::string> &environment, int maxDescriptors)
     : m_logFile(std::move(logFile))
 {
     std::vector<std::string> variables(environment);
@@ -87,7 +89,13 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     auto argumentPointers = pointersTo(arguments);
     auto variablePointers = pointersTo(variables);
+    // The child inherits the limit, which holds for this process only while it starts the child.
+    rlimit own {};
+    ::getrlimit(RLIMIT_NOFILE, &own);
+    const rlimit lowered {maxDescriptors > 0 ? static_cast<rlim_t>(maxDescriptors) : own.rlim_cur, own.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &lowered);
     const int error = posix_spawn(&m_pid, arguments.front().c_str(), &actions, nullptr, argumentPointers.data(), variablePointers.data());
+    ::setrlimit(RLIMIT_NOFILE, &own);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         throw std::runtime_error("can't start " + arguments.front());
@@ -102,6 +110,41 @@
     }
 }
 
+namespace
+{
+
+/// A field of /proc/PID/status in bytes.
+auto statusField(pid_t pid, const std::string &name) -> std::size_t
+{
+    constexpr std::size_t BytesPerKilobyte = 1024;
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(name + ":")) {
+            return std::stoul(line.substr(name.size() + 1)) * BytesPerKilobyte;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+auto ChildProcess::memory() const -> std::size_t
+{
+    return statusField(m_pid, "VmRSS");
+}
+
+auto ChildProcess::peakMemory() const -> std::size_t
+{
+    return statusField(m_pid, "VmHWM");
+}
+
+auto ChildProcess::openDescriptors() const -> int
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(m_pid) + "/fd", error);
+    return error ? 0 : static_cast<int>(std::distance(begin(open), end(open)));
+}
+
 auto ChildProcess::pid() const -> pid_t
 {
     return m_pid;
--- a/tests/harness_process.h
+++ b/tests/harness_process.h
@@ -15,8 +15,8 @@
 class ChildProcess
 {
 public:
-    /// Starts `arguments[0]`; standard output and error go to `logFile`, which is appended to.
-    ChildProcess(std::vector<std::string> arguments, std::string logFile, const std::vector<std::string> &environment = {});
+    /// Starts `arguments[0]`; standard output and error go to `logFile`, which is appended to. `maxDescriptors`: its limit on open files; 0: that of the test.
+    ChildProcess(std::vector<std::string> arguments, std::string logFile, const std::vector<std::string> &environment = {}, int maxDescriptors = 0);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     auto operator=(const ChildProcess &) -> ChildProcess & = delete;
@@ -27,6 +27,9 @@
     auto send(int signal) const -> void;
     /// The exit code, or 128 + signal if a signal ended the process; empty while it runs.
     auto exitCode() -> std::optional<int>;
+    auto memory() const -> std::size_t; ///< resident bytes; 0 once it has ended
+    auto peakMemory() const -> std::size_t; ///< the most resident bytes since its start; 0 once it has ended
+    auto openDescriptors() const -> int;
 
 private:
     pid_t m_pid = -1;
