net: a failed accept doesn't spin, and bodies aren't copied while they are sent

What callers saw: with 300 idle connections and 128 descriptors a gateway used a whole core for log lines ("accept failed", 400,000 a second) and answered no request.

Cause: a connection that can't be accepted for lack of a descriptor stays in the kernel's queue, and the level-triggered poll reports the listening socket again at once. The socket isn't polled for 200 ms after such an error now, and the line is written at most once in 10 s.

Also, for the bound on memory: unsent bytes are a queue of pieces that are freed one by one instead of one text that is freed when its last byte was sent; the body of a call to a target is shared with the request instead of copied at each attempt; text that the kernel takes at once isn't queued. Streams can be encrypted by a server's TLS context, and report how many bytes are unread.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -118,6 +118,7 @@
     std::mutex mutex; // guards `tasks`, the only state that other threads access
     std::deque<Task> tasks;
     std::shared_ptr<LoopState> loopState = std::make_shared<LoopState>();
+    std::size_t polledDescriptors = 0;
 
     auto runTasks() -> void
     {
@@ -254,6 +255,16 @@
     return d->context;
 }
 
+auto EventLoop::polledDescriptors() const -> std::size_t
+{
+    return d->polledDescriptors;
+}
+
+auto EventLoop::countPolled(int change) -> void
+{
+    d->polledDescriptors += static_cast<std::size_t>(change);
+}
+
 auto onSignals(EventLoop &loop, std::function<void()> onStop, std::function<void()> onReload) -> void
 {
     // Signals are received by a thread that waits for them: unlike a signal handler, it may take locks.
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -10,6 +10,7 @@
 
 #include "core/units.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -71,6 +72,9 @@
     /// The libwebsockets context, for code that opens sockets.
     auto context() const -> lws_context *;
 
+    auto polledDescriptors() const -> std::size_t; ///< descriptors of PolledDescriptor that are open
+    auto countPolled(int change) -> void; ///< called by PolledDescriptor
+
 private:
     struct Private;
     std::unique_ptr<Private> d;
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 
+constexpr std::size_t MaxJoinedBody = 16384; ///< a longer body is passed on without a copy, in a call of its own
 constexpr int FirstFinalStatus = 200; ///< lower codes are interim answers
 
 /// The timeout in the Keep-Alive header; nothing if there is none.
@@ -177,14 +178,20 @@
             onClosed(how);
         };
     }
-    const bool hasBody = !m_call->body.empty() || (m_call->method != "GET" && m_call->method != "HEAD" && m_call->method != "DELETE");
+    const bool hasBody = !m_call->body.isEmpty() || (m_call->method != "GET" && m_call->method != "HEAD" && m_call->method != "DELETE");
     if (hasBody) {
         m_call->headers.push_back({"Content-Length", std::to_string(m_call->body.size())});
     }
     auto bytes = requestHead(m_call->method, m_call->target, m_call->headers);
-    bytes += m_call->body;
-    m_call->body.clear();
-    m_stream->write(bytes);
+    const auto body = std::exchange(m_call->body, SharedBytes());
+    m_call->headers = HttpHeaders();
+    if (body.size() <= MaxJoinedBody) {
+        bytes += body.view();
+        m_stream->write(bytes);
+    } else {
+        m_stream->write(bytes);
+        m_stream->writeShared(body);
+    }
 }
 
 auto PoolConnection::wasSent() const -> bool
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -43,7 +43,7 @@
     std::string method = "GET";
     std::string target = "/"; ///< path and query
     HttpHeaders headers; ///< without content-length
-    std::string body;
+    SharedBytes body;
     Duration maxIdleTime = Duration::seconds(60); ///< a connection that was idle for longer isn't reused; 0: always connect anew
 
     /// A new connection is established, and the call isn't sent yet: it may still be cancelled without having reached the server.
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <http_parser.h>
 #include <limits>
+#include <utility>
 
 namespace KingCup
 {
@@ -196,6 +197,7 @@
     }
     hasProgressed = true;
     head.framing = framing();
+    head.majorVersion = parser.http_major;
     head.allowsChunks = parser.http_major > 1 || (parser.http_major == 1 && parser.http_minor >= 1);
     head.keepsConnection = http_should_keep_alive(&parser) != 0;
     headDone = true;
@@ -282,6 +284,17 @@
     return d->head;
 }
 
+auto HttpReader::headMemory() const -> std::size_t
+{
+    constexpr std::size_t GrowthFactor = 2; // of a string that is appended to
+    return d->head.headers.capacity() * sizeof(HttpHeader) + d->headBytes * GrowthFactor;
+}
+
+auto HttpReader::takeHead() -> HttpHead
+{
+    return std::exchange(d->head, HttpHead());
+}
+
 auto HttpReader::endsWithConnection() const -> bool
 {
     return d->headDone && d->head.framing == BodyFraming::Connection;
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -39,6 +39,7 @@
     HttpHeaders headers;
     std::optional<std::uint64_t> length; ///< Content-Length, if present
     BodyFraming framing = BodyFraming::None;
+    int majorVersion = 1; ///< of HTTP
     bool allowsChunks = false; ///< requests: the sender reads chunked answers (HTTP/1.1 and later)
     bool keepsConnection = false; ///< whether the connection stays open after the message, by HTTP version and Connection header
 };
@@ -73,6 +74,8 @@
     auto isComplete() const -> bool; ///< the whole message was parsed; further bytes are left alone
     auto fault() const -> HttpFault;
     auto head() const -> const HttpHead &;
+    auto headMemory() const -> std::size_t; ///< estimate in bytes; several times the head's length if it has many short headers
+    auto takeHead() -> HttpHead; ///< moves the head out; it is empty until reset()
     auto endsWithConnection() const -> bool; ///< the head was received, and the body is framed by BodyFraming::Connection
 
     // Commands
--- a/src/net/polled.cpp
+++ b/src/net/polled.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr auto ProtocolName = "polled";
+constexpr double LogPeriodSeconds = 10; ///< of lines that each new connection could cause
 
 } // namespace
 
@@ -56,6 +57,7 @@
         // libwebsockets closes the descriptor after this.
         self->m_wsi = nullptr;
         self->m_descriptor = -1;
+        self->m_loop->countPolled(-1);
         self->onHangUp();
         return 0;
     default:
@@ -97,10 +99,11 @@
     m_wsi = lws_adopt_descriptor_vhost(vhostOf(loop), LWS_ADOPT_RAW_FILE_DESC, fd, ProtocolName, nullptr);
     if (m_wsi == nullptr) {
         // libwebsockets has closed the descriptor.
-        LOG(WARNING) << "net: the event loop has no capacity for another descriptor";
+        LOG_EVERY_T(WARNING, LogPeriodSeconds) << "net: the event loop has no capacity for another descriptor";
         return false;
     }
     m_loop = &loop;
+    m_loop->countPolled(1);
     m_descriptor = descriptor;
     lws_set_opaque_user_data(m_wsi, this);
     return true;
@@ -135,6 +138,7 @@
     lws *wsi = m_wsi;
     m_wsi = nullptr;
     m_descriptor = -1;
+    m_loop->countPolled(-1);
     lws_set_opaque_user_data(wsi, nullptr);
     lws_set_timeout(wsi, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
 }
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -1,6 +1,7 @@
 #include "net/tcpstream.h"
 
 #include "net/polled.h"
+#include "net/tlschannel.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -28,6 +29,10 @@
 constexpr std::size_t ReadBytes = 32768;
 constexpr int ProbeCount = 3; ///< unanswered keep-alive probes after which a connection is closed
 constexpr int ListenBacklog = 1024;
+constexpr auto GatePeriod = Duration::millis(20); ///< from a refusal by the gate to its next question
+constexpr auto ExhaustedPause
+    = Duration::millis(200); ///< after a failed accept: the connection stays in the kernel's queue, and would be reported again at once
+constexpr double LogPeriodSeconds = 10; ///< of lines that each new connection could cause
 constexpr int MaxAcceptsPerEvent = 64; ///< limited so that a burst of new connections doesn't delay the open ones
 
 /// None if the address isn't an IPv4 address. It must not be taken for 0.0.0.0, which connects to this host.
@@ -85,8 +90,8 @@
 struct TcpStream::Private : std::enable_shared_from_this<TcpStream::Private> {
     TcpStream *owner = nullptr; // null once the stream is destroyed
     std::shared_ptr<PolledDescriptor> polled = std::make_shared<PolledDescriptor>();
-    std::string out; // not yet accepted by the kernel
-    std::size_t outStart = 0; // bytes at the front of `out` that the kernel has accepted
+    SendQueue out; // not yet accepted by the kernel
+    std::unique_ptr<TlsChannel> tls; // null: the connection isn't encrypted
     bool connecting = false;
     bool ended = false;
     bool sent = false;
@@ -100,12 +105,18 @@
     auto onHangUp() -> void;
     auto finishConnect() -> bool;
     auto flush() -> void;
+    auto send(std::string_view bytes) -> std::size_t;
+    auto writePlain(std::string_view bytes) -> void;
+    auto queueEncrypted() -> void;
+    auto received(std::string_view bytes) -> void;
+    auto shutDownWriting() -> void;
     auto end(TcpEnd how) -> void;
     auto socketError() const -> int;
-    auto queued(unsigned long kind) const -> std::size_t; // bytes in the kernel's send queue: SIOCOUTQ, or those not sent yet: SIOCOUTQNSD
+    auto queued(unsigned long kind) const -> std::size_t; // bytes in the kernel's queues: SIOCINQ those not read yet, SIOCOUTQ those to be acknowledged,
+                                                          // SIOCOUTQNSD those not sent yet
     auto pending() const -> std::size_t
     {
-        return out.size() - outStart;
+        return out.size();
     }
 };
 
@@ -179,10 +190,7 @@
     std::array<char, ReadBytes> buffer; // not cleared: written before it is read
     const ssize_t size = recv(polled->descriptor(), buffer.data(), buffer.size(), 0);
     if (size > 0) {
-        if (owner->onData) {
-            const auto hook = owner->onData;
-            hook({buffer.data(), static_cast<std::size_t>(size)});
-        }
+        received({buffer.data(), static_cast<std::size_t>(size)});
         return;
     }
     if (size == 0) {
@@ -212,28 +220,91 @@
     end(connecting ? TcpEnd::NotConnected : TcpEnd::Reset);
 }
 
-/// Writes what the kernel accepts. An error is left to the next read: what the remote side sent before the reset can still be received.
+auto TcpStream::Private::received(std::string_view bytes) -> void
+{
+    const auto pass = [this](std::string_view plain) {
+        if (!ended && owner != nullptr && owner->onData) {
+            const auto hook = owner->onData; // a copy: the hook may destroy the stream
+            hook(plain);
+        }
+        return !ended && owner != nullptr;
+    };
+    if (!tls) {
+        pass(bytes);
+        return;
+    }
+    const bool isIntact = tls->receive(bytes, pass);
+    if (ended || owner == nullptr) {
+        return;
+    }
+    queueEncrypted();
+    flush();
+    if (!isIntact) {
+        VLOG(1) << "net: " << tls->fault();
+        end(TcpEnd::Reset);
+    }
+}
+
+/// Sends what the kernel accepts. An error is left to the next read: what the remote side sent before the reset can still be received.
+auto TcpStream::Private::send(std::string_view bytes) -> std::size_t
+{
+    std::size_t total = 0;
+    while (total < bytes.size()) {
+        const ssize_t size = ::send(polled->descriptor(), bytes.data() + total, bytes.size() - total, MSG_NOSIGNAL);
+        if (size >= 0) {
+            sent = true;
+            total += static_cast<std::size_t>(size);
+        } else if (errno == EAGAIN) {
+            polled->requestWritable();
+            return total;
+        } else if (errno != EINTR) {
+            out.clear();
+            return bytes.size();
+        }
+    }
+    return total;
+}
+
 auto TcpStream::Private::flush() -> void
 {
-    while (pending() > 0) {
-        const ssize_t size = send(polled->descriptor(), out.data() + outStart, pending(), MSG_NOSIGNAL);
-        if (size < 0) {
-            if (errno == EAGAIN) {
-                polled->requestWritable();
-            } else if (errno == EINTR) {
-                continue;
-            } else {
-                out.clear();
-                outStart = 0;
-            }
+    while (!out.isEmpty()) {
+        const auto bytes = out.front();
+        const auto size = bytes.size();
+        const auto accepted = send(bytes);
+        out.removeFront(accepted);
+        if (accepted < size) {
             return;
         }
-        sent = true;
-        outStart += static_cast<std::size_t>(size);
     }
-    out.clear();
-    outStart = 0;
     if (writingDone) {
+        shutDownWriting();
+    }
+}
+
+/// Bytes that the kernel accepts at once aren't queued.
+auto TcpStream::Private::writePlain(std::string_view bytes) -> void
+{
+    if (out.isEmpty() && !connecting) {
+        bytes.remove_prefix(send(bytes));
+    }
+    out.append(bytes);
+}
+
+auto TcpStream::Private::queueEncrypted() -> void
+{
+    std::array<unsigned char, ReadBytes> buffer; // not cleared: written before it is read
+    for (auto size = tls->take(buffer.data(), buffer.size()); size > 0; size = tls->take(buffer.data(), buffer.size())) {
+        writePlain({reinterpret_cast<const char *>(buffer.data()), size});
+    }
+}
+
+auto TcpStream::Private::shutDownWriting() -> void
+{
+    if (tls) {
+        tls->finish();
+        queueEncrypted();
+    }
+    if (out.isEmpty()) {
         shutdown(polled->descriptor(), SHUT_WR);
     }
 }
@@ -260,7 +331,8 @@
     std::unique_ptr<TcpStream> stream(new TcpStream);
     auto &d = stream->d;
     d->connecting = true;
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const bool isFull = options.maxDescriptors > 0 && loop.polledDescriptors() >= options.maxDescriptors;
+    const int descriptor = isFull ? -1 : socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     bool started = descriptor >= 0;
     if (started) {
         applyOptions(descriptor, options);
@@ -290,6 +362,9 @@
 {
     applyOptions(descriptor, options);
     std::unique_ptr<TcpStream> stream(new TcpStream);
+    if (options.tls != nullptr) {
+        stream->d->tls = std::make_unique<TlsChannel>(options.tls, TlsChannel::Side::Server);
+    }
     return stream->d->start(loop, descriptor) ? std::move(stream) : nullptr;
 }
 
@@ -313,6 +388,11 @@
     return d->pending() + d->queued(SIOCOUTQ);
 }
 
+auto TcpStream::unreadBytes() const -> std::size_t
+{
+    return d->queued(SIOCINQ);
+}
+
 auto TcpStream::unackedBytes() const -> std::size_t
 {
     const auto unsent = d->queued(SIOCOUTQNSD); // first: what is sent between the two calls then counts as unacknowledged
@@ -342,9 +422,22 @@
     if (d->ended || bytes.empty()) {
         return;
     }
-    const bool isFirst = d->pending() == 0;
+    if (d->tls) {
+        d->tls->send(bytes);
+        d->queueEncrypted();
+    } else {
+        d->writePlain(bytes);
+    }
+}
+
+auto TcpStream::writeShared(const SharedBytes &bytes) -> void
+{
+    if (d->ended || d->tls) {
+        write(bytes.view());
+        return;
+    }
     d->out.append(bytes);
-    if (isFirst && !d->connecting) {
+    if (d->out.size() == bytes.size() && !d->connecting) {
         d->flush();
     }
 }
@@ -366,7 +459,7 @@
     }
     d->writingDone = true;
     if (d->pending() == 0 && !d->connecting) {
-        shutdown(d->polled->descriptor(), SHUT_WR);
+        d->shutDownWriting();
     }
 }
 
@@ -383,6 +476,8 @@
     TcpOptions options;
     Handler handler;
     std::shared_ptr<PolledDescriptor> polled = std::make_shared<PolledDescriptor>();
+    Gate mayAccept;
+    Timer pause;
     int port = 0;
     bool open = true;
 
@@ -393,16 +488,22 @@
     {
     }
     auto accept() -> void;
+    auto pauseFor(Duration span) -> void;
 };
 
 auto TcpListener::Private::accept() -> void
 {
     const auto self = shared_from_this();
     for (int i = 0; i < MaxAcceptsPerEvent && open; ++i) {
+        if (mayAccept && !mayAccept()) {
+            pauseFor(GatePeriod);
+            return;
+        }
         const int descriptor = accept4(polled->descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
             if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
-                LOG(WARNING) << "net: accept failed: " << std::strerror(errno);
+                LOG_EVERY_T(WARNING, LogPeriodSeconds) << "net: accept failed: " << std::strerror(errno);
+                pauseFor(ExhaustedPause);
             }
             return;
         }
@@ -413,6 +514,12 @@
     }
 }
 
+auto TcpListener::Private::pauseFor(Duration span) -> void
+{
+    polled->setReading(false);
+    pause = loop.after(span, [this] { polled->setReading(true); });
+}
+
 TcpListener::TcpListener(EventLoop &loop, const Endpoint &listen, const TcpOptions &options, Handler onAccepted)
     : d(std::make_shared<Private>(loop, options, std::move(onAccepted)))
 {
@@ -443,6 +550,7 @@
 TcpListener::~TcpListener()
 {
     d->open = false;
+    d->pause.cancel();
     d->polled->release();
 }
 
@@ -451,4 +559,9 @@
     return d->port;
 }
 
+auto TcpListener::setGate(Gate mayAccept) -> void
+{
+    d->mayAccept = std::move(mayAccept);
+}
+
 } // namespace KingCup
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -13,6 +13,7 @@
 #include "core/endpoint.h"
 #include "core/units.h"
 #include "net/eventloop.h"
+#include "net/sendqueue.h"
 
 #include <cstddef>
 #include <functional>
@@ -20,6 +21,8 @@
 #include <string>
 #include <string_view>
 
+struct ssl_ctx_st;
+
 namespace KingCup
 {
 
@@ -29,6 +32,9 @@
     Duration connectTimeout = Duration::millis(500); ///< until the connection is established; about two hundred round trips within a region
     Duration unackedTimeout = Duration::millis(2000); ///< the connection ends if sent bytes or probes stay unacknowledged for this long
     Duration probeAfter = Duration::millis(1000); ///< idle time until the first TCP keep-alive probe; rounded down to whole seconds, at least one
+    ssl_ctx_st *tls = nullptr; ///< accepted connections are encrypted by this context; null: they aren't
+    /// While the loop polls this many descriptors, connect() ends as NotConnected; 0: no bound.
+    std::size_t maxDescriptors = 0;
 };
 
 // [SECTION] TcpStream
@@ -59,13 +65,15 @@
     auto hasSent() const -> bool; ///< at least one byte was sent: the remote side may act on it
     auto pendingBytes() const -> std::size_t; ///< written, not yet accepted by the kernel
     auto undeliveredBytes() const -> std::size_t; ///< written, not yet acknowledged by the remote side's TCP stack
-    /// Of these, the bytes that were sent. 0 if the remote side has acknowledged all that it has space for, which a slow reader does too.
+    auto unreadBytes() const -> std::size_t; ///< received by the kernel, not yet read
+    /// Of the undelivered bytes, those that were sent. 0 if the remote side has acknowledged all that it has space for, which a slow reader does too.
     auto unackedBytes() const -> std::size_t;
     /// The remote side has closed the connection or its sending side, or has reset it, even if bytes that it sent before are still to be read.
     auto hasPeerClosed() const -> bool;
     auto peer() const -> std::string; ///< the remote side's IP address; empty if unknown
 
     auto write(std::string_view bytes) -> void;
+    auto writeShared(const SharedBytes &bytes) -> void; ///< holds the bytes without a copy until they are sent
     auto pauseReading() -> void; ///< the remote side is blocked by TCP flow control once the kernel's buffers are full
     auto resumeReading() -> void;
     /// Shuts down sending once the pending bytes are sent; bytes of the remote side can still be received.
@@ -93,6 +101,7 @@
 {
 public:
     using Handler = std::function<void(std::unique_ptr<TcpStream> stream)>;
+    using Gate = std::function<bool()>;
 
     /// Starts to listen; throws std::runtime_error if the port is in use.
     TcpListener(EventLoop &loop, const Endpoint &listen, const TcpOptions &options, Handler onAccepted);
@@ -101,6 +110,8 @@
     auto operator=(const TcpListener &) -> TcpListener & = delete;
 
     auto port() const -> int;
+    /// Asked before each connection. While it returns false, connections wait in the kernel, and it is asked again a little later.
+    auto setGate(Gate mayAccept) -> void;
 
     struct Private;
 
--- a/src/net/tls.cpp
+++ b/src/net/tls.cpp
@@ -78,7 +78,8 @@
         SSL_CTX_free(m_context);
         throw std::runtime_error("TLS files: " + wrong);
     }
-    SSL_CTX_set_verify(m_context, SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT, nullptr);
+    const bool isVerifying = side == Side::Client || !files.authority.empty();
+    SSL_CTX_set_verify(m_context, isVerifying ? SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT : SSL_VERIFY_NONE, nullptr);
     SSL_CTX_set_min_proto_version(m_context, TLS1_2_VERSION);
 }
 
--- a/src/net/tls.h
+++ b/src/net/tls.h
@@ -19,7 +19,8 @@
 /// Describes what is wrong with the files; empty if they hold a certificate, its key, and an authority if one is named.
 auto checkTlsFiles(const TlsFiles &files) -> std::string;
 
-/// An OpenSSL context. The remote side's certificate must be signed by the authority; this side's own is presented if one is named.
+/// An OpenSSL context. The remote side's certificate must be signed by the authority; a server without an authority asks for none. This side's own is presented
+/// if one is named.
 class TlsContext
 {
 public:
--- a/src/wire/tlschannel.cpp
+++ b/src/net/tlschannel.cpp
@@ -1,4 +1,4 @@
-#include "wire/tlschannel.h"
+#include "net/tlschannel.h"
 
 #include <algorithm>
 #include <array>
@@ -111,6 +111,13 @@
     }
 }
 
+auto TlsChannel::finish() -> void
+{
+    if (isEstablished()) {
+        SSL_shutdown(d->ssl);
+    }
+}
+
 auto TlsChannel::take(unsigned char *to, std::size_t capacity) -> std::size_t
 {
     const int size = BIO_read(d->out, to, static_cast<int>(capacity));
--- a/src/wire/tlschannel.h
+++ b/src/net/tlschannel.h
@@ -1,4 +1,4 @@
-// TLS of one connection between peers, on memory buffers instead of a socket. Internal to src/wire.
+// TLS of one connection, on memory buffers instead of a socket.
 //
 // libwebsockets 4.1 starts the TLS handshake of an outgoing raw connection before there is a socket, and so never connects. Therefore its
 // raw sockets are used without TLS, and OpenSSL encrypts and decrypts between them and the session.
@@ -35,6 +35,7 @@
     /// can't go on.
     auto receive(std::string_view encrypted, const std::function<bool(std::string_view plain)> &onPlain) -> bool;
     auto send(std::string_view plain) -> void;
+    auto finish() -> void; ///< tells the remote side that no more bytes follow
     /// Moves encrypted bytes to `to`; returns their number.
     auto take(unsigned char *to, std::size_t capacity) -> std::size_t;
 
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -2,8 +2,8 @@
 // the server differ only in how they establish a connection.
 #pragma once
 
+#include "net/tlschannel.h"
 #include "wire/session.h"
-#include "wire/tlschannel.h"
 
 #include <libwebsockets.h>
 
