gateways: one account bounds all that callers make them hold

Cause: each connection was bounded, all together weren't: bodies, heads (a head of empty headers takes up forty times its length), bytes read ahead and unread bytes. A body stood up to three times. The time-out within a body started again with each byte. glibc kept what was freed, and so did texts that were assigned an empty one.

Change: core/callerload charges all of it to one account, bounded by a share of the host's memory (settings memory-mb and max-descriptors, which the deployment passes on). Beyond it callers without progress yield first, then idle connections, then the most recent large requests; whole requests never do, and a fifth is left to small requests. Refused requests get 408 or 503 with Retry-After and haven't run; the server reads on for a while, so that the answer arrives. A body must be whole within the time that its request has. Connections beyond the bound are accepted once idle or stalled ones are closed.

--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -4,10 +4,18 @@
 #include "net/httpstatus.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace KingCup
 {
 
+namespace
+{
+
+constexpr std::size_t LongAnswerBytes = 16384; ///< the bytes of a longer answer that are kept are charged to the client's connection
+
+} // namespace
+
 auto ForwardedRequest::onHead(const HttpHead &head) -> AnswerVerdict
 {
     const auto answer = m_owner.parts.protocol.readAnswer(head);
@@ -98,12 +106,15 @@
             return;
         }
         m_bufferedBody.append(bytes);
-        if (m_bufferedBody.size() > m_owner.options.maxBufferedAnswer) {
+        const bool isLong = m_bufferedBody.size() > LongAnswerBytes;
+        if (m_bufferedBody.size() > m_owner.options.maxBufferedAnswer || (isLong && m_exchange->isUnderPressure())) {
             m_isForwarding = true;
-            const auto buffered = std::move(m_bufferedBody);
-            m_bufferedBody.clear();
+            const auto buffered = std::exchange(m_bufferedBody, std::string());
             forwardBytes(buffered);
         }
+        if (isLong) {
+            m_exchange->hold(m_bufferedBody.size());
+        }
         return;
     }
     if (m_events) {
@@ -361,7 +372,7 @@
         const auto &head = m_exchange->head();
         const auto host = findHeader(head.headers, "host").value_or(std::string_view());
         const auto account = m_grant ? std::string_view(m_grant->account.text()) : std::string_view();
-        m_subjects = CrashSubjects {requestSubject(requestFingerprint(host, head.target, account, m_exchange->body())), m_sharedParts};
+        m_subjects = CrashSubjects {requestSubject(requestFingerprint(host, head.target, account, m_exchange->body().view())), m_sharedParts};
     }
     return *m_subjects;
 }
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t MaxAccountSeries = 128;
 /// With a shorter time, a client would come back before the other gateways have reported their usage.
 constexpr auto MinLimitRetryAfter = Duration::millis(200);
+constexpr double MaxOverloadRetrySpread = 3; ///< upper bound of the random factor on Retry-After of requests that are refused as callers hold too much
 constexpr double MaxLimitRetrySpread = 2; ///< upper bound of the random factor on Retry-After
 
 } // namespace
@@ -169,6 +170,27 @@
     request->start();
 }
 
+auto Forwarder::timeBudget(const HttpHead &head) const -> std::optional<Duration>
+{
+    const auto asked = d->parts.protocol.readRequest(head).timeBudget;
+    const auto host = findHeader(head.headers, "host").value_or(std::string_view());
+    const auto *route = d->routes.find(host, head.target);
+    if (route == nullptr) {
+        return asked;
+    }
+    return asked ? std::min(*asked, route->timeout) : route->timeout;
+}
+
+auto Forwarder::refusalHeaders(const HttpHead &head, CallerRefusal refusal) -> HttpHeaders
+{
+    std::optional<Duration> retryAfter;
+    if (refusal == CallerRefusal::Overloaded) {
+        // If all callers came back at the same moment, they would be refused again.
+        retryAfter = DefaultRetryAfter * std::uniform_real_distribution<double>(1, MaxOverloadRetrySpread)(d->random);
+    }
+    return d->parts.protocol.ownAnswerHeaders(d->parts.protocol.readRequest(head).attempt, retryAfter);
+}
+
 auto Forwarder::retryWaiting() -> void
 {
     std::vector<std::shared_ptr<ForwardedRequest>> waiting;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -14,18 +14,19 @@
 #include "core/reuselimit.h"
 #include "core/sharedretrybudget.h"
 #include "core/traffic.h"
-#include "gateway/callerserver.h"
 #include "gateway/crashwatch.h"
 #include "gateway/limitexchange.h"
 #include "gateway/origintask.h"
 #include "gateway/protocol.h"
 #include "gateway/slotexchange.h"
+#include "net/callerserver.h"
 #include "net/eventlog.h"
 #include "net/httppool.h"
 #include "net/metrics.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace KingCup
@@ -90,6 +91,10 @@
     auto setRetryBudget(const SharedRetryBudgetOptions &options) -> void;
     auto setGatewayCount(int live) -> void; ///< live gateways, which share the retry budgets; this one included
     auto handle(const CallerExchangePtr &exchange) -> void;
+    /// The time that a request with this head has, as far as its client or its route names one.
+    auto timeBudget(const HttpHead &head) const -> std::optional<Duration>;
+    /// Headers of the answer to a request that is refused before it is handed over.
+    auto refusalHeaders(const HttpHead &head, CallerRefusal refusal) -> HttpHeaders;
     /// Tries waiting requests again. Call it when targets, or the models that they hold, have changed.
     auto retryWaiting() -> void;
     /// Ends all open requests; returns how many were cut off.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,7 +10,6 @@
 
 #include "core/hashing.h"
 #include "gateway/accountlog.h"
-#include "gateway/callerserver.h"
 #include "gateway/copyuse.h"
 #include "gateway/crashwatch.h"
 #include "gateway/demandexchange.h"
@@ -29,7 +28,10 @@
 #include "gateway/storefollower.h"
 #include "gateway/targetdirectory.h"
 #include "gateway/usageexchange.h"
+#include "net/callerreport.h"
+#include "net/callerserver.h"
 #include "net/eventlog.h"
+#include "net/hostresources.h"
 #include "net/httppool.h"
 #include "net/httpstatus.h"
 #include "net/metrics.h"
@@ -87,6 +89,16 @@
     return std::clamp(DigestPeriodPerPeer * gateways, DigestPeriod, MaxDigestPeriod);
 }
 
+/// For servers of short pages without request bodies.
+auto statusPageOptions(const Endpoint &listen) -> CallerServerOptions
+{
+    CallerServerOptions options;
+    options.listen = listen;
+    options.limits.bodyBytes = 4096;
+    options.bounds = {.bytes = 4U << 20U, .reserved = 1U << 20U, .connections = 64};
+    return options;
+}
+
 /// Whether requests whose targets are all full wait at arbiters. The messages and repeated choices cost small hosts more processor time than they can spare
 /// under overload, so they are used only where accounts with token limits compete for the targets: there the order of service matters most.
 auto usesSlotPermits(const Traffic &traffic) -> bool
@@ -107,6 +119,7 @@
     std::uint64_t incarnation = wallMillis();
     EventLog log;
     Metrics metrics;
+    DescriptorBounds descriptors;
     HttpPool targetPool;
     HttpPool storePool;
     ReuseLimit reuse;
@@ -128,6 +141,7 @@
     std::unique_ptr<DemandExchange> demand;
     std::unique_ptr<TargetDirectory> targets;
     std::unique_ptr<Forwarder> forwarder;
+    std::unique_ptr<CallerReport> callerReport;
     std::unique_ptr<CallerServer> callers;
     std::unique_ptr<CallerServer> readyServer;
     std::unique_ptr<CallerServer> metricsServer;
@@ -156,7 +170,8 @@
         , readSettings(std::move(reader))
         , protocol(std::move(deployment))
         , log(loop, {.host = settings.process.id})
-        , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout}})
+        , descriptors(descriptorBounds(usableDescriptors(settings.limits.maxDescriptors)))
+        , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout, .maxDescriptors = descriptors.connect}})
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone,
                       .maySend = [this](const TargetIncarnation &target) { return limits->maySend(target); },
@@ -684,7 +699,7 @@
         copyUse->report();
     }
     demand->advance();
-    metrics.set("callers_left_before_read", static_cast<double>(callers->counts().departed));
+    callerReport->update(callers->counts(), callers->heldBytes(), callers->connections(), loop.now());
 }
 
 /// Chooses the gateways that may succeed this one as lease holder.
@@ -837,14 +852,32 @@
 
 auto Gateway::Private::buildServers() -> void
 {
-    callers = std::make_unique<CallerServer>(loop, settings.listen.callers, [this](const CallerExchangePtr &exchange) { forwarder->handle(exchange); });
+    CallerServerOptions options;
+    options.listen = settings.listen.callers;
+    options.bounds = callerBounds(usableMemory(settings.limits.memory), std::min(static_cast<std::size_t>(settings.limits.maxConnections), descriptors.accept));
+    options.maxDescriptors = descriptors.accept;
+    options.hooks.timeBudget = [this](const HttpHead &head) {
+        return forwarder->timeBudget(head).value_or(settings.limits.requestBudget);
+    };
+    options.hooks.refusalAnswer = [this](const HttpHead &head, CallerRefusal refusal) {
+        return CallerServerHooks::Answer {forwarder->refusalHeaders(head, refusal), ""};
+    };
+    callers = std::make_unique<CallerServer>(loop, options, [this](const CallerExchangePtr &exchange) { forwarder->handle(exchange); });
+    callerReport = std::make_unique<CallerReport>(metrics, [this](const CallerReport::Pressure &pressure) {
+        log.line("callers", "pressure")
+            .add("refused", pressure.refused)
+            .add("dropped", pressure.dropped)
+            .add("replaced", pressure.replaced)
+            .add("held", static_cast<std::uint64_t>(pressure.held))
+            .add("connections", static_cast<std::uint64_t>(pressure.connections));
+    });
     if (settings.listen.ready) {
-        readyServer = std::make_unique<CallerServer>(loop, *settings.listen.ready, [this](const CallerExchangePtr &exchange) {
+        readyServer = std::make_unique<CallerServer>(loop, statusPageOptions(*settings.listen.ready), [this](const CallerExchangePtr &exchange) {
             exchange->respond(isReady() ? HttpStatus::Ok : HttpStatus::Unavailable, {}, "");
         });
     }
     if (settings.listen.metrics) {
-        metricsServer = std::make_unique<CallerServer>(loop, *settings.listen.metrics, [this](const CallerExchangePtr &exchange) {
+        metricsServer = std::make_unique<CallerServer>(loop, statusPageOptions(*settings.listen.metrics), [this](const CallerExchangePtr &exchange) {
             const bool isKnown = exchange->head().target == "/metrics";
             exchange->respond(isKnown ? HttpStatus::Ok : HttpStatus::NotFound, {{"Content-Type", "text/plain; version=0.0.4"}}, isKnown ? metrics.text() : "");
         });
--- a/src/kingcupd/main.cpp
+++ b/src/kingcupd/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/entry.h"
 #include "gateway/gateway.h"
 #include "net/eventloop.h"
+#include "net/hostresources.h"
 #include "platform/protocol.h"
 #include "settings/daemonsettings.h"
 
@@ -92,6 +93,7 @@
         std::cout << file << ": ok\n";
         return 0;
     }
+    returnLargeBlocks();
     const auto &settings = loaded.value;
     startLogging(settings.log, program);
     switch (settings.process.role) {
--- a/src/gateway/callerserver.h
+++ b/src/net/callerserver.h
@@ -2,11 +2,16 @@
 //
 // A caller that closes its connection is noticed at once, also while its request is in flight, so that the work can be cancelled at the target.
 //
+// What all callers together make the process hold is bounded (core/callerload.h). A request beyond the bound is refused with 503, or with 408 if its caller
+// has stopped sending: neither has run. A refused caller may go on sending for a while; what it sends is read and dropped, so that it can read the answer.
+//
 // Index of sections (search for [SECTION]):
 //   CallerExchange   one request and its answer
+//   Options          bounds and hooks
 //   CallerServer     listening socket and connections
 #pragma once
 
+#include "core/callerload.h"
 #include "core/traffic.h"
 #include "net/httpreader.h"
 #include "net/tcpstream.h"
@@ -31,13 +36,18 @@
     CallerExchange(std::weak_ptr<CallerConnection> connection, HttpHead head, std::string body, TimePoint startedAt);
 
     auto head() const -> const HttpHead &;
-    auto body() const -> const std::string &;
+    auto body() const -> const SharedBytes &;
+    auto takeBody() -> std::string; ///< moves the body out if nothing shares it; it stays charged to the caller
+    auto peer() const -> std::string; ///< the caller's IP address; empty if it has left
     auto startedAt() const -> TimePoint; ///< when the request's first byte was read
     /// The caller has closed its connection, also if that is still to be read after other bytes or other connections.
     auto hasCallerLeft() const -> bool;
     auto isOpen() const -> bool; ///< the caller is connected and its answer isn't finished
     auto hasBegun() const -> bool; ///< the answer's status line was written
     auto pendingBytes() const -> std::size_t; ///< written, and not yet accepted by the socket
+    /// Charges the caller with what is held for its request besides head and body, in place of the last such charge.
+    auto hold(std::size_t bytes) -> void;
+    auto isUnderPressure() const -> bool; ///< callers together hold as much as they may: answers are to be passed on rather than collected
 
     /// Writes a complete answer. Adds Content-Length.
     auto respond(int status, HttpHeaders headers, std::string_view body) -> void;
@@ -58,7 +68,7 @@
 
     std::weak_ptr<CallerConnection> m_connection;
     HttpHead m_head;
-    std::string m_body;
+    SharedBytes m_body;
     TimePoint m_startedAt;
     bool m_begun = false;
     BodyFraming m_framing = BodyFraming::Length; ///< of the answer
@@ -67,13 +77,47 @@
 
 using CallerExchangePtr = std::shared_ptr<CallerExchange>;
 
+// [SECTION] Options
+
+/// Why a request is answered without calling the handler.
+enum class CallerRefusal {
+    BodyTooLarge, ///< 413
+    HeadTooLarge, ///< 431
+    Malformed, ///< 400
+    TooSlow, ///< 408
+    Overloaded, ///< 503: callers hold as much as they may
+};
+auto toString(CallerRefusal refusal) -> const char *;
+
+struct CallerServerHooks {
+    /// The time that a request has from its first byte to its answer; a body that isn't whole by then is refused. Not set: bodies have no such limit.
+    std::function<Duration(const HttpHead &head)> timeBudget;
+    struct Answer {
+        HttpHeaders headers;
+        std::string body;
+    };
+    std::function<Answer(const HttpHead &head, CallerRefusal refusal)> refusalAnswer; ///< not set: an empty answer; the head may be incomplete
+};
+
+struct CallerServerOptions {
+    Endpoint listen;
+    CallerLimits limits;
+    CallerBounds bounds;
+    std::size_t bodyCopies = 1; ///< of each request's body, that the handler holds until the answer
+    std::size_t maxDescriptors = 0; ///< polled by the loop, see DescriptorBounds::accept; 0: no bound
+    ssl_ctx_st *tls = nullptr; ///< null: connections aren't encrypted
+    CallerServerHooks hooks;
+};
+
 // [SECTION] CallerServer
 
 struct CallerServerCounts {
     std::uint64_t accepted = 0; ///< connections accepted
-    std::uint64_t dropped = 0; ///< connections closed because callers together didn't read as much as setMaxUnsent() allows to be held
+    std::uint64_t dropped = 0; ///< connections closed because their callers didn't read their answers while callers held as much as they may
+    std::uint64_t replaced = 0; ///< connections without a request, or whose callers had stopped sending, that were closed in favour of others
     std::uint64_t departed = 0; ///< requests dropped without calling the handler because their callers had closed the connection
     std::uint64_t malformed = 0; ///< requests that were malformed, too large or too slow; answered without calling the handler
+    std::uint64_t overloaded = 0; ///< requests refused, or ended as too slow, because callers held as much as they may
 };
 
 class CallerServer
@@ -83,6 +127,7 @@
 
     /// Starts to listen; throws std::runtime_error if the port is taken.
     CallerServer(EventLoop &loop, const Endpoint &listen, Handler handler);
+    CallerServer(EventLoop &loop, CallerServerOptions options, Handler handler);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     auto operator=(const CallerServer &) -> CallerServer & = delete;
@@ -93,10 +138,11 @@
     auto counts() const -> const CallerServerCounts &;
     auto undeliveredAnswers() const -> std::size_t; ///< connections whose exchange is over, and whose callers' hosts haven't acknowledged all of the answer
     auto unsentBytes() const -> std::size_t; ///< of all answers together, not yet accepted by the sockets
+    auto heldBytes() const -> std::size_t; ///< for all callers together
 
     auto setLimits(const CallerLimits &limits) -> void;
-    /// While more bytes are unsent, the callers that have read nothing for the longest time are disconnected first.
-    auto setMaxUnsent(std::size_t bytes) -> void;
+    /// Replaces the bounds on what callers make the process hold.
+    auto setBounds(const CallerBounds &bounds) -> void;
     /// From now on, each connection is closed after its next answer.
     auto setLeaving() -> void;
     auto stopListening() -> void;
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -203,6 +203,8 @@
 auto addLimits(SpecBuilder &table) -> void
 {
     constexpr std::int64_t MaxKilobytes = 1 << 20;
+    constexpr double MaxMegabytes = 1 << 24;
+    constexpr double BytesPerMegabyte = 1e6;
     constexpr std::int64_t MaxConnections = 1000000;
     constexpr std::int64_t MinMillis = 1;
     table.section("limits")
@@ -212,11 +214,23 @@
                  8192,
                  "a caller's request body; larger ones are refused",
                  [](Settings &s, std::int64_t n) { s.limits.maxBody = static_cast<std::size_t>(n * BytesPerKilobyte); })
+        .real("memory-mb",
+              "MB",
+              {0, MaxMegabytes},
+              "0",
+              "memory that this process may use, which bounds what callers make it hold; 0: that of the host",
+              [](Settings &s, double n) { s.limits.memory = static_cast<std::uint64_t>(n * BytesPerMegabyte); })
+        .integer("max-descriptors",
+                 "",
+                 {0, MaxConnections},
+                 0,
+                 "open files that this process may have; callers get seven tenths at most; 0: the process's own limit",
+                 [](Settings &s, std::int64_t n) { s.limits.maxDescriptors = static_cast<std::size_t>(n); })
         .integer("max-connections",
                  "",
                  {1, MaxConnections},
                  4096,
-                 "callers' connections at once; further ones are rejected",
+                 "callers' connections at once; further ones wait until an idle or stalled one can be closed",
                  [](Settings &s, std::int64_t n) { s.limits.maxConnections = static_cast<int>(n); })
         .integer("max-queue",
                  "",
@@ -240,7 +254,7 @@
                  "ms",
                  {MinMillis, HourInMillis},
                  10000,
-                 "a caller that sends its request slower is cut off",
+                 "a caller that sends the head of its request slower, or pauses longer within its body, gets 408",
                  [](Settings &s, std::int64_t n) { s.limits.headerTimeout = Duration::millis(n); })
         .integer("max-decisions", "", {0, MaxConnections}, 2000, "recent decisions kept for kingcupctl explain", [](Settings &s, std::int64_t n) {
             s.limits.maxDecisions = static_cast<int>(n);
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -15,6 +15,8 @@
 #include "core/ids.h"
 #include "core/units.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,6 +89,8 @@
 
 struct LimitSettings {
     std::size_t maxBody = 0; ///< bytes of a caller's request body
+    std::uint64_t memory = 0; ///< bytes that this process may use; 0: those of the host
+    std::size_t maxDescriptors = 0; ///< open files that this process may have; 0: as its limit says
     int maxConnections = 0; ///< concurrent connections of callers
     int maxQueue = 0; ///< requests waiting in one entry
     std::size_t streamBuffer = 0; ///< bytes buffered for one stream before backpressure is applied to its source
--- a/tests/harness_gateways.cpp
+++ b/tests/harness_gateways.cpp
@@ -147,7 +147,8 @@
     text << "[process]\nrole = gateway\nid = " << id << "\nzone = north\n[listen]\ncallers = 127.0.0.1:" << own.callers << "\nready = 127.0.0.1:" << own.ready
          << "\npeers = 127.0.0.1:" << own.peers << "\nmetrics = 127.0.0.1:" << own.metrics << "\n[platform]\nstore = 127.0.0.1:" << own.store
          << "\n[gateway]\nslot-permits = " << (options.slotPermits ? "true" : "false")
-         << "\nlease-ms = 1500\nstop-limit-s = 6\nrevocation-limit-ms = " << options.revocationMillis << "\n";
+         << "\nlease-ms = 1500\nstop-limit-s = 6\nrevocation-limit-ms = " << options.revocationMillis << "\n[limits]\nmemory-mb = " << options.memoryMegabytes
+         << "\n";
     folder.write(id + ".ini", text.str());
 }
 
@@ -234,10 +235,8 @@
         d->unread[id] = ::open(log.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC); // O_RDWR: open() doesn't wait for a writer
         REQUIRE(d->unread[id] >= 0);
     }
-    d->processes[id] = std::make_unique<ChildProcess>(std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)},
-                                                         log,
-                                                         std::vector<std::string>(),
-                                                         d->options.maxDescriptors);
+    d->processes[id] = std::make_unique<ChildProcess>(
+        std::vector<std::string> {binary("kingcupd"), "--settings", settingsFile(id)}, log, std::vector<std::string>(), d->options.maxDescriptors);
 }
 
 auto Site::waitForExit(const std::string &id, Duration limit) -> int
--- a/tests/harness_gateways.h
+++ b/tests/harness_gateways.h
@@ -32,6 +32,7 @@
     int models = 3;
     int revocationMillis = 0; ///< time limit within which a revoked key must stop working; 0: no limit
     bool slotPermits = false; ///< requests whose targets are all full wait at arbiters, if accounts have token limits
+    int memoryMegabytes = 0; ///< that each gateway may use; 0: the default
     int maxDescriptors = 0; ///< limit on open files of each gateway; 0: that of the test
     bool unreadLog = false; ///< the gateways' output is a pipe that is read only by readLog()
 };
--- a/tests/slowreader.h
+++ b/tests/slowreader.h
@@ -42,10 +42,18 @@
         isClosed = size == 0;
         isReset = isReset || (size < 0 && errno != EAGAIN);
         received += static_cast<std::size_t>(std::max(size, ssize_t {0}));
+        constexpr std::size_t KeptBytes = 4096;
+        text.append(buffer, 0, std::min(static_cast<std::size_t>(std::max(size, ssize_t {0})), KeptBytes - std::min(KeptBytes, text.size())));
         return static_cast<std::size_t>(std::max(size, ssize_t {0}));
     }
 
+    auto write(const std::string &bytes) const -> void
+    {
+        ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
     std::size_t received = 0;
+    std::string text; ///< the beginning of what was received
     bool isClosed = false;
     bool isReset = false;
 
--- a/tests/system_gatewaycrowds.cpp
+++ b/tests/system_gatewaycrowds.cpp
@@ -22,7 +22,7 @@
 {
 public:
     explicit CrowdedGateway(int maxDescriptors = HostDescriptors)
-        : m_site({.gateways = 1, .runners = 1, .instances = 2, .maxDescriptors = maxDescriptors})
+        : m_site({.gateways = 1, .runners = 1, .instances = 2, .memoryMegabytes = HostMemory / 1'000'000, .maxDescriptors = maxDescriptors})
         , m_maxDescriptors(maxDescriptors)
     {
         const Json limits {{"max_header_bytes", MaxHead}, {"max_body_bytes", MaxBody}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}};
@@ -124,7 +124,7 @@
 
 TEST_CASE("large whole bodies at once don't exhaust a gateway's memory, and none is refused for good")
 {
-    // A legal body that finds no room isn't too large: its client may send it again.
+    // A legal body that exceeds the memory bound isn't too large: its client may send it again.
     CrowdedGateway gateway;
     const bool isChunked = GENERATE(false, true);
     const auto lines = CrowdedGateway::lines();
@@ -178,7 +178,7 @@
     gateway.checkRecovery();
 }
 
-TEST_CASE("connections beyond the descriptors leave room for ordinary requests and for calls of a gateway's own")
+TEST_CASE("connections beyond the descriptors leave some for ordinary requests and for calls of a gateway's own")
 {
     CrowdedGateway gateway(FewDescriptors);
     const std::string sent = GENERATE(as<std::string> {}, "", "GET /read/x HT", "POST /read/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 9\r\n\r\n");
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -1,5 +1,5 @@
 // Tests of the server for callers' connections: limits, framing, callers that leave, planned stops.
-#include "gateway/callerserver.h"
+#include "net/callerserver.h"
 #include "tests/rawcaller.h"
 #include "tests/slowreader.h"
 
@@ -18,9 +18,9 @@
     EventLoop loop;
     std::vector<CallerExchangePtr> seen;
     std::function<void(const CallerExchangePtr &exchange)> answer = [](const CallerExchangePtr &exchange) {
-        exchange->respond(200, {{"X", "1"}}, exchange->head().method + " " + exchange->head().target + " " + exchange->body());
+        exchange->respond(200, {{"X", "1"}}, exchange->head().method + " " + exchange->head().target + " " + std::string(exchange->body().view()));
     };
-    CallerServer server {loop, {"127.0.0.1", 0}, [this](const CallerExchangePtr &exchange) {
+    CallerServer server {loop, Endpoint {"127.0.0.1", 0}, [this](const CallerExchangePtr &exchange) {
                              seen.push_back(exchange);
                              answer(exchange);
                          }};
@@ -290,7 +290,7 @@
     ServerFixture fixture;
     fixture.answer = &answerLarge;
     constexpr std::size_t MaxUnsent = 2 * LargeAnswer;
-    fixture.server.setMaxUnsent(MaxUnsent);
+    fixture.server.setBounds({.bytes = MaxUnsent, .reserved = 0});
     constexpr std::size_t IdleReaders = 10;
     std::vector<std::unique_ptr<SlowReader>> idle;
     idle.reserve(IdleReaders);
@@ -313,3 +313,83 @@
     }
     CHECK(reader.received > LargeAnswer);
 }
+
+TEST_CASE("a body that isn't whole when its request's time is over is refused, although its bytes keep coming")
+{
+    // Guards against clients that keep a body in memory by a byte from time to time.
+    EventLoop loop;
+    CallerServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    options.limits.headTimeout = Duration::seconds(5);
+    options.hooks.timeBudget = [](const HttpHead & /*head*/) {
+        return Duration::millis(600);
+    };
+    int handled = 0;
+    CallerServer server(loop, options, [&](const CallerExchangePtr &exchange) {
+        ++handled;
+        exchange->respond(200, {}, "");
+    });
+    SlowReader sender(server.port(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
+    for (int i = 0; i < 50 && sender.received == 0; ++i) {
+        wait(loop, Duration::millis(100));
+        sender.write("x");
+        sender.read(1000);
+    }
+    CHECK(sender.text.starts_with("HTTP/1.1 408"));
+    CHECK(handled == 0);
+}
+
+TEST_CASE("large bodies beyond the bound are refused with 503, and small requests are served beside them")
+{
+    // Guards against bodies that each are legal and together exhaust the memory, and against a legal body that is refused for good.
+    EventLoop loop;
+    constexpr std::size_t Body = 1U << 20U;
+    CallerServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    options.limits.bodyBytes = Body;
+    options.bounds = {.bytes = 3 * Body, .reserved = Body / 2};
+    options.hooks.refusalAnswer = [](const HttpHead & /*head*/, CallerRefusal refusal) {
+        return CallerServerHooks::Answer {{{"Retry-After", "1"}}, toString(refusal)};
+    };
+    std::vector<CallerExchangePtr> held;
+    CallerServer server(loop, options, [&](const CallerExchangePtr &exchange) {
+        if (exchange->head().method == "GET") {
+            exchange->respond(200, {}, "");
+        } else {
+            held.push_back(exchange);
+        }
+    });
+    const auto post = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(Body) + "\r\n\r\n" + std::string(Body, 'x');
+    std::vector<std::future<RawAnswer>> answers;
+    for (int i = 0; i < 5; ++i) {
+        answers.push_back(rawCall(server.port(), post, RawAfter::Read));
+    }
+    REQUIRE(loop.runUntil([&] { return held.size() + server.counts().overloaded == 5; }, TestTimeout));
+    CHECK(held.size() == 2);
+    CHECK(server.heldBytes() <= options.bounds.bytes);
+    auto small = rawCall(server.port(), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", RawAfter::Read);
+    REQUIRE(loop.runUntil([&] { return small.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, TestTimeout));
+    CHECK(small.get().text.starts_with("HTTP/1.1 200"));
+    for (const auto &exchange : held) {
+        exchange->respond(200, {}, "");
+    }
+    held.clear();
+    int refused = 0;
+    for (auto &answer : answers) {
+        REQUIRE(loop.runUntil([&] { return answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, TestTimeout));
+        const auto text = answer.get().text;
+        refused += text.starts_with("HTTP/1.1 503") && text.find("Retry-After: 1") != std::string::npos && text.ends_with("overloaded") ? 1 : 0;
+    }
+    CHECK(refused == 3);
+    CHECK(loop.runUntil([&] { return server.heldBytes() < Body; }, TestTimeout));
+}
+
+TEST_CASE("a client that sends on after it was refused can read why")
+{
+    // Guards against a connection that is closed with bytes unread: the reset would destroy the answer.
+    ServerFixture fixture;
+    constexpr std::size_t Sent = 20U << 20U;
+    const auto answer = fixture.call("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(Sent) + "\r\n\r\n" + std::string(Sent, 'x'));
+    CHECK(answer.text.starts_with("HTTP/1.1 413"));
+    CHECK_FALSE(answer.isReset);
+}
