entries: the gateways' server for callers, with its bounds and chunked bodies

What callers saw: an entry ran out of memory under bodies that each were legal (100 of 8 MB: 2,051 MB), refused every chunked body with 411, and closed connections with bytes unread, so that clients that went on sending never read why they were refused.

Cause: entries had a server of their own on libwebsockets, which doesn't take chunked bodies, bounds each connection alone and has no lingering close.

Change: HttpServer is an adapter of CallerServer, with TLS by TlsChannel. Paths and queries are decoded, normalized and encoded as libwebsockets did. A body at an entry is charged twice, as one copy waits to be sent to the agent. Answers that an entry collects are charged too; beyond the bound such a request ends with 502.

Tests: unit_httplimits "connections over the limit are rejected" asked for the rejection while idle connections are open. Replaced by two that ask for more: beside busy connections a new one waits and is served later, beside idle ones it is served at once. Its list of malformed requests held a legal chunked one, which is replaced by three that are malformed.

--- a/src/entry/callerrequest.cpp
+++ b/src/entry/callerrequest.cpp
@@ -17,6 +17,7 @@
 
 using nlohmann::json;
 
+constexpr auto BudgetHeader = "kingcup-time-budget-ms";
 constexpr auto ServicesPrefix = "/services/";
 constexpr std::size_t MaxKeyLength = 256;
 constexpr std::size_t PrefixChars = 400; // prompts whose first characters agree up to this number count as having a common prefix
@@ -77,13 +78,10 @@
         }
         request.priority = *priority;
     }
-    if (const auto text = headerValue(http.headers, "kingcup-time-budget-ms"); !text.empty()) {
-        std::int64_t millis = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), millis);
-        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || millis <= 0 || millis > MaxBudgetMs) {
-            return badRequest("bad-time-budget", "Kingcup-Time-Budget-Ms is a whole number of milliseconds, at most a day");
-        }
-        request.budget = Duration::millis(millis);
+    if (const auto budget = requestedBudget(http.headers)) {
+        request.budget = *budget;
+    } else if (!headerValue(http.headers, BudgetHeader).empty()) {
+        return badRequest("bad-time-budget", "Kingcup-Time-Budget-Ms is a whole number of milliseconds, at most a day");
     }
     request.key = RequestKey(headerValue(http.headers, "idempotency-key"));
     if (request.key.text().size() > MaxKeyLength) {
@@ -201,6 +199,15 @@
     return {"idempotency-key", "kingcup-priority", "kingcup-time-budget-ms", "authorization", "if-match", "if-none-match"};
 }
 
+auto requestedBudget(const HttpHeaders &headers) -> std::optional<Duration>
+{
+    const auto text = headerValue(headers, BudgetHeader);
+    std::int64_t millis = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), millis);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    return isWhole && millis > 0 && millis <= MaxBudgetMs ? std::optional(Duration::millis(millis)) : std::nullopt;
+}
+
 auto readCallerRequest(const HttpRequest &http, const RequestId &id, const Declarations &declarations, const CallerDefaults &defaults)
     -> std::variant<CallerRequest, Problem>
 {
--- a/src/entry/callerrequest.h
+++ b/src/entry/callerrequest.h
@@ -10,6 +10,7 @@
 #include "net/http.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,6 +45,9 @@
 /// Request headers that the HTTP server has to keep.
 auto callerHeaderNames() -> std::vector<std::string>;
 
+/// The time budget that a caller names in its headers; nothing if it names none, or a malformed one.
+auto requestedBudget(const HttpHeaders &headers) -> std::optional<Duration>;
+
 struct CallerRequest {
     RequestId id;
     ServiceName service;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -16,11 +16,14 @@
 #include "entry/planner.h"
 #include "entry/requestflows.h"
 #include "entry/systemstatus.h"
+#include "net/callerreport.h"
+#include "net/hostresources.h"
 #include "net/wallclock.h"
 #include "platform/hostlistclient.h"
 #include "platform/tableaccess.h"
 #include "platform/tableclient.h"
 
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace KingCup
@@ -35,6 +38,8 @@
 constexpr auto HousekeepingPeriod = Duration::millis(500);
 constexpr std::size_t MaxExplained = 200;
 constexpr int ExitCutOff = 1;
+/// Of a request's body: the one that is kept for further attempts, and the one that waits to be sent to the target's agent.
+constexpr std::size_t BodyCopies = 2;
 
 auto routingOptions(const DaemonSettings &settings) -> RoutingOptions
 {
@@ -98,6 +103,7 @@
     std::unique_ptr<PeerServer> peers;
     std::set<PeerStreamPtr> peerStreams; ///< control streams that other entries opened
     std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<CallerReport> callerReport;
     std::unique_ptr<HostListClient> hostList;
     Timer housekeeping;
     Timer leaveCheck;
@@ -247,13 +253,23 @@
     options.listen = settings.listen.callers;
     options.keptHeaders = callerHeaderNames();
     options.maxBody = settings.limits.maxBody;
-    options.maxConnections = settings.limits.maxConnections;
+    const auto descriptors = descriptorBounds(usableDescriptors(settings.limits.maxDescriptors));
+    const auto connections = std::min(static_cast<std::size_t>(settings.limits.maxConnections), descriptors.accept);
+    options.bounds = callerBounds(usableMemory(settings.limits.memory), connections);
+    options.bodyCopies = BodyCopies;
     options.headerTimeout = settings.limits.headerTimeout;
+    options.timeBudget = [this](const HttpHeaders &headers) {
+        return requestedBudget(headers).value_or(settings.limits.requestBudget);
+    };
     if (settings.tls.callers) {
         options.tls = settings.tls.files;
         options.tls.authority.clear(); // callers need no client certificate
     }
     callers = std::make_unique<HttpServer>(loop, options, [this](const auto &exchange) { handle(exchange); });
+    callerReport = std::make_unique<CallerReport>(metrics, [](const CallerReport::Pressure &pressure) {
+        LOG(WARNING) << "callers: pressure refused=" << pressure.refused << " dropped=" << pressure.dropped << " replaced=" << pressure.replaced
+                     << " held=" << pressure.held << " connections=" << pressure.connections;
+    });
 }
 
 auto Entry::Private::build() -> void
@@ -488,6 +504,7 @@
     demand.advance(loop.now());
     suspects.expire(loop.now());
     versions.update(config->declarations(), [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
+    callerReport->update(callers->counts(), callers->heldBytes(), callers->connections(), loop.now());
     fleet->sendEntries(demandFrame());
     Wire::ControlFrame frame;
     frame.mutable_revisions()->set_entry(settings.process.id);
--- a/src/entry/requestflows.cpp
+++ b/src/entry/requestflows.cpp
@@ -409,10 +409,13 @@
         return;
     }
     flow->bufferedBody.append(body);
-    if (flow->bufferedBody.size() > settings.maxBufferedAnswer) {
+    flow->exchange->hold(flow->bufferedBody.size());
+    const bool isTooLarge = flow->bufferedBody.size() > settings.maxBufferedAnswer;
+    if (isTooLarge || flow->exchange->isUnderPressure()) {
         flow->stream->reset();
         dropAttempt(flow, AttemptResult::Cancelled);
-        refuse(flow, {HttpStatus::BadGateway, "answer-too-large", "the target's answer is larger than an entry holds", CallerOutcome::Unknown, {}});
+        const auto *code = isTooLarge ? "answer-too-large" : "overloaded";
+        refuse(flow, {HttpStatus::BadGateway, code, "the target's answer is larger than an entry can hold now", CallerOutcome::Unknown, {}});
     }
 }
 
@@ -517,7 +520,7 @@
         if (flow->lastEnd.from_record()) {
             headers.push_back({"kingcup-replayed", "true"});
         }
-        flow->exchange->respond(flow->status, std::move(headers), std::move(flow->bufferedBody));
+        flow->exchange->respond(flow->status, std::move(headers), flow->bufferedBody);
     }
     finish(flow, CallerOutcome::Delivered, "ok");
 }
@@ -641,6 +644,7 @@
         exchange->respond(problem->status, problemHeaders(*problem, id), problemBody(*problem, id));
         return;
     }
+    exchange->releaseBody();
     auto flow = std::make_shared<Flow>();
     flow->exchange = exchange;
     flow->request = std::get<CallerRequest>(std::move(read));
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,5 +1,5 @@
-// HTTP over libwebsockets: a server and a client on an event loop. Request bodies are limited in size and buffered whole;
-// answer bodies may be streamed, with back-pressure in the server and in the client.
+// HTTP for entries, agents and stand-ins: a server (on net/callerserver.h) and a client (over libwebsockets) on an event loop. Request bodies are limited in
+// size and buffered whole; answer bodies may be streamed, with back-pressure in the server and in the client.
 //
 // Index of sections (search for [SECTION]):
 //   Basics     headers
@@ -7,6 +7,7 @@
 //   Client     HttpClient::start() makes a call and returns its handle
 #pragma once
 
+#include "core/callerload.h"
 #include "core/endpoint.h"
 #include "core/units.h"
 #include "net/eventloop.h"
@@ -21,6 +22,8 @@
 namespace KingCup
 {
 
+struct CallerServerCounts;
+
 // [SECTION] Basics
 
 /// One header; names are lower case, without the colon.
@@ -54,12 +57,15 @@
     auto operator=(const HttpExchange &) -> HttpExchange & = delete;
 
     auto request() const -> const HttpRequest &;
+    auto releaseBody() -> void; ///< for a handler that has made its own copy, which stays charged to the caller: the request's body is empty from here on
+    auto hold(std::size_t bytes) -> void; ///< as CallerExchange::hold()
+    auto isUnderPressure() const -> bool; ///< as CallerExchange::isUnderPressure()
     auto isOpen() const -> bool; ///< the caller is still connected and the answer isn't finished
     auto hasBegun() const -> bool; ///< begin() or respond() was called
     auto pendingBytes() const -> std::size_t; ///< written, not yet accepted by the socket
 
     /// Sends the whole answer at once.
-    auto respond(int status, HttpHeaders headers, std::string body) -> void;
+    auto respond(int status, HttpHeaders headers, std::string_view body) -> void;
     /// Sends a streamed answer: begin(), any number of write(), finish(). Without finish() the caller sees an incomplete transfer.
     auto begin(int status, HttpHeaders headers) -> void;
     auto write(std::string_view data) -> void;
@@ -79,9 +85,11 @@
     TlsFiles tls;
     std::vector<std::string> keptHeaders; ///< lower-case names of request headers to keep besides content-type, content-length and accept
     std::size_t maxBody = 8U << 20U; ///< bytes; larger requests get 413
-    int maxConnections = 4096; ///< further connections are rejected
+    CallerBounds bounds {.bytes = 1U << 30U, .reserved = 64U << 20U, .connections = 4096}; ///< on what callers make the server hold
+    std::size_t bodyCopies = 1; ///< of each request's body, that the handler holds until the answer
     Duration tlsCheck = Duration::seconds(10); ///< period of the check for renewed TLS files
-    Duration headerTimeout = Duration::seconds(10); ///< between two pieces of a request, rounded up by libwebsockets; slower callers are disconnected
+    Duration headerTimeout = Duration::seconds(10); ///< for the head of a request, and between two pieces of its body; slower callers get 408
+    std::function<Duration(const HttpHeaders &headers)> timeBudget; ///< for a whole request with these headers, of the kept ones; slower callers get 408
 };
 
 class HttpServer
@@ -95,7 +103,9 @@
 
     auto port() const -> int;
     auto openExchanges() const -> std::size_t; ///< requests whose answers are not yet complete
-    auto refusedRequests() const -> std::uint64_t; ///< too large or malformed, answered without the handler
+    auto counts() const -> const CallerServerCounts &;
+    auto connections() const -> std::size_t;
+    auto heldBytes() const -> std::size_t; ///< for all callers together
     /// Stops accepting connections; open exchanges go on.
     auto close() -> void;
 
--- a/src/net/urlencoding.cpp
+++ b/src/net/urlencoding.cpp
@@ -1,6 +1,9 @@
 #include "net/urlencoding.h"
 
+#include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <vector>
 
 namespace KingCup
 {
@@ -33,6 +36,54 @@
 
 } // namespace
 
+auto decodePercent(std::string_view encoded, bool isQuery) -> std::optional<std::string>
+{
+    constexpr std::size_t EscapeLength = 3;
+    constexpr int Hexadecimal = 16;
+    std::string out;
+    out.reserve(encoded.size());
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+        auto byte = static_cast<unsigned char>(isQuery && encoded[i] == '+' ? ' ' : encoded[i]);
+        if (encoded[i] == '%') {
+            const auto *first = encoded.data() + i + 1;
+            const auto *last = encoded.data() + std::min(i + EscapeLength, encoded.size());
+            const auto parsed = std::from_chars(first, last, byte, Hexadecimal);
+            if (parsed.ec != std::errc() || parsed.ptr != encoded.data() + i + EscapeLength) {
+                return std::nullopt;
+            }
+            i += EscapeLength - 1;
+        }
+        if (std::iscntrl(byte) != 0) {
+            return std::nullopt;
+        }
+        out += static_cast<char>(byte);
+    }
+    return out;
+}
+
+auto normalizedPath(std::string_view decoded) -> std::string
+{
+    std::vector<std::string_view> segments;
+    const bool endsWithSlash = decoded.ends_with("/") || decoded.ends_with("/.") || decoded.ends_with("/..");
+    while (!decoded.empty()) {
+        const auto slash = std::min(decoded.find('/'), decoded.size());
+        const auto segment = decoded.substr(0, slash);
+        decoded.remove_prefix(std::min(slash + 1, decoded.size()));
+        if (segment == "..") {
+            if (!segments.empty()) {
+                segments.pop_back();
+            }
+        } else if (!segment.empty() && segment != ".") {
+            segments.push_back(segment);
+        }
+    }
+    std::string path;
+    for (const auto segment : segments) {
+        path.append("/").append(segment);
+    }
+    return path.empty() || endsWithSlash ? path + "/" : path;
+}
+
 auto encodePath(std::string_view decoded) -> std::string
 {
     return encode(decoded, PlainInPath);
