agents: what entries send them is bounded by the host's memory

What callers saw: an agent behind four entries that passed on 20 bodies of 8 MB each held 1,636 MB; the host has 256 MB.

Cause: entries bound what they hold each for itself; nothing bounded the messages that an agent receives, nor the requests that it queues. The buffer of a message that had been read was kept until the next one came, and a request's body was copied for the call to the target.

Change: messages of request streams are charged while they are received, and requests until they end. Beyond the bound a stream is refused or a request ends as not run (overloaded), so that it goes to another target or its caller gets 503. Buffers are freed when their message was read; the body is moved.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -15,6 +15,7 @@
 #include "core/declarationcodec.h"
 #include "core/plan.h"
 #include "core/suspects.h"
+#include "net/hostresources.h"
 #include "net/metrics.h"
 #include "net/wallclock.h"
 #include "platform/tableaccess.h"
@@ -35,6 +36,7 @@
 constexpr auto FloorReadPeriod = Duration::seconds(2); // between attempts to read the floor's row, until one succeeds
 constexpr auto SuspectExpiryPeriod = Duration::seconds(5);
 constexpr int ExitCutOff = 1;
+constexpr std::size_t MaxPageBody = 4096; // bytes of a request for a status page
 
 } // namespace
 
@@ -130,6 +132,8 @@
     requestSettings.target = settings.target.engine;
     requestSettings.isRunner = isRunner();
     requestSettings.streamBuffer = settings.limits.streamBuffer;
+    const auto connections = static_cast<std::size_t>(settings.limits.maxConnections);
+    requestSettings.load = std::make_shared<CallerLoad>(callerBounds(usableMemory(settings.limits.memory), connections));
     requests = std::make_unique<RequestTasks>(loop, client, requestSettings, requestHooks());
     sessions = std::make_unique<ControlSessions>(loop, settings.timing.report, controlHooks());
     suspectExpiry = loop.every(SuspectExpiryPeriod, [this] { suspects.expire(loop.now()); });
@@ -153,6 +157,8 @@
     if (settings.listen.metrics) {
         HttpServerOptions options;
         options.listen = *settings.listen.metrics;
+        options.maxBody = MaxPageBody;
+        options.bounds = {.bytes = 4U << 20U, .reserved = 1U << 20U, .connections = 64};
         pages = std::make_unique<HttpServer>(loop, options, [this](const auto &exchange) { page(exchange); });
     }
 }
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -14,6 +14,7 @@
 #include <glog/logging.h>
 #include <map>
 #include <unordered_set>
+#include <utility>
 
 namespace KingCup
 {
@@ -53,6 +54,7 @@
     EventStreamReader events {nullptr}; // of a streamed answer
     std::string bufferedBody; // the answer so far, if recordsAnswer or withholdsHead
     std::size_t bytes = 0;
+    std::size_t charged = 0; // to RequestSettings::load
     bool recordsAnswer = false; // run once: the whole answer is kept for the claim's record
     bool withholdsHead = false; // an error of the engine that may mean "not run": nothing is passed on before the whole answer is known
     bool isStream = false; // server-sent events
@@ -135,7 +137,7 @@
     auto startQueued() -> void;
     auto mayStart(const RequestTask &task) const -> bool;
     auto start(const TaskPtr &task) -> void;
-    auto callOf(const RequestTask &task) const -> HttpCall;
+    auto callOf(RequestTask &task) const -> HttpCall;
     auto onHead(const TaskPtr &task, int status, const HttpHeaders &headers) -> void;
     auto onData(const TaskPtr &task, std::string_view data) -> void;
     auto onCallEnd(const TaskPtr &task, CallEnd end) -> void;
@@ -234,6 +236,14 @@
         end(task, refusal);
         return;
     }
+    if (settings.load) {
+        task->charged = task->open.body().size();
+        settings.load->change(0, task->charged);
+        if (settings.load->excess(task->charged) > 0) {
+            end(task, notRunEnd("overloaded", "the agent holds as many requests as it may", Duration::micros(static_cast<std::int64_t>(meanServiceMicros))));
+            return;
+        }
+    }
     adjustArtifactUses(*task, 1);
     if (task->open.run_once()) {
         claim(task);
@@ -330,13 +340,13 @@
 
 // [SECTION] Forwarding
 
-auto RequestTasks::Private::callOf(const RequestTask &task) const -> HttpCall
+auto RequestTasks::Private::callOf(RequestTask &task) const -> HttpCall
 {
     HttpCall call;
     call.server = settings.target;
     call.method = task.open.method();
     call.path = task.open.path();
-    call.body = task.open.body();
+    call.body = std::move(*task.open.mutable_body());
     for (const auto &header : task.open.headers()) {
         call.headers.push_back({header.name(), header.value()});
     }
@@ -527,6 +537,9 @@
     if (tasks.erase(task) == 0) {
         return;
     }
+    if (settings.load) {
+        settings.load->change(std::exchange(task->charged, 0), 0);
+    }
     if (task->state != TaskState::Opening) {
         adjustArtifactUses(*task, -1);
     }
@@ -646,6 +659,9 @@
     auto task = std::make_shared<RequestTask>();
     task->stream = stream;
     d->tasks.insert(task);
+    if (d->settings.load) {
+        stream->chargeTo(d->settings.load);
+    }
     // The task owns the stream, so the stream's hooks hold only a weak pointer to the task: otherwise neither would be freed.
     stream->onMessage = [this, weak = std::weak_ptr(task)](std::string_view message) {
         if (const auto self = weak.lock(); self && self->stream) {
--- a/src/agent/requesttasks.h
+++ b/src/agent/requesttasks.h
@@ -6,6 +6,7 @@
 //   Tasks      RequestTasks
 #pragma once
 
+#include "core/callerload.h"
 #include "core/declarations.h"
 #include "core/runonce.h"
 #include "net/http.h"
@@ -50,6 +51,7 @@
     Endpoint target; ///< engine or plain service
     bool isRunner = true;
     std::size_t streamBuffer = 256U << 10U; ///< unsent bytes towards the entry above which reading from the target pauses
+    std::shared_ptr<CallerLoad> load; ///< charged with the requests that are held here; null: they aren't bounded
     std::size_t maxQueue = 256; ///< requests waiting here; more are refused as not run
     Duration runOnceTimeout = Duration::seconds(60); ///< minimum timeout of a run-once call, even if the caller's time budget is shorter
 };
--- a/src/wire/framing.cpp
+++ b/src/wire/framing.cpp
@@ -1,5 +1,7 @@
 #include "wire/framing.h"
 
+#include "core/releasetext.h"
+
 #include <cstdint>
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/message_lite.h>
@@ -51,13 +53,17 @@
     m_buffer.erase(0, m_at);
     m_at = 0;
     if (m_buffer.empty() && m_buffer.capacity() > MaxKeptCapacity) {
-        m_buffer = std::string();
+        releaseText(m_buffer);
     }
 }
 
 auto MessageReader::take() -> FramedMessage
 {
     const std::size_t available = bufferedBytes();
+    if (available == 0) {
+        release(); // of the last message; a long one isn't kept until more bytes come
+        return {FramingState::Incomplete, {}};
+    }
     const auto *start = reinterpret_cast<const std::uint8_t *>(m_buffer.data()) + m_at;
     google::protobuf::io::CodedInputStream input(start, static_cast<int>(available));
     std::uint64_t size = 0;
--- a/src/wire/framing.h
+++ b/src/wire/framing.h
@@ -28,7 +28,7 @@
 
 struct FramedMessage {
     FramingState state = FramingState::Incomplete;
-    std::string_view bytes; ///< valid until the next append()
+    std::string_view bytes; ///< valid until the next append() or take()
 };
 
 /// Splits a byte stream into messages; the bytes may arrive in any pieces.
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "core/backoff.h"
+#include "core/callerload.h"
 #include "core/endpoint.h"
 #include "net/eventloop.h"
 
@@ -53,6 +54,8 @@
     virtual auto refuse() -> void = 0; ///< server only, before any answer was sent: the client sees Refused
     virtual auto pause() -> void = 0; ///< stops consuming, so that flow control stops the remote side
     virtual auto resume() -> void = 0;
+    /// Server: charges a message that is being received. If the load is exceeded, the message is dropped and the stream refused.
+    virtual auto chargeTo(std::shared_ptr<CallerLoad> load) -> void = 0;
 
     std::function<void(std::string_view message)> onMessage; ///< a complete serialised message
     std::function<void(StreamEnd end)> onEnd; ///< exactly once, when both sides have finished or the stream broke
--- a/src/wire/session.h
+++ b/src/wire/session.h
@@ -29,6 +29,9 @@
 {
 public:
     SessionStream(PeerSession &session, std::string path);
+    ~SessionStream() override;
+    SessionStream(const SessionStream &) = delete;
+    auto operator=(const SessionStream &) -> SessionStream & = delete;
 
     auto path() const -> const std::string & override;
     auto isOpen() const -> bool override;
@@ -39,6 +42,7 @@
     auto refuse() -> void override;
     auto pause() -> void override;
     auto resume() -> void override;
+    auto chargeTo(std::shared_ptr<CallerLoad> load) -> void override;
 
     // Called only by the session:
 
@@ -58,6 +62,7 @@
     auto deliver() -> void;
     auto takeMessages() -> void;
     auto consume() -> void;
+    auto charge(std::size_t bytes) -> void;
     auto startAnswer() -> void;
     auto wakeWriter() -> void;
     auto resetWith(std::uint32_t errorCode) -> void;
@@ -68,7 +73,11 @@
     PeerSession *m_session; // null once the stream is closed on the wire
     std::int32_t m_id = 0;
     std::string m_path;
+    std::size_t m_maxMessage;
     MessageReader m_reader;
+    bool m_isDropping = false; // the stream was refused, and what still arrives is dropped
+    std::shared_ptr<CallerLoad> m_load; // null: received messages aren't charged
+    std::size_t m_charged = 0; // to m_load
     std::size_t m_unconsumed = 0; // received bytes that were not yet returned to the flow-control window
     std::string m_out;
     std::size_t m_outAt = 0; // bytes at the front of m_out that nghttp2 has read
--- a/src/wire/stream.cpp
+++ b/src/wire/stream.cpp
@@ -1,6 +1,8 @@
 // Implements SessionStream of wire/session.h.
 #include "wire/session.h"
 
+#include "core/releasetext.h"
+
 #include <algorithm>
 #include <cstring>
 
@@ -32,10 +34,16 @@
     : m_loop(session.m_loop)
     , m_session(&session)
     , m_path(std::move(path))
+    , m_maxMessage(session.m_maxMessage)
     , m_reader(session.m_maxMessage)
 {
 }
 
+SessionStream::~SessionStream()
+{
+    charge(0);
+}
+
 auto SessionStream::path() const -> const std::string &
 {
     return m_path;
@@ -148,7 +156,7 @@
         m_out.clear();
         m_outAt = 0;
         if (m_out.capacity() > CompactBytes) {
-            m_out = std::string();
+            releaseText(m_out);
         }
         if (m_finished) {
             m_finishSent = true;
@@ -170,12 +178,37 @@
     }
 }
 
+auto SessionStream::chargeTo(std::shared_ptr<CallerLoad> load) -> void
+{
+    m_load = std::move(load);
+}
+
+auto SessionStream::charge(std::size_t bytes) -> void
+{
+    if (m_load) {
+        m_load->change(m_charged, bytes);
+        m_charged = bytes;
+    }
+}
+
 auto SessionStream::onData(std::string_view bytes) -> void
 {
     m_dataReceived = true;
+    if (m_isDropping) {
+        m_unconsumed += bytes.size();
+        consume();
+        return;
+    }
     m_reader.append(bytes);
     m_unconsumed += bytes.size();
     deliver();
+    charge(m_closed ? 0 : m_reader.bufferedBytes());
+    if (m_load && m_load->excess(m_charged) > 0 && m_charged > 0 && !m_answered) {
+        m_isDropping = true;
+        m_reader = MessageReader(m_maxMessage);
+        charge(0);
+        refuse();
+    }
 }
 
 auto SessionStream::onRemoteEnd() -> void
@@ -261,8 +294,9 @@
     m_closed = true;
     m_end = end;
     m_session = nullptr;
-    m_out = std::string();
+    releaseText(m_out);
     m_outAt = 0;
+    charge(0);
     deliver();
 }
 
--- a/tests/played_stream.h
+++ b/tests/played_stream.h
@@ -54,6 +54,9 @@
     auto resume() -> void override
     {
     }
+    auto chargeTo(std::shared_ptr<CallerLoad> /*load*/) -> void override
+    {
+    }
 
     auto answerHead(const std::string &type) -> void
     {
--- a/tests/system_entrycrowds.cpp
+++ b/tests/system_entrycrowds.cpp
@@ -22,7 +22,11 @@
 {
 public:
     explicit CrowdedCluster(int entries = 1, int maxDescriptors = HostDescriptors)
-        : m_cluster({.entries = entries, .runners = 0, .ledgers = 1, .settings = "", .maxDescriptors = maxDescriptors})
+        : m_cluster({.entries = entries,
+                     .runners = 0,
+                     .ledgers = 1,
+                     .settings = "[limits]\nmemory-mb = " + std::to_string(HostMemory / 1'000'000) + "\n",
+                     .maxDescriptors = maxDescriptors})
         , m_maxDescriptors(maxDescriptors)
     {
         m_cluster.bringUp();
@@ -164,10 +168,11 @@
     cluster.endure(100, {CrowdedCluster::lines("GET") + headers + (isComplete ? "\r\n" : ""), "", 0, "", 0});
 }
 
-TEST_CASE("connections beyond the descriptors leave room for ordinary requests at an entry")
+TEST_CASE("connections beyond the descriptors of an entry leave some for ordinary requests")
 {
     CrowdedCluster cluster(1, FewDescriptors);
-    const std::string sent = GENERATE(as<std::string> {}, "", "GET /services/led", "POST /services/ledger/debits HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n");
+    const std::string sent
+        = GENERATE(as<std::string> {}, "", "GET /services/led", "POST /services/ledger/debits HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n");
     cluster.endure(400, {sent, "", 0, "", 0});
 }
 
--- a/tests/unit_requesttasks.cpp
+++ b/tests/unit_requesttasks.cpp
@@ -21,12 +21,14 @@
     HttpClient client {loop};
     bool isResident = true;
     bool isQuarantined = false;
+    std::shared_ptr<CallerLoad> load = std::make_shared<CallerLoad>(CallerBounds {.bytes = 3U << 20U, .reserved = 0});
     RequestTasks tasks {loop, client, settings(), hooks()};
 
     auto settings() -> RequestSettings
     {
         RequestSettings settings;
         settings.target = Endpoint {"127.0.0.1", target.port()};
+        settings.load = load;
         return settings;
     }
 
@@ -49,7 +51,7 @@
         return hooks;
     }
 
-    auto send(const std::string &id, bool alone = false, bool mustRunOnce = false) -> std::shared_ptr<PlayedStream>
+    auto send(const std::string &id, bool alone = false, bool mustRunOnce = false, std::size_t bodyBytes = 0) -> std::shared_ptr<PlayedStream>
     {
         Wire::Open open;
         open.set_version(Wire::PROTOCOL_VERSION_CURRENT);
@@ -60,6 +62,7 @@
         open.set_budget_us(Duration::seconds(10).inMicros());
         open.set_alone(alone);
         open.set_run_once(mustRunOnce);
+        open.set_body(std::string(bodyBytes, 'x'));
         auto stream = std::make_shared<PlayedStream>();
         tasks.accept(stream);
         stream->ask(open);
@@ -204,3 +207,24 @@
     fixture.calls[1]->respond(200, {}, "whole");
     REQUIRE(fixture.await([&] { return endOf(*queued).outcome() == Wire::OUTCOME_DELIVERED; }));
 }
+
+TEST_CASE("requests that an agent can't hold beside others are refused as not run, until these have ended")
+{
+    // Guards against bodies from several entries that together exhaust an agent's memory.
+    constexpr std::size_t Body = 1U << 20U;
+    TasksFixture fixture;
+    const auto first = fixture.send("a", false, false, Body);
+    const auto second = fixture.send("b", false, false, Body);
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 2; }));
+    CHECK(fixture.calls.front()->request().body.size() == Body);
+    const auto third = fixture.send("c", false, false, 2 * Body);
+    REQUIRE(endOf(*third).outcome() == Wire::OUTCOME_NOT_RUN);
+    REQUIRE(endOf(*third).code() == "overloaded");
+    for (const auto &call : fixture.calls) {
+        call->respond(200, {}, "whole");
+    }
+    REQUIRE(fixture.await([&] { return endOf(*first).outcome() == Wire::OUTCOME_DELIVERED && endOf(*second).outcome() == Wire::OUTCOME_DELIVERED; }));
+    CHECK(fixture.load->held() == 0);
+    fixture.send("d", false, false, 2 * Body);
+    CHECK(fixture.await([&] { return fixture.calls.size() == 3; }));
+}
--- a/tests/unit_wire.cpp
+++ b/tests/unit_wire.cpp
@@ -455,3 +455,30 @@
     wrong.set_unpacked_bytes(packed.unpacked_bytes() + 1);
     REQUIRE_FALSE(unpackRows(wrong));
 }
+
+TEST_CASE("a message that can't be held is refused while it is received, and its sender knows that it wasn't processed")
+{
+    // Guards against messages that several processes send at once and that together exhaust the receiver's memory.
+    constexpr std::size_t Large = 4U << 20U;
+    const auto load = std::make_shared<CallerLoad>(CallerBounds {.bytes = 3U << 20U, .reserved = 0});
+    Peers peers;
+    int messages = 0;
+    peers.onStream = [&](const PeerStreamPtr &stream) {
+        stream->chargeTo(load);
+        stream->onMessage = [&](std::string_view /*message*/) {
+            ++messages;
+        };
+    };
+    StreamRecorder large;
+    large.watch(peers.client->open("/request"));
+    large.stream->send(dataMessage(std::string(Large, 'x')));
+    REQUIRE(peers.loop.runUntil([&] { return large.ends == 1; }, Limit));
+    CHECK(large.end == StreamEnd::Refused);
+    CHECK(messages == 0);
+    CHECK(load->held() == 0);
+    StreamRecorder small;
+    small.watch(peers.client->open("/request"));
+    small.stream->send(dataMessage("small"));
+    CHECK(peers.loop.runUntil([&] { return messages == 1; }, Limit));
+    CHECK(load->held() == 0);
+}
