--- a/src/core/callerload.cpp
+++ b/src/core/callerload.cpp
@@ -18,6 +18,8 @@
 constexpr auto StallTime = Duration::millis(500);
 /// Callers send a request right after they have connected.
 constexpr auto UnusedTime = Duration::millis(200);
+/// From a caller's last answer on, until its connection may be closed although it goes on sending.
+constexpr auto ReadTime = Duration::seconds(1);
 
 /// Smaller numbers yield first.
 enum class YieldOrder { Stalled, Idle, Large, SlowReader, Never };
@@ -150,7 +152,9 @@
 auto chooseReplaced(const std::vector<CallerHold> &holds, TimePoint now) -> std::optional<std::size_t>
 {
     const auto isUseless = [&](const CallerHold &hold) {
-        return isStalled(hold, now) || (hold.phase == CallerPhase::Unused && now - hold.startedAt >= UnusedTime);
+        const bool isUnused = hold.phase == CallerPhase::Unused && now - hold.startedAt >= UnusedTime;
+        const bool hasHadTimeToRead = hold.phase == CallerPhase::Closing && now - hold.startedAt >= ReadTime;
+        return isStalled(hold, now) || isUnused || hasHadTimeToRead;
     };
     const auto mayBeReplaced = [&](const CallerHold &hold) {
         return isUseless(hold) || hold.phase == CallerPhase::Idle;
--- a/src/core/callerload.h
+++ b/src/core/callerload.h
@@ -91,8 +91,8 @@
 
 /// Connections that yield so that at least `excess` bytes become free, in this order; fewer if no others may.
 auto chooseYielding(std::vector<CallerHold> holds, std::size_t excess, TimePoint now) -> std::vector<std::size_t>;
-/// The connection to be closed in favour of a new one: one that makes no progress, or else the one that has been idle for the longest time; nothing if there
-/// is none.
+/// The connection to be closed in favour of a new one: one that makes no progress or goes on sending after its last answer, or else the one that has been idle
+/// for the longest time; nothing if there is none.
 auto chooseReplaced(const std::vector<CallerHold> &holds, TimePoint now) -> std::optional<std::size_t>;
 
 } // namespace KingCup
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -127,6 +127,10 @@
     {
         return !m_exchange && !m_reader.hasBegun() && !m_lingering && pendingBytes() == 0;
     }
+    auto isLingering() const -> bool
+    {
+        return m_lingering;
+    }
     auto isLastAnswer() const -> bool
     {
         return m_closeAfterAnswer || m_server->leaving;
@@ -535,6 +539,7 @@
     m_lingering = true;
     m_lastActivityAt = m_server->loop.now();
     m_lingeringSince = m_lastActivityAt;
+    m_phaseStartedAt = m_lastActivityAt;
     releaseText(m_unparsed);
     releaseText(m_body);
     if (!m_isReading) {
@@ -837,8 +842,8 @@
         if (!index) {
             break;
         }
-        // Not if its caller has sent something that is still to be read.
-        if (!all[*index]->hasUnreadBytes()) {
+        // Not if its caller has sent something that is still to be read, unless that would be dropped.
+        if (all[*index]->isLingering() || !all[*index]->hasUnreadBytes()) {
             ++counts.replaced;
             ++replaced;
             all[*index]->close();
--- a/src/net/sendqueue.cpp
+++ b/src/net/sendqueue.cpp
@@ -42,7 +42,7 @@
     }
 }
 
-auto SendQueue::append(const SharedBytes &bytes) -> void
+auto SendQueue::appendShared(const SharedBytes &bytes) -> void
 {
     if (!bytes.isEmpty()) {
         m_size += bytes.size();
--- a/src/net/sendqueue.h
+++ b/src/net/sendqueue.h
@@ -67,7 +67,7 @@
     auto front() const -> std::string_view; ///< the next bytes, not necessarily all; empty if there are none
 
     auto append(std::string_view bytes) -> void;
-    auto append(const SharedBytes &bytes) -> void;
+    auto appendShared(const SharedBytes &bytes) -> void;
     auto removeFront(std::size_t bytes) -> void; ///< at most front().size()
     auto clear() -> void;
 
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -436,7 +436,7 @@
         write(bytes.view());
         return;
     }
-    d->out.append(bytes);
+    d->out.appendShared(bytes);
     if (d->out.size() == bytes.size() && !d->connecting) {
         d->flush();
     }
--- a/tests/unit_callerload.cpp
+++ b/tests/unit_callerload.cpp
@@ -99,9 +99,13 @@
         held(1, CallerPhase::Unused, 4096, Duration::millis(50), Duration::millis(50)),
     };
     CHECK_FALSE(chooseReplaced(holds, Now).has_value());
+    holds.push_back(held(5, CallerPhase::Closing, 4096, Duration::millis(500), Duration::millis(500)));
+    CHECK_FALSE(chooseReplaced(holds, Now).has_value());
     holds.push_back(held(2, CallerPhase::Idle, 4096, Duration::seconds(9), Duration::seconds(9)));
     CHECK(chooseReplaced(holds, Now) == 2U);
     holds.push_back(held(3, CallerPhase::Unused, 4096, Duration::seconds(1), Duration::seconds(1)));
     holds.push_back(held(4, CallerPhase::Receiving, 4096, Duration::seconds(2), Duration::seconds(2)));
     CHECK(chooseReplaced(holds, Now) == 4U);
+    holds.push_back(held(6, CallerPhase::Closing, 4096, Duration::seconds(3), Duration::seconds(3))); // it goes on sending after a refusal
+    CHECK(chooseReplaced(holds, Now) == 6U);
 }
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -393,3 +393,22 @@
     CHECK(answer.text.starts_with("HTTP/1.1 413"));
     CHECK_FALSE(answer.isReset);
 }
+
+TEST_CASE("clients that send on after they were refused don't keep others from connecting")
+{
+    // Guards against connections that are kept for refused clients until no other is accepted.
+    ServerFixture fixture;
+    fixture.server.setBounds({.connections = 2});
+    const std::string tooLarge = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n";
+    const SlowReader first(fixture.server.port(), tooLarge);
+    const SlowReader second(fixture.server.port(), tooLarge);
+    REQUIRE(fixture.loop.runUntil([&] { return fixture.server.counts().malformed == 2; }, TestTimeout));
+    auto ordinary = rawCall(fixture.server.port(), "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", RawAfter::Read);
+    const auto sender = fixture.loop.every(Duration::millis(20), [&] {
+        first.write("x");
+        second.write("x");
+    });
+    REQUIRE(fixture.loop.runUntil([&] { return ordinary.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, Duration::seconds(4)));
+    CHECK(ordinary.get().text.starts_with("HTTP/1.1 200"));
+    CHECK(fixture.server.counts().replaced > 0);
+}
--- a/tests/unit_sendqueue.cpp
+++ b/tests/unit_sendqueue.cpp
@@ -29,10 +29,10 @@
     for (const std::size_t step : {1UL, 1000UL, 1000000UL}) {
         SendQueue queue;
         const std::string large(150'000, 'l');
-        queue.append(std::string_view("head"));
-        queue.append(SharedBytes("shared"));
-        queue.append(std::string_view(large));
-        queue.append(std::string_view("tail"));
+        queue.append("head");
+        queue.appendShared(SharedBytes("shared"));
+        queue.append(large);
+        queue.append("tail");
         CHECK(queue.size() == 14 + large.size());
         CHECK(drained(queue, step) == "headshared" + large + "tail");
         CHECK(queue.size() == 0);
@@ -45,7 +45,7 @@
     // Guards against a body that stands several times in memory.
     const SharedBytes body(std::string(100'000, 'b'));
     SendQueue queue;
-    queue.append(body);
+    queue.appendShared(body);
     CHECK(queue.front().data() == body.view().data());
 }
 
