--- a/tests/system_entrycrowds.cpp
+++ b/tests/system_entrycrowds.cpp
@@ -177,6 +177,7 @@
     CrowdedCluster cluster(4);
     {
         std::vector<int> ports;
+        ports.reserve(80);
         for (int i = 0; i < 80; ++i) {
             ports.push_back(cluster.port(1 + i % 4));
         }
--- a/tests/unit_callerserver.cpp
+++ b/tests/unit_callerserver.cpp
@@ -360,8 +360,10 @@
         }
     });
     const auto post = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(Body) + "\r\n\r\n" + std::string(Body, 'x');
+    constexpr int Callers = 5;
     std::vector<std::future<RawAnswer>> answers;
-    for (int i = 0; i < 5; ++i) {
+    answers.reserve(Callers);
+    for (int i = 0; i < Callers; ++i) {
         answers.push_back(rawCall(server.port(), post, RawAfter::Read));
     }
     REQUIRE(loop.runUntil([&] { return held.size() + server.counts().overloaded == 5; }, TestTimeout));
