agents: what is refused for lack of memory is counted and logged

The agent's bound had no metric and no log line. Its status page has callers_held_bytes and callers_overloaded_total now, and each of the two places that refuse logs a line at most once a second. A message that is complete is no longer charged together with the request that was read from it: a body of more than half of the bound would never have been accepted.

Measured: unit_wire, unit_requesttasks, unit_callerload pass.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -61,6 +61,7 @@
     std::unique_ptr<ControlSessions> sessions;
     std::unique_ptr<PeerServer> peers;
     std::unique_ptr<HttpServer> pages;
+    std::shared_ptr<CallerLoad> callerLoad; ///< of the requests that entries pass on
     Timer loadPoll;
     Timer floorRead; ///< active until the floor's row has been read once
     Timer suspectExpiry;
@@ -133,7 +134,8 @@
     requestSettings.isRunner = isRunner();
     requestSettings.streamBuffer = settings.limits.streamBuffer;
     const auto connections = static_cast<std::size_t>(settings.limits.maxConnections);
-    requestSettings.load = std::make_shared<CallerLoad>(callerBounds(usableMemory(settings.limits.memory), connections));
+    callerLoad = std::make_shared<CallerLoad>(callerBounds(usableMemory(settings.limits.memory), connections));
+    requestSettings.load = callerLoad;
     requests = std::make_unique<RequestTasks>(loop, client, requestSettings, requestHooks());
     sessions = std::make_unique<ControlSessions>(loop, settings.timing.report, controlHooks());
     suspectExpiry = loop.every(SuspectExpiryPeriod, [this] { suspects.expire(loop.now()); });
@@ -437,6 +439,8 @@
         metrics.set("requests_running", requests->running());
         metrics.set("requests_queued", requests->queued());
         metrics.set("concurrency_limit", requests->concurrencyLimit());
+        metrics.set("callers_held_bytes", static_cast<double>(callerLoad->held()));
+        metrics.set("callers_overloaded_total", static_cast<double>(callerLoad->refused()));
         metrics.set("revision", static_cast<double>(revision.value()));
         metrics.set("engine_crashes_total", crashes);
         metrics.set("claims_open", static_cast<double>(claims->openKeys()));
--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -24,6 +24,7 @@
 
 constexpr double MaxPauseSeconds = 24 * 3600; // longer times that a target asks for are ignored as errors
 constexpr auto PauseTimerMargin = Duration::millis(1); // a timer that fires early would leave the queue standing still
+constexpr double LogPeriodSeconds = 1; // of lines about requests that can't be held
 constexpr double MeanSampleWeight = 0.1; // weight of a new sample in the moving average of service times
 
 } // namespace
@@ -240,6 +241,8 @@
         task->charged = task->open.body().size();
         settings.load->change(0, task->charged);
         if (settings.load->excess(task->charged) > 0) {
+            settings.load->countRefused();
+            LOG_EVERY_T(WARNING, LogPeriodSeconds) << "request: refused, as callers hold too much bytes=" << task->charged << " held=" << settings.load->held();
             end(task, notRunEnd("overloaded", "the agent holds as many requests as it may", Duration::micros(static_cast<std::int64_t>(meanServiceMicros))));
             return;
         }
--- a/src/core/callerload.cpp
+++ b/src/core/callerload.cpp
@@ -121,6 +121,16 @@
     m_mostHeld = std::max(m_mostHeld, m_held);
 }
 
+auto CallerLoad::refused() const -> std::uint64_t
+{
+    return m_refused;
+}
+
+auto CallerLoad::countRefused() -> void
+{
+    ++m_refused;
+}
+
 auto CallerLoad::resetMostHeld() -> void
 {
     m_mostHeld = m_held;
--- a/src/core/callerload.h
+++ b/src/core/callerload.h
@@ -55,11 +55,13 @@
     auto bounds() const -> const CallerBounds &;
     auto held() const -> std::size_t;
     auto mostHeld() const -> std::size_t; ///< since the last resetMostHeld()
+    auto refused() const -> std::uint64_t; ///< requests, as counted by countRefused()
     /// Bytes by which the load exceeds what a connection of this size may use; 0: it may grow.
     auto excess(std::size_t connectionBytes) const -> std::size_t;
 
     /// A connection held `before` bytes and holds `after` now.
     auto change(std::size_t before, std::size_t after) -> void;
+    auto countRefused() -> void; ///< a request was refused because of this load
     auto resetMostHeld() -> void;
     auto setBounds(const CallerBounds &bounds) -> void;
 
@@ -67,6 +69,7 @@
     CallerBounds m_bounds;
     std::size_t m_held = 0;
     std::size_t m_mostHeld = 0;
+    std::uint64_t m_refused = 0;
 };
 
 // [SECTION] Yielding
--- a/src/wire/stream.cpp
+++ b/src/wire/stream.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <glog/logging.h>
 
 namespace KingCup
 {
@@ -14,6 +15,7 @@
 
 /// Sent bytes are removed from the front of the buffer once they exceed this size and half of the buffer.
 constexpr std::size_t CompactBytes = 64U << 10U;
+constexpr double LogPeriodSeconds = 1; ///< of lines about refused messages
 
 } // namespace
 
@@ -201,9 +203,12 @@
     }
     m_reader.append(bytes);
     m_unconsumed += bytes.size();
+    charge(0); // a message that is complete now is charged by its receiver
     deliver();
     charge(m_closed ? 0 : m_reader.bufferedBytes());
     if (m_load && m_load->excess(m_charged) > 0 && m_charged > 0 && !m_answered) {
+        LOG_EVERY_T(WARNING, LogPeriodSeconds) << "wire: refused a message, as callers hold too much bytes=" << m_charged << " held=" << m_load->held();
+        m_load->countRefused();
         m_isDropping = true;
         m_reader = MessageReader(m_maxMessage);
         charge(0);
--- a/tests/unit_requesttasks.cpp
+++ b/tests/unit_requesttasks.cpp
@@ -220,6 +220,7 @@
     const auto third = fixture.send("c", false, false, 2 * Body);
     REQUIRE(endOf(*third).outcome() == Wire::OUTCOME_NOT_RUN);
     REQUIRE(endOf(*third).code() == "overloaded");
+    CHECK(fixture.load->refused() == 1);
     for (const auto &call : fixture.calls) {
         call->respond(200, {}, "whole");
     }
--- a/tests/unit_wire.cpp
+++ b/tests/unit_wire.cpp
@@ -474,6 +474,7 @@
     large.stream->send(dataMessage(std::string(Large, 'x')));
     REQUIRE(peers.loop.runUntil([&] { return large.ends == 1; }, Limit));
     CHECK(large.end == StreamEnd::Refused);
+    CHECK(load->refused() == 1);
     CHECK(messages == 0);
     CHECK(load->held() == 0);
     StreamRecorder small;
