callerserver: the beginning of lingering is that of its phase

m_lingeringSince held the same time as m_phaseStartedAt, and charged() was never called. No behaviour changes.

--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -147,10 +147,6 @@
     {
         return m_stream ? m_stream->peer() : std::string();
     }
-    auto charged() const -> std::size_t
-    {
-        return m_charged;
-    }
     auto isUnderPressure() const -> bool
     {
         return m_server->load.excess(m_charged) > 0;
@@ -234,8 +230,7 @@
     bool m_isReading = false; ///< read() is running
     TimePoint m_requestStartedAt; ///< first byte of the request being read
     TimePoint m_lastActivityAt; ///< last byte read, or end of the last answer
-    TimePoint m_lingeringSince;
-    TimePoint m_phaseStartedAt; ///< the connection was accepted, or its last answer ended, or its request began
+    TimePoint m_phaseStartedAt; ///< the connection was accepted, its request began, its last answer ended, or it began to linger
     TimePoint m_progressAt; ///< the last ProgressBytes of the request being read were received
     std::size_t m_progressMark = 0; ///< bytes of that request by then
     std::optional<Duration> m_timeBudget; ///< of the request whose body is being read, once it was asked for
@@ -538,7 +533,6 @@
 {
     m_lingering = true;
     m_lastActivityAt = m_server->loop.now();
-    m_lingeringSince = m_lastActivityAt;
     m_phaseStartedAt = m_lastActivityAt;
     releaseText(m_unparsed);
     releaseText(m_body);
@@ -627,7 +621,7 @@
     const auto idleTime = now - m_lastActivityAt;
     const auto &limits = m_server->limits;
     if (m_lingering) {
-        if (idleTime > LingerTime || now - m_lingeringSince > MaxLingerTime) {
+        if (idleTime > LingerTime || now - m_phaseStartedAt > MaxLingerTime) {
             close();
         }
     } else if (m_exchange) {
