--- /dev/null
+++ b/review/rig-2.cpp
@@ -0,0 +1,855 @@
+// The cases of review/6 to review/10 that are scripts. Usage: rig-2 CASE REPOSITORY RECORD; TROUBLE=0 plays without the disruption.
+// Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+#include "rig-2.h"
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+
+namespace rig
+{
+
+struct Play {
+    std::string root;
+    Record record;
+    bool hasTrouble;
+    std::string folder;
+
+    auto cannotRun(const char *why) -> int
+    {
+        record.line("could not run: %s", why);
+        std::fprintf(stderr, "could not run: %s (logs in %s)\n", why, folder.c_str());
+        return 2;
+    }
+};
+
+/// Waits until every gateway reports that it is ready, and for the lead that the sheets give before traffic starts.
+auto startAll(std::vector<std::unique_ptr<Gateway>> &gateways, double leadMs) -> bool
+{
+    for (auto &gateway : gateways) {
+        gateway->start();
+    }
+    for (auto &gateway : gateways) {
+        if (!waitUntil([&] { return gateway->isReady(); }, 15000)) {
+            return false;
+        }
+    }
+    sleepMs(leadMs);
+    return true;
+}
+
+auto limitsJson() -> Json
+{
+    return {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}};
+}
+
+// ---- refused: a refusal is repeated late on a kept connection
+
+/// A server of a plain service. In its overload it turns each request away once, with a Retry-After. A faulty one sends that answer once more, at the
+/// point where the next answer on the connection is expected.
+struct RefusingServer {
+    Play &play;
+    std::string id;
+    std::atomic<bool> isOverloaded = false;
+    std::mutex mutex;
+    std::set<std::string> refused; ///< ids of attempts that were turned away
+    std::map<std::string, int> ran; ///< number of runs by id of the attempt
+    Server server;
+
+    RefusingServer(Play &owner, std::string name)
+        : play(owner)
+        , id(std::move(name))
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto row() const -> Json
+    {
+        return {{"service", "booking-app"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "lj-a"}, {"version", "v1"}, {"slots", 6},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"born", 1700000000000}};
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
+        }
+        const auto attempt = request.header("attempt-id");
+        const auto refusal = answer(503, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}, {"Retry-After", "0.1"}}, "");
+        bool isSecond = false;
+        {
+            const std::lock_guard lock(mutex);
+            isSecond = !refused.insert(attempt).second;
+        }
+        if (isOverloaded && !isSecond) {
+            play.record.line("server %s fd %d: turned %s away: 503 Not-Executed Retry-After 0.1", id.c_str(), conn.fd(), attempt.c_str());
+            return conn.send(refusal);
+        }
+        {
+            const std::lock_guard lock(mutex);
+            ++ran[attempt];
+        }
+        const bool repeats = isSecond && play.hasTrouble;
+        play.record.line("server %s fd %d: runs %s%s", id.c_str(), conn.fd(), attempt.c_str(), repeats ? "; the answer of before goes out once more ahead" : "");
+        if (repeats && !conn.send(refusal)) {
+            return false;
+        }
+        sleepMs(15);
+        const bool isSent = conn.send(answer(200, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp." + attempt}}, std::string(800, 'b')));
+        play.record.line("server %s fd %d: %s has run, answered 200", id.c_str(), conn.fd(), attempt.c_str());
+        return isSent;
+    }
+};
+
+auto playRefused(Play &play) -> int
+{
+    Store store;
+    const Json route {{"name", "r-book"}, {"host", "spa.example"}, {"prefix", "/book/"}, {"route_kind", "non_idempotent"}, {"timeout_ms", 3000}, {"goal_ms", 300},
+                      {"priority", 2}, {"service", "booking-app"}, {"attempts", 1}, {"anonymous", false}, {"sticky", false}, {"resumable", false}};
+    const Json service {{"name", "booking-app"}, {"health_path", "/healthz"}, {"max_conns", 110}, {"protocol", "h1"}, {"tls", false}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    std::vector<std::unique_ptr<RefusingServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    for (const char *name : {"i-1", "i-2", "i-3"}) {
+        servers.push_back(std::make_unique<RefusingServer>(play, name));
+        beats.push_back(std::make_unique<Beat>(store, name, [server = servers.back().get()] { return server->row(); }));
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-lj-a-1", "lj-a", store.port(), smallBounds()));
+    if (!startAll(gateways, 4000)) {
+        return play.cannotRun("the gateway isn't ready");
+    }
+    const auto conn = Conn::connect(gateways.front()->callers);
+    int broken = 0;
+    for (int i = 0; i < 17; ++i) {
+        const bool isCalm = i < 5;
+        for (auto &server : servers) {
+            server->isOverloaded = !isCalm;
+        }
+        const auto attempt = "att-" + std::to_string(100 + i);
+        play.record.line("client: POST /book/2f %s", attempt.c_str());
+        const std::string body(600, 'q');
+        Message reply;
+        const bool isAnswered = conn
+            && conn->send("POST /book/2f HTTP/1.1\r\nHost: spa.example\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: 3000\r\nContent-Length: "
+                          + std::to_string(body.size()) + "\r\n\r\n" + body)
+            && conn->read(reply, true, nowMs() + 4000);
+        if (!isAnswered) {
+            return play.cannotRun("a request got no answer");
+        }
+        sleepMs(250);
+        int runs = 0;
+        for (auto &server : servers) {
+            const std::lock_guard lock(server->mutex);
+            runs += server->ran[attempt];
+        }
+        const int status = reply.status();
+        const bool isPromise = status == 429 || status == 503 || status == 408 || status == 421;
+        const bool isBroken = runs > 1 || (isPromise && runs > 0);
+        broken += isBroken ? 1 : 0;
+        play.record.line("client: %s was answered %d; it has run %d times%s", attempt.c_str(), status, runs, isBroken ? "  <-- BROKEN" : "");
+        if (isCalm && (status != 200 || runs != 1)) {
+            return play.cannotRun("a request in calm wasn't served");
+        }
+    }
+    play.record.line("%d of 12 requests in the overload break REFUSED or TWICE", broken);
+    std::printf("%d of 12 requests break REFUSED or TWICE\n", broken);
+    return broken > 0 ? 1 : 0;
+}
+
+// ---- volley: a tenant's requests arrive at all daemons at once
+
+/// A server of a model service that runs every request and streams a few events.
+struct StreamServer {
+    Play &play;
+    std::string id;
+    std::string service;
+    std::vector<std::string> models;
+    std::function<void(const Message &request)> onRun;
+    double workMs = 60;
+    Server server;
+
+    StreamServer(Play &owner, std::string name, std::string serviceName, std::vector<std::string> held)
+        : play(owner)
+        , id(std::move(name))
+        , service(std::move(serviceName))
+        , models(std::move(held))
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto modelsJson() const -> Json
+    {
+        Json list = Json::array();
+        for (const auto &model : models) {
+            list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+        }
+        return list;
+    }
+    auto row() const -> Json
+    {
+        return {{"service", service}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 64},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", modelsJson()}, {"born", 1700000000000}};
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
+        }
+        if (request.path() == "/report") {
+            const Json report {{"stage", "combined"}, {"models", modelsJson()}, {"busy", false}, {"sequence", 0}, {"waiting", 0}, {"running", 0},
+                               {"kv_used", 0}, {"kv_total", 190000}, {"handles", 0}, {"born", 1700000000000}};
+            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
+        }
+        if (request.path() == "/order") {
+            return conn.send(answer(409, {}, ""));
+        }
+        onRun(request);
+        sleepMs(workMs);
+        std::string body;
+        for (int i = 1; i <= 9; ++i) {
+            body += "id: " + std::to_string(i) + "\ndata: " + std::string(40, 'x') + "\n\n";
+        }
+        return conn.send(answer(200, {{"Attempt-Id", request.header("attempt-id")}, {"Server-Stamp", "s." + request.header("attempt-id")},
+                                      {"Content-Type", "text/event-stream"}, {"Weight-Versions", "1"}},
+                                body));
+    }
+};
+
+auto playVolley(Play &play) -> int
+{
+    constexpr int Gateways = 16;
+    constexpr int RequestsEach = 7;
+    constexpr double Rate = 40000;
+    constexpr double Burst = 60000;
+    constexpr double WindowMs = 8000;
+    constexpr double Slack = 110000;
+    constexpr int Tokens = 9190 + 54;
+    Store store;
+    const Json route {{"name", "r-gloss"}, {"host", "alm.example"}, {"prefix", "/gloss/"}, {"route_kind", "streaming"}, {"timeout_ms", 12000}, {"goal_ms", 8000},
+                      {"priority", 1}, {"service", "dialekt-lm"}, {"attempts", 1}, {"anonymous", false}, {"sticky", true}, {"resumable", false},
+                      {"gap_target_ms", 500}};
+    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", 200000}, {"adapter_slots", 8}, {"loads_per_s", 8},
+                       {"models", {{{"name", "m0"}, {"weights_mb", 34300}, {"load_s", 2.6}, {"adapters", 0}, {"adapter_mb", 12}, {"warm_s", 0.3}, {"disk_s", 0.5}}}}};
+    const Json service {{"name", "dialekt-lm"}, {"health_path", "/healthz"}, {"max_conns", 510}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    const Json tenant {{"name", "t-radio"}, {"keys", {"key-of-t-radio"}}, {"rate_per_s", Rate}, {"burst", Burst}, {"unit", "token_count"}, {"plain_tokens", 200}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}, {"tenants", {tenant}}}.dump());
+    std::mutex mutex;
+    std::map<std::string, double> sentAt;
+    std::vector<std::pair<double, std::string>> runs;
+    std::vector<std::unique_ptr<StreamServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    for (int i = 1; i <= 16; ++i) {
+        servers.push_back(std::make_unique<StreamServer>(play, "i-" + std::to_string(i), "dialekt-lm", std::vector<std::string> {"m0"}));
+        servers.back()->onRun = [&, name = servers.back()->id](const Message &request) {
+            const std::lock_guard lock(mutex);
+            runs.emplace_back(nowMs(), request.header("attempt-id"));
+            play.record.line("server %s: runs %s for %s, %s tokens", name.c_str(), request.header("attempt-id").c_str(), request.header("tenant").c_str(),
+                             request.header("token-usage").c_str());
+        };
+        beats.push_back(std::make_unique<Beat>(store, servers.back()->id, [server = servers.back().get()] { return server->row(); }));
+    }
+    auto bounds = smallBounds();
+    bounds["bounds.revoke_strict"] = "true";
+    bounds["bounds.revoke_ms"] = "5000";
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (int i = 1; i <= Gateways; ++i) {
+        gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-" + std::to_string(i), "z-a", store.port(), bounds));
+    }
+    if (!startAll(gateways, 12000)) {
+        return play.cannotRun("the gateways aren't ready");
+    }
+    const auto requestText = [&](const std::string &attempt) {
+        return "POST /gloss/2f HTTP/1.1\r\nHost: alm.example\r\nAttempt-Id: " + attempt + "\r\nModel: m0\r\nToken-Usage: 9190,54\r\nPrompt-Prefix: 5c1e07a2:6300,"
+            + std::to_string(std::hash<std::string>()(attempt) % 100000000) + ":2890\r\nDeadline-Ms: 12000\r\nAuthorization: Bearer key-of-t-radio\r\nContent-Length: 20\r\n\r\n"
+            + std::string(20, 'p');
+    };
+    std::vector<std::thread> readers;
+    std::map<int, int> statuses;
+    const auto await = [&](std::shared_ptr<Conn> conn, std::string attempt) {
+        readers.emplace_back([&, conn, attempt] {
+            Message reply;
+            const bool isWhole = conn->read(reply, true, nowMs() + 13000);
+            const std::lock_guard lock(mutex);
+            ++statuses[isWhole ? reply.status() : 0];
+            play.record.line("client: %s was answered %d", attempt.c_str(), isWhole ? reply.status() : 0);
+        });
+    };
+    std::vector<std::pair<std::shared_ptr<Conn>, std::string>> callers;
+    for (int i = 0; i < Gateways * RequestsEach; ++i) {
+        callers.emplace_back(Conn::connect(gateways[static_cast<std::size_t>(i % Gateways)]->callers), "att-" + std::to_string(1000 + i));
+        if (!callers.back().first) {
+            return play.cannotRun("a client can't connect");
+        }
+    }
+    sleepMs(500);
+    // Without the disruption the tenant sends at 1/1.8 of its rate; with it, what it sends in 6.5 s at 7.5 times that comes at once.
+    const double pauseMs = play.hasTrouble ? 0 : 1000 * Tokens / (Rate / 1.8);
+    const std::size_t count = play.hasTrouble ? callers.size() : 28;
+    std::vector<std::string> texts;
+    for (std::size_t i = 0; i < count; ++i) {
+        texts.push_back(requestText(callers[i].second));
+        sentAt[callers[i].second] = 0;
+    }
+    std::vector<double> sendTimes(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        sendTimes[i] = nowMs();
+        if (!callers[i].first->send(texts[i])) {
+            return play.cannotRun("a client can't send");
+        }
+        sleepMs(pauseMs);
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        play.record.line("client: sent %s to %s at %.1f, %d tokens", callers[i].second.c_str(), gateways[i % Gateways]->name().c_str(), sendTimes[i], Tokens);
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        await(callers[i].first, callers[i].second);
+    }
+    for (auto &reader : readers) {
+        reader.join();
+    }
+    const std::lock_guard lock(mutex);
+    const double allowed = (Rate * WindowMs / 1000 + Burst) * 1.1 + Slack;
+    double most = 0;
+    for (const auto &[from, first] : runs) {
+        double sum = 0;
+        for (const auto &[at, attempt] : runs) {
+            sum += at >= from && at < from + WindowMs && sentAt[attempt] <= at ? Tokens : 0;
+        }
+        most = std::max(most, sum);
+    }
+    for (const auto &[status, number] : statuses) {
+        play.record.line("%d requests were answered %d", number, status);
+    }
+    play.record.line("tokens that ran in some 8 s: %.0f; allowed (40000 x 8 + 60000) x 1.1 + 110000 = %.0f", most, allowed);
+    std::printf("%.0f tokens ran in 8 s, %.0f are allowed\n", most, allowed);
+    if (runs.size() < 20) {
+        return play.cannotRun("too few requests were served");
+    }
+    return most > allowed ? 1 : 0;
+}
+
+// ---- late-load: a load without an answer arrives after its server has started again under the same id
+
+/// A model server that takes orders. It holds its orders' effects to the pages: `expected_revision` is checked when the order is carried out, a load takes
+/// disk_s if the server has had the model and load_s otherwise, and a restart leaves it empty with a `sequence` of 0.
+struct OrderedServer {
+    static constexpr double Memory = 230000;
+    static constexpr double Weights = 72700;
+    static constexpr double LoadMs = 2200;
+    static constexpr double DiskMs = 440;
+    Play &play;
+    std::string id = "i-1";
+    std::mutex mutex;
+    std::set<std::string> held;
+    std::set<std::string> onDisk;
+    std::string loading;
+    double loadingUntil = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t born = 1700000000000;
+    int overcommits = 0;
+    int ranAfterRestart = 0;
+    bool hasRestarted = false;
+    std::map<std::string, int> running;
+    std::uint64_t watchFor = 0; ///< the load with this expected_revision gets no answer; 0: none
+    std::optional<Json> late; ///< that order
+    double lateAt = 0; ///< when it was received
+    Server server;
+
+    explicit OrderedServer(Play &owner)
+        : play(owner)
+        , held {"a", "b", "c"}
+        , onDisk {"a", "b", "c"}
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto settle() -> void ///< with the mutex
+    {
+        if (!loading.empty() && nowMs() >= loadingUntil) {
+            held.insert(loading);
+            onDisk.insert(loading);
+            play.record.line("server: %s is loaded", loading.c_str());
+            loading.clear();
+        }
+    }
+    auto modelsJson() const -> Json
+    {
+        Json list = Json::array();
+        for (const auto &model : held) {
+            list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+        }
+        return list;
+    }
+    auto row() -> Json
+    {
+        const std::lock_guard lock(mutex);
+        settle();
+        return {{"service", "dir-llm"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 64},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", modelsJson()}, {"born", born},
+                {"available", {{"in_memory", Json::array()}, {"on_disk", onDisk}}}};
+    }
+    /// Carries an order out; returns the status.
+    auto carryOut(const Json &order, const char *how) -> int ///< with the mutex
+    {
+        settle();
+        const auto model = order.value("model", "");
+        const auto isLoad = order.value("operation", "") == "load";
+        const auto expected = order.value("expected_revision", sequence);
+        int status = 202;
+        if (expected != sequence || !loading.empty()) {
+            status = 409;
+        } else if (isLoad ? held.contains(model) : !held.contains(model)) {
+            status = 200;
+        }
+        play.record.line("server: %s %s %s, expected_revision %llu, fence %llu: %d (sequence %llu, holds %zu, loading '%s')", how, isLoad ? "load" : "unload", model.c_str(),
+                         static_cast<unsigned long long>(expected), static_cast<unsigned long long>(order.value("fencing_token", 0ULL)), status,
+                         static_cast<unsigned long long>(sequence), held.size(), loading.c_str());
+        if (status != 202) {
+            return status;
+        }
+        ++sequence;
+        if (!isLoad) {
+            held.erase(model);
+            return status;
+        }
+        const double sum = (static_cast<double>(held.size()) + 1) * Weights;
+        if (sum > Memory) {
+            ++overcommits;
+            play.record.line("server: ordered to hold %.0f MB of %.0f MB  <-- BROKEN: LIMIT", sum, Memory);
+        }
+        loading = model;
+        loadingUntil = nowMs() + (onDisk.contains(model) ? DiskMs : LoadMs);
+        return status;
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
+        }
+        if (request.path() == "/report") {
+            const std::lock_guard lock(mutex);
+            settle();
+            const Json report {{"stage", "combined"}, {"models", modelsJson()}, {"busy", !loading.empty()}, {"sequence", sequence}, {"waiting", 0}, {"running", 0},
+                               {"kv_used", 0}, {"kv_total", 190000}, {"handles", 0}, {"born", born},
+                               {"available", {{"in_memory", Json::array()}, {"on_disk", onDisk}}}};
+            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
+        }
+        if (request.path() == "/order") {
+            const auto order = Json::parse(request.body, nullptr, false);
+            int status = 0;
+            {
+                const std::lock_guard lock(mutex);
+                settle();
+                const bool isLoad = order.value("operation", "") == "load";
+                if (play.hasTrouble && watchFor > 0 && !late && isLoad && order.value("expected_revision", 0ULL) == watchFor) {
+                    late = order;
+                    lateAt = nowMs();
+                    play.record.line("server: load %s, expected_revision %llu, gets no answer", order.value("model", "").c_str(),
+                                     static_cast<unsigned long long>(watchFor));
+                } else {
+                    status = carryOut(order, "order:");
+                }
+            }
+            if (status == 0) {
+                sleepMs(20000);
+                return false;
+            }
+            return conn.send(answer(status, {}, ""));
+        }
+        const auto model = request.header("model");
+        const auto attempt = request.header("attempt-id");
+        {
+            const std::lock_guard lock(mutex);
+            settle();
+            if (!held.contains(model)) {
+                return conn.send(answer(421, {{"Attempt-Id", attempt}, {"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+            }
+            ranAfterRestart += hasRestarted ? 1 : 0;
+        }
+        sleepMs(30);
+        std::string body;
+        for (int i = 1; i <= 4; ++i) {
+            body += "id: " + std::to_string(i) + "\ndata: " + std::string(40, 'x') + "\n\n";
+        }
+        return conn.send(answer(200, {{"Attempt-Id", attempt}, {"Server-Stamp", "s." + attempt}, {"Content-Type", "text/event-stream"}, {"Weight-Versions", "1"}}, body));
+    }
+};
+
+auto playLateLoad(Play &play) -> int
+{
+    Store store;
+    const Json route {{"name", "r-chat"}, {"host", "dir.example"}, {"prefix", "/chat/"}, {"route_kind", "streaming"}, {"timeout_ms", 8000}, {"goal_ms", 2000},
+                      {"priority", 1}, {"service", "dir-llm"}, {"attempts", 2}, {"anonymous", false}, {"sticky", true}, {"resumable", true}, {"gap_target_ms", 500}};
+    Json models = Json::array();
+    for (const char *name : {"a", "b", "c", "d", "e", "f"}) {
+        models.push_back({{"name", name}, {"weights_mb", OrderedServer::Weights}, {"load_s", OrderedServer::LoadMs / 1000}, {"adapters", 0}, {"adapter_mb", 66},
+                          {"warm_s", 0.32}, {"disk_s", OrderedServer::DiskMs / 1000}});
+    }
+    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", OrderedServer::Memory}, {"adapter_slots", 8}, {"loads_per_s", 6.5},
+                       {"host_mb", 0}, {"disk_mb", 450000}, {"models", models}};
+    const Json service {{"name", "dir-llm"}, {"health_path", "/healthz"}, {"max_conns", 460}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    OrderedServer server(play);
+    auto beat = std::make_unique<Beat>(store, server.id, [&] { return server.row(); });
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
+    if (!startAll(gateways, 6000)) {
+        return play.cannotRun("the gateway isn't ready");
+    }
+    std::atomic<bool> isOver = false;
+    std::mutex mutex;
+    std::map<std::string, double> rates; ///< requests a second by model
+    std::atomic<int> served = 0;
+    const auto demand = [&](const std::string &model) {
+        int number = 0;
+        while (!isOver) {
+            double rate = 0;
+            {
+                const std::lock_guard lock(mutex);
+                rate = rates[model];
+            }
+            if (rate <= 0) {
+                sleepMs(50);
+                continue;
+            }
+            const auto attempt = "att-" + model + "-" + std::to_string(++number);
+            std::thread([&play, &served, attempt, model, port = gateways.front()->callers] {
+                const auto conn = Conn::connect(port);
+                Message reply;
+                const bool isAnswered = conn
+                    && conn->send("POST /chat/2f HTTP/1.1\r\nHost: dir.example\r\nAttempt-Id: " + attempt + "\r\nModel: " + model
+                                  + "\r\nToken-Usage: 40,20\r\nPrompt-Prefix: 5c1e07a2:20," + std::to_string(std::hash<std::string>()(attempt) % 100000000)
+                                  + ":20\r\nDeadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nchat")
+                    && conn->read(reply, true, nowMs() + 9000);
+                served += isAnswered && reply.status() == 200 ? 1 : 0;
+            }).detach();
+            sleepMs(1000 / rate);
+        }
+    };
+    std::vector<std::thread> clients;
+    for (const char *model : {"a", "b", "c", "d", "e", "f"}) {
+        clients.emplace_back(demand, model);
+    }
+    const auto setRates = [&](std::map<std::string, double> wanted) {
+        const std::lock_guard lock(mutex);
+        rates = std::move(wanted);
+    };
+    const auto sequenceIs = [&](std::uint64_t wanted) {
+        const std::lock_guard lock(server.mutex);
+        server.settle();
+        return server.sequence >= wanted && server.loading.empty();
+    };
+    const auto end = [&](int result) {
+        isOver = true;
+        for (auto &client : clients) {
+            client.join();
+        }
+        gateways.clear();
+        beat.reset();
+        return result;
+    };
+    play.record.line("clients: demand for a, b and c");
+    setRates({{"a", 6}, {"b", 6}, {"c", 2}});
+    sleepMs(6000);
+    play.record.line("clients: demand moves from c to d");
+    setRates({{"a", 6}, {"b", 6}, {"d", 6}});
+    if (!waitUntil([&] { return sequenceIs(2); }, 20000)) {
+        return end(play.cannotRun("d wasn't loaded"));
+    }
+    sleepMs(4000);
+    {
+        const std::lock_guard lock(server.mutex);
+        server.watchFor = server.sequence + 1; // an unload is accepted first
+    }
+    play.record.line("clients: demand moves from b to e");
+    setRates({{"a", 6}, {"d", 6}, {"e", 6}});
+    const auto isLate = [&] {
+        const std::lock_guard lock(server.mutex);
+        return server.late.has_value();
+    };
+    const auto isSettled = [&] {
+        return sequenceIs(4);
+    };
+    if (!waitUntil([&] { return play.hasTrouble ? isLate() : isSettled(); }, 20000)) {
+        return end(play.cannotRun("e wasn't ordered"));
+    }
+    sleepMs(200);
+    play.record.line("server: crashes");
+    beat->stop();
+    server.server.stop();
+    setRates({{"a", 6}, {"b", 6}, {"d", 6}});
+    sleepMs(3600); // three heartbeat intervals
+    store.remove("servers", server.id);
+    play.record.line("platform: the entry is removed");
+    sleepMs(600);
+    {
+        const std::lock_guard lock(server.mutex);
+        server.held.clear();
+        server.loading.clear();
+        server.sequence = 0;
+        server.born += 60000;
+        server.hasRestarted = true;
+    }
+    server.server.restart();
+    beat = std::make_unique<Beat>(store, server.id, [&] { return server.row(); });
+    play.record.line("server: is back under the same id, empty, sequence 0");
+    const double until = play.hasTrouble ? server.lateAt + 12000 : nowMs() + 8000;
+    while (nowMs() < until) {
+        {
+            const std::lock_guard lock(server.mutex);
+            server.settle();
+            if (server.late && nowMs() > server.lateAt + 2000 && server.loading.empty() && server.late->value("expected_revision", 0ULL) == server.sequence) {
+                play.record.line("network: the order of %.0f ms before arrives", nowMs() - server.lateAt);
+                server.carryOut(*server.late, "late order:");
+                server.late.reset();
+                break;
+            }
+        }
+        sleepMs(20);
+    }
+    sleepMs(500);
+    play.record.line("%d requests were served, %d of them after the restart; %d overcommits", served.load(), server.ranAfterRestart, server.overcommits);
+    std::printf("%d orders to load more than the server holds\n", server.overcommits);
+    if (server.ranAfterRestart < 5) {
+        return end(play.cannotRun("the server wasn't used after its restart"));
+    }
+    return end(server.overcommits > 0 ? 1 : 0);
+}
+
+// ---- endless: servers in trouble send bytes without end inside an event
+
+/// A model server whose answers, while it is in trouble, don't end: after two events come bytes that end no event, until the caller closes.
+struct EndlessServer {
+    Play &play;
+    std::string id;
+    std::atomic<bool> &isInTrouble;
+    std::atomic<int> open = 0;
+    Server server;
+
+    EndlessServer(Play &owner, std::string name, std::atomic<bool> &trouble)
+        : play(owner)
+        , id(std::move(name))
+        , isInTrouble(trouble)
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto row() const -> Json
+    {
+        return {{"service", "dir-llm"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 64},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}}},
+                {"born", 1700000000000}};
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
+        }
+        if (request.path() == "/report") {
+            const Json report {{"stage", "combined"}, {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}}}, {"busy", false}, {"sequence", 0},
+                               {"waiting", 0}, {"running", open.load()}, {"kv_used", 0}, {"kv_total", 190000}, {"handles", 0}, {"born", 1700000000000}};
+            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
+        }
+        if (request.path() == "/order") {
+            return conn.send(answer(409, {}, ""));
+        }
+        const auto attempt = request.header("attempt-id");
+        if (open >= 64) {
+            return conn.send(answer(503, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}}, ""));
+        }
+        ++open;
+        const bool isOk = stream(conn, attempt);
+        --open;
+        return isOk;
+    }
+    auto stream(Conn &conn, const std::string &attempt) -> bool
+    {
+        const auto chunk = [](const std::string &bytes) {
+            char head[16];
+            std::snprintf(head, sizeof head, "%zx\r\n", bytes.size());
+            return head + bytes + "\r\n";
+        };
+        const auto event = [](int number) {
+            return "id: " + std::to_string(number) + "\ndata: " + std::string(40, 'x') + "\n\n";
+        };
+        sleepMs(40);
+        if (!conn.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Stamp: s." + attempt
+                       + "\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+            return false;
+        }
+        constexpr int Events = 7;
+        for (int i = 1; i <= Events; ++i) {
+            if (isInTrouble && i == 3) {
+                return sendEndless(conn, chunk);
+            }
+            if (!conn.send(chunk(event(i)))) {
+                return false;
+            }
+            sleepMs(60);
+        }
+        return conn.send("0\r\n\r\n");
+    }
+    /// Quickly at first, then slowly, until the caller closes.
+    auto sendEndless(Conn &conn, const std::function<std::string(const std::string &)> &chunk) -> bool
+    {
+        conn.send(chunk("id: 3\ndata: "));
+        const std::string piece(16000, 'z');
+        for (int sent = 0;; ++sent) {
+            const bool isQuick = sent < 65;
+            if (conn.isClosedByPeer() || !conn.send(chunk(isQuick ? piece : std::string(100, 'z')))) {
+                return false;
+            }
+            sleepMs(isQuick ? 20 : 200);
+        }
+    }
+};
+
+auto playEndless(Play &play) -> int
+{
+    constexpr int Servers = 18;
+    constexpr std::size_t Gateways = 2;
+    constexpr double PerSecond = 76;
+    constexpr double GiveUpMs = 8000; // the longest of 2 s, four times the objective and eight times the pause
+    constexpr double MemoryMb = 260;
+    constexpr double CalmMs = 5000;
+    constexpr double TroubleMs = 12000;
+    Store store;
+    const Json route {{"name", "r-batch"}, {"host", "dir.example"}, {"prefix", "/batch/"}, {"route_kind", "streaming"}, {"timeout_ms", 8000}, {"goal_ms", 2000},
+                      {"priority", 1}, {"service", "dir-llm"}, {"attempts", 2}, {"anonymous", false}, {"sticky", true}, {"resumable", true}, {"gap_target_ms", 500}};
+    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", 230000}, {"adapter_slots", 8}, {"loads_per_s", 2.1},
+                       {"models", {{{"name", "m0"}, {"weights_mb", 72700}, {"load_s", 1.2}, {"adapters", 0}, {"adapter_mb", 66}, {"warm_s", 0.3}, {"disk_s", 0.4}}}}};
+    const Json service {{"name", "dir-llm"}, {"health_path", "/healthz"}, {"max_conns", 370}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    std::atomic<bool> isInTrouble = false;
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    for (int i = 1; i <= Servers; ++i) {
+        servers.push_back(std::make_unique<EndlessServer>(play, "i-" + std::to_string(i), isInTrouble));
+        beats.push_back(std::make_unique<Beat>(store, servers.back()->id, [server = servers.back().get()] { return server->row(); }));
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (std::size_t i = 1; i <= Gateways; ++i) {
+        gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-" + std::to_string(i), "z-a", store.port(), smallBounds()));
+    }
+    if (!startAll(gateways, 6000)) {
+        return play.cannotRun("the gateways aren't ready");
+    }
+    std::mutex mutex;
+    std::map<std::string, int> outcomes;
+    std::array<std::atomic<int>, Gateways> open {};
+    const auto ask = [&](int number) {
+        const auto which = static_cast<std::size_t>(number) % Gateways;
+        const auto attempt = "att-" + std::to_string(10000 + number);
+        const auto conn = Conn::connect(gateways[which]->callers);
+        std::string outcome = "no connection";
+        ++open[which];
+        if (conn
+            && conn->send("POST /batch/2f HTTP/1.1\r\nHost: dir.example\r\nAttempt-Id: " + attempt
+                          + "\r\nModel: m0\r\nToken-Usage: 40,20\r\nPrompt-Prefix: 5c1e07a2:20," + std::to_string(number) + ":20\r\nDeadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nplan")) {
+            Message reply;
+            outcome = "cut off before an answer";
+            if (conn->readHead(reply, nowMs() + GiveUpMs)) {
+                outcome = "answered " + std::to_string(reply.status());
+                std::string body;
+                while (reply.status() == 200 && conn->take(1, body, nowMs() + GiveUpMs)) {
+                    if (body.ends_with("0\r\n\r\n")) {
+                        outcome = "answered whole";
+                        break;
+                    }
+                }
+                if (outcome == "answered 200") {
+                    outcome = conn->isClosedByPeer() ? "cut off within the answer" : "given up by the client";
+                }
+            } else if (!conn->isClosedByPeer()) {
+                outcome = "given up by the client";
+            }
+        }
+        --open[which];
+        const std::lock_guard lock(mutex);
+        ++outcomes[outcome];
+    };
+    std::vector<std::thread> clients;
+    const double begin = nowMs();
+    double most = 0;
+    int ends = 0;
+    double reportedAt = 0;
+    for (int number = 0; nowMs() < begin + CalmMs + TroubleMs; ++number) {
+        if (!isInTrouble && play.hasTrouble && nowMs() > begin + CalmMs) {
+            isInTrouble = true;
+            play.record.line("the servers send bytes without end");
+        }
+        clients.emplace_back(ask, number);
+        sleepMs(begin + number * 1000 / PerSecond - nowMs());
+        for (std::size_t i = 0; i < Gateways; ++i) {
+            auto &gateway = *gateways[i];
+            const auto [now, peak] = gateway.memory();
+            most = std::max(most, peak);
+            if (const auto status = gateway.ended()) {
+                ++ends;
+                play.record.line("%s has ended by itself, status %d  <-- BROKEN", gateway.name().c_str(), *status);
+                gateway.start();
+            } else if (now > MemoryMb) {
+                ++ends;
+                play.record.line("%s holds %.0f MB, over memory_mb %.0f: the platform kills it; %d requests were open  <-- BROKEN", gateway.name().c_str(), now, MemoryMb,
+                                 open[i].load());
+                gateway.stop();
+                gateway.start();
+            }
+        }
+        if (nowMs() > reportedAt + 500) {
+            reportedAt = nowMs();
+            for (std::size_t i = 0; i < Gateways; ++i) {
+                play.record.line("%s: %.0f MB resident, %d requests are open", gateways[i]->name().c_str(), gateways[i]->memory().first, open[i].load());
+            }
+        }
+    }
+    for (auto &client : clients) {
+        client.join();
+    }
+    for (const auto &[outcome, count] : outcomes) {
+        play.record.line("clients: %d requests: %s", count, outcome.c_str());
+    }
+    play.record.line("%d ends of processes; %.0f MB at most, memory_mb is %.0f", ends, most, MemoryMb);
+    std::printf("%d ends of processes; %.0f MB at most, memory_mb is %.0f\n", ends, most, MemoryMb);
+    return ends > 0 ? 1 : 0;
+}
+
+} // namespace rig
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace rig;
+    if (argc != 4) {
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    startedAt();
+    char folder[] = "/tmp/review-XXXXXX";
+    if (mkdtemp(folder) == nullptr) {
+        return 2;
+    }
+    const char *trouble = std::getenv("TROUBLE");
+    Play play {argv[2], Record(argv[3]), trouble == nullptr || std::string(trouble) != "0", folder};
+    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"volley", &playVolley}, {"late-load", &playLateLoad}, {"endless", &playEndless}};
+    const auto found = cases.find(argv[1]);
+    const int result = found == cases.end() ? 2 : found->second(play);
+    if (std::getenv("KEEP") == nullptr) {
+        std::filesystem::remove_all(folder);
+    } else {
+        std::fprintf(stderr, "logs in %s\n", folder);
+    }
+    std::fflush(nullptr);
+    _exit(result);
+}
