--- a/review/rig-2.cpp
+++ b/review/rig-2.cpp
@@ -52,7 +52,7 @@
     std::string id;
     std::atomic<bool> isOverloaded = false;
     std::mutex mutex;
-    std::set<std::string> refused; ///< ids of attempts that were turned away
+    std::map<std::string, int> refused; ///< connections on which attempts were turned away, by id of the attempt
     std::map<std::string, int> ran; ///< number of runs by id of the attempt
     Server server;
 
@@ -79,26 +79,29 @@
         const auto attempt = request.header("attempt-id");
         const auto refusal = answer(503, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}, {"Retry-After", "0.1"}}, "");
         bool isSecond = false;
+        bool isSameConnection = false;
         {
             const std::lock_guard lock(mutex);
-            isSecond = !refused.insert(attempt).second;
+            const auto [known, isNew] = refused.try_emplace(attempt, conn.number());
+            isSecond = !isNew;
+            isSameConnection = !isNew && known->second == conn.number();
         }
         if (isOverloaded && !isSecond) {
-            play.record.line("server %s fd %d: turned %s away: 503 Not-Executed Retry-After 0.1", id.c_str(), conn.fd(), attempt.c_str());
+            play.record.line("server %s connection %d: turned %s away: 503 Not-Executed Retry-After 0.1", id.c_str(), conn.number(), attempt.c_str());
             return conn.send(refusal);
         }
         {
             const std::lock_guard lock(mutex);
             ++ran[attempt];
         }
-        const bool repeats = isSecond && play.hasTrouble;
-        play.record.line("server %s fd %d: runs %s%s", id.c_str(), conn.fd(), attempt.c_str(), repeats ? "; the answer of before goes out once more ahead" : "");
+        const bool repeats = isSameConnection && play.hasTrouble;
+        play.record.line("server %s connection %d: runs %s%s", id.c_str(), conn.number(), attempt.c_str(), repeats ? "; the answer of before goes out once more ahead" : "");
         if (repeats && !conn.send(refusal)) {
             return false;
         }
         sleepMs(15);
         const bool isSent = conn.send(answer(200, {{"Attempt-Id", attempt}, {"Server-Stamp", "stamp." + attempt}}, std::string(800, 'b')));
-        play.record.line("server %s fd %d: %s has run, answered 200", id.c_str(), conn.fd(), attempt.c_str());
+        play.record.line("server %s connection %d: %s has run, answered 200", id.c_str(), conn.number(), attempt.c_str());
         return isSent;
     }
 };
@@ -159,181 +162,6 @@
     return broken > 0 ? 1 : 0;
 }
 
-// ---- volley: a tenant's requests arrive at all daemons at once
-
-/// A server of a model service that runs every request and streams a few events.
-struct StreamServer {
-    Play &play;
-    std::string id;
-    std::string service;
-    std::vector<std::string> models;
-    std::function<void(const Message &request)> onRun;
-    double workMs = 60;
-    Server server;
-
-    StreamServer(Play &owner, std::string name, std::string serviceName, std::vector<std::string> held)
-        : play(owner)
-        , id(std::move(name))
-        , service(std::move(serviceName))
-        , models(std::move(held))
-        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
-    {
-    }
-    auto modelsJson() const -> Json
-    {
-        Json list = Json::array();
-        for (const auto &model : models) {
-            list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
-        }
-        return list;
-    }
-    auto row() const -> Json
-    {
-        return {{"service", service}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 64},
-                {"state", "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", modelsJson()}, {"born", 1700000000000}};
-    }
-    auto handle(Conn &conn, Message &request) -> bool
-    {
-        const auto expected = request.header("expect-instance");
-        if (!expected.empty() && expected != id) {
-            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
-        }
-        if (request.path() == "/healthz") {
-            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
-        }
-        if (request.path() == "/report") {
-            const Json report {{"stage", "combined"}, {"models", modelsJson()}, {"busy", false}, {"sequence", 0}, {"waiting", 0}, {"running", 0},
-                               {"kv_used", 0}, {"kv_total", 190000}, {"handles", 0}, {"born", 1700000000000}};
-            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
-        }
-        if (request.path() == "/order") {
-            return conn.send(answer(409, {}, ""));
-        }
-        onRun(request);
-        sleepMs(workMs);
-        std::string body;
-        for (int i = 1; i <= 9; ++i) {
-            body += "id: " + std::to_string(i) + "\ndata: " + std::string(40, 'x') + "\n\n";
-        }
-        return conn.send(answer(200, {{"Attempt-Id", request.header("attempt-id")}, {"Server-Stamp", "s." + request.header("attempt-id")},
-                                      {"Content-Type", "text/event-stream"}, {"Weight-Versions", "1"}},
-                                body));
-    }
-};
-
-auto playVolley(Play &play) -> int
-{
-    constexpr int Gateways = 16;
-    constexpr int RequestsEach = 7;
-    constexpr double Rate = 40000;
-    constexpr double Burst = 60000;
-    constexpr double WindowMs = 8000;
-    constexpr double Slack = 110000;
-    constexpr int Tokens = 9190 + 54;
-    Store store;
-    const Json route {{"name", "r-gloss"}, {"host", "alm.example"}, {"prefix", "/gloss/"}, {"route_kind", "streaming"}, {"timeout_ms", 12000}, {"goal_ms", 8000},
-                      {"priority", 1}, {"service", "dialekt-lm"}, {"attempts", 1}, {"anonymous", false}, {"sticky", true}, {"resumable", false},
-                      {"gap_target_ms", 500}};
-    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", 200000}, {"adapter_slots", 8}, {"loads_per_s", 8},
-                       {"models", {{{"name", "m0"}, {"weights_mb", 34300}, {"load_s", 2.6}, {"adapters", 0}, {"adapter_mb", 12}, {"warm_s", 0.3}, {"disk_s", 0.5}}}}};
-    const Json service {{"name", "dialekt-lm"}, {"health_path", "/healthz"}, {"max_conns", 510}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
-    const Json tenant {{"name", "t-radio"}, {"keys", {"key-of-t-radio"}}, {"rate_per_s", Rate}, {"burst", Burst}, {"unit", "token_count"}, {"plain_tokens", 200}};
-    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}, {"tenants", {tenant}}}.dump());
-    std::mutex mutex;
-    std::map<std::string, double> sentAt;
-    std::vector<std::pair<double, std::string>> runs;
-    std::vector<std::unique_ptr<StreamServer>> servers;
-    std::vector<std::unique_ptr<Beat>> beats;
-    for (int i = 1; i <= 16; ++i) {
-        servers.push_back(std::make_unique<StreamServer>(play, "i-" + std::to_string(i), "dialekt-lm", std::vector<std::string> {"m0"}));
-        servers.back()->onRun = [&, name = servers.back()->id](const Message &request) {
-            const std::lock_guard lock(mutex);
-            runs.emplace_back(nowMs(), request.header("attempt-id"));
-            play.record.line("server %s: runs %s for %s, %s tokens", name.c_str(), request.header("attempt-id").c_str(), request.header("tenant").c_str(),
-                             request.header("token-usage").c_str());
-        };
-        beats.push_back(std::make_unique<Beat>(store, servers.back()->id, [server = servers.back().get()] { return server->row(); }));
-    }
-    auto bounds = smallBounds();
-    bounds["bounds.revoke_strict"] = "true";
-    bounds["bounds.revoke_ms"] = "5000";
-    std::vector<std::unique_ptr<Gateway>> gateways;
-    for (int i = 1; i <= Gateways; ++i) {
-        gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-" + std::to_string(i), "z-a", store.port(), bounds));
-    }
-    if (!startAll(gateways, 12000)) {
-        return play.cannotRun("the gateways aren't ready");
-    }
-    const auto requestText = [&](const std::string &attempt) {
-        return "POST /gloss/2f HTTP/1.1\r\nHost: alm.example\r\nAttempt-Id: " + attempt + "\r\nModel: m0\r\nToken-Usage: 9190,54\r\nPrompt-Prefix: 5c1e07a2:6300,"
-            + std::to_string(std::hash<std::string>()(attempt) % 100000000) + ":2890\r\nDeadline-Ms: 12000\r\nAuthorization: Bearer key-of-t-radio\r\nContent-Length: 20\r\n\r\n"
-            + std::string(20, 'p');
-    };
-    std::vector<std::thread> readers;
-    std::map<int, int> statuses;
-    const auto await = [&](std::shared_ptr<Conn> conn, std::string attempt) {
-        readers.emplace_back([&, conn, attempt] {
-            Message reply;
-            const bool isWhole = conn->read(reply, true, nowMs() + 13000);
-            const std::lock_guard lock(mutex);
-            ++statuses[isWhole ? reply.status() : 0];
-            play.record.line("client: %s was answered %d", attempt.c_str(), isWhole ? reply.status() : 0);
-        });
-    };
-    std::vector<std::pair<std::shared_ptr<Conn>, std::string>> callers;
-    for (int i = 0; i < Gateways * RequestsEach; ++i) {
-        callers.emplace_back(Conn::connect(gateways[static_cast<std::size_t>(i % Gateways)]->callers), "att-" + std::to_string(1000 + i));
-        if (!callers.back().first) {
-            return play.cannotRun("a client can't connect");
-        }
-    }
-    sleepMs(500);
-    // Without the disruption the tenant sends at 1/1.8 of its rate; with it, what it sends in 6.5 s at 7.5 times that comes at once.
-    const double pauseMs = play.hasTrouble ? 0 : 1000 * Tokens / (Rate / 1.8);
-    const std::size_t count = play.hasTrouble ? callers.size() : 28;
-    std::vector<std::string> texts;
-    for (std::size_t i = 0; i < count; ++i) {
-        texts.push_back(requestText(callers[i].second));
-        sentAt[callers[i].second] = 0;
-    }
-    std::vector<double> sendTimes(count);
-    for (std::size_t i = 0; i < count; ++i) {
-        sendTimes[i] = nowMs();
-        if (!callers[i].first->send(texts[i])) {
-            return play.cannotRun("a client can't send");
-        }
-        sleepMs(pauseMs);
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-        play.record.line("client: sent %s to %s at %.1f, %d tokens", callers[i].second.c_str(), gateways[i % Gateways]->name().c_str(), sendTimes[i], Tokens);
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-        await(callers[i].first, callers[i].second);
-    }
-    for (auto &reader : readers) {
-        reader.join();
-    }
-    const std::lock_guard lock(mutex);
-    const double allowed = (Rate * WindowMs / 1000 + Burst) * 1.1 + Slack;
-    double most = 0;
-    for (const auto &[from, first] : runs) {
-        double sum = 0;
-        for (const auto &[at, attempt] : runs) {
-            sum += at >= from && at < from + WindowMs && sentAt[attempt] <= at ? Tokens : 0;
-        }
-        most = std::max(most, sum);
-    }
-    for (const auto &[status, number] : statuses) {
-        play.record.line("%d requests were answered %d", number, status);
-    }
-    play.record.line("tokens that ran in some 8 s: %.0f; allowed (40000 x 8 + 60000) x 1.1 + 110000 = %.0f", most, allowed);
-    std::printf("%.0f tokens ran in 8 s, %.0f are allowed\n", most, allowed);
-    if (runs.size() < 20) {
-        return play.cannotRun("too few requests were served");
-    }
-    return most > allowed ? 1 : 0;
-}
-
 // ---- late-load: a load without an answer arrives after its server has started again under the same id
 
 /// A model server that takes orders. It holds its orders' effects to the pages: `expected_revision` is checked when the order is carried out, a load takes
@@ -826,6 +654,367 @@
     return ends > 0 ? 1 : 0;
 }
 
+// ---- stray-order: an extra response to a request is taken for the answer to an order
+
+/// A model server with adapter slots. An unload of an adapter that a run uses waits for the run. A faulty one sends one extra response: the answer to an
+/// earlier request once more, with that request's id, at the point where the next answer on the connection is expected.
+struct AdapterServer {
+    static constexpr std::size_t Slots = 5;
+    Play &play;
+    std::string id = "i-1";
+    std::mutex mutex;
+    std::set<std::string> held;
+    std::set<std::string> unloading; ///< part of `held`: accepted unloads that wait for their runs
+    std::map<std::string, int> runs;
+    std::uint64_t sequence = 0;
+    bool hasStray = false; ///< one extra response is to come
+    std::atomic<bool> hasCrashed = false;
+    int overcommits = 0;
+    int streamsOpen = 0;
+    std::map<int, std::string> lastAnswers; ///< by connection: the answer to its last request with an id
+    Server server;
+
+    explicit AdapterServer(Play &owner)
+        : play(owner)
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto row() -> Json
+    {
+        const std::lock_guard lock(mutex);
+        return {{"service", "advisor-llm"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", 64},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", held}}}},
+                {"born", 1700000000000}};
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        if (hasCrashed) {
+            return false;
+        }
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(200, {{"Instance-Id", id}}, ""));
+        }
+        if (request.path() == "/report") {
+            const std::lock_guard lock(mutex);
+            const Json report {{"stage", "combined"}, {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", held}}}}, {"busy", false}, {"sequence", sequence},
+                               {"waiting", 0}, {"running", streamsOpen}, {"kv_used", 0}, {"kv_total", 230000}, {"handles", 0}, {"pending", Json::array()},
+                               {"born", 1700000000000}};
+            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
+        }
+        if (request.path() == "/order") {
+            return order(conn, Json::parse(request.body, nullptr, false));
+        }
+        return run(conn, request);
+    }
+    auto order(Conn &conn, const Json &order) -> bool
+    {
+        const std::lock_guard lock(mutex);
+        const auto adapter = order.value("adapter", "");
+        const bool isLoad = order.value("operation", "") == "load";
+        const auto expected = order.value("expected_revision", sequence);
+        int status = 202;
+        if (order.value("model", "") != "m0" || adapter.empty()) {
+            status = 400;
+        } else if (expected != sequence) {
+            status = 409;
+        } else if (isLoad ? held.contains(adapter) : !held.contains(adapter)) {
+            status = 200;
+        } else {
+            ++sequence;
+            if (isLoad) {
+                held.insert(adapter);
+            } else if (runs[adapter] == 0) {
+                held.erase(adapter);
+                status = 200;
+            } else {
+                unloading.insert(adapter);
+            }
+        }
+        play.record.line("server: order %s %s, expected_revision %llu: %d; sequence is %llu, %zu of %zu adapter slots are taken, %d streams run",
+                         isLoad ? "load" : "unload", adapter.c_str(), static_cast<unsigned long long>(expected), status, static_cast<unsigned long long>(sequence),
+                         held.size(), Slots, streamsOpen);
+        const bool isCrash = held.size() > Slots;
+        if (isCrash) {
+            ++overcommits;
+            hasCrashed = true;
+            play.record.line("server: ordered to hold %zu adapters in %zu slots: it crashes, %d streams are lost  <-- BROKEN: LIMIT", held.size(), Slots, streamsOpen);
+            return false;
+        }
+        const auto stray = lastAnswers.find(conn.number());
+        if (hasStray && !isLoad && stray != lastAnswers.end()) {
+            hasStray = false;
+            play.record.line("server: the answer to an earlier request on that connection goes out once more, ahead of the %d", status);
+            conn.send(stray->second);
+        }
+        return conn.send(answer(status, {}, ""));
+    }
+    auto run(Conn &conn, Message &request) -> bool
+    {
+        const auto attempt = request.header("attempt-id");
+        const auto name = request.header("model");
+        const auto slash = name.find('/');
+        const auto adapter = slash == std::string::npos ? std::string() : name.substr(slash + 1);
+        {
+            const std::lock_guard lock(mutex);
+            if (name.substr(0, slash) != "m0" || (!adapter.empty() && (!held.contains(adapter) || unloading.contains(adapter)))) {
+                return conn.send(answer(421, {{"Attempt-Id", attempt}, {"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+            }
+            ++runs[adapter];
+            ++streamsOpen;
+            play.record.line("server: runs %s with %s", attempt.c_str(), name.c_str());
+        }
+        const Headers headers {{"Attempt-Id", attempt}, {"Server-Stamp", "s." + attempt}, {"Content-Type", "text/event-stream"}, {"Weight-Versions", "1"}};
+        const auto event = [](int number) {
+            return "id: " + std::to_string(number) + "\ndata: " + std::string(40, 'x') + "\n\n";
+        };
+        bool isOk = true;
+        if (adapter.empty()) {
+            sleepMs(30);
+            const auto text = answer(200, headers, event(1) + event(2) + event(3));
+            isOk = conn.send(text);
+            const std::lock_guard lock(mutex);
+            lastAnswers[conn.number()] = text;
+        } else {
+            std::string head = "HTTP/1.1 200 OK\r\n";
+            for (const auto &[key, value] : headers) {
+                head += key + ": " + value + "\r\n";
+            }
+            isOk = conn.send(head + "Transfer-Encoding: chunked\r\n\r\n");
+            constexpr int Events = 58;
+            for (int i = 1; i <= Events && isOk && !hasCrashed; ++i) {
+                const auto text = event(i);
+                char size[16];
+                std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+                isOk = conn.send(size + text + "\r\n");
+                sleepMs(170);
+            }
+            isOk = isOk && !hasCrashed && conn.send("0\r\n\r\n");
+            const std::lock_guard lock(mutex);
+            lastAnswers.erase(conn.number());
+        }
+        const std::lock_guard lock(mutex);
+        --streamsOpen;
+        if (--runs[adapter] == 0 && unloading.erase(adapter) > 0) {
+            held.erase(adapter);
+            play.record.line("server: %s is unloaded", adapter.c_str());
+        }
+        return isOk;
+    }
+};
+
+auto playStrayOrder(Play &play) -> int
+{
+    Store store;
+    const Json route {{"name", "r-advice"}, {"host", "law.example"}, {"prefix", "/advice/"}, {"route_kind", "streaming"}, {"timeout_ms", 15000}, {"goal_ms", 500},
+                      {"priority", 0}, {"service", "advisor-llm"}, {"attempts", 1}, {"anonymous", false}, {"sticky", true}, {"resumable", false},
+                      {"gap_target_ms", 400}};
+    const Json engine {{"slots", 64}, {"kv_capacity", 231707}, {"weights_mb", 220000}, {"adapter_slots", AdapterServer::Slots}, {"loads_per_s", 2.1},
+                       {"models", {{{"name", "m0"}, {"weights_mb", 65100}, {"load_s", 5.0}, {"adapters", 57}, {"adapter_mb", 12}, {"warm_s", 0.38}, {"disk_s", 1.0}}}}};
+    const Json service {{"name", "advisor-llm"}, {"health_path", "/healthz"}, {"max_conns", 360}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    AdapterServer server(play);
+    Beat beat(store, server.id, [&] { return server.row(); });
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
+    if (!startAll(gateways, 8000)) {
+        return play.cannotRun("the gateway isn't ready");
+    }
+    std::atomic<int> whole = 0;
+    std::atomic<int> cut = 0;
+    std::vector<std::thread> clients;
+    const auto ask = [&](const std::string &model) {
+        clients.emplace_back([&, model, number = clients.size()] {
+            const auto attempt = "att-" + std::to_string(100 + number);
+            play.record.line("client: sends %s for %s", attempt.c_str(), model.c_str());
+            const auto conn = Conn::connect(gateways.front()->callers);
+            Message reply;
+            const bool isSent = conn
+                && conn->send("POST /advice/2f HTTP/1.1\r\nHost: law.example\r\nAttempt-Id: " + attempt + "\r\nModel: " + model
+                              + "\r\nToken-Usage: 826,290\r\nPrompt-Prefix: 5c1e07a2:198," + std::to_string(1000 + number) + ":628\r\nDeadline-Ms: 15000\r\nContent-Length: 4\r\n\r\nlogs");
+            const bool isWhole = isSent && conn->read(reply, true, nowMs() + 16000);
+            const bool isServed = isWhole && reply.status() == 200;
+            whole += isServed ? 1 : 0;
+            cut += reply.status() == 200 && !isWhole ? 1 : 0;
+            play.record.line("client: %s %s%d", attempt.c_str(), isWhole ? "was answered " : "was cut off, status ", reply.status());
+        });
+    };
+    for (int i = 1; i <= 5; ++i) {
+        ask("m0/a" + std::to_string(i));
+        sleepMs(300);
+    }
+    ask("m0");
+    sleepMs(500);
+    {
+        const std::lock_guard lock(server.mutex);
+        if (server.held.size() != AdapterServer::Slots || server.streamsOpen != 5) {
+            return play.cannotRun("the five adapters aren't in use");
+        }
+        server.hasStray = play.hasTrouble;
+    }
+    ask("m0/a6");
+    for (auto &client : clients) {
+        client.join();
+    }
+    play.record.line("%d streams were served whole, %d were cut off; %d overcommits", whole.load(), cut.load(), server.overcommits);
+    std::printf("%d orders to load more than the slots hold; %d streams were cut off\n", server.overcommits, cut.load());
+    return server.overcommits > 0 ? 1 : 0;
+}
+
+// ---- stray-check: the answer to a health check comes once more, ahead of the answer to a request
+
+/// A server of a plain service with six slots, which rejects a health check like any other request while they are taken. A faulty one sends an extra
+/// response: that rejection once more, at the point where the next answer on the connection is expected.
+struct CheckedServer {
+    static constexpr int Slots = 6;
+    Play &play;
+    std::string id;
+    std::mutex mutex;
+    int running = 0;
+    std::map<std::string, int> ran; ///< number of runs by id of the attempt
+    std::map<int, std::string> rejections; ///< by connection: its last answer, if that was a rejected health check
+    int strays = 0;
+    Server server;
+
+    CheckedServer(Play &owner, std::string name)
+        : play(owner)
+        , id(std::move(name))
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto row() const -> Json
+    {
+        return {{"service", "minutes-ledger"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", "v1"}, {"slots", Slots},
+                {"state", "ready"}, {"cold_left_ms", 0}, {"born", 1700000000000}};
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto attempt = request.header("attempt-id");
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        std::string stray;
+        {
+            const std::lock_guard lock(mutex);
+            if (request.path() == "/healthz") {
+                const auto rejection = answer(503, {{"Instance-Id", id}, {"Not-Executed", "1"}}, "");
+                const bool isFull = running >= Slots;
+                if (isFull) {
+                    rejections[conn.number()] = rejection;
+                }
+                play.record.line("server %s connection %d: health check: %d", id.c_str(), conn.number(), isFull ? 503 : 200);
+                return conn.send(isFull ? rejection : answer(200, {{"Instance-Id", id}}, ""));
+            }
+            if (running >= Slots + 18) {
+                return conn.send(answer(503, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}}, ""));
+            }
+            ++running;
+            ++ran[attempt];
+            if (const auto found = rejections.find(conn.number()); found != rejections.end()) {
+                stray = play.hasTrouble ? found->second : "";
+                rejections.erase(found);
+            }
+        }
+        play.record.line("server %s connection %d: runs %s%s", id.c_str(), conn.number(), attempt.c_str(),
+                         stray.empty() ? "" : "; the answer to the health check before goes out once more ahead");
+        const bool isSlow = request.path().starts_with("/statement/");
+        if (!stray.empty()) {
+            ++strays;
+            conn.send(stray);
+        }
+        sleepMs(isSlow ? 1500 : 60);
+        {
+            const std::lock_guard lock(mutex);
+            --running;
+        }
+        play.record.line("server %s connection %d: %s has run, answers 200", id.c_str(), conn.number(), attempt.c_str());
+        return conn.send(answer(200, {{"Attempt-Id", attempt}, {"Server-Stamp", "s." + attempt}}, std::string(800, 'm')));
+    }
+};
+
+auto playStrayCheck(Play &play) -> int
+{
+    Store store;
+    const auto route = [](const char *name, const char *prefix, const char *kind, int attempts) {
+        return Json {{"name", name}, {"host", "ledger.example"}, {"prefix", prefix}, {"route_kind", kind}, {"timeout_ms", 3000}, {"goal_ms", 300}, {"priority", 2},
+                     {"service", "minutes-ledger"}, {"attempts", attempts}, {"anonymous", false}, {"sticky", false}, {"resumable", false}};
+    };
+    const Json service {{"name", "minutes-ledger"}, {"health_path", "/healthz"}, {"max_conns", 100}, {"protocol", "h1"}, {"tls", false}};
+    store.put("op", "config",
+              Json {{"version", 3}, {"routes", {route("r-debit", "/debit/", "non_idempotent", 1), route("r-statement", "/statement/", "idempotent", 2)}},
+                    {"services", {service}}, {"limits", limitsJson()}}.dump());
+    std::vector<std::unique_ptr<CheckedServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    for (const char *name : {"i-1", "i-2"}) {
+        servers.push_back(std::make_unique<CheckedServer>(play, name));
+        beats.push_back(std::make_unique<Beat>(store, name, [server = servers.back().get()] { return server->row(); }));
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
+    if (!startAll(gateways, 4000)) {
+        return play.cannotRun("the gateway isn't ready");
+    }
+    std::mutex mutex;
+    std::map<std::string, int> answered;
+    int number = 0;
+    const auto volley = [&](const std::string &path, const std::string &method, int count) {
+        std::vector<std::thread> clients;
+        for (int i = 0; i < count; ++i) {
+            clients.emplace_back([&, attempt = "att-" + std::to_string(100 + number++)] {
+                play.record.line("client: %s %s %s", method.c_str(), path.c_str(), attempt.c_str());
+                const auto conn = Conn::connect(gateways.front()->callers);
+                Message reply;
+                const bool isAnswered = conn
+                    && conn->send(method + " " + path + " HTTP/1.1\r\nHost: ledger.example\r\nAttempt-Id: " + attempt
+                                  + "\r\nDeadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody")
+                    && conn->read(reply, true, nowMs() + 4000);
+                const std::lock_guard lock(mutex);
+                answered[attempt] = isAnswered ? reply.status() : 0;
+            });
+        }
+        for (auto &client : clients) {
+            client.join();
+        }
+    };
+    for (int round = 0; round < 4; ++round) {
+        volley("/statement/2f", "GET", 2 * CheckedServer::Slots);
+        volley("/debit/2f", "POST", 20);
+        sleepMs(300);
+    }
+    int twice = 0;
+    int refused = 0;
+    int served = 0;
+    for (const auto &[attempt, status] : answered) {
+        int runs = 0;
+        std::string where;
+        for (auto &server : servers) {
+            const std::lock_guard lock(server->mutex);
+            runs += server->ran[attempt];
+        }
+        const bool isDebit = (std::stoi(attempt.substr(4)) - 100) % 32 >= 2 * CheckedServer::Slots;
+        if (!isDebit) {
+            continue;
+        }
+        const bool isPromise = status == 429 || status == 503 || status == 408 || status == 421;
+        served += status == 200 && runs == 1 ? 1 : 0;
+        twice += runs > 1 ? 1 : 0;
+        refused += runs > 0 && isPromise ? 1 : 0;
+        if (runs > 1 || (runs > 0 && isPromise)) {
+            play.record.line("client: %s was answered %d and has run %d times  <-- BROKEN", attempt.c_str(), status, runs);
+        }
+    }
+    play.record.line("%d debits served once; %d ran more than once; %d were refused and have run", served, twice, refused);
+    std::printf("%d debits ran more than once; %d were refused and have run\n", twice, refused);
+    if (served < 20) {
+        return play.cannotRun("too few debits were served");
+    }
+    return twice + refused > 0 ? 1 : 0;
+}
+
 } // namespace rig
 
 auto main(int argc, char **argv) -> int
@@ -842,7 +1031,7 @@
     }
     const char *trouble = std::getenv("TROUBLE");
     Play play {argv[2], Record(argv[3]), trouble == nullptr || std::string(trouble) != "0", folder};
-    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"volley", &playVolley}, {"late-load", &playLateLoad}, {"endless", &playEndless}};
+    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"late-load", &playLateLoad}, {"endless", &playEndless}, {"stray-order", &playStrayOrder}, {"stray-check", &playStrayCheck}};
     const auto found = cases.find(argv[1]);
     const int result = found == cases.end() ? 2 : found->second(play);
     if (std::getenv("KEEP") == nullptr) {
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -184,6 +184,10 @@
     {
         return m_fd;
     }
+    auto number() const -> int ///< unlike a descriptor, it isn't used again
+    {
+        return m_number;
+    }
     auto close() -> void
     {
         if (m_fd >= 0) {
@@ -311,7 +315,13 @@
     }
 
 private:
+    static auto nextNumber() -> int
+    {
+        static std::atomic<int> last = 0;
+        return ++last;
+    }
     int m_fd = -1;
+    int m_number = nextNumber();
     std::string m_buffer;
 };
 
