--- a/review/rig-2.cpp
+++ b/review/rig-2.cpp
@@ -1031,6 +1031,323 @@
     return twice + refused > 0 ? 1 : 0;
 }
 
+// ---- stranded: streams of a software version whose last servers with the model are replaced
+
+/// A model server of one software version. It takes orders, and its streams are resumed after `Last-Event-Id`.
+struct VersionServer {
+    static constexpr double Memory = 230000;
+    static constexpr double Weights = 72700;
+    static constexpr double LoadMs = 1200;
+    static constexpr int Events = 58;
+    Play &play;
+    std::string id;
+    std::string version;
+    std::mutex mutex;
+    std::set<std::string> held;
+    std::string loading;
+    double loadingUntil = 0;
+    std::uint64_t sequence = 0;
+    std::atomic<bool> isDraining = false;
+    std::atomic<bool> isGone = false;
+    int overcommits = 0;
+    Server server;
+
+    VersionServer(Play &owner, std::string name, std::string softwareVersion, std::set<std::string> models)
+        : play(owner)
+        , id(std::move(name))
+        , version(std::move(softwareVersion))
+        , held(std::move(models))
+        , server([this](Conn &conn, Message &request) { return handle(conn, request); })
+    {
+    }
+    auto settle() -> void ///< with the mutex
+    {
+        if (!loading.empty() && nowMs() >= loadingUntil) {
+            held.insert(loading);
+            play.record.line("server %s (%s): %s is loaded", id.c_str(), version.c_str(), loading.c_str());
+            loading.clear();
+        }
+    }
+    auto modelsJson() const -> Json
+    {
+        Json list = Json::array();
+        for (const auto &model : held) {
+            list.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+        }
+        return list;
+    }
+    auto row() -> Json
+    {
+        const std::lock_guard lock(mutex);
+        settle();
+        return {{"service", "dir-llm"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z-a"}, {"version", version}, {"slots", 64},
+                {"state", isDraining ? "draining" : "ready"}, {"cold_left_ms", 0}, {"stage", "combined"}, {"models", modelsJson()}, {"born", 1700000000000}};
+    }
+    auto order(const Json &order) -> int
+    {
+        const std::lock_guard lock(mutex);
+        settle();
+        const auto model = order.value("model", "");
+        const bool isLoad = order.value("operation", "") == "load";
+        int status = 202;
+        if (order.value("expected_revision", sequence) != sequence || !loading.empty()) {
+            status = 409;
+        } else if (isLoad == held.contains(model)) {
+            status = 200;
+        } else {
+            ++sequence;
+            if (isLoad) {
+                overcommits += (static_cast<double>(held.size()) + 1) * Weights > Memory ? 1 : 0;
+                loading = model;
+                loadingUntil = nowMs() + LoadMs;
+            } else {
+                held.erase(model);
+            }
+        }
+        play.record.line("server %s (%s): order %s %s: %d", id.c_str(), version.c_str(), isLoad ? "load" : "unload", model.c_str(), status);
+        return status;
+    }
+    auto handle(Conn &conn, Message &request) -> bool
+    {
+        const auto expected = request.header("expect-instance");
+        if (!expected.empty() && expected != id) {
+            return conn.send(answer(421, {{"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+        }
+        if (request.path() == "/healthz") {
+            return conn.send(answer(isDraining ? 503 : 200, {{"Instance-Id", id}}, ""));
+        }
+        if (request.path() == "/report") {
+            const std::lock_guard lock(mutex);
+            settle();
+            const Json report {{"stage", "combined"}, {"models", modelsJson()}, {"busy", !loading.empty()}, {"sequence", sequence}, {"waiting", 0}, {"running", 0},
+                               {"kv_used", 0}, {"kv_total", 190000}, {"handles", 0}, {"born", 1700000000000}};
+            return conn.send(answer(200, {{"Content-Type", "application/json"}}, report.dump()));
+        }
+        if (request.path() == "/order") {
+            return conn.send(answer(order(Json::parse(request.body, nullptr, false)), {}, ""));
+        }
+        const auto attempt = request.header("attempt-id");
+        const auto model = request.header("model");
+        {
+            const std::lock_guard lock(mutex);
+            settle();
+            if (!held.contains(model)) {
+                return conn.send(answer(421, {{"Attempt-Id", attempt}, {"Instance-Id", id}, {"Not-Executed", "1"}}, ""));
+            }
+        }
+        const int last = std::atoi(request.header("last-event-id").c_str());
+        play.record.line("server %s (%s): runs %s of %s from event %d", id.c_str(), version.c_str(), attempt.c_str(), model.c_str(), last + 1);
+        if (!conn.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Stamp: s." + attempt
+                       + "\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+            return false;
+        }
+        for (int i = last + 1; i <= Events; ++i) {
+            const auto event = "id: " + std::to_string(i) + "\ndata: " + version + "\n\n";
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            if (isGone || !conn.send(size + event + "\r\n")) {
+                return false;
+            }
+            sleepMs(200);
+        }
+        return conn.send("0\r\n\r\n");
+    }
+};
+
+auto playStranded(Play &play) -> int
+{
+    constexpr double DrainMs = 2000;
+    constexpr int LongStreams = 24;
+    constexpr int Retries = 1; // as on the sheet
+    Store store;
+    const Json route {{"name", "r-chat"}, {"host", "dir.example"}, {"prefix", "/chat/"}, {"route_kind", "streaming"}, {"timeout_ms", 15000}, {"goal_ms", 1500},
+                      {"priority", 1}, {"service", "dir-llm"}, {"attempts", 2}, {"anonymous", false}, {"sticky", true}, {"resumable", true}, {"gap_target_ms", 400}};
+    Json models = Json::array();
+    for (const char *name : {"m1", "m2", "m3", "m4"}) {
+        models.push_back({{"name", name}, {"weights_mb", VersionServer::Weights}, {"load_s", VersionServer::LoadMs / 1000}, {"adapters", 0}, {"adapter_mb", 66},
+                          {"warm_s", 0.32}, {"disk_s", 0.44}});
+    }
+    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", VersionServer::Memory}, {"adapter_slots", 8}, {"loads_per_s", 2.1},
+                       {"host_mb", 0}, {"disk_mb", 0}, {"models", models}};
+    const Json service {{"name", "dir-llm"}, {"health_path", "/healthz"}, {"max_conns", 460}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    std::vector<std::unique_ptr<VersionServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    const auto addServer = [&](const char *name, const char *version, std::set<std::string> held) {
+        servers.push_back(std::make_unique<VersionServer>(play, name, version, std::move(held)));
+        beats.push_back(std::make_unique<Beat>(store, name, [server = servers.back().get()] { return server->row(); }));
+        return servers.size() - 1;
+    };
+    addServer("i-1", "v1", {"m1", "m2", "m3"});
+    addServer("i-2", "v1", {"m1", "m2", "m3"});
+    for (const char *name : {"i-3", "i-4", "i-5"}) {
+        addServer(name, "v1", {"m2", "m3", "m4"});
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (const char *name : {"frontend-z-a-1", "frontend-z-a-2"}) {
+        gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, name, "z-a", store.port(), smallBounds()));
+    }
+    if (!startAll(gateways, 8000)) {
+        return play.cannotRun("the gateways aren't ready");
+    }
+    std::mutex mutex;
+    std::atomic<bool> isOver = false;
+    std::atomic<int> whole = 0;
+    std::atomic<int> takenUp = 0;
+    std::atomic<int> wentOn = 0;
+    std::atomic<int> begun = 0; ///< new streams after the first one was taken up
+    std::atomic<int> asked = 0;
+    std::atomic<int> joined = 0;
+    std::atomic<int> numbers = 0;
+    struct Part {
+        int status = 0;
+        int lastEvent = 0;
+        bool isWhole = false;
+        std::set<std::string> versions;
+    };
+    const auto play1 = [&](int number, const std::string &model, const std::string &attempt, const std::string &resumes, int lastEvent, double untilMs) {
+        Part part;
+        part.lastEvent = lastEvent;
+        const auto conn = Conn::connect(gateways[static_cast<std::size_t>(number) % gateways.size()]->callers);
+        std::string text = "POST /chat/2f HTTP/1.1\r\nHost: dir.example\r\nAttempt-Id: " + attempt + "\r\nModel: " + model
+            + "\r\nToken-Usage: 140,290\r\nPrompt-Prefix: 5c1e07a2:92," + std::to_string(5000 + number) + ":48\r\nDeadline-Ms: "
+            + std::to_string(static_cast<int>(std::max(untilMs - nowMs(), 1.0))) + "\r\nContent-Length: 4\r\n";
+        if (!resumes.empty()) {
+            text += "Last-Event-Id: " + std::to_string(lastEvent) + "\r\nResumes: " + resumes + "\r\n";
+        }
+        Message reply;
+        if (!conn || !conn->send(text + "\r\nchat") || !conn->readHead(reply, untilMs)) {
+            return part;
+        }
+        part.status = reply.status();
+        std::string bytes;
+        while (part.status == 200 && conn->take(1, bytes, untilMs)) {
+            if (bytes.ends_with("\r\n0\r\n\r\n")) {
+                part.isWhole = true;
+                break;
+            }
+        }
+        for (std::size_t at = 0; (at = bytes.find("id: ", at)) != std::string::npos; ++at) {
+            part.lastEvent = std::atoi(bytes.c_str() + at + 4);
+        }
+        for (const char *version : {"v1\n", "v1.1\n"}) {
+            if (bytes.find(std::string("data: ") + version) != std::string::npos) {
+                part.versions.insert(version);
+            }
+        }
+        return part;
+    };
+    std::vector<std::thread> clients;
+    const auto follow = [&](const std::string &model) {
+        const int number = ++numbers;
+        clients.emplace_back([&, number, model] {
+            const auto first = "att-" + std::to_string(1000 + number);
+            const double untilMs = nowMs() + 15000;
+            play.record.line("client: begins %s of %s", first.c_str(), model.c_str());
+            auto part = play1(number, model, first, "", 0, untilMs);
+            auto versions = part.versions;
+            for (int again = 1; !part.isWhole && part.status == 200 && part.lastEvent > 0 && again <= Retries && nowMs() < untilMs; ++again) {
+                const auto attempt = first + "-" + std::to_string(again);
+                play.record.line("client: %s broke off after event %d; takes it up with %s", first.c_str(), part.lastEvent, attempt.c_str());
+                ++takenUp;
+                auto next = play1(number + again, model, attempt, first, part.lastEvent, untilMs);
+                const bool isOn = next.status == 200 && next.lastEvent > part.lastEvent;
+                wentOn += isOn ? 1 : 0;
+                play.record.line("client: %s was answered %d%s", attempt.c_str(), next.status, isOn ? " and goes on" : "  <-- doesn't go on");
+                versions.insert(next.versions.begin(), next.versions.end());
+                part = next;
+            }
+            whole += part.isWhole ? 1 : 0;
+            joined += versions.size() > 1 ? 1 : 0;
+        });
+    };
+    const auto ask = [&](const std::string &model) {
+        const int number = ++numbers;
+        clients.emplace_back([&, number, model] {
+            const bool isCounted = takenUp > 0;
+            const auto attempt = "att-" + std::to_string(1000 + number);
+            const auto part = play1(number, model, attempt, "", 0, nowMs() + 4000);
+            if (isCounted) {
+                ++asked;
+                begun += part.status == 200 && part.lastEvent > 0 ? 1 : 0;
+                play.record.line("client: new stream %s of %s was answered %d", attempt.c_str(), model.c_str(), part.status);
+            }
+        });
+    };
+    for (int i = 0; i < LongStreams; ++i) {
+        follow("m1");
+        sleepMs(40);
+    }
+    const double begin = nowMs();
+    const auto start = [&](const char *name) {
+        play.record.line("platform: %s of v1.1 starts, empty", name);
+        addServer(name, "v1.1", {});
+    };
+    const auto drain = [&](std::size_t old) {
+        play.record.line("platform: %s of v1 drains", servers[old]->id.c_str());
+        servers[old]->isDraining = true;
+        auto row = servers[old]->row();
+        row["sequence"] = 1000;
+        store.put("servers", servers[old]->id, row.dump());
+    };
+    const auto leave = [&](std::size_t old) {
+        play.record.line("platform: %s of v1 exits", servers[old]->id.c_str());
+        beats[old]->stop();
+        servers[old]->isGone = true;
+        servers[old]->server.stop();
+        store.remove("servers", servers[old]->id);
+    };
+    double nextAsk = nowMs();
+    std::array<bool, 6> done {};
+    while (nowMs() < begin + 14000) {
+        const double now = nowMs() - begin;
+        if (play.hasTrouble) {
+            // One server at a time: the new one starts first, the old one drains, serves for drain_ms and a little longer, and exits.
+            const auto at = [&](std::size_t step, double ms) {
+                const bool isDue = now > ms && !done[step];
+                done[step] = done[step] || isDue;
+                return isDue;
+            };
+            if (at(0, 500)) {
+                start("i-6");
+            }
+            if (at(1, 2500)) {
+                drain(0);
+            }
+            if (at(2, 3500)) {
+                start("i-7");
+            }
+            if (at(3, 2500 + DrainMs + 500)) {
+                leave(0);
+            }
+            if (at(4, 5500)) {
+                drain(1);
+            }
+            if (at(5, 5500 + DrainMs + 500)) {
+                leave(1);
+            }
+        }
+        if (nowMs() > nextAsk) {
+            nextAsk += 250;
+            ask("m1");
+            ask(numbers % 3 == 0 ? "m2" : numbers % 3 == 1 ? "m3" : "m4");
+        }
+        sleepMs(20);
+    }
+    for (auto &client : clients) {
+        client.join();
+    }
+    const double shareOn = takenUp > 0 ? static_cast<double>(wentOn) / takenUp : 1;
+    const double shareNew = asked > 0 ? static_cast<double>(begun) / asked : 1;
+    play.record.line("%d long streams, %d whole; %d taken up, %d of them went on; %d of %d new streams began meanwhile; %d joined", LongStreams, whole.load(),
+                     takenUp.load(), wentOn.load(), begun.load(), asked.load(), joined.load());
+    std::printf("%d of %d streams that were taken up went on; %d of %d new ones began\n", wentOn.load(), takenUp.load(), begun.load(), asked.load());
+    if (!play.hasTrouble && whole < LongStreams) {
+        return play.cannotRun("the streams aren't served in calm");
+    }
+    return takenUp >= 12 && shareOn < shareNew / 2 ? 1 : 0;
+}
+
 } // namespace rig
 
 auto main(int argc, char **argv) -> int
@@ -1047,7 +1364,7 @@
     }
     const char *trouble = std::getenv("TROUBLE");
     Play play {argv[2], Record(argv[3]), trouble == nullptr || std::string(trouble) != "0", folder};
-    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"late-load", &playLateLoad}, {"endless", &playEndless}, {"stray-order", &playStrayOrder}, {"stray-check", &playStrayCheck}};
+    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"late-load", &playLateLoad}, {"endless", &playEndless}, {"stray-order", &playStrayOrder}, {"stray-check", &playStrayCheck}, {"stranded", &playStranded}};
     const auto found = cases.find(argv[1]);
     const int result = found == cases.end() ? 2 : found->second(play);
     if (std::getenv("KEEP") == nullptr) {
