review: a frontend that forgets streams while it stands still; the stand-in ends without destroying what its threads use

New play 'thawed' of review/bin/rig-2: two frontends, servers of two software versions; one frontend is stopped for 4.25 s, its clients abandon their streams after 4 s and take them up at the other one 0.5 s later.

All plays now end by _exit after they have ended the processes that they started.

--- a/review/rig-2.cpp
+++ b/review/rig-2.cpp
@@ -15,11 +15,23 @@
     bool hasTrouble;
     std::string folder;
 
-    auto cannotRun(const char *why) -> int
+    /// Ends all processes and this one. Nothing is destroyed: threads of servers and clients may still run.
+    [[noreturn]] auto end(int result) -> int
+    {
+        Gateway::endAll();
+        if (std::getenv("KEEP") == nullptr) {
+            std::filesystem::remove_all(folder);
+        } else {
+            std::fprintf(stderr, "logs in %s\n", folder.c_str());
+        }
+        std::fflush(nullptr);
+        _exit(result);
+    }
+    [[noreturn]] auto cannotRun(const char *why) -> int
     {
         record.line("could not run: %s", why);
-        std::fprintf(stderr, "could not run: %s (logs in %s)\n", why, folder.c_str());
-        return 2;
+        std::fprintf(stderr, "could not run: %s\n", why);
+        end(2);
     }
 };
 
@@ -122,7 +134,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-lj-a-1", "lj-a", store.port(), smallBounds()));
     if (!startAll(gateways, 4000)) {
-        return play.cannotRun("the gateway isn't ready");
+        play.cannotRun("the gateway isn't ready");
     }
     const auto conn = Conn::connect(gateways.front()->callers);
     int broken = 0;
@@ -140,7 +152,7 @@
                           + std::to_string(body.size()) + "\r\n\r\n" + body)
             && conn->read(reply, true, nowMs() + 4000);
         if (!isAnswered) {
-            return play.cannotRun("a request got no answer");
+            play.cannotRun("a request got no answer");
         }
         sleepMs(250);
         int runs = 0;
@@ -154,12 +166,12 @@
         broken += isBroken ? 1 : 0;
         play.record.line("client: %s was answered %d; it has run %d times%s", attempt.c_str(), status, runs, isBroken ? "  <-- BROKEN" : "");
         if (isCalm && (status != 200 || runs != 1)) {
-            return play.cannotRun("a request in calm wasn't served");
+            play.cannotRun("a request in calm wasn't served");
         }
     }
     play.record.line("%d of 12 requests in the overload break REFUSED or TWICE", broken);
     std::printf("%d of 12 requests break REFUSED or TWICE\n", broken);
-    return broken > 0 ? 1 : 0;
+    play.end(broken > 0 ? 1 : 0);
 }
 
 // ---- late-load: a load without an answer arrives after its server has started again under the same id
@@ -331,7 +343,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
     if (!startAll(gateways, 6000)) {
-        return play.cannotRun("the gateway isn't ready");
+        play.cannotRun("the gateway isn't ready");
     }
     std::atomic<bool> isOver = false;
     std::mutex mutex;
@@ -376,22 +388,13 @@
         server.settle();
         return server.sequence >= wanted && server.loading.empty();
     };
-    const auto end = [&](int result) {
-        isOver = true;
-        for (auto &client : clients) {
-            client.join();
-        }
-        gateways.clear();
-        beat.reset();
-        return result;
-    };
     play.record.line("clients: demand for a, b and c");
     setRates({{"a", 6}, {"b", 6}, {"c", 2}});
     sleepMs(6000);
     play.record.line("clients: demand moves from c to d");
     setRates({{"a", 6}, {"b", 6}, {"d", 6}});
     if (!waitUntil([&] { return sequenceIs(2); }, 20000)) {
-        return end(play.cannotRun("d wasn't loaded"));
+        play.cannotRun("d wasn't loaded");
     }
     sleepMs(4000);
     {
@@ -408,7 +411,7 @@
         return sequenceIs(4);
     };
     if (!waitUntil([&] { return play.hasTrouble ? isLate() : isSettled(); }, 20000)) {
-        return end(play.cannotRun("e wasn't ordered"));
+        play.cannotRun("e wasn't ordered");
     }
     sleepMs(200);
     play.record.line("server: crashes");
@@ -448,9 +451,9 @@
     play.record.line("%d requests were served, %d of them after the restart; %d overcommits", served.load(), server.ranAfterRestart, server.overcommits);
     std::printf("%d orders to load more than the server holds\n", server.overcommits);
     if (server.ranAfterRestart < 5) {
-        return end(play.cannotRun("the server wasn't used after its restart"));
+        play.cannotRun("the server wasn't used after its restart");
     }
-    return end(server.overcommits > 0 ? 1 : 0);
+    play.end(server.overcommits > 0 ? 1 : 0);
 }
 
 // ---- endless: servers in trouble send heads without end
@@ -575,7 +578,7 @@
         gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-lj-a-" + std::to_string(i), "lj-a", store.port(), smallBounds()));
     }
     if (!startAll(gateways, 6000)) {
-        return play.cannotRun("the gateways aren't ready");
+        play.cannotRun("the gateways aren't ready");
     }
     std::mutex mutex;
     std::map<std::string, int> outcomes;
@@ -667,7 +670,7 @@
     }
     play.record.line("%d and %d ends of the two processes; %.0f MB at most, memory_mb is %.0f", ends[0], ends[1], most, MemoryMb);
     std::printf("%d and %d ends of the two processes; %.0f MB at most, memory_mb is %.0f\n", ends[0], ends[1], most, MemoryMb);
-    return ends[0] + ends[1] > 0 ? 1 : 0;
+    play.end(ends[0] + ends[1] > 0 ? 1 : 0);
 }
 
 // ---- stray-order: an extra response to a request is taken for the answer to an order
@@ -837,7 +840,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
     if (!startAll(gateways, 8000)) {
-        return play.cannotRun("the gateway isn't ready");
+        play.cannotRun("the gateway isn't ready");
     }
     std::atomic<int> whole = 0;
     std::atomic<int> cut = 0;
@@ -867,7 +870,7 @@
     {
         const std::lock_guard lock(server.mutex);
         if (server.held.size() != AdapterServer::Slots || server.streamsOpen != 5) {
-            return play.cannotRun("the five adapters aren't in use");
+            play.cannotRun("the five adapters aren't in use");
         }
         server.hasStray = play.hasTrouble;
     }
@@ -877,7 +880,7 @@
     }
     play.record.line("%d streams were served whole, %d were cut off; %d overcommits", whole.load(), cut.load(), server.overcommits);
     std::printf("%d orders to load more than the slots hold; %d streams were cut off\n", server.overcommits, cut.load());
-    return server.overcommits > 0 ? 1 : 0;
+    play.end(server.overcommits > 0 ? 1 : 0);
 }
 
 // ---- stray-check: the answer to a health check comes once more, ahead of the answer to a request
@@ -972,7 +975,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, "frontend-z-a-1", "z-a", store.port(), smallBounds()));
     if (!startAll(gateways, 4000)) {
-        return play.cannotRun("the gateway isn't ready");
+        play.cannotRun("the gateway isn't ready");
     }
     std::mutex mutex;
     std::map<std::string, int> answered;
@@ -1026,9 +1029,9 @@
     play.record.line("%d debits served once; %d ran more than once; %d were refused and have run", served, twice, refused);
     std::printf("%d debits ran more than once; %d were refused and have run\n", twice, refused);
     if (served < 20) {
-        return play.cannotRun("too few debits were served");
+        play.cannotRun("too few debits were served");
     }
-    return twice + refused > 0 ? 1 : 0;
+    play.end(twice + refused > 0 ? 1 : 0);
 }
 
 // ---- stranded: streams of a software version whose last servers with the model are replaced
@@ -1042,6 +1045,7 @@
     Play &play;
     std::string id;
     std::string version;
+    double eventMs = 200; ///< between two events of a stream
     std::mutex mutex;
     std::set<std::string> held;
     std::string loading;
@@ -1148,12 +1152,65 @@
             if (isGone || !conn.send(size + event + "\r\n")) {
                 return false;
             }
-            sleepMs(200);
+            sleepMs(eventMs);
         }
         return conn.send("0\r\n\r\n");
     }
 };
 
+/// A client's attempt to read a stream, from its beginning or taken up after an event.
+struct StreamAttempt {
+    std::string attempt;
+    std::string resumes; ///< empty: from the beginning
+    std::string model;
+    int number = 0; ///< names the last part of the prompt
+    int lastEvent = 0;
+    double untilMs = 0; ///< deadline
+    double gapMs = 1e9; ///< the client leaves after this time without a byte
+};
+
+struct StreamPart {
+    int status = 0;
+    int lastEvent = 0;
+    bool isWhole = false;
+    std::set<std::string> versions;
+};
+
+auto readStream(int port, const StreamAttempt &stream) -> StreamPart
+{
+    StreamPart part;
+    part.lastEvent = stream.lastEvent;
+    const auto conn = Conn::connect(port);
+    std::string text = "POST /chat/2f HTTP/1.1\r\nHost: dir.example\r\nAttempt-Id: " + stream.attempt + "\r\nModel: " + stream.model
+        + "\r\nToken-Usage: 140,290\r\nPrompt-Prefix: 5c1e07a2:92," + std::to_string(5000 + stream.number) + ":48\r\nDeadline-Ms: "
+        + std::to_string(static_cast<int>(std::max(stream.untilMs - nowMs(), 1.0))) + "\r\nContent-Length: 4\r\n";
+    if (!stream.resumes.empty()) {
+        text += "Last-Event-Id: " + std::to_string(stream.lastEvent) + "\r\nResumes: " + stream.resumes + "\r\n";
+    }
+    const auto limit = [&] { return std::min(stream.untilMs, nowMs() + stream.gapMs); };
+    Message reply;
+    if (!conn || !conn->send(text + "\r\nchat") || !conn->readHead(reply, limit())) {
+        return part;
+    }
+    part.status = reply.status();
+    std::string bytes;
+    while (part.status == 200 && conn->take(1, bytes, limit())) {
+        if (bytes.ends_with("\r\n0\r\n\r\n")) {
+            part.isWhole = true;
+            break;
+        }
+    }
+    for (std::size_t at = 0; (at = bytes.find("id: ", at)) != std::string::npos; ++at) {
+        part.lastEvent = std::atoi(bytes.c_str() + at + 4);
+    }
+    for (const char *version : {"v1\n", "v1.1\n"}) {
+        if (bytes.find(std::string("data: ") + version) != std::string::npos) {
+            part.versions.insert(version);
+        }
+    }
+    return part;
+}
+
 auto playStranded(Play &play) -> int
 {
     constexpr double DrainMs = 2000;
@@ -1188,7 +1245,7 @@
         gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, name, "z-a", store.port(), smallBounds()));
     }
     if (!startAll(gateways, 8000)) {
-        return play.cannotRun("the gateways aren't ready");
+        play.cannotRun("the gateways aren't ready");
     }
     std::mutex mutex;
     std::atomic<bool> isOver = false;
@@ -1199,43 +1256,9 @@
     std::atomic<int> asked = 0;
     std::atomic<int> joined = 0;
     std::atomic<int> numbers = 0;
-    struct Part {
-        int status = 0;
-        int lastEvent = 0;
-        bool isWhole = false;
-        std::set<std::string> versions;
-    };
     const auto play1 = [&](int number, const std::string &model, const std::string &attempt, const std::string &resumes, int lastEvent, double untilMs) {
-        Part part;
-        part.lastEvent = lastEvent;
-        const auto conn = Conn::connect(gateways[static_cast<std::size_t>(number) % gateways.size()]->callers);
-        std::string text = "POST /chat/2f HTTP/1.1\r\nHost: dir.example\r\nAttempt-Id: " + attempt + "\r\nModel: " + model
-            + "\r\nToken-Usage: 140,290\r\nPrompt-Prefix: 5c1e07a2:92," + std::to_string(5000 + number) + ":48\r\nDeadline-Ms: "
-            + std::to_string(static_cast<int>(std::max(untilMs - nowMs(), 1.0))) + "\r\nContent-Length: 4\r\n";
-        if (!resumes.empty()) {
-            text += "Last-Event-Id: " + std::to_string(lastEvent) + "\r\nResumes: " + resumes + "\r\n";
-        }
-        Message reply;
-        if (!conn || !conn->send(text + "\r\nchat") || !conn->readHead(reply, untilMs)) {
-            return part;
-        }
-        part.status = reply.status();
-        std::string bytes;
-        while (part.status == 200 && conn->take(1, bytes, untilMs)) {
-            if (bytes.ends_with("\r\n0\r\n\r\n")) {
-                part.isWhole = true;
-                break;
-            }
-        }
-        for (std::size_t at = 0; (at = bytes.find("id: ", at)) != std::string::npos; ++at) {
-            part.lastEvent = std::atoi(bytes.c_str() + at + 4);
-        }
-        for (const char *version : {"v1\n", "v1.1\n"}) {
-            if (bytes.find(std::string("data: ") + version) != std::string::npos) {
-                part.versions.insert(version);
-            }
-        }
-        return part;
+        const auto port = gateways[static_cast<std::size_t>(number) % gateways.size()]->callers;
+        return readStream(port, {attempt, resumes, model, number, lastEvent, untilMs});
     };
     std::vector<std::thread> clients;
     const auto follow = [&](const std::string &model) {
@@ -1343,9 +1366,118 @@
                      takenUp.load(), wentOn.load(), begun.load(), asked.load(), joined.load());
     std::printf("%d of %d streams that were taken up went on; %d of %d new ones began\n", wentOn.load(), takenUp.load(), begun.load(), asked.load());
     if (!play.hasTrouble && whole < LongStreams) {
-        return play.cannotRun("the streams aren't served in calm");
+        play.cannotRun("the streams aren't served in calm");
     }
-    return takenUp >= 12 && shareOn < shareNew / 2 ? 1 : 0;
+    play.end(takenUp >= 12 && shareOn < shareNew / 2 ? 1 : 0);
+}
+
+// ---- thawed: streams that ended while the frontend that passed them on stood still
+
+/// Two frontends, servers of two software versions that all hold the model. One frontend is stopped for some seconds. Its clients abandon their streams after the
+/// gap that the pages give, and take them up at the other frontend.
+auto playThawed(Play &play) -> int
+{
+    constexpr double GapMs = 4000; // eight times the longest pause of the sheet (500 ms); four times the objective is less
+    constexpr double EventMs = 40; // a stream takes 2.3 s
+    // FREEZE_MS and PAUSE_MS: other values for trials.
+    const auto value = [](const char *name, double usual) { return std::getenv(name) == nullptr ? usual : std::atof(std::getenv(name)); };
+    const double freezeMs = value("FREEZE_MS", 4250);
+    const double pauseMs = value("PAUSE_MS", 500); // before the retry
+    Store store;
+    const Json route {{"name", "r-chat"}, {"host", "dir.example"}, {"prefix", "/chat/"}, {"route_kind", "streaming"}, {"timeout_ms", 15000}, {"goal_ms", 500},
+                      {"priority", 1}, {"service", "dir-llm"}, {"attempts", 2}, {"anonymous", false}, {"sticky", true}, {"resumable", true}, {"gap_target_ms", 500}};
+    const Json model {{"name", "m1"}, {"weights_mb", VersionServer::Weights}, {"load_s", VersionServer::LoadMs / 1000}, {"adapters", 0}, {"adapter_mb", 66},
+                      {"warm_s", 0.32}, {"disk_s", 0.44}};
+    const Json engine {{"slots", 64}, {"kv_capacity", 190000}, {"weights_mb", VersionServer::Memory}, {"adapter_slots", 8}, {"loads_per_s", 2.1},
+                       {"host_mb", 0}, {"disk_mb", 0}, {"models", {model}}};
+    const Json service {{"name", "dir-llm"}, {"health_path", "/healthz"}, {"max_conns", 460}, {"protocol", "h1"}, {"tls", false}, {"engine", engine}};
+    store.put("op", "config", Json {{"version", 3}, {"routes", {route}}, {"services", {service}}, {"limits", limitsJson()}}.dump());
+    std::vector<std::unique_ptr<VersionServer>> servers;
+    std::vector<std::unique_ptr<Beat>> beats;
+    for (const auto &[name, version] : {std::pair {"i-1", "v1"}, {"i-2", "v1"}, {"i-3", "v1.1"}, {"i-4", "v1.1"}}) {
+        servers.push_back(std::make_unique<VersionServer>(play, name, version, std::set<std::string> {"m1"}));
+        servers.back()->eventMs = EventMs;
+        beats.push_back(std::make_unique<Beat>(store, name, [server = servers.back().get()] { return server->row(); }));
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (const char *name : {"frontend-z-a-1", "frontend-z-a-2"}) {
+        gateways.push_back(std::make_unique<Gateway>(play.root, play.folder, name, "z-a", store.port(), smallBounds()));
+    }
+    if (!startAll(gateways, 8000)) {
+        play.cannotRun("the gateways aren't ready");
+    }
+    std::atomic<int> takenUp = 0;
+    std::atomic<int> wentOn = 0;
+    std::atomic<int> begun = 0; ///< new streams after the first one was taken up
+    std::atomic<int> asked = 0;
+    std::atomic<int> notWhole = 0;
+    std::atomic<int> joined = 0;
+    std::vector<std::thread> clients;
+    int numbers = 0;
+    const double begin = nowMs();
+    const auto follow = [&](std::size_t gateway) {
+        const int number = ++numbers;
+        clients.emplace_back([&, number, gateway] {
+            const auto first = "att-" + std::to_string(1000 + number);
+            const double untilMs = nowMs() + 15000;
+            const bool isCounted = takenUp > 0;
+            auto part = readStream(gateways[gateway]->callers, {first, "", "m1", number, 0, untilMs, GapMs});
+            if (isCounted) {
+                ++asked;
+                begun += part.status == 200 && part.lastEvent > 0 ? 1 : 0;
+            }
+            if (!part.isWhole && part.lastEvent > 0) {
+                play.record.line("client: abandons %s after event %d", first.c_str(), part.lastEvent);
+                sleepMs(pauseMs);
+                ++takenUp;
+                const auto next
+                    = readStream(gateways[1 - gateway]->callers, {first + "-1", first, "m1", number, part.lastEvent, untilMs, GapMs});
+                const bool isOn = next.status == 200 && next.lastEvent > part.lastEvent;
+                wentOn += isOn ? 1 : 0;
+                play.record.line("client: %s-1 takes it up and is answered %d%s", first.c_str(), next.status, isOn ? " and goes on" : "  <-- doesn't go on");
+                auto versions = part.versions;
+                versions.insert(next.versions.begin(), next.versions.end());
+                joined += versions.size() > 1 ? 1 : 0;
+                part = next;
+            }
+            notWhole += part.isWhole ? 0 : 1;
+        });
+    };
+    double frozenAt = 0;
+    double thawedAt = 0;
+    double nextAt = nowMs();
+    while (nowMs() < begin + 12000) {
+        if (play.hasTrouble && frozenAt == 0 && nowMs() > begin + 4000) {
+            frozenAt = nowMs();
+            gateways[0]->signal(SIGSTOP);
+            play.record.line("frontend-z-a-1 is stopped at %.0f ms", frozenAt - begin);
+        }
+        if (frozenAt > 0 && thawedAt == 0 && nowMs() > frozenAt + freezeMs) {
+            thawedAt = nowMs();
+            gateways[0]->signal(SIGCONT);
+            play.record.line("frontend-z-a-1 goes on at %.0f ms", thawedAt - begin);
+        }
+        if (nowMs() > nextAt) {
+            nextAt += 100;
+            if (frozenAt == 0) {
+                follow(0);
+            }
+            follow(1);
+        }
+        sleepMs(10);
+    }
+    for (auto &client : clients) {
+        client.join();
+    }
+    const double shareOn = takenUp > 0 ? static_cast<double>(wentOn) / takenUp : 1;
+    const double shareNew = asked > 0 ? static_cast<double>(begun) / asked : 1;
+    play.record.line("%d streams, %d not whole; %d taken up, %d of them went on; %d of %d new streams began meanwhile; %d joined", numbers, notWhole.load(),
+                     takenUp.load(), wentOn.load(), begun.load(), asked.load(), joined.load());
+    std::printf("%d of %d streams that were taken up went on; %d of %d new ones began\n", wentOn.load(), takenUp.load(), begun.load(), asked.load());
+    if (!play.hasTrouble && notWhole > 0) {
+        play.cannotRun("the streams aren't served in calm");
+    }
+    play.end(takenUp >= 12 && shareOn < shareNew / 2 ? 1 : 0);
 }
 
 } // namespace rig
@@ -1364,14 +1496,10 @@
     }
     const char *trouble = std::getenv("TROUBLE");
     Play play {argv[2], Record(argv[3]), trouble == nullptr || std::string(trouble) != "0", folder};
-    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"late-load", &playLateLoad}, {"endless", &playEndless}, {"stray-order", &playStrayOrder}, {"stray-check", &playStrayCheck}, {"stranded", &playStranded}};
+    const std::map<std::string, std::function<int(Play &)>> cases {{"refused", &playRefused}, {"late-load", &playLateLoad}, {"endless", &playEndless}, {"stray-order", &playStrayOrder}, {"stray-check", &playStrayCheck}, {"stranded", &playStranded}, {"thawed", &playThawed}};
     const auto found = cases.find(argv[1]);
-    const int result = found == cases.end() ? 2 : found->second(play);
-    if (std::getenv("KEEP") == nullptr) {
-        std::filesystem::remove_all(folder);
-    } else {
-        std::fprintf(stderr, "logs in %s\n", folder);
-    }
-    std::fflush(nullptr);
-    _exit(result);
+    if (found == cases.end()) {
+        play.cannotRun("no such case");
+    }
+    return found->second(play);
 }
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -682,6 +682,7 @@
     }
     auto start() -> void
     {
+        const std::lock_guard lock(s_mutex);
         m_pid = fork();
         if (m_pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -699,6 +700,18 @@
             execve(program, const_cast<char *const *>(arguments), const_cast<char *const *>(environment));
             _exit(127);
         }
+        s_running.insert(m_pid);
+    }
+    /// Ends the processes of all gateways.
+    static auto endAll() -> void
+    {
+        const std::lock_guard lock(s_mutex);
+        for (const pid_t pid : s_running) {
+            ::kill(pid, SIGCONT);
+            ::kill(pid, SIGKILL);
+            waitpid(pid, nullptr, 0);
+        }
+        s_running.clear();
     }
     auto signal(int number) const -> void
     {
@@ -712,7 +725,7 @@
             ::kill(m_pid, SIGCONT);
             ::kill(m_pid, SIGKILL);
             waitpid(m_pid, nullptr, 0);
-            m_pid = -1;
+            forget();
         }
     }
     /// The exit status if the process has ended by itself.
@@ -720,7 +733,7 @@
     {
         int status = 0;
         if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
-            m_pid = -1;
+            forget();
             return status;
         }
         return std::nullopt;
@@ -749,6 +762,14 @@
     }
 
 private:
+    auto forget() -> void
+    {
+        const std::lock_guard lock(s_mutex);
+        s_running.erase(m_pid);
+        m_pid = -1;
+    }
+    static inline std::mutex s_mutex;
+    static inline std::set<pid_t> s_running;
     std::string m_root;
     std::string m_folder;
     std::string m_name;
