--- a/review/rig-2.cpp
+++ b/review/rig-2.cpp
@@ -1432,7 +1432,7 @@
                 ++takenUp;
                 const auto next
                     = readStream(gateways[1 - gateway]->callers, {first + "-1", first, "m1", number, part.lastEvent, untilMs, GapMs});
-                const bool isOn = next.status == 200 && next.lastEvent > part.lastEvent;
+                const bool isOn = next.status == 200 && (next.isWhole || next.lastEvent > part.lastEvent);
                 wentOn += isOn ? 1 : 0;
                 play.record.line("client: %s-1 takes it up and is answered %d%s", first.c_str(), next.status, isOn ? " and goes on" : "  <-- doesn't go on");
                 auto versions = part.versions;
