origins: the record of a stream is kept after its target's last event, as its client may have abandoned it

Cause: when the gateway went on, it read the targets' last events before its clients' closes, counted the streams as delivered and dropped its records of where they began. The other gateway asked it, got 'unknown' and doesn't read the store after a reply. Evidence: the logs of both gateways, by id: 'answered outcome=delivered' at gateway 1, 220 ms later 'looked-up source=unknown took=12.1ms' at gateway 2; 20 such lookups, none of which reached the store. So late replies and unwritten records are ruled out.

Change: records of streams that ended whole are kept as long as those of broken ones, within the same bound on their number, but aren't written to the store any more. A gateway can't know whether a client has read what it has passed on; the time for which clients retry is what bounds the need for a record.

--- a/src/core/streamorigins.cpp
+++ b/src/core/streamorigins.cpp
@@ -34,7 +34,8 @@
     // The first record stands: a stream has one beginning.
     auto &record = m_records.try_emplace(stream.value(), Record {origin}).first->second;
     ++record.open;
-    record.brokeAt.reset();
+    record.endedAt.reset();
+    record.isWhole = false;
 }
 
 auto StreamOrigins::ended(StreamKey stream, bool isWhole, TimePoint now) -> void
@@ -45,13 +46,9 @@
     }
     auto &record = found->second;
     record.open = std::max(record.open - 1, 0);
-    if (record.open > 0) {
-        return;
-    }
-    if (isWhole) {
-        m_records.erase(found);
-    } else {
-        record.brokeAt = now;
+    if (record.open == 0) {
+        record.endedAt = now;
+        record.isWhole = isWhole;
     }
 }
 
@@ -59,21 +56,21 @@
 {
     for (const auto &[stream, origin] : records) {
         Record record {origin};
-        record.brokeAt = now;
+        record.endedAt = now;
         m_records.try_emplace(stream.value(), std::move(record));
     }
 }
 
 auto StreamOrigins::expire(TimePoint now) -> void
 {
-    std::erase_if(m_records, [&](const auto &entry) { return entry.second.brokeAt && now - *entry.second.brokeAt > m_options.memory; });
+    std::erase_if(m_records, [&](const auto &entry) { return entry.second.endedAt && now - *entry.second.endedAt > m_options.memory; });
     if (m_records.size() <= m_options.maxRecords) {
         return;
     }
     std::vector<std::pair<TimePoint, std::uint64_t>> ended;
     for (const auto &[stream, record] : m_records) {
-        if (record.brokeAt) {
-            ended.emplace_back(*record.brokeAt, stream);
+        if (record.endedAt) {
+            ended.emplace_back(*record.endedAt, stream);
         }
     }
     std::sort(ended.begin(), ended.end());
@@ -92,7 +89,7 @@
     OriginBatch batch {m_nextRow, {}};
     OriginRecords replaced; // of this row, still needed
     for (const auto &[stream, record] : m_records) {
-        if (record.row && *record.row != m_nextRow) {
+        if (record.isWhole || (record.row && *record.row != m_nextRow)) {
             continue;
         }
         const auto [found, isNew] = mixed.try_emplace(record.origin.service, false);
--- a/src/core/streamorigins.h
+++ b/src/core/streamorigins.h
@@ -1,8 +1,9 @@
 // Where streams began: the service and the software version of the target that brought each stream's first event. A gateway records its own streams, and
 // writes the records into the store while the service has several versions, so that they outlive it.
 //
-// A record is needed until its stream has ended whole, or until its client can't take it up any more. Only then needed ones are written: in batches, into a
-// ring of rows of which each is replaced when its records have become useless. No I/O.
+// A record is kept until its client can't take the stream up any more. That holds for streams that have ended whole too: their last bytes may be on the way
+// to a client that has already abandoned them. Records of other streams are written: in batches, into a ring of rows of which each is replaced when its
+// records have become useless. No I/O.
 //
 // Index of sections (search for [SECTION]):
 //   Records         origins, their keys and a batch of them
@@ -46,7 +47,7 @@
 };
 
 struct StreamOriginOptions {
-    Duration memory = Duration::seconds(30); ///< a record is kept for this long after its stream has broken off: longer than clients retry
+    Duration memory = Duration::seconds(30); ///< a record is kept for this long after its stream has ended: longer than clients retry
     /// A batch of n records costs `costPerBatch` and n times `costPerRecord` of time, so that the writes stay below one kilobyte a second in the mean.
     Duration costPerBatch = Duration::millis(400);
     Duration costPerRecord = Duration::micros(10700);
@@ -72,7 +73,7 @@
 
     // Commands
     auto began(StreamKey stream, const StreamOrigin &origin) -> void; ///< here, or a stream that was taken up here
-    auto ended(StreamKey stream, bool isWhole, TimePoint now) -> void;
+    auto ended(StreamKey stream, bool isWhole, TimePoint now) -> void; ///< `isWhole`: its target's last event was passed on; the client may not have read it
     auto restored(const OriginRecords &records, TimePoint now) -> void; ///< written by an earlier process of this host, or learned from elsewhere
     auto expire(TimePoint now) -> void;
 
@@ -85,7 +86,8 @@
     struct Record {
         StreamOrigin origin;
         int open = 0; ///< answers that are in progress
-        std::optional<TimePoint> brokeAt; ///< not open: when it was last broken off
+        std::optional<TimePoint> endedAt; ///< not open: when the last answer ended
+        bool isWhole = false; ///< not open: it isn't written any more
         std::optional<int> row; ///< that holds it
     };
     using Records = std::unordered_map<std::uint64_t, Record>;
--- a/tests/system_softwareversions.cpp
+++ b/tests/system_softwareversions.cpp
@@ -184,6 +184,28 @@
     }
 }
 
+TEST_CASE("streams that ended while their gateway stood still go on when their clients, which have left it, take them up")
+{
+    // Guards against a gateway that forgets where a stream began because its target's last event has come, though the client hasn't got it.
+    const int gateway = GENERATE(1, 2);
+    INFO("taken up at gateway " << gateway);
+    VersionSite site(MixedVersions);
+    for (const auto &[attempt, reply] : site.beginStreams(1)) {
+        site.waitFor("the end", [&, held = reply] { return held->done; });
+    }
+    const auto begun = site.beginStreams(1); // on connections to targets that the gateway reads before those of the clients, which are newer
+    site.process("gw-1").send(SIGSTOP);
+    std::vector<CutStream> streams;
+    for (const auto &[attempt, reply] : begun) {
+        streams.push_back(VersionSite::cutStream(attempt, reply));
+        reply->handle->cancel();
+    }
+    site.sleep(Duration::millis(1500)); // the targets write their last events into the sockets of the gateway
+    site.process("gw-1").send(SIGCONT);
+    site.sleep(Duration::millis(300)); // it reads all of them, and hears of its clients' leaving
+    CHECK(site.takeUpAll(gateway, streams) == Streams);
+}
+
 TEST_CASE("streams go on at the gateway that began them as soon as it serves again after all gateways were killed at once")
 {
     // Guards against streams that are refused by the gateway whose own records of them are in the store, until it has read these.
