tcp: a reset that a send has taken note of doesn't count as a close in order

A target that answered a long upload at once with a 200 without a length and reset the connection while the upload was being written: the client got the part as a complete answer (users' report, MIXED).

Cause: the kernel reports an error of a connection once. send() got it and left it 'to the next read', which then returned the end of the input; an answer that ends with its connection was complete by that. Evidence: unit_resetanswers gives the steps of both sides an order in one thread. A reset after the whole request gave 502, as nothing is sent then.

Change: the stream remembers the first error of a send, and the end of its input counts as that error. All streams of the gateway use it: targets, health checks, reports, orders, the store.

--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -97,6 +97,7 @@
     bool sent = false;
     bool writingDone = false; // finishWriting() was called
     bool resetsOnClose = false;
+    std::optional<int> sendError; // of the first send that failed; the kernel reports an error of the connection once, to the first call that asks
     Timer connectTimer;
 
     auto start(EventLoop &loop, int descriptor) -> bool;
@@ -104,6 +105,7 @@
     auto onWritable() -> void;
     auto onHangUp() -> void;
     auto finishConnect() -> bool;
+    auto endOfInput() const -> TcpEnd;
     auto flush() -> void;
     auto send(std::string_view bytes) -> std::size_t;
     auto writePlain(std::string_view bytes) -> void;
@@ -181,6 +183,12 @@
     return !ended && owner != nullptr;
 }
 
+/// What the end of the input means. The remote side has closed in order only if no send has failed before.
+auto TcpStream::Private::endOfInput() const -> TcpEnd
+{
+    return sendError ? endOfError(*sendError) : TcpEnd::Closed;
+}
+
 auto TcpStream::Private::onReadable() -> void
 {
     const auto self = shared_from_this();
@@ -194,7 +202,7 @@
         return;
     }
     if (size == 0) {
-        end(TcpEnd::Closed);
+        end(endOfInput());
     } else if (errno != EAGAIN && errno != EINTR) {
         end(endOfError(errno));
     }
@@ -245,7 +253,8 @@
     }
 }
 
-/// Sends what the kernel accepts. An error is left to the next read: what the remote side sent before the reset can still be received.
+/// Sends what the kernel accepts. After an error the connection ends at the next read that returns no bytes: what the remote side sent before the reset can
+/// still be received. The read itself may return an end in order then.
 auto TcpStream::Private::send(std::string_view bytes) -> std::size_t
 {
     std::size_t total = 0;
@@ -258,6 +267,7 @@
             polled->requestWritable();
             return total;
         } else if (errno != EINTR) {
+            sendError = sendError.value_or(errno);
             out.clear();
             return bytes.size();
         }
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -41,7 +41,7 @@
 
 /// Why a connection ended.
 enum class TcpEnd {
-    Closed, ///< closed in order by the remote side
+    Closed, ///< closed in order by the remote side, which took all that was sent until then
     Reset, ///< reset by the remote side or by a network device on the path
     Silent, ///< the remote side no longer acknowledges what it is sent
     NotConnected, ///< refused, or not established in time: no byte was sent
--- /dev/null
+++ b/tests/unit_resetanswers.cpp
@@ -0,0 +1,206 @@
+// Answers whose connection is reset while the request is still being sent: none counts as complete, whichever of the two sides the kernel reports first.
+#include "net/http.h"
+#include "net/httppool.h"
+#include "tests/forwarder_fixture.h"
+#include "tests/rawserver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace KingCup;
+
+namespace
+{
+
+constexpr auto TimeLimit = Duration::seconds(8);
+constexpr int Tries = 6; ///< of a case in which two sides race
+constexpr std::size_t UploadBytes = 4U << 20U; ///< more than the kernel takes at once
+const std::string Unframed = "HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Stamp: s\r\nConnection: close\r\n\r\npart of it";
+
+struct ResetCase {
+    const char *name;
+    RawScript script;
+};
+
+auto resetCases() -> std::vector<ResetCase>
+{
+    using std::chrono::milliseconds;
+    return {{"reset at once", {.text = Unframed, .end = RawEnd::Reset}},
+            {"reset after 20 ms", {.text = Unframed, .endsAfter = milliseconds(20), .end = RawEnd::Reset}},
+            {"reset after 100 ms", {.text = Unframed, .endsAfter = milliseconds(100), .end = RawEnd::Reset}},
+            {"closed with unread bytes", {.text = Unframed, .endsAfter = milliseconds(50), .end = RawEnd::Close}},
+            {"reset after the whole request", {.text = Unframed, .readsBody = true, .endsAfter = milliseconds(20), .end = RawEnd::Reset}}};
+}
+
+auto poolCall(EventLoop &loop, HttpPool &pool, const Endpoint &server, std::size_t bodyBytes) -> CallEnd
+{
+    auto end = std::make_shared<std::optional<CallEnd>>();
+    PooledCall call;
+    call.server = server;
+    call.method = "POST";
+    call.body = std::string(bodyBytes, 'b');
+    call.onEnd = [end](const PooledEnd &got) {
+        *end = got.end;
+    };
+    pool.start(std::move(call));
+    REQUIRE(loop.runUntil([&] { return end->has_value(); }, TimeLimit));
+    return **end;
+}
+
+auto clientCall(EventLoop &loop, HttpClient &client, const Endpoint &server, std::size_t bodyBytes) -> HttpAnswer
+{
+    auto answer = std::make_shared<std::optional<HttpAnswer>>();
+    HttpCall call;
+    call.server = server;
+    call.method = "POST";
+    call.body = std::string(bodyBytes, 'b');
+    call.timeout = TimeLimit;
+    startShortCall(client, std::move(call), [answer](const HttpAnswer &got) { *answer = got; });
+    REQUIRE(loop.runUntil([&] { return answer->has_value(); }, TimeLimit));
+    return **answer;
+}
+
+/// A connection between a stream and a plain socket in the same thread, so that their steps have an order.
+struct OrderedPair {
+    EventLoop loop;
+    std::unique_ptr<TcpStream> stream;
+    int remote = -1;
+    std::string received;
+    std::optional<TcpEnd> end;
+
+    OrderedPair()
+    {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        ::listen(listener, 1);
+        socklen_t size = sizeof address;
+        getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+        stream = TcpStream::connect(loop, {"127.0.0.1", ntohs(address.sin_port)}, {});
+        stream->onData = [this](std::string_view bytes) {
+            received += bytes;
+        };
+        stream->onEnd = [this](TcpEnd how) {
+            end = how;
+        };
+        REQUIRE(loop.runUntil([&] { return stream->isConnected(); }, TimeLimit));
+        remote = accept(listener, nullptr, nullptr);
+        ::close(listener);
+    }
+    ~OrderedPair()
+    {
+        endRemote(true);
+    }
+    auto endRemote(bool resets) -> void
+    {
+        if (remote >= 0) {
+            const linger atOnce {resets ? 1 : 0, 0};
+            setsockopt(remote, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+            ::close(std::exchange(remote, -1));
+        }
+    }
+    auto run(Duration time) -> void
+    {
+        loop.runUntil([&] { return end.has_value(); }, time);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a connection that was reset never ends as closed in order, in any order of sending and receiving")
+{
+    // Guards against a reset that a send has taken note of, after which the kernel reports a plain end of the input.
+    // d: the remote side sends; R, F: it resets or closes in order; w: the stream writes; p: the loop runs.
+    for (const std::string steps : {"dR", "dRw", "dRww", "dpR", "dpRw", "dpRww", "wdR", "wdRw", "wpdRw", "R", "Rw", "Rww", "pRw", "dF", "dpF", "F", "wdF"}) {
+        OrderedPair pair;
+        for (const char step : steps) {
+            if (step == 'd') {
+                REQUIRE(::send(pair.remote, "data", 4, MSG_NOSIGNAL) == 4);
+            } else if (step == 'w') {
+                pair.stream->write("more");
+            } else if (step == 'p') {
+                pair.run(Duration::millis(20));
+            } else {
+                std::array<char, 64> unread {};
+                recv(pair.remote, unread.data(), unread.size(), MSG_DONTWAIT); // a close with unread bytes would be a reset
+                pair.endRemote(step == 'R');
+            }
+        }
+        pair.run(TimeLimit);
+        INFO(steps);
+        REQUIRE(pair.end);
+        CHECK(toString(*pair.end) == std::string(steps.find('R') == std::string::npos ? "closed" : "reset"));
+        CHECK((pair.received == "data" || pair.received.empty()));
+    }
+}
+
+TEST_CASE("an answer without a length whose connection is reset ends a pooled call as Broken, also while the call is being sent")
+{
+    // Guards against a part of an answer that counts as the whole: at the gateway's calls to targets and to the store.
+    for (const auto &[name, script] : resetCases()) {
+        const RawServer server(script);
+        EventLoop loop;
+        HttpPool pool(loop);
+        for (int i = 0; i < Tries; ++i) {
+            INFO(name << ", try " << i);
+            CHECK(poolCall(loop, pool, server.endpoint(), UploadBytes) == CallEnd::Broken);
+        }
+    }
+}
+
+TEST_CASE("an answer without a length whose connection is reset ends a client's call as Broken, also while the call is being sent")
+{
+    // Guards against a part of an answer that counts as the whole: at the agents' calls to engines and services, and at the platform's clients.
+    for (const auto &[name, script] : resetCases()) {
+        const RawServer server(script);
+        EventLoop loop;
+        HttpClient client(loop);
+        for (int i = 0; i < Tries; ++i) {
+            INFO(name << ", try " << i);
+            CHECK(clientCall(loop, client, server.endpoint(), UploadBytes).end == CallEnd::Broken);
+        }
+    }
+}
+
+TEST_CASE("an answer without a length that a server ends in order is complete, also if it hasn't read the request yet")
+{
+    // Guards against servers whose early answers would be replaced by a failure.
+    for (const bool readsBody : {true, false}) {
+        const RawServer server({.text = Unframed, .readsBody = readsBody, .end = RawEnd::Drain});
+        EventLoop loop;
+        HttpPool pool(loop);
+        INFO("reads the body first: " << readsBody);
+        CHECK(poolCall(loop, pool, server.endpoint(), UploadBytes) == CallEnd::Complete);
+    }
+}
+
+TEST_CASE("a client of a gateway gets no part of an answer whose target resets its connection during the upload as a success")
+{
+    for (const std::string path : {"/write/x", "/read/x"}) {
+        for (const auto &[name, script] : resetCases()) {
+            const RawServer target(script);
+            ForwarderFixture fixture([](const std::string & /*target*/, const std::string & /*attempt*/) { return std::string(); });
+            for (const auto *id : {"p1", "p2"}) {
+                TargetDescription description;
+                description.incarnation = {TargetId(id), 1};
+                description.service = ServiceName("s");
+                description.address = target.endpoint();
+                description.slots = 8;
+                fixture.dispatcher.targetSeen(description, fixture.loop.now());
+            }
+            for (int i = 0; i < Tries; ++i) {
+                const auto attempt = "a-" + std::to_string(i);
+                auto answered = rawCall(fixture.server->port(),
+                                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + attempt + "\r\nConnection: close\r\nContent-Length: "
+                                            + std::to_string(UploadBytes) + "\r\n\r\n" + std::string(UploadBytes, 'b'),
+                                        RawAfter::Read);
+                REQUIRE(fixture.loop.runUntil([&] { return answered.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, TestTimeout));
+                const auto text = answered.get().text;
+                INFO(path << ", " << name << ", try " << i << ": " << text);
+                CHECK(text.substr(0, 12) == "HTTP/1.1 502");
+            }
+            CHECK(target.requests() >= Tries);
+        }
+    }
+}
