http: the client runs on the pool, so that one parser and one rule decide what a complete answer is

The client of entries and agents (engines, plain services, the platform's host list, table and object store) was that of libwebsockets with guesses of its own about complete answers.

Change: HttpClient makes its calls by HttpPool, each on a connection of its own. TcpStream connects with TLS for it; a stream with TLS ended as reset when the remote side said that no more bytes follow, and as closed in order when the connection below just ended. Both were the wrong way round for an answer that ends with its connection.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,4 +1,4 @@
-// HTTP for entries, agents and stand-ins: a server (on net/callerserver.h) and a client (over libwebsockets) on an event loop. Request bodies are limited in
+// HTTP for entries, agents and stand-ins: a server (on net/callerserver.h) and a client (on net/httppool.h) on an event loop. Request bodies are limited in
 // size and buffered whole; answer bodies may be streamed, with back-pressure in the server and in the client.
 //
 // Index of sections (search for [SECTION]):
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -306,7 +306,8 @@
     const auto &head = m_reader.head();
     // A server may answer before it has read the whole call. The rest of the body is then still to be sent, and the server would take the
     // next call for that rest.
-    const bool isReusable = noBytesFollow && head.keepsConnection && m_stream->pendingBytes() == 0 && !m_reader.endsWithConnection();
+    const bool isReusable
+        = m_pool->options.keepsConnections && noBytesFollow && head.keepsConnection && m_stream->pendingBytes() == 0 && !m_reader.endsWithConnection();
     if (!noBytesFollow) {
         ++m_pool->counts.strayAnswers;
     }
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -4,6 +4,9 @@
 // an earlier call. So a call limits how long a reused connection may have been idle, and inspects the head of each answer before it
 // accepts it. If bytes arrive when no answer is due, the connection is closed.
 //
+// An answer is complete only if its framing says so; one that ends with its connection is complete only if the server closed that in order and had taken all
+// that was sent until then. What isn't HTTP/1, or has a status that no answer has, ends the call as Broken.
+//
 // Index of sections (search for [SECTION]):
 //   PooledCall    one call and its result
 //   HttpPool      the connections
@@ -76,6 +79,7 @@
     Duration idleTimeoutMargin = Duration::millis(1000); ///< closed this long before the server's own idle timeout (Keep-Alive, whole seconds)
     int maxSkipped = 2; ///< late answers skipped during one call; a further one closes the connection
     std::size_t maxSkippedBody = 1U << 20U; ///< bytes of their bodies; a longer one closes the connection
+    bool keepsConnections = true; ///< false: each call opens a connection, which is closed with its answer
     int maxInterim = 16; ///< interim answers (1xx) during one call; a further one closes the connection
 };
 
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -93,11 +93,13 @@
     SendQueue out; // not yet accepted by the kernel
     std::unique_ptr<TlsChannel> tls; // null: the connection isn't encrypted
     bool connecting = false;
+    bool handshaking = false; // of a connection made by connect() with TLS; nothing of the caller's was sent
     bool ended = false;
     bool sent = false;
     bool writingDone = false; // finishWriting() was called
     bool resetsOnClose = false;
     std::optional<int> sendError; // of the first send that failed; the kernel reports an error of the connection once, to the first call that asks
+    std::string early; // written before the handshake is done
     Timer connectTimer;
 
     auto start(EventLoop &loop, int descriptor) -> bool;
@@ -105,6 +107,8 @@
     auto onWritable() -> void;
     auto onHangUp() -> void;
     auto finishConnect() -> bool;
+    auto finishHandshake() -> bool;
+    auto connected() -> bool;
     auto endOfInput() const -> TcpEnd;
     auto flush() -> void;
     auto send(std::string_view bytes) -> std::size_t;
@@ -158,6 +162,9 @@
     }
     const auto self = shared_from_this();
     ended = true;
+    if (handshaking) {
+        how = TcpEnd::NotConnected;
+    }
     connectTimer.cancel();
     polled->release();
     if (owner != nullptr && owner->onEnd) {
@@ -175,6 +182,29 @@
         return false;
     }
     connecting = false;
+    if (handshaking) {
+        tls->start();
+        queueEncrypted();
+        return true;
+    }
+    return connected();
+}
+
+/// Completes the TLS handshake of an outgoing connection. True if the stream is still in use.
+auto TcpStream::Private::finishHandshake() -> bool
+{
+    handshaking = false;
+    sent = false; // the remote side can't act on the bytes of the handshake
+    if (!connected()) {
+        return false;
+    }
+    tls->send(std::exchange(early, std::string()));
+    return true;
+}
+
+/// Returns true if the stream is still in use.
+auto TcpStream::Private::connected() -> bool
+{
     connectTimer.cancel();
     if (owner != nullptr && owner->onConnected) {
         const auto hook = owner->onConnected;
@@ -183,10 +213,14 @@
     return !ended && owner != nullptr;
 }
 
-/// What the end of the input means. The remote side has closed in order only if no send has failed before.
+/// What the end of the input means. The remote side has closed in order only if no send has failed before; on an encrypted connection it has to say so, as
+/// anybody on the path can close the connection below.
 auto TcpStream::Private::endOfInput() const -> TcpEnd
 {
-    return sendError ? endOfError(*sendError) : TcpEnd::Closed;
+    if (sendError) {
+        return endOfError(*sendError);
+    }
+    return !tls || tls->hasRemoteFinished() ? TcpEnd::Closed : TcpEnd::Reset;
 }
 
 auto TcpStream::Private::onReadable() -> void
@@ -242,12 +276,14 @@
         return;
     }
     const bool isIntact = tls->receive(bytes, pass);
-    if (ended || owner == nullptr) {
+    if (ended || owner == nullptr || (handshaking && tls->isEstablished() && !finishHandshake())) {
         return;
     }
     queueEncrypted();
     flush();
-    if (!isIntact) {
+    if (tls->hasRemoteFinished()) {
+        end(endOfInput());
+    } else if (!isIntact) {
         VLOG(1) << "net: " << tls->fault();
         end(TcpEnd::Reset);
     }
@@ -341,6 +377,10 @@
     std::unique_ptr<TcpStream> stream(new TcpStream);
     auto &d = stream->d;
     d->connecting = true;
+    if (options.tls != nullptr) {
+        d->tls = std::make_unique<TlsChannel>(options.tls, TlsChannel::Side::Client);
+        d->handshaking = true;
+    }
     const bool isFull = options.maxDescriptors > 0 && loop.polledDescriptors() >= options.maxDescriptors;
     const int descriptor = isFull ? -1 : socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     bool started = descriptor >= 0;
@@ -355,7 +395,7 @@
         }
     }
     const auto endNotConnected = [weak = std::weak_ptr(d)] {
-        if (const auto self = weak.lock(); self && self->connecting) {
+        if (const auto self = weak.lock(); self && (self->connecting || self->handshaking)) {
             self->end(TcpEnd::NotConnected);
         }
     };
@@ -380,17 +420,17 @@
 
 auto TcpStream::isConnected() const -> bool
 {
-    return !d->connecting && !d->ended;
+    return !d->connecting && !d->handshaking && !d->ended;
 }
 
 auto TcpStream::hasSent() const -> bool
 {
-    return d->sent;
+    return d->sent && !d->handshaking;
 }
 
 auto TcpStream::pendingBytes() const -> std::size_t
 {
-    return d->pending();
+    return d->early.size() + d->pending();
 }
 
 auto TcpStream::undeliveredBytes() const -> std::size_t
@@ -432,7 +472,9 @@
     if (d->ended || bytes.empty()) {
         return;
     }
-    if (d->tls) {
+    if (d->handshaking) {
+        d->early += bytes;
+    } else if (d->tls) {
         d->tls->send(bytes);
         d->queueEncrypted();
     } else {
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -29,10 +29,11 @@
 // [SECTION] Options
 
 struct TcpOptions {
-    Duration connectTimeout = Duration::millis(500); ///< until the connection is established; about two hundred round trips within a region
+    Duration connectTimeout
+        = Duration::millis(500); ///< until the connection is established, with TLS until its handshake is done; about two hundred round trips within a region
     Duration unackedTimeout = Duration::millis(2000); ///< the connection ends if sent bytes or probes stay unacknowledged for this long
     Duration probeAfter = Duration::millis(1000); ///< idle time until the first TCP keep-alive probe; rounded down to whole seconds, at least one
-    ssl_ctx_st *tls = nullptr; ///< accepted connections are encrypted by this context; null: they aren't
+    ssl_ctx_st *tls = nullptr; ///< connections are encrypted by this context, one of a client or a server; null: they aren't
     /// While the loop polls this many descriptors, connect() ends as NotConnected; 0: no bound.
     std::size_t maxDescriptors = 0;
 };
@@ -44,7 +45,7 @@
     Closed, ///< closed in order by the remote side, which took all that was sent until then
     Reset, ///< reset by the remote side or by a network device on the path
     Silent, ///< the remote side no longer acknowledges what it is sent
-    NotConnected, ///< refused, or not established in time: no byte was sent
+    NotConnected, ///< refused, or not established in time: no byte that was written was sent
 };
 auto toString(TcpEnd end) -> const char *;
 
--- a/src/net/tlschannel.cpp
+++ b/src/net/tlschannel.cpp
@@ -70,6 +70,11 @@
     return SSL_is_init_finished(d->ssl) != 0;
 }
 
+auto TlsChannel::hasRemoteFinished() const -> bool
+{
+    return (SSL_get_shutdown(d->ssl) & SSL_RECEIVED_SHUTDOWN) != 0;
+}
+
 auto TlsChannel::pendingBytes() const -> std::size_t
 {
     return BIO_ctrl_pending(d->out);
--- a/src/net/tlschannel.h
+++ b/src/net/tlschannel.h
@@ -26,6 +26,7 @@
     auto operator=(const TlsChannel &) -> TlsChannel & = delete;
 
     auto isEstablished() const -> bool; ///< the handshake is done: send() may be called
+    auto hasRemoteFinished() const -> bool; ///< the remote side has said that no more bytes follow
     auto pendingBytes() const -> std::size_t; ///< encrypted bytes to be moved out by take()
     auto fault() const -> const std::string &; ///< why receive() failed
 
--- a/tests/unit_resetanswers.cpp
+++ b/tests/unit_resetanswers.cpp
@@ -1,6 +1,8 @@
 // Answers whose connection is reset while the request is still being sent: none counts as complete, whichever of the two sides the kernel reports first.
 #include "net/http.h"
 #include "net/httppool.h"
+#include "net/tls.h"
+#include "tests/certificates.h"
 #include "tests/forwarder_fixture.h"
 #include "tests/rawserver.h"
 
@@ -170,8 +172,12 @@
         const RawServer server({.text = Unframed, .readsBody = readsBody, .end = RawEnd::Drain});
         EventLoop loop;
         HttpPool pool(loop);
+        HttpClient client(loop);
         INFO("reads the body first: " << readsBody);
         CHECK(poolCall(loop, pool, server.endpoint(), UploadBytes) == CallEnd::Complete);
+        const auto answer = clientCall(loop, client, server.endpoint(), UploadBytes);
+        CHECK(answer.end == CallEnd::Complete);
+        CHECK(answer.body == "part of it");
     }
 }
 
@@ -204,3 +210,33 @@
         }
     }
 }
+
+TEST_CASE("an encrypted answer without a length is complete only if its server says that no more bytes follow")
+{
+    // Guards against a part of an answer that counts as the whole when anybody on the path closes the connection.
+    TestAuthority authority;
+    const auto files = authority.issue("server");
+    const TlsContext context(TlsContext::Side::Server, {files.certificate, files.key, ""});
+    for (const bool isFinished : {true, false}) {
+        EventLoop loop;
+        std::vector<std::unique_ptr<TcpStream>> streams;
+        TcpOptions options;
+        options.tls = context.native();
+        TcpListener listener(loop, {"127.0.0.1", 0}, options, [&](std::unique_ptr<TcpStream> stream) {
+            streams.push_back(std::move(stream));
+            streams.back()->onData = [&loop, &streams, isFinished](std::string_view /*bytes*/) {
+                streams.back()->onData = nullptr;
+                streams.back()->write("HTTP/1.1 200 OK\r\n\r\nsome");
+                if (isFinished) {
+                    streams.back()->finishWriting();
+                } else {
+                    loop.post([&streams] { streams.back().reset(); });
+                }
+            };
+        });
+        HttpClient client(loop, {.authority = files.authority});
+        const auto answer = clientCall(loop, client, {"127.0.0.1", listener.port()}, 1);
+        INFO("says so: " << isFinished);
+        CHECK(answer.end == (isFinished ? CallEnd::Complete : CallEnd::Broken));
+    }
+}
