http: what has no head of an answer is none: status, names, folded lines, codings, bodies that the status excludes

Cause: http-parser reads a status of any length, accepts folded lines, and reads a body after heads that have none by their status, so that an interim answer with a length took in the head of the final one. Statuses below 200 had no lower bound. Codings other than chunked were dropped with their header while the body stayed encoded.

Other transfer codings are refused in requests too.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -1,5 +1,7 @@
 #include "net/httpreader.h"
 
+#include "net/httpstatus.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -43,6 +45,19 @@
     return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
 }
 
+/// Whether the names hold a transfer coding other than a single "chunked". A body in another coding can't be passed on: the header that names it concerns one
+/// connection only.
+auto hasForeignCoding(const HttpHeaders &headers) -> bool
+{
+    int codings = 0;
+    for (const auto &header : headers) {
+        if (isSameHeaderName(header.name, "transfer-encoding") && (++codings > 1 || !isSameHeaderName(header.value, "chunked"))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 auto listContains(std::string_view list, std::string_view wanted) -> bool
 {
     while (!list.empty()) {
@@ -94,6 +109,10 @@
     std::size_t headBytes = 0;
     std::size_t framingBytes = 0; // since the last progress, which is a whole head, bytes of the body, or a whole chunk line
     bool hasProgressed = false; // in this call of feed()
+    std::string statusLine; // answers: version and status code, as far as they were checked
+    char previous = '\0'; // checked character of the head after the status code
+    bool isEmptyLine = false; // the check has come to the line end that is to end the head
+    bool isHeadChecked = false;
     bool begun = false;
     bool headDone = false;
     bool complete = false;
@@ -123,6 +142,7 @@
         }
         return 0;
     }
+    auto checkHead(std::string_view bytes) -> bool;
     auto onName(std::string_view text) -> int;
     auto onValue(std::string_view text) -> int;
     auto onHeadDone() -> int;
@@ -134,14 +154,56 @@
     }
 };
 
+/// Checks the bytes of an answer's head for what http-parser accepts and no answer has: a start line without the version of HTTP/1 and a status code of three
+/// digits, and folded lines, which other parsers take for fields of their own. False if there is such.
+auto HttpReader::Private::checkHead(std::string_view bytes) -> bool
+{
+    constexpr std::string_view Pattern = "HTTP/1.d ddd";
+    for (const char c : bytes) {
+        if (statusLine.size() < Pattern.size()) {
+            if (statusLine.empty() && (c == '\r' || c == '\n')) {
+                continue;
+            }
+            const char expected = Pattern[statusLine.size()];
+            if (expected == 'd' ? std::isdigit(static_cast<unsigned char>(c)) == 0 : c != expected) {
+                return false;
+            }
+            statusLine += c;
+            continue;
+        }
+        const bool isBlank = c == ' ' || c == '\t';
+        if (previous == '\n' && isBlank) {
+            return false;
+        }
+        if (previous == '\0' && c != ' ' && c != '\r' && c != '\n') {
+            return false; // the status code goes on
+        }
+        if (c == '\n' && (previous == '\n' || isEmptyLine)) {
+            isHeadChecked = true;
+            return true;
+        }
+        isEmptyLine = c == '\r' && previous == '\n';
+        previous = c;
+    }
+    return true;
+}
+
 auto HttpReader::Private::onName(std::string_view text) -> int
 {
-    if (headDone) {
-        return count(text.size()); // a trailer: not reported
+    if (headDone) { // a trailer: not reported
+        if (!text.empty() && !isToken(text)) {
+            fault = HttpFault::Malformed;
+            return 1;
+        }
+        return count(text.size());
     }
     if (lastWasValue) {
         head.headers.emplace_back();
         lastWasValue = false;
+        // What a server sends counts by the memory that it takes: a header of a few bytes takes many times these.
+        if (kind == Kind::Answer && count(sizeof(HttpHeader)) != 0) {
+            return 1;
+        }
     }
     head.headers.back().name += text;
     return count(text.size());
@@ -187,10 +249,18 @@
             return Fail;
         }
     }
+    if (hasForeignCoding(head.headers)) {
+        fault = HttpFault::Malformed;
+        return Fail;
+    }
     if (kind == Kind::Request) {
         head.method = http_method_str(static_cast<http_method>(parser.method));
     } else {
         head.status = static_cast<int>(parser.status_code);
+        if (!HttpStatus::isAnswer(head.status)) {
+            fault = HttpFault::Malformed;
+            return Fail;
+        }
     }
     if ((parser.flags & F_CONTENTLENGTH) != 0) {
         head.length = parser.content_length;
@@ -204,7 +274,8 @@
     if (owner->onHead) {
         owner->onHead();
     }
-    return noBody ? SkipBody : 0;
+    // http-parser would read a body after a head that states its length, also where such answers have none.
+    return kind == Kind::Answer && head.framing == BodyFraming::None ? SkipBody : 0;
 }
 
 auto HttpReader::Private::settings() -> const http_parser_settings &
@@ -306,6 +377,10 @@
         return 0;
     }
     d->hasProgressed = false;
+    if (d->kind == Kind::Answer && !d->isHeadChecked && !d->checkHead(bytes)) {
+        d->fault = HttpFault::Malformed;
+        return 0;
+    }
     const auto used = http_parser_execute(&d->parser, &Private::settings(), bytes.data(), bytes.size());
     d->framingBytes = d->hasProgressed ? 0 : d->framingBytes + used;
     if (d->framingBytes > d->headLimit * FramingFactor && d->fault == HttpFault::None) {
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -54,7 +54,7 @@
 enum class HttpFault {
     None,
     TooLarge, ///< the head, a chunk line or the trailers are longer than the limit
-    Malformed, ///< not HTTP, or ambiguous framing (for example both Content-Length and chunked)
+    Malformed, ///< not HTTP/1, a status that no answer has, or ambiguous framing (for example both Content-Length and chunked)
 };
 
 class HttpReader
@@ -62,7 +62,7 @@
 public:
     enum class Kind { Request, Answer };
 
-    /// `headBytes`: size limit of the start line and headers together.
+    /// `headBytes`: size limit of the start line and headers together; of an answer's head the memory that it takes.
     HttpReader(Kind kind, std::size_t headBytes);
     ~HttpReader();
     HttpReader(const HttpReader &) = delete;
--- a/src/net/httpstatus.h
+++ b/src/net/httpstatus.h
@@ -4,6 +4,7 @@
 namespace KingCup::HttpStatus
 {
 
+constexpr int SwitchingProtocols = 101;
 constexpr int Ok = 200;
 constexpr int Accepted = 202;
 constexpr int NoContent = 204;
@@ -30,4 +31,10 @@
     return status >= 200 && status < 300;
 }
 
+/// Whether an answer to a request of ours may have this status: the protocol's range, without the answer to an upgrade, as no request asks for one.
+constexpr auto isAnswer(int status) -> bool
+{
+    return status >= 100 && status < 600 && status != SwitchingProtocols;
+}
+
 } // namespace KingCup::HttpStatus
