pool: what answers of servers make a process hold has a sum, and what grows over it is given up

Cause: each answer had bounds by bytes as sent. What they take in memory had none (a header of four bytes takes 64 more: 4 MB for a head within its 64 KiB), and nothing bounded the sum over requests in flight of heads, collected replies and unfinished events.

Change: core/answerload counts both for each pool, by memory. What grows beyond 16 KiB while the sum exceeds a tenth of the process's memory ends its call as Broken, with the reason in the log. Metrics answers_held_bytes, answers_most_held_bytes, answers_given_up_total. Collected replies at entries and agents: 16 MB in place of 64.

Measured: unit_endlessanswers, two new cases.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -15,6 +15,7 @@
 #include "core/declarationcodec.h"
 #include "core/plan.h"
 #include "core/suspects.h"
+#include "net/callerreport.h"
 #include "net/hostresources.h"
 #include "net/metrics.h"
 #include "net/wallclock.h"
@@ -74,7 +75,7 @@
     Private(EventLoop &ownerLoop, DaemonSettings daemonSettings)
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
-        , client(loop)
+        , client(loop, {}, answerBounds(usableMemory(settings.limits.memory)))
         , tableClient(makeTableClient(loop, client, PlatformOptions {.server = settings.platform.table}))
         , table(tableAccess(*tableClient))
         , engine(makeEngineClient(client, EngineOptions {.server = settings.target.engine}))
@@ -439,6 +440,7 @@
         metrics.set("requests_running", requests->running());
         metrics.set("requests_queued", requests->queued());
         metrics.set("concurrency_limit", requests->concurrencyLimit());
+        reportAnswers(metrics, client.answerLoad());
         metrics.set("callers_held_bytes", static_cast<double>(callerLoad->held()));
         metrics.set("callers_overloaded_total", static_cast<double>(callerLoad->refused()));
         metrics.set("revision", static_cast<double>(revision.value()));
--- a/src/core/eventcursor.cpp
+++ b/src/core/eventcursor.cpp
@@ -27,6 +27,11 @@
     return !m_buffer.empty();
 }
 
+auto EventCursor::partialMemory() const -> std::size_t
+{
+    return m_buffer.empty() ? 0 : m_buffer.capacity();
+}
+
 auto EventCursor::isTooLong() const -> bool
 {
     return m_boundary.openBytes() > m_maxEvent;
--- a/src/core/eventcursor.h
+++ b/src/core/eventcursor.h
@@ -20,6 +20,7 @@
     auto lastId() const -> const std::string &; ///< id of the last whole event that had one; empty if no event had an id
     auto boundary() const -> const EventBoundary &; ///< where the bytes since the beginning of this stream, or since dropPartial(), have led
     auto hasPartial() const -> bool; ///< there are buffered bytes of an incomplete event
+    auto partialMemory() const -> std::size_t; ///< bytes that these take
     auto isTooLong() const -> bool; ///< an incomplete event has more than maxEvent bytes; further bytes are ignored
 
     auto feed(std::string_view bytes) -> void;
--- a/src/core/eventstream.cpp
+++ b/src/core/eventstream.cpp
@@ -67,6 +67,11 @@
     return m_malformed;
 }
 
+auto EventStreamReader::partialMemory() const -> std::size_t
+{
+    return m_buffer.empty() ? 0 : m_buffer.capacity();
+}
+
 auto EventStreamReader::events() const -> std::size_t
 {
     return m_events;
--- a/src/core/eventstream.h
+++ b/src/core/eventstream.h
@@ -22,6 +22,7 @@
 
     auto isDone() const -> bool; ///< [DONE] was received
     auto isMalformed() const -> bool; ///< an incomplete event has more than maxEvent bytes; further bytes are ignored
+    auto partialMemory() const -> std::size_t; ///< bytes that an incomplete event takes
     auto events() const -> std::size_t; ///< events with data received so far, without [DONE]
 
     auto feed(std::string_view bytes) -> void;
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -168,6 +168,10 @@
         m_call->cancel();
         notifyCancelled(m_client, m_options, m_id);
     }
+    auto hold(std::size_t bytes) -> void override
+    {
+        m_call->hold(bytes);
+    }
     auto pause() -> void override
     {
         m_call->pause();
@@ -202,9 +206,12 @@
             onHead(status, headers);
         }
     };
-    call.onData = [state, onData = std::move(hooks.onData)](std::string_view data) {
+    call.onData = [state, completion = std::weak_ptr(completion), onData = std::move(hooks.onData)](std::string_view data) {
         if (state->isEventStream) {
             state->reader.feed(data);
+            if (const auto held = completion.lock()) {
+                held->hold(state->reader.partialMemory());
+            }
         }
         if (onData) {
             onData(data);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -115,7 +115,7 @@
     Private(EventLoop &ownerLoop, DaemonSettings daemonSettings)
         : loop(ownerLoop)
         , settings(std::move(daemonSettings))
-        , client(loop)
+        , client(loop, {}, answerBounds(usableMemory(settings.limits.memory)))
         , tableClient(makeTableClient(loop, client, PlatformOptions {.server = settings.platform.table}))
         , table(tableAccess(*tableClient))
         , objects(makeObjectClient(loop, client, PlatformOptions {.server = settings.platform.objects}))
@@ -505,6 +505,7 @@
     suspects.expire(loop.now());
     versions.update(config->declarations(), [this](const ArtifactName &artifact) { return fleet->hasCopy(artifact); });
     callerReport->update(callers->counts(), callers->heldBytes(), callers->connections(), loop.now());
+    reportAnswers(metrics, client.answerLoad());
     fleet->sendEntries(demandFrame());
     Wire::ControlFrame frame;
     frame.mutable_revisions()->set_entry(settings.process.id);
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -119,6 +119,9 @@
     }
     if (m_events) {
         m_events->feed(bytes);
+        if (m_call) {
+            m_call->hold(m_events->partialMemory());
+        }
     } else {
         forwardBytes(bytes);
     }
@@ -142,7 +145,7 @@
         .add("bytes", static_cast<std::uint64_t>(m_answerBytes));
     m_owner.parts.metrics.add("answers_broken_off_total");
     std::exchange(m_call, nullptr)->cancel();
-    onFailure({CallEnd::Broken, true, false, std::nullopt, Duration()});
+    onFailure({CallEnd::Broken, true, false, why, std::nullopt, Duration()});
 }
 
 /// Reports the events that the last piece of the body completed. The boundary counts from the beginning of the answer.
@@ -334,6 +337,7 @@
                      .add("target", m_target.text())
                      .add("after", now() - m_sentAt)
                      .add("reused", end.wasReused)
+                     .add("why", end.why)
                      .add("head", m_hasHead)
                      .add("passed", static_cast<std::uint64_t>(m_forwardedBytes)));
     if (neverSent) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,7 +171,9 @@
         , protocol(std::move(deployment))
         , log(loop, {.host = settings.process.id})
         , descriptors(descriptorBounds(usableDescriptors(settings.limits.maxDescriptors)))
-        , targetPool(loop, {.tcp = {.connectTimeout = TargetConnectTimeout, .maxDescriptors = descriptors.connect}})
+        , targetPool(loop,
+                     {.tcp = {.connectTimeout = TargetConnectTimeout, .maxDescriptors = descriptors.connect},
+                      .answers = answerBounds(usableMemory(settings.limits.memory))})
         , storePool(loop)
         , dispatcher({.zone = settings.process.zone,
                       .maySend = [this](const TargetIncarnation &target) { return limits->maySend(target); },
@@ -700,6 +702,7 @@
     }
     demand->advance();
     callerReport->update(callers->counts(), callers->heldBytes(), callers->connections(), loop.now());
+    reportAnswers(metrics, targetPool.answerLoad());
 }
 
 /// Chooses the gateways that may succeed this one as lease holder.
--- a/src/gateway/pooledcall.cpp
+++ b/src/gateway/pooledcall.cpp
@@ -7,6 +7,7 @@
 {
     PooledCall call;
     call.maxBody = maxBody;
+    call.collectsBody = true;
     call.server = server;
     call.method = std::move(text.method);
     call.target = std::move(text.target);
--- a/src/net/callerreport.cpp
+++ b/src/net/callerreport.cpp
@@ -10,6 +10,13 @@
 
 } // namespace
 
+auto reportAnswers(Metrics &metrics, const AnswerLoad &load) -> void
+{
+    metrics.set("answers_held_bytes", static_cast<double>(load.held()));
+    metrics.set("answers_most_held_bytes", static_cast<double>(load.mostHeld()));
+    metrics.set("answers_given_up_total", static_cast<double>(load.givenUp()));
+}
+
 CallerReport::CallerReport(Metrics &metrics, Log log)
     : m_metrics(metrics)
     , m_log(std::move(log))
--- a/src/net/callerreport.h
+++ b/src/net/callerreport.h
@@ -1,6 +1,7 @@
 // Reports what callers make a process hold, and what was refused or closed because of it: metrics, and a log line at most once a second.
 #pragma once
 
+#include "core/answerload.h"
 #include "net/callerserver.h"
 #include "net/metrics.h"
 
@@ -9,6 +10,9 @@
 namespace KingCup
 {
 
+/// Sets the metrics of what answers of servers make this process hold.
+auto reportAnswers(Metrics &metrics, const AnswerLoad &load) -> void;
+
 class CallerReport
 {
 public:
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -31,18 +31,13 @@
 auto startShortCall(HttpClient &client, HttpCall call, std::function<void(const HttpAnswer &)> done, std::size_t maxBody) -> std::shared_ptr<HttpCallHandle>
 {
     auto answer = std::make_shared<HttpAnswer>();
-    auto handle = std::make_shared<std::weak_ptr<HttpCallHandle>>();
+    call.maxBody = maxBody;
+    call.collectsBody = true;
     call.onHead = [answer](int status, const HttpHeaders &headers) {
         answer->status = status;
         answer->headers = headers;
     };
-    call.onData = [answer, handle, maxBody](std::string_view data) {
-        if (answer->body.size() + data.size() > maxBody) {
-            if (const auto self = handle->lock()) {
-                self->cancel();
-            }
-            return;
-        }
+    call.onData = [answer](std::string_view data) {
         answer->body.append(data);
     };
     call.onEnd = [answer, done = std::move(done)](CallEnd end) {
@@ -52,9 +47,7 @@
         }
         done(*answer);
     };
-    auto started = client.start(std::move(call));
-    *handle = started;
-    return started;
+    return client.start(std::move(call));
 }
 
 } // namespace KingCup
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -7,6 +7,7 @@
 //   Client     HttpClient::start() makes a call and returns its handle
 #pragma once
 
+#include "core/answerload.h"
 #include "core/callerload.h"
 #include "core/endpoint.h"
 #include "core/units.h"
@@ -14,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -135,6 +137,8 @@
     std::string body;
     Duration timeout = Duration::seconds(30); ///< from start() to the last byte of the answer; 0: none
     std::vector<std::string> keptHeaders; ///< lower-case names of answer headers to keep besides content-type
+    std::size_t maxBody = std::numeric_limits<std::size_t>::max(); ///< bytes of the answer's body; a longer one ends the call as Broken
+    bool collectsBody = false; ///< as PooledCall::collectsBody
 
     std::function<void(int status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view data)> onData;
@@ -147,6 +151,7 @@
 public:
     virtual ~HttpCallHandle() = default;
     virtual auto cancel() -> void = 0;
+    virtual auto hold(std::size_t bytes) -> void = 0; ///< as PooledHandle::hold()
     virtual auto pause() -> void = 0; ///< stops reading, so that flow control stops the server
     virtual auto resume() -> void = 0;
 };
@@ -156,12 +161,13 @@
 public:
     /// With `tls`, every call is encrypted and the server's certificate checked against the authority. Throws std::runtime_error if
     /// the files can't be used.
-    explicit HttpClient(EventLoop &loop, const TlsFiles &tls = {});
+    explicit HttpClient(EventLoop &loop, const TlsFiles &tls = {}, const AnswerBounds &answers = {});
     ~HttpClient();
 
     /// Starts a call. No hook is called before start() has returned.
     auto start(HttpCall call) -> std::shared_ptr<HttpCallHandle>;
     auto callsInFlight() const -> std::size_t;
+    auto answerLoad() const -> const AnswerLoad &;
 
     struct Private;
 
@@ -177,7 +183,7 @@
     std::string body;
 };
 /// Starts a call, buffers its answer and calls `done` once. A body larger than `maxBody` ends the call as Broken.
-auto startShortCall(HttpClient &client, HttpCall call, std::function<void(const HttpAnswer &)> done, std::size_t maxBody = 64U << 20U)
+auto startShortCall(HttpClient &client, HttpCall call, std::function<void(const HttpAnswer &)> done, std::size_t maxBody = 16U << 20U)
     -> std::shared_ptr<HttpCallHandle>;
 
 } // namespace KingCup
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -19,9 +19,10 @@
 constexpr auto ConnectTimeout = Duration::seconds(5);
 constexpr auto UnackedTimeout = Duration::seconds(5);
 
-auto poolOptions(ssl_ctx_st *tls) -> HttpPoolOptions
+auto poolOptions(ssl_ctx_st *tls, const AnswerBounds &answers) -> HttpPoolOptions
 {
     HttpPoolOptions options;
+    options.answers = answers;
     options.tcp.connectTimeout = ConnectTimeout;
     options.tcp.unackedTimeout = UnackedTimeout;
     options.tcp.tls = tls;
@@ -51,11 +52,11 @@
     struct Call;
     std::unordered_set<std::shared_ptr<Call>> calls;
 
-    Private(EventLoop &ownerLoop, const TlsFiles &tls)
+    Private(EventLoop &ownerLoop, const TlsFiles &tls, const AnswerBounds &answers)
         : loop(ownerLoop)
         , tlsContext(tls.isEnabled() ? std::make_unique<TlsContext>(TlsContext::Side::Client, tls) : nullptr)
         , tlsRenewal(tlsContext ? std::make_unique<TlsRenewal>(loop, tls, tlsContext->native()) : nullptr)
-        , pool(loop, poolOptions(tlsContext ? tlsContext->native() : nullptr))
+        , pool(loop, poolOptions(tlsContext ? tlsContext->native() : nullptr, answers))
     {
     }
 };
@@ -71,6 +72,10 @@
     {
         end(CallEnd::Cancelled);
     }
+    auto hold(std::size_t bytes) -> void override
+    {
+        handle->hold(bytes);
+    }
     auto pause() -> void override
     {
         if (!ended) {
@@ -97,6 +102,8 @@
     pooled.headers = {{"host", toString(call.server)}, {"connection", "close"}};
     pooled.headers.insert(pooled.headers.end(), call.headers.begin(), call.headers.end());
     pooled.body = std::move(call.body);
+    pooled.maxBody = call.maxBody;
+    pooled.collectsBody = call.collectsBody;
     pooled.onHead = [this](const HttpHead &head) {
         if (call.onHead) {
             call.onHead(head.status, keptHeaders(head.headers, call.keptHeaders));
@@ -139,8 +146,8 @@
     });
 }
 
-HttpClient::HttpClient(EventLoop &loop, const TlsFiles &tls)
-    : d(std::make_unique<Private>(loop, tls))
+HttpClient::HttpClient(EventLoop &loop, const TlsFiles &tls, const AnswerBounds &answers)
+    : d(std::make_unique<Private>(loop, tls, answers))
 {
 }
 
@@ -162,6 +169,11 @@
     return started;
 }
 
+auto HttpClient::answerLoad() const -> const AnswerLoad &
+{
+    return d->pool.answerLoad();
+}
+
 auto HttpClient::callsInFlight() const -> std::size_t
 {
     return d->calls.size();
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -65,6 +65,7 @@
     auto wasSent() const -> bool override;
     auto unackedBytes() const -> std::size_t override;
     auto cancel() -> void override;
+    auto hold(std::size_t bytes) -> void override;
     auto pause() -> void override;
     auto resume() -> void override;
 
@@ -72,12 +73,17 @@
     auto onData(std::string_view bytes) -> void;
     auto onHead() -> void;
     auto isBodyTooLong() const -> bool;
+    auto givesUp() const -> const char *;
+    auto charge() -> bool;
     auto onClosed(TcpEnd how) -> void;
     auto onAnswered(bool noBytesFollow) -> void;
-    auto finish(CallEnd end, std::optional<TcpEnd> how) -> void;
+    auto finish(CallEnd end, std::optional<TcpEnd> how, const char *why = "-") -> void;
     auto prepareReader() -> void;
 
     HttpPool::Private *m_pool; ///< null once the connection was removed from the pool
+    std::shared_ptr<AnswerLoad> m_load;
+    std::size_t m_charged = 0; ///< to m_load
+    std::size_t m_kept = 0; ///< of the current answer by its handler, see hold()
     EventLoop &m_loop;
     Endpoint m_server;
     std::unique_ptr<TcpStream> m_stream; ///< null once closed
@@ -101,12 +107,14 @@
     EventLoop &loop;
     HttpPoolOptions options;
     HttpPoolCounts counts;
+    std::shared_ptr<AnswerLoad> load;
     std::map<Endpoint, std::vector<std::shared_ptr<PoolConnection>>> connections; ///< by server, the most recently used last
     Timer sweep;
 
     Private(EventLoop &ownerLoop, HttpPoolOptions poolOptions)
         : loop(ownerLoop)
         , options(poolOptions)
+        , load(std::make_shared<AnswerLoad>(poolOptions.answers))
     {
     }
     auto remove(PoolConnection &connection) -> void
@@ -126,6 +134,7 @@
 
 PoolConnection::PoolConnection(HttpPool::Private &pool, EventLoop &loop, const Endpoint &server)
     : m_pool(&pool)
+    , m_load(pool.load)
     , m_loop(loop)
     , m_server(server)
     , m_reader(HttpReader::Kind::Answer, pool.options.headBytes)
@@ -160,6 +169,7 @@
     ++m_calls;
     m_skipped = 0;
     m_interim = 0;
+    m_kept = 0;
     m_wasSent = false;
     prepareReader();
     if (!m_stream) {
@@ -211,10 +221,16 @@
         m_wasSent = wasSent();
         m_call = nullptr;
         m_busy = false;
+        charge();
         close();
     }
 }
 
+auto PoolConnection::hold(std::size_t bytes) -> void
+{
+    m_kept = bytes;
+}
+
 auto PoolConnection::pause() -> void
 {
     if (m_stream) {
@@ -257,6 +273,28 @@
     return m_bodyBytes > (m_verdict == AnswerVerdict::Skip ? m_pool->options.maxSkippedBody : m_call->maxBody);
 }
 
+/// Updates the load by what the current answer makes the process hold. False if the answer is to be given up.
+auto PoolConnection::charge() -> bool
+{
+    constexpr std::size_t HeadCopies = 2; // the handler keeps one
+    const auto before = m_charged;
+    const auto body = m_call && m_call->collectsBody ? m_bodyBytes : 0;
+    m_charged = m_busy ? HeadCopies * m_reader.headMemory() + body + m_kept : 0;
+    return m_load->change(before, m_charged);
+}
+
+/// Why what was received can't be or become the answer; nothing if it can.
+auto PoolConnection::givesUp() const -> const char *
+{
+    if (m_reader.fault() != HttpFault::None) {
+        return m_reader.fault() == HttpFault::TooLarge ? "head-too-large" : "malformed";
+    }
+    if (isBodyTooLong()) {
+        return "body-too-long";
+    }
+    return m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse ? "refused" : nullptr;
+}
+
 auto PoolConnection::onData(std::string_view bytes) -> void
 {
     const auto self = shared_from_this(); // a hook may cancel the call
@@ -272,8 +310,9 @@
             return;
         }
         bytes.remove_prefix(std::min(used, bytes.size()));
-        if (m_reader.fault() != HttpFault::None || isBodyTooLong() || (m_reader.hasHead() && m_verdict == AnswerVerdict::Refuse)) {
-            finish(CallEnd::Broken, std::nullopt);
+        const bool isAffordable = charge();
+        if (const auto *why = givesUp(); why != nullptr || !isAffordable) {
+            finish(CallEnd::Broken, std::nullopt, why == nullptr ? "answers-hold-too-much" : why);
             return;
         }
         if (!m_reader.isComplete()) {
@@ -286,13 +325,13 @@
         const bool isInterim = m_reader.head().status < FirstFinalStatus;
         if (isInterim) {
             if (++m_interim > m_pool->options.maxInterim) {
-                finish(CallEnd::Broken, std::nullopt);
+                finish(CallEnd::Broken, std::nullopt, "too-many-interim");
                 return;
             }
         } else {
             ++m_pool->counts.strayAnswers;
             if (++m_skipped > m_pool->options.maxSkipped || !m_reader.head().keepsConnection) {
-                finish(CallEnd::Broken, std::nullopt);
+                finish(CallEnd::Broken, std::nullopt, "only-stray-answers");
                 return;
             }
         }
@@ -322,13 +361,15 @@
     m_idleUntil = now + (stated ? std::min(*stated - options.idleTimeoutMargin, options.idleTimeout) : options.idleTimeout);
     m_stream->resumeReading();
     m_busy = false;
+    m_reader.reset(); // frees the head
+    charge();
     auto &list = m_pool->connections[m_server];
     const auto self = shared_from_this();
     std::erase(list, self);
     list.push_back(self);
     const auto call = std::exchange(m_call, nullptr);
     if (call->onEnd) {
-        call->onEnd({CallEnd::Complete, true, m_calls > 1, std::nullopt, m_idleBefore});
+        call->onEnd({CallEnd::Complete, true, m_calls > 1, "-", std::nullopt, m_idleBefore});
     }
 }
 
@@ -348,15 +389,16 @@
     finish(neverSent ? CallEnd::NotSent : CallEnd::Broken, how);
 }
 
-auto PoolConnection::finish(CallEnd end, std::optional<TcpEnd> how) -> void
+auto PoolConnection::finish(CallEnd end, std::optional<TcpEnd> how, const char *why) -> void
 {
     const auto self = shared_from_this();
     m_wasSent = end != CallEnd::NotSent;
     m_busy = false;
+    charge();
     const auto call = std::exchange(m_call, nullptr);
     close();
     if (call->onEnd) {
-        call->onEnd({end, m_wasSent, m_calls > 1, how, m_idleBefore});
+        call->onEnd({end, m_wasSent, m_calls > 1, why, how, m_idleBefore});
     }
 }
 
@@ -413,6 +455,11 @@
     return d->counts;
 }
 
+auto HttpPool::answerLoad() const -> const AnswerLoad &
+{
+    return *d->load;
+}
+
 auto HttpPool::connections(const Endpoint &server) const -> std::size_t
 {
     const auto found = d->connections.find(server);
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -12,6 +12,7 @@
 //   HttpPool      the connections
 #pragma once
 
+#include "core/answerload.h"
 #include "net/httpreader.h"
 #include "net/tcpstream.h"
 
@@ -37,6 +38,7 @@
     CallEnd end = CallEnd::Broken;
     bool wasSent = false; ///< at least a part was sent: the server may have executed the call
     bool wasReused = false; ///< the connection had served another call before
+    const char *why = "-"; ///< Broken: why the pool gave the answer up; "-": it didn't
     std::optional<TcpEnd> connection; ///< how the remote side ended the connection; nothing: it didn't
     Duration idleBefore; ///< how long a reused connection was idle before this call
 };
@@ -52,6 +54,7 @@
     /// A new connection is established, and the call isn't sent yet: it may still be cancelled without having reached the server.
     std::function<void()> onConnected;
     std::size_t maxBody = std::numeric_limits<std::size_t>::max(); ///< bytes; a longer body ends the call as Broken
+    bool collectsBody = false; ///< onBody keeps what it gets, which is charged to the answers' load
     std::function<AnswerVerdict(const HttpHead &head)> onHead; ///< not set: every answer is accepted
     std::function<void(std::string_view bytes)> onBody;
     std::function<void(const PooledEnd &end)> onEnd; ///< exactly once, unless cancelled; no hook is called after it
@@ -66,6 +69,9 @@
     virtual auto unackedBytes() const -> std::size_t = 0; ///< bytes of the call that the server's TCP stack hasn't acknowledged yet
     /// Closes the connection; no hook is called from here on.
     virtual auto cancel() -> void = 0;
+    /// Charges the answers' load with what is kept of this answer besides its head and a collected body, in place of the last such charge. If answers hold too
+    /// much, the call ends as Broken after the hook that is running.
+    virtual auto hold(std::size_t bytes) -> void = 0;
     virtual auto pause() -> void = 0; ///< stops reading, so that flow control stops the server
     virtual auto resume() -> void = 0;
 };
@@ -75,6 +81,7 @@
 struct HttpPoolOptions {
     TcpOptions tcp;
     std::size_t headBytes = 65536; ///< size limit of an answer's head
+    AnswerBounds answers; ///< on what all answers together may hold; one that exceeds them ends its call as Broken
     Duration idleTimeout = Duration::seconds(60); ///< an idle connection is closed after this
     Duration idleTimeoutMargin = Duration::millis(1000); ///< closed this long before the server's own idle timeout (Keep-Alive, whole seconds)
     int maxSkipped = 2; ///< late answers skipped during one call; a further one closes the connection
@@ -98,6 +105,7 @@
     auto operator=(const HttpPool &) -> HttpPool & = delete;
 
     auto counts() const -> const HttpPoolCounts &;
+    auto answerLoad() const -> const AnswerLoad &;
     auto connections(const Endpoint &server) const -> std::size_t; ///< busy and idle
     auto hasIdle(const Endpoint &server, Duration maxIdleTime) const -> bool; ///< a call with this `maxIdleTime` would reuse a connection
 
--- a/tests/unit_endlessanswers.cpp
+++ b/tests/unit_endlessanswers.cpp
@@ -241,3 +241,90 @@
         CHECK(loop.runUntil([&] { return sender.isClosed; }, TestTimeout));
     }
 }
+
+TEST_CASE("heads of many answers that don't end hold bounded memory, and sound servers are answered")
+{
+    // Guards against a process that exceeds its host's memory by heads of tiny headers, each of which is below the limit of a head.
+    constexpr int Calls = 150;
+    constexpr std::size_t Bound = 1U << 20U;
+    constexpr std::size_t OneAnswer = 512U << 10U; // exceeds the bound before it is given up
+    const bool isEndless = GENERATE(true, false);
+    INFO("endless: " << isEndless);
+    std::string headers;
+    for (int i = 0; i < 600; ++i) {
+        headers += "a:\r\n";
+    }
+    EventLoop loop;
+    std::vector<std::unique_ptr<EndlessSender>> senders;
+    const ScriptedServer server(loop, [&](ScriptedConnection &connection, const HttpHead &head, const std::string & /*body*/) {
+        if (head.target == "/sound") {
+            connection.stream->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            return;
+        }
+        auto &sender = senders.emplace_back(std::make_unique<EndlessSender>(loop));
+        sender->start(connection, "HTTP/1.1 200 OK\r\n" + headers, isEndless ? headers : "");
+    });
+    HttpPool pool(loop, {.answers = {.bytes = Bound}});
+    int broken = 0;
+    std::vector<std::shared_ptr<PooledHandle>> handles;
+    const auto call = [&](const std::string &target, std::function<void(const PooledEnd &end)> onEnd) {
+        PooledCall made;
+        made.server = server.endpoint();
+        made.target = target;
+        made.onEnd = std::move(onEnd);
+        handles.push_back(pool.start(std::move(made)));
+    };
+    for (int i = 0; i < Calls; ++i) {
+        call("/endless", [&](const PooledEnd &end) { broken += end.end == CallEnd::Broken ? 1 : 0; });
+    }
+    loop.runUntil([&] { return broken == Calls; }, Duration::millis(1000));
+    CHECK(broken >= Calls / 2);
+    std::optional<CallEnd> sound;
+    call("/sound", [&](const PooledEnd &end) { sound = end.end; });
+    REQUIRE(loop.runUntil([&] { return sound.has_value(); }, MaxTime));
+    CHECK(*sound == CallEnd::Complete);
+    CHECK(pool.answerLoad().mostHeld() < Bound + OneAnswer + Calls * AnswerBounds().small);
+    for (const auto &handle : handles) {
+        handle->cancel();
+    }
+    CHECK(pool.answerLoad().held() == 0);
+}
+
+TEST_CASE("unfinished events of many streams hold bounded memory, and sound streams go on")
+{
+    constexpr int Streams = 60;
+    constexpr std::size_t Part = 900U << 10U;
+    constexpr std::size_t Read = 2U << 20U; // of the answer that exceeds the bound
+    ForwarderFixture fixture([](const std::string & /*target*/, const std::string &attempt) {
+        return answerText(200, attempt, "Content-Type: text/event-stream\r\n", "id: 1\ndata: x\n\n");
+    });
+    fixture.writeAnswer = [&](ScriptedConnection &connection, const std::string & /*target*/, const std::string &attempt) {
+        if (fixture.runs.back().path != "/tell/endless") {
+            return false;
+        }
+        connection.stream->write(textFor(Signed + "Content-Type: text/event-stream\r\n\r\ndata: ", attempt) + std::string(Part, 'x'));
+        return true;
+    };
+    std::vector<std::future<RawAnswer>> clients;
+    for (int i = 0; i < Streams; ++i) {
+        clients.push_back(
+            rawCall(fixture.server->port(),
+                    "POST /tell/endless HTTP/1.1\r\nHost: h\r\nAttempt-Id: e-" + std::to_string(i) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                    RawAfter::Read));
+    }
+    fixture.loop.runUntil([&] { return fixture.pool.answerLoad().givenUp() > 0; }, MaxTime);
+    CHECK(fixture.pool.answerLoad().givenUp() > 0);
+    CHECK(fixture.call("/tell/sound") == 200);
+    CHECK(fixture.text.find("data: x") != std::string::npos);
+    REQUIRE(fixture.loop.runUntil(
+        [&] {
+            return std::all_of(
+                clients.begin(), clients.end(), [](const auto &client) { return client.wait_for(std::chrono::seconds(0)) == std::future_status::ready; });
+        },
+        TestTimeout));
+    CHECK(fixture.pool.answerLoad().mostHeld() < AnswerBounds().bytes + Read + Streams * AnswerBounds().small);
+    CHECK(fixture.pool.answerLoad().held() == 0);
+    for (auto &client : clients) {
+        CHECK(client.get().text.substr(0, 10) == "HTTP/1.1 5");
+    }
+}
