gateway: in a planned stop, a request that can't be expected to be answered before it is refused as not run

Cause: nothing compared how long a request takes with the time until the stop, though both are known.

Asked before each send; what doesn't fit gets 503 with Retry-After 0, or 502 if it may have run. The stand-in's runners take 'work-time'; rawcaller sends bodies by pieces.

--- a/fakes/platformrunner.cpp
+++ b/fakes/platformrunner.cpp
@@ -179,6 +179,10 @@
         m_answerBytes = command.value("bytes", std::size_t {0});
         return true;
     }
+    if (mode == "work-time") {
+        m_settings.workTime = Duration::millis(command.value("ms", 20));
+        return true;
+    }
     if (mode == "version") {
         m_softwareVersion = command.value("version", std::string());
         return true;
--- a/fakes/platformrunner.h
+++ b/fakes/platformrunner.h
@@ -57,8 +57,9 @@
     /// begun to run it, with "afterHead":true after the head of the answer; {"mode":"request-limit","perSecond":TEXT}
     /// announces a limit in all answers from now on, or none if TEXT is empty, with "onlyRuns":true not in rejections; {"mode":"reject","retryAfter":TEXT}
     /// rejects all requests and reports; "touch" rewrites the row; "announce-leaving" says in all answers of this start that the runner leaves, while its row
-    /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm (answerform.h), until "well". {"mode":"version","version":V} states
-    /// the software version V in the row from now on, none if V is empty; "crash" takes a "version" too, that of the next start, and "keepsModels".
+    /// says nothing of it. {"mode":"answer-as",...} answers runs in the form of AnswerForm (answerform.h), until "well". {"mode":"work-time","ms":N} sets the
+    /// time that a run takes. {"mode":"version","version":V} states the software version V in the row from now on, none if V is empty; "crash" takes a
+    /// "version" too, that of the next start, and "keepsModels".
     /// {"mode":"answer-bytes","bytes":N} pads plain answers to N bytes. False if the mode is unknown.
     auto command(const Json &command) -> bool;
 
--- a/src/gateway/forwardedanswer.cpp
+++ b/src/gateway/forwardedanswer.cpp
@@ -250,6 +250,7 @@
         return;
     }
     ++m_possibleRuns;
+    m_owner.answerTimes.ended(m_route.name, now() - m_sentAt);
     const bool isFailure = m_head.status >= HttpStatus::ServerError || promisesNotRun(m_head.status);
     closeSend(isFailure ? SendResult::Failed : SendResult::Delivered);
     if (isFailure && !m_isForwarding && mayRunAgain() && maySendAgain()) {
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -163,7 +163,7 @@
         abandon(m_possibleRuns > 0 ? HttpStatus::GatewayTimeout : HttpStatus::Unavailable, "no-time-left");
         return;
     }
-    if (!isStillGranted()) {
+    if (!isStillGranted() || !fitsBeforeStop()) {
         return;
     }
     if (!readSlotState()) {
@@ -285,6 +285,26 @@
     return false;
 }
 
+/// Checked before each send. Otherwise refuses the request, whose client finds other gateways ready.
+auto ForwardedRequest::fitsBeforeStop() -> bool
+{
+    if (!m_owner.stop) {
+        return true;
+    }
+    const auto expected = m_owner.answerTimes.expected(m_route.name);
+    if (KingCup::fitsBeforeStop(*m_owner.stop, expected, m_route.goal, m_deadline - now(), now())) {
+        return true;
+    }
+    m_owner.parts.log.line("routing", "stops-before-answer")
+        .add("id", m_traits.attempt.text())
+        .add("route", m_route.name)
+        .add("expected", expected.value_or(Duration::millis(-1)))
+        .add("left", m_owner.stop->endsAt - now());
+    m_retryAfter = Duration();
+    abandon(m_possibleRuns > 0 ? HttpStatus::BadGateway : HttpStatus::Unavailable, "stops-before-answer");
+    return false;
+}
+
 auto ForwardedRequest::certainlyDidNotRun() const -> bool
 {
     return m_possibleRuns == 0 && !(m_call && m_call->wasSent());
@@ -483,6 +503,9 @@
 auto ForwardedRequest::onTimeout() -> void
 {
     const auto self = shared_from_this();
+    if (m_hasSend) {
+        m_owner.answerTimes.ended(m_route.name, now() - m_sentAt);
+    }
     abandon(certainlyDidNotRun() ? HttpStatus::Unavailable : HttpStatus::GatewayTimeout, "timeout");
 }
 
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -52,6 +52,8 @@
     SharedRetryBudgetOptions budgetOptions;
     std::map<TargetIncarnation, int> permitQueues; ///< requests that wait for a permit, by target
     int gatewayCount = 1;
+    AnswerTimes answerTimes; ///< by the name of the route
+    std::optional<StopSchedule> stop; ///< set once the process has been told to stop
     std::mt19937_64 random;
     std::unordered_set<std::shared_ptr<ForwardedRequest>> requests;
 
@@ -114,6 +116,7 @@
     auto attempt() -> void;
     auto tryAgainAfter(Duration delay) -> void; ///< unless tryAgain() is called sooner
     auto isStillGranted() -> bool;
+    auto fitsBeforeStop() -> bool;
     auto certainlyDidNotRun() const -> bool;
     auto admit(const DispatchChoice &choice) -> bool;
     auto maxWait(const DispatchChoice &choice) const -> Duration;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -124,6 +124,12 @@
     }
 }
 
+auto Forwarder::setStop(const StopSchedule &stop) -> void
+{
+    d->stop = stop;
+    retryWaiting();
+}
+
 auto Forwarder::setGatewayCount(int live) -> void
 {
     d->gatewayCount = live;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -13,6 +13,7 @@
 #include "core/dispatch.h"
 #include "core/reuselimit.h"
 #include "core/sharedretrybudget.h"
+#include "core/stopadmission.h"
 #include "core/traffic.h"
 #include "gateway/crashwatch.h"
 #include "gateway/limitexchange.h"
@@ -97,6 +98,8 @@
     auto refusalHeaders(const HttpHead &head, CallerRefusal refusal) -> HttpHeaders;
     /// Tries waiting requests again. Call it when targets, or the models that they hold, have changed.
     auto retryWaiting() -> void;
+    /// The process stops: requests that can't be expected to be answered before are refused.
+    auto setStop(const StopSchedule &stop) -> void;
     /// Ends all open requests; returns how many were cut off.
     auto abandonAll() -> int;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -971,6 +971,7 @@
     d->isLeaving = true;
     d->leavingSince = d->loop.now();
     d->callers->setLeaving();
+    d->forwarder->setStop({d->leavingSince + BalancerNoticeTime, d->leavingSince + d->settings.gateway.stopLimit - StopMargin});
     d->log.line("process", "leaving").add("open", static_cast<int>(d->callers->openExchanges()));
     d->leaveCheck = d->loop.every(LeaveCheckPeriod, [this] { d->checkLeaveDone(); });
 }
--- a/tests/rawcaller.h
+++ b/tests/rawcaller.h
@@ -4,10 +4,15 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <chrono>
+#include <functional>
 #include <future>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 namespace KingCup
 {
@@ -25,9 +30,10 @@
 };
 
 /// Sends `bytes` to a port of the loopback address and collects the answer.
-inline auto rawCall(int port, std::string bytes, RawAfter after, int timeoutSeconds = 5) -> std::future<RawAnswer>
+/// `more`: called when these are sent, until it returns nothing; what it returns is sent too.
+inline auto rawCall(int port, std::string bytes, RawAfter after, int timeoutSeconds = 5, std::function<std::string()> more = nullptr) -> std::future<RawAnswer>
 {
-    return std::async(std::launch::async, [port, bytes = std::move(bytes), after, timeoutSeconds] {
+    return std::async(std::launch::async, [port, bytes = std::move(bytes), after, timeoutSeconds, more = std::move(more)]() mutable {
         const int socketFd = socket(AF_INET, SOCK_STREAM, 0);
         const timeval limit {timeoutSeconds, 0};
         setsockopt(socketFd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
@@ -43,6 +49,9 @@
             while (sent < bytes.size() && size > 0) {
                 size = ::send(socketFd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
                 sent += static_cast<std::size_t>(size > 0 ? size : 0);
+                if (sent == bytes.size() && more) {
+                    bytes += more();
+                }
             }
             std::array<char, 4096> buffer {};
             while (after == RawAfter::Read && (size = recv(socketFd, buffer.data(), buffer.size(), 0)) > 0) {
@@ -56,4 +65,13 @@
     });
 }
 
+/// Sends the head at once, and a body of as many bytes as it states one by one, with this pause before each; then reads as rawCall() does.
+inline auto rawCallByPieces(int port, std::string head, int bodyBytes, std::chrono::milliseconds pause, int timeoutSeconds) -> std::future<RawAnswer>
+{
+    return rawCall(port, std::move(head), RawAfter::Read, timeoutSeconds, [left = bodyBytes, pause]() mutable {
+        std::this_thread::sleep_for(pause);
+        return left-- > 0 ? "b" : "";
+    });
+}
+
 } // namespace KingCup
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -1,5 +1,6 @@
 // System tests of gateways as real processes on fakes of the users' platform: requests of every kind, and faults of targets, store and gateways.
 #include "tests/harness_gateways.h"
+#include "tests/rawcaller.h"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -334,6 +335,55 @@
     CHECK(site.waitForExit("gw-1") == 0);
 }
 
+TEST_CASE("a planned stop cuts off no request that comes late in it")
+{
+    // Guards against requests that are whole only late in the grace, and are passed on to targets that can't answer them before its end.
+    constexpr int WorkMillis = 1200;
+    Site site({.gateways = 2, .runners = 1, .instances = 1, .models = 1});
+    site.platform({{"part", "operator"}, {"change", "timeout"}, {"ms", 12000}});
+    site.platform({{"part", "runner"}, {"mode", "work-time"}, {"ms", WorkMillis}});
+    site.sleep(Duration::millis(300));
+    for (const auto *path : {"/read/x", "/write/x"}) {
+        REQUIRE(site.call(1, {.path = path, .method = "POST", .body = "x"})->status == 200);
+    }
+    // The gateway doesn't end sooner than this stream.
+    const auto stream = site.begin(
+        1, {.path = "/chat/x", .method = "POST", .model = "m1", .events = 360, .timeBudgetMillis = 9000, .body = "prompt", .isNewConnection = true});
+    site.process("gw-1").send(SIGTERM);
+    const auto stoppedAt = site.loop().now();
+    std::vector<std::pair<std::string, std::future<RawAnswer>>> calls;
+    constexpr auto Pause = std::chrono::milliseconds(100);
+    for (int pieces = 2; pieces <= 48; pieces += 2) { // the gateway ends 5.5 s after the signal
+        for (const std::string route : {"/read/", "/write/"}) {
+            const auto attempt = site.freshAttempt();
+            const auto head = "POST " + route + attempt + " HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: 9000\r\nAttempt-Id: " + attempt
+                + "\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n";
+            calls.emplace_back(attempt, rawCallByPieces(site.port(1), head, pieces, Pause, 8));
+        }
+    }
+    site.waitFor(
+        "all answers",
+        [&] {
+            return std::all_of(
+                calls.begin(), calls.end(), [](const auto &call) { return call.second.wait_for(std::chrono::seconds(0)) == std::future_status::ready; });
+        },
+        Duration::seconds(12));
+    int answered = 0;
+    int refused = 0;
+    for (auto &[attempt, call] : calls) {
+        const auto text = call.get().text;
+        INFO(attempt << ": " << text);
+        CHECK((text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 503")));
+        answered += text.starts_with("HTTP/1.1 200") ? 1 : 0;
+        refused += text.starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    CHECK(stream->isWhole());
+    CHECK(answered >= 16);
+    CHECK(refused >= 4);
+    CHECK(site.waitForExit("gw-1") == 0);
+    CHECK(site.loop().now() - stoppedAt < Duration::seconds(8));
+}
+
 TEST_CASE("SIGHUP makes a gateway reload its settings, and an invalid file changes nothing")
 {
     // An operator's tool writes the settings file and sends SIGHUP, as to any daemon. If the gateway exited at it, all its callers would be cut off.
