--- a/src/core/stopadmission.h
+++ b/src/core/stopadmission.h
@@ -1,4 +1,4 @@
-// Which requests a process that has been told to stop still passes on. A request that is passed on and then cut off at the stop may have run, so that its
+// Which requests a process that is stopping still passes on. A request that is passed on and then cut off at the stop may have run, so that its
 // client can't return elsewhere; one that is refused as not run lets any client do so. No I/O.
 //
 // Index of sections (search for [SECTION]):
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -53,7 +53,7 @@
     std::map<TargetIncarnation, int> permitQueues; ///< requests that wait for a permit, by target
     int gatewayCount = 1;
     AnswerTimes answerTimes; ///< by the name of the route
-    std::optional<StopSchedule> stop; ///< set once the process has been told to stop
+    std::optional<StopSchedule> stop; ///< set once the process is stopping
     std::mt19937_64 random;
     std::unordered_set<std::shared_ptr<ForwardedRequest>> requests;
 
