agent: an engine's error and a recorded answer that don't end are no longer kept whole

Found while looking for the cause of the memory of answers on related paths: an agent kept an engine's 404, 429 or 503 until it was whole, and the answer of a request that must run once until it was recorded, both without a bound; the latter was also read at any speed, whether its caller read it or not.

Measured: unit_requesttasks, two new cases.

--- a/src/agent/requesttasks.cpp
+++ b/src/agent/requesttasks.cpp
@@ -25,6 +25,7 @@
 constexpr double MaxPauseSeconds = 24 * 3600; // longer times that a target asks for are ignored as errors
 constexpr auto PauseTimerMargin = Duration::millis(1); // a timer that fires early would leave the queue standing still
 constexpr double LogPeriodSeconds = 1; // of lines about requests that can't be held
+constexpr std::size_t MaxKeptAnswer = 64U << 10U; // bytes of an answer that is kept until it is whole; records of runs are smaller
 constexpr double MeanSampleWeight = 0.1; // weight of a new sample in the moving average of service times
 
 } // namespace
@@ -53,10 +54,11 @@
     int status = 0;
     HttpHeaders headers;
     EventStreamReader events {nullptr}; // of a streamed answer
-    std::string bufferedBody; // the answer so far, if recordsAnswer or withholdsHead
+    std::string bufferedBody; // the answer so far, if recordsAnswer or withholdsHead; at most some bytes over MaxKeptAnswer
     std::size_t bytes = 0;
     std::size_t charged = 0; // to RequestSettings::load
     bool recordsAnswer = false; // run once: the whole answer is kept for the claim's record
+    bool isBrokenOff = false; // the call was cancelled because the target goes on sending what is no answer
     bool withholdsHead = false; // an error of the engine that may mean "not run": nothing is passed on before the whole answer is known
     bool isStream = false; // server-sent events
 
@@ -429,15 +431,21 @@
     if (task->isStream) {
         task->events.feed(data);
     }
-    if (task->recordsAnswer || task->withholdsHead) {
+    const bool isKept = (task->recordsAnswer || task->withholdsHead) && task->bufferedBody.size() <= MaxKeptAnswer;
+    if (isKept) {
         task->bufferedBody.append(data);
     }
     if (task->withholdsHead) {
+        if (task->bufferedBody.size() > MaxKeptAnswer && !task->isBrokenOff) {
+            LOG_EVERY_T(WARNING, LogPeriodSeconds) << "request: broke off an error of the target that doesn't end bytes=" << task->bytes;
+            task->isBrokenOff = true;
+            task->call->cancel();
+        }
         return;
     }
     sendData(task, data);
-    // Backpressure: if the caller reads slowly, the engine's stream is paused, so that nothing piles up here.
-    if (task->stream && !task->recordsAnswer && !task->isPaused && task->stream->pendingBytes() > settings.streamBuffer) {
+    // Backpressure: if the caller reads slowly, the target's answer is paused, so that nothing piles up here. An answer that is to be recorded is read at once.
+    if (task->stream && !(task->recordsAnswer && isKept) && !task->isPaused && task->stream->pendingBytes() > settings.streamBuffer) {
         task->isPaused = true;
         task->call->pause();
     }
@@ -456,7 +464,7 @@
         limit.observeService(took, task->runningAtStart);
         meanServiceMicros += MeanSampleWeight * (static_cast<double>(took.inMicros()) - meanServiceMicros);
         finishRun(task);
-    } else if (task->state == TaskState::Ended || how == CallEnd::Cancelled) {
+    } else if (task->state == TaskState::Ended || (how == CallEnd::Cancelled && !task->isBrokenOff)) {
         reportRunEnd(task, RunOutcome::Unknown);
         end(task, unknownEnd("cancelled", "the caller left"));
     } else if (how == CallEnd::NotSent) {
--- a/tests/system_gateway.cpp
+++ b/tests/system_gateway.cpp
@@ -356,8 +356,9 @@
     for (int pieces = 2; pieces <= 48; pieces += 2) { // the gateway ends 5.5 s after the signal
         for (const std::string route : {"/read/", "/write/"}) {
             const auto attempt = site.freshAttempt();
-            const auto head = "POST " + route + attempt + " HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: 9000\r\nAttempt-Id: " + attempt
-                + "\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n";
+            std::string head = "POST " + route;
+            head.append(attempt).append(" HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: 9000\r\nAttempt-Id: ").append(attempt);
+            head.append("\r\nContent-Length: ").append(std::to_string(pieces)).append("\r\n\r\n");
             calls.emplace_back(attempt, rawCallByPieces(site.port(1), head, pieces, Pause, 8));
         }
     }
--- a/tests/unit_requesttasks.cpp
+++ b/tests/unit_requesttasks.cpp
@@ -75,6 +75,32 @@
     }
 };
 
+/// The entry reads nothing.
+struct UnreadStream : PlayedStream {
+    auto pendingBytes() const -> std::size_t override
+    {
+        std::size_t bytes = 0;
+        for (const auto &answer : answers) {
+            bytes += answer.data().body().size();
+        }
+        return bytes;
+    }
+};
+
+/// Opens a request at other tasks than those of the fixture.
+auto openAt(RequestTasks &tasks, const std::shared_ptr<PlayedStream> &stream, bool mustRunOnce) -> void
+{
+    Wire::Open open;
+    open.set_version(Wire::PROTOCOL_VERSION_CURRENT);
+    open.set_request_id("a");
+    open.set_method("POST");
+    open.set_path("/v1/completions");
+    open.set_budget_us(Duration::seconds(10).inMicros());
+    open.set_run_once(mustRunOnce);
+    tasks.accept(stream);
+    stream->ask(open);
+}
+
 auto endOf(const PlayedStream &stream) -> Wire::End
 {
     return stream.answers.empty() ? Wire::End() : stream.answers.back().end();
@@ -229,3 +255,47 @@
     fixture.send("d", false, false, 2 * Body);
     CHECK(fixture.await([&] { return fixture.calls.size() == 3; }));
 }
+
+TEST_CASE("an engine's error that doesn't end is broken off, and its request counts as run")
+{
+    // Guards against an agent that keeps what an engine in trouble sends until it is out of memory.
+    TasksFixture fixture;
+    auto settings = fixture.settings();
+    settings.isRunner = true;
+    RequestTasks tasks(fixture.loop, fixture.client, settings, fixture.hooks());
+    const auto stream = std::make_shared<PlayedStream>();
+    openAt(tasks, stream, false);
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 1; }));
+    fixture.calls.front()->begin(503, {});
+    const auto more = fixture.loop.every(Duration::millis(1), [&] { fixture.calls.front()->write(std::string(16384, 'x')); });
+    REQUIRE(fixture.loop.runUntil([&] { return endOf(*stream).outcome() == Wire::OUTCOME_UNKNOWN; }, Duration::seconds(2)));
+    CHECK(endOf(*stream).code() == "target-broken");
+    CHECK(fixture.await([&] { return !fixture.calls.front()->isOpen(); }));
+}
+
+TEST_CASE("an answer too long to be recorded is read no faster than its caller reads it")
+{
+    // Guards against an agent that piles up an endless answer to a request that must run once.
+    TasksFixture fixture;
+    auto hooks = fixture.hooks();
+    hooks.claims.begin = [&](const ClaimKey & /*key*/, TimePoint /*deadline*/, const std::function<void(const ClaimVerdict &verdict)> &done) {
+        fixture.loop.post([done] { done(ForwardSend {}); });
+        return SendId(1);
+    };
+    hooks.claims.runEnded = [](SendId /*send*/, RunOutcome /*end*/, const RunRecord & /*record*/) {
+    };
+    RequestTasks tasks(fixture.loop, fixture.client, fixture.settings(), hooks);
+    const auto stream = std::make_shared<UnreadStream>();
+    openAt(tasks, stream, true);
+    REQUIRE(fixture.await([&] { return fixture.calls.size() == 1; }));
+    fixture.calls.front()->begin(200, {});
+    constexpr std::size_t MaxUnsent = 4U << 20U;
+    const auto more = fixture.loop.every(Duration::millis(1), [&] {
+        if (fixture.calls.front()->pendingBytes() < MaxUnsent) {
+            fixture.calls.front()->write(std::string(65536, 'x'));
+        }
+    });
+    fixture.loop.runUntil([] { return false; }, Duration::millis(600));
+    CHECK(fixture.calls.front()->pendingBytes() > MaxUnsent / 2); // the target waits
+    CHECK(stream->pendingBytes() < 2 * (fixture.settings().streamBuffer + (64U << 10U)));
+}
