callers: an answer whose status has no body is sent without framing and without one

A 204 or 304 of a target on a route for streams reached the client with 'Transfer-Encoding: chunked' and the end mark of the chunks, which a client takes for the beginning of the next answer (MIXED: bytes that are no answer). Found by asking for each status what is passed on.

Cause: begin() chose chunks whenever no length was known, respond() stated a length of 0; neither looked at the status. Change: HttpStatus::mayHaveBody() says it once, for the reader of answers and for the callers' server.

--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -722,9 +722,11 @@
     if (!connection || m_begun) {
         return;
     }
-    headers.push_back({"Content-Length", std::to_string(body.size())});
+    if (HttpStatus::mayHaveBody(status)) {
+        headers.push_back({"Content-Length", std::to_string(body.size())});
+    }
     auto bytes = answerHead(status, connectionHeaders(std::move(headers)));
-    const auto sent = m_head.method == "HEAD" ? std::string_view() : body;
+    const auto sent = m_head.method == "HEAD" || !HttpStatus::mayHaveBody(status) ? std::string_view() : body;
     m_begun = true;
     m_finished = true;
     if (sent.size() <= MaxJoinedBody) {
@@ -744,7 +746,9 @@
     }
     m_begun = true;
     const bool hasBody = m_head.method != "HEAD";
-    if (length) {
+    if (!HttpStatus::mayHaveBody(status)) {
+        m_framing = BodyFraming::None;
+    } else if (length) {
         headers.push_back({"Content-Length", std::to_string(*length)});
     } else if (m_head.allowsChunks) {
         headers.push_back({"Transfer-Encoding", "chunked"});
@@ -759,7 +763,7 @@
 auto CallerExchange::write(std::string_view bytes) -> void
 {
     const auto connection = m_connection.lock();
-    if (connection && m_begun && !m_finished && !bytes.empty()) {
+    if (connection && m_begun && !m_finished && !bytes.empty() && m_framing != BodyFraming::None) {
         connection->write(m_framing == BodyFraming::Chunked ? chunk(bytes) : std::string(bytes));
     }
 }
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -221,11 +221,8 @@
 
 auto HttpReader::Private::framing() const -> BodyFraming
 {
-    constexpr int NoContent = 204;
-    constexpr int NotModified = 304;
-    constexpr int FirstFinal = 200;
     const bool isAnswer = kind == Kind::Answer;
-    if (isAnswer && (noBody || head.status < FirstFinal || head.status == NoContent || head.status == NotModified)) {
+    if (isAnswer && (noBody || !HttpStatus::mayHaveBody(head.status))) {
         return BodyFraming::None;
     }
     if ((parser.flags & F_CHUNKED) != 0) {
--- a/src/net/httpstatus.h
+++ b/src/net/httpstatus.h
@@ -8,6 +8,7 @@
 constexpr int Ok = 200;
 constexpr int Accepted = 202;
 constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -37,4 +38,10 @@
     return status >= 100 && status < 600 && status != SwitchingProtocols;
 }
 
+/// Whether an answer with this status has a body, if its head says so. Others end with their head.
+constexpr auto mayHaveBody(int status) -> bool
+{
+    return status >= 200 && status != NoContent && status != NotModified;
+}
+
 } // namespace KingCup::HttpStatus
--- a/tests/unit_answerheads.cpp
+++ b/tests/unit_answerheads.cpp
@@ -224,3 +224,23 @@
         CHECK(fixture.loop.now() - startedAt < Prompt);
     }
 }
+
+TEST_CASE("an answer that has no body by its status reaches the client without one, on each kind of route")
+{
+    // Guards against the end mark of chunks behind such a head, which a client takes for the beginning of the next answer.
+    ForwarderFixture fixture([](const std::string &target, const std::string &attempt) {
+        const auto status = std::string(target == "p1" ? "204" : "304");
+        return "HTTP/1.1 " + status + " X\r\nAttempt-Id: " + attempt + "\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    });
+    for (const std::string route : {"/write/", "/read/", "/chat/", "/tell/"}) {
+        for (int i = 0; i < 8; ++i) { // both targets
+            const auto status = fixture.call(route + std::to_string(i));
+            INFO(route << " " << fixture.text);
+            CHECK((status == 204 || status == 304));
+            CHECK(fixture.text.ends_with("\r\n\r\n"));
+            CHECK(fixture.text.find("\r\n\r\n") == fixture.text.size() - 4);
+            CHECK(fixture.text.find("Transfer-Encoding") == std::string::npos);
+            CHECK(fixture.text.find("Content-Length") == std::string::npos);
+        }
+    }
+}
