tests: what the linter asks of the new test files

Cause: texts were concatenated in loops, and results of bind() and listen() weren't checked. Measured: unit_answerheads, unit_resetanswers, unit_endlessanswers and unit_plannedstop pass with the same checks.

--- a/tests/rawserver.h
+++ b/tests/rawserver.h
@@ -9,7 +9,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
-#include <functional>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -43,9 +43,10 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
         constexpr int Backlog = 64;
-        ::listen(m_listener, Backlog);
+        if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || ::listen(m_listener, Backlog) != 0) {
+            throw std::runtime_error("can't listen on the loopback address");
+        }
         socklen_t size = sizeof address;
         getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
         m_port = ntohs(address.sin_port);
--- a/tests/unit_answerheads.cpp
+++ b/tests/unit_answerheads.cpp
@@ -6,8 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cctype>
 #include <cstdio>
+#include <iterator>
 #include <string_view>
 #include <vector>
 
@@ -68,9 +70,19 @@
     return {odd + "ame", "na" + odd + "me", "nam" + odd};
 }
 
+auto headWithStatus(const std::string &status) -> std::string
+{
+    return "HTTP/1.1 " + status + Rest;
+}
+
+auto headWithLine(const std::string &line) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Stamp: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
 auto headWithName(const std::string &name) -> std::string
 {
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Stamp: s\r\n" + name + ": v\r\nContent-Length: 2\r\n\r\nok";
+    return headWithLine(name + ": v");
 }
 
 /// Heads with odd names that are tried at real connections.
@@ -86,9 +98,7 @@
 auto oddAnswers() -> std::vector<std::string>
 {
     std::vector<std::string> answers;
-    for (const auto &status : WrongStatuses) {
-        answers.push_back("HTTP/1.1 " + status + Rest);
-    }
+    std::transform(WrongStatuses.begin(), WrongStatuses.end(), std::back_inserter(answers), headWithStatus);
     for (const auto &name : oddNames()) {
         answers.push_back(headWithName(name));
     }
@@ -106,7 +116,7 @@
                                    "Content-Length: 2, 2",
                                    "X: a\x01",
                                    "X: a\x7f"}) {
-        answers.push_back("HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Stamp: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok");
+        answers.push_back(headWithLine(line));
     }
     for (const std::string version : {"HTTP/2.0", "HTTP/0.9", "HTTP/11.1", "http/1.1", "HTTP/1.", "ICY", "HTTP/1.1\t"}) {
         answers.push_back(version + " 200" + Rest);
@@ -121,7 +131,7 @@
     // Guards against an answer with the status 000 or 0200 that is passed on, or that is waited for until the deadline as if it were an interim one.
     for (const std::size_t step : {std::size_t {1}, std::size_t {7}, std::size_t {4096}}) {
         for (int status = 0; status < 1000; ++status) {
-            const auto got = read("HTTP/1.1 " + statusText(status) + Rest, step);
+            const auto got = read(headWithStatus(statusText(status)), step);
             INFO("status " << statusText(status) << " in pieces of " << step);
             if (status < 100 || status >= 600 || status == 101) {
                 CHECK(got.fault == HttpFault::Malformed);
@@ -134,7 +144,7 @@
         }
         for (const auto &status : WrongStatuses) {
             INFO("status '" << status << "'");
-            CHECK(read("HTTP/1.1 " + status + Rest, step).fault == HttpFault::Malformed);
+            CHECK(read(headWithStatus(status), step).fault == HttpFault::Malformed);
         }
     }
     CHECK(read("HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 3).isComplete); // without a reason phrase
@@ -166,7 +176,9 @@
     for (const std::string status : {"100", "103", "204", "304"}) {
         for (const std::string framing : {"Content-Length: 30", "Transfer-Encoding: chunked", "X: 1"}) {
             INFO(status << " " << framing);
-            const auto got = read("HTTP/1.1 " + status + " X\r\n" + framing + "\r\n\r\n", 5);
+            std::string head = "HTTP/1.1 ";
+            head.append(status).append(" X\r\n").append(framing).append("\r\n\r\n");
+            const auto got = read(head, 5);
             CHECK(got.isComplete);
             CHECK(got.body.empty());
         }
--- a/tests/unit_endlessanswers.cpp
+++ b/tests/unit_endlessanswers.cpp
@@ -306,11 +306,10 @@
         return true;
     };
     std::vector<std::future<RawAnswer>> clients;
+    clients.reserve(Streams);
     for (int i = 0; i < Streams; ++i) {
-        clients.push_back(
-            rawCall(fixture.server->port(),
-                    "POST /tell/endless HTTP/1.1\r\nHost: h\r\nAttempt-Id: e-" + std::to_string(i) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-                    RawAfter::Read));
+        std::string request = "POST /tell/endless HTTP/1.1\r\nHost: h\r\nAttempt-Id: e-" + std::to_string(i);
+        clients.push_back(rawCall(fixture.server->port(), request.append("\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), RawAfter::Read));
     }
     fixture.loop.runUntil([&] { return fixture.pool.answerLoad().givenUp() > 0; }, MaxTime);
     CHECK(fixture.pool.answerLoad().givenUp() > 0);
--- a/tests/unit_plannedstop.cpp
+++ b/tests/unit_plannedstop.cpp
@@ -47,7 +47,7 @@
     AnswerTimes times;
     CHECK_FALSE(times.expected("r"));
     for (int i = 1; i <= 20; ++i) {
-        times.ended("r", Duration::millis(100 * i));
+        times.ended("r", Duration::millis(100) * i);
     }
     CHECK(times.expected("r") == Duration::millis(1900) * 1.25); // one of twenty takes longer
     for (int i = 0; i < 64; ++i) {
--- a/tests/unit_resetanswers.cpp
+++ b/tests/unit_resetanswers.cpp
@@ -75,8 +75,8 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        ::listen(listener, 1);
+        REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(listener, 1) == 0);
         socklen_t size = sizeof address;
         getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
         stream = TcpStream::connect(loop, {"127.0.0.1", ntohs(address.sin_port)}, {});
@@ -196,11 +196,10 @@
                 fixture.dispatcher.targetSeen(description, fixture.loop.now());
             }
             for (int i = 0; i < Tries; ++i) {
-                const auto attempt = "a-" + std::to_string(i);
-                auto answered = rawCall(fixture.server->port(),
-                                        "POST " + path + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + attempt + "\r\nConnection: close\r\nContent-Length: "
-                                            + std::to_string(UploadBytes) + "\r\n\r\n" + std::string(UploadBytes, 'b'),
-                                        RawAfter::Read);
+                std::string request = "POST ";
+                request.append(path).append(" HTTP/1.1\r\nHost: h\r\nAttempt-Id: a-").append(std::to_string(i));
+                request.append("\r\nConnection: close\r\nContent-Length: ").append(std::to_string(UploadBytes)).append("\r\n\r\n");
+                auto answered = rawCall(fixture.server->port(), request.append(UploadBytes, 'b'), RawAfter::Read);
                 REQUIRE(fixture.loop.runUntil([&] { return answered.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }, TestTimeout));
                 const auto text = answered.get().text;
                 INFO(path << ", " << name << ", try " << i << ": " << text);
