--- a/tests/unit_answerheads.cpp
+++ b/tests/unit_answerheads.cpp
@@ -75,6 +75,11 @@
     return "HTTP/1.1 " + status + Rest;
 }
 
+auto headOfVersion(const std::string &version) -> std::string
+{
+    return version + " 200" + Rest;
+}
+
 auto headWithLine(const std::string &line) -> std::string
 {
     return "HTTP/1.1 200 OK\r\nAttempt-Id: %\r\nServer-Stamp: s\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok";
@@ -119,7 +124,7 @@
         answers.push_back(headWithLine(line));
     }
     for (const std::string version : {"HTTP/2.0", "HTTP/0.9", "HTTP/11.1", "http/1.1", "HTTP/1.", "ICY", "HTTP/1.1\t"}) {
-        answers.push_back(version + " 200" + Rest);
+        answers.push_back(headOfVersion(version));
     }
     return answers;
 }
