http client, tests: only the headers that are used

Cause: the client kept two includes of its former implementation, and tests/rawserver.h relied on others for <algorithm>. Measured: builds; unit_http, unit_resetanswers and unit_answerheads pass.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -4,8 +4,6 @@
 #include "net/httppool.h"
 #include "net/tls.h"
 
-#include <algorithm>
-#include <cctype>
 #include <unordered_set>
 #include <utility>
 
--- a/tests/rawserver.h
+++ b/tests/rawserver.h
@@ -4,6 +4,7 @@
 
 #include "core/endpoint.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
