--- a/tests/harness_cluster.cpp
+++ b/tests/harness_cluster.cpp
@@ -253,7 +253,8 @@
 {
     peerPorts[id] = freePort();
     const bool isPlain = id.compare(0, 6, "ledger") == 0;
-    const auto target = options.proxiesTargets ? addProxyLink(cluster, "target:" + id, targetPort(id)) : targetPort(id);
+    const auto called = options.standIn ? options.standIn(id, targetPort(id)) : targetPort(id);
+    const auto target = options.proxiesTargets ? addProxyLink(cluster, "target:" + id, called) : called;
     std::ostringstream text;
     text << "[process]\nrole = agent\nid = " << id << "\nzone = " << zone << "\n[listen]\npeers = " << endpointText(peerPorts[id])
          << "\n[target]\nengine = " << endpointText(target) << "\n"
--- a/tests/harness_cluster.h
+++ b/tests/harness_cluster.h
@@ -38,6 +38,8 @@
     std::vector<std::string> fakes; ///< additional arguments of kingcup-fakes; they replace defaults of the same name
     std::string settings; ///< additional INI text for the settings of every entry and agent
     int maxDescriptors = 0; ///< limit on open files of each entry and agent; 0: that of the test
+    /// Gets the port of an agent's target and returns the one that the agent calls instead; not set: the agent calls its target.
+    std::function<int(const std::string &agent, int targetPort)> standIn;
 };
 
 // [SECTION] Call
--- a/tests/rawserver.h
+++ b/tests/rawserver.h
@@ -1,5 +1,10 @@
 // A server that reads requests as far as a test says, answers raw bytes, and ends its connections in a way that a test chooses. It uses blocking calls in a
 // thread of its own, so that it isn't ordered with the event loop under test.
+//
+// Index of sections (search for [SECTION]):
+//   Sockets     blocking calls on the loopback address
+//   RawScript   an answer and the end of its connection
+//   RawServer   plays one script at each connection
 #pragma once
 
 #include "core/endpoint.h"
@@ -20,6 +25,86 @@
 namespace KingCup
 {
 
+// [SECTION] Sockets
+
+inline auto loopbackAddress(int port) -> sockaddr_in
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/// Listens on a port that the kernel chooses.
+class RawListener
+{
+public:
+    RawListener()
+        : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto address = loopbackAddress(0);
+        constexpr int Backlog = 64;
+        if (bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || ::listen(m_descriptor, Backlog) != 0) {
+            throw std::runtime_error("can't listen on the loopback address");
+        }
+        socklen_t size = sizeof address;
+        getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~RawListener()
+    {
+        ::close(m_descriptor);
+    }
+    RawListener(const RawListener &) = delete;
+    auto operator=(const RawListener &) -> RawListener & = delete;
+
+    auto port() const -> int
+    {
+        return m_port;
+    }
+    /// Waits for a connection, on which reads wait for two seconds at most. Negative once stop() was called.
+    auto accept() const -> int
+    {
+        const int connection = ::accept(m_descriptor, nullptr, nullptr);
+        const timeval limit {2, 0};
+        setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        return connection;
+    }
+    auto stop() const -> void
+    {
+        shutdown(m_descriptor, SHUT_RDWR);
+    }
+
+private:
+    int m_descriptor;
+    int m_port = 0;
+};
+
+/// Reads until the head of a request is whole; bytes of its body may follow it. Empty if the connection ends before.
+inline auto readRequestHead(int connection) -> std::string
+{
+    std::array<char, 4096> buffer {};
+    std::string received;
+    while (received.find("\r\n\r\n") == std::string::npos) {
+        const auto size = recv(connection, buffer.data(), buffer.size(), 0);
+        if (size <= 0) {
+            return "";
+        }
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return received;
+}
+
+inline auto headerOf(const std::string &head, const std::string &name) -> std::string
+{
+    const auto at = head.find("\r\n" + name + ": ");
+    const auto from = at + name.size() + 4;
+    return at == std::string::npos ? "" : head.substr(from, head.find("\r\n", from) - from);
+}
+
+// [SECTION] RawScript
+
 enum class RawEnd {
     Reset, ///< by a reset
     Close, ///< by close(): the kernel resets the connection if received bytes weren't read
@@ -33,39 +118,62 @@
     RawEnd end = RawEnd::Close;
 };
 
+/// Ends a connection in order or by a reset. Its descriptor is still to be closed, which brings the reset.
+inline auto endRaw(int connection, RawEnd end) -> void
+{
+    if (end == RawEnd::Reset) {
+        const linger atOnce {1, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    } else if (end == RawEnd::Drain) {
+        shutdown(connection, SHUT_WR);
+        std::array<char, 4096> buffer {};
+        while (recv(connection, buffer.data(), buffer.size(), 0) > 0) { }
+    }
+}
+
+/// Answers a request of which `received` was read, and ends its connection.
+inline auto playRaw(int connection, const RawScript &script, const std::string &received) -> void
+{
+    if (script.readsBody) {
+        std::array<char, 4096> buffer {};
+        const auto whole = received.find("\r\n\r\n") + 4 + std::stoul("0" + headerOf(received, "Content-Length"));
+        std::size_t count = received.size();
+        for (ssize_t size = 1; count < whole && size > 0; count += static_cast<std::size_t>(std::max<ssize_t>(size, 0))) {
+            size = recv(connection, buffer.data(), buffer.size(), 0);
+        }
+    }
+    auto text = script.text;
+    if (const auto at = text.find('%'); at != std::string::npos) {
+        text.replace(at, 1, headerOf(received, "Attempt-Id"));
+    }
+    ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(script.endsAfter);
+    endRaw(connection, script.end);
+}
+
+// [SECTION] RawServer
+
 /// One request on each connection, one connection at a time.
 class RawServer
 {
 public:
     explicit RawServer(RawScript script)
         : m_script(std::move(script))
+        , m_thread([this] { run(); })
     {
-        m_listener = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        constexpr int Backlog = 64;
-        if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || ::listen(m_listener, Backlog) != 0) {
-            throw std::runtime_error("can't listen on the loopback address");
-        }
-        socklen_t size = sizeof address;
-        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-        m_port = ntohs(address.sin_port);
-        m_thread = std::thread([this] { run(); });
     }
     ~RawServer()
     {
         m_isStopping = true;
-        shutdown(m_listener, SHUT_RDWR);
+        m_listener.stop();
         m_thread.join();
-        close(m_listener);
     }
     RawServer(const RawServer &) = delete;
     auto operator=(const RawServer &) -> RawServer & = delete;
 
     auto endpoint() const -> Endpoint
     {
-        return {"127.0.0.1", m_port};
+        return {"127.0.0.1", m_listener.port()};
     }
     auto requests() const -> int
     {
@@ -76,58 +184,21 @@
     auto run() -> void
     {
         while (!m_isStopping) {
-            const int connection = accept(m_listener, nullptr, nullptr);
-            if (connection >= 0) {
-                const timeval limit {2, 0};
-                setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-                serve(connection);
-                close(connection);
+            const int connection = m_listener.accept();
+            if (connection < 0) {
+                continue;
             }
-        }
-    }
-    auto serve(int connection) -> void
-    {
-        std::array<char, 4096> buffer {};
-        std::string received;
-        while (received.find("\r\n\r\n") == std::string::npos) {
-            const auto size = recv(connection, buffer.data(), buffer.size(), 0);
-            if (size <= 0) {
-                return;
+            const auto received = readRequestHead(connection);
+            if (!received.empty()) {
+                ++m_requests;
+                playRaw(connection, m_script, received);
             }
-            received.append(buffer.data(), static_cast<std::size_t>(size));
-        }
-        ++m_requests;
-        if (m_script.readsBody) {
-            const auto whole = received.find("\r\n\r\n") + 4 + std::stoul("0" + valueOf(received, "Content-Length"));
-            std::size_t count = received.size();
-            for (ssize_t size = 1; count < whole && size > 0; count += static_cast<std::size_t>(std::max<ssize_t>(size, 0))) {
-                size = recv(connection, buffer.data(), buffer.size(), 0);
-            }
-        }
-        auto text = m_script.text;
-        if (const auto at = text.find('%'); at != std::string::npos) {
-            text.replace(at, 1, valueOf(received, "Attempt-Id"));
-        }
-        ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
-        std::this_thread::sleep_for(m_script.endsAfter);
-        if (m_script.end == RawEnd::Reset) {
-            const linger atOnce {1, 0};
-            setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
-        } else if (m_script.end == RawEnd::Drain) {
-            shutdown(connection, SHUT_WR);
-            while (recv(connection, buffer.data(), buffer.size(), 0) > 0) { }
+            close(connection);
         }
     }
-    static auto valueOf(const std::string &head, const std::string &name) -> std::string
-    {
-        const auto at = head.find("\r\n" + name + ": ");
-        const auto from = at + name.size() + 4;
-        return at == std::string::npos ? "" : head.substr(from, head.find("\r\n", from) - from);
-    }
 
     RawScript m_script;
-    int m_listener = -1;
-    int m_port = 0;
+    RawListener m_listener;
     std::atomic<bool> m_isStopping = false;
     std::atomic<int> m_requests = 0;
     std::thread m_thread;
