tcp, http pool: an answer that ends with its connection is complete only when its server has taken the whole call

Callers saw: a target answers a long upload at once with a 200 without a length, sends a part of the body, ends the connection in order and resets it while the upload is still being written. The client got the part as a complete answer, at a gateway with a Content-Length; a run-once request counted as answered by it. A close() with all bytes read that have come so far looks like this on the wire: the reset comes only with further bytes of the upload.

Cause: the end of a connection's input is only the end of the server's sending. The call was over at that moment; a reset that came later wasn't looked at, and a read after the end of the input doesn't report it. If a send failed before the end was read, the same answer counted as broken.

Evidence: with an order of steps in one thread, data, close and one write before the read ended as closed, with two writes as reset.

Why this works: while an answer without a length is read, the end of the input counts as in order only when the server's host has acknowledged all of the call. A socket that is closed never acknowledges bytes that come later, it resets. A server that ends its sending and reads on is still complete (the test of it is unchanged), and one that stops reading is given up after the time limit of unacknowledged bytes. All readers of answers run on the pool.

--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -261,6 +261,7 @@
         m_verdict = AnswerVerdict::Skip;
         return;
     }
+    m_stream->setAwaitsDelivery(m_reader.endsWithConnection());
     const auto call = m_call;
     m_verdict = call && call->onHead ? call->onHead(head) : AnswerVerdict::Accept;
 }
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -4,8 +4,8 @@
 // an earlier call. So a call limits how long a reused connection may have been idle, and inspects the head of each answer before it
 // accepts it. If bytes arrive when no answer is due, the connection is closed.
 //
-// An answer is complete only if its framing says so; one that ends with its connection is complete only if the server closed that in order and had taken all
-// that was sent until then. What isn't HTTP/1, or has a status that no answer has, ends the call as Broken.
+// An answer is complete only if its framing says so; one that ends with its connection is complete only if the server closed that in order and has taken the
+// whole call. What isn't HTTP/1, or has a status that no answer has, ends the call as Broken.
 //
 // Index of sections (search for [SECTION]):
 //   PooledCall    one call and its result
--- a/src/net/tcpstream.cpp
+++ b/src/net/tcpstream.cpp
@@ -33,6 +33,7 @@
 constexpr auto ExhaustedPause
     = Duration::millis(200); ///< after a failed accept: the connection stays in the kernel's queue, and would be reported again at once
 constexpr double LogPeriodSeconds = 10; ///< of lines that each new connection could cause
+constexpr auto DeliveryCheckPeriod = Duration::millis(5);
 constexpr int MaxAcceptsPerEvent = 64; ///< limited so that a burst of new connections doesn't delay the open ones
 
 /// None if the address isn't an IPv4 address. It must not be taken for 0.0.0.0, which connects to this host.
@@ -98,11 +99,14 @@
     bool sent = false;
     bool writingDone = false; // finishWriting() was called
     bool resetsOnClose = false;
+    bool awaitsDelivery = false; // see setAwaitsDelivery()
     std::optional<int> sendError; // of the first send that failed; the kernel reports an error of the connection once, to the first call that asks
     std::string early; // written before the handshake is done
     Timer connectTimer;
+    Timer deliveryTimer; // active from the end of the input until all is delivered
+    EventLoop *loop = nullptr;
 
-    auto start(EventLoop &loop, int descriptor) -> bool;
+    auto start(EventLoop &ownerLoop, int descriptor) -> bool;
     auto onReadable() -> void;
     auto onWritable() -> void;
     auto onHangUp() -> void;
@@ -110,6 +114,8 @@
     auto finishHandshake() -> bool;
     auto connected() -> bool;
     auto endOfInput() const -> TcpEnd;
+    auto inputEnded() -> void;
+    auto checkDelivery() -> void;
     auto flush() -> void;
     auto send(std::string_view bytes) -> std::size_t;
     auto writePlain(std::string_view bytes) -> void;
@@ -126,8 +132,9 @@
     }
 };
 
-auto TcpStream::Private::start(EventLoop &loop, int descriptor) -> bool
+auto TcpStream::Private::start(EventLoop &ownerLoop, int descriptor) -> bool
 {
+    loop = &ownerLoop;
     polled->onReadable = [this] {
         onReadable();
     };
@@ -137,7 +144,7 @@
     polled->onHangUp = [this] {
         onHangUp();
     };
-    return polled->attach(loop, descriptor);
+    return polled->attach(ownerLoop, descriptor);
 }
 
 auto TcpStream::Private::socketError() const -> int
@@ -166,6 +173,7 @@
         how = TcpEnd::NotConnected;
     }
     connectTimer.cancel();
+    deliveryTimer.cancel();
     polled->release();
     if (owner != nullptr && owner->onEnd) {
         const auto hook = owner->onEnd; // a copy: the hook may destroy the stream and with it the stored function
@@ -223,6 +231,32 @@
     return !tls || tls->hasRemoteFinished() ? TcpEnd::Closed : TcpEnd::Reset;
 }
 
+auto TcpStream::Private::inputEnded() -> void
+{
+    const auto how = endOfInput();
+    if (how != TcpEnd::Closed || !awaitsDelivery) {
+        end(how);
+        return;
+    }
+    polled->setReading(false); // the end of the input stays readable
+    checkDelivery();
+}
+
+/// Ends a connection whose input has ended once the remote side has acknowledged all that was written, or once that has failed. A read doesn't report a reset
+/// that follows the end of the input.
+auto TcpStream::Private::checkDelivery() -> void
+{
+    const auto self = shared_from_this();
+    const bool isDelivered = pending() + queued(SIOCOUTQ) == 0; // before the error: after a reset nothing may be left to be delivered
+    if (const int error = sendError.value_or(socketError()); error != 0) {
+        end(endOfError(error));
+    } else if (isDelivered) {
+        end(TcpEnd::Closed);
+    } else {
+        deliveryTimer = loop->after(DeliveryCheckPeriod, [this] { checkDelivery(); });
+    }
+}
+
 auto TcpStream::Private::onReadable() -> void
 {
     const auto self = shared_from_this();
@@ -236,7 +270,7 @@
         return;
     }
     if (size == 0) {
-        end(endOfInput());
+        inputEnded();
     } else if (errno != EAGAIN && errno != EINTR) {
         end(endOfError(errno));
     }
@@ -282,7 +316,7 @@
     queueEncrypted();
     flush();
     if (tls->hasRemoteFinished()) {
-        end(endOfInput());
+        inputEnded();
     } else if (!isIntact) {
         VLOG(1) << "net: " << tls->fault();
         end(TcpEnd::Reset);
@@ -366,6 +400,7 @@
     d->owner = nullptr;
     d->ended = true;
     d->connectTimer.cancel();
+    d->deliveryTimer.cancel();
     if (d->polled->descriptor() >= 0 && !d->resetsOnClose) {
         shutdown(d->polled->descriptor(), SHUT_RDWR); // ends the connection at once: the loop closes the descriptor a little later
     }
@@ -515,6 +550,11 @@
     }
 }
 
+auto TcpStream::setAwaitsDelivery(bool on) -> void
+{
+    d->awaitsDelivery = on;
+}
+
 auto TcpStream::setResetOnClose(bool on) -> void
 {
     d->resetsOnClose = on;
--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -80,6 +80,10 @@
     /// Shuts down sending once the pending bytes are sent; bytes of the remote side can still be received.
     auto finishWriting() -> void;
 
+    /// While on, an end of the input in order is reported only when the remote side has acknowledged all that was written; a reset that comes before is
+    /// reported instead. It comes if the remote side has closed the connection and not only its sending side.
+    auto setAwaitsDelivery(bool on) -> void;
+
     /// While on, the connection is reset when the stream is destroyed or the process ends, and the remote side can't take it for closed in order. Bytes that it
     /// hasn't acknowledged by then may be lost.
     auto setResetOnClose(bool on) -> void;
--- a/tests/rawserver.h
+++ b/tests/rawserver.h
@@ -108,6 +108,10 @@
 enum class RawEnd {
     Reset, ///< by a reset
     Close, ///< by close(): the kernel resets the connection if received bytes weren't read
+    CloseRead, ///< by close() after a read of what has come so far, 64 KiB at most: the kernel resets the connection, or ends it in order and resets it when
+               ///< further bytes come
+    FinishThenReset, ///< sending ends in order; a reset follows a little later
+    FinishThenStall, ///< sending ends in order; nothing is read any more for some seconds
     Drain, ///< in order: sending ends, and all that still comes is read
 };
 
@@ -121,13 +125,25 @@
 /// Ends a connection in order or by a reset. Its descriptor is still to be closed, which brings the reset.
 inline auto endRaw(int connection, RawEnd end) -> void
 {
-    if (end == RawEnd::Reset) {
-        const linger atOnce {1, 0};
-        setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
-    } else if (end == RawEnd::Drain) {
+    constexpr std::chrono::milliseconds ResetAfter {20};
+    constexpr std::chrono::seconds StallTime {4};
+    constexpr int MaxReads = 16;
+    std::array<char, 4096> buffer {};
+    if (end == RawEnd::Drain || end == RawEnd::FinishThenReset || end == RawEnd::FinishThenStall) {
         shutdown(connection, SHUT_WR);
-        std::array<char, 4096> buffer {};
+    }
+    if (end == RawEnd::Drain) {
         while (recv(connection, buffer.data(), buffer.size(), 0) > 0) { }
+    } else if (end == RawEnd::CloseRead) {
+        for (int i = 0; i < MaxReads && recv(connection, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0; ++i) { }
+    } else if (end == RawEnd::FinishThenReset) {
+        std::this_thread::sleep_for(ResetAfter);
+    } else if (end == RawEnd::FinishThenStall) {
+        std::this_thread::sleep_for(StallTime);
+    }
+    if (end == RawEnd::Reset || end == RawEnd::FinishThenReset) {
+        const linger atOnce {1, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
     }
 }
 
--- a/tests/system_brokenanswers.cpp
+++ b/tests/system_brokenanswers.cpp
@@ -65,7 +65,9 @@
     const auto text = "HTTP/1.1 200 OK\r\n" + Signed + fields + "\r\n" + part;
     return {{"reset at once", {.text = text, .end = RawEnd::Reset}, true},
             {"reset after 20 ms", {.text = text, .endsAfter = milliseconds(20), .end = RawEnd::Reset}, true},
-            {"closed with unread bytes", {.text = text, .endsAfter = milliseconds(50), .end = RawEnd::Close}, true}};
+            {"closed with unread bytes", {.text = text, .endsAfter = milliseconds(50), .end = RawEnd::Close}, true},
+            {"closed without unread bytes", {.text = text, .endsAfter = milliseconds(20), .end = RawEnd::CloseRead}, true},
+            {"ended in order, reset a little later", {.text = text, .end = RawEnd::FinishThenReset}, true}};
 }
 
 /// Checks that what a client received is an answer of our own that says that the request failed. `mayBePart`: a part of the answer may have been passed on,
