tests: the stand-in's host takes little of a request that isn't read

Cause: a trial of system_brokenanswers with prompts of 72 KiB failed once of ten calls that are ended in order and reset ("unstreamed"): the stand-in's host had acknowledged the whole request, 64 KiB of it unread, before the end. Nothing is undelivered then, so the answer counts as complete, as it should; prompts of 128 KiB were more than the receive buffer holds by default, but not by how it may grow. With them an entry also had to wait up to 15 s for an engine that it took for busy with the prompts of broken calls.

Change: the stand-ins listen with a receive buffer of 16 KiB (32 as the kernel counts it) and read 16 KiB at most before a close, so 96 KiB are never taken. The checks are the same.

--- a/tests/rawserver.h
+++ b/tests/rawserver.h
@@ -36,7 +36,7 @@
     return address;
 }
 
-/// Listens on a port that the kernel chooses.
+/// Listens on a port that the kernel chooses. The kernel takes little of a request that isn't read.
 class RawListener
 {
 public:
@@ -45,6 +45,8 @@
     {
         auto address = loopbackAddress(0);
         constexpr int Backlog = 64;
+        constexpr int ReceiveBytes = 16384;
+        setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes, sizeof ReceiveBytes); // inherited by accepted connections
         if (bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || ::listen(m_descriptor, Backlog) != 0) {
             throw std::runtime_error("can't listen on the loopback address");
         }
@@ -108,7 +110,7 @@
 enum class RawEnd {
     Reset, ///< by a reset
     Close, ///< by close(): the kernel resets the connection if received bytes weren't read
-    CloseRead, ///< by close() after a read of what has come so far, 64 KiB at most: the kernel resets the connection, or ends it in order and resets it when
+    CloseRead, ///< by close() after a read of what has come so far, 16 KiB at most: the kernel resets the connection, or ends it in order and resets it when
                ///< further bytes come
     FinishThenReset, ///< sending ends in order; a reset follows a little later
     FinishThenStall, ///< sending ends in order; nothing is read any more for some seconds
@@ -127,7 +129,7 @@
 {
     constexpr std::chrono::milliseconds ResetAfter {20};
     constexpr std::chrono::seconds StallTime {4};
-    constexpr int MaxReads = 16;
+    constexpr int MaxReads = 4;
     std::array<char, 4096> buffer {};
     if (end == RawEnd::Drain || end == RawEnd::FinishThenReset || end == RawEnd::FinishThenStall) {
         shutdown(connection, SHUT_WR);
--- a/tests/system_brokenanswers.cpp
+++ b/tests/system_brokenanswers.cpp
@@ -14,8 +14,8 @@
 {
 
 constexpr int CallerTimeoutSeconds = 8;
-constexpr std::size_t UploadBytes = 900U << 10U; ///< more than the kernel takes before its receiver reads
-constexpr std::size_t PromptBytes = 128U << 10U; ///< likewise, and little enough for an engine to be expected to read in time
+constexpr std::size_t UploadBytes = 900U << 10U; ///< more than the kernel takes of a request that isn't read
+constexpr std::size_t PromptBytes = 96U << 10U; ///< likewise, and little enough for an engine to be expected to read in time
 
 struct BrokenAnswer {
     std::string name;
