tcpstream: what Closed and setAwaitsDelivery() say

Cause: the comment on Closed said that the remote side had taken all that was sent, which holds only for streams that await delivery. Measured: comments only; the formatter passes.

--- a/src/net/tcpstream.h
+++ b/src/net/tcpstream.h
@@ -42,7 +42,7 @@
 
 /// Why a connection ended.
 enum class TcpEnd {
-    Closed, ///< closed in order by the remote side, which took all that was sent until then
+    Closed, ///< closed in order by the remote side, or only its sending side was; no send had failed until then
     Reset, ///< reset by the remote side or by a network device on the path
     Silent, ///< the remote side no longer acknowledges what it is sent
     NotConnected, ///< refused, or not established in time: no byte that was written was sent
@@ -80,8 +80,8 @@
     /// Shuts down sending once the pending bytes are sent; bytes of the remote side can still be received.
     auto finishWriting() -> void;
 
-    /// While on, an end of the input in order is reported only when the remote side has acknowledged all that was written; a reset that comes before is
-    /// reported instead. It comes if the remote side has closed the connection and not only its sending side.
+    /// While on, an end of the input in order is reported only once the remote side has acknowledged all that was written. If it has closed the connection, and
+    /// not only its sending side, it resets the connection when further bytes come; that is reported instead.
     auto setAwaitsDelivery(bool on) -> void;
 
     /// While on, the connection is reset when the stream is destroyed or the process ends, and the remote side can't take it for closed in order. Bytes that it
