--- a/tests/system_brokenanswers.cpp
+++ b/tests/system_brokenanswers.cpp
@@ -66,7 +66,7 @@
     return {{"reset at once", {.text = text, .end = RawEnd::Reset}, true},
             {"reset after 20 ms", {.text = text, .endsAfter = milliseconds(20), .end = RawEnd::Reset}, true},
             {"closed with unread bytes", {.text = text, .endsAfter = milliseconds(50), .end = RawEnd::Close}, true},
-            {"closed without unread bytes", {.text = text, .endsAfter = milliseconds(20), .end = RawEnd::CloseRead}, true},
+            {"closed after some reading", {.text = text, .endsAfter = milliseconds(20), .end = RawEnd::CloseRead}, true},
             {"ended in order, reset a little later", {.text = text, .end = RawEnd::FinishThenReset}, true}};
 }
 
--- a/tests/unit_resetanswers.cpp
+++ b/tests/unit_resetanswers.cpp
@@ -30,8 +30,8 @@
             {"reset after 20 ms", {.text = Unframed, .endsAfter = milliseconds(20), .end = RawEnd::Reset}},
             {"reset after 100 ms", {.text = Unframed, .endsAfter = milliseconds(100), .end = RawEnd::Reset}},
             {"closed with unread bytes", {.text = Unframed, .endsAfter = milliseconds(50), .end = RawEnd::Close}},
-            {"closed at once without unread bytes", {.text = Unframed, .end = RawEnd::CloseRead}},
-            {"closed after 20 ms without unread bytes", {.text = Unframed, .endsAfter = milliseconds(20), .end = RawEnd::CloseRead}},
+            {"closed at once after some reading", {.text = Unframed, .end = RawEnd::CloseRead}},
+            {"closed after 20 ms and some reading", {.text = Unframed, .endsAfter = milliseconds(20), .end = RawEnd::CloseRead}},
             {"ended in order at once, reset a little later", {.text = Unframed, .end = RawEnd::FinishThenReset}},
             {"ended in order after 20 ms, reset a little later", {.text = Unframed, .endsAfter = milliseconds(20), .end = RawEnd::FinishThenReset}},
             {"reset after the whole request", {.text = Unframed, .readsBody = true, .endsAfter = milliseconds(20), .end = RawEnd::Reset}}};
